--- /dev/null
+++ b/Makefile
@@ -0,0 +1,148 @@
+# cactusfield: a workspace of packages and two binaries.
+#
+#   make          build both binaries
+#   make demo     run the main job end to end
+#   make check    run every test
+#   make bench    measure; figures as JSON lines
+#   make format   rewrite the sources with clang-format
+#
+# SAN=asan or SAN=tsan builds with that sanitizer into a directory of its own.
+
+SAN ?= plain
+OUT = build/$(SAN)
+
+# In the order of their layers: a package uses only those before it.
+PACKAGES = $(shell cat packages/ORDER)
+# Pure decisions: no clock, thread, socket, HTTP or RPC (scripts/linkcheck).
+PURE = $(shell cat packages/PURE)
+
+CC = gcc
+CXX = g++
+PC = glib-2.0 jansson talloc libtirpc libxxhash gsl argtable2
+PC_CFLAGS := $(shell pkg-config --cflags $(PC) 2>/dev/null)
+PC_LIBS := $(shell pkg-config --libs $(PC) 2>/dev/null)
+CPPFLAGS = -D_GNU_SOURCE $(PACKAGES:%=-Ipackages/%) $(PC_CFLAGS)
+WARN = -Wall -Wextra -Werror
+SANFLAGS_plain =
+SANFLAGS_asan = -fsanitize=address,undefined -fno-sanitize-recover=undefined
+SANFLAGS_tsan = -fsanitize=thread
+SANFLAGS = $(SANFLAGS_$(SAN)) -fno-omit-frame-pointer
+CFLAGS = -std=gnu11 -O2 -g $(WARN) $(SANFLAGS)
+CXXFLAGS = -std=gnu++17 -O1 -g $(WARN) $(SANFLAGS)
+LDFLAGS = $(SANFLAGS) -pthread
+LDLIBS = $(PC_LIBS) -lcivetweb -lck -lm
+
+LIBS = $(PACKAGES:%=$(OUT)/lib%.a)
+GROUP = -Wl,--start-group $(LIBS) -Wl,--end-group
+
+SRCS = $(filter-out %_main.c,$(wildcard packages/*/*.c))
+# What rpcgen wrote: committed, not ours to format or lint.
+GENERATED = $(wildcard packages/*/*_xdr.c packages/*/*_xdr.h)
+OBJS = $(SRCS:%.c=$(OUT)/%.o)
+BINS = $(OUT)/cactusfieldd $(OUT)/cactusfield
+TEST_C = $(wildcard packages/*/tests/*_test.c)
+TEST_CXX = $(wildcard packages/*/tests/*_prop.cpp)
+TESTS = $(TEST_C:packages/%.c=$(OUT)/t/%) $(TEST_CXX:packages/%.cpp=$(OUT)/t/%)
+BENCH_C = $(wildcard bench/*_bench.c)
+BENCHES = $(BENCH_C:%.c=$(OUT)/%)
+STANDIN = $(if $(wildcard standin/*.c),$(OUT)/standin/standin)
+LOADGEN = $(if $(wildcard bench/load_main.c),$(OUT)/bench/load)
+
+.PHONY: all deps binaries check test regress demo bench format formatcheck \
+	tidy linkcheck mancheck models soak clean
+.SECONDARY:
+
+all: deps
+	+@$(MAKE) --no-print-directory -s -j$$(nproc) binaries
+
+deps:
+	@scripts/deps
+
+binaries: $(LIBS) $(wildcard $(OUT)/none) $(foreach b,$(BINS),$(if $(wildcard packages/*/$(notdir $(b))_main.c),$(b))) $(STANDIN) $(LOADGEN)
+
+define library
+$(OUT)/lib$(1).a: $(filter $(OUT)/packages/$(1)/%,$(OBJS))
+	@mkdir -p $$(@D)
+	@rm -f $$@
+	ar rcs $$@ $$^
+endef
+$(foreach p,$(PACKAGES),$(eval $(call library,$(p))))
+
+$(OUT)/%_xdr.o: %_xdr.c
+	@mkdir -p $(@D)
+	$(CC) $(CPPFLAGS) $(CFLAGS) -Wno-unused-variable -Wno-cast-function-type -MMD -MP -c -o $@ $<
+
+$(OUT)/%.o: %.c
+	@mkdir -p $(@D)
+	$(CC) $(CPPFLAGS) $(CFLAGS) -MMD -MP -c -o $@ $<
+
+$(OUT)/%.o: %.cpp
+	@mkdir -p $(@D)
+	$(CXX) $(CPPFLAGS) $(CXXFLAGS) -MMD -MP -c -o $@ $<
+
+$(OUT)/cactusfieldd: $(OUT)/packages/entry/cactusfieldd_main.o $(LIBS)
+	$(CC) $(LDFLAGS) -o $@ $< $(GROUP) $(LDLIBS)
+
+$(OUT)/cactusfield: $(OUT)/packages/tool/cactusfield_main.o $(LIBS)
+	$(CC) $(LDFLAGS) -o $@ $< $(GROUP) $(LDLIBS)
+
+$(OUT)/t/%_test: $(OUT)/packages/%_test.o $(LIBS)
+	@mkdir -p $(@D)
+	$(CC) $(LDFLAGS) -o $@ $< $(GROUP) $(LDLIBS)
+
+$(OUT)/t/%_prop: $(OUT)/packages/%_prop.o $(LIBS)
+	@mkdir -p $(@D)
+	$(CXX) $(LDFLAGS) -o $@ $< $(GROUP) -lrapidcheck $(LDLIBS)
+
+$(OUT)/bench/%_bench: $(OUT)/bench/%_bench.o $(LIBS)
+	@mkdir -p $(@D)
+	$(CC) $(LDFLAGS) -o $@ $< $(GROUP) $(LDLIBS)
+
+$(OUT)/bench/load: $(OUT)/bench/load_main.o $(LIBS)
+	$(CC) $(LDFLAGS) -o $@ $< $(GROUP) $(LDLIBS)
+
+$(OUT)/standin/standin: $(patsubst %.c,$(OUT)/%.o,$(wildcard standin/*.c)) $(LIBS)
+	$(CC) $(LDFLAGS) -o $@ $(filter %.o,$^) $(GROUP) $(LDLIBS)
+
+check: all
+	+@$(MAKE) --no-print-directory -s test
+
+test: binaries
+	+@$(MAKE) --no-print-directory -s -j$$(nproc) $(TESTS)
+	@OUT=$(OUT) scripts/runtests 6 $(OUT)/log $(TESTS) $(wildcard regress/run)
+
+demo: all
+	@OUT=$(OUT) tests/demo
+
+bench: all
+	+@$(MAKE) --no-print-directory -s -j$$(nproc) $(BENCHES)
+	@OUT=$(OUT) bench/run
+
+soak: all
+	@OUT=$(OUT) RC_PARAMS="seed=$$(date +%s) max_success=2000" scripts/runtests 6 $(OUT)/log $(filter %_prop,$(TESTS))
+
+FORMATTED = $(filter-out $(GENERATED),$(shell git ls-files -co --exclude-standard '*.c' '*.h' '*.cpp'))
+
+format:
+	clang-format -i $(FORMATTED)
+
+formatcheck:
+	clang-format --dry-run --Werror $(FORMATTED)
+
+tidy:
+	@printf '%s\n' $(filter-out $(GENERATED),$(filter %.c,$(FORMATTED))) | \
+	xargs -P $$(nproc) -n 4 sh -c 'clang-tidy --quiet "$$@" -- $(CPPFLAGS) -std=gnu11 2>/dev/null || exit 255' sh
+
+linkcheck: $(PURE:%=$(OUT)/lib%.a)
+	@scripts/linkcheck $^
+
+mancheck:
+	@scripts/mancheck
+
+models:
+	@scripts/models $(OUT)/models
+
+clean:
+	rm -rf build
+
+-include $(shell find $(OUT) -name '*.d' 2>/dev/null)
--- /dev/null
+++ b/packages/base/base_err.h
@@ -0,0 +1,19 @@
+/*
+ * base_err - helpers for GError.
+ *
+ * Each layer has an error domain of its own and turns the errors of the layer
+ * below into it with base_err_wrap(), which keeps the text of the cause.
+ */
+#ifndef BASE_ERR_H
+#define BASE_ERR_H
+
+#include <glib.h>
+
+/*
+ * Set "*dst" to an error of "domain" and "code" whose text is the formatted
+ * one, ": " and the text of "cause".  Frees "cause".  "dst" may be NULL.
+ */
+void base_err_wrap(GError **dst, GQuark domain, int code, GError *cause,
+		   const char *fmt, ...) __attribute__((format(printf, 5, 6)));
+
+#endif
--- /dev/null
+++ b/packages/base/base_int.h
@@ -0,0 +1,13 @@
+/*
+ * base_int - what the files of this package share.
+ */
+#ifndef BASE_INT_H
+#define BASE_INT_H
+
+#include <string.h>
+
+#include "base.h"
+
+#define BASE_BUF_MIN 64 /* bytes of a new buffer */
+
+#endif
--- /dev/null
+++ b/packages/base/base_str.c
@@ -0,0 +1,96 @@
+#include "base_int.h"
+
+static void grow(base_buf_t *buf, size_t extra);
+
+base_str_t base_str(const char *text)
+{
+	return (base_str_t){ text ? text : "", text ? strlen(text) : 0 };
+}
+
+bool base_str_eq(base_str_t a, base_str_t b)
+{
+	return a.len == b.len && !memcmp(a.ptr, b.ptr, a.len);
+}
+
+char *base_str_dup(const void *ctx, base_str_t s)
+{
+	return talloc_strndup(ctx, s.ptr, s.len);
+}
+
+base_buf_t *base_buf_new(const void *ctx)
+{
+	base_buf_t *buf = talloc_zero(ctx, base_buf_t);
+
+	grow(buf, 0);
+	return buf;
+}
+
+void base_buf_add(base_buf_t *buf, const void *data, size_t len)
+{
+	if (!len)
+		return;
+	grow(buf, len);
+	memcpy(buf->ptr + buf->len, data, len);
+	buf->len += len;
+	buf->ptr[buf->len] = '\0';
+}
+
+void base_buf_adds(base_buf_t *buf, const char *text)
+{
+	base_buf_add(buf, text, strlen(text));
+}
+
+void base_buf_addf(base_buf_t *buf, const char *fmt, ...)
+{
+	va_list ap, again;
+	int len;
+
+	va_start(ap, fmt);
+	va_copy(again, ap);
+	len = vsnprintf(NULL, 0, fmt, ap);
+	va_end(ap);
+	if (len > 0) {
+		grow(buf, (size_t)len);
+		vsnprintf(buf->ptr + buf->len, (size_t)len + 1, fmt, again);
+		buf->len += (size_t)len;
+	}
+	va_end(again);
+}
+
+void base_buf_add_json(base_buf_t *buf, base_str_t s)
+{
+	base_buf_add(buf, "\"", 1);
+	for (size_t i = 0; i < s.len; i++) {
+		unsigned char c = (unsigned char)s.ptr[i];
+
+		if (c == '"' || c == '\\')
+			base_buf_addf(buf, "\\%c", c);
+		else if (c < 0x20 || c == 0x7f)
+			base_buf_addf(buf, "\\u%04x", c);
+		else
+			base_buf_add(buf, &s.ptr[i], 1);
+	}
+	base_buf_add(buf, "\"", 1);
+}
+
+void base_buf_reset(base_buf_t *buf)
+{
+	buf->len = 0;
+	buf->ptr[0] = '\0';
+}
+
+base_str_t base_buf_str(const base_buf_t *buf)
+{
+	return (base_str_t){ buf->ptr, buf->len };
+}
+
+static void grow(base_buf_t *buf, size_t extra)
+{
+	size_t need = buf->len + extra + 1;
+
+	if (need <= buf->alloc)
+		return;
+	buf->alloc = need * 2 < BASE_BUF_MIN ? BASE_BUF_MIN : need * 2;
+	buf->ptr = talloc_realloc(buf, buf->ptr, char, buf->alloc);
+	buf->ptr[buf->len] = '\0';
+}
--- /dev/null
+++ b/packages/base/tests/base_test.c
@@ -0,0 +1,95 @@
+#include <jansson.h>
+#include <unistd.h>
+
+#include "base.h"
+
+static void test_buf(void)
+{
+	base_buf_t *buf = base_buf_new(NULL);
+
+	base_buf_addf(buf, "%d-", 7);
+	base_buf_add_json(buf, BASE_STR("a\"\\\n"));
+	g_assert_cmpstr(buf->ptr, ==, "7-\"a\\\"\\\\\\u000a\"");
+	base_buf_reset(buf);
+	g_assert_cmpuint(buf->len, ==, 0);
+	talloc_free(buf);
+}
+
+static void test_hist(void)
+{
+	base_hist_t *hist = base_hist_new(NULL);
+
+	for (int i = 1; i <= 1000; i++)
+		base_hist_add(hist, i * 100);
+	g_assert_cmpuint(base_hist_count(hist), ==, 1000);
+	g_assert_cmpfloat(base_hist_quantile(hist, 0.5), >=, 50000);
+	g_assert_cmpfloat(base_hist_quantile(hist, 0.5), <=,
+			  50000 * BASE_HIST_RATIO);
+	base_hist_add(hist, INT64_MAX / 2);
+	base_hist_add(hist, -5);
+	g_assert_cmpuint(base_hist_count(hist), ==, 1002);
+	talloc_free(hist);
+}
+
+static void test_log(void)
+{
+	char line[512] = "";
+	json_t *root;
+	int fds[2];
+	base_log_t log = { .level = BASE_INFO };
+
+	g_assert_cmpint(pipe(fds), ==, 0);
+	log.fd = fds[1];
+	base_log(&log, BASE_MSG_REQUEST, BASE_F_INT("hidden", 1));
+	base_log(&log, BASE_MSG_READY, BASE_F_STR("zone", "a\"b"),
+		 BASE_F_INT("n", 3));
+	g_assert_cmpint(read(fds[0], line, sizeof(line) - 1), >, 0);
+	root = json_loads(line, 0, NULL);
+	g_assert_nonnull(root);
+	g_assert_cmpstr(json_string_value(json_object_get(root, "zone")), ==,
+			"a\"b");
+	g_assert_cmpstr(json_string_value(json_object_get(root, "msg")), ==,
+			"ready");
+	json_decref(root);
+	close(fds[0]);
+	close(fds[1]);
+}
+
+static void test_catalogue(void)
+{
+	for (int i = 0; i < BASE_MSG_MAX; i++) {
+		const base_msg_info_t *info = base_msg_info((base_msg_t)i);
+
+		g_assert_nonnull(info->name);
+		g_assert_nonnull(info->text);
+		for (int j = 0; j < i; j++)
+			g_assert_cmpstr(info->name, !=,
+					base_msg_info((base_msg_t)j)->name);
+	}
+}
+
+static void test_rng(void)
+{
+	base_rng_t a = { 1 }, b = { 1 };
+	uint32_t seen[10] = { 0 };
+
+	for (int i = 0; i < 10000; i++) {
+		g_assert_cmpuint(base_rng_below(&a, 10), ==,
+				 base_rng_below(&b, 10));
+		seen[base_rng_below(&a, 10)]++;
+		base_rng_next(&b);
+	}
+	for (int i = 0; i < 10; i++)
+		g_assert_cmpuint(seen[i], >, 800);
+}
+
+int main(int argc, char **argv)
+{
+	g_test_init(&argc, &argv, NULL);
+	g_test_add_func("/base/buf", test_buf);
+	g_test_add_func("/base/hist", test_hist);
+	g_test_add_func("/base/log", test_log);
+	g_test_add_func("/base/catalogue", test_catalogue);
+	g_test_add_func("/base/rng", test_rng);
+	return g_test_run();
+}
