fleet: decide on budget, ownership, planner and maintenance

Cause: nothing decides which instance belongs to which pool or what may be taken out.

Change: a pure package. Ownership records in 16 shards a zone and one account a pool; a disruption is granted by a compare-and-swap of the account, carried out by one of the shard, and its effect counts only once loaded back. Budget check, targets, placement, moves, waves, orders of operators and explanations.

--- /dev/null
+++ b/packages/fleet/fleet_grant.c
@@ -0,0 +1,190 @@
+#include "fleet_int.h"
+
+static bool stale(const fleet_t *fleet, int32_t pool,
+		  const fleet_grant_t *grant);
+static void add_grant(fleet_run_t *run, fleet_acct_t *acct,
+		      fleet_grant_t grant);
+static void grant_orders(fleet_run_t *run);
+static void grant_wave(fleet_run_t *run);
+static fleet_inst_t **by_rack(fleet_run_t *run, size_t *n);
+static bool first_rack(fleet_run_t *run, uint32_t *rack);
+
+/*
+ * Give back what returned, and put the holder's fence on every account that
+ * carries an older one.  Until that write has come back, nothing is granted
+ * from it: a late holder's grant then fails its comparison.
+ */
+void fleet_release(fleet_run_t *run)
+{
+	fleet_t *fleet = run->fleet;
+
+	for (size_t i = 0; i < fleet->n_pools; i++) {
+		fleet_acct_t *acct = &fleet->pools[i];
+
+		acct->n_next = 0;
+		acct->next = NULL;
+		if (acct->fence > fleet->fence)
+			continue;
+		for (size_t j = 0; j < acct->n_grants; j++)
+			if (!stale(fleet, (int32_t)i, &acct->grants[j]))
+				add_grant(run, acct, acct->grants[j]);
+		acct->dirty = acct->n_next < acct->n_grants ||
+			      acct->fence < fleet->fence;
+	}
+}
+
+void fleet_grant_all(fleet_run_t *run)
+{
+	grant_orders(run);
+	grant_wave(run);
+}
+
+bool fleet_give(fleet_run_t *run, fleet_inst_t *inst, fleet_purpose_t purpose,
+		int32_t to)
+{
+	fleet_acct_t *acct = &run->fleet->pools[inst->rec.pool];
+
+	if (acct->fence != run->fleet->fence) {
+		inst->why = FLEET_WHY_NOT_FENCED;
+		return false;
+	}
+	if (!fleet_may_take(run, inst)) {
+		inst->why = FLEET_WHY_NO_ROOM;
+		return false;
+	}
+	add_grant(run, acct,
+		  (fleet_grant_t){ .id = inst->id,
+				   .seq = inst->rec.seq,
+				   .purpose = purpose,
+				   .to = to });
+	acct->dirty = true;
+	fleet_take(run, inst);
+	return true;
+}
+
+/* A grant is used up once its instance has gone on from the record it names. */
+static bool stale(const fleet_t *fleet, int32_t pool,
+		  const fleet_grant_t *grant)
+{
+	const fleet_inst_t *inst = fleet_inst_find(fleet, grant->id);
+
+	if (!inst || inst->rec.state == FLEET_FREE || inst->rec.pool != pool)
+		return true;
+	return inst->rec.seq > grant->seq &&
+	       (inst->rec.state == FLEET_SERVING ||
+		inst->rec.state == FLEET_FAILED);
+}
+
+/* Only for this step: what stands is what the store is seen to hold. */
+static void add_grant(fleet_run_t *run, fleet_acct_t *acct, fleet_grant_t grant)
+{
+	acct->next = talloc_realloc(run->tmp, acct->next, fleet_grant_t,
+				    acct->n_next + 1);
+	acct->next[acct->n_next++] = grant;
+}
+
+static void grant_orders(fleet_run_t *run)
+{
+	fleet_t *fleet = run->fleet;
+
+	for (guint i = 0; i < fleet->insts->len; i++) {
+		fleet_inst_t *inst = g_ptr_array_index(fleet->insts, i);
+
+		if (!inst->up || inst->staged || !inst->order)
+			continue;
+		if (inst->order == FLEET_FOR_URGENT &&
+		    inst->rec.maintained >= inst->order_at)
+			continue;
+		fleet_give(run, inst, inst->order, FLEET_NO_POOL);
+	}
+}
+
+/*
+ * Rack by rack in a fixed order, as far as every pool's budget allows.  The
+ * first rack has to come back before a second is begun.
+ */
+static void grant_wave(fleet_run_t *run)
+{
+	fleet_t *fleet = run->fleet;
+	static const fleet_why_t why[FLEET_WAVE_STATE_MAX] = {
+		[FLEET_WAVE_PAUSED] = FLEET_WHY_WAVE_PAUSED,
+		[FLEET_WAVE_STOPPED] = FLEET_WHY_WAVE_STOPPED,
+	};
+	fleet_inst_t **order;
+	uint32_t rack = 0;
+	bool canary;
+	size_t n;
+
+	if (fleet->wave.state == FLEET_WAVE_NONE ||
+	    fleet->wave.state == FLEET_WAVE_ABORTED)
+		return;
+	canary = first_rack(run, &rack);
+	order = by_rack(run, &n);
+	for (size_t i = 0; i < n; i++) {
+		fleet_inst_t *inst = order[i];
+
+		if (!inst->up || inst->staged || !fleet_wave_due(fleet, inst))
+			continue;
+		inst->why = why[fleet->wave.state];
+		if (inst->why)
+			continue;
+		if (canary && inst->rack != rack)
+			inst->why = FLEET_WHY_CANARY;
+		else
+			fleet_give(run, inst, FLEET_FOR_WAVE, FLEET_NO_POOL);
+	}
+}
+
+/* Counting sort, stable, so that every holder goes in the same order. */
+static fleet_inst_t **by_rack(fleet_run_t *run, size_t *n)
+{
+	fleet_t *fleet = run->fleet;
+	fleet_inst_t **sorted;
+	size_t *at;
+
+	*n = fleet->insts->len;
+	sorted = talloc_array(run->tmp, fleet_inst_t *, *n);
+	at = talloc_zero_array(run->tmp, size_t, fleet->n_racks + 1);
+	for (size_t i = 0; i < *n; i++) {
+		fleet_inst_t *inst = g_ptr_array_index(fleet->insts, i);
+
+		at[inst->rack + 1]++;
+	}
+	for (size_t r = 1; r < fleet->n_racks; r++)
+		at[r] += at[r - 1];
+	for (size_t i = 0; i < *n; i++) {
+		fleet_inst_t *inst = g_ptr_array_index(fleet->insts, i);
+
+		sorted[at[inst->rack]++] = inst;
+	}
+	return sorted;
+}
+
+/*
+ * Whether the wave still tries its first rack: the one where it has begun, or
+ * else the first with a due instance that may be taken.
+ */
+static bool first_rack(fleet_run_t *run, uint32_t *rack)
+{
+	fleet_t *fleet = run->fleet;
+	uint32_t begun = UINT32_MAX, first = UINT32_MAX;
+
+	for (guint i = 0; i < fleet->insts->len; i++) {
+		const fleet_inst_t *inst = g_ptr_array_index(fleet->insts, i);
+		bool under_way = inst->rec.purpose == FLEET_FOR_WAVE ||
+				 (inst->granted &&
+				  inst->grant_purpose == FLEET_FOR_WAVE);
+
+		if (inst->rec.state == FLEET_FREE)
+			continue;
+		if (inst->rec.maintained > fleet->wave.start)
+			return false;
+		if (under_way)
+			begun = MIN(begun, inst->rack);
+		else if (inst->up && fleet_wave_due(fleet, inst) &&
+			 fleet_may_take(run, inst))
+			first = MIN(first, inst->rack);
+	}
+	*rack = begun != UINT32_MAX ? begun : first;
+	return true;
+}
--- /dev/null
+++ b/packages/fleet/fleet_model.c
@@ -0,0 +1,341 @@
+#include <xxhash.h>
+
+#include "fleet_int.h"
+
+#define FAST_TAU (60 * BASE_SEC)   /* smooths bursts of seconds */
+#define SLOW_TAU (1800 * BASE_SEC) /* what the plan goes by */
+#define WARM_UP (600 * BASE_SEC)   /* watched at least so long */
+
+#define DAY (24 * 3600 * BASE_SEC)
+
+static int free_fleet(fleet_t *fleet);
+static void set_defaults(fleet_opts_t *opts);
+
+static uint32_t rack_index(fleet_t *fleet, uint32_t zone, const char *name);
+static double weight_of(int64_t gap, int64_t age, int64_t tau);
+
+G_DEFINE_QUARK(fleet - error - quark, fleet_error)
+
+fleet_t *fleet_new(const void *ctx, const fleet_opts_t *opts)
+{
+	fleet_t *fleet = talloc_zero(ctx, fleet_t);
+
+	fleet->opts = *opts;
+	set_defaults(&fleet->opts);
+	fleet->by_id = g_hash_table_new(g_str_hash, g_str_equal);
+	fleet->rack_index = g_hash_table_new(g_str_hash, g_str_equal);
+	fleet->revs = g_hash_table_new(g_str_hash, g_str_equal);
+	fleet->insts = g_ptr_array_new();
+	talloc_set_destructor(fleet, free_fleet);
+	return fleet;
+}
+
+void fleet_configure(fleet_t *fleet, const fleet_pool_t *pools, size_t n)
+{
+	for (size_t i = 0; i < fleet->n_pools; i++) {
+		fleet_acct_t *acct = &fleet->pools[i];
+
+		acct->conf = (fleet_pool_t){ .name = acct->name };
+	}
+	for (size_t i = 0; i < n; i++) {
+		int32_t at = fleet_pool_index(fleet, pools[i].name, true);
+
+		fleet->pools[at].conf = pools[i];
+		fleet->pools[at].conf.name = fleet->pools[at].name;
+	}
+	fleet->planned_at = 0;
+}
+
+void fleet_fence(fleet_t *fleet, uint64_t token)
+{
+	fleet->fence = token;
+}
+
+void fleet_observe(fleet_t *fleet, const fleet_obs_t *obs)
+{
+	fleet_inst_t *inst = fleet_inst_find(fleet, obs->id);
+
+	if (inst && obs->inc < inst->inc)
+		return;
+	if (!inst || (inst->rec.state == FLEET_FREE && !inst->listed))
+		inst = fleet_inst_add(fleet, obs->id, obs->zone, obs->rack);
+	if (obs->inc > inst->inc) {
+		inst->inc = obs->inc;
+		inst->alive_at = 0;
+	}
+	inst->listed = true;
+	inst->leaving = obs->leaving;
+	inst->alive_at = MAX(inst->alive_at, obs->alive_at);
+	/* A record loaded before the list came does not know its rack. */
+	if (strcmp(fleet->zones[inst->zone], obs->zone) == 0)
+		inst->rack = rack_index(fleet, inst->zone, obs->rack);
+}
+
+void fleet_absent(fleet_t *fleet, const char *id)
+{
+	fleet_inst_t *inst = fleet_inst_find(fleet, id);
+
+	if (inst)
+		inst->listed = false;
+}
+
+bool fleet_entry(fleet_t *fleet, const char *id, uint64_t inc, bool gone)
+{
+	fleet_router_t *free_slot = NULL, *slot = NULL;
+
+	for (size_t i = 0; i < FLEET_ENTRIES_MAX; i++) {
+		fleet_router_t *at = &fleet->entries[i];
+
+		if (!at->used)
+			free_slot = free_slot ? free_slot : at;
+		else if (at->inc == inc && !strcmp(at->id, id))
+			slot = at;
+	}
+	if (gone && slot) {
+		slot->used = false;
+		fleet->entries_full = false;
+	}
+	if (gone || slot)
+		return true;
+	if (!free_slot) {
+		fleet->entries_full = true;
+		return false;
+	}
+	talloc_free(free_slot->id);
+	*free_slot = (fleet_router_t){ talloc_strdup(fleet, id), inc, true };
+	for (guint i = 0; i < fleet->insts->len; i++) {
+		fleet_inst_t *inst = g_ptr_array_index(fleet->insts, i);
+
+		inst->confirmed &= ~(1ULL << (free_slot - fleet->entries));
+	}
+	return true;
+}
+
+void fleet_confirm(fleet_t *fleet, const char *entry, uint64_t entry_inc,
+		   const char *instance, uint64_t seq)
+{
+	fleet_inst_t *inst = fleet_inst_find(fleet, instance);
+
+	if (!inst || seq < inst->confirmed_seq)
+		return;
+	if (seq > inst->confirmed_seq) {
+		inst->confirmed_seq = seq;
+		inst->confirmed = 0;
+	}
+	for (size_t i = 0; i < FLEET_ENTRIES_MAX; i++) {
+		fleet_router_t *at = &fleet->entries[i];
+
+		if (at->used && at->inc == entry_inc && !strcmp(at->id, entry))
+			inst->confirmed |= 1ULL << i;
+	}
+}
+
+void fleet_demand(fleet_t *fleet, const char *pool, double slots, int64_t now)
+{
+	int32_t at = fleet_pool_index(fleet, pool, false);
+	fleet_acct_t *acct;
+	int64_t gap, age;
+	double off;
+
+	if (at < 0)
+		return;
+	acct = &fleet->pools[at];
+	if (!acct->demand_at)
+		acct->demand_at = acct->demand_since = now;
+	gap = now - acct->demand_at;
+	age = now - acct->demand_since;
+	acct->demand_at = now;
+	acct->fast += (slots - acct->fast) * weight_of(gap, age, FAST_TAU);
+	off = acct->fast - acct->slow;
+	acct->slow += off * weight_of(gap, age, SLOW_TAU);
+	off = acct->fast - acct->slow;
+	acct->var += (off * off - acct->var) * weight_of(gap, age, SLOW_TAU);
+}
+
+bool fleet_demand_known(const fleet_acct_t *acct, int64_t now)
+{
+	return acct->demand_since && now - acct->demand_since >= WARM_UP;
+}
+
+size_t fleet_n_pools(const fleet_t *fleet)
+{
+	return fleet->n_pools;
+}
+
+bool fleet_pool_view(const fleet_t *fleet, size_t i, fleet_pool_view_t *view)
+{
+	const fleet_acct_t *acct = &fleet->pools[i];
+
+	if (i >= fleet->n_pools)
+		return false;
+	*view = (fleet_pool_view_t){
+		.name = acct->name,
+		.members = acct->now_members + acct->failed,
+		.up = acct->up.up,
+		.failed = acct->failed,
+		.out = acct->out,
+		.min_up = acct->conf.min_up,
+		.target = acct->target,
+		.worst_rack = acct->up.worst_rack,
+		.worst_zone = acct->up.worst_zone,
+		.room = fleet_budget_room(&acct->conf, &acct->up),
+	};
+	return true;
+}
+
+size_t fleet_n_instances(const fleet_t *fleet)
+{
+	return fleet->insts->len;
+}
+
+void fleet_inst_view(const fleet_t *fleet, size_t i, fleet_inst_view_t *view)
+{
+	const fleet_inst_t *inst = g_ptr_array_index(fleet->insts, i);
+	bool owned = inst->rec.state != FLEET_FREE;
+
+	*view = (fleet_inst_view_t){
+		.id = inst->id,
+		.zone = fleet->zones[inst->zone],
+		.rack = fleet->racks[inst->rack],
+		.pool = owned ? fleet->pools[inst->rec.pool].name : NULL,
+		.inc = inst->rec.inc,
+		.seq = inst->rec.seq,
+		.state = inst->rec.state,
+		.purpose = inst->rec.purpose,
+		.why = inst->why,
+		.up = inst->up,
+	};
+}
+
+const fleet_wave_t *fleet_wave(const fleet_t *fleet)
+{
+	return &fleet->wave;
+}
+
+int32_t fleet_pool_index(fleet_t *fleet, const char *name, bool add)
+{
+	fleet_acct_t *acct;
+
+	for (size_t i = 0; i < fleet->n_pools; i++)
+		if (!strcmp(fleet->pools[i].name, name))
+			return (int32_t)i;
+	if (!add)
+		return FLEET_NO_POOL;
+	fleet->pools = talloc_realloc(fleet, fleet->pools, fleet_acct_t,
+				      fleet->n_pools + 1);
+	acct = &fleet->pools[fleet->n_pools];
+	*acct = (fleet_acct_t){ .name = talloc_strdup(fleet, name) };
+	acct->key = talloc_asprintf(fleet, FLEET_BUDGET_PREFIX "%s", name);
+	acct->conf.name = acct->name;
+	return (int32_t)fleet->n_pools++;
+}
+
+fleet_inst_t *fleet_inst_find(const fleet_t *fleet, const char *id)
+{
+	return g_hash_table_lookup(fleet->by_id, id);
+}
+
+/* Also moves a free instance to the place where its id is seen now. */
+fleet_inst_t *fleet_inst_add(fleet_t *fleet, const char *id, const char *zone,
+			     const char *rack)
+{
+	fleet_inst_t *inst = fleet_inst_find(fleet, id);
+
+	if (!inst) {
+		inst = talloc_zero(fleet, fleet_inst_t);
+		inst->id = talloc_strdup(inst, id);
+		inst->rec.pool = FLEET_NO_POOL;
+		g_ptr_array_add(fleet->insts, inst);
+		g_hash_table_insert(fleet->by_id, inst->id, inst);
+	} else {
+		g_ptr_array_remove_fast(fleet->shards[inst->shard].insts, inst);
+	}
+	inst->zone = fleet_zone_index(fleet, zone);
+	inst->rack = rack_index(fleet, inst->zone, rack);
+	inst->shard = inst->zone * FLEET_SHARDS +
+		      (uint32_t)(XXH64(id, strlen(id), 0) % FLEET_SHARDS);
+	g_ptr_array_add(fleet->shards[inst->shard].insts, inst);
+	return inst;
+}
+
+static int free_fleet(fleet_t *fleet)
+{
+	for (size_t i = 0; i < fleet->n_zones * FLEET_SHARDS; i++)
+		g_ptr_array_free(fleet->shards[i].insts, TRUE);
+	g_ptr_array_free(fleet->insts, TRUE);
+	g_hash_table_destroy(fleet->by_id);
+	g_hash_table_destroy(fleet->rack_index);
+	g_hash_table_destroy(fleet->revs);
+	return 0;
+}
+
+static void set_defaults(fleet_opts_t *opts)
+{
+	const struct {
+		int64_t *field, value;
+	} defaults[] = {
+		{ &opts->fresh, 10 * BASE_SEC },
+		{ &opts->fail_after, 60 * BASE_SEC },
+		{ &opts->boot_max, 900 * BASE_SEC },
+		{ &opts->boot_retry, 60 * BASE_SEC },
+		{ &opts->forget, DAY },
+		{ &opts->deadline, 56 * DAY },
+		{ &opts->lead, 14 * DAY },
+		{ &opts->window, 3600 * BASE_SEC },
+		{ &opts->plan_every, 5 * BASE_SEC },
+		{ &opts->hold, 60 * BASE_SEC },
+	};
+
+	for (size_t i = 0; i < ARRAY_SIZE(defaults); i++)
+		if (!*defaults[i].field)
+			*defaults[i].field = defaults[i].value;
+}
+
+uint32_t fleet_zone_index(fleet_t *fleet, const char *name)
+{
+	size_t n = fleet->n_zones;
+
+	for (size_t i = 0; i < n; i++)
+		if (!strcmp(fleet->zones[i], name))
+			return (uint32_t)i;
+	fleet->zones = talloc_realloc(fleet, fleet->zones, char *, n + 1);
+	fleet->zones[n] = talloc_strdup(fleet, name);
+	fleet->shards = talloc_realloc(fleet, fleet->shards, fleet_shard_t,
+				       (n + 1) * FLEET_SHARDS);
+	for (size_t i = 0; i < FLEET_SHARDS; i++)
+		fleet->shards[n * FLEET_SHARDS + i] = (fleet_shard_t){
+			.key = talloc_asprintf(
+				fleet, FLEET_POOLS_PREFIX "%s/%zu", name, i),
+			.insts = g_ptr_array_new(),
+		};
+	return (uint32_t)fleet->n_zones++;
+}
+
+/* Rack names are unique within a zone only. */
+static uint32_t rack_index(fleet_t *fleet, uint32_t zone, const char *name)
+{
+	char *key = talloc_asprintf(fleet, "%u/%s", zone, name);
+	gpointer found;
+	size_t n = fleet->n_racks;
+
+	if (g_hash_table_lookup_extended(fleet->rack_index, key, NULL,
+					 &found)) {
+		talloc_free(key);
+		return GPOINTER_TO_UINT(found);
+	}
+	fleet->racks = talloc_realloc(fleet, fleet->racks, char *, n + 1);
+	fleet->rack_zone =
+		talloc_realloc(fleet, fleet->rack_zone, uint32_t, n + 1);
+	fleet->racks[n] = talloc_strdup(fleet, name);
+	fleet->rack_zone[n] = zone;
+	g_hash_table_insert(fleet->rack_index, key, GUINT_TO_POINTER(n));
+	return (uint32_t)fleet->n_racks++;
+}
+
+/* The share of a new value: a plain mean at first, then a fading one. */
+static double weight_of(int64_t gap, int64_t age, int64_t tau)
+{
+	if (gap <= 0)
+		return 0.0;
+	return (double)gap / (double)(gap + MIN(tau, age - gap));
+}
--- /dev/null
+++ b/packages/fleet/fleet_step.c
@@ -0,0 +1,320 @@
+#include "fleet_int.h"
+
+static void advance_serving(fleet_run_t *run, fleet_inst_t *inst);
+static void advance_cordoned(fleet_run_t *run, fleet_inst_t *inst);
+static void advance_drained(fleet_run_t *run, fleet_inst_t *inst);
+static void advance_rebooting(fleet_run_t *run, fleet_inst_t *inst);
+static void advance_verifying(fleet_run_t *run, fleet_inst_t *inst);
+static void advance_failed(fleet_run_t *run, fleet_inst_t *inst);
+static void advance_free(fleet_run_t *run, fleet_inst_t *inst);
+static bool lost(fleet_run_t *run, fleet_inst_t *inst);
+static bool restarted(fleet_run_t *run, fleet_inst_t *inst);
+static void fail(fleet_run_t *run, fleet_inst_t *inst);
+static bool wanted(fleet_run_t *run, const fleet_inst_t *inst,
+		   fleet_purpose_t purpose, int32_t to);
+static bool turn_back(fleet_run_t *run, fleet_inst_t *inst);
+static bool confirmed(fleet_t *fleet, fleet_inst_t *inst);
+static void emit_all(fleet_run_t *run);
+static void emit(fleet_run_t *run, fleet_op_t op);
+
+static void (*const advance[FLEET_STATE_MAX])(fleet_run_t *, fleet_inst_t *) = {
+	[FLEET_FREE] = advance_free,
+	[FLEET_SERVING] = advance_serving,
+	[FLEET_CORDONED] = advance_cordoned,
+	[FLEET_DRAINED] = advance_drained,
+	[FLEET_REBOOTING] = advance_rebooting,
+	[FLEET_VERIFYING] = advance_verifying,
+	[FLEET_FAILED] = advance_failed,
+};
+
+/*
+ * The order matters: what is up is counted first; what begins (grants) comes
+ * last and sees all that this step already takes.
+ */
+fleet_ops_t *fleet_step(fleet_t *fleet, const void *ctx, int64_t now)
+{
+	fleet_run_t run = { .fleet = fleet, .now = now };
+
+	run.ops = talloc_zero(ctx, fleet_ops_t);
+	run.tmp = talloc_new(ctx);
+	fleet_tally(&run);
+	fleet_release(&run);
+	fleet_wave_step(&run);
+	fleet_targets(&run);
+	for (guint i = 0; i < fleet->insts->len; i++) {
+		fleet_inst_t *inst = g_ptr_array_index(fleet->insts, i);
+
+		advance[inst->rec.state](&run, inst);
+	}
+	fleet_assign(&run);
+	fleet_grant_all(&run);
+	fleet_moves(&run);
+	emit_all(&run);
+	talloc_free(run.tmp);
+	return run.ops;
+}
+
+fleet_rec_t *fleet_stage(fleet_run_t *run, fleet_inst_t *inst,
+			 fleet_event_t event)
+{
+	fleet_state_t state = fleet_own_next(inst->rec.state, event);
+
+	g_assert(state != FLEET_STATE_MAX && !inst->staged);
+	inst->next = inst->rec;
+	inst->next.state = state;
+	inst->next.seq++;
+	inst->next.since = run->now;
+	inst->staged = true;
+	run->fleet->shards[inst->shard].dirty = true;
+	return &inst->next;
+}
+
+static void advance_serving(fleet_run_t *run, fleet_inst_t *inst)
+{
+	fleet_rec_t *next;
+
+	if (lost(run, inst) || !inst->granted)
+		return;
+	if (!wanted(run, inst, inst->grant_purpose, inst->grant_to)) {
+		/* A late holder may still act on the grant: void it. */
+		fleet_stage(run, inst, FLEET_EV_CANCEL);
+		return;
+	}
+	next = fleet_stage(run, inst, FLEET_EV_CORDON);
+	next->purpose = inst->grant_purpose;
+	next->to = inst->grant_to;
+}
+
+static void advance_cordoned(fleet_run_t *run, fleet_inst_t *inst)
+{
+	if (lost(run, inst) || turn_back(run, inst))
+		return;
+	if (confirmed(run->fleet, inst))
+		fleet_stage(run, inst, FLEET_EV_CONFIRM);
+	else
+		inst->why = FLEET_WHY_ENTRY;
+}
+
+static void advance_drained(fleet_run_t *run, fleet_inst_t *inst)
+{
+	fleet_rec_t *next;
+
+	if (lost(run, inst) || turn_back(run, inst))
+		return;
+	if (inst->rec.purpose == FLEET_FOR_HOLD) {
+		inst->why = FLEET_WHY_HELD;
+		return;
+	}
+	if (inst->rec.purpose != FLEET_FOR_MOVE) {
+		fleet_stage(run, inst, FLEET_EV_REBOOT);
+		return;
+	}
+	next = fleet_stage(run, inst, FLEET_EV_MOVE);
+	next->pool = next->to;
+	next->purpose = FLEET_FOR_NONE;
+}
+
+static void advance_rebooting(fleet_run_t *run, fleet_inst_t *inst)
+{
+	const fleet_opts_t *opts = &run->fleet->opts;
+
+	inst->why = FLEET_WHY_BOOT;
+	if (restarted(run, inst))
+		return;
+	if (run->now - inst->rec.since > opts->boot_max) {
+		fail(run, inst);
+		return;
+	}
+	if (run->now - inst->asked_at < opts->boot_retry)
+		return;
+	inst->asked_at = run->now;
+	emit(run, (fleet_op_t){ .kind = FLEET_OP_REBOOT,
+				.key = inst->id,
+				.inc = inst->rec.inc });
+}
+
+static void advance_verifying(fleet_run_t *run, fleet_inst_t *inst)
+{
+	fleet_rec_t *next;
+	fleet_purpose_t purpose = inst->rec.purpose;
+
+	inst->why = FLEET_WHY_VERIFY;
+	if (restarted(run, inst))
+		return;
+	if (!fleet_alive(run->fleet, inst, run->now) ||
+	    inst->alive_at < inst->rec.since) {
+		if (run->now - inst->rec.since > run->fleet->opts.boot_max)
+			fail(run, inst);
+		return;
+	}
+	next = fleet_stage(run, inst, FLEET_EV_VERIFIED);
+	next->purpose = FLEET_FOR_NONE;
+	if (purpose == FLEET_FOR_WAVE || purpose == FLEET_FOR_URGENT)
+		next->maintained = run->now;
+}
+
+static void advance_failed(fleet_run_t *run, fleet_inst_t *inst)
+{
+	fleet_rec_t *next;
+	bool rebooted = inst->rec.purpose == FLEET_FOR_WAVE ||
+			inst->rec.purpose == FLEET_FOR_URGENT;
+
+	inst->why = FLEET_WHY_NO_LIFE;
+	if (fleet_alive(run->fleet, inst, run->now) &&
+	    inst->alive_at > inst->rec.since) {
+		next = fleet_stage(run, inst, FLEET_EV_BACK);
+		if (!rebooted || inst->inc == inst->rec.inc)
+			next->purpose = FLEET_FOR_NONE;
+		next->inc = inst->inc;
+		return;
+	}
+	if (!inst->listed && !inst->granted &&
+	    run->now - inst->rec.since > run->fleet->opts.forget) {
+		next = fleet_stage(run, inst, FLEET_EV_FORGET);
+		next->pool = FLEET_NO_POOL;
+	}
+}
+
+/* fleet_assign() picks the places. */
+static void advance_free(fleet_run_t *run, fleet_inst_t *inst)
+{
+	(void)run;
+	inst->why = FLEET_WHY_NO_POOL;
+}
+
+/* Whether its life ended by itself; what was planned with it is off. */
+static bool lost(fleet_run_t *run, fleet_inst_t *inst)
+{
+	const fleet_opts_t *opts = &run->fleet->opts;
+	int64_t since = MAX(inst->alive_at, inst->rec.since);
+
+	if (restarted(run, inst)) {
+		inst->next.purpose = FLEET_FOR_NONE;
+		return true;
+	}
+	if (fleet_alive(run->fleet, inst, run->now))
+		return false;
+	if (run->now - since > opts->fail_after) {
+		fail(run, inst);
+		inst->next.purpose = FLEET_FOR_NONE;
+		return true;
+	}
+	return false;
+}
+
+static bool restarted(fleet_run_t *run, fleet_inst_t *inst)
+{
+	fleet_rec_t *next;
+
+	if (!inst->listed || inst->inc <= inst->rec.inc)
+		return false;
+	next = fleet_stage(run, inst, FLEET_EV_RESTART);
+	next->inc = inst->inc;
+	return true;
+}
+
+static void fail(fleet_run_t *run, fleet_inst_t *inst)
+{
+	inst->why = FLEET_WHY_NO_LIFE;
+	fleet_stage(run, inst, FLEET_EV_FAIL);
+}
+
+static bool wanted(fleet_run_t *run, const fleet_inst_t *inst,
+		   fleet_purpose_t purpose, int32_t to)
+{
+	const fleet_t *fleet = run->fleet;
+
+	switch (purpose) {
+	case FLEET_FOR_WAVE:
+		return fleet->wave.state == FLEET_WAVE_RUNNING &&
+		       fleet_wave_due(fleet, inst);
+	case FLEET_FOR_URGENT:
+		return inst->order == FLEET_FOR_URGENT &&
+		       inst->rec.maintained < inst->order_at;
+	case FLEET_FOR_HOLD:
+		return inst->order == FLEET_FOR_HOLD;
+	case FLEET_FOR_MOVE:
+		return fleet->pools[to].members <= fleet->pools[to].target;
+	default:
+		return false;
+	}
+}
+
+/*
+ * Back to service when it is no longer wanted out, or when failures have used
+ * up the margin that it was taken from.
+ */
+static bool turn_back(fleet_run_t *run, fleet_inst_t *inst)
+{
+	fleet_acct_t *acct = &run->fleet->pools[inst->rec.pool];
+	bool alive = fleet_alive(run->fleet, inst, run->now);
+
+	if (wanted(run, inst, inst->rec.purpose, inst->rec.to) &&
+	    (fleet_budget_room(&acct->conf, &acct->up) >= 0 || !alive))
+		return false;
+	if (inst->rec.purpose == FLEET_FOR_MOVE) {
+		run->fleet->pools[inst->rec.to].members--;
+		acct->members++;
+	}
+	acct->up.up++;
+	fleet_stage(run, inst, FLEET_EV_CANCEL)->purpose = FLEET_FOR_NONE;
+	return true;
+}
+
+static bool confirmed(fleet_t *fleet, fleet_inst_t *inst)
+{
+	if (fleet->entries_full)
+		return false;
+	for (uint32_t i = 0; i < FLEET_ENTRIES_MAX; i++) {
+		bool has = inst->confirmed_seq == inst->rec.seq &&
+			   (inst->confirmed >> i & 1);
+
+		if (!fleet->entries[i].used || has)
+			continue;
+		inst->why_entry = i;
+		return false;
+	}
+	return true;
+}
+
+/* One write a record, of all that this step changes in it. */
+static void emit_all(fleet_run_t *run)
+{
+	fleet_t *fleet = run->fleet;
+
+	for (size_t i = 0; i < fleet->n_pools; i++) {
+		fleet_acct_t *acct = &fleet->pools[i];
+
+		if (acct->dirty)
+			emit(run,
+			     (fleet_op_t){ .key = acct->key,
+					   .rev = acct->rev,
+					   .value = fleet_acct_encode(
+						   fleet, run->ops, acct) });
+	}
+	for (size_t i = 0; i < fleet->n_zones * FLEET_SHARDS; i++) {
+		fleet_shard_t *shard = &fleet->shards[i];
+
+		if (shard->dirty)
+			emit(run,
+			     (fleet_op_t){ .key = shard->key,
+					   .rev = shard->rev,
+					   .value = fleet_shard_encode(
+						   fleet, run->ops, shard) });
+		shard->dirty = false;
+	}
+	if (fleet->wave_dirty)
+		emit(run, (fleet_op_t){ .key = FLEET_WAVE_KEY,
+					.rev = fleet->wave.rev,
+					.value = fleet_wave_encode(
+						run->ops, &fleet->wave_next) });
+	fleet->wave_dirty = false;
+}
+
+static void emit(fleet_run_t *run, fleet_op_t op)
+{
+	fleet_ops_t *ops = run->ops;
+
+	ops->ops = talloc_realloc(ops, ops->ops, fleet_op_t, ops->n + 1);
+	ops->ops[ops->n++] = op;
+}
--- /dev/null
+++ b/packages/fleet/fleet_tally.c
@@ -0,0 +1,204 @@
+#include "fleet_int.h"
+
+static void reset(fleet_run_t *run);
+static void mark_grants(fleet_t *fleet);
+static void count_inst(fleet_run_t *run, fleet_inst_t *inst);
+static void count_member(fleet_run_t *run, const fleet_inst_t *inst);
+static void count_domains(fleet_run_t *run);
+static fleet_up_t up_now(const fleet_run_t *run, size_t pool);
+
+/*
+ * Count what is up, where it stands and what is free, from the records and
+ * the observations alone.
+ */
+void fleet_tally(fleet_run_t *run)
+{
+	fleet_t *fleet = run->fleet;
+
+	reset(run);
+	mark_grants(fleet);
+	for (guint i = 0; i < fleet->insts->len; i++)
+		count_inst(run, g_ptr_array_index(fleet->insts, i));
+	for (size_t i = 0; i < fleet->n_pools; i++)
+		fleet->pools[i].up = up_now(run, i);
+	count_domains(run);
+}
+
+bool fleet_alive(const fleet_t *fleet, const fleet_inst_t *inst, int64_t now)
+{
+	return inst->listed && !inst->leaving &&
+	       now - inst->alive_at <= fleet->opts.fresh;
+}
+
+/*
+ * Whether the pool keeps its budget through the loss of any one failure
+ * domain once "inst" is out.  Taking from the domain that holds the most
+ * lowers the worst loss, too, so the counts are tried, not estimated.
+ */
+bool fleet_may_take(const fleet_run_t *run, const fleet_inst_t *inst)
+{
+	const fleet_acct_t *acct = &run->fleet->pools[inst->rec.pool];
+	const fleet_place_t *up = &run->up;
+	size_t pool = (size_t)inst->rec.pool;
+	uint16_t *in = &up->in[pool * up->n_racks + inst->rack];
+	uint32_t *in_zone = &up->in_zone[pool * up->n_zones + inst->zone];
+	fleet_up_t after;
+
+	if (fleet_budget_room(&acct->conf, &acct->up) < 0)
+		return false;
+	if (fleet_budget_room(&acct->conf, &acct->up) > 0)
+		return true;
+	(*in)--;
+	(*in_zone)--;
+	after = up_now(run, pool);
+	(*in)++;
+	(*in_zone)++;
+	return fleet_budget_room(&acct->conf, &after) >= 0;
+}
+
+void fleet_take(fleet_run_t *run, fleet_inst_t *inst)
+{
+	size_t pool = (size_t)inst->rec.pool;
+
+	inst->up = false;
+	run->up.in[pool * run->up.n_racks + inst->rack]--;
+	run->up.in_zone[pool * run->up.n_zones + inst->zone]--;
+	run->fleet->pools[pool].up = up_now(run, pool);
+	run->fleet->pools[pool].out++;
+}
+
+static void reset(fleet_run_t *run)
+{
+	fleet_t *fleet = run->fleet;
+
+	fleet_place_init(&run->up, run->tmp, fleet->n_pools, fleet->n_racks,
+			 fleet->n_zones);
+	fleet_place_init(&run->have, run->tmp, fleet->n_pools, fleet->n_racks,
+			 fleet->n_zones);
+	run->free_head =
+		talloc_zero_array(run->tmp, fleet_inst_t *, fleet->n_racks);
+	for (size_t r = 0; r < fleet->n_racks; r++) {
+		run->up.rack_zone[r] = fleet->rack_zone[r];
+		run->have.rack_zone[r] = fleet->rack_zone[r];
+	}
+	for (size_t i = 0; i < fleet->n_pools; i++) {
+		fleet_acct_t *acct = &fleet->pools[i];
+
+		acct->members = acct->now_members = 0;
+		acct->failed = acct->out = acct->due = 0;
+		acct->dirty = false;
+	}
+	for (guint i = 0; i < fleet->insts->len; i++) {
+		fleet_inst_t *inst = g_ptr_array_index(fleet->insts, i);
+
+		inst->up = inst->granted = inst->staged = false;
+		inst->why = FLEET_WHY_NONE;
+	}
+}
+
+static void mark_grants(fleet_t *fleet)
+{
+	for (size_t i = 0; i < fleet->n_pools; i++) {
+		const fleet_acct_t *acct = &fleet->pools[i];
+
+		for (size_t j = 0; j < acct->n_grants; j++) {
+			const fleet_grant_t *grant = &acct->grants[j];
+			fleet_inst_t *inst = fleet_inst_find(fleet, grant->id);
+
+			if (!inst || grant->seq != inst->rec.seq ||
+			    inst->rec.pool != (int32_t)i)
+				continue;
+			inst->granted = true;
+			inst->grant_purpose = grant->purpose;
+			inst->grant_to = grant->to;
+		}
+	}
+}
+
+static void count_inst(fleet_run_t *run, fleet_inst_t *inst)
+{
+	fleet_t *fleet = run->fleet;
+	fleet_acct_t *acct;
+	size_t pool = (size_t)inst->rec.pool;
+	bool alive = fleet_alive(fleet, inst, run->now);
+
+	if (inst->rec.state == FLEET_FREE) {
+		if (!alive)
+			return;
+		run->have.free[inst->rack]++;
+		run->have.free_zone[inst->zone]++;
+		inst->next_free = run->free_head[inst->rack];
+		run->free_head[inst->rack] = inst;
+		return;
+	}
+	acct = &fleet->pools[pool];
+	if (inst->rec.state == FLEET_FAILED) {
+		acct->failed++;
+		return;
+	}
+	count_member(run, inst);
+	acct->now_members++;
+	acct->due += fleet_wave_due(fleet, inst);
+	if (inst->rec.state != FLEET_SERVING || inst->granted) {
+		acct->out++;
+		return;
+	}
+	if (!alive || inst->inc != inst->rec.inc)
+		return;
+	inst->up = true;
+	run->up.in[pool * run->up.n_racks + inst->rack]++;
+	run->up.in_zone[pool * run->up.n_zones + inst->zone]++;
+}
+
+/* One that is on its way counts where it goes. */
+static void count_member(fleet_run_t *run, const fleet_inst_t *inst)
+{
+	int32_t pool = inst->rec.pool;
+
+	if (inst->granted && inst->grant_purpose == FLEET_FOR_MOVE)
+		pool = inst->grant_to;
+	if (inst->rec.purpose == FLEET_FOR_MOVE &&
+	    (inst->rec.state == FLEET_CORDONED ||
+	     inst->rec.state == FLEET_DRAINED))
+		pool = inst->rec.to;
+	run->fleet->pools[pool].members++;
+	run->have.in[(size_t)pool * run->have.n_racks + inst->rack]++;
+	run->have.in_zone[(size_t)pool * run->have.n_zones + inst->zone]++;
+}
+
+/* Some are known by name only, from records of instances not yet listed. */
+static void count_domains(fleet_run_t *run)
+{
+	const fleet_t *fleet = run->fleet;
+	bool *rack = talloc_zero_array(run->tmp, bool, fleet->n_racks + 1);
+	bool *zone = talloc_zero_array(run->tmp, bool, fleet->n_zones + 1);
+
+	for (guint i = 0; i < fleet->insts->len; i++) {
+		const fleet_inst_t *inst = g_ptr_array_index(fleet->insts, i);
+
+		if (!inst->listed)
+			continue;
+		run->racks_used += !rack[inst->rack];
+		run->zones_used += !zone[inst->zone];
+		rack[inst->rack] = zone[inst->zone] = true;
+	}
+}
+
+static fleet_up_t up_now(const fleet_run_t *run, size_t pool)
+{
+	const fleet_place_t *up = &run->up;
+	fleet_up_t now = { 0 };
+
+	for (size_t z = 0; z < up->n_zones; z++) {
+		uint32_t in = up->in_zone[pool * up->n_zones + z];
+
+		now.up += in;
+		now.worst_zone = MAX(now.worst_zone, in);
+	}
+	for (size_t r = 0; r < up->n_racks; r++) {
+		uint32_t in = up->in[pool * up->n_racks + r];
+
+		now.worst_rack = MAX(now.worst_rack, in);
+	}
+	return now;
+}
--- /dev/null
+++ b/packages/fleet/fleet_wave.c
@@ -0,0 +1,267 @@
+#include "fleet_int.h"
+
+#define STOP_FAILURES 2	   /* at least so many within the window ... */
+#define STOP_ONE_IN 5	   /* ... and this share of what was rebooted */
+#define DOWN_PER_HUNDRED 1 /* recent failures that a wave goes on with */
+#define RACK_DOWN 2	   /* so many at once in a rack are one failure */
+
+typedef struct health {
+	uint32_t due;	     /* still to be done */
+	uint32_t overdue;    /* a wave has to begin */
+	uint32_t done;	     /* returned within the window */
+	uint32_t failed;     /* did not return, within the window */
+	uint32_t open;	     /* did not return, pool not made whole */
+	uint32_t down;	     /* recently failed by themselves */
+	uint32_t worst_rack; /* most of those in one rack */
+	uint32_t members;
+} health_t;
+
+static void assess(fleet_run_t *run, health_t *health);
+static void assess_inst(fleet_run_t *run, const fleet_inst_t *inst,
+			health_t *health, uint32_t *rack_down);
+static bool stops(const health_t *health);
+static bool pauses(const health_t *health);
+static void step_none(fleet_run_t *run, const health_t *health);
+static void step_running(fleet_run_t *run, const health_t *health);
+static void step_paused(fleet_run_t *run, const health_t *health);
+static void step_idle(fleet_run_t *run, const health_t *health);
+static void turn(fleet_run_t *run, fleet_wave_state_t state);
+
+static void (*const step[FLEET_WAVE_STATE_MAX])(fleet_run_t *,
+						const health_t *) = {
+	[FLEET_WAVE_NONE] = step_none,	   [FLEET_WAVE_RUNNING] = step_running,
+	[FLEET_WAVE_PAUSED] = step_paused, [FLEET_WAVE_STOPPED] = step_idle,
+	[FLEET_WAVE_ABORTED] = step_idle,
+};
+
+static const char *const state_names[FLEET_WAVE_STATE_MAX] = {
+	[FLEET_WAVE_NONE] = "none",	  [FLEET_WAVE_RUNNING] = "running",
+	[FLEET_WAVE_PAUSED] = "paused",	  [FLEET_WAVE_STOPPED] = "stopped",
+	[FLEET_WAVE_ABORTED] = "aborted",
+};
+
+static const char *const verb_names[FLEET_WAVE_VERB_MAX] = {
+	[FLEET_WAVE_START] = "start",
+	[FLEET_WAVE_PAUSE] = "pause",
+	[FLEET_WAVE_RESUME] = "resume",
+	[FLEET_WAVE_ABORT] = "abort",
+};
+
+/* What an operator's verb leads to; FLEET_WAVE_NONE where it is refused. */
+static const fleet_wave_state_t
+	verbs[FLEET_WAVE_STATE_MAX][FLEET_WAVE_VERB_MAX] = {
+		[FLEET_WAVE_NONE] = {
+			[FLEET_WAVE_START] = FLEET_WAVE_RUNNING,
+		},
+		[FLEET_WAVE_RUNNING] = {
+			[FLEET_WAVE_PAUSE] = FLEET_WAVE_PAUSED,
+			[FLEET_WAVE_ABORT] = FLEET_WAVE_ABORTED,
+		},
+		[FLEET_WAVE_PAUSED] = {
+			[FLEET_WAVE_PAUSE] = FLEET_WAVE_PAUSED,
+			[FLEET_WAVE_RESUME] = FLEET_WAVE_RUNNING,
+			[FLEET_WAVE_ABORT] = FLEET_WAVE_ABORTED,
+		},
+		[FLEET_WAVE_STOPPED] = {
+			[FLEET_WAVE_RESUME] = FLEET_WAVE_RUNNING,
+			[FLEET_WAVE_ABORT] = FLEET_WAVE_ABORTED,
+		},
+		[FLEET_WAVE_ABORTED] = {
+			[FLEET_WAVE_START] = FLEET_WAVE_RUNNING,
+			[FLEET_WAVE_RESUME] = FLEET_WAVE_RUNNING,
+		},
+	};
+
+bool fleet_wave_operator(const fleet_wave_t *wave, fleet_wave_verb_t verb,
+			 int64_t now, fleet_wave_t *next)
+{
+	fleet_wave_state_t state = verbs[wave->state][verb];
+
+	if (state == FLEET_WAVE_NONE)
+		return false;
+	*next = *wave;
+	next->state = state;
+	next->by_operator = true;
+	next->since = now;
+	if (verb == FLEET_WAVE_START) {
+		next->start = now;
+		next->round++;
+	}
+	return true;
+}
+
+fleet_wave_verb_t fleet_wave_verb_parse(const char *name)
+{
+	for (int i = 0; i < FLEET_WAVE_VERB_MAX; i++)
+		if (!strcmp(name, verb_names[i]))
+			return (fleet_wave_verb_t)i;
+	return FLEET_WAVE_VERB_MAX;
+}
+
+const char *fleet_wave_state_name(fleet_wave_state_t state)
+{
+	return state_names[state];
+}
+
+char *fleet_wave_encode(const void *ctx, const fleet_wave_t *wave)
+{
+	return talloc_asprintf(
+		ctx,
+		"{\"state\":\"%s\",\"by\":\"%s\",\"round\":%" G_GUINT64_FORMAT
+		",\"start\":%" G_GINT64_FORMAT ",\"since\":%" G_GINT64_FORMAT
+		"}",
+		state_names[wave->state],
+		wave->by_operator ? "operator" : "duty", wave->round,
+		(gint64)wave->start, (gint64)wave->since);
+}
+
+bool fleet_wave_decode(base_str_t value, fleet_wave_t *wave)
+{
+	json_t *root = json_loadb(value.ptr, value.len, 0, NULL);
+	json_int_t round, start, since;
+	const char *state, *by;
+	bool good = false;
+
+	if (!json_unpack(root, "{s:s,s:s,s:I,s:I,s:I}", "state", &state, "by",
+			 &by, "round", &round, "start", &start, "since",
+			 &since)) {
+		*wave = (fleet_wave_t){
+			.by_operator = !strcmp(by, "operator"),
+			.round = (uint64_t)round,
+			.start = start,
+			.since = since,
+		};
+		for (int i = 0; i < FLEET_WAVE_STATE_MAX; i++)
+			if (!strcmp(state, state_names[i])) {
+				wave->state = (fleet_wave_state_t)i;
+				good = true;
+			}
+	}
+	json_decref(root);
+	return good;
+}
+
+/* Due in the wave that is under way. */
+bool fleet_wave_due(const fleet_t *fleet, const fleet_inst_t *inst)
+{
+	return fleet->wave.state != FLEET_WAVE_NONE &&
+	       fleet->wave.state != FLEET_WAVE_ABORTED &&
+	       inst->rec.state != FLEET_FREE &&
+	       inst->rec.maintained < fleet->wave.start;
+}
+
+void fleet_wave_step(fleet_run_t *run)
+{
+	health_t health = { 0 };
+
+	assess(run, &health);
+	step[run->fleet->wave.state](run, &health);
+}
+
+static void assess(fleet_run_t *run, health_t *health)
+{
+	fleet_t *fleet = run->fleet;
+	uint32_t *down =
+		talloc_zero_array(run->tmp, uint32_t, fleet->n_racks + 1);
+
+	for (guint i = 0; i < fleet->insts->len; i++) {
+		const fleet_inst_t *inst = g_ptr_array_index(fleet->insts, i);
+
+		if (inst->rec.state != FLEET_FREE)
+			assess_inst(run, inst, health, down);
+	}
+	for (size_t r = 0; r < fleet->n_racks; r++)
+		health->worst_rack = MAX(health->worst_rack, down[r]);
+}
+
+static void assess_inst(fleet_run_t *run, const fleet_inst_t *inst,
+			health_t *health, uint32_t *rack_down)
+{
+	const fleet_t *fleet = run->fleet;
+	const fleet_opts_t *opts = &fleet->opts;
+	const fleet_rec_t *rec = &inst->rec;
+	bool by_wave = rec->purpose == FLEET_FOR_WAVE;
+	bool recent = run->now - rec->since <= opts->window;
+	bool asked = rec->since >= fleet->wave.since;
+
+	health->members++;
+	if (rec->state == FLEET_FAILED && by_wave) {
+		const fleet_acct_t *acct = &fleet->pools[rec->pool];
+
+		health->failed += recent && asked;
+		health->open += recent && acct->members < acct->target;
+		return;
+	}
+	health->due +=
+		fleet_wave_due(fleet, inst) && rec->state != FLEET_FAILED;
+	health->overdue +=
+		rec->maintained + opts->deadline - opts->lead <= run->now;
+	health->done += rec->maintained > fleet->wave.start &&
+			run->now - rec->maintained <= opts->window;
+	if (rec->state != FLEET_SERVING && rec->state != FLEET_FAILED)
+		return;
+	if (fleet_alive(fleet, inst, run->now) ||
+	    run->now - inst->alive_at > opts->window)
+		return;
+	health->down++;
+	rack_down[inst->rack]++;
+}
+
+static bool stops(const health_t *health)
+{
+	return health->failed >= STOP_FAILURES &&
+	       health->failed * STOP_ONE_IN >= health->failed + health->done;
+}
+
+static bool pauses(const health_t *health)
+{
+	return health->open || health->worst_rack >= RACK_DOWN ||
+	       health->down > health->members * DOWN_PER_HUNDRED / 100;
+}
+
+static void step_none(fleet_run_t *run, const health_t *health)
+{
+	if (!health->overdue)
+		return;
+	turn(run, FLEET_WAVE_RUNNING);
+	run->fleet->wave_next.start = run->now;
+	run->fleet->wave_next.round++;
+}
+
+static void step_running(fleet_run_t *run, const health_t *health)
+{
+	if (stops(health))
+		turn(run, FLEET_WAVE_STOPPED);
+	else if (pauses(health))
+		turn(run, FLEET_WAVE_PAUSED);
+	else if (!health->due)
+		turn(run, FLEET_WAVE_NONE);
+}
+
+/* An operator's pause is the operator's to end. */
+static void step_paused(fleet_run_t *run, const health_t *health)
+{
+	if (stops(health))
+		turn(run, FLEET_WAVE_STOPPED);
+	else if (!run->fleet->wave.by_operator && !pauses(health))
+		turn(run, FLEET_WAVE_RUNNING);
+}
+
+static void step_idle(fleet_run_t *run, const health_t *health)
+{
+	(void)run;
+	(void)health;
+}
+
+/* "since" of a running wave stays, so that its failures keep counting. */
+static void turn(fleet_run_t *run, fleet_wave_state_t state)
+{
+	fleet_t *fleet = run->fleet;
+
+	fleet->wave_next = fleet->wave;
+	fleet->wave_next.state = state;
+	fleet->wave_next.by_operator = false;
+	if (state == FLEET_WAVE_RUNNING && fleet->wave.state == FLEET_WAVE_NONE)
+		fleet->wave_next.since = run->now;
+	fleet->wave_dirty = true;
+}
