Add the model of answers and configuration

Entries and tools need one typed model of what operators decide. conf reads answers with every fault of a file by line and path, generates a configuration with a digest, and refuses one that was edited by hand. Both sites' answers are in examples/.

--- /dev/null
+++ b/packages/conf/conf_check.c
@@ -0,0 +1,307 @@
+/* Faults between members: names, references, sizes and budgets. */
+#include "conf_int.h"
+
+typedef base_str_t (*name_fn_t)(const conf_t *conf, size_t i);
+
+static base_str_t zone_name(const conf_t *conf, size_t i);
+static base_str_t pool_name(const conf_t *conf, size_t i);
+static base_str_t caller_name(const conf_t *conf, size_t i);
+static base_str_t team_name(const conf_t *conf, size_t i);
+static void check_names(const conf_reader_t *rd, const conf_t *conf,
+			const char *list, size_t n, name_fn_t name);
+static void check_zones(const conf_reader_t *rd, const conf_t *conf);
+static void check_classes(const conf_reader_t *rd, const conf_t *conf);
+static void check_class(const conf_reader_t *rd, const conf_t *conf, size_t i);
+static void check_last_class(const conf_reader_t *rd, const conf_t *conf,
+			     size_t p);
+static void check_machines(const conf_reader_t *rd, const conf_t *conf);
+static void check_spare(const conf_reader_t *rd, const conf_t *conf);
+static void check_budgets(const conf_reader_t *rd, const conf_t *conf);
+static void check_budget(const conf_reader_t *rd, const conf_t *conf, size_t p,
+			 const int64_t *room);
+static int64_t lacking(const conf_t *conf, const conf_pool_t *pool,
+		       const int64_t *room, int64_t executors);
+static int64_t enough(const conf_t *conf, const conf_pool_t *pool,
+		      const int64_t *room);
+static int64_t total_workers(const conf_t *conf);
+
+void conf_check(const conf_reader_t *rd, const conf_t *conf)
+{
+	size_t before = rd->faults->n;
+
+	check_names(rd, conf, "zones", conf->n_zones, zone_name);
+	check_names(rd, conf, "pools", conf->n_pools, pool_name);
+	check_names(rd, conf, "callers", conf->n_callers, caller_name);
+	check_names(rd, conf, "teams", conf->n_teams, team_name);
+	check_zones(rd, conf);
+	check_classes(rd, conf);
+	check_spare(rd, conf);
+	check_machines(rd, conf);
+	/* A budget is weighed against sizes that are themselves in order. */
+	if (rd->faults->n == before)
+		check_budgets(rd, conf);
+}
+
+static void check_names(const conf_reader_t *rd, const conf_t *conf,
+			const char *list, size_t n, name_fn_t name)
+{
+	GHashTable *seen = g_hash_table_new(g_str_hash, g_str_equal);
+
+	for (size_t i = 0; i < n; i++) {
+		base_str_t s = name(conf, i);
+		char *path;
+
+		if (!s.len || g_hash_table_add(seen, (void *)s.ptr))
+			continue;
+		path = talloc_asprintf(NULL, "$.%s[%zu].name", list, i);
+		conf_fault_at(rd, path, s.ptr,
+			      "a name that no other of the list has");
+		talloc_free(path);
+	}
+	g_hash_table_destroy(seen);
+}
+
+static void check_zones(const conf_reader_t *rd, const conf_t *conf)
+{
+	for (size_t z = 0; z < conf->n_zones; z++) {
+		const conf_zone_t *zone = &conf->zones[z];
+		int64_t most = zone->racks * conf->workers.per_rack;
+		char *path, *found;
+
+		if (!most || zone->workers <= most)
+			continue;
+		path = talloc_asprintf(NULL, "$.zones[%zu].workers", z);
+		found = talloc_asprintf(path, "%" PRId64, zone->workers);
+		conf_fault_at(rd, path, found,
+			      "at most %" PRId64 ", what %" PRId64
+			      " racks of %" PRId64 " hold",
+			      most, zone->racks, conf->workers.per_rack);
+		talloc_free(path);
+	}
+}
+
+static void check_classes(const conf_reader_t *rd, const conf_t *conf)
+{
+	for (size_t i = 0; i < conf->n_classes; i++)
+		check_class(rd, conf, i);
+	for (size_t p = 0; p < conf->n_pools; p++)
+		check_last_class(rd, conf, p);
+}
+
+static void check_class(const conf_reader_t *rd, const conf_t *conf, size_t i)
+{
+	const conf_class_t *cl = &conf->classes[i];
+	char *path = talloc_asprintf(NULL, "$.classes[%zu]", i);
+
+	if (cl->pool.len && !conf_pool(conf, cl->pool))
+		conf_fault_at(rd, talloc_asprintf(path, "%s.pool", path),
+			      cl->pool.ptr, "the name of a pool");
+	if (cl->pool.len && cl->name.len &&
+	    conf_class(conf, cl->pool, cl->name) != cl)
+		conf_fault_at(rd, talloc_asprintf(path, "%s.name", path),
+			      cl->name.ptr,
+			      "a name that no other class of the pool has");
+	talloc_free(path);
+}
+
+/* Every request must have a class, so that its pool's last one takes all. */
+static void check_last_class(const conf_reader_t *rd, const conf_t *conf,
+			     size_t p)
+{
+	const conf_pool_t *pool = &conf->pools[p];
+	const conf_class_t *last = NULL;
+	char *path;
+
+	for (size_t i = 0; i < conf->n_classes; i++)
+		if (base_str_eq(conf->classes[i].pool, pool->name))
+			last = &conf->classes[i];
+	if (!pool->name.len || (last && (!last->method.len || !last->path.len)))
+		return;
+	if (last && base_str_eq(last->method, BASE_STR("*")) &&
+	    base_str_eq(last->path, BASE_STR("/")))
+		return;
+	path = last ? talloc_asprintf(NULL, "$.classes[%zu]",
+				      (size_t)(last - conf->classes))
+		    : talloc_asprintf(NULL, "$.pools[%zu].name", p);
+	conf_fault_at(rd, path, last ? last->name.ptr : pool->name.ptr,
+		      "%s %s with method \"*\" and path \"/\"",
+		      last ? "as the last class of" : "a class for",
+		      pool->name.ptr);
+	talloc_free(path);
+}
+
+static void check_spare(const conf_reader_t *rd, const conf_t *conf)
+{
+	size_t spares = 0;
+
+	for (size_t p = 0; p < conf->n_pools; p++) {
+		char *path;
+
+		if (!conf->pools[p].spare || ++spares < 2)
+			continue;
+		path = talloc_asprintf(NULL, "$.pools[%zu].spare", p);
+		conf_fault_at(rd, path, "a second spare pool",
+			      "at most one pool with spare true");
+		talloc_free(path);
+	}
+}
+
+static void check_machines(const conf_reader_t *rd, const conf_t *conf)
+{
+	int64_t workers = total_workers(conf), asked = 0;
+	char *path, *found;
+	bool single = false;
+
+	for (size_t p = 0; p < conf->n_pools; p++) {
+		const conf_pool_t *pool = &conf->pools[p];
+
+		asked += pool->executors;
+		if (!workers || pool->executors <= workers)
+			continue;
+		single = true;
+		path = talloc_asprintf(NULL, "$.pools[%zu].executors", p);
+		found = talloc_asprintf(path, "%" PRId64, pool->executors);
+		conf_fault_at(rd, path, found,
+			      "at most %" PRId64 ", the workers of all zones",
+			      workers);
+		talloc_free(path);
+	}
+	if (single || !workers || asked <= workers)
+		return;
+	found = talloc_asprintf(NULL, "%" PRId64 " executors in all pools",
+				asked);
+	conf_fault_at(rd, "$.pools", found,
+		      "at most %" PRId64
+		      ", the workers of all zones: take %" PRId64
+		      " executors from the pools or add as many workers",
+		      workers, asked - workers);
+	talloc_free(found);
+}
+
+static void check_budgets(const conf_reader_t *rd, const conf_t *conf)
+{
+	int64_t *room = talloc_array(NULL, int64_t, (unsigned)conf->n_zones);
+
+	/* Each pool is weighed with the room that those before it leave. */
+	for (size_t z = 0; z < conf->n_zones; z++)
+		room[z] = conf->zones[z].workers;
+	for (size_t p = 0; p < conf->n_pools; p++) {
+		conf_placement_t *out = talloc_zero_array(
+			room, conf_placement_t, (unsigned)conf->n_zones);
+
+		check_budget(rd, conf, p, room);
+		conf_spread(conf, conf->pools[p].executors, room, out);
+	}
+	talloc_free(room);
+}
+
+static void check_budget(const conf_reader_t *rd, const conf_t *conf, size_t p,
+			 const int64_t *room)
+{
+	const conf_pool_t *pool = &conf->pools[p];
+	int64_t lack = lacking(conf, pool, room, pool->executors);
+	int64_t more;
+	char *path, *grow;
+
+	if (lack <= 0)
+		return;
+	path = talloc_asprintf(NULL, "$.pools[%zu].budget.min_up", p);
+	more = enough(conf, pool, room);
+	if (more)
+		grow = talloc_asprintf(path, "executors %" PRId64, more);
+	else
+		grow = talloc_strdup(path, "workers in another zone or rack");
+	if (pool->budget.min_up >= lack)
+		conf_fault_at(
+			rd, path,
+			talloc_asprintf(path, "%" PRId64, pool->budget.min_up),
+			"min_up at most %" PRId64 " of %" PRId64
+			" executors, because losing one %s takes up to "
+			"%" PRId64 " and maintenance %" PRId64
+			"; smallest change: min_up %" PRId64 ", or %s",
+			pool->budget.min_up - lack, pool->executors,
+			conf_survive_names[pool->budget.survive],
+			pool->executors - pool->budget.drain -
+				pool->budget.min_up + lack,
+			pool->budget.drain, pool->budget.min_up - lack, grow);
+	else
+		conf_fault_at(
+			rd, path,
+			talloc_asprintf(path, "%" PRId64, pool->budget.min_up),
+			"a budget that %" PRId64
+			" executors can meet: even min_up 0 leaves no "
+			"room for the loss of one %s and maintenance of "
+			"%" PRId64 "; smallest change: %s",
+			pool->executors,
+			conf_survive_names[pool->budget.survive],
+			pool->budget.drain, grow);
+	talloc_free(path);
+}
+
+/* By how many executors the budget is missed; at most 0 if it is met. */
+static int64_t lacking(const conf_t *conf, const conf_pool_t *pool,
+		       const int64_t *room, int64_t executors)
+{
+	conf_placement_t *out = talloc_zero_array(NULL, conf_placement_t,
+						  (unsigned)conf->n_zones);
+	int64_t *left = talloc_memdup(out, room, conf->n_zones * sizeof(*room));
+	int64_t homeless = conf_spread(conf, executors, left, out);
+	int64_t loss = conf_domain_loss(conf, out, pool->budget.survive);
+
+	talloc_free(out);
+	return pool->budget.min_up + loss + pool->budget.drain -
+	       (executors - homeless);
+}
+
+/*
+ * The fewest executors that meet the budget, or 0.  One executor more raises
+ * the loss by at most one, so that what lacks never grows with them.
+ */
+static int64_t enough(const conf_t *conf, const conf_pool_t *pool,
+		      const int64_t *room)
+{
+	int64_t low = pool->executors, high = 0;
+
+	for (size_t z = 0; z < conf->n_zones; z++)
+		high += room[z];
+	if (high <= low || lacking(conf, pool, room, high) > 0)
+		return 0;
+	while (low + 1 < high) {
+		int64_t mid = low + (high - low) / 2;
+
+		if (lacking(conf, pool, room, mid) > 0)
+			low = mid;
+		else
+			high = mid;
+	}
+	return high;
+}
+
+static int64_t total_workers(const conf_t *conf)
+{
+	int64_t sum = 0;
+
+	for (size_t z = 0; z < conf->n_zones; z++)
+		sum += conf->zones[z].workers;
+	return sum;
+}
+
+static base_str_t zone_name(const conf_t *conf, size_t i)
+{
+	return conf->zones[i].name;
+}
+
+static base_str_t pool_name(const conf_t *conf, size_t i)
+{
+	return conf->pools[i].name;
+}
+
+static base_str_t caller_name(const conf_t *conf, size_t i)
+{
+	return conf->callers[i].name;
+}
+
+static base_str_t team_name(const conf_t *conf, size_t i)
+{
+	return conf->teams[i].name;
+}
--- /dev/null
+++ b/packages/conf/conf_load.c
@@ -0,0 +1,205 @@
+/* Reading answers, configurations and accepted records. */
+#include <xxhash.h>
+
+#include "conf_int.h"
+
+#define FAULTS_SHOWN 3 /* in one error */
+
+static conf_t *load_tree(const void *ctx, const json_t *root, base_str_t text,
+			 GError **err);
+static void check_derived(const conf_reader_t *rd, const conf_t *conf,
+			  const json_t *root);
+static void set_error(GError **err, conf_error_t code,
+		      const conf_faults_t *faults);
+
+G_DEFINE_QUARK(conf - error - quark, conf_error)
+
+json_t *conf_parse(base_str_t text, conf_faults_t *faults)
+{
+	json_error_t error;
+	json_t *root;
+
+	if (text.len > CONF_TEXT_MAX) {
+		conf_fault_add(faults, "$", 1, "more than a megabyte",
+			       "a text that a store's value can hold");
+		return NULL;
+	}
+	root = json_loadb(text.ptr, text.len, JSON_DECODE_ANY, &error);
+	if (!root)
+		conf_fault_add(faults, "$", error.line > 0 ? error.line : 1,
+			       error.text, "JSON");
+	return root;
+}
+
+conf_answers_t *conf_answers_load(const void *ctx, base_str_t text,
+				  conf_faults_t *faults)
+{
+	size_t before = faults->n;
+	json_t *root = conf_parse(text, faults);
+	conf_pos_t *pos;
+	conf_t *conf;
+
+	if (!root)
+		return NULL;
+	pos = conf_pos_new(NULL, text, faults);
+	conf_reader_t rd = { CONF_IN_ANSWERS, pos, faults, (void *)ctx };
+	conf = conf_decode(&rd, root);
+	conf_check(&rd, conf);
+	conf_faults_sort(faults);
+	if (faults->n > before)
+		TALLOC_FREE(conf);
+	talloc_free(pos);
+	json_decref(root);
+	return conf;
+}
+
+conf_t *conf_load(const void *ctx, base_str_t json, GError **err)
+{
+	conf_faults_t *faults = conf_faults_new(NULL);
+	json_t *root = conf_parse(json, faults);
+	conf_t *conf = NULL;
+
+	if (root)
+		conf = load_tree(ctx, root, json, err);
+	else
+		set_error(err, CONF_ERR_SYNTAX, faults);
+	json_decref(root);
+	talloc_free(faults);
+	return conf;
+}
+
+conf_record_t *conf_record_load(const void *ctx, base_str_t json, GError **err)
+{
+	conf_faults_t *faults = conf_faults_new(NULL);
+	json_t *root = conf_parse(json, faults);
+	json_int_t generation = 0;
+	const char *change = NULL;
+	json_t *config = NULL;
+	conf_record_t *rec = NULL;
+	json_error_t why;
+	char *text;
+
+	if (!root) {
+		set_error(err, CONF_ERR_SYNTAX, faults);
+	} else if (json_unpack_ex(root, &why, JSON_STRICT, "{s:I,s:s,s:o}",
+				  "generation", &generation, "change", &change,
+				  "config", &config) ||
+		   generation < 1) {
+		g_set_error(err, CONF_ERROR, CONF_ERR_SCHEMA,
+			    "accepted configuration: expected generation from "
+			    "1, change and config");
+	} else {
+		rec = talloc_zero(ctx, conf_record_t);
+		rec->generation = generation;
+		rec->change = base_str(talloc_strdup(rec, change));
+		text = json_dumps(config, JSON_INDENT(2) | JSON_ENCODE_ANY);
+		rec->config_json = talloc_asprintf(rec, "%s\n", text);
+		free(text);
+		rec->config =
+			load_tree(rec, config, base_str(rec->config_json), err);
+		if (!rec->config)
+			TALLOC_FREE(rec);
+	}
+	json_decref(root);
+	talloc_free(faults);
+	return rec;
+}
+
+char *conf_record_print(const void *ctx, int64_t generation, base_str_t change,
+			base_str_t config_json, GError **err)
+{
+	conf_t *conf = conf_load(NULL, config_json, err);
+	json_t *root;
+	char *dump, *text;
+
+	if (!conf)
+		return NULL;
+	talloc_free(conf);
+	root = json_pack("{s:I,s:s%,s:o}", "generation", (json_int_t)generation,
+			 "change", change.ptr, change.len, "config",
+			 json_loadb(config_json.ptr, config_json.len, 0, NULL));
+	if (!root) {
+		g_set_error(err, CONF_ERROR, CONF_ERR_SCHEMA,
+			    "accepted configuration: the change's id is no "
+			    "text");
+		return NULL;
+	}
+	dump = json_dumps(root, JSON_COMPACT);
+	text = talloc_strdup(ctx, dump);
+	free(dump);
+	json_decref(root);
+	return text;
+}
+
+void conf_digest(const json_t *root, char out[CONF_DIGEST_LEN + 1])
+{
+	json_t *copy = json_copy((json_t *)root);
+	XXH128_hash_t hash;
+	char *dump;
+
+	json_object_del(copy, "digest");
+	dump = json_dumps(copy, JSON_COMPACT | JSON_SORT_KEYS);
+	hash = XXH3_128bits(dump, strlen(dump));
+	g_snprintf(out, CONF_DIGEST_LEN + 1, "%016llx%016llx",
+		   (unsigned long long)hash.high64,
+		   (unsigned long long)hash.low64);
+	free(dump);
+	json_decref(copy);
+}
+
+static conf_t *load_tree(const void *ctx, const json_t *root, base_str_t text,
+			 GError **err)
+{
+	conf_faults_t *faults = conf_faults_new(NULL);
+	conf_pos_t *pos = conf_pos_new(faults, text, faults);
+	conf_reader_t rd = { CONF_IN_CONFIG, pos, faults, (void *)ctx };
+	conf_t *conf = conf_decode(&rd, root);
+	conf_error_t code = CONF_ERR_SCHEMA;
+
+	if (!faults->n) {
+		code = CONF_ERR_DIGEST;
+		check_derived(&rd, conf, root);
+	}
+	if (!faults->n) {
+		code = CONF_ERR_SCHEMA;
+		conf_check(&rd, conf);
+	}
+	if (faults->n) {
+		conf_faults_sort(faults);
+		set_error(err, code, faults);
+		TALLOC_FREE(conf);
+	}
+	talloc_free(faults);
+	return conf;
+}
+
+static void check_derived(const conf_reader_t *rd, const conf_t *conf,
+			  const json_t *root)
+{
+	char digest[CONF_DIGEST_LEN + 1];
+
+	conf_digest(root, digest);
+	if (!base_str_eq(conf->digest, base_str(digest)))
+		conf_fault_at(rd, "$.digest", conf->digest.ptr,
+			      "%s; the file was edited by hand: revise the "
+			      "answers and generate it again",
+			      digest);
+}
+
+static void set_error(GError **err, conf_error_t code,
+		      const conf_faults_t *faults)
+{
+	base_buf_t *buf = base_buf_new(NULL);
+
+	for (size_t i = 0; i < faults->n && i < FAULTS_SHOWN; i++) {
+		const conf_fault_t *f = &faults->v[i];
+
+		base_buf_addf(buf, "%sline %d: %s: found %s; expected %s",
+			      i ? "\n" : "", f->line, f->path, f->found,
+			      f->want);
+	}
+	if (faults->n > FAULTS_SHOWN)
+		base_buf_addf(buf, "\nand %zu more", faults->n - FAULTS_SHOWN);
+	g_set_error(err, CONF_ERROR, (int)code, "%s", buf->ptr);
+	talloc_free(buf);
+}
--- /dev/null
+++ b/packages/conf/tests/conf_test.c
@@ -0,0 +1,168 @@
+#include <string.h>
+
+#include "conf.h"
+
+static const char *const examples[] = { "examples/vakatawa.answers.json",
+					"examples/addis.answers.json" };
+
+static char *slurp(const char *file)
+{
+	char *text = NULL;
+
+	g_assert_true(g_file_get_contents(file, &text, NULL, NULL));
+	return text;
+}
+
+static conf_answers_t *answers_of(void *ctx, const char *text)
+{
+	conf_faults_t *faults = conf_faults_new(ctx);
+	conf_answers_t *a = conf_answers_load(ctx, base_str(text), faults);
+	char *print = conf_faults_print(ctx, faults, "text");
+
+	g_assert_cmpstr(print, ==, "");
+	g_assert_nonnull(a);
+	return a;
+}
+
+static char *generated(void *ctx, const char *file)
+{
+	char *text = slurp(file), *json;
+	GError *err = NULL;
+
+	json = conf_generate(ctx, answers_of(ctx, text), &err);
+	g_assert_no_error(err);
+	g_free(text);
+	return json;
+}
+
+static char *replaced(void *ctx, const char *text, const char *from,
+		      const char *to)
+{
+	const char *at = strstr(text, from);
+
+	g_assert_nonnull(at);
+	return talloc_asprintf(ctx, "%.*s%s%s", (int)(at - text), text, to,
+			       at + strlen(from));
+}
+
+static void test_examples(void)
+{
+	static const int64_t executors[] = { 9, 9, 11, 12, 8 };
+	void *ctx = talloc_new(NULL);
+
+	for (size_t e = 0; e < ARRAY_SIZE(examples); e++) {
+		char *json = generated(ctx, examples[e]);
+		GError *err = NULL;
+		conf_t *conf = conf_load(ctx, base_str(json), &err);
+
+		g_assert_no_error(err);
+		g_assert_cmpuint(conf->n_zones, ==, 3);
+		g_assert_cmpuint(conf->n_pools, ==, 5);
+		for (size_t p = 0; p < 5; p++) {
+			const conf_pool_t *pool = &conf->pools[p];
+			int64_t placed = 0;
+
+			g_assert_cmpint(pool->executors, ==, executors[p]);
+			g_assert_cmpint(pool->slots, ==, 8);
+			g_assert_cmpint(pool->connections, ==, 64);
+			g_assert_true(pool->spare == (p == 4));
+			for (size_t z = 0; z < 3; z++)
+				placed += pool->placement[z].executors;
+			g_assert_cmpint(placed, ==, executors[p]);
+			g_assert_cmpint(pool->budget.min_up +
+						pool->budget.loss +
+						pool->budget.drain,
+					<=, executors[p]);
+		}
+		g_assert_cmpstr(generated(ctx, examples[e]), ==, json);
+	}
+	talloc_free(ctx);
+}
+
+static void test_match(void)
+{
+	void *ctx = talloc_new(NULL);
+	char *text = slurp(examples[0]);
+	conf_answers_t *a = answers_of(ctx, text);
+	base_str_t desk = BASE_STR("gate-desk");
+	const conf_class_t *cl;
+
+	cl = conf_class_match(a, desk, BASE_STR("POST"),
+			      BASE_STR("/bookings/7"));
+	g_assert_cmpstr(cl->name.ptr, ==, "book");
+	g_assert_false(cl->repeatable);
+	cl = conf_class_match(a, desk, BASE_STR("GET"), BASE_STR(""));
+	g_assert_cmpstr(cl->name.ptr, ==, "query");
+	g_assert_true(cl->repeatable);
+	cl = conf_class_match(a, desk, BASE_STR("PATCH"), BASE_STR("/x"));
+	g_assert_cmpstr(cl->name.ptr, ==, "rest");
+	g_assert_null(conf_class_match(a, BASE_STR("gate"), BASE_STR("GET"),
+				       BASE_STR("/")));
+	g_assert_true(conf_class(a, desk, BASE_STR("rest")) == cl);
+	g_free(text);
+	talloc_free(ctx);
+}
+
+static void test_hand_edited(void)
+{
+	void *ctx = talloc_new(NULL);
+	char *json = generated(ctx, examples[0]);
+	GError *err = NULL;
+	char *edited = replaced(ctx, json, "\"deadline_ms\": 2000",
+				"\"deadline_ms\": 2001");
+
+	g_assert_null(conf_load(ctx, base_str(edited), &err));
+	g_assert_error(err, CONF_ERROR, CONF_ERR_DIGEST);
+	g_assert_nonnull(strstr(err->message, "$.digest"));
+	g_clear_error(&err);
+	edited = replaced(ctx, json, "\"schema\": 1", "\"schema\": 2");
+	g_assert_null(conf_load(ctx, base_str(edited), &err));
+	g_assert_error(err, CONF_ERROR, CONF_ERR_SCHEMA);
+	g_assert_nonnull(strstr(err->message, "$.schema"));
+	g_clear_error(&err);
+	g_assert_null(conf_load(ctx, BASE_STR("{"), &err));
+	g_assert_error(err, CONF_ERROR, CONF_ERR_SYNTAX);
+	g_clear_error(&err);
+	talloc_free(ctx);
+}
+
+static void test_record(void)
+{
+	void *ctx = talloc_new(NULL);
+	char *json = generated(ctx, examples[1]);
+	GError *err = NULL;
+	char *text = conf_record_print(ctx, 7, BASE_STR("c-1"), base_str(json),
+				       &err);
+	conf_record_t *rec;
+
+	g_assert_no_error(err);
+	rec = conf_record_load(ctx, base_str(text), &err);
+	g_assert_no_error(err);
+	g_assert_cmpint(rec->generation, ==, 7);
+	g_assert_cmpstr(rec->change.ptr, ==, "c-1");
+	g_assert_cmpstr(rec->config->site.ptr, ==, "addis");
+	g_assert_cmpstr(rec->config_json, ==, json);
+	g_assert_null(conf_record_load(
+		ctx, base_str(replaced(ctx, text, ":7", ":0")), &err));
+	g_assert_error(err, CONF_ERROR, CONF_ERR_SCHEMA);
+	g_clear_error(&err);
+	g_assert_null(conf_record_load(
+		ctx, base_str(replaced(ctx, text, ":7", ":7,\"x\":1")), &err));
+	g_assert_error(err, CONF_ERROR, CONF_ERR_SCHEMA);
+	g_clear_error(&err);
+	g_assert_null(
+		conf_record_print(ctx, 1, BASE_STR("c"), BASE_STR("{}"), &err));
+	g_assert_error(err, CONF_ERROR, CONF_ERR_SCHEMA);
+	g_clear_error(&err);
+	talloc_free(ctx);
+}
+
+int main(int argc, char **argv)
+{
+	g_test_init(&argc, &argv, NULL);
+	g_test_add_func("/conf/examples", test_examples);
+	g_test_add_func("/conf/match", test_match);
+	g_test_add_func("/conf/hand-edited", test_hand_edited);
+	g_test_add_func("/conf/record", test_record);
+	return g_test_run();
+}
