Add the micro-kernel, the platform's clients and the stand-in

Cause: the whole path needs services and duties, a store and list client and something to speak to.

Change: package kern (services by name, duties, rings over ck_ring), package plat (etcd v3 JSON gateway, EndpointSlice list, compare-and-swap that resolves a lost answer by reading back), standin (store, list, reboot, endpoints with switches).

--- /dev/null
+++ b/packages/kern/tests/kern_test.c
@@ -0,0 +1,125 @@
+#include <ck_pr.h>
+
+#include "kern.h"
+
+typedef struct probe {
+	const char *name;
+	GString *trace;
+	bool fails;
+} probe_t;
+
+static bool probe_start(void *service, kern_t *kern, GError **err)
+{
+	probe_t *probe = service;
+
+	g_assert_true(kern_find(kern, probe->name) == probe);
+	if (probe->fails) {
+		g_set_error(err, KERN_ERROR, KERN_ERROR_START, "on purpose");
+		return false;
+	}
+	g_string_append_printf(probe->trace, "+%s", probe->name);
+	return true;
+}
+
+static void probe_stop(void *service)
+{
+	probe_t *probe = service;
+
+	g_string_append_printf(probe->trace, "-%s", probe->name);
+}
+
+static const kern_service_ops_t probe_ops = { probe_start, probe_stop };
+
+static void test_order(void)
+{
+	base_log_t log = { .fd = 2, .level = BASE_ERROR };
+	GString *trace = g_string_new("");
+	probe_t a = { "a", trace, false }, b = { "b", trace, false };
+	probe_t c = { "c", trace, true };
+	kern_t *kern = kern_new(NULL, &log);
+	GError *err = NULL;
+
+	g_assert_true(kern_register(kern, "a", &probe_ops, &a, NULL));
+	g_assert_true(kern_register(kern, "b", &probe_ops, &b, NULL));
+	g_assert_false(kern_register(kern, "a", &probe_ops, &b, &err));
+	g_assert_error(err, KERN_ERROR, KERN_ERROR_DUPLICATE);
+	g_clear_error(&err);
+	g_assert_true(kern_start(kern, NULL));
+	kern_stop(kern);
+	g_assert_cmpstr(trace->str, ==, "+a+b-b-a");
+	g_string_truncate(trace, 0);
+	g_assert_true(kern_register(kern, "c", &probe_ops, &c, NULL));
+	g_assert_false(kern_start(kern, &err));
+	g_assert_nonnull(strstr(err->message, "'c'"));
+	g_assert_cmpstr(trace->str, ==, "+a+b-b-a");
+	g_clear_error(&err);
+	g_string_free(trace, TRUE);
+	talloc_free(kern);
+}
+
+static void test_ring(void)
+{
+	kern_ring_t *ring = kern_ring_new(NULL, 4);
+	int items[4];
+
+	for (int i = 0; i < 3; i++)
+		g_assert_true(kern_ring_put(ring, &items[i]));
+	g_assert_false(kern_ring_put(ring, &items[3]));
+	for (int i = 0; i < 3; i++)
+		g_assert_true(kern_ring_take(ring, 0) == &items[i]);
+	g_assert_null(kern_ring_take(ring, 1000));
+	talloc_free(ring);
+}
+
+typedef struct tally {
+	int ticks;
+	int messages;
+} tally_t;
+
+static void count_tick(void *arg, int64_t now)
+{
+	tally_t *tally = arg;
+
+	g_assert_cmpint(now, >, 0);
+	ck_pr_inc_int(&tally->ticks);
+}
+
+static void count_message(void *arg, void *msg, int64_t now)
+{
+	tally_t *tally = arg;
+
+	g_assert_cmpint(now, >, 0);
+	g_assert_true(msg == arg);
+	ck_pr_inc_int(&tally->messages);
+}
+
+static void test_duty(void)
+{
+	tally_t tally = { 0, 0 };
+	kern_duty_options_t options = { .name = "tally",
+					.period_us = 1000,
+					.ring_size = 64,
+					.arg = &tally,
+					.tick = count_tick,
+					.message = count_message };
+	kern_duty_t *duty = kern_duty_start(NULL, &options, NULL);
+	int sent = 0;
+
+	while (sent < 500)
+		sent += kern_duty_post(duty, &tally) ? 1 : 0;
+	while (ck_pr_load_int(&tally.messages) < 500 ||
+	       ck_pr_load_int(&tally.ticks) < 3)
+		base_clock_sleep(1000);
+	kern_duty_stop(duty);
+	g_assert_cmpint(tally.messages, ==, 500);
+	talloc_free(duty);
+}
+
+int main(int argc, char **argv)
+{
+	g_test_init(&argc, &argv, NULL);
+	g_test_add_func("/kern/order", test_order);
+	g_test_add_func("/kern/ring", test_ring);
+	g_test_add_func("/kern/duty", test_duty);
+	return g_test_run();
+}
--- /dev/null
+++ b/packages/plat/plat_cas.c
@@ -0,0 +1,33 @@
+#include "plat_int.h"
+
+G_DEFINE_QUARK(plat - error - quark, plat_error)
+
+plat_cas_t plat_cas_sure(plat_store_t *store, const char *key, base_str_t value,
+			 int64_t expected, int64_t lease, int64_t *revision,
+			 GError **err)
+{
+	GError *cause = NULL;
+	plat_kvs_t kvs;
+	plat_cas_t done = store->ops->cas(store, key, value, expected, lease,
+					  revision, &cause);
+	void *ctx;
+
+	if (done != PLAT_CAS_FAILED)
+		return done;
+	if (!g_error_matches(cause, PLAT_ERROR, PLAT_ERROR_UNKNOWN)) {
+		g_propagate_error(err, cause);
+		return done;
+	}
+	ctx = talloc_new(NULL);
+	if (store->ops->range(store, ctx, key, false, &kvs, err)) {
+		bool ours = kvs.count == 1 &&
+			    base_str_eq(kvs.items[0].value, value) &&
+			    kvs.items[0].mod_revision > expected;
+
+		done = ours ? PLAT_CAS_DONE : PLAT_CAS_CONFLICT;
+		*revision = kvs.count ? kvs.items[0].mod_revision : 0;
+	}
+	g_clear_error(&cause);
+	talloc_free(ctx);
+	return done;
+}
--- /dev/null
+++ b/packages/plat/plat_http.c
@@ -0,0 +1,190 @@
+#include "plat_int.h"
+
+#define ERROR_TEXT_MAX 160 /* bytes */
+#define READ_CHUNK 16384   /* bytes */
+
+struct plat_http {
+	char *host;
+	int port;
+	struct mg_connection *conn;
+};
+
+static int free_http(plat_http_t *http);
+static bool connect_to(plat_http_t *http, struct mg_connection **conn,
+		       GError **err);
+static bool send_request(plat_http_t *http, struct mg_connection *conn,
+			 const char *path, const char *body);
+static bool exchange(plat_http_t *http, const char *path, const char *body,
+		     GError **err);
+static bool read_body(struct mg_connection *conn, base_buf_t *out);
+static json_t *parse(int status, const base_buf_t *body, GError **err);
+static void disconnect(plat_http_t *http);
+
+plat_http_t *plat_http_new(const void *ctx, const plat_address_t *address)
+{
+	plat_http_t *http = talloc_zero(ctx, plat_http_t);
+
+	http->host = talloc_strdup(http, address->host);
+	http->port = address->port;
+	talloc_set_destructor(http, free_http);
+	return http;
+}
+
+json_t *plat_http_call(plat_http_t *http, const char *path, const char *body,
+		       GError **err)
+{
+	const struct mg_response_info *info;
+	base_buf_t *answer;
+	json_t *root = NULL;
+
+	if (!exchange(http, path, body, err))
+		return NULL;
+	info = mg_get_response_info(http->conn);
+	answer = base_buf_new(NULL);
+	if (read_body(http->conn, answer)) {
+		root = parse(info->status_code, answer, err);
+	} else {
+		g_set_error(err, PLAT_ERROR, PLAT_ERROR_UNKNOWN,
+			    "answer of %s:%d was cut short", http->host,
+			    http->port);
+		disconnect(http);
+	}
+	talloc_free(answer);
+	return root;
+}
+
+struct mg_connection *plat_http_stream(plat_http_t *http, const char *path,
+				       const char *body, GError **err)
+{
+	char text[ERROR_TEXT_MAX];
+	struct mg_connection *conn;
+
+	if (!connect_to(http, &conn, err))
+		return NULL;
+	if (send_request(http, conn, path, body) &&
+	    mg_get_response(conn, text, sizeof(text), PLAT_TIMEOUT_MS) >= 0 &&
+	    mg_get_response_info(conn)->status_code == 200)
+		return conn;
+	mg_close_connection(conn);
+	g_set_error(err, PLAT_ERROR, PLAT_ERROR_DOWN, "%s:%d opened no stream",
+		    http->host, http->port);
+	return NULL;
+}
+
+static int free_http(plat_http_t *http)
+{
+	disconnect(http);
+	return 0;
+}
+
+static bool connect_to(plat_http_t *http, struct mg_connection **conn,
+		       GError **err)
+{
+	char text[ERROR_TEXT_MAX];
+
+	*conn = mg_connect_client(http->host, http->port, 0, text,
+				  sizeof(text));
+	if (*conn)
+		return true;
+	g_set_error(err, PLAT_ERROR, PLAT_ERROR_DOWN, "%s", text);
+	return false;
+}
+
+static bool send_request(plat_http_t *http, struct mg_connection *conn,
+			 const char *path, const char *body)
+{
+	base_buf_t *text = base_buf_new(NULL);
+	bool sent;
+
+	base_buf_addf(text,
+		      "%s %s HTTP/1.1\r\nHost: %s:%d\r\n"
+		      "Accept: application/json\r\n",
+		      body ? "POST" : "GET", path, http->host, http->port);
+	if (body)
+		base_buf_addf(text,
+			      "Content-Type: application/json\r\n"
+			      "Content-Length: %zu\r\n",
+			      strlen(body));
+	base_buf_adds(text, "\r\n");
+	if (body)
+		base_buf_adds(text, body);
+	sent = mg_write(conn, text->ptr, text->len) == (int)text->len;
+	talloc_free(text);
+	return sent;
+}
+
+/*
+ * Send and wait for the header of the answer.  A kept connection that the
+ * other side has closed meanwhile is replaced once for reads only: a write
+ * may have taken effect.
+ */
+static bool exchange(plat_http_t *http, const char *path, const char *body,
+		     GError **err)
+{
+	char text[ERROR_TEXT_MAX];
+	bool kept = http->conn != NULL;
+
+	if (!kept && !connect_to(http, &http->conn, err))
+		return false;
+	if (send_request(http, http->conn, path, body) &&
+	    mg_get_response(http->conn, text, sizeof(text), PLAT_TIMEOUT_MS) >=
+		    0)
+		return true;
+	disconnect(http);
+	if (kept && !body)
+		return exchange(http, path, body, err);
+	g_set_error(err, PLAT_ERROR, PLAT_ERROR_UNKNOWN, "no answer from %s:%d",
+		    http->host, http->port);
+	return false;
+}
+
+static bool read_body(struct mg_connection *conn, base_buf_t *out)
+{
+	long long left = mg_get_response_info(conn)->content_length;
+	bool counted = left >= 0;
+	char chunk[READ_CHUNK];
+
+	while (!counted || left > 0) {
+		size_t want = sizeof(chunk);
+		int got;
+
+		if (counted && left < (long long)want)
+			want = (size_t)left;
+		got = mg_read(conn, chunk, want);
+		if (got < 0 || (counted && !got))
+			return false;
+		if (!got)
+			return true;
+		if (out->len + (size_t)got > PLAT_BODY_MAX)
+			return false;
+		base_buf_add(out, chunk, (size_t)got);
+		left -= got;
+	}
+	return true;
+}
+
+static json_t *parse(int status, const base_buf_t *body, GError **err)
+{
+	json_error_t where;
+	json_t *root;
+
+	if (status != 200) {
+		g_set_error(err, PLAT_ERROR,
+			    status >= 500 ? PLAT_ERROR_UNKNOWN : PLAT_ERROR_BAD,
+			    "status %d", status);
+		return NULL;
+	}
+	root = json_loadb(body->ptr, body->len, 0, &where);
+	if (!root)
+		g_set_error(err, PLAT_ERROR, PLAT_ERROR_BAD,
+			    "answer is no JSON: line %d: %s", where.line,
+			    where.text);
+	return root;
+}
+
+static void disconnect(plat_http_t *http)
+{
+	if (http->conn)
+		mg_close_connection(http->conn);
+	http->conn = NULL;
+}
--- /dev/null
+++ b/packages/plat/plat_int.h
@@ -0,0 +1,39 @@
+/*
+ * plat_int - what the files of this package share.
+ */
+#ifndef PLAT_INT_H
+#define PLAT_INT_H
+
+#include <civetweb.h>
+#include <jansson.h>
+#include <pthread.h>
+#include <string.h>
+
+#include "plat.h"
+
+#define PLAT_TIMEOUT_MS 2000		 /* for one call */
+#define PLAT_BODY_MAX (16 * 1024 * 1024) /* bytes of one answer */
+
+/*
+ * An HTTP client with one kept connection.  Not thread-safe.
+ */
+typedef struct plat_http plat_http_t;
+
+plat_http_t *plat_http_new(const void *ctx, const plat_address_t *address);
+
+/*
+ * Send "body" (NULL: a GET) to "path" and parse the JSON answer.  PLAT_ERROR
+ * _DOWN when the request was not sent, _UNKNOWN when the answer was lost,
+ * _BAD when it is no JSON or its status is not 200.
+ */
+json_t *plat_http_call(plat_http_t *http, const char *path, const char *body,
+		       GError **err);
+
+/*
+ * Open a streaming call on a fresh connection: its header has come, the body
+ * is read with mg_read().  The caller closes it.
+ */
+struct mg_connection *plat_http_stream(plat_http_t *http, const char *path,
+				       const char *body, GError **err);
+
+#endif
--- /dev/null
+++ b/standin/standin_fleet.c
@@ -0,0 +1,248 @@
+#include "standin_int.h"
+
+/*
+ * The instance list with its lag, switches, the reboot action and the
+ * endpoints' own records.
+ */
+
+static const char *const mode_names[MODE_MAX] = {
+	[MODE_OK] = "ok",   [MODE_FAIL] = "fail",   [MODE_REFUSE] = "refuse",
+	[MODE_CUT] = "cut", [MODE_RESET] = "reset", [MODE_HANG] = "hang",
+};
+
+static int on_list(struct mg_connection *conn, void *arg);
+static int on_switch(struct mg_connection *conn, void *arg);
+static int on_records(struct mg_connection *conn, void *arg);
+static int on_reset(struct mg_connection *conn, void *arg);
+static json_t *slice_of(const standin_t *s, const instance_t *instance,
+			int port);
+static void settle(standin_t *s, int64_t now);
+static instance_t *find(standin_t *s, const char *id);
+static bool switch_instance(standin_t *s, const char *id, const char *mode);
+static void changed(standin_t *s, instance_t *instance);
+static void leave(standin_t *s, instance_t *instance, bool leaving);
+
+void fleet_serve(struct mg_context *ctx, standin_t *s)
+{
+	mg_set_request_handler(ctx, "/apis/discovery.k8s.io/v1/endpointslices",
+			       on_list, s);
+	mg_set_request_handler(ctx, "/switch", on_switch, s);
+	mg_set_request_handler(ctx, "/records", on_records, s);
+	mg_set_request_handler(ctx, "/redfish/v1/Systems/", on_reset, s);
+}
+
+static int on_list(struct mg_connection *conn, void *arg)
+{
+	standin_t *s = arg;
+	json_t *items = json_array();
+	char selector[ID_MAX * 2];
+	const char *zone = NULL;
+
+	if (s->list_down || zone_is_cut(s, conn)) {
+		json_decref(items);
+		return answer_nothing(conn);
+	}
+	param(conn, "labelSelector", selector, sizeof(selector));
+	if (!strncmp(selector, "zone=", 5))
+		zone = selector + 5;
+	pthread_mutex_lock(&s->lock);
+	settle(s, base_clock_mono());
+	for (int i = 0; i < s->instance_count; i++) {
+		instance_t *instance = &s->instances[i];
+
+		if (!instance->listed_gone &&
+		    (!zone || !strcmp(zone, s->zones[instance->zone].name)))
+			json_array_append_new(
+				items, slice_of(s, instance, s->base_port + i));
+	}
+	pthread_mutex_unlock(&s->lock);
+	return answer_json(conn, 200,
+			   json_pack("{s:s,s:s,s:o}", "kind",
+				     "EndpointSliceList", "apiVersion",
+				     "discovery.k8s.io/v1", "items", items));
+}
+
+static json_t *slice_of(const standin_t *s, const instance_t *instance,
+			int port)
+{
+	char uid[16], rack[ID_MAX + 16];
+
+	snprintf(uid, sizeof(uid), "%d", instance->listed_incarnation);
+	snprintf(rack, sizeof(rack), "%s-r%d", s->zones[instance->zone].name,
+		 instance->rack);
+	return json_pack(
+		"{s:s,s:[{s:i}],s:[{s:[s],s:s,s:{s:s,s:s},s:{s:s},s:{s:b,s:b}}]"
+		"}",
+		"addressType", "IPv4", "ports", "port", port, "endpoints",
+		"addresses", "127.0.0.1", "zone", s->zones[instance->zone].name,
+		"targetRef", "name", instance->id, "uid", uid,
+		"deprecatedTopology", "rack", rack, "conditions", "ready",
+		!instance->listed_leaving, "terminating",
+		instance->listed_leaving);
+}
+
+/* Let reboots end and the list catch up. */
+static void settle(standin_t *s, int64_t now)
+{
+	for (int i = 0; i < s->instance_count; i++) {
+		instance_t *instance = &s->instances[i];
+
+		if (instance->back_at && instance->back_at <= now) {
+			instance->back_at = 0;
+			instance->gone = false;
+			instance->incarnation++;
+			leave(s, instance, false);
+		}
+		if (instance->listed_at <= now) {
+			instance->listed_leaving = instance->leaving;
+			instance->listed_gone = instance->gone;
+			instance->listed_incarnation = instance->incarnation;
+		}
+	}
+}
+
+static int on_switch(struct mg_connection *conn, void *arg)
+{
+	static const char *const store_names[] = { "store", "store_slow_ms",
+						   "store_lose" };
+	standin_t *s = arg;
+	char value[ID_MAX], mode[ID_MAX];
+	bool done = false;
+
+	for (size_t i = 0; i < ARRAY_SIZE(store_names); i++) {
+		param(conn, store_names[i], value, sizeof(value));
+		if (value[0])
+			done |= store_switch(store_names[i], value);
+	}
+	pthread_mutex_lock(&s->lock);
+	param(conn, "list", value, sizeof(value));
+	if (value[0]) {
+		s->list_down = !strcmp(value, "down");
+		done = true;
+	}
+	param(conn, "lag_ms", value, sizeof(value));
+	if (value[0]) {
+		s->lag_us = atoll(value) * BASE_MS;
+		done = true;
+	}
+	param(conn, "reboot_ms", value, sizeof(value));
+	if (value[0]) {
+		s->reboot_us = atoll(value) * BASE_MS;
+		done = true;
+	}
+	param(conn, "cut", value, sizeof(value));
+	param(conn, "heal", mode, sizeof(mode));
+	for (int z = 0; z < s->zone_count; z++) {
+		if (!strcmp(s->zones[z].name, value))
+			s->zones[z].cut = done = true;
+		if (!strcmp(s->zones[z].name, mode)) {
+			s->zones[z].cut = false;
+			done = true;
+		}
+	}
+	param(conn, "instance", value, sizeof(value));
+	param(conn, "mode", mode, sizeof(mode));
+	if (value[0])
+		done |= switch_instance(s, value, mode);
+	pthread_mutex_unlock(&s->lock);
+	return answer_json(conn, done ? 200 : 404,
+			   json_pack("{s:b}", "done", done));
+}
+
+static bool switch_instance(standin_t *s, const char *id, const char *mode)
+{
+	instance_t *instance = find(s, id);
+
+	if (!instance)
+		return false;
+	for (int m = 0; m < MODE_MAX; m++)
+		if (!strcmp(mode, mode_names[m])) {
+			instance->mode = (behave_t)m;
+			return true;
+		}
+	if (!strncmp(mode, "slow:", 5))
+		instance->extra_us = atoll(mode + 5) * BASE_MS;
+	else if (!strncmp(mode, "slots:", 6))
+		instance->slots = atoi(mode + 6);
+	else if (!strcmp(mode, "leaving"))
+		leave(s, instance, true);
+	else if (!strcmp(mode, "back"))
+		leave(s, instance, false);
+	else if (!strcmp(mode, "gone"))
+		instance->gone = true;
+	else
+		return false;
+	changed(s, instance);
+	return true;
+}
+
+static void leave(standin_t *s, instance_t *instance, bool leaving)
+{
+	instance->leaving = leaving;
+	instance->leaving_since = leaving ? base_clock_mono() : 0;
+	changed(s, instance);
+}
+
+static void changed(standin_t *s, instance_t *instance)
+{
+	instance->listed_at = base_clock_mono() + s->lag_us;
+}
+
+static instance_t *find(standin_t *s, const char *id)
+{
+	for (int i = 0; i < s->instance_count; i++)
+		if (!strcmp(s->instances[i].id, id))
+			return &s->instances[i];
+	return NULL;
+}
+
+/* Redfish: POST /redfish/v1/Systems/ID/Actions/ComputerSystem.Reset */
+static int on_reset(struct mg_connection *conn, void *arg)
+{
+	standin_t *s = arg;
+	const char *path = mg_get_request_info(conn)->local_uri;
+	char id[ID_MAX] = "";
+	instance_t *instance;
+
+	sscanf(path, "/redfish/v1/Systems/%63[^/]", id);
+	talloc_free(read_body(conn));
+	if (zone_is_cut(s, conn))
+		return answer_nothing(conn);
+	pthread_mutex_lock(&s->lock);
+	instance = find(s, id);
+	if (instance && !instance->back_at) {
+		instance->back_at = base_clock_mono() + s->reboot_us;
+		instance->gone = true;
+		changed(s, instance);
+		for (size_t i = 0; i < s->run_count; i++)
+			if (&s->instances[s->runs[i].instance] == instance &&
+			    !s->runs[i].ended)
+				s->runs[i].interrupted = true;
+	}
+	pthread_mutex_unlock(&s->lock);
+	return answer_json(conn, instance ? 200 : 404, json_object());
+}
+
+static int on_records(struct mg_connection *conn, void *arg)
+{
+	standin_t *s = arg;
+	json_t *runs = json_array();
+
+	pthread_mutex_lock(&s->lock);
+	for (size_t i = 0; i < s->run_count; i++) {
+		const run_t *run = &s->runs[i];
+
+		json_array_append_new(
+			runs,
+			json_pack("{s:s,s:i,s:s,s:s,s:s,s:s,s:I,s:I,s:I,s:b}",
+				  "instance", s->instances[run->instance].id,
+				  "incarnation", run->incarnation, "request",
+				  run->request, "key", run->key, "caller",
+				  run->caller, "service", run->service, "began",
+				  run->began, "ended", run->ended, "leaving_us",
+				  run->leaving_us, "interrupted",
+				  run->interrupted));
+	}
+	pthread_mutex_unlock(&s->lock);
+	return answer_json(conn, 200, json_pack("{s:o}", "runs", runs));
+}
--- /dev/null
+++ b/standin/standin_store.c
@@ -0,0 +1,515 @@
+#include "standin_int.h"
+
+/*
+ * The store: revisions, compare-and-swap on mod_revision, leases, watches.
+ */
+
+#define WATCH_MAX_US (25 * BASE_SEC) /* then the stream ends */
+#define GONE_MAX 4096		     /* remembered deletions */
+
+typedef struct record {
+	char *value;
+	size_t len;
+	int64_t create;
+	int64_t mod;
+	int64_t lease;
+} record_t;
+
+typedef struct lease {
+	int64_t ttl_us;
+	int64_t until;
+} lease_t;
+
+typedef struct deletion {
+	char *key;
+	int64_t revision;
+} deletion_t;
+
+static struct {
+	pthread_mutex_t lock;
+	pthread_cond_t changed;
+	GTree *records;	    /* char * -> record_t * */
+	GHashTable *leases; /* int64_t -> lease_t * */
+	deletion_t gone[GONE_MAX];
+	size_t gone_count;
+	int64_t revision;
+	int64_t next_lease;
+	bool down;
+	int64_t slow_us;
+	int lose;	  /* answers to writes still to be lost */
+	int64_t calls[4]; /* range, txn, lease, watch */
+} store = { .lock = PTHREAD_MUTEX_INITIALIZER,
+	    .changed = PTHREAD_COND_INITIALIZER,
+	    .revision = 1,
+	    .next_lease = 1000 };
+
+enum { CALL_RANGE, CALL_TXN, CALL_LEASE, CALL_WATCH };
+
+typedef json_t *(*store_call_t)(const json_t *request);
+
+static int serve(struct mg_connection *conn, void *arg, int kind,
+		 store_call_t fn);
+static int on_range(struct mg_connection *conn, void *arg);
+static int on_txn(struct mg_connection *conn, void *arg);
+static int on_grant(struct mg_connection *conn, void *arg);
+static int on_keep(struct mg_connection *conn, void *arg);
+static int on_revoke(struct mg_connection *conn, void *arg);
+static int on_watch(struct mg_connection *conn, void *arg);
+static int on_calls(struct mg_connection *conn, void *arg);
+static json_t *do_range(const json_t *request);
+static json_t *do_txn(const json_t *request);
+static json_t *do_grant(const json_t *request);
+static json_t *do_keep(const json_t *request);
+static json_t *do_revoke(const json_t *request);
+static json_t *header(void);
+static json_t *kv_of(const char *key, const record_t *record);
+static char *text_of(const json_t *object, const char *key, size_t *len);
+static int64_t number_of(const json_t *object, const char *key);
+static void put(const char *key, const char *value, size_t len, int64_t lease);
+static void expire(int64_t now);
+static void drop_lease(int64_t id);
+static bool changed_since(const char *from, const char *to, int64_t revision);
+static int compare_keys(const void *a, const void *b, void *arg);
+static void free_record(void *p);
+
+void store_serve(struct mg_context *ctx, standin_t *s)
+{
+	store.records =
+		g_tree_new_full(compare_keys, NULL, g_free, free_record);
+	store.leases = g_hash_table_new_full(g_int64_hash, g_int64_equal,
+					     g_free, g_free);
+	mg_set_request_handler(ctx, "/v3/kv/range", on_range, s);
+	mg_set_request_handler(ctx, "/v3/kv/txn", on_txn, s);
+	mg_set_request_handler(ctx, "/v3/lease/grant", on_grant, s);
+	mg_set_request_handler(ctx, "/v3/lease/keepalive", on_keep, s);
+	mg_set_request_handler(ctx, "/v3/lease/revoke", on_revoke, s);
+	mg_set_request_handler(ctx, "/v3/watch", on_watch, s);
+	mg_set_request_handler(ctx, "/calls", on_calls, s);
+}
+
+bool store_switch(const char *name, const char *value)
+{
+	bool known = true;
+
+	pthread_mutex_lock(&store.lock);
+	if (!strcmp(name, "store"))
+		store.down = !strcmp(value, "down");
+	else if (!strcmp(name, "store_slow_ms"))
+		store.slow_us = atoll(value) * BASE_MS;
+	else if (!strcmp(name, "store_lose"))
+		store.lose = atoi(value);
+	else
+		known = false;
+	pthread_cond_broadcast(&store.changed);
+	pthread_mutex_unlock(&store.lock);
+	return known;
+}
+
+static int on_range(struct mg_connection *conn, void *arg)
+{
+	return serve(conn, arg, CALL_RANGE, do_range);
+}
+
+static int on_txn(struct mg_connection *conn, void *arg)
+{
+	return serve(conn, arg, CALL_TXN, do_txn);
+}
+
+static int on_grant(struct mg_connection *conn, void *arg)
+{
+	return serve(conn, arg, CALL_LEASE, do_grant);
+}
+
+static int on_keep(struct mg_connection *conn, void *arg)
+{
+	return serve(conn, arg, CALL_LEASE, do_keep);
+}
+
+static int on_revoke(struct mg_connection *conn, void *arg)
+{
+	return serve(conn, arg, CALL_LEASE, do_revoke);
+}
+
+static int serve(struct mg_connection *conn, void *arg, int kind,
+		 store_call_t fn)
+{
+	char *body = read_body(conn);
+	json_t *request = body ? json_loads(body, 0, NULL) : NULL;
+	json_t *answer = NULL;
+	bool lost = false, down;
+	int64_t slow_us;
+
+	talloc_free(body);
+	pthread_mutex_lock(&store.lock);
+	store.calls[kind]++;
+	down = store.down;
+	slow_us = store.slow_us;
+	pthread_mutex_unlock(&store.lock);
+	if (down || zone_is_cut(arg, conn)) {
+		json_decref(request);
+		return answer_nothing(conn);
+	}
+	if (slow_us)
+		base_clock_sleep(slow_us);
+	pthread_mutex_lock(&store.lock);
+	expire(base_clock_mono());
+	if (request)
+		answer = fn(request);
+	if (answer && kind == CALL_TXN && store.lose > 0 &&
+	    json_is_true(json_object_get(answer, "succeeded"))) {
+		store.lose--;
+		lost = true;
+	}
+	pthread_mutex_unlock(&store.lock);
+	json_decref(request);
+	if (lost) {
+		json_decref(answer);
+		return answer_nothing(conn);
+	}
+	if (!answer)
+		return answer_json(conn, 400,
+				   json_pack("{s:s}", "error", "bad request"));
+	return answer_json(conn, 200, answer);
+}
+
+typedef struct range_walk {
+	const char *from, *to;
+	json_t *kvs;
+} range_walk_t;
+
+static gboolean collect(void *key, void *value, void *arg)
+{
+	range_walk_t *walk = arg;
+	bool inside = walk->to ? strcmp(key, walk->from) >= 0 &&
+					 strcmp(key, walk->to) < 0
+			       : !strcmp(key, walk->from);
+
+	if (inside)
+		json_array_append_new(walk->kvs, kv_of(key, value));
+	return FALSE;
+}
+
+static json_t *do_range(const json_t *request)
+{
+	char *from = text_of(request, "key", NULL);
+	char *to = text_of(request, "range_end", NULL);
+	range_walk_t walk = { from, to, json_array() };
+	json_t *answer;
+
+	if (from)
+		g_tree_foreach(store.records, collect, &walk);
+	answer = json_pack("{s:o,s:s}", "header", header(), "count", "0");
+	if (json_array_size(walk.kvs))
+		json_object_set(answer, "kvs", walk.kvs);
+	json_decref(walk.kvs);
+	g_free(from);
+	g_free(to);
+	return answer;
+}
+
+static json_t *do_txn(const json_t *request)
+{
+	json_t *compare =
+		json_array_get(json_object_get(request, "compare"), 0);
+	json_t *op = json_object_get(
+		json_array_get(json_object_get(request, "success"), 0),
+		"requestPut");
+	char *key = text_of(op, "key", NULL);
+	record_t *now = key ? g_tree_lookup(store.records, key) : NULL;
+	int64_t lease = number_of(op, "lease");
+	bool same = number_of(compare, "mod_revision") == (now ? now->mod : 0);
+	size_t len = 0;
+	char *value = text_of(op, "value", &len);
+
+	if (!key || !value ||
+	    (lease && !g_hash_table_contains(store.leases, &lease))) {
+		g_free(key);
+		g_free(value);
+		return NULL;
+	}
+	if (same)
+		put(key, value, len, lease);
+	g_free(key);
+	g_free(value);
+	return json_pack("{s:o,s:b}", "header", header(), "succeeded", same);
+}
+
+static json_t *do_grant(const json_t *request)
+{
+	lease_t *lease = g_new0(lease_t, 1);
+	int64_t *id = g_new0(int64_t, 1);
+	char text[24];
+
+	*id = ++store.next_lease;
+	lease->ttl_us = number_of(request, "TTL") * BASE_SEC;
+	lease->until = base_clock_mono() + lease->ttl_us;
+	g_hash_table_insert(store.leases, id, lease);
+	snprintf(text, sizeof(text), "%lld", (long long)*id);
+	return json_pack("{s:o,s:s}", "header", header(), "ID", text);
+}
+
+static json_t *do_keep(const json_t *request)
+{
+	int64_t id = number_of(request, "ID");
+	lease_t *lease = g_hash_table_lookup(store.leases, &id);
+	char text[24] = "0";
+
+	if (lease) {
+		lease->until = base_clock_mono() + lease->ttl_us;
+		snprintf(text, sizeof(text), "%lld",
+			 (long long)(lease->ttl_us / BASE_SEC));
+	}
+	return json_pack("{s:{s:o,s:s}}", "result", "header", header(), "TTL",
+			 text);
+}
+
+static json_t *do_revoke(const json_t *request)
+{
+	drop_lease(number_of(request, "ID"));
+	return json_pack("{s:o}", "header", header());
+}
+
+static int on_watch(struct mg_connection *conn, void *arg)
+{
+	char *body = read_body(conn);
+	json_t *request = body ? json_loads(body, 0, NULL) : NULL;
+	json_t *create = json_object_get(request, "create_request");
+	char *from = text_of(create, "key", NULL);
+	char *to = text_of(create, "range_end", NULL);
+	int64_t start = number_of(create, "start_revision");
+	int64_t until = base_clock_mono() + WATCH_MAX_US;
+	bool changed = false;
+
+	talloc_free(body);
+	json_decref(request);
+	pthread_mutex_lock(&store.lock);
+	store.calls[CALL_WATCH]++;
+	if (from && !store.down) {
+		static const char created[] =
+			"{\"result\":{\"created\":true}}\n";
+
+		pthread_mutex_unlock(&store.lock);
+		mg_printf(conn, "HTTP/1.1 200 OK\r\n"
+				"Transfer-Encoding: chunked\r\n\r\n");
+		mg_send_chunk(conn, created, sizeof(created) - 1);
+		pthread_mutex_lock(&store.lock);
+	}
+	while (from && !store.down && !changed && base_clock_mono() < until) {
+		struct timespec wake;
+
+		expire(base_clock_mono());
+		changed = changed_since(from, to, start);
+		if (changed)
+			break;
+		clock_gettime(CLOCK_REALTIME, &wake);
+		wake.tv_nsec += 200000000;
+		wake.tv_sec += wake.tv_nsec / 1000000000;
+		wake.tv_nsec %= 1000000000;
+		pthread_cond_timedwait(&store.changed, &store.lock, &wake);
+		pthread_mutex_unlock(&store.lock);
+		if (zone_is_cut(arg, conn))
+			until = 0;
+		pthread_mutex_lock(&store.lock);
+	}
+	pthread_mutex_unlock(&store.lock);
+	if (changed) {
+		static const char event[] =
+			"{\"result\":{\"events\":[{\"type\":\"PUT\"}]}}\n";
+
+		mg_send_chunk(conn, event, sizeof(event) - 1);
+		mg_send_chunk(conn, "", 0);
+	}
+	mg_disable_connection_keep_alive(conn);
+	g_free(from);
+	g_free(to);
+	return 200;
+}
+
+static int on_calls(struct mg_connection *conn, void *arg)
+{
+	json_t *json;
+
+	(void)arg;
+	pthread_mutex_lock(&store.lock);
+	json = json_pack("{s:I,s:I,s:I,s:I}", "range", store.calls[CALL_RANGE],
+			 "txn", store.calls[CALL_TXN], "lease",
+			 store.calls[CALL_LEASE], "watch",
+			 store.calls[CALL_WATCH]);
+	pthread_mutex_unlock(&store.lock);
+	return answer_json(conn, 200, json);
+}
+
+static json_t *header(void)
+{
+	char text[24];
+
+	snprintf(text, sizeof(text), "%lld", (long long)store.revision);
+	return json_pack("{s:s}", "revision", text);
+}
+
+static json_t *kv_of(const char *key, const record_t *record)
+{
+	char *k = g_base64_encode((const guchar *)key, strlen(key));
+	char *v = g_base64_encode((const guchar *)record->value, record->len);
+	char create[24], mod[24], lease[24];
+	json_t *kv;
+
+	snprintf(create, sizeof(create), "%lld", (long long)record->create);
+	snprintf(mod, sizeof(mod), "%lld", (long long)record->mod);
+	snprintf(lease, sizeof(lease), "%lld", (long long)record->lease);
+	kv = json_pack("{s:s,s:s,s:s,s:s,s:s}", "key", k, "value", v,
+		       "create_revision", create, "mod_revision", mod, "lease",
+		       lease);
+	g_free(k);
+	g_free(v);
+	return kv;
+}
+
+static char *text_of(const json_t *object, const char *key, size_t *len)
+{
+	const char *text = json_string_value(json_object_get(object, key));
+	gsize size = 0;
+	char *data, *copy;
+
+	if (!text)
+		return NULL;
+	data = (char *)g_base64_decode(text, &size);
+	copy = g_strndup(data, size);
+	if (len) {
+		g_free(copy);
+		copy = g_malloc(size + 1);
+		memcpy(copy, data, size);
+		copy[size] = '\0';
+		*len = size;
+	}
+	g_free(data);
+	return copy;
+}
+
+static int64_t number_of(const json_t *object, const char *key)
+{
+	const json_t *value = json_object_get(object, key);
+
+	if (json_is_integer(value))
+		return json_integer_value(value);
+	return json_is_string(value)
+		       ? g_ascii_strtoll(json_string_value(value), NULL, 10)
+		       : 0;
+}
+
+static void put(const char *key, const char *value, size_t len, int64_t lease)
+{
+	record_t *old = g_tree_lookup(store.records, key);
+	record_t *record = g_new0(record_t, 1);
+
+	store.revision++;
+	record->value = g_malloc(len + 1);
+	memcpy(record->value, value, len);
+	record->value[len] = '\0';
+	record->len = len;
+	record->create = old ? old->create : store.revision;
+	record->mod = store.revision;
+	record->lease = lease;
+	g_tree_replace(store.records, g_strdup(key), record);
+	pthread_cond_broadcast(&store.changed);
+}
+
+static void expire(int64_t now)
+{
+	GHashTableIter iter;
+	void *key, *value;
+	bool found;
+
+	do {
+		found = false;
+		g_hash_table_iter_init(&iter, store.leases);
+		while (g_hash_table_iter_next(&iter, &key, &value)) {
+			lease_t *lease = value;
+
+			if (lease->until <= now) {
+				drop_lease(*(int64_t *)key);
+				found = true;
+				break;
+			}
+		}
+	} while (found);
+}
+
+typedef struct lease_walk {
+	int64_t lease;
+	GPtrArray *keys;
+} lease_walk_t;
+
+static gboolean of_lease(void *key, void *value, void *arg)
+{
+	lease_walk_t *walk = arg;
+
+	if (((record_t *)value)->lease == walk->lease)
+		g_ptr_array_add(walk->keys, g_strdup(key));
+	return FALSE;
+}
+
+static void drop_lease(int64_t id)
+{
+	lease_walk_t walk = { id, g_ptr_array_new_with_free_func(g_free) };
+
+	g_tree_foreach(store.records, of_lease, &walk);
+	for (guint i = 0; i < walk.keys->len; i++) {
+		deletion_t *slot = &store.gone[store.gone_count++ % GONE_MAX];
+
+		g_free(slot->key);
+		slot->key = g_strdup(walk.keys->pdata[i]);
+		slot->revision = ++store.revision;
+		g_tree_remove(store.records, slot->key);
+	}
+	g_ptr_array_free(walk.keys, TRUE);
+	g_hash_table_remove(store.leases, &id);
+	pthread_cond_broadcast(&store.changed);
+}
+
+typedef struct watch_walk {
+	const char *from, *to;
+	int64_t revision;
+	bool found;
+} watch_walk_t;
+
+static bool key_inside(const char *key, const char *from, const char *to)
+{
+	return to ? strcmp(key, from) >= 0 && strcmp(key, to) < 0
+		  : !strcmp(key, from);
+}
+
+static gboolean newer(void *key, void *value, void *arg)
+{
+	watch_walk_t *walk = arg;
+
+	walk->found = key_inside(key, walk->from, walk->to) &&
+		      ((record_t *)value)->mod >= walk->revision;
+	return walk->found;
+}
+
+static bool changed_since(const char *from, const char *to, int64_t revision)
+{
+	watch_walk_t walk = { from, to, revision, false };
+
+	g_tree_foreach(store.records, newer, &walk);
+	for (size_t i = 0; i < GONE_MAX && !walk.found; i++)
+		walk.found = store.gone[i].key &&
+			     store.gone[i].revision >= revision &&
+			     key_inside(store.gone[i].key, from, to);
+	return walk.found;
+}
+
+static int compare_keys(const void *a, const void *b, void *arg)
+{
+	(void)arg;
+	return strcmp(a, b);
+}
+
+static void free_record(void *p)
+{
+	record_t *record = p;
+
+	g_free(record->value);
+	g_free(record);
+}
