--- a/packages/conf/conf.h
+++ b/packages/conf/conf.h
@@ -87,6 +87,8 @@
 	conf_budget_t budget;
 	conf_placement_t *placement; /* derived: one for each zone, in order */
 	size_t n_placement;
+	const struct conf_class **classes; /* its classes, in order */
+	size_t n_classes;
 } conf_pool_t;
 
 /*
@@ -128,6 +130,8 @@
 	int64_t maintenance_days; /* every instance once within */
 } conf_limits_t;
 
+typedef struct conf_index conf_index_t;
+
 typedef struct conf {
 	int64_t schema;
 	base_str_t generated; /* derived: says so to whoever opens the file */
@@ -147,6 +151,7 @@
 	conf_team_t *teams;
 	size_t n_teams;
 	conf_limits_t limits;
+	conf_index_t *index; /* look-ups by name */
 } conf_t;
 
 /* Answers: the model before the derived members are filled in. */
@@ -210,6 +215,42 @@
 const conf_class_t *conf_class(const conf_t *conf, base_str_t pool,
 			       base_str_t name);
 
+typedef enum conf_change_kind {
+	CONF_CHANGE_ADDED,
+	CONF_CHANGE_REMOVED,
+	CONF_CHANGE_VALUE,
+	CONF_CHANGE_ORDER,
+	CONF_CHANGE_KIND_MAX
+} conf_change_kind_t;
+
+/* One difference. */
+typedef struct conf_change {
+	conf_change_kind_t kind;
+	const char *subject; /* as "pool gate-desk" */
+	const char *key;     /* of the member, as "budget.min_up", or "" */
+	const char *text;    /* a sentence */
+} conf_change_t;
+
+/* What holds before and after. */
+typedef struct conf_cost {
+	int64_t slots;	/* requests at once, of all pools */
+	int64_t buffer; /* executors above min_up, of all pools */
+} conf_cost_t;
+
+typedef struct conf_diff {
+	conf_change_t *v;
+	size_t n;
+	conf_cost_t before;
+	conf_cost_t after;
+	int64_t moves; /* instances that change pool, at the least */
+} conf_diff_t;
+
+/* What changes from "before" to "after"; items of a list are told by name. */
+conf_diff_t *conf_diff(const void *ctx, const conf_t *before, const conf_t *after);
+
+/* The difference in words, a line a change, then its cost. */
+char *conf_diff_print(const void *ctx, const conf_diff_t *diff);
+
 /* An accepted configuration as it stands in the store. */
 typedef struct conf_record {
 	int64_t generation; /* from 1, only grows */
@@ -227,4 +268,22 @@
 char *conf_record_print(const void *ctx, int64_t generation, base_str_t change,
 			base_str_t config_json, GError **err);
 
+/* Exit statuses of the verbs below. */
+typedef enum conf_exit {
+	CONF_EXIT_OK,
+	CONF_EXIT_REFUSED, /* faults were found and named */
+	CONF_EXIT_USAGE,
+	CONF_EXIT_FILE, /* cannot be read */
+	CONF_EXIT_MAX
+} conf_exit_t;
+
+/*
+ * The operators' verbs on files, cactusfield(1): "argv" begins at the verb,
+ * results go to "out", faults to "err".
+ */
+int conf_cmd_template(int argc, char **argv, FILE *out, FILE *err);
+int conf_cmd_check(int argc, char **argv, FILE *out, FILE *err);
+int conf_cmd_generate(int argc, char **argv, FILE *out, FILE *err);
+int conf_cmd_diff(int argc, char **argv, FILE *out, FILE *err);
+
 #endif
--- a/packages/conf/conf_check.c
+++ b/packages/conf/conf_check.c
@@ -12,6 +12,8 @@
 static void check_zones(const conf_reader_t *rd, const conf_t *conf);
 static void check_classes(const conf_reader_t *rd, const conf_t *conf);
 static void check_class(const conf_reader_t *rd, const conf_t *conf, size_t i);
+static bool names_pool(const conf_t *conf, base_str_t name);
+static bool again(const conf_t *conf, size_t i);
 static void check_last_class(const conf_reader_t *rd, const conf_t *conf,
 			     size_t p);
 static void check_machines(const conf_reader_t *rd, const conf_t *conf);
@@ -23,22 +25,25 @@
 		       const int64_t *room, int64_t executors);
 static int64_t enough(const conf_t *conf, const conf_pool_t *pool,
 		      const int64_t *room);
+static char *quoted(const void *ctx, base_str_t s);
 static int64_t total_workers(const conf_t *conf);
+static int64_t total_executors(const conf_t *conf);
 
 void conf_check(const conf_reader_t *rd, const conf_t *conf)
 {
-	size_t before = rd->faults->n;
+	size_t before;
 
 	check_names(rd, conf, "zones", conf->n_zones, zone_name);
 	check_names(rd, conf, "pools", conf->n_pools, pool_name);
 	check_names(rd, conf, "callers", conf->n_callers, caller_name);
 	check_names(rd, conf, "teams", conf->n_teams, team_name);
-	check_zones(rd, conf);
 	check_classes(rd, conf);
 	check_spare(rd, conf);
+	before = rd->faults->n;
+	check_zones(rd, conf);
 	check_machines(rd, conf);
 	/* A budget is weighed against sizes that are themselves in order. */
-	if (rd->faults->n == before)
+	if (rd->faults->n == before && conf->workers.per_rack)
 		check_budgets(rd, conf);
 }
 
@@ -54,7 +59,7 @@
 		if (!s.len || g_hash_table_add(seen, (void *)s.ptr))
 			continue;
 		path = talloc_asprintf(NULL, "$.%s[%zu].name", list, i);
-		conf_fault_at(rd, path, s.ptr,
+		conf_fault_at(rd, path, quoted(path, s),
 			      "a name that no other of the list has");
 		talloc_free(path);
 	}
@@ -93,17 +98,36 @@
 	const conf_class_t *cl = &conf->classes[i];
 	char *path = talloc_asprintf(NULL, "$.classes[%zu]", i);
 
-	if (cl->pool.len && !conf_pool(conf, cl->pool))
+	if (cl->pool.len && !names_pool(conf, cl->pool))
 		conf_fault_at(rd, talloc_asprintf(path, "%s.pool", path),
-			      cl->pool.ptr, "the name of a pool");
-	if (cl->pool.len && cl->name.len &&
-	    conf_class(conf, cl->pool, cl->name) != cl)
+			      quoted(path, cl->pool), "the name of a pool");
+	if (cl->pool.len && cl->name.len && again(conf, i))
 		conf_fault_at(rd, talloc_asprintf(path, "%s.name", path),
-			      cl->name.ptr,
+			      quoted(path, cl->name),
 			      "a name that no other class of the pool has");
 	talloc_free(path);
 }
 
+static bool names_pool(const conf_t *conf, base_str_t name)
+{
+	for (size_t p = 0; p < conf->n_pools; p++)
+		if (base_str_eq(conf->pools[p].name, name))
+			return true;
+	return false;
+}
+
+/* Whether a class before "i" has its pool and name. */
+static bool again(const conf_t *conf, size_t i)
+{
+	const conf_class_t *cl = &conf->classes[i];
+
+	for (size_t j = 0; j < i; j++)
+		if (base_str_eq(conf->classes[j].pool, cl->pool) &&
+		    base_str_eq(conf->classes[j].name, cl->name))
+			return true;
+	return false;
+}
+
 /* Every request must have a class, so that its pool's last one takes all. */
 static void check_last_class(const conf_reader_t *rd, const conf_t *conf,
 			     size_t p)
@@ -123,7 +147,7 @@
 	path = last ? talloc_asprintf(NULL, "$.classes[%zu]",
 				      (size_t)(last - conf->classes))
 		    : talloc_asprintf(NULL, "$.pools[%zu].name", p);
-	conf_fault_at(rd, path, last ? last->name.ptr : pool->name.ptr,
+	conf_fault_at(rd, path, quoted(path, last ? last->name : pool->name),
 		      "%s %s with method \"*\" and path \"/\"",
 		      last ? "as the last class of" : "a class for",
 		      pool->name.ptr);
@@ -148,14 +172,13 @@
 
 static void check_machines(const conf_reader_t *rd, const conf_t *conf)
 {
-	int64_t workers = total_workers(conf), asked = 0;
+	int64_t workers = total_workers(conf), asked = total_executors(conf);
 	char *path, *found;
 	bool single = false;
 
 	for (size_t p = 0; p < conf->n_pools; p++) {
 		const conf_pool_t *pool = &conf->pools[p];
 
-		asked += pool->executors;
 		if (!workers || pool->executors <= workers)
 			continue;
 		single = true;
@@ -184,7 +207,7 @@
 
 	/* Each pool is weighed with the room that those before it leave. */
 	for (size_t z = 0; z < conf->n_zones; z++)
-		room[z] = conf->zones[z].workers;
+		room[z] = conf->zones[z].racks ? conf->zones[z].workers : 0;
 	for (size_t p = 0; p < conf->n_pools; p++) {
 		conf_placement_t *out = talloc_zero_array(
 			room, conf_placement_t, (unsigned)conf->n_zones);
@@ -200,15 +223,21 @@
 {
 	const conf_pool_t *pool = &conf->pools[p];
 	int64_t lack = lacking(conf, pool, room, pool->executors);
-	int64_t more;
+	int64_t more, free_workers;
 	char *path, *grow;
 
-	if (lack <= 0)
+	if (lack <= 0 || !pool->executors)
 		return;
 	path = talloc_asprintf(NULL, "$.pools[%zu].budget.min_up", p);
 	more = enough(conf, pool, room);
-	if (more)
+	free_workers = total_workers(conf) - total_executors(conf);
+	if (more && more - pool->executors <= free_workers)
 		grow = talloc_asprintf(path, "executors %" PRId64, more);
+	else if (more)
+		grow = talloc_asprintf(
+			path,
+			"executors %" PRId64 " with %" PRId64 " more workers",
+			more, more - pool->executors - free_workers);
 	else
 		grow = talloc_strdup(path, "workers in another zone or rack");
 	if (pool->budget.min_up >= lack)
@@ -277,6 +306,11 @@
 	return high;
 }
 
+static char *quoted(const void *ctx, base_str_t s)
+{
+	return talloc_asprintf(ctx, "\"%.*s\"", BASE_STR_ARG(s));
+}
+
 static int64_t total_workers(const conf_t *conf)
 {
 	int64_t sum = 0;
@@ -286,6 +320,15 @@
 	return sum;
 }
 
+static int64_t total_executors(const conf_t *conf)
+{
+	int64_t sum = 0;
+
+	for (size_t p = 0; p < conf->n_pools; p++)
+		sum += conf->pools[p].executors;
+	return sum;
+}
+
 static base_str_t zone_name(const conf_t *conf, size_t i)
 {
 	return conf->zones[i].name;
--- a/packages/conf/conf_fault.c
+++ b/packages/conf/conf_fault.c
@@ -2,6 +2,7 @@
 #include "conf_int.h"
 
 static int by_line(const void *a, const void *b);
+static char *printable(const void *ctx, const char *text);
 
 conf_faults_t *conf_faults_new(const void *ctx)
 {
@@ -16,9 +17,9 @@
 	faults->v =
 		talloc_realloc(faults, faults->v, conf_fault_t, faults->n + 1);
 	fault = &faults->v[faults->n++];
-	fault->path = talloc_strdup(faults, path);
+	fault->path = printable(faults, path);
 	fault->line = line;
-	fault->found = talloc_strdup(faults, found);
+	fault->found = printable(faults, found);
 	fault->want = talloc_strdup(faults, want);
 }
 
@@ -68,3 +69,14 @@
 		order = strcmp(x->path, y->path);
 	return order ? order : strcmp(x->want, y->want);
 }
+
+/* What a file holds must not steer the terminal that shows it. */
+static char *printable(const void *ctx, const char *text)
+{
+	char *copy = talloc_strdup(ctx, text);
+
+	for (char *c = copy; *c; c++)
+		if (g_ascii_iscntrl(*c))
+			*c = '?';
+	return copy;
+}
--- a/packages/conf/conf_int.h
+++ b/packages/conf/conf_int.h
@@ -104,6 +104,9 @@
 /* Faults between members: names, references, sizes, budgets. */
 void conf_check(const conf_reader_t *rd, const conf_t *conf);
 
+/* Build what conf_pool() and its like look up. */
+void conf_index_build(conf_t *conf);
+
 /* Fill in the placement and the losses. */
 void conf_derive(void *mem, conf_t *conf);
 
--- a/packages/conf/conf_load.c
+++ b/packages/conf/conf_load.c
@@ -48,6 +48,8 @@
 	conf_faults_sort(faults);
 	if (faults->n > before)
 		TALLOC_FREE(conf);
+	else
+		conf_index_build(conf);
 	talloc_free(pos);
 	json_decref(root);
 	return conf;
@@ -72,6 +74,7 @@
 {
 	conf_faults_t *faults = conf_faults_new(NULL);
 	json_t *root = conf_parse(json, faults);
+	conf_pos_t *pos = root ? conf_pos_new(faults, json, faults) : NULL;
 	json_int_t generation = 0;
 	const char *change = NULL;
 	json_t *config = NULL;
@@ -79,8 +82,8 @@
 	json_error_t why;
 	char *text;
 
-	if (!root) {
-		set_error(err, CONF_ERR_SYNTAX, faults);
+	if (faults->n) {
+		set_error(err, pos ? CONF_ERR_SCHEMA : CONF_ERR_SYNTAX, faults);
 	} else if (json_unpack_ex(root, &why, JSON_STRICT, "{s:I,s:s,s:o}",
 				  "generation", &generation, "change", &change,
 				  "config", &config) ||
@@ -168,6 +171,8 @@
 		conf_faults_sort(faults);
 		set_error(err, code, faults);
 		TALLOC_FREE(conf);
+	} else {
+		conf_index_build(conf);
 	}
 	talloc_free(faults);
 	return conf;
