Add the entry and the operators' tool, thin

Cause: the whole path goes first.

Change: cactusfieldd reads settings, takes the configuration and the instance list from the platform, serves callers on one port and operators on another, forwards over kept connections, tells the outcome, drains on SIGTERM; cactusfield approves a configuration by compare-and-swap and shows status.

Conclusion: the packages of decisions have a daemon to be put into.

--- /dev/null
+++ b/packages/entry/entry_http.c
@@ -0,0 +1,288 @@
+#include "entry_int.h"
+
+#define BODY_MAX_DEFAULT (1024 * 1024) /* bytes, before a configuration */
+#define DEADLINE_DEFAULT_MS 10000      /* before a configuration */
+#define DEADLINE_MAX_MS 600000
+#define BODY_TIME_MAX_US (10 * BASE_SEC) /* to send a request's body */
+#define READ_CHUNK 16384		 /* bytes */
+
+/* What one hop says to the next, or what this entry says itself. */
+static const char *const own_headers[] = {
+	"Connection",
+	"Keep-Alive",
+	"Transfer-Encoding",
+	"Content-Length",
+	"Host",
+	"TE",
+	"Trailer",
+	"Upgrade",
+	"Proxy-Connection",
+	"Expect",
+	"X-Request-Id",
+	"X-Cactusfield-Caller",
+	"X-Cactusfield-Outcome",
+};
+
+static const char *const outcome_names[ENTRY_OUTCOME_MAX] = {
+	[ENTRY_ANSWERED] = "answered",
+	[ENTRY_NOT_RUN] = "not-run",
+	[ENTRY_UNKNOWN] = "unknown",
+};
+
+static bool read_names(entry_request_t *request, struct mg_connection *conn);
+static bool read_class(entry_request_t *request, struct mg_connection *conn,
+		       const entry_view_t *view);
+static bool read_body(entry_request_t *request, struct mg_connection *conn,
+		      const entry_view_t *view);
+static bool take_text(struct mg_connection *conn, const char *name, char *out,
+		      size_t size);
+static void make_id(char *out, size_t size);
+static void copy_headers(entry_request_t *request,
+			 const struct mg_request_info *info);
+static bool is_own(const char *name);
+static void bad_request(struct mg_connection *conn,
+			const entry_request_t *request, int status,
+			const char *reason);
+
+const char *entry_outcome_name(entry_outcome_t outcome)
+{
+	return outcome_names[outcome];
+}
+
+entry_request_t *entry_http_read(const void *ctx, struct mg_connection *conn,
+				 const entry_view_t *view)
+{
+	const struct mg_request_info *info = mg_get_request_info(conn);
+	entry_request_t *request = talloc_zero(ctx, entry_request_t);
+
+	request->arrived = base_clock_mono();
+	request->method = info->request_method;
+	request->message.body = base_buf_new(request);
+	request->target =
+		talloc_asprintf(request, "%s%s%s",
+				info->local_uri_raw ? info->local_uri_raw : "/",
+				info->query_string ? "?" : "",
+				info->query_string ? info->query_string : "");
+	if (read_names(request, conn) && read_class(request, conn, view) &&
+	    read_body(request, conn, view)) {
+		copy_headers(request, info);
+		return request;
+	}
+	talloc_free(request);
+	return NULL;
+}
+
+static bool read_names(entry_request_t *request, struct mg_connection *conn)
+{
+	const char *path = request->target;
+	size_t segment;
+
+	if (!take_text(conn, "X-Request-Id", request->id,
+		       sizeof(request->id)) ||
+	    !take_text(conn, "Idempotency-Key", request->key,
+		       sizeof(request->key)) ||
+	    !take_text(conn, "X-Cactusfield-Caller", request->caller,
+		       sizeof(request->caller))) {
+		bad_request(conn, request, 400, "header-too-long");
+		return false;
+	}
+	if (!request->id[0])
+		make_id(request->id, sizeof(request->id));
+	if (!request->caller[0])
+		g_strlcpy(request->caller, "other", sizeof(request->caller));
+	if (path[0] == '/')
+		path++;
+	segment = strcspn(path, "/?");
+	request->service = (base_str_t){ path, segment };
+	path += segment;
+	request->path = *path == '/' ? (base_str_t){ path, strcspn(path, "?") }
+				     : BASE_STR("/");
+	return true;
+}
+
+static bool read_class(entry_request_t *request, struct mg_connection *conn,
+		       const entry_view_t *view)
+{
+	const char *named = mg_get_header(conn, "X-Cactusfield-Class");
+	const char *repeatable =
+		mg_get_header(conn, "X-Cactusfield-Repeatable");
+	const char *left = mg_get_header(conn, "X-Cactusfield-Deadline-Ms");
+	int64_t deadline_ms = DEADLINE_DEFAULT_MS;
+
+	request->repeatable = true;
+	if (view->record) {
+		const conf_t *conf = view->record->config;
+
+		if (!conf_pool(conf, request->service)) {
+			bad_request(conn, request, 404, "no-such-service");
+			return false;
+		}
+		if (named)
+			request->class = conf_class(conf, request->service,
+						    base_str(named));
+		if (!request->class)
+			request->class = conf_class_match(
+				conf, request->service,
+				base_str(request->method), request->path);
+	}
+	if (request->class) {
+		request->repeatable = request->class->repeatable;
+		deadline_ms = request->class->deadline_ms;
+	}
+	if (repeatable && !g_ascii_strcasecmp(repeatable, "no"))
+		request->repeatable = false;
+	if (left) {
+		deadline_ms = g_ascii_strtoll(left, NULL, 10);
+		if (deadline_ms < 1 || deadline_ms > DEADLINE_MAX_MS) {
+			bad_request(conn, request, 400, "bad-deadline");
+			return false;
+		}
+	}
+	request->deadline = request->arrived + deadline_ms * BASE_MS;
+	return true;
+}
+
+static bool read_body(entry_request_t *request, struct mg_connection *conn,
+		      const entry_view_t *view)
+{
+	long long announced = mg_get_request_info(conn)->content_length;
+	int64_t max = BODY_MAX_DEFAULT;
+	char chunk[READ_CHUNK];
+	int got;
+
+	if (view->record)
+		max = view->record->config->limits.body_bytes;
+	if (announced > max) {
+		bad_request(conn, request, 413, "body-too-large");
+		return false;
+	}
+	while ((got = mg_read(conn, chunk, sizeof(chunk))) > 0) {
+		base_buf_add(request->message.body, chunk, (size_t)got);
+		if ((int64_t)request->message.body->len > max) {
+			bad_request(conn, request, 413, "body-too-large");
+			return false;
+		}
+		if (base_clock_mono() - request->arrived > BODY_TIME_MAX_US) {
+			bad_request(conn, request, 408, "body-too-slow");
+			return false;
+		}
+	}
+	if (got < 0 || (announced >= 0 &&
+			(long long)request->message.body->len != announced)) {
+		bad_request(conn, request, 400, "body-cut-short");
+		return false;
+	}
+	return true;
+}
+
+/* False when the header's value does not fit. */
+static bool take_text(struct mg_connection *conn, const char *name, char *out,
+		      size_t size)
+{
+	const char *value = mg_get_header(conn, name);
+
+	return !value || g_strlcpy(out, value, size) < size;
+}
+
+static void make_id(char *out, size_t size)
+{
+	char *uuid = g_uuid_string_random();
+
+	g_strlcpy(out, uuid, size);
+	g_free(uuid);
+}
+
+static void copy_headers(entry_request_t *request,
+			 const struct mg_request_info *info)
+{
+	entry_message_t *message = &request->message;
+
+	message->headers = talloc_zero_array(request, entry_header_t,
+					     (size_t)info->num_headers);
+	for (int i = 0; i < info->num_headers; i++) {
+		const struct mg_header *from = &info->http_headers[i];
+
+		if (!is_own(from->name))
+			message->headers[message->header_count++] =
+				(entry_header_t){ (char *)from->name,
+						  (char *)from->value };
+	}
+}
+
+static bool is_own(const char *name)
+{
+	for (size_t i = 0; i < ARRAY_SIZE(own_headers); i++)
+		if (!g_ascii_strcasecmp(name, own_headers[i]))
+			return true;
+	return false;
+}
+
+static void bad_request(struct mg_connection *conn,
+			const entry_request_t *request, int status,
+			const char *reason)
+{
+	entry_refusal_t refusal = { .outcome = ENTRY_NOT_RUN,
+				    .status = status,
+				    .reason = reason,
+				    .last = true };
+
+	entry_http_refuse(conn, request->id, &refusal);
+}
+
+void entry_http_answer(struct mg_connection *conn,
+		       const entry_request_t *request,
+		       const entry_message_t *answer, bool last)
+{
+	base_buf_t *out = base_buf_new(NULL);
+
+	base_buf_addf(out, "HTTP/1.1 %d %s\r\n", answer->status,
+		      mg_get_response_code_text(conn, answer->status));
+	for (size_t i = 0; i < answer->header_count; i++)
+		if (!is_own(answer->headers[i].name))
+			base_buf_addf(out, "%s: %s\r\n",
+				      answer->headers[i].name,
+				      answer->headers[i].value);
+	if (!strcmp(request->method, "HEAD")) {
+		for (size_t i = 0; i < answer->header_count; i++)
+			if (!g_ascii_strcasecmp(answer->headers[i].name,
+						"Content-Length"))
+				base_buf_addf(out, "Content-Length: %s\r\n",
+					      answer->headers[i].value);
+	} else if (answer->status != 204 && answer->status != 304) {
+		base_buf_addf(out, "Content-Length: %zu\r\n",
+			      answer->body->len);
+	}
+	base_buf_addf(out,
+		      "X-Request-Id: %s\r\n"
+		      "X-Cactusfield-Outcome: answered\r\n%s\r\n",
+		      request->id, last ? "Connection: close\r\n" : "");
+	base_buf_add(out, answer->body->ptr, answer->body->len);
+	if (last)
+		mg_disable_connection_keep_alive(conn);
+	mg_write(conn, out->ptr, out->len);
+	talloc_free(out);
+}
+
+void entry_http_refuse(struct mg_connection *conn, const char *request_id,
+		       const entry_refusal_t *refusal)
+{
+	base_buf_t *out = base_buf_new(NULL);
+
+	base_buf_addf(out, "HTTP/1.1 %d %s\r\n", refusal->status,
+		      mg_get_response_code_text(conn, refusal->status));
+	if (request_id[0])
+		base_buf_addf(out, "X-Request-Id: %s\r\n", request_id);
+	if (refusal->retry_after_s)
+		base_buf_addf(out, "Retry-After: %d\r\n",
+			      refusal->retry_after_s);
+	base_buf_addf(out,
+		      "X-Cactusfield-Outcome: %s\r\n"
+		      "X-Cactusfield-Reason: %s\r\n"
+		      "Content-Length: 0\r\n%s\r\n",
+		      entry_outcome_name(refusal->outcome), refusal->reason,
+		      refusal->last ? "Connection: close\r\n" : "");
+	if (refusal->last)
+		mg_disable_connection_keep_alive(conn);
+	mg_write(conn, out->ptr, out->len);
+	talloc_free(out);
+}
--- /dev/null
+++ b/packages/entry/entry_int.h
@@ -0,0 +1,214 @@
+/*
+ * entry_int - what the files of this package share.
+ */
+#ifndef ENTRY_INT_H
+#define ENTRY_INT_H
+
+#include <civetweb.h>
+#include <stdatomic.h>
+#include <pthread.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "conf.h"
+#include "entry.h"
+
+#define ENTRY_CONFIG_KEY "/cactusfield/config"
+
+/*
+ * entry_view - the configuration in force and the endpoints of each pool.
+ *
+ * A view does not change; a new one takes its place.  Holders count.
+ */
+typedef struct entry_endpoint {
+	char *id; /* of the instance */
+	char *incarnation;
+	char *zone;
+	char *address; /* IP number */
+	int port;
+	plat_state_t state;
+} entry_endpoint_t;
+
+typedef struct entry_pool {
+	const conf_pool_t *conf;
+	entry_endpoint_t *endpoints;
+	size_t endpoint_count;
+} entry_pool_t;
+
+typedef struct entry_config entry_config_t;
+
+typedef struct entry_view {
+	atomic_int holders;
+	entry_config_t *config; /* NULL: none yet */
+	conf_record_t *record;	/* of config */
+	entry_pool_t *pools;	/* in the order of the configuration */
+	size_t pool_count;
+} entry_view_t;
+
+typedef struct entry_views entry_views_t;
+
+entry_views_t *entry_views_new(const void *ctx);
+
+/* The view in force, held until entry_view_release(). */
+entry_view_t *entry_view_hold(entry_views_t *views);
+void entry_view_release(entry_view_t *view);
+
+/*
+ * Put a configuration in force if its generation is higher than the present
+ * one's.  "text" is the record as it stands in the store.
+ */
+bool entry_views_take_config(entry_views_t *views, base_str_t text, bool *newer,
+			     GError **err);
+
+/* Take a new list of instances. */
+void entry_views_take_list(entry_views_t *views,
+			   const plat_instances_t *instances);
+
+/* The pool of that service in "view", or NULL. */
+const entry_pool_t *entry_view_pool(const entry_view_t *view,
+				    base_str_t service);
+
+/*
+ * entry_message - one HTTP message, whole in memory.
+ */
+typedef struct entry_header {
+	char *name;
+	char *value;
+} entry_header_t;
+
+typedef struct entry_message {
+	int status; /* of an answer */
+	entry_header_t *headers;
+	size_t header_count;
+	base_buf_t *body;
+} entry_message_t;
+
+/*
+ * entry_request - what a caller asked for.
+ */
+typedef struct entry_request {
+	char id[64];   /* X-Request-Id */
+	char key[128]; /* Idempotency-Key or "" */
+	char caller[64];
+	const char *method;
+	char *target; /* path and query as sent */
+	base_str_t service;
+	base_str_t path; /* below the service */
+	bool repeatable;
+	int64_t arrived;  /* microseconds, monotonic */
+	int64_t deadline; /* the same clock */
+	const conf_class_t *class;
+	entry_message_t message;
+} entry_request_t;
+
+typedef enum entry_outcome {
+	ENTRY_ANSWERED,
+	ENTRY_NOT_RUN,
+	ENTRY_UNKNOWN,
+	ENTRY_OUTCOME_MAX
+} entry_outcome_t;
+
+const char *entry_outcome_name(entry_outcome_t outcome);
+
+/*
+ * How one attempt on one endpoint ended.
+ */
+typedef enum entry_attempt {
+	ENTRY_ATTEMPT_ANSWERED, /* the answer is whole */
+	ENTRY_ATTEMPT_REFUSED,	/* by the endpoint, before it started */
+	ENTRY_ATTEMPT_CONNECT,	/* no connection, no byte written */
+	ENTRY_ATTEMPT_FAILED,	/* broke after the first byte */
+	ENTRY_ATTEMPT_CUT,	/* the answer was cut short */
+	ENTRY_ATTEMPT_TIMEOUT,	/* no answer in time */
+	ENTRY_ATTEMPT_LARGE,	/* the answer passes the limit */
+	ENTRY_ATTEMPT_MAX
+} entry_attempt_t;
+
+/*
+ * entry_forward - sends a request to an endpoint over kept connections.
+ */
+typedef struct entry_forward entry_forward_t;
+
+typedef struct entry_forward_options {
+	const entry_endpoint_t *endpoint;
+	const entry_request_t *request;
+	int64_t answer_max; /* bytes */
+	bool fresh;	    /* on a new connection */
+} entry_forward_options_t;
+
+entry_forward_t *entry_forward_new(const void *ctx);
+
+/* One attempt; the answer is a child of "ctx". */
+entry_attempt_t entry_forward_send(entry_forward_t *forward, const void *ctx,
+				   const entry_forward_options_t *options,
+				   entry_message_t *answer);
+
+/* Close kept connections that have been idle too long. */
+void entry_forward_expire(entry_forward_t *forward, int64_t now);
+
+/*
+ * entry_http - reading and writing on the callers' port.
+ */
+
+/*
+ * Read a request below "ctx".  On a fault NULL, and an answer was sent.
+ */
+entry_request_t *entry_http_read(const void *ctx, struct mg_connection *conn,
+				 const entry_view_t *view);
+
+/* Send an endpoint's answer with the outcome's headers. */
+void entry_http_answer(struct mg_connection *conn,
+		       const entry_request_t *request,
+		       const entry_message_t *answer, bool last);
+
+/* Tell a refusal or an unknown outcome. */
+typedef struct entry_refusal {
+	entry_outcome_t outcome;
+	int status;
+	const char *reason;
+	int retry_after_s; /* 0: none told */
+	bool last;	   /* close the connection afterwards */
+} entry_refusal_t;
+
+void entry_http_refuse(struct mg_connection *conn, const char *request_id,
+		       const entry_refusal_t *refusal);
+
+/*
+ * entry_daemon - what the services of one process share.
+ */
+typedef struct entry_daemon {
+	const entry_settings_t *settings;
+	const base_log_t *log;
+	kern_t *kern;
+	entry_views_t *views;
+	entry_forward_t *forward;
+	plat_store_t *store;
+	plat_list_t *list;
+	char incarnation[24]; /* of this process */
+	atomic_int draining;  /* planned stop has begun */
+	atomic_int in_flight; /* requests on the callers' port */
+	atomic_ullong outcomes[ENTRY_OUTCOME_MAX];
+	struct mg_context *operators_http;
+	struct mg_context *caller_http;
+	kern_duty_t *config_duty;
+	kern_duty_t *list_duty;
+	atomic_int store_down;
+	atomic_int list_down;
+} entry_daemon_t;
+
+/* Services in the order of their start; entry_services.c. */
+bool entry_services_register(entry_daemon_t *daemon, GError **err);
+
+extern const kern_service_ops_t entry_platform_ops;
+extern const kern_service_ops_t entry_operators_ops;
+extern const kern_service_ops_t entry_caller_ops;
+
+/* Start a listener; the error names the port. */
+struct mg_context *entry_listen(const entry_listen_t *listen, void *user,
+				int64_t keep_alive_ms, GError **err);
+
+/* Send "text" as an answer of the operators' port. */
+int entry_operators_answer(struct mg_connection *conn, int status,
+			   const char *type, base_str_t text);
+
+#endif
--- /dev/null
+++ b/packages/entry/entry_operators.c
@@ -0,0 +1,173 @@
+#include <jansson.h>
+
+#include "entry_int.h"
+
+/*
+ * The operators' port: health for the balancer, metrics, status.
+ */
+
+#define KEEP_ALIVE_MS 5000
+
+static bool operators_start(void *service, kern_t *kern, GError **err);
+static void operators_stop(void *service);
+static int on_healthz(struct mg_connection *conn, void *arg);
+static int on_readyz(struct mg_connection *conn, void *arg);
+static int on_metrics(struct mg_connection *conn, void *arg);
+static int on_status(struct mg_connection *conn, void *arg);
+static json_t *pool_status(const entry_pool_t *pool);
+
+const kern_service_ops_t entry_operators_ops = { operators_start,
+						 operators_stop };
+
+typedef struct page {
+	const char *path;
+	mg_request_handler serve;
+} page_t;
+
+static const page_t pages[] = {
+	{ "/healthz", on_healthz },
+	{ "/readyz", on_readyz },
+	{ "/metrics", on_metrics },
+	{ "/status", on_status },
+};
+
+int entry_operators_answer(struct mg_connection *conn, int status,
+			   const char *type, base_str_t text)
+{
+	base_buf_t *out = base_buf_new(NULL);
+
+	base_buf_addf(out,
+		      "HTTP/1.1 %d %s\r\nContent-Type: %s\r\n"
+		      "Content-Length: %zu\r\n\r\n",
+		      status, mg_get_response_code_text(conn, status), type,
+		      text.len);
+	base_buf_add(out, text.ptr, text.len);
+	mg_write(conn, out->ptr, out->len);
+	talloc_free(out);
+	return status;
+}
+
+static bool operators_start(void *service, kern_t *kern, GError **err)
+{
+	entry_daemon_t *daemon = service;
+
+	(void)kern;
+	daemon->operators_http = entry_listen(&daemon->settings->operators,
+					      daemon, KEEP_ALIVE_MS, err);
+	if (!daemon->operators_http)
+		return false;
+	for (size_t i = 0; i < ARRAY_SIZE(pages); i++)
+		mg_set_request_handler(daemon->operators_http, pages[i].path,
+				       pages[i].serve, daemon);
+	return true;
+}
+
+static void operators_stop(void *service)
+{
+	entry_daemon_t *daemon = service;
+
+	mg_stop(daemon->operators_http);
+}
+
+static int on_healthz(struct mg_connection *conn, void *arg)
+{
+	(void)arg;
+	return entry_operators_answer(conn, 200, "text/plain",
+				      BASE_STR("alive\n"));
+}
+
+/* What the balancer asks: ready with a configuration and not stopping. */
+static int on_readyz(struct mg_connection *conn, void *arg)
+{
+	entry_daemon_t *daemon = arg;
+	entry_view_t *view = entry_view_hold(daemon->views);
+	bool configured = view->record != NULL;
+
+	entry_view_release(view);
+	if (atomic_load(&daemon->draining))
+		return entry_operators_answer(conn, 503, "text/plain",
+					      BASE_STR("draining\n"));
+	if (!configured)
+		return entry_operators_answer(conn, 503, "text/plain",
+					      BASE_STR("no configuration\n"));
+	return entry_operators_answer(conn, 200, "text/plain",
+				      BASE_STR("ready\n"));
+}
+
+static int on_metrics(struct mg_connection *conn, void *arg)
+{
+	entry_daemon_t *daemon = arg;
+	base_buf_t *out = base_buf_new(NULL);
+	int status;
+
+	base_buf_adds(out, "# TYPE cactusfield_requests_total counter\n");
+	for (int i = 0; i < ENTRY_OUTCOME_MAX; i++)
+		base_buf_addf(
+			out,
+			"cactusfield_requests_total{outcome=\"%s\"} %llu\n",
+			entry_outcome_name((entry_outcome_t)i),
+			(unsigned long long)atomic_load(&daemon->outcomes[i]));
+	base_buf_adds(out, "# TYPE cactusfield_in_flight gauge\n");
+	base_buf_addf(out, "cactusfield_in_flight %d\n",
+		      atomic_load(&daemon->in_flight));
+	status = entry_operators_answer(conn, 200, "text/plain; version=0.0.4",
+					base_buf_str(out));
+	talloc_free(out);
+	return status;
+}
+
+static int on_status(struct mg_connection *conn, void *arg)
+{
+	entry_daemon_t *daemon = arg;
+	entry_view_t *view = entry_view_hold(daemon->views);
+	json_t *pools = json_array();
+	json_t *root = json_pack("{s:s,s:s,s:s,s:b,s:i,s:b,s:b}", "entry",
+				 daemon->settings->name, "zone",
+				 daemon->settings->zone, "incarnation",
+				 daemon->incarnation, "draining",
+				 atomic_load(&daemon->draining), "in_flight",
+				 atomic_load(&daemon->in_flight), "store_down",
+				 atomic_load(&daemon->store_down), "list_down",
+				 atomic_load(&daemon->list_down));
+	char *text;
+	int status;
+
+	if (view->record) {
+		json_object_set_new(root, "generation",
+				    json_integer(view->record->generation));
+		json_object_set_new(root, "change",
+				    json_stringn(view->record->change.ptr,
+						 view->record->change.len));
+	}
+	for (size_t i = 0; i < view->pool_count; i++)
+		json_array_append_new(pools, pool_status(&view->pools[i]));
+	json_object_set_new(root, "pools", pools);
+	entry_view_release(view);
+	text = json_dumps(root, JSON_COMPACT);
+	json_decref(root);
+	status = entry_operators_answer(conn, 200, "application/json",
+					base_str(text));
+	free(text);
+	return status;
+}
+
+static json_t *pool_status(const entry_pool_t *pool)
+{
+	json_t *leaving = json_array();
+	int live = 0;
+
+	for (size_t i = 0; i < pool->endpoint_count; i++) {
+		const entry_endpoint_t *endpoint = &pool->endpoints[i];
+
+		if (endpoint->state == PLAT_LIVE)
+			live++;
+		else
+			json_array_append_new(leaving,
+					      json_string(endpoint->id));
+	}
+	return json_pack("{s:s%,s:I,s:i,s:I,s:o}", "name", pool->conf->name.ptr,
+			 pool->conf->name.len, "executors",
+			 (json_int_t)pool->conf->executors, "live", live,
+			 "min_up", (json_int_t)pool->conf->budget.min_up,
+			 "leaving", leaving);
+}
--- /dev/null
+++ b/packages/entry/entry_platform.c
@@ -0,0 +1,122 @@
+#include "entry_int.h"
+
+/*
+ * The duties that read the platform: the configuration and the instance list.
+ */
+
+#define CONFIG_PERIOD_US (500 * BASE_MS)
+#define LIST_PERIOD_US (1000 * BASE_MS)
+
+static bool platform_start(void *service, kern_t *kern, GError **err);
+static void platform_stop(void *service);
+static void read_config(void *arg, int64_t now);
+static void read_list(void *arg, int64_t now);
+static void take_config(entry_daemon_t *daemon, base_str_t text);
+static void note_reach(const entry_daemon_t *daemon, atomic_int *down,
+		       bool reached, base_msg_t down_msg, GError *cause);
+
+const kern_service_ops_t entry_platform_ops = { platform_start, platform_stop };
+
+static bool platform_start(void *service, kern_t *kern, GError **err)
+{
+	entry_daemon_t *daemon = service;
+	kern_duty_options_t config = { .name = "config",
+				       .period_us = CONFIG_PERIOD_US,
+				       .ring_size = 8,
+				       .arg = daemon,
+				       .tick = read_config };
+	kern_duty_options_t list = { .name = "list",
+				     .period_us = LIST_PERIOD_US,
+				     .ring_size = 8,
+				     .arg = daemon,
+				     .tick = read_list };
+
+	(void)kern;
+	daemon->config_duty = kern_duty_start(NULL, &config, err);
+	if (!daemon->config_duty)
+		return false;
+	daemon->list_duty = kern_duty_start(NULL, &list, err);
+	if (daemon->list_duty)
+		return true;
+	kern_duty_stop(daemon->config_duty);
+	return false;
+}
+
+static void platform_stop(void *service)
+{
+	entry_daemon_t *daemon = service;
+
+	kern_duty_stop(daemon->list_duty);
+	kern_duty_stop(daemon->config_duty);
+	talloc_free(daemon->list_duty);
+	talloc_free(daemon->config_duty);
+}
+
+static void read_config(void *arg, int64_t now)
+{
+	entry_daemon_t *daemon = arg;
+	void *ctx = talloc_new(NULL);
+	GError *cause = NULL;
+	plat_kvs_t kvs;
+	bool read;
+
+	entry_forward_expire(daemon->forward, now);
+	read = daemon->store->ops->range(daemon->store, ctx, ENTRY_CONFIG_KEY,
+					 false, &kvs, &cause);
+	if (read && kvs.count)
+		take_config(daemon, kvs.items[0].value);
+	note_reach(daemon, &daemon->store_down, read, BASE_MSG_STORE_DOWN,
+		   cause);
+	talloc_free(ctx);
+}
+
+static void take_config(entry_daemon_t *daemon, base_str_t text)
+{
+	GError *cause = NULL;
+	bool newer = false;
+
+	if (!entry_views_take_config(daemon->views, text, &newer, &cause)) {
+		base_log(daemon->log, BASE_MSG_CONFIG_REFUSED,
+			 BASE_F_STR("why", cause->message));
+		g_clear_error(&cause);
+		return;
+	}
+	if (newer) {
+		entry_view_t *view = entry_view_hold(daemon->views);
+
+		base_log(daemon->log, BASE_MSG_CONFIG_IN_FORCE,
+			 BASE_F_INT("generation", view->record->generation),
+			 BASE_F_STR("change", view->record->change.ptr));
+		entry_view_release(view);
+	}
+}
+
+static void read_list(void *arg, int64_t now)
+{
+	entry_daemon_t *daemon = arg;
+	void *ctx = talloc_new(NULL);
+	plat_instances_t instances;
+	GError *cause = NULL;
+	bool read = daemon->list->ops->read(daemon->list, ctx, NULL, &instances,
+					    &cause);
+
+	(void)now;
+	if (read)
+		entry_views_take_list(daemon->views, &instances);
+	note_reach(daemon, &daemon->list_down, read, BASE_MSG_LIST_DOWN, cause);
+	talloc_free(ctx);
+}
+
+/* Log the step from reachable to not and back, not each try. */
+static void note_reach(const entry_daemon_t *daemon, atomic_int *down,
+		       bool reached, base_msg_t down_msg, GError *cause)
+{
+	if (!reached && !atomic_load(down))
+		base_log(daemon->log, down_msg,
+			 BASE_F_STR("why", cause->message));
+	if (reached && atomic_load(down) && down_msg == BASE_MSG_STORE_DOWN)
+		base_log(daemon->log, BASE_MSG_STORE_UP,
+			 BASE_F_STR("entry", daemon->settings->name));
+	atomic_store(down, reached ? 0 : 1);
+	g_clear_error(&cause);
+}
--- /dev/null
+++ b/packages/entry/entry_run.c
@@ -0,0 +1,86 @@
+#include <signal.h>
+
+#include "entry_int.h"
+
+#define DRAIN_POLL_US (10 * BASE_MS)
+
+static void block_signals(sigset_t *set);
+static entry_daemon_t *daemon_new(const entry_settings_t *settings,
+				  const base_log_t *log);
+static void drain(entry_daemon_t *daemon);
+
+int entry_run(const entry_settings_t *settings, const base_log_t *log)
+{
+	entry_daemon_t *daemon;
+	GError *err = NULL;
+	sigset_t set;
+	int sig;
+
+	/* Before any thread starts, so that all inherit it. */
+	block_signals(&set);
+	mg_init_library(0);
+	daemon = daemon_new(settings, log);
+	base_log(log, BASE_MSG_START, BASE_F_STR("entry", settings->name),
+		 BASE_F_STR("zone", settings->zone),
+		 BASE_F_STR("incarnation", daemon->incarnation));
+	if (!entry_services_register(daemon, &err) ||
+	    !kern_start(daemon->kern, &err)) {
+		base_log(log, BASE_MSG_START_FAILED,
+			 BASE_F_STR("why", err->message));
+		g_clear_error(&err);
+		talloc_free(daemon);
+		return EXIT_FAILURE;
+	}
+	base_log(log, BASE_MSG_READY, BASE_F_STR("entry", settings->name));
+	sigwait(&set, &sig);
+	drain(daemon);
+	kern_stop(daemon->kern);
+	base_log(log, BASE_MSG_STOPPED, BASE_F_STR("entry", settings->name));
+	talloc_free(daemon);
+	return EXIT_SUCCESS;
+}
+
+/* A second signal during the drain stays pending and changes nothing. */
+static void block_signals(sigset_t *set)
+{
+	sigemptyset(set);
+	sigaddset(set, SIGTERM);
+	sigaddset(set, SIGINT);
+	pthread_sigmask(SIG_BLOCK, set, NULL);
+	signal(SIGPIPE, SIG_IGN);
+}
+
+static entry_daemon_t *daemon_new(const entry_settings_t *settings,
+				  const base_log_t *log)
+{
+	entry_daemon_t *daemon = talloc_zero(NULL, entry_daemon_t);
+
+	daemon->settings = settings;
+	daemon->log = log;
+	daemon->kern = kern_new(daemon, log);
+	daemon->views = entry_views_new(daemon);
+	daemon->forward = entry_forward_new(daemon);
+	daemon->store = plat_etcd_new(daemon, &settings->store);
+	daemon->list = plat_slices_new(daemon, &settings->list);
+	snprintf(daemon->incarnation, sizeof(daemon->incarnation), "%lld",
+		 (long long)base_clock_wall());
+	return daemon;
+}
+
+/*
+ * Look unready, go on serving until the balancer has seen it, then wait for
+ * what is in flight.
+ */
+static void drain(entry_daemon_t *daemon)
+{
+	const entry_settings_t *settings = daemon->settings;
+	int64_t limit;
+
+	base_log(daemon->log, BASE_MSG_DRAINING,
+		 BASE_F_STR("entry", settings->name));
+	atomic_store(&daemon->draining, 1);
+	base_clock_sleep(settings->balancer_lag_ms * BASE_MS);
+	limit = base_clock_mono() + settings->drain_limit_ms * BASE_MS;
+	while (atomic_load(&daemon->in_flight) && base_clock_mono() < limit)
+		base_clock_sleep(DRAIN_POLL_US);
+}
--- /dev/null
+++ b/packages/entry/entry_services.c
@@ -0,0 +1,22 @@
+#include "entry_int.h"
+
+typedef struct service {
+	const char *name;
+	const kern_service_ops_t *ops;
+} service_t;
+
+/* In the order of their start; stopped the other way round. */
+static const service_t services[] = {
+	{ "operators", &entry_operators_ops },
+	{ "platform", &entry_platform_ops },
+	{ "caller", &entry_caller_ops },
+};
+
+bool entry_services_register(entry_daemon_t *daemon, GError **err)
+{
+	for (size_t i = 0; i < ARRAY_SIZE(services); i++)
+		if (!kern_register(daemon->kern, services[i].name,
+				   services[i].ops, daemon, err))
+			return false;
+	return true;
+}
--- /dev/null
+++ b/packages/entry/entry_view.c
@@ -0,0 +1,261 @@
+#include "entry_int.h"
+
+/* A configuration that several views share. */
+struct entry_config {
+	atomic_int holders;
+	conf_record_t *record;
+};
+
+struct entry_views {
+	pthread_mutex_t lock; /* of current and list */
+	entry_view_t *current;
+	plat_instances_t list; /* the last one taken */
+	void *list_ctx;
+};
+
+static int free_views(entry_views_t *views);
+static int free_view(entry_view_t *view);
+static void rebuild(entry_views_t *views, entry_config_t *config);
+static void fill_zone(entry_view_t *view, const plat_instances_t *list,
+		      base_str_t zone);
+static entry_pool_t *neediest(entry_view_t *view, base_str_t zone);
+static int64_t wanted_in(const entry_pool_t *pool, base_str_t zone);
+static int64_t placed_in(const entry_pool_t *pool, base_str_t zone);
+static void add_endpoint(entry_view_t *view, entry_pool_t *pool,
+			 const plat_instance_t *instance);
+static void copy_list(entry_views_t *views, const plat_instances_t *from);
+static bool same_list(const plat_instances_t *a, const plat_instances_t *b);
+static void release_config(entry_config_t *config);
+
+G_DEFINE_QUARK(entry_error, entry_error)
+
+entry_views_t *entry_views_new(const void *ctx)
+{
+	entry_views_t *views = talloc_zero(ctx, entry_views_t);
+
+	pthread_mutex_init(&views->lock, NULL);
+	views->list_ctx = talloc_new(NULL);
+	views->current = talloc_zero(NULL, entry_view_t);
+	views->current->holders = 1;
+	talloc_set_destructor(views, free_views);
+	return views;
+}
+
+entry_view_t *entry_view_hold(entry_views_t *views)
+{
+	entry_view_t *view;
+
+	pthread_mutex_lock(&views->lock);
+	view = views->current;
+	atomic_fetch_add(&view->holders, 1);
+	pthread_mutex_unlock(&views->lock);
+	return view;
+}
+
+void entry_view_release(entry_view_t *view)
+{
+	if (atomic_fetch_sub(&view->holders, 1) == 1)
+		talloc_free(view);
+}
+
+bool entry_views_take_config(entry_views_t *views, base_str_t text, bool *newer,
+			     GError **err)
+{
+	entry_config_t *config = talloc_zero(NULL, entry_config_t);
+	GError *cause = NULL;
+
+	config->holders = 1;
+	config->record = conf_record_load(config, text, &cause);
+	*newer = false;
+	if (!config->record) {
+		base_err_wrap(err, ENTRY_ERROR, ENTRY_ERROR_CONFIG, cause,
+			      "configuration refused");
+		talloc_free(config);
+		return false;
+	}
+	pthread_mutex_lock(&views->lock);
+	*newer =
+		!views->current->record ||
+		config->record->generation > views->current->record->generation;
+	if (*newer)
+		rebuild(views, config);
+	pthread_mutex_unlock(&views->lock);
+	release_config(config);
+	return true;
+}
+
+void entry_views_take_list(entry_views_t *views,
+			   const plat_instances_t *instances)
+{
+	pthread_mutex_lock(&views->lock);
+	if (!same_list(&views->list, instances)) {
+		copy_list(views, instances);
+		if (views->current->config)
+			rebuild(views, views->current->config);
+	}
+	pthread_mutex_unlock(&views->lock);
+}
+
+const entry_pool_t *entry_view_pool(const entry_view_t *view,
+				    base_str_t service)
+{
+	for (size_t i = 0; i < view->pool_count; i++)
+		if (base_str_eq(view->pools[i].conf->name, service))
+			return &view->pools[i];
+	return NULL;
+}
+
+static int free_views(entry_views_t *views)
+{
+	entry_view_release(views->current);
+	talloc_free(views->list_ctx);
+	pthread_mutex_destroy(&views->lock);
+	return 0;
+}
+
+static int free_view(entry_view_t *view)
+{
+	release_config(view->config);
+	return 0;
+}
+
+static void release_config(entry_config_t *config)
+{
+	if (atomic_fetch_sub(&config->holders, 1) == 1)
+		talloc_free(config);
+}
+
+/* Under the lock: make the view of "config" and the list the current one. */
+static void rebuild(entry_views_t *views, entry_config_t *config)
+{
+	entry_view_t *view = talloc_zero(NULL, entry_view_t);
+	const conf_t *conf = config->record->config;
+	entry_view_t *old = views->current;
+
+	view->holders = 1;
+	atomic_fetch_add(&config->holders, 1);
+	view->config = config;
+	view->record = config->record;
+	talloc_set_destructor(view, free_view);
+	view->pool_count = conf->n_pools;
+	view->pools = talloc_zero_array(view, entry_pool_t, conf->n_pools);
+	for (size_t i = 0; i < conf->n_pools; i++)
+		view->pools[i].conf = &conf->pools[i];
+	for (size_t z = 0; z < conf->n_zones; z++)
+		fill_zone(view, &views->list, conf->zones[z].name);
+	views->current = view;
+	entry_view_release(old);
+}
+
+/*
+ * Give the zone's instances to the pools in the list's order, each to the
+ * pool that lacks the largest part of its placement, which spreads a pool
+ * over the racks.
+ */
+static void fill_zone(entry_view_t *view, const plat_instances_t *list,
+		      base_str_t zone)
+{
+	for (size_t i = 0; i < list->count; i++) {
+		const plat_instance_t *instance = &list->items[i];
+		entry_pool_t *pool;
+
+		if (!base_str_eq(base_str(instance->zone), zone))
+			continue;
+		pool = neediest(view, zone);
+		if (pool)
+			add_endpoint(view, pool, instance);
+	}
+}
+
+static entry_pool_t *neediest(entry_view_t *view, base_str_t zone)
+{
+	entry_pool_t *best = NULL;
+	double best_part = 1.0;
+
+	for (size_t i = 0; i < view->pool_count; i++) {
+		entry_pool_t *pool = &view->pools[i];
+		int64_t wanted = wanted_in(pool, zone);
+		double part = 1.0;
+
+		if (wanted)
+			part = (double)placed_in(pool, zone) / (double)wanted;
+		if (part < best_part) {
+			best_part = part;
+			best = pool;
+		}
+	}
+	return best;
+}
+
+static int64_t wanted_in(const entry_pool_t *pool, base_str_t zone)
+{
+	for (size_t i = 0; i < pool->conf->n_placement; i++)
+		if (base_str_eq(pool->conf->placement[i].zone, zone))
+			return pool->conf->placement[i].executors;
+	return 0;
+}
+
+static int64_t placed_in(const entry_pool_t *pool, base_str_t zone)
+{
+	int64_t placed = 0;
+
+	for (size_t i = 0; i < pool->endpoint_count; i++)
+		if (base_str_eq(base_str(pool->endpoints[i].zone), zone))
+			placed++;
+	return placed;
+}
+
+static void add_endpoint(entry_view_t *view, entry_pool_t *pool,
+			 const plat_instance_t *instance)
+{
+	entry_endpoint_t *endpoint;
+
+	pool->endpoints =
+		talloc_realloc(view, pool->endpoints, entry_endpoint_t,
+			       pool->endpoint_count + 1);
+	endpoint = &pool->endpoints[pool->endpoint_count++];
+	endpoint->id = talloc_strdup(view, instance->id);
+	endpoint->incarnation = talloc_strdup(view, instance->incarnation);
+	endpoint->zone = talloc_strdup(view, instance->zone);
+	endpoint->address = talloc_strdup(view, instance->address);
+	endpoint->port = instance->port;
+	endpoint->state = instance->state;
+}
+
+static bool same_list(const plat_instances_t *a, const plat_instances_t *b)
+{
+	if (a->count != b->count)
+		return false;
+	for (size_t i = 0; i < a->count; i++) {
+		const plat_instance_t *x = &a->items[i], *y = &b->items[i];
+
+		if (strcmp(x->id, y->id) ||
+		    strcmp(x->incarnation, y->incarnation) ||
+		    strcmp(x->address, y->address) || x->port != y->port ||
+		    x->state != y->state)
+			return false;
+	}
+	return true;
+}
+
+static void copy_list(entry_views_t *views, const plat_instances_t *from)
+{
+	void *ctx = talloc_new(NULL);
+
+	talloc_free(views->list_ctx);
+	views->list_ctx = ctx;
+	views->list.count = from->count;
+	views->list.items =
+		talloc_zero_array(ctx, plat_instance_t, from->count);
+	for (size_t i = 0; i < from->count; i++) {
+		const plat_instance_t *source = &from->items[i];
+		plat_instance_t *copy = &views->list.items[i];
+
+		*copy = *source;
+		copy->id = talloc_strdup(ctx, source->id);
+		copy->incarnation = talloc_strdup(ctx, source->incarnation);
+		copy->zone = talloc_strdup(ctx, source->zone);
+		copy->rack = talloc_strdup(ctx, source->rack);
+		copy->address = talloc_strdup(ctx, source->address);
+	}
+}
--- a/packages/kern/kern_duty.c
+++ b/packages/kern/kern_duty.c
@@ -1,4 +1,4 @@
-#include <ck_pr.h>
+#include <stdatomic.h>
 
 #include "kern_int.h"
 
@@ -7,7 +7,7 @@
 	kern_ring_t *inbox;
 	pthread_t thread;
 	bool started;
-	int stopping;
+	atomic_int stopping;
 };
 
 static void *run(void *arg);
@@ -40,14 +40,14 @@
 
 bool kern_duty_stopping(const kern_duty_t *duty)
 {
-	return ck_pr_load_int(&duty->stopping) != 0;
+	return atomic_load(&duty->stopping) != 0;
 }
 
 void kern_duty_stop(kern_duty_t *duty)
 {
 	if (!duty->started)
 		return;
-	ck_pr_store_int(&duty->stopping, 1);
+	atomic_store(&duty->stopping, 1);
 	kern_ring_wake(duty->inbox);
 	pthread_join(duty->thread, NULL);
 	duty->started = false;
--- a/packages/kern/kern_service.c
+++ b/packages/kern/kern_service.c
@@ -13,7 +13,7 @@
 	size_t started;
 };
 
-G_DEFINE_QUARK(kern - error - quark, kern_error)
+G_DEFINE_QUARK(kern_error, kern_error)
 
 kern_t *kern_new(const void *ctx, const base_log_t *log)
 {
--- a/packages/kern/tests/kern_test.c
+++ b/packages/kern/tests/kern_test.c
@@ -1,4 +1,4 @@
-#include <ck_pr.h>
+#include <stdatomic.h>
 
 #include "kern.h"
 
@@ -72,8 +72,8 @@
 }
 
 typedef struct tally {
-	int ticks;
-	int messages;
+	atomic_int ticks;
+	atomic_int messages;
 } tally_t;
 
 static void count_tick(void *arg, int64_t now)
@@ -81,7 +81,7 @@
 	tally_t *tally = arg;
 
 	g_assert_cmpint(now, >, 0);
-	ck_pr_inc_int(&tally->ticks);
+	atomic_fetch_add(&tally->ticks, 1);
 }
 
 static void count_message(void *arg, void *msg, int64_t now)
@@ -90,7 +90,7 @@
 
 	g_assert_cmpint(now, >, 0);
 	g_assert_true(msg == arg);
-	ck_pr_inc_int(&tally->messages);
+	atomic_fetch_add(&tally->messages, 1);
 }
 
 static void test_duty(void)
@@ -107,8 +107,8 @@
 
 	while (sent < 500)
 		sent += kern_duty_post(duty, &tally) ? 1 : 0;
-	while (ck_pr_load_int(&tally.messages) < 500 ||
-	       ck_pr_load_int(&tally.ticks) < 3)
+	while (atomic_load(&tally.messages) < 500 ||
+	       atomic_load(&tally.ticks) < 3)
 		base_clock_sleep(1000);
 	kern_duty_stop(duty);
 	g_assert_cmpint(tally.messages, ==, 500);
--- a/packages/plat/plat.h
+++ b/packages/plat/plat.h
@@ -99,6 +99,10 @@
 			 int64_t expected, int64_t lease, int64_t *revision,
 			 GError **err);
 
+/* The JSON answer to a GET of "path"; the caller releases it. */
+struct json_t *plat_get_json(const plat_address_t *address, const char *path,
+			     GError **err);
+
 typedef enum plat_state {
 	PLAT_LIVE,
 	PLAT_LEAVING,
--- a/packages/plat/plat_cas.c
+++ b/packages/plat/plat_cas.c
@@ -1,6 +1,6 @@
 #include "plat_int.h"
 
-G_DEFINE_QUARK(plat - error - quark, plat_error)
+G_DEFINE_QUARK(plat_error, plat_error)
 
 plat_cas_t plat_cas_sure(plat_store_t *store, const char *key, base_str_t value,
 			 int64_t expected, int64_t lease, int64_t *revision,
--- a/packages/plat/plat_http.c
+++ b/packages/plat/plat_http.c
@@ -71,6 +71,16 @@
 	return NULL;
 }
 
+json_t *plat_get_json(const plat_address_t *address, const char *path,
+		      GError **err)
+{
+	plat_http_t *http = plat_http_new(NULL, address);
+	json_t *root = plat_http_call(http, path, NULL, err);
+
+	talloc_free(http);
+	return root;
+}
+
 static int free_http(plat_http_t *http)
 {
 	disconnect(http);
--- /dev/null
+++ b/packages/tool/tool_args.c
@@ -0,0 +1,58 @@
+#include <arpa/inet.h>
+
+#include "tool_int.h"
+
+bool tool_parse(int argc, char **argv, void **table, struct arg_lit *help,
+		struct arg_end *end, FILE *out, FILE *err, int *status)
+{
+	int faults = arg_parse(argc, argv, table);
+
+	if (help->count) {
+		fprintf(out, "usage: cactusfield %s", argv[0]);
+		arg_print_syntax(out, table, "\n");
+		arg_print_glossary(out, table, "  %-24s %s\n");
+		*status = TOOL_OK;
+		return false;
+	}
+	if (faults) {
+		arg_print_errors(err, end, argv[0]);
+		*status = TOOL_USAGE;
+		return false;
+	}
+	return true;
+}
+
+bool tool_address(const void *ctx, const char *text, plat_address_t *address,
+		  FILE *err)
+{
+	const char *colon = strrchr(text, ':');
+	struct in_addr number;
+	char *host;
+
+	if (colon) {
+		host = talloc_strndup(ctx, text, (size_t)(colon - text));
+		address->host = host;
+		address->port = atoi(colon + 1);
+		if (inet_pton(AF_INET, host, &number) == 1 &&
+		    address->port > 0 && address->port < 65536)
+			return true;
+	}
+	fprintf(err, "'%s' is not ADDRESS:PORT with an IPv4 number\n", text);
+	return false;
+}
+
+char *tool_read_file(const void *ctx, const char *path, FILE *err)
+{
+	GError *cause = NULL;
+	char *text = NULL, *copy;
+	gsize len = 0;
+
+	if (!g_file_get_contents(path, &text, &len, &cause)) {
+		fprintf(err, "%s\n", cause->message);
+		g_clear_error(&cause);
+		return NULL;
+	}
+	copy = talloc_strndup(ctx, text, len);
+	g_free(text);
+	return copy;
+}
--- /dev/null
+++ b/packages/tool/tool_int.h
@@ -0,0 +1,35 @@
+/*
+ * tool_int - what the files of this package share.
+ */
+#ifndef TOOL_INT_H
+#define TOOL_INT_H
+
+#include <argtable2.h>
+#include <jansson.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "conf.h"
+#include "tool.h"
+
+#define TOOL_CONFIG_KEY "/cactusfield/config"
+
+/*
+ * Parse a verb's arguments.  True when the verb is to go on; else "*status"
+ * is what to return: "--help" was answered, or the errors told.
+ */
+bool tool_parse(int argc, char **argv, void **table, struct arg_lit *help,
+		struct arg_end *end, FILE *out, FILE *err, int *status);
+
+/* "ADDRESS:PORT", the address an IP number; tells what is wrong. */
+bool tool_address(const void *ctx, const char *text, plat_address_t *address,
+		  FILE *err);
+
+/* A whole file below "ctx", or NULL with the reason told. */
+char *tool_read_file(const void *ctx, const char *path, FILE *err);
+
+/* The verbs. */
+int tool_config_approve(int argc, char **argv, FILE *out, FILE *err);
+int tool_status(int argc, char **argv, FILE *out, FILE *err);
+
+#endif
--- /dev/null
+++ b/packages/tool/tool_status.c
@@ -0,0 +1,121 @@
+#include "tool_int.h"
+
+/*
+ * status: what entries say of themselves and of the pools.
+ */
+
+static json_t *ask(const void *ctx, const char *text, FILE *err);
+static void print_entries(const json_t *answers, FILE *out);
+static void print_pools(const json_t *answer, FILE *out);
+static const char *text_of(const json_t *object, const char *key);
+static long long number_of(const json_t *object, const char *key);
+
+int tool_status(int argc, char **argv, FILE *out, FILE *err)
+{
+	struct arg_lit *help = arg_lit0("h", "help", "say this and end");
+	struct arg_lit *json = arg_lit0(NULL, "json", "print JSON");
+	struct arg_str *entries =
+		arg_strn(NULL, "entry", "ADDRESS:PORT", 1, 64,
+			 "operators' port of an entry; may be repeated");
+	struct arg_end *end = arg_end(8);
+	void *table[] = { help, json, entries, end };
+	json_t *answers = json_array();
+	void *ctx = talloc_new(NULL);
+	int status = TOOL_OK;
+
+	if (!tool_parse(argc, argv, table, help, end, out, err, &status))
+		goto out;
+	for (int i = 0; i < entries->count; i++) {
+		json_t *answer = ask(ctx, entries->sval[i], err);
+
+		if (answer)
+			json_array_append_new(answers, answer);
+		else
+			status = TOOL_UNREACHABLE;
+	}
+	if (json->count) {
+		json_dumpf(answers, out, JSON_INDENT(2) | JSON_SORT_KEYS);
+		fputc('\n', out);
+	} else if (json_array_size(answers)) {
+		print_entries(answers, out);
+		print_pools(json_array_get(answers, 0), out);
+	}
+out:
+	json_decref(answers);
+	arg_freetable(table, ARRAY_SIZE(table));
+	talloc_free(ctx);
+	return status;
+}
+
+static json_t *ask(const void *ctx, const char *text, FILE *err)
+{
+	plat_address_t address;
+	GError *cause = NULL;
+	json_t *answer;
+
+	if (!tool_address(ctx, text, &address, err))
+		return NULL;
+	answer = plat_get_json(&address, "/status", &cause);
+	if (!answer) {
+		fprintf(err, "%s does not answer: %s\n", text, cause->message);
+		g_clear_error(&cause);
+	}
+	return answer;
+}
+
+static void print_entries(const json_t *answers, FILE *out)
+{
+	json_t *answer;
+	size_t i;
+
+	fprintf(out, "%-16s %-18s %10s %9s  %s\n", "ENTRY", "ZONE",
+		"GENERATION", "IN FLIGHT", "STATE");
+	json_array_foreach(answers, i, answer)
+	{
+		bool draining =
+			json_is_true(json_object_get(answer, "draining"));
+		bool down = json_is_true(json_object_get(answer, "store_down"));
+
+		fprintf(out, "%-16s %-18s %10lld %9lld  %s%s\n",
+			text_of(answer, "entry"), text_of(answer, "zone"),
+			number_of(answer, "generation"),
+			number_of(answer, "in_flight"),
+			draining ? "draining" : "serving",
+			down ? ", store unreachable" : "");
+	}
+}
+
+static void print_pools(const json_t *answer, FILE *out)
+{
+	json_t *pool;
+	size_t i;
+
+	fprintf(out, "\n%-18s %9s %5s %7s %10s  %s\n", "POOL", "EXECUTORS",
+		"LIVE", "MIN UP", "MAY BE OUT", "LEAVING");
+	json_array_foreach(json_object_get(answer, "pools"), i, pool)
+	{
+		long long live = number_of(pool, "live");
+		long long spare = live - number_of(pool, "min_up");
+		json_t *leaving = json_object_get(pool, "leaving"), *item;
+		size_t j;
+
+		fprintf(out, "%-18s %9lld %5lld %7lld %10lld ",
+			text_of(pool, "name"), number_of(pool, "executors"),
+			live, number_of(pool, "min_up"), spare > 0 ? spare : 0);
+		json_array_foreach(leaving, j, item)
+			fprintf(out, " %s", json_string_value(item));
+		fputc('\n', out);
+	}
+}
+
+static const char *text_of(const json_t *object, const char *key)
+{
+	const char *text = json_string_value(json_object_get(object, key));
+
+	return text ? text : "-";
+}
+
+static long long number_of(const json_t *object, const char *key)
+{
+	return json_integer_value(json_object_get(object, key));
+}
--- /dev/null
+++ b/packages/tool/tool_verbs.c
@@ -0,0 +1,60 @@
+#include "tool_int.h"
+
+static const tool_verb_t verbs[] = {
+	{ "config", "approve", "put a generated configuration in force",
+	  tool_config_approve },
+	{ NULL, "status", "pools, budgets and entries at a glance",
+	  tool_status },
+};
+
+static const tool_verb_t *find(int argc, char **argv, int *words);
+static void usage(FILE *out);
+
+int tool_run(int argc, char **argv, FILE *out, FILE *err)
+{
+	const tool_verb_t *verb;
+	int words = 0;
+
+	if (argc > 1 &&
+	    (!strcmp(argv[1], "--help") || !strcmp(argv[1], "-h"))) {
+		usage(out);
+		return TOOL_OK;
+	}
+	verb = find(argc, argv, &words);
+	if (!verb) {
+		fprintf(err, "cactusfield: no such verb\n");
+		usage(err);
+		return TOOL_USAGE;
+	}
+	return verb->run(argc - words, argv + words, out, err);
+}
+
+static const tool_verb_t *find(int argc, char **argv, int *words)
+{
+	for (size_t i = 0; i < ARRAY_SIZE(verbs); i++) {
+		const tool_verb_t *verb = &verbs[i];
+
+		*words = verb->group ? 2 : 1;
+		if (argc <= *words || strcmp(argv[*words], verb->name))
+			continue;
+		if (!verb->group || !strcmp(argv[1], verb->group))
+			return verb;
+	}
+	return NULL;
+}
+
+static void usage(FILE *out)
+{
+	fprintf(out, "usage: cactusfield VERB [--help] ...\n\n");
+	for (size_t i = 0; i < ARRAY_SIZE(verbs); i++) {
+		char words[40];
+
+		snprintf(words, sizeof(words), "%s%s%s",
+			 verbs[i].group ? verbs[i].group : "",
+			 verbs[i].group ? " " : "", verbs[i].name);
+		fprintf(out, "  %-20s %s\n", words, verbs[i].summary);
+	}
+	fprintf(out, "\nexit status: 0 done, 1 refused, 2 wrong command line, "
+		     "3 another change\ncame first, 4 unreachable, 5 in "
+		     "doubt\n");
+}
