--- a/packages/conf/conf.h
+++ b/packages/conf/conf.h
@@ -27,7 +27,6 @@
 	CONF_ERR_SYNTAX, /* not JSON */
 	CONF_ERR_SCHEMA, /* a key, type, range or reference is wrong */
 	CONF_ERR_DIGEST, /* changed after it was generated */
-	CONF_ERR_FILE,	 /* cannot be read */
 	CONF_ERR_MAX
 } conf_error_t;
 
@@ -246,7 +245,8 @@
 } conf_diff_t;
 
 /* What changes from "before" to "after"; items of a list are told by name. */
-conf_diff_t *conf_diff(const void *ctx, const conf_t *before, const conf_t *after);
+conf_diff_t *conf_diff(const void *ctx, const conf_t *before,
+		       const conf_t *after);
 
 /* The difference in words, a line a change, then its cost. */
 char *conf_diff_print(const void *ctx, const conf_diff_t *diff);
@@ -268,22 +268,4 @@
 char *conf_record_print(const void *ctx, int64_t generation, base_str_t change,
 			base_str_t config_json, GError **err);
 
-/* Exit statuses of the verbs below. */
-typedef enum conf_exit {
-	CONF_EXIT_OK,
-	CONF_EXIT_REFUSED, /* faults were found and named */
-	CONF_EXIT_USAGE,
-	CONF_EXIT_FILE, /* cannot be read */
-	CONF_EXIT_MAX
-} conf_exit_t;
-
-/*
- * The operators' verbs on files, cactusfield(1): "argv" begins at the verb,
- * results go to "out", faults to "err".
- */
-int conf_cmd_template(int argc, char **argv, FILE *out, FILE *err);
-int conf_cmd_check(int argc, char **argv, FILE *out, FILE *err);
-int conf_cmd_generate(int argc, char **argv, FILE *out, FILE *err);
-int conf_cmd_diff(int argc, char **argv, FILE *out, FILE *err);
-
 #endif
--- a/packages/conf/conf_check.c
+++ b/packages/conf/conf_check.c
@@ -9,6 +9,7 @@
 static base_str_t team_name(const conf_t *conf, size_t i);
 static void check_names(const conf_reader_t *rd, const conf_t *conf,
 			const char *list, size_t n, name_fn_t name);
+static bool sizes_known(const conf_t *conf);
 static void check_zones(const conf_reader_t *rd, const conf_t *conf);
 static void check_classes(const conf_reader_t *rd, const conf_t *conf);
 static void check_class(const conf_reader_t *rd, const conf_t *conf, size_t i);
@@ -39,11 +40,13 @@
 	check_names(rd, conf, "teams", conf->n_teams, team_name);
 	check_classes(rd, conf);
 	check_spare(rd, conf);
+	/* Sizes are weighed only against sizes that are themselves in order. */
+	if (!sizes_known(conf))
+		return;
 	before = rd->faults->n;
 	check_zones(rd, conf);
 	check_machines(rd, conf);
-	/* A budget is weighed against sizes that are themselves in order. */
-	if (rd->faults->n == before && conf->workers.per_rack)
+	if (rd->faults->n == before)
 		check_budgets(rd, conf);
 }
 
@@ -66,6 +69,15 @@
 	g_hash_table_destroy(seen);
 }
 
+/* What was refused, or is missing, was left at zero. */
+static bool sizes_known(const conf_t *conf)
+{
+	for (size_t z = 0; z < conf->n_zones; z++)
+		if (!conf->zones[z].racks || !conf->zones[z].workers)
+			return false;
+	return conf->n_zones && conf->workers.per_rack;
+}
+
 static void check_zones(const conf_reader_t *rd, const conf_t *conf)
 {
 	for (size_t z = 0; z < conf->n_zones; z++) {
@@ -73,7 +85,7 @@
 		int64_t most = zone->racks * conf->workers.per_rack;
 		char *path, *found;
 
-		if (!most || zone->workers <= most)
+		if (zone->workers <= most)
 			continue;
 		path = talloc_asprintf(NULL, "$.zones[%zu].workers", z);
 		found = talloc_asprintf(path, "%" PRId64, zone->workers);
@@ -179,7 +191,7 @@
 	for (size_t p = 0; p < conf->n_pools; p++) {
 		const conf_pool_t *pool = &conf->pools[p];
 
-		if (!workers || pool->executors <= workers)
+		if (pool->executors <= workers)
 			continue;
 		single = true;
 		path = talloc_asprintf(NULL, "$.pools[%zu].executors", p);
@@ -189,7 +201,7 @@
 			      workers);
 		talloc_free(path);
 	}
-	if (single || !workers || asked <= workers)
+	if (single || asked <= workers)
 		return;
 	found = talloc_asprintf(NULL, "%" PRId64 " executors in all pools",
 				asked);
@@ -207,7 +219,7 @@
 
 	/* Each pool is weighed with the room that those before it leave. */
 	for (size_t z = 0; z < conf->n_zones; z++)
-		room[z] = conf->zones[z].racks ? conf->zones[z].workers : 0;
+		room[z] = conf->zones[z].workers;
 	for (size_t p = 0; p < conf->n_pools; p++) {
 		conf_placement_t *out = talloc_zero_array(
 			room, conf_placement_t, (unsigned)conf->n_zones);
@@ -236,10 +248,11 @@
 	else if (more)
 		grow = talloc_asprintf(
 			path,
-			"executors %" PRId64 " with %" PRId64 " more workers",
-			more, more - pool->executors - free_workers);
+			"executors %" PRId64 " and %" PRId64 " workers in all",
+			more, total_executors(conf) + more - pool->executors);
 	else
-		grow = talloc_strdup(path, "workers in another zone or rack");
+		grow = talloc_strdup(path,
+				     "more workers, in another zone or rack");
 	if (pool->budget.min_up >= lack)
 		conf_fault_at(
 			rd, path,
--- a/packages/conf/conf_diff.c
+++ b/packages/conf/conf_diff.c
@@ -99,7 +99,7 @@
 		      " executors above what must be up, was %" PRId64
 		      " (%+" PRId64 ")\n",
 		      is->buffer, was->buffer, is->buffer - was->buffer);
-	base_buf_addf(buf, "moves: %" PRId64 " instances change pool\n",
+	base_buf_addf(buf, "moves: %" PRId64 " (instances that change pool)\n",
 		      diff->moves);
 	text = base_str_dup(ctx, base_buf_str(buf));
 	talloc_free(buf);
--- a/packages/conf/conf_load.c
+++ b/packages/conf/conf_load.c
@@ -185,10 +185,10 @@
 
 	conf_digest(root, digest);
 	if (!base_str_eq(conf->digest, base_str(digest)))
-		conf_fault_at(rd, "$.digest", conf->digest.ptr,
-			      "%s; the file was edited by hand: revise the "
-			      "answers and generate it again",
-			      digest);
+		conf_fault_at(
+			rd, "$.digest", conf->digest.ptr,
+			"the digest of what the file holds; it was edited "
+			"by hand: revise the answers and generate again");
 }
 
 static void set_error(GError **err, conf_error_t code,
--- a/packages/conf/tests/conf_test.c
+++ b/packages/conf/tests/conf_test.c
@@ -45,6 +45,22 @@
 			       at + strlen(from));
 }
 
+static void check_pool(const conf_pool_t *pool, int64_t executors, bool spare)
+{
+	const conf_budget_t *budget = &pool->budget;
+	int64_t placed = 0;
+
+	for (size_t z = 0; z < pool->n_placement; z++)
+		placed += pool->placement[z].executors;
+	g_assert_cmpint(pool->executors, ==, executors);
+	g_assert_cmpint(placed, ==, executors);
+	g_assert_cmpint(pool->slots, ==, 8);
+	g_assert_cmpint(pool->connections, ==, 64);
+	g_assert_true(pool->spare == spare);
+	g_assert_cmpint(budget->min_up + budget->loss + budget->drain, <=,
+			executors);
+}
+
 static void test_examples(void)
 {
 	static const int64_t executors[] = { 9, 9, 11, 12, 8 };
@@ -58,22 +74,8 @@
 		g_assert_no_error(err);
 		g_assert_cmpuint(conf->n_zones, ==, 3);
 		g_assert_cmpuint(conf->n_pools, ==, 5);
-		for (size_t p = 0; p < 5; p++) {
-			const conf_pool_t *pool = &conf->pools[p];
-			int64_t placed = 0;
-
-			g_assert_cmpint(pool->executors, ==, executors[p]);
-			g_assert_cmpint(pool->slots, ==, 8);
-			g_assert_cmpint(pool->connections, ==, 64);
-			g_assert_true(pool->spare == (p == 4));
-			for (size_t z = 0; z < 3; z++)
-				placed += pool->placement[z].executors;
-			g_assert_cmpint(placed, ==, executors[p]);
-			g_assert_cmpint(pool->budget.min_up +
-						pool->budget.loss +
-						pool->budget.drain,
-					<=, executors[p]);
-		}
+		for (size_t p = 0; p < 5; p++)
+			check_pool(&conf->pools[p], executors[p], p == 4);
 		g_assert_cmpstr(generated(ctx, examples[e]), ==, json);
 	}
 	talloc_free(ctx);
@@ -103,27 +105,37 @@
 	talloc_free(ctx);
 }
 
+static void refuse_config(const char *text, int code, const char *path)
+{
+	GError *err = NULL;
+
+	g_assert_null(conf_load(NULL, base_str(text), &err));
+	g_assert_error(err, CONF_ERROR, code);
+	g_assert_nonnull(strstr(err->message, path));
+	g_clear_error(&err);
+}
+
 static void test_hand_edited(void)
 {
 	void *ctx = talloc_new(NULL);
 	char *json = generated(ctx, examples[0]);
+
+	refuse_config(replaced(ctx, json, "\"deadline_ms\": 2000",
+			       "\"deadline_ms\": 2001"),
+		      CONF_ERR_DIGEST, "$.digest");
+	refuse_config(replaced(ctx, json, "\"schema\": 1", "\"schema\": 2"),
+		      CONF_ERR_SCHEMA, "$.schema");
+	refuse_config("{", CONF_ERR_SYNTAX, "line 1");
+	talloc_free(ctx);
+}
+
+static void refuse_record(const char *text, int code)
+{
 	GError *err = NULL;
-	char *edited = replaced(ctx, json, "\"deadline_ms\": 2000",
-				"\"deadline_ms\": 2001");
 
-	g_assert_null(conf_load(ctx, base_str(edited), &err));
-	g_assert_error(err, CONF_ERROR, CONF_ERR_DIGEST);
-	g_assert_nonnull(strstr(err->message, "$.digest"));
-	g_clear_error(&err);
-	edited = replaced(ctx, json, "\"schema\": 1", "\"schema\": 2");
-	g_assert_null(conf_load(ctx, base_str(edited), &err));
-	g_assert_error(err, CONF_ERROR, CONF_ERR_SCHEMA);
-	g_assert_nonnull(strstr(err->message, "$.schema"));
+	g_assert_null(conf_record_load(NULL, base_str(text), &err));
+	g_assert_error(err, CONF_ERROR, code);
 	g_clear_error(&err);
-	g_assert_null(conf_load(ctx, BASE_STR("{"), &err));
-	g_assert_error(err, CONF_ERROR, CONF_ERR_SYNTAX);
-	g_clear_error(&err);
-	talloc_free(ctx);
 }
 
 static void test_record(void)
@@ -142,14 +154,24 @@
 	g_assert_cmpstr(rec->change.ptr, ==, "c-1");
 	g_assert_cmpstr(rec->config->site.ptr, ==, "addis");
 	g_assert_cmpstr(rec->config_json, ==, json);
-	g_assert_null(conf_record_load(
-		ctx, base_str(replaced(ctx, text, ":7", ":0")), &err));
-	g_assert_error(err, CONF_ERROR, CONF_ERR_SCHEMA);
-	g_clear_error(&err);
-	g_assert_null(conf_record_load(
-		ctx, base_str(replaced(ctx, text, ":7", ":7,\"x\":1")), &err));
-	g_assert_error(err, CONF_ERROR, CONF_ERR_SCHEMA);
-	g_clear_error(&err);
+	talloc_free(ctx);
+}
+
+static void test_bad_record(void)
+{
+	void *ctx = talloc_new(NULL);
+	char *json = generated(ctx, examples[1]);
+	GError *err = NULL;
+	char *text = conf_record_print(ctx, 7, BASE_STR("c-1"), base_str(json),
+				       &err);
+
+	refuse_record(replaced(ctx, text, ":7", ":0"), CONF_ERR_SCHEMA);
+	refuse_record(replaced(ctx, text, ":7", ":7,\"x\":1"), CONF_ERR_SCHEMA);
+	refuse_record(replaced(ctx, text, ":7", ":7,\"generation\":8"),
+		      CONF_ERR_SCHEMA);
+	refuse_record(replaced(ctx, text, "\"min_up\":5", "\"min_up\":4"),
+		      CONF_ERR_DIGEST);
+	refuse_record("", CONF_ERR_SYNTAX);
 	g_assert_null(
 		conf_record_print(ctx, 1, BASE_STR("c"), BASE_STR("{}"), &err));
 	g_assert_error(err, CONF_ERROR, CONF_ERR_SCHEMA);
@@ -164,5 +186,6 @@
 	g_test_add_func("/conf/match", test_match);
 	g_test_add_func("/conf/hand-edited", test_hand_edited);
 	g_test_add_func("/conf/record", test_record);
+	g_test_add_func("/conf/bad-record", test_bad_record);
 	return g_test_run();
 }
--- a/packages/tool/tool_args.c
+++ b/packages/tool/tool_args.c
@@ -52,6 +52,11 @@
 		g_clear_error(&cause);
 		return NULL;
 	}
+	if (memchr(text, '\0', len)) {
+		fprintf(err, "%s: holds a NUL byte, is no text\n", path);
+		g_free(text);
+		return NULL;
+	}
 	copy = talloc_strndup(ctx, text, len);
 	g_free(text);
 	return copy;
--- a/packages/tool/tool_int.h
+++ b/packages/tool/tool_int.h
@@ -28,7 +28,14 @@
 /* A whole file below "ctx", or NULL with the reason told. */
 char *tool_read_file(const void *ctx, const char *path, FILE *err);
 
+/* Checked answers below "ctx", or NULL with every fault told. */
+conf_answers_t *tool_read_answers(const void *ctx, const char *path, FILE *err);
+
 /* The verbs. */
+int tool_answers_template(int argc, char **argv, FILE *out, FILE *err);
+int tool_answers_check(int argc, char **argv, FILE *out, FILE *err);
+int tool_config_generate(int argc, char **argv, FILE *out, FILE *err);
+int tool_config_diff(int argc, char **argv, FILE *out, FILE *err);
 int tool_config_approve(int argc, char **argv, FILE *out, FILE *err);
 int tool_status(int argc, char **argv, FILE *out, FILE *err);
 
--- a/packages/tool/tool_verbs.c
+++ b/packages/tool/tool_verbs.c
@@ -1,6 +1,14 @@
 #include "tool_int.h"
 
 static const tool_verb_t verbs[] = {
+	{ "answers", "template", "print a questionnaire to fill in",
+	  tool_answers_template },
+	{ "answers", "check", "name every fault of filled-in answers",
+	  tool_answers_check },
+	{ "config", "generate", "print the configuration for answers",
+	  tool_config_generate },
+	{ "config", "diff", "say what changes between two configurations",
+	  tool_config_diff },
 	{ "config", "approve", "put a generated configuration in force",
 	  tool_config_approve },
 	{ NULL, "status", "pools, budgets and entries at a glance",
--- /dev/null
+++ b/regress/answers/accepted.sh
@@ -0,0 +1,1 @@
+cf answers check quay.json
--- /dev/null
+++ b/regress/answers/bad-match.sh
@@ -0,0 +1,1 @@
+cf answers check bad-match.json
--- /dev/null
+++ b/regress/answers/budget-drain.sh
@@ -0,0 +1,1 @@
+cf answers check budget-drain.json
--- /dev/null
+++ b/regress/answers/budget-hopeless.sh
@@ -0,0 +1,1 @@
+cf answers check budget-hopeless.json
--- /dev/null
+++ b/regress/answers/budget-mixed-racks.sh
@@ -0,0 +1,1 @@
+cf answers check budget-mixed-racks.json
--- /dev/null
+++ b/regress/answers/budget-no-machines.sh
@@ -0,0 +1,1 @@
+cf answers check budget-no-machines.json
--- /dev/null
+++ b/regress/answers/budget-rack.sh
@@ -0,0 +1,1 @@
+cf answers check budget-rack.json
--- /dev/null
+++ b/regress/answers/budget-zone.sh
@@ -0,0 +1,1 @@
+cf answers check budget-zone.json
--- /dev/null
+++ b/regress/answers/control-bytes.sh
@@ -0,0 +1,1 @@
+cf answers check control-bytes.json
--- /dev/null
+++ b/regress/answers/cut-short.sh
@@ -0,0 +1,1 @@
+cf answers check cut-short.json
--- /dev/null
+++ b/regress/answers/derived-keys.sh
@@ -0,0 +1,1 @@
+cf answers check derived-keys.json
--- /dev/null
+++ b/regress/answers/duplicate-names.sh
@@ -0,0 +1,1 @@
+cf answers check duplicate-names.json
--- /dev/null
+++ b/regress/answers/enum.sh
@@ -0,0 +1,1 @@
+cf answers check enum.json
--- /dev/null
+++ b/regress/answers/missing.sh
@@ -0,0 +1,1 @@
+cf answers check missing.json
--- /dev/null
+++ b/regress/answers/no-last-class.sh
@@ -0,0 +1,1 @@
+cf answers check no-last-class.json
--- /dev/null
+++ b/regress/answers/no-list.sh
@@ -0,0 +1,1 @@
+cf answers check no-list.json
--- /dev/null
+++ b/regress/answers/not-an-object.sh
@@ -0,0 +1,1 @@
+cf answers check not-an-object.json
--- /dev/null
+++ b/regress/answers/not-utf8.sh
@@ -0,0 +1,1 @@
+cf answers check not-utf8.json
--- /dev/null
+++ b/regress/answers/nul.sh
@@ -0,0 +1,1 @@
+printf '{}\0x' >"$T/nul.json"; cd "$T" && cf answers check nul.json
--- /dev/null
+++ b/regress/answers/number-too-big.sh
@@ -0,0 +1,1 @@
+cf answers check number-too-big.json
--- /dev/null
+++ b/regress/answers/pool-too-large.sh
@@ -0,0 +1,1 @@
+cf answers check pool-too-large.json
--- /dev/null
+++ b/regress/answers/pools-too-large.sh
@@ -0,0 +1,1 @@
+cf answers check pools-too-large.json
--- /dev/null
+++ b/regress/answers/remarks.sh
@@ -0,0 +1,1 @@
+cf answers check remarks.json
--- /dev/null
+++ b/regress/answers/schema-version.sh
@@ -0,0 +1,1 @@
+cf answers check schema-version.json
--- /dev/null
+++ b/regress/answers/two-spares.sh
@@ -0,0 +1,1 @@
+cf answers check two-spares.json
--- /dev/null
+++ b/regress/answers/unknown-pool.sh
@@ -0,0 +1,1 @@
+cf answers check unknown-pool.json
--- /dev/null
+++ b/regress/answers/zone-too-large.sh
@@ -0,0 +1,1 @@
+cf answers check zone-too-large.json
--- /dev/null
+++ b/regress/config/diff-budget-rule.sh
@@ -0,0 +1,3 @@
+cf config generate quay.json >"$T/old" &&
+cf config generate diff-budget-rule.json >"$T/new" &&
+cf config diff "$T/old" "$T/new"
--- /dev/null
+++ b/regress/config/generate-refused.sh
@@ -0,0 +1,1 @@
+cf config generate ../answers/unknown-pool.json
--- /dev/null
+++ b/regress/config/generate.sh
@@ -0,0 +1,1 @@
+cf config generate quay.json
--- /dev/null
+++ b/regress/config/usage.sh
@@ -0,0 +1,1 @@
+cf config diff quay.json
