--- a/Makefile
+++ b/Makefile
@@ -46,7 +46,7 @@
 BENCH_C = $(wildcard bench/*_bench.c)
 BENCHES = $(BENCH_C:%.c=$(OUT)/%)
 STANDIN = $(if $(wildcard standin/*.c),$(OUT)/standin/standin)
-LOADGEN = $(if $(wildcard bench/load_main.c),$(OUT)/bench/load)
+LOADGEN = $(OUT)/load/load
 
 .PHONY: all deps binaries check test regress demo bench format formatcheck \
 	tidy linkcheck mancheck models soak clean
@@ -98,8 +98,8 @@
 	@mkdir -p $(@D)
 	$(CC) $(LDFLAGS) -o $@ $< $(GROUP) $(LDLIBS)
 
-$(OUT)/bench/load: $(OUT)/bench/load_main.o $(LIBS)
-	$(CC) $(LDFLAGS) -o $@ $< $(GROUP) $(LDLIBS)
+$(OUT)/load/load: $(patsubst %.c,$(OUT)/%.o,$(wildcard load/*.c)) $(LIBS)
+	$(CC) $(LDFLAGS) -o $@ $(filter %.o,$^) $(GROUP) $(LDLIBS)
 
 $(OUT)/standin/standin: $(patsubst %.c,$(OUT)/%.o,$(wildcard standin/*.c)) $(LIBS)
 	$(CC) $(LDFLAGS) -o $@ $(filter %.o,$^) $(GROUP) $(LDLIBS)
@@ -109,7 +109,7 @@
 
 test: binaries
 	+@$(MAKE) --no-print-directory -s -j$$(nproc) $(TESTS)
-	@OUT=$(OUT) scripts/runtests 6 $(OUT)/log $(TESTS) $(wildcard regress/run)
+	@OUT=$(OUT) scripts/runtests 4 $(OUT)/log $(TESTS) $(wildcard regress/run tests/sys_*)
 
 demo: all
 	@OUT=$(OUT) tests/demo
--- /dev/null
+++ b/load/load_work.c
@@ -0,0 +1,288 @@
+#include <math.h>
+
+#include "load_int.h"
+
+#define ERROR_TEXT_MAX 160	 /* bytes */
+#define ANSWER_WAIT_MS 30000	 /* for an entry's answer */
+#define ANSWER_MAX (1024 * 1024) /* bytes */
+
+typedef struct worker {
+	load_t *load;
+	int number;
+	unsigned count;
+	base_rng_t rng;
+	struct mg_connection *conns[TARGETS_MAX];
+	base_buf_t *text;
+	base_buf_t *body;
+} worker_t;
+
+typedef struct request {
+	char id[48];
+	char key[48];
+	const conf_class_t *class;
+} request_t;
+
+static void pace(worker_t *w, double rate);
+static const flow_t *pick_flow(worker_t *w, double total);
+static int pick_target(worker_t *w, int avoid);
+static void make_request(worker_t *w, request_t *request,
+			 const conf_class_t *class);
+static int send_to(worker_t *w, const request_t *request, int avoid);
+static seen_t exchange(worker_t *w, int at, const request_t *request,
+		       char *reason);
+static void print_request(worker_t *w, const request_t *request);
+static seen_t read_answer(worker_t *w, struct mg_connection *conn,
+			  const request_t *request, char *reason);
+static seen_t judge(worker_t *w, const request_t *request, int status,
+		    const char *outcome);
+static void note(worker_t *w, const request_t *request, int at, seen_t seen,
+		 const char *reason, int64_t us);
+static void drop(worker_t *w, int at);
+
+void *load_work(void *arg)
+{
+	load_t *load = arg;
+	worker_t *w = talloc_zero(NULL, worker_t);
+	double total = 0.0;
+
+	w->load = load;
+	w->number = atomic_fetch_add(&load->next_worker, 1);
+	w->rng.state = load->seed * 1000003 + (uint64_t)w->number;
+	w->text = base_buf_new(w);
+	w->body = base_buf_new(w);
+	for (size_t i = 0; i < load->flow_count; i++)
+		total += load->flows[i].rate;
+	while (base_clock_mono() < load->until) {
+		const flow_t *flow = pick_flow(w, total);
+		request_t request;
+		int at;
+
+		make_request(w, &request, flow->class);
+		at = send_to(w, &request, -1);
+		if (!flow->class->repeatable &&
+		    (int)base_rng_below(&w->rng, 100) < load->repeat_percent)
+			send_to(w, &request, at);
+		pace(w, total / load->workers);
+	}
+	for (size_t i = 0; i < load->target_count; i++)
+		drop(w, (int)i);
+	talloc_free(w);
+	return NULL;
+}
+
+/* Wait an exponential time, so that arrivals come as a Poisson stream. */
+static void pace(worker_t *w, double rate)
+{
+	double unit = base_rng_unit(&w->rng);
+	double wait = -log(1.0 - unit) / rate;
+
+	base_clock_sleep((int64_t)(wait * (double)BASE_SEC));
+}
+
+static const flow_t *pick_flow(worker_t *w, double total)
+{
+	double at = base_rng_unit(&w->rng) * total;
+	const load_t *load = w->load;
+
+	for (size_t i = 0; i + 1 < load->flow_count; i++) {
+		at -= load->flows[i].rate;
+		if (at < 0.0)
+			return &load->flows[i];
+	}
+	return &load->flows[load->flow_count - 1];
+}
+
+/* A ready target at random, another than "avoid" if there is one; or -1. */
+static int pick_target(worker_t *w, int avoid)
+{
+	uint32_t count = (uint32_t)w->load->target_count;
+	uint32_t start = base_rng_below(&w->rng, count);
+	int last = -1;
+
+	for (uint32_t i = 0; i < count; i++) {
+		int at = (int)((start + i) % count);
+
+		if (!atomic_load(&w->load->targets[at].ready))
+			continue;
+		if (at != avoid)
+			return at;
+		last = at;
+	}
+	return last;
+}
+
+static void make_request(worker_t *w, request_t *request,
+			 const conf_class_t *class)
+{
+	request->class = class;
+	w->count++;
+	snprintf(request->id, sizeof(request->id), "r%llu-%d-%u",
+		 (unsigned long long)w->load->seed, w->number, w->count);
+	request->key[0] = '\0';
+	if (!class->repeatable)
+		snprintf(request->key, sizeof(request->key), "k%llu-%d-%u",
+			 (unsigned long long)w->load->seed, w->number,
+			 w->count);
+}
+
+/*
+ * Send over a kept connection or a new one.  A target that takes no
+ * connection counts as not ready until the balancer looks again.
+ */
+static int send_to(worker_t *w, const request_t *request, int avoid)
+{
+	int64_t began = base_clock_mono();
+	request_t again = *request;
+	char reason[64] = "";
+	seen_t seen = SEEN_UNREACHED;
+	int at = -1;
+
+	if (avoid >= 0) {
+		size_t len = strlen(again.id);
+
+		snprintf(again.id + len, sizeof(again.id) - len, "b");
+	}
+	for (int tries = 0; tries < 3 && seen == SEEN_UNREACHED; tries++) {
+		at = pick_target(w, avoid);
+		if (at < 0)
+			break;
+		if (!w->conns[at])
+			w->conns[at] = mg_connect_client(
+				w->load->targets[at].caller.host,
+				w->load->targets[at].caller.port, 0, reason,
+				sizeof(reason));
+		if (w->conns[at])
+			seen = exchange(w, at, &again, reason);
+		else if (w->load->targets[at].operators.port)
+			atomic_store(&w->load->targets[at].ready, 0);
+	}
+	note(w, &again, at, seen, reason, base_clock_mono() - began);
+	return at;
+}
+
+static seen_t exchange(worker_t *w, int at, const request_t *request,
+		       char *reason)
+{
+	struct mg_connection *conn = w->conns[at];
+	char error[ERROR_TEXT_MAX];
+	const char *close;
+	seen_t seen;
+
+	reason[0] = '\0';
+	print_request(w, request);
+	if (mg_write(conn, w->text->ptr, w->text->len) != (int)w->text->len ||
+	    mg_get_response(conn, error, sizeof(error), ANSWER_WAIT_MS) < 0) {
+		drop(w, at);
+		return SEEN_BROKEN;
+	}
+	close = mg_get_header(conn, "Connection");
+	seen = read_answer(w, conn, request, reason);
+	if (seen == SEEN_WRONG || (close && !strcmp(close, "close")))
+		drop(w, at);
+	return seen;
+}
+
+static void print_request(worker_t *w, const request_t *request)
+{
+	const conf_class_t *class = request->class;
+	bool any = base_str_eq(class->method, BASE_STR("*"));
+	base_str_t method = any ? BASE_STR("POST") : class->method;
+
+	base_buf_reset(w->text);
+	base_buf_addf(w->text, "%.*s /%.*s%.*s HTTP/1.1\r\nHost: entry\r\n",
+		      BASE_STR_ARG(method), BASE_STR_ARG(class->pool),
+		      BASE_STR_ARG(class->path));
+	base_buf_addf(w->text,
+		      "X-Request-Id: %s\r\nX-Cactusfield-Class: %.*s\r\n"
+		      "X-Cactusfield-Caller: caller-%d\r\nX-Work-Us: %lld\r\n",
+		      request->id, BASE_STR_ARG(class->name), w->number % 4,
+		      (long long)w->load->work_us);
+	if (w->load->answer_bytes)
+		base_buf_addf(w->text, "X-Answer-Bytes: %d\r\n",
+			      w->load->answer_bytes);
+	if (w->load->deadline_ms)
+		base_buf_addf(w->text, "X-Cactusfield-Deadline-Ms: %d\r\n",
+			      w->load->deadline_ms);
+	if (request->key[0])
+		base_buf_addf(w->text, "Idempotency-Key: %s\r\n", request->key);
+	if (base_str_eq(method, BASE_STR("GET")))
+		base_buf_adds(w->text, "\r\n");
+	else
+		base_buf_addf(w->text, "Content-Length: %zu\r\n\r\n%s",
+			      strlen(request->id), request->id);
+}
+
+static seen_t read_answer(worker_t *w, struct mg_connection *conn,
+			  const request_t *request, char *reason)
+{
+	const struct mg_response_info *info = mg_get_response_info(conn);
+	const char *why = mg_get_header(conn, "X-Cactusfield-Reason");
+	char outcome[16] = "", chunk[8192];
+	const char *said = mg_get_header(conn, "X-Cactusfield-Outcome");
+	int status = info->status_code;
+	long long left = info->content_length;
+
+	if (why)
+		g_strlcpy(reason, why, 64);
+	if (said)
+		g_strlcpy(outcome, said, sizeof(outcome));
+	base_buf_reset(w->body);
+	while (left > 0) {
+		int got = mg_read(conn, chunk,
+				  left < (long long)sizeof(chunk)
+					  ? (size_t)left
+					  : sizeof(chunk));
+
+		if (got <= 0 || w->body->len > ANSWER_MAX)
+			return SEEN_WRONG;
+		base_buf_add(w->body, chunk, (size_t)got);
+		left -= got;
+	}
+	return judge(w, request, status, outcome);
+}
+
+static seen_t judge(worker_t *w, const request_t *request, int status,
+		    const char *outcome)
+{
+	json_t *root;
+	const char *id, *key;
+	bool ours;
+
+	if (!strcmp(outcome, "not-run"))
+		return SEEN_NOT_RUN;
+	if (!strcmp(outcome, "unknown"))
+		return SEEN_UNKNOWN;
+	if (strcmp(outcome, "answered") || status != 200)
+		return status == 500 ? SEEN_ANSWERED : SEEN_WRONG;
+	root = json_loadb(w->body->ptr, w->body->len, 0, NULL);
+	id = json_string_value(json_object_get(root, "request"));
+	key = json_string_value(json_object_get(root, "key"));
+	/* A recorded answer carries the id under which it ran. */
+	ours = request->key[0] ? key && !strcmp(key, request->key)
+			       : id && !strcmp(id, request->id);
+	json_decref(root);
+	return ours ? SEEN_ANSWERED : SEEN_WRONG;
+}
+
+static void note(worker_t *w, const request_t *request, int at, seen_t seen,
+		 const char *reason, int64_t us)
+{
+	const conf_class_t *class = request->class;
+
+	pthread_mutex_lock(&w->load->log_lock);
+	fprintf(w->load->log,
+		"{\"id\":\"%s\",\"key\":\"%s\",\"pool\":\"%.*s\","
+		"\"class\":\"%.*s\",\"target\":%d,\"seen\":\"%s\","
+		"\"reason\":\"%s\",\"us\":%lld}\n",
+		request->id, request->key, BASE_STR_ARG(class->pool),
+		BASE_STR_ARG(class->name), at, seen_names[seen], reason,
+		(long long)us);
+	pthread_mutex_unlock(&w->load->log_lock);
+}
+
+static void drop(worker_t *w, int at)
+{
+	if (w->conns[at])
+		mg_close_connection(w->conns[at]);
+	w->conns[at] = NULL;
+}
--- /dev/null
+++ b/tests/tap.sh
@@ -0,0 +1,27 @@
+# TAP for shell tests: is NAME GOT WANT; done_testing at the end.  Sourced.
+
+tap_number=0
+tap_failed=0
+tap_group=/$(basename "$0")
+
+is() {
+	tap_number=$((tap_number + 1))
+	tap_name=$tap_group/$(echo "$1" | tr ' ' '-')
+	if test "$2" = "$3"
+	then
+		echo "ok $tap_number $tap_name"
+		return
+	fi
+	echo "not ok $tap_number $tap_name"
+	echo "# got '$2', want '$3'"
+	tap_failed=1
+}
+
+done_testing() {
+	echo "1..$tap_number"
+	if test $tap_failed != 0 && test -s "$work/out"
+	then
+		sed 's/^/# /' "$work/out"
+	fi
+	exit $tap_failed
+}
