--- a/packages/conf/conf.h
+++ b/packages/conf/conf.h
@@ -246,7 +246,8 @@
 } conf_diff_t;
 
 /* What changes from "before" to "after"; items of a list are told by name. */
-conf_diff_t *conf_diff(const void *ctx, const conf_t *before, const conf_t *after);
+conf_diff_t *conf_diff(const void *ctx, const conf_t *before,
+		       const conf_t *after);
 
 /* The difference in words, a line a change, then its cost. */
 char *conf_diff_print(const void *ctx, const conf_diff_t *diff);
--- a/packages/tool/tool_verbs.c
+++ b/packages/tool/tool_verbs.c
@@ -1,6 +1,13 @@
 #include "tool_int.h"
 
 static const tool_verb_t verbs[] = {
+	{ "answers", "template", "print a questionnaire to fill in",
+	  conf_cmd_template },
+	{ "answers", "check", "name every fault of an answers file",
+	  conf_cmd_check },
+	{ "config", "generate", "print the configuration for answers",
+	  conf_cmd_generate },
+	{ "config", "diff", "say what a configuration changes", conf_cmd_diff },
 	{ "config", "approve", "put a generated configuration in force",
 	  tool_config_approve },
 	{ NULL, "status", "pools, budgets and entries at a glance",
