Add the decision core for requests

Cause: an entry needs one place that decides which request runs, where and what its caller is told, without clock, thread or socket.

Change: package route with queues shared by class and caller, an adaptive limit a pool, choice by zone and load, ejection with a trial return, leaving by identity, shared probe duty, retries within a budget, counters and histograms.

Conclusion: usable by an entry; limits and choice still to be measured.

--- /dev/null
+++ b/packages/route/route_choice.c
@@ -0,0 +1,201 @@
+#include "route_int.h"
+
+typedef struct candidate {
+	route_ep_t *ep;
+	double load; /* of its quota, with this request */
+	double cost; /* the same, weighted by latency */
+} candidate_t;
+
+static candidate_t best_of(route_t *route, route_pool_t *pool, bool near,
+			   const route_request_t *req, int64_t now);
+static void consider(candidate_t *best, route_ep_t *ep, double quota,
+		     int64_t now);
+static bool has_room(const route_t *route, route_ep_t *ep,
+		     const route_request_t *req, int64_t now);
+static void set_health(const route_t *route, route_ep_t *ep,
+		       route_health_t health);
+static double ramp(route_ep_t *ep, int64_t now);
+static bool may_eject(const route_pool_t *pool);
+static int ejected(const route_pool_t *pool);
+static bool within(const route_pool_t *pool, int out);
+
+/*
+ * The own zone first; another zone when the own one is loaded past its quota
+ * and the other is better off.  NULL when none has room.
+ */
+route_ep_t *route_choose(route_t *route, route_pool_t *pool,
+			 const route_request_t *req, int64_t now)
+{
+	candidate_t near = best_of(route, pool, true, req, now);
+	candidate_t far;
+
+	if (near.ep && near.load <= 1.0)
+		return near.ep;
+	far = best_of(route, pool, false, req, now);
+	if (!near.ep || (far.ep && far.cost < near.cost))
+		return far.ep;
+	return near.ep;
+}
+
+/* Connections that this entry may hold to one endpoint of the pool. */
+int route_conn_share(const route_t *route, const route_pool_t *pool,
+		     int64_t now)
+{
+	int divisor = MAX(route->divisor, pool->conf.entries_max);
+
+	if (now >= route->divisor_until)
+		divisor = MAX((int)route->n_entries, pool->conf.entries_max);
+	return pool->conf.connections / MAX(divisor, 1);
+}
+
+void route_ep_failed(const route_t *route, route_ep_t *ep, int64_t now)
+{
+	int64_t hold;
+
+	ep->failures++;
+	if (ep->health == HEALTH_OK && ep->failures < EJECT_FAILURES)
+		return;
+	if (ep->health == HEALTH_EJECTED)
+		return;
+	if (!may_eject(ep->pool)) {
+		set_health(route, ep, HEALTH_TRIAL);
+		return;
+	}
+	hold = EJECT_US << MIN(ep->ejections, 5);
+	ep->ejections++;
+	ep->ejected_until = now + MIN(hold, EJECT_US_MAX);
+	set_health(route, ep, HEALTH_EJECTED);
+}
+
+void route_ep_worked(const route_t *route, route_ep_t *ep, int64_t now)
+{
+	ep->failures = 0;
+	if (ep->health == HEALTH_OK) {
+		if (ep->ejections && now - ep->ramp_from > EJECT_US_MAX)
+			ep->ejections = 0;
+		return;
+	}
+	ep->ramp_from = now;
+	set_health(route, ep, HEALTH_OK);
+}
+
+/* A pool that shrank takes ejected endpoints back on trial. */
+void route_ep_readmit(route_pool_t *pool)
+{
+	int out = ejected(pool);
+
+	for (guint i = 0; !within(pool, out) && i < pool->eps->len; i++) {
+		route_ep_t *ep = pool->eps->pdata[i];
+
+		if (!route_ep_usable(ep) || ep->health != HEALTH_EJECTED)
+			continue;
+		ep->health = HEALTH_TRIAL;
+		out--;
+	}
+}
+
+static candidate_t best_of(route_t *route, route_pool_t *pool, bool near,
+			   const route_request_t *req, int64_t now)
+{
+	const GPtrArray *eps = near ? pool->near : pool->far;
+	int sharing = near ? route->peers_near : (int)route->n_entries;
+	double quota = (double)pool->conf.slots / MAX(sharing, 1);
+	candidate_t best = { NULL, INFINITY, INFINITY };
+	guint at;
+
+	if (!eps->len)
+		return best;
+	quota *= route_limit_now(pool) / fmax(pool->share, 1.0);
+	at = base_rng_below(&route->rng, eps->len);
+	if (eps->len > SCAN_MAX) {
+		for (int draws = 0; draws < 2; draws++) {
+			route_ep_t *ep = eps->pdata[at];
+
+			if (has_room(route, ep, req, now))
+				consider(&best, ep, quota, now);
+			at = base_rng_below(&route->rng, eps->len);
+		}
+		if (best.ep)
+			return best;
+	}
+	for (guint i = 0; i < eps->len; i++) {
+		route_ep_t *ep = eps->pdata[at];
+
+		if (++at == eps->len)
+			at = 0;
+		if (has_room(route, ep, req, now))
+			consider(&best, ep, quota, now);
+		if (best.ep && eps->len > SCAN_MAX)
+			break;
+	}
+	return best;
+}
+
+static void consider(candidate_t *best, route_ep_t *ep, double quota,
+		     int64_t now)
+{
+	double load = (ep->running + 1) / (quota * ramp(ep, now));
+	double cost = load;
+
+	if (ep->latency_us > 0.0 && ep->pool->run_us > 0.0)
+		cost *= CLAMP(ep->latency_us / ep->pool->run_us, 0.5, 4.0);
+	if (cost < best->cost)
+		*best = (candidate_t){ ep, load, cost };
+}
+
+static bool has_room(const route_t *route, route_ep_t *ep,
+		     const route_request_t *req, int64_t now)
+{
+	if (ep == req->tried[0] || ep == req->tried[1])
+		return false;
+	if (ep->running >= route_conn_share(route, ep->pool, now))
+		return false;
+	if (ep->health == HEALTH_EJECTED && now >= ep->ejected_until)
+		set_health(route, ep, HEALTH_TRIAL);
+	if (ep->health == HEALTH_TRIAL)
+		return !ep->running;
+	return ep->health == HEALTH_OK;
+}
+
+static void set_health(const route_t *route, route_ep_t *ep,
+		       route_health_t health)
+{
+	ep->health = health;
+	route_limit_share(route, ep->pool);
+}
+
+/* Slow start: the part of its load that a returning endpoint gets. */
+static double ramp(route_ep_t *ep, int64_t now)
+{
+	double part;
+
+	if (!ep->ramp_from)
+		return 1.0;
+	part = (double)(now - ep->ramp_from) / RAMP_US;
+	return CLAMP(part, RAMP_MIN, 1.0);
+}
+
+/* Ejection leaves a part of the pool, and one endpoint at the least. */
+static bool may_eject(const route_pool_t *pool)
+{
+	return within(pool, ejected(pool) + 1);
+}
+
+static int ejected(const route_pool_t *pool)
+{
+	int out = 0;
+
+	for (guint i = 0; i < pool->eps->len; i++) {
+		const route_ep_t *ep = pool->eps->pdata[i];
+
+		out += route_ep_usable(ep) && ep->health == HEALTH_EJECTED;
+	}
+	return out;
+}
+
+static bool within(const route_pool_t *pool, int out)
+{
+	int all = (int)(pool->near->len + pool->far->len);
+
+	return !out || (out < all && out <= EJECT_FRACTION * all);
+}
--- /dev/null
+++ b/packages/route/route_stats.c
@@ -0,0 +1,157 @@
+#include "route_int.h"
+
+#define RUN_WEIGHT 0.05 /* of the newest answer in a class's mean */
+
+static const char *const outcomes[ROUTE_OUTCOME_MAX] = {
+	[ROUTE_ANSWERED] = "answered",
+	[ROUTE_NOT_RUN] = "not-run",
+	[ROUTE_UNKNOWN] = "unknown",
+};
+
+static const char *const reasons[ROUTE_REASON_MAX] = {
+	[ROUTE_REASON_NONE] = "none",
+	[ROUTE_REASON_UNCONFIGURED] = "unconfigured",
+	[ROUTE_REASON_NO_ENDPOINT] = "no-endpoint",
+	[ROUTE_REASON_QUEUE_FULL] = "queue-full",
+	[ROUTE_REASON_WAIT] = "wait-too-long",
+	[ROUTE_REASON_DEADLINE] = "deadline",
+	[ROUTE_REASON_REFUSED] = "endpoint-refused",
+	[ROUTE_REASON_CONNECT] = "connect-failed",
+	[ROUTE_REASON_FAILED] = "endpoint-failed",
+	[ROUTE_REASON_CUT_SHORT] = "cut-short",
+	[ROUTE_REASON_TIMEOUT] = "timeout",
+	[ROUTE_REASON_CANCELLED] = "cancelled",
+};
+
+static void visit_flows(const route_class_t *cls,
+			void (*visit)(void *, const route_group_stats_t *),
+			void *arg);
+
+const char *route_outcome_name(route_outcome_t outcome)
+{
+	return outcomes[outcome];
+}
+
+const char *route_reason_name(route_reason_t reason)
+{
+	return reasons[reason];
+}
+
+void route_count_submit(route_request_t *req)
+{
+	req->cls->counts.submitted++;
+	req->flow->counts.submitted++;
+	req->flow->caller->counts.submitted++;
+}
+
+void route_count_start(route_request_t *req, int64_t now)
+{
+	req->cls->counts.attempts++;
+	req->flow->counts.attempts++;
+	req->flow->caller->counts.attempts++;
+	if (req->attempts > 1)
+		return;
+	base_hist_add(req->cls->wait, now - req->submitted);
+	base_hist_add(req->flow->caller->wait, now - req->submitted);
+}
+
+void route_count_run(route_request_t *req, int64_t us)
+{
+	route_class_t *cls = req->cls;
+	double part = cls->run_us > 0.0 ? RUN_WEIGHT : 1.0;
+
+	cls->run_us += part * ((double)us - cls->run_us);
+	base_hist_add(cls->run, us);
+	base_hist_add(req->flow->caller->run, us);
+}
+
+void route_count_end(route_request_t *req, const route_end_t *end)
+{
+	route_counts_t *counts[] = { &req->cls->counts, &req->flow->counts,
+				     &req->flow->caller->counts };
+
+	for (size_t i = 0; i < ARRAY_SIZE(counts); i++) {
+		counts[i]->outcome[end->outcome]++;
+		counts[i]->reason[end->reason]++;
+	}
+}
+
+void route_each_pool(const route_t *route, int64_t now,
+		     void (*visit)(void *, const route_pool_stats_t *),
+		     void *arg)
+{
+	for (guint i = 0; i < route->pools->len; i++) {
+		const route_pool_t *pool = route->pools->pdata[i];
+		route_pool_stats_t stats = {
+			.name = pool->conf.name,
+			.live = (int)(pool->near->len + pool->far->len),
+			.running = pool->running,
+			.queued = pool->queued,
+			.queued_bytes = pool->queued_bytes,
+			.limit = pool->limit,
+			.connections = route_conn_share(route, pool, now),
+			.retries = pool->retries,
+			.retries_denied = pool->retries_denied,
+		};
+
+		if (pool->retired)
+			continue;
+		for (guint k = 0; k < pool->eps->len; k++) {
+			const route_ep_t *ep = pool->eps->pdata[k];
+
+			stats.ejected += route_ep_usable(ep) &&
+					 ep->health == HEALTH_EJECTED;
+		}
+		visit(arg, &stats);
+	}
+}
+
+void route_each_group(const route_t *route,
+		      void (*visit)(void *, const route_group_stats_t *),
+		      void *arg)
+{
+	for (guint i = 0; i < route->callers->len; i++) {
+		const route_caller_t *caller = route->callers->pdata[i];
+		route_group_stats_t stats = {
+			.caller = caller->name,
+			.counts = &caller->counts,
+			.wait = caller->wait,
+			.run = caller->run,
+		};
+
+		if (caller->counts.submitted)
+			visit(arg, &stats);
+	}
+	for (guint i = 0; i < route->classes->len; i++) {
+		const route_class_t *cls = route->classes->pdata[i];
+		route_group_stats_t stats = {
+			.pool = cls->conf.pool,
+			.cls = cls->conf.name,
+			.counts = &cls->counts,
+			.wait = cls->wait,
+			.run = cls->run,
+		};
+
+		visit(arg, &stats);
+		visit_flows(cls, visit, arg);
+	}
+}
+
+static void visit_flows(const route_class_t *cls,
+			void (*visit)(void *, const route_group_stats_t *),
+			void *arg)
+{
+	for (size_t i = 0; i < cls->n_flows; i++) {
+		const route_flow_t *flow = cls->flows[i];
+		route_group_stats_t stats = {
+			.pool = cls->conf.pool,
+			.cls = cls->conf.name,
+		};
+
+		if (!flow)
+			continue;
+		stats.caller = flow->caller->name;
+		stats.counts = &flow->counts;
+		visit(arg, &stats);
+	}
+}
--- /dev/null
+++ b/packages/route/tests/route_test.c
@@ -0,0 +1,239 @@
+#include "route.h"
+
+#define SEC BASE_SEC
+
+typedef struct world {
+	route_t *route;
+	route_request_t *started[64];
+	const char *where[64];
+	int starts;
+	int ends;
+	route_end_t last;
+	int64_t now;
+} world_t;
+
+static void on_start(void *arg, route_request_t *req,
+		     const route_endpoint_t *ep, int attempt)
+{
+	world_t *w = arg;
+
+	g_assert_cmpint(attempt, ==, req->attempts);
+	w->started[w->starts % 64] = req;
+	w->where[w->starts % 64] = ep->instance;
+	w->starts++;
+}
+
+static void on_end(void *arg, route_request_t *req, const route_end_t *end)
+{
+	world_t *w = arg;
+
+	g_assert_nonnull(req);
+	w->ends++;
+	w->last = *end;
+}
+
+static const route_ops_t ops = { on_start, on_end };
+
+static const route_endpoint_t three[] = {
+	{ "a", 1, "z1", "127.0.0.1:1", ROUTE_LIVE },
+	{ "b", 1, "z2", "127.0.0.1:2", ROUTE_LIVE },
+	{ "c", 1, "z3", "127.0.0.1:3", ROUTE_LIVE },
+};
+
+static void setup(world_t *w, int slots, int queue_max)
+{
+	const route_options_t opt = { .ops = &ops,
+				      .arg = w,
+				      .entry = "e1",
+				      .zone = "z1",
+				      .seed = 1,
+				      .held_max = 50,
+				      .bytes_max = 1 << 20 };
+	const route_pool_conf_t pool = { .name = "desk",
+					 .slots = slots,
+					 .connections = 64,
+					 .entries_max = 8,
+					 .queue_max = queue_max,
+					 .bytes_max = 1000 };
+	const route_class_conf_t classes[] = {
+		{ "low", "desk", 1, 1.0, true, 2 * SEC },
+		{ "high", "desk", 2, 1.0, false, 2 * SEC },
+	};
+	const route_caller_conf_t callers[] = { { "ann", 1 }, { "bob", 2 } };
+	const route_conf_t conf = { &pool, 1, classes, 2, callers, 2 };
+	const route_entry_t self = { "e1", "z1" };
+
+	*w = (world_t){ .now = SEC };
+	w->route = route_new(NULL, &opt);
+	route_configure(w->route, &conf, w->now);
+	route_entries(w->route, &self, 1, w->now);
+	g_assert_true(
+		route_view(w->route, BASE_STR("desk"), 1, three, 3, w->now));
+}
+
+static void submit(world_t *w, route_request_t *req, const char *cls)
+{
+	*req = (route_request_t){ .bytes = 10 };
+	req->class_id =
+		route_find_class(w->route, BASE_STR("desk"), base_str(cls));
+	g_assert_cmpint(req->class_id, >=, 0);
+	req->repeatable = route_class_conf(w->route, req->class_id)->repeatable;
+	route_submit(w->route, req, w->now);
+}
+
+static void test_truth(void)
+{
+	/* result of the only attempt of a request that may not repeat */
+	static const struct {
+		route_result_t result;
+		route_outcome_t outcome;
+		int starts;
+	} cases[] = {
+		{ ROUTE_RESULT_ANSWERED, ROUTE_ANSWERED, 1 },
+		{ ROUTE_RESULT_ERROR, ROUTE_ANSWERED, 1 },
+		{ ROUTE_RESULT_FAILED, ROUTE_UNKNOWN, 1 },
+		{ ROUTE_RESULT_CUT_SHORT, ROUTE_UNKNOWN, 1 },
+		{ ROUTE_RESULT_TIMEOUT, ROUTE_UNKNOWN, 1 },
+		{ ROUTE_RESULT_CANCELLED, ROUTE_UNKNOWN, 1 },
+		{ ROUTE_RESULT_REFUSED, ROUTE_NOT_RUN, 3 },
+		{ ROUTE_RESULT_CONNECT_FAILED, ROUTE_NOT_RUN, 3 },
+	};
+	route_request_t req;
+
+	for (size_t i = 0; i < ARRAY_SIZE(cases); i++) {
+		world_t w;
+
+		setup(&w, 8, 10);
+		submit(&w, &req, "high");
+		while (!w.ends)
+			route_done(w.route, &req, cases[i].result, w.now);
+		g_assert_cmpint(w.last.outcome, ==, cases[i].outcome);
+		g_assert_cmpint(w.starts, ==, cases[i].starts);
+		talloc_free(w.route);
+	}
+}
+
+static void test_maybe_ran_stays_unknown(void)
+{
+	route_request_t req;
+	world_t w;
+
+	setup(&w, 8, 10);
+	submit(&w, &req, "low");
+	route_done(w.route, &req, ROUTE_RESULT_FAILED, w.now);
+	g_assert_cmpint(w.starts, ==, 2);
+	route_done(w.route, &req, ROUTE_RESULT_REFUSED, w.now);
+	while (!w.ends)
+		route_done(w.route, &req, ROUTE_RESULT_REFUSED, w.now);
+	g_assert_cmpint(w.last.outcome, ==, ROUTE_UNKNOWN);
+	g_assert_cmpint(w.last.retry_after_ms, >, 0);
+	talloc_free(w.route);
+}
+
+static void test_leaving_is_not_undone(void)
+{
+	route_endpoint_t again[3] = { three[0], three[1], three[2] };
+	route_request_t req;
+	world_t w;
+
+	setup(&w, 8, 10);
+	for (int i = 0; i < 3; i++)
+		route_leaving(w.route, base_str(three[i].instance), 1, w.now);
+	submit(&w, &req, "low");
+	g_assert_cmpint(w.last.reason, ==, ROUTE_REASON_NO_ENDPOINT);
+	g_assert_false(
+		route_view(w.route, BASE_STR("desk"), 1, again, 3, w.now));
+	g_assert_true(
+		route_view(w.route, BASE_STR("desk"), 2, again, 3, w.now));
+	submit(&w, &req, "low");
+	g_assert_cmpint(w.starts, ==, 0);
+	again[1].incarnation = 2;
+	g_assert_true(
+		route_view(w.route, BASE_STR("desk"), 3, again, 3, w.now));
+	submit(&w, &req, "low");
+	g_assert_cmpint(w.starts, ==, 1);
+	g_assert_cmpstr(w.where[0], ==, "b");
+	talloc_free(w.route);
+}
+
+static void test_own_zone_first(void)
+{
+	route_request_t reqs[4];
+	world_t w;
+
+	setup(&w, 3, 10);
+	for (int i = 0; i < 4; i++)
+		submit(&w, &reqs[i], "low");
+	for (int i = 0; i < 3; i++)
+		g_assert_cmpstr(w.where[i], ==, "a");
+	g_assert_cmpstr(w.where[3], !=, "a");
+	talloc_free(w.route);
+}
+
+static void test_connections_widen_late(void)
+{
+	route_entry_t many[16];
+	world_t w;
+
+	setup(&w, 3, 10);
+	for (int i = 0; i < 16; i++)
+		many[i] = (route_entry_t){ "e1", "z1" };
+	g_assert_cmpint(route_connections(w.route, BASE_STR("desk"), w.now), ==,
+			8);
+	route_entries(w.route, many, 16, w.now);
+	g_assert_cmpint(route_connections(w.route, BASE_STR("desk"), w.now), ==,
+			4);
+	route_entries(w.route, many, 10, w.now);
+	route_entries(w.route, many, 10, w.now + 20 * SEC);
+	g_assert_cmpint(
+		route_connections(w.route, BASE_STR("desk"), w.now + 20 * SEC),
+		==, 4);
+	g_assert_cmpint(
+		route_connections(w.route, BASE_STR("desk"), w.now + 31 * SEC),
+		==, 6);
+	talloc_free(w.route);
+}
+
+static void test_probes_are_shared(void)
+{
+	const route_entry_t peers[] = { { "e1", "z1" },
+					{ "e2", "z1" },
+					{ "e3", "z2" } };
+	const route_endpoint_t *due[64];
+	route_endpoint_t many[60];
+	char names[60][8];
+	size_t n;
+	world_t w;
+
+	setup(&w, 3, 10);
+	for (int i = 0; i < 60; i++) {
+		snprintf(names[i], sizeof(names[i]), "i%d", i);
+		many[i] = (route_endpoint_t){ names[i], 1, "z1", "x",
+					      ROUTE_LIVE };
+	}
+	route_entries(w.route, peers, 3, w.now);
+	route_view(w.route, BASE_STR("desk"), 2, many, 60, w.now);
+	g_assert_cmpuint(route_probe_due(w.route, w.now, due, 64), ==, 0);
+	w.now += ROUTE_PROBE_US;
+	n = route_probe_due(w.route, w.now, due, 64);
+	g_assert_cmpuint(n, >, 15);
+	g_assert_cmpuint(n, <, 45);
+	g_assert_cmpuint(route_probe_due(w.route, w.now, due, 64), ==, 0);
+	route_probe_done(w.route, base_str(due[0]->instance), 1,
+			 ROUTE_PROBE_LEAVING, w.now);
+	w.now += ROUTE_PROBE_US;
+	g_assert_cmpuint(route_probe_due(w.route, w.now, due, 64), ==, n - 1);
+	talloc_free(w.route);
+}
+
+int main(int argc, char **argv)
+{
+	g_test_init(&argc, &argv, NULL);
+	g_test_add_func("/route/truth", test_truth);
+	g_test_add_func("/route/maybe-ran", test_maybe_ran_stays_unknown);
+	g_test_add_func("/route/leaving", test_leaving_is_not_undone);
+	g_test_add_func("/route/own-zone", test_own_zone_first);
+	g_test_add_func("/route/connections", test_connections_widen_late);
+	g_test_add_func("/route/probes", test_probes_are_shared);
+	return g_test_run();
+}
