--- a/packages/fleet/tests/fleet_test.c
+++ b/packages/fleet/tests/fleet_test.c
@@ -300,7 +300,9 @@
 	talloc_free(fleet);
 }
 
-static void test_budget_check(void)
+/* Check the five pools on 13 racks of four after a change to one of them. */
+static fleet_refusal_t *check_with(size_t pool, uint32_t executors,
+				   uint32_t min_up, size_t refusals)
 {
 	fleet_pool_t pools[5];
 	fleet_rack_t racks[13];
@@ -311,28 +313,34 @@
 	memcpy(pools, five, sizeof(pools));
 	for (uint32_t r = 0; r < 13; r++)
 		racks[r] = (fleet_rack_t){ r % 3, 4 };
-	g_assert_cmpuint(fleet_budget_check(NULL, &site, &out), ==, 0);
-	talloc_free(out);
-	pools[0].min_up = 9;
-	g_assert_cmpuint(fleet_budget_check(NULL, &site, &out), ==, 1);
+	pools[pool].executors = executors;
+	pools[pool].min_up = min_up;
+	g_assert_cmpuint(fleet_budget_check(NULL, &site, &out), ==, refusals);
+	return out;
+}
+
+static void test_budget_check(void)
+{
+	fleet_refusal_t *out = check_with(0, 9, 9, 1);
+
 	g_assert_cmpint(out->kind, ==, FLEET_REFUSE_RACK);
 	g_assert_cmpuint(out->min_up, ==, 8);
 	g_assert_cmpuint(out->executors, ==, 10);
 	g_assert_nonnull(strstr(out->text, "set min_up to 8"));
 	talloc_free(out);
-	pools[0].min_up = 8; /* the spare pool lends one to drain */
-	g_assert_cmpuint(fleet_budget_check(NULL, &site, &out), ==, 0);
+	/* The spare pool lends one to drain. */
+	talloc_free(check_with(0, 9, 8, 0));
+	out = check_with(4, 8, 7, 1);
+	g_assert_cmpint(out->kind, ==, FLEET_REFUSE_DRAIN);
+	g_assert_cmpuint(out->min_up, ==, 6);
 	talloc_free(out);
-	pools[4].min_up = 7;
-	g_assert_cmpuint(fleet_budget_check(NULL, &site, &out), ==, 2);
-	g_assert_cmpint(out[0].kind, ==, FLEET_REFUSE_DRAIN);
-	g_assert_cmpuint(out[0].min_up, ==, 7);
-	talloc_free(out);
-	pools[2].executors = 20;
-	g_assert_cmpuint(fleet_budget_check(NULL, &site, &out), ==, 1);
+	out = check_with(2, 20, 9, 1);
 	g_assert_cmpint(out->kind, ==, FLEET_REFUSE_MACHINES);
 	g_assert_cmpuint(out->instances, ==, 6);
 	talloc_free(out);
+	out = check_with(1, 9, 0, 1);
+	g_assert_cmpint(out->kind, ==, FLEET_REFUSE_MIN_UP);
+	talloc_free(out);
 }
 
 static void test_explain(void)
--- a/packages/fleet/tests/fleet_world.h
+++ b/packages/fleet/tests/fleet_world.h
@@ -183,7 +183,7 @@
 		for (size_t i = 0; i < fleet_n_instances(w->entries[e].map);
 		     i++) {
 			fleet_inst_view(w->entries[e].map, i, &view);
-			if (strcmp(view.id, id) ||
+			if (strcmp(view.id, id) != 0 ||
 			    !fleet_state_serves(view.state))
 				continue;
 			if (!w->broken++)
