Budget the store's calls and hold duties by lease with a fence

Cause: an entry must not queue on a store that is down or slow, and a holder that was paused must not write after another took its duty.

Change: plat_guard (a rate for each purpose, one circuit with doubling, jittered pauses), plat_duty (lease, fencing token = create_revision of the duty's key, compared in the write's own transaction). The store's watch call is gone: a poll of one key every 500 ms costs two reads a second an entry, and CivetWeb's client cannot abandon a read, so that a waiting watch would hold up a planned stop.

--- a/packages/entry/entry_int.h
+++ b/packages/entry/entry_int.h
@@ -182,7 +182,7 @@
 	kern_t *kern;
 	entry_views_t *views;
 	entry_forward_t *forward;
-	plat_store_t *store;
+	plat_guard_t *guard; /* all calls to the store */
 	plat_list_t *list;
 	char incarnation[24]; /* of this process */
 	atomic_int draining;  /* planned stop has begun */
--- a/packages/entry/entry_operators.c
+++ b/packages/entry/entry_operators.c
@@ -14,6 +14,7 @@
 static int on_readyz(struct mg_connection *conn, void *arg);
 static int on_metrics(struct mg_connection *conn, void *arg);
 static int on_status(struct mg_connection *conn, void *arg);
+static void add_store_calls(base_buf_t *out, const entry_daemon_t *daemon);
 static json_t *pool_status(const entry_pool_t *pool);
 
 const kern_service_ops_t entry_operators_ops = { operators_start,
@@ -110,12 +111,32 @@
 	base_buf_adds(out, "# TYPE cactusfield_in_flight gauge\n");
 	base_buf_addf(out, "cactusfield_in_flight %d\n",
 		      atomic_load(&daemon->in_flight));
+	add_store_calls(out, daemon);
 	status = entry_operators_answer(conn, 200, "text/plain; version=0.0.4",
 					base_buf_str(out));
 	talloc_free(out);
 	return status;
 }
 
+static void add_store_calls(base_buf_t *out, const entry_daemon_t *daemon)
+{
+	base_buf_adds(out, "# TYPE cactusfield_store_calls_total counter\n");
+	for (int i = 0; i < PLAT_PURPOSE_MAX; i++) {
+		plat_purpose_t purpose = (plat_purpose_t)i;
+		plat_calls_t calls = plat_guard_calls(daemon->guard, purpose);
+		const uint64_t values[] = { calls.made, calls.failed,
+					    calls.refused };
+		const char *const names[] = { "made", "failed", "refused" };
+
+		for (size_t k = 0; k < ARRAY_SIZE(values); k++)
+			base_buf_addf(out,
+				      "cactusfield_store_calls_total{purpose="
+				      "\"%s\",result=\"%s\"} %llu\n",
+				      plat_purpose_name(purpose), names[k],
+				      (unsigned long long)values[k]);
+	}
+}
+
 static int on_status(struct mg_connection *conn, void *arg)
 {
 	entry_daemon_t *daemon = arg;
--- a/packages/entry/entry_platform.c
+++ b/packages/entry/entry_platform.c
@@ -55,14 +55,15 @@
 static void read_config(void *arg, int64_t now)
 {
 	entry_daemon_t *daemon = arg;
+	plat_store_t *store = plat_guard_store(daemon->guard, PLAT_FOR_CONFIG);
 	void *ctx = talloc_new(NULL);
 	GError *cause = NULL;
 	plat_kvs_t kvs;
 	bool read;
 
 	entry_forward_expire(daemon->forward, now);
-	read = daemon->store->ops->range(daemon->store, ctx, ENTRY_CONFIG_KEY,
-					 false, &kvs, &cause);
+	read = store->ops->range(store, ctx, ENTRY_CONFIG_KEY, false, &kvs,
+				 &cause);
 	if (read && kvs.count)
 		take_config(daemon, kvs.items[0].value);
 	note_reach(daemon, &daemon->store_down, read, BASE_MSG_STORE_DOWN,
--- a/packages/entry/entry_run.c
+++ b/packages/entry/entry_run.c
@@ -7,6 +7,7 @@
 static void block_signals(sigset_t *set);
 static entry_daemon_t *daemon_new(const entry_settings_t *settings,
 				  const base_log_t *log);
+static plat_guard_t *guard_new(const entry_daemon_t *daemon);
 static void drain(entry_daemon_t *daemon);
 
 int entry_run(const entry_settings_t *settings, const base_log_t *log)
@@ -60,13 +61,29 @@
 	daemon->kern = kern_new(daemon, log);
 	daemon->views = entry_views_new(daemon);
 	daemon->forward = entry_forward_new(daemon);
-	daemon->store = plat_etcd_new(daemon, &settings->store);
+	daemon->guard = guard_new(daemon);
 	daemon->list = plat_slices_new(daemon, &settings->list);
 	snprintf(daemon->incarnation, sizeof(daemon->incarnation), "%lld",
 		 (long long)base_clock_wall());
 	return daemon;
 }
 
+/* What this entry may ask of the store in a second, by purpose. */
+static plat_guard_t *guard_new(const entry_daemon_t *daemon)
+{
+	plat_guard_options_t options = {
+		.connect = plat_etcd_new,
+		.address = daemon->settings->store,
+		.calls_s = { [PLAT_FOR_CONFIG] = 4.0,
+			     [PLAT_FOR_FLEET] = 40.0,
+			     [PLAT_FOR_EPOCH] = 4.0,
+			     [PLAT_FOR_DUTY] = 4.0 },
+		.seed = (uint64_t)base_clock_wall(),
+	};
+
+	return plat_guard_new(daemon, &options);
+}
+
 /*
  * Look unready, go on serving until the balancer has seen it, then wait for
  * what is in flight.
--- a/packages/plat/plat.h
+++ b/packages/plat/plat.h
@@ -22,6 +22,11 @@
 
 #define PLAT_VALUE_MAX (1024 * 1024) /* bytes of one value */
 
+typedef struct plat_address {
+	const char *host; /* IP number */
+	int port;
+} plat_address_t;
+
 /*
  * One key of the store.  "mod_revision" is 0 when the key is absent.
  */
@@ -46,18 +51,29 @@
 	PLAT_CAS_MAX
 } plat_cas_t;
 
+/*
+ * One write.  It takes effect only if "key" still has the mod_revision
+ * "expected" (0: absent) and, where "fence_key" is set, that key still has
+ * the create_revision "fence_revision": so a duty's holder that was given up
+ * while it was paused cannot write any more.
+ */
+typedef struct plat_put {
+	const char *key;
+	base_str_t value;
+	int64_t expected;
+	int64_t lease;	       /* 0: none */
+	const char *fence_key; /* NULL: none */
+	int64_t fence_revision;
+} plat_put_t;
+
 typedef struct plat_store plat_store_t;
 
 typedef struct plat_store_ops {
 	/* All keys that begin with "prefix" (or the one key), below "ctx". */
 	bool (*range)(plat_store_t *store, const void *ctx, const char *key,
 		      bool prefix, plat_kvs_t *out, GError **err);
-	/*
-	 * Write "key" if its mod_revision still is "expected" (0: absent).
-	 * "lease" 0 is none.  "*revision" becomes the new mod_revision.
-	 */
-	plat_cas_t (*cas)(plat_store_t *store, const char *key,
-			  base_str_t value, int64_t expected, int64_t lease,
+	/* Write; "*revision" becomes the new mod_revision. */
+	plat_cas_t (*cas)(plat_store_t *store, const plat_put_t *put,
 			  int64_t *revision, GError **err);
 	/* A lease that ends "ttl_s" seconds after the last keep-alive. */
 	int64_t (*lease_grant)(plat_store_t *store, int64_t ttl_s,
@@ -65,13 +81,6 @@
 	/* False with PLAT_ERROR_BAD when the lease is gone. */
 	bool (*lease_keep)(plat_store_t *store, int64_t lease, GError **err);
 	bool (*lease_revoke)(plat_store_t *store, int64_t lease, GError **err);
-	/*
-	 * Wait until "key" changes after "revision" or "wait_us" is over.
-	 * True with "*changed" when an event came; the caller reads the key.
-	 */
-	bool (*watch)(plat_store_t *store, const char *key, bool prefix,
-		      int64_t revision, int64_t wait_us, bool *changed,
-		      GError **err);
 } plat_store_ops_t;
 
 /* An implementation begins with this. */
@@ -79,14 +88,110 @@
 	const plat_store_ops_t *ops;
 };
 
-typedef struct plat_address {
-	const char *host; /* IP number */
-	int port;
-} plat_address_t;
+/*
+ * plat_circuit - whether the store is worth a call now.
+ *
+ * After PLAT_CIRCUIT_FAILURES failures in a row calls are refused for a time
+ * that doubles up to a bound, with jitter, so that entries do not return all
+ * at once; then one call is let through.  Not thread-safe.
+ */
+#define PLAT_CIRCUIT_FAILURES 3
+#define PLAT_CIRCUIT_MIN_US (200 * BASE_MS)
+#define PLAT_CIRCUIT_MAX_US (5 * BASE_SEC)
+
+typedef struct plat_circuit {
+	int failures;	   /* in a row */
+	int64_t closed_at; /* no call before; 0: calls pass */
+	int64_t pause_us;
+	bool probing; /* one call is out to try */
+	base_rng_t rng;
+} plat_circuit_t;
+
+/* Whether a call may be made. */
+bool plat_circuit_allows(plat_circuit_t *circuit, int64_t now);
+
+/* Tell how an allowed call ended. */
+void plat_circuit_note(plat_circuit_t *circuit, bool answered, int64_t now);
+
+/*
+ * plat_guard - a store client with a budget.
+ *
+ * Each purpose has its own client over its own connection; all share the
+ * circuit.  A call over the purpose's rate or while the circuit is open fails
+ * at once with PLAT_ERROR_DOWN, so that nothing queues.
+ */
+typedef enum plat_purpose {
+	PLAT_FOR_CONFIG,
+	PLAT_FOR_FLEET,
+	PLAT_FOR_EPOCH,
+	PLAT_FOR_DUTY,
+	PLAT_PURPOSE_MAX
+} plat_purpose_t;
+
+typedef struct plat_guard plat_guard_t;
+
+typedef struct plat_guard_options {
+	/* A client below "ctx"; called once for each purpose. */
+	plat_store_t *(*connect)(const void *ctx, const plat_address_t *to);
+	plat_address_t address;
+	double calls_s[PLAT_PURPOSE_MAX]; /* bound; bursts of a second's worth
+					   */
+	uint64_t seed;			  /* of the jitter */
+} plat_guard_options_t;
+
+plat_guard_t *plat_guard_new(const void *ctx,
+			     const plat_guard_options_t *options);
+
+/* The client for that purpose; lives as long as the guard. */
+plat_store_t *plat_guard_store(plat_guard_t *guard, plat_purpose_t purpose);
+
+/* "config", "fleet", "epoch" or "duty". */
+const char *plat_purpose_name(plat_purpose_t purpose);
+
+typedef struct plat_calls {
+	uint64_t made;	  /* calls that reached the client */
+	uint64_t failed;  /* of them, without an answer */
+	uint64_t refused; /* by the budget or the circuit */
+} plat_calls_t;
+
+plat_calls_t plat_guard_calls(plat_guard_t *guard, plat_purpose_t purpose);
+
+/*
+ * plat_duty - a duty held by lease.
+ *
+ * The key /cactusfield/duty/NAME is bound to the holder's lease.  Its
+ * create_revision is the fencing token: a write with plat_duty_fence() takes
+ * effect only while the key is the one this holder made.
+ */
+typedef struct plat_duty plat_duty_t;
+
+typedef struct plat_duty_options {
+	plat_store_t *store;
+	const char *name;
+	const char *holder; /* who asks: entry and incarnation */
+	int64_t ttl_s;	    /* of the lease */
+} plat_duty_options_t;
+
+plat_duty_t *plat_duty_new(const void *ctx, const plat_duty_options_t *options);
+
+/*
+ * Take or keep the duty; call about three times in "ttl_s".  Returns whether
+ * it is held.
+ */
+bool plat_duty_tick(plat_duty_t *duty, int64_t now);
+
+/* Whether it surely is held at "now"; ends before the store's lease does. */
+bool plat_duty_held(const plat_duty_t *duty, int64_t now);
+
+/* Put the fence of this holding into "put". */
+void plat_duty_fence(const plat_duty_t *duty, plat_put_t *put);
+
+/* Give the duty up, so that another takes it at once. */
+void plat_duty_release(plat_duty_t *duty);
 
 /*
  * A client of etcd's JSON gateway below "ctx".  Calls of several threads are
- * served one after another; a watch uses a connection of its own.
+ * served one after another.
  */
 plat_store_t *plat_etcd_new(const void *ctx, const plat_address_t *address);
 
@@ -95,9 +200,8 @@
  * a value with the same bytes counts as written.  PLAT_CAS_FAILED remains
  * only when reading back fails too.
  */
-plat_cas_t plat_cas_sure(plat_store_t *store, const char *key, base_str_t value,
-			 int64_t expected, int64_t lease, int64_t *revision,
-			 GError **err);
+plat_cas_t plat_cas_sure(plat_store_t *store, const plat_put_t *put,
+			 int64_t *revision, GError **err);
 
 /* The JSON answer to a GET of "path"; the caller releases it. */
 struct json_t *plat_get_json(const plat_address_t *address, const char *path,
--- a/packages/plat/plat_cas.c
+++ b/packages/plat/plat_cas.c
@@ -2,14 +2,12 @@
 
 G_DEFINE_QUARK(plat_error, plat_error)
 
-plat_cas_t plat_cas_sure(plat_store_t *store, const char *key, base_str_t value,
-			 int64_t expected, int64_t lease, int64_t *revision,
-			 GError **err)
+plat_cas_t plat_cas_sure(plat_store_t *store, const plat_put_t *put,
+			 int64_t *revision, GError **err)
 {
 	GError *cause = NULL;
 	plat_kvs_t kvs;
-	plat_cas_t done = store->ops->cas(store, key, value, expected, lease,
-					  revision, &cause);
+	plat_cas_t done = store->ops->cas(store, put, revision, &cause);
 	void *ctx;
 
 	if (done != PLAT_CAS_FAILED)
@@ -19,10 +17,10 @@
 		return done;
 	}
 	ctx = talloc_new(NULL);
-	if (store->ops->range(store, ctx, key, false, &kvs, err)) {
+	if (store->ops->range(store, ctx, put->key, false, &kvs, err)) {
 		bool ours = kvs.count == 1 &&
-			    base_str_eq(kvs.items[0].value, value) &&
-			    kvs.items[0].mod_revision > expected;
+			    base_str_eq(kvs.items[0].value, put->value) &&
+			    kvs.items[0].mod_revision > put->expected;
 
 		done = ours ? PLAT_CAS_DONE : PLAT_CAS_CONFLICT;
 		*revision = kvs.count ? kvs.items[0].mod_revision : 0;
--- a/packages/plat/plat_etcd.c
+++ b/packages/plat/plat_etcd.c
@@ -7,23 +7,19 @@
 
 typedef struct plat_etcd {
 	plat_store_t store;
-	plat_http_t *http;  /* under lock */
-	plat_http_t *watch; /* only opens streams */
+	plat_http_t *http; /* under lock */
 	pthread_mutex_t lock;
 } plat_etcd_t;
 
 static bool etcd_range(plat_store_t *store, const void *ctx, const char *key,
 		       bool prefix, plat_kvs_t *out, GError **err);
-static plat_cas_t etcd_cas(plat_store_t *store, const char *key,
-			   base_str_t value, int64_t expected, int64_t lease,
+static plat_cas_t etcd_cas(plat_store_t *store, const plat_put_t *put,
 			   int64_t *revision, GError **err);
+static json_t *compare_of(const plat_put_t *put);
 static int64_t etcd_lease_grant(plat_store_t *store, int64_t ttl_s,
 				GError **err);
 static bool etcd_lease_keep(plat_store_t *store, int64_t lease, GError **err);
 static bool etcd_lease_revoke(plat_store_t *store, int64_t lease, GError **err);
-static bool etcd_watch(plat_store_t *store, const char *key, bool prefix,
-		       int64_t revision, int64_t wait_us, bool *changed,
-		       GError **err);
 static int free_etcd(plat_etcd_t *etcd);
 static json_t *call(plat_etcd_t *etcd, const char *path, json_t *request,
 		    GError **err);
@@ -33,7 +29,6 @@
 static int64_t number_of(const json_t *object, const char *key);
 static base_str_t bytes_of(const void *ctx, const json_t *object,
 			   const char *key);
-static bool event_in(struct mg_connection *conn, int64_t until, bool *changed);
 
 static const plat_store_ops_t etcd_ops = {
 	.range = etcd_range,
@@ -41,7 +36,6 @@
 	.lease_grant = etcd_lease_grant,
 	.lease_keep = etcd_lease_keep,
 	.lease_revoke = etcd_lease_revoke,
-	.watch = etcd_watch,
 };
 
 plat_store_t *plat_etcd_new(const void *ctx, const plat_address_t *address)
@@ -50,7 +44,6 @@
 
 	etcd->store.ops = &etcd_ops;
 	etcd->http = plat_http_new(etcd, address);
-	etcd->watch = plat_http_new(etcd, address);
 	pthread_mutex_init(&etcd->lock, NULL);
 	talloc_set_destructor(etcd, free_etcd);
 	return &etcd->store;
@@ -93,16 +86,15 @@
 	return true;
 }
 
-static plat_cas_t etcd_cas(plat_store_t *store, const char *key,
-			   base_str_t value, int64_t expected, int64_t lease,
+static plat_cas_t etcd_cas(plat_store_t *store, const plat_put_t *put,
 			   int64_t *revision, GError **err)
 {
-	json_t *k = base64_of(key, strlen(key));
-	json_t *request = json_pack(
-		"{s:[{s:o,s:s,s:s,s:o}],s:[{s:{s:O,s:o,s:o}}]}", "compare",
-		"mod_revision", number(expected), "target", "MOD", "result",
-		"EQUAL", "key", k, "success", "requestPut", "key", k, "value",
-		base64_of(value.ptr, value.len), "lease", number(lease));
+	json_t *request =
+		json_pack("{s:o,s:[{s:{s:o,s:o,s:o}}]}", "compare",
+			  compare_of(put), "success", "requestPut", "key",
+			  base64_of(put->key, strlen(put->key)), "value",
+			  base64_of(put->value.ptr, put->value.len), "lease",
+			  number(put->lease));
 	json_t *answer = call((plat_etcd_t *)store, "/v3/kv/txn", request, err);
 	bool done;
 
@@ -114,6 +106,26 @@
 	return done ? PLAT_CAS_DONE : PLAT_CAS_CONFLICT;
 }
 
+static json_t *compare_of(const plat_put_t *put)
+{
+	json_t *list = json_array();
+
+	json_array_append_new(list,
+			      json_pack("{s:o,s:s,s:s,s:o}", "key",
+					base64_of(put->key, strlen(put->key)),
+					"target", "MOD", "result", "EQUAL",
+					"mod_revision", number(put->expected)));
+	if (put->fence_key)
+		json_array_append_new(
+			list, json_pack("{s:o,s:s,s:s,s:o}", "key",
+					base64_of(put->fence_key,
+						  strlen(put->fence_key)),
+					"target", "CREATE", "result", "EQUAL",
+					"create_revision",
+					number(put->fence_revision)));
+	return list;
+}
+
 static int64_t etcd_lease_grant(plat_store_t *store, int64_t ttl_s,
 				GError **err)
 {
@@ -150,62 +162,6 @@
 	return answer != NULL;
 }
 
-static bool etcd_watch(plat_store_t *store, const char *key, bool prefix,
-		       int64_t revision, int64_t wait_us, bool *changed,
-		       GError **err)
-{
-	plat_etcd_t *etcd = (plat_etcd_t *)store;
-	json_t *create = json_object(), *request;
-	struct mg_connection *conn;
-	char *body;
-
-	json_object_set_new(create, "key", base64_of(key, strlen(key)));
-	if (prefix)
-		json_object_set_new(create, "range_end", range_end_of(key));
-	json_object_set_new(create, "start_revision", number(revision + 1));
-	request = json_pack("{s:o}", "create_request", create);
-	body = json_dumps(request, JSON_COMPACT);
-	json_decref(request);
-	conn = plat_http_stream(etcd->watch, "/v3/watch", body, err);
-	free(body);
-	*changed = false;
-	if (!conn)
-		return false;
-	if (!event_in(conn, base_clock_mono() + wait_us, changed))
-		g_set_error(err, PLAT_ERROR, PLAT_ERROR_DOWN,
-			    "the watch ended");
-	mg_close_connection(conn);
-	return *changed || !err || !*err;
-}
-
-/* Read lines until one carries events.  False when the stream breaks. */
-static bool event_in(struct mg_connection *conn, int64_t until, bool *changed)
-{
-	base_buf_t *line = base_buf_new(NULL);
-	bool whole = true;
-	char byte;
-
-	while (!*changed && base_clock_mono() < until) {
-		json_t *root;
-
-		if (mg_read(conn, &byte, 1) != 1) {
-			whole = false;
-			break;
-		}
-		base_buf_add(line, &byte, 1);
-		if (byte != '\n')
-			continue;
-		root = json_loadb(line->ptr, line->len, 0, NULL);
-		*changed =
-			json_array_size(json_object_get(
-				json_object_get(root, "result"), "events")) > 0;
-		json_decref(root);
-		base_buf_reset(line);
-	}
-	talloc_free(line);
-	return whole;
-}
-
 /* Takes over "request". */
 static json_t *call(plat_etcd_t *etcd, const char *path, json_t *request,
 		    GError **err)
--- /dev/null
+++ b/packages/plat/plat_guard.c
@@ -0,0 +1,219 @@
+#include "plat_int.h"
+
+typedef struct guarded {
+	plat_store_t store; /* what callers hold */
+	plat_guard_t *guard;
+	plat_purpose_t purpose;
+	plat_store_t *inner;
+	double tokens;
+	int64_t filled_at;
+	plat_calls_t calls;
+} guarded_t;
+
+struct plat_guard {
+	pthread_mutex_t lock; /* of circuit, tokens and counts */
+	plat_circuit_t circuit;
+	double calls_s[PLAT_PURPOSE_MAX];
+	guarded_t stores[PLAT_PURPOSE_MAX];
+};
+
+static bool guard_range(plat_store_t *store, const void *ctx, const char *key,
+			bool prefix, plat_kvs_t *out, GError **err);
+static plat_cas_t guard_cas(plat_store_t *store, const plat_put_t *put,
+			    int64_t *revision, GError **err);
+static int64_t guard_grant(plat_store_t *store, int64_t ttl_s, GError **err);
+static bool guard_keep(plat_store_t *store, int64_t lease, GError **err);
+static bool guard_revoke(plat_store_t *store, int64_t lease, GError **err);
+static bool enter(guarded_t *g, GError **err);
+static void leave(guarded_t *g, const GError *cause);
+static bool take_token(guarded_t *g, int64_t now);
+static int free_guard(plat_guard_t *guard);
+
+static const plat_store_ops_t guard_ops = {
+	.range = guard_range,
+	.cas = guard_cas,
+	.lease_grant = guard_grant,
+	.lease_keep = guard_keep,
+	.lease_revoke = guard_revoke,
+};
+
+static const char *const purpose_names[PLAT_PURPOSE_MAX] = {
+	[PLAT_FOR_CONFIG] = "config",
+	[PLAT_FOR_FLEET] = "fleet",
+	[PLAT_FOR_EPOCH] = "epoch",
+	[PLAT_FOR_DUTY] = "duty",
+};
+
+plat_guard_t *plat_guard_new(const void *ctx,
+			     const plat_guard_options_t *options)
+{
+	plat_guard_t *guard = talloc_zero(ctx, plat_guard_t);
+
+	pthread_mutex_init(&guard->lock, NULL);
+	guard->circuit.rng.state = options->seed;
+	for (int i = 0; i < PLAT_PURPOSE_MAX; i++) {
+		guarded_t *g = &guard->stores[i];
+
+		guard->calls_s[i] = options->calls_s[i];
+		g->store.ops = &guard_ops;
+		g->guard = guard;
+		g->purpose = (plat_purpose_t)i;
+		g->tokens = options->calls_s[i];
+		g->inner = options->connect(guard, &options->address);
+	}
+	talloc_set_destructor(guard, free_guard);
+	return guard;
+}
+
+plat_store_t *plat_guard_store(plat_guard_t *guard, plat_purpose_t purpose)
+{
+	return &guard->stores[purpose].store;
+}
+
+const char *plat_purpose_name(plat_purpose_t purpose)
+{
+	return purpose_names[purpose];
+}
+
+plat_calls_t plat_guard_calls(plat_guard_t *guard, plat_purpose_t purpose)
+{
+	plat_calls_t calls;
+
+	pthread_mutex_lock(&guard->lock);
+	calls = guard->stores[purpose].calls;
+	pthread_mutex_unlock(&guard->lock);
+	return calls;
+}
+
+static int free_guard(plat_guard_t *guard)
+{
+	pthread_mutex_destroy(&guard->lock);
+	return 0;
+}
+
+static bool guard_range(plat_store_t *store, const void *ctx, const char *key,
+			bool prefix, plat_kvs_t *out, GError **err)
+{
+	guarded_t *g = (guarded_t *)store;
+	GError *cause = NULL;
+	bool done;
+
+	if (!enter(g, err))
+		return false;
+	done = g->inner->ops->range(g->inner, ctx, key, prefix, out, &cause);
+	leave(g, cause);
+	if (cause)
+		g_propagate_error(err, cause);
+	return done;
+}
+
+static plat_cas_t guard_cas(plat_store_t *store, const plat_put_t *put,
+			    int64_t *revision, GError **err)
+{
+	guarded_t *g = (guarded_t *)store;
+	GError *cause = NULL;
+	plat_cas_t done;
+
+	if (!enter(g, err))
+		return PLAT_CAS_FAILED;
+	done = g->inner->ops->cas(g->inner, put, revision, &cause);
+	leave(g, cause);
+	if (cause)
+		g_propagate_error(err, cause);
+	return done;
+}
+
+static int64_t guard_grant(plat_store_t *store, int64_t ttl_s, GError **err)
+{
+	guarded_t *g = (guarded_t *)store;
+	GError *cause = NULL;
+	int64_t lease;
+
+	if (!enter(g, err))
+		return 0;
+	lease = g->inner->ops->lease_grant(g->inner, ttl_s, &cause);
+	leave(g, cause);
+	if (cause)
+		g_propagate_error(err, cause);
+	return lease;
+}
+
+static bool guard_keep(plat_store_t *store, int64_t lease, GError **err)
+{
+	guarded_t *g = (guarded_t *)store;
+	GError *cause = NULL;
+	bool kept;
+
+	if (!enter(g, err))
+		return false;
+	kept = g->inner->ops->lease_keep(g->inner, lease, &cause);
+	leave(g, cause);
+	if (cause)
+		g_propagate_error(err, cause);
+	return kept;
+}
+
+static bool guard_revoke(plat_store_t *store, int64_t lease, GError **err)
+{
+	guarded_t *g = (guarded_t *)store;
+	GError *cause = NULL;
+	bool done;
+
+	if (!enter(g, err))
+		return false;
+	done = g->inner->ops->lease_revoke(g->inner, lease, &cause);
+	leave(g, cause);
+	if (cause)
+		g_propagate_error(err, cause);
+	return done;
+}
+
+static bool enter(guarded_t *g, GError **err)
+{
+	int64_t now = base_clock_mono();
+	bool allowed;
+
+	pthread_mutex_lock(&g->guard->lock);
+	allowed = take_token(g, now) &&
+		  plat_circuit_allows(&g->guard->circuit, now);
+	if (allowed)
+		g->calls.made++;
+	else
+		g->calls.refused++;
+	pthread_mutex_unlock(&g->guard->lock);
+	if (!allowed)
+		g_set_error(err, PLAT_ERROR, PLAT_ERROR_DOWN,
+			    "store call for %s held back",
+			    purpose_names[g->purpose]);
+	return allowed;
+}
+
+/* An answer that refuses is an answer too. */
+static void leave(guarded_t *g, const GError *cause)
+{
+	bool answered =
+		!cause || g_error_matches(cause, PLAT_ERROR, PLAT_ERROR_BAD);
+
+	pthread_mutex_lock(&g->guard->lock);
+	if (!answered)
+		g->calls.failed++;
+	plat_circuit_note(&g->guard->circuit, answered, base_clock_mono());
+	pthread_mutex_unlock(&g->guard->lock);
+}
+
+static bool take_token(guarded_t *g, int64_t now)
+{
+	double rate = g->guard->calls_s[g->purpose];
+	double burst = rate < 1.0 ? 1.0 : rate;
+
+	if (g->filled_at)
+		g->tokens +=
+			rate * (double)(now - g->filled_at) / (double)BASE_SEC;
+	g->filled_at = now;
+	if (g->tokens > burst)
+		g->tokens = burst;
+	if (g->tokens < 1.0)
+		return false;
+	g->tokens -= 1.0;
+	return true;
+}
--- a/packages/plat/plat_http.c
+++ b/packages/plat/plat_http.c
@@ -53,24 +53,6 @@
 	return root;
 }
 
-struct mg_connection *plat_http_stream(plat_http_t *http, const char *path,
-				       const char *body, GError **err)
-{
-	char text[ERROR_TEXT_MAX];
-	struct mg_connection *conn;
-
-	if (!connect_to(http, &conn, err))
-		return NULL;
-	if (send_request(http, conn, path, body) &&
-	    mg_get_response(conn, text, sizeof(text), PLAT_TIMEOUT_MS) >= 0 &&
-	    mg_get_response_info(conn)->status_code == 200)
-		return conn;
-	mg_close_connection(conn);
-	g_set_error(err, PLAT_ERROR, PLAT_ERROR_DOWN, "%s:%d opened no stream",
-		    http->host, http->port);
-	return NULL;
-}
-
 json_t *plat_get_json(const plat_address_t *address, const char *path,
 		      GError **err)
 {
--- a/packages/plat/plat_int.h
+++ b/packages/plat/plat_int.h
@@ -29,11 +29,4 @@
 json_t *plat_http_call(plat_http_t *http, const char *path, const char *body,
 		       GError **err);
 
-/*
- * Open a streaming call on a fresh connection: its header has come, the body
- * is read with mg_read().  The caller closes it.
- */
-struct mg_connection *plat_http_stream(plat_http_t *http, const char *path,
-				       const char *body, GError **err);
-
 #endif
--- a/packages/tool/tool_approve.c
+++ b/packages/tool/tool_approve.c
@@ -71,6 +71,7 @@
 	int64_t generation = 0, revision = 0, written = 0;
 	const char *change = "";
 	GError *cause = NULL;
+	plat_put_t put = { 0 };
 	plat_cas_t done;
 	char *record;
 	int status;
@@ -89,8 +90,10 @@
 		g_clear_error(&cause);
 		return TOOL_REFUSED;
 	}
-	done = plat_cas_sure(a->store, TOOL_CONFIG_KEY, base_str(record),
-			     revision, 0, &written, &cause);
+	put.key = TOOL_CONFIG_KEY;
+	put.value = base_str(record);
+	put.expected = revision;
+	done = plat_cas_sure(a->store, &put, &written, &cause);
 	return report(a, done, a->base + 1, cause);
 }
 
--- a/standin/standin_store.c
+++ b/standin/standin_store.c
@@ -58,6 +58,7 @@
 static int on_calls(struct mg_connection *conn, void *arg);
 static json_t *do_range(const json_t *request);
 static json_t *do_txn(const json_t *request);
+static bool holds(const json_t *compare);
 static json_t *do_grant(const json_t *request);
 static json_t *do_keep(const json_t *request);
 static json_t *do_revoke(const json_t *request);
@@ -209,16 +210,14 @@
 
 static json_t *do_txn(const json_t *request)
 {
-	json_t *compare =
-		json_array_get(json_object_get(request, "compare"), 0);
 	json_t *op = json_object_get(
 		json_array_get(json_object_get(request, "success"), 0),
 		"requestPut");
 	char *key = text_of(op, "key", NULL);
-	record_t *now = key ? g_tree_lookup(store.records, key) : NULL;
 	int64_t lease = number_of(op, "lease");
-	bool same = number_of(compare, "mod_revision") == (now ? now->mod : 0);
-	size_t len = 0;
+	bool same = true;
+	json_t *compare;
+	size_t len = 0, i;
 	char *value = text_of(op, "value", &len);
 
 	if (!key || !value ||
@@ -227,6 +226,8 @@
 		g_free(value);
 		return NULL;
 	}
+	json_array_foreach(json_object_get(request, "compare"), i, compare)
+		same = same && holds(compare);
 	if (same)
 		put(key, value, len, lease);
 	g_free(key);
@@ -234,6 +235,25 @@
 	return json_pack("{s:o,s:b}", "header", header(), "succeeded", same);
 }
 
+/* One comparison, with EQUAL, of a key's MOD or CREATE revision. */
+static bool holds(const json_t *compare)
+{
+	const char *target =
+		json_string_value(json_object_get(compare, "target"));
+	char *key = text_of(compare, "key", NULL);
+	record_t *now = key ? g_tree_lookup(store.records, key) : NULL;
+	bool same;
+
+	if (target && !strcmp(target, "CREATE"))
+		same = number_of(compare, "create_revision") ==
+		       (now ? now->create : 0);
+	else
+		same = number_of(compare, "mod_revision") ==
+		       (now ? now->mod : 0);
+	g_free(key);
+	return same;
+}
+
 static json_t *do_grant(const json_t *request)
 {
 	lease_t *lease = g_new0(lease_t, 1);
