--- a/packages/fleet/fleet_plan.c
+++ b/packages/fleet/fleet_plan.c
@@ -54,7 +54,8 @@
 			continue;
 		floor = fleet_plan_floor(pool, need_of(in, i), in->n_racks,
 					 in->n_zones);
-		share.base[i] = fleet_plan_floor(pool, pool->min_up,
+		/* One more than the budget, or it could never be drained. */
+		share.base[i] = fleet_plan_floor(pool, pool->min_up + 1,
 						 in->n_racks, in->n_zones);
 		share.base[i] = MIN(share.base[i], pool->executors);
 		share.want[i] = pool->executors + in->extra[i];
--- a/packages/fleet/fleet_step.c
+++ b/packages/fleet/fleet_step.c
@@ -10,6 +10,7 @@
 static bool lost(fleet_run_t *run, fleet_inst_t *inst);
 static bool restarted(fleet_run_t *run, fleet_inst_t *inst);
 static void fail(fleet_run_t *run, fleet_inst_t *inst);
+static void ask_reboot(fleet_run_t *run, fleet_inst_t *inst);
 static bool wanted(fleet_run_t *run, const fleet_inst_t *inst,
 		   fleet_purpose_t purpose, int32_t to);
 static bool turn_back(fleet_run_t *run, fleet_inst_t *inst);
@@ -116,21 +117,13 @@
 
 static void advance_rebooting(fleet_run_t *run, fleet_inst_t *inst)
 {
-	const fleet_opts_t *opts = &run->fleet->opts;
-
 	inst->why = FLEET_WHY_BOOT;
 	if (restarted(run, inst))
 		return;
-	if (run->now - inst->rec.since > opts->boot_max) {
+	if (run->now - inst->rec.since > run->fleet->opts.boot_max)
 		fail(run, inst);
-		return;
-	}
-	if (run->now - inst->asked_at < opts->boot_retry)
-		return;
-	inst->asked_at = run->now;
-	emit(run, (fleet_op_t){ .kind = FLEET_OP_REBOOT,
-				.key = inst->id,
-				.inc = inst->rec.inc });
+	else
+		ask_reboot(run, inst);
 }
 
 static void advance_verifying(fleet_run_t *run, fleet_inst_t *inst)
@@ -153,25 +146,26 @@
 		next->maintained = run->now;
 }
 
+/*
+ * One whose reboot was asked for comes back with a new life only: the order
+ * may still be on its way, and must not meet work.
+ */
 static void advance_failed(fleet_run_t *run, fleet_inst_t *inst)
 {
-	fleet_rec_t *next;
 	bool rebooted = inst->rec.purpose == FLEET_FOR_WAVE ||
 			inst->rec.purpose == FLEET_FOR_URGENT;
+	bool alive = fleet_alive(run->fleet, inst, run->now) &&
+		     inst->alive_at > inst->rec.since;
 
 	inst->why = FLEET_WHY_NO_LIFE;
-	if (fleet_alive(run->fleet, inst, run->now) &&
-	    inst->alive_at > inst->rec.since) {
-		next = fleet_stage(run, inst, FLEET_EV_BACK);
-		if (!rebooted || inst->inc == inst->rec.inc)
-			next->purpose = FLEET_FOR_NONE;
-		next->inc = inst->inc;
-		return;
-	}
-	if (!inst->listed && !inst->granted &&
-	    run->now - inst->rec.since > run->fleet->opts.forget) {
-		next = fleet_stage(run, inst, FLEET_EV_FORGET);
-		next->pool = FLEET_NO_POOL;
+	if (alive && rebooted && inst->inc == inst->rec.inc) {
+		inst->why = FLEET_WHY_BOOT;
+		ask_reboot(run, inst);
+	} else if (alive && inst->inc >= inst->rec.inc) {
+		fleet_stage(run, inst, FLEET_EV_BACK)->inc = inst->inc;
+	} else if (!inst->listed && !inst->granted &&
+		   run->now - inst->rec.since > run->fleet->opts.forget) {
+		fleet_stage(run, inst, FLEET_EV_FORGET)->pool = FLEET_NO_POOL;
 	}
 }
 
@@ -219,6 +213,17 @@
 	fleet_stage(run, inst, FLEET_EV_FAIL);
 }
 
+/* Asked again now and then: an order may be lost, and is idempotent. */
+static void ask_reboot(fleet_run_t *run, fleet_inst_t *inst)
+{
+	if (run->now - inst->asked_at < run->fleet->opts.boot_retry)
+		return;
+	inst->asked_at = run->now;
+	emit(run, (fleet_op_t){ .kind = FLEET_OP_REBOOT,
+				.key = inst->id,
+				.inc = inst->rec.inc });
+}
+
 static bool wanted(fleet_run_t *run, const fleet_inst_t *inst,
 		   fleet_purpose_t purpose, int32_t to)
 {
@@ -248,15 +253,16 @@
 {
 	fleet_acct_t *acct = &run->fleet->pools[inst->rec.pool];
 	bool alive = fleet_alive(run->fleet, inst, run->now);
+	int32_t room = fleet_budget_room(&acct->conf, &acct->up);
 
 	if (wanted(run, inst, inst->rec.purpose, inst->rec.to) &&
-	    (fleet_budget_room(&acct->conf, &acct->up) >= 0 || !alive))
+	    (room + (int32_t)acct->returning >= 0 || !alive))
 		return false;
 	if (inst->rec.purpose == FLEET_FOR_MOVE) {
 		run->fleet->pools[inst->rec.to].members--;
 		acct->members++;
 	}
-	acct->up.up++;
+	acct->returning += alive;
 	fleet_stage(run, inst, FLEET_EV_CANCEL)->purpose = FLEET_FOR_NONE;
 	return true;
 }
--- a/packages/fleet/fleet_tally.c
+++ b/packages/fleet/fleet_tally.c
@@ -86,6 +86,7 @@
 
 		acct->members = acct->now_members = 0;
 		acct->failed = acct->out = acct->due = 0;
+		acct->returning = 0;
 		acct->dirty = false;
 	}
 	for (guint i = 0; i < fleet->insts->len; i++) {
--- a/packages/fleet/tests/fleet_test.c
+++ b/packages/fleet/tests/fleet_test.c
@@ -251,6 +251,65 @@
 	talloc_free(w);
 }
 
+/* A changed configuration moves one instance, and no more than one. */
+static void test_move(void)
+{
+	fleet_t *fleet;
+	world_t *w = site(&fleet);
+	fleet_pool_t pools[5];
+	const fleet_pool_t *five;
+	fleet_pool_view_t view;
+	uint64_t writes;
+
+	world_pools(&five);
+	memcpy(pools, five, sizeof(pools));
+	pools[3].executors--;
+	pools[3].min_up--;
+	pools[0].executors++;
+	fleet_configure(fleet, pools, 5);
+	turns(w, fleet, 3600, BASE_SEC);
+	g_assert_true(fleet_pool_view(fleet, 0, &view));
+	g_assert_cmpuint(view.up, ==, 10);
+	g_assert_cmpuint(view.worst_rack, ==, 1);
+	g_assert_cmpuint(w->broken, ==, 0);
+	writes = w->writes;
+	turns(w, fleet, 3600, BASE_SEC);
+	g_assert_cmpuint(w->writes, ==, writes);
+	talloc_free(w);
+}
+
+/*
+ * An operator's order for a failed instance changes while it is cordoned:
+ * what turns back is not up, and must not count as room for another.
+ */
+static void test_turned_back_dead(void)
+{
+	fleet_opts_t opts = { .fresh = 1 };
+	fleet_pool_t pool = { "p", 3, 8, 1, true, false, false };
+	world_t *w = world_new(1, 3, 1);
+	fleet_t *fleet = fleet_new(w, &opts);
+	char *value;
+
+	world_add_entry(w);
+	fleet_configure(fleet, &pool, 1);
+	fleet_fence(fleet, 1);
+	turns(w, fleet, 3, BASE_SEC);
+	w->entries[0].stuck = true;
+	value = fleet_order_edit(w, base_str(""), w->insts[0].id,
+				 FLEET_FOR_HOLD, w->now);
+	g_assert_true(world_cas(w, FLEET_ORDERS_KEY, value, 0));
+	turns(w, fleet, 4, BASE_SEC);
+	g_assert_cmpuint(count(fleet, FLEET_CORDONED), ==, 1);
+	w->insts[0].up = false;
+	value = fleet_order_edit(w, base_str(""), w->insts[1].id,
+				 FLEET_FOR_HOLD, w->now);
+	g_assert_true(world_cas(w, FLEET_ORDERS_KEY, value,
+				world_find(w, FLEET_ORDERS_KEY)->rev));
+	turns(w, fleet, 10, BASE_SEC);
+	g_assert_cmpuint(count(fleet, FLEET_SERVING), ==, 3);
+	talloc_free(w);
+}
+
 /* Bursts of five times the mean, for seconds, move nothing. */
 static void test_bursts(void)
 {
@@ -334,7 +393,12 @@
 	g_assert_cmpint(out->kind, ==, FLEET_REFUSE_DRAIN);
 	g_assert_cmpuint(out->min_up, ==, 6);
 	talloc_free(out);
-	out = check_with(2, 20, 9, 1);
+}
+
+static void test_budget_machines(void)
+{
+	fleet_refusal_t *out = check_with(2, 20, 9, 1);
+
 	g_assert_cmpint(out->kind, ==, FLEET_REFUSE_MACHINES);
 	g_assert_cmpuint(out->instances, ==, 6);
 	talloc_free(out);
@@ -373,9 +437,12 @@
 	g_test_add_func("/fleet/bricks-stop", test_bricks_stop);
 	g_test_add_func("/fleet/abort", test_abort);
 	g_test_add_func("/fleet/hold", test_hold);
+	g_test_add_func("/fleet/move", test_move);
+	g_test_add_func("/fleet/turned-back-dead", test_turned_back_dead);
 	g_test_add_func("/fleet/bursts", test_bursts);
 	g_test_add_func("/fleet/bad-records", test_bad_records);
 	g_test_add_func("/fleet/budget-check", test_budget_check);
+	g_test_add_func("/fleet/budget-machines", test_budget_machines);
 	g_test_add_func("/fleet/explain", test_explain);
 	return g_test_run();
 }
