--- /dev/null
+++ b/models/claim_broken.pml
@@ -0,0 +1,3 @@
+/* expect: violation */
+#define BROKEN
+#include "claim.pml"
--- /dev/null
+++ b/packages/claim/claim_epoch.h
@@ -0,0 +1,70 @@
+/*
+ * claim_epoch - the agreed list of entries on which claims are homed.
+ *
+ * One record in the platform's store, changed by compare-and-swap.
+ */
+#ifndef CLAIM_EPOCH_H
+#define CLAIM_EPOCH_H
+
+#include "base.h"
+
+#define CLAIM_EPOCH_KEY "/cactusfield/epoch"
+#define CLAIM_NOBODY (-1)
+
+typedef enum claim_err {
+	CLAIM_ERR_JSON, /* not the JSON of an epoch */
+	CLAIM_ERR_MAX
+} claim_err_t;
+
+#define CLAIM_ERROR claim_error_quark()
+GQuark claim_error_quark(void);
+
+typedef struct claim_member {
+	const char *id;
+	const char *zone;
+	uint64_t incarnation;
+} claim_member_t;
+
+typedef struct claim_list {
+	claim_member_t *members;
+	size_t n;
+} claim_list_t;
+
+typedef struct claim_epoch {
+	uint64_t number;  /* from 1; 0 is no epoch */
+	uint64_t settled; /* no epoch up to this one grants any more */
+	claim_list_t now;
+	claim_list_t former; /* the list of number - 1 */
+} claim_epoch_t;
+
+/* Indices into a list, or CLAIM_NOBODY. */
+typedef struct claim_pair {
+	int home;
+	int backup; /* in another zone than the home, if there is one */
+} claim_pair_t;
+
+/*
+ * Parse the record below "ctx".  NULL and an error of CLAIM_ERROR if it is
+ * not one.
+ */
+claim_epoch_t *claim_epoch_parse(const void *ctx, base_str_t json,
+				 GError **err);
+
+/* Print it as the JSON of the record. */
+void claim_epoch_print(const claim_epoch_t *epoch, base_buf_t *buf);
+
+/* A deep copy below "ctx". */
+claim_epoch_t *claim_epoch_dup(const void *ctx, const claim_epoch_t *epoch);
+
+/* Copy "from" to "to", whose memory goes below "ctx". */
+void claim_list_copy(const void *ctx, claim_list_t *to,
+		     const claim_list_t *from);
+
+/* Who homes "slice", by rendezvous hashing of the entries' ids. */
+claim_pair_t claim_list_pair(const claim_list_t *list, unsigned slice);
+
+/* The index of that incarnation of "id", or CLAIM_NOBODY. */
+int claim_list_find(const claim_list_t *list, const char *id,
+		    uint64_t incarnation);
+
+#endif
--- /dev/null
+++ b/packages/claim/claim_propose.c
@@ -0,0 +1,81 @@
+#include "claim_int.h"
+
+static bool same_list(const claim_list_t *a, const claim_list_t *b);
+static bool may_remove(const claim_list_t *list, const claim_view_t *view);
+static void newest_only(claim_list_t *list);
+
+claim_epoch_t *claim_propose(const void *ctx, const claim_table_t *table,
+			     const claim_view_t *view, bool none_in_store,
+			     int64_t now)
+{
+	const claim_epoch_t *epoch = table->epoch;
+	claim_epoch_t *next;
+
+	if ((!epoch && !none_in_store) || !view->live.n ||
+	    now - view->since < CLAIM_VIEW_STABLE_US ||
+	    claim_table_self(table, &view->live) == CLAIM_NOBODY)
+		return NULL;
+	if (epoch && claim_table_settled(table, now) + 1 < epoch->number &&
+	    now - table->adopted_at < CLAIM_SETTLE_US)
+		return NULL;
+	if (epoch && !may_remove(&epoch->now, view))
+		return NULL;
+	next = talloc_zero(ctx, claim_epoch_t);
+	claim_list_copy(next, &next->now, &view->live);
+	newest_only(&next->now);
+	if (epoch && same_list(&next->now, &epoch->now)) {
+		talloc_free(next);
+		return NULL;
+	}
+	next->number = epoch ? epoch->number + 1 : 1;
+	next->settled = claim_table_settled(table, now);
+	if (epoch)
+		claim_list_copy(next, &next->former, &epoch->now);
+	return next;
+}
+
+static bool same_list(const claim_list_t *a, const claim_list_t *b)
+{
+	if (a->n != b->n)
+		return false;
+	for (size_t i = 0; i < a->n; i++)
+		if (claim_list_find(b, a->members[i].id,
+				    a->members[i].incarnation) == CLAIM_NOBODY)
+			return false;
+	return true;
+}
+
+static bool may_remove(const claim_list_t *list, const claim_view_t *view)
+{
+	size_t live = 0, unsure = 0;
+
+	for (size_t i = 0; i < list->n; i++) {
+		const claim_member_t *member = &list->members[i];
+
+		if (claim_list_find(&view->live, member->id,
+				    member->incarnation) != CLAIM_NOBODY)
+			live++;
+		else if (claim_list_find(&view->registered, member->id,
+					 member->incarnation) != CLAIM_NOBODY)
+			unsure++;
+	}
+	return !unsure || live * 2 > list->n;
+}
+
+static void newest_only(claim_list_t *list)
+{
+	size_t n = 0;
+
+	for (size_t i = 0; i < list->n; i++) {
+		bool newest = true;
+
+		for (size_t j = 0; j < list->n; j++)
+			if (!strcmp(list->members[i].id, list->members[j].id) &&
+			    list->members[j].incarnation >
+				    list->members[i].incarnation)
+				newest = false;
+		if (newest)
+			list->members[n++] = list->members[i];
+	}
+	list->n = n;
+}
--- /dev/null
+++ b/packages/claim/claim_propose.h
@@ -0,0 +1,30 @@
+/*
+ * claim_propose - when the list of entries changes.
+ */
+#ifndef CLAIM_PROPOSE_H
+#define CLAIM_PROPOSE_H
+
+#include "claim_table.h"
+
+#define CLAIM_VIEW_STABLE_US BASE_SEC	/* a view lasts before it is proposed */
+#define CLAIM_SETTLE_US (15 * BASE_SEC) /* and waits for the last change */
+
+typedef struct claim_view {
+	claim_list_t live;	 /* answers peers, and does not leave */
+	claim_list_t registered; /* has a live lease in the store */
+	int64_t since;		 /* when "live" last changed */
+} claim_view_t;
+
+/*
+ * The epoch that should follow the table's under "view", or NULL.  The store
+ * decides: it is written only by compare-and-swap against the table's.  With
+ * no epoch at all, "none_in_store" says that the store was read and has none.
+ *
+ * A side that sees but a minority of the list takes none out that the store
+ * still has: two sides that both reach the store would take turns.
+ */
+claim_epoch_t *claim_propose(const void *ctx, const claim_table_t *table,
+			     const claim_view_t *view, bool none_in_store,
+			     int64_t now);
+
+#endif
--- /dev/null
+++ b/packages/claim/claim_sync.c
@@ -0,0 +1,227 @@
+#include "claim_int.h"
+
+#define SLICE_SHIFT 58
+
+/* Whom to ask, in this order. */
+typedef enum claim_source {
+	CLAIM_SOURCE_HOME,    /* of the former epoch */
+	CLAIM_SOURCE_BACKUP,  /* of the former epoch */
+	CLAIM_SOURCE_PARTNER, /* the other one of this epoch */
+	CLAIM_SOURCE_MAX
+} claim_source_t;
+
+static const claim_member_t *source_of(const claim_table_t *table,
+				       unsigned slice, unsigned source);
+static const claim_member_t *member_at(const claim_list_t *list, int i);
+static void next_source(claim_slice_t *known);
+static bool export_bucket(const claim_store_t *store, uint32_t first,
+			  uint64_t cursor, int64_t now, claim_batch_t *batch);
+static bool merge(claim_table_t *table, const claim_copy_t *copy, int64_t now);
+static void settle_conflict(claim_store_t *store, claim_rec_t *rec,
+			    const claim_copy_t *copy, int64_t created);
+
+bool claim_table_next_pull(claim_table_t *table, unsigned from, int64_t now,
+			   claim_pull_t *pull)
+{
+	for (unsigned i = 0; i < CLAIM_SLICES; i++) {
+		unsigned slice = (from + i) % CLAIM_SLICES;
+		claim_slice_t *known = &table->slices[slice];
+		const claim_member_t *source = NULL;
+
+		if (!known->need || claim_table_fresh(table, slice, 0, now))
+			continue;
+		for (int n = 0; n < CLAIM_SOURCE_MAX && !source; n++) {
+			source = source_of(table, slice, known->source);
+			if (!source)
+				next_source(known);
+		}
+		if (!source)
+			continue;
+		if (!known->pulling)
+			known->cursor = (uint64_t)slice << SLICE_SHIFT;
+		*pull = (claim_pull_t){ .source = *source,
+					.epoch = table->epoch->number,
+					.cursor = known->cursor,
+					.slice = slice };
+		return true;
+	}
+	return false;
+}
+
+void claim_table_export(claim_table_t *table, const claim_pull_t *pull,
+			int64_t now, claim_batch_t *batch)
+{
+	const claim_store_t *store = &table->store;
+	const claim_slice_t *known = &table->slices[pull->slice % CLAIM_SLICES];
+	unsigned shift = 64 - store->bucket_bits;
+	uint64_t end = ((uint64_t)pull->slice + 1) << (SLICE_SHIFT - shift);
+	uint64_t through;
+
+	memset(batch, 0, sizeof(*batch));
+	if (pull->slice >= CLAIM_SLICES || !table->epoch ||
+	    table->epoch->number < pull->epoch ||
+	    pull->cursor >> SLICE_SHIFT != pull->slice)
+		return;
+	through = known->mine ? table->epoch->number : known->through;
+	if (through + 1 < pull->epoch)
+		return;
+	claim_store_expire(&table->store, now);
+	batch->lost = known->lost;
+	batch->complete_age = now - known->complete_from;
+	batch->cursor = pull->cursor;
+	for (uint64_t b = pull->cursor >> shift; b < end; b++) {
+		if (!export_bucket(store, store->buckets[b], pull->cursor, now,
+				   batch)) {
+			batch->ok = batch->cursor != pull->cursor;
+			return;
+		}
+		batch->cursor = (b + 1) << shift;
+	}
+	batch->ok = true;
+	batch->last = true;
+}
+
+void claim_table_import(claim_table_t *table, const claim_pull_t *pull,
+			const claim_batch_t *batch, int64_t now)
+{
+	claim_slice_t *known = &table->slices[pull->slice];
+
+	if (!table->epoch || table->epoch->number != pull->epoch ||
+	    !known->need || known->cursor != pull->cursor)
+		return;
+	if (!batch || !batch->ok || batch->n > CLAIM_BATCH_MAX) {
+		next_source(known);
+		return;
+	}
+	if (!known->pulling) {
+		known->pull_lost = batch->lost;
+		known->pull_from = now - batch->complete_age;
+	}
+	known->pulling = true;
+	known->cursor = batch->cursor;
+	for (uint32_t i = 0; i < batch->n; i++) {
+		if (!merge(table, &batch->copies[i], now)) {
+			next_source(known);
+			return;
+		}
+	}
+	if (!batch->last)
+		return;
+	known->lost = MIN(known->lost, known->pull_lost);
+	known->complete_from = MIN(known->complete_from, known->pull_from);
+	/* A partner that lacks the former epoch itself has not helped. */
+	if (known->pull_lost + 1 < pull->epoch)
+		known->need = false;
+	else
+		next_source(known);
+}
+
+static const claim_member_t *source_of(const claim_table_t *table,
+				       unsigned slice, unsigned source)
+{
+	const claim_epoch_t *epoch = table->epoch;
+	claim_pair_t former = claim_list_pair(&epoch->former, slice);
+	claim_pair_t now = claim_list_pair(&epoch->now, slice);
+	int self = claim_table_self(table, &epoch->now);
+	int partner = now.home == self ? now.backup : now.home;
+	const claim_member_t *found = NULL;
+
+	if (source == CLAIM_SOURCE_HOME)
+		found = member_at(&epoch->former, former.home);
+	else if (source == CLAIM_SOURCE_BACKUP)
+		found = member_at(&epoch->former, former.backup);
+	else
+		found = member_at(&epoch->now, partner);
+	if (found && found->incarnation == table->incarnation &&
+	    !strcmp(found->id, table->entry))
+		return NULL;
+	return found;
+}
+
+static const claim_member_t *member_at(const claim_list_t *list, int i)
+{
+	return i == CLAIM_NOBODY ? NULL : &list->members[i];
+}
+
+static void next_source(claim_slice_t *known)
+{
+	known->source = (known->source + 1) % CLAIM_SOURCE_MAX;
+	known->pulling = false;
+}
+
+/* Whole buckets only, so that the cursor is a place between two. */
+static bool export_bucket(const claim_store_t *store, uint32_t first,
+			  uint64_t cursor, int64_t now, claim_batch_t *batch)
+{
+	uint32_t n = batch->n;
+
+	for (uint32_t i = first; i != CLAIM_REC_NONE; i = store->recs[i].next) {
+		const claim_rec_t *rec = &store->recs[i];
+		claim_copy_t *copy = &batch->copies[n];
+
+		if (rec->state == CLAIM_STATE_RELEASED || rec->id.hi < cursor)
+			continue;
+		if (n == CLAIM_BATCH_MAX)
+			return false;
+		*copy = (claim_copy_t){ .id = rec->id,
+					.attempt = rec->attempt,
+					.print = rec->print,
+					.caller = rec->account,
+					.age = now - rec->created,
+					.state = rec->state };
+		if (rec->answer)
+			copy->answer = (base_str_t){ rec->answer->bytes,
+						     rec->answer->len };
+		n++;
+	}
+	batch->n = n;
+	return true;
+}
+
+static bool merge(claim_table_t *table, const claim_copy_t *copy, int64_t now)
+{
+	claim_store_t *store = &table->store;
+	claim_rec_t *rec = claim_store_find(store, copy->id);
+	int64_t created = now - copy->age;
+
+	if (copy->state != CLAIM_STATE_HELD &&
+	    copy->state != CLAIM_STATE_ANSWERED)
+		return true;
+	if (rec) {
+		settle_conflict(store, rec, copy, created);
+		return true;
+	}
+	rec = claim_store_add(store, copy->id, copy->caller, created);
+	if (!rec)
+		return false;
+	rec->attempt = copy->attempt;
+	rec->print = copy->print;
+	claim_store_set(store, rec, (claim_state_t)copy->state, created);
+	claim_store_keep(store, rec, copy->answer);
+	return true;
+}
+
+/*
+ * Two attempts that both hold the id: at most one ran, and which is not known
+ * here.  It is left to nobody, so that no release frees it.
+ */
+static void settle_conflict(claim_store_t *store, claim_rec_t *rec,
+			    const claim_copy_t *copy, int64_t created)
+{
+	bool same = claim_attempt_eq(rec->attempt, copy->attempt);
+
+	if (rec->state == CLAIM_STATE_ANSWERED ||
+	    (same && rec->state == CLAIM_STATE_RELEASED) ||
+	    (same && copy->state == CLAIM_STATE_HELD))
+		return;
+	if (rec->state == CLAIM_STATE_HELD && copy->state == CLAIM_STATE_HELD) {
+		rec->attempt = (claim_attempt_t){ 0, 0 };
+		return;
+	}
+	rec->attempt = copy->attempt;
+	rec->print = copy->print;
+	claim_store_set(store, rec, (claim_state_t)copy->state,
+			MAX(created, rec->created));
+	if (copy->state == CLAIM_STATE_ANSWERED)
+		claim_store_keep(store, rec, copy->answer);
+}
--- /dev/null
+++ b/packages/claim/claim_take.c
@@ -0,0 +1,138 @@
+#include "claim_int.h"
+
+static bool tell_record(const claim_rec_t *rec, const claim_take_t *take,
+			claim_reply_t *reply);
+static claim_verdict_t check_epoch(const claim_table_t *table,
+				   const claim_take_t *take, int64_t now);
+static claim_verdict_t grant(claim_table_t *table, claim_rec_t *rec,
+			     const claim_take_t *take, int64_t now);
+
+void claim_table_take(claim_table_t *table, const claim_take_t *take,
+		      int64_t now, claim_reply_t *reply)
+{
+	claim_rec_t *rec;
+
+	claim_store_expire(&table->store, now);
+	*reply = (claim_reply_t){ .epoch = table->epoch ? table->epoch->number
+							: 0 };
+	rec = claim_store_find(&table->store, take->id);
+	if (rec && tell_record(rec, take, reply))
+		return;
+	reply->verdict = check_epoch(table, take, now);
+	if (reply->verdict != CLAIM_NONE)
+		return;
+	reply->fresh = claim_table_fresh(table, claim_id_slice(take->id),
+					 take->ticket, now);
+	if (!take->look)
+		reply->verdict = grant(table, rec, take, now);
+}
+
+void claim_table_release(claim_table_t *table, claim_id_t id,
+			 claim_attempt_t attempt, int64_t now)
+{
+	claim_rec_t *rec;
+
+	claim_store_expire(&table->store, now);
+	rec = claim_store_find(&table->store, id);
+	if (!rec) {
+		/* The take may still be on its way: it must not stand. */
+		if (!claim_store_has_room(&table->store, id.lo))
+			return;
+		rec = claim_store_add(&table->store, id, id.lo, now);
+		if (!rec)
+			return;
+		rec->attempt = attempt;
+	}
+	if (rec->state == CLAIM_STATE_HELD &&
+	    claim_attempt_eq(rec->attempt, attempt))
+		claim_store_set(&table->store, rec, CLAIM_STATE_RELEASED, now);
+}
+
+void claim_table_finish(claim_table_t *table, const claim_finish_t *finish,
+			int64_t now)
+{
+	const claim_attempt_t nobody = { 0, 0 };
+	claim_rec_t *rec;
+	int64_t created;
+
+	claim_store_expire(&table->store, now);
+	rec = claim_store_find(&table->store, finish->id);
+	if (!rec && claim_store_has_room(&table->store, finish->caller)) {
+		rec = claim_store_add(&table->store, finish->id, finish->caller,
+				      now);
+		if (rec)
+			rec->attempt = finish->attempt;
+	}
+	if (!rec || rec->state == CLAIM_STATE_ANSWERED)
+		return;
+	if (rec->state == CLAIM_STATE_HELD &&
+	    !claim_attempt_eq(rec->attempt, finish->attempt) &&
+	    !claim_attempt_eq(rec->attempt, nobody))
+		return;
+	created = rec->state == CLAIM_STATE_HELD ? rec->created : now;
+	rec->attempt = finish->attempt;
+	rec->print = finish->print;
+	claim_store_set(&table->store, rec, CLAIM_STATE_ANSWERED, created);
+	claim_store_keep(&table->store, rec, finish->answer);
+}
+
+void claim_table_expire(claim_table_t *table, int64_t now)
+{
+	claim_store_expire(&table->store, now);
+}
+
+/* What a record says is true in any epoch. */
+static bool tell_record(const claim_rec_t *rec, const claim_take_t *take,
+			claim_reply_t *reply)
+{
+	if (rec->state == CLAIM_STATE_RELEASED)
+		return false;
+	if (rec->state == CLAIM_STATE_HELD && !take->look &&
+	    claim_attempt_eq(rec->attempt, take->attempt))
+		return false;
+	if (rec->print != take->print)
+		reply->verdict = CLAIM_MISMATCH;
+	else if (rec->state == CLAIM_STATE_HELD)
+		reply->verdict = CLAIM_HELD;
+	else
+		reply->verdict = CLAIM_ANSWERED;
+	if (reply->verdict == CLAIM_ANSWERED && rec->answer)
+		reply->answer =
+			(base_str_t){ rec->answer->bytes, rec->answer->len };
+	return true;
+}
+
+static claim_verdict_t check_epoch(const claim_table_t *table,
+				   const claim_take_t *take, int64_t now)
+{
+	uint64_t number = table->epoch ? table->epoch->number : 0;
+
+	if (take->epoch > number || take->ticket > number)
+		return CLAIM_BEHIND;
+	if (take->epoch < number)
+		return CLAIM_SEALED;
+	if (!table->slices[claim_id_slice(take->id)].mine)
+		return CLAIM_NOT_HERE;
+	return claim_table_may_grant(table, now) ? CLAIM_NONE : CLAIM_UNSURE;
+}
+
+static claim_verdict_t grant(claim_table_t *table, claim_rec_t *rec,
+			     const claim_take_t *take, int64_t now)
+{
+	claim_store_t *store = &table->store;
+
+	if (rec && claim_attempt_eq(rec->attempt, take->attempt))
+		return rec->state == CLAIM_STATE_HELD ? CLAIM_GRANTED
+						      : CLAIM_RELEASED;
+	if (!rec) {
+		if (!claim_store_has_room(store, take->caller))
+			return CLAIM_FULL;
+		rec = claim_store_add(store, take->id, take->caller, now);
+		if (!rec)
+			return CLAIM_FULL;
+	}
+	claim_store_set(store, rec, CLAIM_STATE_HELD, now);
+	rec->attempt = take->attempt;
+	rec->print = take->print;
+	return CLAIM_GRANTED;
+}
