Name an endpoint's incarnation as text and count urgency from 0

Cause: the platform's list gives an incarnation as an opaque text (a uid), and a configuration's urgency is 0 for the most urgent.

Change: identities are compared whole, leavers are remembered by identity.

--- a/packages/route/route.h
+++ b/packages/route/route.h
@@ -90,9 +90,10 @@
 /* One endpoint; instance id with incarnation is its identity. */
 typedef struct route_endpoint {
 	const char *instance;
-	uint64_t incarnation;
+	const char *incarnation;
 	const char *zone;
 	const char *address; /* for the driver alone */
+	int port;	     /* the same */
 	route_state_t state;
 } route_endpoint_t;
 
@@ -160,7 +161,7 @@
 typedef struct route_class_conf {
 	const char *name;
 	const char *pool;
-	int urgency;   /* higher goes first */
+	int urgency;   /* 0 is the most urgent */
 	double weight; /* guaranteed share among the pool's classes */
 	bool repeatable;
 	int64_t deadline_us; /* default, from submission */
@@ -250,10 +251,10 @@
 		const route_endpoint_t *endpoints, size_t n, int64_t now);
 
 /*
- * From any signal: this identity, and each earlier life of the instance, gets
- * no new work from here on.  Only a higher incarnation is taken again.
+ * From any signal: this identity gets no new work from here on.  Only another
+ * incarnation of the instance is taken again.  True if it was news.
  */
-void route_leaving(route_t *route, base_str_t instance, uint64_t incarnation,
+bool route_leaving(route_t *route, base_str_t instance, base_str_t incarnation,
 		   int64_t now);
 
 /* Hand in a request; start() or end() may be called before it returns. */
@@ -283,15 +284,16 @@
 		       const route_endpoint_t **due, size_t max);
 
 /* What a probe showed: ours, or told by a peer of our zone. */
-void route_probe_done(route_t *route, base_str_t instance, uint64_t incarnation,
-		      route_probe_t result, int64_t now);
+void route_probe_done(route_t *route, base_str_t instance,
+		      base_str_t incarnation, route_probe_t result,
+		      int64_t now);
 
 /* Connections, idle ones included, that may be open to one endpoint. */
 int route_connections(const route_t *route, base_str_t pool, int64_t now);
 
 /* How many requests run at an identity through this entry. */
 int route_running(const route_t *route, base_str_t instance,
-		  uint64_t incarnation);
+		  base_str_t incarnation);
 
 /* Visit each pool. */
 void route_each_pool(const route_t *route, int64_t now,
--- a/packages/route/route_conf.c
+++ b/packages/route/route_conf.c
@@ -273,7 +273,7 @@
 	const route_class_t *one = *(route_class_t *const *)a;
 	const route_class_t *two = *(route_class_t *const *)b;
 
-	return two->conf.urgency - one->conf.urgency;
+	return one->conf.urgency - two->conf.urgency;
 }
 
 static gint by_name(gconstpointer a, gconstpointer b)
--- a/packages/route/route_int.h
+++ b/packages/route/route_int.h
@@ -117,11 +117,6 @@
 	int64_t window;
 } route_pool_t;
 
-typedef struct route_tombstone {
-	uint64_t incarnation;
-	int64_t when;
-} route_tombstone_t;
-
 struct route {
 	route_options_t opt;
 	base_rng_t rng;
@@ -170,7 +165,7 @@
 void route_pool_reindex(route_t *route, route_pool_t *pool);
 bool route_ep_usable(const route_ep_t *ep);
 route_ep_t *route_ep(const route_pool_t *pool, base_str_t instance,
-		     uint64_t incarnation);
+		     base_str_t incarnation);
 
 /* route_probe.c */
 void route_probe_assign(const route_t *route, route_pool_t *pool);
--- a/packages/route/route_probe.c
+++ b/packages/route/route_probe.c
@@ -44,8 +44,8 @@
 	return n;
 }
 
-void route_probe_done(route_t *route, base_str_t instance, uint64_t incarnation,
-		      route_probe_t result, int64_t now)
+void route_probe_done(route_t *route, base_str_t instance,
+		      base_str_t incarnation, route_probe_t result, int64_t now)
 {
 	if (result == ROUTE_PROBE_LEAVING) {
 		route_leaving(route, instance, incarnation, now);
--- a/packages/route/route_view.c
+++ b/packages/route/route_view.c
@@ -5,10 +5,9 @@
 		 const route_endpoint_t *listed, int64_t now);
 static route_ep_t *add(route_t *route, route_pool_t *pool,
 		       const route_endpoint_t *listed, int64_t now);
-static bool tombstoned(const route_t *route, const char *instance,
-		       uint64_t incarnation);
+static bool has_left(const route_t *route, const route_ep_t *ep, int64_t now);
 static void forget_old(route_t *route, int64_t now);
-static bool listed_anywhere(const route_t *route, const char *instance);
+static char *identity(base_str_t instance, base_str_t incarnation);
 
 bool route_view(route_t *route, base_str_t name, uint64_t version,
 		const route_endpoint_t *endpoints, size_t n, int64_t now)
@@ -29,37 +28,30 @@
 	return true;
 }
 
-void route_leaving(route_t *route, base_str_t instance, uint64_t incarnation,
+bool route_leaving(route_t *route, base_str_t instance, base_str_t incarnation,
 		   int64_t now)
 {
-	char *key = g_strndup(instance.ptr, instance.len);
-	route_tombstone_t *stone = g_hash_table_lookup(route->left, key);
+	char *key = identity(instance, incarnation);
+	int64_t *when = g_hash_table_lookup(route->left, key);
 
-	if (stone) {
-		stone->incarnation = MAX(stone->incarnation, incarnation);
-		stone->when = now;
+	if (when) {
+		*when = now;
 		g_free(key);
-	} else {
-		stone = g_new(route_tombstone_t, 1);
-		*stone = (route_tombstone_t){ incarnation, now };
-		g_hash_table_insert(route->left, key, stone);
+		return false;
 	}
+	when = g_new(int64_t, 1);
+	*when = now;
+	g_hash_table_insert(route->left, key, when);
 	for (guint i = 0; i < route->pools->len; i++) {
 		route_pool_t *pool = route->pools->pdata[i];
-		bool found = false;
-
-		for (guint k = 0; k < pool->eps->len; k++) {
-			route_ep_t *ep = pool->eps->pdata[k];
+		route_ep_t *ep = route_ep(pool, instance, incarnation);
 
-			if (ep->pub.incarnation > incarnation ||
-			    !base_str_eq(instance, base_str(ep->pub.instance)))
-				continue;
-			ep->pub.state = ROUTE_LEAVING;
-			found = true;
-		}
-		if (found)
-			route_pool_reindex(route, pool);
+		if (!ep)
+			continue;
+		ep->pub.state = ROUTE_LEAVING;
+		route_pool_reindex(route, pool);
 	}
+	return true;
 }
 
 void route_entries(route_t *route, const route_entry_t *entries, size_t n,
@@ -103,7 +95,7 @@
 }
 
 int route_running(const route_t *route, base_str_t instance,
-		  uint64_t incarnation)
+		  base_str_t incarnation)
 {
 	int running = 0;
 
@@ -117,12 +109,12 @@
 }
 
 route_ep_t *route_ep(const route_pool_t *pool, base_str_t instance,
-		     uint64_t incarnation)
+		     base_str_t incarnation)
 {
 	for (guint i = 0; i < pool->eps->len; i++) {
 		route_ep_t *ep = pool->eps->pdata[i];
 
-		if (ep->pub.incarnation == incarnation &&
+		if (base_str_eq(incarnation, base_str(ep->pub.incarnation)) &&
 		    base_str_eq(instance, base_str(ep->pub.instance)))
 			return ep;
 	}
@@ -157,8 +149,9 @@
 static void take(route_t *route, route_pool_t *pool,
 		 const route_endpoint_t *listed, int64_t now)
 {
-	route_ep_t *ep =
-		route_ep(pool, base_str(listed->instance), listed->incarnation);
+	base_str_t instance = base_str(listed->instance);
+	base_str_t incarnation = base_str(listed->incarnation);
+	route_ep_t *ep = route_ep(pool, instance, incarnation);
 
 	if (listed->state == ROUTE_GONE)
 		return;
@@ -166,9 +159,8 @@
 		ep = add(route, pool, listed, now);
 	ep->listed = true;
 	if (listed->state == ROUTE_LEAVING)
-		route_leaving(route, base_str(listed->instance),
-			      listed->incarnation, now);
-	if (tombstoned(route, ep->pub.instance, ep->pub.incarnation))
+		route_leaving(route, instance, incarnation, now);
+	if (has_left(route, ep, now))
 		ep->pub.state = ROUTE_LEAVING;
 }
 
@@ -179,6 +171,7 @@
 
 	ep->pub = *listed;
 	ep->pub.instance = talloc_strdup(ep, listed->instance);
+	ep->pub.incarnation = talloc_strdup(ep, listed->incarnation);
 	ep->pub.zone = talloc_strdup(ep, listed->zone);
 	ep->pub.address = talloc_strdup(ep, listed->address);
 	ep->pool = pool;
@@ -189,45 +182,32 @@
 	return ep;
 }
 
-static bool tombstoned(const route_t *route, const char *instance,
-		       uint64_t incarnation)
+static bool has_left(const route_t *route, const route_ep_t *ep, int64_t now)
 {
-	const route_tombstone_t *stone =
-		g_hash_table_lookup(route->left, instance);
-
-	return stone && incarnation <= stone->incarnation;
+	char *key = identity(base_str(ep->pub.instance),
+			     base_str(ep->pub.incarnation));
+	int64_t *when = g_hash_table_lookup(route->left, key);
+
+	if (when)
+		*when = now;
+	g_free(key);
+	return when != NULL;
 }
 
 /* Forget leavers that no list has named for long. */
 static void forget_old(route_t *route, int64_t now)
 {
 	GHashTableIter iter;
-	gpointer key, value;
+	gpointer when;
 
 	g_hash_table_iter_init(&iter, route->left);
-	while (g_hash_table_iter_next(&iter, &key, &value)) {
-		route_tombstone_t *stone = value;
-
-		if (now - stone->when < TOMBSTONE_US)
-			continue;
-		if (listed_anywhere(route, key))
-			stone->when = now;
-		else
+	while (g_hash_table_iter_next(&iter, NULL, &when))
+		if (now - *(int64_t *)when > TOMBSTONE_US)
 			g_hash_table_iter_remove(&iter);
-	}
 }
 
-static bool listed_anywhere(const route_t *route, const char *instance)
+static char *identity(base_str_t instance, base_str_t incarnation)
 {
-	for (guint i = 0; i < route->pools->len; i++) {
-		const route_pool_t *pool = route->pools->pdata[i];
-
-		for (guint k = 0; k < pool->eps->len; k++) {
-			const route_ep_t *ep = pool->eps->pdata[k];
-
-			if (!strcmp(ep->pub.instance, instance))
-				return true;
-		}
-	}
-	return false;
+	return g_strdup_printf("%.*s/%.*s", BASE_STR_ARG(instance),
+			       BASE_STR_ARG(incarnation));
 }
