Route the entry's requests through the decision core

Cause: the entry took endpoints in turn, without queue, limit or budget.

The forwarder keeps within the connections that the core allows to one endpoint. The stand-in answers /healthz without a run.

--- a/packages/entry/entry_forward.c
+++ b/packages/entry/entry_forward.c
@@ -4,23 +4,32 @@
 #define ERROR_TEXT_MAX 160	   /* bytes */
 #define READ_CHUNK 16384	   /* bytes */
 
-/* Kept connections to one identity of an endpoint, most recent last. */
 typedef struct kept {
 	struct mg_connection *conn;
 	int64_t since;
 } kept_t;
 
+/* The connections to one identity. */
+typedef struct link {
+	GArray *idle; /* of kept_t, most recent last */
+	int open;     /* idle ones and those in use */
+} link_t;
+
 struct entry_forward {
 	pthread_mutex_t lock;
-	GHashTable *idle; /* "id/incarnation" -> GArray of kept_t */
+	GHashTable *links; /* "id/incarnation" -> link_t */
 };
 
 static int free_forward(entry_forward_t *forward);
-static void free_list(void *p);
+static void free_link(void *p);
 static char *identity(const entry_endpoint_t *endpoint);
-static struct mg_connection *take_kept(entry_forward_t *forward,
-				       const entry_endpoint_t *endpoint);
-static void keep(entry_forward_t *forward, const entry_endpoint_t *endpoint,
+static struct mg_connection *open_link(entry_forward_t *forward,
+				       const entry_forward_options_t *options,
+				       const char *key);
+static void close_link(entry_forward_t *forward, const char *key,
+		       struct mg_connection *conn);
+static void keep(entry_forward_t *forward,
+		 const entry_forward_options_t *options, const char *key,
 		 struct mg_connection *conn);
 static bool send_request(struct mg_connection *conn,
 			 const entry_forward_options_t *options);
@@ -42,8 +51,8 @@
 	entry_forward_t *forward = talloc_zero(ctx, entry_forward_t);
 
 	pthread_mutex_init(&forward->lock, NULL);
-	forward->idle = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
-					      free_list);
+	forward->links = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
+					       free_link);
 	talloc_set_destructor(forward, free_forward);
 	return forward;
 }
@@ -52,28 +61,21 @@
 				   const entry_forward_options_t *options,
 				   entry_message_t *answer)
 {
-	const entry_endpoint_t *endpoint = options->endpoint;
-	char text[ERROR_TEXT_MAX];
-	struct mg_connection *conn = NULL;
-	entry_attempt_t ended;
+	entry_attempt_t ended = ENTRY_ATTEMPT_CONNECT;
+	char *key = identity(options->endpoint);
+	struct mg_connection *conn = open_link(forward, options, key);
 	bool reusable = false;
 
-	if (!options->fresh)
-		conn = take_kept(forward, endpoint);
-	if (!conn)
-		conn = mg_connect_client(endpoint->address, endpoint->port, 0,
-					 text, sizeof(text));
-	if (!conn)
-		return ENTRY_ATTEMPT_CONNECT;
-	if (!send_request(conn, options)) {
-		mg_close_connection(conn);
-		return ENTRY_ATTEMPT_FAILED;
+	if (conn) {
+		ended = ENTRY_ATTEMPT_FAILED;
+		if (send_request(conn, options))
+			ended = receive(conn, ctx, options, answer, &reusable);
 	}
-	ended = receive(conn, ctx, options, answer, &reusable);
 	if (reusable)
-		keep(forward, endpoint, conn);
+		keep(forward, options, key, conn);
 	else
-		mg_close_connection(conn);
+		close_link(forward, key, conn);
+	g_free(key);
 	return ended;
 }
 
@@ -84,20 +86,21 @@
 	void *value;
 
 	pthread_mutex_lock(&forward->lock);
-	g_hash_table_iter_init(&iter, forward->idle);
+	g_hash_table_iter_init(&iter, forward->links);
 	while (g_hash_table_iter_next(&iter, NULL, &value)) {
-		GArray *list = value;
+		link_t *link = value;
 		guint old = 0;
 
-		while (old < list->len &&
-		       now - g_array_index(list, kept_t, old).since >
+		while (old < link->idle->len &&
+		       now - g_array_index(link->idle, kept_t, old).since >
 			       IDLE_MAX_US)
 			g_ptr_array_add(
 				closing,
-				g_array_index(list, kept_t, old++).conn);
+				g_array_index(link->idle, kept_t, old++).conn);
 		if (old)
-			g_array_remove_range(list, 0, old);
-		if (!list->len)
+			g_array_remove_range(link->idle, 0, old);
+		link->open -= (int)old;
+		if (!link->open)
 			g_hash_table_iter_remove(&iter);
 	}
 	pthread_mutex_unlock(&forward->lock);
@@ -106,17 +109,28 @@
 	g_ptr_array_free(closing, TRUE);
 }
 
+const char *entry_header(const entry_message_t *message, const char *name)
+{
+	for (size_t i = 0; i < message->header_count; i++)
+		if (!g_ascii_strcasecmp(message->headers[i].name, name))
+			return message->headers[i].value;
+	return NULL;
+}
+
 static int free_forward(entry_forward_t *forward)
 {
 	entry_forward_expire(forward, INT64_MAX);
-	g_hash_table_destroy(forward->idle);
+	g_hash_table_destroy(forward->links);
 	pthread_mutex_destroy(&forward->lock);
 	return 0;
 }
 
-static void free_list(void *p)
+static void free_link(void *p)
 {
-	g_array_free(p, TRUE);
+	link_t *link = p;
+
+	g_array_free(link->idle, TRUE);
+	g_free(link);
 }
 
 static char *identity(const entry_endpoint_t *endpoint)
@@ -124,40 +138,73 @@
 	return g_strdup_printf("%s/%s", endpoint->id, endpoint->incarnation);
 }
 
-static struct mg_connection *take_kept(entry_forward_t *forward,
-				       const entry_endpoint_t *endpoint)
+/*
+ * A connection to the endpoint: an idle one, unless a fresh one is asked for.
+ * A fresh one takes the place of an idle one where the limit is reached.
+ */
+static struct mg_connection *open_link(entry_forward_t *forward,
+				       const entry_forward_options_t *options,
+				       const char *key)
 {
-	struct mg_connection *conn = NULL;
-	char *key = identity(endpoint);
-	GArray *list;
+	const entry_endpoint_t *endpoint = options->endpoint;
+	struct mg_connection *idle = NULL;
+	char text[ERROR_TEXT_MAX];
+	link_t *link;
 
 	pthread_mutex_lock(&forward->lock);
-	list = g_hash_table_lookup(forward->idle, key);
-	if (list && list->len) {
-		conn = g_array_index(list, kept_t, list->len - 1).conn;
-		g_array_set_size(list, list->len - 1);
+	link = g_hash_table_lookup(forward->links, key);
+	if (!link) {
+		link = g_new0(link_t, 1);
+		link->idle = g_array_new(FALSE, FALSE, sizeof(kept_t));
+		g_hash_table_insert(forward->links, g_strdup(key), link);
+	}
+	if (link->idle->len &&
+	    (!options->fresh || link->open >= options->connections)) {
+		guint last = link->idle->len - 1;
+
+		idle = g_array_index(link->idle, kept_t, last).conn;
+		g_array_set_size(link->idle, last);
+	} else {
+		link->open++;
 	}
 	pthread_mutex_unlock(&forward->lock);
-	g_free(key);
-	return conn;
+	if (idle && !options->fresh)
+		return idle;
+	if (idle)
+		mg_close_connection(idle);
+	return mg_connect_client(endpoint->address, endpoint->port, 0, text,
+				 sizeof(text));
+}
+
+static void close_link(entry_forward_t *forward, const char *key,
+		       struct mg_connection *conn)
+{
+	link_t *link;
+
+	if (conn)
+		mg_close_connection(conn);
+	pthread_mutex_lock(&forward->lock);
+	link = g_hash_table_lookup(forward->links, key);
+	link->open--;
+	pthread_mutex_unlock(&forward->lock);
 }
 
-static void keep(entry_forward_t *forward, const entry_endpoint_t *endpoint,
+static void keep(entry_forward_t *forward,
+		 const entry_forward_options_t *options, const char *key,
 		 struct mg_connection *conn)
 {
 	kept_t kept = { conn, base_clock_mono() };
-	char *key = identity(endpoint);
-	GArray *list;
+	link_t *link;
+	bool room;
 
 	pthread_mutex_lock(&forward->lock);
-	list = g_hash_table_lookup(forward->idle, key);
-	if (!list) {
-		list = g_array_new(FALSE, FALSE, sizeof(kept_t));
-		g_hash_table_insert(forward->idle, g_strdup(key), list);
-	}
-	g_array_append_val(list, kept);
+	link = g_hash_table_lookup(forward->links, key);
+	room = link->open <= options->connections;
+	if (room)
+		g_array_append_val(link->idle, kept);
 	pthread_mutex_unlock(&forward->lock);
-	g_free(key);
+	if (!room)
+		close_link(forward, key, conn);
 }
 
 static bool send_request(struct mg_connection *conn,
@@ -285,26 +332,18 @@
 	}
 }
 
-static const char *header_of(const entry_message_t *message, const char *name)
-{
-	for (size_t i = 0; i < message->header_count; i++)
-		if (!g_ascii_strcasecmp(message->headers[i].name, name))
-			return message->headers[i].value;
-	return NULL;
-}
-
 /* An endpoint that names another request answers somebody else. */
 static bool other_request(const entry_forward_options_t *options,
 			  const entry_message_t *answer)
 {
-	const char *id = header_of(answer, "X-Request-Id");
+	const char *id = entry_header(answer, "X-Request-Id");
 
-	return id && strcmp(id, options->request->id);
+	return id && strcmp(id, options->request->id) != 0;
 }
 
 static bool was_refused(const entry_message_t *answer)
 {
-	const char *mark = header_of(answer, "X-Not-Run");
+	const char *mark = entry_header(answer, "X-Not-Run");
 
 	return answer->status == 503 && mark &&
 	       !g_ascii_strcasecmp(mark, "yes");
--- a/packages/entry/entry_int.h
+++ b/packages/entry/entry_int.h
@@ -12,6 +12,7 @@
 
 #include "conf.h"
 #include "entry.h"
+#include "route.h"
 
 #define ENTRY_CONFIG_KEY "/cactusfield/config"
 
@@ -133,6 +134,7 @@
 	const entry_endpoint_t *endpoint;
 	const entry_request_t *request;
 	int64_t answer_max; /* bytes */
+	int connections;    /* that may be open to the endpoint */
 	bool fresh;	    /* on a new connection */
 } entry_forward_options_t;
 
@@ -143,6 +145,9 @@
 				   const entry_forward_options_t *options,
 				   entry_message_t *answer);
 
+/* The value of a header, or NULL. */
+const char *entry_header(const entry_message_t *message, const char *name);
+
 /* Close kept connections that have been idle too long. */
 void entry_forward_expire(entry_forward_t *forward, int64_t now);
 
@@ -173,10 +178,63 @@
 void entry_http_refuse(struct mg_connection *conn, const char *request_id,
 		       const entry_refusal_t *refusal);
 
+/*
+ * entry_route - admission, choice of endpoint and retries.
+ */
+#define ENTRY_ENTRIES_MAX 8 /* entries that a site's balancer may have */
+#define ENTRY_ANSWER_MAX (4 * 1024 * 1024) /* bytes */
+#define ENTRY_PROBES_MAX 16		   /* endpoints handed out at once */
+#define ENTRY_PROBE_DUTIES 3
+
+typedef struct entry_daemon entry_daemon_t;
+typedef struct entry_route entry_route_t;
+
+typedef struct entry_verdict {
+	entry_outcome_t outcome;
+	const char *reason;
+	int retry_after_ms;
+} entry_verdict_t;
+
+entry_route_t *entry_route_new(entry_daemon_t *daemon);
+
+/* Put the view in force into the core; any thread. */
+void entry_route_apply(entry_route_t *route);
+
+/* Queue, send and retry; returns when the request is over. */
+entry_verdict_t entry_route_run(entry_route_t *route, entry_request_t *request,
+				entry_message_t *answer);
+
+/* Who shares the pools, as membership sees it. */
+void entry_route_entries(entry_route_t *route, const route_entry_t *entries,
+			 size_t n);
+
+/* Any signal that an identity is leaving; true if it was news. */
+bool entry_route_leaving(entry_route_t *route, base_str_t instance,
+			 base_str_t incarnation);
+
+/* What to probe now, strings below "ctx", and what came of it. */
+size_t entry_route_probes(entry_route_t *route, const void *ctx, bool own_zone,
+			  entry_endpoint_t *due, size_t max);
+void entry_route_probed(entry_route_t *route, const entry_endpoint_t *endpoint,
+			route_probe_t result);
+
+/* Requests that run at an identity through this entry. */
+int entry_route_running(entry_route_t *route, base_str_t instance,
+			base_str_t incarnation);
+
+/* Visit the core's counters under its lock. */
+void entry_route_visit(entry_route_t *route,
+		       void (*pool)(void *, const route_pool_stats_t *),
+		       void (*group)(void *, const route_group_stats_t *),
+		       void *arg);
+
+/* Append the core's counters and histograms. */
+void entry_metrics_route(entry_daemon_t *daemon, base_buf_t *out);
+
 /*
  * entry_daemon - what the services of one process share.
  */
-typedef struct entry_daemon {
+struct entry_daemon {
 	const entry_settings_t *settings;
 	const base_log_t *log;
 	kern_t *kern;
@@ -194,13 +252,17 @@
 	kern_duty_t *list_duty;
 	atomic_int store_down;
 	atomic_int list_down;
-} entry_daemon_t;
+	entry_route_t *route;
+	kern_duty_t *probes[ENTRY_PROBE_DUTIES];
+};
 
 /* Services in the order of their start; entry_services.c. */
 bool entry_services_register(entry_daemon_t *daemon, GError **err);
 
 extern const kern_service_ops_t entry_platform_ops;
 extern const kern_service_ops_t entry_operators_ops;
+extern const kern_service_ops_t entry_route_ops;
+extern const kern_service_ops_t entry_probe_ops;
 extern const kern_service_ops_t entry_caller_ops;
 
 /* Start a listener; the error names the port. */
--- a/packages/entry/entry_platform.c
+++ b/packages/entry/entry_platform.c
@@ -83,6 +83,7 @@
 		return;
 	}
 	if (newer) {
+		entry_route_apply(daemon->route);
 		entry_view_t *view = entry_view_hold(daemon->views);
 
 		base_log(daemon->log, BASE_MSG_CONFIG_IN_FORCE,
@@ -102,8 +103,10 @@
 					    &cause);
 
 	(void)now;
-	if (read)
+	if (read) {
 		entry_views_take_list(daemon->views, &instances);
+		entry_route_apply(daemon->route);
+	}
 	note_reach(daemon, &daemon->list_down, read, BASE_MSG_LIST_DOWN, cause);
 	talloc_free(ctx);
 }
--- /dev/null
+++ b/packages/entry/entry_route.c
@@ -0,0 +1,431 @@
+#include "entry_int.h"
+
+/*
+ * Drives the decision core: one mutex around it, one duty for its clock.  A
+ * request's thread sleeps here until the core has it started or ended.
+ */
+
+#define HELD_PART 4 /* one thread in so many is kept free */
+#define QUEUE_BYTES_MAX (16 * 1024 * 1024) /* of all pools */
+#define CROSS_ZONE_US (3 * BASE_MS)	   /* a round trip between zones */
+#define RETRY_PERCENT 100.0
+
+typedef enum step { STEP_WAIT, STEP_SEND, STEP_OVER, STEP_MAX } step_t;
+
+/* A request whose thread waits. */
+typedef struct waiter {
+	route_request_t core;
+	pthread_cond_t woken;
+	step_t step;
+	const route_endpoint_t *endpoint;
+	route_end_t end;
+} waiter_t;
+
+struct entry_route {
+	pthread_mutex_t lock; /* of everything below */
+	route_t *core;
+	entry_daemon_t *daemon;
+	entry_view_t *applied; /* held */
+	uint64_t version;      /* of the endpoints handed in */
+	kern_duty_t *duty;
+};
+
+static bool route_start(void *service, kern_t *kern, GError **err);
+static void route_stop(void *service);
+static void tick(void *arg, int64_t now);
+static void on_start(void *arg, route_request_t *request,
+		     const route_endpoint_t *endpoint, int attempt);
+static void on_end(void *arg, route_request_t *request, const route_end_t *end);
+static int free_route(entry_route_t *route);
+static void seed_entries(entry_route_t *route);
+static void configure(entry_route_t *route, const conf_t *conf, int64_t now);
+static void take_pool(entry_route_t *route, const entry_pool_t *pool,
+		      int64_t now);
+static bool admit(entry_route_t *route, waiter_t *waiter,
+		  const entry_request_t *request);
+static route_result_t send_once(entry_route_t *route, const waiter_t *waiter,
+				entry_request_t *request,
+				entry_message_t *answer, bool *leaving);
+static bool says_leaving(const entry_message_t *answer);
+
+const kern_service_ops_t entry_route_ops = { route_start, route_stop };
+
+static const route_ops_t core_ops = { on_start, on_end };
+
+static const route_result_t results[ENTRY_ATTEMPT_MAX] = {
+	[ENTRY_ATTEMPT_ANSWERED] = ROUTE_RESULT_ANSWERED,
+	[ENTRY_ATTEMPT_REFUSED] = ROUTE_RESULT_REFUSED,
+	[ENTRY_ATTEMPT_CONNECT] = ROUTE_RESULT_CONNECT_FAILED,
+	[ENTRY_ATTEMPT_FAILED] = ROUTE_RESULT_FAILED,
+	[ENTRY_ATTEMPT_CUT] = ROUTE_RESULT_CUT_SHORT,
+	[ENTRY_ATTEMPT_TIMEOUT] = ROUTE_RESULT_TIMEOUT,
+	[ENTRY_ATTEMPT_LARGE] = ROUTE_RESULT_TOO_LARGE,
+};
+
+static const entry_outcome_t outcomes[ROUTE_OUTCOME_MAX] = {
+	[ROUTE_ANSWERED] = ENTRY_ANSWERED,
+	[ROUTE_NOT_RUN] = ENTRY_NOT_RUN,
+	[ROUTE_UNKNOWN] = ENTRY_UNKNOWN,
+};
+
+entry_route_t *entry_route_new(entry_daemon_t *daemon)
+{
+	const entry_settings_t *settings = daemon->settings;
+	entry_route_t *route = talloc_zero(daemon, entry_route_t);
+	route_options_t options = {
+		.ops = &core_ops,
+		.arg = route,
+		.entry = settings->name,
+		.zone = settings->zone,
+		.seed = (uint64_t)base_clock_wall(),
+		.held_max = settings->caller.threads -
+			    settings->caller.threads / HELD_PART,
+		.bytes_max = QUEUE_BYTES_MAX,
+		.cross_zone_us = CROSS_ZONE_US,
+	};
+
+	route->daemon = daemon;
+	pthread_mutex_init(&route->lock, NULL);
+	route->core = route_new(route, &options);
+	seed_entries(route);
+	talloc_set_destructor(route, free_route);
+	return route;
+}
+
+void entry_route_apply(entry_route_t *route)
+{
+	int64_t now = base_clock_mono();
+	entry_view_t *view, *old;
+
+	pthread_mutex_lock(&route->lock);
+	view = entry_view_hold(route->daemon->views);
+	old = route->applied;
+	if (view == old || !view->record) {
+		pthread_mutex_unlock(&route->lock);
+		entry_view_release(view);
+		return;
+	}
+	if (!old || old->record != view->record)
+		configure(route, view->record->config, now);
+	route->version++;
+	for (size_t i = 0; i < view->pool_count; i++)
+		take_pool(route, &view->pools[i], now);
+	route->applied = view;
+	pthread_mutex_unlock(&route->lock);
+	if (old)
+		entry_view_release(old);
+}
+
+entry_verdict_t entry_route_run(entry_route_t *route, entry_request_t *request,
+				entry_message_t *answer)
+{
+	waiter_t waiter = { .step = STEP_WAIT };
+	entry_verdict_t verdict = { ENTRY_NOT_RUN, "no-configuration", 1000 };
+
+	pthread_mutex_lock(&route->lock);
+	if (!admit(route, &waiter, request)) {
+		pthread_mutex_unlock(&route->lock);
+		return verdict;
+	}
+	pthread_cond_init(&waiter.woken, NULL);
+	route_submit(route->core, &waiter.core, base_clock_mono());
+	while (waiter.step != STEP_OVER) {
+		route_result_t result;
+		bool leaving;
+
+		while (waiter.step == STEP_WAIT)
+			pthread_cond_wait(&waiter.woken, &route->lock);
+		if (waiter.step == STEP_OVER)
+			break;
+		waiter.step = STEP_WAIT;
+		pthread_mutex_unlock(&route->lock);
+		result = send_once(route, &waiter, request, answer, &leaving);
+		pthread_mutex_lock(&route->lock);
+		if (leaving)
+			route_leaving(route->core,
+				      base_str(waiter.endpoint->instance),
+				      base_str(waiter.endpoint->incarnation),
+				      base_clock_mono());
+		route_done(route->core, &waiter.core, result,
+			   base_clock_mono());
+	}
+	pthread_mutex_unlock(&route->lock);
+	pthread_cond_destroy(&waiter.woken);
+	verdict.outcome = outcomes[waiter.end.outcome];
+	verdict.reason = route_reason_name(waiter.end.reason);
+	verdict.retry_after_ms = waiter.end.retry_after_ms;
+	return verdict;
+}
+
+void entry_route_entries(entry_route_t *route, const route_entry_t *entries,
+			 size_t n)
+{
+	pthread_mutex_lock(&route->lock);
+	route_entries(route->core, entries, n, base_clock_mono());
+	pthread_mutex_unlock(&route->lock);
+}
+
+bool entry_route_leaving(entry_route_t *route, base_str_t instance,
+			 base_str_t incarnation)
+{
+	bool news;
+
+	pthread_mutex_lock(&route->lock);
+	news = route_leaving(route->core, instance, incarnation,
+			     base_clock_mono());
+	pthread_mutex_unlock(&route->lock);
+	return news;
+}
+
+size_t entry_route_probes(entry_route_t *route, const void *ctx, bool own_zone,
+			  entry_endpoint_t *due, size_t max)
+{
+	const route_endpoint_t *found[ENTRY_PROBES_MAX];
+	size_t n;
+
+	pthread_mutex_lock(&route->lock);
+	n = route_probe_due(route->core, own_zone, base_clock_mono(), found,
+			    MIN(max, ENTRY_PROBES_MAX));
+	for (size_t i = 0; i < n; i++) {
+		due[i].id = talloc_strdup(ctx, found[i]->instance);
+		due[i].incarnation = talloc_strdup(ctx, found[i]->incarnation);
+		due[i].address = talloc_strdup(ctx, found[i]->address);
+		due[i].port = found[i]->port;
+	}
+	pthread_mutex_unlock(&route->lock);
+	return n;
+}
+
+void entry_route_probed(entry_route_t *route, const entry_endpoint_t *endpoint,
+			route_probe_t result)
+{
+	pthread_mutex_lock(&route->lock);
+	route_probe_done(route->core, base_str(endpoint->id),
+			 base_str(endpoint->incarnation), result,
+			 base_clock_mono());
+	pthread_mutex_unlock(&route->lock);
+}
+
+int entry_route_running(entry_route_t *route, base_str_t instance,
+			base_str_t incarnation)
+{
+	int running;
+
+	pthread_mutex_lock(&route->lock);
+	running = route_running(route->core, instance, incarnation);
+	pthread_mutex_unlock(&route->lock);
+	return running;
+}
+
+void entry_route_visit(entry_route_t *route,
+		       void (*pool)(void *, const route_pool_stats_t *),
+		       void (*group)(void *, const route_group_stats_t *),
+		       void *arg)
+{
+	pthread_mutex_lock(&route->lock);
+	route_each_pool(route->core, base_clock_mono(), pool, arg);
+	route_each_group(route->core, group, arg);
+	pthread_mutex_unlock(&route->lock);
+}
+
+static bool route_start(void *service, kern_t *kern, GError **err)
+{
+	entry_daemon_t *daemon = service;
+	kern_duty_options_t options = { .name = "route",
+					.period_us = ROUTE_TICK_US,
+					.ring_size = 8,
+					.arg = daemon->route,
+					.tick = tick };
+
+	(void)kern;
+	daemon->route->duty = kern_duty_start(NULL, &options, err);
+	return daemon->route->duty != NULL;
+}
+
+static void route_stop(void *service)
+{
+	entry_daemon_t *daemon = service;
+
+	kern_duty_stop(daemon->route->duty);
+	talloc_free(daemon->route->duty);
+}
+
+static void tick(void *arg, int64_t now)
+{
+	entry_route_t *route = arg;
+
+	pthread_mutex_lock(&route->lock);
+	route_tick(route->core, now);
+	pthread_mutex_unlock(&route->lock);
+}
+
+static void on_start(void *arg, route_request_t *request,
+		     const route_endpoint_t *endpoint, int attempt)
+{
+	waiter_t *waiter = request->data;
+
+	(void)arg;
+	(void)attempt;
+	waiter->endpoint = endpoint;
+	waiter->step = STEP_SEND;
+	pthread_cond_signal(&waiter->woken);
+}
+
+static void on_end(void *arg, route_request_t *request, const route_end_t *end)
+{
+	waiter_t *waiter = request->data;
+
+	(void)arg;
+	waiter->end = *end;
+	waiter->step = STEP_OVER;
+	pthread_cond_signal(&waiter->woken);
+}
+
+static int free_route(entry_route_t *route)
+{
+	if (route->applied)
+		entry_view_release(route->applied);
+	pthread_mutex_destroy(&route->lock);
+	return 0;
+}
+
+/* Until membership knows better: this entry and one for each seed. */
+static void seed_entries(entry_route_t *route)
+{
+	const entry_settings_t *settings = route->daemon->settings;
+	size_t n = settings->seed_count + 1;
+	route_entry_t *entries = talloc_array(NULL, route_entry_t, n);
+
+	entries[0] = (route_entry_t){ settings->name, settings->zone };
+	for (size_t i = 1; i < n; i++)
+		entries[i] = (route_entry_t){ settings->seeds[i - 1], "" };
+	route_entries(route->core, entries, n, base_clock_mono());
+	talloc_free(entries);
+}
+
+static void configure(entry_route_t *route, const conf_t *conf, int64_t now)
+{
+	void *ctx = talloc_new(NULL);
+	route_conf_t to = { .n_pools = conf->n_pools,
+			    .n_classes = conf->n_classes,
+			    .n_callers = conf->n_callers };
+	route_pool_conf_t *pools =
+		talloc_zero_array(ctx, route_pool_conf_t, to.n_pools);
+	route_class_conf_t *classes =
+		talloc_zero_array(ctx, route_class_conf_t, to.n_classes);
+	route_caller_conf_t *callers =
+		talloc_zero_array(ctx, route_caller_conf_t, to.n_callers);
+
+	for (size_t i = 0; i < to.n_pools; i++)
+		pools[i] = (route_pool_conf_t){
+			.name = conf->pools[i].name.ptr,
+			.slots = (int)conf->pools[i].slots,
+			.connections = (int)conf->pools[i].connections,
+			.entries_max = ENTRY_ENTRIES_MAX,
+			.queue_max = (int)conf->limits.queue_requests,
+			.bytes_max = conf->limits.queue_bytes,
+			.retry_budget = (double)conf->limits.retry_percent /
+					RETRY_PERCENT,
+		};
+	for (size_t i = 0; i < to.n_classes; i++)
+		classes[i] = (route_class_conf_t){
+			.name = conf->classes[i].name.ptr,
+			.pool = conf->classes[i].pool.ptr,
+			.urgency = (int)conf->classes[i].urgency,
+			.weight = (double)conf->classes[i].weight,
+			.repeatable = conf->classes[i].repeatable,
+			.deadline_us = conf->classes[i].deadline_ms * BASE_MS,
+		};
+	for (size_t i = 0; i < to.n_callers; i++)
+		callers[i] = (route_caller_conf_t){
+			conf->callers[i].name.ptr,
+			(double)conf->callers[i].weight,
+		};
+	to.pools = pools;
+	to.classes = classes;
+	to.callers = callers;
+	route_configure(route->core, &to, now);
+	talloc_free(ctx);
+}
+
+static void take_pool(entry_route_t *route, const entry_pool_t *pool,
+		      int64_t now)
+{
+	size_t n = pool->endpoint_count;
+	route_endpoint_t *list = talloc_zero_array(NULL, route_endpoint_t, n);
+
+	for (size_t i = 0; i < n; i++) {
+		const entry_endpoint_t *from = &pool->endpoints[i];
+
+		list[i] = (route_endpoint_t){
+			.instance = from->id,
+			.incarnation = from->incarnation,
+			.zone = from->zone,
+			.address = from->address,
+			.port = from->port,
+			.state = from->state == PLAT_LIVE ? ROUTE_LIVE
+							  : ROUTE_LEAVING,
+		};
+	}
+	route_view(route->core, pool->conf->name, route->version, list, n, now);
+	talloc_free(list);
+}
+
+/* Under the lock: fill in the core's request; false without a class. */
+static bool admit(entry_route_t *route, waiter_t *waiter,
+		  const entry_request_t *request)
+{
+	route_request_t *core = &waiter->core;
+
+	core->class_id = -1;
+	if (request->class)
+		core->class_id =
+			route_find_class(route->core, request->class->pool,
+					 request->class->name);
+	if (core->class_id < 0)
+		return false;
+	core->caller_id =
+		route_find_caller(route->core, base_str(request->caller));
+	core->repeatable = request->repeatable;
+	core->bytes = (uint32_t)request->message.body->len;
+	core->deadline = request->deadline;
+	core->data = waiter;
+	return true;
+}
+
+static route_result_t send_once(entry_route_t *route, const waiter_t *waiter,
+				entry_request_t *request,
+				entry_message_t *answer, bool *leaving)
+{
+	const route_endpoint_t *to = waiter->endpoint;
+	entry_endpoint_t endpoint = {
+		.id = (char *)to->instance,
+		.incarnation = (char *)to->incarnation,
+		.address = (char *)to->address,
+		.port = to->port,
+	};
+	entry_forward_options_t options = {
+		.endpoint = &endpoint,
+		.request = request,
+		.answer_max = ENTRY_ANSWER_MAX,
+		.connections = waiter->core.connections,
+		.fresh = !request->repeatable,
+	};
+	entry_attempt_t ended;
+
+	*answer = (entry_message_t){ 0 };
+	ended = entry_forward_send(route->daemon->forward, request, &options,
+				   answer);
+	*leaving = says_leaving(answer);
+	if (ended == ENTRY_ATTEMPT_ANSWERED && answer->status >= 500)
+		return ROUTE_RESULT_ERROR;
+	return results[ended];
+}
+
+/* The endpoint's own word, on an answer or a refusal. */
+static bool says_leaving(const entry_message_t *answer)
+{
+	const char *state = entry_header(answer, "X-Instance-State");
+
+	return state && !g_ascii_strcasecmp(state, "leaving");
+}
--- a/packages/entry/entry_run.c
+++ b/packages/entry/entry_run.c
@@ -61,6 +61,7 @@
 	daemon->kern = kern_new(daemon, log);
 	daemon->views = entry_views_new(daemon);
 	daemon->forward = entry_forward_new(daemon);
+	daemon->route = entry_route_new(daemon);
 	daemon->guard = guard_new(daemon);
 	daemon->list = plat_slices_new(daemon, &settings->list);
 	snprintf(daemon->incarnation, sizeof(daemon->incarnation), "%lld",
--- a/packages/entry/entry_services.c
+++ b/packages/entry/entry_services.c
@@ -9,6 +9,8 @@
 static const service_t services[] = {
 	{ "operators", &entry_operators_ops },
 	{ "platform", &entry_platform_ops },
+	{ "route", &entry_route_ops },
+	{ "probe", &entry_probe_ops },
 	{ "caller", &entry_caller_ops },
 };
 
--- a/packages/route/route.c
+++ b/packages/route/route.c
@@ -25,6 +25,8 @@
 				     ROUTE_REASON_CUT_SHORT },
 	[ROUTE_RESULT_TIMEOUT] = { true, false, true, true,
 				   ROUTE_REASON_TIMEOUT },
+	[ROUTE_RESULT_TOO_LARGE] = { true, false, false, false,
+				     ROUTE_REASON_TOO_LARGE },
 	[ROUTE_RESULT_CANCELLED] = { true, false, false, false,
 				     ROUTE_REASON_CANCELLED },
 };
@@ -219,6 +221,7 @@
 	req->running = true;
 	req->started = now;
 	req->ep = ep;
+	req->connections = route_conn_share(route, ep->pool, now);
 	req->attempts++;
 	ep->running++;
 	ep->pool->running++;
--- a/packages/route/route.h
+++ b/packages/route/route.h
@@ -56,6 +56,7 @@
 	ROUTE_REASON_FAILED,	   /* failed after the first byte */
 	ROUTE_REASON_CUT_SHORT,	   /* the answer was not whole */
 	ROUTE_REASON_TIMEOUT,	   /* no answer before the deadline */
+	ROUTE_REASON_TOO_LARGE,	   /* the answer passes the limit */
 	ROUTE_REASON_CANCELLED,	   /* the caller went away */
 	ROUTE_REASON_MAX
 } route_reason_t;
@@ -69,6 +70,7 @@
 	ROUTE_RESULT_FAILED,	     /* failed after the first byte */
 	ROUTE_RESULT_CUT_SHORT,	     /* answer began and did not end */
 	ROUTE_RESULT_TIMEOUT,	     /* bytes written, deadline passed */
+	ROUTE_RESULT_TOO_LARGE,	     /* the answer passes the limit */
 	ROUTE_RESULT_CANCELLED,	     /* bytes written, caller went away */
 	ROUTE_RESULT_MAX
 } route_result_t;
@@ -109,6 +111,7 @@
 	int64_t deadline; /* absolute; 0 takes the class's default */
 	void *data;	  /* for the driver alone */
 
+	int connections; /* that may be open to the endpoint it runs at */
 	int64_t submitted;
 	int64_t started;
 	int attempts;
@@ -275,12 +278,13 @@
 void route_tick(route_t *route, int64_t now);
 
 /*
- * The endpoints that this entry should probe now, at most "max"; each is then
- * due again a ROUTE_PROBE_US later.  Entries of one zone split the endpoints
- * by rendezvous hashing and tell each other what they see.
+ * The endpoints of our zone, or of the others, that this entry should probe
+ * now, at most "max"; each is then due again a ROUTE_PROBE_US later.  Entries
+ * of one zone split the endpoints by rendezvous hashing and tell each other
+ * what they see.
  */
 #define ROUTE_PROBE_US (1 * BASE_SEC)
-size_t route_probe_due(route_t *route, int64_t now,
+size_t route_probe_due(route_t *route, bool own_zone, int64_t now,
 		       const route_endpoint_t **due, size_t max);
 
 /* What a probe showed: ours, or told by a peer of our zone. */
--- a/packages/route/route_choice.c
+++ b/packages/route/route_choice.c
@@ -42,10 +42,12 @@
 		     int64_t now)
 {
 	int divisor = MAX(route->divisor, pool->conf.entries_max);
+	int free;
 
 	if (now >= route->divisor_until)
 		divisor = MAX((int)route->n_entries, pool->conf.entries_max);
-	return pool->conf.connections / MAX(divisor, 1);
+	free = pool->conf.connections - pool->conf.connections / PROBE_PART;
+	return free / MAX(divisor, 1);
 }
 
 void route_ep_failed(const route_t *route, route_ep_t *ep, int64_t now)
--- a/packages/route/route_int.h
+++ b/packages/route/route_int.h
@@ -26,6 +26,7 @@
 #define RAMP_US (5 * BASE_SEC) /* slow start of a returning endpoint */
 #define RAMP_MIN 0.1
 #define SCAN_MAX 16	 /* endpoints of a zone that are all compared */
+#define PROBE_PART 16	 /* one in so many connections is kept for probes */
 #define PROBE_FAILURES 2 /* in a row */
 #define TOMBSTONE_US (3600 * BASE_SEC)
 
--- a/packages/route/route_probe.c
+++ b/packages/route/route_probe.c
@@ -20,7 +20,7 @@
 	}
 }
 
-size_t route_probe_due(route_t *route, int64_t now,
+size_t route_probe_due(route_t *route, bool own_zone, int64_t now,
 		       const route_endpoint_t **due, size_t max)
 {
 	size_t n = 0;
@@ -31,7 +31,8 @@
 		for (guint k = 0; k < pool->eps->len && n < max; k++) {
 			route_ep_t *ep = pool->eps->pdata[k];
 
-			if (!ep->mine || now < ep->probe_at)
+			if (!ep->mine || ep->local != own_zone ||
+			    now < ep->probe_at)
 				continue;
 			if (!ep->probe_at) {
 				ep->probe_at = now + spread(route);
--- a/packages/route/route_stats.c
+++ b/packages/route/route_stats.c
@@ -16,10 +16,11 @@
 	[ROUTE_REASON_WAIT] = "wait-too-long",
 	[ROUTE_REASON_DEADLINE] = "deadline",
 	[ROUTE_REASON_REFUSED] = "endpoint-refused",
-	[ROUTE_REASON_CONNECT] = "connect-failed",
-	[ROUTE_REASON_FAILED] = "endpoint-failed",
-	[ROUTE_REASON_CUT_SHORT] = "cut-short",
-	[ROUTE_REASON_TIMEOUT] = "timeout",
+	[ROUTE_REASON_CONNECT] = "no-connection",
+	[ROUTE_REASON_FAILED] = "connection-lost",
+	[ROUTE_REASON_CUT_SHORT] = "answer-cut-short",
+	[ROUTE_REASON_TIMEOUT] = "no-answer-in-time",
+	[ROUTE_REASON_TOO_LARGE] = "answer-too-large",
 	[ROUTE_REASON_CANCELLED] = "cancelled",
 };
 
--- a/standin/standin_endpoint.c
+++ b/standin/standin_endpoint.c
@@ -56,6 +56,26 @@
 	return status;
 }
 
+/* What a probe asks; it takes no slot and is no run. */
+int endpoint_health(struct mg_connection *conn, void *arg)
+{
+	standin_t *s = arg;
+	int index = mg_get_request_info(conn)->server_port - s->base_port;
+	bool gone, leaving;
+
+	pthread_mutex_lock(&s->lock);
+	gone = s->instances[index].gone;
+	leaving = s->instances[index].leaving;
+	pthread_mutex_unlock(&s->lock);
+	if (gone)
+		return answer_nothing(conn);
+	mg_printf(conn,
+		  "HTTP/1.1 200 OK\r\nX-Instance-State: %s\r\n"
+		  "Content-Length: 0\r\n\r\n",
+		  leaving ? "leaving" : "live");
+	return 200;
+}
+
 /* The run's number; -1: refused; -2: the instance is gone. */
 static long begin(standin_t *s, int index, struct mg_connection *conn)
 {
