Add package peer: ONC RPC between entries, authenticated

Entries need a typed way to call each other that tells what ran from what did not, and that ignores changed, misdirected and repeated messages.

--- /dev/null
+++ b/packages/peer/peer.c
@@ -0,0 +1,81 @@
+#include <ctype.h>
+#include <signal.h>
+
+#include "peer_int.h"
+
+G_DEFINE_QUARK(peer - error - quark, peer_error)
+
+peer_t *peer_new(const void *ctx, const peer_opts_t *opts, GError **err)
+{
+	peer_t *peer;
+
+	if (!peer_name_ok(opts->id) || !peer_name_ok(opts->zone) ||
+	    !opts->addr.ip || !opts->addr.port || !opts->life ||
+	    opts->key.len < PEER_KEY_MIN) {
+		g_set_error(err, PEER_ERROR, PEER_ERROR_BAD_OPTS,
+			    "needs an id and a zone of at most %d letters, "
+			    "digits, '.', '_' or '-', an address, a life and "
+			    "a key of at least %d bytes",
+			    PEER_ID_MAX, PEER_KEY_MIN);
+		return NULL;
+	}
+	signal(SIGPIPE, SIG_IGN);
+	peer = talloc_zero(ctx, peer_t);
+	peer->id = talloc_strdup(peer, opts->id);
+	peer->zone = talloc_strdup(peer, opts->zone);
+	peer->addr = opts->addr;
+	peer->life = opts->life;
+	peer->key.ptr = talloc_memdup(peer, opts->key.ptr, opts->key.len);
+	peer->key.len = opts->key.len;
+	peer->log = *opts->log;
+	peer->cuts = peer_cuts_new(peer);
+	peer->lives = peer_lives_new(peer);
+	peer->pool = peer_pool_new(peer, opts->addr);
+	return peer;
+}
+
+void peer_handle(peer_t *peer, peer_proc_t proc, peer_handler_t fn, void *arg)
+{
+	peer->slots[proc] = (peer_slot_t){ fn, arg };
+}
+
+void peer_cut(peer_t *peer, const char *zone, bool cut)
+{
+	peer_cuts_set(peer->cuts, zone, cut);
+}
+
+uint64_t peer_life_of(peer_t *peer)
+{
+	return peer->life;
+}
+
+peer_stats_t peer_stats(peer_t *peer)
+{
+	return (peer_stats_t){
+		.calls_out = peer->counts[PEER_CALLS_OUT],
+		.bytes_out = peer->counts[PEER_BYTES_OUT],
+		.calls_in = peer->counts[PEER_CALLS_IN],
+		.bytes_in = peer->counts[PEER_BYTES_IN],
+		.refused_mac = peer->counts[PEER_REFUSED_MAC],
+		.refused_life = peer->counts[PEER_REFUSED_LIFE],
+		.refused_replay = peer->counts[PEER_REFUSED_REPLAY],
+		.cut = peer->counts[PEER_CUT],
+	};
+}
+
+bool peer_name_ok(const char *name)
+{
+	size_t len = name ? strlen(name) : 0;
+
+	if (!len || len > PEER_ID_MAX)
+		return false;
+	for (size_t i = 0; i < len; i++)
+		if (!isalnum((unsigned char)name[i]) && !strchr("._-", name[i]))
+			return false;
+	return true;
+}
+
+void peer_count(peer_t *peer, peer_count_t what, uint64_t n)
+{
+	atomic_fetch_add_explicit(&peer->counts[what], n, memory_order_relaxed);
+}
