Measure the path against a bare relay

Cause: what the decisions and the truth about outcomes cost has to be known against the same server and client without them.

--- a/Makefile
+++ b/Makefile
@@ -98,6 +98,9 @@
 	@mkdir -p $(@D)
 	$(CC) $(LDFLAGS) -o $@ $< $(GROUP) $(LDLIBS)
 
+$(OUT)/bench/relay: $(OUT)/bench/relay_main.o $(LIBS)
+	$(CC) $(LDFLAGS) -o $@ $< $(GROUP) $(LDLIBS)
+
 $(OUT)/load/load: $(patsubst %.c,$(OUT)/%.o,$(wildcard load/*.c)) $(LIBS)
 	$(CC) $(LDFLAGS) -o $@ $(filter %.o,$^) $(GROUP) $(LDLIBS)
 
@@ -115,7 +118,7 @@
 	@OUT=$(OUT) tests/demo
 
 bench: all
-	+@$(MAKE) --no-print-directory -s -j$$(nproc) $(BENCHES)
+	+@$(MAKE) --no-print-directory -s -j$$(nproc) $(BENCHES) $(OUT)/bench/relay
 	@OUT=$(OUT) bench/run
 
 soak: all
--- /dev/null
+++ b/load/load_bench.c
@@ -0,0 +1,139 @@
+#include "load_int.h"
+
+/*
+ * A closed loop: each connection sends its next request when the answer to
+ * the last has come.  Prints one JSON line.
+ */
+
+#define ERROR_TEXT_MAX 160 /* bytes */
+#define ANSWER_WAIT_MS 10000
+
+typedef struct bench {
+	plat_address_t *targets;
+	int target_count;
+	const char *path;
+	int64_t until;
+	int64_t pause_us; /* between a connection's requests */
+	atomic_int next;
+} bench_t;
+
+typedef struct lane {
+	bench_t *bench;
+	base_hist_t *us;
+	uint64_t bad;
+	pthread_t thread;
+} lane_t;
+
+static void *run(void *arg);
+static bool ask(struct mg_connection *conn, const char *path);
+
+int load_bench(int argc, char **argv)
+{
+	struct arg_str *targets = arg_strn(NULL, "target", "ADDRESS:PORT", 1,
+					   TARGETS_MAX, "where to send");
+	struct arg_str *path = arg_str1(NULL, "path", "PATH", "what to ask");
+	struct arg_int *count = arg_int1(NULL, "connections", "N", "at once");
+	struct arg_dbl *seconds = arg_dbl1(NULL, "seconds", "S", "how long");
+	struct arg_dbl *rate = arg_dbl0(NULL, "rate", "R",
+					"at most R requests a second in all");
+	struct arg_str *name = arg_str1(NULL, "name", "NAME", "in the output");
+	struct arg_end *end = arg_end(4);
+	void *table[] = { targets, path, count, seconds, rate, name, end };
+	bench_t bench = { 0 };
+	base_hist_t *all;
+	uint64_t bad = 0;
+	lane_t *lanes;
+
+	if (arg_parse(argc, argv, table)) {
+		arg_print_errors(stderr, end, "load bench");
+		return 2;
+	}
+	bench.target_count = targets->count;
+	bench.targets = g_new0(plat_address_t, (gsize)targets->count);
+	for (int i = 0; i < targets->count; i++)
+		bench.targets[i] = load_address(NULL, targets->sval[i]);
+	bench.path = path->sval[0];
+	if (rate->count)
+		bench.pause_us = (int64_t)(count->ival[0] * (double)BASE_SEC /
+					   rate->dval[0]);
+	bench.until = base_clock_mono() +
+		      (int64_t)(seconds->dval[0] * (double)BASE_SEC);
+	lanes = g_new0(lane_t, (gsize)count->ival[0]);
+	all = base_hist_new(NULL);
+	for (int i = 0; i < count->ival[0]; i++) {
+		lanes[i].bench = &bench;
+		lanes[i].us = base_hist_new(NULL);
+		pthread_create(&lanes[i].thread, NULL, run, &lanes[i]);
+	}
+	for (int i = 0; i < count->ival[0]; i++) {
+		pthread_join(lanes[i].thread, NULL);
+		base_hist_merge(all, lanes[i].us);
+		bad += lanes[i].bad;
+	}
+	printf("{\"bench\":\"%s\",\"connections\":%d,\"requests_s\":%.0f,"
+	       "\"p50_ms\":%.3f,\"p99_ms\":%.3f,\"bad\":%llu}\n",
+	       name->sval[0], count->ival[0],
+	       (double)base_hist_count(all) / seconds->dval[0],
+	       base_hist_quantile(all, 0.5) / 1000.0,
+	       base_hist_quantile(all, 0.99) / 1000.0, (unsigned long long)bad);
+	return bad ? 1 : 0;
+}
+
+static void *run(void *arg)
+{
+	lane_t *lane = arg;
+	bench_t *bench = lane->bench;
+	int at = atomic_fetch_add(&bench->next, 1);
+	const plat_address_t *to = &bench->targets[at % bench->target_count];
+	struct mg_connection *conn = NULL;
+	char error[ERROR_TEXT_MAX];
+
+	base_clock_sleep(bench->pause_us * (at % 64) / 64);
+	while (base_clock_mono() < bench->until) {
+		int64_t begin = base_clock_mono();
+		int64_t took;
+
+		if (!conn)
+			conn = mg_connect_client(to->host, to->port, 0, error,
+						 sizeof(error));
+		if (!conn || !ask(conn, bench->path)) {
+			if (conn)
+				mg_close_connection(conn);
+			conn = NULL;
+			lane->bad++;
+			continue;
+		}
+		took = base_clock_mono() - begin;
+		base_hist_add(lane->us, took);
+		if (bench->pause_us > took)
+			base_clock_sleep(bench->pause_us - took);
+	}
+	if (conn)
+		mg_close_connection(conn);
+	return NULL;
+}
+
+static bool ask(struct mg_connection *conn, const char *path)
+{
+	char error[ERROR_TEXT_MAX], chunk[8192];
+	long long left;
+
+	if (mg_printf(conn,
+		      "GET %s HTTP/1.1\r\nHost: bench\r\nX-Work-Us: 0\r\n\r\n",
+		      path) <= 0 ||
+	    mg_get_response(conn, error, sizeof(error), ANSWER_WAIT_MS) < 0 ||
+	    mg_get_response_info(conn)->status_code != 200)
+		return false;
+	left = mg_get_response_info(conn)->content_length;
+	while (left > 0) {
+		int got = mg_read(conn, chunk,
+				  left < (long long)sizeof(chunk)
+					  ? (size_t)left
+					  : sizeof(chunk));
+
+		if (got <= 0)
+			return false;
+		left -= got;
+	}
+	return true;
+}
--- a/load/load_int.h
+++ b/load/load_int.h
@@ -71,6 +71,7 @@
 int load_run(int argc, char **argv);
 int load_check(int argc, char **argv);
 int load_get(int argc, char **argv);
+int load_bench(int argc, char **argv);
 
 /* Keep each target's readiness up to date until load->stop. */
 void *load_balance(void *arg);
--- a/load/load_main.c
+++ b/load/load_main.c
@@ -9,6 +9,7 @@
 	{ "run", load_run },
 	{ "check", load_check },
 	{ "get", load_get },
+	{ "bench", load_bench },
 };
 
 int main(int argc, char **argv)
@@ -17,7 +18,7 @@
 	for (size_t i = 0; argc > 1 && i < ARRAY_SIZE(commands); i++)
 		if (!strcmp(argv[1], commands[i].name))
 			return commands[i].run(argc - 1, argv + 1);
-	fprintf(stderr, "usage: load run|check|get ...\n");
+	fprintf(stderr, "usage: load run|check|get|bench ...\n");
 	return 2;
 }
 
