Keep a doubt once raised: a later refusal does not make it 'not run'

A first attempt broke after its first byte, the second was refused, and only the last attempt's verdict was told. Ruled out: the refusal mark of endpoints, reuse of connections.

--- a/packages/entry/entry_caller.c
+++ b/packages/entry/entry_caller.c
@@ -103,6 +103,7 @@
 {
 	const entry_pool_t *pool = entry_view_pool(view, request->service);
 	entry_attempt_t ended = ENTRY_ATTEMPT_CONNECT;
+	entry_attempt_t doubt = ENTRY_ATTEMPT_ANSWERED;
 
 	for (int attempt = 0; attempt < ATTEMPTS_MAX; attempt++) {
 		entry_forward_options_t options = {
@@ -117,14 +118,17 @@
 		ended = entry_forward_send(daemon->forward, request, &options,
 					   answer);
 		if (ended == ENTRY_ATTEMPT_ANSWERED)
-			break;
+			return ended;
+		if (verdicts[ended].outcome == ENTRY_UNKNOWN)
+			doubt = ended;
 		if (!request->repeatable &&
 		    verdicts[ended].outcome != ENTRY_NOT_RUN)
 			break;
 		if (base_clock_mono() >= request->deadline)
 			break;
 	}
-	return ended;
+	/* Once it may have run, a later refusal does not undo that. */
+	return doubt != ENTRY_ATTEMPT_ANSWERED ? doubt : ended;
 }
 
 /* The next live endpoint in turn. */
