--- a/load/load_int.h
+++ b/load/load_int.h
@@ -43,6 +43,7 @@
 	plat_address_t caller;
 	plat_address_t operators; /* port 0: always ready */
 	atomic_int ready;
+	atomic_int epoch; /* counts how often it became unready */
 } target_t;
 
 typedef struct flow {
--- a/load/load_run.c
+++ b/load/load_run.c
@@ -160,7 +160,8 @@
 						->status_code == 200;
 				mg_close_connection(conn);
 			}
-			atomic_store(&target->ready, ready);
+			if (atomic_exchange(&target->ready, ready) && !ready)
+				atomic_fetch_add(&target->epoch, 1);
 		}
 		base_clock_sleep(BALANCE_PERIOD_US);
 	}
--- a/load/load_work.c
+++ b/load/load_work.c
@@ -2,9 +2,10 @@
 
 #include "load_int.h"
 
-#define ERROR_TEXT_MAX 160	 /* bytes */
-#define ANSWER_WAIT_MS 30000	 /* for an entry's answer */
-#define ANSWER_MAX (1024 * 1024) /* bytes */
+#define ERROR_TEXT_MAX 160	   /* bytes */
+#define ANSWER_WAIT_MS 30000	   /* for an entry's answer */
+#define ANSWER_MAX (1024 * 1024)   /* bytes */
+#define IDLE_MAX_US (2 * BASE_SEC) /* shorter than the entries' bound */
 
 typedef struct worker {
 	load_t *load;
@@ -12,6 +13,8 @@
 	unsigned count;
 	base_rng_t rng;
 	struct mg_connection *conns[TARGETS_MAX];
+	int epochs[TARGETS_MAX]; /* of the target when it was connected */
+	int64_t used_at[TARGETS_MAX];
 	base_buf_t *text;
 	base_buf_t *body;
 } worker_t;
@@ -28,6 +31,7 @@
 static void make_request(worker_t *w, request_t *request,
 			 const conf_class_t *class);
 static int send_to(worker_t *w, const request_t *request, int avoid);
+static bool connected(worker_t *w, int at);
 static seen_t exchange(worker_t *w, int at, const request_t *request,
 		       char *reason);
 static void print_request(worker_t *w, const request_t *request);
@@ -146,12 +150,7 @@
 		at = pick_target(w, avoid);
 		if (at < 0)
 			break;
-		if (!w->conns[at])
-			w->conns[at] = mg_connect_client(
-				w->load->targets[at].caller.host,
-				w->load->targets[at].caller.port, 0, reason,
-				sizeof(reason));
-		if (w->conns[at])
+		if (connected(w, at))
 			seen = exchange(w, at, &again, reason);
 		else if (w->load->targets[at].operators.port)
 			atomic_store(&w->load->targets[at].ready, 0);
@@ -160,6 +159,28 @@
 	return at;
 }
 
+/*
+ * Have a connection to the target.  As behind a balancer, one is not used
+ * again after its entry was unready or after it was idle for long.
+ */
+static bool connected(worker_t *w, int at)
+{
+	target_t *target = &w->load->targets[at];
+	int epoch = atomic_load(&target->epoch);
+	int64_t now = base_clock_mono();
+	char error[ERROR_TEXT_MAX];
+
+	if (w->epochs[at] != epoch || now - w->used_at[at] > IDLE_MAX_US)
+		drop(w, at);
+	if (!w->conns[at])
+		w->conns[at] = mg_connect_client(target->caller.host,
+						 target->caller.port, 0, error,
+						 sizeof(error));
+	w->epochs[at] = epoch;
+	w->used_at[at] = now;
+	return w->conns[at] != NULL;
+}
+
 static seen_t exchange(worker_t *w, int at, const request_t *request,
 		       char *reason)
 {
