Format headers with fewer passes

Change: it formats into the room that is there and only repeats when that was too little; header lines are appended without formatting.

Measured: perf record on a machine with other builds; the figures beside the relay are to be taken when it is quiet.

--- a/packages/base/base_int.h
+++ b/packages/base/base_int.h
@@ -8,6 +8,6 @@
 
 #include "base.h"
 
-#define BASE_BUF_MIN 64 /* bytes of a new buffer */
+#define BASE_BUF_MIN 256 /* bytes of a new buffer */
 
 #endif
--- a/packages/base/base_str.c
+++ b/packages/base/base_str.c
@@ -40,20 +40,24 @@
 	base_buf_add(buf, text, strlen(text));
 }
 
+/* Into the room that is there; once more when it was too little. */
 void base_buf_addf(base_buf_t *buf, const char *fmt, ...)
 {
+	size_t room = buf->alloc - buf->len;
 	va_list ap, again;
 	int len;
 
 	va_start(ap, fmt);
 	va_copy(again, ap);
-	len = vsnprintf(NULL, 0, fmt, ap);
+	len = vsnprintf(buf->ptr + buf->len, room, fmt, ap);
 	va_end(ap);
-	if (len > 0) {
+	if (len >= 0 && (size_t)len >= room) {
+		buf->ptr[buf->len] = '\0';
 		grow(buf, (size_t)len);
 		vsnprintf(buf->ptr + buf->len, (size_t)len + 1, fmt, again);
-		buf->len += (size_t)len;
 	}
+	if (len > 0)
+		buf->len += (size_t)len;
 	va_end(again);
 }
 
--- a/packages/entry/entry_forward.c
+++ b/packages/entry/entry_forward.c
@@ -219,10 +219,10 @@
 		      request->method, request->target,
 		      options->endpoint->address, options->endpoint->port);
 	for (size_t i = 0; i < message->header_count; i++)
-		base_buf_addf(text, "%s: %s\r\n", message->headers[i].name,
-			      message->headers[i].value);
-	base_buf_addf(text, "X-Request-Id: %s\r\n", request->id);
-	base_buf_addf(text, "X-Cactusfield-Caller: %s\r\n", request->caller);
+		entry_http_add(text, message->headers[i].name,
+			       message->headers[i].value);
+	entry_http_add(text, "X-Request-Id", request->id);
+	entry_http_add(text, "X-Cactusfield-Caller", request->caller);
 	if (message->body->len || !strcmp(request->method, "POST") ||
 	    !strcmp(request->method, "PUT"))
 		base_buf_addf(text, "Content-Length: %zu\r\n",
--- a/packages/entry/entry_http.c
+++ b/packages/entry/entry_http.c
@@ -229,6 +229,14 @@
 	entry_http_refuse(conn, request->id, &refusal);
 }
 
+void entry_http_add(base_buf_t *out, const char *name, const char *value)
+{
+	base_buf_adds(out, name);
+	base_buf_add(out, ": ", 2);
+	base_buf_adds(out, value);
+	base_buf_add(out, "\r\n", 2);
+}
+
 void entry_http_answer(struct mg_connection *conn,
 		       const entry_request_t *request,
 		       const entry_message_t *answer, bool last)
@@ -239,15 +247,14 @@
 		      mg_get_response_code_text(conn, answer->status));
 	for (size_t i = 0; i < answer->header_count; i++)
 		if (!is_own(answer->headers[i].name))
-			base_buf_addf(out, "%s: %s\r\n",
-				      answer->headers[i].name,
-				      answer->headers[i].value);
+			entry_http_add(out, answer->headers[i].name,
+				       answer->headers[i].value);
 	if (!strcmp(request->method, "HEAD")) {
 		for (size_t i = 0; i < answer->header_count; i++)
 			if (!g_ascii_strcasecmp(answer->headers[i].name,
 						"Content-Length"))
-				base_buf_addf(out, "Content-Length: %s\r\n",
-					      answer->headers[i].value);
+				entry_http_add(out, "Content-Length",
+					       answer->headers[i].value);
 	} else if (answer->status != 204 && answer->status != 304) {
 		base_buf_addf(out, "Content-Length: %zu\r\n",
 			      answer->body->len);
--- a/packages/entry/entry_int.h
+++ b/packages/entry/entry_int.h
@@ -161,6 +161,9 @@
 entry_request_t *entry_http_read(const void *ctx, struct mg_connection *conn,
 				 const entry_view_t *view);
 
+/* Append one header line. */
+void entry_http_add(base_buf_t *out, const char *name, const char *value);
+
 /* Send an endpoint's answer with the outcome's headers. */
 void entry_http_answer(struct mg_connection *conn,
 		       const entry_request_t *request,
