--- /dev/null
+++ b/packages/entry/entry_caller.c
@@ -0,0 +1,95 @@
+#include "entry_int.h"
+
+/*
+ * The callers' port: one thread a connection, each request read, tried on
+ * endpoints and answered.
+ */
+
+#define KEEP_ALIVE_MS 5000
+static bool caller_start(void *service, kern_t *kern, GError **err);
+static void caller_stop(void *service);
+static int on_request(struct mg_connection *conn, void *arg);
+static void serve(entry_daemon_t *daemon, struct mg_connection *conn,
+		  entry_request_t *request);
+static void refuse(entry_daemon_t *daemon, struct mg_connection *conn,
+		   const entry_request_t *request,
+		   const entry_verdict_t *verdict);
+static int seconds_up(int ms);
+
+const kern_service_ops_t entry_caller_ops = { caller_start, caller_stop };
+
+static bool caller_start(void *service, kern_t *kern, GError **err)
+{
+	entry_daemon_t *daemon = service;
+
+	(void)kern;
+	daemon->caller_http = entry_listen(&daemon->settings->caller, daemon,
+					   KEEP_ALIVE_MS, err);
+	if (!daemon->caller_http)
+		return false;
+	mg_set_request_handler(daemon->caller_http, "/", on_request, daemon);
+	return true;
+}
+
+static void caller_stop(void *service)
+{
+	entry_daemon_t *daemon = service;
+
+	mg_stop(daemon->caller_http);
+}
+
+static int on_request(struct mg_connection *conn, void *arg)
+{
+	entry_daemon_t *daemon = arg;
+	entry_view_t *view = entry_view_hold(daemon->views);
+	void *ctx = talloc_new(NULL);
+	entry_request_t *request;
+
+	atomic_fetch_add(&daemon->in_flight, 1);
+	request = entry_http_read(ctx, conn, view);
+	if (request)
+		serve(daemon, conn, request);
+	else
+		atomic_fetch_add(&daemon->outcomes[ENTRY_NOT_RUN], 1);
+	atomic_fetch_sub(&daemon->in_flight, 1);
+	talloc_free(ctx);
+	entry_view_release(view);
+	return 200;
+}
+
+static void serve(entry_daemon_t *daemon, struct mg_connection *conn,
+		  entry_request_t *request)
+{
+	bool last = atomic_load(&daemon->draining) != 0;
+	entry_message_t answer = { 0 };
+	entry_verdict_t verdict;
+
+	verdict = entry_route_run(daemon->route, request, &answer);
+	atomic_fetch_add(&daemon->outcomes[verdict.outcome], 1);
+	if (verdict.outcome == ENTRY_ANSWERED)
+		entry_http_answer(conn, request, &answer, last);
+	else
+		refuse(daemon, conn, request, &verdict);
+}
+
+static void refuse(entry_daemon_t *daemon, struct mg_connection *conn,
+		   const entry_request_t *request,
+		   const entry_verdict_t *verdict)
+{
+	bool not_run = verdict->outcome == ENTRY_NOT_RUN;
+	entry_refusal_t refusal = {
+		.outcome = verdict->outcome,
+		.status = not_run ? 503 : 504,
+		.reason = verdict->reason,
+		.retry_after_s =
+			not_run ? seconds_up(verdict->retry_after_ms) : 0,
+		.last = atomic_load(&daemon->draining) != 0,
+	};
+
+	entry_http_refuse(conn, request->id, &refusal);
+}
+
+static int seconds_up(int ms)
+{
+	return (ms + 999) / 1000;
+}
--- /dev/null
+++ b/packages/route/route_view.c
@@ -0,0 +1,213 @@
+#include "route_int.h"
+
+static void widen_later(route_t *route, int count, int64_t now);
+static void take(route_t *route, route_pool_t *pool,
+		 const route_endpoint_t *listed, int64_t now);
+static route_ep_t *add(route_t *route, route_pool_t *pool,
+		       const route_endpoint_t *listed, int64_t now);
+static bool has_left(const route_t *route, const route_ep_t *ep, int64_t now);
+static void forget_old(route_t *route, int64_t now);
+static char *identity(base_str_t instance, base_str_t incarnation);
+
+bool route_view(route_t *route, base_str_t name, uint64_t version,
+		const route_endpoint_t *endpoints, size_t n, int64_t now)
+{
+	route_pool_t *pool = route_pool(route, name);
+
+	if (!pool || (pool->viewed && version <= pool->version))
+		return false;
+	for (guint i = 0; i < pool->eps->len; i++)
+		((route_ep_t *)pool->eps->pdata[i])->listed = false;
+	for (size_t i = 0; i < n; i++)
+		take(route, pool, &endpoints[i], now);
+	pool->viewed = true;
+	pool->version = version;
+	route_pool_reindex(route, pool);
+	forget_old(route, now);
+	route_dispatch(route, pool, now);
+	return true;
+}
+
+bool route_leaving(route_t *route, base_str_t instance, base_str_t incarnation,
+		   int64_t now)
+{
+	char *key = identity(instance, incarnation);
+	int64_t *when = g_hash_table_lookup(route->left, key);
+
+	if (when) {
+		*when = now;
+		g_free(key);
+		return false;
+	}
+	when = g_new(int64_t, 1);
+	*when = now;
+	g_hash_table_insert(route->left, key, when);
+	for (guint i = 0; i < route->pools->len; i++) {
+		route_pool_t *pool = route->pools->pdata[i];
+		route_ep_t *ep = route_ep(pool, instance, incarnation);
+
+		if (!ep)
+			continue;
+		ep->pub.state = ROUTE_LEAVING;
+		route_pool_reindex(route, pool);
+	}
+	return true;
+}
+
+void route_entries(route_t *route, const route_entry_t *entries, size_t n,
+		   int64_t now)
+{
+	route_entry_t *copy = talloc_array(route, route_entry_t, n);
+
+	widen_later(route, (int)n, now);
+	route->peers_near = 0;
+	for (size_t i = 0; i < n; i++) {
+		copy[i].id = talloc_strdup(copy, entries[i].id);
+		copy[i].zone = talloc_strdup(copy, entries[i].zone);
+		route->peers_near += !strcmp(copy[i].zone, route->opt.zone);
+	}
+	talloc_free(route->entries);
+	route->entries = copy;
+	route->n_entries = n;
+	for (guint i = 0; i < route->pools->len; i++) {
+		route_pool_t *pool = route->pools->pdata[i];
+
+		route_limit_share(route, pool);
+		route_probe_assign(route, pool);
+	}
+}
+
+/* What a leaver held is used again only when its connections have ended. */
+static void widen_later(route_t *route, int count, int64_t now)
+{
+	if (now >= route->divisor_until)
+		route->divisor = (int)route->n_entries;
+	if (count < (int)route->n_entries)
+		route->divisor_until = now + CONN_HOLD_US;
+	route->divisor = MAX(route->divisor, count);
+}
+
+int route_connections(const route_t *route, base_str_t name, int64_t now)
+{
+	const route_pool_t *pool = route_pool(route, name);
+
+	return pool ? route_conn_share(route, pool, now) : 0;
+}
+
+int route_running(const route_t *route, base_str_t instance,
+		  base_str_t incarnation)
+{
+	int running = 0;
+
+	for (guint i = 0; i < route->pools->len; i++) {
+		const route_ep_t *ep =
+			route_ep(route->pools->pdata[i], instance, incarnation);
+
+		running += ep ? ep->running : 0;
+	}
+	return running;
+}
+
+route_ep_t *route_ep(const route_pool_t *pool, base_str_t instance,
+		     base_str_t incarnation)
+{
+	for (guint i = 0; i < pool->eps->len; i++) {
+		route_ep_t *ep = pool->eps->pdata[i];
+
+		if (base_str_eq(incarnation, base_str(ep->pub.incarnation)) &&
+		    base_str_eq(instance, base_str(ep->pub.instance)))
+			return ep;
+	}
+	return NULL;
+}
+
+bool route_ep_usable(const route_ep_t *ep)
+{
+	return ep->listed && ep->pub.state == ROUTE_LIVE;
+}
+
+/* Sort the endpoints into those that may get work; free those that ended. */
+void route_pool_reindex(route_t *route, route_pool_t *pool)
+{
+	g_ptr_array_set_size(pool->near, 0);
+	g_ptr_array_set_size(pool->far, 0);
+	for (guint i = pool->eps->len; i-- > 0;) {
+		route_ep_t *ep = pool->eps->pdata[i];
+
+		if (route_ep_usable(ep)) {
+			g_ptr_array_add(ep->local ? pool->near : pool->far, ep);
+		} else if (!ep->listed && !ep->running) {
+			g_ptr_array_remove_index_fast(pool->eps, i);
+			talloc_free(ep);
+		}
+	}
+	route_ep_readmit(pool);
+	route_limit_share(route, pool);
+	route_probe_assign(route, pool);
+}
+
+static void take(route_t *route, route_pool_t *pool,
+		 const route_endpoint_t *listed, int64_t now)
+{
+	base_str_t instance = base_str(listed->instance);
+	base_str_t incarnation = base_str(listed->incarnation);
+	route_ep_t *ep = route_ep(pool, instance, incarnation);
+
+	if (listed->state == ROUTE_GONE)
+		return;
+	if (!ep)
+		ep = add(route, pool, listed, now);
+	ep->listed = true;
+	if (listed->state == ROUTE_LEAVING)
+		route_leaving(route, instance, incarnation, now);
+	if (has_left(route, ep, now))
+		ep->pub.state = ROUTE_LEAVING;
+}
+
+static route_ep_t *add(route_t *route, route_pool_t *pool,
+		       const route_endpoint_t *listed, int64_t now)
+{
+	route_ep_t *ep = talloc_zero(pool, route_ep_t);
+
+	ep->pub = *listed;
+	ep->pub.instance = talloc_strdup(ep, listed->instance);
+	ep->pub.incarnation = talloc_strdup(ep, listed->incarnation);
+	ep->pub.zone = talloc_strdup(ep, listed->zone);
+	ep->pub.address = talloc_strdup(ep, listed->address);
+	ep->pool = pool;
+	ep->local = !strcmp(listed->zone, route->opt.zone);
+	/* In a pool's first list nobody is a newcomer. */
+	ep->ramp_from = pool->viewed ? now : 0;
+	g_ptr_array_add(pool->eps, ep);
+	return ep;
+}
+
+static bool has_left(const route_t *route, const route_ep_t *ep, int64_t now)
+{
+	char *key = identity(base_str(ep->pub.instance),
+			     base_str(ep->pub.incarnation));
+	int64_t *when = g_hash_table_lookup(route->left, key);
+
+	if (when)
+		*when = now;
+	g_free(key);
+	return when != NULL;
+}
+
+/* Forget leavers that no list has named for long. */
+static void forget_old(route_t *route, int64_t now)
+{
+	GHashTableIter iter;
+	gpointer when;
+
+	g_hash_table_iter_init(&iter, route->left);
+	while (g_hash_table_iter_next(&iter, NULL, &when))
+		if (now - *(int64_t *)when > TOMBSTONE_US)
+			g_hash_table_iter_remove(&iter);
+}
+
+static char *identity(base_str_t instance, base_str_t incarnation)
+{
+	return g_strdup_printf("%.*s/%.*s", BASE_STR_ARG(instance),
+			       BASE_STR_ARG(incarnation));
+}
