Bound the time from a request's arrival to its claim

Cause: a repeat that arrives within the window but takes its claim after it would find the record gone. Change: lag_us; records and fences outlast the window by it, a holder that is later than it is refused. Conclusion: the window counts between arrivals, not between takes.

--- a/packages/claim/claim_holder.c
+++ b/packages/claim/claim_holder.c
@@ -52,8 +52,8 @@
 			claim_action_t *action)
 {
 	*holder = (claim_holder_t){ .request = *request,
-				    .began = now,
 				    .hold_us = limits->hold_us,
+				    .lag_us = limits->lag_us,
 				    .window_us = limits->window_us };
 	claim_holder_again(holder, epoch, now, action);
 }
@@ -102,7 +102,8 @@
 bool claim_holder_may_write(const claim_holder_t *holder, int64_t now)
 {
 	return holder->standing &&
-	       now - holder->started < holder->window_us / 2;
+
+	       now - holder->request.arrived < holder->window_us / 2;
 }
 
 void claim_holder_cancel(claim_holder_t *holder, claim_action_t *action)
@@ -150,7 +151,8 @@
 static void decide(claim_holder_t *holder, const claim_reply_t *reply,
 		   int64_t now, claim_action_t *action)
 {
-	bool in_time = now - holder->started <= holder->hold_us;
+	bool in_time = now - holder->started <= holder->hold_us &&
+		       now - holder->request.arrived <= holder->lag_us;
 
 	if (reply->verdict == CLAIM_GRANTED && holder->fresh && in_time) {
 		holder->standing = true;
--- a/packages/claim/claim_holder.h
+++ b/packages/claim/claim_holder.h
@@ -62,6 +62,7 @@
 	uint64_t print;
 	uint64_t caller;
 	uint64_t ticket; /* its epoch, or 0 */
+	int64_t arrived; /* when the entry read it */
 } claim_request_t;
 
 typedef struct claim_holder {
@@ -69,9 +70,8 @@
 	claim_member_t home, backup;
 	uint64_t epoch;
 	bool has_backup;
-	int64_t began;	 /* the request's claim */
 	int64_t started; /* this round */
-	int64_t hold_us, window_us;
+	int64_t hold_us, lag_us, window_us;
 	unsigned asked; /* takes sent in this round */
 	claim_member_t asked_of[CLAIM_ASKED_MAX];
 	unsigned asked_all; /* in all rounds */
--- a/packages/claim/claim_store.c
+++ b/packages/claim/claim_store.c
@@ -25,7 +25,8 @@
 				  .bucket_bits = bits,
 				  .answer_max = limits->answer_bytes,
 				  .tombstone_us = limits->tombstone_us };
-	store->keep_us = claim_stretch(limits->window_us) + limits->hold_us;
+	store->keep_us = claim_stretch(limits->window_us + limits->lag_us) +
+			 limits->hold_us;
 	store->tick_us = store->keep_us / (CLAIM_WHEEL - 2) + 1;
 	store->tick = INT64_MIN;
 	store->buckets = talloc_zero_array(ctx, uint32_t, 1U << bits);
--- a/packages/claim/claim_table.c
+++ b/packages/claim/claim_table.c
@@ -14,6 +14,7 @@
 	.confirm_us = 10 * BASE_SEC,
 	.store_us = 3600 * BASE_SEC,
 	.hold_us = 2 * BASE_SEC,
+	.lag_us = 30 * BASE_SEC,
 	.tombstone_us = 60 * BASE_SEC,
 	.max_records = 262144,
 	.answer_bytes = 4 << 20,
@@ -173,7 +174,7 @@
 	if (ticket > known->lost)
 		return true;
 	return now - known->complete_from >=
-	       claim_stretch(table->limits.window_us);
+	       claim_stretch(table->limits.window_us + table->limits.lag_us);
 }
 
 claim_stats_t claim_table_stats(const claim_table_t *table, int64_t now)
--- a/packages/claim/claim_table.h
+++ b/packages/claim/claim_table.h
@@ -20,13 +20,14 @@
 	int64_t window_us;    /* an id runs at most once within it */
 	int64_t confirm_us;   /* how long one sign of the epoch is good for */
 	int64_t store_us;     /* and without the store, at the most */
-	int64_t hold_us;      /* a take takes no longer */
+	int64_t hold_us;      /* a round of takes takes no longer */
+	int64_t lag_us;	      /* from a request's arrival to its claim */
 	int64_t tombstone_us; /* how long a release is remembered */
 	uint32_t max_records;
 	size_t answer_bytes; /* recorded answers, all together */
 } claim_limits_t;
 
-/* 600 s, 10 s, 3,600 s, 2 s, 60 s, 262,144 records, 4 MiB. */
+/* 600 s, 10 s, 3,600 s, 2 s, 30 s, 60 s, 262,144 records, 4 MiB. */
 extern const claim_limits_t claim_limits_default;
 
 typedef struct claim_table claim_table_t;
