Let an accepted configuration remember the changes before it

Cause: an operator whose answer was lost reads back; when another operator's change has come on top meanwhile, the record showed only that one, and the first was told 'nothing was changed' although the change stands in the line. A second approval of such a change from its old base showed it: exit 3.

Conclusion: racing operators learn the truth for 16 changes back; after more the tool says that the base has moved.

--- a/packages/conf/conf.h
+++ b/packages/conf/conf.h
@@ -251,10 +251,18 @@
 /* The difference in words, a line a change, then its cost. */
 char *conf_diff_print(const void *ctx, const conf_diff_t *diff);
 
-/* An accepted configuration as it stands in the store. */
+#define CONF_RECORD_BEFORE_MAX 16 /* changes that a record remembers */
+
+/*
+ * An accepted configuration as it stands in the store.  It remembers the
+ * changes before it, so that an operator whose answer was lost can find out
+ * that the change took effect even after others came on top of it.
+ */
 typedef struct conf_record {
 	int64_t generation; /* from 1, only grows */
 	base_str_t change;  /* id of the change that made it */
+	base_str_t *before; /* ids of the changes before it, latest first */
+	size_t n_before;
 	conf_t *config;
 	char *config_json; /* its text */
 } conf_record_t;
@@ -263,9 +271,14 @@
 conf_record_t *conf_record_load(const void *ctx, base_str_t json, GError **err);
 
 /*
- * The text of a record around "config_json", which is checked again.
+ * The text of the record that follows "previous" (NULL: the first one)
+ * around "config_json", which is checked again.
  */
-char *conf_record_print(const void *ctx, int64_t generation, base_str_t change,
-			base_str_t config_json, GError **err);
+char *conf_record_print(const void *ctx, const conf_record_t *previous,
+			base_str_t change, base_str_t config_json,
+			GError **err);
+
+/* The generation that "change" made, or 0 if the record knows of none. */
+int64_t conf_record_find(const conf_record_t *rec, base_str_t change);
 
 #endif
--- a/packages/conf/conf_int.h
+++ b/packages/conf/conf_int.h
@@ -128,4 +128,8 @@
 /* Parse "text"; a syntax fault is added and NULL returned. */
 json_t *conf_parse(base_str_t text, conf_faults_t *faults);
 
+/* Turn the first faults into one error. */
+void conf_set_error(GError **err, conf_error_t code,
+		    const conf_faults_t *faults);
+
 #endif
--- a/packages/conf/conf_load.c
+++ b/packages/conf/conf_load.c
@@ -9,8 +9,6 @@
 			 GError **err);
 static void check_derived(const conf_reader_t *rd, const conf_t *conf,
 			  const json_t *root);
-static void set_error(GError **err, conf_error_t code,
-		      const conf_faults_t *faults);
 
 G_DEFINE_QUARK(conf - error - quark, conf_error)
 
@@ -64,76 +62,12 @@
 	if (root)
 		conf = load_tree(ctx, root, json, err);
 	else
-		set_error(err, CONF_ERR_SYNTAX, faults);
+		conf_set_error(err, CONF_ERR_SYNTAX, faults);
 	json_decref(root);
 	talloc_free(faults);
 	return conf;
 }
 
-conf_record_t *conf_record_load(const void *ctx, base_str_t json, GError **err)
-{
-	conf_faults_t *faults = conf_faults_new(NULL);
-	json_t *root = conf_parse(json, faults);
-	conf_pos_t *pos = root ? conf_pos_new(faults, json, faults) : NULL;
-	json_int_t generation = 0;
-	const char *change = NULL;
-	json_t *config = NULL;
-	conf_record_t *rec = NULL;
-	json_error_t why;
-	char *text;
-
-	if (faults->n) {
-		set_error(err, pos ? CONF_ERR_SCHEMA : CONF_ERR_SYNTAX, faults);
-	} else if (json_unpack_ex(root, &why, JSON_STRICT, "{s:I,s:s,s:o}",
-				  "generation", &generation, "change", &change,
-				  "config", &config) ||
-		   generation < 1) {
-		g_set_error(err, CONF_ERROR, CONF_ERR_SCHEMA,
-			    "accepted configuration: expected generation from "
-			    "1, change and config");
-	} else {
-		rec = talloc_zero(ctx, conf_record_t);
-		rec->generation = generation;
-		rec->change = base_str(talloc_strdup(rec, change));
-		text = json_dumps(config, JSON_INDENT(2) | JSON_ENCODE_ANY);
-		rec->config_json = talloc_asprintf(rec, "%s\n", text);
-		free(text);
-		rec->config =
-			load_tree(rec, config, base_str(rec->config_json), err);
-		if (!rec->config)
-			TALLOC_FREE(rec);
-	}
-	json_decref(root);
-	talloc_free(faults);
-	return rec;
-}
-
-char *conf_record_print(const void *ctx, int64_t generation, base_str_t change,
-			base_str_t config_json, GError **err)
-{
-	conf_t *conf = conf_load(NULL, config_json, err);
-	json_t *root;
-	char *dump, *text;
-
-	if (!conf)
-		return NULL;
-	talloc_free(conf);
-	root = json_pack("{s:I,s:s%,s:o}", "generation", (json_int_t)generation,
-			 "change", change.ptr, change.len, "config",
-			 json_loadb(config_json.ptr, config_json.len, 0, NULL));
-	if (!root) {
-		g_set_error(err, CONF_ERROR, CONF_ERR_SCHEMA,
-			    "accepted configuration: the change's id is no "
-			    "text");
-		return NULL;
-	}
-	dump = json_dumps(root, JSON_COMPACT);
-	text = talloc_strdup(ctx, dump);
-	free(dump);
-	json_decref(root);
-	return text;
-}
-
 void conf_digest(const json_t *root, char out[CONF_DIGEST_LEN + 1])
 {
 	json_t *copy = json_copy((json_t *)root);
@@ -169,7 +103,7 @@
 	}
 	if (faults->n) {
 		conf_faults_sort(faults);
-		set_error(err, code, faults);
+		conf_set_error(err, code, faults);
 		TALLOC_FREE(conf);
 	} else {
 		conf_index_build(conf);
@@ -191,8 +125,8 @@
 			"by hand: revise the answers and generate again");
 }
 
-static void set_error(GError **err, conf_error_t code,
-		      const conf_faults_t *faults)
+void conf_set_error(GError **err, conf_error_t code,
+		    const conf_faults_t *faults)
 {
 	base_buf_t *buf = base_buf_new(NULL);
 
--- /dev/null
+++ b/packages/conf/conf_record.c
@@ -0,0 +1,128 @@
+/* The accepted configuration as it stands in the store. */
+#include "conf_int.h"
+
+static bool unpack(conf_record_t *rec, const json_t *root, json_t **config);
+static bool unpack_before(conf_record_t *rec, const json_t *list);
+static json_t *line_before(const conf_record_t *previous);
+
+conf_record_t *conf_record_load(const void *ctx, base_str_t json, GError **err)
+{
+	conf_faults_t *faults = conf_faults_new(NULL);
+	json_t *root = conf_parse(json, faults);
+	conf_record_t *rec = talloc_zero(ctx, conf_record_t);
+	bool syntax = root != NULL;
+	json_t *config = NULL;
+	char *text;
+
+	if (root)
+		conf_pos_new(faults, json, faults);
+	if (faults->n) {
+		conf_set_error(err, syntax ? CONF_ERR_SCHEMA : CONF_ERR_SYNTAX,
+			       faults);
+	} else if (!unpack(rec, root, &config)) {
+		g_set_error(err, CONF_ERROR, CONF_ERR_SCHEMA,
+			    "accepted configuration: expected generation from "
+			    "1, change, before and config");
+	} else {
+		text = json_dumps(config, JSON_INDENT(2) | JSON_ENCODE_ANY);
+		rec->config_json = talloc_asprintf(rec, "%s\n", text);
+		free(text);
+		rec->config = conf_load(rec, base_str(rec->config_json), err);
+	}
+	if (!rec->config)
+		TALLOC_FREE(rec);
+	json_decref(root);
+	talloc_free(faults);
+	return rec;
+}
+
+char *conf_record_print(const void *ctx, const conf_record_t *previous,
+			base_str_t change, base_str_t config_json, GError **err)
+{
+	conf_t *conf = conf_load(NULL, config_json, err);
+	json_int_t generation = previous ? previous->generation + 1 : 1;
+	json_t *root;
+	char *dump, *text;
+
+	if (!conf)
+		return NULL;
+	talloc_free(conf);
+	root = json_pack("{s:I,s:s%,s:o,s:o}", "generation", generation,
+			 "change", change.ptr, change.len, "before",
+			 line_before(previous), "config",
+			 json_loadb(config_json.ptr, config_json.len, 0, NULL));
+	if (!root) {
+		g_set_error(err, CONF_ERROR, CONF_ERR_SCHEMA,
+			    "accepted configuration: the change's id is no "
+			    "text");
+		return NULL;
+	}
+	dump = json_dumps(root, JSON_COMPACT);
+	text = talloc_strdup(ctx, dump);
+	free(dump);
+	json_decref(root);
+	return text;
+}
+
+int64_t conf_record_find(const conf_record_t *rec, base_str_t change)
+{
+	if (base_str_eq(rec->change, change))
+		return rec->generation;
+	for (size_t i = 0; i < rec->n_before; i++)
+		if (base_str_eq(rec->before[i], change))
+			return rec->generation - 1 - (int64_t)i;
+	return 0;
+}
+
+static bool unpack(conf_record_t *rec, const json_t *root, json_t **config)
+{
+	json_int_t generation = 0;
+	const char *change = NULL;
+	json_t *before = NULL;
+
+	if (json_unpack((json_t *)root, "{s:I,s:s,s:o,s:o!}", "generation",
+			&generation, "change", &change, "before", &before,
+			"config", config))
+		return false;
+	rec->generation = generation;
+	rec->change = base_str(talloc_strdup(rec, change));
+	return generation >= 1 && unpack_before(rec, before);
+}
+
+static bool unpack_before(conf_record_t *rec, const json_t *list)
+{
+	json_t *item;
+	size_t i;
+
+	if (!json_is_array(list) ||
+	    json_array_size(list) > CONF_RECORD_BEFORE_MAX)
+		return false;
+	rec->n_before = json_array_size(list);
+	rec->before = talloc_array(rec, base_str_t, rec->n_before);
+	json_array_foreach(list, i, item)
+	{
+		if (!json_is_string(item))
+			return false;
+		rec->before[i] =
+			base_str(talloc_strdup(rec, json_string_value(item)));
+	}
+	return true;
+}
+
+/* The changes that the next record's line goes back over. */
+static json_t *line_before(const conf_record_t *previous)
+{
+	json_t *list = json_array();
+
+	if (!previous)
+		return list;
+	json_array_append_new(
+		list, json_stringn(previous->change.ptr, previous->change.len));
+	for (size_t i = 0; i < previous->n_before &&
+			   json_array_size(list) < CONF_RECORD_BEFORE_MAX;
+	     i++)
+		json_array_append_new(list,
+				      json_stringn(previous->before[i].ptr,
+						   previous->before[i].len));
+	return list;
+}
--- a/packages/conf/tests/conf_test.c
+++ b/packages/conf/tests/conf_test.c
@@ -143,15 +143,25 @@
 	void *ctx = talloc_new(NULL);
 	char *json = generated(ctx, examples[1]);
 	GError *err = NULL;
-	char *text = conf_record_print(ctx, 7, BASE_STR("c-1"), base_str(json),
-				       &err);
-	conf_record_t *rec;
-
-	g_assert_no_error(err);
-	rec = conf_record_load(ctx, base_str(text), &err);
-	g_assert_no_error(err);
-	g_assert_cmpint(rec->generation, ==, 7);
-	g_assert_cmpstr(rec->change.ptr, ==, "c-1");
+	conf_record_t *rec = NULL;
+	char id[8], *text;
+
+	/* Each record follows the one before it. */
+	for (int i = 1; i <= 20; i++) {
+		g_snprintf(id, sizeof(id), "c-%d", i);
+		text = conf_record_print(ctx, rec, base_str(id), base_str(json),
+					 &err);
+		g_assert_no_error(err);
+		rec = conf_record_load(ctx, base_str(text), &err);
+		g_assert_no_error(err);
+	}
+	g_assert_cmpint(rec->generation, ==, 20);
+	g_assert_cmpuint(rec->n_before, ==, CONF_RECORD_BEFORE_MAX);
+	g_assert_cmpint(conf_record_find(rec, BASE_STR("c-20")), ==, 20);
+	g_assert_cmpint(conf_record_find(rec, BASE_STR("c-12")), ==, 12);
+	g_assert_cmpint(conf_record_find(rec, BASE_STR("c-4")), ==, 4);
+	g_assert_cmpint(conf_record_find(rec, BASE_STR("c-3")), ==, 0);
+	g_assert_cmpstr(rec->change.ptr, ==, "c-20");
 	g_assert_cmpstr(rec->config->site.ptr, ==, "addis");
 	g_assert_cmpstr(rec->config_json, ==, json);
 	talloc_free(ctx);
@@ -162,18 +172,23 @@
 	void *ctx = talloc_new(NULL);
 	char *json = generated(ctx, examples[1]);
 	GError *err = NULL;
-	char *text = conf_record_print(ctx, 7, BASE_STR("c-1"), base_str(json),
-				       &err);
-
-	refuse_record(replaced(ctx, text, ":7", ":0"), CONF_ERR_SCHEMA);
-	refuse_record(replaced(ctx, text, ":7", ":7,\"x\":1"), CONF_ERR_SCHEMA);
-	refuse_record(replaced(ctx, text, ":7", ":7,\"generation\":8"),
+	char *text = conf_record_print(ctx, NULL, BASE_STR("c-1"),
+				       base_str(json), &err);
+
+	refuse_record(
+		replaced(ctx, text, "{\"generation\":1", "{\"generation\":0"),
+		CONF_ERR_SCHEMA);
+	refuse_record(replaced(ctx, text, "{\"generation\":1",
+			       "{\"x\":1,\"generation\":1"),
+		      CONF_ERR_SCHEMA);
+	refuse_record(replaced(ctx, text, "{\"generation\":1",
+			       "{\"generation\":1,\"generation\":8"),
 		      CONF_ERR_SCHEMA);
 	refuse_record(replaced(ctx, text, "\"min_up\":5", "\"min_up\":4"),
 		      CONF_ERR_DIGEST);
 	refuse_record("", CONF_ERR_SYNTAX);
-	g_assert_null(
-		conf_record_print(ctx, 1, BASE_STR("c"), BASE_STR("{}"), &err));
+	g_assert_null(conf_record_print(ctx, NULL, BASE_STR("c"),
+					BASE_STR("{}"), &err));
 	g_assert_error(err, CONF_ERROR, CONF_ERR_SCHEMA);
 	g_clear_error(&err);
 	talloc_free(ctx);
--- a/packages/tool/tool_approve.c
+++ b/packages/tool/tool_approve.c
@@ -14,11 +14,12 @@
 } approval_t;
 
 static int approve(const void *ctx, const approval_t *a);
-static bool present(const void *ctx, const approval_t *a, int64_t *generation,
-		    int64_t *revision, const char **change, int *status);
-static int report(const approval_t *a, plat_cas_t done, int64_t generation,
-		  GError *cause);
-static int moved(const approval_t *a, int64_t generation, const char *change);
+static int settle(const void *ctx, const approval_t *a, GError *cause);
+static bool present(const void *ctx, const approval_t *a, conf_record_t **now,
+		    int64_t *revision, int *status);
+static bool is_applied(const approval_t *a, const conf_record_t *now);
+static int say_applied(const approval_t *a);
+static int say_moved(const approval_t *a, const conf_record_t *now);
 
 int tool_config_approve(int argc, char **argv, FILE *out, FILE *err)
 {
@@ -68,42 +69,77 @@
 
 static int approve(const void *ctx, const approval_t *a)
 {
-	int64_t generation = 0, revision = 0, written = 0;
-	const char *change = "";
+	conf_record_t *now = NULL;
+	int64_t revision = 0, written = 0;
 	GError *cause = NULL;
-	plat_put_t put = { 0 };
+	plat_put_t put = { .key = TOOL_CONFIG_KEY };
 	plat_cas_t done;
 	char *record;
 	int status;
 
-	if (!present(ctx, a, &generation, &revision, &change, &status))
+	if (!present(ctx, a, &now, &revision, &status))
 		return status;
-	/* An earlier try of this very change has come through. */
-	if (generation == a->base + 1 && !strcmp(change, a->change))
-		return report(a, PLAT_CAS_DONE, generation, NULL);
-	if (generation != a->base)
-		return moved(a, generation, change);
-	record = conf_record_print(ctx, a->base + 1, base_str(a->change),
-				   a->config, &cause);
+	/* An earlier try of this very change may have come through. */
+	if (is_applied(a, now))
+		return say_applied(a);
+	if ((now ? now->generation : 0) != a->base)
+		return say_moved(a, now);
+	record = conf_record_print(ctx, now, base_str(a->change), a->config,
+				   &cause);
 	if (!record) {
 		fprintf(a->err, "%s\n", cause->message);
 		g_clear_error(&cause);
 		return TOOL_REFUSED;
 	}
-	put.key = TOOL_CONFIG_KEY;
 	put.value = base_str(record);
 	put.expected = revision;
-	done = plat_cas_sure(a->store, &put, &written, &cause);
-	return report(a, done, a->base + 1, cause);
+	done = a->store->ops->cas(a->store, &put, &written, &cause);
+	if (done == PLAT_CAS_DONE)
+		return say_applied(a);
+	return settle(ctx, a, cause);
 }
 
-static bool present(const void *ctx, const approval_t *a, int64_t *generation,
-		    int64_t *revision, const char **change, int *status)
+/*
+ * The write was refused or its answer was lost: what stands in the store now
+ * tells, whatever came on top of it since.
+ */
+static int settle(const void *ctx, const approval_t *a, GError *cause)
+{
+	bool sent = !g_error_matches(cause, PLAT_ERROR, PLAT_ERROR_DOWN);
+	conf_record_t *now = NULL;
+	int64_t revision;
+	int status = TOOL_IN_DOUBT;
+
+	if (present(ctx, a, &now, &revision, &status)) {
+		status = TOOL_OK;
+		if (is_applied(a, now))
+			say_applied(a);
+		else if (cause)
+			status = TOOL_UNREACHABLE;
+		else
+			status = say_moved(a, now);
+		if (status == TOOL_UNREACHABLE)
+			fprintf(a->err, "nothing was changed: %s\n",
+				cause->message);
+	} else if (sent) {
+		fprintf(a->err,
+			"in doubt: run the same command again with "
+			"--change=%s\n",
+			a->change);
+		status = TOOL_IN_DOUBT;
+	}
+	g_clear_error(&cause);
+	return status;
+}
+
+/* The accepted configuration, or none.  False when it cannot be read. */
+static bool present(const void *ctx, const approval_t *a, conf_record_t **now,
+		    int64_t *revision, int *status)
 {
-	conf_record_t *record;
 	GError *cause = NULL;
 	plat_kvs_t kvs;
 
+	*revision = 0;
 	if (!a->store->ops->range(a->store, ctx, TOOL_CONFIG_KEY, false, &kvs,
 				  &cause)) {
 		fprintf(a->err, "the store does not answer: %s\n",
@@ -112,13 +148,10 @@
 	} else if (!kvs.count) {
 		return true;
 	} else {
-		record = conf_record_load(ctx, kvs.items[0].value, &cause);
-		if (record) {
-			*generation = record->generation;
-			*revision = kvs.items[0].mod_revision;
-			*change = record->change.ptr;
+		*now = conf_record_load(ctx, kvs.items[0].value, &cause);
+		*revision = kvs.items[0].mod_revision;
+		if (*now)
 			return true;
-		}
 		fprintf(a->err, "the stored configuration is unreadable: %s\n",
 			cause->message);
 		*status = TOOL_REFUSED;
@@ -127,40 +160,25 @@
 	return false;
 }
 
-static int report(const approval_t *a, plat_cas_t done, int64_t generation,
-		  GError *cause)
+static bool is_applied(const approval_t *a, const conf_record_t *now)
 {
-	switch (done) {
-	case PLAT_CAS_DONE:
-		fprintf(a->out, "approved: generation %lld, change %s\n",
-			(long long)generation, a->change);
-		return TOOL_OK;
-	case PLAT_CAS_CONFLICT:
-		return moved(a, -1, "");
-	default:
-		break;
-	}
-	if (g_error_matches(cause, PLAT_ERROR, PLAT_ERROR_DOWN)) {
-		fprintf(a->err, "nothing was changed: %s\n", cause->message);
-		g_clear_error(&cause);
-		return TOOL_UNREACHABLE;
-	}
-	fprintf(a->err,
-		"in doubt: %s\nrun the same command again with --change %s\n",
-		cause ? cause->message : "no answer", a->change);
-	g_clear_error(&cause);
-	return TOOL_IN_DOUBT;
+	return now && conf_record_find(now, base_str(a->change)) == a->base + 1;
 }
 
-static int moved(const approval_t *a, int64_t generation, const char *change)
+static int say_applied(const approval_t *a)
 {
-	if (generation < 0)
-		fprintf(a->err, "the base has moved while approving\n");
-	else
-		fprintf(a->err,
-			"the base has moved: you saw generation %lld, in force "
-			"is %lld by change %s\n",
-			(long long)a->base, (long long)generation, change);
-	fprintf(a->err, "nothing was changed; read the difference again\n");
+	fprintf(a->out, "approved: generation %lld, change %s\n",
+		(long long)a->base + 1, a->change);
+	return TOOL_OK;
+}
+
+static int say_moved(const approval_t *a, const conf_record_t *now)
+{
+	fprintf(a->err,
+		"the base has moved: you saw generation %lld, in force is "
+		"%lld by change %s\n"
+		"nothing was changed; read the difference again\n",
+		(long long)a->base, (long long)(now ? now->generation : 0),
+		now ? now->change.ptr : "none");
 	return TOOL_MOVED;
 }
