--- /dev/null
+++ b/packages/jobs/tests/jobs_prop.cpp
@@ -0,0 +1,493 @@
+#include <rapidcheck.h>
+#include <algorithm>
+#include <map>
+#include <set>
+#include <string>
+#include <vector>
+
+extern "C" {
+#include "jobs.h"
+}
+
+namespace
+{
+
+const int64_t second = 1000000;
+
+typedef std::pair<std::string, int64_t> task_id; /* job and attempt */
+
+struct fake_task {
+	int worker;
+	int64_t incarnation;
+	jobs_res_t share;
+	int64_t begin;
+	int order = 0; /* an event that was asked for, or 0 */
+};
+
+struct fake_worker {
+	int64_t incarnation = 1;
+	bool bad = false;
+	bool there = true;
+	std::set<task_id> fenced; /* said to be gone: a late start is refused */
+};
+
+struct fake_job {
+	bool repeatable, poison, cancelled;
+	int ran = 0;	  /* times that it began */
+	int in_doubt = 0; /* starts sent and not refused */
+};
+
+/*
+ * Workers, a store and the holders of the duty.  Messages are lost, delayed
+ * and repeated as the script says.
+ */
+struct world {
+	int64_t now = second;
+	std::vector<fake_worker> workers;
+	std::map<std::string, fake_job> jobs;
+	std::map<task_id, fake_task> running;
+	std::vector<jobs_order_t> starts; /* on their way */
+	std::vector<std::string> names;	  /* keeps their strings */
+	std::map<std::string, std::string> store;
+	std::map<std::string, std::vector<int>> failed_on;
+	bool tame = true; /* tasks use no more than their share */
+	int fate = 0;	  /* of the next commit */
+	struct holder *holder = nullptr;
+	int64_t quota = 12000;
+	jobs_res_t capacity = { { 8000, 8000, 2 } };
+};
+
+struct holder {
+	world *w;
+	void *ctx;
+	jobs_t *core;
+	bool fenced = false;
+};
+
+std::string text(base_str_t s)
+{
+	return std::string(s.ptr, s.len);
+}
+
+void check_load(holder *h)
+{
+	world *w = h->w;
+
+	for (size_t i = 0; w->tame && i < w->workers.size(); i++) {
+		std::string id = "w" + std::to_string(i);
+		jobs_res_t taken, has;
+
+		if (!jobs_worker_load(h->core, base_str(id.c_str()), &taken,
+				      &has))
+			continue;
+		for (int k = 0; has.v[0] && k < JOBS_KIND_MAX; k++)
+			RC_ASSERT(taken.v[k] <= has.v[k]);
+	}
+}
+
+jobs_commit_t fake_commit(void *arg, const jobs_record_t *records, size_t n)
+{
+	holder *h = (holder *)arg;
+	world *w = h->w;
+	int fate = w->fate;
+
+	if (w->holder != h) {
+		h->fenced = true;
+		return JOBS_COMMIT_LOST;
+	}
+	w->fate = 0;
+	if (fate == 1) /* the write itself is lost */
+		return JOBS_COMMIT_AGAIN;
+	for (size_t i = 0; i < n; i++) {
+		char *json = jobs_record_print(nullptr, &records[i]);
+
+		w->store[text(records[i].spec.id)] = json;
+		talloc_free(json);
+	}
+	return fate == 2 ? JOBS_COMMIT_AGAIN : JOBS_COMMIT_DONE;
+}
+
+void fake_start(void *arg, const jobs_order_t *order)
+{
+	holder *h = (holder *)arg;
+	world *w = h->w;
+	fake_job &job = w->jobs[text(order->job)];
+
+	RC_ASSERT(!h->fenced);
+	if (!job.repeatable)
+		RC_ASSERT(job.in_doubt == 0);
+	job.in_doubt++;
+	if (w->holder == h)
+		check_load(h);
+	w->starts.push_back(*order);
+	w->starts.back().job = base_str(
+		talloc_strndup(h->ctx, order->job.ptr, order->job.len));
+	w->starts.back().worker = base_str(
+		talloc_strndup(h->ctx, order->worker.ptr, order->worker.len));
+}
+
+void tell(holder *h, const jobs_order_t *order, jobs_event_t event)
+{
+	auto it = h->w->running.find({ text(order->job), order->attempt });
+
+	RC_ASSERT(!h->fenced);
+	if (it != h->w->running.end())
+		it->second.order = event;
+	else if (event == JOBS_EVENT_GONE)
+		h->w->workers[(size_t)std::stoi(text(order->worker).substr(1))]
+			.fenced.insert({ text(order->job), order->attempt });
+}
+
+void fake_checkpoint(void *arg, const jobs_order_t *order)
+{
+	tell((holder *)arg, order, JOBS_EVENT_CHECKPOINTED);
+}
+
+void fake_throttle(void *arg, const jobs_order_t *order)
+{
+	tell((holder *)arg, order, JOBS_EVENT_THROTTLED);
+}
+
+void fake_resume(void *arg, const jobs_order_t *order)
+{
+	tell((holder *)arg, order, JOBS_EVENT_RESUMED);
+}
+
+void fake_stop(void *arg, const jobs_order_t *order)
+{
+	tell((holder *)arg, order, JOBS_EVENT_GONE);
+}
+
+const jobs_ops_t fake_ops = { fake_commit,   fake_start,  fake_checkpoint,
+			      fake_throttle, fake_resume, fake_stop };
+
+void see(holder *h, size_t i)
+{
+	std::string id = "w" + std::to_string(i);
+	fake_worker &w = h->w->workers[i];
+	jobs_worker_info_t info = { base_str(id.c_str()), w.incarnation,
+				    h->w->capacity, true };
+
+	jobs_worker_seen(h->core, h->w->now, &info);
+}
+
+/* A new holder that knows what the store holds. */
+void take_over(world *w, void *ctx)
+{
+	holder *h = new (talloc_size(ctx, sizeof(holder))) holder();
+	jobs_options_t options = { &fake_ops, h, 10 * second };
+	GError *err = nullptr;
+
+	h->w = w;
+	h->ctx = ctx;
+	h->core = jobs_new(ctx, &options);
+	w->holder = h;
+	for (int t = 0; t < 3; t++) {
+		std::string team = "t" + std::to_string(t);
+
+		jobs_team_set(h->core, base_str(team.c_str()),
+			      { { w->quota, w->quota, 4 } });
+	}
+	for (auto &it : w->store) {
+		jobs_record_t record;
+		base_str_t json = { it.second.data(), it.second.size() };
+
+		RC_ASSERT(jobs_record_load(ctx, json, &record, &err));
+		RC_ASSERT(jobs_restore(h->core, w->now, &record, &err));
+	}
+	for (size_t i = 0; i < w->workers.size(); i++)
+		see(h, i);
+}
+
+void submit(world *w, uint32_t x)
+{
+	std::string id = "j" + std::to_string(w->jobs.size());
+	std::string team = "t" + std::to_string(x % 3);
+	std::string family = "f" + std::to_string(x / 3 % 4);
+	jobs_spec_t spec = {};
+	GError *err = nullptr;
+
+	spec.id = base_str(id.c_str());
+	spec.team = base_str(team.c_str());
+	spec.family = base_str(family.c_str());
+	spec.urgency = (int)(x / 12 % 4);
+	spec.repeatable = x / 48 % 3 != 0;
+	spec.checkpoints = x / 144 % 2;
+	spec.throttles = x / 288 % 2;
+	spec.declared.v[JOBS_CORES] = 100 + x / 576 % 5000;
+	spec.declared.v[JOBS_MEMORY] = 100 + x / 7 % 5000;
+	spec.declared.v[JOBS_ACCELERATORS] = x % 11 == 0;
+	w->jobs[id] = { spec.repeatable, x % 13 == 0, false };
+	RC_ASSERT(jobs_submit(w->holder->core, w->now, &spec, &err));
+	RC_ASSERT(!jobs_submit(w->holder->core, w->now, &spec, &err));
+	g_clear_error(&err);
+}
+
+void report(world *w, const task_id &id, const fake_task &t, int event,
+	    uint32_t x)
+{
+	std::string worker = "w" + std::to_string(t.worker);
+	jobs_report_t r = {};
+
+	r.worker = base_str(worker.c_str());
+	r.incarnation = t.incarnation;
+	r.job = base_str(id.first.c_str());
+	r.attempt = id.second;
+	r.event = (jobs_event_t)event;
+	r.as_of = w->now;
+	r.run_us = w->now - t.begin;
+	for (int k = 0; k < JOBS_ACCELERATORS; k++)
+		r.peak.v[k] =
+			w->tame ? t.share.v[k] * (x % 100) / 100 : 1 + x % 6000;
+	jobs_report(w->holder->core, w->now, &r);
+}
+
+/* A start arrives, or is lost on the way. */
+void arrive(world *w, uint32_t x)
+{
+	if (w->starts.empty())
+		return;
+	size_t at = x % w->starts.size();
+	jobs_order_t o = w->starts[at];
+	int n = std::stoi(text(o.worker).substr(1));
+	fake_worker &worker = w->workers[(size_t)n];
+	task_id id = { text(o.job), o.attempt };
+	fake_task task = { n, o.incarnation, o.share, w->now };
+
+	w->starts.erase(w->starts.begin() + (long)at);
+	if (x / 16 % 8 == 0 || !worker.there ||
+	    worker.incarnation != o.incarnation || worker.fenced.count(id))
+		return;
+	if (x / 128 % 16 == 0) {
+		worker.fenced.insert(id);
+		w->jobs[id.first].in_doubt--;
+		report(w, id, task, JOBS_EVENT_REFUSED, 0);
+		return;
+	}
+	w->running[id] = task;
+	w->jobs[id.first].ran++;
+	if (!w->jobs[id.first].repeatable)
+		RC_ASSERT(w->jobs[id.first].ran == 1);
+	report(w, id, task, JOBS_EVENT_RUNNING, x);
+}
+
+/* Some task says something, or something happens to it. */
+void happen(world *w, uint32_t x)
+{
+	if (w->running.empty())
+		return;
+	auto it = w->running.begin();
+	std::advance(it, x % w->running.size());
+	task_id id = it->first;
+	fake_task task = it->second;
+	fake_worker &worker = w->workers[(size_t)task.worker];
+	int event = JOBS_EVENT_RUNNING;
+
+	if (!worker.there)
+		return;
+	if (task.order)
+		event = task.order;
+	else if (x / 64 % 3 == 0)
+		event = worker.bad || w->jobs[id.first].poison
+				? JOBS_EVENT_FAILED
+				: JOBS_EVENT_ENDED;
+	it->second.order = 0;
+	if (event != JOBS_EVENT_RUNNING && event != JOBS_EVENT_THROTTLED &&
+	    event != JOBS_EVENT_RESUMED) {
+		worker.fenced.insert(id);
+		w->running.erase(it);
+	}
+	report(w, id, task, event, x / 256);
+}
+
+void restart(world *w, uint32_t x)
+{
+	size_t i = x % w->workers.size();
+
+	w->workers[i].incarnation++;
+	for (auto it = w->running.begin(); it != w->running.end();)
+		it = it->second.worker == (int)i ? w->running.erase(it)
+						 : std::next(it);
+	see(w->holder, i);
+}
+
+void cancel(world *w, uint32_t x)
+{
+	if (w->jobs.empty())
+		return;
+	auto it = w->jobs.begin();
+	std::advance(it, x % w->jobs.size());
+	for (uint32_t i = 0; i < 1 + x / 64 % 5 && it != w->jobs.end();
+	     i++, ++it) {
+		jobs_cancel(w->holder->core, w->now,
+			    base_str(it->first.c_str()), nullptr);
+		it->second.cancelled = true;
+	}
+}
+
+/* What really runs fits: no share is handed out twice, also on doubt. */
+void check_workers(world *w)
+{
+	std::vector<jobs_res_t> used(w->workers.size(), jobs_res_t{});
+
+	for (auto &it : w->running)
+		for (int k = 0; k < JOBS_KIND_MAX; k++) {
+			int64_t &u = used[(size_t)it.second.worker].v[k];
+
+			u += it.second.share.v[k];
+			RC_ASSERT(!w->tame || u <= w->capacity.v[k]);
+		}
+	for (int t = 0; w->tame && t < 3; t++) {
+		std::string team = "t" + std::to_string(t);
+		jobs_res_t held =
+			jobs_team_used(w->holder->core, base_str(team.c_str()));
+
+		for (int k = 0; k < JOBS_ACCELERATORS; k++)
+			RC_ASSERT(held.v[k] <= w->quota);
+	}
+}
+
+void act(world *w, void *ctx, uint32_t x)
+{
+	uint32_t y = x / 32;
+
+	switch (x % 32) {
+	case 0 ... 7:
+		submit(w, y);
+		break;
+	case 8 ... 13:
+		arrive(w, y);
+		break;
+	case 14 ... 21:
+		happen(w, y);
+		break;
+	case 22:
+		restart(w, y);
+		break;
+	case 23:
+		cancel(w, y);
+		break;
+	case 24:
+		w->fate = (int)(y % 3);
+		break;
+	case 25:
+		/* The predecessor is only paused and decides once more. */
+		if (y % 2) {
+			holder *old = w->holder;
+
+			take_over(w, ctx);
+			jobs_step(old->core, w->now);
+		}
+		break;
+	case 26:
+		w->workers[y % w->workers.size()].there = y / 8 % 2;
+		break;
+	default:
+		w->now += (int64_t)(y % 4000) * 1000;
+		jobs_step(w->holder->core, w->now);
+		check_load(w->holder);
+	}
+	check_workers(w);
+}
+
+/* All workers answer, and nothing is lost any more. */
+void settle(world *w)
+{
+	for (auto &worker : w->workers)
+		worker.there = true;
+	w->fate = 0;
+	for (int i = 0; i < 400; i++) {
+		std::vector<task_id> ids;
+
+		w->now += second;
+		jobs_step(w->holder->core, w->now);
+		for (auto &it : w->running)
+			ids.push_back(it.first);
+		while (!w->starts.empty())
+			arrive(w, 16 + 128);
+		for (size_t j = 0; j < ids.size(); j++)
+			if (w->running.count(ids[j]))
+				happen(w, (uint32_t)std::distance(
+						  w->running.begin(),
+						  w->running.find(ids[j])) +
+						  (i % 3 ? 64 : 0));
+		check_workers(w);
+	}
+	/* What a worker does not have it does not run. */
+	for (size_t i = 0; i < w->workers.size(); i++)
+		restart(w, (uint32_t)i);
+	for (int i = 0; i < 400; i++) {
+		w->now += second;
+		jobs_step(w->holder->core, w->now);
+		while (!w->starts.empty())
+			arrive(w, 16 + 128);
+		while (!w->running.empty())
+			happen(w, 0);
+	}
+}
+
+void check_ends(world *w)
+{
+	for (auto &it : w->jobs) {
+		jobs_record_t r;
+		char *why;
+
+		/* Not committed before the duty changed: never accepted. */
+		if (!jobs_record(w->holder->core, base_str(it.first.c_str()),
+				 &r)) {
+			RC_ASSERT(!w->store.count(it.first));
+			RC_ASSERT(it.second.ran == 0);
+			continue;
+		}
+		why = jobs_explain(w->holder->core, nullptr, w->now, r.spec.id);
+		RC_ASSERT(why != nullptr);
+		if (r.state == JOBS_QUEUED)
+			RC_LOG() << why << "\n";
+		RC_ASSERT(r.state >= JOBS_HELD || r.why == JOBS_WHY_OVER ||
+			  r.why == JOBS_WHY_LARGE);
+		RC_ASSERT(!(it.second.poison && r.state == JOBS_DONE));
+		talloc_free(why);
+	}
+}
+
+void run(bool tame)
+{
+	std::vector<uint32_t> script =
+		*rc::gen::scale(6.0, rc::gen::container<std::vector<uint32_t>>(
+					     rc::gen::arbitrary<uint32_t>()));
+	void *ctx = talloc_new(nullptr);
+	world w;
+
+	w.tame = tame;
+	w.workers.resize(1 + script.size() % 5);
+	for (size_t i = 0; i < w.workers.size(); i++)
+		w.workers[i].bad = i == 3;
+	take_over(&w, ctx);
+	for (uint32_t x : script)
+		act(&w, ctx, x);
+	settle(&w);
+	check_ends(&w);
+	talloc_free(ctx);
+}
+
+void tame_world()
+{
+	g_assert_true(rc::check("jobs end, shares and quotas hold",
+				[] { run(true); }));
+}
+
+void wild_world()
+{
+	g_assert_true(rc::check("jobs end though tasks outgrow their shares",
+				[] { run(false); }));
+}
+
+} // namespace
+
+int main(int argc, char **argv)
+{
+	g_test_init(&argc, &argv, nullptr);
+	g_test_add_func("/jobs/prop/tame", tame_world);
+	g_test_add_func("/jobs/prop/wild", wild_world);
+	return g_test_run();
+}
