--- a/packages/jobs/jobs_health.c
+++ b/packages/jobs/jobs_health.c
@@ -20,8 +20,11 @@
 static void take_out(jobs_t *jobs, int64_t now, jobs_worker_t *worker);
 static void acquit(jobs_t *jobs, int64_t now, jobs_worker_t *worker,
 		   jobs_job_t *job);
+static void drop_oldest(jobs_worker_t *worker);
 static bool convincing(const jobs_worker_t *worker,
 		       const jobs_family_t *family);
+static double fails_elsewhere(const jobs_worker_t *worker,
+			      const jobs_family_t *family);
 static bool may_lose_one(const jobs_t *jobs);
 static void wait_in(jobs_worker_t *worker, GQueue *queue);
 static bool tried_add(jobs_job_t *job, const jobs_worker_t *worker);
@@ -31,7 +34,7 @@
 {
 	jobs_worker_t *worker = task->worker;
 	jobs_family_t *family = task->job->family;
-	double fails = jobs_family_fails(family);
+	double fails;
 
 	if (task->trial) {
 		take_out(jobs, now, worker);
@@ -41,13 +44,13 @@
 	/* What a worker that is already out does says nothing of the job. */
 	if (worker->health != JOBS_FIT)
 		return;
+	fails = fails_elsewhere(worker, family);
 	family->fails++;
 	family->runs++;
 	if (!tried_add(task->job, worker))
 		return;
 	if (worker->n_blamed == JOBS_BLAMED_MAX)
-		memmove(worker->blamed, worker->blamed + 1,
-			sizeof(*worker->blamed) * (size_t)--worker->n_blamed);
+		drop_oldest(worker);
 	worker->blamed[worker->n_blamed++] = task->job;
 	worker->evidence += log(BAD_FAILS / fails);
 	if (worker->evidence >= EVIDENCE_OUT && convincing(worker, family) &&
@@ -166,10 +169,17 @@
 		jobs_requeue(jobs, now, job, false);
 }
 
+static void drop_oldest(jobs_worker_t *worker)
+{
+	worker->n_blamed--;
+	for (int i = 0; i < worker->n_blamed; i++)
+		worker->blamed[i] = worker->blamed[i + 1];
+}
+
 /* One family alone might be what fails. */
 static bool convincing(const jobs_worker_t *worker, const jobs_family_t *family)
 {
-	if (jobs_family_fails(family) < FAMILY_RELIABLE)
+	if (fails_elsewhere(worker, family) < FAMILY_RELIABLE)
 		return true;
 	for (int i = 0; i < worker->n_blamed; i++)
 		if (worker->blamed[i]->family != family)
@@ -177,6 +187,23 @@
 	return false;
 }
 
+/*
+ * A broken worker is always free and draws jobs, so that its own failures
+ * would soon be most of a family's.
+ */
+static double fails_elsewhere(const jobs_worker_t *worker,
+			      const jobs_family_t *family)
+{
+	jobs_family_t others = { .runs = family->runs, .fails = family->fails };
+	int own = 0;
+
+	for (int i = 0; i < worker->n_blamed; i++)
+		own += worker->blamed[i]->family == family;
+	others.runs = MAX(0, others.runs - own);
+	others.fails = MAX(0, others.fails - own);
+	return jobs_family_fails(&others);
+}
+
 /* Where many seem broken it is rather the jobs that are. */
 static bool may_lose_one(const jobs_t *jobs)
 {
--- /dev/null
+++ b/packages/jobs/tests/jobs_test.c
@@ -0,0 +1,407 @@
+#include <string.h>
+
+#include "jobs.h"
+
+#define SECOND ((int64_t)1000000)
+
+/* What the core had committed and sent. */
+typedef struct log {
+	int commits, starts, checkpoints, throttles, resumes, stops;
+	jobs_commit_t answer;
+	jobs_order_t last;
+	char job[JOBS_ID_MAX + 1], worker[JOBS_ID_MAX + 1];
+} log_t;
+
+static void note(log_t *log, const jobs_order_t *order)
+{
+	log->last = *order;
+	g_strlcpy(log->job, order->job.ptr, sizeof(log->job));
+	g_strlcpy(log->worker, order->worker.ptr, sizeof(log->worker));
+}
+
+static jobs_commit_t commit(void *arg, const jobs_record_t *records, size_t n)
+{
+	log_t *log = arg;
+
+	(void)records;
+	g_assert_cmpuint(n, >, 0);
+	log->commits++;
+	return log->answer;
+}
+
+#define SENDS(name, member)                                    \
+	static void name(void *arg, const jobs_order_t *order) \
+	{                                                      \
+		((log_t *)arg)->member++;                      \
+		note(arg, order);                              \
+	}
+SENDS(start, starts)
+SENDS(checkpoint, checkpoints)
+SENDS(throttle, throttles)
+SENDS(resume, resumes)
+SENDS(stop, stops)
+
+static const jobs_ops_t ops = { commit,	  start,  checkpoint,
+				throttle, resume, stop };
+
+static jobs_t *core_new(log_t *log, int workers, int64_t cores)
+{
+	jobs_options_t options = { .ops = &ops, .arg = log };
+	jobs_t *jobs = jobs_new(NULL, &options);
+	char id[16];
+
+	*log = (log_t){ 0 };
+	jobs_team_set(jobs, BASE_STR("crew"),
+		      (jobs_res_t){ { 100000, 100000, 8 } });
+	for (int i = 0; i < workers; i++) {
+		jobs_worker_info_t info = {
+			.incarnation = 1,
+			.capacity = { { cores, 64000, 1 } },
+			.takes = true,
+		};
+
+		g_snprintf(id, sizeof(id), "w%d", i);
+		info.id = base_str(id);
+		jobs_worker_seen(jobs, 0, &info);
+	}
+	return jobs;
+}
+
+static jobs_spec_t spec_of(const char *id, int urgency, int64_t cores)
+{
+	return (jobs_spec_t){
+		.id = base_str(id),
+		.team = BASE_STR("crew"),
+		.family = BASE_STR("pack"),
+		.urgency = urgency,
+		.repeatable = true,
+		.declared = { { cores, 100, 0 } },
+	};
+}
+
+static void submit(jobs_t *jobs, int64_t now, jobs_spec_t spec)
+{
+	GError *err = NULL;
+
+	jobs_submit(jobs, now, &spec, &err);
+	g_assert_no_error(err);
+}
+
+/* What the worker of the last order says of it. */
+static void say(jobs_t *jobs, int64_t now, const log_t *log, const char *job,
+		int64_t attempt, jobs_event_t event)
+{
+	jobs_report_t report = {
+		.worker = base_str(log->worker),
+		.incarnation = 1,
+		.job = base_str(job),
+		.attempt = attempt,
+		.event = event,
+		.as_of = now,
+		.peak = { { 500, 50, 0 } },
+		.run_us = SECOND,
+	};
+
+	jobs_report(jobs, now, &report);
+}
+
+static jobs_state_t state(const jobs_t *jobs, const char *id)
+{
+	jobs_record_t record;
+
+	g_assert_true(jobs_record(jobs, base_str(id), &record));
+	return record.state;
+}
+
+static void explains(const jobs_t *jobs, int64_t now, const char *id,
+		     const char *part)
+{
+	char *text = jobs_explain(jobs, NULL, now, base_str(id));
+
+	g_assert_nonnull(strstr(text, part));
+	talloc_free(text);
+}
+
+/* Nothing is sent before it is written, and nothing by a late holder. */
+static void test_commit_first(void)
+{
+	log_t log;
+	jobs_t *jobs = core_new(&log, 1, 8000);
+
+	submit(jobs, 0, spec_of("a", 1, 1000));
+	log.answer = JOBS_COMMIT_AGAIN;
+	g_assert_true(jobs_step(jobs, 1));
+	g_assert_cmpint(log.starts, ==, 0);
+	log.answer = JOBS_COMMIT_DONE;
+	g_assert_true(jobs_step(jobs, 2));
+	g_assert_cmpint(log.starts, ==, 1);
+	submit(jobs, 3, spec_of("b", 1, 1000));
+	log.answer = JOBS_COMMIT_LOST;
+	g_assert_false(jobs_step(jobs, 4));
+	log.answer = JOBS_COMMIT_DONE;
+	g_assert_false(jobs_step(jobs, 5));
+	g_assert_cmpint(log.starts, ==, 1);
+	talloc_free(jobs);
+}
+
+static void test_once(void)
+{
+	log_t log;
+	jobs_t *jobs = core_new(&log, 2, 8000);
+	jobs_spec_t spec = spec_of("a", 1, 1000);
+	jobs_res_t taken, has;
+
+	spec.repeatable = false;
+	submit(jobs, 0, spec);
+	jobs_step(jobs, 0);
+	g_assert_cmpint(log.starts, ==, 1);
+	/* Silence proves nothing: not again, and its room stays taken. */
+	for (int i = 1; i <= 100; i++)
+		jobs_step(jobs, i * 10 * SECOND);
+	g_assert_cmpint(log.starts, ==, 1);
+	g_assert_cmpint(state(jobs, "a"), ==, JOBS_DOUBT);
+	explains(jobs, SECOND, "a", "worker is silent");
+	g_assert_true(
+		jobs_worker_load(jobs, base_str(log.worker), &taken, &has));
+	g_assert_cmpint(taken.v[JOBS_CORES], >=, 1000);
+	/* It was only late. */
+	say(jobs, 2000 * SECOND, &log, "a", 1, JOBS_EVENT_RUNNING);
+	g_assert_cmpint(state(jobs, "a"), ==, JOBS_RUNNING);
+	talloc_free(jobs);
+}
+
+static void test_lost(void)
+{
+	log_t log;
+	jobs_t *jobs = core_new(&log, 2, 8000);
+	jobs_spec_t spec = spec_of("a", 1, 1000);
+
+	spec.repeatable = false;
+	submit(jobs, 0, spec);
+	jobs_step(jobs, 0);
+	say(jobs, SECOND, &log, "a", 1, JOBS_EVENT_RUNNING);
+	jobs_worker_gone(jobs, 2 * SECOND, base_str(log.worker), 1);
+	g_assert_cmpint(state(jobs, "a"), ==, JOBS_LOST);
+	explains(jobs, SECOND, "a", "may or may not have run");
+	jobs_step(jobs, 2002 * SECOND);
+	g_assert_cmpint(log.starts, ==, 1);
+	talloc_free(jobs);
+}
+
+static void test_poison(void)
+{
+	log_t log;
+	jobs_t *jobs = core_new(&log, 6, 8000);
+	char last[16] = "";
+
+	submit(jobs, 0, spec_of("a", 1, 1000));
+	for (int i = 1; i <= JOBS_TRIES_MAX; i++) {
+		jobs_step(jobs, i * SECOND);
+		g_assert_cmpint(log.starts, ==, i);
+		g_assert_cmpstr(log.worker, !=, last);
+		g_strlcpy(last, log.worker, sizeof(last));
+		say(jobs, i * SECOND, &log, "a", i, JOBS_EVENT_FAILED);
+	}
+	g_assert_cmpint(state(jobs, "a"), ==, JOBS_HELD);
+	explains(jobs, 9 * SECOND, "a", "failed on distinct workers");
+	jobs_step(jobs, 99 * SECOND);
+	g_assert_cmpint(log.starts, ==, JOBS_TRIES_MAX);
+	g_assert_true(jobs_release(jobs, 99 * SECOND, BASE_STR("a"), NULL));
+	jobs_step(jobs, 100 * SECOND);
+	g_assert_cmpint(log.starts, ==, JOBS_TRIES_MAX + 1);
+	talloc_free(jobs);
+}
+
+/* Run one job to its end where "bad" fails all; the failures it took. */
+static int run_job(jobs_t *jobs, log_t *log, int i, const char *bad)
+{
+	int64_t now = i * SECOND;
+	int failed = 0;
+	char id[16];
+
+	g_snprintf(id, sizeof(id), "j%d", i);
+	submit(jobs, now, spec_of(id, 1, 1000));
+	jobs_step(jobs, now);
+	for (int n = 1; state(jobs, id) == JOBS_STARTING; n++) {
+		bool fails = !strcmp(log->worker, bad);
+
+		failed += fails;
+		say(jobs, now, log, id, n,
+		    fails ? JOBS_EVENT_FAILED : JOBS_EVENT_ENDED);
+		jobs_step(jobs, now);
+	}
+	g_assert_cmpint(state(jobs, id), ==, JOBS_DONE);
+	return failed;
+}
+
+static void test_bad_worker(void)
+{
+	log_t log;
+	jobs_t *jobs = core_new(&log, 4, 1000);
+	jobs_stats_t stats;
+	int failed = 0, i;
+
+	for (i = 0; i < 60; i++)
+		failed += run_job(jobs, &log, i, "w0");
+	jobs_stats(jobs, &stats);
+	g_assert_cmpuint(stats.taken_out, >=, 1);
+	g_assert_cmpuint(stats.out, ==, 1);
+	g_assert_cmpint(failed, <=, 4);
+	/* Mended, it passes its trial. */
+	for (; i < 200; i++)
+		run_job(jobs, &log, i, "");
+	jobs_stats(jobs, &stats);
+	g_assert_cmpuint(stats.out, ==, 0);
+	talloc_free(jobs);
+}
+
+/* Checkpoint, then stop, for urgent work, within the 2.1 s. */
+static void test_room(void)
+{
+	log_t log;
+	jobs_t *jobs = core_new(&log, 1, 2000);
+	jobs_spec_t batch = spec_of("batch", 3, 1000);
+
+	batch.checkpoints = true;
+	submit(jobs, 0, batch);
+	jobs_step(jobs, 0);
+	say(jobs, 1, &log, "batch", 1, JOBS_EVENT_RUNNING);
+	submit(jobs, SECOND, spec_of("now", 0, 1500));
+	jobs_step(jobs, SECOND);
+	g_assert_cmpint(log.checkpoints, ==, 1);
+	explains(jobs, SECOND, "now", "is cleared for it");
+	/* It does not answer. */
+	jobs_step(jobs, SECOND * 18 / 10);
+	g_assert_cmpint(log.stops, ==, 1);
+	say(jobs, SECOND * 2, &log, "batch", 1, JOBS_EVENT_GONE);
+	jobs_step(jobs, SECOND * 2);
+	g_assert_cmpint(log.starts, ==, 2);
+	g_assert_cmpstr(log.job, ==, "now");
+	g_assert_cmpint(state(jobs, "batch"), ==, JOBS_QUEUED);
+	talloc_free(jobs);
+}
+
+/* What must not be stopped only gives up cores, and gets them back. */
+static void test_throttle(void)
+{
+	log_t log;
+	jobs_t *jobs = core_new(&log, 1, 2600);
+	jobs_spec_t batch = spec_of("batch", 3, 2000);
+
+	batch.repeatable = false;
+	batch.throttles = true;
+	submit(jobs, 0, batch);
+	jobs_step(jobs, 0);
+	say(jobs, 1, &log, "batch", 1, JOBS_EVENT_RUNNING);
+	submit(jobs, SECOND, spec_of("now", 0, 1000));
+	jobs_step(jobs, SECOND);
+	g_assert_cmpint(log.throttles, ==, 1);
+	say(jobs, SECOND + 1, &log, "batch", 1, JOBS_EVENT_THROTTLED);
+	jobs_step(jobs, SECOND + 1);
+	g_assert_cmpstr(log.job, ==, "now");
+	say(jobs, SECOND + 2, &log, "now", 1, JOBS_EVENT_ENDED);
+	jobs_step(jobs, SECOND + 3);
+	g_assert_cmpint(log.resumes, ==, 1);
+	g_assert_cmpint(log.stops, ==, 0);
+	talloc_free(jobs);
+}
+
+static void test_cancel_queued(void)
+{
+	log_t log;
+	jobs_t *jobs = core_new(&log, 1, 8000);
+
+	submit(jobs, 0, spec_of("queued", 1, 1000));
+	g_assert_true(jobs_cancel(jobs, 0, BASE_STR("queued"), NULL));
+	g_assert_cmpint(state(jobs, "queued"), ==, JOBS_CANCELLED);
+	jobs_step(jobs, 1);
+	g_assert_cmpint(log.starts, ==, 0);
+	talloc_free(jobs);
+}
+
+static void test_cancel(void)
+{
+	log_t log;
+	jobs_t *jobs = core_new(&log, 1, 8000);
+
+	submit(jobs, 0, spec_of("races", 1, 1000));
+	jobs_step(jobs, 1);
+	g_assert_cmpint(log.starts, ==, 1);
+	g_assert_true(jobs_cancel(jobs, 2, BASE_STR("races"), NULL));
+	jobs_step(jobs, 3);
+	g_assert_cmpint(log.stops, ==, 1);
+	/* It had ended before the stop arrived, and that is what counts. */
+	say(jobs, 4, &log, "races", 1, JOBS_EVENT_ENDED);
+	g_assert_cmpint(state(jobs, "races"), ==, JOBS_DONE);
+	g_assert_false(jobs_cancel(jobs, 5, BASE_STR("nobody"), NULL));
+	jobs_step(jobs, 6);
+	g_assert_true(jobs_forget(jobs, BASE_STR("races")));
+	talloc_free(jobs);
+}
+
+/* Sizes are learned, in both directions. */
+static void test_learns(void)
+{
+	log_t log;
+	jobs_t *jobs = core_new(&log, 1, 100000);
+	jobs_res_t declared = { { 8000, 100, 1 } }, size;
+	char id[16];
+
+	size = jobs_safe_size(jobs, BASE_STR("pack"), declared);
+	g_assert_cmpint(size.v[JOBS_CORES], ==, 16000);
+	for (int i = 0; i < 40; i++) {
+		g_snprintf(id, sizeof(id), "j%d", i);
+		submit(jobs, i, spec_of(id, 1, 8000));
+		jobs_step(jobs, i);
+		say(jobs, i, &log, id, 1, JOBS_EVENT_ENDED);
+	}
+	size = jobs_safe_size(jobs, BASE_STR("pack"), declared);
+	g_assert_cmpint(size.v[JOBS_CORES], ==, 500 * 105 / 100);
+	g_assert_cmpint(size.v[JOBS_ACCELERATORS], ==, 1);
+	g_assert_cmpint(jobs_run_time(jobs, BASE_STR("pack")), ==, SECOND);
+	talloc_free(jobs);
+}
+
+/* A search looks at a few nodes, however many workers there are. */
+static void test_search_cost(void)
+{
+	uint64_t per_search[2] = { 0, 0 };
+
+	for (int round = 0; round < 2; round++) {
+		log_t log;
+		jobs_t *jobs = core_new(&log, round ? 16000 : 1000, 1000);
+		jobs_stats_t stats;
+		char id[16];
+
+		for (int i = 0; i < 500; i++) {
+			g_snprintf(id, sizeof(id), "j%d", i);
+			submit(jobs, i, spec_of(id, 1, 500));
+		}
+		jobs_team_set(jobs, BASE_STR("crew"),
+			      (jobs_res_t){ { 1 << 30, 1 << 30, 8 } });
+		jobs_step(jobs, 1000);
+		jobs_stats(jobs, &stats);
+		g_assert_cmpuint(stats.started, ==, 500);
+		per_search[round] = stats.visited / stats.searches;
+		talloc_free(jobs);
+	}
+	/* Sixteen times the workers: four levels more. */
+	g_assert_cmpuint(per_search[1], <=, per_search[0] + 2 * 4);
+}
+
+int main(int argc, char **argv)
+{
+	g_test_init(&argc, &argv, NULL);
+	g_test_add_func("/jobs/commit-first", test_commit_first);
+	g_test_add_func("/jobs/once", test_once);
+	g_test_add_func("/jobs/lost", test_lost);
+	g_test_add_func("/jobs/poison", test_poison);
+	g_test_add_func("/jobs/bad-worker", test_bad_worker);
+	g_test_add_func("/jobs/room", test_room);
+	g_test_add_func("/jobs/throttle", test_throttle);
+	g_test_add_func("/jobs/cancel", test_cancel);
+	g_test_add_func("/jobs/cancel-queued", test_cancel_queued);
+	g_test_add_func("/jobs/learns", test_learns);
+	g_test_add_func("/jobs/search-cost", test_search_cost);
+	return g_test_run();
+}
