--- a/packages/entry/entry_platform.c
+++ b/packages/entry/entry_platform.c
@@ -55,14 +55,15 @@
 static void read_config(void *arg, int64_t now)
 {
 	entry_daemon_t *daemon = arg;
+	plat_store_t *store = plat_guard_store(daemon->guard, PLAT_FOR_CONFIG);
 	void *ctx = talloc_new(NULL);
 	GError *cause = NULL;
 	plat_kvs_t kvs;
 	bool read;
 
 	entry_forward_expire(daemon->forward, now);
-	read = daemon->store->ops->range(daemon->store, ctx, ENTRY_CONFIG_KEY,
-					 false, &kvs, &cause);
+	read = store->ops->range(store, ctx, ENTRY_CONFIG_KEY, false, &kvs,
+				 &cause);
 	if (read && kvs.count)
 		take_config(daemon, kvs.items[0].value);
 	note_reach(daemon, &daemon->store_down, read, BASE_MSG_STORE_DOWN,
@@ -82,6 +83,7 @@
 		return;
 	}
 	if (newer) {
+		entry_route_apply(daemon->route);
 		entry_view_t *view = entry_view_hold(daemon->views);
 
 		base_log(daemon->log, BASE_MSG_CONFIG_IN_FORCE,
@@ -101,8 +103,10 @@
 					    &cause);
 
 	(void)now;
-	if (read)
+	if (read) {
 		entry_views_take_list(daemon->views, &instances);
+		entry_route_apply(daemon->route);
+	}
 	note_reach(daemon, &daemon->list_down, read, BASE_MSG_LIST_DOWN, cause);
 	talloc_free(ctx);
 }
