--- a/packages/route/route_int.h
+++ b/packages/route/route_int.h
@@ -26,6 +26,7 @@
 #define RAMP_US (5 * BASE_SEC) /* slow start of a returning endpoint */
 #define RAMP_MIN 0.1
 #define SCAN_MAX 16	 /* endpoints of a zone that are all compared */
+#define PROBE_PART 16	 /* one in so many connections is kept for probes */
 #define PROBE_FAILURES 2 /* in a row */
 #define TOMBSTONE_US (3600 * BASE_SEC)
 
@@ -117,11 +118,6 @@
 	int64_t window;
 } route_pool_t;
 
-typedef struct route_tombstone {
-	uint64_t incarnation;
-	int64_t when;
-} route_tombstone_t;
-
 struct route {
 	route_options_t opt;
 	base_rng_t rng;
@@ -170,7 +166,7 @@
 void route_pool_reindex(route_t *route, route_pool_t *pool);
 bool route_ep_usable(const route_ep_t *ep);
 route_ep_t *route_ep(const route_pool_t *pool, base_str_t instance,
-		     uint64_t incarnation);
+		     base_str_t incarnation);
 
 /* route_probe.c */
 void route_probe_assign(const route_t *route, route_pool_t *pool);
