entry: route by the fleet's records and take turns at the fleet duty

Cause: each entry gave instances to pools by the list that it happened to see, so that two entries could disagree, and nothing drained.

Change: package site fills a fleet_t from the store and the list. Reboots go out as Redfish ComputerSystem.Reset with If-Match on the incarnation.

--- a/packages/entry/entry_int.h
+++ b/packages/entry/entry_int.h
@@ -44,6 +44,7 @@
 	conf_record_t *record;	/* of config */
 	entry_pool_t *pools;	/* in the order of the configuration */
 	size_t pool_count;
+	bool owned; /* some records are known */
 } entry_view_t;
 
 typedef struct entry_views entry_views_t;
@@ -65,6 +66,18 @@
 void entry_views_take_list(entry_views_t *views,
 			   const plat_instances_t *instances);
 
+/* Who owns an instance, from the fleet's records. */
+typedef struct entry_owner {
+	const char *id;
+	uint64_t inc;
+	const char *pool; /* NULL: nobody */
+	bool serves;	  /* may be sent new work */
+} entry_owner_t;
+
+/* Take the records in place of those before. */
+void entry_views_take_owners(entry_views_t *views, const entry_owner_t *owners,
+			     size_t n);
+
 /* The pool of that service in "view", or NULL. */
 const entry_pool_t *entry_view_pool(const entry_view_t *view,
 				    base_str_t service);
@@ -191,6 +204,7 @@
 
 typedef struct entry_daemon entry_daemon_t;
 typedef struct entry_route entry_route_t;
+typedef struct entry_fleet entry_fleet_t;
 
 typedef struct entry_verdict {
 	entry_outcome_t outcome;
@@ -257,6 +271,7 @@
 	atomic_int list_down;
 	entry_route_t *route;
 	kern_duty_t *probes[ENTRY_PROBE_DUTIES];
+	entry_fleet_t *fleet;
 };
 
 /* Services in the order of their start; entry_services.c. */
@@ -265,6 +280,7 @@
 extern const kern_service_ops_t entry_platform_ops;
 extern const kern_service_ops_t entry_operators_ops;
 extern const kern_service_ops_t entry_route_ops;
+extern const kern_service_ops_t entry_fleet_ops;
 extern const kern_service_ops_t entry_probe_ops;
 extern const kern_service_ops_t entry_caller_ops;
 
--- a/packages/entry/entry_operators.c
+++ b/packages/entry/entry_operators.c
@@ -83,6 +83,7 @@
 	entry_daemon_t *daemon = arg;
 	entry_view_t *view = entry_view_hold(daemon->views);
 	bool configured = view->record != NULL;
+	bool owned = view->owned;
 
 	entry_view_release(view);
 	if (atomic_load(&daemon->draining))
@@ -91,6 +92,9 @@
 	if (!configured)
 		return entry_operators_answer(conn, 503, "text/plain",
 					      BASE_STR("no configuration\n"));
+	if (!owned)
+		return entry_operators_answer(conn, 503, "text/plain",
+					      BASE_STR("no pools yet\n"));
 	return entry_operators_answer(conn, 200, "text/plain",
 				      BASE_STR("ready\n"));
 }
--- a/packages/entry/entry_services.c
+++ b/packages/entry/entry_services.c
@@ -10,6 +10,7 @@
 	{ "operators", &entry_operators_ops },
 	{ "platform", &entry_platform_ops },
 	{ "route", &entry_route_ops },
+	{ "fleet", &entry_fleet_ops },
 	{ "probe", &entry_probe_ops },
 	{ "caller", &entry_caller_ops },
 };
--- a/packages/entry/entry_view.c
+++ b/packages/entry/entry_view.c
@@ -11,16 +11,15 @@
 	entry_view_t *current;
 	plat_instances_t list; /* the last one taken */
 	void *list_ctx;
+	GHashTable *owner_of; /* instance id to entry_owner_t */
+	void *owner_ctx;
 };
 
 static int free_views(entry_views_t *views);
 static int free_view(entry_view_t *view);
 static void rebuild(entry_views_t *views, entry_config_t *config);
-static void fill_zone(entry_view_t *view, const plat_instances_t *list,
-		      base_str_t zone);
-static entry_pool_t *neediest(entry_view_t *view, base_str_t zone);
-static int64_t wanted_in(const entry_pool_t *pool, base_str_t zone);
-static int64_t placed_in(const entry_pool_t *pool, base_str_t zone);
+static void place(entry_views_t *views, entry_view_t *view,
+		  const plat_instance_t *instance);
 static void add_endpoint(entry_view_t *view, entry_pool_t *pool,
 			 const plat_instance_t *instance);
 static void copy_list(entry_views_t *views, const plat_instances_t *from);
@@ -35,6 +34,7 @@
 
 	pthread_mutex_init(&views->lock, NULL);
 	views->list_ctx = talloc_new(NULL);
+	views->owner_of = g_hash_table_new(g_str_hash, g_str_equal);
 	views->current = talloc_zero(NULL, entry_view_t);
 	views->current->holders = 1;
 	talloc_set_destructor(views, free_views);
@@ -96,6 +96,30 @@
 	pthread_mutex_unlock(&views->lock);
 }
 
+void entry_views_take_owners(entry_views_t *views, const entry_owner_t *owners,
+			     size_t n)
+{
+	entry_owner_t *copy = talloc_array(NULL, entry_owner_t, n);
+
+	pthread_mutex_lock(&views->lock);
+	g_hash_table_remove_all(views->owner_of);
+	talloc_free(views->owner_ctx);
+	views->owner_ctx = copy;
+	for (size_t i = 0; i < n; i++) {
+		copy[i] = owners[i];
+		copy[i].id = talloc_strdup(copy, owners[i].id);
+		copy[i].pool = owners[i].pool
+				       ? talloc_strdup(copy, owners[i].pool)
+				       : NULL;
+		if (owners[i].pool)
+			g_hash_table_insert(views->owner_of,
+					    (gpointer)copy[i].id, &copy[i]);
+	}
+	if (views->current->config)
+		rebuild(views, views->current->config);
+	pthread_mutex_unlock(&views->lock);
+}
+
 const entry_pool_t *entry_view_pool(const entry_view_t *view,
 				    base_str_t service)
 {
@@ -109,6 +133,8 @@
 {
 	entry_view_release(views->current);
 	talloc_free(views->list_ctx);
+	g_hash_table_destroy(views->owner_of);
+	talloc_free(views->owner_ctx);
 	pthread_mutex_destroy(&views->lock);
 	return 0;
 }
@@ -141,68 +167,30 @@
 	view->pools = talloc_zero_array(view, entry_pool_t, conf->n_pools);
 	for (size_t i = 0; i < conf->n_pools; i++)
 		view->pools[i].conf = &conf->pools[i];
-	for (size_t z = 0; z < conf->n_zones; z++)
-		fill_zone(view, &views->list, conf->zones[z].name);
+	view->owned = g_hash_table_size(views->owner_of) > 0;
+	for (size_t i = 0; i < views->list.count; i++)
+		place(views, view, &views->list.items[i]);
 	views->current = view;
 	entry_view_release(old);
 }
 
 /*
- * Give the zone's instances to the pools in the list's order, each to the
- * pool that lacks the largest part of its placement, which spreads a pool
- * over the racks.
+ * An instance is routed to only in the life that its record names, by the
+ * pool that the record names.
  */
-static void fill_zone(entry_view_t *view, const plat_instances_t *list,
-		      base_str_t zone)
-{
-	for (size_t i = 0; i < list->count; i++) {
-		const plat_instance_t *instance = &list->items[i];
-		entry_pool_t *pool;
-
-		if (!base_str_eq(base_str(instance->zone), zone))
-			continue;
-		pool = neediest(view, zone);
-		if (pool)
-			add_endpoint(view, pool, instance);
-	}
-}
-
-static entry_pool_t *neediest(entry_view_t *view, base_str_t zone)
+static void place(entry_views_t *views, entry_view_t *view,
+		  const plat_instance_t *instance)
 {
-	entry_pool_t *best = NULL;
-	double best_part = 1.0;
+	const entry_owner_t *owner =
+		g_hash_table_lookup(views->owner_of, instance->id);
 
-	for (size_t i = 0; i < view->pool_count; i++) {
-		entry_pool_t *pool = &view->pools[i];
-		int64_t wanted = wanted_in(pool, zone);
-		double part = 1.0;
-
-		if (wanted)
-			part = (double)placed_in(pool, zone) / (double)wanted;
-		if (part < best_part) {
-			best_part = part;
-			best = pool;
-		}
-	}
-	return best;
-}
-
-static int64_t wanted_in(const entry_pool_t *pool, base_str_t zone)
-{
-	for (size_t i = 0; i < pool->conf->n_placement; i++)
-		if (base_str_eq(pool->conf->placement[i].zone, zone))
-			return pool->conf->placement[i].executors;
-	return 0;
-}
-
-static int64_t placed_in(const entry_pool_t *pool, base_str_t zone)
-{
-	int64_t placed = 0;
-
-	for (size_t i = 0; i < pool->endpoint_count; i++)
-		if (base_str_eq(base_str(pool->endpoints[i].zone), zone))
-			placed++;
-	return placed;
+	if (!owner || !owner->serves || !owner->pool ||
+	    strtoull(instance->incarnation, NULL, 10) != owner->inc)
+		return;
+	for (size_t i = 0; i < view->pool_count; i++)
+		if (base_str_eq(view->pools[i].conf->name,
+				base_str(owner->pool)))
+			add_endpoint(view, &view->pools[i], instance);
 }
 
 static void add_endpoint(entry_view_t *view, entry_pool_t *pool,
--- a/packages/fleet/fleet.h
+++ b/packages/fleet/fleet.h
@@ -110,6 +110,9 @@
 bool fleet_load(fleet_t *fleet, const char *key, base_str_t value, int64_t rev,
 		GError **err);
 
+/* Grows with every record that was taken in. */
+uint64_t fleet_version(const fleet_t *fleet);
+
 /*
  * Orders of operators for single instances are one record, FLEET_ORDERS_KEY,
  * written by compare-and-swap.  fleet_order_edit() returns the new value,
--- a/packages/fleet/fleet_int.h
+++ b/packages/fleet/fleet_int.h
@@ -124,6 +124,7 @@
 	bool wave_dirty;
 
 	GHashTable *revs; /* key to the revision that is known */
+	uint64_t version;
 	int64_t planned_at;
 };
 
--- a/packages/fleet/fleet_model.c
+++ b/packages/fleet/fleet_model.c
@@ -157,6 +157,11 @@
 	return acct->demand_since && now - acct->demand_since >= WARM_UP;
 }
 
+uint64_t fleet_version(const fleet_t *fleet)
+{
+	return fleet->version;
+}
+
 size_t fleet_n_pools(const fleet_t *fleet)
 {
 	return fleet->n_pools;
--- a/packages/fleet/fleet_rec.c
+++ b/packages/fleet/fleet_rec.c
@@ -148,6 +148,7 @@
 				    known);
 	}
 	*known = rev;
+	fleet->version++;
 }
 
 /* All of the shard decodes, or none of it is taken. */
--- a/packages/plat/plat.h
+++ b/packages/plat/plat.h
@@ -247,4 +247,25 @@
 /* A client of the EndpointSlice list below "ctx". */
 plat_list_t *plat_slices_new(const void *ctx, const plat_address_t *address);
 
+/*
+ * plat_action - what the platform does to an instance when it is asked.
+ */
+typedef struct plat_action plat_action_t;
+
+typedef struct plat_action_ops {
+	/*
+	 * Reboot that life of the instance; a later one is left alone.  May
+	 * be asked again: an error does not tell that nothing happened.
+	 */
+	bool (*reboot)(plat_action_t *action, const char *id,
+		       uint64_t incarnation, GError **err);
+} plat_action_ops_t;
+
+struct plat_action {
+	const plat_action_ops_t *ops;
+};
+
+/* A client of Redfish (DSP0266) below "ctx"; for one thread. */
+plat_action_t *plat_redfish_new(const void *ctx, const plat_address_t *address);
+
 #endif
--- /dev/null
+++ b/packages/site/site.h
@@ -0,0 +1,65 @@
+/*
+ * site - fills a fleet_t from the platform.
+ *
+ * Reads the fleet's records, the instance list and the entries' own records,
+ * for whoever decides (the duty's holder) or explains (the tool).
+ *
+ * Each entry keeps one record, SITE_ENTRIES_PREFIX NAME: it is written before
+ * the entry routes to any pool, and carries what it confirms.  It is not bound
+ * to a lease: an entry counts until it is known to have ended.
+ */
+#ifndef SITE_H
+#define SITE_H
+
+#include "base.h"
+#include "conf.h"
+#include "fleet.h"
+#include "plat.h"
+
+#define SITE_ENTRIES_PREFIX "/cactusfield/entries/"
+
+/* A fleet for that configuration, below "ctx". */
+fleet_t *site_fleet(const void *ctx, const conf_t *conf);
+
+/* Load every record of the fleet; all or an error. */
+bool site_read_records(fleet_t *fleet, plat_store_t *store, GError **err);
+
+/* Load only who owns what. */
+bool site_read_pools(fleet_t *fleet, plat_store_t *store, GError **err);
+
+/* Take a list that was read at "now". */
+void site_observe(fleet_t *fleet, const plat_instances_t *list, int64_t now);
+
+/* "incarnation" of the platform's list as a number that grows. */
+uint64_t site_incarnation(const char *text);
+
+/* An entry's record. */
+typedef struct site_entry {
+	const char *name;
+	uint64_t inc;
+	plat_address_t operators;
+	bool gone;	  /* took its leave */
+	const char **ids; /* what it confirms ... */
+	uint64_t *seqs;	  /* ... and for which record */
+	size_t n;
+} site_entry_t;
+
+/* The record's value, below "ctx". */
+char *site_entry_print(const void *ctx, const site_entry_t *entry);
+
+/* Decode the record of entry "name"; false when it is none. */
+bool site_entry_load(const void *ctx, const char *name, base_str_t value,
+		     site_entry_t *entry);
+
+typedef struct site_entries {
+	site_entry_t *items;
+	size_t n;
+} site_entries_t;
+
+bool site_read_entries(plat_store_t *store, const void *ctx,
+		       site_entries_t *out, GError **err);
+
+/* Hand their confirmations to the fleet; "gone" ones no longer count. */
+void site_take_entry(fleet_t *fleet, const site_entry_t *entry, bool gone);
+
+#endif
--- /dev/null
+++ b/packages/site/site_entry.c
@@ -0,0 +1,92 @@
+#include <jansson.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "site.h"
+
+char *site_entry_print(const void *ctx, const site_entry_t *entry)
+{
+	json_t *confirmed = json_object();
+	json_t *root;
+	char *text, *copy;
+
+	for (size_t i = 0; i < entry->n; i++)
+		json_object_set_new(confirmed, entry->ids[i],
+				    json_integer((json_int_t)entry->seqs[i]));
+	root = json_pack("{s:I,s:s,s:i,s:b,s:o}", "incarnation",
+			 (json_int_t)entry->inc, "address",
+			 entry->operators.host, "port", entry->operators.port,
+			 "gone", entry->gone, "confirmed", confirmed);
+	text = json_dumps(root, JSON_COMPACT | JSON_SORT_KEYS);
+	copy = talloc_strdup(ctx, text);
+	free(text);
+	json_decref(root);
+	return copy;
+}
+
+bool site_entry_load(const void *ctx, const char *name, base_str_t value,
+		     site_entry_t *entry)
+{
+	json_t *root = json_loadb(value.ptr, value.len, 0, NULL);
+	json_t *confirmed, *seq;
+	const char *address, *id;
+	json_int_t inc;
+	int port, gone;
+	size_t n = 0;
+
+	if (json_unpack(root, "{s:I,s:s,s:i,s:b,s:o}", "incarnation", &inc,
+			"address", &address, "port", &port, "gone", &gone,
+			"confirmed", &confirmed)) {
+		json_decref(root);
+		return false;
+	}
+	*entry = (site_entry_t){
+		.name = talloc_strdup(ctx, name),
+		.inc = (uint64_t)inc,
+		.operators = { talloc_strdup(ctx, address), port },
+		.gone = gone,
+		.n = json_object_size(confirmed),
+	};
+	entry->ids = talloc_zero_array(ctx, const char *, entry->n);
+	entry->seqs = talloc_zero_array(ctx, uint64_t, entry->n);
+	json_object_foreach(confirmed, id, seq)
+	{
+		entry->ids[n] = talloc_strdup(ctx, id);
+		entry->seqs[n++] = (uint64_t)json_integer_value(seq);
+	}
+	json_decref(root);
+	return true;
+}
+
+/* One that does not decode is an error: it may still route. */
+bool site_read_entries(plat_store_t *store, const void *ctx,
+		       site_entries_t *out, GError **err)
+{
+	size_t skip = strlen(SITE_ENTRIES_PREFIX);
+	plat_kvs_t kvs;
+
+	if (!store->ops->range(store, ctx, SITE_ENTRIES_PREFIX, true, &kvs,
+			       err))
+		return false;
+	out->n = kvs.count;
+	out->items = talloc_zero_array(ctx, site_entry_t, kvs.count);
+	for (size_t i = 0; i < kvs.count; i++) {
+		char *key = base_str_dup(ctx, kvs.items[i].key);
+
+		if (site_entry_load(ctx, key + skip, kvs.items[i].value,
+				    &out->items[i]))
+			continue;
+		g_set_error(err, FLEET_ERROR, FLEET_ERROR_RECORD,
+			    "%s does not decode", key);
+		return false;
+	}
+	return true;
+}
+
+void site_take_entry(fleet_t *fleet, const site_entry_t *entry, bool gone)
+{
+	fleet_entry(fleet, entry->name, entry->inc, gone || entry->gone);
+	for (size_t i = 0; i < entry->n; i++)
+		fleet_confirm(fleet, entry->name, entry->inc, entry->ids[i],
+			      entry->seqs[i]);
+}
--- /dev/null
+++ b/packages/site/site_fleet.c
@@ -0,0 +1,123 @@
+#include <stdlib.h>
+
+#include "site.h"
+
+#define DAY (24 * 3600 * BASE_SEC)
+
+static bool read_prefix(fleet_t *fleet, plat_store_t *store, const char *key,
+			bool prefix, GError **err);
+static fleet_weights_t weights_of(const conf_t *conf);
+
+static const struct {
+	const char *key;
+	bool prefix;
+} records[] = {
+	{ FLEET_POOLS_PREFIX, true },
+	{ FLEET_BUDGET_PREFIX, true },
+	{ FLEET_WAVE_KEY, false },
+	{ FLEET_ORDERS_KEY, false },
+};
+
+fleet_t *site_fleet(const void *ctx, const conf_t *conf)
+{
+	fleet_opts_t opts = { .weights = weights_of(conf),
+			      .deadline = conf->limits.maintenance_days * DAY,
+			      .lead = conf->limits.maintenance_days * DAY / 4 };
+	fleet_t *fleet = fleet_new(ctx, &opts);
+	fleet_pool_t *pools = talloc_array(NULL, fleet_pool_t, conf->n_pools);
+
+	for (size_t i = 0; i < conf->n_pools; i++) {
+		const conf_pool_t *pool = &conf->pools[i];
+		conf_survive_t survive = pool->budget.survive;
+
+		pools[i] = (fleet_pool_t){
+			.name = pool->name.ptr,
+			.executors = (uint32_t)pool->executors,
+			.slots = (uint32_t)pool->slots,
+			.min_up = (uint32_t)pool->budget.min_up,
+			.survive_rack = survive != CONF_SURVIVE_NONE,
+			.survive_zone = survive == CONF_SURVIVE_ZONE,
+			.spare = pool->spare,
+		};
+	}
+	fleet_configure(fleet, pools, conf->n_pools);
+	talloc_free(pools);
+	return fleet;
+}
+
+bool site_read_records(fleet_t *fleet, plat_store_t *store, GError **err)
+{
+	for (size_t i = 0; i < ARRAY_SIZE(records); i++)
+		if (!read_prefix(fleet, store, records[i].key,
+				 records[i].prefix, err))
+			return false;
+	return true;
+}
+
+bool site_read_pools(fleet_t *fleet, plat_store_t *store, GError **err)
+{
+	return read_prefix(fleet, store, FLEET_POOLS_PREFIX, true, err);
+}
+
+void site_observe(fleet_t *fleet, const plat_instances_t *list, int64_t now)
+{
+	GHashTable *seen = g_hash_table_new(g_str_hash, g_str_equal);
+
+	for (size_t i = 0; i < list->count; i++) {
+		const plat_instance_t *from = &list->items[i];
+		fleet_obs_t obs = {
+			.id = from->id,
+			.inc = site_incarnation(from->incarnation),
+			.zone = from->zone,
+			.rack = from->rack,
+			.leaving = from->state != PLAT_LIVE,
+			.alive_at = from->state == PLAT_LIVE ? now : 0,
+		};
+
+		fleet_observe(fleet, &obs);
+		g_hash_table_add(seen, from->id);
+	}
+	for (size_t i = 0; i < fleet_n_instances(fleet); i++) {
+		fleet_inst_view_t view;
+
+		fleet_inst_view(fleet, i, &view);
+		if (!g_hash_table_contains(seen, view.id))
+			fleet_absent(fleet, view.id);
+	}
+	g_hash_table_destroy(seen);
+}
+
+uint64_t site_incarnation(const char *text)
+{
+	return strtoull(text, NULL, 10);
+}
+
+static bool read_prefix(fleet_t *fleet, plat_store_t *store, const char *key,
+			bool prefix, GError **err)
+{
+	void *ctx = talloc_new(NULL);
+	plat_kvs_t kvs;
+	bool good = store->ops->range(store, ctx, key, prefix, &kvs, err);
+
+	for (size_t i = 0; good && i < kvs.count; i++) {
+		const plat_kv_t *kv = &kvs.items[i];
+		char *name = base_str_dup(ctx, kv->key);
+
+		good = fleet_load(fleet, name, kv->value, kv->mod_revision,
+				  err);
+	}
+	talloc_free(ctx);
+	return good;
+}
+
+/* The answers' weights are relative. */
+static fleet_weights_t weights_of(const conf_t *conf)
+{
+	const conf_weights_t *from = &conf->weights;
+	double sum = from->buffer + from->moves + from->flood;
+
+	if (sum <= 0.0)
+		return (fleet_weights_t){ 0.0, 0.0, 0.0 };
+	return (fleet_weights_t){ from->buffer / sum, from->moves / sum,
+				  from->flood / sum };
+}
--- a/standin/standin_fleet.c
+++ b/standin/standin_fleet.c
@@ -201,8 +201,10 @@
 {
 	standin_t *s = arg;
 	const char *path = mg_get_request_info(conn)->local_uri;
+	const char *match = mg_get_header(conn, "If-Match");
 	char id[ID_MAX] = "";
 	instance_t *instance;
+	int status = 404;
 
 	sscanf(path, "/redfish/v1/Systems/%63[^/]", id);
 	talloc_free(read_body(conn));
@@ -210,7 +212,11 @@
 		return answer_nothing(conn);
 	pthread_mutex_lock(&s->lock);
 	instance = find(s, id);
-	if (instance && !instance->back_at) {
+	if (instance)
+		status = 200;
+	if (instance && match && atoi(match + 1) != instance->incarnation)
+		status = 412; /* another life */
+	else if (instance && !instance->back_at) {
 		instance->back_at = base_clock_mono() + s->reboot_us;
 		instance->gone = true;
 		changed(s, instance);
@@ -220,7 +226,7 @@
 				s->runs[i].interrupted = true;
 	}
 	pthread_mutex_unlock(&s->lock);
-	return answer_json(conn, instance ? 200 : 404, json_object());
+	return answer_json(conn, status, json_object());
 }
 
 static int on_records(struct mg_connection *conn, void *arg)
