--- /dev/null
+++ b/bench/fleet_bench.c
@@ -0,0 +1,98 @@
+/*
+ * fleet_bench - what the fleet's decisions cost, in JSON lines.
+ *
+ * Buffer, moves and roll-out are in virtual time and the same on every run;
+ * processor time is this thread's.
+ */
+#include <stdio.h>
+#include <time.h>
+
+#include "../packages/fleet/tests/fleet_measure.h"
+
+#define STEPS 50
+
+static void print(const measure_site_t *site, const char *what,
+		  const char *unit, measure_t m);
+static void measure_site(const measure_site_t *site, bool moves);
+static void measure_time(size_t instances);
+static double cpu_ms(void);
+
+int main(void)
+{
+	static const size_t sizes[] = { 600, 1200, 2400, 4800 };
+	void *ctx = talloc_new(NULL);
+	measure_site_t vakatawa = measure_today("vakatawa", 0.4, 0.4, 0.2);
+	measure_site_t addis = measure_today("addis", 0.2, 0.2, 0.6);
+	measure_site_t zone = measure_zone(ctx, 2400);
+
+	measure_site(&vakatawa, true);
+	measure_site(&addis, true);
+	measure_site(&zone, true);
+	for (size_t i = 0; i < ARRAY_SIZE(sizes); i++)
+		measure_time(sizes[i]);
+	talloc_free(ctx);
+	return 0;
+}
+
+static void measure_site(const measure_site_t *site, bool moves)
+{
+	print(site, "buffer", "executors", measure_buffer(site));
+	print(site, "rollout", "reboots in a row", measure_rollout(site));
+	if (moves)
+		print(site, "moves", "instances", measure_moves(site));
+}
+
+static void print(const measure_site_t *site, const char *what,
+		  const char *unit, measure_t m)
+{
+	printf("{\"bench\":\"fleet\",\"site\":\"%s\",\"what\":\"%s\","
+	       "\"unit\":\"%s\",\"ours\":%.2f,\"bound\":%.2f,"
+	       "\"ratio\":%.3f,\"baseline_1\":%.2f,\"baseline_2\":%.2f}\n",
+	       site->name, what, unit, m.ours, m.bound, m.ours / m.bound,
+	       m.one_at_a_time, m.fixed_part);
+	fflush(stdout);
+}
+
+/* The first plan of an unassigned fleet, then steps with nothing to do. */
+static void measure_time(size_t instances)
+{
+	void *ctx = talloc_new(NULL);
+	measure_site_t site = measure_zone(ctx, instances);
+	world_t *w = world_new(site.zones, site.racks, site.per_rack);
+	fleet_t *fleet = measure_holder(w, &site);
+	double plan, begun, idle;
+	fleet_ops_t *ops;
+
+	world_tick(w, site.tick);
+	world_feed(w, fleet);
+	begun = cpu_ms();
+	ops = fleet_step(fleet, NULL, w->now);
+	plan = cpu_ms() - begun;
+	for (size_t i = 0; i < ops->n; i++)
+		world_do(w, fleet, &ops->ops[i], WORLD_FINE);
+	talloc_free(ops);
+	for (int i = 0; i < 4; i++)
+		world_turn(w, fleet, site.tick);
+	idle = 0.0;
+	for (int i = 0; i < STEPS; i++) {
+		world_tick(w, site.tick);
+		world_feed(w, fleet);
+		begun = cpu_ms();
+		ops = fleet_step(fleet, NULL, w->now);
+		idle += cpu_ms() - begun;
+		talloc_free(ops);
+	}
+	printf("{\"bench\":\"fleet\",\"what\":\"time\",\"instances\":%zu,"
+	       "\"plan_ms\":%.2f,\"step_ms\":%.3f,\"memory_kb\":%zu}\n",
+	       instances, plan, idle / STEPS, talloc_total_size(fleet) / 1024);
+	talloc_free(w);
+	talloc_free(ctx);
+}
+
+static double cpu_ms(void)
+{
+	struct timespec now;
+
+	clock_gettime(CLOCK_THREAD_CPUTIME_ID, &now);
+	return (double)now.tv_sec * 1e3 + (double)now.tv_nsec / 1e6;
+}
--- a/packages/fleet/fleet.h
+++ b/packages/fleet/fleet.h
@@ -68,6 +68,9 @@
  */
 void fleet_fence(fleet_t *fleet, uint64_t token);
 
+/* The greatest token in the accounts as loaded. */
+uint64_t fleet_fence_seen(const fleet_t *fleet);
+
 /* What is known of one instance, from the platform's list and from probes. */
 typedef struct fleet_obs {
 	const char *id;
--- a/packages/fleet/fleet_model.c
+++ b/packages/fleet/fleet_model.c
@@ -51,6 +51,15 @@
 	fleet->fence = token;
 }
 
+uint64_t fleet_fence_seen(const fleet_t *fleet)
+{
+	uint64_t seen = 0;
+
+	for (size_t i = 0; i < fleet->n_pools; i++)
+		seen = MAX(seen, fleet->pools[i].fence);
+	return seen;
+}
+
 void fleet_observe(fleet_t *fleet, const fleet_obs_t *obs)
 {
 	fleet_inst_t *inst = fleet_inst_find(fleet, obs->id);
--- /dev/null
+++ b/packages/tool/tool_fleet.c
@@ -0,0 +1,103 @@
+#include "tool_fleet.h"
+
+/*
+ * What the verbs on the fleet share: the same reading and the same decisions
+ * as the duty's holder, whose writes are not carried out.
+ */
+
+static const conf_t *read_conf(const tool_fleet_t *tool, GError **err);
+
+bool tool_fleet_open(tool_fleet_t *tool, const char *store, const char *list)
+{
+	plat_address_t address;
+
+	if (!tool_address(tool->ctx, store, &address, tool->err))
+		return false;
+	tool->store = plat_etcd_new(tool->ctx, &address);
+	if (!list)
+		return true;
+	if (!tool_address(tool->ctx, list, &address, tool->err))
+		return false;
+	tool->list = plat_slices_new(tool->ctx, &address);
+	return true;
+}
+
+bool tool_fleet_decide(tool_fleet_t *tool)
+{
+	const conf_t *conf;
+	plat_instances_t instances;
+	site_entries_t entries;
+	GError *cause = NULL;
+
+	tool->now = base_clock_wall();
+	conf = read_conf(tool, &cause);
+	if (conf)
+		tool->fleet = site_fleet(tool->ctx, conf);
+	if (!conf || !site_read_records(tool->fleet, tool->store, &cause) ||
+	    !site_read_entries(tool->store, tool->ctx, &entries, &cause) ||
+	    !tool->list->ops->read(tool->list, tool->ctx, NULL, &instances,
+				   &cause)) {
+		fprintf(tool->err, "cannot read the fleet: %s\n",
+			cause->message);
+		g_clear_error(&cause);
+		return false;
+	}
+	site_observe(tool->fleet, &instances, tool->now);
+	for (size_t i = 0; i < entries.n; i++)
+		site_take_entry(tool->fleet, &entries.items[i], false);
+	fleet_fence(tool->fleet, fleet_fence_seen(tool->fleet));
+	tool->ops = fleet_step(tool->fleet, tool->ctx, tool->now);
+	return true;
+}
+
+int tool_fleet_edit(tool_fleet_t *tool, const char *key, tool_fleet_edit_t edit,
+		    void *arg)
+{
+	plat_put_t put = { .key = key };
+	GError *cause = NULL;
+	int64_t revision = 0;
+	plat_kvs_t kvs;
+	base_str_t old = { "", 0 };
+	char *value;
+	plat_cas_t done;
+
+	if (!tool->store->ops->range(tool->store, tool->ctx, key, false, &kvs,
+				     &cause)) {
+		fprintf(tool->err, "the store does not answer: %s\n",
+			cause->message);
+		g_clear_error(&cause);
+		return TOOL_UNREACHABLE;
+	}
+	if (kvs.count) {
+		old = kvs.items[0].value;
+		put.expected = kvs.items[0].mod_revision;
+	}
+	value = edit(tool, old, arg);
+	if (!value)
+		return TOOL_REFUSED;
+	put.value = base_str(value);
+	done = plat_cas_sure(tool->store, &put, &revision, &cause);
+	if (done == PLAT_CAS_DONE)
+		return TOOL_OK;
+	fprintf(tool->err, "%s\n",
+		cause ? cause->message : "another change came first");
+	g_clear_error(&cause);
+	return done == PLAT_CAS_CONFLICT ? TOOL_MOVED : TOOL_IN_DOUBT;
+}
+
+static const conf_t *read_conf(const tool_fleet_t *tool, GError **err)
+{
+	const conf_record_t *record;
+	plat_kvs_t kvs;
+
+	if (!tool->store->ops->range(tool->store, tool->ctx, TOOL_CONFIG_KEY,
+				     false, &kvs, err))
+		return NULL;
+	if (!kvs.count) {
+		g_set_error(err, FLEET_ERROR, FLEET_ERROR_KEY,
+			    "no configuration was approved yet");
+		return NULL;
+	}
+	record = conf_record_load(tool->ctx, kvs.items[0].value, err);
+	return record ? record->config : NULL;
+}
--- a/packages/tool/tool_int.h
+++ b/packages/tool/tool_int.h
@@ -38,5 +38,9 @@
 int tool_config_diff(int argc, char **argv, FILE *out, FILE *err);
 int tool_config_approve(int argc, char **argv, FILE *out, FILE *err);
 int tool_status(int argc, char **argv, FILE *out, FILE *err);
+int tool_plan(int argc, char **argv, FILE *out, FILE *err);
+int tool_explain(int argc, char **argv, FILE *out, FILE *err);
+int tool_drain(int argc, char **argv, FILE *out, FILE *err);
+int tool_wave(int argc, char **argv, FILE *out, FILE *err);
 
 #endif
--- a/packages/tool/tool_verbs.c
+++ b/packages/tool/tool_verbs.c
@@ -13,6 +13,13 @@
 	  tool_config_approve },
 	{ NULL, "status", "pools, budgets and entries at a glance",
 	  tool_status },
+	{ NULL, "plan", "what would happen now, and why the rest waits",
+	  tool_plan },
+	{ NULL, "explain", "why an instance or a pool is as it is",
+	  tool_explain },
+	{ NULL, "drain", "take one instance out, or reboot it", tool_drain },
+	{ NULL, "wave", "start, pause, resume or abort maintenance",
+	  tool_wave },
 };
 
 static const tool_verb_t *find(int argc, char **argv, int *words);
