Check shares and quotas against what really runs

The property over job placement now counts what the fake workers run, by worker and by team, replays old reports and loses some. A task that is not known is not taken up again on a late report: the room it took could never be given back.

--- a/packages/jobs/jobs.h
+++ b/packages/jobs/jobs.h
@@ -25,8 +25,7 @@
 #define JOBS_TRIES_MAX 3     /* distinct workers before a job is held */
 #define JOBS_ATTEMPTS_MAX 12 /* attempts before a job is held */
 #define JOBS_TASKS_MAX 4     /* tasks of one job that may still run */
-#define JOBS_RECORD_TASKS (JOBS_TASKS_MAX + 2) /* that a record holds */
-#define JOBS_URGENCY_MAX 4 /* levels; 0 is urgent, room is made for it */
+#define JOBS_URGENCY_MAX 4   /* levels; 0 is urgent, room is made for it */
 
 #define JOBS_ERROR jobs_error_quark()
 GQuark jobs_error_quark(void);
@@ -111,7 +110,7 @@
 	jobs_state_t state;
 	jobs_why_t why;
 	int64_t attempt; /* fencing token of its tasks; 0 before the first */
-	jobs_record_task_t tasks[JOBS_RECORD_TASKS];
+	jobs_record_task_t tasks[JOBS_TASKS_MAX];
 	int n_tasks;
 	bool cancelled;	   /* asked for */
 	bool checkpointed; /* begins from a checkpoint */
@@ -196,7 +195,7 @@
 	uint64_t searches;	       /* in the index */
 	uint64_t yields;	       /* tasks told to make room */
 	uint64_t taken_out;	       /* workers, for failing */
-	uint64_t strays;	       /* reports of tasks of unknown jobs */
+	uint64_t strays;	       /* reports of tasks that are not known */
 	size_t jobs;		       /* known */
 	size_t workers;		       /* known */
 	size_t out;		       /* workers taken out, or on trial */
--- a/packages/jobs/jobs_json.c
+++ b/packages/jobs/jobs_json.c
@@ -163,7 +163,7 @@
 	json_t *item;
 	size_t i;
 
-	if (!json_is_array(json) || json_array_size(json) > JOBS_RECORD_TASKS)
+	if (!json_is_array(json) || json_array_size(json) > JOBS_TASKS_MAX)
 		return false;
 	json_array_foreach(json, i, item)
 	{
--- a/packages/jobs/jobs_record.c
+++ b/packages/jobs/jobs_record.c
@@ -20,7 +20,7 @@
 	for (GList *l = job->tasks.tail; l; l = l->prev) {
 		const jobs_task_t *task = l->data;
 
-		if (record->n_tasks == JOBS_RECORD_TASKS)
+		if (record->n_tasks == JOBS_TASKS_MAX)
 			break;
 		record->tasks[record->n_tasks++] = (jobs_record_task_t){
 			.attempt = task->attempt,
--- a/packages/jobs/jobs_report.c
+++ b/packages/jobs/jobs_report.c
@@ -76,30 +76,18 @@
 }
 
 /*
- * A task that was given up and yet runs is taken up again as what it is, so
- * that its room is not handed out, and stopped.  A job that was given up as
- * lost may turn out to have ended well before its worker went away.
+ * A task is forgotten only once it is known not to run, so that this is a
+ * report that came late.  A job that was given up as lost may turn out to
+ * have ended well before its worker went away.
  */
 static void unknown_task(jobs_t *jobs, int64_t now, jobs_job_t *job,
 			 const jobs_report_t *report)
 {
-	jobs_worker_t *worker = jobs_worker_find(jobs, report->worker);
-	jobs_task_t *task;
-
 	if (report->event == JOBS_EVENT_ENDED && job->state == JOBS_LOST &&
-	    report->attempt == job->attempt) {
+	    report->attempt == job->attempt)
 		finish(jobs, now, job);
-	} else if (report->event == JOBS_EVENT_RUNNING && worker &&
-		   report->incarnation == worker->incarnation &&
-		   report->attempt < job->attempt) {
-		task = jobs_task_new(jobs, job, worker, report->attempt,
-				     &report->peak);
-		task->state = JOBS_TASK_RUNNING;
-		task->started_at = now;
-		task->as_of = report->as_of;
-		jobs_task_lease(jobs, now, task);
-		jobs_task_order(jobs, now, task, JOBS_EFFECT_STOP);
-	}
+	else
+		jobs->stats.strays++;
 }
 
 static void on_running(jobs_t *jobs, int64_t now, jobs_task_t *task,
--- a/packages/jobs/tests/jobs_prop.cpp
+++ b/packages/jobs/tests/jobs_prop.cpp
@@ -19,11 +19,19 @@
 struct fake_task {
 	int worker;
 	int64_t incarnation;
-	jobs_res_t share;
+	jobs_res_t share, full;
 	int64_t begin;
 	int order = 0; /* an event that was asked for, or 0 */
 };
 
+struct fake_report {
+	task_id id;
+	fake_task task;
+	int event;
+	int64_t as_of;
+	uint32_t x;
+};
+
 struct fake_worker {
 	int64_t incarnation = 1;
 	bool bad = false;
@@ -32,6 +40,7 @@
 };
 
 struct fake_job {
+	std::string team;
 	bool repeatable, poison, cancelled;
 	int ran = 0;	  /* times that it began */
 	int in_doubt = 0; /* starts sent and not refused */
@@ -49,7 +58,7 @@
 	std::vector<jobs_order_t> starts; /* on their way */
 	std::vector<std::string> names;	  /* keeps their strings */
 	std::map<std::string, std::string> store;
-	std::map<std::string, std::vector<int>> failed_on;
+	std::vector<fake_report> said;
 	bool tame = true; /* tasks use no more than their share */
 	int fate = 0;	  /* of the next commit */
 	struct holder *holder = nullptr;
@@ -217,31 +226,39 @@
 	spec.declared.v[JOBS_CORES] = 100 + x / 576 % 5000;
 	spec.declared.v[JOBS_MEMORY] = 100 + x / 7 % 5000;
 	spec.declared.v[JOBS_ACCELERATORS] = x % 11 == 0;
-	w->jobs[id] = { spec.repeatable, x % 13 == 0, false };
+	w->jobs[id] = { team, spec.repeatable, x % 13 == 0, false };
 	RC_ASSERT(jobs_submit(w->holder->core, w->now, &spec, &err));
 	RC_ASSERT(!jobs_submit(w->holder->core, w->now, &spec, &err));
 	g_clear_error(&err);
 }
 
-void report(world *w, const task_id &id, const fake_task &t, int event,
-	    uint32_t x)
+void deliver(world *w, const fake_report &f)
 {
-	std::string worker = "w" + std::to_string(t.worker);
+	std::string worker = "w" + std::to_string(f.task.worker);
 	jobs_report_t r = {};
 
 	r.worker = base_str(worker.c_str());
-	r.incarnation = t.incarnation;
-	r.job = base_str(id.first.c_str());
-	r.attempt = id.second;
-	r.event = (jobs_event_t)event;
-	r.as_of = w->now;
-	r.run_us = w->now - t.begin;
+	r.incarnation = f.task.incarnation;
+	r.job = base_str(f.id.first.c_str());
+	r.attempt = f.id.second;
+	r.event = (jobs_event_t)f.event;
+	r.as_of = f.as_of;
+	r.run_us = f.as_of - f.task.begin;
 	for (int k = 0; k < JOBS_ACCELERATORS; k++)
-		r.peak.v[k] =
-			w->tame ? t.share.v[k] * (x % 100) / 100 : 1 + x % 6000;
+		r.peak.v[k] = w->tame ? f.task.share.v[k] * (f.x % 100) / 100
+				      : 1 + f.x % 6000;
 	jobs_report(w->holder->core, w->now, &r);
 }
 
+void report(world *w, const task_id &id, const fake_task &t, int event,
+	    uint32_t x)
+{
+	w->said.push_back({ id, t, event, w->now, x });
+	/* Now and then one is lost. */
+	if (x % 32 != 1)
+		deliver(w, w->said.back());
+}
+
 /* A start arrives, or is lost on the way. */
 void arrive(world *w, uint32_t x)
 {
@@ -252,7 +269,7 @@
 	int n = std::stoi(text(o.worker).substr(1));
 	fake_worker &worker = w->workers[(size_t)n];
 	task_id id = { text(o.job), o.attempt };
-	fake_task task = { n, o.incarnation, o.share, w->now };
+	fake_task task = { n, o.incarnation, o.share, o.share, w->now };
 
 	w->starts.erase(w->starts.begin() + (long)at);
 	if (x / 16 % 8 == 0 || !worker.there ||
@@ -292,6 +309,10 @@
 				? JOBS_EVENT_FAILED
 				: JOBS_EVENT_ENDED;
 	it->second.order = 0;
+	if (event == JOBS_EVENT_THROTTLED)
+		it->second.share.v[JOBS_CORES] /= 8;
+	else if (event == JOBS_EVENT_RESUMED)
+		it->second.share = task.full;
 	if (event != JOBS_EVENT_RUNNING && event != JOBS_EVENT_THROTTLED &&
 	    event != JOBS_EVENT_RESUMED) {
 		worker.fenced.insert(id);
@@ -329,22 +350,29 @@
 void check_workers(world *w)
 {
 	std::vector<jobs_res_t> used(w->workers.size(), jobs_res_t{});
+	std::map<std::string, jobs_res_t> teams;
+
+	for (auto &it : w->running) {
+		const std::string &team = w->jobs[it.first.first].team;
 
-	for (auto &it : w->running)
-		for (int k = 0; k < JOBS_KIND_MAX; k++) {
+		for (int k = 0; w->tame && k < JOBS_KIND_MAX; k++) {
 			int64_t &u = used[(size_t)it.second.worker].v[k];
+			int64_t &t = teams[team].v[k];
 
 			u += it.second.share.v[k];
-			RC_ASSERT(!w->tame || u <= w->capacity.v[k]);
+			t += it.second.share.v[k];
+			RC_ASSERT(u <= w->capacity.v[k]);
+			RC_ASSERT(k == JOBS_ACCELERATORS || t <= w->quota);
+			RC_ASSERT(t <= jobs_team_used(w->holder->core,
+						      base_str(team.c_str()))
+					       .v[k]);
 		}
-	for (int t = 0; w->tame && t < 3; t++) {
-		std::string team = "t" + std::to_string(t);
-		jobs_res_t held =
-			jobs_team_used(w->holder->core, base_str(team.c_str()));
-
-		for (int k = 0; k < JOBS_ACCELERATORS; k++)
-			RC_ASSERT(held.v[k] <= w->quota);
 	}
+	for (auto &it : teams)
+		for (int k = 0; k < JOBS_ACCELERATORS; k++)
+			RC_ASSERT(jobs_team_used(w->holder->core,
+						 base_str(it.first.c_str()))
+					  .v[k] <= w->quota);
 }
 
 void act(world *w, void *ctx, uint32_t x)
@@ -382,8 +410,13 @@
 	case 26:
 		w->workers[y % w->workers.size()].there = y / 8 % 2;
 		break;
+	case 27:
+		/* One comes again, or late, also from a former life. */
+		if (!w->said.empty())
+			deliver(w, w->said[y % w->said.size()]);
+		break;
 	default:
-		w->now += (int64_t)(y % 4000) * 1000;
+		w->now += (int64_t)(y % 4000) * (y % 7 ? 1000 : 4000);
 		jobs_step(w->holder->core, w->now);
 		check_load(w->holder);
 	}
@@ -460,6 +493,7 @@
 
 	w.tame = tame;
 	w.workers.resize(1 + script.size() % 5);
+	w.quota = script.size() % 2 ? 12000 : 60000;
 	for (size_t i = 0; i < w.workers.size(); i++)
 		w.workers[i].bad = i == 3;
 	take_over(&w, ctx);
