--- a/packages/jobs/jobs.h
+++ b/packages/jobs/jobs.h
@@ -102,6 +102,7 @@
 	base_str_t worker;
 	int64_t incarnation;
 	jobs_res_t share;
+	jobs_res_t full; /* its share when it is not throttled */
 } jobs_record_task_t;
 
 /* What must last of a job.  Strings belong to the core. */
--- a/packages/jobs/jobs_core.c
+++ b/packages/jobs/jobs_core.c
@@ -135,7 +135,9 @@
 	count(jobs, job->state, -1);
 	count(jobs, state, 1);
 	job->state = state;
-	jobs_dirty(jobs, job);
+	/* That it runs a successor hears from its worker. */
+	if (state != JOBS_RUNNING)
+		jobs_dirty(jobs, job);
 }
 
 bool jobs_ended(const jobs_job_t *job)
@@ -155,11 +157,12 @@
 			    BASE_STR_ARG(spec->id));
 		return NULL;
 	}
-	job = talloc_zero(jobs, jobs_job_t);
+	job = talloc_zero_size(jobs, sizeof(*job) + spec->id.len + 1);
+	memcpy(job->id, spec->id.ptr, spec->id.len);
 	job->spec = *spec;
 	job->team = jobs_team_get(jobs, spec->team);
 	job->family = jobs_family_get(jobs, spec->family);
-	job->spec.id = base_str(base_str_dup(job, spec->id));
+	job->spec.id = base_str(job->id);
 	job->spec.team = base_str(job->team->name);
 	job->spec.family = base_str(job->family->name);
 	job->queue_link.data = job->dirty_link.data = job;
--- a/packages/jobs/jobs_health.c
+++ b/packages/jobs/jobs_health.c
@@ -4,15 +4,18 @@
  * Each end of a task is weighed between two guesses, that the worker is well
  * and fails as the job's family does, and that it fails nearly everything
  * (a CUSUM test).  A failure of a family that seldom fails says much, one of
- * a family that fails everywhere says nothing.  A worker taken out is tried
- * again later with one task, and what its failures had counted against jobs
- * and families is taken back.
+ * a family that fails everywhere says nothing, and little is said by a job
+ * that failed elsewhere before.  A task that has run for a while speaks for
+ * its worker, because failures come sooner than ends.  A worker taken out is
+ * tried again later with one task, and what its failures had counted against
+ * jobs and families is taken back.
  */
 #include <math.h>
 
 #include "jobs_int.h"
 
 #define BAD_FAILS 0.9	    /* chance of a failure on a broken worker */
+#define AGAIN_FAILS 0.8	    /* of a job that has failed elsewhere */
 #define EVIDENCE_OUT 6.0    /* natural logarithm of the odds */
 #define OUT_PART 3	    /* at most one worker in so many is out */
 #define FAMILY_RELIABLE 0.2 /* fails less often than that */
@@ -45,6 +48,8 @@
 	if (worker->health != JOBS_FIT)
 		return;
 	fails = fails_elsewhere(worker, family);
+	if (task->job->n_tried)
+		fails = MAX(fails, AGAIN_FAILS);
 	family->fails++;
 	family->runs++;
 	if (!tried_add(task->job, worker))
@@ -58,13 +63,14 @@
 		take_out(jobs, now, worker);
 }
 
-void jobs_praise(jobs_t *jobs, int64_t now, jobs_task_t *task)
+void jobs_praise(jobs_t *jobs, jobs_task_t *task)
 {
 	jobs_worker_t *worker = task->worker;
 	double fails = jobs_family_fails(task->job->family);
 
-	(void)now;
-	task->job->family->runs++;
+	if (task->praised)
+		return;
+	task->praised = true;
 	worker->evidence += log((1 - BAD_FAILS) / (1 - fails));
 	worker->evidence = MAX(worker->evidence, 0);
 	if (!task->trial || worker->health != JOBS_TRIAL)
--- a/packages/jobs/jobs_int.h
+++ b/packages/jobs/jobs_int.h
@@ -27,6 +27,8 @@
 #define JOBS_PATIENCE_US (300 * JOBS_SECOND)
 /* A job that found no other worker for so long may go where it failed. */
 #define JOBS_AGAIN_US (30 * JOBS_SECOND)
+/* A task that runs for so long speaks for its worker. */
+#define JOBS_SURVIVED_US (10 * JOBS_SECOND)
 #define JOBS_OUT_US (60 * JOBS_SECOND) /* first wait of a worker taken out */
 #define JOBS_PLACES_MAX 512	       /* placements of one step */
 #define JOBS_LOOKAHEAD 16    /* teams without luck, in one step and urgency */
@@ -128,6 +130,7 @@
 	bool hasty;	/* a worker was not cleared in time ... */
 	uint64_t avoid; /* ... that one, by serial */
 	int failures;	/* attempts that failed, were refused or lapsed */
+	char id[];
 };
 
 struct jobs_task {
@@ -143,7 +146,7 @@
 	jobs_res_t full; /* its share before it was throttled */
 	int64_t started_at, as_of, lease_at;
 	bool trial;
-	bool restored; /* by a successor, which sent no start */
+	bool praised; /* it has spoken for its worker */
 	GList worker_link, job_link, lease_link, order_link, effect_link;
 	bool leased, ordered;
 	jobs_effect_t effect; /* to be sent after the commit */
@@ -265,6 +268,8 @@
 void jobs_task_answered(jobs_t *jobs, jobs_task_t *task);
 void jobs_task_lease(jobs_t *jobs, int64_t now, jobs_task_t *task);
 void jobs_task_share(jobs_t *jobs, jobs_task_t *task, const jobs_res_t *share);
+/* It runs on less than its full share, until there is room again. */
+void jobs_task_throttled(jobs_t *jobs, jobs_task_t *task);
 /* Its worker is known not to run it, nor to begin it. */
 void jobs_task_gone(jobs_t *jobs, int64_t now, jobs_task_t *task);
 void jobs_lapse(jobs_t *jobs, int64_t now);
@@ -282,7 +287,8 @@
 
 /* jobs_health.c */
 void jobs_blame(jobs_t *jobs, int64_t now, jobs_task_t *task);
-void jobs_praise(jobs_t *jobs, int64_t now, jobs_task_t *task);
+/* It has ended well, or run for a while. */
+void jobs_praise(jobs_t *jobs, jobs_task_t *task);
 void jobs_health_step(jobs_t *jobs, int64_t now);
 /* A restart may have mended it: its trial may come at once. */
 void jobs_health_restarted(jobs_t *jobs, jobs_worker_t *worker);
--- a/packages/jobs/jobs_json.c
+++ b/packages/jobs/jobs_json.c
@@ -112,13 +112,14 @@
 	for (int i = 0; i < record->n_tasks; i++) {
 		const jobs_record_task_t *t = &record->tasks[i];
 
-		json_array_append_new(out,
-				      json_pack("{s:I,s:s%,s:I,s:o}", "attempt",
-						(json_int_t)t->attempt,
-						"worker", t->worker.ptr,
-						t->worker.len, "incarnation",
-						(json_int_t)t->incarnation,
-						"share", res_print(&t->share)));
+		json_array_append_new(
+			out,
+			json_pack("{s:I,s:s%,s:I,s:o,s:o}", "attempt",
+				  (json_int_t)t->attempt, "worker",
+				  t->worker.ptr, t->worker.len, "incarnation",
+				  (json_int_t)t->incarnation, "share",
+				  res_print(&t->share), "full",
+				  res_print(&t->full)));
 	}
 	return out;
 }
@@ -170,13 +171,15 @@
 		jobs_record_task_t *t = &record->tasks[record->n_tasks++];
 		json_int_t attempt, incarnation;
 		const char *worker;
-		json_t *share;
-
-		if (json_unpack_ex(item, NULL, JSON_STRICT, "{s:I,s:s,s:I,s:o}",
-				   "attempt", &attempt, "worker", &worker,
-				   "incarnation", &incarnation, "share",
-				   &share) ||
-		    !res_load(share, &t->share) || strlen(worker) > JOBS_ID_MAX)
+		json_t *share, *full;
+
+		if (json_unpack_ex(item, NULL, JSON_STRICT,
+				   "{s:I,s:s,s:I,s:o,s:o}", "attempt", &attempt,
+				   "worker", &worker, "incarnation",
+				   &incarnation, "share", &share, "full",
+				   &full) ||
+		    !res_load(share, &t->share) || !res_load(full, &t->full) ||
+		    strlen(worker) > JOBS_ID_MAX)
 			return false;
 		t->attempt = attempt;
 		t->worker = copy(ctx, worker);
--- a/packages/jobs/jobs_learn.c
+++ b/packages/jobs/jobs_learn.c
@@ -87,10 +87,15 @@
 
 	jobs_raise(&need, &job->peak);
 	jobs_raise(&known, &job->peak);
-	/* A margin must not keep out a job that fits as far as is known. */
+	/*
+	 * A margin must not keep out a job that fits as far as is known, and
+	 * what is declared beyond every worker gets the whole of one.
+	 */
 	for (int k = 0; k < JOBS_KIND_MAX; k++) {
 		int64_t most = MIN(job->team->quota.v[k], jobs->largest.v[k]);
 
+		if (k != JOBS_ACCELERATORS && jobs->largest.v[k])
+			known.v[k] = MIN(known.v[k], jobs->largest.v[k]);
 		need.v[k] = MIN(need.v[k], MAX(known.v[k], most));
 	}
 	return need;
--- a/packages/jobs/jobs_record.c
+++ b/packages/jobs/jobs_record.c
@@ -27,6 +27,7 @@
 			.worker = base_str(task->worker->id),
 			.incarnation = task->worker->incarnation,
 			.share = task->share,
+			.full = task->full,
 		};
 	}
 }
@@ -92,6 +93,9 @@
 	task->started_at = now;
 	if (current)
 		job->task = task;
+	task->full = record->full;
+	if (!jobs_fits(&task->full, &task->share))
+		jobs_task_throttled(jobs, task);
 	jobs_task_lease(jobs, now, task);
 	if (worker->incarnation > record->incarnation)
 		jobs_task_gone(jobs, now, task);
--- a/packages/jobs/jobs_report.c
+++ b/packages/jobs/jobs_report.c
@@ -110,7 +110,8 @@
 	jobs_job_t *job = task->job;
 
 	jobs_family_ended(job->family, &task->peak, report->run_us);
-	jobs_praise(jobs, now, task);
+	job->family->runs++;
+	jobs_praise(jobs, task);
 	jobs_task_free(jobs, task);
 	if (!jobs_ended(job))
 		finish(jobs, now, job);
@@ -161,21 +162,16 @@
 static void on_throttled(jobs_t *jobs, int64_t now, jobs_task_t *task,
 			 const jobs_report_t *report)
 {
-	jobs_worker_t *worker = task->worker;
 	jobs_res_t less = task->share;
 
 	alive(jobs, now, task, report);
 	if (task->order != JOBS_EFFECT_THROTTLE)
 		return;
 	jobs_task_answered(jobs, task);
-	task->throttled = true;
 	task->full = task->share;
 	less.v[JOBS_CORES] /= JOBS_THROTTLE_PART;
 	jobs_task_share(jobs, task, &less);
-	if (worker->throttling)
-		return;
-	worker->throttling = true;
-	g_queue_push_tail_link(&jobs->throttled, &worker->throttled_link);
+	jobs_task_throttled(jobs, task);
 }
 
 static void on_resumed(jobs_t *jobs, int64_t now, jobs_task_t *task,
@@ -222,6 +218,8 @@
 	task->state = JOBS_TASK_RUNNING;
 	jobs_task_lease(jobs, now, task);
 	jobs_family_running(task->job->family, &report->peak);
+	if (report->run_us >= JOBS_SURVIVED_US)
+		jobs_praise(jobs, task);
 	grow(jobs, task, &report->peak);
 	jobs_worker_moved(jobs, task->worker);
 }
@@ -237,6 +235,7 @@
 			MAX(share.v[JOBS_MEMORY], peak->v[JOBS_MEMORY]);
 	} else {
 		jobs_raise(&share, peak);
+		jobs_raise(&task->full, peak);
 	}
 	if (!jobs_fits(&share, &task->share))
 		jobs_task_share(jobs, task, &share);
--- a/packages/jobs/jobs_task.c
+++ b/packages/jobs/jobs_task.c
@@ -11,7 +11,7 @@
 	task->job = job;
 	task->worker = worker;
 	task->attempt = attempt;
-	task->share = *share;
+	task->share = task->full = *share;
 	task->worker_link.data = task->job_link.data = task;
 	task->lease_link.data = task->order_link.data = task;
 	task->effect_link.data = task;
@@ -99,6 +99,8 @@
 	jobs_add(&task->worker->taken, &more);
 	jobs_add(&task->job->team->used, &more);
 	task->share = *share;
+	/* A successor must not take a share for smaller than it is. */
+	jobs_dirty(jobs, task->job);
 	jobs_team_moved(jobs, task->job->team);
 	jobs_worker_moved(jobs, task->worker);
 }
@@ -133,6 +135,17 @@
 	}
 }
 
+void jobs_task_throttled(jobs_t *jobs, jobs_task_t *task)
+{
+	jobs_worker_t *worker = task->worker;
+
+	task->throttled = true;
+	if (worker->throttling)
+		return;
+	worker->throttling = true;
+	g_queue_push_tail_link(&jobs->throttled, &worker->throttled_link);
+}
+
 /* Its share stays taken: nobody has said that it stopped. */
 static void lapse(jobs_t *jobs, int64_t now, jobs_task_t *task)
 {
--- a/packages/jobs/tests/jobs_test.c
+++ b/packages/jobs/tests/jobs_test.c
@@ -281,6 +281,37 @@
 	talloc_free(jobs);
 }
 
+/* A worker that says nothing is left for another one, also in time. */
+static void test_room_silent(void)
+{
+	log_t log;
+	jobs_t *jobs = core_new(&log, 2, 2000);
+	int64_t now = SECOND, told = 0;
+
+	for (int i = 0; i < 2; i++) {
+		submit(jobs, 0, spec_of(i ? "b" : "a", 3, 2000));
+		jobs_step(jobs, 0);
+		say(jobs, 1, &log, i ? "b" : "a", 1, JOBS_EVENT_RUNNING);
+	}
+	submit(jobs, now, spec_of("now", 0, 2000));
+	jobs_step(jobs, now);
+	g_assert_cmpint(log.stops, ==, 1);
+	g_strlcpy(log.job, "", sizeof(log.job));
+	for (; log.starts < 3; now += JOBS_STEP_US) {
+		bool other = !strcmp(log.job, "b");
+
+		/* The second one is told, and stops 300 ms later. */
+		if (other && !told)
+			told = now;
+		if (other && now - told >= 300000)
+			say(jobs, now, &log, "b", 1, JOBS_EVENT_GONE);
+		jobs_step(jobs, now);
+		g_assert_cmpint(now - SECOND, <, 2100000);
+	}
+	g_assert_cmpstr(log.job, ==, "now");
+	talloc_free(jobs);
+}
+
 /* What must not be stopped only gives up cores, and gets them back. */
 static void test_throttle(void)
 {
@@ -398,6 +429,7 @@
 	g_test_add_func("/jobs/poison", test_poison);
 	g_test_add_func("/jobs/bad-worker", test_bad_worker);
 	g_test_add_func("/jobs/room", test_room);
+	g_test_add_func("/jobs/room-silent", test_room_silent);
 	g_test_add_func("/jobs/throttle", test_throttle);
 	g_test_add_func("/jobs/cancel", test_cancel);
 	g_test_add_func("/jobs/cancel-queued", test_cancel_queued);
