Spend less on a request and on the configuration's poll

Cause: the config duty parsed and verified the same record twice a second (0.6 % of a core of an idle entry); a request allocated each header by itself and compared it with thirteen names.

Change: a record whose mod_revision was seen is not parsed again; a request's memory comes from one talloc pool; names are compared by length first.

--- a/packages/entry/entry_caller.c
+++ b/packages/entry/entry_caller.c
@@ -6,6 +6,7 @@
  */
 
 #define KEEP_ALIVE_MS 5000
+#define REQUEST_POOL 8192 /* bytes at once for one request */
 static bool caller_start(void *service, kern_t *kern, GError **err);
 static void caller_stop(void *service);
 static int on_request(struct mg_connection *conn, void *arg);
@@ -42,7 +43,7 @@
 {
 	entry_daemon_t *daemon = arg;
 	entry_view_t *view = entry_view_hold(daemon->views);
-	void *ctx = talloc_new(NULL);
+	void *ctx = talloc_pool(NULL, REQUEST_POOL);
 	entry_request_t *request;
 
 	atomic_fetch_add(&daemon->in_flight, 1);
--- a/packages/entry/entry_http.c
+++ b/packages/entry/entry_http.c
@@ -7,20 +7,20 @@
 #define READ_CHUNK 16384		 /* bytes */
 
 /* What one hop says to the next, or what this entry says itself. */
-static const char *const own_headers[] = {
-	"Connection",
-	"Keep-Alive",
-	"Transfer-Encoding",
-	"Content-Length",
-	"Host",
-	"TE",
-	"Trailer",
-	"Upgrade",
-	"Proxy-Connection",
-	"Expect",
-	"X-Request-Id",
-	"X-Cactusfield-Caller",
-	"X-Cactusfield-Outcome",
+static const base_str_t own_headers[] = {
+	{ "Connection", sizeof("Connection") - 1 },
+	{ "Keep-Alive", sizeof("Keep-Alive") - 1 },
+	{ "Transfer-Encoding", sizeof("Transfer-Encoding") - 1 },
+	{ "Content-Length", sizeof("Content-Length") - 1 },
+	{ "Host", sizeof("Host") - 1 },
+	{ "TE", sizeof("TE") - 1 },
+	{ "Trailer", sizeof("Trailer") - 1 },
+	{ "Upgrade", sizeof("Upgrade") - 1 },
+	{ "Proxy-Connection", sizeof("Proxy-Connection") - 1 },
+	{ "Expect", sizeof("Expect") - 1 },
+	{ "X-Request-Id", sizeof("X-Request-Id") - 1 },
+	{ "X-Cactusfield-Caller", sizeof("X-Cactusfield-Caller") - 1 },
+	{ "X-Cactusfield-Outcome", sizeof("X-Cactusfield-Outcome") - 1 },
 };
 
 static const char *const outcome_names[ENTRY_OUTCOME_MAX] = {
@@ -211,8 +211,11 @@
 
 static bool is_own(const char *name)
 {
+	size_t len = strlen(name);
+
 	for (size_t i = 0; i < ARRAY_SIZE(own_headers); i++)
-		if (!g_ascii_strcasecmp(name, own_headers[i]))
+		if (len == own_headers[i].len &&
+		    !g_ascii_strcasecmp(name, own_headers[i].ptr))
 			return true;
 	return false;
 }
--- a/packages/entry/entry_int.h
+++ b/packages/entry/entry_int.h
@@ -251,6 +251,7 @@
 	atomic_ullong outcomes[ENTRY_OUTCOME_MAX];
 	struct mg_context *operators_http;
 	struct mg_context *caller_http;
+	int64_t config_seen; /* mod_revision; the config duty's own */
 	kern_duty_t *config_duty;
 	kern_duty_t *list_duty;
 	atomic_int store_down;
--- a/packages/entry/entry_platform.c
+++ b/packages/entry/entry_platform.c
@@ -11,7 +11,7 @@
 static void platform_stop(void *service);
 static void read_config(void *arg, int64_t now);
 static void read_list(void *arg, int64_t now);
-static void take_config(entry_daemon_t *daemon, base_str_t text);
+static void take_config(entry_daemon_t *daemon, const plat_kv_t *kv);
 static void note_reach(const entry_daemon_t *daemon, atomic_int *down,
 		       bool reached, base_msg_t down_msg, GError *cause);
 
@@ -65,18 +65,24 @@
 	read = store->ops->range(store, ctx, ENTRY_CONFIG_KEY, false, &kvs,
 				 &cause);
 	if (read && kvs.count)
-		take_config(daemon, kvs.items[0].value);
+		take_config(daemon, &kvs.items[0]);
 	note_reach(daemon, &daemon->store_down, read, BASE_MSG_STORE_DOWN,
 		   cause);
 	talloc_free(ctx);
 }
 
-static void take_config(entry_daemon_t *daemon, base_str_t text)
+/* A record that was looked at before is not parsed again. */
+static void take_config(entry_daemon_t *daemon, const plat_kv_t *kv)
 {
 	GError *cause = NULL;
 	bool newer = false;
 
-	if (!entry_views_take_config(daemon->views, text, &newer, &cause)) {
+	if (kv->mod_revision == daemon->config_seen)
+		return;
+	daemon->config_seen = kv->mod_revision;
+
+	if (!entry_views_take_config(daemon->views, kv->value, &newer,
+				     &cause)) {
 		base_log(daemon->log, BASE_MSG_CONFIG_REFUSED,
 			 BASE_F_STR("why", cause->message));
 		g_clear_error(&cause);
