Ask for the operators' key

Cause: what an entry shows of its site was open to whoever reached the port.

Change: every page of the operators' port but /healthz, /readyz and /metrics needs the key of the settings as a bearer token; the tool takes it from the file that CACTUSFIELD_KEY_FILE names. The settings test's good text has one line more, so its duplicate stands on line 5.

--- a/load/load_main.c
+++ b/load/load_main.c
@@ -22,12 +22,16 @@
 	return 2;
 }
 
-/* get ADDRESS:PORT PATH: print the body; 0 when the status is 200. */
+/*
+ * get ADDRESS:PORT PATH: print the body; 0 when the status is 200.  LOAD_KEY
+ * is shown as the operators' key.
+ */
 int load_get(int argc, char **argv)
 {
 	char error[160], chunk[8192];
 	plat_address_t address;
 	struct mg_connection *conn;
+	const char *key = getenv("LOAD_KEY");
 	int got, status;
 
 	if (argc != 3)
@@ -35,8 +39,9 @@
 	address = load_address(NULL, argv[1]);
 	conn = mg_download(address.host, address.port, 0, error, sizeof(error),
 			   "GET %s HTTP/1.1\r\nHost: %s\r\n"
+			   "Authorization: Bearer %s\r\n"
 			   "Connection: close\r\n\r\n",
-			   argv[2], address.host);
+			   argv[2], address.host, key ? key : "");
 	if (!conn) {
 		fprintf(stderr, "%s\n", error);
 		return 1;
@@ -59,5 +64,6 @@
 	}
 	address.host = talloc_strndup(ctx, text, (size_t)(colon - text));
 	address.port = atoi(colon + 1);
+	address.key = NULL;
 	return address;
 }
--- a/packages/entry/entry.h
+++ b/packages/entry/entry.h
@@ -35,6 +35,7 @@
 	char *zone;
 	entry_listen_t caller;	  /* callers' port */
 	entry_listen_t operators; /* operators' port */
+	char *operators_key;	  /* secret that operators show there */
 	entry_listen_t peer;	  /* other entries' port */
 	char *peer_key;		  /* shared secret of all entries */
 	char **seeds; /* "ADDRESS:PORT" of other entries' peer ports */
--- a/packages/entry/entry_operators.c
+++ b/packages/entry/entry_operators.c
@@ -7,9 +7,12 @@
  */
 
 #define KEEP_ALIVE_MS 5000
+#define BEARER "Bearer "
 
 static bool operators_start(void *service, kern_t *kern, GError **err);
 static void operators_stop(void *service);
+static int allow(struct mg_connection *conn, void *arg);
+static bool shows_key(struct mg_connection *conn, const char *key);
 static int on_healthz(struct mg_connection *conn, void *arg);
 static int on_readyz(struct mg_connection *conn, void *arg);
 static int on_metrics(struct mg_connection *conn, void *arg);
@@ -32,6 +35,9 @@
 	{ "/status", on_status },
 };
 
+/* What the balancer and the metrics collector ask without a key. */
+static const char *const open_pages[] = { "/healthz", "/readyz", "/metrics" };
+
 int entry_operators_answer(struct mg_connection *conn, int status,
 			   const char *type, base_str_t text)
 {
@@ -60,9 +66,43 @@
 	for (size_t i = 0; i < ARRAY_SIZE(pages); i++)
 		mg_set_request_handler(daemon->operators_http, pages[i].path,
 				       pages[i].serve, daemon);
+	mg_set_auth_handler(daemon->operators_http, "/", allow, daemon);
 	return true;
 }
 
+/* Every page but the open ones needs the key; returns 0 when refused. */
+static int allow(struct mg_connection *conn, void *arg)
+{
+	const char *path = mg_get_request_info(conn)->local_uri;
+	entry_daemon_t *daemon = arg;
+
+	for (size_t i = 0; i < ARRAY_SIZE(open_pages); i++)
+		if (!strcmp(path, open_pages[i]))
+			return 1;
+	if (shows_key(conn, daemon->settings->operators_key))
+		return 1;
+	entry_operators_answer(conn, 401, "text/plain",
+			       BASE_STR("the operators' key is needed\n"));
+	return 0;
+}
+
+/* The time it takes does not tell how much of the key was right. */
+static bool shows_key(struct mg_connection *conn, const char *key)
+{
+	const char *shown = mg_get_header(conn, "Authorization");
+	size_t len = strlen(key), shown_len;
+	unsigned differ;
+
+	if (!shown || strncmp(shown, BEARER, strlen(BEARER)))
+		return false;
+	shown += strlen(BEARER);
+	shown_len = strlen(shown);
+	differ = shown_len != len;
+	for (size_t i = 0; i < shown_len; i++)
+		differ |= (unsigned)(shown[i] ^ key[i % len]);
+	return !differ;
+}
+
 static void operators_stop(void *service)
 {
 	entry_daemon_t *daemon = service;
--- a/packages/entry/entry_settings.c
+++ b/packages/entry/entry_settings.c
@@ -46,6 +46,7 @@
 	  0 },
 	{ "operators", "threads", FIELD_NUMBER, AT(operators.threads), 1,
 	  THREADS_MAX, false, 8 },
+	{ "operators", "key", FIELD_KEY, AT(operators_key), 0, 0, true, 0 },
 	{ "peer", "address", FIELD_ADDRESS, AT(peer.address), 0, 0, true, 0 },
 	{ "peer", "port", FIELD_NUMBER, AT(peer.port), PORT, true, 0 },
 	{ "peer", "key", FIELD_KEY, AT(peer_key), 0, 0, true, 0 },
--- a/packages/entry/tests/entry_settings_test.c
+++ b/packages/entry/tests/entry_settings_test.c
@@ -3,7 +3,8 @@
 static const char good[] =
 	"{\"name\": \"entry-1\", \"zone\": \"suva-rack\",\n"
 	" \"caller\": {\"address\": \"127.0.0.1\", \"port\": 8101},\n"
-	" \"operators\": {\"address\": \"127.0.0.1\", \"port\": 8201},\n"
+	" \"operators\": {\"address\": \"127.0.0.1\", \"port\": 8201,\n"
+	"               \"key\": \"operators-key-of-16\"},\n"
 	" \"peer\": {\"address\": \"127.0.0.1\", \"port\": 8301,\n"
 	"          \"key\": \"0123456789abcdef\", \"seeds\": [\"127.0.0.1:1\"]},\n"
 	" \"store\": {\"address\": \"127.0.0.1\", \"port\": 2379},\n"
@@ -37,7 +38,7 @@
 	{ "\"name\"", "\"nmae\"", "$.nmae is not a setting" },
 	{ "\"name\"", "\"nmae\"", "$.name is missing" },
 	{ "\"port\": 8301", "\"port\": 8301, \"speed\": 1", "$.peer.speed" },
-	{ "\"port\": 8301", "\"port\": 8301, \"port\": 8302", "line 4" },
+	{ "\"port\": 8301", "\"port\": 8301, \"port\": 8302", "line 5" },
 	{ "{\"name\"", "{name", "line 1" },
 };
 
--- a/packages/plat/plat.h
+++ b/packages/plat/plat.h
@@ -25,6 +25,7 @@
 typedef struct plat_address {
 	const char *host; /* IP number */
 	int port;
+	const char *key; /* sent as bearer token; NULL: none */
 } plat_address_t;
 
 /*
--- a/packages/plat/plat_http.c
+++ b/packages/plat/plat_http.c
@@ -6,6 +6,7 @@
 struct plat_http {
 	char *host;
 	int port;
+	char *key; /* NULL: none */
 	struct mg_connection *conn;
 };
 
@@ -26,6 +27,8 @@
 
 	http->host = talloc_strdup(http, address->host);
 	http->port = address->port;
+	if (address->key)
+		http->key = talloc_strdup(http, address->key);
 	talloc_set_destructor(http, free_http);
 	return http;
 }
@@ -92,6 +95,8 @@
 		      "%s %s HTTP/1.1\r\nHost: %s:%d\r\n"
 		      "Accept: application/json\r\n",
 		      body ? "POST" : "GET", path, http->host, http->port);
+	if (http->key)
+		base_buf_addf(text, "Authorization: Bearer %s\r\n", http->key);
 	if (body)
 		base_buf_addf(text,
 			      "Content-Type: application/json\r\n"
--- a/packages/tool/tool_args.c
+++ b/packages/tool/tool_args.c
@@ -2,6 +2,8 @@
 
 #include "tool_int.h"
 
+static const char *operators_key(const void *ctx);
+
 bool tool_parse(int argc, char **argv, void **table, struct arg_lit *help,
 		struct arg_end *end, FILE *out, FILE *err, int *status)
 {
@@ -33,6 +35,7 @@
 		host = talloc_strndup(ctx, text, (size_t)(colon - text));
 		address->host = host;
 		address->port = atoi(colon + 1);
+		address->key = operators_key(ctx);
 		if (inet_pton(AF_INET, host, &number) == 1 &&
 		    address->port > 0 && address->port < 65536)
 			return true;
@@ -61,3 +64,12 @@
 	g_free(text);
 	return copy;
 }
+
+/* The first line of the file that TOOL_KEY_FILE names, or NULL. */
+static const char *operators_key(const void *ctx)
+{
+	const char *path = getenv(TOOL_KEY_FILE);
+	char *key = path ? tool_read_file(ctx, path, stderr) : NULL;
+
+	return key ? g_strchomp(key) : NULL;
+}
--- a/packages/tool/tool_int.h
+++ b/packages/tool/tool_int.h
@@ -13,6 +13,8 @@
 #include "tool.h"
 
 #define TOOL_CONFIG_KEY "/cactusfield/config"
+/* Environment: the file that holds the operators' key. */
+#define TOOL_KEY_FILE "CACTUSFIELD_KEY_FILE"
 
 /*
  * Parse a verb's arguments.  True when the verb is to go on; else "*status"
@@ -21,7 +23,10 @@
 bool tool_parse(int argc, char **argv, void **table, struct arg_lit *help,
 		struct arg_end *end, FILE *out, FILE *err, int *status);
 
-/* "ADDRESS:PORT", the address an IP number; tells what is wrong. */
+/*
+ * "ADDRESS:PORT", the address an IP number; tells what is wrong.  The key is
+ * that of TOOL_KEY_FILE.
+ */
 bool tool_address(const void *ctx, const char *text, plat_address_t *address,
 		  FILE *err);
 
--- a/tests/lib.sh
+++ b/tests/lib.sh
@@ -11,6 +11,10 @@
 standin_pid=
 ENTRIES=
 KEY=0123456789abcdef0123456789abcdef
+LOAD_KEY=operators-0123456789abcdef
+CACTUSFIELD_KEY_FILE=$work/operators.key
+export LOAD_KEY CACTUSFIELD_KEY_FILE
+echo $LOAD_KEY >"$CACTUSFIELD_KEY_FILE"
 
 end_all() {
 	for pid in $pids $standin_pid
@@ -39,6 +43,7 @@
 	do
 		zone_args="$zone_args --zone=$zone"
 	done
+	: >"$work/standin.log"
 	block=$(($$ % 70))
 	tries=0
 	while test $tries -lt 20
@@ -92,7 +97,8 @@
 	{"name": "entry-$1", "zone": "$2",
 	 "caller": {"address": "127.0.0.1", "port": $(caller_port "$1"),
 	            "threads": ${CALLER_THREADS:-64}},
-	 "operators": {"address": "127.0.0.1", "port": $(operators_port "$1")},
+	 "operators": {"address": "127.0.0.1", "port": $(operators_port "$1"),
+	               "key": "$LOAD_KEY"},
 	 "peer": {"address": "127.0.0.1", "port": $(peer_port "$1"),
 	          "key": "$KEY", "seeds": [${seeds%,}]},
 	 "store": {"address": "127.0.0.1", "port": $((PORTS + $3))},
