--- a/packages/claim/claim_sync.c
+++ b/packages/claim/claim_sync.c
@@ -93,6 +93,7 @@
 		next_source(known);
 		return;
 	}
+	claim_store_expire(&table->store, now);
 	if (!known->pulling) {
 		known->pull_lost = batch->lost;
 		known->pull_from = now - batch->complete_age;
@@ -203,25 +204,29 @@
 
 /*
  * Two attempts that both hold the id: at most one ran, and which is not known
- * here.  It is left to nobody, so that no release frees it.
+ * here.  It is left to nobody, so that no release frees it.  Whatever stays
+ * lasts as long as the younger of the two: the older one may be of an earlier
+ * run, past its window.
  */
 static void settle_conflict(claim_store_t *store, claim_rec_t *rec,
 			    const claim_copy_t *copy, int64_t created)
 {
 	bool same = claim_attempt_eq(rec->attempt, copy->attempt);
 
-	if (rec->state == CLAIM_STATE_ANSWERED ||
-	    (same && rec->state == CLAIM_STATE_RELEASED) ||
-	    (same && copy->state == CLAIM_STATE_HELD))
+	if (same && rec->state == CLAIM_STATE_RELEASED)
 		return;
-	if (rec->state == CLAIM_STATE_HELD && copy->state == CLAIM_STATE_HELD) {
-		rec->attempt = (claim_attempt_t){ 0, 0 };
+	created = MAX(created, rec->created);
+	if (rec->state == CLAIM_STATE_RELEASED ||
+	    (rec->state == CLAIM_STATE_HELD &&
+	     copy->state == CLAIM_STATE_ANSWERED)) {
+		rec->attempt = copy->attempt;
+		rec->print = copy->print;
+		claim_store_set(store, rec, (claim_state_t)copy->state,
+				created);
+		claim_store_keep(store, rec, copy->answer);
 		return;
 	}
-	rec->attempt = copy->attempt;
-	rec->print = copy->print;
-	claim_store_set(store, rec, (claim_state_t)copy->state,
-			MAX(created, rec->created));
-	if (copy->state == CLAIM_STATE_ANSWERED)
-		claim_store_keep(store, rec, copy->answer);
+	if (rec->state == CLAIM_STATE_HELD && !same)
+		rec->attempt = (claim_attempt_t){ 0, 0 };
+	claim_store_set(store, rec, (claim_state_t)rec->state, created);
 }
