--- a/packages/route/route.c
+++ b/packages/route/route.c
@@ -34,9 +34,13 @@
 static route_reason_t refusal(const route_t *route, const route_pool_t *pool,
 			      const route_request_t *req, int64_t now);
 static bool too_late(const route_request_t *req, int64_t now);
+static bool waited_enough(const route_request_t *req, int64_t now);
 static void start(route_t *route, route_request_t *req, route_ep_t *ep,
 		  int64_t now);
+static bool proceed(route_t *route, route_request_t *req, route_result_t result,
+		    int64_t now);
 static bool retry(route_t *route, route_request_t *req, int64_t now);
+static bool requeue(route_t *route, route_request_t *req, int64_t now);
 static bool over_total(const route_t *route);
 static bool over_pool(const route_pool_t *pool);
 static void shed(route_t *route, route_pool_t *pool);
@@ -74,6 +78,8 @@
 	req->tried[0] = req->tried[1] = NULL;
 	if (!req->deadline)
 		req->deadline = now + cls->conf.deadline_us;
+	req->queue_until =
+		now + (int64_t)(QUEUE_FRACTION * (double)(req->deadline - now));
 	route_count_submit(req);
 	pool->tokens =
 		fmin(pool->tokens + pool->conf.retry_budget, RETRY_BURST);
@@ -114,10 +120,12 @@
 		route_ep_failed(route, ep, now);
 	else if (rule->whole)
 		route_ep_worked(route, ep, now);
-	if (result == ROUTE_RESULT_REFUSED)
+	if (result == ROUTE_RESULT_REFUSED) {
+		route_ep_refused(ep, now);
 		route_limit_refused(pool);
+	}
 	req->maybe_ran |= rule->ran && !rule->whole;
-	if (!rule->again || !retry(route, req, now))
+	if (!proceed(route, req, result, now))
 		route_finish(route, req, rule->reason);
 	if (now >= pool->window + LIMIT_WINDOW_US)
 		route_limit_window(route, pool, now);
@@ -155,7 +163,7 @@
 		route_request_t *req = route_queue_next(pool);
 		route_ep_t *ep = NULL;
 
-		if (too_late(req, now)) {
+		if (waited_enough(req, now)) {
 			route_queue_remove(route, req);
 			route_finish(route, req, ROUTE_REASON_DEADLINE);
 			continue;
@@ -215,6 +223,12 @@
 	return (double)(req->deadline - now) <= req->cls->run_us / 2.0;
 }
 
+/* A refusal that comes near the deadline is worth little to the caller. */
+static bool waited_enough(const route_request_t *req, int64_t now)
+{
+	return now > req->queue_until || too_late(req, now);
+}
+
 static void start(route_t *route, route_request_t *req, route_ep_t *ep,
 		  int64_t now)
 {
@@ -231,6 +245,15 @@
 	route->opt.ops->start(route->opt.arg, req, &ep->pub, req->attempts);
 }
 
+/* Whether the request goes on after an attempt that gave no answer. */
+static bool proceed(route_t *route, route_request_t *req, route_result_t result,
+		    int64_t now)
+{
+	if (result == ROUTE_RESULT_REFUSED)
+		return requeue(route, req, now);
+	return results[result].again && retry(route, req, now);
+}
+
 /*
  * Another attempt takes the place of the one that just ended.  It never
  * queues: a failure that cannot be mended at once is told at once.
@@ -258,6 +281,22 @@
 	return true;
 }
 
+/*
+ * What an endpoint refused for lack of room waits its turn again.  How often
+ * an endpoint is tried in vain is bounded in route_ep_refused().
+ */
+static bool requeue(route_t *route, route_request_t *req, int64_t now)
+{
+	if (req->maybe_ran || req->cls->retired || waited_enough(req, now) ||
+	    req->attempts >= REFUSALS_MAX)
+		return false;
+	req->tried[0] = req->tried[1] = NULL;
+	route_queue_again(route, req);
+	while (over_pool(req->cls->pool))
+		shed(route, req->cls->pool);
+	return true;
+}
+
 static bool over_total(const route_t *route)
 {
 	return route->held > route->opt.held_max ||
@@ -319,7 +358,7 @@
 			while (req) {
 				route_request_t *next = req->next;
 
-				if (too_late(req, now)) {
+				if (waited_enough(req, now)) {
 					route_queue_remove(route, req);
 					route_finish(route, req,
 						     ROUTE_REASON_DEADLINE);
--- a/packages/route/route.h
+++ b/packages/route/route.h
@@ -50,7 +50,7 @@
 	ROUTE_REASON_NO_ENDPOINT,  /* the pool has no live endpoint */
 	ROUTE_REASON_QUEUE_FULL,   /* over the bound in count or bytes */
 	ROUTE_REASON_WAIT,	   /* would wait too long for its deadline */
-	ROUTE_REASON_DEADLINE,	   /* its deadline passed while queued */
+	ROUTE_REASON_DEADLINE,	   /* queued too long for its deadline */
 	ROUTE_REASON_REFUSED,	   /* the endpoint refused before start */
 	ROUTE_REASON_CONNECT,	   /* no connection, no byte written */
 	ROUTE_REASON_FAILED,	   /* failed after the first byte */
@@ -113,6 +113,7 @@
 
 	int connections; /* that may be open to the endpoint it runs at */
 	int64_t submitted;
+	int64_t queue_until;
 	int64_t started;
 	int attempts;
 	bool queued;
--- a/packages/route/route_choice.c
+++ b/packages/route/route_choice.c
@@ -1,5 +1,7 @@
 #include "route_int.h"
 
+#define SLOW_FROM 1.5 /* times the pool's latency */
+
 typedef struct candidate {
 	route_ep_t *ep;
 	double load; /* of its quota, with this request */
@@ -69,6 +71,23 @@
 	set_health(route, ep, HEALTH_EJECTED);
 }
 
+/*
+ * It had no room: hold it to what it runs of ours, longer each time that it
+ * refuses soon again.
+ */
+void route_ep_refused(route_ep_t *ep, int64_t now)
+{
+	const route_pool_t *pool = ep->pool;
+	int64_t least = MAX((int64_t)pool->run_us, CAP_HOLD_MIN_US);
+
+	if (now > ep->cap_until + ep->cap_hold || pool->running < pool->share)
+		ep->cap_hold = least;
+	else if (now >= ep->cap_until)
+		ep->cap_hold = MIN(2 * ep->cap_hold, CAP_HOLD_MAX_US);
+	ep->cap = ep->running;
+	ep->cap_until = now + ep->cap_hold;
+}
+
 void route_ep_worked(const route_t *route, route_ep_t *ep, int64_t now)
 {
 	ep->failures = 0;
@@ -139,8 +158,10 @@
 	double load = (ep->running + 1) / (quota * ramp(ep, now));
 	double cost = load;
 
-	if (ep->latency_us > 0.0 && ep->pool->run_us > 0.0)
-		cost *= CLAMP(ep->latency_us / ep->pool->run_us, 0.5, 4.0);
+	/* Only what is clearly slower: noise would move work about. */
+	if (ep->pool->run_us > 0.0 &&
+	    ep->latency_us > SLOW_FROM * ep->pool->run_us)
+		cost *= ep->latency_us / ep->pool->run_us;
 	if (cost < best->cost)
 		*best = (candidate_t){ ep, load, cost };
 }
@@ -152,6 +173,8 @@
 		return false;
 	if (ep->running >= route_conn_share(route, ep->pool, now))
 		return false;
+	if (now < ep->cap_until && ep->running >= ep->cap)
+		return false;
 	if (ep->health == HEALTH_EJECTED && now >= ep->ejected_until)
 		set_health(route, ep, HEALTH_TRIAL);
 	if (ep->health == HEALTH_TRIAL)
--- a/packages/route/route_conf.c
+++ b/packages/route/route_conf.c
@@ -162,7 +162,7 @@
 		cls->wait = base_hist_new(cls);
 		cls->run = base_hist_new(cls);
 		cls->conf.name = talloc_strdup(cls, conf->name);
-		cls->credit = CREDIT_CAP;
+		cls->credit = CREDIT_MAX;
 		g_ptr_array_add(route->classes, cls);
 	}
 	cls->conf = (route_class_conf_t){
--- a/packages/route/route_int.h
+++ b/packages/route/route_int.h
@@ -9,15 +9,19 @@
 
 #include "route.h"
 
-#define CREDIT_CAP 8.0	    /* requests a class may be ahead or behind */
-#define RETRY_BURST 10.0    /* retries that a quiet pool may save up */
-#define ATTEMPTS_MAX 3	    /* of one request */
-#define WAIT_FRACTION 0.5   /* of the time left that queueing may take */
-#define LIMIT_START 1.3	    /* of the even share of the declared slots */
-#define LIMIT_FLOOR 0.25    /* of the same */
-#define LIMIT_TOLERANCE 1.3 /* latency over the unloaded one */
+#define CREDIT_MAX 16.0	  /* requests that a class is owed */
+#define CREDIT_MIN (-8.0) /* requests that a class owes */
+#define RETRY_BURST 10.0  /* retries that a quiet pool may save up */
+#define ATTEMPTS_MAX 3	  /* of one request */
+#define WAIT_FRACTION                                                          \
+	0.4		   /* of its time that a new request may have to queue \
+			    */
+#define QUEUE_FRACTION 0.5 /* of its time that a request is let queue */
+#define CAP_HOLD_MIN_US (10 * BASE_MS) /* of what an endpoint refused */
+#define CAP_HOLD_MAX_US (500 * BASE_MS)
 #define LIMIT_WINDOW_US (100 * BASE_MS)
-#define LIMIT_SAMPLES 8		     /* answers that a window needs */
+#define LIMIT_SAMPLES 8 /* answers that a window needs */
+#define REFUSALS_MAX 8	/* attempts of a request that are refused */
 #define CONN_HOLD_US (30 * BASE_SEC) /* before a leaver's share is used */
 #define EJECT_FAILURES 3	     /* in a row */
 #define EJECT_US (1 * BASE_SEC)
@@ -52,6 +56,10 @@
 	int64_t ramp_from; /* 0: no slow start */
 	int64_t probe_at;
 	double latency_us; /* moving mean of answers */
+	/* after it refused: no more than "cap" at once for a while */
+	int cap;
+	int64_t cap_until;
+	int64_t cap_hold;
 } route_ep_t;
 
 typedef struct route_flow {
@@ -107,14 +115,18 @@
 	double tokens; /* for retries */
 	uint64_t retries, retries_denied;
 	/* what the endpoints take */
-	double share; /* even share of the declared slots */
-	double limit;
+	double share;	 /* even share of the declared slots */
+	double gain;	 /* what the endpoints take of it, as learnt */
+	double limit;	 /* from both and the present latency */
 	double base_us;	 /* unloaded latency, moving mean */
 	double run_us;	 /* latency, moving mean */
 	double sum_us;	 /* of this window */
 	double load_sum; /* running, summed over answers */
 	int samples;
-	bool limited; /* the limit held something back in this window */
+	int learnt;	  /* samples, until they are enough */
+	double sum_first; /* of these */
+	bool limited;	  /* the limit held something back in this window */
+	int refused;	  /* by endpoints, in this window */
 	int64_t window;
 } route_pool_t;
 
@@ -139,6 +151,7 @@
 
 /* route_queue.c */
 void route_queue_add(route_t *route, route_request_t *req);
+void route_queue_again(route_t *route, route_request_t *req);
 void route_queue_remove(route_t *route, route_request_t *req);
 route_request_t *route_queue_next(const route_pool_t *pool);
 void route_queue_charge(route_pool_t *pool, route_request_t *req);
@@ -157,6 +170,7 @@
 route_ep_t *route_choose(route_t *route, route_pool_t *pool,
 			 const route_request_t *req, int64_t now);
 void route_ep_failed(const route_t *route, route_ep_t *ep, int64_t now);
+void route_ep_refused(route_ep_t *ep, int64_t now);
 void route_ep_worked(const route_t *route, route_ep_t *ep, int64_t now);
 void route_ep_readmit(route_pool_t *pool);
 int route_conn_share(const route_t *route, const route_pool_t *pool,
--- a/packages/route/route_queue.c
+++ b/packages/route/route_queue.c
@@ -1,5 +1,6 @@
 #include "route_int.h"
 
+static void added(route_t *route, route_request_t *req);
 static void heap_add(route_class_t *cls, route_flow_t *flow);
 static void heap_remove(route_class_t *cls, route_flow_t *flow);
 static void heap_up(route_class_t *cls, size_t at);
@@ -11,9 +12,7 @@
 void route_queue_add(route_t *route, route_request_t *req)
 {
 	route_flow_t *flow = req->flow;
-	route_class_t *cls = req->cls;
 
-	req->queued = true;
 	req->next = NULL;
 	req->prev = flow->tail;
 	if (flow->tail)
@@ -21,6 +20,30 @@
 	else
 		flow->head = req;
 	flow->tail = req;
+	added(route, req);
+}
+
+/* Put a request that was refused back where it came from. */
+void route_queue_again(route_t *route, route_request_t *req)
+{
+	route_flow_t *flow = req->flow;
+
+	req->prev = NULL;
+	req->next = flow->head;
+	if (flow->head)
+		flow->head->prev = req;
+	else
+		flow->tail = req;
+	flow->head = req;
+	added(route, req);
+}
+
+static void added(route_t *route, route_request_t *req)
+{
+	route_flow_t *flow = req->flow;
+	route_class_t *cls = req->cls;
+
+	req->queued = true;
 	if (!flow->queued++) {
 		flow->start = fmax(cls->vtime, flow->finish);
 		heap_add(cls, flow);
@@ -97,9 +120,9 @@
 		route_class_t *each = pool->classes->pdata[i];
 		double earned = cost * each->conf.weight / pool->weight;
 
-		each->credit = fmin(each->credit + earned, CREDIT_CAP);
+		each->credit = fmin(each->credit + earned, CREDIT_MAX);
 	}
-	cls->credit = fmax(cls->credit - cost, -CREDIT_CAP);
+	cls->credit = fmax(cls->credit - cost, CREDIT_MIN);
 	cls->vtime = fmax(cls->vtime, flow->start);
 	flow->finish = flow->start + 1.0 / flow->caller->weight;
 	flow->start = flow->finish;
