--- a/load/load_int.h
+++ b/load/load_int.h
@@ -43,6 +43,7 @@
 	plat_address_t caller;
 	plat_address_t operators; /* port 0: always ready */
 	atomic_int ready;
+	atomic_int epoch; /* counts how often it became unready */
 } target_t;
 
 typedef struct flow {
@@ -71,6 +72,7 @@
 int load_run(int argc, char **argv);
 int load_check(int argc, char **argv);
 int load_get(int argc, char **argv);
+int load_bench(int argc, char **argv);
 
 /* Keep each target's readiness up to date until load->stop. */
 void *load_balance(void *arg);
--- a/packages/entry/entry_int.h
+++ b/packages/entry/entry_int.h
@@ -161,6 +161,9 @@
 entry_request_t *entry_http_read(const void *ctx, struct mg_connection *conn,
 				 const entry_view_t *view);
 
+/* Append one header line. */
+void entry_http_add(base_buf_t *out, const char *name, const char *value);
+
 /* Send an endpoint's answer with the outcome's headers. */
 void entry_http_answer(struct mg_connection *conn,
 		       const entry_request_t *request,
@@ -248,6 +251,7 @@
 	atomic_ullong outcomes[ENTRY_OUTCOME_MAX];
 	struct mg_context *operators_http;
 	struct mg_context *caller_http;
+	int64_t config_seen; /* mod_revision; the config duty's own */
 	kern_duty_t *config_duty;
 	kern_duty_t *list_duty;
 	atomic_int store_down;
