--- a/bench/fleet_bench.c
+++ b/bench/fleet_bench.c
@@ -61,6 +61,7 @@
 	world_t *w = world_new(site.zones, site.racks, site.per_rack);
 	fleet_t *fleet = measure_holder(w, &site);
 	double plan, begun, idle;
+	size_t largest = 0;
 	fleet_ops_t *ops;
 
 	world_tick(w, site.tick);
@@ -73,6 +74,8 @@
 	talloc_free(ops);
 	for (int i = 0; i < 4; i++)
 		world_turn(w, fleet, site.tick);
+	for (size_t i = 0; i < w->n_kv; i++)
+		largest = MAX(largest, strlen(w->kv[i].value));
 	idle = 0.0;
 	for (int i = 0; i < STEPS; i++) {
 		world_tick(w, site.tick);
@@ -83,8 +86,10 @@
 		talloc_free(ops);
 	}
 	printf("{\"bench\":\"fleet\",\"what\":\"time\",\"instances\":%zu,"
-	       "\"plan_ms\":%.2f,\"step_ms\":%.3f,\"memory_kb\":%zu}\n",
-	       instances, plan, idle / STEPS, talloc_total_size(fleet) / 1024);
+	       "\"plan_ms\":%.2f,\"step_ms\":%.3f,\"memory_kb\":%zu,"
+	       "\"largest_record_bytes\":%zu}\n",
+	       instances, plan, idle / STEPS, talloc_total_size(fleet) / 1024,
+	       largest);
 	talloc_free(w);
 	talloc_free(ctx);
 }
