--- a/packages/fleet/fleet.h
+++ b/packages/fleet/fleet.h
@@ -68,6 +68,9 @@
  */
 void fleet_fence(fleet_t *fleet, uint64_t token);
 
+/* The greatest token in the accounts as loaded. */
+uint64_t fleet_fence_seen(const fleet_t *fleet);
+
 /* What is known of one instance, from the platform's list and from probes. */
 typedef struct fleet_obs {
 	const char *id;
@@ -110,6 +113,9 @@
 bool fleet_load(fleet_t *fleet, const char *key, base_str_t value, int64_t rev,
 		GError **err);
 
+/* Grows with every record that was taken in. */
+uint64_t fleet_version(const fleet_t *fleet);
+
 /*
  * Orders of operators for single instances are one record, FLEET_ORDERS_KEY,
  * written by compare-and-swap.  fleet_order_edit() returns the new value,
