--- a/packages/jobs/jobs_record.c
+++ b/packages/jobs/jobs_record.c
@@ -20,13 +20,14 @@
 	for (GList *l = job->tasks.tail; l; l = l->prev) {
 		const jobs_task_t *task = l->data;
 
-		if (record->n_tasks == JOBS_RECORD_TASKS)
+		if (record->n_tasks == JOBS_TASKS_MAX)
 			break;
 		record->tasks[record->n_tasks++] = (jobs_record_task_t){
 			.attempt = task->attempt,
 			.worker = base_str(task->worker->id),
 			.incarnation = task->worker->incarnation,
 			.share = task->share,
+			.full = task->full,
 		};
 	}
 }
@@ -92,6 +93,9 @@
 	task->started_at = now;
 	if (current)
 		job->task = task;
+	task->full = record->full;
+	if (!jobs_fits(&task->full, &task->share))
+		jobs_task_throttled(jobs, task);
 	jobs_task_lease(jobs, now, task);
 	if (worker->incarnation > record->incarnation)
 		jobs_task_gone(jobs, now, task);
