Ask for new keys in bursts in the claim properties

Cause: trials with a rule broken showed that most requests in the network in memory were for keys already answered, which prove little. Trial without the checks of epoch and place in a take: falls in the first world.

--- a/packages/claim/tests/claim_prop.cpp
+++ b/packages/claim/tests/claim_prop.cpp
@@ -203,6 +203,19 @@
 				   local(at), &action);
 		act(r, action);
 	}
+	void ask_at(int i, int key, int64_t after)
+	{
+		later(i, after, [=] { submit(i, key, 0); });
+	}
+	// A new key, asked for at several entries now and a little later.
+	void burst()
+	{
+		int key = ++bursts + BURSTS;
+
+		for (int n = 0; n < 4; n++)
+			ask_at((int)below((uint32_t)all.size()), key,
+			       n * below(2000) * MS);
+	}
 	// What the store knows, read by entry "i" and heard a little later.
 	void read_store(int i)
 	{
@@ -378,7 +391,9 @@
 	}
 
       private:
+	static const int BURSTS = 10000;
 	base_rng_t rng;
+	int bursts = 0;
 	void *ctx;
 	int64_t now = 1000 * SEC;
 	uint64_t order = 0;
@@ -592,9 +607,15 @@
 			w.entry((int)j).side =
 				w.entry((int)j).zone == e.zone && w.chance(0.9);
 		break;
+	case 8: // the store, for all
+		for (size_t j = 0; j < w.size(); j++)
+			w.entry((int)j).store = w.chance(0.3);
+		break;
 	default:
-		if (!e.paused)
-			w.submit(i, key, 0);
+		if (w.chance(0.3))
+			w.ask_at(i, key, 0);
+		else
+			w.burst();
 	}
 	w.duties();
 	w.pass(w.below(300) * MS);
