Carry claims between entries, and change the list without needless waits

Cause: the entries need messages for takes, ends, epochs and slices; a proposal waited for the last epoch to settle even where no slice could lose both copies. Change: four procedures of package peer; a batch is bounded in bytes so that it fits into one message; a proposal waits only if a slice would be orphaned, and an entry that leaves proposes the list without itself. Conclusion: ready to be wired into the entry.

--- a/packages/claim/claim_holder.c
+++ b/packages/claim/claim_holder.c
@@ -74,6 +74,7 @@
 	    holder->asked_all + 2 > CLAIM_ASKED_MAX) {
 		memset(action, 0, sizeof(*action));
 		add_releases(holder, action);
+		action->again = pair.home == CLAIM_NOBODY;
 		tell(action, CLAIM_TELL_UNKNOWN, CLAIM_WHY_EPOCH);
 		return;
 	}
--- a/packages/claim/claim_propose.c
+++ b/packages/claim/claim_propose.c
@@ -2,6 +2,8 @@
 
 static bool same_list(const claim_list_t *a, const claim_list_t *b);
 static bool may_remove(const claim_list_t *list, const claim_view_t *view);
+static bool orphans(const claim_list_t *list, const claim_list_t *live);
+static bool has(const claim_list_t *live, const claim_list_t *list, int i);
 static void newest_only(claim_list_t *list);
 
 claim_epoch_t *claim_propose(const void *ctx, const claim_table_t *table,
@@ -12,10 +14,12 @@
 	claim_epoch_t *next;
 
 	if ((!epoch && !none_in_store) || !view->live.n ||
-	    now - view->since < CLAIM_VIEW_STABLE_US ||
-	    claim_table_self(table, &view->live) == CLAIM_NOBODY)
+	    (!view->leaving &&
+	     (now - view->since < CLAIM_VIEW_STABLE_US ||
+	      claim_table_self(table, &view->live) == CLAIM_NOBODY)))
 		return NULL;
-	if (epoch && claim_table_settled(table, now) + 1 < epoch->number &&
+	if (epoch && orphans(&epoch->now, &view->live) &&
+	    claim_table_settled(table, now) + 1 < epoch->number &&
 	    now - table->adopted_at < CLAIM_SETTLE_US)
 		return NULL;
 	if (epoch && !may_remove(&epoch->now, view))
@@ -62,6 +66,26 @@
 	return !unsure || live * 2 > list->n;
 }
 
+/* Whether a slice of "list" has neither home nor backup in "live". */
+static bool orphans(const claim_list_t *list, const claim_list_t *live)
+{
+	for (unsigned i = 0; i < CLAIM_SLICES; i++) {
+		claim_pair_t pair = claim_list_pair(list, i);
+
+		if (!has(live, list, pair.home) &&
+		    !has(live, list, pair.backup))
+			return true;
+	}
+	return false;
+}
+
+static bool has(const claim_list_t *live, const claim_list_t *list, int i)
+{
+	return i != CLAIM_NOBODY &&
+	       claim_list_find(live, list->members[i].id,
+			       list->members[i].incarnation) != CLAIM_NOBODY;
+}
+
 static void newest_only(claim_list_t *list)
 {
 	size_t n = 0;
--- a/packages/claim/claim_propose.h
+++ b/packages/claim/claim_propose.h
@@ -7,12 +7,13 @@
 #include "claim_table.h"
 
 #define CLAIM_VIEW_STABLE_US BASE_SEC	/* a view lasts before it is proposed */
-#define CLAIM_SETTLE_US (15 * BASE_SEC) /* and waits for the last change */
+#define CLAIM_SETTLE_US (15 * BASE_SEC) /* a loss of both waits for it */
 
 typedef struct claim_view {
 	claim_list_t live;	 /* answers peers, and does not leave */
 	claim_list_t registered; /* has a live lease in the store */
 	int64_t since;		 /* when "live" last changed */
+	bool leaving;		 /* this entry stops, and is not in "live" */
 } claim_view_t;
 
 /*
@@ -20,6 +21,9 @@
  * decides: it is written only by compare-and-swap against the table's.  With
  * no epoch at all, "none_in_store" says that the store was read and has none.
  *
+ * A list that takes both home and backup of a slice away waits until the
+ * epoch before has settled, since only then the fence is short.
+ *
  * A side that sees but a minority of the list takes none out that the store
  * still has: two sides that both reach the store would take turns.
  */
--- a/packages/claim/claim_sync.c
+++ b/packages/claim/claim_sync.c
@@ -150,19 +150,24 @@
 	known->pulling = false;
 }
 
-/* Whole buckets only, so that the cursor is a place between two. */
+/*
+ * Whole buckets only, so that the cursor is a place between two.  Answers
+ * that do not fit even into a batch of their own are left out.
+ */
 static bool export_bucket(const claim_store_t *store, uint32_t first,
 			  uint64_t cursor, int64_t now, claim_batch_t *batch)
 {
-	uint32_t n = batch->n;
+	uint32_t n = batch->n, bytes = batch->bytes;
 
 	for (uint32_t i = first; i != CLAIM_REC_NONE; i = store->recs[i].next) {
 		const claim_rec_t *rec = &store->recs[i];
+		uint32_t len = rec->answer ? rec->answer->len : 0;
 		claim_copy_t *copy = &batch->copies[n];
 
 		if (rec->state == CLAIM_STATE_RELEASED || rec->id.hi < cursor)
 			continue;
-		if (n == CLAIM_BATCH_MAX)
+		if (n == CLAIM_BATCH_MAX ||
+		    (batch->n && bytes + len > CLAIM_BATCH_BYTES))
 			return false;
 		*copy = (claim_copy_t){ .id = rec->id,
 					.attempt = rec->attempt,
@@ -170,12 +175,14 @@
 					.caller = rec->account,
 					.age = now - rec->created,
 					.state = rec->state };
-		if (rec->answer)
-			copy->answer = (base_str_t){ rec->answer->bytes,
-						     rec->answer->len };
 		n++;
+		if (!rec->answer || bytes + len > CLAIM_BATCH_BYTES)
+			continue;
+		copy->answer = (base_str_t){ rec->answer->bytes, len };
+		bytes += len;
 	}
 	batch->n = n;
+	batch->bytes = bytes;
 	return true;
 }
 
--- a/packages/claim/claim_sync.h
+++ b/packages/claim/claim_sync.h
@@ -6,7 +6,8 @@
 
 #include "claim_table.h"
 
-#define CLAIM_BATCH_MAX 64 /* records */
+#define CLAIM_BATCH_MAX 64	/* records */
+#define CLAIM_BATCH_BYTES 49152 /* of their answers */
 
 /* What to ask of whom. */
 typedef struct claim_pull {
@@ -33,6 +34,7 @@
 	uint64_t lost;
 	int64_t complete_age; /* since complete_from; < 0 before it */
 	uint32_t n;
+	uint32_t bytes; /* of answers */
 	claim_copy_t copies[CLAIM_BATCH_MAX];
 } claim_batch_t;
 
--- a/packages/claim/tests/claim_prop.cpp
+++ b/packages/claim/tests/claim_prop.cpp
@@ -326,7 +326,8 @@
 		}
 		claim_view_t view = { { live.data(), live.size() },
 				      { registered.data(), registered.size() },
-				      INT64_MIN / 2 };
+				      INT64_MIN / 2,
+				      false };
 		if (wild && mine && live.size()) {
 			claim_epoch_t e = { mine->number + 1,
 					    claim_table_settled(all[i].table,
--- a/packages/claim/tests/claim_test.c
+++ b/packages/claim/tests/claim_test.c
@@ -489,7 +489,9 @@
 static void test_propose(void)
 {
 	claim_table_t *table = table_of("a", 100);
-	claim_view_t view = { list_of(three, 3), list_of(three, 3), NOW };
+	claim_view_t view = { .live = list_of(three, 3),
+			      .registered = list_of(three, 3),
+			      .since = NOW };
 	int64_t now = NOW + CLAIM_VIEW_STABLE_US;
 	claim_epoch_t *first, *second;
 
--- a/packages/peer/peer.h
+++ b/packages/peer/peer.h
@@ -43,9 +43,13 @@
 } peer_error_t;
 
 typedef enum peer_proc {
-	PEER_GOSSIP, /* one way: peer_gossip */
-	PEER_LIFE,   /* one way, internal: peer_life */
-	PEER_CONFIG, /* peer_config_get -> peer_config_part */
+	PEER_GOSSIP,	  /* one way: peer_gossip */
+	PEER_LIFE,	  /* one way, internal: peer_life */
+	PEER_CONFIG,	  /* peer_config_get -> peer_config_part */
+	PEER_CLAIM_TAKE,  /* peer_claim_take -> peer_claim_verdict */
+	PEER_CLAIM_END,	  /* peer_claim_end -> peer_claim_done */
+	PEER_CLAIM_HELLO, /* peer_claim_hello -> peer_claim_hello */
+	PEER_CLAIM_PULL,  /* peer_claim_pull -> peer_claim_batch */
 	PEER_PROC_MAX
 } peer_proc_t;
 
--- a/packages/peer/peer_proto.x
+++ b/packages/peer/peer_proto.x
@@ -99,3 +99,77 @@
 	unsigned int offset;		/* bytes */
 	opaque data<PEER_CHUNK_MAX>;
 };
+
+/* claims: see claim.h for what the fields mean */
+const PEER_ANSWER_MAX = 4096;		/* bytes of a recorded answer */
+const PEER_EPOCH_MAX = 60000;		/* bytes of the epoch record */
+const PEER_BATCH_MAX = 64;		/* records */
+
+struct peer_claim_name {
+	unsigned hyper id_hi;
+	unsigned hyper id_lo;
+	unsigned hyper attempt_entry;
+	unsigned hyper attempt_number;
+	unsigned hyper print;
+	unsigned hyper caller;
+};
+
+struct peer_claim_take {
+	peer_claim_name name;
+	unsigned hyper epoch;
+	unsigned hyper ticket;
+	bool look;
+};
+
+struct peer_claim_verdict {
+	unsigned int verdict;
+	bool fresh;
+	unsigned hyper epoch;
+	bool kept;
+	opaque answer<PEER_ANSWER_MAX>;
+};
+
+/* The end of an attempt: released, or answered. */
+struct peer_claim_end {
+	peer_claim_name name;
+	bool answered;
+	bool kept;
+	opaque answer<PEER_ANSWER_MAX>;
+};
+
+struct peer_claim_done {
+	unsigned int unused;
+};
+
+/* What an entry knows of the epoch; the record goes to who lacks it. */
+struct peer_claim_hello {
+	string id<PEER_ID_MAX>;
+	string zone<PEER_ID_MAX>;
+	unsigned hyper incarnation;
+	unsigned hyper epoch;
+	hyper confirmed_age;		/* microseconds, -1: never */
+	bool leaving;
+	opaque record<PEER_EPOCH_MAX>;
+};
+
+struct peer_claim_pull {
+	unsigned hyper epoch;
+	unsigned hyper cursor;
+	unsigned int slice;
+};
+
+struct peer_claim_copy {
+	peer_claim_name name;
+	hyper age;			/* microseconds */
+	unsigned int state;
+	opaque answer<PEER_ANSWER_MAX>;
+};
+
+struct peer_claim_batch {
+	bool ok;
+	bool last;
+	unsigned hyper cursor;
+	unsigned hyper lost;
+	hyper complete_age;		/* microseconds */
+	peer_claim_copy copies<PEER_BATCH_MAX>;
+};
--- a/packages/peer/peer_proto_xdr.c
+++ b/packages/peer/peer_proto_xdr.c
@@ -231,3 +231,156 @@
 		 return FALSE;
 	return TRUE;
 }
+
+bool_t
+xdr_peer_claim_name (XDR *xdrs, peer_claim_name *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_u_quad_t (xdrs, &objp->id_hi))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->id_lo))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->attempt_entry))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->attempt_number))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->print))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->caller))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_peer_claim_take (XDR *xdrs, peer_claim_take *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_peer_claim_name (xdrs, &objp->name))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->epoch))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->ticket))
+		 return FALSE;
+	 if (!xdr_bool (xdrs, &objp->look))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_peer_claim_verdict (XDR *xdrs, peer_claim_verdict *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_u_int (xdrs, &objp->verdict))
+		 return FALSE;
+	 if (!xdr_bool (xdrs, &objp->fresh))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->epoch))
+		 return FALSE;
+	 if (!xdr_bool (xdrs, &objp->kept))
+		 return FALSE;
+	 if (!xdr_bytes (xdrs, (char **)&objp->answer.answer_val, (u_int *) &objp->answer.answer_len, PEER_ANSWER_MAX))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_peer_claim_end (XDR *xdrs, peer_claim_end *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_peer_claim_name (xdrs, &objp->name))
+		 return FALSE;
+	 if (!xdr_bool (xdrs, &objp->answered))
+		 return FALSE;
+	 if (!xdr_bool (xdrs, &objp->kept))
+		 return FALSE;
+	 if (!xdr_bytes (xdrs, (char **)&objp->answer.answer_val, (u_int *) &objp->answer.answer_len, PEER_ANSWER_MAX))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_peer_claim_done (XDR *xdrs, peer_claim_done *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_u_int (xdrs, &objp->unused))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_peer_claim_hello (XDR *xdrs, peer_claim_hello *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_string (xdrs, &objp->id, PEER_ID_MAX))
+		 return FALSE;
+	 if (!xdr_string (xdrs, &objp->zone, PEER_ID_MAX))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->incarnation))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->epoch))
+		 return FALSE;
+	 if (!xdr_quad_t (xdrs, &objp->confirmed_age))
+		 return FALSE;
+	 if (!xdr_bool (xdrs, &objp->leaving))
+		 return FALSE;
+	 if (!xdr_bytes (xdrs, (char **)&objp->record.record_val, (u_int *) &objp->record.record_len, PEER_EPOCH_MAX))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_peer_claim_pull (XDR *xdrs, peer_claim_pull *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_u_quad_t (xdrs, &objp->epoch))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->cursor))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->slice))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_peer_claim_copy (XDR *xdrs, peer_claim_copy *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_peer_claim_name (xdrs, &objp->name))
+		 return FALSE;
+	 if (!xdr_quad_t (xdrs, &objp->age))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->state))
+		 return FALSE;
+	 if (!xdr_bytes (xdrs, (char **)&objp->answer.answer_val, (u_int *) &objp->answer.answer_len, PEER_ANSWER_MAX))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_peer_claim_batch (XDR *xdrs, peer_claim_batch *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_bool (xdrs, &objp->ok))
+		 return FALSE;
+	 if (!xdr_bool (xdrs, &objp->last))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->cursor))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->lost))
+		 return FALSE;
+	 if (!xdr_quad_t (xdrs, &objp->complete_age))
+		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->copies.copies_val, (u_int *) &objp->copies.copies_len, PEER_BATCH_MAX,
+		sizeof (peer_claim_copy), (xdrproc_t) xdr_peer_claim_copy))
+		 return FALSE;
+	return TRUE;
+}
--- a/packages/peer/peer_proto_xdr.h
+++ b/packages/peer/peer_proto_xdr.h
@@ -119,6 +119,100 @@
 	} data;
 };
 typedef struct peer_config_part peer_config_part;
+#define PEER_ANSWER_MAX 4096
+#define PEER_EPOCH_MAX 60000
+#define PEER_BATCH_MAX 64
+
+struct peer_claim_name {
+	u_quad_t id_hi;
+	u_quad_t id_lo;
+	u_quad_t attempt_entry;
+	u_quad_t attempt_number;
+	u_quad_t print;
+	u_quad_t caller;
+};
+typedef struct peer_claim_name peer_claim_name;
+
+struct peer_claim_take {
+	peer_claim_name name;
+	u_quad_t epoch;
+	u_quad_t ticket;
+	bool_t look;
+};
+typedef struct peer_claim_take peer_claim_take;
+
+struct peer_claim_verdict {
+	u_int verdict;
+	bool_t fresh;
+	u_quad_t epoch;
+	bool_t kept;
+	struct {
+		u_int answer_len;
+		char *answer_val;
+	} answer;
+};
+typedef struct peer_claim_verdict peer_claim_verdict;
+
+struct peer_claim_end {
+	peer_claim_name name;
+	bool_t answered;
+	bool_t kept;
+	struct {
+		u_int answer_len;
+		char *answer_val;
+	} answer;
+};
+typedef struct peer_claim_end peer_claim_end;
+
+struct peer_claim_done {
+	u_int unused;
+};
+typedef struct peer_claim_done peer_claim_done;
+
+struct peer_claim_hello {
+	char *id;
+	char *zone;
+	u_quad_t incarnation;
+	u_quad_t epoch;
+	quad_t confirmed_age;
+	bool_t leaving;
+	struct {
+		u_int record_len;
+		char *record_val;
+	} record;
+};
+typedef struct peer_claim_hello peer_claim_hello;
+
+struct peer_claim_pull {
+	u_quad_t epoch;
+	u_quad_t cursor;
+	u_int slice;
+};
+typedef struct peer_claim_pull peer_claim_pull;
+
+struct peer_claim_copy {
+	peer_claim_name name;
+	quad_t age;
+	u_int state;
+	struct {
+		u_int answer_len;
+		char *answer_val;
+	} answer;
+};
+typedef struct peer_claim_copy peer_claim_copy;
+
+struct peer_claim_batch {
+	bool_t ok;
+	bool_t last;
+	u_quad_t cursor;
+	u_quad_t lost;
+	quad_t complete_age;
+	struct {
+		u_int copies_len;
+		peer_claim_copy *copies_val;
+	} copies;
+};
+typedef struct peer_claim_batch peer_claim_batch;
 
 /* the xdr functions */
 
@@ -133,6 +227,15 @@
 extern  bool_t xdr_peer_life (XDR *, peer_life*);
 extern  bool_t xdr_peer_config_get (XDR *, peer_config_get*);
 extern  bool_t xdr_peer_config_part (XDR *, peer_config_part*);
+extern  bool_t xdr_peer_claim_name (XDR *, peer_claim_name*);
+extern  bool_t xdr_peer_claim_take (XDR *, peer_claim_take*);
+extern  bool_t xdr_peer_claim_verdict (XDR *, peer_claim_verdict*);
+extern  bool_t xdr_peer_claim_end (XDR *, peer_claim_end*);
+extern  bool_t xdr_peer_claim_done (XDR *, peer_claim_done*);
+extern  bool_t xdr_peer_claim_hello (XDR *, peer_claim_hello*);
+extern  bool_t xdr_peer_claim_pull (XDR *, peer_claim_pull*);
+extern  bool_t xdr_peer_claim_copy (XDR *, peer_claim_copy*);
+extern  bool_t xdr_peer_claim_batch (XDR *, peer_claim_batch*);
 
 #else /* K&R C */
 extern bool_t xdr_peer_sealed ();
@@ -145,6 +248,15 @@
 extern bool_t xdr_peer_life ();
 extern bool_t xdr_peer_config_get ();
 extern bool_t xdr_peer_config_part ();
+extern bool_t xdr_peer_claim_name ();
+extern bool_t xdr_peer_claim_take ();
+extern bool_t xdr_peer_claim_verdict ();
+extern bool_t xdr_peer_claim_end ();
+extern bool_t xdr_peer_claim_done ();
+extern bool_t xdr_peer_claim_hello ();
+extern bool_t xdr_peer_claim_pull ();
+extern bool_t xdr_peer_claim_copy ();
+extern bool_t xdr_peer_claim_batch ();
 
 #endif /* K&R C */
 
