--- a/bench/flood.h
+++ b/bench/flood.h
@@ -94,6 +94,9 @@
 flood_options_t flood_five_pools(void);
 flood_options_t flood_shared_pool(void);
 
+/* The bit of a class in "flooding". */
+unsigned flood_bit(int cls);
+
 /* Names for output. */
 const char *flood_policy_name(flood_policy_t policy);
 
--- a/bench/flood_world.c
+++ b/bench/flood_world.c
@@ -46,6 +46,11 @@
 	return policy_names[policy];
 }
 
+unsigned flood_bit(int cls)
+{
+	return 1u << ((unsigned)cls % FLOOD_CLASSES);
+}
+
 flood_options_t flood_five_pools(void)
 {
 	flood_options_t opt = {
@@ -350,7 +355,7 @@
 	int64_t edge = next_edge(w);
 	request_t *req;
 
-	if ((w->opt->flooding & (1u << cls)) && edge > w->now && at > edge) {
+	if ((w->opt->flooding & flood_bit(cls)) && edge > w->now && at > edge) {
 		post(w,
 		     (event_t){ .at = edge, .kind = EVENT_ARRIVE, .n = cls });
 		return;
@@ -371,7 +376,7 @@
 	const flood_class_t *c = &w->opt->classes[cls];
 	double mean = c->load * capacity(w, c->pool);
 
-	if (!(w->opt->flooding & (1u << cls)))
+	if (!(w->opt->flooding & flood_bit(cls)))
 		return mean;
 	return mean * (in_burst(w, w->now) ? w->opt->peak : w->opt->trough);
 }
--- a/bench/route_flood_bench.c
+++ b/bench/route_flood_bench.c
@@ -44,8 +44,8 @@
 
 	flood_run(base, &calm);
 	for (int c = n - 1; c >= 0; c--)
-		flood(site, base, 1u << c, &calm);
-	flood(site, base, 1u | 1u << (n - 1), &calm);
+		flood(site, base, flood_bit(c), &calm);
+	flood(site, base, flood_bit(0) | flood_bit(n - 1), &calm);
 }
 
 static void flood(const char *site, const flood_options_t *base,
@@ -59,7 +59,7 @@
 	opt.flooding = flooding;
 	flood_run(&opt, &r);
 	for (int c = 0; c < opt.n_classes; c++) {
-		if (flooding & (1u << c)) {
+		if (flooding & flood_bit(c)) {
 			pool = MIN(pool, r.goodput[opt.classes[c].pool]);
 			continue;
 		}
@@ -90,7 +90,7 @@
 	const char *comma = "";
 
 	for (int c = 0; c < n; c++)
-		if (flooding & (1u << c)) {
+		if (flooding & flood_bit(c)) {
 			printf("%s%d", comma, c);
 			comma = ",";
 		}
--- a/packages/route/tests/route_flood_test.c
+++ b/packages/route/tests/route_flood_test.c
@@ -24,7 +24,7 @@
 	for (int c = 0; c < opt.n_classes; c++) {
 		double answered = (double)r.answered[c];
 
-		if (flooding & (1u << c)) {
+		if (flooding & flood_bit(c)) {
 			kept.pool =
 				MIN(kept.pool, r.goodput[opt.classes[c].pool]);
 			continue;
@@ -40,7 +40,7 @@
 static kept_t worst(flood_options_t opt, flood_full_t full)
 {
 	int n = opt.n_classes;
-	kept_t least = { 2.0, 0.0, 2.0 };
+	kept_t kept, least = { 2.0, 0.0, 2.0 };
 	flood_result_t calm;
 
 	opt.full = full;
@@ -49,10 +49,11 @@
 		g_assert_cmpfloat((double)calm.answered[c], >=,
 				  0.999 * (double)calm.offered[c]);
 	for (int turn = 0; turn <= n; turn++) {
-		unsigned bits =
-			turn < n ? 1u << (n - 1 - turn) : 1u | 1u << (n - 1);
-		kept_t kept = flood(&opt, &calm, bits);
+		unsigned bits = flood_bit(n - 1 - turn);
 
+		if (turn == n)
+			bits = flood_bit(0) | flood_bit(n - 1);
+		kept = flood(&opt, &calm, bits);
 		least.goodput = MIN(least.goodput, kept.goodput);
 		least.p99 = MAX(least.p99, kept.p99);
 		least.pool = MIN(least.pool, kept.pool);
