entry, site: tell the demand on each pool to the planner

Cause: the planner knew no demand, and forgot what it had learned with every new configuration.

A new configuration changes limits and pools of the core in place.

--- a/packages/entry/entry_duty.c
+++ b/packages/entry/entry_duty.c
@@ -62,6 +62,7 @@
 		return false;
 	site_observe(fleet->core, &instances, base_clock_wall());
 	take_entries(fleet, &entries);
+	site_take_demand(fleet->core, &entries, base_clock_wall());
 	return true;
 }
 
--- a/packages/entry/entry_fleet.c
+++ b/packages/entry/entry_fleet.c
@@ -35,6 +35,7 @@
 
 	(void)kern;
 	fleet->daemon = daemon;
+	fleet->demand = entry_demand_new(fleet);
 	fleet->store = plat_guard_store(daemon->guard, PLAT_FOR_FLEET);
 	fleet->action = plat_redfish_new(fleet, &daemon->settings->actions);
 	fleet->key = talloc_asprintf(fleet, SITE_ENTRIES_PREFIX "%s",
@@ -73,6 +74,7 @@
 	if (!take_conf(fleet))
 		return;
 	ctx = talloc_new(NULL);
+	entry_demand_look(fleet->demand, fleet->daemon->route, now);
 	/* Nothing is routed before this entry can be asked to confirm. */
 	if (!fleet->written)
 		confirm(fleet, ctx, false);
@@ -92,10 +94,11 @@
 	bool has = view->record != NULL;
 
 	if (has && view->record->generation != fleet->generation) {
-		talloc_free(fleet->core);
-		fleet->core = site_fleet(fleet, view->record->config);
+		if (fleet->core)
+			site_configure(fleet->core, view->record->config);
+		else
+			fleet->core = site_fleet(fleet, view->record->config);
 		fleet->generation = view->record->generation;
-		fleet->applied = 0;
 	}
 	entry_view_release(view);
 	return has;
@@ -143,6 +146,7 @@
 	};
 	char *text;
 
+	entry_demand_tell(fleet->demand, &own);
 	for (size_t i = 0; fleet->written && i < n; i++) {
 		fleet_inst_view_t view;
 
--- a/packages/entry/entry_fleet.h
+++ b/packages/entry/entry_fleet.h
@@ -9,6 +9,18 @@
 #include "entry_int.h"
 #include "site.h"
 
+/* Demand on each pool through this entry, told anew now and then. */
+typedef struct entry_demand entry_demand_t;
+
+entry_demand_t *entry_demand_new(const void *ctx);
+
+/* Look at the pools; at the end of a period what is told changes. */
+void entry_demand_look(entry_demand_t *demand, entry_route_t *route,
+		       int64_t now);
+
+/* Put what is told into "own"; it stays the demand's. */
+void entry_demand_tell(const entry_demand_t *demand, site_entry_t *own);
+
 struct entry_fleet {
 	entry_daemon_t *daemon;
 	kern_duty_t *thread;
@@ -22,6 +34,7 @@
 	char *key;	    /* of this entry's record */
 	int64_t rev;
 	uint64_t inc;
+	entry_demand_t *demand;
 	char *written; /* the record as it stands; NULL: none yet */
 	GHashTable
 		*ended; /* "NAME/INCARNATION" of processes known to be gone */
--- a/packages/fleet/fleet.h
+++ b/packages/fleet/fleet.h
@@ -59,6 +59,9 @@
 /* A new empty fleet below "ctx". */
 fleet_t *fleet_new(const void *ctx, const fleet_opts_t *opts);
 
+/* Take other limits; what was learned stays. */
+void fleet_set_opts(fleet_t *fleet, const fleet_opts_t *opts);
+
 /* Take the pools of a configuration; pools it no longer names want nothing. */
 void fleet_configure(fleet_t *fleet, const fleet_pool_t *pools, size_t n);
 
--- a/packages/fleet/fleet_model.c
+++ b/packages/fleet/fleet_model.c
@@ -20,8 +20,7 @@
 {
 	fleet_t *fleet = talloc_zero(ctx, fleet_t);
 
-	fleet->opts = *opts;
-	set_defaults(&fleet->opts);
+	fleet_set_opts(fleet, opts);
 	fleet->by_id = g_hash_table_new(g_str_hash, g_str_equal);
 	fleet->rack_index = g_hash_table_new(g_str_hash, g_str_equal);
 	fleet->revs = g_hash_table_new(g_str_hash, g_str_equal);
@@ -30,6 +29,12 @@
 	return fleet;
 }
 
+void fleet_set_opts(fleet_t *fleet, const fleet_opts_t *opts)
+{
+	fleet->opts = *opts;
+	set_defaults(&fleet->opts);
+}
+
 void fleet_configure(fleet_t *fleet, const fleet_pool_t *pools, size_t n)
 {
 	for (size_t i = 0; i < fleet->n_pools; i++) {
--- a/packages/site/site.h
+++ b/packages/site/site.h
@@ -21,6 +21,9 @@
 /* A fleet for that configuration, below "ctx". */
 fleet_t *site_fleet(const void *ctx, const conf_t *conf);
 
+/* Follow another configuration; what was learned stays. */
+void site_configure(fleet_t *fleet, const conf_t *conf);
+
 /* Load every record of the fleet; all or an error. */
 bool site_read_records(fleet_t *fleet, plat_store_t *store, GError **err);
 
@@ -42,6 +45,9 @@
 	const char **ids; /* what it confirms ... */
 	uint64_t *seqs;	  /* ... and for which record */
 	size_t n;
+	const char **pools; /* demand on them in slots, through it */
+	double *demand;
+	size_t n_pools;
 } site_entry_t;
 
 /* The record's value, below "ctx". */
@@ -59,6 +65,10 @@
 bool site_read_entries(plat_store_t *store, const void *ctx,
 		       site_entries_t *out, GError **err);
 
+/* Add up the entries' demand and hand it to the fleet. */
+void site_take_demand(fleet_t *fleet, const site_entries_t *entries,
+		      int64_t now);
+
 /* Hand their confirmations to the fleet; "gone" ones no longer count. */
 void site_take_entry(fleet_t *fleet, const site_entry_t *entry, bool gone);
 
--- a/packages/site/site_fleet.c
+++ b/packages/site/site_fleet.c
@@ -1,4 +1,5 @@
 #include <stdlib.h>
+#include <string.h>
 
 #include "site.h"
 
@@ -19,11 +20,19 @@
 };
 
 fleet_t *site_fleet(const void *ctx, const conf_t *conf)
+{
+	fleet_opts_t opts = { 0 };
+	fleet_t *fleet = fleet_new(ctx, &opts);
+
+	site_configure(fleet, conf);
+	return fleet;
+}
+
+void site_configure(fleet_t *fleet, const conf_t *conf)
 {
 	fleet_opts_t opts = { .weights = weights_of(conf),
 			      .deadline = conf->limits.maintenance_days * DAY,
 			      .lead = conf->limits.maintenance_days * DAY / 4 };
-	fleet_t *fleet = fleet_new(ctx, &opts);
 	fleet_pool_t *pools = talloc_array(NULL, fleet_pool_t, conf->n_pools);
 
 	for (size_t i = 0; i < conf->n_pools; i++) {
@@ -40,9 +49,9 @@
 			.spare = pool->spare,
 		};
 	}
+	fleet_set_opts(fleet, &opts);
 	fleet_configure(fleet, pools, conf->n_pools);
 	talloc_free(pools);
-	return fleet;
 }
 
 bool site_read_records(fleet_t *fleet, plat_store_t *store, GError **err)
@@ -87,6 +96,25 @@
 	g_hash_table_destroy(seen);
 }
 
+void site_take_demand(fleet_t *fleet, const site_entries_t *entries,
+		      int64_t now)
+{
+	fleet_pool_view_t view;
+
+	for (size_t i = 0; fleet_pool_view(fleet, i, &view); i++) {
+		double slots = 0.0;
+
+		for (size_t e = 0; e < entries->n; e++) {
+			const site_entry_t *entry = &entries->items[e];
+
+			for (size_t p = 0; p < entry->n_pools; p++)
+				if (!strcmp(entry->pools[p], view.name))
+					slots += entry->demand[p];
+		}
+		fleet_demand(fleet, view.name, slots, now);
+	}
+}
+
 uint64_t site_incarnation(const char *text)
 {
 	return strtoull(text, NULL, 10);
