fleet: tests for what the properties and the reading found

Change: turned-back-dead looks at every step; late-reboot, lender-drains and empty accounts after a wave are new.

--- a/packages/fleet/tests/fleet_test.c
+++ b/packages/fleet/tests/fleet_test.c
@@ -94,6 +94,16 @@
 	g_assert_cmpint(fleet_state_parse("nonsense"), ==, FLEET_STATE_MAX);
 }
 
+/* Whether every grant was given back. */
+static bool accounts_empty(const world_t *w)
+{
+	for (size_t i = 0; i < w->n_kv; i++)
+		if (g_str_has_prefix(w->kv[i].key, FLEET_BUDGET_PREFIX) &&
+		    !strstr(w->kv[i].value, "\"grants\":[]"))
+			return false;
+	return true;
+}
+
 static void test_wave(void)
 {
 	fleet_t *fleet;
@@ -103,6 +113,7 @@
 	turns(w, fleet, 12000, BASE_SEC);
 	g_assert_cmpuint(w->reboots, ==, 49);
 	g_assert_cmpuint(w->broken, ==, 0);
+	g_assert_true(accounts_empty(w));
 	g_assert_cmpint(fleet_wave(fleet)->state, ==, FLEET_WAVE_NONE);
 	g_assert_cmpuint(count(fleet, FLEET_SERVING), ==, 49);
 	talloc_free(w);
@@ -305,8 +316,61 @@
 				 FLEET_FOR_HOLD, w->now);
 	g_assert_true(world_cas(w, FLEET_ORDERS_KEY, value,
 				world_find(w, FLEET_ORDERS_KEY)->rev));
-	turns(w, fleet, 10, BASE_SEC);
-	g_assert_cmpuint(count(fleet, FLEET_SERVING), ==, 3);
+	for (int i = 0; i < 10; i++) {
+		turns(w, fleet, 1, BASE_SEC);
+		g_assert_cmpuint(count(fleet, FLEET_SERVING), ==, 3);
+	}
+	talloc_free(w);
+}
+
+/*
+ * A reboot that nobody carried out in time: the instance lives on and fails,
+ * and must not serve again before the order was obeyed, which may come late.
+ */
+static void test_late_reboot(void)
+{
+	fleet_t *fleet;
+	world_t *w = site(&fleet);
+	uint64_t inc = w->insts[0].inc;
+	char *value = fleet_order_edit(w, base_str(""), w->insts[0].id,
+				       FLEET_FOR_URGENT, w->now);
+
+	g_assert_true(world_cas(w, FLEET_ORDERS_KEY, value, 0));
+	for (int i = 0; i < 1200; i++) {
+		w->insts[0].rebooting = false; /* ignored */
+		w->insts[0].up = true;
+		world_turn(w, fleet, BASE_SEC);
+	}
+	g_assert_cmpuint(count(fleet, FLEET_FAILED), ==, 1);
+	turns(w, fleet, 900, BASE_SEC);
+	g_assert_cmpuint(w->insts[0].inc, >, inc);
+	g_assert_cmpuint(count(fleet, FLEET_SERVING), ==, 49);
+	g_assert_cmpuint(w->broken, ==, 0);
+	talloc_free(w);
+}
+
+/* A pool that lends keeps enough to be drained itself. */
+static void test_lender_drains(void)
+{
+	fleet_opts_t opts = { 0 };
+	fleet_pool_t pools[] = {
+		{ "spare", 3, 8, 1, true, false, true },
+		{ "busy", 3, 8, 1, true, false, false },
+		{ "other", 3, 8, 1, true, false, false },
+	};
+	world_t *w = world_new(1, 3, 3);
+	fleet_t *fleet = fleet_new(w, &opts);
+	fleet_pool_view_t view;
+
+	world_add_entry(w);
+	fleet_configure(fleet, pools, 3);
+	fleet_fence(fleet, 1);
+	for (int i = 0; i < 1800; i++) {
+		fleet_demand(fleet, "busy", 24.0, w->now);
+		world_turn(w, fleet, BASE_SEC);
+	}
+	for (size_t i = 0; fleet_pool_view(fleet, i, &view); i++)
+		g_assert_cmpint(view.room, >=, 1);
 	talloc_free(w);
 }
 
@@ -439,6 +503,8 @@
 	g_test_add_func("/fleet/hold", test_hold);
 	g_test_add_func("/fleet/move", test_move);
 	g_test_add_func("/fleet/turned-back-dead", test_turned_back_dead);
+	g_test_add_func("/fleet/late-reboot", test_late_reboot);
+	g_test_add_func("/fleet/lender-drains", test_lender_drains);
 	g_test_add_func("/fleet/bursts", test_bursts);
 	g_test_add_func("/fleet/bad-records", test_bad_records);
 	g_test_add_func("/fleet/budget-check", test_budget_check);
