--- a/packages/entry/entry_duty.c
+++ b/packages/entry/entry_duty.c
@@ -34,11 +34,14 @@
 	fleet_ops_t *ops;
 
 	if (!read_all(fleet, ctx, &cause)) {
-		base_log(fleet->daemon->log, BASE_MSG_DUTY_WAITS,
-			 BASE_F_STR("why", cause->message));
+		if (!fleet->blind)
+			base_log(fleet->daemon->log, BASE_MSG_DUTY_WAITS,
+				 BASE_F_STR("why", cause->message));
+		fleet->blind = true;
 		g_clear_error(&cause);
 		return;
 	}
+	fleet->blind = false;
 	plat_duty_fence(fleet->duty, &token);
 	fleet_fence(fleet->core, (uint64_t)token.fence_revision);
 	ops = fleet_step(fleet->core, ctx, base_clock_wall());
