--- a/packages/route/tests/route_prop.cpp
+++ b/packages/route/tests/route_prop.cpp
@@ -308,12 +308,23 @@
 	}));
 }
 
-void offer(Cores &all, Core &core, int cls)
+/* Drop what has ended. */
+void forget(Core &core)
+{
+	std::vector<std::unique_ptr<Req>> rest;
+
+	for (auto &req : core.reqs)
+		if (!req->ends)
+			rest.push_back(std::move(req));
+	core.reqs = std::move(rest);
+}
+
+void offer(Cores &all, Core &core, int cls, uint32_t caller)
 {
 	auto req = std::make_unique<Req>();
 
 	req->r.class_id = cls;
-	req->r.caller_id = 1;
+	req->r.caller_id = caller;
 	req->r.bytes = 1;
 	req->r.deadline = all.now + 1000 * BASE_SEC;
 	req->r.data = req.get();
@@ -337,12 +348,11 @@
 	Core &core = *all.cores[0];
 	route_view(core.route, base_str("p"), 2, one, 1, all.now);
 	for (int turn = 0; turn < 2000; turn++) {
-		std::vector<std::unique_ptr<Req>> rest;
 		int total = 0;
 
 		for (int k = 0; k < 6; k++)
-			offer(all, core, flooder);
-		offer(all, core, 2 - flooder);
+			offer(all, core, flooder, 1);
+		offer(all, core, 2 - flooder, 1);
 		all.now += BASE_MS;
 		for (auto *req : which(core, true)) {
 			served += req->r.class_id != flooder;
@@ -351,10 +361,7 @@
 		}
 		RC_ASSERT(total > 0);
 		owed += std::min(1.0, total / 2.0);
-		for (auto &req : core.reqs)
-			if (!req->ends)
-				rest.push_back(std::move(req));
-		core.reqs = std::move(rest);
+		forget(core);
 	}
 	/* The flooder may first use what it saved: CREDIT_MAX requests. */
 	RC_ASSERT(served >= 0.99 * owed - 16);
@@ -362,6 +369,84 @@
 		talloc_free(each->route);
 }
 
+void see_idle(void *, const route_pool_stats_t *s)
+{
+	int most = std::max((int)s->limit, 1);
+
+	if (s->queued > 0)
+		RC_ASSERT(s->running >=
+			  std::min(most, s->live * s->connections));
+}
+
+/* While endpoints work, nothing queues beside a slot that it may have. */
+void conserving()
+{
+	Cores all;
+
+	build(all);
+	Core &core = *all.cores[0];
+	for (int i = *rc::gen::inRange(0, 300); i > 0; i--) {
+		auto running = which(core, true);
+
+		switch (*rc::gen::inRange(0, 5)) {
+		case 0:
+			all.now += *rc::gen::inRange(0, 30000);
+			route_tick(core.route, all.now);
+			break;
+		case 1:
+		case 2:
+			if (!running.empty())
+				finish(all, core, running[0],
+				       ROUTE_RESULT_ANSWERED);
+			break;
+		default:
+			submit(all, core);
+		}
+		route_each_pool(core.route, all.now, see_idle, nullptr);
+	}
+	drain(all);
+}
+
+/* Callers of one class that all have work are served by their weights. */
+void callers()
+{
+	int served[3] = { 0, 0, 0 };
+	Cores all;
+
+	build(all);
+	Core &core = *all.cores[0];
+	const route_endpoint_t one[] = { { "i9", "1", "z0", "a", 1,
+					   ROUTE_LIVE } };
+
+	route_view(core.route, base_str("p"), 2, one, 1, all.now);
+	for (int turn = 0; turn < 1000; turn++) {
+		for (uint32_t caller = 0; caller < 3; caller++)
+			for (int k = 0; k < 2; k++)
+				offer(all, core, 0, caller);
+		all.now += BASE_MS;
+		for (auto *req : which(core, true)) {
+			served[req->r.caller_id]++;
+			finish(all, core, req, ROUTE_RESULT_ANSWERED);
+		}
+		forget(core);
+	}
+	/* Weights 1, 1 and 3; the queue holds six. */
+	RC_ASSERT(std::abs(served[0] - served[1]) <= 20);
+	RC_ASSERT(served[2] >= 2 * served[0]);
+	for (auto &each : all.cores)
+		talloc_free(each->route);
+}
+
+void prop_conserving()
+{
+	g_assert_true(rc::check("no idle slot beside a queue", conserving));
+}
+
+void prop_callers()
+{
+	g_assert_true(rc::check("callers by weight", callers));
+}
+
 void prop_shares()
 {
 	g_assert_true(rc::check("shares are kept, the rest is lent", shares));
@@ -373,6 +458,8 @@
 {
 	g_test_init(&argc, &argv, NULL);
 	g_test_add_func("/route/interleavings", prop_interleavings);
+	g_test_add_func("/route/conserving", prop_conserving);
+	g_test_add_func("/route/callers", prop_callers);
 	g_test_add_func("/route/shares", prop_shares);
 	return g_test_run();
 }
