--- a/packages/entry/entry_operators.c
+++ b/packages/entry/entry_operators.c
@@ -156,6 +156,7 @@
 	base_buf_addf(out, "cactusfield_in_flight %d\n",
 		      atomic_load(&daemon->in_flight));
 	add_store_calls(out, daemon);
+	entry_metrics_route(daemon, out);
 	status = entry_operators_answer(conn, 200, "text/plain; version=0.0.4",
 					base_buf_str(out));
 	talloc_free(out);
