Look up lines only for a configuration that is refused; damaged job records

Cause: an entry loads each change and nearly all are in order, yet lines were indexed for all; a record with huge amounts could overflow sums. Change: conf_load() and conf_record_load() index lines only after a fault and leave duplicate keys to jansson; amounts in job records are bounded; a property restores damaged records.

--- a/packages/conf/conf_int.h
+++ b/packages/conf/conf_int.h
@@ -76,8 +76,8 @@
 
 /* State of one reading. */
 typedef struct conf_reader {
-	unsigned int where; /* CONF_IN_ANSWERS or CONF_IN_CONFIG */
-	const conf_pos_t *pos;
+	unsigned int where;    /* CONF_IN_ANSWERS or CONF_IN_CONFIG */
+	const conf_pos_t *pos; /* NULL: every fault is on line 1 */
 	conf_faults_t *faults;
 	void *mem; /* parent of what is read */
 } conf_reader_t;
@@ -125,8 +125,17 @@
 int64_t conf_spread(const conf_t *conf, int64_t executors, int64_t *room,
 		    conf_placement_t *out);
 
-/* Parse "text"; a syntax fault is added and NULL returned. */
-json_t *conf_parse(base_str_t text, conf_faults_t *faults);
+/*
+ * Parse "text" with jansson's "flags"; where they refuse duplicate keys "*code"
+ * becomes CONF_ERR_SCHEMA for these.  A syntax fault is added and NULL
+ * returned.
+ */
+json_t *conf_parse(base_str_t text, size_t flags, conf_faults_t *faults,
+		   conf_error_t *code);
+
+/* The configuration in "root", which was read from "text". */
+conf_t *conf_from_tree(const void *ctx, const json_t *root, base_str_t text,
+		       GError **err);
 
 /* Turn the first faults into one error. */
 void conf_set_error(GError **err, conf_error_t code,
--- a/packages/conf/conf_load.c
+++ b/packages/conf/conf_load.c
@@ -5,14 +5,15 @@
 
 #define FAULTS_SHOWN 3 /* in one error */
 
-static conf_t *load_tree(const void *ctx, const json_t *root, base_str_t text,
-			 GError **err);
+static conf_t *read_tree(const conf_reader_t *rd, const json_t *root,
+			 conf_error_t *code);
 static void check_derived(const conf_reader_t *rd, const conf_t *conf,
 			  const json_t *root);
 
-G_DEFINE_QUARK(conf - error - quark, conf_error)
+G_DEFINE_QUARK(conf_error_quark, conf_error)
 
-json_t *conf_parse(base_str_t text, conf_faults_t *faults)
+json_t *conf_parse(base_str_t text, size_t flags, conf_faults_t *faults,
+		   conf_error_t *code)
 {
 	json_error_t error;
 	json_t *root;
@@ -22,18 +23,23 @@
 			       "a text that a store's value can hold");
 		return NULL;
 	}
-	root = json_loadb(text.ptr, text.len, JSON_DECODE_ANY, &error);
-	if (!root)
-		conf_fault_add(faults, "$", error.line > 0 ? error.line : 1,
-			       error.text, "JSON");
-	return root;
+	root = json_loadb(text.ptr, text.len, JSON_DECODE_ANY | flags, &error);
+	if (root)
+		return root;
+	if (json_error_code(&error) == json_error_duplicate_key && code)
+		*code = CONF_ERR_SCHEMA;
+	conf_fault_add(faults, "$", error.line > 0 ? error.line : 1, error.text,
+		       code && *code == CONF_ERR_SCHEMA
+			       ? "each key once in an object"
+			       : "JSON");
+	return NULL;
 }
 
 conf_answers_t *conf_answers_load(const void *ctx, base_str_t text,
 				  conf_faults_t *faults)
 {
 	size_t before = faults->n;
-	json_t *root = conf_parse(text, faults);
+	json_t *root = conf_parse(text, 0, faults, NULL);
 	conf_pos_t *pos;
 	conf_t *conf;
 
@@ -56,13 +62,14 @@
 conf_t *conf_load(const void *ctx, base_str_t json, GError **err)
 {
 	conf_faults_t *faults = conf_faults_new(NULL);
-	json_t *root = conf_parse(json, faults);
+	conf_error_t code = CONF_ERR_SYNTAX;
+	json_t *root = conf_parse(json, JSON_REJECT_DUPLICATES, faults, &code);
 	conf_t *conf = NULL;
 
 	if (root)
-		conf = load_tree(ctx, root, json, err);
+		conf = conf_from_tree(ctx, root, json, err);
 	else
-		conf_set_error(err, CONF_ERR_SYNTAX, faults);
+		conf_set_error(err, code, faults);
 	json_decref(root);
 	talloc_free(faults);
 	return conf;
@@ -84,34 +91,50 @@
 	json_decref(copy);
 }
 
-static conf_t *load_tree(const void *ctx, const json_t *root, base_str_t text,
-			 GError **err)
+/*
+ * Lines are looked up only for a configuration that is refused: entries load
+ * each change, and nearly all are in order.
+ */
+conf_t *conf_from_tree(const void *ctx, const json_t *root, base_str_t text,
+		       GError **err)
 {
 	conf_faults_t *faults = conf_faults_new(NULL);
-	conf_pos_t *pos = conf_pos_new(faults, text, faults);
-	conf_reader_t rd = { CONF_IN_CONFIG, pos, faults, (void *)ctx };
-	conf_t *conf = conf_decode(&rd, root);
+	conf_reader_t rd = { CONF_IN_CONFIG, NULL, faults, (void *)ctx };
 	conf_error_t code = CONF_ERR_SCHEMA;
+	conf_t *conf = read_tree(&rd, root, &code);
 
-	if (!faults->n) {
-		code = CONF_ERR_DIGEST;
-		check_derived(&rd, conf, root);
-	}
-	if (!faults->n) {
-		code = CONF_ERR_SCHEMA;
-		conf_check(&rd, conf);
-	}
-	if (faults->n) {
+	if (!conf) {
+		faults->n = 0;
+		rd.pos = conf_pos_new(faults, text, faults);
+		read_tree(&rd, root, &code);
 		conf_faults_sort(faults);
 		conf_set_error(err, code, faults);
-		TALLOC_FREE(conf);
-	} else {
-		conf_index_build(conf);
 	}
 	talloc_free(faults);
 	return conf;
 }
 
+static conf_t *read_tree(const conf_reader_t *rd, const json_t *root,
+			 conf_error_t *code)
+{
+	conf_t *conf = conf_decode(rd, root);
+
+	*code = CONF_ERR_SCHEMA;
+	if (!rd->faults->n) {
+		*code = CONF_ERR_DIGEST;
+		check_derived(rd, conf, root);
+	}
+	if (!rd->faults->n) {
+		*code = CONF_ERR_SCHEMA;
+		conf_check(rd, conf);
+	}
+	if (rd->faults->n)
+		TALLOC_FREE(conf);
+	else
+		conf_index_build(conf);
+	return conf;
+}
+
 static void check_derived(const conf_reader_t *rd, const conf_t *conf,
 			  const json_t *root)
 {
--- a/packages/conf/conf_pos.c
+++ b/packages/conf/conf_pos.c
@@ -46,10 +46,10 @@
 
 int conf_pos_line(const conf_pos_t *pos, const char *path)
 {
-	char *copy = g_strdup(path);
+	char *copy = pos ? g_strdup(path) : NULL;
 	int line = 0;
 
-	while (!line && copy[0]) {
+	while (copy && !line && copy[0]) {
 		size_t len = strlen(copy);
 
 		line = GPOINTER_TO_INT(g_hash_table_lookup(pos->lines, copy));
--- a/packages/conf/conf_record.c
+++ b/packages/conf/conf_record.c
@@ -8,17 +8,14 @@
 conf_record_t *conf_record_load(const void *ctx, base_str_t json, GError **err)
 {
 	conf_faults_t *faults = conf_faults_new(NULL);
-	json_t *root = conf_parse(json, faults);
+	conf_error_t code = CONF_ERR_SYNTAX;
+	json_t *root = conf_parse(json, JSON_REJECT_DUPLICATES, faults, &code);
 	conf_record_t *rec = talloc_zero(ctx, conf_record_t);
-	bool syntax = root != NULL;
 	json_t *config = NULL;
 	char *text;
 
-	if (root)
-		conf_pos_new(faults, json, faults);
-	if (faults->n) {
-		conf_set_error(err, syntax ? CONF_ERR_SCHEMA : CONF_ERR_SYNTAX,
-			       faults);
+	if (!root) {
+		conf_set_error(err, code, faults);
 	} else if (!unpack(rec, root, &config)) {
 		g_set_error(err, CONF_ERROR, CONF_ERR_SCHEMA,
 			    "accepted configuration: expected generation from "
@@ -27,7 +24,8 @@
 		text = json_dumps(config, JSON_INDENT(2) | JSON_ENCODE_ANY);
 		rec->config_json = talloc_asprintf(rec, "%s\n", text);
 		free(text);
-		rec->config = conf_load(rec, base_str(rec->config_json), err);
+		rec->config = conf_from_tree(rec, config,
+					     base_str(rec->config_json), err);
 	}
 	if (!rec->config)
 		TALLOC_FREE(rec);
--- a/packages/conf/tests/conf_test.c
+++ b/packages/conf/tests/conf_test.c
@@ -138,15 +138,13 @@
 	g_clear_error(&err);
 }
 
-static void test_record(void)
+/* Twenty records, each after the one before it. */
+static conf_record_t *records(void *ctx, const char *json)
 {
-	void *ctx = talloc_new(NULL);
-	char *json = generated(ctx, examples[1]);
-	GError *err = NULL;
 	conf_record_t *rec = NULL;
+	GError *err = NULL;
 	char id[8], *text;
 
-	/* Each record follows the one before it. */
 	for (int i = 1; i <= 20; i++) {
 		g_snprintf(id, sizeof(id), "c-%d", i);
 		text = conf_record_print(ctx, rec, base_str(id), base_str(json),
@@ -155,12 +153,23 @@
 		rec = conf_record_load(ctx, base_str(text), &err);
 		g_assert_no_error(err);
 	}
+	return rec;
+}
+
+static void test_record(void)
+{
+	void *ctx = talloc_new(NULL);
+	char *json = generated(ctx, examples[1]);
+	conf_record_t *rec = records(ctx, json);
+
 	g_assert_cmpint(rec->generation, ==, 20);
 	g_assert_cmpuint(rec->n_before, ==, CONF_RECORD_BEFORE_MAX);
-	g_assert_cmpint(conf_record_find(rec, BASE_STR("c-20")), ==, 20);
-	g_assert_cmpint(conf_record_find(rec, BASE_STR("c-12")), ==, 12);
-	g_assert_cmpint(conf_record_find(rec, BASE_STR("c-4")), ==, 4);
-	g_assert_cmpint(conf_record_find(rec, BASE_STR("c-3")), ==, 0);
+	for (int i = 1; i <= 20; i++) {
+		char *id = talloc_asprintf(ctx, "c-%d", i);
+
+		g_assert_cmpint(conf_record_find(rec, base_str(id)), ==,
+				i >= 4 ? i : 0);
+	}
 	g_assert_cmpstr(rec->change.ptr, ==, "c-20");
 	g_assert_cmpstr(rec->config->site.ptr, ==, "addis");
 	g_assert_cmpstr(rec->config_json, ==, json);
--- a/packages/jobs/jobs_json.c
+++ b/packages/jobs/jobs_json.c
@@ -11,6 +11,8 @@
 	[JOBS_CANCELLED] = "cancelled",
 };
 
+#define AMOUNT_MAX ((json_int_t)1 << 40) /* sums of many stay in range */
+
 static json_t *res_print(const jobs_res_t *res);
 static json_t *spec_print(const jobs_spec_t *spec);
 static json_t *tasks_print(const jobs_record_t *record);
@@ -129,7 +131,8 @@
 	for (size_t k = 0; k < JOBS_KIND_MAX; k++) {
 		json_t *item = json_array_get(json, k);
 
-		if (!json_is_integer(item) || json_integer_value(item) < 0)
+		if (!json_is_integer(item) || json_integer_value(item) < 0 ||
+		    json_integer_value(item) > AMOUNT_MAX)
 			return false;
 		res->v[k] = json_integer_value(item);
 	}
--- a/packages/jobs/tests/jobs_prop.cpp
+++ b/packages/jobs/tests/jobs_prop.cpp
@@ -1,5 +1,6 @@
 #include <rapidcheck.h>
 #include <algorithm>
+#include <cstring>
 #include <map>
 #include <set>
 #include <string>
@@ -137,14 +138,16 @@
 
 void tell(holder *h, const jobs_order_t *order, jobs_event_t event)
 {
-	auto it = h->w->running.find({ text(order->job), order->attempt });
+	task_id id = { text(order->job), order->attempt };
+	auto it = h->w->running.find(id);
 
 	RC_ASSERT(!h->fenced);
 	if (it != h->w->running.end())
 		it->second.order = event;
 	else if (event == JOBS_EVENT_GONE)
-		h->w->workers[(size_t)std::stoi(text(order->worker).substr(1))]
-			.fenced.insert({ text(order->job), order->attempt });
+		for (size_t i = 0; i < h->w->workers.size(); i++)
+			if (text(order->worker) == "w" + std::to_string(i))
+				h->w->workers[i].fenced.insert(id);
 }
 
 void fake_checkpoint(void *arg, const jobs_order_t *order)
@@ -504,6 +507,41 @@
 	talloc_free(ctx);
 }
 
+/* A damaged record is refused, or restores to something that steps on. */
+void damaged_record()
+{
+	g_assert_true(rc::check("damaged records are refused or harmless", [] {
+		void *ctx = talloc_new(nullptr);
+		world w;
+		jobs_record_t record;
+		GError *err = nullptr;
+		char *json, *again;
+
+		w.tame = false;
+		w.workers.resize(2);
+		take_over(&w, ctx);
+		submit(&w, *rc::gen::arbitrary<uint32_t>());
+		jobs_step(w.holder->core, w.now);
+		RC_ASSERT(jobs_record(w.holder->core, BASE_STR("j0"), &record));
+		json = jobs_record_print(ctx, &record);
+		RC_ASSERT(jobs_record_load(ctx, base_str(json), &record, &err));
+		again = jobs_record_print(ctx, &record);
+		RC_ASSERT(std::string(json) == again);
+		for (int i = *rc::gen::inRange(1, 4); i > 0; i--)
+			json[*rc::gen::inRange<size_t>(0, strlen(json))] =
+				"0129-{}[],:\"xe"[*rc::gen::inRange(0, 14)];
+		w.store.clear();
+		take_over(&w, ctx);
+		if (!jobs_record_load(ctx, base_str(json), &record, &err) ||
+		    !jobs_restore(w.holder->core, w.now, &record, &err))
+			RC_ASSERT(err != nullptr);
+		g_clear_error(&err);
+		w.now += 60 * second;
+		RC_ASSERT(jobs_step(w.holder->core, w.now));
+		talloc_free(ctx);
+	}));
+}
+
 void tame_world()
 {
 	g_assert_true(rc::check("jobs end, shares and quotas hold",
@@ -521,6 +559,7 @@
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, nullptr);
+	g_test_add_func("/jobs/prop/record", damaged_record);
 	g_test_add_func("/jobs/prop/tame", tame_world);
 	g_test_add_func("/jobs/prop/wild", wild_world);
 	return g_test_run();
