Follow the instance list by its changes

Change: after one whole list only changes are asked for, by a watch from the last resourceVersion that ends after a second (timeoutSeconds), so that the client needs no way to abandon a read. The stand-in keeps revisions of its list.

Conclusion: bytes follow the changes, not the fleet.

--- a/packages/entry/entry_platform.c
+++ b/packages/entry/entry_platform.c
@@ -5,7 +5,7 @@
  */
 
 #define CONFIG_PERIOD_US (500 * BASE_MS)
-#define LIST_PERIOD_US (1000 * BASE_MS)
+#define LIST_PERIOD_US (500 * BASE_MS) /* between waits or failed tries */
 
 static bool platform_start(void *service, kern_t *kern, GError **err);
 static void platform_stop(void *service);
@@ -99,21 +99,25 @@
 	}
 }
 
+/* Waits in the platform for up to PLAT_LIST_WAIT_S. */
 static void read_list(void *arg, int64_t now)
 {
 	entry_daemon_t *daemon = arg;
+	plat_list_t *list = daemon->list;
 	void *ctx = talloc_new(NULL);
 	plat_instances_t instances;
 	GError *cause = NULL;
-	bool read = daemon->list->ops->read(daemon->list, ctx, NULL, &instances,
-					    &cause);
+	bool changed = false;
+	bool heard = list->ops->follow(list, &changed, &cause);
 
 	(void)now;
-	if (read) {
+	if (heard && changed &&
+	    list->ops->read(list, ctx, NULL, &instances, &cause)) {
 		entry_views_take_list(daemon->views, &instances);
 		entry_route_apply(daemon->route);
 	}
-	note_reach(daemon, &daemon->list_down, read, BASE_MSG_LIST_DOWN, cause);
+	note_reach(daemon, &daemon->list_down, heard, BASE_MSG_LIST_DOWN,
+		   cause);
 	talloc_free(ctx);
 }
 
--- a/packages/plat/plat.h
+++ b/packages/plat/plat.h
@@ -236,11 +236,23 @@
 typedef struct plat_list plat_list_t;
 
 typedef struct plat_list_ops {
-	/* All instances of "zone" (NULL: of every zone), below "ctx". */
+	/*
+	 * All instances of "zone" (NULL: of every zone), below "ctx".  A client
+	 * that is followed answers from what it has heard while that is not
+	 * older than PLAT_LIST_FRESH_US.
+	 */
 	bool (*read)(plat_list_t *list, const void *ctx, const char *zone,
 		     plat_instances_t *out, GError **err);
+	/*
+	 * Read the list once, then wait up to PLAT_LIST_WAIT_S for what changes
+	 * in it.  "*changed" says that read() has news.
+	 */
+	bool (*follow)(plat_list_t *list, bool *changed, GError **err);
 } plat_list_ops_t;
 
+#define PLAT_LIST_WAIT_S 1
+#define PLAT_LIST_FRESH_US (3 * BASE_SEC)
+
 struct plat_list {
 	const plat_list_ops_t *ops;
 };
--- a/packages/plat/plat_http.c
+++ b/packages/plat/plat_http.c
@@ -15,6 +15,8 @@
 		       GError **err);
 static bool send_request(plat_http_t *http, struct mg_connection *conn,
 			 const char *path, const char *body);
+static bool fetch(plat_http_t *http, const char *path, const char *body,
+		  base_buf_t *answer, int *status, GError **err);
 static bool exchange(plat_http_t *http, const char *path, const char *body,
 		     GError **err);
 static bool read_body(struct mg_connection *conn, base_buf_t *out);
@@ -36,26 +38,29 @@
 json_t *plat_http_call(plat_http_t *http, const char *path, const char *body,
 		       GError **err)
 {
-	const struct mg_response_info *info;
-	base_buf_t *answer;
+	base_buf_t *answer = base_buf_new(NULL);
 	json_t *root = NULL;
+	int status;
 
-	if (!exchange(http, path, body, err))
-		return NULL;
-	info = mg_get_response_info(http->conn);
-	answer = base_buf_new(NULL);
-	if (read_body(http->conn, answer)) {
-		root = parse(info->status_code, answer, err);
-	} else {
-		g_set_error(err, PLAT_ERROR, PLAT_ERROR_UNKNOWN,
-			    "answer of %s:%d was cut short", http->host,
-			    http->port);
-		disconnect(http);
-	}
+	if (fetch(http, path, body, answer, &status, err))
+		root = parse(status, answer, err);
 	talloc_free(answer);
 	return root;
 }
 
+bool plat_http_get(plat_http_t *http, const char *path, base_buf_t *body,
+		   GError **err)
+{
+	int status;
+
+	if (!fetch(http, path, NULL, body, &status, err))
+		return false;
+	if (status == 200)
+		return true;
+	g_set_error(err, PLAT_ERROR, PLAT_ERROR_BAD, "status %d", status);
+	return false;
+}
+
 json_t *plat_get_json(const plat_address_t *address, const char *path,
 		      GError **err)
 {
@@ -66,6 +71,21 @@
 	return root;
 }
 
+/* Send and read the whole answer. */
+static bool fetch(plat_http_t *http, const char *path, const char *body,
+		  base_buf_t *answer, int *status, GError **err)
+{
+	if (!exchange(http, path, body, err))
+		return false;
+	*status = mg_get_response_info(http->conn)->status_code;
+	if (read_body(http->conn, answer))
+		return true;
+	g_set_error(err, PLAT_ERROR, PLAT_ERROR_UNKNOWN,
+		    "answer of %s:%d was cut short", http->host, http->port);
+	disconnect(http);
+	return false;
+}
+
 static int free_http(plat_http_t *http)
 {
 	disconnect(http);
--- a/packages/plat/plat_int.h
+++ b/packages/plat/plat_int.h
@@ -29,4 +29,10 @@
 json_t *plat_http_call(plat_http_t *http, const char *path, const char *body,
 		       GError **err);
 
+/*
+ * A GET whose answer is not one JSON text: its body is appended to "body".
+ */
+bool plat_http_get(plat_http_t *http, const char *path, base_buf_t *body,
+		   GError **err);
+
 #endif
--- a/standin/standin_fleet.c
+++ b/standin/standin_fleet.c
@@ -1,5 +1,7 @@
 #include "standin_int.h"
 
+#define WATCH_STEP_US (50 * BASE_MS)
+
 /*
  * The instance list with its lag, switches, the reboot action and the
  * endpoints' own records.
@@ -14,8 +16,11 @@
 static int on_switch(struct mg_connection *conn, void *arg);
 static int on_records(struct mg_connection *conn, void *arg);
 static int on_reset(struct mg_connection *conn, void *arg);
-static json_t *slice_of(const standin_t *s, const instance_t *instance,
-			int port);
+static int on_watch(struct mg_connection *conn, standin_t *s, const char *zone,
+		    int64_t since);
+static bool in_zone(const standin_t *s, const instance_t *instance,
+		    const char *zone);
+static json_t *slice_of(const standin_t *s, const instance_t *instance);
 static void settle(standin_t *s, int64_t now);
 static instance_t *find(standin_t *s, const char *id);
 static bool switch_instance(standin_t *s, const char *id, const char *mode);
@@ -35,7 +40,7 @@
 {
 	standin_t *s = arg;
 	json_t *items = json_array();
-	char selector[ID_MAX * 2];
+	char selector[ID_MAX * 2], version[24], watch[8];
 	const char *zone = NULL;
 
 	if (s->list_down || zone_is_cut(s, conn)) {
@@ -45,35 +50,96 @@
 	param(conn, "labelSelector", selector, sizeof(selector));
 	if (!strncmp(selector, "zone=", 5))
 		zone = selector + 5;
+	param(conn, "watch", watch, sizeof(watch));
+	param(conn, "resourceVersion", version, sizeof(version));
+	if (watch[0]) {
+		json_decref(items);
+		return on_watch(conn, s, zone, atoll(version));
+	}
 	pthread_mutex_lock(&s->lock);
 	settle(s, base_clock_mono());
 	for (int i = 0; i < s->instance_count; i++) {
 		instance_t *instance = &s->instances[i];
 
-		if (!instance->listed_gone &&
-		    (!zone || !strcmp(zone, s->zones[instance->zone].name)))
-			json_array_append_new(
-				items, slice_of(s, instance, s->base_port + i));
+		if (!instance->listed_gone && in_zone(s, instance, zone))
+			json_array_append_new(items, slice_of(s, instance));
 	}
+	snprintf(version, sizeof(version), "%lld", (long long)s->list_revision);
 	pthread_mutex_unlock(&s->lock);
-	return answer_json(conn, 200,
-			   json_pack("{s:s,s:s,s:o}", "kind",
-				     "EndpointSliceList", "apiVersion",
-				     "discovery.k8s.io/v1", "items", items));
+	return answer_json(
+		conn, 200,
+		json_pack("{s:s,s:s,s:{s:s},s:o}", "kind", "EndpointSliceList",
+			  "apiVersion", "discovery.k8s.io/v1", "metadata",
+			  "resourceVersion", version, "items", items));
+}
+
+/* Send what changed after "since" until the time that was asked is over. */
+static int on_watch(struct mg_connection *conn, standin_t *s, const char *zone,
+		    int64_t since)
+{
+	int64_t until;
+	char seconds[8];
+
+	param(conn, "timeoutSeconds", seconds, sizeof(seconds));
+	until = base_clock_mono() + atoll(seconds) * BASE_SEC;
+	mg_printf(conn, "HTTP/1.1 200 OK\r\n"
+			"Transfer-Encoding: chunked\r\n\r\n");
+	while (base_clock_mono() < until && !s->list_down) {
+		GString *lines = g_string_new("");
+		int64_t newest = since;
+
+		pthread_mutex_lock(&s->lock);
+		settle(s, base_clock_mono());
+		for (int i = 0; i < s->instance_count; i++) {
+			instance_t *instance = &s->instances[i];
+			json_t *event;
+			char *text;
+
+			if (instance->listed_revision <= since ||
+			    !in_zone(s, instance, zone))
+				continue;
+			event = json_pack("{s:s,s:o}", "type",
+					  instance->listed_gone ? "DELETED"
+								: "MODIFIED",
+					  "object", slice_of(s, instance));
+			text = json_dumps(event, JSON_COMPACT);
+			g_string_append_printf(lines, "%s\n", text);
+			free(text);
+			json_decref(event);
+			newest = MAX(newest, instance->listed_revision);
+		}
+		pthread_mutex_unlock(&s->lock);
+		if (lines->len)
+			mg_send_chunk(conn, lines->str, (unsigned)lines->len);
+		g_string_free(lines, TRUE);
+		since = newest;
+		base_clock_sleep(WATCH_STEP_US);
+	}
+	mg_send_chunk(conn, "", 0);
+	return 200;
+}
+
+static bool in_zone(const standin_t *s, const instance_t *instance,
+		    const char *zone)
+{
+	return !zone || !strcmp(zone, s->zones[instance->zone].name);
 }
 
-static json_t *slice_of(const standin_t *s, const instance_t *instance,
-			int port)
+static json_t *slice_of(const standin_t *s, const instance_t *instance)
 {
-	char uid[16], rack[ID_MAX + 16];
+	char uid[16], rack[ID_MAX + 16], version[24];
 
+	snprintf(version, sizeof(version), "%lld",
+		 (long long)instance->listed_revision);
 	snprintf(uid, sizeof(uid), "%d", instance->listed_incarnation);
 	snprintf(rack, sizeof(rack), "%s-r%d", s->zones[instance->zone].name,
 		 instance->rack);
 	return json_pack(
-		"{s:s,s:[{s:i}],s:[{s:[s],s:s,s:{s:s,s:s},s:{s:s},s:{s:b,s:b}}]"
-		"}",
-		"addressType", "IPv4", "ports", "port", port, "endpoints",
+		"{s:{s:s,s:s},s:s,s:[{s:i}],s:[{s:[s],s:s,s:{s:s,s:s},s:{s:s},"
+		"s:{s:b,s:b}}]}",
+		"metadata", "name", instance->id, "resourceVersion", version,
+		"addressType", "IPv4", "ports", "port",
+		s->base_port + (int)(instance - s->instances), "endpoints",
 		"addresses", "127.0.0.1", "zone", s->zones[instance->zone].name,
 		"targetRef", "name", instance->id, "uid", uid,
 		"deprecatedTopology", "rack", rack, "conditions", "ready",
@@ -93,7 +159,9 @@
 			instance->incarnation++;
 			leave(s, instance, false);
 		}
-		if (instance->listed_at <= now) {
+		if (instance->listed_at && instance->listed_at <= now) {
+			instance->listed_at = 0;
+			instance->listed_revision = ++s->list_revision;
 			instance->listed_leaving = instance->leaving;
 			instance->listed_gone = instance->gone;
 			instance->listed_incarnation = instance->incarnation;
@@ -185,7 +253,7 @@
 
 static void changed(standin_t *s, instance_t *instance)
 {
-	instance->listed_at = base_clock_mono() + s->lag_us;
+	instance->listed_at = base_clock_mono() + s->lag_us + 1;
 }
 
 static instance_t *find(standin_t *s, const char *id)
--- a/standin/standin_int.h
+++ b/standin/standin_int.h
@@ -53,10 +53,11 @@
 	int64_t leaving_since;
 	bool gone;
 	int64_t back_at;   /* end of a reboot; 0: none */
-	int64_t listed_at; /* when the list will show the change */
+	int64_t listed_at; /* when the list will show the change; 0: none */
 	bool listed_leaving;
 	bool listed_gone;
 	int listed_incarnation;
+	int64_t listed_revision;
 } instance_t;
 
 typedef struct run {
@@ -84,6 +85,7 @@
 	int64_t lag_us; /* of the list */
 	int64_t reboot_us;
 	bool list_down;
+	int64_t list_revision;
 	run_t *runs;
 	size_t run_count;
 	size_t run_alloc;
