--- a/packages/plat/plat.h
+++ b/packages/plat/plat.h
@@ -236,11 +236,23 @@
 typedef struct plat_list plat_list_t;
 
 typedef struct plat_list_ops {
-	/* All instances of "zone" (NULL: of every zone), below "ctx". */
+	/*
+	 * All instances of "zone" (NULL: of every zone), below "ctx".  A client
+	 * that is followed answers from what it has heard while that is not
+	 * older than PLAT_LIST_FRESH_US.
+	 */
 	bool (*read)(plat_list_t *list, const void *ctx, const char *zone,
 		     plat_instances_t *out, GError **err);
+	/*
+	 * Read the list once, then wait up to PLAT_LIST_WAIT_S for what changes
+	 * in it.  "*changed" says that read() has news.
+	 */
+	bool (*follow)(plat_list_t *list, bool *changed, GError **err);
 } plat_list_ops_t;
 
+#define PLAT_LIST_WAIT_S 1
+#define PLAT_LIST_FRESH_US (3 * BASE_SEC)
+
 struct plat_list {
 	const plat_list_ops_t *ops;
 };
@@ -248,4 +260,25 @@
 /* A client of the EndpointSlice list below "ctx". */
 plat_list_t *plat_slices_new(const void *ctx, const plat_address_t *address);
 
+/*
+ * plat_action - what the platform does to an instance when it is asked.
+ */
+typedef struct plat_action plat_action_t;
+
+typedef struct plat_action_ops {
+	/*
+	 * Reboot that life of the instance; a later one is left alone.  May
+	 * be asked again: an error does not tell that nothing happened.
+	 */
+	bool (*reboot)(plat_action_t *action, const char *id,
+		       uint64_t incarnation, GError **err);
+} plat_action_ops_t;
+
+struct plat_action {
+	const plat_action_ops_t *ops;
+};
+
+/* A client of Redfish (DSP0266) below "ctx"; for one thread. */
+plat_action_t *plat_redfish_new(const void *ctx, const plat_address_t *address);
+
 #endif
