fleet: keep the worst loss while counting; measure the size to come

Cause: each step looked at every pair of pool and rack again.

Change: the worst rack and zone grow with the count. The bench has a fleet of 19,008 instances in 225 pools.

--- a/bench/fleet_bench.c
+++ b/bench/fleet_bench.c
@@ -14,7 +14,7 @@
 static void print(const measure_site_t *site, const char *what,
 		  const char *unit, measure_t m);
 static void measure_site(const measure_site_t *site, bool moves);
-static void measure_time(size_t instances);
+static void measure_time(const measure_site_t *site);
 static double cpu_ms(void);
 
 int main(void)
@@ -28,8 +28,12 @@
 	measure_site(&vakatawa, true);
 	measure_site(&addis, true);
 	measure_site(&zone, true);
-	for (size_t i = 0; i < ARRAY_SIZE(sizes); i++)
-		measure_time(sizes[i]);
+	for (size_t i = 0; i < ARRAY_SIZE(sizes); i++) {
+		zone = measure_zone(ctx, sizes[i]);
+		measure_time(&zone);
+	}
+	zone = measure_target(ctx);
+	measure_time(&zone);
 	talloc_free(ctx);
 	return 0;
 }
@@ -54,17 +58,15 @@
 }
 
 /* The first plan of an unassigned fleet, then steps with nothing to do. */
-static void measure_time(size_t instances)
+static void measure_time(const measure_site_t *site)
 {
-	void *ctx = talloc_new(NULL);
-	measure_site_t site = measure_zone(ctx, instances);
-	world_t *w = world_new(site.zones, site.racks, site.per_rack);
-	fleet_t *fleet = measure_holder(w, &site);
+	world_t *w = world_new(site->zones, site->racks, site->per_rack);
+	fleet_t *fleet = measure_holder(w, site);
 	double plan, begun, idle;
 	size_t largest = 0;
 	fleet_ops_t *ops;
 
-	world_tick(w, site.tick);
+	world_tick(w, site->tick);
 	world_feed(w, fleet);
 	begun = cpu_ms();
 	ops = fleet_step(fleet, NULL, w->now);
@@ -73,12 +75,12 @@
 		world_do(w, fleet, &ops->ops[i], WORLD_FINE);
 	talloc_free(ops);
 	for (int i = 0; i < 4; i++)
-		world_turn(w, fleet, site.tick);
+		world_turn(w, fleet, site->tick);
 	for (size_t i = 0; i < w->n_kv; i++)
 		largest = MAX(largest, strlen(w->kv[i].value));
 	idle = 0.0;
 	for (int i = 0; i < STEPS; i++) {
-		world_tick(w, site.tick);
+		world_tick(w, site->tick);
 		world_feed(w, fleet);
 		begun = cpu_ms();
 		ops = fleet_step(fleet, NULL, w->now);
@@ -88,10 +90,9 @@
 	printf("{\"bench\":\"fleet\",\"what\":\"time\",\"instances\":%zu,"
 	       "\"plan_ms\":%.2f,\"step_ms\":%.3f,\"memory_kb\":%zu,"
 	       "\"largest_record_bytes\":%zu}\n",
-	       instances, plan, idle / STEPS, talloc_total_size(fleet) / 1024,
-	       largest);
+	       site->instances, plan, idle / STEPS,
+	       talloc_total_size(fleet) / 1024, largest);
 	talloc_free(w);
-	talloc_free(ctx);
 }
 
 static double cpu_ms(void)
--- a/packages/fleet/fleet_tally.c
+++ b/packages/fleet/fleet_tally.c
@@ -3,6 +3,7 @@
 static void reset(fleet_run_t *run);
 static void mark_grants(fleet_t *fleet);
 static void count_inst(fleet_run_t *run, fleet_inst_t *inst);
+static void count_up(fleet_run_t *run, const fleet_inst_t *inst);
 static void count_member(fleet_run_t *run, const fleet_inst_t *inst);
 static void count_domains(fleet_run_t *run);
 static fleet_up_t up_now(const fleet_run_t *run, size_t pool);
@@ -19,8 +20,6 @@
 	mark_grants(fleet);
 	for (guint i = 0; i < fleet->insts->len; i++)
 		count_inst(run, g_ptr_array_index(fleet->insts, i));
-	for (size_t i = 0; i < fleet->n_pools; i++)
-		fleet->pools[i].up = up_now(run, i);
 	count_domains(run);
 }
 
@@ -87,6 +86,7 @@
 		acct->members = acct->now_members = 0;
 		acct->failed = acct->out = acct->due = 0;
 		acct->returning = 0;
+		acct->up = (fleet_up_t){ 0 };
 		acct->dirty = false;
 	}
 	for (guint i = 0; i < fleet->insts->len; i++) {
@@ -147,8 +147,21 @@
 	if (!alive || inst->inc != inst->rec.inc)
 		return;
 	inst->up = true;
-	run->up.in[pool * run->up.n_racks + inst->rack]++;
-	run->up.in_zone[pool * run->up.n_zones + inst->zone]++;
+	count_up(run, inst);
+}
+
+/* The worst is kept as it grows: a scan over all racks is the dear part. */
+static void count_up(fleet_run_t *run, const fleet_inst_t *inst)
+{
+	size_t pool = (size_t)inst->rec.pool;
+	fleet_up_t *up = &run->fleet->pools[pool].up;
+	uint32_t in_rack, in_zone;
+
+	in_rack = ++run->up.in[pool * run->up.n_racks + inst->rack];
+	in_zone = ++run->up.in_zone[pool * run->up.n_zones + inst->zone];
+	up->up++;
+	up->worst_rack = MAX(up->worst_rack, in_rack);
+	up->worst_zone = MAX(up->worst_zone, in_zone);
 }
 
 /* One that is on its way counts where it goes. */
--- a/packages/fleet/tests/fleet_measure.h
+++ b/packages/fleet/tests/fleet_measure.h
@@ -8,7 +8,7 @@
 
 #include "fleet_world.h"
 
-#define MEASURE_POOLS_MAX 64
+#define MEASURE_POOLS_MAX 225
 #define MEASURE_PART 10 /* the second baseline takes a tenth of a pool */
 
 typedef struct measure_site {
@@ -67,6 +67,25 @@
 	return site;
 }
 
+/* The size to come: 8 zones of 594 racks, 225 pools of 84. */
+static inline measure_site_t measure_target(const void *ctx)
+{
+	measure_site_t site = measure_zone(ctx, 2400);
+
+	site.name = "target";
+	site.zones = 8;
+	site.racks = 594;
+	site.instances = 8 * 594 * 4;
+	site.n_pools = MEASURE_POOLS_MAX;
+	for (size_t i = 0; i < site.n_pools; i++) {
+		site.pools[i] = site.pools[0];
+		site.pools[i].name = talloc_asprintf(ctx, "pool-%zu", i);
+		site.pools[i].executors = 84;
+		site.pools[i].spare = i == 0;
+	}
+	return site;
+}
+
 static inline size_t measure_racks(const measure_site_t *site)
 {
 	return site->zones * site->racks;
