entry: decide once a second

Cause: two steps in a second at 19,008 instances are over the 1.3% of a core.

Change: the holder decides at every second tick; confirmations stay at half a second.

--- a/packages/entry/entry_fleet.c
+++ b/packages/entry/entry_fleet.c
@@ -6,6 +6,7 @@
  */
 
 #define PERIOD_US (500 * BASE_MS)
+#define STEP_US (900 * BASE_MS) /* every second tick */
 #define LEASE_S 3
 
 static bool fleet_start(void *service, kern_t *kern, GError **err);
@@ -215,6 +216,8 @@
 		base_log(log, held ? BASE_MSG_DUTY_TAKEN : BASE_MSG_DUTY_LOST,
 			 BASE_F_STR("duty", "fleet"));
 	fleet->held = held;
-	if (held)
-		entry_duty_step(fleet, ctx);
+	if (!held || now - fleet->stepped_at < STEP_US)
+		return;
+	fleet->stepped_at = now;
+	entry_duty_step(fleet, ctx);
 }
--- a/packages/entry/entry_fleet.h
+++ b/packages/entry/entry_fleet.h
@@ -28,6 +28,7 @@
 	plat_action_t *action;
 	plat_duty_t *duty;
 	bool held;
+	int64_t stepped_at;
 	bool blind; /* the last step could not be decided */
 	fleet_t *core;
 	int64_t generation; /* of the configuration that it follows */
