entry: an earlier process of an entry's name ends once

Cause: the holder kept asking for the confirmation of a process whose record had been written over by its successor; after a quick restart every drain waited until the duty changed hands.

Change: the holder remembers the processes that it saw and takes one as ended on its leave, when a later one listens at its address, or when that address refuses.

--- a/packages/entry/entry_duty.c
+++ b/packages/entry/entry_duty.c
@@ -11,12 +11,21 @@
  * the duty's key, and by the revision of what it was decided on.
  */
 
+typedef struct entry_life {
+	char *name;
+	uint64_t inc;
+	plat_address_t operators;
+	bool ended;
+} entry_life_t;
+
 #define REFUSED_MS 300 /* wait for the answer of a process that may be gone */
 
 static bool read_all(entry_fleet_t *fleet, const void *ctx, GError **err);
 static void take_entries(entry_fleet_t *fleet, const site_entries_t *entries);
 static bool waits_for_entry(const fleet_t *core);
-static bool has_ended(entry_fleet_t *fleet, const site_entry_t *entry);
+static void note_life(entry_fleet_t *fleet, const site_entry_t *entry);
+static bool has_ended(entry_fleet_t *fleet, const entry_life_t *life,
+		      const site_entries_t *entries, bool ask);
 static bool refuses(const plat_address_t *address);
 static void put(entry_fleet_t *fleet, const fleet_op_t *op);
 static void reboot(entry_fleet_t *fleet, const fleet_op_t *op);
@@ -69,25 +78,41 @@
 	return true;
 }
 
+/* A process holds up drains until it confirmed or is known to have ended. */
 static void take_entries(entry_fleet_t *fleet, const site_entries_t *entries)
 {
 	bool ask = waits_for_entry(fleet->core);
 
-	for (size_t i = 0; i < entries->n; i++) {
-		const site_entry_t *entry = &entries->items[i];
-		char *life = talloc_asprintf(fleet, "%s/%" G_GUINT64_FORMAT,
-					     entry->name, entry->inc);
-
-		if (!fleet->ended)
-			fleet->ended =
-				g_hash_table_new(g_str_hash, g_str_equal);
-		if (ask && entry->inc != fleet->inc &&
-		    !g_hash_table_contains(fleet->ended, life) &&
-		    has_ended(fleet, entry))
-			g_hash_table_add(fleet->ended, life);
-		site_take_entry(fleet->core, entry,
-				g_hash_table_contains(fleet->ended, life));
+	for (size_t i = 0; i < entries->n; i++)
+		note_life(fleet, &entries->items[i]);
+	for (size_t i = 0; i < fleet->life_count; i++) {
+		entry_life_t *life = &fleet->lives[i];
+
+		if (!life->ended)
+			life->ended = has_ended(fleet, life, entries, ask);
+		fleet_entry(fleet->core, life->name, life->inc, life->ended);
 	}
+	for (size_t i = 0; i < entries->n; i++)
+		site_take_confirmed(fleet->core, &entries->items[i]);
+}
+
+static void note_life(entry_fleet_t *fleet, const site_entry_t *entry)
+{
+	entry_life_t *life;
+
+	for (size_t i = 0; i < fleet->life_count; i++)
+		if (fleet->lives[i].inc == entry->inc &&
+		    !strcmp(fleet->lives[i].name, entry->name))
+			return;
+	fleet->lives = talloc_realloc(fleet, fleet->lives, entry_life_t,
+				      fleet->life_count + 1);
+	life = &fleet->lives[fleet->life_count++];
+	*life = (entry_life_t){
+		.name = talloc_strdup(fleet, entry->name),
+		.inc = entry->inc,
+		.operators = { talloc_strdup(fleet, entry->operators.host),
+			       entry->operators.port },
+	};
 }
 
 static bool waits_for_entry(const fleet_t *core)
@@ -103,18 +128,32 @@
 }
 
 /*
- * A process is known to be gone when the host at its address says that
- * nothing listens there.  Silence proves nothing: it may be paused or cut off
- * and still have work in flight.
+ * It took its leave, a later process listens at its address, or the host there
+ * says that nothing listens.  Silence proves nothing: it may be paused or cut
+ * off and still have work in flight.
  */
-static bool has_ended(entry_fleet_t *fleet, const site_entry_t *entry)
+static bool has_ended(entry_fleet_t *fleet, const entry_life_t *life,
+		      const site_entries_t *entries, bool ask)
 {
-	if (entry->gone || !refuses(&entry->operators))
-		return false;
-	base_log(fleet->daemon->log, BASE_MSG_ENTRY_ENDED,
-		 BASE_F_STR("entry", entry->name),
-		 BASE_F_INT("incarnation", (int64_t)entry->inc));
-	return true;
+	bool ended = false;
+
+	for (size_t i = 0; i < entries->n; i++) {
+		const site_entry_t *entry = &entries->items[i];
+
+		if (entry->inc == life->inc && entry->gone)
+			ended = true;
+		if (entry->inc > life->inc &&
+		    entry->operators.port == life->operators.port &&
+		    !strcmp(entry->operators.host, life->operators.host))
+			ended = true;
+	}
+	if (!ended && ask && life->inc != fleet->inc)
+		ended = refuses(&life->operators);
+	if (ended)
+		base_log(fleet->daemon->log, BASE_MSG_ENTRY_ENDED,
+			 BASE_F_STR("entry", life->name),
+			 BASE_F_INT("incarnation", (int64_t)life->inc));
+	return ended;
 }
 
 static bool refuses(const plat_address_t *address)
--- a/packages/entry/entry_fleet.c
+++ b/packages/entry/entry_fleet.c
@@ -61,8 +61,6 @@
 	plat_duty_release(fleet->duty);
 	if (fleet->written)
 		confirm(fleet, fleet, true);
-	if (fleet->ended)
-		g_hash_table_destroy(fleet->ended);
 	talloc_free(fleet);
 	daemon->fleet = NULL;
 }
--- a/packages/entry/entry_fleet.h
+++ b/packages/entry/entry_fleet.h
@@ -37,9 +37,9 @@
 	int64_t rev;
 	uint64_t inc;
 	entry_demand_t *demand;
-	char *written; /* the record as it stands; NULL: none yet */
-	GHashTable
-		*ended; /* "NAME/INCARNATION" of processes known to be gone */
+	char *written;		  /* the record as it stands; NULL: none yet */
+	struct entry_life *lives; /* processes that were seen to route */
+	size_t life_count;
 };
 
 /* One step of the duty, while it is held. */
--- a/packages/site/site.h
+++ b/packages/site/site.h
@@ -69,7 +69,7 @@
 void site_take_demand(fleet_t *fleet, const site_entries_t *entries,
 		      int64_t now);
 
-/* Hand their confirmations to the fleet; "gone" ones no longer count. */
-void site_take_entry(fleet_t *fleet, const site_entry_t *entry, bool gone);
+/* Hand its confirmations to the fleet, which was told of the entry. */
+void site_take_confirmed(fleet_t *fleet, const site_entry_t *entry);
 
 #endif
--- a/packages/site/site_entry.c
+++ b/packages/site/site_entry.c
@@ -90,9 +90,8 @@
 	return true;
 }
 
-void site_take_entry(fleet_t *fleet, const site_entry_t *entry, bool gone)
+void site_take_confirmed(fleet_t *fleet, const site_entry_t *entry)
 {
-	fleet_entry(fleet, entry->name, entry->inc, gone || entry->gone);
 	for (size_t i = 0; i < entry->n; i++)
 		fleet_confirm(fleet, entry->name, entry->inc, entry->ids[i],
 			      entry->seqs[i]);
--- a/packages/tool/tool_fleet.c
+++ b/packages/tool/tool_fleet.c
@@ -43,8 +43,12 @@
 		return false;
 	}
 	site_observe(tool->fleet, &instances, tool->now);
-	for (size_t i = 0; i < entries.n; i++)
-		site_take_entry(tool->fleet, &entries.items[i], false);
+	for (size_t i = 0; i < entries.n; i++) {
+		const site_entry_t *entry = &entries.items[i];
+
+		fleet_entry(tool->fleet, entry->name, entry->inc, entry->gone);
+		site_take_confirmed(tool->fleet, entry);
+	}
 	fleet_fence(tool->fleet, fleet_fence_seen(tool->fleet));
 	tool->ops = fleet_step(tool->fleet, tool->ctx, tool->now);
 	return true;
