--- a/packages/entry/entry_route.c
+++ b/packages/entry/entry_route.c
@@ -289,16 +289,20 @@
 	return 0;
 }
 
-/* Until membership knows better: this entry and one for each seed. */
+/* Until membership knows better: this entry and one for each other seed. */
 static void seed_entries(entry_route_t *route)
 {
 	const entry_settings_t *settings = route->daemon->settings;
-	size_t n = settings->seed_count + 1;
-	route_entry_t *entries = talloc_array(NULL, route_entry_t, n);
-
-	entries[0] = (route_entry_t){ settings->name, settings->zone };
-	for (size_t i = 1; i < n; i++)
-		entries[i] = (route_entry_t){ settings->seeds[i - 1], "" };
+	size_t n = 0, max = settings->seed_count + 1;
+	route_entry_t *entries = talloc_array(NULL, route_entry_t, max);
+	char *own = talloc_asprintf(entries, "%s:%d", settings->peer.address,
+				    settings->peer.port);
+
+	entries[n++] = (route_entry_t){ settings->name, settings->zone };
+	for (size_t i = 0; i < settings->seed_count; i++)
+		if (strcmp(settings->seeds[i], own) != 0)
+			entries[n++] =
+				(route_entry_t){ settings->seeds[i], "" };
 	route_entries(route->core, entries, n, base_clock_mono());
 	talloc_free(entries);
 }
