--- a/packages/peer/peer.h
+++ b/packages/peer/peer.h
@@ -159,4 +159,10 @@
 
 bool peer_addr_eq(peer_addr_t a, peer_addr_t b);
 
+/*
+ * Whether "name" may name an entry or zone: at most 64 letters, digits, '.',
+ * '_' and '-'.
+ */
+bool peer_name_ok(const char *name);
+
 #endif
--- a/packages/peer/peer_int.h
+++ b/packages/peer/peer_int.h
@@ -75,6 +75,9 @@
 bool peer_seal(const peer_t *peer, peer_sealed *out, xdrproc_t xdr_head,
 	       void *head, xdrproc_t xdr_args, void *args);
 
+/* Set the code again after the body was changed. */
+bool peer_reseal(const peer_t *peer, peer_sealed *sealed);
+
 /* Free the body of "sealed". */
 void peer_unseal(peer_sealed *sealed);
 
@@ -142,9 +145,6 @@
 /* Raise our life above "latest". */
 void peer_outlive(peer_t *peer, uint64_t latest);
 
-/* Whether "name" is a name of an entry or zone. */
-bool peer_name_ok(const char *name);
-
 void peer_count(peer_t *peer, peer_count_t what, uint64_t n);
 
 void peer_wire_addr_set(peer_wire_addr *wire, peer_addr_t addr);
--- a/packages/peer/peer_seal.c
+++ b/packages/peer/peer_seal.c
@@ -21,12 +21,17 @@
 	out->body.body_len = xdr_getpos(&xdrs);
 	xdr_destroy(&xdrs);
 	if (ok)
-		ok = code_of(peer, out, (guint8 *)out->mac);
+		ok = peer_reseal(peer, out);
 	if (!ok)
 		peer_unseal(out);
 	return ok;
 }
 
+bool peer_reseal(const peer_t *peer, peer_sealed *sealed)
+{
+	return code_of(peer, sealed, (guint8 *)sealed->mac);
+}
+
 void peer_unseal(peer_sealed *sealed)
 {
 	free(sealed->body.body_val);
--- a/packages/peer/tests/peer_test.c
+++ b/packages/peer/tests/peer_test.c
@@ -15,7 +15,9 @@
 
 static peer_addr_t addr_of(uint16_t port)
 {
-	return (peer_addr_t){ 0x7f000001, port };
+	/* Of this process alone: other runs may go on beside it. */
+	return (peer_addr_t){ 0x7f010000 + (uint32_t)getpid() % 0xffff00,
+			      port };
 }
 
 static peer_t *make(const char *id, uint16_t port, uint64_t life,
@@ -206,6 +208,30 @@
 	talloc_free(server);
 }
 
+/* A key holder that sends nonsense does no harm either. */
+static void test_nonsense(void)
+{
+	peer_t *server = serve(21001, 1000);
+	peer_t *client = make("b-1", 21002, 1000, "0123456789abcdef");
+	base_rng_t rng = { 20261204 };
+	peer_sealed sealed;
+
+	for (int i = 0; i < 300; i++) {
+		seal_gossip(client, server, &sealed);
+		for (uint32_t n = base_rng_below(&rng, 6) + 1; n; n--)
+			sealed.body.body_val[base_rng_below(
+				&rng, sealed.body.body_len)] =
+				(char)base_rng_next(&rng);
+		peer_reseal(client, &sealed);
+		peer_pool_send(client->pool, server->addr, &sealed);
+		peer_unseal(&sealed);
+		base_clock_sleep(BASE_MS / 2);
+	}
+	g_assert_cmpint(ask(client, 21001, 10, WAIT), ==, PEER_ANSWERED);
+	talloc_free(client);
+	talloc_free(server);
+}
+
 static void test_window(void)
 {
 	static const struct {
@@ -321,6 +347,7 @@
 	g_test_add_func("/peer/restart", test_restart);
 	g_test_add_func("/peer/key-and-cut", test_key_and_cut);
 	g_test_add_func("/peer/replay", test_replay);
+	g_test_add_func("/peer/nonsense", test_nonsense);
 	g_test_add_func("/peer/window", test_window);
 	g_test_add_func("/peer/threads", test_threads);
 	g_test_add_func("/peer/datagram", test_datagram);
