Wire membership and the spread of the configuration into the entries

Entries knew of each other only by the seeds of their settings, and each read the store twice a second.

entry_memb drives the core: gossip duty, peer server, pulls, a key of its own in the store under a lease. A newer configuration is taken from peers; only the two watchers of a zone read the store at each turn, the others every 30 s. A planned stop tells its leave at once. /rollout on the operators' port and 'cactusfield rollout' show who has what and since when; /cut, where the settings allow it, cuts zones off for tests.

tests/sys_memb found that a resumed process could refute a queued suspicion and never learn that it had been given up meanwhile: messages now carry the latest incarnation of the receiver that was given up, and paused entries of the properties' network keep their messages, with which the property fails without this.

--- a/packages/entry/entry.h
+++ b/packages/entry/entry.h
@@ -39,6 +39,7 @@
 	char *peer_key;		  /* shared secret of all entries */
 	char **seeds; /* "ADDRESS:PORT" of other entries' peer ports */
 	size_t seed_count;
+	int test_cuts; /* 1: /cut on the operators' port cuts zones off */
 	plat_address_t store;
 	plat_address_t list;
 	plat_address_t actions; /* reboots; the list's address if absent */
--- a/packages/entry/entry_int.h
+++ b/packages/entry/entry_int.h
@@ -42,6 +42,7 @@
 	atomic_int holders;
 	entry_config_t *config; /* NULL: none yet */
 	conf_record_t *record;	/* of config */
+	base_str_t text;	/* of the record, as it stands in the store */
 	entry_pool_t *pools;	/* in the order of the configuration */
 	size_t pool_count;
 } entry_view_t;
@@ -190,6 +191,7 @@
 #define ENTRY_PROBE_DUTIES 3
 
 typedef struct entry_daemon entry_daemon_t;
+struct entry_memb;
 typedef struct entry_route entry_route_t;
 
 typedef struct entry_verdict {
@@ -253,8 +255,10 @@
 	struct mg_context *caller_http;
 	kern_duty_t *config_duty;
 	kern_duty_t *list_duty;
+	int64_t config_read; /* when the store was asked last; its duty's */
 	atomic_int store_down;
 	atomic_int list_down;
+	struct entry_memb *memb; /* entry_memb.h */
 	entry_route_t *route;
 	kern_duty_t *probes[ENTRY_PROBE_DUTIES];
 };
@@ -262,12 +266,20 @@
 /* Services in the order of their start; entry_services.c. */
 bool entry_services_register(entry_daemon_t *daemon, GError **err);
 
+extern const kern_service_ops_t entry_memb_ops;
 extern const kern_service_ops_t entry_platform_ops;
 extern const kern_service_ops_t entry_operators_ops;
 extern const kern_service_ops_t entry_route_ops;
 extern const kern_service_ops_t entry_probe_ops;
 extern const kern_service_ops_t entry_caller_ops;
 
+/*
+ * Put the record "text" that came from "source" ("store" or an entry) in
+ * force if it is newer.  False: refused, the old one stays.  Any thread.
+ */
+bool entry_take_config(entry_daemon_t *daemon, base_str_t text,
+		       const char *source);
+
 /* Start a listener; the error names the port. */
 struct mg_context *entry_listen(const entry_listen_t *listen, void *user,
 				int64_t keep_alive_ms, GError **err);
--- /dev/null
+++ b/packages/entry/entry_memb.c
@@ -0,0 +1,324 @@
+#include <xxhash.h>
+
+#include "entry_memb.h"
+#include "peer_memb.h"
+
+#define TICK_US (100 * BASE_MS)
+#define PULLS_PERIOD_US BASE_SEC
+#define MEMBERS_PERIOD_US (10 * BASE_SEC)
+#define PULLS_MAX 8 /* that wait; more are asked for again */
+/* Before that the seeds tell better who shares the pools. */
+#define SETTLE_US (5 * BASE_SEC)
+
+static bool memb_start(void *service, kern_t *kern, GError **err);
+static void memb_stop(void *service);
+static bool start_peer(entry_memb_t *memb, GError **err);
+static void make_core(entry_memb_t *memb);
+static bool start_duties(entry_memb_t *memb, GError **err);
+static void tick(void *arg, int64_t now);
+static void tell_route(entry_memb_t *memb);
+static void no_tick(void *arg, int64_t now);
+static bool take_gossip(void *arg, const peer_from_t *from, const void *args,
+			void *res);
+static void send_msg(void *arg, memb_addr_t to, const char *zone,
+		     const memb_msg_t *msg);
+static void ask_pull(void *arg, const memb_record_t *from, uint64_t generation,
+		     uint64_t digest);
+static void note_event(void *arg, memb_event_t event, const memb_record_t *rec);
+
+const kern_service_ops_t entry_memb_ops = { memb_start, memb_stop };
+
+/* Which line an event writes. */
+static const base_msg_t event_msgs[MEMB_EVENT_MAX] = {
+	[MEMB_JOINED] = BASE_MSG_MEMBER,
+	[MEMB_SUSPECTED] = BASE_MSG_MEMBER,
+	[MEMB_REFUTED] = BASE_MSG_MEMBER,
+	[MEMB_DIED] = BASE_MSG_MEMBER,
+	[MEMB_GONE] = BASE_MSG_MEMBER,
+	[MEMB_GIVEN_UP] = BASE_MSG_MEMBER_DOUBT,
+	[MEMB_UNSURE] = BASE_MSG_MEMBER_DOUBT,
+	[MEMB_SURE] = BASE_MSG_MEMBER_DOUBT,
+	[MEMB_CONFLICT] = BASE_MSG_CONFIG_CONFLICT,
+	[MEMB_CLASH] = BASE_MSG_MEMBER_CLASH,
+	[MEMB_WATCH_BEGIN] = BASE_MSG_MEMBER,
+	[MEMB_WATCH_END] = BASE_MSG_MEMBER,
+};
+
+void entry_memb_config(entry_daemon_t *daemon, entry_view_t *view,
+		       const char *source)
+{
+	entry_memb_t *memb = daemon->memb;
+	uint64_t generation = (uint64_t)view->record->generation;
+	uint64_t digest = XXH64(view->text.ptr, view->text.len, 0);
+	entry_held_t *held = &memb->held;
+	int64_t wall = base_clock_wall();
+	entry_view_t *old = view;
+
+	pthread_mutex_lock(&memb->lock);
+	if (memb_config(memb->core, base_clock_mono(), generation, digest,
+			wall)) {
+		old = held->view;
+		held->view = view;
+		held->digest = digest;
+		held->in_force = wall;
+		held->heard = wall;
+		if (memb->heard_generation == generation)
+			held->heard = memb->heard;
+		g_strlcpy(held->source, source, sizeof(held->source));
+	}
+	pthread_mutex_unlock(&memb->lock);
+	if (old)
+		entry_view_release(old);
+}
+
+bool entry_memb_watches(entry_daemon_t *daemon)
+{
+	entry_memb_t *memb = daemon->memb;
+	bool watches;
+
+	pthread_mutex_lock(&memb->lock);
+	watches = memb_watches(memb->core);
+	pthread_mutex_unlock(&memb->lock);
+	return watches;
+}
+
+bool entry_memb_sure(entry_daemon_t *daemon)
+{
+	entry_memb_t *memb = daemon->memb;
+	bool sure;
+
+	pthread_mutex_lock(&memb->lock);
+	sure = memb_sure(memb->core, base_clock_mono());
+	pthread_mutex_unlock(&memb->lock);
+	return sure;
+}
+
+void entry_memb_leave(entry_daemon_t *daemon)
+{
+	entry_memb_t *memb = daemon->memb;
+
+	pthread_mutex_lock(&memb->lock);
+	memb_leave(memb->core, base_clock_mono());
+	pthread_mutex_unlock(&memb->lock);
+}
+
+static bool memb_start(void *service, kern_t *kern, GError **err)
+{
+	entry_daemon_t *daemon = service;
+	entry_memb_t *memb = talloc_zero(daemon, entry_memb_t);
+
+	(void)kern;
+	daemon->memb = memb;
+	memb->daemon = daemon;
+	memb->started = base_clock_mono();
+	pthread_mutex_init(&memb->lock, NULL);
+	if (start_peer(memb, err)) {
+		make_core(memb);
+		if (peer_serve(memb->peer, err) && start_duties(memb, err))
+			return true;
+	}
+	memb_stop(daemon);
+	return false;
+}
+
+static void memb_stop(void *service)
+{
+	entry_daemon_t *daemon = service;
+	entry_memb_t *memb = daemon->memb;
+	kern_duty_t *duties[] = { memb->gossip, memb->members, memb->pulls };
+
+	for (size_t i = 0; i < ARRAY_SIZE(duties); i++)
+		if (duties[i]) {
+			kern_duty_stop(duties[i]);
+			talloc_free(duties[i]);
+		}
+	if (memb->lease)
+		entry_members_leave(memb);
+	TALLOC_FREE(memb->peer);
+	if (memb->held.view)
+		entry_view_release(memb->held.view);
+	pthread_mutex_destroy(&memb->lock);
+	TALLOC_FREE(daemon->memb);
+}
+
+static bool start_peer(entry_memb_t *memb, GError **err)
+{
+	const entry_settings_t *settings = memb->daemon->settings;
+	peer_opts_t opts = { .id = settings->name,
+			     .zone = settings->zone,
+			     .life = (uint64_t)base_clock_wall(),
+			     .key = base_str(settings->peer_key),
+			     .log = memb->daemon->log };
+	char text[64];
+
+	snprintf(text, sizeof(text), "%s:%d", settings->peer.address,
+		 settings->peer.port);
+	if (!peer_addr_parse(text, &opts.addr))
+		memset(&opts.addr, 0, sizeof(opts.addr));
+	memb->peer = peer_new(NULL, &opts, err);
+	if (!memb->peer)
+		return false;
+	peer_handle(memb->peer, PEER_GOSSIP, take_gossip, memb);
+	peer_handle(memb->peer, PEER_CONFIG, entry_pull_answer, memb);
+	return true;
+}
+
+static void make_core(entry_memb_t *memb)
+{
+	const entry_settings_t *settings = memb->daemon->settings;
+	memb_opts_t opts = { .id = settings->name,
+			     .zone = settings->zone,
+			     .incarnation = (uint64_t)base_clock_wall(),
+			     .seed = (uint64_t)base_clock_wall() ^
+				     (uint64_t)settings->peer.port << 48,
+			     .ops = { send_msg, ask_pull, note_event },
+			     .arg = memb };
+	peer_addr_t addr;
+	char text[64];
+
+	snprintf(text, sizeof(text), "%s:%d", settings->peer.address,
+		 settings->peer.port);
+	if (peer_addr_parse(text, &addr))
+		opts.addr = (memb_addr_t){ addr.ip, addr.port };
+	memb->core = memb_new(memb, &opts);
+	for (size_t i = 0; i < settings->seed_count; i++)
+		if (peer_addr_parse(settings->seeds[i], &addr))
+			memb_seed(memb->core,
+				  (memb_addr_t){ addr.ip, addr.port });
+}
+
+static bool start_duties(entry_memb_t *memb, GError **err)
+{
+	kern_duty_options_t gossip = { .name = "gossip",
+				       .period_us = TICK_US,
+				       .ring_size = 2,
+				       .arg = memb,
+				       .tick = tick };
+	kern_duty_options_t pulls = { .name = "pull",
+				      .period_us = PULLS_PERIOD_US,
+				      .ring_size = PULLS_MAX,
+				      .arg = memb,
+				      .tick = no_tick,
+				      .message = entry_pull_run };
+	kern_duty_options_t members = { .name = "members",
+					.period_us = MEMBERS_PERIOD_US,
+					.ring_size = 2,
+					.arg = memb,
+					.tick = entry_members_tick };
+
+	memb->pulls = kern_duty_start(NULL, &pulls, err);
+	if (memb->pulls)
+		memb->gossip = kern_duty_start(NULL, &gossip, err);
+	if (memb->gossip)
+		memb->members = kern_duty_start(NULL, &members, err);
+	return memb->members != NULL;
+}
+
+static void tick(void *arg, int64_t now)
+{
+	entry_memb_t *memb = arg;
+	bool changed;
+
+	pthread_mutex_lock(&memb->lock);
+	memb_tick(memb->core, now);
+	changed = memb->changed && now - memb->started > SETTLE_US;
+	if (changed)
+		memb->changed = false;
+	pthread_mutex_unlock(&memb->lock);
+	if (changed)
+		tell_route(memb);
+}
+
+/* Those who may send to the pools, we among them. */
+static void tell_route(entry_memb_t *memb)
+{
+	void *ctx = talloc_new(NULL);
+	route_entry_t *entries;
+	size_t n = 0;
+
+	pthread_mutex_lock(&memb->lock);
+	entries = talloc_zero_array(ctx, route_entry_t, memb_count(memb->core));
+	for (size_t i = 0; i < memb_count(memb->core); i++) {
+		const memb_record_t *rec = memb_at(memb->core, i);
+
+		if (i && rec->state != MEMB_ALIVE && rec->state != MEMB_SUSPECT)
+			continue;
+		entries[n].id = talloc_strdup(ctx, rec->id);
+		entries[n++].zone = talloc_strdup(ctx, rec->zone);
+	}
+	pthread_mutex_unlock(&memb->lock);
+	entry_route_entries(memb->daemon->route, entries, n);
+	talloc_free(ctx);
+}
+
+static void no_tick(void *arg, int64_t now)
+{
+	(void)arg;
+	(void)now;
+}
+
+static bool take_gossip(void *arg, const peer_from_t *from, const void *args,
+			void *res)
+{
+	entry_memb_t *memb = arg;
+	memb_msg_t msg;
+	bool taken;
+
+	(void)res;
+	/* Nobody speaks for another. */
+	if (!peer_gossip_to(args, &msg) || !msg.n ||
+	    strcmp(msg.updates[0].id, from->id) != 0)
+		return false;
+	pthread_mutex_lock(&memb->lock);
+	taken = memb_receive(memb->core, base_clock_mono(), &msg);
+	pthread_mutex_unlock(&memb->lock);
+	return taken;
+}
+
+/* Under the lock; does not wait. */
+static void send_msg(void *arg, memb_addr_t to, const char *zone,
+		     const memb_msg_t *msg)
+{
+	entry_memb_t *memb = arg;
+	peer_to_t peer_to = { .addr = { to.ip, to.port }, .zone = zone };
+	peer_gossip_room_t room;
+
+	peer_gossip_from(&room, msg);
+	peer_send(memb->peer, &peer_to, PEER_GOSSIP, &room.wire);
+}
+
+/* Under the lock; a full ring means that the next who tells asks again. */
+static void ask_pull(void *arg, const memb_record_t *from, uint64_t generation,
+		     uint64_t digest)
+{
+	entry_memb_t *memb = arg;
+	entry_pull_t *pull;
+
+	if (memb->refused == generation)
+		return;
+	if (generation > memb->heard_generation) {
+		memb->heard_generation = generation;
+		memb->heard = base_clock_wall();
+	}
+	pull = talloc_zero(NULL, entry_pull_t);
+	pull->addr = (peer_addr_t){ from->addr.ip, from->addr.port };
+	g_strlcpy(pull->id, from->id, sizeof(pull->id));
+	g_strlcpy(pull->zone, from->zone, sizeof(pull->zone));
+	pull->generation = generation;
+	pull->digest = digest;
+	if (!kern_duty_post(memb->pulls, pull))
+		talloc_free(pull);
+}
+
+static void note_event(void *arg, memb_event_t event, const memb_record_t *rec)
+{
+	entry_memb_t *memb = arg;
+
+	memb->changed = true;
+	memb->events[event]++;
+	base_log(memb->daemon->log, event_msgs[event],
+		 BASE_F_STR("event", memb_event_name(event)),
+		 BASE_F_STR("entry", rec->id), BASE_F_STR("zone", rec->zone),
+		 BASE_F_INT("incarnation", (int64_t)rec->incarnation),
+		 BASE_F_INT("generation", (int64_t)rec->generation));
+}
--- a/packages/entry/entry_operators.c
+++ b/packages/entry/entry_operators.c
@@ -1,6 +1,6 @@
 #include <jansson.h>
 
-#include "entry_int.h"
+#include "entry_memb.h"
 
 /*
  * The operators' port: health for the balancer, metrics, status.
@@ -26,10 +26,9 @@
 } page_t;
 
 static const page_t pages[] = {
-	{ "/healthz", on_healthz },
-	{ "/readyz", on_readyz },
-	{ "/metrics", on_metrics },
-	{ "/status", on_status },
+	{ "/healthz", on_healthz },	    { "/readyz", on_readyz },
+	{ "/metrics", on_metrics },	    { "/status", on_status },
+	{ "/rollout", entry_rollout_page }, { "/cut", entry_cut_page },
 };
 
 int entry_operators_answer(struct mg_connection *conn, int status,
@@ -112,6 +111,7 @@
 	base_buf_addf(out, "cactusfield_in_flight %d\n",
 		      atomic_load(&daemon->in_flight));
 	add_store_calls(out, daemon);
+	entry_metrics_memb(daemon, out);
 	status = entry_operators_answer(conn, 200, "text/plain; version=0.0.4",
 					base_buf_str(out));
 	talloc_free(out);
--- a/packages/entry/entry_platform.c
+++ b/packages/entry/entry_platform.c
@@ -1,17 +1,18 @@
-#include "entry_int.h"
+#include "entry_memb.h"
 
 /*
  * The duties that read the platform: the configuration and the instance list.
  */
 
 #define CONFIG_PERIOD_US (500 * BASE_MS)
+#define CONFIG_BACKSTOP_US (30 * BASE_SEC)
 #define LIST_PERIOD_US (1000 * BASE_MS)
 
 static bool platform_start(void *service, kern_t *kern, GError **err);
 static void platform_stop(void *service);
 static void read_config(void *arg, int64_t now);
 static void read_list(void *arg, int64_t now);
-static void take_config(entry_daemon_t *daemon, base_str_t text);
+static bool config_due(entry_daemon_t *daemon, int64_t now);
 static void note_reach(const entry_daemon_t *daemon, atomic_int *down,
 		       bool reached, base_msg_t down_msg, GError *cause);
 
@@ -62,35 +63,64 @@
 	bool read;
 
 	entry_forward_expire(daemon->forward, now);
+	if (!config_due(daemon, now)) {
+		talloc_free(ctx);
+		return;
+	}
 	read = store->ops->range(store, ctx, ENTRY_CONFIG_KEY, false, &kvs,
 				 &cause);
 	if (read && kvs.count)
-		take_config(daemon, kvs.items[0].value);
+		entry_take_config(daemon, kvs.items[0].value, "store");
 	note_reach(daemon, &daemon->store_down, read, BASE_MSG_STORE_DOWN,
 		   cause);
 	talloc_free(ctx);
 }
 
-static void take_config(entry_daemon_t *daemon, base_str_t text)
+/*
+ * The watchers of a zone read at each turn, the others hear from their peers
+ * and look for themselves now and then, or while they have nothing.
+ */
+static bool config_due(entry_daemon_t *daemon, int64_t now)
+{
+	entry_view_t *view;
+	bool due;
+
+	if (!entry_memb_watches(daemon) &&
+	    now - daemon->config_read < CONFIG_BACKSTOP_US) {
+		view = entry_view_hold(daemon->views);
+		due = !view->record;
+		entry_view_release(view);
+		if (!due)
+			return false;
+	}
+	daemon->config_read = now;
+	return true;
+}
+
+bool entry_take_config(entry_daemon_t *daemon, base_str_t text,
+		       const char *source)
 {
 	GError *cause = NULL;
+	entry_view_t *view;
 	bool newer = false;
 
 	if (!entry_views_take_config(daemon->views, text, &newer, &cause)) {
 		base_log(daemon->log, BASE_MSG_CONFIG_REFUSED,
+			 BASE_F_STR("from", source),
 			 BASE_F_STR("why", cause->message));
 		g_clear_error(&cause);
-		return;
-	}
-	if (newer) {
-		entry_route_apply(daemon->route);
-		entry_view_t *view = entry_view_hold(daemon->views);
-
-		base_log(daemon->log, BASE_MSG_CONFIG_IN_FORCE,
-			 BASE_F_INT("generation", view->record->generation),
-			 BASE_F_STR("change", view->record->change.ptr));
-		entry_view_release(view);
+		return false;
 	}
+	if (!newer)
+		return true;
+	entry_route_apply(daemon->route);
+	view = entry_view_hold(daemon->views);
+	base_log(daemon->log, BASE_MSG_CONFIG_IN_FORCE,
+		 BASE_F_INT("generation", view->record->generation),
+		 BASE_F_STR("change", view->record->change.ptr),
+		 BASE_F_STR("from", source));
+	entry_memb_config(daemon, view, source);
+	return true;
 }
 
 static void read_list(void *arg, int64_t now)
--- /dev/null
+++ b/packages/entry/entry_pull.c
@@ -0,0 +1,113 @@
+#include <xxhash.h>
+
+#include "entry_memb.h"
+#include "peer_proto_xdr.h"
+
+#define PART_WAIT_US BASE_SEC
+#define TEXT_MAX (PLAT_VALUE_MAX + 65536) /* bytes of a record */
+
+static bool fetch(entry_memb_t *memb, const entry_pull_t *pull,
+		  base_buf_t *text);
+static bool fetch_part(entry_memb_t *memb, const entry_pull_t *pull,
+		       base_buf_t *text, uint32_t *total);
+static bool part_fits(const entry_pull_t *pull, const base_buf_t *text,
+		      const peer_config_part *part, uint32_t total);
+
+bool entry_pull_answer(void *arg, const peer_from_t *from, const void *args,
+		       void *res)
+{
+	entry_memb_t *memb = arg;
+	const peer_config_get *get = args;
+	peer_config_part *part = res;
+	const entry_held_t *held = &memb->held;
+	size_t len;
+
+	(void)from;
+	pthread_mutex_lock(&memb->lock);
+	if (held->view &&
+	    (uint64_t)held->view->record->generation == get->generation &&
+	    held->digest == get->digest && get->offset < held->view->text.len) {
+		base_str_t text = held->view->text;
+
+		len = MIN(text.len - get->offset, (size_t)PEER_CHUNK_MAX);
+		part->generation = get->generation;
+		part->digest = held->digest;
+		part->total = (u_int)text.len;
+		part->offset = get->offset;
+		part->data.data_len = (u_int)len;
+		part->data.data_val = malloc(len);
+		memcpy(part->data.data_val, text.ptr + get->offset, len);
+	}
+	pthread_mutex_unlock(&memb->lock);
+	return true;
+}
+
+void entry_pull_run(void *arg, void *msg, int64_t now)
+{
+	entry_memb_t *memb = arg;
+	entry_pull_t *pull = msg;
+	base_buf_t *text = base_buf_new(pull);
+	bool taken = false;
+
+	if (fetch(memb, pull, text))
+		taken = entry_take_config(memb->daemon, base_buf_str(text),
+					  pull->id);
+	else
+		base_log(memb->daemon->log, BASE_MSG_CONFIG_PULL_FAILED,
+			 BASE_F_STR("from", pull->id),
+			 BASE_F_INT("generation", (int64_t)pull->generation));
+	pthread_mutex_lock(&memb->lock);
+	/* What was whole but wrong will not be right next time. */
+	if (!taken && text->len &&
+	    XXH64(text->ptr, text->len, 0) == pull->digest)
+		memb->refused = pull->generation;
+	if (!taken)
+		memb_pull_failed(memb->core, now);
+	pthread_mutex_unlock(&memb->lock);
+	talloc_free(pull);
+}
+
+static bool fetch(entry_memb_t *memb, const entry_pull_t *pull,
+		  base_buf_t *text)
+{
+	uint32_t total = 0;
+
+	do {
+		if (!fetch_part(memb, pull, text, &total))
+			return false;
+	} while (text->len < total);
+	return XXH64(text->ptr, text->len, 0) == pull->digest;
+}
+
+static bool fetch_part(entry_memb_t *memb, const entry_pull_t *pull,
+		       base_buf_t *text, uint32_t *total)
+{
+	peer_to_t to = { .addr = pull->addr, .zone = pull->zone };
+	peer_config_get get = { .generation = pull->generation,
+				.digest = pull->digest,
+				.offset = (u_int)text->len };
+	peer_config_part part;
+	bool fits;
+
+	if (kern_duty_stopping(memb->pulls) ||
+	    peer_call(memb->peer, &to, PEER_CONFIG, &get, &part,
+		      PART_WAIT_US) != PEER_ANSWERED)
+		return false;
+	fits = part_fits(pull, text, &part, *total);
+	if (fits) {
+		*total = part.total;
+		base_buf_add(text, part.data.data_val, part.data.data_len);
+	}
+	peer_free_res(PEER_CONFIG, &part);
+	return fits;
+}
+
+static bool part_fits(const entry_pull_t *pull, const base_buf_t *text,
+		      const peer_config_part *part, uint32_t total)
+{
+	return part->generation == pull->generation &&
+	       part->digest == pull->digest && part->offset == text->len &&
+	       part->data.data_len && part->total <= TEXT_MAX &&
+	       (!total || part->total == total) &&
+	       text->len + part->data.data_len <= part->total;
+}
--- /dev/null
+++ b/packages/entry/entry_rollout.c
@@ -0,0 +1,130 @@
+#include <jansson.h>
+
+#include "entry_memb.h"
+
+/*
+ * What this entry knows of the others and of the configuration, for the
+ * operators' port.
+ */
+
+static json_t *member_json(const memb_record_t *rec);
+static json_t *held_json(const entry_held_t *held);
+
+int entry_rollout_page(struct mg_connection *conn, void *arg)
+{
+	entry_daemon_t *daemon = arg;
+	entry_memb_t *memb = daemon->memb;
+	json_t *members = json_array();
+	json_t *root;
+	char *text;
+	int status;
+
+	pthread_mutex_lock(&memb->lock);
+	for (size_t i = 0; i < memb_count(memb->core); i++)
+		json_array_append_new(members,
+				      member_json(memb_at(memb->core, i)));
+	root = json_pack("{s:s,s:s,s:b,s:b,s:o,s:o}", "entry",
+			 daemon->settings->name, "zone", daemon->settings->zone,
+			 "watches", memb_watches(memb->core), "sure",
+			 memb_sure(memb->core, base_clock_mono()), "config",
+			 held_json(&memb->held), "members", members);
+	pthread_mutex_unlock(&memb->lock);
+	text = json_dumps(root, JSON_COMPACT);
+	json_decref(root);
+	status = entry_operators_answer(conn, 200, "application/json",
+					base_str(text));
+	free(text);
+	return status;
+}
+
+/* /cut?zone=NAME&on=1: only where the settings allow it, for tests. */
+int entry_cut_page(struct mg_connection *conn, void *arg)
+{
+	entry_daemon_t *daemon = arg;
+	const char *query = mg_get_request_info(conn)->query_string;
+	size_t len = query ? strlen(query) : 0;
+	char zone[MEMB_NAME_MAX + 1], on[4];
+
+	if (!daemon->settings->test_cuts)
+		return entry_operators_answer(conn, 404, "text/plain",
+					      BASE_STR("not allowed\n"));
+	if (mg_get_var(query, len, "zone", zone, sizeof(zone)) <= 0 ||
+	    mg_get_var(query, len, "on", on, sizeof(on)) != 1)
+		return entry_operators_answer(conn, 400, "text/plain",
+					      BASE_STR("zone and on\n"));
+	peer_cut(daemon->memb->peer, zone, on[0] == '1');
+	return entry_operators_answer(conn, 200, "text/plain",
+				      BASE_STR("done\n"));
+}
+
+void entry_metrics_memb(entry_daemon_t *daemon, base_buf_t *out)
+{
+	entry_memb_t *memb = daemon->memb;
+	peer_stats_t stats = peer_stats(memb->peer);
+	uint64_t events[MEMB_EVENT_MAX];
+
+	pthread_mutex_lock(&memb->lock);
+	memcpy(events, memb->events, sizeof(events));
+	pthread_mutex_unlock(&memb->lock);
+	base_buf_adds(out, "# TYPE cactusfield_member_events_total counter\n");
+	for (int i = 0; i < MEMB_EVENT_MAX; i++)
+		base_buf_addf(
+			out,
+			"cactusfield_member_events_total{event=\"%s\"} %llu\n",
+			memb_event_name((memb_event_t)i),
+			(unsigned long long)events[i]);
+	base_buf_addf(out,
+		      "# TYPE cactusfield_peer_messages_total counter\n"
+		      "cactusfield_peer_messages_total{way=\"out\"} %llu\n"
+		      "cactusfield_peer_messages_total{way=\"in\"} %llu\n"
+		      "# TYPE cactusfield_peer_bytes_total counter\n"
+		      "cactusfield_peer_bytes_total{way=\"out\"} %llu\n"
+		      "cactusfield_peer_bytes_total{way=\"in\"} %llu\n",
+		      (unsigned long long)stats.calls_out,
+		      (unsigned long long)stats.calls_in,
+		      (unsigned long long)stats.bytes_out,
+		      (unsigned long long)stats.bytes_in);
+	base_buf_addf(out,
+		      "# TYPE cactusfield_peer_refused_total counter\n"
+		      "cactusfield_peer_refused_total{why=\"code\"} %llu\n"
+		      "cactusfield_peer_refused_total{why=\"life\"} %llu\n"
+		      "cactusfield_peer_refused_total{why=\"replay\"} %llu\n"
+		      "cactusfield_peer_refused_total{why=\"cut\"} %llu\n",
+		      (unsigned long long)stats.refused_mac,
+		      (unsigned long long)stats.refused_life,
+		      (unsigned long long)stats.refused_replay,
+		      (unsigned long long)stats.cut);
+}
+
+static json_t *member_json(const memb_record_t *rec)
+{
+	peer_addr_t addr = { rec->addr.ip, rec->addr.port };
+	char text[PEER_ADDR_LEN];
+
+	peer_addr_format(addr, text);
+	return json_pack("{s:s,s:s,s:s,s:s,s:I,s:I,s:I,s:I,s:b}", "id", rec->id,
+			 "zone", rec->zone, "address", text, "state",
+			 memb_state_name(rec->state), "incarnation",
+			 (json_int_t)rec->incarnation, "generation",
+			 (json_int_t)rec->generation, "in_force_us",
+			 (json_int_t)rec->in_force, "epoch",
+			 (json_int_t)rec->epoch, "sealed", rec->sealed);
+}
+
+static json_t *held_json(const entry_held_t *held)
+{
+	const entry_view_t *view = held->view;
+	char digest[17];
+
+	if (!view)
+		return json_null();
+	snprintf(digest, sizeof(digest), "%016llx",
+		 (unsigned long long)held->digest);
+	return json_pack("{s:I,s:s%,s:s,s:s,s:I,s:I,s:I}", "generation",
+			 (json_int_t)view->record->generation, "change",
+			 view->record->change.ptr, view->record->change.len,
+			 "digest", digest, "source", held->source, "heard_us",
+			 (json_int_t)held->heard, "in_force_us",
+			 (json_int_t)held->in_force, "bytes",
+			 (json_int_t)view->text.len);
+}
--- a/packages/entry/entry_run.c
+++ b/packages/entry/entry_run.c
@@ -1,6 +1,6 @@
 #include <signal.h>
 
-#include "entry_int.h"
+#include "entry_memb.h"
 
 #define DRAIN_POLL_US (10 * BASE_MS)
 
@@ -78,7 +78,8 @@
 		.calls_s = { [PLAT_FOR_CONFIG] = 4.0,
 			     [PLAT_FOR_FLEET] = 40.0,
 			     [PLAT_FOR_EPOCH] = 4.0,
-			     [PLAT_FOR_DUTY] = 4.0 },
+			     [PLAT_FOR_DUTY] = 4.0,
+			     [PLAT_FOR_MEMBERS] = 4.0 },
 		.seed = (uint64_t)base_clock_wall(),
 	};
 
@@ -97,6 +98,7 @@
 	base_log(daemon->log, BASE_MSG_DRAINING,
 		 BASE_F_STR("entry", settings->name));
 	atomic_store(&daemon->draining, 1);
+	entry_memb_leave(daemon);
 	base_clock_sleep(settings->balancer_lag_ms * BASE_MS);
 	limit = base_clock_mono() + settings->drain_limit_ms * BASE_MS;
 	while (atomic_load(&daemon->in_flight) && base_clock_mono() < limit)
--- a/packages/entry/entry_services.c
+++ b/packages/entry/entry_services.c
@@ -7,6 +7,7 @@
 
 /* In the order of their start; stopped the other way round. */
 static const service_t services[] = {
+	{ "memb", &entry_memb_ops },
 	{ "operators", &entry_operators_ops },
 	{ "platform", &entry_platform_ops },
 	{ "route", &entry_route_ops },
--- a/packages/entry/entry_settings.c
+++ b/packages/entry/entry_settings.c
@@ -50,6 +50,7 @@
 	{ "peer", "port", FIELD_NUMBER, AT(peer.port), PORT, true, 0 },
 	{ "peer", "key", FIELD_KEY, AT(peer_key), 0, 0, true, 0 },
 	{ "peer", "seeds", FIELD_SEEDS, AT(seeds), 0, 0, false, 0 },
+	{ "peer", "test_cuts", FIELD_NUMBER, AT(test_cuts), 0, 1, false, 0 },
 	{ "store", "address", FIELD_ADDRESS, AT(store.host), 0, 0, true, 0 },
 	{ "store", "port", FIELD_NUMBER, AT(store.port), PORT, true, 0 },
 	{ "list", "address", FIELD_ADDRESS, AT(list.host), 0, 0, true, 0 },
--- a/packages/entry/entry_view.c
+++ b/packages/entry/entry_view.c
@@ -4,6 +4,7 @@
 struct entry_config {
 	atomic_int holders;
 	conf_record_t *record;
+	base_str_t text; /* as it came */
 };
 
 struct entry_views {
@@ -73,6 +74,8 @@
 		talloc_free(config);
 		return false;
 	}
+	config->text = (base_str_t){ talloc_memdup(config, text.ptr, text.len),
+				     text.len };
 	pthread_mutex_lock(&views->lock);
 	*newer =
 		!views->current->record ||
@@ -136,6 +139,7 @@
 	atomic_fetch_add(&config->holders, 1);
 	view->config = config;
 	view->record = config->record;
+	view->text = config->text;
 	talloc_set_destructor(view, free_view);
 	view->pool_count = conf->n_pools;
 	view->pools = talloc_zero_array(view, entry_pool_t, conf->n_pools);
--- a/packages/memb/memb.c
+++ b/packages/memb/memb.c
@@ -39,7 +39,7 @@
 	g_strlcpy(self->id, opts->id, sizeof(self->id));
 	g_strlcpy(self->zone, opts->zone, sizeof(self->zone));
 	self->addr = opts->addr;
-	self->incarnation = opts->incarnation;
+	self->incarnation = memb->first = opts->incarnation;
 	memb->members = g_ptr_array_new_with_free_func(g_free);
 	memb->by_id = g_hash_table_new(g_str_hash, g_str_equal);
 	/* Spread the turns of those that start together. */
--- a/packages/memb/memb.h
+++ b/packages/memb/memb.h
@@ -68,6 +68,8 @@
 	uint32_t seq;	 /* of the probe */
 	uint32_t cursor; /* of a page; of an ack: MEMB_ACK_UNSURE */
 	uint64_t digest; /* of the sender's configuration */
+	/* The latest incarnation of the receiver that was given up, 0: none */
+	uint64_t buried;
 	char target[MEMB_NAME_MAX + 1];
 	memb_addr_t target_addr;
 	uint32_t n; /* of the records, at least 1 */
--- a/packages/memb/memb_int.h
+++ b/packages/memb/memb_int.h
@@ -19,8 +19,9 @@
 
 typedef struct memb_member {
 	memb_record_t rec;
-	int64_t since; /* in this state */
-	uint32_t hot;  /* times that its record shall still be sent on */
+	int64_t since;	 /* in this state */
+	uint64_t buried; /* its latest incarnation that we gave up */
+	uint32_t hot;	 /* times that its record shall still be sent on */
 } memb_member_t;
 
 typedef struct memb_probe {
@@ -60,8 +61,10 @@
 	uint32_t near_next; /* whose turn it is in our zone */
 	uint32_t fill_next; /* whose record is sent on when there is room */
 
-	bool paged;  /* got all pages of somebody's view */
-	bool unsure; /* was paused and asks */
+	uint64_t first;	 /* the incarnation with which we began */
+	uint64_t buried; /* our latest incarnation that others gave up */
+	bool paged;	 /* got all pages of somebody's view */
+	bool unsure;	 /* was paused and asks */
 	int64_t unsure_since;
 	uint32_t sure_seq; /* answers to later probes count */
 	char sure_by[MEMB_SURE_MIN][MEMB_NAME_MAX + 1];
@@ -106,13 +109,19 @@
 /* Take in what was said of some entry. */
 void memb_merge(memb_t *memb, const memb_record_t *rec, int64_t now);
 
+/* Somebody gave us up at "incarnation" of ours. */
+void memb_given_up(memb_t *memb, uint64_t incarnation);
+
 /* Our own finding about a member. */
 void memb_set_state(memb_t *memb, memb_member_t *member, memb_state_t state,
 		    int64_t now);
 
 /* memb_tell: messages */
 
-/* Fill in "msg" with our record, that of "about" (may be NULL) and news. */
+/*
+ * Fill in "msg" with our record, that of the receiver "about" (NULL if not
+ * known) and news.
+ */
 void memb_fill(memb_t *memb, memb_msg_t *msg, memb_kind_t kind,
 	       const memb_member_t *about);
 void memb_send(memb_t *memb, memb_addr_t to, const char *zone,
--- a/packages/memb/memb_merge.c
+++ b/packages/memb/memb_merge.c
@@ -41,10 +41,24 @@
 		return;
 	member->rec.state = state;
 	member->since = now;
+	if (state == MEMB_DEAD)
+		member->buried = member->rec.incarnation;
 	member->hot = memb_hot_times(memb);
 	memb_raise(memb, event_of(was, state), &member->rec);
 }
 
+/*
+ * We may have refuted a suspicion without knowing that it had become more, so
+ * that the record of it is gone by the time that we ask.
+ */
+void memb_given_up(memb_t *memb, uint64_t incarnation)
+{
+	if (incarnation < memb->first || incarnation <= memb->buried)
+		return;
+	memb->buried = incarnation;
+	memb_raise(memb, MEMB_GIVEN_UP, &memb->self);
+}
+
 /* Others are wrong about us, or remember an earlier life: refute it. */
 static void merge_self(memb_t *memb, const memb_record_t *rec)
 {
@@ -61,7 +75,7 @@
 	self->incarnation = rec->incarnation + 1;
 	self->revision++;
 	if (rec->state == MEMB_DEAD)
-		memb_raise(memb, MEMB_GIVEN_UP, rec);
+		memb_given_up(memb, rec->incarnation);
 	memb_tell(memb, MEMB_WHOM_ANY, memb->limits.news_near);
 }
 
--- a/packages/memb/memb_probe.c
+++ b/packages/memb/memb_probe.c
@@ -24,7 +24,10 @@
 	expire_probes(memb, now);
 	give_up(memb, now);
 	if (now >= memb->next_period) {
-		memb->next_period = now + memb->limits.period_us;
+		memb->next_period =
+			now + (memb_present_count(memb)
+				       ? memb->limits.period_us
+				       : memb->limits.period_us / 5);
 		period(memb, now);
 	}
 	memb_sure_check(memb);
--- a/packages/memb/memb_receive.c
+++ b/packages/memb/memb_receive.c
@@ -25,6 +25,7 @@
 	memb_check_pause(memb, now);
 	for (uint32_t i = 0; i < msg->n; i++)
 		memb_merge(memb, &msg->updates[i], now);
+	memb_given_up(memb, msg->buried);
 	memb_heard_config(memb, msg, now);
 	takes[msg->kind](memb, now, msg);
 	/* Whoever was not known before may know others. */
--- a/packages/memb/memb_spread.c
+++ b/packages/memb/memb_spread.c
@@ -45,7 +45,7 @@
 		memb_raise(memb, MEMB_CONFLICT, sender);
 	}
 	if (sender->generation <= self->generation ||
-	    (memb->pulling && now < memb->pull_until))
+	    (memb->pulling >= sender->generation && now < memb->pull_until))
 		return;
 	memb->pulling = sender->generation;
 	memb->pull_until = now + memb->limits.pull_us;
--- a/packages/memb/memb_tell.c
+++ b/packages/memb/memb_tell.c
@@ -12,6 +12,8 @@
 	msg->kind = kind;
 	msg->digest = memb->digest;
 	add_record(msg, &memb->self);
+	if (about)
+		msg->buried = about->buried;
 	/* Whoever is thought to be gone must hear of it to refute it. */
 	if (about && about->rec.state != MEMB_ALIVE)
 		add_record(msg, &about->rec);
--- a/packages/memb/tests/memb_net.h
+++ b/packages/memb/tests/memb_net.h
@@ -180,8 +180,17 @@
 {
 	net_node_t *node = &net->nodes[item->to];
 
-	if (!node->memb || node->paused)
+	if (!node->memb)
 		return;
+	if (node->paused) {
+		/* Waits in its socket. */
+		net_item_t *copy = (net_item_t *)g_memdup2(item, sizeof(*item));
+		uint32_t at = (net->now_ms + 20) % NET_SLOTS;
+
+		copy->next = net->slots[at];
+		net->slots[at] = copy;
+		return;
+	}
 	if (!item->pull)
 		memb_receive(node->memb, net_now(net), &item->msg);
 	else if (item->pull_life == node->lives)
--- a/packages/peer/peer_memb.c
+++ b/packages/peer/peer_memb.c
@@ -12,6 +12,7 @@
 			       .seq = msg->seq,
 			       .cursor = msg->cursor,
 			       .digest = msg->digest,
+			       .buried = msg->buried,
 			       .target = (char *)msg->target };
 	wire->target_addr.ip = msg->target_addr.ip;
 	wire->target_addr.port = msg->target_addr.port;
@@ -32,6 +33,7 @@
 	msg->seq = wire->seq;
 	msg->cursor = wire->cursor;
 	msg->digest = wire->digest;
+	msg->buried = wire->buried;
 	g_strlcpy(msg->target, wire->target, sizeof(msg->target));
 	msg->target_addr.ip = wire->target_addr.ip;
 	msg->target_addr.port = (uint16_t)wire->target_addr.port;
--- a/packages/peer/peer_proto.x
+++ b/packages/peer/peer_proto.x
@@ -74,6 +74,7 @@
 	unsigned int seq;
 	unsigned int cursor;
 	unsigned hyper digest;
+	unsigned hyper buried;
 	string target<PEER_ID_MAX>;
 	peer_wire_addr target_addr;
 	peer_wire_member updates<PEER_UPDATES_MAX>;
--- a/packages/peer/peer_proto_xdr.c
+++ b/packages/peer/peer_proto_xdr.c
@@ -135,6 +135,8 @@
 		}
 		 if (!xdr_u_quad_t (xdrs, &objp->digest))
 			 return FALSE;
+		 if (!xdr_u_quad_t (xdrs, &objp->buried))
+			 return FALSE;
 		 if (!xdr_string (xdrs, &objp->target, PEER_ID_MAX))
 			 return FALSE;
 		 if (!xdr_peer_wire_addr (xdrs, &objp->target_addr))
@@ -160,6 +162,8 @@
 		}
 		 if (!xdr_u_quad_t (xdrs, &objp->digest))
 			 return FALSE;
+		 if (!xdr_u_quad_t (xdrs, &objp->buried))
+			 return FALSE;
 		 if (!xdr_string (xdrs, &objp->target, PEER_ID_MAX))
 			 return FALSE;
 		 if (!xdr_peer_wire_addr (xdrs, &objp->target_addr))
@@ -178,6 +182,8 @@
 		 return FALSE;
 	 if (!xdr_u_quad_t (xdrs, &objp->digest))
 		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->buried))
+		 return FALSE;
 	 if (!xdr_string (xdrs, &objp->target, PEER_ID_MAX))
 		 return FALSE;
 	 if (!xdr_peer_wire_addr (xdrs, &objp->target_addr))
--- a/packages/peer/peer_proto_xdr.h
+++ b/packages/peer/peer_proto_xdr.h
@@ -86,6 +86,7 @@
 	u_int seq;
 	u_int cursor;
 	u_quad_t digest;
+	u_quad_t buried;
 	char *target;
 	peer_wire_addr target_addr;
 	struct {
--- a/packages/plat/plat.h
+++ b/packages/plat/plat.h
@@ -125,6 +125,7 @@
 	PLAT_FOR_FLEET,
 	PLAT_FOR_EPOCH,
 	PLAT_FOR_DUTY,
+	PLAT_FOR_MEMBERS,
 	PLAT_PURPOSE_MAX
 } plat_purpose_t;
 
@@ -145,7 +146,7 @@
 /* The client for that purpose; lives as long as the guard. */
 plat_store_t *plat_guard_store(plat_guard_t *guard, plat_purpose_t purpose);
 
-/* "config", "fleet", "epoch" or "duty". */
+/* "config", "fleet", "epoch", "duty" or "members". */
 const char *plat_purpose_name(plat_purpose_t purpose);
 
 typedef struct plat_calls {
--- a/packages/plat/plat_guard.c
+++ b/packages/plat/plat_guard.c
@@ -38,10 +38,9 @@
 };
 
 static const char *const purpose_names[PLAT_PURPOSE_MAX] = {
-	[PLAT_FOR_CONFIG] = "config",
-	[PLAT_FOR_FLEET] = "fleet",
-	[PLAT_FOR_EPOCH] = "epoch",
-	[PLAT_FOR_DUTY] = "duty",
+	[PLAT_FOR_CONFIG] = "config",	[PLAT_FOR_FLEET] = "fleet",
+	[PLAT_FOR_EPOCH] = "epoch",	[PLAT_FOR_DUTY] = "duty",
+	[PLAT_FOR_MEMBERS] = "members",
 };
 
 plat_guard_t *plat_guard_new(const void *ctx,
--- a/packages/tool/tool_int.h
+++ b/packages/tool/tool_int.h
@@ -37,6 +37,7 @@
 int tool_config_generate(int argc, char **argv, FILE *out, FILE *err);
 int tool_config_diff(int argc, char **argv, FILE *out, FILE *err);
 int tool_config_approve(int argc, char **argv, FILE *out, FILE *err);
+int tool_rollout(int argc, char **argv, FILE *out, FILE *err);
 int tool_status(int argc, char **argv, FILE *out, FILE *err);
 
 #endif
--- a/packages/tool/tool_verbs.c
+++ b/packages/tool/tool_verbs.c
@@ -11,6 +11,8 @@
 	  tool_config_diff },
 	{ "config", "approve", "put a generated configuration in force",
 	  tool_config_approve },
+	{ NULL, "rollout", "who has which configuration, and since when",
+	  tool_rollout },
 	{ NULL, "status", "pools, budgets and entries at a glance",
 	  tool_status },
 };
--- a/tests/lib.sh
+++ b/tests/lib.sh
@@ -94,7 +94,8 @@
 	            "threads": ${CALLER_THREADS:-64}},
 	 "operators": {"address": "127.0.0.1", "port": $(operators_port "$1")},
 	 "peer": {"address": "127.0.0.1", "port": $(peer_port "$1"),
-	          "key": "$KEY", "seeds": [${seeds%,}]},
+	          "key": "$KEY", "seeds": [${seeds%,}],
+	          "test_cuts": 1},
 	 "store": {"address": "127.0.0.1", "port": $((PORTS + $3))},
 	 "list": {"address": "127.0.0.1", "port": $((PORTS + $3))},
 	 ${4:-}
