--- a/packages/entry/entry_operators.c
+++ b/packages/entry/entry_operators.c
@@ -7,9 +7,12 @@
  */
 
 #define KEEP_ALIVE_MS 5000
+#define BEARER "Bearer "
 
 static bool operators_start(void *service, kern_t *kern, GError **err);
 static void operators_stop(void *service);
+static int allow(struct mg_connection *conn, void *arg);
+static bool shows_key(struct mg_connection *conn, const char *key);
 static int on_healthz(struct mg_connection *conn, void *arg);
 static int on_readyz(struct mg_connection *conn, void *arg);
 static int on_metrics(struct mg_connection *conn, void *arg);
@@ -31,6 +34,9 @@
 	{ "/rollout", entry_rollout_page }, { "/cut", entry_cut_page },
 };
 
+/* What the balancer and the metrics collector ask without a key. */
+static const char *const open_pages[] = { "/healthz", "/readyz", "/metrics" };
+
 int entry_operators_answer(struct mg_connection *conn, int status,
 			   const char *type, base_str_t text)
 {
@@ -59,9 +65,43 @@
 	for (size_t i = 0; i < ARRAY_SIZE(pages); i++)
 		mg_set_request_handler(daemon->operators_http, pages[i].path,
 				       pages[i].serve, daemon);
+	mg_set_auth_handler(daemon->operators_http, "/", allow, daemon);
 	return true;
 }
 
+/* Every page but the open ones needs the key; returns 0 when refused. */
+static int allow(struct mg_connection *conn, void *arg)
+{
+	const char *path = mg_get_request_info(conn)->local_uri;
+	entry_daemon_t *daemon = arg;
+
+	for (size_t i = 0; i < ARRAY_SIZE(open_pages); i++)
+		if (!strcmp(path, open_pages[i]))
+			return 1;
+	if (shows_key(conn, daemon->settings->operators_key))
+		return 1;
+	entry_operators_answer(conn, 401, "text/plain",
+			       BASE_STR("the operators' key is needed\n"));
+	return 0;
+}
+
+/* The time it takes does not tell how much of the key was right. */
+static bool shows_key(struct mg_connection *conn, const char *key)
+{
+	const char *shown = mg_get_header(conn, "Authorization");
+	size_t len = strlen(key), shown_len;
+	unsigned differ;
+
+	if (!shown || strncmp(shown, BEARER, strlen(BEARER)))
+		return false;
+	shown += strlen(BEARER);
+	shown_len = strlen(shown);
+	differ = shown_len != len;
+	for (size_t i = 0; i < shown_len; i++)
+		differ |= (unsigned)(shown[i] ^ key[i % len]);
+	return !differ;
+}
+
 static void operators_stop(void *service)
 {
 	entry_daemon_t *daemon = service;
@@ -82,6 +122,7 @@
 	entry_daemon_t *daemon = arg;
 	entry_view_t *view = entry_view_hold(daemon->views);
 	bool configured = view->record != NULL;
+	bool owned = view->owned;
 
 	entry_view_release(view);
 	if (atomic_load(&daemon->draining))
@@ -90,6 +131,9 @@
 	if (!configured)
 		return entry_operators_answer(conn, 503, "text/plain",
 					      BASE_STR("no configuration\n"));
+	if (!owned)
+		return entry_operators_answer(conn, 503, "text/plain",
+					      BASE_STR("no pools yet\n"));
 	return entry_operators_answer(conn, 200, "text/plain",
 				      BASE_STR("ready\n"));
 }
--- a/packages/entry/entry_platform.c
+++ b/packages/entry/entry_platform.c
@@ -13,6 +13,7 @@
 static void read_config(void *arg, int64_t now);
 static void read_list(void *arg, int64_t now);
 static bool config_due(entry_daemon_t *daemon, int64_t now);
+static void take_read(entry_daemon_t *daemon, const plat_kv_t *kv);
 static void note_reach(const entry_daemon_t *daemon, atomic_int *down,
 		       bool reached, base_msg_t down_msg, GError *cause);
 
@@ -70,7 +71,7 @@
 	read = store->ops->range(store, ctx, ENTRY_CONFIG_KEY, false, &kvs,
 				 &cause);
 	if (read && kvs.count)
-		entry_take_config(daemon, kvs.items[0].value, "store");
+		take_read(daemon, &kvs.items[0]);
 	note_reach(daemon, &daemon->store_down, read, BASE_MSG_STORE_DOWN,
 		   cause);
 	talloc_free(ctx);
@@ -97,6 +98,15 @@
 	return true;
 }
 
+/* A record that was looked at before is not parsed again. */
+static void take_read(entry_daemon_t *daemon, const plat_kv_t *kv)
+{
+	if (kv->mod_revision == daemon->config_seen)
+		return;
+	daemon->config_seen = kv->mod_revision;
+	entry_take_config(daemon, kv->value, "store");
+}
+
 bool entry_take_config(entry_daemon_t *daemon, base_str_t text,
 		       const char *source)
 {
--- a/packages/jobs/jobs_report.c
+++ b/packages/jobs/jobs_report.c
@@ -76,30 +76,18 @@
 }
 
 /*
- * A task that was given up and yet runs is taken up again as what it is, so
- * that its room is not handed out, and stopped.  A job that was given up as
- * lost may turn out to have ended well before its worker went away.
+ * A task is forgotten only once it is known not to run, so that this is a
+ * report that came late.  A job that was given up as lost may turn out to
+ * have ended well before its worker went away.
  */
 static void unknown_task(jobs_t *jobs, int64_t now, jobs_job_t *job,
 			 const jobs_report_t *report)
 {
-	jobs_worker_t *worker = jobs_worker_find(jobs, report->worker);
-	jobs_task_t *task;
-
 	if (report->event == JOBS_EVENT_ENDED && job->state == JOBS_LOST &&
-	    report->attempt == job->attempt) {
+	    report->attempt == job->attempt)
 		finish(jobs, now, job);
-	} else if (report->event == JOBS_EVENT_RUNNING && worker &&
-		   report->incarnation == worker->incarnation &&
-		   report->attempt < job->attempt) {
-		task = jobs_task_new(jobs, job, worker, report->attempt,
-				     &report->peak);
-		task->state = JOBS_TASK_RUNNING;
-		task->started_at = now;
-		task->as_of = report->as_of;
-		jobs_task_lease(jobs, now, task);
-		jobs_task_order(jobs, now, task, JOBS_EFFECT_STOP);
-	}
+	else
+		jobs->stats.strays++;
 }
 
 static void on_running(jobs_t *jobs, int64_t now, jobs_task_t *task,
@@ -122,7 +110,8 @@
 	jobs_job_t *job = task->job;
 
 	jobs_family_ended(job->family, &task->peak, report->run_us);
-	jobs_praise(jobs, now, task);
+	job->family->runs++;
+	jobs_praise(jobs, task);
 	jobs_task_free(jobs, task);
 	if (!jobs_ended(job))
 		finish(jobs, now, job);
@@ -173,21 +162,16 @@
 static void on_throttled(jobs_t *jobs, int64_t now, jobs_task_t *task,
 			 const jobs_report_t *report)
 {
-	jobs_worker_t *worker = task->worker;
 	jobs_res_t less = task->share;
 
 	alive(jobs, now, task, report);
 	if (task->order != JOBS_EFFECT_THROTTLE)
 		return;
 	jobs_task_answered(jobs, task);
-	task->throttled = true;
 	task->full = task->share;
 	less.v[JOBS_CORES] /= JOBS_THROTTLE_PART;
 	jobs_task_share(jobs, task, &less);
-	if (worker->throttling)
-		return;
-	worker->throttling = true;
-	g_queue_push_tail_link(&jobs->throttled, &worker->throttled_link);
+	jobs_task_throttled(jobs, task);
 }
 
 static void on_resumed(jobs_t *jobs, int64_t now, jobs_task_t *task,
@@ -234,6 +218,8 @@
 	task->state = JOBS_TASK_RUNNING;
 	jobs_task_lease(jobs, now, task);
 	jobs_family_running(task->job->family, &report->peak);
+	if (report->run_us >= JOBS_SURVIVED_US)
+		jobs_praise(jobs, task);
 	grow(jobs, task, &report->peak);
 	jobs_worker_moved(jobs, task->worker);
 }
@@ -249,6 +235,7 @@
 			MAX(share.v[JOBS_MEMORY], peak->v[JOBS_MEMORY]);
 	} else {
 		jobs_raise(&share, peak);
+		jobs_raise(&task->full, peak);
 	}
 	if (!jobs_fits(&share, &task->share))
 		jobs_task_share(jobs, task, &share);
