Serve requests that must not run twice under claims

Change: a request that is not repeatable and has an Idempotency-Key takes its claim at home and backup before it queues, checks it again right before the first byte, and records its answer after it was told; GET /cactusfield/ticket; the epoch's record in the store, proposals, hellos and copies of slices in one duty.

--- /dev/null
+++ b/bench/claim_bench.c
@@ -0,0 +1,122 @@
+/*
+ * claim_bench - what a claim costs in memory, time and messages.
+ *
+ * Times are told as a ratio to a loop that only digests the ids, in one run.
+ */
+#include <rpc/rpc.h>
+
+#include "claim.h"
+#include "peer_proto_xdr.h"
+
+#define RECORDS 200000
+#define ANSWER 512     /* bytes */
+#define NAME "entry-1" /* as long as an entry's name is */
+#define SEAL_BYTES 36  /* the code, and the length of what it covers */
+
+static claim_id_t id_of(uint32_t i);
+static int64_t digest_loop(void);
+static int64_t take_loop(claim_table_t *table, claim_verdict_t want);
+static void memory(void);
+static void messages(void);
+static size_t sealed(xdrproc_t head, void *head_of, xdrproc_t args, void *of);
+
+int main(void)
+{
+	memory();
+	messages();
+	return 0;
+}
+
+static claim_id_t id_of(uint32_t i)
+{
+	char key[32];
+	int len = snprintf(key, sizeof(key), "settlement-%u", i);
+
+	return claim_id(BASE_STR("addis"), (base_str_t){ key, (size_t)len });
+}
+
+static int64_t digest_loop(void)
+{
+	int64_t begin = base_clock_mono();
+	uint64_t sum = 0;
+
+	for (uint32_t i = 0; i < RECORDS; i++)
+		sum += id_of(i).hi;
+	return sum ? base_clock_mono() - begin : 0;
+}
+
+static int64_t take_loop(claim_table_t *table, claim_verdict_t want)
+{
+	int64_t begin = base_clock_mono();
+
+	for (uint32_t i = 0; i < RECORDS; i++) {
+		claim_take_t take = { .id = id_of(i),
+				      .attempt = { want, i + 1 },
+				      .caller = i,
+				      .epoch = 1 };
+		claim_reply_t reply;
+
+		claim_table_take(table, &take, BASE_SEC, &reply);
+		if (reply.verdict != want)
+			abort();
+	}
+	return base_clock_mono() - begin;
+}
+
+static void memory(void)
+{
+	claim_table_opts_t opts = { NAME, 1, claim_limits_default };
+	claim_member_t self = { NAME, "z", 1 };
+	claim_epoch_t epoch = { .number = 1, .now = { &self, 1 } };
+	claim_table_t *table = claim_table_new(NULL, &opts);
+	double empty, granted, held;
+	claim_stats_t stats;
+
+	claim_table_adopt(table, &epoch, BASE_SEC, BASE_SEC);
+	empty = (double)digest_loop();
+	granted = (double)take_loop(table, CLAIM_GRANTED);
+	held = (double)take_loop(table, CLAIM_HELD);
+	stats = claim_table_stats(table, BASE_SEC);
+	printf("{\"bench\":\"claim\",\"records\":%u,\"bytes\":%zu,"
+	       "\"bytes_per_record\":%.1f,\"records_per_mb\":%.0f,"
+	       "\"grant_to_digest\":%.2f,\"refusal_to_digest\":%.2f}\n",
+	       stats.records, stats.bytes, (double)stats.bytes / stats.records,
+	       1048576.0 * stats.records / (double)stats.bytes, granted / empty,
+	       held / empty);
+	talloc_free(table);
+}
+
+/* For a holder that is neither home nor backup: two takes and two ends. */
+static void messages(void)
+{
+	char answer[ANSWER] = "";
+	peer_call_head call = { .from = (char *)NAME,
+				.zone = (char *)"zone-1" };
+	peer_reply_head reply = { 0 };
+	peer_claim_take take = { 0 };
+	peer_claim_verdict verdict = { 0 };
+	peer_claim_end end = { .kept = true, .answer = { ANSWER, answer } };
+	peer_claim_done done = { 0 };
+	xdrproc_t head = (xdrproc_t)xdr_peer_call_head;
+	xdrproc_t back = (xdrproc_t)xdr_peer_reply_head;
+	size_t take_out =
+		sealed(head, &call, (xdrproc_t)xdr_peer_claim_take, &take);
+	size_t take_back = sealed(back, &reply,
+				  (xdrproc_t)xdr_peer_claim_verdict, &verdict);
+	size_t end_out =
+		sealed(head, &call, (xdrproc_t)xdr_peer_claim_end, &end);
+	size_t end_back =
+		sealed(back, &reply, (xdrproc_t)xdr_peer_claim_done, &done);
+
+	printf("{\"bench\":\"claim-messages\",\"calls\":4,\"messages\":8,"
+	       "\"take_bytes\":%zu,\"verdict_bytes\":%zu,\"end_bytes\":%zu,"
+	       "\"done_bytes\":%zu,\"answer_bytes\":%d,\"bytes\":%zu,"
+	       "\"store_calls\":0}\n",
+	       take_out, take_back, end_out, end_back, ANSWER,
+	       2 * (take_out + take_back + end_out + end_back));
+}
+
+static size_t sealed(xdrproc_t head, void *head_of, xdrproc_t args, void *of)
+{
+	return xdr_sizeof(head, head_of) + xdr_sizeof(args, of) + MAC_WORDS * 3;
+}
--- a/load/load_int.h
+++ b/load/load_int.h
@@ -61,6 +61,7 @@
 	int64_t work_us; /* asked of the endpoint */
 	int answer_bytes;
 	int repeat_percent; /* not repeatable requests sent twice */
+	bool shared_keys;   /* all workers use the same ones */
 	int deadline_ms;    /* 0: none told */
 	uint64_t seed;
 	FILE *log;
--- a/load/load_run.c
+++ b/load/load_run.c
@@ -31,14 +31,17 @@
 		arg_int0(NULL, "answer-bytes", "N", "padding (0)");
 	struct arg_int *repeat = arg_int0(NULL, "repeat", "PERCENT",
 					  "sent again with the same key (0)");
+	struct arg_lit *shared =
+		arg_lit0(NULL, "shared-keys", "all workers use the same keys");
 	struct arg_int *deadline =
 		arg_int0(NULL, "deadline-ms", "MS", "told to the entry");
 	struct arg_int *seed = arg_int0(NULL, "seed", "N", "(1)");
 	struct arg_file *out =
 		arg_file1(NULL, "out", "FILE", "one JSON line a request");
 	struct arg_end *end = arg_end(8);
-	void *table[] = { targets, config, services, seconds, workers, work,
-			  bytes,   repeat, deadline, seed,    out,     end };
+	void *table[] = { targets, config, services, seconds, workers,
+			  work,	   bytes,  repeat,   shared,  deadline,
+			  seed,	   out,	   end };
 	load_t *load = talloc_zero(NULL, load_t);
 	conf_t *conf;
 
@@ -55,6 +58,7 @@
 	load->work_us = work->count ? work->ival[0] : 1000;
 	load->answer_bytes = bytes->count ? bytes->ival[0] : 0;
 	load->repeat_percent = repeat->count ? repeat->ival[0] : 0;
+	load->shared_keys = shared->count > 0;
 	load->deadline_ms = deadline->count ? deadline->ival[0] : 0;
 	load->seed = seed->count ? (uint64_t)seed->ival[0] : 1;
 	load->until = base_clock_mono() +
--- a/load/load_work.c
+++ b/load/load_work.c
@@ -5,6 +5,7 @@
 #define ERROR_TEXT_MAX 160	   /* bytes */
 #define ANSWER_WAIT_MS 30000	   /* for an entry's answer */
 #define ANSWER_MAX (1024 * 1024)   /* bytes */
+#define SHARED 4		   /* requests under one shared key */
 #define IDLE_MAX_US (2 * BASE_SEC) /* shorter than the entries' bound */
 
 typedef struct worker {
@@ -123,7 +124,13 @@
 	snprintf(request->id, sizeof(request->id), "r%llu-%d-%u",
 		 (unsigned long long)w->load->seed, w->number, w->count);
 	request->key[0] = '\0';
-	if (!class->repeatable)
+	if (!class->repeatable && w->load->shared_keys)
+		snprintf(request->key, sizeof(request->key),
+			 "s%llu-%.*s-%.*s-%u",
+			 (unsigned long long)w->load->seed,
+			 BASE_STR_ARG(class->pool), BASE_STR_ARG(class->name),
+			 w->count / SHARED);
+	else if (!class->repeatable)
 		snprintf(request->key, sizeof(request->key), "k%llu-%d-%u",
 			 (unsigned long long)w->load->seed, w->number,
 			 w->count);
@@ -208,6 +215,8 @@
 	const conf_class_t *class = request->class;
 	bool any = base_str_eq(class->method, BASE_STR("*"));
 	base_str_t method = any ? BASE_STR("POST") : class->method;
+	/* A repeat with the same key is the same request. */
+	const char *body = request->key[0] ? request->key : request->id;
 
 	base_buf_reset(w->text);
 	base_buf_addf(w->text, "%.*s /%.*s%.*s HTTP/1.1\r\nHost: entry\r\n",
@@ -216,7 +225,8 @@
 	base_buf_addf(w->text,
 		      "X-Request-Id: %s\r\nX-Cactusfield-Class: %.*s\r\n"
 		      "X-Cactusfield-Caller: caller-%d\r\nX-Work-Us: %lld\r\n",
-		      request->id, BASE_STR_ARG(class->name), w->number % 4,
+		      request->id, BASE_STR_ARG(class->name),
+		      w->load->shared_keys ? 0 : w->number % 4,
 		      (long long)w->load->work_us);
 	if (w->load->answer_bytes)
 		base_buf_addf(w->text, "X-Answer-Bytes: %d\r\n",
@@ -230,7 +240,7 @@
 		base_buf_adds(w->text, "\r\n");
 	else
 		base_buf_addf(w->text, "Content-Length: %zu\r\n\r\n%s",
-			      strlen(request->id), request->id);
+			      strlen(body), body);
 }
 
 static seen_t read_answer(worker_t *w, struct mg_connection *conn,
@@ -279,8 +289,8 @@
 	id = json_string_value(json_object_get(root, "request"));
 	key = json_string_value(json_object_get(root, "key"));
 	/* A recorded answer carries the id under which it ran. */
-	ours = request->key[0] ? key && !strcmp(key, request->key)
-			       : id && !strcmp(id, request->id);
+	ours = request->key[0] ? key && strcmp(key, request->key) == 0
+			       : id && strcmp(id, request->id) == 0;
 	json_decref(root);
 	return ours ? SEEN_ANSWERED : SEEN_WRONG;
 }
--- a/packages/entry/entry_caller.c
+++ b/packages/entry/entry_caller.c
@@ -29,6 +29,7 @@
 	if (!daemon->caller_http)
 		return false;
 	mg_set_request_handler(daemon->caller_http, "/", on_request, daemon);
+	entry_claim_listen(daemon);
 	return true;
 }
 
@@ -65,12 +66,17 @@
 	entry_message_t answer = { 0 };
 	entry_verdict_t verdict;
 
-	verdict = entry_route_run(daemon->route, request, &answer);
+	if (!request->repeatable && request->key[0])
+		verdict = entry_claim_run(daemon, request, &answer);
+	else
+		verdict = entry_route_run(daemon->route, request, &answer);
 	atomic_fetch_add(&daemon->outcomes[verdict.outcome], 1);
-	if (verdict.outcome == ENTRY_ANSWERED)
+	if (verdict.outcome == ENTRY_ANSWERED) {
 		entry_http_answer(conn, request, &answer, last);
-	else
-		refuse(daemon, conn, request, &verdict);
+		entry_claim_answered(daemon, request, &answer);
+		return;
+	}
+	refuse(daemon, conn, request, &verdict);
 }
 
 static void refuse(entry_daemon_t *daemon, struct mg_connection *conn,
--- /dev/null
+++ b/packages/entry/entry_claim.c
@@ -0,0 +1,386 @@
+#include "entry_claim.h"
+
+/*
+ * The claims of this entry, and one request that needs one.
+ */
+
+#define TICK_US (250 * BASE_MS)
+#define AGAIN_PAUSE_US (100 * BASE_MS)
+#define AGAIN_MAX_US (5 * BASE_SEC) /* a change of the list is over by then */
+#define RETRY_AFTER_MS 1000
+
+static bool claim_start(void *service, kern_t *kern, GError **err);
+static void claim_stop(void *service);
+static int free_claims(entry_claims_t *claims);
+static void free_peer(void *peer);
+static void tick(void *arg, int64_t now);
+static bool take(entry_claims_t *claims, entry_request_t *request,
+		 claim_action_t *action);
+static bool again(entry_claims_t *claims, entry_request_t *request,
+		  claim_action_t *action);
+static void begin(entry_claims_t *claims, entry_request_t *request,
+		  uint64_t ticket, claim_action_t *action);
+static claim_epoch_t *epoch_below(entry_claims_t *claims, const void *ctx);
+static bool check_ticket(entry_claims_t *claims, const entry_request_t *request,
+			 uint64_t *epoch);
+static void release(entry_claims_t *claims, const claim_holder_t *holder,
+		    const claim_action_t *action);
+static entry_verdict_t tell(entry_claims_t *claims, entry_request_t *request,
+			    const claim_action_t *action,
+			    entry_message_t *answer);
+static bool replay(entry_request_t *request, base_str_t text,
+		   entry_message_t *answer);
+static void pack(const entry_message_t *answer, base_buf_t *out);
+static int on_ticket(struct mg_connection *conn, void *arg);
+
+const kern_service_ops_t entry_claim_ops = { claim_start, claim_stop };
+
+entry_claims_t *entry_claims_new(entry_daemon_t *daemon)
+{
+	claim_table_opts_t opts = { .entry = daemon->settings->name,
+				    .limits = claim_limits_default };
+	entry_claims_t *claims = talloc_zero(daemon, entry_claims_t);
+
+	opts.incarnation = g_ascii_strtoull(daemon->incarnation, NULL, 10);
+	claims->daemon = daemon;
+	claims->rng.state =
+		opts.incarnation ^ (uint64_t)daemon->settings->peer.port << 48;
+	claims->entry =
+		claim_entry_digest(base_str(opts.entry), opts.incarnation);
+	claims->table = claim_table_new(claims, &opts);
+	claims->peers = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
+					      free_peer);
+	pthread_mutex_init(&claims->lock, NULL);
+	talloc_set_destructor(claims, free_claims);
+	return claims;
+}
+
+entry_verdict_t entry_claim_run(entry_daemon_t *daemon,
+				entry_request_t *request,
+				entry_message_t *answer)
+{
+	entry_claims_t *claims = daemon->claims;
+	claim_action_t action = { .todo = CLAIM_DO_TELL,
+				  .tell = CLAIM_TELL_UNKNOWN,
+				  .reason = CLAIM_WHY_STALE };
+	entry_verdict_t verdict;
+	uint64_t ticket = 0;
+
+	request->claim = talloc_zero(request, struct entry_claim);
+	if (!check_ticket(claims, request, &ticket))
+		return tell(claims, request, &action, answer);
+	begin(claims, request, ticket, &action);
+	if (!take(claims, request, &action)) {
+		release(claims, &request->claim->holder, &action);
+		return tell(claims, request, &action, answer);
+	}
+	request->claim->stands = true;
+	verdict = entry_route_run(daemon->route, request, answer);
+	if (verdict.outcome == ENTRY_NOT_RUN) {
+		request->claim->stands = false;
+		claim_holder_cancel(&request->claim->holder, &action);
+		release(claims, &request->claim->holder, &action);
+	}
+	return verdict;
+}
+
+void entry_claim_answered(entry_daemon_t *daemon,
+			  const entry_request_t *request,
+			  const entry_message_t *answer)
+{
+	const struct entry_claim *claim = request->claim;
+	const claim_request_t *held;
+	claim_member_t targets[2];
+	claim_finish_t finish;
+	base_buf_t *text;
+	unsigned n;
+
+	if (!claim || !claim->stands)
+		return;
+	held = &claim->holder.request;
+	text = base_buf_new(NULL);
+	finish = (claim_finish_t){ .id = held->id,
+				   .attempt = held->attempt,
+				   .print = held->print,
+				   .caller = held->caller };
+	if (answer->body->len <= CLAIM_ANSWER_MAX)
+		pack(answer, text);
+	if (text->len && text->len <= CLAIM_ANSWER_MAX)
+		finish.answer = base_buf_str(text);
+	n = claim_holder_targets(&claim->holder, targets);
+	for (unsigned i = 0; i < n; i++)
+		entry_claim_end(daemon->claims, &targets[i], &finish, true);
+	talloc_free(text);
+}
+
+bool entry_claim_may_write(const entry_request_t *request)
+{
+	return !request->claim ||
+	       claim_holder_may_write(&request->claim->holder,
+				      base_clock_mono());
+}
+
+void entry_claim_listen(entry_daemon_t *daemon)
+{
+	mg_set_request_handler(daemon->caller_http, "/cactusfield/ticket",
+			       on_ticket, daemon);
+}
+
+void entry_metrics_claim(entry_daemon_t *daemon, base_buf_t *out)
+{
+	entry_claims_t *claims = daemon->claims;
+	claim_contact_t self;
+	claim_stats_t stats;
+
+	pthread_mutex_lock(&claims->lock);
+	stats = claim_table_stats(claims->table, base_clock_mono());
+	self = claim_table_hello(claims->table, base_clock_mono());
+	base_buf_addf(out,
+		      "cactusfield_claim_epoch %llu\n"
+		      "cactusfield_claim_records %u\n"
+		      "cactusfield_claim_bytes %zu\n"
+		      "cactusfield_claim_slices %u\n"
+		      "cactusfield_claim_slices_fenced %u\n"
+		      "cactusfield_claim_granted_total %llu\n",
+		      (unsigned long long)self.epoch, stats.records,
+		      stats.bytes, stats.homed, stats.fenced,
+		      (unsigned long long)claims->granted);
+	for (int i = 0; i < CLAIM_WHY_MAX; i++)
+		base_buf_addf(out,
+			      "cactusfield_claim_told_total{reason=\"%s\"} "
+			      "%llu\n",
+			      claim_reason_name((claim_reason_t)i),
+			      (unsigned long long)claims->reasons[i]);
+	pthread_mutex_unlock(&claims->lock);
+}
+
+static bool claim_start(void *service, kern_t *kern, GError **err)
+{
+	entry_daemon_t *daemon = service;
+	kern_duty_options_t options = { .name = "claim",
+					.period_us = TICK_US,
+					.ring_size = 2,
+					.arg = daemon->claims,
+					.tick = tick };
+
+	(void)kern;
+	daemon->claims->duty = kern_duty_start(NULL, &options, err);
+	return daemon->claims->duty != NULL;
+}
+
+static void claim_stop(void *service)
+{
+	entry_daemon_t *daemon = service;
+
+	kern_duty_stop(daemon->claims->duty);
+	talloc_free(daemon->claims->duty);
+}
+
+static int free_claims(entry_claims_t *claims)
+{
+	g_hash_table_destroy(claims->peers);
+	g_free(claims->live);
+	pthread_mutex_destroy(&claims->lock);
+	return 0;
+}
+
+static void free_peer(void *p)
+{
+	entry_claim_peer_t *peer = p;
+
+	g_free(peer->zone);
+	g_free(peer);
+}
+
+static void tick(void *arg, int64_t now)
+{
+	entry_claim_epoch_tick(arg, now);
+}
+
+/* Ask home and backup until the claim stands or is refused for good. */
+static bool take(entry_claims_t *claims, entry_request_t *request,
+		 claim_action_t *action)
+{
+	claim_holder_t *holder = &request->claim->holder;
+
+	for (;;) {
+		claim_reply_t reply;
+
+		if (action->todo == CLAIM_DO_RUN)
+			return true;
+		if (action->todo == CLAIM_DO_TELL) {
+			if (!again(claims, request, action))
+				return false;
+			continue;
+		}
+		entry_claim_take(claims, request, &action->target,
+				 &action->take, &reply);
+		claim_holder_reply(holder, &reply, base_clock_mono(), action);
+	}
+}
+
+/* Another round, if there is a point and time for it. */
+static bool again(entry_claims_t *claims, entry_request_t *request,
+		  claim_action_t *action)
+{
+	int64_t now = base_clock_mono();
+
+	if (!action->again || now - request->arrived > AGAIN_MAX_US ||
+	    now + 2 * AGAIN_PAUSE_US > request->deadline)
+		return false;
+	base_clock_sleep(AGAIN_PAUSE_US);
+	claim_holder_again(&request->claim->holder,
+			   epoch_below(claims, request), base_clock_mono(),
+			   action);
+	return true;
+}
+
+static void begin(entry_claims_t *claims, entry_request_t *request,
+		  uint64_t ticket, claim_action_t *action)
+{
+	base_str_t caller = base_str(request->caller);
+	claim_request_t held = {
+		.id = claim_id(caller, base_str(request->key)),
+		.attempt = { .entry = claims->entry },
+		.print = claim_print(base_str(request->method),
+				     base_str(request->target),
+				     base_buf_str(request->message.body)),
+		.caller = claim_entry_digest(caller, 0),
+		.ticket = ticket,
+		.arrived = request->arrived,
+	};
+
+	pthread_mutex_lock(&claims->lock);
+	held.attempt.number = ++claims->attempts;
+	pthread_mutex_unlock(&claims->lock);
+	claim_holder_start(&request->claim->holder, &held,
+			   epoch_below(claims, request), &claim_limits_default,
+			   base_clock_mono(), action);
+}
+
+/* A copy that lasts as long as the request, or NULL. */
+static claim_epoch_t *epoch_below(entry_claims_t *claims, const void *ctx)
+{
+	const claim_epoch_t *epoch;
+	claim_epoch_t *copy = NULL;
+
+	pthread_mutex_lock(&claims->lock);
+	epoch = claim_table_epoch(claims->table);
+	if (epoch)
+		copy = claim_epoch_dup(ctx, epoch);
+	pthread_mutex_unlock(&claims->lock);
+	return copy;
+}
+
+/* False for a ticket that is too old. */
+static bool check_ticket(entry_claims_t *claims, const entry_request_t *request,
+			 uint64_t *epoch)
+{
+	base_str_t key = base_str(claims->daemon->settings->peer_key);
+	claim_ticket_t ticket;
+
+	if (!claim_ticket_parse(base_str(request->key), key, &ticket))
+		return true;
+	*epoch = ticket.epoch;
+	return claim_ticket_usable(&ticket, base_clock_wall() / BASE_SEC,
+				   claim_limits_default.window_us);
+}
+
+static void release(entry_claims_t *claims, const claim_holder_t *holder,
+		    const claim_action_t *action)
+{
+	claim_finish_t end = { .id = holder->request.id,
+			       .attempt = holder->request.attempt };
+
+	for (unsigned i = 0; i < action->releases; i++)
+		entry_claim_end(claims, &action->release[i], &end, false);
+}
+
+static entry_verdict_t tell(entry_claims_t *claims, entry_request_t *request,
+			    const claim_action_t *action,
+			    entry_message_t *answer)
+{
+	entry_verdict_t verdict = { ENTRY_UNKNOWN,
+				    claim_reason_name(action->reason), 0 };
+
+	pthread_mutex_lock(&claims->lock);
+	claims->told[action->tell]++;
+	claims->reasons[action->reason]++;
+	pthread_mutex_unlock(&claims->lock);
+	if (action->tell == CLAIM_TELL_NOT_RUN) {
+		verdict.outcome = ENTRY_NOT_RUN;
+		verdict.retry_after_ms = RETRY_AFTER_MS;
+	} else if (action->tell == CLAIM_TELL_REPLAY) {
+		if (replay(request, action->answer, answer))
+			verdict.outcome = ENTRY_ANSWERED;
+		else
+			verdict.reason = claim_reason_name(CLAIM_WHY_NOT_KEPT);
+	}
+	return verdict;
+}
+
+/* What pack() made: the status, headers, an empty line and the body. */
+static bool replay(entry_request_t *request, base_str_t text,
+		   entry_message_t *answer)
+{
+	char *at = talloc_strndup(request, text.ptr, text.len);
+	const char *end = at + text.len;
+	char *line = strchr(at, '\n');
+
+	if (!line)
+		return false;
+	*answer = (entry_message_t){ .status = atoi(at),
+				     .body = base_buf_new(request) };
+	answer->headers =
+		talloc_zero_array(request, entry_header_t, text.len / 2 + 2);
+	answer->headers[answer->header_count++] =
+		(entry_header_t){ (char *)"X-Cactusfield-Replayed",
+				  (char *)"yes" };
+	for (at = line + 1; at < end && *at != '\n'; at = line + 1) {
+		char *colon = strchr(at, ':');
+
+		line = strchr(at, '\n');
+		if (!line || !colon || colon > line)
+			return false;
+		*colon = '\0';
+		*line = '\0';
+		answer->headers[answer->header_count++] =
+			(entry_header_t){ at, colon + 1 };
+	}
+	if (at >= end)
+		return false;
+	base_buf_add(answer->body, at + 1, (size_t)(end - at - 1));
+	return true;
+}
+
+static void pack(const entry_message_t *answer, base_buf_t *out)
+{
+	base_buf_addf(out, "%d\n", answer->status);
+	for (size_t i = 0; i < answer->header_count; i++)
+		base_buf_addf(out, "%s:%s\n", answer->headers[i].name,
+			      answer->headers[i].value);
+	base_buf_adds(out, "\n");
+	base_buf_add(out, answer->body->ptr, answer->body->len);
+}
+
+static int on_ticket(struct mg_connection *conn, void *arg)
+{
+	entry_daemon_t *daemon = arg;
+	entry_claims_t *claims = daemon->claims;
+	base_str_t key = base_str(daemon->settings->peer_key);
+	claim_ticket_t ticket = { .issued = base_clock_wall() / BASE_SEC };
+	entry_refusal_t refusal = { ENTRY_NOT_RUN, 503, "claim-epoch", 1,
+				    false };
+	char text[CLAIM_TICKET_SIZE];
+
+	pthread_mutex_lock(&claims->lock);
+	ticket.epoch = claim_table_hello(claims->table, 0).epoch;
+	ticket.random = base_rng_next(&claims->rng);
+	pthread_mutex_unlock(&claims->lock);
+	if (!ticket.epoch) {
+		entry_http_refuse(conn, "", &refusal);
+		return refusal.status;
+	}
+	claim_ticket_print(&ticket, key, text);
+	return entry_operators_answer(conn, 200, "text/plain", base_str(text));
+}
--- /dev/null
+++ b/packages/entry/entry_claim.h
@@ -0,0 +1,85 @@
+/*
+ * entry_claim - requests that are not repeatable run at most once.
+ *
+ * Drives the decisions of claim.h with a clock, a lock, the peers' transport
+ * and the store; docs/design/claims.md.
+ */
+#ifndef ENTRY_CLAIM_H
+#define ENTRY_CLAIM_H
+
+#include "claim.h"
+#include "entry_memb.h"
+
+/* An entry that answered us. */
+typedef struct entry_claim_peer {
+	char *zone;
+	uint64_t incarnation;
+	uint64_t epoch;
+	int64_t heard;
+	bool leaving;
+} entry_claim_peer_t;
+
+typedef struct entry_claims {
+	entry_daemon_t *daemon;
+	pthread_mutex_t lock; /* of what follows */
+	claim_table_t *table;
+	GHashTable *peers; /* id -> entry_claim_peer_t */
+	base_rng_t rng;	   /* of tickets */
+	uint64_t attempts;
+	uint64_t granted;
+	uint64_t told[CLAIM_TELL_MAX];
+	uint64_t reasons[CLAIM_WHY_MAX];
+	uint64_t takes; /* sent to other entries */
+	uint64_t epochs;
+	/* Not under the lock. */
+	uint64_t entry; /* digest of this incarnation */
+	kern_duty_t *duty;
+	int64_t store_asked;
+	int64_t hello_said;
+	int64_t members_read;
+	bool soon; /* the epoch has changed: tell the others */
+	bool none_in_store;
+	uint64_t store_number;	/* the epoch in the store ... */
+	int64_t store_revision; /* ... and the key's revision */
+	char *live;		/* who was live, and since when */
+	int64_t live_since;
+	unsigned pull_from;
+} entry_claims_t;
+
+/* A claim that one request holds. */
+struct entry_claim {
+	claim_holder_t holder;
+	bool stands;
+};
+
+/* entry_claim_wire: between claim.h and the peers' messages */
+
+void entry_claim_handle(entry_claims_t *claims, peer_t *peer);
+
+/* Take at "target", which may be this entry; answers go below "ctx". */
+void entry_claim_take(entry_claims_t *claims, const void *ctx,
+		      const claim_member_t *target, const claim_take_t *take,
+		      claim_reply_t *reply);
+
+/* Tell "target" that the attempt was released, or answered. */
+void entry_claim_end(entry_claims_t *claims, const claim_member_t *target,
+		     const claim_finish_t *finish, bool answered);
+
+/* Exchange epochs with entry "id". */
+void entry_claim_hello(entry_claims_t *claims, const char *id);
+
+void entry_claim_pull(entry_claims_t *claims, const claim_pull_t *pull);
+
+/* Where entry "id" is; false if membership knows of none. */
+bool entry_claim_find(entry_claims_t *claims, const char *id,
+		      peer_addr_t *addr);
+
+/* Under the lock: adopt an epoch and say so. */
+void entry_claim_adopt(entry_claims_t *claims, const claim_epoch_t *epoch,
+		       int64_t confirmed_at, int64_t now);
+
+/* entry_claim_epoch: the record in the store */
+
+void entry_claim_epoch_tick(entry_claims_t *claims, int64_t now);
+
+#endif
--- /dev/null
+++ b/packages/entry/entry_claim_wire.c
@@ -0,0 +1,403 @@
+#include "entry_claim.h"
+#include "peer_proto_xdr.h"
+
+#define TAKE_TIMEOUT_US (900 * BASE_MS)
+#define END_TIMEOUT_US BASE_SEC
+#define HELLO_TIMEOUT_US (300 * BASE_MS)
+#define PULL_TIMEOUT_US BASE_SEC
+
+static bool on_take(void *arg, const peer_from_t *from, const void *args,
+		    void *res);
+static bool on_end(void *arg, const peer_from_t *from, const void *args,
+		   void *res);
+static bool on_hello(void *arg, const peer_from_t *from, const void *args,
+		     void *res);
+static bool on_pull(void *arg, const peer_from_t *from, const void *args,
+		    void *res);
+static bool is_self(const entry_claims_t *claims, const claim_member_t *target);
+static void take_here(entry_claims_t *claims, const void *ctx,
+		      const claim_take_t *take, claim_reply_t *reply);
+static void end_here(entry_claims_t *claims, const claim_finish_t *finish,
+		     bool answered);
+static void fill_hello(entry_claims_t *claims, peer_claim_hello *wire,
+		       base_buf_t *record, uint64_t known);
+static void take_hello(entry_claims_t *claims, const char *id,
+		       const peer_claim_hello *wire, int64_t asked_at);
+static void note_peer(entry_claims_t *claims, const char *id,
+		      const peer_claim_hello *wire, int64_t now);
+static void *copy_bytes(base_str_t bytes);
+static base_str_t bytes_of(u_int len, char *val);
+
+void entry_claim_handle(entry_claims_t *claims, peer_t *peer)
+{
+	peer_handle(peer, PEER_CLAIM_TAKE, on_take, claims);
+	peer_handle(peer, PEER_CLAIM_END, on_end, claims);
+	peer_handle(peer, PEER_CLAIM_HELLO, on_hello, claims);
+	peer_handle(peer, PEER_CLAIM_PULL, on_pull, claims);
+}
+
+void entry_claim_take(entry_claims_t *claims, const void *ctx,
+		      const claim_member_t *target, const claim_take_t *take,
+		      claim_reply_t *reply)
+{
+	peer_claim_take args = {
+		.name = { take->id.hi, take->id.lo, take->attempt.entry,
+			  take->attempt.number, take->print, take->caller },
+		.epoch = take->epoch,
+		.ticket = take->ticket,
+		.look = take->look
+	};
+	peer_to_t to = { .zone = target->zone };
+	peer_claim_verdict res = { 0 };
+
+	*reply = (claim_reply_t){ .verdict = CLAIM_LOST };
+	if (is_self(claims, target)) {
+		take_here(claims, ctx, take, reply);
+		return;
+	}
+	if (!entry_claim_find(claims, target->id, &to.addr) ||
+	    peer_call(claims->daemon->memb->peer, &to, PEER_CLAIM_TAKE, &args,
+		      &res, TAKE_TIMEOUT_US) != PEER_ANSWERED)
+		return;
+	if (res.verdict < CLAIM_VERDICT_MAX)
+		reply->verdict = (claim_verdict_t)res.verdict;
+	reply->fresh = res.fresh;
+	reply->epoch = res.epoch;
+	if (res.kept)
+		reply->answer =
+			(base_str_t){ talloc_memdup(ctx, res.answer.answer_val,
+						    res.answer.answer_len),
+				      res.answer.answer_len };
+	peer_free_res(PEER_CLAIM_TAKE, &res);
+}
+
+void entry_claim_end(entry_claims_t *claims, const claim_member_t *target,
+		     const claim_finish_t *finish, bool answered)
+{
+	peer_claim_end args = {
+		.name = { finish->id.hi, finish->id.lo, finish->attempt.entry,
+			  finish->attempt.number, finish->print,
+			  finish->caller },
+		.answered = answered,
+		.kept = finish->answer.ptr != NULL,
+		.answer = { (u_int)finish->answer.len,
+			    (char *)finish->answer.ptr },
+	};
+	peer_to_t to = { .zone = target->zone };
+	peer_claim_done res = { 0 };
+
+	if (is_self(claims, target))
+		end_here(claims, finish, answered);
+	else if (entry_claim_find(claims, target->id, &to.addr))
+		peer_call(claims->daemon->memb->peer, &to, PEER_CLAIM_END,
+			  &args, &res, END_TIMEOUT_US);
+}
+
+void entry_claim_hello(entry_claims_t *claims, const char *id)
+{
+	base_buf_t *record = base_buf_new(NULL);
+	peer_claim_hello args = { 0 }, res = { 0 };
+	int64_t asked_at = base_clock_mono();
+	const entry_claim_peer_t *peer;
+	uint64_t known = 0;
+	peer_to_t to = { 0 };
+
+	pthread_mutex_lock(&claims->lock);
+	peer = g_hash_table_lookup(claims->peers, id);
+	if (peer)
+		known = peer->epoch;
+	fill_hello(claims, &args, record, known);
+	pthread_mutex_unlock(&claims->lock);
+	if (entry_claim_find(claims, id, &to.addr) &&
+	    peer_call(claims->daemon->memb->peer, &to, PEER_CLAIM_HELLO, &args,
+		      &res, HELLO_TIMEOUT_US) == PEER_ANSWERED) {
+		take_hello(claims, id, &res, asked_at);
+		peer_free_res(PEER_CLAIM_HELLO, &res);
+	}
+	talloc_free(record);
+}
+
+void entry_claim_pull(entry_claims_t *claims, const claim_pull_t *pull)
+{
+	peer_claim_pull args = { pull->epoch, pull->cursor, pull->slice };
+	peer_to_t to = { .zone = pull->source.zone };
+	claim_batch_t *batch = talloc_zero(NULL, claim_batch_t);
+	peer_claim_batch res = { 0 };
+	bool got;
+
+	got = entry_claim_find(claims, pull->source.id, &to.addr) &&
+	      peer_call(claims->daemon->memb->peer, &to, PEER_CLAIM_PULL, &args,
+			&res, PULL_TIMEOUT_US) == PEER_ANSWERED;
+	if (got) {
+		batch->ok = res.ok;
+		batch->last = res.last;
+		batch->cursor = res.cursor;
+		batch->lost = res.lost;
+		batch->complete_age = res.complete_age;
+		batch->n = MIN(res.copies.copies_len, CLAIM_BATCH_MAX);
+	}
+	for (uint32_t i = 0; i < batch->n; i++) {
+		const peer_claim_copy *from = &res.copies.copies_val[i];
+		const peer_claim_name *name = &from->name;
+
+		batch->copies[i] = (claim_copy_t){
+			.id = { name->id_hi, name->id_lo },
+			.attempt = { name->attempt_entry,
+				     name->attempt_number },
+			.print = name->print,
+			.caller = name->caller,
+			.age = from->age,
+			.state = (int)from->state,
+			.answer = bytes_of(from->answer.answer_len,
+					   from->answer.answer_val),
+		};
+	}
+	pthread_mutex_lock(&claims->lock);
+	claim_table_import(claims->table, pull, got ? batch : NULL,
+			   base_clock_mono());
+	pthread_mutex_unlock(&claims->lock);
+	if (got)
+		peer_free_res(PEER_CLAIM_PULL, &res);
+	talloc_free(batch);
+}
+
+bool entry_claim_find(entry_claims_t *claims, const char *id, peer_addr_t *addr)
+{
+	entry_memb_t *memb = claims->daemon->memb;
+	const memb_record_t *rec;
+
+	pthread_mutex_lock(&memb->lock);
+	rec = memb_find(memb->core, id);
+	if (rec)
+		*addr = (peer_addr_t){ rec->addr.ip, rec->addr.port };
+	pthread_mutex_unlock(&memb->lock);
+	return rec != NULL;
+}
+
+static bool on_take(void *arg, const peer_from_t *from, const void *args,
+		    void *res)
+{
+	const peer_claim_take *wire = args;
+	const peer_claim_name *name = &wire->name;
+	entry_claims_t *claims = arg;
+	peer_claim_verdict *out = res;
+	claim_take_t take = {
+		.id = { name->id_hi, name->id_lo },
+		.attempt = { name->attempt_entry, name->attempt_number },
+		.print = name->print,
+		.caller = name->caller,
+		.epoch = wire->epoch,
+		.ticket = wire->ticket,
+		.look = wire->look,
+	};
+	claim_reply_t reply;
+
+	(void)from;
+	pthread_mutex_lock(&claims->lock);
+	claim_table_take(claims->table, &take, base_clock_mono(), &reply);
+	out->verdict = reply.verdict;
+	out->fresh = reply.fresh;
+	out->epoch = reply.epoch;
+	out->kept = reply.answer.ptr != NULL;
+	out->answer.answer_len = (u_int)reply.answer.len;
+	out->answer.answer_val = copy_bytes(reply.answer);
+	pthread_mutex_unlock(&claims->lock);
+	return true;
+}
+
+static bool on_end(void *arg, const peer_from_t *from, const void *args,
+		   void *res)
+{
+	const peer_claim_end *wire = args;
+	const peer_claim_name *name = &wire->name;
+	claim_finish_t finish = {
+		.id = { name->id_hi, name->id_lo },
+		.attempt = { name->attempt_entry, name->attempt_number },
+		.print = name->print,
+		.caller = name->caller,
+	};
+
+	(void)from;
+	(void)res;
+	if (wire->kept)
+		finish.answer = (base_str_t){ wire->answer.answer_val
+						      ? wire->answer.answer_val
+						      : "",
+					      wire->answer.answer_len };
+	end_here(arg, &finish, wire->answered);
+	return true;
+}
+
+static bool on_hello(void *arg, const peer_from_t *from, const void *args,
+		     void *res)
+{
+	const peer_claim_hello *wire = args;
+	entry_claims_t *claims = arg;
+	peer_claim_hello *out = res;
+	base_buf_t *record = base_buf_new(NULL);
+
+	/* When this was asked is not known: it is no sign of the present. */
+	take_hello(claims, from->id, wire, 0);
+	pthread_mutex_lock(&claims->lock);
+	fill_hello(claims, out, record, wire->epoch);
+	pthread_mutex_unlock(&claims->lock);
+	out->id = strdup(out->id);
+	out->zone = strdup(out->zone);
+	out->record.record_val = copy_bytes(base_buf_str(record));
+	talloc_free(record);
+	return true;
+}
+
+static bool on_pull(void *arg, const peer_from_t *from, const void *args,
+		    void *res)
+{
+	const peer_claim_pull *wire = args;
+	entry_claims_t *claims = arg;
+	peer_claim_batch *out = res;
+	claim_batch_t *batch = talloc(NULL, claim_batch_t);
+	claim_pull_t pull = { .epoch = wire->epoch,
+			      .cursor = wire->cursor,
+			      .slice = wire->slice };
+
+	(void)from;
+	pthread_mutex_lock(&claims->lock);
+	claim_table_export(claims->table, &pull, base_clock_mono(), batch);
+	out->ok = batch->ok;
+	out->last = batch->last;
+	out->cursor = batch->cursor;
+	out->lost = batch->lost;
+	out->complete_age = batch->complete_age;
+	out->copies.copies_len = batch->n;
+	out->copies.copies_val = calloc(batch->n, sizeof(peer_claim_copy));
+	for (uint32_t i = 0; i < batch->n; i++) {
+		const claim_copy_t *copy = &batch->copies[i];
+		peer_claim_copy *to = &out->copies.copies_val[i];
+
+		to->name = (peer_claim_name){
+			copy->id.hi,	      copy->id.lo, copy->attempt.entry,
+			copy->attempt.number, copy->print, copy->caller
+		};
+		to->age = copy->age;
+		to->state = (u_int)copy->state;
+		to->answer.answer_len = (u_int)copy->answer.len;
+		to->answer.answer_val = copy_bytes(copy->answer);
+	}
+	pthread_mutex_unlock(&claims->lock);
+	talloc_free(batch);
+	return true;
+}
+
+static bool is_self(const entry_claims_t *claims, const claim_member_t *target)
+{
+	return !strcmp(target->id, claims->daemon->settings->name);
+}
+
+static void take_here(entry_claims_t *claims, const void *ctx,
+		      const claim_take_t *take, claim_reply_t *reply)
+{
+	pthread_mutex_lock(&claims->lock);
+	claim_table_take(claims->table, take, base_clock_mono(), reply);
+	if (reply->answer.ptr)
+		reply->answer.ptr = talloc_memdup(ctx, reply->answer.ptr,
+						  reply->answer.len);
+	pthread_mutex_unlock(&claims->lock);
+}
+
+static void end_here(entry_claims_t *claims, const claim_finish_t *finish,
+		     bool answered)
+{
+	int64_t now = base_clock_mono();
+
+	pthread_mutex_lock(&claims->lock);
+	if (answered)
+		claim_table_finish(claims->table, finish, now);
+	else
+		claim_table_release(claims->table, finish->id, finish->attempt,
+				    now);
+	pthread_mutex_unlock(&claims->lock);
+}
+
+/* Under the lock; what hangs from "wire" is the daemon's and "record"'s. */
+static void fill_hello(entry_claims_t *claims, peer_claim_hello *wire,
+		       base_buf_t *record, uint64_t known)
+{
+	claim_contact_t self =
+		claim_table_hello(claims->table, base_clock_mono());
+	const claim_epoch_t *epoch = claim_table_epoch(claims->table);
+
+	wire->id = claims->daemon->settings->name;
+	wire->zone = claims->daemon->settings->zone;
+	wire->incarnation = self.incarnation;
+	wire->epoch = self.epoch;
+	wire->confirmed_age = self.confirmed_age;
+	wire->leaving = atomic_load(&claims->daemon->draining) != 0;
+	if (epoch && known < epoch->number)
+		claim_epoch_print(epoch, record);
+	wire->record.record_len = (u_int)record->len;
+	wire->record.record_val = record->ptr;
+}
+
+static void take_hello(entry_claims_t *claims, const char *id,
+		       const peer_claim_hello *wire, int64_t asked_at)
+{
+	claim_contact_t contact = { .entry = id,
+				    .incarnation = wire->incarnation,
+				    .epoch = wire->epoch,
+				    .confirmed_age = -1,
+				    .asked_at = asked_at };
+	base_str_t record =
+		bytes_of(wire->record.record_len, wire->record.record_val);
+	claim_epoch_t *epoch = NULL;
+	int64_t now;
+
+	/* An address that another entry has taken over proves nothing. */
+	if (strcmp(wire->id, id) != 0)
+		return;
+	if (record.len)
+		epoch = claim_epoch_parse(NULL, record, NULL);
+	if (asked_at)
+		contact.confirmed_age = wire->confirmed_age;
+	pthread_mutex_lock(&claims->lock);
+	now = base_clock_mono();
+	if (epoch)
+		entry_claim_adopt(claims, epoch, 0, now);
+	claim_table_contact(claims->table, &contact, now);
+	note_peer(claims, id, wire, now);
+	pthread_mutex_unlock(&claims->lock);
+	talloc_free(epoch);
+}
+
+static void note_peer(entry_claims_t *claims, const char *id,
+		      const peer_claim_hello *wire, int64_t now)
+{
+	entry_claim_peer_t *peer = g_hash_table_lookup(claims->peers, id);
+
+	if (peer && wire->incarnation < peer->incarnation)
+		return;
+	if (!peer) {
+		peer = g_new0(entry_claim_peer_t, 1);
+		g_hash_table_insert(claims->peers, g_strdup(id), peer);
+	}
+	if (!peer->zone || strcmp(peer->zone, wire->zone) != 0) {
+		g_free(peer->zone);
+		peer->zone = g_strdup(wire->zone);
+	}
+	peer->incarnation = wire->incarnation;
+	peer->epoch = wire->epoch;
+	peer->leaving = wire->leaving;
+	peer->heard = now;
+}
+
+static void *copy_bytes(base_str_t bytes)
+{
+	char *copy = malloc(bytes.len + 1);
+
+	if (copy && bytes.len)
+		memcpy(copy, bytes.ptr, bytes.len);
+	return copy;
+}
+
+static base_str_t bytes_of(u_int len, char *val)
+{
+	return (base_str_t){ len ? val : NULL, len };
+}
--- a/packages/entry/entry_int.h
+++ b/packages/entry/entry_int.h
@@ -114,6 +114,7 @@
 	int64_t deadline; /* the same clock */
 	const conf_class_t *class;
 	entry_message_t message;
+	struct entry_claim *claim; /* that it holds; NULL without one */
 } entry_request_t;
 
 typedef enum entry_outcome {
@@ -205,6 +206,7 @@
 
 typedef struct entry_daemon entry_daemon_t;
 struct entry_memb;
+struct entry_claims;
 typedef struct entry_route entry_route_t;
 typedef struct entry_fleet entry_fleet_t;
 
@@ -273,7 +275,8 @@
 	int64_t config_read; /* when the store was asked last; its duty's */
 	atomic_int store_down;
 	atomic_int list_down;
-	struct entry_memb *memb; /* entry_memb.h */
+	struct entry_memb *memb;     /* entry_memb.h */
+	struct entry_claims *claims; /* entry_claim.h */
 	entry_route_t *route;
 	kern_duty_t *probes[ENTRY_PROBE_DUTIES];
 	entry_fleet_t *fleet;
@@ -288,6 +291,7 @@
 extern const kern_service_ops_t entry_route_ops;
 extern const kern_service_ops_t entry_fleet_ops;
 extern const kern_service_ops_t entry_probe_ops;
+extern const kern_service_ops_t entry_claim_ops;
 extern const kern_service_ops_t entry_caller_ops;
 
 /*
@@ -297,6 +301,29 @@
 bool entry_take_config(entry_daemon_t *daemon, base_str_t text,
 		       const char *source);
 
+/*
+ * Claims: a request that is not repeatable and has a key.
+ */
+struct entry_claims *entry_claims_new(entry_daemon_t *daemon);
+
+/* Take the claim, then run; or tell why not, or what was answered before. */
+entry_verdict_t entry_claim_run(entry_daemon_t *daemon,
+				entry_request_t *request,
+				entry_message_t *answer);
+
+/* Record the answer, after it was told. */
+void entry_claim_answered(entry_daemon_t *daemon,
+			  const entry_request_t *request,
+			  const entry_message_t *answer);
+
+/* To be asked right before a first byte goes out. */
+bool entry_claim_may_write(const entry_request_t *request);
+
+/* Serve tickets on the callers' port. */
+void entry_claim_listen(entry_daemon_t *daemon);
+
+void entry_metrics_claim(entry_daemon_t *daemon, base_buf_t *out);
+
 /* Start a listener; the error names the port. */
 struct mg_context *entry_listen(const entry_listen_t *listen, void *user,
 				int64_t keep_alive_ms, GError **err);
--- a/packages/entry/entry_memb.c
+++ b/packages/entry/entry_memb.c
@@ -1,6 +1,6 @@
 #include <xxhash.h>
 
-#include "entry_memb.h"
+#include "entry_claim.h"
 #include "peer_memb.h"
 
 #define TICK_US (100 * BASE_MS)
@@ -160,6 +160,7 @@
 		return false;
 	peer_handle(memb->peer, PEER_GOSSIP, take_gossip, memb);
 	peer_handle(memb->peer, PEER_CONFIG, entry_pull_answer, memb);
+	entry_claim_handle(memb->daemon->claims, memb->peer);
 	return true;
 }
 
--- a/packages/entry/entry_operators.c
+++ b/packages/entry/entry_operators.c
@@ -156,6 +156,7 @@
 		      atomic_load(&daemon->in_flight));
 	add_store_calls(out, daemon);
 	entry_metrics_memb(daemon, out);
+	entry_metrics_claim(daemon, out);
 	status = entry_operators_answer(conn, 200, "text/plain; version=0.0.4",
 					base_buf_str(out));
 	talloc_free(out);
--- a/packages/entry/entry_route.c
+++ b/packages/entry/entry_route.c
@@ -414,6 +414,9 @@
 	entry_attempt_t ended;
 
 	*answer = (entry_message_t){ 0 };
+	*leaving = false;
+	if (!entry_claim_may_write(request))
+		return ROUTE_RESULT_CONNECT_FAILED;
 	ended = entry_forward_send(route->daemon->forward, request, &options,
 				   answer);
 	*leaving = says_leaving(answer);
--- a/packages/entry/entry_run.c
+++ b/packages/entry/entry_run.c
@@ -66,6 +66,7 @@
 	daemon->list = plat_slices_new(daemon, &settings->list);
 	snprintf(daemon->incarnation, sizeof(daemon->incarnation), "%lld",
 		 (long long)base_clock_wall());
+	daemon->claims = entry_claims_new(daemon);
 	return daemon;
 }
 
--- a/packages/entry/entry_services.c
+++ b/packages/entry/entry_services.c
@@ -13,6 +13,7 @@
 	{ "route", &entry_route_ops },
 	{ "fleet", &entry_fleet_ops },
 	{ "probe", &entry_probe_ops },
+	{ "claim", &entry_claim_ops },
 	{ "caller", &entry_caller_ops },
 };
 
