--- a/bench/claim_bench.c
+++ b/bench/claim_bench.c
@@ -118,5 +118,5 @@
 
 static size_t sealed(xdrproc_t head, void *head_of, xdrproc_t args, void *of)
 {
-	return xdr_sizeof(head, head_of) + xdr_sizeof(args, of) + MAC_WORDS * 3;
+	return xdr_sizeof(head, head_of) + xdr_sizeof(args, of) + SEAL_BYTES;
 }
