Say hello to an entry when it is news, and wait with few threads

Cause: a hello to every entry each 2 s is 2.4 KB/s with eight entries and grows with them; while an entry was dead or paused, each request that needed it could hold a caller's thread for seconds, also those that repeatable work needs. Change: who is alive is membership's word; a hello goes out when an entry appears or is back, the list changed, or the store gives no word, and once in 15 s. A peer that did not answer is not called for 500 ms (counts as lost, which is always safe); an eighth of the threads may wait for another round. A hello whose time is not known is no sign of the present. Conclusion: idle cost no longer grows with the square of the entries each second; repeatable work keeps its threads.

--- a/packages/claim/claim_table.c
+++ b/packages/claim/claim_table.c
@@ -93,7 +93,7 @@
 	if (contact->epoch == epoch->number) {
 		i = claim_list_find(&epoch->now, contact->entry,
 				    contact->incarnation);
-		if (i != CLAIM_NOBODY) {
+		if (i != CLAIM_NOBODY && contact->asked_at) {
 			table->seen[i] = true;
 			table->seen_at[i] =
 				MAX(table->seen_at[i], contact->asked_at);
--- a/packages/claim/claim_table.h
+++ b/packages/claim/claim_table.h
@@ -59,7 +59,7 @@
 	uint64_t incarnation;
 	uint64_t epoch;	       /* that it has adopted */
 	int64_t confirmed_age; /* since it was last confirmed; -1 if never */
-	int64_t asked_at;      /* on the asker's clock */
+	int64_t asked_at;      /* on the asker's clock; 0: not known */
 } claim_contact_t;
 
 void claim_table_contact(claim_table_t *table, const claim_contact_t *contact,
--- a/packages/entry/entry_claim.c
+++ b/packages/entry/entry_claim.c
@@ -7,6 +7,7 @@
 #define TICK_US (250 * BASE_MS)
 #define AGAIN_PAUSE_US (100 * BASE_MS)
 #define AGAIN_MAX_US (5 * BASE_SEC) /* a change of the list is over by then */
+#define WAITING_PART 8 /* of the threads may wait for another round */
 #define RETRY_AFTER_MS 1000
 
 static bool claim_start(void *service, kern_t *kern, GError **err);
@@ -223,12 +224,23 @@
 static bool again(entry_claims_t *claims, entry_request_t *request,
 		  claim_action_t *action)
 {
+	int max = claims->daemon->settings->caller.threads / WAITING_PART + 1;
 	int64_t now = base_clock_mono();
+	bool room;
 
 	if (!action->again || now - request->arrived > AGAIN_MAX_US ||
 	    now + 2 * AGAIN_PAUSE_US > request->deadline)
 		return false;
+	pthread_mutex_lock(&claims->lock);
+	room = (int)claims->waiting < max;
+	claims->waiting += room;
+	pthread_mutex_unlock(&claims->lock);
+	if (!room)
+		return false;
 	base_clock_sleep(AGAIN_PAUSE_US);
+	pthread_mutex_lock(&claims->lock);
+	claims->waiting--;
+	pthread_mutex_unlock(&claims->lock);
 	claim_holder_again(&request->claim->holder,
 			   epoch_below(claims, request), base_clock_mono(),
 			   action);
--- a/packages/entry/entry_claim.h
+++ b/packages/entry/entry_claim.h
@@ -15,7 +15,8 @@
 	char *zone;
 	uint64_t incarnation;
 	uint64_t epoch;
-	int64_t heard;
+	uint64_t memb_incarnation; /* when it answered last */
+	int64_t lost;		   /* a call got no answer */
 	bool leaving;
 } entry_claim_peer_t;
 
@@ -31,13 +32,14 @@
 	uint64_t reasons[CLAIM_WHY_MAX];
 	uint64_t takes; /* sent to other entries */
 	uint64_t epochs;
+	bool soon;	  /* the epoch has changed: say hello to all */
+	unsigned waiting; /* requests between two rounds */
 	/* Not under the lock. */
 	uint64_t entry; /* digest of this incarnation */
 	kern_duty_t *duty;
 	int64_t store_asked;
 	int64_t hello_said;
-	int64_t members_read;
-	bool soon; /* the epoch has changed: tell the others */
+	int64_t hello_all;
 	bool none_in_store;
 	uint64_t store_number;	/* the epoch in the store ... */
 	int64_t store_revision; /* ... and the key's revision */
@@ -65,8 +67,9 @@
 void entry_claim_end(entry_claims_t *claims, const claim_member_t *target,
 		     const claim_finish_t *finish, bool answered);
 
-/* Exchange epochs with entry "id". */
-void entry_claim_hello(entry_claims_t *claims, const char *id);
+/* Exchange epochs with an entry that membership knows. */
+void entry_claim_hello(entry_claims_t *claims, const char *id,
+		       uint64_t memb_incarnation);
 
 void entry_claim_pull(entry_claims_t *claims, const claim_pull_t *pull);
 
--- a/packages/entry/entry_claim_epoch.c
+++ b/packages/entry/entry_claim_epoch.c
@@ -8,16 +8,28 @@
 
 #define STORE_PERIOD_US (3 * BASE_SEC)
 #define STORE_SOON_US (500 * BASE_MS) /* while something is to be decided */
-#define HELLO_PERIOD_US (2 * BASE_SEC)
-#define HELLO_LOST_US (5 * BASE_SEC) /* without a word: not live */
-#define RANK_US (500 * BASE_MS)	     /* who comes later in the list waits */
-#define PULLS 32		     /* at once */
+#define HELLO_PERIOD_US BASE_SEC      /* while somebody needs one */
+#define HELLO_IDLE_US (15 * BASE_SEC) /* otherwise */
+#define HELLO_DOUBT_US (4 * BASE_SEC) /* no word of the store */
+#define RANK_US (500 * BASE_MS)	      /* who comes later in the list waits */
+#define PULLS 32		      /* at once */
+
+/* An entry as membership sees it. */
+typedef struct present {
+	const char *id;
+	uint64_t incarnation; /* membership's own */
+	bool left;
+	bool known;
+} present_t;
 
 static void read_store(entry_claims_t *claims, int64_t now);
 static void say_hello(entry_claims_t *claims, int64_t now);
 static void propose(entry_claims_t *claims, int64_t now);
+static size_t list_present(entry_claims_t *claims, const void *ctx,
+			   present_t **present);
+static bool knows(const entry_claims_t *claims, const present_t *present);
 static claim_list_t live_list(entry_claims_t *claims, const void *ctx,
-			      int64_t now);
+			      const present_t *present, size_t n);
 static int by_id(const void *a, const void *b);
 static bool note_live(entry_claims_t *claims, const claim_list_t *live,
 		      int64_t now);
@@ -36,11 +48,9 @@
 		period = STORE_SOON_US;
 	if (now - claims->store_asked >= period)
 		read_store(claims, now);
-	if (claims->soon || now - claims->hello_said >= HELLO_PERIOD_US)
-		say_hello(claims, now);
+	say_hello(claims, now);
 	propose(claims, now);
-	if (claims->soon)
-		say_hello(claims, now);
+	say_hello(claims, now);
 	pull(claims);
 }
 
@@ -50,6 +60,7 @@
 	if (!claim_table_adopt(claims->table, epoch, confirmed_at, now))
 		return;
 	claims->epochs++;
+	claims->soon = true;
 	base_log(claims->daemon->log, BASE_MSG_CLAIM_EPOCH,
 		 BASE_F_INT("epoch", (int64_t)epoch->number),
 		 BASE_F_INT("entries", (int64_t)epoch->now.n));
@@ -77,8 +88,6 @@
 	if (epoch) {
 		claims->store_number = epoch->number;
 		pthread_mutex_lock(&claims->lock);
-		claims->soon |= epoch->number >
-				claim_table_hello(claims->table, now).epoch;
 		entry_claim_adopt(claims, epoch, now, base_clock_mono());
 		claim_table_confirm(claims->table, epoch->number, now);
 		pthread_mutex_unlock(&claims->lock);
@@ -86,28 +95,70 @@
 	talloc_free(ctx);
 }
 
+/*
+ * Who is alive membership tells; a hello tells who it is.  So one is said when
+ * an entry appears or is back, when the list has changed, and while the store
+ * cannot be asked, since then the others' word stands in for it.
+ */
 static void say_hello(entry_claims_t *claims, int64_t now)
 {
-	entry_memb_t *memb = claims->daemon->memb;
+	bool all = now - claims->hello_all >= HELLO_IDLE_US;
+	bool due = now - claims->hello_said >= HELLO_PERIOD_US;
 	void *ctx = talloc_new(NULL);
-	char **ids;
-	size_t n = 0;
+	claim_contact_t self;
+	present_t *present;
+	size_t n;
 
-	claims->hello_said = now;
+	n = list_present(claims, ctx, &present);
+	pthread_mutex_lock(&claims->lock);
+	self = claim_table_hello(claims->table, now);
+	if (claims->soon || (due && (self.confirmed_age < 0 ||
+				     self.confirmed_age > HELLO_DOUBT_US)))
+		all = true;
 	claims->soon = false;
+	for (size_t i = 0; i < n; i++)
+		present[i].known = knows(claims, &present[i]);
+	pthread_mutex_unlock(&claims->lock);
+	if (all)
+		claims->hello_all = now;
+	if (all || due)
+		claims->hello_said = now;
+	for (size_t i = 0; i < n; i++)
+		if (all || (due && !present[i].known))
+			entry_claim_hello(claims, present[i].id,
+					  present[i].incarnation);
+	talloc_free(ctx);
+}
+
+/* The others that membership holds for alive, or that just leave. */
+static size_t list_present(entry_claims_t *claims, const void *ctx,
+			   present_t **present)
+{
+	entry_memb_t *memb = claims->daemon->memb;
+	size_t n = 0;
+
 	pthread_mutex_lock(&memb->lock);
-	ids = talloc_zero_array(ctx, char *, memb_count(memb->core));
+	*present = talloc_zero_array(ctx, present_t, memb_count(memb->core));
 	for (size_t i = 1; i < memb_count(memb->core); i++) {
 		const memb_record_t *rec = memb_at(memb->core, i);
 
-		if (rec->state == MEMB_ALIVE || rec->state == MEMB_SUSPECT ||
-		    rec->state == MEMB_LEFT)
-			ids[n++] = talloc_strdup(ids, rec->id);
+		if (rec->state == MEMB_DEAD)
+			continue;
+		(*present)[n].id = talloc_strdup(ctx, rec->id);
+		(*present)[n].incarnation = rec->incarnation;
+		(*present)[n++].left = rec->state == MEMB_LEFT;
 	}
 	pthread_mutex_unlock(&memb->lock);
-	for (size_t i = 0; i < n; i++)
-		entry_claim_hello(claims, ids[i]);
-	talloc_free(ctx);
+	return n;
+}
+
+/* Under the lock: whether it has answered since membership last lost it. */
+static bool knows(const entry_claims_t *claims, const present_t *present)
+{
+	const entry_claim_peer_t *peer =
+		g_hash_table_lookup(claims->peers, present->id);
+
+	return peer && peer->memb_incarnation == present->incarnation;
 }
 
 /* The store is asked for the members only when a change is due. */
@@ -119,9 +170,11 @@
 	const claim_epoch_t *epoch;
 	claim_epoch_t *next = NULL;
 	bool current, differs;
+	present_t *present;
+	size_t n = list_present(claims, ctx, &present);
 
 	pthread_mutex_lock(&claims->lock);
-	view.live = live_list(claims, ctx, now);
+	view.live = live_list(claims, ctx, present, n);
 	epoch = claim_table_epoch(claims->table);
 	differs = note_live(claims, &view.live, now);
 	current = epoch ? epoch->number == claims->store_number
@@ -141,31 +194,29 @@
 	talloc_free(ctx);
 }
 
-/* Under the lock: this entry, unless it leaves, and those that answer. */
+/* Under the lock: this entry, unless it leaves, and those that answered. */
 static claim_list_t live_list(entry_claims_t *claims, const void *ctx,
-			      int64_t now)
+			      const present_t *present, size_t n)
 {
 	const entry_settings_t *settings = claims->daemon->settings;
-	guint max = g_hash_table_size(claims->peers) + 1;
-	claim_list_t list = { talloc_zero_array(ctx, claim_member_t, max), 0 };
-	GHashTableIter iter;
-	void *key, *value;
+	claim_list_t list = { talloc_zero_array(ctx, claim_member_t, n + 1),
+			      0 };
 
 	if (!atomic_load(&claims->daemon->draining))
 		list.members[list.n++] = (claim_member_t){
 			settings->name, settings->zone,
-			claim_table_hello(claims->table, now).incarnation
+			claim_table_hello(claims->table, 0).incarnation
 		};
-	g_hash_table_iter_init(&iter, claims->peers);
-	while (g_hash_table_iter_next(&iter, &key, &value)) {
-		const entry_claim_peer_t *peer = value;
+	for (size_t i = 0; i < n; i++) {
+		const entry_claim_peer_t *peer =
+			g_hash_table_lookup(claims->peers, present[i].id);
 
-		if (peer->leaving || now - peer->heard > HELLO_LOST_US)
+		if (!peer || !knows(claims, &present[i]) || peer->leaving ||
+		    present[i].left)
 			continue;
 		list.members[list.n++] =
-			(claim_member_t){ talloc_strdup(list.members, key),
-					  talloc_strdup(list.members,
-							peer->zone),
+			(claim_member_t){ present[i].id,
+					  talloc_strdup(ctx, peer->zone),
 					  peer->incarnation };
 	}
 	qsort(list.members, list.n, sizeof(claim_member_t), by_id);
@@ -264,7 +315,6 @@
 		pthread_mutex_lock(&claims->lock);
 		entry_claim_adopt(claims, next, asked_at, base_clock_mono());
 		pthread_mutex_unlock(&claims->lock);
-		claims->soon = true;
 	} else {
 		claims->store_asked = 0; /* somebody else did, or find out */
 	}
--- a/packages/entry/entry_claim_wire.c
+++ b/packages/entry/entry_claim_wire.c
@@ -5,6 +5,7 @@
 #define END_TIMEOUT_US BASE_SEC
 #define HELLO_TIMEOUT_US (300 * BASE_MS)
 #define PULL_TIMEOUT_US BASE_SEC
+#define LOST_US (500 * BASE_MS) /* not called again before */
 
 static bool on_take(void *arg, const peer_from_t *from, const void *args,
 		    void *res);
@@ -14,6 +15,8 @@
 		     void *res);
 static bool on_pull(void *arg, const peer_from_t *from, const void *args,
 		    void *res);
+static bool silent(entry_claims_t *claims, const char *id);
+static void note_call(entry_claims_t *claims, const char *id, bool answered);
 static bool is_self(const entry_claims_t *claims, const claim_member_t *target);
 static void take_here(entry_claims_t *claims, const void *ctx,
 		      const claim_take_t *take, claim_reply_t *reply);
@@ -24,7 +27,7 @@
 static void take_hello(entry_claims_t *claims, const char *id,
 		       const peer_claim_hello *wire, int64_t asked_at);
 static void note_peer(entry_claims_t *claims, const char *id,
-		      const peer_claim_hello *wire, int64_t now);
+		      const peer_claim_hello *wire);
 static void *copy_bytes(base_str_t bytes);
 static base_str_t bytes_of(u_int len, char *val);
 
@@ -49,15 +52,20 @@
 	};
 	peer_to_t to = { .zone = target->zone };
 	peer_claim_verdict res = { 0 };
+	bool answered;
 
 	*reply = (claim_reply_t){ .verdict = CLAIM_LOST };
 	if (is_self(claims, target)) {
 		take_here(claims, ctx, take, reply);
 		return;
 	}
-	if (!entry_claim_find(claims, target->id, &to.addr) ||
-	    peer_call(claims->daemon->memb->peer, &to, PEER_CLAIM_TAKE, &args,
-		      &res, TAKE_TIMEOUT_US) != PEER_ANSWERED)
+	if (silent(claims, target->id) ||
+	    !entry_claim_find(claims, target->id, &to.addr))
+		return;
+	answered = peer_call(claims->daemon->memb->peer, &to, PEER_CLAIM_TAKE,
+			     &args, &res, TAKE_TIMEOUT_US) == PEER_ANSWERED;
+	note_call(claims, target->id, answered);
+	if (!answered)
 		return;
 	if (res.verdict < CLAIM_VERDICT_MAX)
 		reply->verdict = (claim_verdict_t)res.verdict;
@@ -88,17 +96,21 @@
 
 	if (is_self(claims, target))
 		end_here(claims, finish, answered);
-	else if (entry_claim_find(claims, target->id, &to.addr))
-		peer_call(claims->daemon->memb->peer, &to, PEER_CLAIM_END,
-			  &args, &res, END_TIMEOUT_US);
+	else if (!silent(claims, target->id) &&
+		 entry_claim_find(claims, target->id, &to.addr))
+		note_call(claims, target->id,
+			  peer_call(claims->daemon->memb->peer, &to,
+				    PEER_CLAIM_END, &args, &res,
+				    END_TIMEOUT_US) == PEER_ANSWERED);
 }
 
-void entry_claim_hello(entry_claims_t *claims, const char *id)
+void entry_claim_hello(entry_claims_t *claims, const char *id,
+		       uint64_t memb_incarnation)
 {
 	base_buf_t *record = base_buf_new(NULL);
 	peer_claim_hello args = { 0 }, res = { 0 };
 	int64_t asked_at = base_clock_mono();
-	const entry_claim_peer_t *peer;
+	entry_claim_peer_t *peer;
 	uint64_t known = 0;
 	peer_to_t to = { 0 };
 
@@ -113,6 +125,12 @@
 		      &res, HELLO_TIMEOUT_US) == PEER_ANSWERED) {
 		take_hello(claims, id, &res, asked_at);
 		peer_free_res(PEER_CLAIM_HELLO, &res);
+		note_call(claims, id, true);
+		pthread_mutex_lock(&claims->lock);
+		peer = g_hash_table_lookup(claims->peers, id);
+		if (peer)
+			peer->memb_incarnation = memb_incarnation;
+		pthread_mutex_unlock(&claims->lock);
 	}
 	talloc_free(record);
 }
@@ -128,7 +146,7 @@
 	got = entry_claim_find(claims, pull->source.id, &to.addr) &&
 	      peer_call(claims->daemon->memb->peer, &to, PEER_CLAIM_PULL, &args,
 			&res, PULL_TIMEOUT_US) == PEER_ANSWERED;
-	if (got) {
+	if (got && (res.copies.copies_val || !res.copies.copies_len)) {
 		batch->ok = res.ok;
 		batch->last = res.last;
 		batch->cursor = res.cursor;
@@ -136,7 +154,7 @@
 		batch->complete_age = res.complete_age;
 		batch->n = MIN(res.copies.copies_len, CLAIM_BATCH_MAX);
 	}
-	for (uint32_t i = 0; i < batch->n; i++) {
+	for (uint32_t i = 0; i < batch->n && res.copies.copies_val; i++) {
 		const peer_claim_copy *from = &res.copies.copies_val[i];
 		const peer_claim_name *name = &from->name;
 
@@ -287,6 +305,34 @@
 	return true;
 }
 
+/*
+ * A call that is not made counts as lost, which is always safe; so a paused
+ * entry does not hold a thread of each request that would ask it.
+ */
+static bool silent(entry_claims_t *claims, const char *id)
+{
+	const entry_claim_peer_t *peer;
+	int64_t now = base_clock_mono();
+	bool silent;
+
+	pthread_mutex_lock(&claims->lock);
+	peer = g_hash_table_lookup(claims->peers, id);
+	silent = peer && peer->lost && now - peer->lost < LOST_US;
+	pthread_mutex_unlock(&claims->lock);
+	return silent;
+}
+
+static void note_call(entry_claims_t *claims, const char *id, bool answered)
+{
+	entry_claim_peer_t *peer;
+
+	pthread_mutex_lock(&claims->lock);
+	peer = g_hash_table_lookup(claims->peers, id);
+	if (peer)
+		peer->lost = answered ? 0 : base_clock_mono();
+	pthread_mutex_unlock(&claims->lock);
+}
+
 static bool is_self(const entry_claims_t *claims, const claim_member_t *target)
 {
 	return !strcmp(target->id, claims->daemon->settings->name);
@@ -362,13 +408,13 @@
 	if (epoch)
 		entry_claim_adopt(claims, epoch, 0, now);
 	claim_table_contact(claims->table, &contact, now);
-	note_peer(claims, id, wire, now);
+	note_peer(claims, id, wire);
 	pthread_mutex_unlock(&claims->lock);
 	talloc_free(epoch);
 }
 
 static void note_peer(entry_claims_t *claims, const char *id,
-		      const peer_claim_hello *wire, int64_t now)
+		      const peer_claim_hello *wire)
 {
 	entry_claim_peer_t *peer = g_hash_table_lookup(claims->peers, id);
 
@@ -385,14 +431,13 @@
 	peer->incarnation = wire->incarnation;
 	peer->epoch = wire->epoch;
 	peer->leaving = wire->leaving;
-	peer->heard = now;
 }
 
 static void *copy_bytes(base_str_t bytes)
 {
 	char *copy = malloc(bytes.len + 1);
 
-	if (copy && bytes.len)
+	if (copy && bytes.ptr)
 		memcpy(copy, bytes.ptr, bytes.len);
 	return copy;
 }
