Serve the operators' port before the peers' port

A second process on the same ports named the peers' port instead of the operators' one. Membership is made before the services start, so that pages find it.

--- a/packages/entry/entry_memb.c
+++ b/packages/entry/entry_memb.c
@@ -12,7 +12,8 @@
 
 static bool memb_start(void *service, kern_t *kern, GError **err);
 static void memb_stop(void *service);
-static bool start_peer(entry_memb_t *memb, GError **err);
+static int free_memb(entry_memb_t *memb);
+static bool make_peer(entry_memb_t *memb, GError **err);
 static void make_core(entry_memb_t *memb);
 static bool start_duties(entry_memb_t *memb, GError **err);
 static void tick(void *arg, int64_t now);
@@ -44,6 +45,18 @@
 	[MEMB_WATCH_END] = BASE_MSG_MEMBER,
 };
 
+bool entry_memb_new(entry_daemon_t *daemon, GError **err)
+{
+	entry_memb_t *memb = talloc_zero(daemon, entry_memb_t);
+
+	daemon->memb = memb;
+	memb->daemon = daemon;
+	pthread_mutex_init(&memb->lock, NULL);
+	talloc_set_destructor(memb, free_memb);
+	make_core(memb);
+	return make_peer(memb, err);
+}
+
 void entry_memb_config(entry_daemon_t *daemon, entry_view_t *view,
 		       const char *source)
 {
@@ -102,21 +115,24 @@
 	pthread_mutex_unlock(&memb->lock);
 }
 
+static int free_memb(entry_memb_t *memb)
+{
+	talloc_free(memb->peer);
+	if (memb->held.view)
+		entry_view_release(memb->held.view);
+	pthread_mutex_destroy(&memb->lock);
+	return 0;
+}
+
 static bool memb_start(void *service, kern_t *kern, GError **err)
 {
 	entry_daemon_t *daemon = service;
-	entry_memb_t *memb = talloc_zero(daemon, entry_memb_t);
+	entry_memb_t *memb = daemon->memb;
 
 	(void)kern;
-	daemon->memb = memb;
-	memb->daemon = daemon;
 	memb->started = base_clock_mono();
-	pthread_mutex_init(&memb->lock, NULL);
-	if (start_peer(memb, err)) {
-		make_core(memb);
-		if (peer_serve(memb->peer, err) && start_duties(memb, err))
-			return true;
-	}
+	if (peer_serve(memb->peer, err) && start_duties(memb, err))
+		return true;
 	memb_stop(daemon);
 	return false;
 }
@@ -134,14 +150,10 @@
 		}
 	if (memb->lease)
 		entry_members_leave(memb);
-	TALLOC_FREE(memb->peer);
-	if (memb->held.view)
-		entry_view_release(memb->held.view);
-	pthread_mutex_destroy(&memb->lock);
-	TALLOC_FREE(daemon->memb);
+	peer_stop(memb->peer);
 }
 
-static bool start_peer(entry_memb_t *memb, GError **err)
+static bool make_peer(entry_memb_t *memb, GError **err)
 {
 	const entry_settings_t *settings = memb->daemon->settings;
 	peer_opts_t opts = { .id = settings->name,
--- a/packages/entry/entry_memb.h
+++ b/packages/entry/entry_memb.h
@@ -51,6 +51,9 @@
 	uint64_t digest;
 } entry_pull_t;
 
+/* Make daemon->memb; its service sets it to work. */
+bool entry_memb_new(entry_daemon_t *daemon, GError **err);
+
 /* The configuration of "view" is in force here; takes over the hold. */
 void entry_memb_config(entry_daemon_t *daemon, entry_view_t *view,
 		       const char *source);
--- a/packages/entry/entry_run.c
+++ b/packages/entry/entry_run.c
@@ -24,7 +24,8 @@
 	base_log(log, BASE_MSG_START, BASE_F_STR("entry", settings->name),
 		 BASE_F_STR("zone", settings->zone),
 		 BASE_F_STR("incarnation", daemon->incarnation));
-	if (!entry_services_register(daemon, &err) ||
+	if (!entry_memb_new(daemon, &err) ||
+	    !entry_services_register(daemon, &err) ||
 	    !kern_start(daemon->kern, &err)) {
 		base_log(log, BASE_MSG_START_FAILED,
 			 BASE_F_STR("why", err->message));
