--- a/packages/entry/entry_pull.c
+++ b/packages/entry/entry_pull.c
@@ -3,7 +3,7 @@
 #include "entry_memb.h"
 #include "peer_proto_xdr.h"
 
-#define PART_WAIT_US BASE_SEC
+#define PART_WAIT_US (500 * BASE_MS)
 #define TEXT_MAX (PLAT_VALUE_MAX + 65536) /* bytes of a record */
 
 static bool fetch(entry_memb_t *memb, const entry_pull_t *pull,
--- a/packages/memb/memb.c
+++ b/packages/memb/memb.c
@@ -130,7 +130,7 @@
 		.suspect_us = OR(given.suspect_us, 4 * BASE_SEC),
 		.pause_us = OR(given.pause_us, 2 * BASE_SEC),
 		.dead_keep_us = OR(given.dead_keep_us, 3600 * BASE_SEC),
-		.pull_us = OR(given.pull_us, 3 * BASE_SEC),
+		.pull_us = OR(given.pull_us, BASE_SEC),
 		.cross_every = OR(given.cross_every, 4),
 		.helpers = OR(given.helpers, 3),
 		.news_near = OR(given.news_near, 3),
--- a/packages/memb/memb.h
+++ b/packages/memb/memb.h
@@ -119,7 +119,7 @@
 	int64_t suspect_us;   /* from suspicion to giving up; 4 s */
 	int64_t pause_us;     /* a gap between ticks that raises doubt; 2 s */
 	int64_t dead_keep_us; /* a dead entry is tried again; 1 h */
-	int64_t pull_us;      /* after which another pull may begin; 3 s */
+	int64_t pull_us;      /* after which another pull may begin; 1 s */
 	uint32_t cross_every; /* periods between probes across zones; 4 */
 	uint32_t helpers;     /* entries asked to probe for us; 3 */
 	uint32_t news_near;   /* told of a configuration, own zone; 3 */
--- a/packages/memb/memb_int.h
+++ b/packages/memb/memb_int.h
@@ -73,6 +73,7 @@
 
 	uint64_t pulling; /* generation, 0: none */
 	int64_t pull_until;
+	bool news_again;   /* tell of it once more at the next tick */
 	uint64_t conflict; /* generation that was complained about */
 	bool watches;
 };
@@ -142,6 +143,9 @@
 
 /* memb_spread */
 
+/* Tell a few that a newer configuration is in force here. */
+void memb_news(memb_t *memb);
+
 void memb_heard_config(memb_t *memb, const memb_msg_t *msg, int64_t now);
 
 /* memb_watch */
--- a/packages/memb/memb_probe.c
+++ b/packages/memb/memb_probe.c
@@ -23,6 +23,10 @@
 	memb->last_tick = now;
 	expire_probes(memb, now);
 	give_up(memb, now);
+	if (memb->news_again) {
+		memb->news_again = false;
+		memb_news(memb);
+	}
 	if (now >= memb->next_period) {
 		memb->next_period =
 			now + (memb_present_count(memb)
--- a/packages/memb/memb_spread.c
+++ b/packages/memb/memb_spread.c
@@ -14,9 +14,15 @@
 	memb->digest = digest;
 	if (memb->pulling <= generation)
 		memb->pulling = 0;
+	memb->news_again = true;
+	memb_news(memb);
+	return true;
+}
+
+void memb_news(memb_t *memb)
+{
 	memb_tell(memb, MEMB_WHOM_NEAR, memb->limits.news_near);
 	memb_tell(memb, MEMB_WHOM_FAR, memb->limits.news_far);
-	return true;
 }
 
 void memb_pull_failed(memb_t *memb, int64_t now)
