Never cut a job's accelerators down to what a worker has

Cause: once a family was known, the cap at the largest worker applied to accelerators too: a job that needs two was given one. Change: accelerators are left out of the cap.

--- a/packages/jobs/jobs_learn.c
+++ b/packages/jobs/jobs_learn.c
@@ -94,7 +94,9 @@
 	for (int k = 0; k < JOBS_KIND_MAX; k++) {
 		int64_t most = MIN(job->team->quota.v[k], jobs->largest.v[k]);
 
-		if (k != JOBS_ACCELERATORS && jobs->largest.v[k])
+		if (k == JOBS_ACCELERATORS)
+			continue;
+		if (jobs->largest.v[k])
 			known.v[k] = MIN(known.v[k], jobs->largest.v[k]);
 		need.v[k] = MIN(need.v[k], MAX(known.v[k], most));
 	}
--- a/packages/jobs/tests/jobs_test.c
+++ b/packages/jobs/tests/jobs_test.c
@@ -393,6 +393,27 @@
 	talloc_free(jobs);
 }
 
+/* Accelerators are not cut down to what there is; cores are. */
+static void test_too_large(void)
+{
+	log_t log;
+	jobs_t *jobs = core_new(&log, 2, 4000);
+	jobs_spec_t spec = spec_of("two", 1, 1000);
+
+	submit(jobs, 0, spec_of("wide", 1, 9000));
+	jobs_step(jobs, 0);
+	g_assert_cmpint(log.starts, ==, 1);
+	g_assert_cmpint(log.last.share.v[JOBS_CORES], ==, 4000);
+	say(jobs, 1, &log, "wide", 1, JOBS_EVENT_ENDED);
+	/* Also once the family is known. */
+	spec.declared.v[JOBS_ACCELERATORS] = 2;
+	submit(jobs, 2, spec);
+	jobs_step(jobs, 2);
+	g_assert_cmpint(log.starts, ==, 1);
+	explains(jobs, 2, "two", "larger than every worker");
+	talloc_free(jobs);
+}
+
 /* A search looks at a few nodes, however many workers there are. */
 static void test_search_cost(void)
 {
@@ -434,6 +455,7 @@
 	g_test_add_func("/jobs/cancel", test_cancel);
 	g_test_add_func("/jobs/cancel-queued", test_cancel_queued);
 	g_test_add_func("/jobs/learns", test_learns);
+	g_test_add_func("/jobs/too-large", test_too_large);
 	g_test_add_func("/jobs/search-cost", test_search_cost);
 	return g_test_run();
 }
