--- a/Makefile
+++ b/Makefile
@@ -43,6 +43,8 @@
 TEST_C = $(wildcard packages/*/tests/*_test.c)
 TEST_CXX = $(wildcard packages/*/tests/*_prop.cpp)
 TESTS = $(TEST_C:packages/%.c=$(OUT)/t/%) $(TEST_CXX:packages/%.cpp=$(OUT)/t/%)
+# Tests of real processes.
+SYSTEM ?= $(wildcard tests/sys_*)
 BENCH_C = $(wildcard bench/*_bench.c)
 # What the benches share, and the tests that hold them to their figures.
 BENCH_LIB = $(OUT)/libbench.a
@@ -120,7 +122,7 @@
 
 test: binaries
 	+@$(MAKE) --no-print-directory -s -j$$(nproc) $(TESTS)
-	@OUT=$(OUT) scripts/runtests 4 $(OUT)/log $(TESTS) $(wildcard regress/run tests/sys_*)
+	@OUT=$(OUT) scripts/runtests 4 $(OUT)/log $(TESTS) $(wildcard regress/run) $(SYSTEM)
 
 demo: all
 	@OUT=$(OUT) tests/demo
