--- a/packages/memb/memb_spread.c
+++ b/packages/memb/memb_spread.c
@@ -14,9 +14,15 @@
 	memb->digest = digest;
 	if (memb->pulling <= generation)
 		memb->pulling = 0;
+	memb->news_again = true;
+	memb_news(memb);
+	return true;
+}
+
+void memb_news(memb_t *memb)
+{
 	memb_tell(memb, MEMB_WHOM_NEAR, memb->limits.news_near);
 	memb_tell(memb, MEMB_WHOM_FAR, memb->limits.news_far);
-	return true;
 }
 
 void memb_pull_failed(memb_t *memb, int64_t now)
@@ -45,7 +51,7 @@
 		memb_raise(memb, MEMB_CONFLICT, sender);
 	}
 	if (sender->generation <= self->generation ||
-	    (memb->pulling && now < memb->pull_until))
+	    (memb->pulling >= sender->generation && now < memb->pull_until))
 		return;
 	memb->pulling = sender->generation;
 	memb->pull_until = now + memb->limits.pull_us;
--- a/packages/tool/tool_int.h
+++ b/packages/tool/tool_int.h
@@ -42,6 +42,7 @@
 int tool_config_generate(int argc, char **argv, FILE *out, FILE *err);
 int tool_config_diff(int argc, char **argv, FILE *out, FILE *err);
 int tool_config_approve(int argc, char **argv, FILE *out, FILE *err);
+int tool_rollout(int argc, char **argv, FILE *out, FILE *err);
 int tool_status(int argc, char **argv, FILE *out, FILE *err);
 int tool_plan(int argc, char **argv, FILE *out, FILE *err);
 int tool_explain(int argc, char **argv, FILE *out, FILE *err);
