--- /dev/null
+++ b/packages/entry/entry_claim_epoch.c
@@ -0,0 +1,347 @@
+#include <jansson.h>
+
+#include "entry_claim.h"
+
+/*
+ * The epoch's record in the store, and who belongs into the next one.
+ */
+
+#define STORE_PERIOD_US (3 * BASE_SEC)
+#define STORE_SOON_US (500 * BASE_MS) /* while something is to be decided */
+#define HELLO_PERIOD_US BASE_SEC      /* while somebody needs one */
+#define HELLO_IDLE_US (15 * BASE_SEC) /* otherwise */
+#define HELLO_DOUBT_US (4 * BASE_SEC) /* no word of the store */
+#define RANK_US (500 * BASE_MS)	      /* who comes later in the list waits */
+#define PULLS 32		      /* at once */
+
+/* An entry as membership sees it. */
+typedef struct present {
+	const char *id;
+	uint64_t incarnation; /* membership's own */
+	bool left;
+	bool known;
+} present_t;
+
+static void read_store(entry_claims_t *claims, int64_t now);
+static void say_hello(entry_claims_t *claims, int64_t now);
+static void propose(entry_claims_t *claims, int64_t now);
+static size_t list_present(entry_claims_t *claims, const void *ctx,
+			   present_t **present);
+static bool knows(const entry_claims_t *claims, const present_t *present);
+static claim_list_t live_list(entry_claims_t *claims, const void *ctx,
+			      const present_t *present, size_t n);
+static int by_id(const void *a, const void *b);
+static bool note_live(entry_claims_t *claims, const claim_list_t *live,
+		      int64_t now);
+static void read_registered(entry_claims_t *claims, void *ctx,
+			    claim_list_t *list);
+static int64_t rank_of(const entry_claims_t *claims, const claim_list_t *live);
+static void write_record(entry_claims_t *claims, const claim_epoch_t *next);
+static void pull(entry_claims_t *claims);
+
+void entry_claim_epoch_tick(entry_claims_t *claims, int64_t now)
+{
+	bool leaving = atomic_load(&claims->daemon->draining) != 0;
+	int64_t period = STORE_PERIOD_US;
+
+	if (!claims->store_number || leaving)
+		period = STORE_SOON_US;
+	if (now - claims->store_asked >= period)
+		read_store(claims, now);
+	say_hello(claims, now);
+	propose(claims, now);
+	say_hello(claims, now);
+	pull(claims);
+}
+
+void entry_claim_adopt(entry_claims_t *claims, const claim_epoch_t *epoch,
+		       int64_t confirmed_at, int64_t now)
+{
+	if (!claim_table_adopt(claims->table, epoch, confirmed_at, now))
+		return;
+	claims->epochs++;
+	claims->soon = true;
+	base_log(claims->daemon->log, BASE_MSG_CLAIM_EPOCH,
+		 BASE_F_INT("epoch", (int64_t)epoch->number),
+		 BASE_F_INT("entries", (int64_t)epoch->now.n));
+}
+
+static void read_store(entry_claims_t *claims, int64_t now)
+{
+	plat_store_t *store =
+		plat_guard_store(claims->daemon->guard, PLAT_FOR_EPOCH);
+	void *ctx = talloc_new(NULL);
+	claim_epoch_t *epoch = NULL;
+	plat_kvs_t kvs;
+
+	claims->store_asked = now;
+	if (!store->ops->range(store, ctx, CLAIM_EPOCH_KEY, false, &kvs,
+			       NULL)) {
+		talloc_free(ctx);
+		return;
+	}
+	claims->none_in_store = !kvs.count;
+	claims->store_number = 0;
+	claims->store_revision = kvs.count ? kvs.items[0].mod_revision : 0;
+	if (kvs.count)
+		epoch = claim_epoch_parse(ctx, kvs.items[0].value, NULL);
+	if (epoch) {
+		claims->store_number = epoch->number;
+		pthread_mutex_lock(&claims->lock);
+		entry_claim_adopt(claims, epoch, now, base_clock_mono());
+		claim_table_confirm(claims->table, epoch->number, now);
+		pthread_mutex_unlock(&claims->lock);
+	}
+	talloc_free(ctx);
+}
+
+/*
+ * Who is alive membership tells; a hello tells who it is.  So one is said when
+ * an entry appears or is back, when the list has changed, and while the store
+ * cannot be asked, since then the others' word stands in for it.
+ */
+static void say_hello(entry_claims_t *claims, int64_t now)
+{
+	bool all = now - claims->hello_all >= HELLO_IDLE_US;
+	bool due = now - claims->hello_said >= HELLO_PERIOD_US;
+	void *ctx = talloc_new(NULL);
+	claim_contact_t self;
+	present_t *present;
+	size_t n;
+
+	n = list_present(claims, ctx, &present);
+	pthread_mutex_lock(&claims->lock);
+	self = claim_table_hello(claims->table, now);
+	if (claims->soon || (due && (self.confirmed_age < 0 ||
+				     self.confirmed_age > HELLO_DOUBT_US)))
+		all = true;
+	claims->soon = false;
+	for (size_t i = 0; i < n; i++)
+		present[i].known = knows(claims, &present[i]);
+	pthread_mutex_unlock(&claims->lock);
+	if (all)
+		claims->hello_all = now;
+	if (all || due)
+		claims->hello_said = now;
+	for (size_t i = 0; i < n; i++)
+		if (all || (due && !present[i].known))
+			entry_claim_hello(claims, present[i].id,
+					  present[i].incarnation);
+	talloc_free(ctx);
+}
+
+/* The others that membership holds for alive, or that just leave. */
+static size_t list_present(entry_claims_t *claims, const void *ctx,
+			   present_t **present)
+{
+	entry_memb_t *memb = claims->daemon->memb;
+	size_t n = 0;
+
+	pthread_mutex_lock(&memb->lock);
+	*present = talloc_zero_array(ctx, present_t, memb_count(memb->core));
+	for (size_t i = 1; i < memb_count(memb->core); i++) {
+		const memb_record_t *rec = memb_at(memb->core, i);
+
+		if (rec->state == MEMB_DEAD)
+			continue;
+		(*present)[n].id = talloc_strdup(ctx, rec->id);
+		(*present)[n].incarnation = rec->incarnation;
+		(*present)[n++].left = rec->state == MEMB_LEFT;
+	}
+	pthread_mutex_unlock(&memb->lock);
+	return n;
+}
+
+/* Under the lock: whether it has answered since membership last lost it. */
+static bool knows(const entry_claims_t *claims, const present_t *present)
+{
+	const entry_claim_peer_t *peer =
+		g_hash_table_lookup(claims->peers, present->id);
+
+	return peer && peer->memb_incarnation == present->incarnation;
+}
+
+/* The store is asked for the members only when a change is due. */
+static void propose(entry_claims_t *claims, int64_t now)
+{
+	void *ctx = talloc_new(NULL);
+	bool leaving = atomic_load(&claims->daemon->draining) != 0;
+	claim_view_t view = { .leaving = leaving };
+	const claim_epoch_t *epoch;
+	claim_epoch_t *next = NULL;
+	bool current, differs;
+	present_t *present;
+	size_t n = list_present(claims, ctx, &present);
+
+	pthread_mutex_lock(&claims->lock);
+	view.live = live_list(claims, ctx, present, n);
+	epoch = claim_table_epoch(claims->table);
+	differs = note_live(claims, &view.live, now);
+	current = epoch ? epoch->number == claims->store_number
+			: claims->none_in_store;
+	pthread_mutex_unlock(&claims->lock);
+	view.since = claims->live_since + rank_of(claims, &view.live);
+	if (differs && current &&
+	    (leaving || now - view.since >= CLAIM_VIEW_STABLE_US)) {
+		read_registered(claims, ctx, &view.registered);
+		pthread_mutex_lock(&claims->lock);
+		next = claim_propose(ctx, claims->table, &view,
+				     claims->none_in_store, now);
+		pthread_mutex_unlock(&claims->lock);
+	}
+	if (next)
+		write_record(claims, next);
+	talloc_free(ctx);
+}
+
+/* Under the lock: this entry, unless it leaves, and those that answered. */
+static claim_list_t live_list(entry_claims_t *claims, const void *ctx,
+			      const present_t *present, size_t n)
+{
+	const entry_settings_t *settings = claims->daemon->settings;
+	claim_list_t list = { talloc_zero_array(ctx, claim_member_t, n + 1),
+			      0 };
+
+	if (!atomic_load(&claims->daemon->draining))
+		list.members[list.n++] = (claim_member_t){
+			settings->name, settings->zone,
+			claim_table_hello(claims->table, 0).incarnation
+		};
+	for (size_t i = 0; i < n; i++) {
+		const entry_claim_peer_t *peer =
+			g_hash_table_lookup(claims->peers, present[i].id);
+
+		if (!peer || !knows(claims, &present[i]) || peer->leaving ||
+		    present[i].left)
+			continue;
+		list.members[list.n++] =
+			(claim_member_t){ present[i].id,
+					  talloc_strdup(ctx, peer->zone),
+					  peer->incarnation };
+	}
+	qsort(list.members, list.n, sizeof(claim_member_t), by_id);
+	return list;
+}
+
+static int by_id(const void *a, const void *b)
+{
+	const claim_member_t *left = a, *right = b;
+
+	return strcmp(left->id, right->id);
+}
+
+/* Under the lock; whether the list is another one than the epoch's. */
+static bool note_live(entry_claims_t *claims, const claim_list_t *live,
+		      int64_t now)
+{
+	const claim_epoch_t *epoch = claim_table_epoch(claims->table);
+	GString *text = g_string_new(NULL);
+	bool differs = !epoch || epoch->now.n != live->n;
+
+	for (size_t i = 0; i < live->n; i++) {
+		const claim_member_t *member = &live->members[i];
+
+		g_string_append_printf(text, "%s/%llu ", member->id,
+				       (unsigned long long)member->incarnation);
+		if (epoch &&
+		    claim_list_find(&epoch->now, member->id,
+				    member->incarnation) == CLAIM_NOBODY)
+			differs = true;
+	}
+	if (!claims->live || strcmp(claims->live, text->str) != 0) {
+		g_free(claims->live);
+		claims->live = g_strdup(text->str);
+		claims->live_since = now;
+	}
+	g_string_free(text, TRUE);
+	return differs;
+}
+
+/* Who has a live lease; when it cannot be read, nobody is taken out. */
+static void read_registered(entry_claims_t *claims, void *ctx,
+			    claim_list_t *list)
+{
+	plat_store_t *store =
+		plat_guard_store(claims->daemon->guard, PLAT_FOR_EPOCH);
+	size_t skip = strlen(ENTRY_MEMBERS_PREFIX);
+	plat_kvs_t kvs;
+
+	if (!store->ops->range(store, ctx, ENTRY_MEMBERS_PREFIX, true, &kvs,
+			       NULL))
+		return;
+	list->members = talloc_zero_array(ctx, claim_member_t, kvs.count);
+	for (size_t i = 0; i < kvs.count; i++) {
+		base_str_t key = kvs.items[i].key, value = kvs.items[i].value;
+		json_t *root = json_loadb(value.ptr, value.len, 0, NULL);
+		const char *text =
+			json_string_value(json_object_get(root, "incarnation"));
+
+		if (text && key.len > skip)
+			list->members[list->n++] = (claim_member_t){
+				talloc_strndup(ctx, key.ptr + skip,
+					       key.len - skip),
+				"", g_ascii_strtoull(text, NULL, 10)
+			};
+		json_decref(root);
+	}
+}
+
+/* So that not all write at once. */
+static int64_t rank_of(const entry_claims_t *claims, const claim_list_t *live)
+{
+	for (size_t i = 0; i < live->n; i++)
+		if (!strcmp(live->members[i].id,
+			    claims->daemon->settings->name))
+			return (int64_t)i * RANK_US;
+	return 0;
+}
+
+static void write_record(entry_claims_t *claims, const claim_epoch_t *next)
+{
+	plat_store_t *store =
+		plat_guard_store(claims->daemon->guard, PLAT_FOR_EPOCH);
+	base_buf_t *text = base_buf_new(NULL);
+	int64_t asked_at = base_clock_mono();
+	plat_put_t put = { .key = CLAIM_EPOCH_KEY,
+			   .expected = claims->store_revision };
+	int64_t revision;
+
+	claim_epoch_print(next, text);
+	put.value = base_buf_str(text);
+	if (plat_cas_sure(store, &put, &revision, NULL) == PLAT_CAS_DONE) {
+		claims->store_number = next->number;
+		claims->store_revision = revision;
+		claims->none_in_store = false;
+		pthread_mutex_lock(&claims->lock);
+		entry_claim_adopt(claims, next, asked_at, base_clock_mono());
+		pthread_mutex_unlock(&claims->lock);
+	} else {
+		claims->store_asked = 0; /* somebody else did, or find out */
+	}
+	talloc_free(text);
+}
+
+static void pull(entry_claims_t *claims)
+{
+	void *ctx = talloc_new(NULL);
+	claim_pull_t next;
+	bool more = true;
+
+	for (int i = 0; i < PULLS && more; i++) {
+		pthread_mutex_lock(&claims->lock);
+		more = claim_table_next_pull(claims->table, claims->pull_from,
+					     base_clock_mono(), &next);
+		if (more) {
+			next.source.id = talloc_strdup(ctx, next.source.id);
+			next.source.zone = talloc_strdup(ctx, next.source.zone);
+		}
+		pthread_mutex_unlock(&claims->lock);
+		if (!more)
+			break;
+		claims->pull_from = next.slice;
+		entry_claim_pull(claims, &next);
+		if (i % 8 == 7)
+			claims->pull_from = (next.slice + 1) % CLAIM_SLICES;
+	}
+	talloc_free(ctx);
+}
--- a/packages/entry/entry_int.h
+++ b/packages/entry/entry_int.h
@@ -42,6 +42,7 @@
 	atomic_int holders;
 	entry_config_t *config; /* NULL: none yet */
 	conf_record_t *record;	/* of config */
+	base_str_t text;	/* of the record, as it stands in the store */
 	entry_pool_t *pools;	/* in the order of the configuration */
 	size_t pool_count;
 	bool owned; /* some records are known */
@@ -113,6 +114,7 @@
 	int64_t deadline; /* the same clock */
 	const conf_class_t *class;
 	entry_message_t message;
+	struct entry_claim *claim; /* that it holds; NULL without one */
 } entry_request_t;
 
 typedef enum entry_outcome {
@@ -203,6 +205,8 @@
 #define ENTRY_PROBE_DUTIES 3
 
 typedef struct entry_daemon entry_daemon_t;
+struct entry_memb;
+struct entry_claims;
 typedef struct entry_route entry_route_t;
 typedef struct entry_fleet entry_fleet_t;
 
@@ -268,8 +272,11 @@
 	int64_t config_seen; /* mod_revision; the config duty's own */
 	kern_duty_t *config_duty;
 	kern_duty_t *list_duty;
+	int64_t config_read; /* when the store was asked last; its duty's */
 	atomic_int store_down;
 	atomic_int list_down;
+	struct entry_memb *memb;     /* entry_memb.h */
+	struct entry_claims *claims; /* entry_claim.h */
 	entry_route_t *route;
 	kern_duty_t *probes[ENTRY_PROBE_DUTIES];
 	entry_fleet_t *fleet;
@@ -278,13 +285,45 @@
 /* Services in the order of their start; entry_services.c. */
 bool entry_services_register(entry_daemon_t *daemon, GError **err);
 
+extern const kern_service_ops_t entry_memb_ops;
 extern const kern_service_ops_t entry_platform_ops;
 extern const kern_service_ops_t entry_operators_ops;
 extern const kern_service_ops_t entry_route_ops;
 extern const kern_service_ops_t entry_fleet_ops;
 extern const kern_service_ops_t entry_probe_ops;
+extern const kern_service_ops_t entry_claim_ops;
 extern const kern_service_ops_t entry_caller_ops;
 
+/*
+ * Put the record "text" that came from "source" ("store" or an entry) in
+ * force if it is newer.  False: refused, the old one stays.  Any thread.
+ */
+bool entry_take_config(entry_daemon_t *daemon, base_str_t text,
+		       const char *source);
+
+/*
+ * Claims: a request that is not repeatable and has a key.
+ */
+struct entry_claims *entry_claims_new(entry_daemon_t *daemon);
+
+/* Take the claim, then run; or tell why not, or what was answered before. */
+entry_verdict_t entry_claim_run(entry_daemon_t *daemon,
+				entry_request_t *request,
+				entry_message_t *answer);
+
+/* Record the answer, after it was told. */
+void entry_claim_answered(entry_daemon_t *daemon,
+			  const entry_request_t *request,
+			  const entry_message_t *answer);
+
+/* To be asked right before a first byte goes out. */
+bool entry_claim_may_write(const entry_request_t *request);
+
+/* Serve tickets on the callers' port. */
+void entry_claim_listen(entry_daemon_t *daemon);
+
+void entry_metrics_claim(entry_daemon_t *daemon, base_buf_t *out);
+
 /* Start a listener; the error names the port. */
 struct mg_context *entry_listen(const entry_listen_t *listen, void *user,
 				int64_t keep_alive_ms, GError **err);
