--- a/packages/entry/entry_int.h
+++ b/packages/entry/entry_int.h
@@ -306,6 +306,13 @@
  */
 struct entry_claims *entry_claims_new(entry_daemon_t *daemon);
 
+/*
+ * An endpoint said that it leaves: give it no more work and tell the other
+ * entries, if it is news or is to be told "again".
+ */
+void entry_leaving_heard(entry_daemon_t *daemon, const char *instance,
+			 const char *incarnation, bool again);
+
 /* Take the claim, then run; or tell why not, or what was answered before. */
 entry_verdict_t entry_claim_run(entry_daemon_t *daemon,
 				entry_request_t *request,
--- a/packages/entry/entry_memb.c
+++ b/packages/entry/entry_memb.c
@@ -171,6 +171,7 @@
 	if (!memb->peer)
 		return false;
 	peer_handle(memb->peer, PEER_GOSSIP, take_gossip, memb);
+	entry_leaving_handle(memb);
 	peer_handle(memb->peer, PEER_CONFIG, entry_pull_answer, memb);
 	entry_claim_handle(memb->daemon->claims, memb->peer);
 	return true;
--- a/packages/entry/entry_memb.h
+++ b/packages/entry/entry_memb.h
@@ -67,6 +67,11 @@
 /* Tell the others that this entry leaves. */
 void entry_memb_leave(entry_daemon_t *daemon);
 
+/* entry_leaving: an endpoint's word, from entry to entry */
+
+/* Answer the others; before peer_serve(). */
+void entry_leaving_handle(entry_memb_t *memb);
+
 /* entry_pull: the configuration from entry to entry */
 
 /* Answers PEER_CONFIG. */
--- a/packages/entry/entry_probe.c
+++ b/packages/entry/entry_probe.c
@@ -78,8 +78,14 @@
 	size_t n = entry_route_probes(daemon->route, ctx, own_zone, due,
 				      ENTRY_PROBES_MAX);
 
-	for (size_t i = 0; i < n; i++)
-		entry_route_probed(daemon->route, &due[i], probe(&due[i]));
+	for (size_t i = 0; i < n; i++) {
+		route_probe_t result = probe(&due[i]);
+
+		entry_route_probed(daemon->route, &due[i], result);
+		if (result == ROUTE_PROBE_LEAVING)
+			entry_leaving_heard(daemon, due[i].id,
+					    due[i].incarnation, true);
+	}
 	talloc_free(ctx);
 }
 
--- a/packages/entry/entry_route.c
+++ b/packages/entry/entry_route.c
@@ -140,12 +140,11 @@
 		waiter.step = STEP_WAIT;
 		pthread_mutex_unlock(&route->lock);
 		result = send_once(route, &waiter, request, answer, &leaving);
-		pthread_mutex_lock(&route->lock);
 		if (leaving)
-			route_leaving(route->core,
-				      base_str(waiter.endpoint->instance),
-				      base_str(waiter.endpoint->incarnation),
-				      base_clock_mono());
+			entry_leaving_heard(
+				route->daemon, waiter.endpoint->instance,
+				waiter.endpoint->incarnation, false);
+		pthread_mutex_lock(&route->lock);
 		route_done(route->core, &waiter.core, result,
 			   base_clock_mono());
 	}
--- a/packages/peer/peer.h
+++ b/packages/peer/peer.h
@@ -45,6 +45,7 @@
 typedef enum peer_proc {
 	PEER_GOSSIP,	  /* one way: peer_gossip */
 	PEER_LIFE,	  /* one way, internal: peer_life */
+	PEER_LEAVING,	  /* one way: peer_leaving */
 	PEER_CONFIG,	  /* peer_config_get -> peer_config_part */
 	PEER_CLAIM_TAKE,  /* peer_claim_take -> peer_claim_verdict */
 	PEER_CLAIM_END,	  /* peer_claim_end -> peer_claim_done */
--- a/packages/peer/peer_proto.x
+++ b/packages/peer/peer_proto.x
@@ -86,6 +86,14 @@
 	unsigned hyper seen_life;	/* the latest life of the addressee */
 };
 
+/* leaving: an endpoint said that it leaves */
+const PEER_INSTANCE_MAX = 128;	/* bytes of an instance's name */
+
+struct peer_leaving {
+	string instance<PEER_INSTANCE_MAX>;
+	string incarnation<PEER_INSTANCE_MAX>;
+};
+
 /* config: a part of the configuration in force */
 struct peer_config_get {
 	unsigned hyper generation;
--- a/packages/peer/peer_proto_xdr.c
+++ b/packages/peer/peer_proto_xdr.c
@@ -206,6 +206,18 @@
 	return TRUE;
 }
 
+bool_t
+xdr_peer_leaving (XDR *xdrs, peer_leaving *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_string (xdrs, &objp->instance, PEER_INSTANCE_MAX))
+		 return FALSE;
+	 if (!xdr_string (xdrs, &objp->incarnation, PEER_INSTANCE_MAX))
+		 return FALSE;
+	return TRUE;
+}
+
 bool_t
 xdr_peer_config_get (XDR *xdrs, peer_config_get *objp)
 {
--- a/packages/peer/peer_proto_xdr.h
+++ b/packages/peer/peer_proto_xdr.h
@@ -101,6 +101,13 @@
 	u_quad_t seen_life;
 };
 typedef struct peer_life peer_life;
+#define PEER_INSTANCE_MAX 128
+
+struct peer_leaving {
+	char *instance;
+	char *incarnation;
+};
+typedef struct peer_leaving peer_leaving;
 
 struct peer_config_get {
 	u_quad_t generation;
@@ -226,6 +233,7 @@
 extern  bool_t xdr_peer_wire_member (XDR *, peer_wire_member*);
 extern  bool_t xdr_peer_gossip (XDR *, peer_gossip*);
 extern  bool_t xdr_peer_life (XDR *, peer_life*);
+extern  bool_t xdr_peer_leaving (XDR *, peer_leaving*);
 extern  bool_t xdr_peer_config_get (XDR *, peer_config_get*);
 extern  bool_t xdr_peer_config_part (XDR *, peer_config_part*);
 extern  bool_t xdr_peer_claim_name (XDR *, peer_claim_name*);
@@ -247,6 +255,7 @@
 extern bool_t xdr_peer_wire_member ();
 extern bool_t xdr_peer_gossip ();
 extern bool_t xdr_peer_life ();
+extern bool_t xdr_peer_leaving ();
 extern bool_t xdr_peer_config_get ();
 extern bool_t xdr_peer_config_part ();
 extern bool_t xdr_peer_claim_name ();
