--- a/load/load_bench.c
+++ b/load/load_bench.c
@@ -48,10 +48,11 @@
 		arg_print_errors(stderr, end, "load bench");
 		return 2;
 	}
+	all = base_hist_new(NULL);
 	bench.target_count = targets->count;
 	bench.targets = g_new0(plat_address_t, (gsize)targets->count);
 	for (int i = 0; i < targets->count; i++)
-		bench.targets[i] = load_address(NULL, targets->sval[i]);
+		bench.targets[i] = load_address(all, targets->sval[i]);
 	bench.path = path->sval[0];
 	if (rate->count)
 		bench.pause_us = (int64_t)(count->ival[0] * (double)BASE_SEC /
@@ -59,7 +60,6 @@
 	bench.until = base_clock_mono() +
 		      (int64_t)(seconds->dval[0] * (double)BASE_SEC);
 	lanes = g_new0(lane_t, (gsize)count->ival[0]);
-	all = base_hist_new(NULL);
 	for (int i = 0; i < count->ival[0]; i++) {
 		lanes[i].bench = &bench;
 		lanes[i].us = base_hist_new(NULL);
@@ -76,6 +76,7 @@
 	       (double)base_hist_count(all) / seconds->dval[0],
 	       base_hist_quantile(all, 0.5) / 1000.0,
 	       base_hist_quantile(all, 0.99) / 1000.0, (unsigned long long)bad);
+	arg_freetable(table, ARRAY_SIZE(table));
 	return bad ? 1 : 0;
 }
 
--- a/load/load_check.c
+++ b/load/load_check.c
@@ -13,6 +13,7 @@
 } tally_t;
 
 typedef struct history {
+	json_t *records;	 /* the tables point into its strings */
 	GHashTable *runs_of_id;	 /* request id -> count of runs */
 	GHashTable *runs_of_key; /* idempotency key -> count of runs */
 	GHashTable *tallies;	 /* "pool class" -> tally_t */
@@ -27,6 +28,8 @@
 	uint64_t broken;
 } history_t;
 
+static void free_tally(void *tally);
+static void free_history(history_t *h);
 static void read_records(history_t *h, const plat_address_t *standin);
 static void count_run(GHashTable *table, const char *name);
 static uint64_t runs(GHashTable *table, const char *name);
@@ -49,6 +52,8 @@
 	void *table[] = { records, broken, logs, end };
 	history_t h = { 0 };
 	plat_address_t address;
+	uint64_t bad;
+	void *ctx;
 
 	if (arg_parse(argc, argv, table)) {
 		arg_print_errors(stderr, end, "load check");
@@ -57,16 +62,33 @@
 	h.runs_of_id = g_hash_table_new(g_str_hash, g_str_equal);
 	h.runs_of_key = g_hash_table_new(g_str_hash, g_str_equal);
 	h.tallies = g_hash_table_new(g_str_hash, g_str_equal);
-	h.order = g_ptr_array_new();
-	address = load_address(NULL, records->sval[0]);
+	h.order = g_ptr_array_new_with_free_func(free_tally);
+	ctx = talloc_new(NULL);
+	address = load_address(ctx, records->sval[0]);
 	read_records(&h, &address);
+	talloc_free(ctx);
 	for (int i = 0; i < logs->count; i++)
 		read_log(&h, logs->filename[i]);
 	judge_keys(&h);
 	print_tallies(&h);
-	return print_verdict(&h, broken->count ? (uint64_t)broken->ival[0] : 0)
-		       ? 1
-		       : 0;
+	bad = print_verdict(&h, broken->count ? (uint64_t)broken->ival[0] : 0);
+	free_history(&h);
+	arg_freetable(table, ARRAY_SIZE(table));
+	return bad ? 1 : 0;
+}
+
+static void free_tally(void *tally)
+{
+	talloc_free(tally);
+}
+
+static void free_history(history_t *h)
+{
+	g_hash_table_destroy(h->runs_of_id);
+	g_hash_table_destroy(h->runs_of_key);
+	g_hash_table_destroy(h->tallies);
+	g_ptr_array_free(h->order, TRUE);
+	json_decref(h->records);
 }
 
 static void read_records(history_t *h, const plat_address_t *standin)
@@ -90,7 +112,7 @@
 		if (json_is_true(json_object_get(run, "interrupted")))
 			h->runs_interrupted++;
 	}
-	/* The tables point into these strings until the program ends. */
+	h->records = root;
 }
 
 static void count_run(GHashTable *table, const char *name)
--- a/load/load_main.c
+++ b/load/load_main.c
@@ -30,18 +30,21 @@
 {
 	char error[160], chunk[8192];
 	plat_address_t address;
+	void *ctx;
 	struct mg_connection *conn;
 	const char *key = getenv("LOAD_KEY");
 	int got, status;
 
 	if (argc != 3)
 		return 2;
-	address = load_address(NULL, argv[1]);
+	ctx = talloc_new(NULL);
+	address = load_address(ctx, argv[1]);
 	conn = mg_download(address.host, address.port, 0, error, sizeof(error),
 			   "GET %s HTTP/1.1\r\nHost: %s\r\n"
 			   "Authorization: Bearer %s\r\n"
 			   "Connection: close\r\n\r\n",
 			   argv[2], address.host, key ? key : "");
+	talloc_free(ctx);
 	if (!conn) {
 		fprintf(stderr, "%s\n", error);
 		return 1;
--- a/packages/base/base_str.c
+++ b/packages/base/base_str.c
@@ -9,12 +9,12 @@
 
 bool base_str_eq(base_str_t a, base_str_t b)
 {
-	return a.len == b.len && !memcmp(a.ptr, b.ptr, a.len);
+	return a.len == b.len && (!a.len || !memcmp(a.ptr, b.ptr, a.len));
 }
 
 char *base_str_dup(const void *ctx, base_str_t s)
 {
-	return talloc_strndup(ctx, s.ptr, s.len);
+	return talloc_strndup(ctx, s.len ? s.ptr : "", s.len);
 }
 
 base_buf_t *base_buf_new(const void *ctx)
--- a/packages/base/tests/base_test.c
+++ b/packages/base/tests/base_test.c
@@ -15,6 +15,19 @@
 	talloc_free(buf);
 }
 
+static void test_str(void)
+{
+	base_str_t none = { NULL, 0 };
+	char *copy = base_str_dup(NULL, none);
+
+	g_assert_true(base_str_eq(none, base_str(NULL)));
+	g_assert_true(base_str_eq(BASE_STR("a"), base_str("a")));
+	g_assert_false(base_str_eq(BASE_STR("a"), BASE_STR("b")));
+	g_assert_false(base_str_eq(BASE_STR("a"), none));
+	g_assert_cmpstr(copy, ==, "");
+	talloc_free(copy);
+}
+
 static void test_hist(void)
 {
 	base_hist_t *hist = base_hist_new(NULL);
@@ -87,6 +100,7 @@
 {
 	g_test_init(&argc, &argv, NULL);
 	g_test_add_func("/base/buf", test_buf);
+	g_test_add_func("/base/str", test_str);
 	g_test_add_func("/base/hist", test_hist);
 	g_test_add_func("/base/log", test_log);
 	g_test_add_func("/base/catalogue", test_catalogue);
