--- a/packages/entry/entry_services.c
+++ b/packages/entry/entry_services.c
@@ -7,12 +7,9 @@
 
 /* In the order of their start; stopped the other way round. */
 static const service_t services[] = {
-	{ "operators", &entry_operators_ops },
-	{ "memb", &entry_memb_ops },
-	{ "platform", &entry_platform_ops },
-	{ "route", &entry_route_ops },
-	{ "fleet", &entry_fleet_ops },
-	{ "probe", &entry_probe_ops },
+	{ "operators", &entry_operators_ops }, { "memb", &entry_memb_ops },
+	{ "platform", &entry_platform_ops },   { "route", &entry_route_ops },
+	{ "fleet", &entry_fleet_ops },	       { "probe", &entry_probe_ops },
 	{ "caller", &entry_caller_ops },
 };
 
