--- a/packages/peer/peer_proto.x
+++ b/packages/peer/peer_proto.x
@@ -12,7 +12,6 @@
 const PEER_CHUNK_MAX = 32768;	/* bytes of content in one answer */
 const PEER_BODY_MAX = 66560;	/* bytes: 64 KB of payload and its head */
 const PEER_UPDATES_MAX = 12;	/* members in one gossip message */
-const PEER_PARTS_MAX = 4096;	/* parts of one configuration */
 
 struct peer_sealed {
 	opaque mac[PEER_MAC_LEN];
--- a/packages/peer/peer_proto_xdr.h
+++ b/packages/peer/peer_proto_xdr.h
@@ -18,7 +18,6 @@
 #define PEER_CHUNK_MAX 32768
 #define PEER_BODY_MAX 66560
 #define PEER_UPDATES_MAX 12
-#define PEER_PARTS_MAX 4096
 
 struct peer_sealed {
 	char mac[PEER_MAC_LEN];
--- a/packages/peer/peer_server.c
+++ b/packages/peer/peer_server.c
@@ -76,6 +76,7 @@
 		return false;
 	}
 	pthread_create(&server->thread, NULL, run, server);
+	pthread_setname_np(server->thread, "peer");
 	peer->server = server;
 	return true;
 }
