--- a/standin/standin_main.c
+++ b/standin/standin_main.c
@@ -3,7 +3,7 @@
 
 #include "standin_int.h"
 
-#define CONTROL_THREADS "200"
+#define CONTROL_THREADS "800" /* each connection of an entry takes one */
 #define LAG_MS 500
 #define REBOOT_MS 1000
 
