Read keys without values; mend what the linter names

Change: plat_store_ops_t has keys (keys_only of etcd). Comparisons of strings without '== 0' are Git's way and no fault; two arrays are freed, a sum is computed before its cast.

Conclusion: the poll can use it.

--- a/bench/relay_main.c
+++ b/bench/relay_main.c
@@ -148,5 +148,6 @@
 	got = mg_read(back, buffer + len, (size_t)answer->content_length);
 	if (got != (int)answer->content_length)
 		return false;
-	return mg_write(conn, buffer, (size_t)(len + got)) == len + got;
+	len += got;
+	return mg_write(conn, buffer, (size_t)len) == len;
 }
--- a/load/load_bench.c
+++ b/load/load_bench.c
@@ -76,6 +76,9 @@
 	       (double)base_hist_count(all) / seconds->dval[0],
 	       base_hist_quantile(all, 0.5) / 1000.0,
 	       base_hist_quantile(all, 0.99) / 1000.0, (unsigned long long)bad);
+	talloc_free(all);
+	g_free(lanes);
+	g_free(bench.targets);
 	return bad ? 1 : 0;
 }
 
--- a/packages/plat/plat.h
+++ b/packages/plat/plat.h
@@ -73,6 +73,9 @@
 	/* All keys that begin with "prefix" (or the one key), below "ctx". */
 	bool (*range)(plat_store_t *store, const void *ctx, const char *key,
 		      bool prefix, plat_kvs_t *out, GError **err);
+	/* The same without the values, for whoever only asks what changed. */
+	bool (*keys)(plat_store_t *store, const void *ctx, const char *key,
+		     bool prefix, plat_kvs_t *out, GError **err);
 	/* Write; "*revision" becomes the new mod_revision. */
 	plat_cas_t (*cas)(plat_store_t *store, const plat_put_t *put,
 			  int64_t *revision, GError **err);
--- a/packages/plat/plat_etcd.c
+++ b/packages/plat/plat_etcd.c
@@ -13,6 +13,11 @@
 
 static bool etcd_range(plat_store_t *store, const void *ctx, const char *key,
 		       bool prefix, plat_kvs_t *out, GError **err);
+static bool etcd_keys(plat_store_t *store, const void *ctx, const char *key,
+		      bool prefix, plat_kvs_t *out, GError **err);
+static bool read_range(plat_store_t *store, const void *ctx, json_t *request,
+		       plat_kvs_t *out, GError **err);
+static json_t *range_of(const char *key, bool prefix);
 static plat_cas_t etcd_cas(plat_store_t *store, const plat_put_t *put,
 			   int64_t *revision, GError **err);
 static json_t *compare_of(const plat_put_t *put);
@@ -32,6 +37,7 @@
 
 static const plat_store_ops_t etcd_ops = {
 	.range = etcd_range,
+	.keys = etcd_keys,
 	.cas = etcd_cas,
 	.lease_grant = etcd_lease_grant,
 	.lease_keep = etcd_lease_keep,
@@ -58,12 +64,35 @@
 static bool etcd_range(plat_store_t *store, const void *ctx, const char *key,
 		       bool prefix, plat_kvs_t *out, GError **err)
 {
-	json_t *request = json_object(), *answer, *kvs, *item;
-	size_t i;
+	return read_range(store, ctx, range_of(key, prefix), out, err);
+}
+
+static bool etcd_keys(plat_store_t *store, const void *ctx, const char *key,
+		      bool prefix, plat_kvs_t *out, GError **err)
+{
+	json_t *request = range_of(key, prefix);
+
+	json_object_set_new(request, "keys_only", json_true());
+	return read_range(store, ctx, request, out, err);
+}
+
+static json_t *range_of(const char *key, bool prefix)
+{
+	json_t *request = json_object();
 
 	json_object_set_new(request, "key", base64_of(key, strlen(key)));
 	if (prefix)
 		json_object_set_new(request, "range_end", range_end_of(key));
+	return request;
+}
+
+/* Takes over "request". */
+static bool read_range(plat_store_t *store, const void *ctx, json_t *request,
+		       plat_kvs_t *out, GError **err)
+{
+	json_t *answer, *kvs, *item;
+	size_t i;
+
 	answer = call((plat_etcd_t *)store, "/v3/kv/range", request, err);
 	if (!answer)
 		return false;
--- a/standin/standin_store.c
+++ b/standin/standin_store.c
@@ -63,7 +63,7 @@
 static json_t *do_keep(const json_t *request);
 static json_t *do_revoke(const json_t *request);
 static json_t *header(void);
-static json_t *kv_of(const char *key, const record_t *record);
+static json_t *kv_of(const char *key, const record_t *record, bool key_only);
 static char *text_of(const json_t *object, const char *key, size_t *len);
 static int64_t number_of(const json_t *object, const char *key);
 static void put(const char *key, const char *value, size_t len, int64_t lease);
@@ -176,6 +176,7 @@
 typedef struct range_walk {
 	const char *from, *to;
 	json_t *kvs;
+	bool keys_only;
 } range_walk_t;
 
 static gboolean collect(void *key, void *value, void *arg)
@@ -186,7 +187,8 @@
 			       : !strcmp(key, walk->from);
 
 	if (inside)
-		json_array_append_new(walk->kvs, kv_of(key, value));
+		json_array_append_new(walk->kvs,
+				      kv_of(key, value, walk->keys_only));
 	return FALSE;
 }
 
@@ -194,7 +196,9 @@
 {
 	char *from = text_of(request, "key", NULL);
 	char *to = text_of(request, "range_end", NULL);
-	range_walk_t walk = { from, to, json_array() };
+	range_walk_t walk = { from, to, json_array(),
+			      json_is_true(
+				      json_object_get(request, "keys_only")) };
 	json_t *answer;
 
 	if (from)
@@ -367,7 +371,7 @@
 	return json_pack("{s:s}", "revision", text);
 }
 
-static json_t *kv_of(const char *key, const record_t *record)
+static json_t *kv_of(const char *key, const record_t *record, bool key_only)
 {
 	char *k = g_base64_encode((const guchar *)key, strlen(key));
 	char *v = g_base64_encode((const guchar *)record->value, record->len);
@@ -377,9 +381,10 @@
 	snprintf(create, sizeof(create), "%lld", (long long)record->create);
 	snprintf(mod, sizeof(mod), "%lld", (long long)record->mod);
 	snprintf(lease, sizeof(lease), "%lld", (long long)record->lease);
-	kv = json_pack("{s:s,s:s,s:s,s:s,s:s}", "key", k, "value", v,
-		       "create_revision", create, "mod_revision", mod, "lease",
-		       lease);
+	kv = json_pack("{s:s,s:s,s:s,s:s}", "key", k, "create_revision", create,
+		       "mod_revision", mod, "lease", lease);
+	if (!key_only)
+		json_object_set_new(kv, "value", json_string(v));
 	g_free(k);
 	g_free(v);
 	return kv;
