--- a/packages/kern/tests/kern_test.c
+++ b/packages/kern/tests/kern_test.c
@@ -30,28 +30,48 @@
 
 static const kern_service_ops_t probe_ops = { probe_start, probe_stop };
 
+static const base_log_t quiet = { .fd = 2, .level = BASE_ERROR };
+
 static void test_order(void)
 {
-	base_log_t log = { .fd = 2, .level = BASE_ERROR };
 	GString *trace = g_string_new("");
 	probe_t a = { "a", trace, false }, b = { "b", trace, false };
-	probe_t c = { "c", trace, true };
-	kern_t *kern = kern_new(NULL, &log);
-	GError *err = NULL;
+	kern_t *kern = kern_new(NULL, &quiet);
 
 	g_assert_true(kern_register(kern, "a", &probe_ops, &a, NULL));
 	g_assert_true(kern_register(kern, "b", &probe_ops, &b, NULL));
-	g_assert_false(kern_register(kern, "a", &probe_ops, &b, &err));
-	g_assert_error(err, KERN_ERROR, KERN_ERROR_DUPLICATE);
-	g_clear_error(&err);
 	g_assert_true(kern_start(kern, NULL));
 	kern_stop(kern);
 	g_assert_cmpstr(trace->str, ==, "+a+b-b-a");
-	g_string_truncate(trace, 0);
+	g_string_free(trace, TRUE);
+	talloc_free(kern);
+}
+
+static void test_duplicate(void)
+{
+	probe_t a = { "a", NULL, false };
+	kern_t *kern = kern_new(NULL, &quiet);
+	GError *err = NULL;
+
+	g_assert_true(kern_register(kern, "a", &probe_ops, &a, NULL));
+	g_assert_false(kern_register(kern, "a", &probe_ops, &a, &err));
+	g_assert_error(err, KERN_ERROR, KERN_ERROR_DUPLICATE);
+	g_clear_error(&err);
+	talloc_free(kern);
+}
+
+static void test_failed_start(void)
+{
+	GString *trace = g_string_new("");
+	probe_t a = { "a", trace, false }, c = { "c", trace, true };
+	kern_t *kern = kern_new(NULL, &quiet);
+	GError *err = NULL;
+
+	g_assert_true(kern_register(kern, "a", &probe_ops, &a, NULL));
 	g_assert_true(kern_register(kern, "c", &probe_ops, &c, NULL));
 	g_assert_false(kern_start(kern, &err));
 	g_assert_nonnull(strstr(err->message, "'c'"));
-	g_assert_cmpstr(trace->str, ==, "+a+b-b-a");
+	g_assert_cmpstr(trace->str, ==, "+a-a");
 	g_clear_error(&err);
 	g_string_free(trace, TRUE);
 	talloc_free(kern);
@@ -119,6 +139,8 @@
 {
 	g_test_init(&argc, &argv, NULL);
 	g_test_add_func("/kern/order", test_order);
+	g_test_add_func("/kern/duplicate", test_duplicate);
+	g_test_add_func("/kern/failed-start", test_failed_start);
 	g_test_add_func("/kern/ring", test_ring);
 	g_test_add_func("/kern/duty", test_duty);
 	return g_test_run();
