--- a/packages/memb/memb.h
+++ b/packages/memb/memb.h
@@ -68,6 +68,8 @@
 	uint32_t seq;	 /* of the probe */
 	uint32_t cursor; /* of a page; of an ack: MEMB_ACK_UNSURE */
 	uint64_t digest; /* of the sender's configuration */
+	/* The latest incarnation of the receiver that was given up, 0: none */
+	uint64_t buried;
 	char target[MEMB_NAME_MAX + 1];
 	memb_addr_t target_addr;
 	uint32_t n; /* of the records, at least 1 */
@@ -117,7 +119,7 @@
 	int64_t suspect_us;   /* from suspicion to giving up; 4 s */
 	int64_t pause_us;     /* a gap between ticks that raises doubt; 2 s */
 	int64_t dead_keep_us; /* a dead entry is tried again; 1 h */
-	int64_t pull_us;      /* after which another pull may begin; 3 s */
+	int64_t pull_us;      /* after which another pull may begin; 1 s */
 	uint32_t cross_every; /* periods between probes across zones; 4 */
 	uint32_t helpers;     /* entries asked to probe for us; 3 */
 	uint32_t news_near;   /* told of a configuration, own zone; 3 */
