--- a/packages/entry/entry_fleet.c
+++ b/packages/entry/entry_fleet.c
@@ -6,6 +6,7 @@
  */
 
 #define PERIOD_US (500 * BASE_MS)
+#define STEP_US (900 * BASE_MS) /* every second tick */
 #define LEASE_S 3
 
 static bool fleet_start(void *service, kern_t *kern, GError **err);
@@ -35,6 +36,7 @@
 
 	(void)kern;
 	fleet->daemon = daemon;
+	fleet->demand = entry_demand_new(fleet);
 	fleet->store = plat_guard_store(daemon->guard, PLAT_FOR_FLEET);
 	fleet->action = plat_redfish_new(fleet, &daemon->settings->actions);
 	fleet->key = talloc_asprintf(fleet, SITE_ENTRIES_PREFIX "%s",
@@ -73,6 +75,7 @@
 	if (!take_conf(fleet))
 		return;
 	ctx = talloc_new(NULL);
+	entry_demand_look(fleet->demand, fleet->daemon->route, now);
 	/* Nothing is routed before this entry can be asked to confirm. */
 	if (!fleet->written)
 		confirm(fleet, ctx, false);
@@ -92,10 +95,11 @@
 	bool has = view->record != NULL;
 
 	if (has && view->record->generation != fleet->generation) {
-		talloc_free(fleet->core);
-		fleet->core = site_fleet(fleet, view->record->config);
+		if (fleet->core)
+			site_configure(fleet->core, view->record->config);
+		else
+			fleet->core = site_fleet(fleet, view->record->config);
 		fleet->generation = view->record->generation;
-		fleet->applied = 0;
 	}
 	entry_view_release(view);
 	return has;
@@ -143,6 +147,7 @@
 	};
 	char *text;
 
+	entry_demand_tell(fleet->demand, &own);
 	for (size_t i = 0; fleet->written && i < n; i++) {
 		fleet_inst_view_t view;
 
@@ -211,6 +216,8 @@
 		base_log(log, held ? BASE_MSG_DUTY_TAKEN : BASE_MSG_DUTY_LOST,
 			 BASE_F_STR("duty", "fleet"));
 	fleet->held = held;
-	if (held)
-		entry_duty_step(fleet, ctx);
+	if (!held || now - fleet->stepped_at < STEP_US)
+		return;
+	fleet->stepped_at = now;
+	entry_duty_step(fleet, ctx);
 }
