--- a/load/load_bench.c
+++ b/load/load_bench.c
@@ -76,6 +76,11 @@
 	       (double)base_hist_count(all) / seconds->dval[0],
 	       base_hist_quantile(all, 0.5) / 1000.0,
 	       base_hist_quantile(all, 0.99) / 1000.0, (unsigned long long)bad);
+	for (int i = 0; i < count->ival[0]; i++)
+		talloc_free(lanes[i].us);
+	g_free(lanes);
+	g_free(bench.targets);
+	talloc_free(all);
 	arg_freetable(table, ARRAY_SIZE(table));
 	return bad ? 1 : 0;
 }
