--- a/load/load_run.c
+++ b/load/load_run.c
@@ -4,7 +4,7 @@
 
 static void add_target(load_t *load, const char *text);
 static void add_flows(load_t *load, const conf_t *conf, const char *text);
-static conf_t *read_config(const char *path);
+static conf_t *read_config(const void *ctx, const char *path);
 static int start(load_t *load);
 
 const char *const seen_names[SEEN_MAX] = {
@@ -44,12 +44,13 @@
 			  seed,	   out,	   end };
 	load_t *load = talloc_zero(NULL, load_t);
 	conf_t *conf;
+	int status;
 
 	if (arg_parse(argc, argv, table)) {
 		arg_print_errors(stderr, end, "load run");
 		return 2;
 	}
-	conf = read_config(config->filename[0]);
+	conf = read_config(load, config->filename[0]);
 	for (int i = 0; i < targets->count; i++)
 		add_target(load, targets->sval[i]);
 	for (int i = 0; i < services->count; i++)
@@ -68,10 +69,12 @@
 		perror(out->filename[0]);
 		return 1;
 	}
-	return start(load);
+	status = start(load);
+	arg_freetable(table, ARRAY_SIZE(table));
+	return status;
 }
 
-static conf_t *read_config(const char *path)
+static conf_t *read_config(const void *ctx, const char *path)
 {
 	GError *cause = NULL;
 	conf_t *conf = NULL;
@@ -79,7 +82,7 @@
 	gsize len = 0;
 
 	if (g_file_get_contents(path, &text, &len, &cause))
-		conf = conf_load(NULL, (base_str_t){ text, len }, &cause);
+		conf = conf_load(ctx, (base_str_t){ text, len }, &cause);
 	if (!conf) {
 		fprintf(stderr, "load: %s\n", cause->message);
 		exit(1);
