--- a/Makefile
+++ b/Makefile
@@ -122,7 +122,7 @@
 
 test: binaries
 	+@$(MAKE) --no-print-directory -s -j$$(nproc) $(TESTS)
-	@OUT=$(OUT) scripts/runtests 4 $(OUT)/log $(TESTS) $(wildcard regress/run) $(SYSTEM)
+	@OUT=$(OUT) scripts/runtests 8 $(OUT)/log $(SYSTEM) $(TESTS) $(wildcard regress/run)
 
 demo: all
 	@OUT=$(OUT) tests/demo
