Ask for the configuration's revision before its value

Change: keys first; the value only when its mod_revision is new.

Conclusion: the poll no longer grows with the configuration.

--- a/packages/entry/entry_platform.c
+++ b/packages/entry/entry_platform.c
@@ -13,7 +13,7 @@
 static void read_config(void *arg, int64_t now);
 static void read_list(void *arg, int64_t now);
 static bool config_due(entry_daemon_t *daemon, int64_t now);
-static void take_read(entry_daemon_t *daemon, const plat_kv_t *kv);
+static bool read_news(entry_daemon_t *daemon, const void *ctx, GError **err);
 static void note_reach(const entry_daemon_t *daemon, atomic_int *down,
 		       bool reached, base_msg_t down_msg, GError *cause);
 
@@ -57,26 +57,41 @@
 static void read_config(void *arg, int64_t now)
 {
 	entry_daemon_t *daemon = arg;
-	plat_store_t *store = plat_guard_store(daemon->guard, PLAT_FOR_CONFIG);
 	void *ctx = talloc_new(NULL);
 	GError *cause = NULL;
-	plat_kvs_t kvs;
 	bool read;
 
 	entry_forward_expire(daemon->forward, now);
-	if (!config_due(daemon, now)) {
-		talloc_free(ctx);
-		return;
+	if (config_due(daemon, now)) {
+		read = read_news(daemon, ctx, &cause);
+		note_reach(daemon, &daemon->store_down, read,
+			   BASE_MSG_STORE_DOWN, cause);
 	}
-	read = store->ops->range(store, ctx, ENTRY_CONFIG_KEY, false, &kvs,
-				 &cause);
-	if (read && kvs.count)
-		take_read(daemon, &kvs.items[0]);
-	note_reach(daemon, &daemon->store_down, read, BASE_MSG_STORE_DOWN,
-		   cause);
 	talloc_free(ctx);
 }
 
+/*
+ * Ask for the record's revision, and for the record only when that is new: it
+ * may be a megabyte, and it is asked for twice a second.
+ */
+static bool read_news(entry_daemon_t *daemon, const void *ctx, GError **err)
+{
+	plat_store_t *store = plat_guard_store(daemon->guard, PLAT_FOR_CONFIG);
+	plat_kvs_t kvs;
+
+	if (!store->ops->keys(store, ctx, ENTRY_CONFIG_KEY, false, &kvs, err))
+		return false;
+	if (!kvs.count || kvs.items[0].mod_revision == daemon->config_seen)
+		return true;
+	if (!store->ops->range(store, ctx, ENTRY_CONFIG_KEY, false, &kvs, err))
+		return false;
+	if (kvs.count) {
+		daemon->config_seen = kvs.items[0].mod_revision;
+		entry_take_config(daemon, kvs.items[0].value, "store");
+	}
+	return true;
+}
+
 /*
  * The watchers of a zone read at each turn, the others hear from their peers
  * and look for themselves now and then, or while they have nothing.
@@ -98,15 +113,6 @@
 	return true;
 }
 
-/* A record that was looked at before is not parsed again. */
-static void take_read(entry_daemon_t *daemon, const plat_kv_t *kv)
-{
-	if (kv->mod_revision == daemon->config_seen)
-		return;
-	daemon->config_seen = kv->mod_revision;
-	entry_take_config(daemon, kv->value, "store");
-}
-
 bool entry_take_config(entry_daemon_t *daemon, base_str_t text,
 		       const char *source)
 {
