--- a/packages/plat/tests/plat_test.c
+++ b/packages/plat/tests/plat_test.c
@@ -128,39 +128,71 @@
 			PLAT_CAS_FAILED);
 }
 
+/* Two who want one duty. */
+typedef struct rivals {
+	fake_t fake;
+	plat_duty_t *first, *second;
+} rivals_t;
+
+static void rivals_begin(rivals_t *r)
+{
+	plat_duty_options_t options = { &r->fake.store, "d", "e1", 10 };
+
+	r->fake = (fake_t){ .store = { &fake_ops } };
+	r->first = plat_duty_new(NULL, &options);
+	r->second = plat_duty_new(NULL, &options);
+	g_assert_true(plat_duty_tick(r->first, 0));
+}
+
+static void rivals_end(rivals_t *r)
+{
+	talloc_free(r->first);
+	talloc_free(r->second);
+}
+
 static void test_duty(void)
 {
-	fake_t fake = { .store = { &fake_ops } };
-	plat_duty_options_t options = { &fake.store, "d", "e1", 10 };
-	plat_duty_t *first = plat_duty_new(NULL, &options);
-	plat_duty_t *second = plat_duty_new(NULL, &options);
+	rivals_t r;
+
+	rivals_begin(&r);
+	g_assert_false(plat_duty_tick(r.second, 0));
+	g_assert_true(plat_duty_held(r.first, 7 * BASE_SEC));
+	g_assert_false(plat_duty_held(r.first, 8 * BASE_SEC));
+	plat_duty_release(r.first);
+	g_assert_true(plat_duty_tick(r.second, BASE_SEC));
+	rivals_end(&r);
+}
+
+/* A holder that was paused neither believes in its duty nor can write. */
+static void test_duty_paused(void)
+{
 	plat_put_t put = { 0 }, late = { 0 };
+	rivals_t r;
 
-	g_assert_true(plat_duty_tick(first, 0));
-	g_assert_false(plat_duty_tick(second, 0));
-	g_assert_true(plat_duty_held(first, 7 * BASE_SEC));
-	g_assert_false(plat_duty_held(first, 8 * BASE_SEC));
-	plat_duty_fence(first, &late);
-
-	/* A holder that was paused does not believe in its duty. */
-	expire(&fake);
-	g_assert_true(plat_duty_tick(second, 11 * BASE_SEC));
-	g_assert_false(plat_duty_held(first, 12 * BASE_SEC));
-	g_assert_false(plat_duty_tick(first, 12 * BASE_SEC));
-	plat_duty_fence(second, &put);
+	rivals_begin(&r);
+	plat_duty_fence(r.first, &late);
+	expire(&r.fake);
+	g_assert_true(plat_duty_tick(r.second, 11 * BASE_SEC));
+	g_assert_false(plat_duty_held(r.first, 12 * BASE_SEC));
+	g_assert_false(plat_duty_tick(r.first, 12 * BASE_SEC));
+	plat_duty_fence(r.second, &put);
 	g_assert_cmpint(put.fence_revision, >, late.fence_revision);
+	rivals_end(&r);
+}
 
-	/* An outage shorter than the lease does not cost the duty. */
-	fake.down = true;
-	g_assert_true(plat_duty_tick(second, 14 * BASE_SEC));
-	g_assert_false(plat_duty_tick(second, 20 * BASE_SEC));
-	fake.down = false;
-	g_assert_true(plat_duty_tick(second, 20 * BASE_SEC));
+/* An outage shorter than the lease does not cost the duty. */
+static void test_duty_outage(void)
+{
+	rivals_t r;
 
-	plat_duty_release(second);
-	g_assert_true(plat_duty_tick(first, 21 * BASE_SEC));
-	talloc_free(first);
-	talloc_free(second);
+	rivals_begin(&r);
+	r.fake.down = true;
+	g_assert_true(plat_duty_tick(r.first, 3 * BASE_SEC));
+	g_assert_false(plat_duty_tick(r.first, 9 * BASE_SEC));
+	r.fake.down = false;
+	g_assert_true(plat_duty_tick(r.first, 9 * BASE_SEC));
+	g_assert_false(plat_duty_tick(r.second, 9 * BASE_SEC));
+	rivals_end(&r);
 }
 
 static void test_circuit(void)
@@ -235,6 +267,8 @@
 	g_test_init(&argc, &argv, NULL);
 	g_test_add_func("/plat/cas-sure", test_cas_sure);
 	g_test_add_func("/plat/duty", test_duty);
+	g_test_add_func("/plat/duty-paused", test_duty_paused);
+	g_test_add_func("/plat/duty-outage", test_duty_outage);
 	g_test_add_func("/plat/circuit", test_circuit);
 	g_test_add_func("/plat/guard", test_guard);
 	return g_test_run();
--- a/packages/tool/tool_answers.c
+++ b/packages/tool/tool_answers.c
@@ -12,7 +12,7 @@
 	int status = TOOL_OK;
 	char *text;
 
-	if (tool_parse(argc, argv, table, help, end, out, err, &status)) {
+	if (tool_parse(argc, argv, table, end, out, err, &status)) {
 		text = conf_answers_template(NULL);
 		fputs(text, out);
 		talloc_free(text);
@@ -31,7 +31,7 @@
 	conf_answers_t *answers;
 	int status = TOOL_OK;
 
-	if (tool_parse(argc, argv, table, help, end, out, err, &status)) {
+	if (tool_parse(argc, argv, table, end, out, err, &status)) {
 		answers = tool_read_answers(ctx, file->filename[0], err);
 		if (answers)
 			fprintf(out, "%s: in order: %zu zones, %zu pools\n",
--- a/packages/tool/tool_approve.c
+++ b/packages/tool/tool_approve.c
@@ -41,7 +41,7 @@
 	GError *cause = NULL;
 	int status = TOOL_REFUSED;
 
-	if (!tool_parse(argc, argv, table, help, end, out, err, &status))
+	if (!tool_parse(argc, argv, table, end, out, err, &status))
 		goto out;
 	status = TOOL_USAGE;
 	if (!tool_address(ctx, store->sval[0], &address, err))
--- a/packages/tool/tool_args.c
+++ b/packages/tool/tool_args.c
@@ -4,9 +4,10 @@
 
 static const char *operators_key(const void *ctx);
 
-bool tool_parse(int argc, char **argv, void **table, struct arg_lit *help,
-		struct arg_end *end, FILE *out, FILE *err, int *status)
+bool tool_parse(int argc, char **argv, void **table, struct arg_end *end,
+		FILE *out, FILE *err, int *status)
 {
+	const struct arg_lit *help = table[0];
 	int faults = arg_parse(argc, argv, table);
 
 	if (help->count) {
--- a/packages/tool/tool_config.c
+++ b/packages/tool/tool_config.c
@@ -19,7 +19,7 @@
 	int status = TOOL_OK;
 	char *text = NULL;
 
-	if (!tool_parse(argc, argv, table, help, end, out, err, &status))
+	if (!tool_parse(argc, argv, table, end, out, err, &status))
 		goto out;
 	answers = tool_read_answers(ctx, file->filename[0], err);
 	if (answers)
@@ -50,7 +50,7 @@
 	conf_t *was, *is;
 	int status = TOOL_OK;
 
-	if (!tool_parse(argc, argv, table, help, end, out, err, &status))
+	if (!tool_parse(argc, argv, table, end, out, err, &status))
 		goto out;
 	was = read_config(ctx, before->filename[0], err);
 	is = read_config(ctx, after->filename[0], err);
--- a/packages/tool/tool_drain.c
+++ b/packages/tool/tool_drain.c
@@ -27,7 +27,7 @@
 	order_t order = { .purpose = FLEET_FOR_HOLD };
 	int status = TOOL_OK;
 
-	if (!tool_parse(argc, argv, table, help, end, out, err, &status))
+	if (!tool_parse(argc, argv, table, end, out, err, &status))
 		goto out;
 	status = TOOL_USAGE;
 	if (!tool_fleet_open(&tool, store->sval[0], NULL))
--- a/packages/tool/tool_explain.c
+++ b/packages/tool/tool_explain.c
@@ -20,7 +20,7 @@
 	int status = TOOL_OK;
 	char *said;
 
-	if (!tool_parse(argc, argv, table, help, end, out, err, &status))
+	if (!tool_parse(argc, argv, table, end, out, err, &status))
 		goto out;
 	status = TOOL_USAGE;
 	if (!tool_fleet_open(&tool, store->sval[0], list->sval[0]))
--- a/packages/tool/tool_int.h
+++ b/packages/tool/tool_int.h
@@ -20,8 +20,8 @@
  * Parse a verb's arguments.  True when the verb is to go on; else "*status"
  * is what to return: "--help" was answered, or the errors told.
  */
-bool tool_parse(int argc, char **argv, void **table, struct arg_lit *help,
-		struct arg_end *end, FILE *out, FILE *err, int *status);
+bool tool_parse(int argc, char **argv, void **table, struct arg_end *end,
+		FILE *out, FILE *err, int *status);
 
 /*
  * "ADDRESS:PORT", the address an IP number; tells what is wrong.  The key is
--- a/packages/tool/tool_plan.c
+++ b/packages/tool/tool_plan.c
@@ -21,7 +21,7 @@
 	tool_fleet_t tool = { .ctx = ctx, .out = out, .err = err };
 	int status = TOOL_OK;
 
-	if (!tool_parse(argc, argv, table, help, end, out, err, &status))
+	if (!tool_parse(argc, argv, table, end, out, err, &status))
 		goto out;
 	status = TOOL_USAGE;
 	if (!tool_fleet_open(&tool, store->sval[0], list->sval[0]))
--- a/packages/tool/tool_rollout.c
+++ b/packages/tool/tool_rollout.c
@@ -31,7 +31,7 @@
 	json_t *answer = NULL;
 	int status = TOOL_OK;
 
-	if (!tool_parse(argc, argv, table, help, end, out, err, &status))
+	if (!tool_parse(argc, argv, table, end, out, err, &status))
 		goto out;
 	answer = ask(ctx, entries, err);
 	if (!answer) {
--- a/packages/tool/tool_status.c
+++ b/packages/tool/tool_status.c
@@ -23,7 +23,7 @@
 	void *ctx = talloc_new(NULL);
 	int status = TOOL_OK;
 
-	if (!tool_parse(argc, argv, table, help, end, out, err, &status))
+	if (!tool_parse(argc, argv, table, end, out, err, &status))
 		goto out;
 	for (int i = 0; i < entries->count; i++) {
 		json_t *answer = ask(ctx, entries->sval[i], err);
--- a/packages/tool/tool_wave.c
+++ b/packages/tool/tool_wave.c
@@ -20,7 +20,7 @@
 	fleet_wave_verb_t what;
 	int status = TOOL_OK;
 
-	if (!tool_parse(argc, argv, table, help, end, out, err, &status))
+	if (!tool_parse(argc, argv, table, end, out, err, &status))
 		goto out;
 	status = TOOL_USAGE;
 	what = fleet_wave_verb_parse(verb->sval[0]);
