--- a/standin/standin_main.c
+++ b/standin/standin_main.c
@@ -35,6 +35,7 @@
 	if (arg_parse(argc, argv, table)) {
 		arg_print_errors(stderr, end, "standin");
 		arg_print_syntax(stderr, table, "\n");
+		g_free(s);
 		return 2;
 	}
 	pthread_mutex_init(&s->lock, NULL);
