--- a/packages/entry/entry_run.c
+++ b/packages/entry/entry_run.c
@@ -19,6 +19,9 @@
 
 	/* Before any thread starts, so that all inherit it. */
 	block_signals(&set);
+	/* GLib makes the lock of its errors at first use; no thread races. */
+	g_set_error(&err, ENTRY_ERROR, ENTRY_ERROR_LISTEN, "first use");
+	g_clear_error(&err);
 	mg_init_library(0);
 	daemon = daemon_new(settings, log);
 	base_log(log, BASE_MSG_START, BASE_F_STR("entry", settings->name),
