Pass a guarded call's error on in one place

Cause: six calls of plat_guard each noted how the call ended and then passed its error on.

Change: leave() does both.

Conclusion: ten lines fewer, behaviour as before.

--- a/packages/plat/plat_guard.c
+++ b/packages/plat/plat_guard.c
@@ -27,7 +27,7 @@
 static bool guard_keep(plat_store_t *store, int64_t lease, GError **err);
 static bool guard_revoke(plat_store_t *store, int64_t lease, GError **err);
 static bool enter(guarded_t *g, GError **err);
-static void leave(guarded_t *g, const GError *cause);
+static void leave(guarded_t *g, GError *cause, GError **err);
 static bool take_token(guarded_t *g, int64_t now);
 static int free_guard(plat_guard_t *guard);
 
@@ -103,9 +103,7 @@
 	if (!enter(g, err))
 		return false;
 	done = g->inner->ops->range(g->inner, ctx, key, prefix, out, &cause);
-	leave(g, cause);
-	if (cause)
-		g_propagate_error(err, cause);
+	leave(g, cause, err);
 	return done;
 }
 
@@ -119,9 +117,7 @@
 	if (!enter(g, err))
 		return false;
 	done = g->inner->ops->keys(g->inner, ctx, key, prefix, out, &cause);
-	leave(g, cause);
-	if (cause)
-		g_propagate_error(err, cause);
+	leave(g, cause, err);
 	return done;
 }
 
@@ -135,9 +131,7 @@
 	if (!enter(g, err))
 		return PLAT_CAS_FAILED;
 	done = g->inner->ops->cas(g->inner, put, revision, &cause);
-	leave(g, cause);
-	if (cause)
-		g_propagate_error(err, cause);
+	leave(g, cause, err);
 	return done;
 }
 
@@ -150,9 +144,7 @@
 	if (!enter(g, err))
 		return 0;
 	lease = g->inner->ops->lease_grant(g->inner, ttl_s, &cause);
-	leave(g, cause);
-	if (cause)
-		g_propagate_error(err, cause);
+	leave(g, cause, err);
 	return lease;
 }
 
@@ -165,9 +157,7 @@
 	if (!enter(g, err))
 		return false;
 	kept = g->inner->ops->lease_keep(g->inner, lease, &cause);
-	leave(g, cause);
-	if (cause)
-		g_propagate_error(err, cause);
+	leave(g, cause, err);
 	return kept;
 }
 
@@ -180,9 +170,7 @@
 	if (!enter(g, err))
 		return false;
 	done = g->inner->ops->lease_revoke(g->inner, lease, &cause);
-	leave(g, cause);
-	if (cause)
-		g_propagate_error(err, cause);
+	leave(g, cause, err);
 	return done;
 }
 
@@ -206,8 +194,8 @@
 	return allowed;
 }
 
-/* An answer that refuses is an answer too. */
-static void leave(guarded_t *g, const GError *cause)
+/* Passes "cause" on.  An answer that refuses is an answer too. */
+static void leave(guarded_t *g, GError *cause, GError **err)
 {
 	bool answered =
 		!cause || g_error_matches(cause, PLAT_ERROR, PLAT_ERROR_BAD);
@@ -217,6 +205,8 @@
 		g->calls.failed++;
 	plat_circuit_note(&g->guard->circuit, answered, base_clock_mono());
 	pthread_mutex_unlock(&g->guard->lock);
+	if (cause)
+		g_propagate_error(err, cause);
 }
 
 static bool take_token(guarded_t *g, int64_t now)
