Wait for a killed entry to be gone before its ports are used

Cause: sys_outage killed three entries and started three others at once. Ruled out: a slow start (the log has the refused listen) and a port taken by another test (each has a block of its own).

Before: sys_outage failed in two of three whole runs with the sanitizer.

--- a/tests/lib.sh
+++ b/tests/lib.sh
@@ -123,6 +123,12 @@
 
 entry_pid() { eval "echo \$pid_$1"; }
 
+# kill_entry NUMBER: and wait until it is gone, so that its ports are free.
+kill_entry() {
+	kill -9 "$(entry_pid "$1")"
+	wait "$(entry_pid "$1")"
+}
+
 # wait_until SECONDS COMMAND...: false when it did not come true in time.
 wait_until() {
 	left=$(($1 * 10))
