Keep waves within the answers' own limit of drains

Cause: the answers' 'drain' (executors that maintenance takes out at once; 0: never maintained) was checked and never handed to the fleet. A wave took out whatever the budget let it: 4 of a pool whose answers said 1, in the new test; a pool with 0 was rebooted like any other.

Change: fleet_pool_t carries drain_max and unmaintained. A wave's grant is refused with its own reason (drain-max) while as many are out for reboots; pools with 0 are not due.

Conclusion: what operators answer is what waves do. The roll-out of a pool with drain 1 is one reboot after another, as asked for.

--- a/packages/fleet/fleet_budget.h
+++ b/packages/fleet/fleet_budget.h
@@ -12,11 +12,14 @@
 typedef struct fleet_pool {
 	const char *name;
 	uint32_t executors;
-	uint32_t slots;	   /* requests at once, an executor */
-	uint32_t min_up;   /* executors that must be up at any time */
-	bool survive_rack; /* also through the loss of any one rack */
-	bool survive_zone; /* also through the loss of any one zone */
-	bool spare;	   /* lends to the others */
+	uint32_t slots;	    /* requests at once, an executor */
+	uint32_t min_up;    /* executors that must be up at any time */
+	bool survive_rack;  /* also through the loss of any one rack */
+	bool survive_zone;  /* also through the loss of any one zone */
+	bool spare;	    /* lends to the others */
+	bool unmaintained;  /* no wave takes an executor out */
+	uint32_t drain_max; /* executors that waves have out at once; 0: as many
+			       as the budget lets out */
 } fleet_pool_t;
 
 typedef struct fleet_rack {
--- a/packages/fleet/fleet_explain.c
+++ b/packages/fleet/fleet_explain.c
@@ -12,6 +12,7 @@
 static char *explain_inst(const facts_t *facts, const void *ctx);
 static void add_state(const facts_t *facts);
 static void say_budget(const facts_t *facts);
+static void say_drain_max(const facts_t *facts);
 static void say_entry(const facts_t *facts);
 static void say_text(const facts_t *facts);
 static void say_life(const facts_t *facts);
@@ -27,6 +28,7 @@
 				   "taken over the pool's account",
 				   say_text },
 	[FLEET_WHY_NO_ROOM] = { "no-room", NULL, say_budget },
+	[FLEET_WHY_DRAIN_MAX] = { "drain-max", NULL, say_drain_max },
 	[FLEET_WHY_CANARY] = { "canary",
 			       "waits for the wave's first rack to come back",
 			       say_text },
@@ -90,6 +92,11 @@
 			      -room);
 	else
 		base_buf_addf(text, "; %d may be drained now", room);
+	if (acct->conf.unmaintained)
+		base_buf_adds(text, "; no wave maintains it");
+	else if (acct->conf.drain_max)
+		base_buf_addf(text, "; a wave has at most %u out at once",
+			      acct->conf.drain_max);
 	if (acct->members < acct->target)
 		base_buf_addf(text, "; it wants %u more",
 			      acct->target - acct->members);
@@ -168,6 +175,16 @@
 	}
 }
 
+static void say_drain_max(const facts_t *facts)
+{
+	const fleet_acct_t *acct = &facts->fleet->pools[facts->inst->rec.pool];
+
+	base_buf_addf(facts->text,
+		      "waits because %u of %s are out for reboots, and its "
+		      "answers let a wave have %u out at once",
+		      acct->rebooted, acct->name, acct->conf.drain_max);
+}
+
 static void say_entry(const facts_t *facts)
 {
 	const fleet_t *fleet = facts->fleet;
--- a/packages/fleet/fleet_grant.c
+++ b/packages/fleet/fleet_grant.c
@@ -52,6 +52,11 @@
 		inst->why = FLEET_WHY_NO_ROOM;
 		return false;
 	}
+	if (purpose == FLEET_FOR_WAVE && acct->conf.drain_max &&
+	    acct->rebooted >= acct->conf.drain_max) {
+		inst->why = FLEET_WHY_DRAIN_MAX;
+		return false;
+	}
 	add_grant(run, acct,
 		  (fleet_grant_t){ .id = inst->id,
 				   .seq = inst->rec.seq,
@@ -59,6 +64,8 @@
 				   .to = to });
 	acct->dirty = true;
 	fleet_take(run, inst);
+	acct->rebooted +=
+		purpose == FLEET_FOR_WAVE || purpose == FLEET_FOR_URGENT;
 	return true;
 }
 
--- a/packages/fleet/fleet_int.h
+++ b/packages/fleet/fleet_int.h
@@ -79,6 +79,7 @@
 	/* Of the last step. */
 	uint32_t members; /* usable, as they will be after moves */
 	uint32_t now_members, failed, out, due;
+	uint32_t rebooted;  /* of "out", to be rebooted, or being so */
 	uint32_t returning; /* turned back in this step, not up yet */
 	fleet_up_t up;
 	uint32_t target;
--- a/packages/fleet/fleet_tally.c
+++ b/packages/fleet/fleet_tally.c
@@ -3,6 +3,7 @@
 static void reset(fleet_run_t *run);
 static void mark_grants(fleet_t *fleet);
 static void count_inst(fleet_run_t *run, fleet_inst_t *inst);
+static bool for_reboot(const fleet_inst_t *inst);
 static void count_up(fleet_run_t *run, const fleet_inst_t *inst);
 static void count_member(fleet_run_t *run, const fleet_inst_t *inst);
 static void count_domains(fleet_run_t *run);
@@ -85,6 +86,7 @@
 
 		acct->members = acct->now_members = 0;
 		acct->failed = acct->out = acct->due = 0;
+		acct->rebooted = 0;
 		acct->returning = 0;
 		acct->up = (fleet_up_t){ 0 };
 		acct->dirty = false;
@@ -142,6 +144,7 @@
 	acct->due += fleet_wave_due(fleet, inst);
 	if (inst->rec.state != FLEET_SERVING || inst->granted) {
 		acct->out++;
+		acct->rebooted += for_reboot(inst);
 		return;
 	}
 	if (!alive || inst->inc != inst->rec.inc)
@@ -150,6 +153,15 @@
 	count_up(run, inst);
 }
 
+static bool for_reboot(const fleet_inst_t *inst)
+{
+	fleet_purpose_t purpose = inst->rec.purpose;
+
+	if (inst->granted)
+		purpose = inst->grant_purpose;
+	return purpose == FLEET_FOR_WAVE || purpose == FLEET_FOR_URGENT;
+}
+
 /* The worst is kept as it grows: a scan over all racks is the dear part. */
 static void count_up(fleet_run_t *run, const fleet_inst_t *inst)
 {
--- a/packages/fleet/fleet_wave.c
+++ b/packages/fleet/fleet_wave.c
@@ -147,6 +147,7 @@
 	return fleet->wave.state != FLEET_WAVE_NONE &&
 	       fleet->wave.state != FLEET_WAVE_ABORTED &&
 	       inst->rec.state != FLEET_FREE &&
+	       !fleet->pools[inst->rec.pool].conf.unmaintained &&
 	       inst->rec.maintained < fleet->wave.start;
 }
 
@@ -195,6 +196,7 @@
 	health->due +=
 		fleet_wave_due(fleet, inst) && rec->state != FLEET_FAILED;
 	health->overdue +=
+		!fleet->pools[rec->pool].conf.unmaintained &&
 		rec->maintained + opts->deadline - opts->lead <= run->now;
 	health->done += rec->maintained > fleet->wave.start &&
 			run->now - rec->maintained <= opts->window;
--- a/packages/fleet/fleet_why.h
+++ b/packages/fleet/fleet_why.h
@@ -8,6 +8,7 @@
 	FLEET_WHY_NONE,
 	FLEET_WHY_NOT_FENCED, /* the account is not yet the holder's */
 	FLEET_WHY_NO_ROOM,    /* the pool's budget has none to spare */
+	FLEET_WHY_DRAIN_MAX,  /* as many are out as its pool allows waves */
 	FLEET_WHY_CANARY,     /* the wave tries one rack first */
 	FLEET_WHY_WAVE_PAUSED,
 	FLEET_WHY_WAVE_STOPPED,
--- a/packages/fleet/tests/fleet_prop.cpp
+++ b/packages/fleet/tests/fleet_prop.cpp
@@ -90,7 +90,8 @@
 			return false;
 		s.pools.push_back({ s.names[i].c_str(), (uint32_t)each, 8,
 				    (uint32_t)(each - loss - drain), true,
-				    s.shape.by_zone, i == 0 });
+				    s.shape.by_zone, i == 0, false,
+				    (uint32_t)(i % 3) });
 	}
 	fleet_site_t site = { s.pools.data(), s.pools.size(), racks.data(),
 			      racks.size(), s.shape.zones };
--- a/packages/fleet/tests/fleet_test.c
+++ b/packages/fleet/tests/fleet_test.c
@@ -119,6 +119,53 @@
 	talloc_free(w);
 }
 
+/* What a wave has out of a pool. */
+static uint32_t in_wave(const fleet_t *fleet, const char *pool)
+{
+	fleet_inst_view_t view;
+	uint32_t n = 0;
+
+	for (size_t i = 0; i < fleet_n_instances(fleet); i++) {
+		fleet_inst_view(fleet, i, &view);
+		n += view.pool && !strcmp(view.pool, pool) &&
+		     view.state != FLEET_SERVING &&
+		     view.purpose == FLEET_FOR_WAVE;
+	}
+	return n;
+}
+
+/* Waves stay within what a pool's answers allow, also below its budget. */
+static void test_drain_max(void)
+{
+	fleet_t *fleet;
+	world_t *w = site(&fleet);
+	fleet_pool_t pools[5];
+	const fleet_pool_t *five;
+	uint32_t most[5] = { 0 };
+
+	world_pools(&five);
+	memcpy(pools, five, sizeof(pools));
+	for (int i = 0; i < 5; i++)
+		pools[i].min_up = 4;
+	pools[0].drain_max = 1;
+	pools[1].drain_max = 2;
+	pools[2].unmaintained = true;
+	fleet_configure(fleet, pools, 5);
+	wave(w, fleet, FLEET_WAVE_START);
+	for (int turn = 0; turn < 6000; turn++) {
+		turns(w, fleet, 1, BASE_SEC);
+		for (int i = 0; i < 5; i++)
+			most[i] = MAX(most[i], in_wave(fleet, pools[i].name));
+	}
+	g_assert_cmpuint(most[0], ==, 1);
+	g_assert_cmpuint(most[1], ==, 2);
+	g_assert_cmpuint(most[2], ==, 0);
+	g_assert_cmpuint(most[3], >, 2);
+	g_assert_cmpuint(w->reboots, ==, 49 - pools[2].executors);
+	g_assert_cmpint(fleet_wave(fleet)->state, ==, FLEET_WAVE_NONE);
+	talloc_free(w);
+}
+
 /* An entry that does not see the cordon holds the drain up, for as long. */
 static void test_old_map(void)
 {
@@ -296,7 +343,11 @@
 static void test_turned_back_dead(void)
 {
 	fleet_opts_t opts = { .fresh = 1 };
-	fleet_pool_t pool = { "p", 3, 8, 1, true, false, false };
+	fleet_pool_t pool = { .name = "p",
+			      .executors = 3,
+			      .slots = 8,
+			      .min_up = 1,
+			      .survive_rack = true };
 	world_t *w = world_new(1, 3, 1);
 	fleet_t *fleet = fleet_new(w, &opts);
 	char *value;
@@ -354,9 +405,19 @@
 {
 	fleet_opts_t opts = { 0 };
 	fleet_pool_t pools[] = {
-		{ "spare", 3, 8, 1, true, false, true },
-		{ "busy", 3, 8, 1, true, false, false },
-		{ "other", 3, 8, 1, true, false, false },
+		{ .name = "spare",
+		  .executors = 3,
+		  .min_up = 1,
+		  .survive_rack = true,
+		  .spare = true },
+		{ .name = "busy",
+		  .executors = 3,
+		  .min_up = 1,
+		  .survive_rack = true },
+		{ .name = "other",
+		  .executors = 3,
+		  .min_up = 1,
+		  .survive_rack = true },
 	};
 	world_t *w = world_new(1, 3, 3);
 	fleet_t *fleet = fleet_new(w, &opts);
@@ -471,6 +532,45 @@
 	talloc_free(out);
 }
 
+/* What has to outlive a zone gets its share of the small one. */
+static void test_budget_small_zone(void)
+{
+	fleet_pool_t pools[] = {
+		{ .name = "wide",
+		  .executors = 5,
+		  .min_up = 3,
+		  .survive_rack = true,
+		  .survive_zone = true },
+		{ .name = "large",
+		  .executors = 10,
+		  .min_up = 1,
+		  .survive_rack = true },
+	};
+	fleet_rack_t racks[] = { { 0, 15 }, { 1, 3 }, { 2, 12 } };
+	fleet_site_t site = { pools, 2, racks, 3, 3 };
+	fleet_refusal_t *out;
+
+	pools[0].unmaintained = true;
+	g_assert_cmpuint(fleet_budget_check(NULL, &site, &out), ==, 0);
+	talloc_free(out);
+}
+
+/* A zone of one rack is no place for two of a pool that may lose one. */
+static void test_budget_single_rack(void)
+{
+	fleet_pool_t pool = {
+		.name = "p", .executors = 8, .min_up = 6, .survive_rack = true
+	};
+	fleet_rack_t racks[10] = { { 0, 4 } };
+	fleet_site_t site = { &pool, 1, racks, 10, 4 };
+	fleet_refusal_t *out;
+
+	for (uint32_t r = 1; r < 10; r++)
+		racks[r] = (fleet_rack_t){ r < 3 ? 1 : r < 8 ? 2 : 3, 4 };
+	g_assert_cmpuint(fleet_budget_check(NULL, &site, &out), ==, 0);
+	talloc_free(out);
+}
+
 static void test_explain(void)
 {
 	fleet_t *fleet;
@@ -494,6 +594,7 @@
 	g_test_add_func("/fleet/first-start", test_first_start);
 	g_test_add_func("/fleet/table", test_table);
 	g_test_add_func("/fleet/wave", test_wave);
+	g_test_add_func("/fleet/drain-max", test_drain_max);
 	g_test_add_func("/fleet/old-map", test_old_map);
 	g_test_add_func("/fleet/paused-holder", test_paused_holder);
 	g_test_add_func("/fleet/grant-not-written", test_grant_not_written);
@@ -509,6 +610,8 @@
 	g_test_add_func("/fleet/bad-records", test_bad_records);
 	g_test_add_func("/fleet/budget-check", test_budget_check);
 	g_test_add_func("/fleet/budget-machines", test_budget_machines);
+	g_test_add_func("/fleet/budget-small-zone", test_budget_small_zone);
+	g_test_add_func("/fleet/budget-single-rack", test_budget_single_rack);
 	g_test_add_func("/fleet/explain", test_explain);
 	return g_test_run();
 }
--- a/packages/fleet/tests/fleet_world.h
+++ b/packages/fleet/tests/fleet_world.h
@@ -277,11 +277,11 @@
 static inline size_t world_pools(const fleet_pool_t **pools)
 {
 	static const fleet_pool_t five[] = {
-		{ "gate-desk", 9, 8, 7, true, false, false },
-		{ "load-board", 9, 8, 7, true, false, false },
-		{ "yard-eye", 11, 8, 9, true, false, false },
-		{ "community-book", 12, 8, 10, true, false, false },
-		{ "family-ledger", 8, 8, 5, true, false, true },
+		{ "gate-desk", 9, 8, 7, true, false, false, false, 0 },
+		{ "load-board", 9, 8, 7, true, false, false, false, 0 },
+		{ "yard-eye", 11, 8, 9, true, false, false, false, 0 },
+		{ "community-book", 12, 8, 10, true, false, false, false, 0 },
+		{ "family-ledger", 8, 8, 5, true, false, true, false, 0 },
 	};
 
 	*pools = five;
--- a/packages/site/site.h
+++ b/packages/site/site.h
@@ -24,6 +24,9 @@
 /* Follow another configuration; what was learned stays. */
 void site_configure(fleet_t *fleet, const conf_t *conf);
 
+/* The configuration's pools, below "ctx"; names stay the configuration's. */
+fleet_pool_t *site_pools(const void *ctx, const conf_t *conf);
+
 /* Load every record of the fleet; all or an error. */
 bool site_read_records(fleet_t *fleet, plat_store_t *store, GError **err);
 
--- a/packages/site/site_fleet.c
+++ b/packages/site/site_fleet.c
@@ -33,7 +33,16 @@
 	fleet_opts_t opts = { .weights = weights_of(conf),
 			      .deadline = conf->limits.maintenance_days * DAY,
 			      .lead = conf->limits.maintenance_days * DAY / 4 };
-	fleet_pool_t *pools = talloc_array(NULL, fleet_pool_t, conf->n_pools);
+	fleet_pool_t *pools = site_pools(NULL, conf);
+
+	fleet_set_opts(fleet, &opts);
+	fleet_configure(fleet, pools, conf->n_pools);
+	talloc_free(pools);
+}
+
+fleet_pool_t *site_pools(const void *ctx, const conf_t *conf)
+{
+	fleet_pool_t *pools = talloc_array(ctx, fleet_pool_t, conf->n_pools);
 
 	for (size_t i = 0; i < conf->n_pools; i++) {
 		const conf_pool_t *pool = &conf->pools[i];
@@ -47,11 +56,11 @@
 			.survive_rack = survive != CONF_SURVIVE_NONE,
 			.survive_zone = survive == CONF_SURVIVE_ZONE,
 			.spare = pool->spare,
+			.unmaintained = !pool->budget.drain,
+			.drain_max = (uint32_t)pool->budget.drain,
 		};
 	}
-	fleet_set_opts(fleet, &opts);
-	fleet_configure(fleet, pools, conf->n_pools);
-	talloc_free(pools);
+	return pools;
 }
 
 bool site_read_records(fleet_t *fleet, plat_store_t *store, GError **err)
--- a/packages/site/tests/site_test.c
+++ b/packages/site/tests/site_test.c
@@ -60,7 +60,9 @@
 		{ "i2", "3", "z", "r2", "127.0.0.1", 2, PLAT_LIVE },
 	};
 	plat_instances_t list = { items, 2 };
-	fleet_pool_t pool = { "p", 2, 8, 1, false, false, false };
+	fleet_pool_t pool = {
+		.name = "p", .executors = 2, .slots = 8, .min_up = 1
+	};
 	fleet_opts_t opts = { 0 };
 	fleet_t *fleet = fleet_new(NULL, &opts);
 	fleet_ops_t *ops;
