Place pools in the order of what they have to outlive

Cause: the planner placed the largest pool first, whatever it had to outlive, and even over zones before racks. A large pool without need filled a small zone, and a pool that must outlive a zone found no room there; and a zone of one rack got two of a pool that may lose one. The answers' check accepted such budgets and the planner could not keep them. Found by a new property: what the answers' check accepts fleet_budget_check() can place and keep.

Change: an order by failure domain, then by the part that a pool may lose, then by size; racks before zones where only a rack counts. One pass over the racks replaces a choice of zone and then of rack.

Conclusion: budgets are refused when they are answered or are kept.

--- a/packages/fleet/fleet_budget.c
+++ b/packages/fleet/fleet_budget.c
@@ -11,7 +11,7 @@
 } check_t;
 
 static void place_all(check_t *check, const void *ctx);
-static size_t largest(const fleet_site_t *site, const bool *placed);
+static size_t next_pool(const fleet_site_t *site, const bool *placed);
 static fleet_up_t up_of(const check_t *check, size_t pool);
 static void check_machines(check_t *check);
 static void check_pool(check_t *check, size_t i);
@@ -62,7 +62,7 @@
 	return check.n;
 }
 
-/* As fleet_assign() does it: the largest pool first. */
+/* As fleet_assign() does it. */
 static void place_all(check_t *check, const void *ctx)
 {
 	const fleet_site_t *site = check->site;
@@ -84,22 +84,26 @@
 	if (check->executors > check->instances)
 		return;
 	for (size_t turn = 0; turn < site->n_pools; turn++) {
-		size_t i = largest(site, placed);
+		size_t i = next_pool(site, placed);
 
 		placed[i] = true;
 		for (uint32_t n = 0; n < site->pools[i].executors; n++)
-			fleet_place_take(place, i, fleet_place_pick(place, i));
+			fleet_place_take(
+				place, i,
+				fleet_place_pick(place, i, &site->pools[i]));
 	}
 }
 
-static size_t largest(const fleet_site_t *site, const bool *placed)
+static size_t next_pool(const fleet_site_t *site, const bool *placed)
 {
 	size_t best = site->n_pools;
 
 	for (size_t i = 0; i < site->n_pools; i++)
 		if (!placed[i] &&
 		    (best == site->n_pools ||
-		     site->pools[i].executors > site->pools[best].executors))
+		     fleet_place_before(
+			     &site->pools[i], site->pools[i].executors,
+			     &site->pools[best], site->pools[best].executors)))
 			best = i;
 	return best;
 }
@@ -154,7 +158,7 @@
 		refuse(check, FLEET_REFUSE_ZONE, i, &up);
 	else if (pool->survive_rack && rack_left < need)
 		refuse(check, FLEET_REFUSE_RACK, i, &up);
-	else if (fleet_budget_room(pool, &up) < 1 &&
+	else if (!pool->unmaintained && fleet_budget_room(pool, &up) < 1 &&
 		 (pool->spare || !check->spare_lends))
 		refuse(check, FLEET_REFUSE_DRAIN, i, &up);
 }
--- a/packages/fleet/fleet_move.c
+++ b/packages/fleet/fleet_move.c
@@ -6,7 +6,7 @@
 #define PATIENCE 30 /* times longer, when moves weigh 1 */
 
 static uint32_t extra_of(const fleet_run_t *run, const fleet_acct_t *acct);
-static size_t shortest(const fleet_t *fleet);
+static size_t first_short(const fleet_t *fleet);
 static bool assign_one(fleet_run_t *run, size_t pool);
 static size_t neediest(const fleet_run_t *run);
 static int64_t act_at(const fleet_t *fleet, const fleet_acct_t *acct);
@@ -64,16 +64,15 @@
 }
 
 /*
- * What is in no pool carries no work and goes where it is wanted.  The pool
- * that wants the most is served first and whole, from the racks with the most
- * left: that order finds a placement that spreads every pool if there is one.
+ * What is in no pool carries no work and goes where it is wanted, to one pool
+ * after another, each from the racks with the most left.
  */
 void fleet_assign(fleet_run_t *run)
 {
 	fleet_t *fleet = run->fleet;
 	size_t pool;
 
-	while ((pool = shortest(fleet)) != fleet->n_pools) {
+	while ((pool = first_short(fleet)) != fleet->n_pools) {
 		fleet_acct_t *acct = &fleet->pools[pool];
 
 		while (acct->members < acct->target)
@@ -117,18 +116,24 @@
 	return floor - acct->conf.executors;
 }
 
-/* The pool that lacks the most instances, n_pools when none lacks any. */
-static size_t shortest(const fleet_t *fleet)
+/* The pool that lacks instances and comes first, n_pools when none does. */
+static size_t first_short(const fleet_t *fleet)
 {
 	size_t best = fleet->n_pools;
 	uint32_t most = 0;
 
 	for (size_t i = 0; i < fleet->n_pools; i++) {
 		const fleet_acct_t *acct = &fleet->pools[i];
+		uint32_t lacks;
 
-		if (acct->members + most >= acct->target)
+		if (acct->members >= acct->target)
+			continue;
+		lacks = acct->target - acct->members;
+		if (best < fleet->n_pools &&
+		    !fleet_place_before(&acct->conf, lacks,
+					&fleet->pools[best].conf, most))
 			continue;
-		most = acct->target - acct->members;
+		most = lacks;
 		best = i;
 	}
 	return best;
@@ -136,7 +141,8 @@
 
 static bool assign_one(fleet_run_t *run, size_t pool)
 {
-	size_t rack = fleet_place_pick(&run->have, pool);
+	size_t rack = fleet_place_pick(&run->have, pool,
+				       &run->fleet->pools[pool].conf);
 	fleet_inst_t *inst;
 	fleet_rec_t *next;
 
--- a/packages/fleet/fleet_plan.h
+++ b/packages/fleet/fleet_plan.h
@@ -59,11 +59,17 @@
 void fleet_place_init(fleet_place_t *place, const void *ctx, size_t n_pools,
 		      size_t n_racks, size_t n_zones);
 
+/* Whether "a" is placed before "b", which lack so many executors. */
+bool fleet_place_before(const fleet_pool_t *a, uint32_t a_lacks,
+			const fleet_pool_t *b, uint32_t b_lacks);
+
 /*
- * The rack whose free instance "pool" should take: the zone, then the rack
- * that hold the fewest of it.  n_racks when nothing is free.
+ * The rack whose free instance "pool", which is configured as "conf", should
+ * take: the zone and the rack that hold the fewest of it.  n_racks when
+ * nothing is free.
  */
-size_t fleet_place_pick(const fleet_place_t *place, size_t pool);
+size_t fleet_place_pick(const fleet_place_t *place, size_t pool,
+			const fleet_pool_t *conf);
 
 /* Count one instance of rack "rack" into "pool". */
 void fleet_place_take(fleet_place_t *place, size_t pool, size_t rack);
