--- a/packages/conf/conf.h
+++ b/packages/conf/conf.h
@@ -200,6 +200,35 @@
  */
 conf_t *conf_load(const void *ctx, base_str_t json, GError **err);
 
+#define CONF_JOBS_MAX 4096 /* jobs of one file */
+
+/* A job as a team hands it in, cactusfield-jobs(5). */
+typedef struct conf_job {
+	base_str_t id;
+	base_str_t team;
+	base_str_t family; /* what it runs */
+	int64_t urgency;   /* 0 is urgent */
+	bool repeatable;
+	bool checkpoints;
+	bool throttles;
+	double cores;
+	int64_t memory_mb;
+	int64_t accelerators;
+} conf_job_t;
+
+typedef struct conf_jobs {
+	int64_t schema;
+	conf_job_t *jobs;
+	size_t n_jobs;
+} conf_jobs_t;
+
+/*
+ * Read and check a file of jobs as conf_answers_load() does.  Where "conf" is
+ * not NULL each team must be one of its teams.
+ */
+conf_jobs_t *conf_jobs_load(const void *ctx, base_str_t text,
+			    const conf_t *conf, conf_faults_t *faults);
+
 /* The pool of that name, or NULL. */
 const conf_pool_t *conf_pool(const conf_t *conf, base_str_t name);
 
--- a/packages/conf/conf_int.h
+++ b/packages/conf/conf_int.h
@@ -92,6 +92,10 @@
 /* Read "root" into a new model; faults go to the reader's list. */
 conf_t *conf_decode(const conf_reader_t *rd, const json_t *root);
 
+/* The same into a new model of another schema. */
+void *conf_decode_as(const conf_reader_t *rd, const conf_schema_t *schema,
+		     const json_t *root);
+
 /* The model as JSON with the members that "where" has. */
 json_t *conf_encode(const conf_t *conf, unsigned int where);
 
--- a/packages/conf/conf_schema.c
+++ b/packages/conf/conf_schema.c
@@ -1,4 +1,6 @@
 /* Between JSON and the model, as the tables of fields say. */
+#include <math.h>
+
 #include "conf_int.h"
 
 #define FOUND_MAX 60 /* bytes of a value that a fault shows */
@@ -79,18 +81,24 @@
 
 conf_t *conf_decode(const conf_reader_t *rd, const json_t *root)
 {
-	conf_t *conf = talloc_zero(rd->mem, conf_t);
+	return conf_decode_as(rd, &conf_schema_root, root);
+}
+
+void *conf_decode_as(const conf_reader_t *rd, const conf_schema_t *schema,
+		     const json_t *root)
+{
+	void *model = talloc_zero_size(rd->mem, schema->size);
 	conf_reader_t below = *rd;
 	char *found;
 
-	below.mem = conf;
+	below.mem = model;
 	if (json_is_object(root)) {
-		decode_object(&below, &conf_schema_root, root, "$", conf);
+		decode_object(&below, schema, root, "$", model);
 	} else {
-		found = found_text(conf, root);
+		found = found_text(model, root);
 		conf_fault_at(rd, "$", found, "an object");
 	}
-	return conf;
+	return model;
 }
 
 json_t *conf_encode(const conf_t *conf, unsigned int where)
@@ -106,8 +114,10 @@
 		if (field->min == field->max)
 			return talloc_asprintf_append(want, ", %.0f",
 						      field->min);
-		return talloc_asprintf_append(want, " from %.0f to %.0f",
-					      field->min, field->max);
+		return talloc_asprintf_append(
+			want, " from %.*f to %.0f",
+			field->min == floor(field->min) ? 0 : 3, field->min,
+			field->max);
 	}
 	if (field->kind == CONF_LIST)
 		return talloc_asprintf_append(want, " of %.0f to %.0f objects",
--- a/packages/entry/entry.h
+++ b/packages/entry/entry.h
@@ -44,6 +44,7 @@
 	plat_address_t store;
 	plat_address_t list;
 	plat_address_t actions; /* reboots; the list's address if absent */
+	plat_address_t tasks;	/* pods; the list's address if absent */
 	int balancer_lag_ms;	/* until the balancer sees a planned stop */
 	int drain_limit_ms;	/* longest wait for requests in flight */
 	base_level_t log_level;
--- a/packages/entry/entry_int.h
+++ b/packages/entry/entry_int.h
@@ -209,6 +209,7 @@
 struct entry_claims;
 typedef struct entry_route entry_route_t;
 typedef struct entry_fleet entry_fleet_t;
+typedef struct entry_jobs entry_jobs_t;
 
 typedef struct entry_verdict {
 	entry_outcome_t outcome;
@@ -280,6 +281,7 @@
 	entry_route_t *route;
 	kern_duty_t *probes[ENTRY_PROBE_DUTIES];
 	entry_fleet_t *fleet;
+	entry_jobs_t *jobs;
 };
 
 /* Services in the order of their start; entry_services.c. */
@@ -290,6 +292,7 @@
 extern const kern_service_ops_t entry_operators_ops;
 extern const kern_service_ops_t entry_route_ops;
 extern const kern_service_ops_t entry_fleet_ops;
+extern const kern_service_ops_t entry_jobs_ops;
 extern const kern_service_ops_t entry_probe_ops;
 extern const kern_service_ops_t entry_claim_ops;
 extern const kern_service_ops_t entry_caller_ops;
@@ -331,6 +334,12 @@
 
 void entry_metrics_claim(entry_daemon_t *daemon, base_buf_t *out);
 
+/* The duty "jobs", not started. */
+entry_jobs_t *entry_jobs_new(entry_daemon_t *daemon);
+
+/* Append the jobs by state, while this entry holds their duty. */
+void entry_metrics_jobs(entry_daemon_t *daemon, base_buf_t *out);
+
 /* Start a listener; the error names the port. */
 struct mg_context *entry_listen(const entry_listen_t *listen, void *user,
 				int64_t keep_alive_ms, GError **err);
--- /dev/null
+++ b/packages/entry/entry_jobs_pages.c
@@ -0,0 +1,351 @@
+#include <jansson.h>
+
+#include "entry_jobs.h"
+
+/*
+ * The operators' pages about jobs.  Whoever does not hold the duty names the
+ * entry that does.  What changes something is answered once it is committed.
+ */
+
+#define ANSWER_US (8 * BASE_SEC) /* wait for the commit */
+#define DUTY_KEY "/cactusfield/duty/jobs"
+
+typedef bool (*change_fn_t)(jobs_t *core, int64_t now, base_str_t id,
+			    GError **err);
+
+static int on_jobs(struct mg_connection *conn, void *arg);
+static int on_explain(struct mg_connection *conn, void *arg);
+static int on_cancel(struct mg_connection *conn, void *arg);
+static int on_release(struct mg_connection *conn, void *arg);
+static int change(struct mg_connection *conn, entry_jobs_t *jobs,
+		  change_fn_t fn);
+static int list(struct mg_connection *conn, entry_jobs_t *jobs);
+static void add_job(void *arg, base_str_t text);
+static int submit(struct mg_connection *conn, entry_jobs_t *jobs);
+static conf_jobs_t *read_jobs(struct mg_connection *conn, entry_jobs_t *jobs,
+			      void *ctx, conf_faults_t *faults);
+static json_t *take(entry_jobs_t *jobs, const conf_jobs_t *wanted);
+static jobs_spec_t spec_of(const conf_job_t *job);
+static bool same_spec(const jobs_spec_t *a, const jobs_spec_t *b);
+static json_t *faults_json(const conf_faults_t *faults);
+static bool await_commit(entry_jobs_t *jobs);
+static json_t *elsewhere(entry_jobs_t *jobs);
+static int answer(struct mg_connection *conn, json_t *json);
+static base_str_t id_of(struct mg_connection *conn, char *buf, size_t size);
+
+void entry_jobs_listen(entry_jobs_t *jobs)
+{
+	struct mg_context *http = jobs->daemon->operators_http;
+
+	mg_set_request_handler(http, "/jobs/explain", on_explain, jobs);
+	mg_set_request_handler(http, "/jobs/cancel", on_cancel, jobs);
+	mg_set_request_handler(http, "/jobs/release", on_release, jobs);
+	mg_set_request_handler(http, "/jobs", on_jobs, jobs);
+}
+
+static int on_jobs(struct mg_connection *conn, void *arg)
+{
+	const char *method = mg_get_request_info(conn)->request_method;
+
+	return strcmp(method, "POST") ? list(conn, arg) : submit(conn, arg);
+}
+
+static int on_explain(struct mg_connection *conn, void *arg)
+{
+	entry_jobs_t *jobs = arg;
+	char buf[JOBS_ID_MAX + 1];
+	base_str_t id = id_of(conn, buf, sizeof(buf));
+	json_t *json = NULL;
+	char *said;
+
+	pthread_mutex_lock(&jobs->lock);
+	if (jobs->core) {
+		said = jobs_explain(jobs->core, NULL, base_clock_mono(), id);
+		json = said ? json_pack("{s:s,s:s}", "result", "done", "said",
+					said)
+			    : json_pack("{s:s,s:s}", "result", "refused", "why",
+					"no such job");
+		talloc_free(said);
+	}
+	pthread_mutex_unlock(&jobs->lock);
+	return answer(conn, json ? json : elsewhere(jobs));
+}
+
+static int on_cancel(struct mg_connection *conn, void *arg)
+{
+	return change(conn, arg, jobs_cancel);
+}
+
+static int on_release(struct mg_connection *conn, void *arg)
+{
+	return change(conn, arg, jobs_release);
+}
+
+static int change(struct mg_connection *conn, entry_jobs_t *jobs,
+		  change_fn_t fn)
+{
+	char buf[JOBS_ID_MAX + 1];
+	base_str_t id = id_of(conn, buf, sizeof(buf));
+	GError *cause = NULL;
+	json_t *json = NULL;
+
+	pthread_mutex_lock(&jobs->lock);
+	if (jobs->core) {
+		if (!fn(jobs->core, base_clock_mono(), id, &cause))
+			json = json_pack("{s:s,s:s}", "result", "refused",
+					 "why", cause->message);
+		else
+			json = json_pack("{s:s}", "result",
+					 await_commit(jobs) ? "done" : "doubt");
+	}
+	pthread_mutex_unlock(&jobs->lock);
+	g_clear_error(&cause);
+	return answer(conn, json ? json : elsewhere(jobs));
+}
+
+typedef struct listing {
+	const jobs_t *core;
+	json_t *jobs;
+} listing_t;
+
+static int list(struct mg_connection *conn, entry_jobs_t *jobs)
+{
+	listing_t listing = { .jobs = json_array() };
+	json_t *json = NULL;
+
+	pthread_mutex_lock(&jobs->lock);
+	if (jobs->core) {
+		listing.core = jobs->core;
+		site_joblog_each(jobs->log, add_job, &listing);
+		json = json_pack("{s:s,s:O}", "result", "done", "jobs",
+				 listing.jobs);
+	}
+	pthread_mutex_unlock(&jobs->lock);
+	json_decref(listing.jobs);
+	return answer(conn, json ? json : elsewhere(jobs));
+}
+
+/* Only the id is taken from the text: the core knows more of the job. */
+static void add_job(void *arg, base_str_t text)
+{
+	listing_t *listing = arg;
+	json_t *root = json_loadb(text.ptr, text.len, 0, NULL);
+	const char *id = json_string_value(
+		json_object_get(json_object_get(root, "spec"), "id"));
+	jobs_record_t record;
+
+	if (id && jobs_record(listing->core, base_str(id), &record))
+		json_array_append_new(
+			listing->jobs,
+			json_pack("{s:s,s:s%,s:s%,s:i,s:b,s:s,s:I,s:s%}", "id",
+				  id, "team", record.spec.team.ptr,
+				  record.spec.team.len, "family",
+				  record.spec.family.ptr,
+				  record.spec.family.len, "urgency",
+				  record.spec.urgency, "repeatable",
+				  (int)record.spec.repeatable, "state",
+				  jobs_state_name(record.state), "attempt",
+				  (json_int_t)record.attempt, "worker",
+				  record.n_tasks ? record.tasks[0].worker.ptr
+						 : "",
+				  record.n_tasks ? record.tasks[0].worker.len
+						 : 0));
+	json_decref(root);
+}
+
+static int submit(struct mg_connection *conn, entry_jobs_t *jobs)
+{
+	void *ctx = talloc_new(NULL);
+	conf_faults_t *faults = conf_faults_new(ctx);
+	conf_jobs_t *wanted = read_jobs(conn, jobs, ctx, faults);
+	json_t *json = NULL;
+
+	if (!wanted) {
+		json = json_pack("{s:s,s:o}", "result", "refused", "faults",
+				 faults_json(faults));
+		talloc_free(ctx);
+		return answer(conn, json);
+	}
+	pthread_mutex_lock(&jobs->lock);
+	if (jobs->core) {
+		json = take(jobs, wanted);
+		if (!json && await_commit(jobs))
+			json = json_pack("{s:s,s:I}", "result", "done", "jobs",
+					 (json_int_t)wanted->n_jobs);
+		else if (!json)
+			json = json_pack("{s:s}", "result", "doubt");
+	}
+	pthread_mutex_unlock(&jobs->lock);
+	talloc_free(ctx);
+	return answer(conn, json ? json : elsewhere(jobs));
+}
+
+static conf_jobs_t *read_jobs(struct mg_connection *conn, entry_jobs_t *jobs,
+			      void *ctx, conf_faults_t *faults)
+{
+	entry_view_t *view = entry_view_hold(jobs->daemon->views);
+	base_buf_t *text = base_buf_new(ctx);
+	conf_jobs_t *wanted;
+	char chunk[8192];
+	int got;
+
+	while (text->len <= CONF_TEXT_MAX &&
+	       (got = mg_read(conn, chunk, sizeof(chunk))) > 0)
+		base_buf_add(text, chunk, (size_t)got);
+	wanted = conf_jobs_load(ctx, base_buf_str(text),
+				view->record ? view->record->config : NULL,
+				faults);
+	entry_view_release(view);
+	return wanted;
+}
+
+/*
+ * Under the lock: all jobs of a file, or none and the answer that says why.
+ * One that is there already with the same description was sent again.
+ */
+static json_t *take(entry_jobs_t *jobs, const conf_jobs_t *wanted)
+{
+	json_t *faults = json_array();
+
+	for (size_t i = 0; i < wanted->n_jobs; i++) {
+		jobs_spec_t spec = spec_of(&wanted->jobs[i]);
+		jobs_record_t old;
+		char path[40];
+
+		g_snprintf(path, sizeof(path), "$.jobs[%zu].id", i);
+		if (jobs_record(jobs->core, spec.id, &old) &&
+		    !same_spec(&old.spec, &spec))
+			json_array_append_new(
+				faults,
+				json_pack("{s:s,s:s%,s:s}", "path", path,
+					  "found", spec.id.ptr, spec.id.len,
+					  "want",
+					  "an id that no other job has had"));
+	}
+	if (json_array_size(faults))
+		return json_pack("{s:s,s:o}", "result", "refused", "faults",
+				 faults);
+	json_decref(faults);
+	for (size_t i = 0; i < wanted->n_jobs; i++) {
+		jobs_spec_t spec = spec_of(&wanted->jobs[i]);
+		GError *cause = NULL;
+		json_t *refused;
+
+		if (jobs_submit(jobs->core, base_clock_mono(), &spec, &cause) ||
+		    g_error_matches(cause, JOBS_ERROR, JOBS_ERR_EXISTS)) {
+			g_clear_error(&cause);
+			continue;
+		}
+		refused = json_pack("{s:s,s:s}", "result", "doubt", "why",
+				    cause->message);
+		g_clear_error(&cause);
+		return refused;
+	}
+	return NULL;
+}
+
+static jobs_spec_t spec_of(const conf_job_t *job)
+{
+	return (jobs_spec_t){
+		.id = job->id,
+		.team = job->team,
+		.family = job->family,
+		.urgency = (int)job->urgency,
+		.repeatable = job->repeatable,
+		.checkpoints = job->checkpoints,
+		.throttles = job->throttles,
+		.declared = { {
+			[JOBS_CORES] = (int64_t)(job->cores * 1000.0 + 0.5),
+			[JOBS_MEMORY] = job->memory_mb,
+			[JOBS_ACCELERATORS] = job->accelerators,
+		} },
+	};
+}
+
+static bool same_spec(const jobs_spec_t *a, const jobs_spec_t *b)
+{
+	return base_str_eq(a->team, b->team) &&
+	       base_str_eq(a->family, b->family) && a->urgency == b->urgency &&
+	       a->repeatable == b->repeatable &&
+	       a->checkpoints == b->checkpoints &&
+	       a->throttles == b->throttles &&
+	       !memcmp(&a->declared, &b->declared, sizeof(a->declared));
+}
+
+static json_t *faults_json(const conf_faults_t *faults)
+{
+	json_t *out = json_array();
+
+	for (size_t i = 0; i < faults->n; i++)
+		json_array_append_new(out,
+				      json_pack("{s:s,s:i,s:s,s:s}", "path",
+						faults->v[i].path, "line",
+						faults->v[i].line, "found",
+						faults->v[i].found, "want",
+						faults->v[i].want));
+	return out;
+}
+
+/* Under the lock: whether a step that began after now wrote all. */
+static bool await_commit(entry_jobs_t *jobs)
+{
+	uint64_t epoch = atomic_load(&jobs->epoch), seen = jobs->commits;
+	int64_t until = base_clock_wall() + ANSWER_US;
+	struct timespec wake = { until / BASE_SEC, until % BASE_SEC * 1000 };
+
+	while (jobs->commits == seen && atomic_load(&jobs->epoch) == epoch)
+		if (pthread_cond_timedwait(&jobs->stepped, &jobs->lock, &wake))
+			break;
+	return jobs->commits != seen && atomic_load(&jobs->epoch) == epoch;
+}
+
+/* Who holds the duty, by its record in the store. */
+static json_t *elsewhere(entry_jobs_t *jobs)
+{
+	void *ctx = talloc_new(NULL);
+	const plat_store_ops_t *ops = jobs->store->ops;
+	char *holder = NULL, *key, address[64];
+	site_entry_t entry;
+	plat_kvs_t kvs;
+	bool found = false;
+
+	if (ops->range(jobs->store, ctx, DUTY_KEY, false, &kvs, NULL) &&
+	    kvs.count) {
+		holder = base_str_dup(ctx, kvs.items[0].value);
+		holder[strcspn(holder, "/")] = '\0';
+		key = talloc_asprintf(ctx, SITE_ENTRIES_PREFIX "%s", holder);
+		found = strcmp(holder, jobs->daemon->settings->name) != 0 &&
+			ops->range(jobs->store, ctx, key, false, &kvs, NULL) &&
+			kvs.count &&
+			site_entry_load(ctx, holder, kvs.items[0].value,
+					&entry);
+	}
+	if (found)
+		g_snprintf(address, sizeof(address), "%s:%d",
+			   entry.operators.host, entry.operators.port);
+	talloc_free(ctx);
+	return found ? json_pack("{s:s,s:s}", "result", "elsewhere", "entry",
+				 address)
+		     : json_pack("{s:s}", "result", "nobody");
+}
+
+static int answer(struct mg_connection *conn, json_t *json)
+{
+	char *text = json_dumps(json, JSON_COMPACT);
+	int status = entry_operators_answer(conn, 200, "application/json",
+					    base_str(text));
+
+	free(text);
+	json_decref(json);
+	return status;
+}
+
+static base_str_t id_of(struct mg_connection *conn, char *buf, size_t size)
+{
+	const char *query = mg_get_request_info(conn)->query_string;
+
+	buf[0] = '\0';
+	if (!query || mg_get_var(query, strlen(query), "id", buf, size) < 0)
+		buf[0] = '\0';
+	return base_str(buf);
+}
--- a/packages/entry/entry_operators.c
+++ b/packages/entry/entry_operators.c
@@ -158,6 +158,7 @@
 	entry_metrics_route(daemon, out);
 	entry_metrics_memb(daemon, out);
 	entry_metrics_claim(daemon, out);
+	entry_metrics_jobs(daemon, out);
 	status = entry_operators_answer(conn, 200, "text/plain; version=0.0.4",
 					base_buf_str(out));
 	talloc_free(out);
--- a/packages/entry/entry_run.c
+++ b/packages/entry/entry_run.c
@@ -71,6 +71,7 @@
 	snprintf(daemon->incarnation, sizeof(daemon->incarnation), "%lld",
 		 (long long)base_clock_wall());
 	daemon->claims = entry_claims_new(daemon);
+	daemon->jobs = entry_jobs_new(daemon);
 	return daemon;
 }
 
@@ -84,7 +85,8 @@
 			     [PLAT_FOR_FLEET] = 40.0,
 			     [PLAT_FOR_EPOCH] = 4.0,
 			     [PLAT_FOR_DUTY] = 4.0,
-			     [PLAT_FOR_MEMBERS] = 4.0 },
+			     [PLAT_FOR_MEMBERS] = 4.0,
+			     [PLAT_FOR_JOBS] = 400.0 },
 		.seed = (uint64_t)base_clock_wall(),
 	};
 
--- a/packages/entry/entry_services.c
+++ b/packages/entry/entry_services.c
@@ -9,8 +9,9 @@
 static const service_t services[] = {
 	{ "operators", &entry_operators_ops }, { "memb", &entry_memb_ops },
 	{ "platform", &entry_platform_ops },   { "route", &entry_route_ops },
-	{ "fleet", &entry_fleet_ops },	       { "probe", &entry_probe_ops },
-	{ "claim", &entry_claim_ops },	       { "caller", &entry_caller_ops },
+	{ "fleet", &entry_fleet_ops },	       { "jobs", &entry_jobs_ops },
+	{ "probe", &entry_probe_ops },	       { "claim", &entry_claim_ops },
+	{ "caller", &entry_caller_ops },
 };
 
 bool entry_services_register(entry_daemon_t *daemon, GError **err)
--- a/packages/entry/entry_settings.c
+++ b/packages/entry/entry_settings.c
@@ -59,6 +59,8 @@
 	{ "actions", "address", FIELD_ADDRESS, AT(actions.host), 0, 0, false,
 	  0 },
 	{ "actions", "port", FIELD_NUMBER, AT(actions.port), PORT, false, 0 },
+	{ "tasks", "address", FIELD_ADDRESS, AT(tasks.host), 0, 0, false, 0 },
+	{ "tasks", "port", FIELD_NUMBER, AT(tasks.port), PORT, false, 0 },
 	{ NULL, "balancer_lag_ms", FIELD_NUMBER, AT(balancer_lag_ms), 0,
 	  LAG_MAX_MS, false, 1000 },
 	{ NULL, "drain_limit_ms", FIELD_NUMBER, AT(drain_limit_ms), 0,
@@ -85,7 +87,8 @@
 static bool is_section(const char *key);
 static bool is_known(const char *section, const char *key);
 static void fault(reader_t *r, const field_t *field, const char *want);
-static void default_actions(entry_settings_t *settings);
+static void default_address(plat_address_t *address,
+			    const plat_address_t *list);
 
 static void (*const take[FIELD_KIND_MAX])(reader_t *, const field_t *,
 					  const json_t *) = {
@@ -119,7 +122,8 @@
 		talloc_free(settings);
 		return NULL;
 	}
-	default_actions(settings);
+	default_address(&settings->actions, &settings->list);
+	default_address(&settings->tasks, &settings->list);
 	return settings;
 }
 
@@ -278,10 +282,10 @@
 		      field->section ? "." : "", field->key, want);
 }
 
-static void default_actions(entry_settings_t *settings)
+static void default_address(plat_address_t *address, const plat_address_t *list)
 {
-	if (!settings->actions.host)
-		settings->actions.host = settings->list.host;
-	if (!settings->actions.port)
-		settings->actions.port = settings->list.port;
+	if (!address->host)
+		address->host = list->host;
+	if (!address->port)
+		address->port = list->port;
 }
--- a/packages/jobs/jobs.h
+++ b/packages/jobs/jobs.h
@@ -26,6 +26,7 @@
 #define JOBS_ATTEMPTS_MAX 12 /* attempts before a job is held */
 #define JOBS_TASKS_MAX 4     /* tasks of one job that may still run */
 #define JOBS_URGENCY_MAX 4   /* levels; 0 is urgent, room is made for it */
+#define JOBS_THROTTLE_PART 8 /* a throttled task keeps one in so many cores */
 
 #define JOBS_ERROR jobs_error_quark()
 GQuark jobs_error_quark(void);
@@ -125,6 +126,8 @@
 	int64_t attempt;
 	base_str_t worker;
 	int64_t incarnation;
+	base_str_t family;
+	bool repeatable;
 	jobs_res_t share;  /* the room kept for it */
 	bool checkpointed; /* start from the checkpoint */
 } jobs_order_t;
--- a/packages/jobs/jobs_int.h
+++ b/packages/jobs/jobs_int.h
@@ -35,7 +35,6 @@
 #define JOBS_HEADS 4	     /* jobs of a team that are tried */
 #define JOBS_VISITS_MAX 2048 /* nodes of one search that is not urgent */
 #define JOBS_CANDIDATES 4    /* workers weighed for clearing */
-#define JOBS_THROTTLE_PART 8 /* a throttled task keeps one in so many cores */
 
 /* What the index knows of each worker. */
 typedef enum jobs_room {
--- a/packages/jobs/jobs_step.c
+++ b/packages/jobs/jobs_step.c
@@ -68,6 +68,8 @@
 		.attempt = task->attempt,
 		.worker = base_str(task->worker->id),
 		.incarnation = task->worker->incarnation,
+		.family = task->job->spec.family,
+		.repeatable = task->job->spec.repeatable,
 		.share = task->share,
 		.checkpointed = task->job->checkpointed,
 	};
--- a/packages/plat/plat.h
+++ b/packages/plat/plat.h
@@ -9,6 +9,7 @@
 #define PLAT_H
 
 #include "base.h"
+#include "jobs.h"
 
 #define PLAT_ERROR plat_error_quark()
 GQuark plat_error_quark(void);
@@ -130,6 +131,7 @@
 	PLAT_FOR_EPOCH,
 	PLAT_FOR_DUTY,
 	PLAT_FOR_MEMBERS,
+	PLAT_FOR_JOBS,
 	PLAT_PURPOSE_MAX
 } plat_purpose_t;
 
@@ -150,7 +152,7 @@
 /* The client for that purpose; lives as long as the guard. */
 plat_store_t *plat_guard_store(plat_guard_t *guard, plat_purpose_t purpose);
 
-/* "config", "fleet", "epoch", "duty" or "members". */
+/* "config", "fleet", "epoch", "duty", "members" or "jobs". */
 const char *plat_purpose_name(plat_purpose_t purpose);
 
 typedef struct plat_calls {
@@ -188,6 +190,9 @@
 /* Whether it surely is held at "now"; ends before the store's lease does. */
 bool plat_duty_held(const plat_duty_t *duty, int64_t now);
 
+/* Until when that is so, or 0. */
+int64_t plat_duty_until(const plat_duty_t *duty);
+
 /* Put the fence of this holding into "put". */
 void plat_duty_fence(const plat_duty_t *duty, plat_put_t *put);
 
@@ -212,6 +217,10 @@
 struct json_t *plat_get_json(const plat_address_t *address, const char *path,
 			     GError **err);
 
+/* The same for a POST of the JSON text "body". */
+struct json_t *plat_post_json(const plat_address_t *address, const char *path,
+			      const char *body, GError **err);
+
 typedef enum plat_state {
 	PLAT_LIVE,
 	PLAT_LEAVING,
@@ -282,6 +291,60 @@
 	const plat_action_ops_t *ops;
 };
 
+/*
+ * plat_tasks - runs tasks on workers.
+ *
+ * An order names one attempt of a job on one worker; its name, job and attempt,
+ * is used once.  Sending an order twice has the effect of one.  False with
+ * PLAT_ERROR_BAD: the platform refuses the order for good; else it may be sent
+ * again.
+ */
+typedef struct plat_tasks plat_tasks_t;
+
+/* "report" is NULL for a task that is there and has nothing to say yet. */
+typedef void (*plat_report_fn_t)(void *arg, base_str_t job, int64_t attempt,
+				 const jobs_report_t *report);
+
+typedef struct plat_tasks_ops {
+	bool (*start)(plat_tasks_t *tasks, const jobs_order_t *order,
+		      GError **err);
+	/* Save its state, then stop it. */
+	bool (*checkpoint)(plat_tasks_t *tasks, const jobs_order_t *order,
+			   GError **err);
+	/* Leave it one in JOBS_THROTTLE_PART of its cores. */
+	bool (*throttle)(plat_tasks_t *tasks, const jobs_order_t *order,
+			 GError **err);
+	/* Give it all its cores again. */
+	bool (*resume)(plat_tasks_t *tasks, const jobs_order_t *order,
+		       GError **err);
+	/* "*never" says that it had not begun and cannot any more. */
+	bool (*stop)(plat_tasks_t *tasks, const jobs_order_t *order,
+		     bool *never, GError **err);
+	/*
+	 * See to it that an attempt that nobody has begun never begins;
+	 * "*never" is false if it has.
+	 */
+	bool (*forbid)(plat_tasks_t *tasks, const jobs_order_t *order,
+		       bool *never, GError **err);
+	/* Remove what is left of a task that has ended. */
+	bool (*forget)(plat_tasks_t *tasks, const char *name, GError **err);
+	/*
+	 * Report every task, "*whole" true; or, in later calls, what changes
+	 * within PLAT_TASKS_WAIT_S.
+	 */
+	bool (*reports)(plat_tasks_t *tasks, plat_report_fn_t report, void *arg,
+			bool *whole, GError **err);
+} plat_tasks_ops_t;
+
+#define PLAT_TASKS_WAIT_S 1
+
+struct plat_tasks {
+	const plat_tasks_ops_t *ops;
+};
+
+/* A client of Kubernetes' pod API below "ctx"; for one thread. */
+plat_tasks_t *plat_pods_new(const void *ctx, const plat_address_t *address);
+
 /* A client of Redfish (DSP0266) below "ctx"; for one thread. */
 plat_action_t *plat_redfish_new(const void *ctx, const plat_address_t *address);
 
--- a/packages/plat/plat_duty.c
+++ b/packages/plat/plat_duty.c
@@ -38,6 +38,11 @@
 	return duty->token && now < duty->held_until;
 }
 
+int64_t plat_duty_until(const plat_duty_t *duty)
+{
+	return duty->token ? duty->held_until : 0;
+}
+
 void plat_duty_fence(const plat_duty_t *duty, plat_put_t *put)
 {
 	put->fence_key = duty->key;
--- a/packages/plat/plat_guard.c
+++ b/packages/plat/plat_guard.c
@@ -43,7 +43,7 @@
 static const char *const purpose_names[PLAT_PURPOSE_MAX] = {
 	[PLAT_FOR_CONFIG] = "config",	[PLAT_FOR_FLEET] = "fleet",
 	[PLAT_FOR_EPOCH] = "epoch",	[PLAT_FOR_DUTY] = "duty",
-	[PLAT_FOR_MEMBERS] = "members",
+	[PLAT_FOR_MEMBERS] = "members", [PLAT_FOR_JOBS] = "jobs",
 };
 
 plat_guard_t *plat_guard_new(const void *ctx,
--- a/packages/plat/plat_http.c
+++ b/packages/plat/plat_http.c
@@ -14,11 +14,13 @@
 static bool connect_to(plat_http_t *http, struct mg_connection **conn,
 		       GError **err);
 static bool send_request(plat_http_t *http, struct mg_connection *conn,
-			 const char *path, const char *body);
-static bool fetch(plat_http_t *http, const char *path, const char *body,
+			 const plat_http_request_t *request);
+static bool fetch(plat_http_t *http, const plat_http_request_t *request,
 		  base_buf_t *answer, int *status, GError **err);
-static bool exchange(plat_http_t *http, const char *path, const char *body,
+static bool exchange(plat_http_t *http, const plat_http_request_t *request,
 		     GError **err);
+static bool read_lines(struct mg_connection *conn, base_buf_t *text,
+		       bool (*line)(void *arg, base_str_t text), void *arg);
 static bool read_body(struct mg_connection *conn, base_buf_t *out);
 static json_t *parse(int status, const base_buf_t *body, GError **err);
 static void disconnect(plat_http_t *http);
@@ -38,11 +40,14 @@
 json_t *plat_http_call(plat_http_t *http, const char *path, const char *body,
 		       GError **err)
 {
+	const plat_http_request_t request = { .method = body ? "POST" : "GET",
+					      .path = path,
+					      .body = body };
 	base_buf_t *answer = base_buf_new(NULL);
 	json_t *root = NULL;
 	int status;
 
-	if (fetch(http, path, body, answer, &status, err))
+	if (fetch(http, &request, answer, &status, err))
 		root = parse(status, answer, err);
 	talloc_free(answer);
 	return root;
@@ -51,9 +56,10 @@
 bool plat_http_get(plat_http_t *http, const char *path, base_buf_t *body,
 		   GError **err)
 {
+	const plat_http_request_t request = { .method = "GET", .path = path };
 	int status;
 
-	if (!fetch(http, path, NULL, body, &status, err))
+	if (!fetch(http, &request, body, &status, err))
 		return false;
 	if (status == 200)
 		return true;
@@ -61,6 +67,75 @@
 	return false;
 }
 
+int plat_http_send(plat_http_t *http, const plat_http_request_t *request,
+		   GError **err)
+{
+	base_buf_t *answer = base_buf_new(NULL);
+	int status = 0;
+
+	if (!fetch(http, request, answer, &status, err))
+		status = 0;
+	talloc_free(answer);
+	return status;
+}
+
+bool plat_http_lines(plat_http_t *http, const char *path,
+		     bool (*line)(void *arg, base_str_t text), void *arg,
+		     GError **err)
+{
+	const plat_http_request_t request = { .method = "GET", .path = path };
+	base_buf_t *text;
+	bool whole;
+	int status;
+
+	if (!exchange(http, &request, err))
+		return false;
+	status = mg_get_response_info(http->conn)->status_code;
+	text = base_buf_new(NULL);
+	whole = status == 200 && read_lines(http->conn, text, line, arg);
+	talloc_free(text);
+	if (whole)
+		return true;
+	disconnect(http);
+	g_set_error(err, PLAT_ERROR, PLAT_ERROR_BAD, "status %d of %s", status,
+		    path);
+	return false;
+}
+
+/*
+ * A byte at a time: whoever asks civetweb for more waits until so many are
+ * there.
+ */
+static bool read_lines(struct mg_connection *conn, base_buf_t *text,
+		       bool (*line)(void *arg, base_str_t text), void *arg)
+{
+	char byte;
+	int got;
+
+	while ((got = mg_read(conn, &byte, 1)) == 1) {
+		if (byte != '\n') {
+			base_buf_add(text, &byte, 1);
+			if (text->len > PLAT_BODY_MAX)
+				return false;
+			continue;
+		}
+		if (!line(arg, base_buf_str(text)))
+			return false;
+		base_buf_reset(text);
+	}
+	return got == 0;
+}
+
+json_t *plat_post_json(const plat_address_t *address, const char *path,
+		       const char *body, GError **err)
+{
+	plat_http_t *http = plat_http_new(NULL, address);
+	json_t *root = plat_http_call(http, path, body, err);
+
+	talloc_free(http);
+	return root;
+}
+
 json_t *plat_get_json(const plat_address_t *address, const char *path,
 		      GError **err)
 {
@@ -72,10 +147,10 @@
 }
 
 /* Send and read the whole answer. */
-static bool fetch(plat_http_t *http, const char *path, const char *body,
+static bool fetch(plat_http_t *http, const plat_http_request_t *request,
 		  base_buf_t *answer, int *status, GError **err)
 {
-	if (!exchange(http, path, body, err))
+	if (!exchange(http, request, err))
 		return false;
 	*status = mg_get_response_info(http->conn)->status_code;
 	if (read_body(http->conn, answer))
@@ -106,22 +181,24 @@
 }
 
 static bool send_request(plat_http_t *http, struct mg_connection *conn,
-			 const char *path, const char *body)
+			 const plat_http_request_t *request)
 {
+	const char *type = request->type ? request->type : "application/json";
+	const char *body = request->body;
 	base_buf_t *text = base_buf_new(NULL);
 	bool sent;
 
 	base_buf_addf(text,
 		      "%s %s HTTP/1.1\r\nHost: %s:%d\r\n"
 		      "Accept: application/json\r\n",
-		      body ? "POST" : "GET", path, http->host, http->port);
+		      request->method, request->path, http->host, http->port);
 	if (http->key)
 		base_buf_addf(text, "Authorization: Bearer %s\r\n", http->key);
 	if (body)
 		base_buf_addf(text,
-			      "Content-Type: application/json\r\n"
+			      "Content-Type: %s\r\n"
 			      "Content-Length: %zu\r\n",
-			      strlen(body));
+			      type, strlen(body));
 	base_buf_adds(text, "\r\n");
 	if (body)
 		base_buf_adds(text, body);
@@ -135,21 +212,22 @@
  * other side has closed meanwhile is replaced once for reads only: a write
  * may have taken effect.
  */
-static bool exchange(plat_http_t *http, const char *path, const char *body,
+static bool exchange(plat_http_t *http, const plat_http_request_t *request,
 		     GError **err)
 {
 	char text[ERROR_TEXT_MAX];
 	bool kept = http->conn != NULL;
+	bool reads = !strcmp(request->method, "GET");
 
 	if (!kept && !connect_to(http, &http->conn, err))
 		return false;
-	if (send_request(http, http->conn, path, body) &&
+	if (send_request(http, http->conn, request) &&
 	    mg_get_response(http->conn, text, sizeof(text), PLAT_TIMEOUT_MS) >=
 		    0)
 		return true;
 	disconnect(http);
-	if (kept && !body)
-		return exchange(http, path, body, err);
+	if (kept && reads)
+		return exchange(http, request, err);
 	g_set_error(err, PLAT_ERROR, PLAT_ERROR_UNKNOWN, "no answer from %s:%d",
 		    http->host, http->port);
 	return false;
--- a/packages/plat/plat_int.h
+++ b/packages/plat/plat_int.h
@@ -35,4 +35,27 @@
 bool plat_http_get(plat_http_t *http, const char *path, base_buf_t *body,
 		   GError **err);
 
+/* One request; "type" is that of the body, NULL for JSON. */
+typedef struct plat_http_request {
+	const char *method;
+	const char *path;
+	const char *type;
+	const char *body; /* NULL: none */
+} plat_http_request_t;
+
+/*
+ * Send a request whose status the caller judges.  Returns the status, or 0
+ * with PLAT_ERROR_DOWN or _UNKNOWN.
+ */
+int plat_http_send(plat_http_t *http, const plat_http_request_t *request,
+		   GError **err);
+
+/*
+ * A GET whose answer grows: each line is handed on as soon as it is there.
+ * Stops when "line" returns false.
+ */
+bool plat_http_lines(plat_http_t *http, const char *path,
+		     bool (*line)(void *arg, base_str_t text), void *arg,
+		     GError **err);
+
 #endif
--- /dev/null
+++ b/packages/site/site_joblog.h
@@ -0,0 +1,65 @@
+/*
+ * site_joblog - the records of jobs in the store.
+ *
+ * One log record a step holds what changed, written by one compare-and-swap
+ * that the duty's key fences; a step that changes more than fits one value
+ * takes several, of which all but the last say that more follow.  The log is
+ * a ring of keys.  Snapshots, in parts, let its beginning be written over.
+ *
+ * Not thread-safe.
+ */
+#ifndef SITE_JOBLOG_H
+#define SITE_JOBLOG_H
+
+#include "jobs.h"
+#include "plat.h"
+
+#define SITE_JOBS_PREFIX "/cactusfield/jobs/"
+#define SITE_JOBS_HEAD SITE_JOBS_PREFIX "head"
+#define SITE_JOBLOG_SLOTS 1024		   /* keys of the ring */
+#define SITE_JOBLOG_VALUE_MAX (512 * 1024) /* bytes of one record or part */
+/* A snapshot is made once the log since the last one holds so much ... */
+#define SITE_JOBLOG_BYTES (1024 * 1024) /* or as much as the snapshot */
+#define SITE_JOBLOG_RECORDS 512		/* ... or so many records */
+
+typedef struct site_joblog site_joblog_t;
+
+typedef struct site_joblog_stats {
+	uint64_t commits; /* that wrote something */
+	uint64_t writes;  /* values of the log */
+	uint64_t bytes;	  /* of them */
+	uint64_t snapshots;
+	uint64_t snapshot_bytes;
+	size_t jobs; /* known */
+} site_joblog_stats_t;
+
+/* A log below "ctx" whose writes are fenced by "duty". */
+site_joblog_t *site_joblog_new(const void *ctx, plat_store_t *store,
+			       const plat_duty_t *duty);
+
+/* Read all that was committed; to be called once, with the duty held. */
+bool site_joblog_read(site_joblog_t *log, GError **err);
+
+/* Visit each job's record as text, in no order. */
+void site_joblog_each(const site_joblog_t *log,
+		      void (*visit)(void *arg, base_str_t record), void *arg);
+
+/*
+ * Write the records that differ from what stands there, all or none.  After
+ * JOBS_COMMIT_AGAIN the next call first finishes what was begun.
+ */
+jobs_commit_t site_joblog_commit(site_joblog_t *log,
+				 const jobs_record_t *records, size_t n);
+
+/* Leave a job out from the next commit on. */
+void site_joblog_forget(site_joblog_t *log, base_str_t id);
+
+/*
+ * Write a part of a snapshot if one is due: at most two values.  False once
+ * another holder was seen.
+ */
+bool site_joblog_snapshot(site_joblog_t *log);
+
+site_joblog_stats_t site_joblog_stats(const site_joblog_t *log);
+
+#endif
--- /dev/null
+++ b/packages/site/tests/joblog_test.c
@@ -0,0 +1,332 @@
+#include <string.h>
+
+#include "site_joblog.h"
+
+/* A store in memory that can lose requests and answers. */
+typedef struct fake {
+	plat_store_t store;
+	GHashTable *kvs; /* key to plat_kv_t, of a talloc tree */
+	void *ctx;
+	int64_t revision;
+	int lose_answers, lose_requests;
+	int writes;
+	size_t largest; /* value written */
+} fake_t;
+
+static plat_kv_t *find(const fake_t *fake, const char *key)
+{
+	return g_hash_table_lookup(fake->kvs, key);
+}
+
+static bool fake_range(plat_store_t *store, const void *ctx, const char *key,
+		       bool prefix, plat_kvs_t *out, GError **err)
+{
+	fake_t *fake = (fake_t *)store;
+	GHashTableIter iter;
+	void *value;
+
+	(void)err;
+	out->count = 0;
+	out->items = talloc_zero_array(ctx, plat_kv_t,
+				       g_hash_table_size(fake->kvs) + 1);
+	g_hash_table_iter_init(&iter, fake->kvs);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		const plat_kv_t *kv = value;
+
+		if (prefix ? !strncmp(kv->key.ptr, key, strlen(key))
+			   : !strcmp(kv->key.ptr, key))
+			out->items[out->count++] = *kv;
+	}
+	return true;
+}
+
+static plat_cas_t fake_cas(plat_store_t *store, const plat_put_t *put,
+			   int64_t *revision, GError **err)
+{
+	fake_t *fake = (fake_t *)store;
+	plat_kv_t *kv = find(fake, put->key), *fence = NULL;
+
+	if (fake->lose_requests && fake->lose_requests--) {
+		g_set_error(err, PLAT_ERROR, PLAT_ERROR_UNKNOWN, "lost");
+		return PLAT_CAS_FAILED;
+	}
+	if (put->fence_key)
+		fence = find(fake, put->fence_key);
+	if (put->expected != (kv ? kv->mod_revision : 0) ||
+	    (put->fence_key &&
+	     (!fence || fence->create_revision != put->fence_revision)))
+		return PLAT_CAS_CONFLICT;
+	*revision = ++fake->revision;
+	if (!kv) {
+		kv = talloc_zero(fake->ctx, plat_kv_t);
+		kv->key = base_str(talloc_strdup(kv, put->key));
+		kv->create_revision = fake->revision;
+		g_hash_table_insert(fake->kvs, (char *)kv->key.ptr, kv);
+	}
+	kv->value = base_str(base_str_dup(kv, put->value));
+	kv->mod_revision = fake->revision;
+	fake->writes++;
+	fake->largest = MAX(fake->largest, put->value.len);
+	if (fake->lose_answers && fake->lose_answers--) {
+		g_set_error(err, PLAT_ERROR, PLAT_ERROR_UNKNOWN, "lost");
+		return PLAT_CAS_FAILED;
+	}
+	return PLAT_CAS_DONE;
+}
+
+static int64_t fake_grant(plat_store_t *store, int64_t ttl_s, GError **err)
+{
+	(void)store;
+	(void)ttl_s;
+	(void)err;
+	return 1;
+}
+
+static bool fake_lease(plat_store_t *store, int64_t lease, GError **err)
+{
+	(void)lease;
+	(void)err;
+	g_hash_table_remove(((fake_t *)store)->kvs, "/cactusfield/duty/jobs");
+	return true;
+}
+
+static const plat_store_ops_t fake_ops = {
+	.range = fake_range,
+	.keys = fake_range,
+	.cas = fake_cas,
+	.lease_grant = fake_grant,
+	.lease_keep = fake_lease,
+	.lease_revoke = fake_lease,
+};
+
+typedef struct world {
+	fake_t fake;
+	void *ctx;
+	plat_duty_t *duty;
+	site_joblog_t *log;
+} world_t;
+
+/* Another holder takes over from the present one. */
+static void take_over(world_t *w)
+{
+	plat_duty_options_t options = { .store = &w->fake.store,
+					.name = "jobs",
+					.holder = "x",
+					.ttl_s = 3 };
+	GError *err = NULL;
+
+	g_hash_table_remove(w->fake.kvs, "/cactusfield/duty/jobs");
+	w->duty = plat_duty_new(w->ctx, &options);
+	g_assert_true(plat_duty_tick(w->duty, 0));
+	w->log = site_joblog_new(w->ctx, &w->fake.store, w->duty);
+	site_joblog_read(w->log, &err);
+	g_assert_no_error(err);
+}
+
+static world_t *world_new(void)
+{
+	world_t *w = talloc_zero(NULL, world_t);
+
+	w->ctx = w;
+	w->fake.store.ops = &fake_ops;
+	w->fake.ctx = w;
+	w->fake.kvs = g_hash_table_new(g_str_hash, g_str_equal);
+	take_over(w);
+	return w;
+}
+
+static void world_free(world_t *w)
+{
+	GHashTable *kvs = w->fake.kvs;
+
+	talloc_free(w);
+	g_hash_table_destroy(kvs);
+}
+
+/* Commit "n" jobs named from "from" on in that state. */
+static jobs_commit_t put(world_t *w, int from, int n, jobs_state_t state)
+{
+	jobs_record_t *records = talloc_zero_array(w, jobs_record_t, n);
+	jobs_commit_t done;
+
+	for (int i = 0; i < n; i++)
+		records[i] = (jobs_record_t){
+			.spec = { .id = base_str(talloc_asprintf(
+					  records, "job-%d", from + i)),
+				  .team = BASE_STR("team"),
+				  .family = BASE_STR("family") },
+			.state = state,
+		};
+	done = site_joblog_commit(w->log, records, (size_t)n);
+	talloc_free(records);
+	return done;
+}
+
+typedef struct tally {
+	int states[JOBS_STATE_MAX];
+	int all;
+} tally_t;
+
+static void count(void *arg, base_str_t text)
+{
+	tally_t *tally = arg;
+	void *ctx = talloc_new(NULL);
+	jobs_record_t record;
+
+	g_assert_true(jobs_record_load(ctx, text, &record, NULL));
+	tally->states[record.state]++;
+	tally->all++;
+	talloc_free(ctx);
+}
+
+static tally_t tally_of(world_t *w)
+{
+	tally_t tally = { 0 };
+
+	site_joblog_each(w->log, count, &tally);
+	return tally;
+}
+
+static void test_taken_over(void)
+{
+	world_t *w = world_new();
+
+	g_assert_cmpint(put(w, 0, 10, JOBS_QUEUED), ==, JOBS_COMMIT_DONE);
+	g_assert_cmpint(put(w, 5, 5, JOBS_DONE), ==, JOBS_COMMIT_DONE);
+	site_joblog_forget(w->log, BASE_STR("job-9"));
+	g_assert_cmpint(put(w, 0, 0, JOBS_DONE), ==, JOBS_COMMIT_DONE);
+	take_over(w);
+	g_assert_cmpint(tally_of(w).all, ==, 9);
+	g_assert_cmpint(tally_of(w).states[JOBS_DONE], ==, 4);
+	world_free(w);
+}
+
+static void test_nothing_new_is_not_written(void)
+{
+	world_t *w = world_new();
+	int writes;
+
+	put(w, 0, 10, JOBS_QUEUED);
+	writes = w->fake.writes;
+	put(w, 0, 10, JOBS_QUEUED);
+	g_assert_cmpint(w->fake.writes, ==, writes);
+	put(w, 0, 11, JOBS_QUEUED);
+	g_assert_cmpint(w->fake.writes, ==, writes + 1);
+	world_free(w);
+}
+
+static void test_lost_answers(void)
+{
+	world_t *w = world_new();
+
+	w->fake.lose_answers = 1;
+	g_assert_cmpint(put(w, 0, 3, JOBS_QUEUED), ==, JOBS_COMMIT_DONE);
+	w->fake.lose_requests = 1;
+	g_assert_cmpint(put(w, 3, 3, JOBS_QUEUED), ==, JOBS_COMMIT_AGAIN);
+	/* What was begun is finished first, whatever comes with it. */
+	g_assert_cmpint(put(w, 2, 5, JOBS_DONE), ==, JOBS_COMMIT_DONE);
+	take_over(w);
+	g_assert_cmpint(tally_of(w).all, ==, 7);
+	g_assert_cmpint(tally_of(w).states[JOBS_DONE], ==, 5);
+	world_free(w);
+}
+
+static void test_late_holder_is_fenced(void)
+{
+	world_t *w = world_new();
+	site_joblog_t *late = w->log, *present;
+
+	put(w, 0, 1, JOBS_QUEUED);
+	take_over(w);
+	present = w->log;
+	w->log = late;
+	g_assert_cmpint(put(w, 1, 1, JOBS_QUEUED), ==, JOBS_COMMIT_LOST);
+	g_assert_false(site_joblog_snapshot(late));
+	w->log = present;
+	g_assert_cmpint(put(w, 2, 1, JOBS_QUEUED), ==, JOBS_COMMIT_DONE);
+	take_over(w);
+	g_assert_cmpint(tally_of(w).all, ==, 2);
+	world_free(w);
+}
+
+/* A commit of several values that its holder did not bring to the end. */
+static void test_half_a_commit_is_none(void)
+{
+	world_t *w = world_new();
+	int writes;
+
+	put(w, 0, 1, JOBS_QUEUED);
+	site_joblog_forget(w->log, BASE_STR("job-0"));
+	writes = w->fake.writes;
+	g_assert_cmpint(put(w, 1, 9000, JOBS_QUEUED), ==, JOBS_COMMIT_DONE);
+	g_assert_cmpint(w->fake.writes, ==, writes + 5);
+	g_assert_cmpuint(w->fake.largest, <=, SITE_JOBLOG_VALUE_MAX);
+	/* Take the last value of the commit away again. */
+	g_hash_table_remove(w->fake.kvs, "/cactusfield/jobs/log/0006");
+	take_over(w);
+	g_assert_cmpint(tally_of(w).all, ==, 1);
+	/* What is left of it is not taken for the end of another. */
+	put(w, 20000, 1, JOBS_QUEUED);
+	take_over(w);
+	g_assert_cmpint(tally_of(w).all, ==, 2);
+	world_free(w);
+}
+
+static void test_snapshots(void)
+{
+	world_t *w = world_new();
+	int rounds = SITE_JOBLOG_SLOTS * 3;
+
+	for (int i = 0; i < rounds; i++) {
+		g_assert_cmpint(put(w, i % 50, 1 + i % 7,
+				    i % 2 ? JOBS_QUEUED : JOBS_HELD),
+				==, JOBS_COMMIT_DONE);
+		if (i % 11 == 0)
+			w->fake.lose_answers = 1;
+		if (i % 13 == 0)
+			w->fake.lose_requests = 1;
+		g_assert_true(site_joblog_snapshot(w->log));
+		w->fake.lose_requests = 0;
+	}
+	g_assert_cmpuint(site_joblog_stats(w->log).snapshots, >=, 5);
+	for (int i = 0; i < 2; i++) {
+		tally_t before = tally_of(w), after;
+
+		take_over(w);
+		after = tally_of(w);
+		g_assert_cmpint(before.all, ==, 56);
+		g_assert_cmpmem(&before, sizeof(before), &after, sizeof(after));
+	}
+	world_free(w);
+}
+
+/* While no snapshot can be written the log fills up and waits. */
+static void test_full_ring_waits(void)
+{
+	world_t *w = world_new();
+	jobs_commit_t done = JOBS_COMMIT_DONE;
+	int i;
+
+	for (i = 0; done == JOBS_COMMIT_DONE; i++)
+		done = put(w, 0, 1, i % 2 ? JOBS_QUEUED : JOBS_HELD);
+	g_assert_cmpint(done, ==, JOBS_COMMIT_AGAIN);
+	g_assert_cmpint(i, ==, SITE_JOBLOG_SLOTS);
+	g_assert_true(site_joblog_snapshot(w->log));
+	g_assert_cmpint(put(w, 0, 1, JOBS_DONE), ==, JOBS_COMMIT_DONE);
+	take_over(w);
+	g_assert_cmpint(tally_of(w).states[JOBS_DONE], ==, 1);
+	world_free(w);
+}
+
+int main(int argc, char **argv)
+{
+	g_test_init(&argc, &argv, NULL);
+	g_test_add_func("/joblog/taken-over", test_taken_over);
+	g_test_add_func("/joblog/nothing-new", test_nothing_new_is_not_written);
+	g_test_add_func("/joblog/lost-answers", test_lost_answers);
+	g_test_add_func("/joblog/late-holder", test_late_holder_is_fenced);
+	g_test_add_func("/joblog/half-a-commit", test_half_a_commit_is_none);
+	g_test_add_func("/joblog/snapshots", test_snapshots);
+	g_test_add_func("/joblog/full-ring", test_full_ring_waits);
+	return g_test_run();
+}
--- a/packages/tool/tool_explain.c
+++ b/packages/tool/tool_explain.c
@@ -1,20 +1,27 @@
 #include "tool_fleet.h"
 
 /*
- * explain: why an instance or a pool is as it is, in a sentence.
+ * explain: why an instance, a pool or a job is as it is, in a sentence.  What
+ * concerns jobs the holder of their duty is asked.
  */
 
+static int explain_job(const void *ctx, const struct arg_str *entries,
+		       const char *id, FILE *out, FILE *err);
+
 int tool_explain(int argc, char **argv, FILE *out, FILE *err)
 {
 	struct arg_lit *help = arg_lit0("h", "help", "say this and end");
 	struct arg_str *store =
-		arg_str1(NULL, "store", "ADDRESS:PORT", "platform's store");
-	struct arg_str *list = arg_str1(NULL, "list", "ADDRESS:PORT",
+		arg_str0(NULL, "store", "ADDRESS:PORT", "platform's store");
+	struct arg_str *list = arg_str0(NULL, "list", "ADDRESS:PORT",
 					"platform's instance list");
 	struct arg_str *name =
-		arg_str1(NULL, NULL, "INSTANCE|POOL", "what to explain");
+		arg_str1(NULL, NULL, "INSTANCE|POOL|JOB", "what to explain");
+	struct arg_str *entries =
+		arg_strn(NULL, "entry", "ADDRESS:PORT", 0, 64,
+			 "operators' port of an entry, for a job");
 	struct arg_end *end = arg_end(8);
-	void *table[] = { help, store, list, name, end };
+	void *table[] = { help, store, list, entries, name, end };
 	void *ctx = talloc_new(NULL);
 	tool_fleet_t tool = { .ctx = ctx, .out = out, .err = err };
 	int status = TOOL_OK;
@@ -22,7 +29,16 @@
 
 	if (!tool_parse(argc, argv, table, end, out, err, &status))
 		goto out;
+	if (entries->count) {
+		status = explain_job(ctx, entries, name->sval[0], out, err);
+		goto out;
+	}
 	status = TOOL_USAGE;
+	if (!store->count || !list->count) {
+		fprintf(err, "explain: --store and --list, or for a job "
+			     "--entry, is needed\n");
+		goto out;
+	}
 	if (!tool_fleet_open(&tool, store->sval[0], list->sval[0]))
 		goto out;
 	status = TOOL_UNREACHABLE;
@@ -42,3 +58,17 @@
 	talloc_free(ctx);
 	return status;
 }
+
+static int explain_job(const void *ctx, const struct arg_str *entries,
+		       const char *id, FILE *out, FILE *err)
+{
+	char *path = tool_jobs_path(ctx, "/jobs/explain", id);
+	json_t *answer = tool_jobs_ask(ctx, entries, path, NULL, err);
+	int status = tool_jobs_status(answer, err);
+
+	if (status == TOOL_OK)
+		fprintf(out, "%s\n",
+			json_string_value(json_object_get(answer, "said")));
+	json_decref(answer);
+	return status;
+}
--- a/packages/tool/tool_int.h
+++ b/packages/tool/tool_int.h
@@ -48,5 +48,22 @@
 int tool_explain(int argc, char **argv, FILE *out, FILE *err);
 int tool_drain(int argc, char **argv, FILE *out, FILE *err);
 int tool_wave(int argc, char **argv, FILE *out, FILE *err);
+int tool_jobs_submit(int argc, char **argv, FILE *out, FILE *err);
+int tool_jobs_list(int argc, char **argv, FILE *out, FILE *err);
+int tool_jobs_cancel(int argc, char **argv, FILE *out, FILE *err);
+int tool_jobs_release(int argc, char **argv, FILE *out, FILE *err);
+
+/*
+ * The answer of the duty's holder, asked for through the first entry that
+ * answers; "body" NULL for a GET.  NULL with the reason told.
+ */
+json_t *tool_jobs_ask(const void *ctx, const struct arg_str *entries,
+		      const char *path, const char *body, FILE *err);
+
+/* The exit status that an answer means; a refusal is told. */
+int tool_jobs_status(const json_t *answer, FILE *err);
+
+/* "path" about the job "id". */
+char *tool_jobs_path(const void *ctx, const char *path, const char *id);
 
 #endif
--- a/packages/tool/tool_verbs.c
+++ b/packages/tool/tool_verbs.c
@@ -17,11 +17,15 @@
 	  tool_status },
 	{ NULL, "plan", "what would happen now, and why the rest waits",
 	  tool_plan },
-	{ NULL, "explain", "why an instance or a pool is as it is",
+	{ NULL, "explain", "why an instance, a pool or a job is as it is",
 	  tool_explain },
 	{ NULL, "drain", "take one instance out, or reboot it", tool_drain },
 	{ NULL, "wave", "start, pause, resume or abort maintenance",
 	  tool_wave },
+	{ "jobs", "submit", "hand in a file of jobs", tool_jobs_submit },
+	{ "jobs", "list", "jobs and their states", tool_jobs_list },
+	{ "jobs", "cancel", "take a job back", tool_jobs_cancel },
+	{ "jobs", "release", "queue a held job again", tool_jobs_release },
 };
 
 static const tool_verb_t *find(int argc, char **argv, int *words);
--- /dev/null
+++ b/regress/jobs/explain-nowhere.sh
@@ -0,0 +1,1 @@
+cf explain gate-desk
