Read only what changed in the store

The holder of the fleet duty and every entry read the fleet's records and the entries' own whole, once or twice a second: at a region's 4,750 instances 2.0 MB/s an entry.

Weighed: keys first and then the values that differ (a key is 115 bytes in the answer, so that 48 shards are worked out at 11 KB/s, and it takes two calls of two moments), a watch (docs/design/platform.md), and etcd's min_mod_revision, which gives the changed values of one moment in one call and the number of keys there are. The last was taken. A revision counts as read only once all of its answer was taken; a record of the fleet that vanished is an error until it is back.

The stand-in knows min_mod_revision and counts bytes.

--- a/packages/entry/entry_duty.c
+++ b/packages/entry/entry_duty.c
@@ -68,8 +68,8 @@
 	site_entries_t entries;
 	plat_instances_t instances;
 
-	if (!site_read_records(fleet->core, fleet->store, err) ||
-	    !site_read_entries(fleet->store, ctx, &entries, err) ||
+	if (!site_read_records(fleet->reader, err) ||
+	    !site_read_entries(fleet->reader, &entries, err) ||
 	    !list->ops->read(list, ctx, NULL, &instances, err))
 		return false;
 	site_observe(fleet->core, &instances, base_clock_wall());
--- a/packages/entry/entry_fleet.c
+++ b/packages/entry/entry_fleet.c
@@ -77,8 +77,7 @@
 	/* Nothing is routed before this entry can be asked to confirm. */
 	if (!fleet->written)
 		confirm(fleet, ctx, false);
-	if (fleet->written &&
-	    site_read_pools(fleet->core, fleet->store, NULL)) {
+	if (fleet->written && site_read_pools(fleet->reader, NULL)) {
 		apply(fleet);
 		confirm(fleet, ctx, false);
 	}
@@ -92,11 +91,14 @@
 	entry_view_t *view = entry_view_hold(fleet->daemon->views);
 	bool has = view->record != NULL;
 
+	if (has && !fleet->core) {
+		fleet->core = site_fleet(fleet, view->record->config);
+		fleet->reader =
+			site_reader_new(fleet, fleet->core, fleet->store);
+		fleet->generation = view->record->generation;
+	}
 	if (has && view->record->generation != fleet->generation) {
-		if (fleet->core)
-			site_configure(fleet->core, view->record->config);
-		else
-			fleet->core = site_fleet(fleet, view->record->config);
+		site_configure(fleet->core, view->record->config);
 		fleet->generation = view->record->generation;
 	}
 	entry_view_release(view);
--- a/packages/entry/entry_fleet.h
+++ b/packages/entry/entry_fleet.h
@@ -31,9 +31,10 @@
 	int64_t stepped_at;
 	bool blind; /* the last step could not be decided */
 	fleet_t *core;
-	int64_t generation; /* of the configuration that it follows */
-	uint64_t applied;   /* version of the records that are routed by */
-	char *key;	    /* of this entry's record */
+	site_reader_t *reader; /* of the store's records into core */
+	int64_t generation;    /* of the configuration that it follows */
+	uint64_t applied;      /* version of the records that are routed by */
+	char *key;	       /* of this entry's record */
 	int64_t rev;
 	uint64_t inc;
 	entry_demand_t *demand;
--- a/packages/plat/plat.h
+++ b/packages/plat/plat.h
@@ -42,6 +42,7 @@
 typedef struct plat_kvs {
 	plat_kv_t *items;
 	size_t count;
+	size_t total;	  /* keys there are, those that were left out too */
 	int64_t revision; /* of the whole store when it was read */
 } plat_kvs_t;
 
@@ -76,6 +77,13 @@
 	/* The same without the values, for whoever only asks what changed. */
 	bool (*keys)(plat_store_t *store, const void *ctx, const char *key,
 		     bool prefix, plat_kvs_t *out, GError **err);
+	/*
+	 * Of the same keys those whose mod_revision is above "since": what
+	 * changed after a read whose revision was that.
+	 */
+	bool (*changes)(plat_store_t *store, const void *ctx, const char *key,
+			bool prefix, int64_t since, plat_kvs_t *out,
+			GError **err);
 	/* Write; "*revision" becomes the new mod_revision. */
 	plat_cas_t (*cas)(plat_store_t *store, const plat_put_t *put,
 			  int64_t *revision, GError **err);
--- a/packages/plat/plat_etcd.c
+++ b/packages/plat/plat_etcd.c
@@ -15,6 +15,9 @@
 		       bool prefix, plat_kvs_t *out, GError **err);
 static bool etcd_keys(plat_store_t *store, const void *ctx, const char *key,
 		      bool prefix, plat_kvs_t *out, GError **err);
+static bool etcd_changes(plat_store_t *store, const void *ctx, const char *key,
+			 bool prefix, int64_t since, plat_kvs_t *out,
+			 GError **err);
 static bool read_range(plat_store_t *store, const void *ctx, json_t *request,
 		       plat_kvs_t *out, GError **err);
 static json_t *range_of(const char *key, bool prefix);
@@ -38,6 +41,7 @@
 static const plat_store_ops_t etcd_ops = {
 	.range = etcd_range,
 	.keys = etcd_keys,
+	.changes = etcd_changes,
 	.cas = etcd_cas,
 	.lease_grant = etcd_lease_grant,
 	.lease_keep = etcd_lease_keep,
@@ -76,6 +80,17 @@
 	return read_range(store, ctx, request, out, err);
 }
 
+/* A store that knows no such bound answers with all, which is right too. */
+static bool etcd_changes(plat_store_t *store, const void *ctx, const char *key,
+			 bool prefix, int64_t since, plat_kvs_t *out,
+			 GError **err)
+{
+	json_t *request = range_of(key, prefix);
+
+	json_object_set_new(request, "min_mod_revision", number(since + 1));
+	return read_range(store, ctx, request, out, err);
+}
+
 static json_t *range_of(const char *key, bool prefix)
 {
 	json_t *request = json_object();
@@ -99,6 +114,7 @@
 	kvs = json_object_get(answer, "kvs");
 	out->count = json_array_size(kvs);
 	out->items = talloc_zero_array(ctx, plat_kv_t, out->count);
+	out->total = (size_t)number_of(answer, "count");
 	out->revision =
 		number_of(json_object_get(answer, "header"), "revision");
 	json_array_foreach(kvs, i, item)
--- a/packages/plat/plat_guard.c
+++ b/packages/plat/plat_guard.c
@@ -21,6 +21,9 @@
 			bool prefix, plat_kvs_t *out, GError **err);
 static bool guard_keys(plat_store_t *store, const void *ctx, const char *key,
 		       bool prefix, plat_kvs_t *out, GError **err);
+static bool guard_changes(plat_store_t *store, const void *ctx, const char *key,
+			  bool prefix, int64_t since, plat_kvs_t *out,
+			  GError **err);
 static plat_cas_t guard_cas(plat_store_t *store, const plat_put_t *put,
 			    int64_t *revision, GError **err);
 static int64_t guard_grant(plat_store_t *store, int64_t ttl_s, GError **err);
@@ -34,6 +37,7 @@
 static const plat_store_ops_t guard_ops = {
 	.range = guard_range,
 	.keys = guard_keys,
+	.changes = guard_changes,
 	.cas = guard_cas,
 	.lease_grant = guard_grant,
 	.lease_keep = guard_keep,
@@ -121,6 +125,22 @@
 	return done;
 }
 
+static bool guard_changes(plat_store_t *store, const void *ctx, const char *key,
+			  bool prefix, int64_t since, plat_kvs_t *out,
+			  GError **err)
+{
+	guarded_t *g = (guarded_t *)store;
+	GError *cause = NULL;
+	bool done;
+
+	if (!enter(g, err))
+		return false;
+	done = g->inner->ops->changes(g->inner, ctx, key, prefix, since, out,
+				      &cause);
+	leave(g, cause, err);
+	return done;
+}
+
 static plat_cas_t guard_cas(plat_store_t *store, const plat_put_t *put,
 			    int64_t *revision, GError **err)
 {
--- a/packages/site/site.h
+++ b/packages/site/site.h
@@ -24,11 +24,24 @@
 /* Follow another configuration; what was learned stays. */
 void site_configure(fleet_t *fleet, const conf_t *conf);
 
+/*
+ * site_reader - follows the records in the store.
+ *
+ * The first read of a kind takes all, later ones only what changed since.
+ * A record that was there and is not any more is an error for as long as it
+ * is gone: nothing is decided on a part.  For one thread.
+ */
+typedef struct site_reader site_reader_t;
+
+/* A reader below "ctx" that fills "fleet". */
+site_reader_t *site_reader_new(const void *ctx, fleet_t *fleet,
+			       plat_store_t *store);
+
 /* Load every record of the fleet; all or an error. */
-bool site_read_records(fleet_t *fleet, plat_store_t *store, GError **err);
+bool site_read_records(site_reader_t *reader, GError **err);
 
 /* Load only who owns what. */
-bool site_read_pools(fleet_t *fleet, plat_store_t *store, GError **err);
+bool site_read_pools(site_reader_t *reader, GError **err);
 
 /* Take a list that was read at "now". */
 void site_observe(fleet_t *fleet, const plat_instances_t *list, int64_t now);
@@ -62,8 +75,9 @@
 	size_t n;
 } site_entries_t;
 
-bool site_read_entries(plat_store_t *store, const void *ctx,
-		       site_entries_t *out, GError **err);
+/* Those there are now; "out" stands until the next read. */
+bool site_read_entries(site_reader_t *reader, site_entries_t *out,
+		       GError **err);
 
 /* Add up the entries' demand and hand it to the fleet. */
 void site_take_demand(fleet_t *fleet, const site_entries_t *entries,
--- a/packages/site/site_entry.c
+++ b/packages/site/site_entry.c
@@ -65,31 +65,6 @@
 	return true;
 }
 
-/* One that does not decode is an error: it may still route. */
-bool site_read_entries(plat_store_t *store, const void *ctx,
-		       site_entries_t *out, GError **err)
-{
-	size_t skip = strlen(SITE_ENTRIES_PREFIX);
-	plat_kvs_t kvs;
-
-	if (!store->ops->range(store, ctx, SITE_ENTRIES_PREFIX, true, &kvs,
-			       err))
-		return false;
-	out->n = kvs.count;
-	out->items = talloc_zero_array(ctx, site_entry_t, kvs.count);
-	for (size_t i = 0; i < kvs.count; i++) {
-		char *key = base_str_dup(ctx, kvs.items[i].key);
-
-		if (site_entry_load(ctx, key + skip, kvs.items[i].value,
-				    &out->items[i]))
-			continue;
-		g_set_error(err, FLEET_ERROR, FLEET_ERROR_RECORD,
-			    "%s does not decode", key);
-		return false;
-	}
-	return true;
-}
-
 void site_take_confirmed(fleet_t *fleet, const site_entry_t *entry)
 {
 	for (size_t i = 0; i < entry->n; i++)
--- a/packages/site/site_fleet.c
+++ b/packages/site/site_fleet.c
@@ -5,20 +5,8 @@
 
 #define DAY (24 * 3600 * BASE_SEC)
 
-static bool read_prefix(fleet_t *fleet, plat_store_t *store, const char *key,
-			bool prefix, GError **err);
 static fleet_weights_t weights_of(const conf_t *conf);
 
-static const struct {
-	const char *key;
-	bool prefix;
-} records[] = {
-	{ FLEET_POOLS_PREFIX, true },
-	{ FLEET_BUDGET_PREFIX, true },
-	{ FLEET_WAVE_KEY, false },
-	{ FLEET_ORDERS_KEY, false },
-};
-
 fleet_t *site_fleet(const void *ctx, const conf_t *conf)
 {
 	fleet_opts_t opts = { 0 };
@@ -54,20 +42,6 @@
 	talloc_free(pools);
 }
 
-bool site_read_records(fleet_t *fleet, plat_store_t *store, GError **err)
-{
-	for (size_t i = 0; i < ARRAY_SIZE(records); i++)
-		if (!read_prefix(fleet, store, records[i].key,
-				 records[i].prefix, err))
-			return false;
-	return true;
-}
-
-bool site_read_pools(fleet_t *fleet, plat_store_t *store, GError **err)
-{
-	return read_prefix(fleet, store, FLEET_POOLS_PREFIX, true, err);
-}
-
 void site_observe(fleet_t *fleet, const plat_instances_t *list, int64_t now)
 {
 	GHashTable *seen = g_hash_table_new(g_str_hash, g_str_equal);
@@ -120,24 +94,6 @@
 	return strtoull(text, NULL, 10);
 }
 
-static bool read_prefix(fleet_t *fleet, plat_store_t *store, const char *key,
-			bool prefix, GError **err)
-{
-	void *ctx = talloc_new(NULL);
-	plat_kvs_t kvs;
-	bool good = store->ops->range(store, ctx, key, prefix, &kvs, err);
-
-	for (size_t i = 0; good && i < kvs.count; i++) {
-		const plat_kv_t *kv = &kvs.items[i];
-		char *name = base_str_dup(ctx, kv->key);
-
-		good = fleet_load(fleet, name, kv->value, kv->mod_revision,
-				  err);
-	}
-	talloc_free(ctx);
-	return good;
-}
-
 /* The answers' weights are relative. */
 static fleet_weights_t weights_of(const conf_t *conf)
 {
--- /dev/null
+++ b/packages/site/site_reader.c
@@ -0,0 +1,224 @@
+#include <string.h>
+
+#include "site.h"
+
+/*
+ * What changed is asked for by revision: one call a kind, which carries
+ * nothing when nothing changed.  The number of keys there are is in the same
+ * answer, so that a key which vanished is noticed without a list of keys.
+ */
+
+typedef enum kind {
+	KIND_POOLS,
+	KIND_BUDGET,
+	KIND_WAVE,
+	KIND_ORDERS,
+	KIND_ENTRIES,
+	KIND_MAX
+} kind_t;
+
+/* What was taken of one kind. */
+typedef struct taken {
+	int64_t since;	  /* revision of the store; 0: all is to be read */
+	GHashTable *keys; /* that were there */
+} taken_t;
+
+struct site_reader {
+	fleet_t *fleet;
+	plat_store_t *store;
+	taken_t taken[KIND_MAX];
+	GHashTable *entries; /* name -> site_entry_t, a talloc tree each */
+	site_entry_t *items; /* the same in a row */
+};
+
+static int free_reader(site_reader_t *reader);
+static bool read_kind(site_reader_t *reader, kind_t kind, GError **err);
+static bool read_once(site_reader_t *reader, kind_t kind, bool *vanished,
+		      GError **err);
+static bool ask(site_reader_t *reader, kind_t kind, const void *ctx,
+		plat_kvs_t *kvs, GError **err);
+static bool all_there(const taken_t *taken, const plat_kvs_t *kvs,
+		      GError **err);
+static bool take_record(site_reader_t *reader, const char *key,
+			const plat_kv_t *kv, GError **err);
+static bool take_entry(site_reader_t *reader, const char *key,
+		       const plat_kv_t *kv, GError **err);
+static void free_entry(void *entry);
+
+static const struct {
+	const char *key;
+	bool prefix;
+	bool may_vanish;
+	bool (*take)(site_reader_t *reader, const char *key,
+		     const plat_kv_t *kv, GError **err);
+} kinds[KIND_MAX] = {
+	[KIND_POOLS] = { FLEET_POOLS_PREFIX, true, false, take_record },
+	[KIND_BUDGET] = { FLEET_BUDGET_PREFIX, true, false, take_record },
+	[KIND_WAVE] = { FLEET_WAVE_KEY, false, false, take_record },
+	[KIND_ORDERS] = { FLEET_ORDERS_KEY, false, false, take_record },
+	[KIND_ENTRIES] = { SITE_ENTRIES_PREFIX, true, true, take_entry },
+};
+
+site_reader_t *site_reader_new(const void *ctx, fleet_t *fleet,
+			       plat_store_t *store)
+{
+	site_reader_t *reader = talloc_zero(ctx, site_reader_t);
+
+	reader->fleet = fleet;
+	reader->store = store;
+	for (int i = 0; i < KIND_MAX; i++)
+		reader->taken[i].keys = g_hash_table_new_full(
+			g_str_hash, g_str_equal, g_free, NULL);
+	reader->entries = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
+						free_entry);
+	talloc_set_destructor(reader, free_reader);
+	return reader;
+}
+
+bool site_read_records(site_reader_t *reader, GError **err)
+{
+	return read_kind(reader, KIND_POOLS, err) &&
+	       read_kind(reader, KIND_BUDGET, err) &&
+	       read_kind(reader, KIND_WAVE, err) &&
+	       read_kind(reader, KIND_ORDERS, err);
+}
+
+bool site_read_pools(site_reader_t *reader, GError **err)
+{
+	return read_kind(reader, KIND_POOLS, err);
+}
+
+bool site_read_entries(site_reader_t *reader, site_entries_t *out, GError **err)
+{
+	GList *names;
+
+	if (!read_kind(reader, KIND_ENTRIES, err))
+		return false;
+	talloc_free(reader->items);
+	reader->items = talloc_zero_array(reader, site_entry_t,
+					  g_hash_table_size(reader->entries));
+	*out = (site_entries_t){ .items = reader->items };
+	names = g_list_sort(g_hash_table_get_keys(reader->entries),
+			    (GCompareFunc)strcmp);
+	for (GList *at = names; at; at = at->next)
+		out->items[out->n++] = *(site_entry_t *)g_hash_table_lookup(
+			reader->entries, at->data);
+	g_list_free(names);
+	return true;
+}
+
+static int free_reader(site_reader_t *reader)
+{
+	for (int i = 0; i < KIND_MAX; i++)
+		g_hash_table_destroy(reader->taken[i].keys);
+	g_hash_table_destroy(reader->entries);
+	return 0;
+}
+
+static void free_entry(void *entry)
+{
+	talloc_free(entry);
+}
+
+/* Where the number of keys does not fit, look at all of them. */
+static bool read_kind(site_reader_t *reader, kind_t kind, GError **err)
+{
+	bool vanished = false;
+
+	if (!read_once(reader, kind, &vanished, err))
+		return false;
+	if (!vanished)
+		return true;
+	reader->taken[kind].since = 0;
+	return read_once(reader, kind, &vanished, err);
+}
+
+/* What was taken counts only once all of the answer was. */
+static bool read_once(site_reader_t *reader, kind_t kind, bool *vanished,
+		      GError **err)
+{
+	taken_t *taken = &reader->taken[kind];
+	void *ctx = talloc_new(NULL);
+	bool whole = !taken->since;
+	plat_kvs_t kvs;
+	bool good = ask(reader, kind, ctx, &kvs, err);
+
+	if (good && whole && kinds[kind].may_vanish) {
+		g_hash_table_remove_all(taken->keys);
+		g_hash_table_remove_all(reader->entries);
+	}
+	if (good && whole)
+		good = all_there(taken, &kvs, err);
+	for (size_t i = 0; good && i < kvs.count; i++) {
+		char *key = base_str_dup(ctx, kvs.items[i].key);
+
+		good = kinds[kind].take(reader, key, &kvs.items[i], err);
+		if (good)
+			g_hash_table_add(taken->keys, g_strdup(key));
+	}
+	*vanished = good && !whole &&
+		    (kvs.total != g_hash_table_size(taken->keys) ||
+		     kvs.revision < taken->since);
+	taken->since = good ? kvs.revision : 0;
+	talloc_free(ctx);
+	return good;
+}
+
+static bool ask(site_reader_t *reader, kind_t kind, const void *ctx,
+		plat_kvs_t *kvs, GError **err)
+{
+	const plat_store_ops_t *ops = reader->store->ops;
+	const char *key = kinds[kind].key;
+	bool prefix = kinds[kind].prefix;
+	int64_t since = reader->taken[kind].since;
+
+	if (since)
+		return ops->changes(reader->store, ctx, key, prefix, since, kvs,
+				    err);
+	return ops->range(reader->store, ctx, key, prefix, kvs, err);
+}
+
+static bool all_there(const taken_t *taken, const plat_kvs_t *kvs, GError **err)
+{
+	GHashTable *now =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+	const char *missing = NULL;
+	GHashTableIter iter;
+	void *key;
+
+	for (size_t i = 0; i < kvs->count; i++)
+		g_hash_table_add(now, g_strndup(kvs->items[i].key.ptr,
+						kvs->items[i].key.len));
+	g_hash_table_iter_init(&iter, taken->keys);
+	while (g_hash_table_iter_next(&iter, &key, NULL))
+		if (!g_hash_table_contains(now, key))
+			missing = key;
+	if (missing)
+		g_set_error(err, FLEET_ERROR, FLEET_ERROR_RECORD,
+			    "%s was there and is gone", missing);
+	g_hash_table_destroy(now);
+	return !missing;
+}
+
+static bool take_record(site_reader_t *reader, const char *key,
+			const plat_kv_t *kv, GError **err)
+{
+	return fleet_load(reader->fleet, key, kv->value, kv->mod_revision, err);
+}
+
+/* One that does not decode is an error: it may still route. */
+static bool take_entry(site_reader_t *reader, const char *key,
+		       const plat_kv_t *kv, GError **err)
+{
+	const char *name = key + strlen(SITE_ENTRIES_PREFIX);
+	site_entry_t *entry = talloc_zero(NULL, site_entry_t);
+
+	if (!site_entry_load(entry, name, kv->value, entry)) {
+		g_set_error(err, FLEET_ERROR, FLEET_ERROR_RECORD,
+			    "%s does not decode", key);
+		talloc_free(entry);
+		return false;
+	}
+	g_hash_table_replace(reader->entries, g_strdup(name), entry);
+	return true;
+}
--- a/packages/site/tests/site_test.c
+++ b/packages/site/tests/site_test.c
@@ -79,11 +79,193 @@
 	talloc_free(fleet);
 }
 
+/* A store in memory that counts what it gave out. */
+typedef struct fake {
+	plat_store_t store;
+	plat_kv_t kv[8];
+	size_t n;
+	int64_t revision;
+	int calls;
+	size_t values;
+} fake_t;
+
+static bool fake_changes(plat_store_t *store, const void *ctx, const char *key,
+			 bool prefix, int64_t since, plat_kvs_t *out,
+			 GError **err)
+{
+	fake_t *fake = (fake_t *)store;
+
+	(void)err;
+	fake->calls++;
+	*out = (plat_kvs_t){ .revision = fake->revision };
+	out->items = talloc_zero_array(ctx, plat_kv_t, fake->n);
+	for (size_t i = 0; i < fake->n; i++) {
+		const char *name = fake->kv[i].key.ptr;
+
+		if (prefix ? !g_str_has_prefix(name, key) : !!strcmp(name, key))
+			continue;
+		out->total++;
+		if (fake->kv[i].mod_revision > since)
+			out->items[out->count++] = fake->kv[i];
+	}
+	fake->values += out->count;
+	return true;
+}
+
+static bool fake_range(plat_store_t *store, const void *ctx, const char *key,
+		       bool prefix, plat_kvs_t *out, GError **err)
+{
+	return fake_changes(store, ctx, key, prefix, 0, out, err);
+}
+
+static void fake_put(fake_t *fake, const char *key, const char *value)
+{
+	size_t i = 0;
+
+	while (i < fake->n && strcmp(fake->kv[i].key.ptr, key))
+		i++;
+	if (i == fake->n)
+		fake->n++;
+	fake->kv[i] = (plat_kv_t){ .key = base_str(key),
+				   .value = base_str(value),
+				   .mod_revision = ++fake->revision };
+}
+
+#define SHARD(seq)                                                      \
+	"{\"instances\":{\"u\":{\"inc\":1,\"seq\":" seq ",\"pool\":\"p" \
+	"\",\"state\":\"serving\",\"since\":0,\"maintained\":0}}}"
+#define ENTRY                                                             \
+	"{\"incarnation\":1,\"address\":\"x\",\"port\":1,\"gone\":false," \
+	"\"confirmed\":{},\"demand\":{}}"
+
+static const plat_store_ops_t fake_ops = { .range = fake_range,
+					   .changes = fake_changes };
+
+typedef struct world {
+	fake_t fake;
+	fleet_t *fleet;
+	site_reader_t *reader;
+} world_t;
+
+static void world_begin(world_t *w)
+{
+	fleet_opts_t opts = { 0 };
+
+	*w = (world_t){ .fake = { .store = { &fake_ops } } };
+	fake_put(&w->fake, FLEET_POOLS_PREFIX "z/0", SHARD("1"));
+	fake_put(&w->fake, FLEET_POOLS_PREFIX "z/1", "{\"instances\":{}}");
+	fake_put(&w->fake, SITE_ENTRIES_PREFIX "e1", ENTRY);
+	fake_put(&w->fake, SITE_ENTRIES_PREFIX "e2", ENTRY);
+	w->fleet = fleet_new(NULL, &opts);
+	w->reader = site_reader_new(w->fleet, w->fleet, &w->fake.store);
+	g_assert_true(site_read_records(w->reader, NULL));
+	w->fake.calls = 0;
+	w->fake.values = 0;
+}
+
+static uint64_t seq_of(const world_t *w)
+{
+	fleet_inst_view_t view;
+
+	fleet_inst_view(w->fleet, 0, &view);
+	return view.seq;
+}
+
+/* Only what changed is read again. */
+static void test_reader(void)
+{
+	world_t w;
+
+	world_begin(&w);
+	g_assert_true(site_read_records(w.reader, NULL));
+	g_assert_cmpint(w.fake.calls, ==, 4);
+	g_assert_cmpuint(w.fake.values, ==, 0);
+	fake_put(&w.fake, FLEET_POOLS_PREFIX "z/0", SHARD("2"));
+	fake_put(&w.fake, FLEET_POOLS_PREFIX "y/0", "{\"instances\":{}}");
+	g_assert_true(site_read_pools(w.reader, NULL));
+	g_assert_cmpuint(w.fake.values, ==, 2);
+	g_assert_cmpuint(seq_of(&w), ==, 2);
+	talloc_free(w.fleet);
+}
+
+/* One that does not decode is asked for again, and is an error until then. */
+static void test_reader_bad(void)
+{
+	world_t w;
+
+	world_begin(&w);
+	fake_put(&w.fake, FLEET_POOLS_PREFIX "z/0", "[");
+	g_assert_false(site_read_pools(w.reader, NULL));
+	g_assert_false(site_read_pools(w.reader, NULL));
+	g_assert_cmpuint(seq_of(&w), ==, 1);
+	fake_put(&w.fake, FLEET_POOLS_PREFIX "z/0", SHARD("2"));
+	g_assert_true(site_read_pools(w.reader, NULL));
+	g_assert_cmpuint(seq_of(&w), ==, 2);
+	talloc_free(w.fleet);
+}
+
+/* Also when another key came in its place. */
+static void test_reader_vanished(void)
+{
+	plat_kv_t gone;
+	world_t w;
+
+	world_begin(&w);
+	gone = w.fake.kv[1];
+	w.fake.kv[1].key = BASE_STR(FLEET_POOLS_PREFIX "y/7");
+	w.fake.kv[1].mod_revision = ++w.fake.revision;
+	g_assert_false(site_read_pools(w.reader, NULL));
+	g_assert_false(site_read_records(w.reader, NULL));
+	fake_put(&w.fake, gone.key.ptr, gone.value.ptr);
+	g_assert_true(site_read_records(w.reader, NULL));
+	talloc_free(w.fleet);
+}
+
+/* An entry's record may go. */
+static void test_reader_entries(void)
+{
+	site_entries_t out;
+	world_t w;
+
+	world_begin(&w);
+	g_assert_true(site_read_entries(w.reader, &out, NULL));
+	g_assert_cmpuint(out.n, ==, 2);
+	w.fake.n = 3;
+	w.fake.revision++;
+	g_assert_true(site_read_entries(w.reader, &out, NULL));
+	g_assert_cmpuint(out.n, ==, 1);
+	g_assert_cmpstr(out.items[0].name, ==, "e1");
+	talloc_free(w.fleet);
+}
+
+/* A store that was set back is read whole. */
+static void test_reader_set_back(void)
+{
+	site_entries_t out;
+	world_t w;
+
+	world_begin(&w);
+	g_assert_true(site_read_entries(w.reader, &out, NULL));
+	w.fake.n = 3;
+	w.fake.revision = 1;
+	w.fake.kv[2].mod_revision = 1;
+	w.fake.kv[2].key = BASE_STR(SITE_ENTRIES_PREFIX "e0");
+	g_assert_true(site_read_entries(w.reader, &out, NULL));
+	g_assert_cmpuint(out.n, ==, 1);
+	g_assert_cmpstr(out.items[0].name, ==, "e0");
+	talloc_free(w.fleet);
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
 	g_test_add_func("/site/entry", test_entry);
 	g_test_add_func("/site/bad-entry", test_bad_entry);
 	g_test_add_func("/site/observe", test_observe);
+	g_test_add_func("/site/reader", test_reader);
+	g_test_add_func("/site/reader-bad", test_reader_bad);
+	g_test_add_func("/site/reader-vanished", test_reader_vanished);
+	g_test_add_func("/site/reader-entries", test_reader_entries);
+	g_test_add_func("/site/reader-set-back", test_reader_set_back);
 	return g_test_run();
 }
--- a/packages/tool/tool_fleet.c
+++ b/packages/tool/tool_fleet.c
@@ -26,15 +26,18 @@
 {
 	const conf_t *conf;
 	plat_instances_t instances;
+	site_reader_t *reader = NULL;
 	site_entries_t entries;
 	GError *cause = NULL;
 
 	tool->now = base_clock_wall();
 	conf = read_conf(tool, &cause);
-	if (conf)
+	if (conf) {
 		tool->fleet = site_fleet(tool->ctx, conf);
-	if (!conf || !site_read_records(tool->fleet, tool->store, &cause) ||
-	    !site_read_entries(tool->store, tool->ctx, &entries, &cause) ||
+		reader = site_reader_new(tool->ctx, tool->fleet, tool->store);
+	}
+	if (!conf || !site_read_records(reader, &cause) ||
+	    !site_read_entries(reader, &entries, &cause) ||
 	    !tool->list->ops->read(tool->list, tool->ctx, NULL, &instances,
 				   &cause)) {
 		fprintf(tool->err, "cannot read the fleet: %s\n",
--- a/standin/standin_store.c
+++ b/standin/standin_store.c
@@ -36,8 +36,10 @@
 	int64_t next_lease;
 	bool down;
 	int64_t slow_us;
-	int lose;	  /* answers to writes still to be lost */
-	int64_t calls[4]; /* range, txn, lease, watch */
+	int lose;	     /* answers to writes still to be lost */
+	int64_t calls[4];    /* range, txn, lease, watch */
+	int64_t range_bytes; /* bodies of answers to range */
+	int64_t txn_bytes;   /* bodies of txn */
 } store = { .lock = PTHREAD_MUTEX_INITIALIZER,
 	    .changed = PTHREAD_COND_INITIALIZER,
 	    .revision = 1,
@@ -140,12 +142,14 @@
 	bool lost = false, down;
 	int64_t slow_us;
 
-	talloc_free(body);
 	pthread_mutex_lock(&store.lock);
 	store.calls[kind]++;
+	if (body && kind == CALL_TXN)
+		store.txn_bytes += (int64_t)strlen(body);
 	down = store.down;
 	slow_us = store.slow_us;
 	pthread_mutex_unlock(&store.lock);
+	talloc_free(body);
 	if (down || zone_is_cut(arg, conn)) {
 		json_decref(request);
 		return answer_nothing(conn);
@@ -156,6 +160,9 @@
 	expire(base_clock_mono());
 	if (request)
 		answer = fn(request);
+	if (answer && kind == CALL_RANGE)
+		store.range_bytes +=
+			(int64_t)json_dumpb(answer, NULL, 0, JSON_COMPACT);
 	if (answer && kind == CALL_TXN && store.lose > 0 &&
 	    json_is_true(json_object_get(answer, "succeeded"))) {
 		store.lose--;
@@ -177,6 +184,8 @@
 	const char *from, *to;
 	json_t *kvs;
 	bool keys_only;
+	int64_t min_mod; /* 0: all */
+	int64_t count;	 /* those below min_mod too */
 } range_walk_t;
 
 static gboolean collect(void *key, void *value, void *arg)
@@ -186,7 +195,8 @@
 					 strcmp(key, walk->to) < 0
 			       : !strcmp(key, walk->from);
 
-	if (inside)
+	walk->count += inside;
+	if (inside && ((record_t *)value)->mod >= walk->min_mod)
 		json_array_append_new(walk->kvs,
 				      kv_of(key, value, walk->keys_only));
 	return FALSE;
@@ -196,14 +206,21 @@
 {
 	char *from = text_of(request, "key", NULL);
 	char *to = text_of(request, "range_end", NULL);
-	range_walk_t walk = { from, to, json_array(),
-			      json_is_true(
-				      json_object_get(request, "keys_only")) };
+	range_walk_t walk = {
+		.from = from,
+		.to = to,
+		.kvs = json_array(),
+		.keys_only =
+			json_is_true(json_object_get(request, "keys_only")),
+		.min_mod = number_of(request, "min_mod_revision"),
+	};
+	char count[24];
 	json_t *answer;
 
 	if (from)
 		g_tree_foreach(store.records, collect, &walk);
-	answer = json_pack("{s:o,s:s}", "header", header(), "count", "0");
+	snprintf(count, sizeof(count), "%lld", (long long)walk.count);
+	answer = json_pack("{s:o,s:s}", "header", header(), "count", count);
 	if (json_array_size(walk.kvs))
 		json_object_set(answer, "kvs", walk.kvs);
 	json_decref(walk.kvs);
@@ -355,10 +372,11 @@
 
 	(void)arg;
 	pthread_mutex_lock(&store.lock);
-	json = json_pack("{s:I,s:I,s:I,s:I}", "range", store.calls[CALL_RANGE],
-			 "txn", store.calls[CALL_TXN], "lease",
-			 store.calls[CALL_LEASE], "watch",
-			 store.calls[CALL_WATCH]);
+	json = json_pack("{s:I,s:I,s:I,s:I,s:I,s:I}", "range",
+			 store.calls[CALL_RANGE], "txn", store.calls[CALL_TXN],
+			 "lease", store.calls[CALL_LEASE], "watch",
+			 store.calls[CALL_WATCH], "range_bytes",
+			 store.range_bytes, "txn_bytes", store.txn_bytes);
 	pthread_mutex_unlock(&store.lock);
 	return answer_json(conn, 200, json);
 }
