Name options that several verbs share in one place

Cause: five verbs spelled the options help, store and list, and plan and explain opened and read the fleet by the same lines.

Change: tool_arg_help(), tool_arg_store(), tool_arg_list(); tool_fleet_decide() takes the addresses and gives the exit status.

The 67 cases of regress/ have the same output as before.

--- a/packages/tool/tool_answers.c
+++ b/packages/tool/tool_answers.c
@@ -6,7 +6,7 @@
 
 int tool_answers_template(int argc, char **argv, FILE *out, FILE *err)
 {
-	struct arg_lit *help = arg_lit0("h", "help", "say this and end");
+	struct arg_lit *help = tool_arg_help();
 	struct arg_end *end = arg_end(8);
 	void *table[] = { help, end };
 	int status = TOOL_OK;
@@ -23,7 +23,7 @@
 
 int tool_answers_check(int argc, char **argv, FILE *out, FILE *err)
 {
-	struct arg_lit *help = arg_lit0("h", "help", "say this and end");
+	struct arg_lit *help = tool_arg_help();
 	struct arg_file *file = arg_file1(NULL, NULL, "ANSWERS", "filled in");
 	struct arg_end *end = arg_end(8);
 	void *table[] = { help, file, end };
--- a/packages/tool/tool_approve.c
+++ b/packages/tool/tool_approve.c
@@ -23,9 +23,8 @@
 
 int tool_config_approve(int argc, char **argv, FILE *out, FILE *err)
 {
-	struct arg_lit *help = arg_lit0("h", "help", "say this and end");
-	struct arg_str *store =
-		arg_str1(NULL, "store", "ADDRESS:PORT", "platform's store");
+	struct arg_lit *help = tool_arg_help();
+	struct arg_str *store = tool_arg_store(1);
 	struct arg_int *base = arg_int1(
 		NULL, "base", "GENERATION",
 		"generation that the difference was read against; 0: none");
--- a/packages/tool/tool_args.c
+++ b/packages/tool/tool_args.c
@@ -25,6 +25,23 @@
 	return true;
 }
 
+struct arg_lit *tool_arg_help(void)
+{
+	return arg_lit0("h", "help", "say this and end");
+}
+
+struct arg_str *tool_arg_store(int least)
+{
+	return arg_strn(NULL, "store", "ADDRESS:PORT", least, 1,
+			"platform's store");
+}
+
+struct arg_str *tool_arg_list(int least)
+{
+	return arg_strn(NULL, "list", "ADDRESS:PORT", least, 1,
+			"platform's instance list");
+}
+
 bool tool_address(const void *ctx, const char *text, plat_address_t *address,
 		  FILE *err)
 {
--- a/packages/tool/tool_config.c
+++ b/packages/tool/tool_config.c
@@ -9,7 +9,7 @@
 
 int tool_config_generate(int argc, char **argv, FILE *out, FILE *err)
 {
-	struct arg_lit *help = arg_lit0("h", "help", "say this and end");
+	struct arg_lit *help = tool_arg_help();
 	struct arg_file *file = arg_file1(NULL, NULL, "ANSWERS", "checked");
 	struct arg_end *end = arg_end(8);
 	void *table[] = { help, file, end };
@@ -41,7 +41,7 @@
 
 int tool_config_diff(int argc, char **argv, FILE *out, FILE *err)
 {
-	struct arg_lit *help = arg_lit0("h", "help", "say this and end");
+	struct arg_lit *help = tool_arg_help();
 	struct arg_file *before = arg_file1(NULL, NULL, "OLD", "in force");
 	struct arg_file *after = arg_file1(NULL, NULL, "NEW", "generated");
 	struct arg_end *end = arg_end(8);
--- a/packages/tool/tool_drain.c
+++ b/packages/tool/tool_drain.c
@@ -13,9 +13,8 @@
 
 int tool_drain(int argc, char **argv, FILE *out, FILE *err)
 {
-	struct arg_lit *help = arg_lit0("h", "help", "say this and end");
-	struct arg_str *store =
-		arg_str1(NULL, "store", "ADDRESS:PORT", "platform's store");
+	struct arg_lit *help = tool_arg_help();
+	struct arg_str *store = tool_arg_store(1);
 	struct arg_lit *reboot =
 		arg_lit0(NULL, "reboot", "reboot it once, then return it");
 	struct arg_lit *undo = arg_lit0(NULL, "undo", "withdraw the order");
--- a/packages/tool/tool_explain.c
+++ b/packages/tool/tool_explain.c
@@ -10,11 +10,9 @@
 
 int tool_explain(int argc, char **argv, FILE *out, FILE *err)
 {
-	struct arg_lit *help = arg_lit0("h", "help", "say this and end");
-	struct arg_str *store =
-		arg_str0(NULL, "store", "ADDRESS:PORT", "platform's store");
-	struct arg_str *list = arg_str0(NULL, "list", "ADDRESS:PORT",
-					"platform's instance list");
+	struct arg_lit *help = tool_arg_help();
+	struct arg_str *store = tool_arg_store(0);
+	struct arg_str *list = tool_arg_list(0);
 	struct arg_str *name =
 		arg_str1(NULL, NULL, "INSTANCE|POOL|JOB", "what to explain");
 	struct arg_str *entries =
@@ -39,10 +37,8 @@
 			     "--entry, is needed\n");
 		goto out;
 	}
-	if (!tool_fleet_open(&tool, store->sval[0], list->sval[0]))
-		goto out;
-	status = TOOL_UNREACHABLE;
-	if (!tool_fleet_decide(&tool))
+	status = tool_fleet_decide(&tool, store->sval[0], list->sval[0]);
+	if (status != TOOL_OK)
 		goto out;
 	status = TOOL_REFUSED;
 	said = fleet_explain(tool.fleet, ctx, name->sval[0], tool.now);
--- a/packages/tool/tool_fleet.c
+++ b/packages/tool/tool_fleet.c
@@ -5,6 +5,7 @@
  * as the duty's holder, whose writes are not carried out.
  */
 
+static bool decide(tool_fleet_t *tool);
 static const conf_t *read_conf(const tool_fleet_t *tool, GError **err);
 
 bool tool_fleet_open(tool_fleet_t *tool, const char *store, const char *list)
@@ -22,7 +23,14 @@
 	return true;
 }
 
-bool tool_fleet_decide(tool_fleet_t *tool)
+int tool_fleet_decide(tool_fleet_t *tool, const char *store, const char *list)
+{
+	if (!tool_fleet_open(tool, store, list))
+		return TOOL_USAGE;
+	return decide(tool) ? TOOL_OK : TOOL_UNREACHABLE;
+}
+
+static bool decide(tool_fleet_t *tool)
 {
 	const conf_t *conf;
 	plat_instances_t instances;
--- a/packages/tool/tool_fleet.h
+++ b/packages/tool/tool_fleet.h
@@ -20,8 +20,11 @@
 /* Take the addresses; "list" may be NULL.  Tells what is wrong. */
 bool tool_fleet_open(tool_fleet_t *tool, const char *store, const char *list);
 
-/* Read all and decide, without carrying it out. */
-bool tool_fleet_decide(tool_fleet_t *tool);
+/*
+ * Take the addresses, read all and decide, without carrying it out.  The exit
+ * status; other than TOOL_OK the reason was told.
+ */
+int tool_fleet_decide(tool_fleet_t *tool, const char *store, const char *list);
 
 /* The new value of a key from its old one; NULL refuses, with the reason. */
 typedef char *(*tool_fleet_edit_t)(tool_fleet_t *tool, base_str_t old,
--- a/packages/tool/tool_int.h
+++ b/packages/tool/tool_int.h
@@ -23,6 +23,11 @@
 bool tool_parse(int argc, char **argv, void **table, struct arg_end *end,
 		FILE *out, FILE *err, int *status);
 
+/* Options that several verbs have; "least" is 0 where one may be left out. */
+struct arg_lit *tool_arg_help(void);
+struct arg_str *tool_arg_store(int least);
+struct arg_str *tool_arg_list(int least);
+
 /*
  * "ADDRESS:PORT", the address an IP number; tells what is wrong.  The key is
  * that of TOOL_KEY_FILE.
--- a/packages/tool/tool_jobs.c
+++ b/packages/tool/tool_jobs.c
@@ -58,7 +58,7 @@
 
 int tool_jobs_submit(int argc, char **argv, FILE *out, FILE *err)
 {
-	struct arg_lit *help = arg_lit0("h", "help", "say this and end");
+	struct arg_lit *help = tool_arg_help();
 	struct arg_str *entries = arg_strn(NULL, "entry", "ADDRESS:PORT", 1, 64,
 					   "operators' port of an entry");
 	struct arg_file *file = arg_file1(NULL, NULL, "JOBS", "a file of jobs");
@@ -102,7 +102,7 @@
 
 int tool_jobs_list(int argc, char **argv, FILE *out, FILE *err)
 {
-	struct arg_lit *help = arg_lit0("h", "help", "say this and end");
+	struct arg_lit *help = tool_arg_help();
 	struct arg_lit *json = arg_lit0(NULL, "json", "print JSON");
 	struct arg_str *state =
 		arg_str0(NULL, "state", "STATE", "only jobs in that state");
@@ -145,7 +145,7 @@
 
 static int by_id(int argc, char **argv, const char *path, FILE *out, FILE *err)
 {
-	struct arg_lit *help = arg_lit0("h", "help", "say this and end");
+	struct arg_lit *help = tool_arg_help();
 	struct arg_str *entries = arg_strn(NULL, "entry", "ADDRESS:PORT", 1, 64,
 					   "operators' port of an entry");
 	struct arg_str *id = arg_str1(NULL, NULL, "ID", "of the job");
--- a/packages/tool/tool_plan.c
+++ b/packages/tool/tool_plan.c
@@ -10,11 +10,9 @@
 
 int tool_plan(int argc, char **argv, FILE *out, FILE *err)
 {
-	struct arg_lit *help = arg_lit0("h", "help", "say this and end");
-	struct arg_str *store =
-		arg_str1(NULL, "store", "ADDRESS:PORT", "platform's store");
-	struct arg_str *list = arg_str1(NULL, "list", "ADDRESS:PORT",
-					"platform's instance list");
+	struct arg_lit *help = tool_arg_help();
+	struct arg_str *store = tool_arg_store(1);
+	struct arg_str *list = tool_arg_list(1);
 	struct arg_end *end = arg_end(8);
 	void *table[] = { help, store, list, end };
 	void *ctx = talloc_new(NULL);
@@ -23,13 +21,9 @@
 
 	if (!tool_parse(argc, argv, table, end, out, err, &status))
 		goto out;
-	status = TOOL_USAGE;
-	if (!tool_fleet_open(&tool, store->sval[0], list->sval[0]))
+	status = tool_fleet_decide(&tool, store->sval[0], list->sval[0]);
+	if (status != TOOL_OK)
 		goto out;
-	status = TOOL_UNREACHABLE;
-	if (!tool_fleet_decide(&tool))
-		goto out;
-	status = TOOL_OK;
 	print_pools(&tool);
 	print_waits(&tool);
 	print_ops(&tool);
--- a/packages/tool/tool_rollout.c
+++ b/packages/tool/tool_rollout.c
@@ -19,7 +19,7 @@
 
 int tool_rollout(int argc, char **argv, FILE *out, FILE *err)
 {
-	struct arg_lit *help = arg_lit0("h", "help", "say this and end");
+	struct arg_lit *help = tool_arg_help();
 	struct arg_lit *json = arg_lit0(NULL, "json", "print JSON");
 	struct arg_str *entries =
 		arg_strn(NULL, "entry", "ADDRESS:PORT", 1, 64,
--- a/packages/tool/tool_status.c
+++ b/packages/tool/tool_status.c
@@ -12,7 +12,7 @@
 
 int tool_status(int argc, char **argv, FILE *out, FILE *err)
 {
-	struct arg_lit *help = arg_lit0("h", "help", "say this and end");
+	struct arg_lit *help = tool_arg_help();
 	struct arg_lit *json = arg_lit0(NULL, "json", "print JSON");
 	struct arg_str *entries =
 		arg_strn(NULL, "entry", "ADDRESS:PORT", 1, 64,
--- a/packages/tool/tool_wave.c
+++ b/packages/tool/tool_wave.c
@@ -8,9 +8,8 @@
 
 int tool_wave(int argc, char **argv, FILE *out, FILE *err)
 {
-	struct arg_lit *help = arg_lit0("h", "help", "say this and end");
-	struct arg_str *store =
-		arg_str1(NULL, "store", "ADDRESS:PORT", "platform's store");
+	struct arg_lit *help = tool_arg_help();
+	struct arg_str *store = tool_arg_store(1);
 	struct arg_str *verb =
 		arg_str1(NULL, NULL, "start|pause|resume|abort", "what");
 	struct arg_end *end = arg_end(8);
