--- /dev/null
+++ b/packages/entry/entry_budget.c
@@ -0,0 +1,63 @@
+#include "entry_int.h"
+#include "fleet_budget.h"
+
+/*
+ * What a pool's budget leaves, by what this entry routes to.
+ */
+
+static uint32_t worst_of(const entry_pool_t *pool, bool by_zone);
+static char *domain_of(const entry_endpoint_t *endpoint, bool by_zone);
+
+int entry_pool_live(const entry_pool_t *pool)
+{
+	int live = 0;
+
+	for (size_t i = 0; i < pool->endpoint_count; i++)
+		live += pool->endpoints[i].state == PLAT_LIVE;
+	return live;
+}
+
+int entry_pool_room(const entry_pool_t *pool)
+{
+	conf_survive_t survive = pool->conf->budget.survive;
+	fleet_pool_t asked = {
+		.min_up = (uint32_t)pool->conf->budget.min_up,
+		.survive_rack = survive != CONF_SURVIVE_NONE,
+		.survive_zone = survive == CONF_SURVIVE_ZONE,
+	};
+	fleet_up_t up = { .up = (uint32_t)entry_pool_live(pool),
+			  .worst_rack = worst_of(pool, false),
+			  .worst_zone = worst_of(pool, true) };
+
+	return fleet_budget_room(&asked, &up);
+}
+
+/* The most that are live in one rack, or in one zone. */
+static uint32_t worst_of(const entry_pool_t *pool, bool by_zone)
+{
+	GHashTable *counts =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+	uint32_t worst = 0;
+
+	for (size_t i = 0; i < pool->endpoint_count; i++) {
+		const entry_endpoint_t *endpoint = &pool->endpoints[i];
+		char *domain;
+		guint n;
+
+		if (endpoint->state != PLAT_LIVE)
+			continue;
+		domain = domain_of(endpoint, by_zone);
+		n = GPOINTER_TO_UINT(g_hash_table_lookup(counts, domain)) + 1;
+		g_hash_table_replace(counts, domain, GUINT_TO_POINTER(n));
+		worst = MAX(worst, n);
+	}
+	g_hash_table_destroy(counts);
+	return worst;
+}
+
+/* A rack's name may be used again in another zone. */
+static char *domain_of(const entry_endpoint_t *endpoint, bool by_zone)
+{
+	return g_strconcat(endpoint->zone, "/", by_zone ? "" : endpoint->rack,
+			   NULL);
+}
--- a/packages/entry/entry_int.h
+++ b/packages/entry/entry_int.h
@@ -25,6 +25,7 @@
 	char *id; /* of the instance */
 	char *incarnation;
 	char *zone;
+	char *rack;
 	char *address; /* IP number */
 	int port;
 	plat_state_t state;
@@ -36,6 +37,15 @@
 	size_t endpoint_count;
 } entry_pool_t;
 
+/* How many of its endpoints are live. */
+int entry_pool_live(const entry_pool_t *pool);
+
+/*
+ * How many more its budget lets out: what is live above min_up after the loss
+ * of the fullest failure domain; negative when that would break it.
+ */
+int entry_pool_room(const entry_pool_t *pool);
+
 typedef struct entry_config entry_config_t;
 
 typedef struct entry_view {
--- a/packages/entry/entry_operators.c
+++ b/packages/entry/entry_operators.c
@@ -222,20 +222,18 @@
 static json_t *pool_status(const entry_pool_t *pool)
 {
 	json_t *leaving = json_array();
-	int live = 0;
 
 	for (size_t i = 0; i < pool->endpoint_count; i++) {
 		const entry_endpoint_t *endpoint = &pool->endpoints[i];
 
-		if (endpoint->state == PLAT_LIVE)
-			live++;
-		else
+		if (endpoint->state != PLAT_LIVE)
 			json_array_append_new(leaving,
 					      json_string(endpoint->id));
 	}
-	return json_pack("{s:s%,s:I,s:i,s:I,s:o}", "name", pool->conf->name.ptr,
-			 pool->conf->name.len, "executors",
-			 (json_int_t)pool->conf->executors, "live", live,
-			 "min_up", (json_int_t)pool->conf->budget.min_up,
-			 "leaving", leaving);
+	return json_pack("{s:s%,s:I,s:i,s:I,s:i,s:o}", "name",
+			 pool->conf->name.ptr, pool->conf->name.len,
+			 "executors", (json_int_t)pool->conf->executors, "live",
+			 entry_pool_live(pool), "min_up",
+			 (json_int_t)pool->conf->budget.min_up, "room",
+			 entry_pool_room(pool), "leaving", leaving);
 }
--- a/packages/entry/entry_view.c
+++ b/packages/entry/entry_view.c
@@ -209,6 +209,7 @@
 	endpoint->id = talloc_strdup(view, instance->id);
 	endpoint->incarnation = talloc_strdup(view, instance->incarnation);
 	endpoint->zone = talloc_strdup(view, instance->zone);
+	endpoint->rack = talloc_strdup(view, instance->rack);
 	endpoint->address = talloc_strdup(view, instance->address);
 	endpoint->port = instance->port;
 	endpoint->state = instance->state;
--- a/packages/tool/tool_status.c
+++ b/packages/tool/tool_status.c
@@ -94,14 +94,14 @@
 		"LIVE", "MIN UP", "MAY BE OUT", "LEAVING");
 	json_array_foreach(json_object_get(answer, "pools"), i, pool)
 	{
-		long long live = number_of(pool, "live");
-		long long spare = live - number_of(pool, "min_up");
+		long long room = number_of(pool, "room");
 		json_t *leaving = json_object_get(pool, "leaving"), *item;
 		size_t j;
 
 		fprintf(out, "%-18s %9lld %5lld %7lld %10lld ",
 			text_of(pool, "name"), number_of(pool, "executors"),
-			live, number_of(pool, "min_up"), spare > 0 ? spare : 0);
+			number_of(pool, "live"), number_of(pool, "min_up"),
+			MAX(room, 0));
 		json_array_foreach(leaving, j, item)
 			fprintf(out, " %s", json_string_value(item));
 		fputc('\n', out);
--- a/packages/tool/tool_verbs.c
+++ b/packages/tool/tool_verbs.c
@@ -1,5 +1,7 @@
 #include "tool_int.h"
 
+#define NAME_SIZE 40
+
 static const tool_verb_t verbs[] = {
 	{ "answers", "template", "print a questionnaire to fill in",
 	  tool_answers_template },
@@ -29,11 +31,13 @@
 };
 
 static const tool_verb_t *find(int argc, char **argv, int *words);
+static void full_name(const tool_verb_t *verb, char name[NAME_SIZE]);
 static void usage(FILE *out);
 
 int tool_run(int argc, char **argv, FILE *out, FILE *err)
 {
 	const tool_verb_t *verb;
+	char name[NAME_SIZE];
 	int words = 0;
 
 	if (argc > 1 &&
@@ -47,6 +51,8 @@
 		usage(err);
 		return TOOL_USAGE;
 	}
+	full_name(verb, name);
+	argv[words] = name;
 	return verb->run(argc - words, argv + words, out, err);
 }
 
@@ -64,16 +70,21 @@
 	return NULL;
 }
 
+/* With its group, as "config diff". */
+static void full_name(const tool_verb_t *verb, char name[NAME_SIZE])
+{
+	snprintf(name, NAME_SIZE, "%s%s%s", verb->group ? verb->group : "",
+		 verb->group ? " " : "", verb->name);
+}
+
 static void usage(FILE *out)
 {
 	fprintf(out, "usage: cactusfield VERB [--help] ...\n\n");
 	for (size_t i = 0; i < ARRAY_SIZE(verbs); i++) {
-		char words[40];
+		char name[NAME_SIZE];
 
-		snprintf(words, sizeof(words), "%s%s%s",
-			 verbs[i].group ? verbs[i].group : "",
-			 verbs[i].group ? " " : "", verbs[i].name);
-		fprintf(out, "  %-20s %s\n", words, verbs[i].summary);
+		full_name(&verbs[i], name);
+		fprintf(out, "  %-20s %s\n", name, verbs[i].summary);
 	}
 	fprintf(out, "\nexit status: 0 done, 1 refused, 2 wrong command line, "
 		     "3 another change\ncame first, 4 unreachable, 5 in "
