--- a/packages/tool/tool_int.h
+++ b/packages/tool/tool_int.h
@@ -23,6 +23,11 @@
 bool tool_parse(int argc, char **argv, void **table, struct arg_end *end,
 		FILE *out, FILE *err, int *status);
 
+/* Options that several verbs have; "least" is 0 where one may be left out. */
+struct arg_lit *tool_arg_help(void);
+struct arg_str *tool_arg_store(int least);
+struct arg_str *tool_arg_list(int least);
+
 /*
  * "ADDRESS:PORT", the address an IP number; tells what is wrong.  The key is
  * that of TOOL_KEY_FILE.
@@ -48,5 +53,22 @@
 int tool_explain(int argc, char **argv, FILE *out, FILE *err);
 int tool_drain(int argc, char **argv, FILE *out, FILE *err);
 int tool_wave(int argc, char **argv, FILE *out, FILE *err);
+int tool_jobs_submit(int argc, char **argv, FILE *out, FILE *err);
+int tool_jobs_list(int argc, char **argv, FILE *out, FILE *err);
+int tool_jobs_cancel(int argc, char **argv, FILE *out, FILE *err);
+int tool_jobs_release(int argc, char **argv, FILE *out, FILE *err);
+
+/*
+ * The answer of the duty's holder, asked for through the first entry that
+ * answers; "body" NULL for a GET.  NULL with the reason told.
+ */
+json_t *tool_jobs_ask(const void *ctx, const struct arg_str *entries,
+		      const char *path, const char *body, FILE *err);
+
+/* The exit status that an answer means; a refusal is told. */
+int tool_jobs_status(const json_t *answer, FILE *err);
+
+/* "path" about the job "id". */
+char *tool_jobs_path(const void *ctx, const char *path, const char *id);
 
 #endif
