Let the route duty sleep while nothing is queued; probe many less often

Cause: of an idle entry's processor time the route duty's ticks of 10 ms were 0.21 to 0.23 % of a core, though a tick does nothing while nothing is queued.

Change: a duty may tell the time to its next tick and can be woken (kern_duty_wake); the route duty ticks each 100 ms until a request queues, which wakes it. The interval of probes grows from 1 s at 200 endpoints of one entry to 2 s at 400; promised is that leaving is seen within 3 s.

--- a/packages/entry/entry_route.c
+++ b/packages/entry/entry_route.c
@@ -9,6 +9,7 @@
 #define QUEUE_BYTES_MAX (16 * 1024 * 1024) /* of all pools */
 #define CROSS_ZONE_US (3 * BASE_MS)	   /* a round trip between zones */
 #define RETRY_PERCENT 100.0
+#define IDLE_TICK_US (100 * BASE_MS) /* while nothing is queued */
 
 typedef enum step { STEP_WAIT, STEP_SEND, STEP_OVER, STEP_MAX } step_t;
 
@@ -28,11 +29,14 @@
 	entry_view_t *applied; /* held */
 	uint64_t version;      /* of the endpoints handed in */
 	kern_duty_t *duty;
+	bool idle; /* the duty's next tick is far */
 };
 
 static bool route_start(void *service, kern_t *kern, GError **err);
 static void route_stop(void *service);
 static void tick(void *arg, int64_t now);
+static int64_t next_tick(void *arg);
+static void watch(entry_route_t *route, const waiter_t *waiter);
 static void on_start(void *arg, route_request_t *request,
 		     const route_endpoint_t *endpoint, int attempt);
 static void on_end(void *arg, route_request_t *request, const route_end_t *end);
@@ -129,6 +133,7 @@
 	}
 	pthread_cond_init(&waiter.woken, NULL);
 	route_submit(route->core, &waiter.core, base_clock_mono());
+	watch(route, &waiter);
 	while (waiter.step != STEP_OVER) {
 		route_result_t result;
 		bool leaving;
@@ -147,6 +152,7 @@
 		pthread_mutex_lock(&route->lock);
 		route_done(route->core, &waiter.core, result,
 			   base_clock_mono());
+		watch(route, &waiter);
 	}
 	pthread_mutex_unlock(&route->lock);
 	pthread_cond_destroy(&waiter.woken);
@@ -238,7 +244,8 @@
 					.period_us = ROUTE_TICK_US,
 					.ring_size = 8,
 					.arg = daemon->route,
-					.tick = tick };
+					.tick = tick,
+					.next = next_tick };
 
 	(void)kern;
 	daemon->route->duty = kern_duty_start(NULL, &options, err);
@@ -262,6 +269,27 @@
 	pthread_mutex_unlock(&route->lock);
 }
 
+static int64_t next_tick(void *arg)
+{
+	entry_route_t *route = arg;
+	bool idle;
+
+	pthread_mutex_lock(&route->lock);
+	idle = !route_waiting(route->core);
+	route->idle = idle;
+	pthread_mutex_unlock(&route->lock);
+	return idle ? IDLE_TICK_US : ROUTE_TICK_US;
+}
+
+/* Under the lock: a request that queues ends the duty's long sleep. */
+static void watch(entry_route_t *route, const waiter_t *waiter)
+{
+	if (waiter->step != STEP_WAIT || !route->idle)
+		return;
+	route->idle = false;
+	kern_duty_wake(route->duty);
+}
+
 static void on_start(void *arg, route_request_t *request,
 		     const route_endpoint_t *endpoint, int attempt)
 {
--- a/packages/kern/kern.h
+++ b/packages/kern/kern.h
@@ -76,6 +76,8 @@
 	unsigned ring_size; /* of the inbox, a power of two */
 	void *arg;
 	void (*tick)(void *arg, int64_t now);
+	/* Microseconds until the next tick; NULL: always period_us. */
+	int64_t (*next)(void *arg);
 	/* May be NULL when nobody posts.  Owns "msg". */
 	void (*message)(void *arg, void *msg, int64_t now);
 } kern_duty_options_t;
@@ -87,6 +89,9 @@
 /* Post to the inbox; false when it is full. */
 bool kern_duty_post(kern_duty_t *duty, void *msg);
 
+/* Make the next tick come at once. */
+void kern_duty_wake(kern_duty_t *duty);
+
 /* Whether the duty was told to stop; long work asks now and then. */
 bool kern_duty_stopping(const kern_duty_t *duty);
 
--- a/packages/kern/kern_duty.c
+++ b/packages/kern/kern_duty.c
@@ -38,6 +38,11 @@
 	return kern_ring_put(duty->inbox, msg);
 }
 
+void kern_duty_wake(kern_duty_t *duty)
+{
+	kern_ring_wake(duty->inbox);
+}
+
 bool kern_duty_stopping(const kern_duty_t *duty)
 {
 	return atomic_load(&duty->stopping) != 0;
@@ -56,12 +61,16 @@
 static void *run(void *arg)
 {
 	kern_duty_t *duty = arg;
+	const kern_duty_options_t *options = &duty->options;
 
 	while (!kern_duty_stopping(duty)) {
 		int64_t now = base_clock_mono();
+		int64_t wait = options->period_us;
 
-		duty->options.tick(duty->options.arg, now);
-		take_messages(duty, now + duty->options.period_us);
+		options->tick(options->arg, now);
+		if (options->next)
+			wait = options->next(options->arg);
+		take_messages(duty, now + wait);
 	}
 	return NULL;
 }
@@ -75,7 +84,9 @@
 		if (left <= 0)
 			return;
 		msg = kern_ring_take(duty->inbox, left);
-		if (msg && duty->options.message)
+		if (!msg)
+			return;
+		if (duty->options.message)
 			duty->options.message(duty->options.arg, msg,
 					      base_clock_mono());
 	}
--- a/packages/kern/tests/kern_test.c
+++ b/packages/kern/tests/kern_test.c
@@ -135,6 +135,32 @@
 	talloc_free(duty);
 }
 
+static int64_t never(void *arg)
+{
+	(void)arg;
+	return 3600 * BASE_SEC;
+}
+
+static void test_duty_wake(void)
+{
+	tally_t tally = { 0, 0 };
+	kern_duty_options_t options = { .name = "tally",
+					.ring_size = 64,
+					.arg = &tally,
+					.tick = count_tick,
+					.next = never };
+	kern_duty_t *duty = kern_duty_start(NULL, &options, NULL);
+
+	while (!atomic_load(&tally.ticks))
+		base_clock_sleep(1000);
+	kern_duty_wake(duty);
+	while (atomic_load(&tally.ticks) < 2)
+		base_clock_sleep(1000);
+	kern_duty_stop(duty);
+	g_assert_cmpint(tally.ticks, ==, 2);
+	talloc_free(duty);
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
@@ -143,5 +169,6 @@
 	g_test_add_func("/kern/failed-start", test_failed_start);
 	g_test_add_func("/kern/ring", test_ring);
 	g_test_add_func("/kern/duty", test_duty);
+	g_test_add_func("/kern/duty/wake", test_duty_wake);
 	return g_test_run();
 }
--- a/packages/route/route.c
+++ b/packages/route/route.c
@@ -59,6 +59,7 @@
 	route->rng.state = options->seed;
 	route->divisor = 1;
 	route->peers_near = 1;
+	route->probe_us = ROUTE_PROBE_US;
 	route_configure(route, &none, 0);
 	return route;
 }
@@ -159,6 +160,14 @@
 	}
 }
 
+bool route_waiting(const route_t *route)
+{
+	for (guint i = 0; i < route->pools->len; i++)
+		if (((route_pool_t *)route->pools->pdata[i])->queued)
+			return true;
+	return false;
+}
+
 void route_dispatch(route_t *route, route_pool_t *pool, int64_t now)
 {
 	while (pool->queued) {
--- a/packages/route/route.h
+++ b/packages/route/route.h
@@ -280,11 +280,13 @@
 
 /*
  * The endpoints of our zone, or of the others, that this entry should probe
- * now, at most "max"; each is then due again a ROUTE_PROBE_US later.  Entries
+ * now, at most "max"; each is then due again a ROUTE_PROBE_US later, or up to
+ * ROUTE_PROBE_MAX_US where this entry probes more than a few hundred.  Entries
  * of one zone split the endpoints by rendezvous hashing and tell each other
  * what they see.
  */
 #define ROUTE_PROBE_US (1 * BASE_SEC)
+#define ROUTE_PROBE_MAX_US (2 * BASE_SEC)
 typedef struct route_probe_due {
 	const route_endpoint_t *endpoint;
 	int connections; /* that may be open to it, see route_connections() */
@@ -301,6 +303,9 @@
 /* Connections, idle ones included, that may be open to one endpoint. */
 int route_connections(const route_t *route, base_str_t pool, int64_t now);
 
+/* Whether requests are queued, so that route_tick() is wanted soon. */
+bool route_waiting(const route_t *route);
+
 /* How many requests run at an identity through this entry. */
 int route_running(const route_t *route, base_str_t instance,
 		  base_str_t incarnation);
--- a/packages/route/route_choice.c
+++ b/packages/route/route_choice.c
@@ -105,7 +105,7 @@
 {
 	/* An answer says as much as a probe. */
 	if (ep->probe_at)
-		ep->probe_at = now + ROUTE_PROBE_US;
+		ep->probe_at = now + route->probe_us;
 	ep->failures = 0;
 	if (ep->health == HEALTH_OK) {
 		if (ep->ejections && now - ep->ramp_from > EJECT_US_MAX)
--- a/packages/route/route_int.h
+++ b/packages/route/route_int.h
@@ -36,6 +36,7 @@
 #define SCAN_MAX 16	 /* endpoints of a zone that are all compared */
 #define PROBE_PART 16	 /* one in so many connections is kept for probes */
 #define PROBE_FAILURES 2 /* in a row */
+#define PROBES_FULL 200	 /* endpoints that are probed at the full rate */
 #define TOMBSTONE_US (3600 * BASE_SEC)
 
 typedef enum route_health {
@@ -147,6 +148,7 @@
 	int peers_near;	       /* entries in our zone, this one included */
 	int divisor;	       /* shares of the connections */
 	int64_t divisor_until; /* not smaller before */
+	int64_t probe_us;      /* between two probes of an endpoint */
 	int held;
 	int64_t queued_bytes;
 };
@@ -190,7 +192,7 @@
 		     base_str_t incarnation);
 
 /* route_probe.c */
-void route_probe_assign(const route_t *route, route_pool_t *pool);
+void route_probe_assign(route_t *route, route_pool_t *pool);
 
 /* route_stats.c */
 void route_count_submit(route_request_t *req);
--- a/packages/route/route_probe.c
+++ b/packages/route/route_probe.c
@@ -2,6 +2,7 @@
 
 #include "route_int.h"
 
+static void set_interval(route_t *route);
 static int64_t spread(route_t *route);
 static bool owns(const route_t *route, const route_ep_t *ep);
 
@@ -11,13 +12,14 @@
  * entries moves only what it must.  Each zone probes for itself, since zones
  * may be cut off from each other.
  */
-void route_probe_assign(const route_t *route, route_pool_t *pool)
+void route_probe_assign(route_t *route, route_pool_t *pool)
 {
 	for (guint i = 0; i < pool->eps->len; i++) {
 		route_ep_t *ep = pool->eps->pdata[i];
 
 		ep->mine = route_ep_usable(ep) && owns(route, ep);
 	}
+	set_interval(route);
 }
 
 size_t route_probe_due(route_t *route, bool own_zone, int64_t now,
@@ -38,7 +40,7 @@
 				ep->probe_at = now + spread(route);
 				continue;
 			}
-			ep->probe_at = now + ROUTE_PROBE_US;
+			ep->probe_at = now + route->probe_us;
 			due[n++] = (route_probe_due_t){
 				&ep->pub, route_conn_share(route, pool, now)
 			};
@@ -68,16 +70,34 @@
 			ep->failures = EJECT_FAILURES;
 			route_ep_failed(route, ep, now);
 			ep->ejected_until = MAX(ep->ejected_until,
-						now + 2 * ROUTE_PROBE_US);
+						now + 2 * route->probe_us);
 		}
 		route_dispatch(route, pool, now);
 	}
 }
 
+/*
+ * The rate grows no further than PROBES_FULL a second, until the interval is as
+ * long as what an endpoint's leaving may take to be seen allows.
+ */
+static void set_interval(route_t *route)
+{
+	int mine = 0;
+
+	for (guint i = 0; i < route->pools->len; i++) {
+		const route_pool_t *pool = route->pools->pdata[i];
+
+		for (guint k = 0; k < pool->eps->len; k++)
+			mine += ((route_ep_t *)pool->eps->pdata[k])->mine;
+	}
+	route->probe_us = CLAMP(ROUTE_PROBE_US * mine / PROBES_FULL,
+				ROUTE_PROBE_US, ROUTE_PROBE_MAX_US);
+}
+
 /* The first probes are spread over an interval. */
 static int64_t spread(route_t *route)
 {
-	return base_rng_below(&route->rng, ROUTE_PROBE_US);
+	return base_rng_below(&route->rng, (uint32_t)route->probe_us);
 }
 
 static bool owns(const route_t *route, const route_ep_t *ep)
--- a/packages/route/tests/route_test.c
+++ b/packages/route/tests/route_test.c
@@ -307,6 +307,43 @@
 	talloc_free(w.route);
 }
 
+/* How many of "n" endpoints are due "after" their first probe. */
+static size_t due_again(int n, int64_t after)
+{
+	const route_entry_t alone = { "e1", "z1" };
+	route_endpoint_t *many = g_new0(route_endpoint_t, n);
+	route_probe_due_t *due = g_new0(route_probe_due_t, n);
+	size_t again;
+	world_t w;
+
+	setup(&w, 3, 10);
+	for (int i = 0; i < n; i++)
+		many[i] = (route_endpoint_t){
+			g_strdup_printf("i%d", i), "1", "z1", "x", 1, ROUTE_LIVE
+		};
+	route_entries(w.route, &alone, 1, w.now);
+	route_view(w.route, BASE_STR("desk"), 2, many, (size_t)n, w.now);
+	route_probe_due(w.route, true, w.now, due, (size_t)n);
+	w.now += ROUTE_PROBE_MAX_US;
+	again = route_probe_due(w.route, true, w.now, due, (size_t)n);
+	g_assert_cmpuint(again, ==, n);
+	again = route_probe_due(w.route, true, w.now + after, due, (size_t)n);
+	for (int i = 0; i < n; i++)
+		g_free((char *)many[i].instance);
+	g_free(many);
+	g_free(due);
+	talloc_free(w.route);
+	return again;
+}
+
+static void test_probes_slow_down(void)
+{
+	g_assert_cmpuint(due_again(200, ROUTE_PROBE_US), ==, 200);
+	g_assert_cmpuint(due_again(300, ROUTE_PROBE_US), ==, 0);
+	g_assert_cmpuint(due_again(300, ROUTE_PROBE_US * 3 / 2), ==, 300);
+	g_assert_cmpuint(due_again(2000, ROUTE_PROBE_MAX_US), ==, 2000);
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
@@ -318,5 +355,6 @@
 	g_test_add_func("/route/probes", test_probes_are_shared);
 	g_test_add_func("/route/freed-slot", test_freed_slot_is_kept);
 	g_test_add_func("/route/refusals-free", test_refusals_are_free);
+	g_test_add_func("/route/probes/slow-down", test_probes_slow_down);
 	return g_test_run();
 }
