--- a/packages/base/base_str.c
+++ b/packages/base/base_str.c
@@ -1,6 +1,6 @@
 #include "base_int.h"
 
-#define UINT64_DIGITS 20
+#define DECIMAL_MAX 20 /* digits of a uint64_t */
 
 static void grow(base_buf_t *buf, size_t extra);
 
@@ -43,18 +43,6 @@
 }
 
 /* Into the room that is there; once more when it was too little. */
-void base_buf_addu(base_buf_t *buf, uint64_t number)
-{
-	char digits[UINT64_DIGITS];
-	size_t at = sizeof(digits);
-
-	do {
-		digits[--at] = (char)('0' + number % 10);
-		number /= 10;
-	} while (number);
-	base_buf_add(buf, digits + at, sizeof(digits) - at);
-}
-
 void base_buf_addf(base_buf_t *buf, const char *fmt, ...)
 {
 	size_t room = buf->alloc - buf->len;
@@ -75,6 +63,18 @@
 	va_end(again);
 }
 
+void base_buf_add_uint(base_buf_t *buf, uint64_t value)
+{
+	char digits[DECIMAL_MAX];
+	size_t at = sizeof(digits);
+
+	do {
+		digits[--at] = (char)('0' + value % 10);
+		value /= 10;
+	} while (value);
+	base_buf_add(buf, digits + at, sizeof(digits) - at);
+}
+
 void base_buf_add_json(base_buf_t *buf, base_str_t s)
 {
 	base_buf_add(buf, "\"", 1);
--- a/packages/base/base_str.h
+++ b/packages/base/base_str.h
@@ -50,13 +50,13 @@
 /* Append the NUL-terminated "text". */
 void base_buf_adds(base_buf_t *buf, const char *text);
 
-/* Append "number" in decimal. */
-void base_buf_addu(base_buf_t *buf, uint64_t number);
-
 /* Append in the manner of printf(3). */
 void base_buf_addf(base_buf_t *buf, const char *fmt, ...)
 	__attribute__((format(printf, 2, 3)));
 
+/* Append "value" in decimal: where printf(3) would be too slow. */
+void base_buf_add_uint(base_buf_t *buf, uint64_t value);
+
 /* Append "s" as a JSON string with its quotes. */
 void base_buf_add_json(base_buf_t *buf, base_str_t s);
 
--- a/packages/entry/entry_http.c
+++ b/packages/entry/entry_http.c
@@ -29,6 +29,7 @@
 	[ENTRY_UNKNOWN] = "unknown",
 };
 
+static char *make_target(const void *ctx, const struct mg_request_info *info);
 static bool read_names(entry_request_t *request, struct mg_connection *conn);
 static bool read_class(entry_request_t *request, struct mg_connection *conn,
 		       const entry_view_t *view);
@@ -36,16 +37,14 @@
 		      const entry_view_t *view);
 static bool take_text(struct mg_connection *conn, const char *name, char *out,
 		      size_t size);
-static void make_id(char *out, size_t size);
-static char *make_target(entry_request_t *request,
-			 const struct mg_request_info *info);
-static void add_status(base_buf_t *out, struct mg_connection *conn, int status);
 static void copy_headers(entry_request_t *request,
 			 const struct mg_request_info *info);
 static bool is_own(const char *name);
 static void bad_request(struct mg_connection *conn,
 			const entry_request_t *request, int status,
 			const char *reason);
+static void add_status(base_buf_t *out, const struct mg_connection *conn,
+		       int status);
 
 const char *entry_outcome_name(entry_outcome_t outcome)
 {
@@ -71,6 +70,23 @@
 	return NULL;
 }
 
+static char *make_target(const void *ctx, const struct mg_request_info *info)
+{
+	const char *path = info->local_uri_raw ? info->local_uri_raw : "/";
+	const char *query = info->query_string;
+	size_t path_len = strlen(path);
+	size_t query_len = query ? strlen(query) + 1 : 0;
+	char *target = talloc_size(ctx, path_len + query_len + 1);
+
+	memcpy(target, path, path_len);
+	if (query) {
+		target[path_len] = '?';
+		memcpy(target + path_len + 1, query, query_len - 1);
+	}
+	target[path_len + query_len] = '\0';
+	return target;
+}
+
 static bool read_names(entry_request_t *request, struct mg_connection *conn)
 {
 	const char *path = request->target;
@@ -86,7 +102,7 @@
 		return false;
 	}
 	if (!request->id[0])
-		make_id(request->id, sizeof(request->id));
+		entry_id_make(request->id);
 	if (!request->caller[0])
 		g_strlcpy(request->caller, "other", sizeof(request->caller));
 	if (path[0] == '/')
@@ -183,40 +199,6 @@
 	return !value || g_strlcpy(out, value, size) < size;
 }
 
-/* A random UUID (RFC 4122, version 4), without the cost of printf(3). */
-static void make_id(char *out, size_t size)
-{
-	static const char form[] = "xxxxxxxx-xxxx-4xxx-vxxx-xxxxxxxxxxxx";
-	uint32_t bits = 0;
-
-	g_assert(size >= sizeof(form));
-	for (size_t i = 0, left = 0; i < sizeof(form); i++) {
-		out[i] = form[i];
-		if (form[i] != 'x' && form[i] != 'v')
-			continue;
-		if (!left--) {
-			bits = g_random_int();
-			left = 2 * sizeof(bits) - 1;
-		}
-		out[i] = form[i] == 'x' ? "0123456789abcdef"[bits % 16]
-					: "89ab"[bits % 4];
-		bits /= 16;
-	}
-}
-
-/* As it was sent, with its query. */
-static char *make_target(entry_request_t *request,
-			 const struct mg_request_info *info)
-{
-	const char *path = info->local_uri_raw ? info->local_uri_raw : "/";
-	char *target = talloc_strdup(request, path);
-
-	if (!info->query_string)
-		return target;
-	target = talloc_strdup_append_buffer(target, "?");
-	return talloc_strdup_append_buffer(target, info->query_string);
-}
-
 static void copy_headers(entry_request_t *request,
 			 const struct mg_request_info *info)
 {
@@ -265,11 +247,18 @@
 	base_buf_add(out, "\r\n", 2);
 }
 
+void entry_http_add_length(base_buf_t *out, size_t bytes)
+{
+	base_buf_adds(out, "Content-Length: ");
+	base_buf_add_uint(out, bytes);
+	base_buf_add(out, "\r\n", 2);
+}
+
 void entry_http_answer(struct mg_connection *conn,
 		       const entry_request_t *request,
 		       const entry_message_t *answer, bool last)
 {
-	base_buf_t *out = base_buf_new(NULL);
+	base_buf_t *out = base_buf_new(request);
 
 	add_status(out, conn, answer->status);
 	for (size_t i = 0; i < answer->header_count; i++)
@@ -283,13 +272,13 @@
 				entry_http_add(out, "Content-Length",
 					       answer->headers[i].value);
 	} else if (answer->status != 204 && answer->status != 304) {
-		base_buf_adds(out, "Content-Length: ");
-		base_buf_addu(out, answer->body->len);
-		base_buf_adds(out, "\r\n");
+		entry_http_add_length(out, answer->body->len);
 	}
 	entry_http_add(out, "X-Request-Id", request->id);
 	base_buf_adds(out, "X-Cactusfield-Outcome: answered\r\n");
-	base_buf_adds(out, last ? "Connection: close\r\n\r\n" : "\r\n");
+	if (last)
+		base_buf_adds(out, "Connection: close\r\n");
+	base_buf_add(out, "\r\n", 2);
 	base_buf_add(out, answer->body->ptr, answer->body->len);
 	if (last)
 		mg_disable_connection_keep_alive(conn);
@@ -297,6 +286,16 @@
 	talloc_free(out);
 }
 
+static void add_status(base_buf_t *out, const struct mg_connection *conn,
+		       int status)
+{
+	base_buf_adds(out, "HTTP/1.1 ");
+	base_buf_add_uint(out, (uint64_t)status);
+	base_buf_add(out, " ", 1);
+	base_buf_adds(out, mg_get_response_code_text(conn, status));
+	base_buf_add(out, "\r\n", 2);
+}
+
 void entry_http_refuse(struct mg_connection *conn, const char *request_id,
 		       const entry_refusal_t *refusal)
 {
@@ -307,26 +306,18 @@
 		entry_http_add(out, "X-Request-Id", request_id);
 	if (refusal->retry_after_s > 0) {
 		base_buf_adds(out, "Retry-After: ");
-		base_buf_addu(out, (uint64_t)refusal->retry_after_s);
-		base_buf_adds(out, "\r\n");
+		base_buf_add_uint(out, (uint64_t)refusal->retry_after_s);
+		base_buf_add(out, "\r\n", 2);
 	}
 	entry_http_add(out, "X-Cactusfield-Outcome",
 		       entry_outcome_name(refusal->outcome));
 	entry_http_add(out, "X-Cactusfield-Reason", refusal->reason);
-	base_buf_adds(out, "Content-Length: 0\r\n");
-	base_buf_adds(out,
-		      refusal->last ? "Connection: close\r\n\r\n" : "\r\n");
+	entry_http_add_length(out, 0);
+	if (refusal->last)
+		base_buf_adds(out, "Connection: close\r\n");
+	base_buf_add(out, "\r\n", 2);
 	if (refusal->last)
 		mg_disable_connection_keep_alive(conn);
 	mg_write(conn, out->ptr, out->len);
 	talloc_free(out);
 }
-
-static void add_status(base_buf_t *out, struct mg_connection *conn, int status)
-{
-	base_buf_adds(out, "HTTP/1.1 ");
-	base_buf_addu(out, (uint64_t)status);
-	base_buf_adds(out, " ");
-	base_buf_adds(out, mg_get_response_code_text(conn, status));
-	base_buf_adds(out, "\r\n");
-}
