Hand claims over before a planned stop ends

With three entries replaced one after another, a request that is not repeatable was now and then told "unknown". Besides, news of a list waited for the next tick (up to 250 ms), in which requests piled up over the bound on those that wait.

Ruled out: the limit of 5 s (no refusal took more than 301 ms) and the number of takes of one request.

A slice's pulls go on over changes of the list, from the pairs of the last four lists that may know what the entry lacks, and until somebody really vouches, with a pause between rounds. Hellos say whether an entry copies; the next list waits for that, at most 10 s. An entry's own word that it stops takes it out of the list. A stop lasts until all that live are at a list without it and copy nothing, within the drain's limit. News of a list wakes the duty. Pulls are bounded by time instead of 32 a tick, and one from an entry that just did not answer is not made.

With the store down the list cannot change: a stop then waits for the store up to the drain's limit, and after that what it homed is refused until the store is back. A deputy for the entry within the list was thought of: its grants would have to be part of the proof of when an epoch ends, which a later incarnation of the stopped entry gives today.

In claim_prop only the setting up of the view changed, as it has new members.

--- a/packages/claim/claim_int.h
+++ b/packages/claim/claim_int.h
@@ -93,19 +93,25 @@
 	uint64_t through; /* the bounds cover epochs up to this one */
 	uint64_t lost;
 	int64_t complete_from;
+	uint64_t since;	 /* home or backup from this epoch on */
 	bool need;	 /* somebody may know more */
 	bool pulling;	 /* a batch of this source was taken in */
 	unsigned source; /* whom to ask: claim_sync.c */
+	int64_t pause;	 /* after all were asked in vain */
+	int64_t again_at;
 	uint64_t cursor;
 	uint64_t pull_lost; /* the source's bounds at its first batch */
 	int64_t pull_from;
 } claim_slice_t;
 
+#define CLAIM_PAST 4 /* former lists that may be asked */
+
 struct claim_table {
 	const char *entry;
 	uint64_t incarnation;
 	claim_limits_t limits;
 	claim_epoch_t *epoch;
+	claim_epoch_t *past[CLAIM_PAST]; /* before it, the last one first */
 	int64_t adopted_at;
 	int64_t confirmed_at;
 	bool confirmed;
--- a/packages/claim/claim_propose.c
+++ b/packages/claim/claim_propose.c
@@ -22,6 +22,8 @@
 	    claim_table_settled(table, now) + 1 < epoch->number &&
 	    now - table->adopted_at < CLAIM_SETTLE_US)
 		return NULL;
+	if (epoch && view->copying && now - table->adopted_at < CLAIM_COPY_US)
+		return NULL;
 	if (epoch && !may_remove(&epoch->now, view))
 		return NULL;
 	next = talloc_zero(ctx, claim_epoch_t);
@@ -59,7 +61,9 @@
 		if (claim_list_find(&view->live, member->id,
 				    member->incarnation) != CLAIM_NOBODY)
 			live++;
-		else if (claim_list_find(&view->registered, member->id,
+		else if (claim_list_find(&view->left, member->id,
+					 member->incarnation) == CLAIM_NOBODY &&
+			 claim_list_find(&view->registered, member->id,
 					 member->incarnation) != CLAIM_NOBODY)
 			unsure++;
 	}
--- a/packages/claim/claim_sync.c
+++ b/packages/claim/claim_sync.c
@@ -2,18 +2,15 @@
 
 #define SLICE_SHIFT 58
 
-/* Whom to ask, in this order. */
-typedef enum claim_source {
-	CLAIM_SOURCE_HOME,    /* of the former epoch */
-	CLAIM_SOURCE_BACKUP,  /* of the former epoch */
-	CLAIM_SOURCE_PARTNER, /* the other one of this epoch */
-	CLAIM_SOURCE_MAX
-} claim_source_t;
+/* The pairs of the past lists, the last list first; then the partner. */
+#define SOURCES (2 * CLAIM_PAST + 1)
+#define PAUSE_MIN_US (100 * BASE_MS)
+#define PAUSE_MAX_US (16 * BASE_SEC)
 
 static const claim_member_t *source_of(const claim_table_t *table,
 				       unsigned slice, unsigned source);
 static const claim_member_t *member_at(const claim_list_t *list, int i);
-static void next_source(claim_slice_t *known);
+static void next_source(claim_slice_t *known, int64_t now);
 static bool export_bucket(const claim_store_t *store, uint32_t first,
 			  uint64_t cursor, int64_t now, claim_batch_t *batch);
 static bool merge(claim_table_t *table, const claim_copy_t *copy, int64_t now);
@@ -30,17 +27,18 @@
 
 		if (!known->need || claim_table_fresh(table, slice, 0, now))
 			continue;
-		for (int n = 0; n < CLAIM_SOURCE_MAX && !source; n++) {
+		while (!source && now >= known->again_at) {
 			source = source_of(table, slice, known->source);
 			if (!source)
-				next_source(known);
+				next_source(known, now);
 		}
 		if (!source)
 			continue;
 		if (!known->pulling)
 			known->cursor = (uint64_t)slice << SLICE_SHIFT;
 		*pull = (claim_pull_t){ .source = *source,
-					.epoch = table->epoch->number,
+					.adopted = table->epoch->number,
+					.epoch = known->since,
 					.cursor = known->cursor,
 					.slice = slice };
 		return true;
@@ -86,11 +84,11 @@
 {
 	claim_slice_t *known = &table->slices[pull->slice];
 
-	if (!table->epoch || table->epoch->number != pull->epoch ||
+	if (!table->epoch || table->epoch->number != pull->adopted ||
 	    !known->need || known->cursor != pull->cursor)
 		return;
 	if (!batch || !batch->ok || batch->n > CLAIM_BATCH_MAX) {
-		next_source(known);
+		next_source(known, now);
 		return;
 	}
 	claim_store_expire(&table->store, now);
@@ -102,7 +100,7 @@
 	known->cursor = batch->cursor;
 	for (uint32_t i = 0; i < batch->n; i++) {
 		if (!merge(table, &batch->copies[i], now)) {
-			next_source(known);
+			next_source(known, now);
 			return;
 		}
 	}
@@ -110,29 +108,35 @@
 		return;
 	known->lost = MIN(known->lost, known->pull_lost);
 	known->complete_from = MIN(known->complete_from, known->pull_from);
-	/* A partner that lacks the former epoch itself has not helped. */
-	if (known->pull_lost + 1 < pull->epoch)
-		known->need = false;
-	else
-		next_source(known);
+	/* One that lacks it, too, has not helped; another one may. */
+	known->need = !claim_table_fresh(table, pull->slice, 0, now);
+	if (known->need)
+		next_source(known, now);
 }
 
+/*
+ * A slice lacks what was taken before "since": the pairs of the lists from the
+ * one before it on may hold that.
+ */
 static const claim_member_t *source_of(const claim_table_t *table,
 				       unsigned slice, unsigned source)
 {
-	const claim_epoch_t *epoch = table->epoch;
-	claim_pair_t former = claim_list_pair(&epoch->former, slice);
-	claim_pair_t now = claim_list_pair(&epoch->now, slice);
-	int self = claim_table_self(table, &epoch->now);
-	int partner = now.home == self ? now.backup : now.home;
-	const claim_member_t *found = NULL;
-
-	if (source == CLAIM_SOURCE_HOME)
-		found = member_at(&epoch->former, former.home);
-	else if (source == CLAIM_SOURCE_BACKUP)
-		found = member_at(&epoch->former, former.backup);
-	else
-		found = member_at(&epoch->now, partner);
+	const claim_epoch_t *past = NULL;
+	const claim_list_t *list = &table->epoch->now;
+	claim_pair_t pair = claim_list_pair(list, slice);
+	int self = claim_table_self(table, list);
+	int i = pair.home == self ? pair.backup : pair.home;
+	const claim_member_t *found;
+
+	if (source < 2 * CLAIM_PAST) {
+		past = table->past[source / 2];
+		if (!past || past->number + 1 < table->slices[slice].since)
+			return NULL;
+		list = &past->now;
+		pair = claim_list_pair(list, slice);
+		i = source % 2 ? pair.backup : pair.home;
+	}
+	found = member_at(list, i);
 	if (found && found->incarnation == table->incarnation &&
 	    !strcmp(found->id, table->entry))
 		return NULL;
@@ -144,10 +148,14 @@
 	return i == CLAIM_NOBODY ? NULL : &list->members[i];
 }
 
-static void next_source(claim_slice_t *known)
+static void next_source(claim_slice_t *known, int64_t now)
 {
-	known->source = (known->source + 1) % CLAIM_SOURCE_MAX;
 	known->pulling = false;
+	known->source = (known->source + 1) % SOURCES;
+	if (known->source)
+		return;
+	known->pause = CLAMP(2 * known->pause, PAUSE_MIN_US, PAUSE_MAX_US);
+	known->again_at = now + known->pause;
 }
 
 /*
--- a/packages/claim/claim_sync.h
+++ b/packages/claim/claim_sync.h
@@ -12,8 +12,9 @@
 /* What to ask of whom. */
 typedef struct claim_pull {
 	claim_member_t source; /* the table's until it adopts an epoch */
-	uint64_t epoch;
-	uint64_t cursor; /* what of the slice comes next */
+	uint64_t adopted;      /* the table's epoch */
+	uint64_t epoch;	       /* that the source must have reached */
+	uint64_t cursor;       /* what of the slice comes next */
 	unsigned slice;
 } claim_pull_t;
 
@@ -40,8 +41,9 @@
 
 /*
  * The next pull at or after slice "from", wrapping around.  False when there
- * is none.  A slice is asked of its former home and backup, then of the other
- * one that has it now.
+ * is none.  A slice is asked of its former homes and backups, as far back as
+ * the table has been without what they know, then of the other one that has it
+ * now; and when none could help, again after a pause.
  */
 bool claim_table_next_pull(claim_table_t *table, unsigned from, int64_t now,
 			   claim_pull_t *pull);
--- a/packages/claim/claim_table.c
+++ b/packages/claim/claim_table.c
@@ -21,6 +21,9 @@
 };
 
 static int clear(claim_table_t *table);
+static void note_past(claim_table_t *table, const claim_epoch_t *next);
+static void push_past(claim_table_t *table, uint64_t number,
+		      const claim_list_t *list);
 static void carry_over(claim_table_t *table, const claim_epoch_t *epoch,
 		       unsigned slice);
 static void enter(claim_table_t *table, unsigned slice, int64_t now);
@@ -53,6 +56,7 @@
 		return false;
 	for (unsigned i = 0; i < CLAIM_SLICES; i++)
 		carry_over(table, epoch, i);
+	note_past(table, epoch);
 	talloc_free(table->epoch);
 	table->epoch = claim_epoch_dup(table, epoch);
 	table->seen_at = talloc_zero_array(table->epoch, int64_t, epoch->now.n);
@@ -192,12 +196,47 @@
 	return stats;
 }
 
+unsigned claim_table_copying(const claim_table_t *table, int64_t now)
+{
+	unsigned n = 0;
+
+	if (!table->epoch || now - table->adopted_at >= CLAIM_COPY_US)
+		return 0;
+	for (unsigned i = 0; i < CLAIM_SLICES; i++)
+		n += table->slices[i].need &&
+		     !claim_table_fresh(table, i, 0, now);
+	return n;
+}
+
 static int clear(claim_table_t *table)
 {
 	claim_store_clear(&table->store);
 	return 0;
 }
 
+/* The lists before "next", whose entries may know what this one lacks. */
+static void note_past(claim_table_t *table, const claim_epoch_t *next)
+{
+	const claim_epoch_t *last = table->epoch;
+
+	if (last && last->number + 1 < next->number)
+		push_past(table, last->number, &last->now);
+	push_past(table, next->number - 1, &next->former);
+}
+
+static void push_past(claim_table_t *table, uint64_t number,
+		      const claim_list_t *list)
+{
+	claim_epoch_t *past = talloc_zero(table, claim_epoch_t);
+
+	past->number = number;
+	claim_list_copy(past, &past->now, list);
+	talloc_free(table->past[CLAIM_PAST - 1]);
+	for (int i = CLAIM_PAST - 1; i; i--)
+		table->past[i] = table->past[i - 1];
+	table->past[0] = past;
+}
+
 /* What is known of "slice" at the end of the epoch that is left. */
 static void carry_over(claim_table_t *table, const claim_epoch_t *epoch,
 		       unsigned slice)
@@ -222,15 +261,19 @@
 	const claim_limits_t *limits = &table->limits;
 
 	known->mine = in_pair(table, &epoch->now, slice);
-	known->need = false;
 	known->pulling = false;
-	if (!known->mine || known->through + 1 >= epoch->number)
-		return;
-	known->lost = epoch->number - 1;
-	known->complete_from = later(now, limits->store_us, limits->hold_us);
-	known->need = true;
 	known->source = 0;
 	known->cursor = 0;
+	known->pause = 0;
+	known->again_at = now;
+	if (known->mine && known->through + 1 < epoch->number) {
+		known->since = epoch->number;
+		known->lost = epoch->number - 1;
+		known->complete_from =
+			later(now, limits->store_us, limits->hold_us);
+	}
+	/* What was not learnt in the epoch before is still missing. */
+	known->need = known->mine && !claim_table_fresh(table, slice, 0, now);
 }
 
 static bool in_pair(const claim_table_t *table, const claim_list_t *list,
--- a/packages/claim/claim_table.h
+++ b/packages/claim/claim_table.h
@@ -15,6 +15,9 @@
 #include "claim_id.h"
 
 #define CLAIM_ANSWER_MAX 4096 /* bytes of a recorded answer, at the most */
+#define CLAIM_COPY_US                                          \
+	(10 * BASE_SEC) /* a copy that takes longer has failed \
+			 */
 
 typedef struct claim_limits {
 	int64_t window_us;    /* an id runs at most once within it */
@@ -152,4 +155,10 @@
 
 claim_stats_t claim_table_stats(const claim_table_t *table, int64_t now);
 
+/*
+ * How many slices the table still has to copy before it can vouch for them.  0
+ * from CLAIM_COPY_US after the epoch was adopted: they are fenced then.
+ */
+unsigned claim_table_copying(const claim_table_t *table, int64_t now);
+
 #endif
--- a/packages/claim/tests/claim_prop.cpp
+++ b/packages/claim/tests/claim_prop.cpp
@@ -325,10 +325,11 @@
 			if (e.store)
 				registered.push_back(m);
 		}
-		claim_view_t view = { { live.data(), live.size() },
-				      { registered.data(), registered.size() },
-				      INT64_MIN / 2,
-				      false };
+		claim_view_t view{};
+
+		view.live = { live.data(), live.size() };
+		view.registered = { registered.data(), registered.size() };
+		view.since = INT64_MIN / 2;
 		if (wild && mine && live.size()) {
 			claim_epoch_t e = { mine->number + 1,
 					    claim_table_settled(all[i].table,
--- a/packages/claim/tests/claim_test.c
+++ b/packages/claim/tests/claim_test.c
@@ -398,6 +398,73 @@
 	talloc_free(new);
 }
 
+/* Copy to "to" from "from", three tables, until nothing is left to ask. */
+static void copy_from(claim_table_t *to, claim_table_t *const from[3])
+{
+	claim_batch_t *batch = talloc(to, claim_batch_t);
+	claim_pull_t pull;
+
+	while (claim_table_next_pull(to, 0, NOW, &pull)) {
+		claim_table_t *source = from[pull.source.id[0] - 'a'];
+
+		claim_table_export(source, &pull, NOW, batch);
+		claim_table_import(to, &pull, batch, NOW);
+	}
+	talloc_free(batch);
+}
+
+/* The list changes again before a new entry has copied its slices. */
+static void test_sync_two_changes(void)
+{
+	const claim_member_t four[] = {
+		three[0], three[1], three[2], { "d", "z1", 1 }
+	};
+	claim_epoch_t second = epoch_of(2, list_of(four, 4), list_of(three, 3));
+	claim_epoch_t third =
+		epoch_of(3, list_of(&four[1], 3), list_of(four, 4));
+	claim_table_t *new = table_of("d", 100);
+	claim_table_t *old[3];
+
+	claim_table_adopt(new, &second, NOW, NOW);
+	g_assert_cmpuint(claim_table_copying(new, NOW), >, 0);
+	claim_table_adopt(new, &third, NOW, NOW);
+	for (int i = 0; i < 3; i++) {
+		old[i] = table_in(three[i].id, 100);
+		claim_table_adopt(old[i], &second, NOW, NOW);
+		claim_table_adopt(old[i], &third, NOW, NOW);
+	}
+	copy_from(new, old);
+	g_assert_cmpuint(claim_table_copying(new, NOW), ==, 0);
+	g_assert_cmpuint(claim_table_stats(new, NOW).fenced, ==, 0);
+	for (int i = 0; i < 3; i++)
+		talloc_free(old[i]);
+	talloc_free(new);
+}
+
+/* A former home that lost the slice itself is not the last one asked. */
+static void test_sync_poor_source(void)
+{
+	claim_epoch_t third = epoch_of(3, list_of(three, 3), list_of(gone, 3));
+	claim_table_t *table = table_of("a", 100);
+	claim_batch_t batch = {
+		.ok = true, .last = true, .lost = 1, .complete_age = -BASE_SEC
+	};
+	claim_pull_t first, second;
+
+	claim_table_adopt(table, &third, NOW, NOW);
+	g_assert_true(claim_table_next_pull(table, 0, NOW, &first));
+	claim_table_import(table, &first, &batch, NOW);
+	g_assert_true(claim_table_next_pull(table, first.slice, NOW, &second));
+	g_assert_cmpuint(second.slice, ==, first.slice);
+	g_assert_cmpstr(second.source.id, !=, first.source.id);
+	batch.lost = 0;
+	batch.complete_age = 2 * claim_limits_default.window_us;
+	claim_table_import(table, &second, &batch, NOW);
+	g_assert_true(claim_table_next_pull(table, first.slice, NOW, &second));
+	g_assert_cmpuint(second.slice, !=, first.slice);
+	talloc_free(table);
+}
+
 /*
  * A record that is past the window but not yet forgotten must not hide the
  * younger one of a later run that a slice's former home hands over.
@@ -568,6 +635,28 @@
 	talloc_free(table);
 }
 
+/* One of two entries that stops takes itself out of the list, but not yet. */
+static void test_propose_leaving(void)
+{
+	claim_table_t *table = table_of("a", 100);
+	claim_epoch_t epoch = epoch_of(1, list_of(three, 2), list_of(NULL, 0));
+	claim_view_t view = { .live = list_of(&three[1], 1),
+			      .registered = list_of(three, 2),
+			      .since = NOW,
+			      .copying = true,
+			      .leaving = true };
+	int64_t late = NOW + CLAIM_COPY_US;
+
+	claim_table_adopt(table, &epoch, NOW, NOW);
+	g_assert_null(claim_propose(table, table, &view, false, late));
+	view.left = list_of(three, 1);
+	g_assert_null(claim_propose(table, table, &view, false, NOW));
+	g_assert_nonnull(claim_propose(table, table, &view, false, late));
+	view.copying = false;
+	g_assert_nonnull(claim_propose(table, table, &view, false, NOW));
+	talloc_free(table);
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
@@ -586,8 +675,11 @@
 	g_test_add_func("/claim/fence-time", test_fence_time);
 	g_test_add_func("/claim/sync", test_sync);
 	g_test_add_func("/claim/sync-old-record", test_sync_old_record);
+	g_test_add_func("/claim/sync-two-changes", test_sync_two_changes);
+	g_test_add_func("/claim/sync-poor-source", test_sync_poor_source);
 	g_test_add_func("/claim/holder", test_holder);
 	g_test_add_func("/claim/holder-late", test_holder_late);
 	g_test_add_func("/claim/propose", test_propose);
+	g_test_add_func("/claim/propose-leaving", test_propose_leaving);
 	return g_test_run();
 }
--- a/packages/entry/entry_claim.c
+++ b/packages/entry/entry_claim.c
@@ -5,7 +5,7 @@
  */
 
 #define TICK_US (250 * BASE_MS)
-#define AGAIN_PAUSE_US (100 * BASE_MS)
+#define AGAIN_PAUSE_US (25 * BASE_MS)
 #define AGAIN_MAX_US (5 * BASE_SEC) /* a change of the list is over by then */
 #define WAITING_PART 8 /* of the threads may wait for another round */
 #define RETRY_AFTER_MS 1000
@@ -15,6 +15,7 @@
 static int free_claims(entry_claims_t *claims);
 static void free_peer(void *peer);
 static void tick(void *arg, int64_t now);
+static void wake(void *arg, void *msg, int64_t now);
 static bool take(entry_claims_t *claims, entry_request_t *request,
 		 claim_action_t *action);
 static bool again(entry_claims_t *claims, entry_request_t *request,
@@ -121,6 +122,21 @@
 				      base_clock_mono());
 }
 
+void entry_claim_leave(entry_daemon_t *daemon)
+{
+	entry_claims_t *claims = daemon->claims;
+
+	pthread_mutex_lock(&claims->lock);
+	claims->soon = true;
+	entry_claim_wake(claims);
+	pthread_mutex_unlock(&claims->lock);
+}
+
+bool entry_claim_handed_over(const entry_daemon_t *daemon)
+{
+	return atomic_load(&daemon->claims->handed_over) != 0;
+}
+
 void entry_claim_listen(entry_daemon_t *daemon)
 {
 	mg_set_request_handler(daemon->caller_http, "/cactusfield/ticket",
@@ -162,19 +178,29 @@
 					.period_us = TICK_US,
 					.ring_size = 2,
 					.arg = daemon->claims,
-					.tick = tick };
+					.tick = tick,
+					.message = wake };
+	kern_duty_t *duty = kern_duty_start(NULL, &options, err);
 
 	(void)kern;
-	daemon->claims->duty = kern_duty_start(NULL, &options, err);
-	return daemon->claims->duty != NULL;
+	pthread_mutex_lock(&daemon->claims->lock);
+	daemon->claims->duty = duty;
+	pthread_mutex_unlock(&daemon->claims->lock);
+	return duty != NULL;
 }
 
 static void claim_stop(void *service)
 {
 	entry_daemon_t *daemon = service;
-
-	kern_duty_stop(daemon->claims->duty);
-	talloc_free(daemon->claims->duty);
+	kern_duty_t *duty;
+
+	/* Peers go on telling news, and waking it, for a while. */
+	pthread_mutex_lock(&daemon->claims->lock);
+	duty = daemon->claims->duty;
+	daemon->claims->duty = NULL;
+	pthread_mutex_unlock(&daemon->claims->lock);
+	kern_duty_stop(duty);
+	talloc_free(duty);
 }
 
 static int free_claims(entry_claims_t *claims)
@@ -198,6 +224,12 @@
 	entry_claim_epoch_tick(arg, now);
 }
 
+static void wake(void *arg, void *msg, int64_t now)
+{
+	(void)msg;
+	entry_claim_epoch_tick(arg, now);
+}
+
 /* Ask home and backup until the claim stands or is refused for good. */
 static bool take(entry_claims_t *claims, entry_request_t *request,
 		 claim_action_t *action)
--- a/packages/entry/entry_claim.h
+++ b/packages/entry/entry_claim.h
@@ -18,6 +18,7 @@
 	uint64_t memb_incarnation; /* when it answered last */
 	int64_t lost;		   /* a call got no answer */
 	bool leaving;
+	bool copying;
 } entry_claim_peer_t;
 
 typedef struct entry_claims {
@@ -32,11 +33,13 @@
 	uint64_t reasons[CLAIM_WHY_MAX];
 	uint64_t takes; /* sent to other entries */
 	uint64_t epochs;
-	bool soon;	  /* the epoch has changed: say hello to all */
-	unsigned waiting; /* requests between two rounds */
+	bool soon;	   /* there is news: say hello to all */
+	bool copying;	   /* slices that it homes */
+	unsigned waiting;  /* requests between two rounds */
+	kern_duty_t *duty; /* NULL while there is none */
 	/* Not under the lock. */
-	uint64_t entry; /* digest of this incarnation */
-	kern_duty_t *duty;
+	uint64_t entry;		/* digest of this incarnation */
+	atomic_int handed_over; /* a stop need not wait any more */
 	int64_t store_asked;
 	int64_t hello_said;
 	int64_t hello_all;
@@ -85,4 +88,7 @@
 
 void entry_claim_epoch_tick(entry_claims_t *claims, int64_t now);
 
+/* Have a tick at once; under the lock. */
+void entry_claim_wake(entry_claims_t *claims);
+
 #endif
--- a/packages/entry/entry_claim_epoch.c
+++ b/packages/entry/entry_claim_epoch.c
@@ -12,7 +12,7 @@
 #define HELLO_IDLE_US (15 * BASE_SEC) /* otherwise */
 #define HELLO_DOUBT_US (4 * BASE_SEC) /* no word of the store */
 #define RANK_US (500 * BASE_MS)	      /* who comes later in the list waits */
-#define PULLS 32		      /* at once */
+#define PULL_US (200 * BASE_MS)	      /* then others have their turn */
 
 /* An entry as membership sees it. */
 typedef struct present {
@@ -30,6 +30,10 @@
 static bool knows(const entry_claims_t *claims, const present_t *present);
 static claim_list_t live_list(entry_claims_t *claims, const void *ctx,
 			      const present_t *present, size_t n);
+static claim_list_t left_list(entry_claims_t *claims, const void *ctx,
+			      const present_t *present, size_t n);
+static bool anyone_copies(const entry_claims_t *claims,
+			  const claim_list_t *live, int64_t now);
 static int by_id(const void *a, const void *b);
 static bool note_live(entry_claims_t *claims, const claim_list_t *live,
 		      int64_t now);
@@ -38,6 +42,8 @@
 static int64_t rank_of(const entry_claims_t *claims, const claim_list_t *live);
 static void write_record(entry_claims_t *claims, const claim_epoch_t *next);
 static void pull(entry_claims_t *claims);
+static void note_copied(entry_claims_t *claims);
+static void note_handover(entry_claims_t *claims);
 
 void entry_claim_epoch_tick(entry_claims_t *claims, int64_t now)
 {
@@ -52,6 +58,16 @@
 	propose(claims, now);
 	say_hello(claims, now);
 	pull(claims);
+	note_copied(claims);
+	say_hello(claims, now);
+	if (leaving)
+		note_handover(claims);
+}
+
+void entry_claim_wake(entry_claims_t *claims)
+{
+	if (claims->duty)
+		kern_duty_post(claims->duty, claims);
 }
 
 void entry_claim_adopt(entry_claims_t *claims, const claim_epoch_t *epoch,
@@ -61,6 +77,8 @@
 		return;
 	claims->epochs++;
 	claims->soon = true;
+	claims->copying = claim_table_copying(claims->table, now) > 0;
+	entry_claim_wake(claims);
 	base_log(claims->daemon->log, BASE_MSG_CLAIM_EPOCH,
 		 BASE_F_INT("epoch", (int64_t)epoch->number),
 		 BASE_F_INT("entries", (int64_t)epoch->now.n));
@@ -175,6 +193,8 @@
 
 	pthread_mutex_lock(&claims->lock);
 	view.live = live_list(claims, ctx, present, n);
+	view.left = left_list(claims, ctx, present, n);
+	view.copying = anyone_copies(claims, &view.live, now);
 	epoch = claim_table_epoch(claims->table);
 	differs = note_live(claims, &view.live, now);
 	current = epoch ? epoch->number == claims->store_number
@@ -223,6 +243,53 @@
 	return list;
 }
 
+/* Under the lock: those that said that they stop, this entry among them. */
+static claim_list_t left_list(entry_claims_t *claims, const void *ctx,
+			      const present_t *present, size_t n)
+{
+	const entry_settings_t *settings = claims->daemon->settings;
+	claim_list_t list = { talloc_zero_array(ctx, claim_member_t, n + 1),
+			      0 };
+
+	if (atomic_load(&claims->daemon->draining))
+		list.members[list.n++] = (claim_member_t){
+			settings->name, settings->zone,
+			claim_table_hello(claims->table, 0).incarnation
+		};
+	for (size_t i = 0; i < n; i++) {
+		const entry_claim_peer_t *peer =
+			g_hash_table_lookup(claims->peers, present[i].id);
+
+		if (peer && peer->leaving)
+			list.members[list.n++] =
+				(claim_member_t){ present[i].id, "",
+						  peer->incarnation };
+	}
+	return list;
+}
+
+/* Under the lock: whether an entry of the list cannot vouch for all yet. */
+static bool anyone_copies(const entry_claims_t *claims,
+			  const claim_list_t *live, int64_t now)
+{
+	const claim_epoch_t *epoch = claim_table_epoch(claims->table);
+
+	if (!epoch)
+		return false;
+	for (size_t i = 0; i < live->n; i++) {
+		const claim_member_t *member = &live->members[i];
+		const entry_claim_peer_t *peer =
+			g_hash_table_lookup(claims->peers, member->id);
+
+		if (claim_list_find(&epoch->now, member->id,
+				    member->incarnation) == CLAIM_NOBODY)
+			continue;
+		if (peer && (peer->copying || peer->epoch < epoch->number))
+			return true;
+	}
+	return claim_table_copying(claims->table, now) > 0;
+}
+
 static int by_id(const void *a, const void *b)
 {
 	const claim_member_t *left = a, *right = b;
@@ -323,11 +390,12 @@
 
 static void pull(entry_claims_t *claims)
 {
+	int64_t end = base_clock_mono() + PULL_US;
 	void *ctx = talloc_new(NULL);
 	claim_pull_t next;
-	bool more = true;
+	bool more;
 
-	for (int i = 0; i < PULLS && more; i++) {
+	for (int i = 0; base_clock_mono() < end; i++) {
 		pthread_mutex_lock(&claims->lock);
 		more = claim_table_next_pull(claims->table, claims->pull_from,
 					     base_clock_mono(), &next);
@@ -345,3 +413,42 @@
 	}
 	talloc_free(ctx);
 }
+
+/* The others wait for it with the next change of the list. */
+static void note_copied(entry_claims_t *claims)
+{
+	bool copying;
+
+	pthread_mutex_lock(&claims->lock);
+	copying = claim_table_copying(claims->table, base_clock_mono()) > 0;
+	claims->soon |= claims->copying && !copying;
+	claims->copying = copying;
+	pthread_mutex_unlock(&claims->lock);
+}
+
+/*
+ * A stop waits until the list goes on without this entry and those on it vouch
+ * for what it homed; with nobody else there is nobody to wait for.
+ */
+static void note_handover(entry_claims_t *claims)
+{
+	void *ctx = talloc_new(NULL);
+	const claim_epoch_t *epoch;
+	claim_contact_t self;
+	claim_list_t live;
+	present_t *present;
+	size_t n = list_present(claims, ctx, &present);
+	bool done;
+
+	pthread_mutex_lock(&claims->lock);
+	epoch = claim_table_epoch(claims->table);
+	self = claim_table_hello(claims->table, 0);
+	live = live_list(claims, ctx, present, n);
+	done = !epoch || !live.n ||
+	       (claim_list_find(&epoch->now, self.entry, self.incarnation) ==
+			CLAIM_NOBODY &&
+		!anyone_copies(claims, &live, base_clock_mono()));
+	pthread_mutex_unlock(&claims->lock);
+	atomic_store(&claims->handed_over, done);
+	talloc_free(ctx);
+}
--- a/packages/entry/entry_claim_wire.c
+++ b/packages/entry/entry_claim_wire.c
@@ -143,7 +143,8 @@
 	peer_claim_batch res = { 0 };
 	bool got;
 
-	got = entry_claim_find(claims, pull->source.id, &to.addr) &&
+	got = !silent(claims, pull->source.id) &&
+	      entry_claim_find(claims, pull->source.id, &to.addr) &&
 	      peer_call(claims->daemon->memb->peer, &to, PEER_CLAIM_PULL, &args,
 			&res, PULL_TIMEOUT_US) == PEER_ANSWERED;
 	if (got && (res.copies.copies_val || !res.copies.copies_len)) {
@@ -377,6 +378,7 @@
 	wire->epoch = self.epoch;
 	wire->confirmed_age = self.confirmed_age;
 	wire->leaving = atomic_load(&claims->daemon->draining) != 0;
+	wire->copying = claims->copying;
 	if (epoch && known < epoch->number)
 		claim_epoch_print(epoch, record);
 	wire->record.record_len = (u_int)record->len;
@@ -431,6 +433,7 @@
 	peer->incarnation = wire->incarnation;
 	peer->epoch = wire->epoch;
 	peer->leaving = wire->leaving;
+	peer->copying = wire->copying;
 }
 
 static void *copy_bytes(base_str_t bytes)
--- a/packages/entry/entry_int.h
+++ b/packages/entry/entry_int.h
@@ -326,6 +326,12 @@
 /* To be asked right before a first byte goes out. */
 bool entry_claim_may_write(const entry_request_t *request);
 
+/* Give what this entry homes to others, and tell them so; it drains. */
+void entry_claim_leave(entry_daemon_t *daemon);
+
+/* Whether others home all of it. */
+bool entry_claim_handed_over(const entry_daemon_t *daemon);
+
 /* Serve tickets on the callers' port. */
 void entry_claim_listen(entry_daemon_t *daemon);
 
--- a/packages/entry/entry_run.c
+++ b/packages/entry/entry_run.c
@@ -93,7 +93,7 @@
 
 /*
  * Look unready, go on serving until the balancer has seen it, then wait for
- * what is in flight.
+ * what is in flight and until others home the claims.
  */
 static void drain(entry_daemon_t *daemon)
 {
@@ -104,8 +104,11 @@
 		 BASE_F_STR("entry", settings->name));
 	atomic_store(&daemon->draining, 1);
 	entry_memb_leave(daemon);
+	entry_claim_leave(daemon);
 	base_clock_sleep(settings->balancer_lag_ms * BASE_MS);
 	limit = base_clock_mono() + settings->drain_limit_ms * BASE_MS;
-	while (atomic_load(&daemon->in_flight) && base_clock_mono() < limit)
+	while ((atomic_load(&daemon->in_flight) ||
+		!entry_claim_handed_over(daemon)) &&
+	       base_clock_mono() < limit)
 		base_clock_sleep(DRAIN_POLL_US);
 }
--- a/packages/peer/peer_proto.x
+++ b/packages/peer/peer_proto.x
@@ -157,6 +157,7 @@
 	unsigned hyper epoch;
 	hyper confirmed_age;		/* microseconds, -1: never */
 	bool leaving;
+	bool copying;			/* slices that it homes */
 	opaque record<PEER_EPOCH_MAX>;
 };
 
--- a/packages/peer/peer_proto_xdr.c
+++ b/packages/peer/peer_proto_xdr.c
@@ -347,6 +347,8 @@
 		 return FALSE;
 	 if (!xdr_bool (xdrs, &objp->leaving))
 		 return FALSE;
+	 if (!xdr_bool (xdrs, &objp->copying))
+		 return FALSE;
 	 if (!xdr_bytes (xdrs, (char **)&objp->record.record_val, (u_int *) &objp->record.record_len, PEER_EPOCH_MAX))
 		 return FALSE;
 	return TRUE;
--- a/packages/peer/peer_proto_xdr.h
+++ b/packages/peer/peer_proto_xdr.h
@@ -183,6 +183,7 @@
 	u_quad_t epoch;
 	quad_t confirmed_age;
 	bool_t leaving;
+	bool_t copying;
 	struct {
 		u_int record_len;
 		char *record_val;
