--- a/packages/entry/entry_view.c
+++ b/packages/entry/entry_view.c
@@ -33,7 +33,7 @@
 {
 	entry_views_t *views = talloc_zero(ctx, entry_views_t);
 
-	pthread_mutex_init(&views->lock, NULL);
+	entry_lock_init(&views->lock);
 	views->list_ctx = talloc_new(NULL);
 	views->owner_of = g_hash_table_new(g_str_hash, g_str_equal);
 	views->current = talloc_zero(NULL, entry_view_t);
@@ -209,6 +209,7 @@
 	endpoint->id = talloc_strdup(view, instance->id);
 	endpoint->incarnation = talloc_strdup(view, instance->incarnation);
 	endpoint->zone = talloc_strdup(view, instance->zone);
+	endpoint->rack = talloc_strdup(view, instance->rack);
 	endpoint->address = talloc_strdup(view, instance->address);
 	endpoint->port = instance->port;
 	endpoint->state = instance->state;
