Follow more slots than declared from the first burst on

Cause, read from a trace of the limit: an entry adapts its gain only after its first 1,024 answers. In a burst that comes first they take 1.8 s of 4 s, and all the while the limit stays at 1.3 of the share where 1.5 is there.

Both cases of wrong slots are asserted now.

The way back from leaving by an endpoint's own word was weighed and not built: docs/design/choice.md says why. The property of interleavings now has probes: neither a good one nor a failed one brings a leaving endpoint back.

--- a/packages/route/route_limit.c
+++ b/packages/route/route_limit.c
@@ -13,9 +13,9 @@
 #define SLOW_MUCH 1.5
 /* The part of the share that each unit above these takes away. */
 #define SLOPE_SOME 0.4
-#define SLOPE_MUCH 2.6	   /* more */
-#define LIMIT_FLOOR 0.1	   /* of the share */
-#define LEARN_SAMPLES 1024 /* before latency counts */
+#define SLOPE_MUCH 2.6	  /* more */
+#define LIMIT_FLOOR 0.1	  /* of the share */
+#define LEARN_SAMPLES 512 /* before latency counts */
 /* Weights of the newest window. */
 #define RUN_WEIGHT 0.15
 #define BASE_WEIGHT 0.05
--- a/packages/route/tests/route_flood_test.c
+++ b/packages/route/tests/route_flood_test.c
@@ -83,6 +83,19 @@
 	g_assert_cmpfloat(kept.pool, >=, 0.95);
 }
 
+/* Slots are declared; the truth is half of that, or half as much again. */
+static void test_wrong_slots(void)
+{
+	flood_options_t opt = flood_five_pools();
+	kept_t kept;
+
+	for (opt.true_slots = 4; opt.true_slots <= 12; opt.true_slots += 8) {
+		kept = worst(opt, FLOOD_QUEUES);
+		others_keep(kept);
+		g_assert_cmpfloat(kept.pool, >=, 0.95);
+	}
+}
+
 static void test_refusing_others(void)
 {
 	others_keep(worst(flood_five_pools(), FLOOD_REFUSES));
@@ -121,6 +134,7 @@
 	g_test_set_nonfatal_assertions();
 	g_test_add_func("/flood/five-pools", test_five_pools);
 	g_test_add_func("/flood/shared-pool", test_shared_pool);
+	g_test_add_func("/flood/wrong-slots", test_wrong_slots);
 	g_test_add_func("/flood/refusing/others", test_refusing_others);
 	g_test_add_func("/flood/refusing/capacity", test_refusing_capacity);
 	g_test_add_func("/flood/amplification", test_amplification);
--- a/packages/route/tests/route_prop.cpp
+++ b/packages/route/tests/route_prop.cpp
@@ -186,6 +186,19 @@
 			      base_str(life.c_str()), all.now);
 }
 
+/* A probe, of the old list or the new, is no way back from leaving. */
+void probe(Cores &all, Core &core)
+{
+	std::string instance = "i" + std::to_string(*rc::gen::inRange(0, 5));
+	std::string life = std::to_string(*rc::gen::inRange(1, 3));
+	route_probe_t result = *rc::gen::inRange(0, 3) != 0
+				       ? ROUTE_PROBE_OK
+				       : ROUTE_PROBE_FAILED;
+
+	route_probe_done(core.route, base_str(instance.c_str()),
+			 base_str(life.c_str()), result, all.now);
+}
+
 void see_pool(void *arg, const route_pool_stats_t *s)
 {
 	auto *held = static_cast<int *>(arg);
@@ -214,7 +227,7 @@
 {
 	Core &core = *all.cores[*rc::gen::inRange<size_t>(0, kEntries)];
 
-	switch (*rc::gen::inRange(0, 16)) {
+	switch (*rc::gen::inRange(0, 18)) {
 	case 0:
 		all.version++;
 		for (auto &each : all.cores)
@@ -244,6 +257,10 @@
 	case 10:
 		one_done(all, core);
 		break;
+	case 11:
+	case 12:
+		probe(all, core);
+		break;
 	default:
 		submit(all, core);
 	}
