Tell from the pod that takes a name that the task never began

An answer that was lost after a name was taken looked like a task that is there, so that its job stayed in doubt and its room taken for good.

Pods are listed in parts of 2,000: one answer of 16 MB would hold some 16,000. A start that is refused after a try whose answer was lost is not taken for one that never began.

--- a/packages/entry/entry_jobs.c
+++ b/packages/entry/entry_jobs.c
@@ -61,6 +61,7 @@
 static void read_reports(void *arg, int64_t now);
 static void on_report(void *arg, base_str_t job, int64_t attempt,
 		      const jobs_report_t *report);
+static bool record_of(void *core, base_str_t id, jobs_record_t *record);
 static jobs_commit_t commit(void *arg, const jobs_record_t *records, size_t n);
 static void send_start(void *arg, const jobs_order_t *order);
 static void send_checkpoint(void *arg, const jobs_order_t *order);
@@ -224,7 +225,8 @@
 	if (jobs->listed)
 		forbid_unheard(jobs);
 	jobs->committed = true;
-	if (!jobs_step(jobs->core, now) || !site_joblog_snapshot(jobs->log)) {
+	if (!jobs_step(jobs->core, now) ||
+	    !site_joblog_snapshot(jobs->log, record_of, jobs->core)) {
 		base_log(jobs->daemon->log, BASE_MSG_DUTY_LOST,
 			 BASE_F_STR("duty", "jobs"));
 		drop(jobs);
@@ -246,19 +248,18 @@
 	GError *cause = NULL;
 
 	jobs->log = site_joblog_new(jobs, jobs->store, jobs->duty);
-	if (!site_joblog_read(jobs->log, &cause)) {
-		base_log(jobs->daemon->log, BASE_MSG_DUTY_WAITS,
-			 BASE_F_STR("why", cause->message));
-		g_clear_error(&cause);
-		TALLOC_FREE(jobs->log);
-		return false;
-	}
 	jobs->core = jobs_new(jobs, &options);
 	jobs->generation = 0;
 	configure(jobs);
 	jobs->seen_at = now - LOOK_US;
 	look_at_workers(jobs, now);
-	site_joblog_each(jobs->log, restore, jobs);
+	if (!site_joblog_read(jobs->log, restore, jobs, &cause)) {
+		base_log(jobs->daemon->log, BASE_MSG_DUTY_WAITS,
+			 BASE_F_STR("why", cause->message));
+		g_clear_error(&cause);
+		drop(jobs);
+		return false;
+	}
 	atomic_store(&jobs->epoch, ++jobs->epochs);
 	base_log(jobs->daemon->log, BASE_MSG_DUTY_TAKEN,
 		 BASE_F_STR("duty", "jobs"));
@@ -534,6 +535,11 @@
 	pthread_mutex_unlock(&jobs->lock);
 }
 
+static bool record_of(void *core, base_str_t id, jobs_record_t *record)
+{
+	return jobs_record(core, id, record);
+}
+
 static jobs_commit_t commit(void *arg, const jobs_record_t *records, size_t n)
 {
 	entry_jobs_t *jobs = arg;
--- a/packages/entry/entry_jobs_pages.c
+++ b/packages/entry/entry_jobs_pages.c
@@ -20,7 +20,7 @@
 static int change(struct mg_connection *conn, entry_jobs_t *jobs,
 		  change_fn_t fn);
 static int list(struct mg_connection *conn, entry_jobs_t *jobs);
-static void add_job(void *arg, base_str_t text);
+static void add_job(void *arg, base_str_t id);
 static int submit(struct mg_connection *conn, entry_jobs_t *jobs);
 static conf_jobs_t *read_jobs(struct mg_connection *conn, entry_jobs_t *jobs,
 			      void *ctx, conf_faults_t *faults);
@@ -125,32 +125,25 @@
 	return answer(conn, json ? json : elsewhere(jobs));
 }
 
-/* Only the id is taken from the text: the core knows more of the job. */
-static void add_job(void *arg, base_str_t text)
+static void add_job(void *arg, base_str_t id)
 {
 	listing_t *listing = arg;
-	json_t *root = json_loadb(text.ptr, text.len, 0, NULL);
-	const char *id = json_string_value(
-		json_object_get(json_object_get(root, "spec"), "id"));
 	jobs_record_t record;
 
-	if (id && jobs_record(listing->core, base_str(id), &record))
-		json_array_append_new(
-			listing->jobs,
-			json_pack("{s:s,s:s%,s:s%,s:i,s:b,s:s,s:I,s:s%}", "id",
-				  id, "team", record.spec.team.ptr,
-				  record.spec.team.len, "family",
-				  record.spec.family.ptr,
-				  record.spec.family.len, "urgency",
-				  record.spec.urgency, "repeatable",
-				  (int)record.spec.repeatable, "state",
-				  jobs_state_name(record.state), "attempt",
-				  (json_int_t)record.attempt, "worker",
-				  record.n_tasks ? record.tasks[0].worker.ptr
-						 : "",
-				  record.n_tasks ? record.tasks[0].worker.len
-						 : 0));
-	json_decref(root);
+	if (!jobs_record(listing->core, id, &record))
+		return;
+	json_array_append_new(
+		listing->jobs,
+		json_pack("{s:s%,s:s%,s:s%,s:i,s:b,s:s,s:I,s:s%}", "id", id.ptr,
+			  id.len, "team", record.spec.team.ptr,
+			  record.spec.team.len, "family",
+			  record.spec.family.ptr, record.spec.family.len,
+			  "urgency", record.spec.urgency, "repeatable",
+			  (int)record.spec.repeatable, "state",
+			  jobs_state_name(record.state), "attempt",
+			  (json_int_t)record.attempt, "worker",
+			  record.n_tasks ? record.tasks[0].worker.ptr : "",
+			  record.n_tasks ? record.tasks[0].worker.len : 0));
 }
 
 static int submit(struct mg_connection *conn, entry_jobs_t *jobs)
--- a/packages/entry/entry_jobs_send.c
+++ b/packages/entry/entry_jobs_send.c
@@ -13,6 +13,7 @@
 typedef struct send {
 	entry_send_t kind;
 	uint64_t epoch;
+	bool unsure;	    /* an earlier try may have taken effect */
 	jobs_order_t order; /* strings below this */
 } send_t;
 
@@ -40,8 +41,7 @@
 static bool do_stop(entry_sender_t *sender, const send_t *send, GError **err);
 static bool do_forbid(entry_sender_t *sender, const send_t *send, GError **err);
 static bool do_forget(entry_sender_t *sender, const send_t *send, GError **err);
-static void never_began(entry_sender_t *sender, const send_t *send,
-			jobs_event_t event);
+static void never_began(entry_sender_t *sender, const send_t *send);
 
 static const struct {
 	const char *name;
@@ -155,6 +155,8 @@
 		return;
 	}
 	if (!g_error_matches(cause, PLAT_ERROR, PLAT_ERROR_BAD)) {
+		if (g_error_matches(cause, PLAT_ERROR, PLAT_ERROR_UNKNOWN))
+			send->unsure = true;
 		g_clear_error(&cause);
 		if (kinds[send->kind].again)
 			g_queue_push_tail(&sender->again, send);
@@ -168,8 +170,8 @@
 		 BASE_F_INT("attempt", send->order.attempt),
 		 BASE_F_STR("why", cause->message));
 	g_clear_error(&cause);
-	if (send->kind == ENTRY_SEND_START)
-		never_began(sender, send, JOBS_EVENT_REFUSED);
+	if (send->kind == ENTRY_SEND_START && !send->unsure)
+		never_began(sender, send);
 	talloc_free(send);
 }
 
@@ -197,31 +199,13 @@
 
 static bool do_stop(entry_sender_t *sender, const send_t *send, GError **err)
 {
-	bool never = false;
-
-	if (!sender->tasks->ops->stop(sender->tasks, &send->order, &never, err))
-		return false;
-	if (never)
-		never_began(sender, send, JOBS_EVENT_GONE);
-	return true;
+	return sender->tasks->ops->stop(sender->tasks, &send->order, err);
 }
 
-/*
- * That it never began lets even a job that must not be repeated go again; for
- * a repeatable one nobody is to blame.
- */
+/* That the name was free in time is told by the pod that takes it. */
 static bool do_forbid(entry_sender_t *sender, const send_t *send, GError **err)
 {
-	bool never = false;
-
-	if (!sender->tasks->ops->forbid(sender->tasks, &send->order, &never,
-					err))
-		return false;
-	if (never)
-		never_began(sender, send,
-			    send->order.repeatable ? JOBS_EVENT_GONE
-						   : JOBS_EVENT_REFUSED);
-	return true;
+	return sender->tasks->ops->forbid(sender->tasks, &send->order, err);
 }
 
 static bool do_forget(entry_sender_t *sender, const send_t *send, GError **err)
@@ -233,15 +217,14 @@
 	return sender->tasks->ops->forget(sender->tasks, name, err);
 }
 
-static void never_began(entry_sender_t *sender, const send_t *send,
-			jobs_event_t event)
+static void never_began(entry_sender_t *sender, const send_t *send)
 {
 	const jobs_report_t report = {
 		.worker = send->order.worker,
 		.incarnation = send->order.incarnation,
 		.job = send->order.job,
 		.attempt = send->order.attempt,
-		.event = event,
+		.event = JOBS_EVENT_REFUSED,
 	};
 
 	entry_jobs_report(sender->jobs, send->epoch, &report);
--- a/packages/plat/plat.h
+++ b/packages/plat/plat.h
@@ -325,15 +325,15 @@
 	/* Give it all its cores again. */
 	bool (*resume)(plat_tasks_t *tasks, const jobs_order_t *order,
 		       GError **err);
-	/* "*never" says that it had not begun and cannot any more. */
+	/* Stop it, or see to it that it never begins. */
 	bool (*stop)(plat_tasks_t *tasks, const jobs_order_t *order,
-		     bool *never, GError **err);
+		     GError **err);
 	/*
-	 * See to it that an attempt that nobody has begun never begins;
-	 * "*never" is false if it has.
+	 * See to it that an attempt that nobody has begun never begins, which
+	 * is then reported: as refused, or as gone if it may be repeated.
 	 */
 	bool (*forbid)(plat_tasks_t *tasks, const jobs_order_t *order,
-		       bool *never, GError **err);
+		       GError **err);
 	/* Remove what is left of a task that has ended. */
 	bool (*forget)(plat_tasks_t *tasks, const char *name, GError **err);
 	/*
--- a/packages/plat/plat_pods.c
+++ b/packages/plat/plat_pods.c
@@ -12,7 +12,8 @@
  * - start: POST a pod; throttle and resume: PATCH its subresource "resize";
  * - stop: PATCH activeDeadlineSeconds; checkpoint: the node's checkpoint call
  *   (KEP-2008), then stop;
- * - forbid: POST a pod of that name for life 0 of the worker, which refuses it.
+ * - forbid: POST a pod of that name for life 0 of the worker, which refuses it;
+ *   its annotations say which life it stands for.
  *
  * A worker refuses a pod for another life of it and one that it sees first
  * after "start-by": the order of a holder that was paused in the middle.
@@ -24,6 +25,7 @@
 #define NOTE "cactusfield/"
 #define MERGE "application/merge-patch+json"
 #define VERSION_MAX 32 /* bytes */
+#define LIST_PART 2000 /* pods of one answer */
 #define START_BY_US (30 * BASE_SEC)
 
 typedef struct plat_pods {
@@ -48,14 +50,15 @@
 static bool pods_resume(plat_tasks_t *tasks, const jobs_order_t *order,
 			GError **err);
 static bool pods_stop(plat_tasks_t *tasks, const jobs_order_t *order,
-		      bool *never, GError **err);
+		      GError **err);
 static bool pods_forbid(plat_tasks_t *tasks, const jobs_order_t *order,
-			bool *never, GError **err);
+			GError **err);
 static bool pods_forget(plat_tasks_t *tasks, const char *name, GError **err);
 static bool pods_reports(plat_tasks_t *tasks, plat_report_fn_t report,
 			 void *arg, bool *whole, GError **err);
-static int post_pod(plat_pods_t *pods, const jobs_order_t *order,
-		    int64_t incarnation, GError **err);
+static int post_pod(plat_pods_t *pods, const jobs_order_t *order, bool forbid,
+		    GError **err);
+static void forbid_pod(json_t *pod, const char *life, bool repeatable);
 static bool resize(plat_pods_t *pods, const jobs_order_t *order, int64_t cores,
 		   GError **err);
 static int patch(plat_pods_t *pods, const jobs_order_t *order,
@@ -95,8 +98,7 @@
 static bool pods_start(plat_tasks_t *tasks, const jobs_order_t *order,
 		       GError **err)
 {
-	int status =
-		post_pod((plat_pods_t *)tasks, order, order->incarnation, err);
+	int status = post_pod((plat_pods_t *)tasks, order, false, err);
 
 	/* The name is there: the same order came before. */
 	return status == 409 || judge(status, "start", err);
@@ -140,32 +142,29 @@
 		      err);
 }
 
+/* Where it is not there, that it never will be is told by its report. */
 static bool pods_stop(plat_tasks_t *tasks, const jobs_order_t *order,
-		      bool *never, GError **err)
+		      GError **err)
 {
 	plat_pods_t *pods = (plat_pods_t *)tasks;
 	int status = patch(pods, order, "",
 			   "{\"spec\":{\"activeDeadlineSeconds\":1}}", err);
 
-	*never = false;
-	if (status == 404) {
-		if (!pods_forbid(tasks, order, never, err))
-			return false;
-		if (*never)
-			return true;
-		/* It was begun meanwhile: the next try stops it. */
-		g_set_error(err, PLAT_ERROR, PLAT_ERROR_UNKNOWN, "begins now");
-		return false;
-	}
-	return judge(status, "stop", err);
+	if (status != 404)
+		return judge(status, "stop", err);
+	status = post_pod(pods, order, true, err);
+	if (status != 409)
+		return judge(status, "forbid", err);
+	/* It was begun meanwhile: the next try stops it. */
+	g_set_error(err, PLAT_ERROR, PLAT_ERROR_UNKNOWN, "it begins now");
+	return false;
 }
 
 static bool pods_forbid(plat_tasks_t *tasks, const jobs_order_t *order,
-			bool *never, GError **err)
+			GError **err)
 {
-	int status = post_pod((plat_pods_t *)tasks, order, 0, err);
+	int status = post_pod((plat_pods_t *)tasks, order, true, err);
 
-	*never = status == 201;
 	return status == 409 || judge(status, "forbid", err);
 }
 
@@ -203,14 +202,14 @@
 }
 
 /* The status, or 0. */
-static int post_pod(plat_pods_t *pods, const jobs_order_t *order,
-		    int64_t incarnation, GError **err)
+static int post_pod(plat_pods_t *pods, const jobs_order_t *order, bool forbid,
+		    GError **err)
 {
 	const int64_t *v = order->share.v;
 	json_t *pod;
 	char *name = talloc_asprintf(NULL, "%.*s.%" PRId64,
 				     BASE_STR_ARG(order->job), order->attempt);
-	char *inc = talloc_asprintf(name, "%" PRId64, incarnation);
+	char *life = talloc_asprintf(name, "%" PRId64, order->incarnation);
 	char *by = talloc_asprintf(name, "%" PRId64,
 				   base_clock_wall() + (int64_t)START_BY_US);
 	char *cpu = talloc_asprintf(name, "%" PRId64 "m", v[JOBS_CORES]);
@@ -224,13 +223,15 @@
 		"{s:s,s:s,s:{s:s,s:{s:s,s:s,s:s,s:s}},s:{s:s%,s:s,s:[{s:s,s:s%,"
 		"s:{s:{s:s,s:s,s:s}}}]}}",
 		"apiVersion", "v1", "kind", "Pod", "metadata", "name", name,
-		"annotations", NOTE "incarnation", inc, NOTE "start-by-us", by,
-		NOTE "cpu", cpu, NOTE "from-checkpoint",
+		"annotations", NOTE "incarnation", forbid ? "0" : life,
+		NOTE "start-by-us", by, NOTE "cpu", cpu, NOTE "from-checkpoint",
 		order->checkpointed ? "true" : "false", "spec", "nodeName",
 		order->worker.ptr, order->worker.len, "restartPolicy", "Never",
 		"containers", "name", "task", "image", order->family.ptr,
 		order->family.len, "resources", "requests", "cpu", cpu,
 		"memory", memory, NOTE "accelerator", acc);
+	if (forbid)
+		forbid_pod(pod, life, order->repeatable);
 	body = json_dumps(pod, JSON_COMPACT);
 	request.body = body;
 	status = plat_http_send(pods->http, &request, err);
@@ -240,6 +241,17 @@
 	return status;
 }
 
+/* What its reports are to say, since its worker will not. */
+static void forbid_pod(json_t *pod, const char *life, bool repeatable)
+{
+	json_t *notes = json_object_get(json_object_get(pod, "metadata"),
+					"annotations");
+
+	json_object_set_new(notes, NOTE "forbidden", json_string(life));
+	json_object_set_new(notes, NOTE "repeatable",
+			    json_string(repeatable ? "true" : "false"));
+}
+
 static bool resize(plat_pods_t *pods, const jobs_order_t *order, int64_t cores,
 		   GError **err)
 {
@@ -279,19 +291,35 @@
 	return false;
 }
 
+/* In parts, all as of one version. */
 static bool list_all(reading_t *reading, GError **err)
 {
 	plat_pods_t *pods = reading->pods;
-	json_t *root = plat_http_call(pods->http, PODS_PATH, NULL, err);
-	json_t *pod;
-	size_t i;
-
-	if (!root)
-		return false;
-	json_array_foreach(json_object_get(root, "items"), i, pod)
-		take_pod(reading, pod);
-	note_version(pods, root);
-	json_decref(root);
+	char *path = talloc_asprintf(NULL, PODS_PATH "?limit=%d", LIST_PART);
+	bool more = true;
+
+	while (more) {
+		json_t *root = plat_http_call(pods->http, path, NULL, err);
+		const char *next = text_in(root, "metadata", "continue");
+		json_t *pod;
+		size_t i;
+
+		talloc_free(path);
+		path = NULL;
+		if (!root) {
+			pods->version[0] = '\0';
+			return false;
+		}
+		json_array_foreach(json_object_get(root, "items"), i, pod)
+			take_pod(reading, pod);
+		note_version(pods, root);
+		more = next && next[0];
+		if (more)
+			path = talloc_asprintf(
+				NULL, PODS_PATH "?limit=%d&continue=%s",
+				LIST_PART, next);
+		json_decref(root);
+	}
 	return true;
 }
 
@@ -332,7 +360,9 @@
 	report.job = (base_str_t){ name, (size_t)(dot - name) };
 	report.attempt = strtoll(dot + 1, NULL, 10);
 	report.worker = base_str(worker);
-	report.incarnation = note_of(pod, "incarnation");
+	report.incarnation = note_of(pod, "forbidden");
+	if (!report.incarnation)
+		report.incarnation = note_of(pod, "incarnation");
 	report.as_of = note_of(pod, "as-of-us");
 	report.run_us = note_of(pod, "run-us");
 	report.peak.v[JOBS_CORES] = note_of(pod, "peak-millicores");
@@ -356,7 +386,14 @@
 	const char *reason = text_in(pod, "status", "reason");
 	json_t *notes = json_object_get(json_object_get(pod, "metadata"),
 					"annotations");
+	const char *again =
+		json_string_value(json_object_get(notes, NOTE "repeatable"));
 
+	if (json_object_get(notes, NOTE "forbidden")) {
+		*event = again && !strcmp(again, "true") ? JOBS_EVENT_GONE
+							 : JOBS_EVENT_REFUSED;
+		return true;
+	}
 	if (!phase || !strcmp(phase, "Pending"))
 		return false;
 	if (!strcmp(phase, "Running"))
--- a/packages/site/site_joblog.c
+++ b/packages/site/site_joblog.c
@@ -2,6 +2,7 @@
 #include <jansson.h>
 #include <stdlib.h>
 #include <string.h>
+#include <xxhash.h>
 
 #include "site_joblog.h"
 
@@ -18,8 +19,9 @@
 
 struct site_joblog {
 	plat_store_t *store;
-	const plat_duty_t *duty;
-	GHashTable *texts;     /* id to what is committed */
+	const char *fence_key;
+	int64_t fence_revision;
+	GHashTable *digests;   /* id to uint64_t, of what is committed */
 	GHashTable *revisions; /* key to mod_revision as last seen */
 	int64_t seq;	       /* of the last record */
 	int64_t head_seq;      /* up to which the snapshot holds all */
@@ -44,12 +46,15 @@
 static int free_log(site_joblog_t *log);
 static bool read_keys(site_joblog_t *log, GError **err);
 static json_t *read_value(site_joblog_t *log, const char *key, GError **err);
-static bool read_head(site_joblog_t *log, GError **err);
-static bool read_part(site_joblog_t *log, int part, GError **err);
-static bool read_log(site_joblog_t *log, GError **err);
+static bool read_head(site_joblog_t *log, GHashTable *texts, GError **err);
+static bool read_part(site_joblog_t *log, GHashTable *texts, int part,
+		      GError **err);
+static bool read_log(site_joblog_t *log, GHashTable *texts, GError **err);
 static bool bad_value(const char *key, GError **err);
 static void take_puts(GHashTable *texts, const json_t *value);
 static void take_all(GHashTable *texts, GHashTable *changes);
+static void note_all(site_joblog_t *log);
+static void note_digest(site_joblog_t *log, const char *id, const char *text);
 static bool build(site_joblog_t *log, const jobs_record_t *records, size_t n);
 static void end_part(site_joblog_t *log, base_buf_t *put, base_buf_t *gone,
 		     bool more);
@@ -61,21 +66,24 @@
 			  int64_t revision);
 static bool snapshot_due(const site_joblog_t *log);
 static void snapshot_begin(site_joblog_t *log);
-static char *snapshot_part(site_joblog_t *log);
+static char *snapshot_part(site_joblog_t *log, site_record_fn_t record,
+			   void *arg);
 static wrote_t snapshot_end(site_joblog_t *log);
 static void snapshot_drop(site_joblog_t *log);
 static void slot_key(char key[64], int64_t seq);
 static void part_key(char key[64], int area, int part);
-static int64_t fence_of(const site_joblog_t *log);
 
 site_joblog_t *site_joblog_new(const void *ctx, plat_store_t *store,
 			       const plat_duty_t *duty)
 {
 	site_joblog_t *log = talloc_zero(ctx, site_joblog_t);
+	plat_put_t put = { 0 };
 
+	plat_duty_fence(duty, &put);
 	log->store = store;
-	log->duty = duty;
-	log->texts =
+	log->fence_key = put.fence_key;
+	log->fence_revision = put.fence_revision;
+	log->digests =
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	log->parts_put =
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
@@ -90,26 +98,41 @@
 	snapshot_drop(log);
 	g_queue_clear_full(&log->gone, g_free);
 	g_queue_clear_full(&log->parts, g_free);
-	g_hash_table_destroy(log->texts);
+	g_hash_table_destroy(log->digests);
 	g_hash_table_destroy(log->parts_put);
 	g_hash_table_destroy(log->revisions);
 	return 0;
 }
 
-bool site_joblog_read(site_joblog_t *log, GError **err)
+bool site_joblog_read(site_joblog_t *log,
+		      void (*visit)(void *arg, base_str_t record), void *arg,
+		      GError **err)
 {
-	return read_keys(log, err) && read_head(log, err) && read_log(log, err);
+	GHashTable *texts =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+	bool good = read_keys(log, err) && read_head(log, texts, err) &&
+		    read_log(log, texts, err);
+	GHashTableIter iter;
+	void *id, *text;
+
+	g_hash_table_iter_init(&iter, texts);
+	while (good && g_hash_table_iter_next(&iter, &id, &text)) {
+		note_digest(log, id, text);
+		visit(arg, base_str(text));
+	}
+	g_hash_table_destroy(texts);
+	return good;
 }
 
 void site_joblog_each(const site_joblog_t *log,
-		      void (*visit)(void *arg, base_str_t record), void *arg)
+		      void (*visit)(void *arg, base_str_t id), void *arg)
 {
 	GHashTableIter iter;
-	void *text;
+	void *id;
 
-	g_hash_table_iter_init(&iter, log->texts);
-	while (g_hash_table_iter_next(&iter, NULL, &text))
-		visit(arg, base_str(text));
+	g_hash_table_iter_init(&iter, log->digests);
+	while (g_hash_table_iter_next(&iter, &id, NULL))
+		visit(arg, base_str(id));
 }
 
 jobs_commit_t site_joblog_commit(site_joblog_t *log,
@@ -136,7 +159,8 @@
 	g_queue_push_tail(&log->gone, g_strndup(id.ptr, id.len));
 }
 
-bool site_joblog_snapshot(site_joblog_t *log)
+bool site_joblog_snapshot(site_joblog_t *log, site_record_fn_t record,
+			  void *arg)
 {
 	char key[64];
 	wrote_t done;
@@ -148,7 +172,7 @@
 	if (!log->ids)
 		snapshot_begin(log);
 	if (!log->snap_text)
-		log->snap_text = snapshot_part(log);
+		log->snap_text = snapshot_part(log, record, arg);
 	if (log->snap_text) {
 		part_key(key, 1 - log->area, log->snap_parts);
 		done = write_value(log, key, log->snap_text);
@@ -167,7 +191,7 @@
 {
 	site_joblog_stats_t stats = log->stats;
 
-	stats.jobs = g_hash_table_size(log->texts);
+	stats.jobs = g_hash_table_size(log->digests);
 	return stats;
 }
 
@@ -225,7 +249,7 @@
 	return value;
 }
 
-static bool read_head(site_joblog_t *log, GError **err)
+static bool read_head(site_joblog_t *log, GHashTable *texts, GError **err)
 {
 	json_int_t seq, fence, bytes;
 	bool good = true;
@@ -250,11 +274,12 @@
 	log->fence = fence;
 	log->snap_size = (size_t)bytes;
 	for (int part = 0; part < parts && good; part++)
-		good = read_part(log, part, err);
+		good = read_part(log, texts, part, err);
 	return good;
 }
 
-static bool read_part(site_joblog_t *log, int part, GError **err)
+static bool read_part(site_joblog_t *log, GHashTable *texts, int part,
+		      GError **err)
 {
 	char key[64];
 	json_t *value;
@@ -262,7 +287,7 @@
 	part_key(key, log->area, part);
 	value = read_value(log, key, err);
 	if (value)
-		take_puts(log->texts, value);
+		take_puts(texts, value);
 	json_decref(value);
 	return value != NULL;
 }
@@ -272,7 +297,7 @@
  * from a holder that did not come to the end of its commit; its place is
  * written over next.
  */
-static bool read_log(site_joblog_t *log, GError **err)
+static bool read_log(site_joblog_t *log, GHashTable *texts, GError **err)
 {
 	int64_t seq = log->seq;
 	bool good = true;
@@ -305,7 +330,7 @@
 		json_decref(value);
 		if (more)
 			continue;
-		take_all(log->texts, log->parts_put);
+		take_all(texts, log->parts_put);
 		log->seq = seq;
 	}
 	g_hash_table_remove_all(log->parts_put);
@@ -356,6 +381,29 @@
 	g_hash_table_remove_all(changes);
 }
 
+static void note_all(site_joblog_t *log)
+{
+	GHashTableIter iter;
+	void *id, *text;
+
+	g_hash_table_iter_init(&iter, log->parts_put);
+	while (g_hash_table_iter_next(&iter, &id, &text)) {
+		if (text)
+			note_digest(log, id, text);
+		else
+			g_hash_table_remove(log->digests, id);
+	}
+	g_hash_table_remove_all(log->parts_put);
+}
+
+static void note_digest(site_joblog_t *log, const char *id, const char *text)
+{
+	uint64_t *digest = g_new(uint64_t, 1);
+
+	*digest = XXH3_64bits(text, strlen(text));
+	g_hash_table_replace(log->digests, g_strdup(id), digest);
+}
+
 /* The texts of the next commit; false while the ring has no room. */
 static bool build(site_joblog_t *log, const jobs_record_t *records, size_t n)
 {
@@ -373,9 +421,9 @@
 	for (size_t i = 0; i < n; i++) {
 		char *id = base_str_dup(put, records[i].spec.id);
 		char *text = jobs_record_print(put, &records[i]);
-		const char *old = g_hash_table_lookup(log->texts, id);
+		const uint64_t *old = g_hash_table_lookup(log->digests, id);
 
-		if (old && !strcmp(old, text))
+		if (old && *old == XXH3_64bits(text, strlen(text)))
 			continue;
 		if (put->len + gone->len + strlen(text) >
 		    SITE_JOBLOG_VALUE_MAX - 256)
@@ -413,8 +461,8 @@
 		&log->parts,
 		g_strdup_printf("{\"seq\":%" PRId64 ",\"fence\":%" PRId64
 				",\"more\":%s,\"put\":[%s],\"gone\":[%s]}",
-				seq, fence_of(log), more ? "true" : "false",
-				put->ptr, gone->ptr));
+				seq, log->fence_revision,
+				more ? "true" : "false", put->ptr, gone->ptr));
 	base_buf_reset(put);
 	base_buf_reset(gone);
 }
@@ -439,7 +487,7 @@
 		log->stats.bytes += strlen(text);
 		g_free(g_queue_pop_head(&log->parts));
 	}
-	take_all(log->texts, log->parts_put);
+	note_all(log);
 	return WROTE_DONE;
 }
 
@@ -453,11 +501,12 @@
 	int64_t *seen = g_hash_table_lookup(log->revisions, key);
 	plat_put_t put = { .key = key,
 			   .value = base_str(text),
-			   .expected = seen ? *seen : 0 };
+			   .expected = seen ? *seen : 0,
+			   .fence_key = log->fence_key,
+			   .fence_revision = log->fence_revision };
 	plat_cas_t done;
 	int64_t now = 0;
 
-	plat_duty_fence(log->duty, &put);
 	done = plat_cas_sure(log->store, &put, &now, NULL);
 	if (done == PLAT_CAS_FAILED)
 		return WROTE_AGAIN;
@@ -515,13 +564,14 @@
 
 /*
  * Records may change while the parts are written: whatever does is in the
- * log after "snap_seq" too.
+ * log after "snap_seq" too.  A part may even be ahead of the log, which does
+ * no harm: what was decided is acted on only after its commit.
  */
 static void snapshot_begin(site_joblog_t *log)
 {
 	guint n = 0;
 
-	log->ids = (char **)g_hash_table_get_keys_as_array(log->texts, &n);
+	log->ids = (char **)g_hash_table_get_keys_as_array(log->digests, &n);
 	for (guint i = 0; i < n; i++)
 		log->ids[i] = g_strdup(log->ids[i]);
 	log->ids_n = n;
@@ -533,23 +583,28 @@
 }
 
 /* The next part's text, or NULL at the end. */
-static char *snapshot_part(site_joblog_t *log)
+static char *snapshot_part(site_joblog_t *log, site_record_fn_t record,
+			   void *arg)
 {
 	GString *out = g_string_new("{\"put\":[");
+	void *ctx = talloc_new(NULL);
 	size_t empty = out->len;
 
 	for (; log->ids_at < log->ids_n; log->ids_at++) {
-		const char *text =
-			g_hash_table_lookup(log->texts, log->ids[log->ids_at]);
+		jobs_record_t now;
+		char *text;
 
-		if (!text)
+		if (!record(arg, base_str(log->ids[log->ids_at]), &now))
 			continue;
+		text = jobs_record_print(ctx, &now);
 		if (out->len + strlen(text) > SITE_JOBLOG_VALUE_MAX - 256)
 			break;
 		if (out->len > empty)
 			g_string_append_c(out, ',');
 		g_string_append(out, text);
+		talloc_free(text);
 	}
+	talloc_free(ctx);
 	if (out->len == empty) {
 		g_string_free(out, TRUE);
 		return NULL;
@@ -564,7 +619,7 @@
 		g_strdup_printf("{\"area\":%d,\"parts\":%d,\"seq\":%" PRId64
 				",\"fence\":%" PRId64 ",\"bytes\":%zu}",
 				1 - log->area, log->snap_parts, log->snap_seq,
-				fence_of(log), log->snap_bytes);
+				log->fence_revision, log->snap_bytes);
 	wrote_t done = write_value(log, SITE_JOBS_HEAD, text);
 
 	g_free(text);
@@ -598,11 +653,3 @@
 {
 	g_snprintf(key, 64, SITE_JOBS_PREFIX "snap/%d/%04d", area, part);
 }
-
-static int64_t fence_of(const site_joblog_t *log)
-{
-	plat_put_t put = { 0 };
-
-	plat_duty_fence(log->duty, &put);
-	return put.fence_revision;
-}
--- a/packages/site/site_joblog.h
+++ b/packages/site/site_joblog.h
@@ -33,16 +33,21 @@
 	size_t jobs; /* known */
 } site_joblog_stats_t;
 
-/* A log below "ctx" whose writes are fenced by "duty". */
+/* A log below "ctx" whose writes are fenced by "duty" as it is held now. */
 site_joblog_t *site_joblog_new(const void *ctx, plat_store_t *store,
 			       const plat_duty_t *duty);
 
-/* Read all that was committed; to be called once, with the duty held. */
-bool site_joblog_read(site_joblog_t *log, GError **err);
+/*
+ * Read all that was committed; to be called once, with the duty held.  Each
+ * job's record is handed to "visit" as text, in no order.
+ */
+bool site_joblog_read(site_joblog_t *log,
+		      void (*visit)(void *arg, base_str_t record), void *arg,
+		      GError **err);
 
-/* Visit each job's record as text, in no order. */
+/* Visit the id of each job, in no order. */
 void site_joblog_each(const site_joblog_t *log,
-		      void (*visit)(void *arg, base_str_t record), void *arg);
+		      void (*visit)(void *arg, base_str_t id), void *arg);
 
 /*
  * Write the records that differ from what stands there, all or none.  After
@@ -55,10 +60,15 @@
 void site_joblog_forget(site_joblog_t *log, base_str_t id);
 
 /*
- * Write a part of a snapshot if one is due: at most two values.  False once
- * another holder was seen.
+ * Write a part of a snapshot if one is due: at most two values.  "record"
+ * gives a job's record as it is now, or false.  False once another holder was
+ * seen.
  */
-bool site_joblog_snapshot(site_joblog_t *log);
+typedef bool (*site_record_fn_t)(void *arg, base_str_t id,
+				 jobs_record_t *record);
+
+bool site_joblog_snapshot(site_joblog_t *log, site_record_fn_t record,
+			  void *arg);
 
 site_joblog_stats_t site_joblog_stats(const site_joblog_t *log);
 
--- a/packages/site/tests/joblog_test.c
+++ b/packages/site/tests/joblog_test.c
@@ -104,8 +104,38 @@
 	void *ctx;
 	plat_duty_t *duty;
 	site_joblog_t *log;
+	GHashTable *states;	  /* id to state, as last put */
+	int read[JOBS_STATE_MAX]; /* jobs that the last one to take over read */
+	int all;
 } world_t;
 
+static void count(void *arg, base_str_t text)
+{
+	world_t *w = arg;
+	void *ctx = talloc_new(NULL);
+	jobs_record_t record;
+
+	g_assert_true(jobs_record_load(ctx, text, &record, NULL));
+	w->read[record.state]++;
+	w->all++;
+	talloc_free(ctx);
+}
+
+/* The holder's core, as far as a snapshot asks it. */
+static bool record_of(void *arg, base_str_t id, jobs_record_t *record)
+{
+	world_t *w = arg;
+
+	*record = (jobs_record_t){
+		.spec = { .id = id,
+			  .team = BASE_STR("team"),
+			  .family = BASE_STR("family") },
+		.state = (jobs_state_t)GPOINTER_TO_INT(
+			g_hash_table_lookup(w->states, id.ptr)),
+	};
+	return g_hash_table_contains(w->states, id.ptr);
+}
+
 /* Another holder takes over from the present one. */
 static void take_over(world_t *w)
 {
@@ -119,7 +149,9 @@
 	w->duty = plat_duty_new(w->ctx, &options);
 	g_assert_true(plat_duty_tick(w->duty, 0));
 	w->log = site_joblog_new(w->ctx, &w->fake.store, w->duty);
-	site_joblog_read(w->log, &err);
+	memset(w->read, 0, sizeof(w->read));
+	w->all = 0;
+	site_joblog_read(w->log, count, w, &err);
 	g_assert_no_error(err);
 }
 
@@ -131,6 +163,8 @@
 	w->fake.store.ops = &fake_ops;
 	w->fake.ctx = w;
 	w->fake.kvs = g_hash_table_new(g_str_hash, g_str_equal);
+	w->states =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
 	take_over(w);
 	return w;
 }
@@ -139,6 +173,7 @@
 {
 	GHashTable *kvs = w->fake.kvs;
 
+	g_hash_table_destroy(w->states);
 	talloc_free(w);
 	g_hash_table_destroy(kvs);
 }
@@ -149,44 +184,18 @@
 	jobs_record_t *records = talloc_zero_array(w, jobs_record_t, n);
 	jobs_commit_t done;
 
-	for (int i = 0; i < n; i++)
-		records[i] = (jobs_record_t){
-			.spec = { .id = base_str(talloc_asprintf(
-					  records, "job-%d", from + i)),
-				  .team = BASE_STR("team"),
-				  .family = BASE_STR("family") },
-			.state = state,
-		};
+	for (int i = 0; i < n; i++) {
+		char *id = talloc_asprintf(records, "job-%d", from + i);
+
+		g_hash_table_replace(w->states, g_strdup(id),
+				     GINT_TO_POINTER(state));
+		record_of(w, base_str(id), &records[i]);
+	}
 	done = site_joblog_commit(w->log, records, (size_t)n);
 	talloc_free(records);
 	return done;
 }
 
-typedef struct tally {
-	int states[JOBS_STATE_MAX];
-	int all;
-} tally_t;
-
-static void count(void *arg, base_str_t text)
-{
-	tally_t *tally = arg;
-	void *ctx = talloc_new(NULL);
-	jobs_record_t record;
-
-	g_assert_true(jobs_record_load(ctx, text, &record, NULL));
-	tally->states[record.state]++;
-	tally->all++;
-	talloc_free(ctx);
-}
-
-static tally_t tally_of(world_t *w)
-{
-	tally_t tally = { 0 };
-
-	site_joblog_each(w->log, count, &tally);
-	return tally;
-}
-
 static void test_taken_over(void)
 {
 	world_t *w = world_new();
@@ -196,8 +205,8 @@
 	site_joblog_forget(w->log, BASE_STR("job-9"));
 	g_assert_cmpint(put(w, 0, 0, JOBS_DONE), ==, JOBS_COMMIT_DONE);
 	take_over(w);
-	g_assert_cmpint(tally_of(w).all, ==, 9);
-	g_assert_cmpint(tally_of(w).states[JOBS_DONE], ==, 4);
+	g_assert_cmpint(w->all, ==, 9);
+	g_assert_cmpint(w->read[JOBS_DONE], ==, 4);
 	world_free(w);
 }
 
@@ -226,8 +235,8 @@
 	/* What was begun is finished first, whatever comes with it. */
 	g_assert_cmpint(put(w, 2, 5, JOBS_DONE), ==, JOBS_COMMIT_DONE);
 	take_over(w);
-	g_assert_cmpint(tally_of(w).all, ==, 7);
-	g_assert_cmpint(tally_of(w).states[JOBS_DONE], ==, 5);
+	g_assert_cmpint(w->all, ==, 7);
+	g_assert_cmpint(w->read[JOBS_DONE], ==, 5);
 	world_free(w);
 }
 
@@ -241,11 +250,11 @@
 	present = w->log;
 	w->log = late;
 	g_assert_cmpint(put(w, 1, 1, JOBS_QUEUED), ==, JOBS_COMMIT_LOST);
-	g_assert_false(site_joblog_snapshot(late));
+	g_assert_false(site_joblog_snapshot(late, record_of, w));
 	w->log = present;
 	g_assert_cmpint(put(w, 2, 1, JOBS_QUEUED), ==, JOBS_COMMIT_DONE);
 	take_over(w);
-	g_assert_cmpint(tally_of(w).all, ==, 2);
+	g_assert_cmpint(w->all, ==, 2);
 	world_free(w);
 }
 
@@ -264,11 +273,11 @@
 	/* Take the last value of the commit away again. */
 	g_hash_table_remove(w->fake.kvs, "/cactusfield/jobs/log/0006");
 	take_over(w);
-	g_assert_cmpint(tally_of(w).all, ==, 1);
+	g_assert_cmpint(w->all, ==, 1);
 	/* What is left of it is not taken for the end of another. */
 	put(w, 20000, 1, JOBS_QUEUED);
 	take_over(w);
-	g_assert_cmpint(tally_of(w).all, ==, 2);
+	g_assert_cmpint(w->all, ==, 2);
 	world_free(w);
 }
 
@@ -285,17 +294,22 @@
 			w->fake.lose_answers = 1;
 		if (i % 13 == 0)
 			w->fake.lose_requests = 1;
-		g_assert_true(site_joblog_snapshot(w->log));
+		g_assert_true(site_joblog_snapshot(w->log, record_of, w));
 		w->fake.lose_requests = 0;
 	}
 	g_assert_cmpuint(site_joblog_stats(w->log).snapshots, >=, 5);
 	for (int i = 0; i < 2; i++) {
-		tally_t before = tally_of(w), after;
+		int states[JOBS_STATE_MAX] = { 0 };
+		GHashTableIter iter;
+		void *state;
 
+		g_hash_table_iter_init(&iter, w->states);
+		while (g_hash_table_iter_next(&iter, NULL, &state))
+			states[GPOINTER_TO_INT(state)]++;
 		take_over(w);
-		after = tally_of(w);
-		g_assert_cmpint(before.all, ==, 56);
-		g_assert_cmpmem(&before, sizeof(before), &after, sizeof(after));
+		g_assert_cmpint(w->all, ==, 56);
+		g_assert_cmpmem(states, sizeof(states), w->read,
+				sizeof(w->read));
 	}
 	world_free(w);
 }
@@ -311,10 +325,10 @@
 		done = put(w, 0, 1, i % 2 ? JOBS_QUEUED : JOBS_HELD);
 	g_assert_cmpint(done, ==, JOBS_COMMIT_AGAIN);
 	g_assert_cmpint(i, ==, SITE_JOBLOG_SLOTS);
-	g_assert_true(site_joblog_snapshot(w->log));
+	g_assert_true(site_joblog_snapshot(w->log, record_of, w));
 	g_assert_cmpint(put(w, 0, 1, JOBS_DONE), ==, JOBS_COMMIT_DONE);
 	take_over(w);
-	g_assert_cmpint(tally_of(w).states[JOBS_DONE], ==, 1);
+	g_assert_cmpint(w->read[JOBS_DONE], ==, 1);
 	world_free(w);
 }
 
--- a/standin/standin_tasks.c
+++ b/standin/standin_tasks.c
@@ -21,7 +21,8 @@
 } worker_mode_t;
 
 typedef struct pod {
-	json_t *json; /* as the API shows it */
+	json_t *json;	/* as the API shows it */
+	int64_t serial; /* by creation */
 	int64_t revision;
 	int64_t seen_at; /* when its worker sees the last change */
 	bool begun, over;
@@ -45,6 +46,7 @@
 	GHashTable *modes; /* worker to mode */
 	GArray *runs;
 	int64_t revision;
+	int64_t serial; /* of the last pod */
 	int64_t lag_us;
 	int lose;  /* answers to writes still to be lost */
 	bool down; /* writes are lost before they take effect */
@@ -60,6 +62,7 @@
 static int create(struct mg_connection *conn);
 static int change(struct mg_connection *conn, const char *name);
 static int list(struct mg_connection *conn);
+static gint by_serial(gconstpointer a, gconstpointer b);
 static int watch(struct mg_connection *conn, int64_t since);
 static int done(struct mg_connection *conn, int status);
 static void merge(json_t *to, const json_t *from);
@@ -102,9 +105,12 @@
 	char text[32];
 	char *name;
 	int status;
+	bool down;
 
-	if (zone_is_cut(arg, conn) ||
-	    (tasks.down && strcmp(info->request_method, "GET") != 0))
+	pthread_mutex_lock(&tasks.lock);
+	down = tasks.down && strcmp(info->request_method, "GET") != 0;
+	pthread_mutex_unlock(&tasks.lock);
+	if (zone_is_cut(arg, conn) || down)
 		return answer_nothing(conn);
 	if (!strcmp(info->request_method, "POST"))
 		return create(conn);
@@ -138,6 +144,7 @@
 		status = 201;
 		pod = g_new0(pod_t, 1);
 		pod->json = json;
+		pod->serial = ++tasks.serial;
 		pod->run = -1;
 		json_object_set_new(section(json, "status"), "phase",
 				    json_string("Pending"));
@@ -192,23 +199,51 @@
 		    : answer_json(conn, status, json_object());
 }
 
+/* In the order of creation; the token is the last one's serial. */
 static int list(struct mg_connection *conn)
 {
-	json_t *items = json_array(), *copy;
+	json_t *items = json_array(), *meta;
+	GPtrArray *rest = g_ptr_array_new();
 	GHashTableIter iter;
-	char version[24];
+	char version[24], number[24];
+	int64_t after;
+	guint limit;
 	void *value;
 
+	param(conn, "continue", number, sizeof(number));
+	after = atoll(number);
+	param(conn, "limit", number, sizeof(number));
+	limit = number[0] ? (guint)atoi(number) : G_MAXUINT;
 	pthread_mutex_lock(&tasks.lock);
 	g_hash_table_iter_init(&iter, tasks.pods);
 	while (g_hash_table_iter_next(&iter, NULL, &value))
-		json_array_append_new(items,
-				      json_deep_copy(((pod_t *)value)->json));
+		if (((pod_t *)value)->serial > after)
+			g_ptr_array_add(rest, value);
+	g_ptr_array_sort(rest, by_serial);
+	for (guint i = 0; i < rest->len && i < limit; i++) {
+		const pod_t *pod = rest->pdata[i];
+
+		json_array_append_new(items, json_deep_copy(pod->json));
+		after = pod->serial;
+	}
 	snprintf(version, sizeof(version), "%lld", (long long)tasks.revision);
+	snprintf(number, sizeof(number), "%lld", (long long)after);
 	pthread_mutex_unlock(&tasks.lock);
-	copy = json_pack("{s:s,s:{s:s},s:o}", "kind", "PodList", "metadata",
-			 "resourceVersion", version, "items", items);
-	return answer_json(conn, 200, copy);
+	meta = json_pack("{s:s}", "resourceVersion", version);
+	if (rest->len > limit)
+		json_object_set_new(meta, "continue", json_string(number));
+	g_ptr_array_free(rest, TRUE);
+	return answer_json(conn, 200,
+			   json_pack("{s:s,s:o,s:o}", "kind", "PodList",
+				     "metadata", meta, "items", items));
+}
+
+static gint by_serial(gconstpointer a, gconstpointer b)
+{
+	int64_t x = (*(pod_t *const *)a)->serial;
+	int64_t y = (*(pod_t *const *)b)->serial;
+
+	return x < y ? -1 : x > y;
 }
 
 static int watch(struct mg_connection *conn, int64_t since)
