--- a/packages/entry/tests/entry_settings_test.c
+++ b/packages/entry/tests/entry_settings_test.c
@@ -20,6 +20,7 @@
 	g_assert_cmpint(s->caller.port, ==, 8101);
 	g_assert_cmpint(s->caller.threads, ==, 512);
 	g_assert_cmpint(s->actions.port, ==, 2380);
+	g_assert_cmpint(s->tasks.port, ==, 2380);
 	g_assert_cmpuint(s->seed_count, ==, 1);
 	talloc_free(s);
 }
