--- a/standin/standin_endpoint.c
+++ b/standin/standin_endpoint.c
@@ -9,7 +9,8 @@
 #define WORK_US_DEFAULT 1000
 #define ANSWER_PAD_MAX (512 * 1024) /* bytes */
 
-static long begin(standin_t *s, int index, struct mg_connection *conn);
+static long begin(standin_t *s, int index, struct mg_connection *conn,
+		  instance_t *copy);
 static void copy_header(struct mg_connection *conn, const char *name,
 			char *out);
 static int64_t number(struct mg_connection *conn, const char *name,
@@ -31,8 +32,7 @@
 
 	if (!body)
 		return answer_nothing(conn);
-	at = begin(s, index, conn);
-	instance = s->instances[index];
+	at = begin(s, index, conn, &instance);
 	if (at < 0) {
 		talloc_free(body);
 		return at == -2 ? answer_nothing(conn)
@@ -76,8 +76,12 @@
 	return 200;
 }
 
-/* The run's number; -1: refused; -2: the instance is gone. */
-static long begin(standin_t *s, int index, struct mg_connection *conn)
+/*
+ * The run's number; -1: refused; -2: the instance is gone.  "copy" is the
+ * instance as it was then.
+ */
+static long begin(standin_t *s, int index, struct mg_connection *conn,
+		  instance_t *copy)
 {
 	instance_t *instance = &s->instances[index];
 	long at = -1;
@@ -108,6 +112,7 @@
 		       run->service);
 		instance->running++;
 	}
+	*copy = *instance;
 	pthread_mutex_unlock(&s->lock);
 	return at;
 }
--- a/standin/standin_int.h
+++ b/standin/standin_int.h
@@ -15,6 +15,7 @@
 #include <civetweb.h>
 #include <jansson.h>
 #include <pthread.h>
+#include <stdatomic.h>
 #include <string.h>
 
 #include "base.h"
@@ -84,7 +85,7 @@
 	int instance_count;
 	int64_t lag_us; /* of the list */
 	int64_t reboot_us;
-	bool list_down;
+	atomic_bool list_down; /* read without the lock */
 	int64_t list_revision;
 	run_t *runs;
 	size_t run_count;
