--- a/packages/entry/entry_http.c
+++ b/packages/entry/entry_http.c
@@ -303,16 +303,19 @@
 
 	add_status(out, conn, refusal->status);
 	if (request_id[0])
-		base_buf_addf(out, "X-Request-Id: %s\r\n", request_id);
-	if (refusal->retry_after_s)
-		base_buf_addf(out, "Retry-After: %d\r\n",
-			      refusal->retry_after_s);
-	base_buf_addf(out,
-		      "X-Cactusfield-Outcome: %s\r\n"
-		      "X-Cactusfield-Reason: %s\r\n"
-		      "Content-Length: 0\r\n%s\r\n",
-		      entry_outcome_name(refusal->outcome), refusal->reason,
-		      refusal->last ? "Connection: close\r\n" : "");
+		entry_http_add(out, "X-Request-Id", request_id);
+	if (refusal->retry_after_s > 0) {
+		base_buf_adds(out, "Retry-After: ");
+		base_buf_add_uint(out, (uint64_t)refusal->retry_after_s);
+		base_buf_add(out, "\r\n", 2);
+	}
+	entry_http_add(out, "X-Cactusfield-Outcome",
+		       entry_outcome_name(refusal->outcome));
+	entry_http_add(out, "X-Cactusfield-Reason", refusal->reason);
+	entry_http_add_length(out, 0);
+	if (refusal->last)
+		base_buf_adds(out, "Connection: close\r\n");
+	base_buf_add(out, "\r\n", 2);
 	if (refusal->last)
 		mg_disable_connection_keep_alive(conn);
 	mg_write(conn, out->ptr, out->len);
