--- a/packages/entry/entry_int.h
+++ b/packages/entry/entry_int.h
@@ -16,6 +16,12 @@
 
 #define ENTRY_CONFIG_KEY "/cactusfield/config"
 
+/*
+ * entry_lock - a lock that each request takes for less than a microsecond:
+ * who finds it taken spins for a moment before it sleeps.
+ */
+void entry_lock_init(pthread_mutex_t *lock);
+
 /*
  * entry_view - the configuration in force and the endpoints of each pool.
  *
@@ -25,6 +31,7 @@
 	char *id; /* of the instance */
 	char *incarnation;
 	char *zone;
+	char *rack;
 	char *address; /* IP number */
 	int port;
 	plat_state_t state;
@@ -36,6 +43,15 @@
 	size_t endpoint_count;
 } entry_pool_t;
 
+/* How many of its endpoints are live. */
+int entry_pool_live(const entry_pool_t *pool);
+
+/*
+ * How many more its budget lets out: what is live above min_up after the loss
+ * of the fullest failure domain; negative when that would break it.
+ */
+int entry_pool_room(const entry_pool_t *pool);
+
 typedef struct entry_config entry_config_t;
 
 typedef struct entry_view {
@@ -101,9 +117,11 @@
 /*
  * entry_request - what a caller asked for.
  */
+#define ENTRY_ID_MAX 64 /* bytes of a request's id, with its NUL */
+
 typedef struct entry_request {
-	char id[64];   /* X-Request-Id */
-	char key[128]; /* Idempotency-Key or "" */
+	char id[ENTRY_ID_MAX]; /* X-Request-Id */
+	char key[128];	       /* Idempotency-Key or "" */
 	char caller[64];
 	const char *method;
 	char *target; /* path and query as sent */
@@ -117,6 +135,9 @@
 	struct entry_claim *claim; /* that it holds; NULL without one */
 } entry_request_t;
 
+/* An id that no other request has, of this process or another. */
+void entry_id_make(char out[ENTRY_ID_MAX]);
+
 typedef enum entry_outcome {
 	ENTRY_ANSWERED,
 	ENTRY_NOT_RUN,
@@ -179,6 +200,8 @@
 /* Append one header line. */
 void entry_http_add(base_buf_t *out, const char *name, const char *value);
 
+void entry_http_add_length(base_buf_t *out, size_t bytes);
+
 /* Send an endpoint's answer with the outcome's headers. */
 void entry_http_answer(struct mg_connection *conn,
 		       const entry_request_t *request,
@@ -235,8 +258,13 @@
 			 base_str_t incarnation);
 
 /* What to probe now, strings below "ctx", and what came of it. */
+typedef struct entry_probe {
+	entry_endpoint_t endpoint; /* without zone and state */
+	int connections;	   /* that may be open to it */
+} entry_probe_t;
+
 size_t entry_route_probes(entry_route_t *route, const void *ctx, bool own_zone,
-			  entry_endpoint_t *due, size_t max);
+			  entry_probe_t *due, size_t max);
 void entry_route_probed(entry_route_t *route, const entry_endpoint_t *endpoint,
 			route_probe_t result);
 
@@ -329,6 +357,12 @@
 /* To be asked right before a first byte goes out. */
 bool entry_claim_may_write(const entry_request_t *request);
 
+/* Give what this entry homes to others, and tell them so; it drains. */
+void entry_claim_leave(entry_daemon_t *daemon);
+
+/* Whether others home all of it. */
+bool entry_claim_handed_over(const entry_daemon_t *daemon);
+
 /* Serve tickets on the callers' port. */
 void entry_claim_listen(entry_daemon_t *daemon);
 
