--- a/standin/standin_tasks.c
+++ b/standin/standin_tasks.c
@@ -1,3 +1,4 @@
+#include <stdatomic.h>
 #include <stdlib.h>
 
 #include "standin_int.h"
@@ -21,7 +22,8 @@
 } worker_mode_t;
 
 typedef struct pod {
-	json_t *json; /* as the API shows it */
+	json_t *json;	/* as the API shows it */
+	int64_t serial; /* by creation */
 	int64_t revision;
 	int64_t seen_at; /* when its worker sees the last change */
 	bool begun, over;
@@ -45,6 +47,7 @@
 	GHashTable *modes; /* worker to mode */
 	GArray *runs;
 	int64_t revision;
+	int64_t serial; /* of the last pod */
 	int64_t lag_us;
 	int lose;  /* answers to writes still to be lost */
 	bool down; /* writes are lost before they take effect */
@@ -60,7 +63,13 @@
 static int create(struct mg_connection *conn);
 static int change(struct mg_connection *conn, const char *name);
 static int list(struct mg_connection *conn);
-static int watch(struct mg_connection *conn, int64_t since);
+static gint by_serial(gconstpointer a, gconstpointer b);
+static int watch_asked(const struct mg_connection *conn, void *arg);
+static void watch_begins(struct mg_connection *conn, void *arg);
+static int watch_heard(struct mg_connection *conn, int bits, char *data,
+		       size_t len, void *arg);
+static void watch_ends(const struct mg_connection *conn, void *arg);
+static void *watch(void *arg);
 static int done(struct mg_connection *conn, int status);
 static void merge(json_t *to, const json_t *from);
 static void *work(void *arg);
@@ -88,6 +97,8 @@
 	tasks.modes = g_hash_table_new(g_str_hash, g_str_equal);
 	tasks.runs = g_array_new(FALSE, TRUE, sizeof(task_run_t));
 	mg_set_request_handler(ctx, PODS_PATH, on_pods, s);
+	mg_set_websocket_handler(ctx, PODS_PATH, watch_asked, watch_begins,
+				 watch_heard, watch_ends, s);
 	mg_set_request_handler(ctx, "/api/v1/nodes", on_node, s);
 	mg_set_request_handler(ctx, "/tasks/switch", on_switch, s);
 	mg_set_request_handler(ctx, "/tasks/records", on_records, s);
@@ -99,12 +110,14 @@
 {
 	const struct mg_request_info *info = mg_get_request_info(conn);
 	const char *below = info->local_uri + strlen(PODS_PATH);
-	char text[32];
 	char *name;
 	int status;
+	bool down;
 
-	if (zone_is_cut(arg, conn) ||
-	    (tasks.down && strcmp(info->request_method, "GET") != 0))
+	pthread_mutex_lock(&tasks.lock);
+	down = tasks.down && strcmp(info->request_method, "GET") != 0;
+	pthread_mutex_unlock(&tasks.lock);
+	if (zone_is_cut(arg, conn) || down)
 		return answer_nothing(conn);
 	if (!strcmp(info->request_method, "POST"))
 		return create(conn);
@@ -114,11 +127,7 @@
 		g_free(name);
 		return status;
 	}
-	param(conn, "watch", text, sizeof(text));
-	if (!text[0])
-		return list(conn);
-	param(conn, "resourceVersion", text, sizeof(text));
-	return watch(conn, atoll(text));
+	return list(conn);
 }
 
 static int create(struct mg_connection *conn)
@@ -138,6 +147,7 @@
 		status = 201;
 		pod = g_new0(pod_t, 1);
 		pod->json = json;
+		pod->serial = ++tasks.serial;
 		pod->run = -1;
 		json_object_set_new(section(json, "status"), "phase",
 				    json_string("Pending"));
@@ -192,36 +202,111 @@
 		    : answer_json(conn, status, json_object());
 }
 
+/* In the order of creation; the token is the last one's serial. */
 static int list(struct mg_connection *conn)
 {
-	json_t *items = json_array(), *copy;
+	json_t *items = json_array(), *meta;
+	GPtrArray *rest = g_ptr_array_new();
 	GHashTableIter iter;
-	char version[24];
+	char version[24], number[24];
+	int64_t after;
+	guint limit;
 	void *value;
 
+	param(conn, "continue", number, sizeof(number));
+	after = atoll(number);
+	param(conn, "limit", number, sizeof(number));
+	limit = number[0] ? (guint)atoi(number) : G_MAXUINT;
 	pthread_mutex_lock(&tasks.lock);
 	g_hash_table_iter_init(&iter, tasks.pods);
 	while (g_hash_table_iter_next(&iter, NULL, &value))
-		json_array_append_new(items,
-				      json_deep_copy(((pod_t *)value)->json));
+		if (((pod_t *)value)->serial > after)
+			g_ptr_array_add(rest, value);
+	g_ptr_array_sort(rest, by_serial);
+	for (guint i = 0; i < rest->len && i < limit; i++) {
+		const pod_t *pod = rest->pdata[i];
+
+		json_array_append_new(items, json_deep_copy(pod->json));
+		after = pod->serial;
+	}
 	snprintf(version, sizeof(version), "%lld", (long long)tasks.revision);
+	snprintf(number, sizeof(number), "%lld", (long long)after);
 	pthread_mutex_unlock(&tasks.lock);
-	copy = json_pack("{s:s,s:{s:s},s:o}", "kind", "PodList", "metadata",
-			 "resourceVersion", version, "items", items);
-	return answer_json(conn, 200, copy);
+	meta = json_pack("{s:s}", "resourceVersion", version);
+	if (rest->len > limit)
+		json_object_set_new(meta, "continue", json_string(number));
+	g_ptr_array_free(rest, TRUE);
+	return answer_json(conn, 200,
+			   json_pack("{s:s,s:o,s:o}", "kind", "PodList",
+				     "metadata", meta, "items", items));
+}
+
+static gint by_serial(gconstpointer a, gconstpointer b)
+{
+	int64_t x = (*(pod_t *const *)a)->serial;
+	int64_t y = (*(pod_t *const *)b)->serial;
+
+	return x < y ? -1 : x > y;
+}
+
+/* A watch over a websocket: a message an event, from a thread of its own. */
+typedef struct watcher {
+	struct mg_connection *conn;
+	pthread_t thread;
+	int64_t since, until;
+	atomic_int stop;
+} watcher_t;
+
+static int watch_asked(const struct mg_connection *conn, void *arg)
+{
+	return zone_is_cut(arg, (struct mg_connection *)conn);
+}
+
+static void watch_begins(struct mg_connection *conn, void *arg)
+{
+	watcher_t *watcher = g_new0(watcher_t, 1);
+	char text[32];
+
+	(void)arg;
+	watcher->conn = conn;
+	param(conn, "resourceVersion", text, sizeof(text));
+	watcher->since = atoll(text);
+	param(conn, "timeoutSeconds", text, sizeof(text));
+	watcher->until = base_clock_mono() + atoll(text) * BASE_SEC;
+	mg_set_user_connection_data(conn, watcher);
+	pthread_create(&watcher->thread, NULL, watch, watcher);
+}
+
+static int watch_heard(struct mg_connection *conn, int bits, char *data,
+		       size_t len, void *arg)
+{
+	(void)conn;
+	(void)data;
+	(void)len;
+	(void)arg;
+	return (bits & 0x0f) != MG_WEBSOCKET_OPCODE_CONNECTION_CLOSE;
 }
 
-static int watch(struct mg_connection *conn, int64_t since)
+static void watch_ends(const struct mg_connection *conn, void *arg)
 {
-	char seconds[8];
-	int64_t until;
-
-	param(conn, "timeoutSeconds", seconds, sizeof(seconds));
-	until = base_clock_mono() + atoll(seconds) * BASE_SEC;
-	mg_printf(conn, "HTTP/1.1 200 OK\r\n"
-			"Transfer-Encoding: chunked\r\n\r\n");
-	while (base_clock_mono() < until) {
-		GString *lines = g_string_new("");
+	watcher_t *watcher = mg_get_user_connection_data(conn);
+
+	(void)arg;
+	if (!watcher)
+		return;
+	atomic_store(&watcher->stop, 1);
+	pthread_join(watcher->thread, NULL);
+	g_free(watcher);
+}
+
+static void *watch(void *arg)
+{
+	watcher_t *watcher = arg;
+	int64_t since = watcher->since;
+
+	while (!atomic_load(&watcher->stop) &&
+	       base_clock_mono() < watcher->until) {
+		GPtrArray *events = g_ptr_array_new_with_free_func(free);
 		GHashTableIter iter;
 		int64_t newest = since;
 		void *value;
@@ -230,28 +315,31 @@
 		g_hash_table_iter_init(&iter, tasks.pods);
 		while (g_hash_table_iter_next(&iter, NULL, &value)) {
 			pod_t *pod = value;
-			char *text;
+			json_t *event;
 
 			if (pod->revision <= since)
 				continue;
-			text = json_dumps(pod->json, JSON_COMPACT);
-			g_string_append_printf(
-				lines,
-				"{\"type\":\"MODIFIED\",\"object\":%s}\n",
-				text);
-			free(text);
+			event = json_pack("{s:s,s:O}", "type", "MODIFIED",
+					  "object", pod->json);
+			g_ptr_array_add(events,
+					json_dumps(event, JSON_COMPACT));
+			json_decref(event);
 			newest = MAX(newest, pod->revision);
 		}
 		pthread_mutex_unlock(&tasks.lock);
-		if (lines->len &&
-		    mg_send_chunk(conn, lines->str, (unsigned)lines->len) < 0)
-			until = 0;
-		g_string_free(lines, TRUE);
+		for (guint i = 0; i < events->len; i++)
+			mg_websocket_write(
+				watcher->conn, MG_WEBSOCKET_OPCODE_TEXT,
+				events->pdata[i], strlen(events->pdata[i]));
+		g_ptr_array_free(events, TRUE);
 		since = newest;
 		base_clock_sleep(STEP_US);
 	}
-	mg_send_chunk(conn, "", 0);
-	return 200;
+	if (!atomic_load(&watcher->stop))
+		mg_websocket_write(watcher->conn,
+				   MG_WEBSOCKET_OPCODE_CONNECTION_CLOSE, NULL,
+				   0);
+	return NULL;
 }
 
 /* RFC 7396; lists are merged item by item, as by position. */
