--- a/load/load_bench.c
+++ b/load/load_bench.c
@@ -26,6 +26,7 @@
 	pthread_t thread;
 } lane_t;
 
+static uint64_t run_lanes(bench_t *bench, int n, base_hist_t *all);
 static void *run(void *arg);
 static bool ask(struct mg_connection *conn, const bench_t *bench);
 
@@ -49,8 +50,7 @@
 			  header,  status, name,  end };
 	bench_t bench = { .header = "X-Work-Us: 0", .status = 200 };
 	base_hist_t *all;
-	uint64_t bad = 0;
-	lane_t *lanes;
+	uint64_t bad;
 
 	if (arg_parse(argc, argv, table)) {
 		arg_print_errors(stderr, end, "load bench");
@@ -71,32 +71,40 @@
 					   rate->dval[0]);
 	bench.until = base_clock_mono() +
 		      (int64_t)(seconds->dval[0] * (double)BASE_SEC);
-	lanes = g_new0(lane_t, (gsize)count->ival[0]);
-	for (int i = 0; i < count->ival[0]; i++) {
-		lanes[i].bench = &bench;
-		lanes[i].us = base_hist_new(NULL);
-		pthread_create(&lanes[i].thread, NULL, run, &lanes[i]);
-	}
-	for (int i = 0; i < count->ival[0]; i++) {
-		pthread_join(lanes[i].thread, NULL);
-		base_hist_merge(all, lanes[i].us);
-		bad += lanes[i].bad;
-	}
+	bad = run_lanes(&bench, count->ival[0], all);
 	printf("{\"bench\":\"%s\",\"connections\":%d,\"requests_s\":%.0f,"
 	       "\"p50_ms\":%.3f,\"p99_ms\":%.3f,\"bad\":%llu}\n",
 	       name->sval[0], count->ival[0],
 	       (double)base_hist_count(all) / seconds->dval[0],
 	       base_hist_quantile(all, 0.5) / 1000.0,
 	       base_hist_quantile(all, 0.99) / 1000.0, (unsigned long long)bad);
-	for (int i = 0; i < count->ival[0]; i++)
-		talloc_free(lanes[i].us);
-	g_free(lanes);
 	g_free(bench.targets);
 	talloc_free(all);
 	arg_freetable(table, ARRAY_SIZE(table));
 	return bad ? 1 : 0;
 }
 
+/* Run them to the end; times go into "all", the bad answers are counted. */
+static uint64_t run_lanes(bench_t *bench, int n, base_hist_t *all)
+{
+	lane_t *lanes = g_new0(lane_t, (gsize)n);
+	uint64_t bad = 0;
+
+	for (int i = 0; i < n; i++) {
+		lanes[i].bench = bench;
+		lanes[i].us = base_hist_new(NULL);
+		pthread_create(&lanes[i].thread, NULL, run, &lanes[i]);
+	}
+	for (int i = 0; i < n; i++) {
+		pthread_join(lanes[i].thread, NULL);
+		base_hist_merge(all, lanes[i].us);
+		bad += lanes[i].bad;
+		talloc_free(lanes[i].us);
+	}
+	g_free(lanes);
+	return bad;
+}
+
 static void *run(void *arg)
 {
 	lane_t *lane = arg;
--- a/packages/fleet/tests/fleet_test.c
+++ b/packages/fleet/tests/fleet_test.c
@@ -134,6 +134,18 @@
 	return n;
 }
 
+/* The most that the wave had out of each pool at once, until it ended. */
+static void watch_wave(world_t *w, fleet_t *fleet, const fleet_pool_t *pools,
+		       uint32_t most[5])
+{
+	for (int turn = 0; turn < 6000; turn++) {
+		turns(w, fleet, 1, BASE_SEC);
+		for (int i = 0; i < 5; i++)
+			most[i] = MAX(most[i], in_wave(fleet, pools[i].name));
+	}
+	g_assert_cmpint(fleet_wave(fleet)->state, ==, FLEET_WAVE_NONE);
+}
+
 /* Waves stay within what a pool's answers allow, also below its budget. */
 static void test_drain_max(void)
 {
@@ -152,17 +164,12 @@
 	pools[2].unmaintained = true;
 	fleet_configure(fleet, pools, 5);
 	wave(w, fleet, FLEET_WAVE_START);
-	for (int turn = 0; turn < 6000; turn++) {
-		turns(w, fleet, 1, BASE_SEC);
-		for (int i = 0; i < 5; i++)
-			most[i] = MAX(most[i], in_wave(fleet, pools[i].name));
-	}
+	watch_wave(w, fleet, pools, most);
 	g_assert_cmpuint(most[0], ==, 1);
 	g_assert_cmpuint(most[1], ==, 2);
 	g_assert_cmpuint(most[2], ==, 0);
 	g_assert_cmpuint(most[3], >, 2);
 	g_assert_cmpuint(w->reboots, ==, 49 - pools[2].executors);
-	g_assert_cmpint(fleet_wave(fleet)->state, ==, FLEET_WAVE_NONE);
 	talloc_free(w);
 }
 
