Reckon what a flood leaves in one place

bench/route_flood_bench.c and route_flood_test.c had the same loop over the classes; flood_kept() serves both. The six cases of route_flood_test pass as before.

--- a/bench/flood.h
+++ b/bench/flood.h
@@ -97,6 +97,17 @@
 /* The bit of a class in "flooding". */
 unsigned flood_bit(int cls);
 
+/* What a flood leaves, against the same run without it. */
+typedef struct flood_kept {
+	double goodput; /* least of the others, of what it is without flood */
+	double p99;	/* most of the others, the same */
+	double pool;	/* least of the flooded pools, of their capacity */
+} flood_kept_t;
+
+flood_kept_t flood_kept(const flood_options_t *options,
+			const flood_result_t *calm,
+			const flood_result_t *flooded);
+
 /* Names for output. */
 const char *flood_policy_name(flood_policy_t policy);
 
--- a/bench/route_flood_bench.c
+++ b/bench/route_flood_bench.c
@@ -52,20 +52,16 @@
 		  unsigned flooding, const flood_result_t *calm)
 {
 	flood_options_t opt = *base;
-	double goodput = 1.0, p99 = 0.0, pool = 2.0;
 	double calm_p99 = 0.0, calm_goodput = 1.0;
+	flood_kept_t kept;
 	flood_result_t r;
 
 	opt.flooding = flooding;
 	flood_run(&opt, &r);
+	kept = flood_kept(&opt, calm, &r);
 	for (int c = 0; c < opt.n_classes; c++) {
-		if (flooding & flood_bit(c)) {
-			pool = MIN(pool, r.goodput[opt.classes[c].pool]);
+		if (flooding & flood_bit(c))
 			continue;
-		}
-		goodput = MIN(goodput, (double)r.answered[c] /
-					       (double)calm->answered[c]);
-		p99 = MAX(p99, r.p99_us[c] / calm->p99_us[c]);
 		calm_p99 = MAX(calm_p99, calm->p99_us[c]);
 		calm_goodput =
 			MIN(calm_goodput, (double)calm->answered[c] /
@@ -80,8 +76,9 @@
 	       "\"calm_goodput\":%.4f,\"calm_p99_ms\":%.0f,"
 	       "\"pool_goodput\":%.4f,\"connections_max\":%d,"
 	       "\"refused_part\":%.4f,\"remote_part\":%.4f}\n",
-	       goodput, p99, calm_goodput, calm_p99 / 1000.0, pool,
-	       r.connections_max, r.refused_part, r.remote_part);
+	       MIN(kept.goodput, 1.0), kept.p99, calm_goodput,
+	       calm_p99 / 1000.0, kept.pool, r.connections_max, r.refused_part,
+	       r.remote_part);
 	fflush(stdout);
 }
 
--- a/packages/route/tests/route_flood_test.c
+++ b/packages/route/tests/route_flood_test.c
@@ -5,42 +5,23 @@
  * time and a fixed seed: a figure is the same on every machine.
  */
 
-typedef struct kept {
-	double goodput; /* least of the others, of what it is without flood */
-	double p99;	/* most of the others, the same */
-	double pool;	/* least of the flooded pools, of their capacity */
-} kept_t;
-
-static kept_t flood(const flood_options_t *base, const flood_result_t *calm,
-		    unsigned flooding)
+static flood_kept_t flood(const flood_options_t *base,
+			  const flood_result_t *calm, unsigned flooding)
 {
-	kept_t kept = { 2.0, 0.0, 2.0 };
 	flood_options_t opt = *base;
 	flood_result_t r;
 
 	opt.flooding = flooding;
 	flood_run(&opt, &r);
 	g_assert_cmpint(r.connections_max, <=, FLOOD_CONNECTIONS);
-	for (int c = 0; c < opt.n_classes; c++) {
-		double answered = (double)r.answered[c];
-
-		if (flooding & flood_bit(c)) {
-			kept.pool =
-				MIN(kept.pool, r.goodput[opt.classes[c].pool]);
-			continue;
-		}
-		kept.goodput =
-			MIN(kept.goodput, answered / (double)calm->answered[c]);
-		kept.p99 = MAX(kept.p99, r.p99_us[c] / calm->p99_us[c]);
-	}
-	return kept;
+	return flood_kept(&opt, calm, &r);
 }
 
 /* Least urgent first, most urgent last, both together; the worst of all. */
-static kept_t worst(flood_options_t opt, flood_full_t full)
+static flood_kept_t worst(flood_options_t opt, flood_full_t full)
 {
 	int n = opt.n_classes;
-	kept_t kept, least = { 2.0, 0.0, 2.0 };
+	flood_kept_t kept, least = { 2.0, 0.0, 2.0 };
 	flood_result_t calm;
 
 	opt.full = full;
@@ -61,7 +42,7 @@
 	return least;
 }
 
-static void others_keep(kept_t kept)
+static void others_keep(flood_kept_t kept)
 {
 	g_assert_cmpfloat(kept.goodput, >=, 0.99);
 	g_assert_cmpfloat(kept.p99, <=, 1.5);
@@ -69,7 +50,7 @@
 
 static void test_five_pools(void)
 {
-	kept_t kept = worst(flood_five_pools(), FLOOD_QUEUES);
+	flood_kept_t kept = worst(flood_five_pools(), FLOOD_QUEUES);
 
 	others_keep(kept);
 	g_assert_cmpfloat(kept.pool, >=, 0.95);
@@ -77,7 +58,7 @@
 
 static void test_shared_pool(void)
 {
-	kept_t kept = worst(flood_shared_pool(), FLOOD_QUEUES);
+	flood_kept_t kept = worst(flood_shared_pool(), FLOOD_QUEUES);
 
 	others_keep(kept);
 	g_assert_cmpfloat(kept.pool, >=, 0.95);
@@ -87,7 +68,7 @@
 static void test_wrong_slots(void)
 {
 	flood_options_t opt = flood_five_pools();
-	kept_t kept;
+	flood_kept_t kept;
 
 	for (opt.true_slots = 4; opt.true_slots <= 12; opt.true_slots += 8) {
 		kept = worst(opt, FLOOD_QUEUES);
