--- a/packages/entry/entry_jobs.h
+++ b/packages/entry/entry_jobs.h
@@ -69,6 +69,23 @@
 /* Try again what found no room; the jobs thread, each tick. */
 void entry_senders_tick(entry_jobs_t *jobs);
 
+/* Tell the core of teams and of workers; entry_jobs_workers.c. */
+GHashTable *entry_jobs_workers_new(void);
+void entry_jobs_teams(entry_jobs_t *jobs);
+void entry_jobs_workers(entry_jobs_t *jobs, int64_t now);
+
+/* Note a job that has ended, forget the oldest; entry_jobs_ended.c. */
+void entry_jobs_ended(entry_jobs_t *jobs, base_str_t id);
+void entry_jobs_forget(entry_jobs_t *jobs, int64_t now);
+void entry_jobs_ended_clear(entry_jobs_t *jobs);
+
+/* The thread that reads reports; entry_jobs_reports.c. */
+bool entry_reader_start(entry_jobs_t *jobs, GError **err);
+void entry_reader_stop(entry_jobs_t *jobs);
+
+/* Keep what the metrics tell, which do not wait; entry_jobs_metrics.c. */
+void entry_jobs_show(entry_jobs_t *jobs);
+
 /* Whether the holding "epoch" surely is the present one. */
 bool entry_jobs_holds(entry_jobs_t *jobs, uint64_t epoch);
 
--- /dev/null
+++ b/packages/entry/entry_jobs_reports.c
@@ -0,0 +1,89 @@
+#include "entry_jobs.h"
+
+/*
+ * What workers report of tasks, read by a thread of its own.
+ */
+
+/* What the thread that reads reports owns. */
+typedef struct entry_reader {
+	entry_jobs_t *jobs;
+	uint64_t epoch;
+	plat_tasks_t *tasks;
+} reader_t;
+
+static void read_reports(void *arg, int64_t now);
+static void on_report(void *arg, base_str_t job, int64_t attempt,
+		      const jobs_report_t *report);
+
+bool entry_reader_start(entry_jobs_t *jobs, GError **err)
+{
+	kern_duty_options_t reports = { .name = "jobs-reports",
+					.period_us = JOBS_STEP_US,
+					.ring_size = 8,
+					.tick = read_reports };
+
+	jobs->reader = talloc_zero(NULL, reader_t);
+	jobs->reader->jobs = jobs;
+	reports.arg = jobs->reader;
+	jobs->reports = kern_duty_start(jobs, &reports, err);
+	return jobs->reports != NULL;
+}
+
+void entry_reader_stop(entry_jobs_t *jobs)
+{
+	kern_duty_stop(jobs->reports);
+	TALLOC_FREE(jobs->reader);
+}
+
+static void read_reports(void *arg, int64_t now)
+{
+	reader_t *reader = arg;
+	entry_jobs_t *jobs = reader->jobs;
+	uint64_t epoch = atomic_load(&jobs->epoch);
+	bool whole = false;
+
+	(void)now;
+	if (epoch != reader->epoch) {
+		TALLOC_FREE(reader->tasks);
+		reader->epoch = epoch;
+		reader->tasks =
+			plat_pods_new(reader, &jobs->daemon->settings->tasks);
+	}
+	if (!epoch)
+		return;
+	if (!reader->tasks->ops->reports(reader->tasks, on_report, reader,
+					 &whole, NULL) ||
+	    !whole)
+		return;
+	pthread_mutex_lock(&jobs->lock);
+	if (atomic_load(&jobs->epoch) == epoch)
+		jobs->listed = true;
+	pthread_mutex_unlock(&jobs->lock);
+}
+
+static void on_report(void *arg, base_str_t job, int64_t attempt,
+		      const jobs_report_t *report)
+{
+	reader_t *reader = arg;
+	entry_jobs_t *jobs = reader->jobs;
+	char *name = g_strdup_printf("%.*s.%lld", BASE_STR_ARG(job),
+				     (long long)attempt);
+
+	pthread_mutex_lock(&jobs->lock);
+	if (jobs->core && atomic_load(&jobs->epoch) == reader->epoch) {
+		g_hash_table_remove(jobs->unheard, name);
+		if (report)
+			jobs_report(jobs->core, base_clock_mono(), report);
+	}
+	pthread_mutex_unlock(&jobs->lock);
+	g_free(name);
+}
+
+void entry_jobs_report(entry_jobs_t *jobs, uint64_t epoch,
+		       const jobs_report_t *report)
+{
+	pthread_mutex_lock(&jobs->lock);
+	if (jobs->core && atomic_load(&jobs->epoch) == epoch)
+		jobs_report(jobs->core, base_clock_mono(), report);
+	pthread_mutex_unlock(&jobs->lock);
+}
--- /dev/null
+++ b/packages/entry/entry_jobs_workers.c
@@ -0,0 +1,129 @@
+#include "entry_jobs.h"
+
+/*
+ * What the core of the jobs is told of teams and workers.
+ */
+
+#define LOOK_US (900 * BASE_MS)
+
+typedef struct worker {
+	char *incarnation;
+	bool takes;
+	bool seen;
+	conf_shape_t shape;
+} worker_t;
+
+static void look_at(entry_jobs_t *jobs, int64_t now,
+		    const entry_endpoint_t *endpoint,
+		    const conf_shape_t *shape);
+static void tell(entry_jobs_t *jobs, int64_t now, const char *id,
+		 const worker_t *worker);
+static void free_worker(void *worker);
+
+GHashTable *entry_jobs_workers_new(void)
+{
+	return g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
+				     free_worker);
+}
+
+void entry_jobs_teams(entry_jobs_t *jobs)
+{
+	entry_view_t *view = entry_view_hold(jobs->daemon->views);
+	const conf_t *conf = view->record->config;
+
+	for (size_t i = 0;
+	     view->record->generation != jobs->generation && i < conf->n_teams;
+	     i++) {
+		const conf_team_t *team = &conf->teams[i];
+		jobs_res_t quota = { {
+			[JOBS_CORES] = team->cores * 1000,
+			[JOBS_MEMORY] = team->memory_gb * 1024,
+			[JOBS_ACCELERATORS] = team->accelerators,
+		} };
+
+		jobs_team_set(jobs->core, team->name, quota);
+	}
+	jobs->generation = view->record->generation;
+	entry_view_release(view);
+}
+
+/*
+ * Workers are the instances that serve a pool in the life that the fleet's
+ * records name.  One that is cordoned, drained or gone takes nothing new; that
+ * its tasks are gone only a later life of it proves.
+ */
+void entry_jobs_workers(entry_jobs_t *jobs, int64_t now)
+{
+	entry_view_t *view;
+	GHashTableIter iter;
+	void *id, *value;
+
+	if (jobs->seen_at && now - jobs->seen_at < LOOK_US)
+		return;
+	jobs->seen_at = now;
+	g_hash_table_iter_init(&iter, jobs->workers);
+	while (g_hash_table_iter_next(&iter, NULL, &value))
+		((worker_t *)value)->seen = false;
+	view = entry_view_hold(jobs->daemon->views);
+	for (size_t i = 0; i < view->pool_count; i++) {
+		const entry_pool_t *pool = &view->pools[i];
+
+		for (size_t k = 0; k < pool->endpoint_count; k++)
+			look_at(jobs, now, &pool->endpoints[k],
+				&pool->conf->worker);
+	}
+	entry_view_release(view);
+	g_hash_table_iter_init(&iter, jobs->workers);
+	while (g_hash_table_iter_next(&iter, &id, &value)) {
+		worker_t *worker = value;
+
+		if (worker->seen || !worker->takes)
+			continue;
+		worker->takes = false;
+		tell(jobs, now, id, worker);
+	}
+}
+
+static void look_at(entry_jobs_t *jobs, int64_t now,
+		    const entry_endpoint_t *endpoint, const conf_shape_t *shape)
+{
+	worker_t *worker = g_hash_table_lookup(jobs->workers, endpoint->id);
+	bool takes = endpoint->state == PLAT_LIVE;
+
+	if (worker && worker->takes == takes &&
+	    !memcmp(&worker->shape, shape, sizeof(*shape)) &&
+	    !strcmp(worker->incarnation, endpoint->incarnation)) {
+		worker->seen = true;
+		return;
+	}
+	worker = g_new0(worker_t, 1);
+	worker->incarnation = g_strdup(endpoint->incarnation);
+	worker->takes = takes;
+	worker->seen = true;
+	worker->shape = *shape;
+	g_hash_table_replace(jobs->workers, g_strdup(endpoint->id), worker);
+	tell(jobs, now, endpoint->id, worker);
+}
+
+static void tell(entry_jobs_t *jobs, int64_t now, const char *id,
+		 const worker_t *worker)
+{
+	const jobs_worker_info_t info = {
+		.id = base_str(id),
+		.incarnation = strtoll(worker->incarnation, NULL, 10),
+		.capacity = { {
+			[JOBS_CORES] = worker->shape.cores * 1000,
+			[JOBS_MEMORY] = worker->shape.memory_gb * 1024,
+			[JOBS_ACCELERATORS] = worker->shape.accelerators,
+		} },
+		.takes = worker->takes,
+	};
+
+	jobs_worker_seen(jobs->core, now, &info);
+}
+
+static void free_worker(void *worker)
+{
+	g_free(((worker_t *)worker)->incarnation);
+	g_free(worker);
+}
--- a/packages/fleet/tests/fleet_prop.cpp
+++ b/packages/fleet/tests/fleet_prop.cpp
@@ -91,7 +91,7 @@
 		s.pools.push_back({ s.names[i].c_str(), (uint32_t)each, 8,
 				    (uint32_t)(each - loss - drain), true,
 				    s.shape.by_zone, i == 0, false,
-				    (uint32_t)(i % 3) });
+				    (uint32_t)(i % 3 * drain) });
 	}
 	fleet_site_t site = { s.pools.data(), s.pools.size(), racks.data(),
 			      racks.size(), s.shape.zones };
