--- a/packages/entry/entry_rollout.c
+++ b/packages/entry/entry_rollout.c
@@ -7,6 +7,7 @@
  * operators' port.
  */
 
+static void add_flows(base_buf_t *out, const peer_stats_t *stats);
 static json_t *member_json(const memb_record_t *rec);
 static json_t *held_json(const entry_held_t *held);
 
@@ -84,6 +85,7 @@
 		      (unsigned long long)stats.calls_in,
 		      (unsigned long long)stats.bytes_out,
 		      (unsigned long long)stats.bytes_in);
+	add_flows(out, &stats);
 	base_buf_addf(out,
 		      "# TYPE cactusfield_config_pulled_total counter\n"
 		      "cactusfield_config_pulled_total{what=\"whole\"} %llu\n"
@@ -102,6 +104,30 @@
 		      (unsigned long long)stats.cut);
 }
 
+static void add_flows(base_buf_t *out, const peer_stats_t *stats)
+{
+	static const char *const ways[PEER_WAY_MAX] = { "out", "in" };
+	static const char *const names[] = { "messages", "bytes" };
+
+	for (size_t n = 0; n < ARRAY_SIZE(names); n++) {
+		base_buf_addf(out,
+			      "# TYPE cactusfield_peer_proc_%s_total counter\n",
+			      names[n]);
+		for (int i = 0; i < PEER_PROC_MAX * PEER_WAY_MAX; i++) {
+			peer_proc_t proc = (peer_proc_t)(i / PEER_WAY_MAX);
+			int way = i % PEER_WAY_MAX;
+			const peer_flow_t *flow = &stats->flows[proc][way];
+
+			base_buf_addf(out,
+				      "cactusfield_peer_proc_%s_total"
+				      "{proc=\"%s\",way=\"%s\"} %llu\n",
+				      names[n], peer_proc_name(proc), ways[way],
+				      (unsigned long long)(n ? flow->bytes
+							     : flow->messages));
+		}
+	}
+}
+
 static json_t *member_json(const memb_record_t *rec)
 {
 	peer_addr_t addr = { rec->addr.ip, rec->addr.port };
--- a/packages/peer/peer.c
+++ b/packages/peer/peer.c
@@ -51,7 +51,7 @@
 
 peer_stats_t peer_stats(peer_t *peer)
 {
-	return (peer_stats_t){
+	peer_stats_t stats = {
 		.calls_out = peer->counts[PEER_CALLS_OUT],
 		.bytes_out = peer->counts[PEER_BYTES_OUT],
 		.calls_in = peer->counts[PEER_CALLS_IN],
@@ -61,6 +61,18 @@
 		.refused_replay = peer->counts[PEER_REFUSED_REPLAY],
 		.cut = peer->counts[PEER_CUT],
 	};
+
+	for (int i = 0; i < PEER_PROC_MAX; i++)
+		for (int way = 0; way < PEER_WAY_MAX; way++)
+			stats.flows[i][way] =
+				(peer_flow_t){ peer->messages[i][way],
+					       peer->bytes[i][way] };
+	return stats;
+}
+
+const char *peer_proc_name(peer_proc_t proc)
+{
+	return peer_procs[proc].name;
 }
 
 bool peer_name_ok(const char *name)
@@ -79,3 +91,15 @@
 {
 	atomic_fetch_add_explicit(&peer->counts[what], n, memory_order_relaxed);
 }
+
+void peer_count_flow(peer_t *peer, uint32_t proc, peer_way_t way,
+		     const peer_sealed *sealed)
+{
+	if (proc >= PEER_PROC_MAX)
+		return;
+	atomic_fetch_add_explicit(&peer->messages[proc][way], 1,
+				  memory_order_relaxed);
+	atomic_fetch_add_explicit(&peer->bytes[proc][way],
+				  PEER_MAC_LEN + sealed->body.body_len,
+				  memory_order_relaxed);
+}
--- a/packages/peer/peer.h
+++ b/packages/peer/peer.h
@@ -107,6 +107,14 @@
 	const base_log_t *log;
 } peer_opts_t;
 
+/* What went one way, of one procedure; replies are messages of their own. */
+typedef struct peer_flow {
+	uint64_t messages;
+	uint64_t bytes; /* of the sealed messages */
+} peer_flow_t;
+
+typedef enum peer_way { PEER_OUT, PEER_IN, PEER_WAY_MAX } peer_way_t;
+
 typedef struct peer_stats {
 	uint64_t calls_out;	 /* calls and datagrams sent */
 	uint64_t bytes_out;	 /* of sealed messages sent */
@@ -116,6 +124,7 @@
 	uint64_t refused_life;	 /* meant for or sent by another life */
 	uint64_t refused_replay; /* here before */
 	uint64_t cut;		 /* dropped by peer_cut() */
+	peer_flow_t flows[PEER_PROC_MAX][PEER_WAY_MAX];
 } peer_stats_t;
 
 typedef struct peer peer_t;
@@ -158,6 +167,9 @@
 /* A copy of the counters. */
 peer_stats_t peer_stats(peer_t *peer);
 
+/* "gossip", "claim-hello", ... */
+const char *peer_proc_name(peer_proc_t proc);
+
 /* Parse "A.B.C.D:PORT". */
 bool peer_addr_parse(const char *text, peer_addr_t *addr);
 
--- a/packages/peer/peer_client.c
+++ b/packages/peer/peer_client.c
@@ -38,7 +38,8 @@
 static bool reply_fits(const peer_t *peer, const call_t *call,
 		       const peer_reply_head *head);
 static bool seal_call(peer_t *peer, call_t *call, peer_sealed *sealed);
-static void count_out(peer_t *peer, const peer_sealed *sealed);
+static void count_out(peer_t *peer, const call_t *call,
+		      const peer_sealed *sealed);
 
 peer_outcome_t peer_call(peer_t *peer, const peer_to_t *to, peer_proc_t proc,
 			 const void *args, void *res, int64_t timeout_us)
@@ -109,7 +110,7 @@
 	if (!seal_call(peer, call, &sealed))
 		return false;
 	sent = peer_pool_send(peer->pool, call->to->addr, &sealed);
-	count_out(peer, &sealed);
+	count_out(peer, call, &sealed);
 	peer_unseal(&sealed);
 	return sent;
 }
@@ -149,7 +150,7 @@
 	stat = clnt_call(client, PEER_RPC_SEALED, (xdrproc_t)xdr_peer_sealed,
 			 (char *)sealed, (xdrproc_t)xdr_peer_sealed,
 			 (char *)&reply, wait);
-	count_out(peer, sealed);
+	count_out(peer, call, sealed);
 	/* Anything but a sealed reply could have been made up on the way. */
 	if (stat == RPC_SUCCESS)
 		end = read_reply(peer, call, &reply);
@@ -167,6 +168,8 @@
 		peer_count(peer, PEER_REFUSED_MAC, 1);
 		return TRY_UNKNOWN;
 	}
+	peer_count(peer, PEER_BYTES_IN, PEER_MAC_LEN + sealed->body.body_len);
+	peer_count_flow(peer, call->proc, PEER_IN, sealed);
 	peer_open(&xdrs, sealed);
 	if (!xdr_peer_reply_head(&xdrs, &head) ||
 	    !reply_fits(peer, call, &head))
@@ -234,8 +237,10 @@
 			 info->xdr_args, (void *)call->args);
 }
 
-static void count_out(peer_t *peer, const peer_sealed *sealed)
+static void count_out(peer_t *peer, const call_t *call,
+		      const peer_sealed *sealed)
 {
 	peer_count(peer, PEER_CALLS_OUT, 1);
 	peer_count(peer, PEER_BYTES_OUT, PEER_MAC_LEN + sealed->body.body_len);
+	peer_count_flow(peer, call->proc, PEER_OUT, sealed);
 }
--- a/packages/peer/peer_int.h
+++ b/packages/peer/peer_int.h
@@ -63,6 +63,8 @@
 	base_log_t log;
 	peer_slot_t slots[PEER_PROC_MAX];
 	_Atomic uint64_t counts[PEER_COUNT_MAX];
+	_Atomic uint64_t messages[PEER_PROC_MAX][PEER_WAY_MAX];
+	_Atomic uint64_t bytes[PEER_PROC_MAX][PEER_WAY_MAX];
 	peer_cuts_t *cuts;
 	peer_lives_t *lives; /* of the entries that we call */
 	peer_pool_t *pool;
@@ -147,6 +149,10 @@
 
 void peer_count(peer_t *peer, peer_count_t what, uint64_t n);
 
+/* Count a message of "proc" that was sealed by who knows the key. */
+void peer_count_flow(peer_t *peer, uint32_t proc, peer_way_t way,
+		     const peer_sealed *sealed);
+
 void peer_wire_addr_set(peer_wire_addr *wire, peer_addr_t addr);
 bool peer_wire_addr_eq(const peer_wire_addr *wire, peer_addr_t addr);
 
--- a/packages/peer/peer_server.c
+++ b/packages/peer/peer_server.c
@@ -230,6 +230,7 @@
 
 	peer_open(&xdrs, sealed);
 	if (xdr_peer_call_head(&xdrs, &head) && head_ok(server, &head)) {
+		peer_count_flow(server->peer, head.proc, PEER_IN, sealed);
 		reply.status = judge(server, &head, &reply.from_life);
 		if (reply.status == PEER_WIRE_DONE)
 			reply.status =
@@ -337,8 +338,9 @@
 		svcerr_systemerr(xprt);
 		return;
 	}
-	svc_sendreply(xprt, (xdrproc_t)xdr_peer_sealed, (char *)&sealed);
 	peer_count(peer, PEER_BYTES_OUT, PEER_MAC_LEN + sealed.body.body_len);
+	peer_count_flow(peer, head->proc, PEER_OUT, &sealed);
+	svc_sendreply(xprt, (xdrproc_t)xdr_peer_sealed, (char *)&sealed);
 	peer_unseal(&sealed);
 }
 
--- a/packages/peer/tests/peer_test.c
+++ b/packages/peer/tests/peer_test.c
@@ -180,6 +180,35 @@
 				&head, (xdrproc_t)xdr_peer_gossip, &gossip));
 }
 
+/* Both ends count the same, replies too. */
+static void test_flows(void)
+{
+	peer_t *server = serve(21001, 1000);
+	peer_t *client = make("b-1", 21002, 1000, "0123456789abcdef");
+	peer_stats_t here, there;
+
+	g_assert_cmpint(ask(client, 21001, 1000, WAIT), ==, PEER_ANSWERED);
+	g_assert_cmpint(ask(client, 21001, 10, WAIT), ==, PEER_ANSWERED);
+	here = peer_stats(client);
+	there = peer_stats(server);
+	for (int i = 0; i < PEER_PROC_MAX; i++)
+		for (int way = 0; way < PEER_WAY_MAX; way++) {
+			const peer_flow_t *flow = &here.flows[i][way];
+			const peer_flow_t *back = &there.flows[i][!way];
+
+			g_assert_cmpuint(flow->messages, ==, back->messages);
+			g_assert_cmpuint(flow->bytes, ==, back->bytes);
+			/* The first call is refused: its life was unknown. */
+			g_assert_cmpuint(flow->messages, ==,
+					 i == PEER_CONFIG ? 3 : 0);
+		}
+	g_assert_cmpuint(here.bytes_in, ==,
+			 here.flows[PEER_CONFIG][PEER_IN].bytes);
+	g_assert_cmpuint(here.bytes_in, >, 1010);
+	talloc_free(client);
+	talloc_free(server);
+}
+
 static void test_replay(void)
 {
 	peer_t *server = serve(21001, 1000);
@@ -346,6 +375,7 @@
 	g_test_add_func("/peer/call", test_call);
 	g_test_add_func("/peer/restart", test_restart);
 	g_test_add_func("/peer/key-and-cut", test_key_and_cut);
+	g_test_add_func("/peer/flows", test_flows);
 	g_test_add_func("/peer/replay", test_replay);
 	g_test_add_func("/peer/nonsense", test_nonsense);
 	g_test_add_func("/peer/window", test_window);
