Say the claims' hellos to who needs one and send the list to who lacks it

Each entry said hello to all others once in 15 s and at every change, and put the list of entries into each hello to whom it had last heard at an older epoch, while that one mostly had it from the store meanwhile. The record was read whole every 3 s. All three grow with the entries: at 64 the record has 10 KB, and a change made each entry send it to most others.

A hello now goes to who has not been told how things stand here or lags behind, until it answers, and without need to one other in 3 s; claim_greet() decides, without clock or socket. The list follows only where the answer shows an older epoch. Of the record the revision is read. While the store gives no word a third of the others, 8 at least, is asked each second, where it was all.

--- a/packages/claim/claim.h
+++ b/packages/claim/claim.h
@@ -20,5 +20,6 @@
 #include "claim_sync.h"
 #include "claim_holder.h"
 #include "claim_propose.h"
+#include "claim_greet.h"
 
 #endif
--- a/packages/entry/entry_claim.c
+++ b/packages/entry/entry_claim.c
@@ -127,7 +127,6 @@
 	entry_claims_t *claims = daemon->claims;
 
 	pthread_mutex_lock(&claims->lock);
-	claims->soon = true;
 	entry_claim_wake(claims);
 	pthread_mutex_unlock(&claims->lock);
 }
--- a/packages/entry/entry_claim_epoch.c
+++ b/packages/entry/entry_claim_epoch.c
@@ -8,33 +8,22 @@
 
 #define STORE_PERIOD_US (3 * BASE_SEC)
 #define STORE_SOON_US (500 * BASE_MS) /* while something is to be decided */
-#define HELLO_PERIOD_US BASE_SEC      /* while somebody needs one */
-#define HELLO_IDLE_US (15 * BASE_SEC) /* otherwise */
-#define HELLO_DOUBT_US (4 * BASE_SEC) /* no word of the store */
 #define RANK_US (500 * BASE_MS)	      /* who comes later in the list waits */
 #define PULL_US (200 * BASE_MS)	      /* then others have their turn */
 
-/* An entry as membership sees it. */
-typedef struct present {
-	const char *id;
-	uint64_t incarnation; /* membership's own */
-	bool left;
-	bool known;
-} present_t;
-
 static void read_store(entry_claims_t *claims, int64_t now);
-static void say_hello(entry_claims_t *claims, int64_t now);
+static void take_epoch(entry_claims_t *claims, const claim_epoch_t *epoch,
+		       int64_t asked_at);
 static void propose(entry_claims_t *claims, int64_t now);
-static size_t list_present(entry_claims_t *claims, const void *ctx,
-			   present_t **present);
-static bool knows(const entry_claims_t *claims, const present_t *present);
 static claim_list_t live_list(entry_claims_t *claims, const void *ctx,
-			      const present_t *present, size_t n);
+			      const entry_claim_present_t *present, size_t n);
 static claim_list_t left_list(entry_claims_t *claims, const void *ctx,
-			      const present_t *present, size_t n);
+			      const entry_claim_present_t *present, size_t n);
 static bool anyone_copies(const entry_claims_t *claims,
 			  const claim_list_t *live, int64_t now);
 static int by_id(const void *a, const void *b);
+static bool knows(const entry_claims_t *claims,
+		  const entry_claim_present_t *present);
 static bool note_live(entry_claims_t *claims, const claim_list_t *live,
 		      int64_t now);
 static void read_registered(entry_claims_t *claims, void *ctx,
@@ -54,12 +43,12 @@
 		period = STORE_SOON_US;
 	if (now - claims->store_asked >= period)
 		read_store(claims, now);
-	say_hello(claims, now);
+	entry_claim_greet(claims, now);
 	propose(claims, now);
-	say_hello(claims, now);
+	entry_claim_greet(claims, now);
 	pull(claims);
 	note_copied(claims);
-	say_hello(claims, now);
+	entry_claim_greet(claims, now);
 	if (leaving)
 		note_handover(claims);
 }
@@ -76,7 +65,6 @@
 	if (!claim_table_adopt(claims->table, epoch, confirmed_at, now))
 		return;
 	claims->epochs++;
-	claims->soon = true;
 	claims->copying = claim_table_copying(claims->table, now) > 0;
 	entry_claim_wake(claims);
 	base_log(claims->daemon->log, BASE_MSG_CLAIM_EPOCH,
@@ -84,6 +72,10 @@
 		 BASE_F_INT("entries", (int64_t)epoch->now.n));
 }
 
+/*
+ * The record grows with the entries and seldom changes: its revision is asked
+ * for, and the record where that is another one than the last.
+ */
 static void read_store(entry_claims_t *claims, int64_t now)
 {
 	plat_store_t *store =
@@ -91,92 +83,38 @@
 	void *ctx = talloc_new(NULL);
 	claim_epoch_t *epoch = NULL;
 	plat_kvs_t kvs;
+	bool read;
 
 	claims->store_asked = now;
-	if (!store->ops->range(store, ctx, CLAIM_EPOCH_KEY, false, &kvs,
-			       NULL)) {
-		talloc_free(ctx);
-		return;
-	}
-	claims->none_in_store = !kvs.count;
-	claims->store_number = 0;
-	claims->store_revision = kvs.count ? kvs.items[0].mod_revision : 0;
-	if (kvs.count)
-		epoch = claim_epoch_parse(ctx, kvs.items[0].value, NULL);
-	if (epoch) {
-		claims->store_number = epoch->number;
+	read = store->ops->keys(store, ctx, CLAIM_EPOCH_KEY, false, &kvs, NULL);
+	if (read && claims->store_number && kvs.count &&
+	    kvs.items[0].mod_revision == claims->store_revision) {
 		pthread_mutex_lock(&claims->lock);
-		entry_claim_adopt(claims, epoch, now, base_clock_mono());
-		claim_table_confirm(claims->table, epoch->number, now);
+		claim_table_confirm(claims->table, claims->store_number, now);
 		pthread_mutex_unlock(&claims->lock);
+	} else if (read && store->ops->range(store, ctx, CLAIM_EPOCH_KEY, false,
+					     &kvs, NULL)) {
+		claims->none_in_store = !kvs.count;
+		claims->store_number = 0;
+		claims->store_revision =
+			kvs.count ? kvs.items[0].mod_revision : 0;
+		if (kvs.count)
+			epoch = claim_epoch_parse(ctx, kvs.items[0].value,
+						  NULL);
+		if (epoch)
+			take_epoch(claims, epoch, now);
 	}
 	talloc_free(ctx);
 }
 
-/*
- * Who is alive membership tells; a hello tells who it is.  So one is said when
- * an entry appears or is back, when the list has changed, and while the store
- * cannot be asked, since then the others' word stands in for it.
- */
-static void say_hello(entry_claims_t *claims, int64_t now)
+static void take_epoch(entry_claims_t *claims, const claim_epoch_t *epoch,
+		       int64_t asked_at)
 {
-	bool all = now - claims->hello_all >= HELLO_IDLE_US;
-	bool due = now - claims->hello_said >= HELLO_PERIOD_US;
-	void *ctx = talloc_new(NULL);
-	claim_contact_t self;
-	present_t *present;
-	size_t n;
-
-	n = list_present(claims, ctx, &present);
+	claims->store_number = epoch->number;
 	pthread_mutex_lock(&claims->lock);
-	self = claim_table_hello(claims->table, now);
-	if (claims->soon || (due && (self.confirmed_age < 0 ||
-				     self.confirmed_age > HELLO_DOUBT_US)))
-		all = true;
-	claims->soon = false;
-	for (size_t i = 0; i < n; i++)
-		present[i].known = knows(claims, &present[i]);
+	entry_claim_adopt(claims, epoch, asked_at, base_clock_mono());
+	claim_table_confirm(claims->table, epoch->number, asked_at);
 	pthread_mutex_unlock(&claims->lock);
-	if (all)
-		claims->hello_all = now;
-	if (all || due)
-		claims->hello_said = now;
-	for (size_t i = 0; i < n; i++)
-		if (all || (due && !present[i].known))
-			entry_claim_hello(claims, present[i].id,
-					  present[i].incarnation);
-	talloc_free(ctx);
-}
-
-/* The others that membership holds for alive, or that just leave. */
-static size_t list_present(entry_claims_t *claims, const void *ctx,
-			   present_t **present)
-{
-	entry_memb_t *memb = claims->daemon->memb;
-	size_t n = 0;
-
-	pthread_mutex_lock(&memb->lock);
-	*present = talloc_zero_array(ctx, present_t, memb_count(memb->core));
-	for (size_t i = 1; i < memb_count(memb->core); i++) {
-		const memb_record_t *rec = memb_at(memb->core, i);
-
-		if (rec->state == MEMB_DEAD)
-			continue;
-		(*present)[n].id = talloc_strdup(ctx, rec->id);
-		(*present)[n].incarnation = rec->incarnation;
-		(*present)[n++].left = rec->state == MEMB_LEFT;
-	}
-	pthread_mutex_unlock(&memb->lock);
-	return n;
-}
-
-/* Under the lock: whether it has answered since membership last lost it. */
-static bool knows(const entry_claims_t *claims, const present_t *present)
-{
-	const entry_claim_peer_t *peer =
-		g_hash_table_lookup(claims->peers, present->id);
-
-	return peer && peer->memb_incarnation == present->incarnation;
 }
 
 /* The store is asked for the members only when a change is due. */
@@ -188,8 +126,8 @@
 	const claim_epoch_t *epoch;
 	claim_epoch_t *next = NULL;
 	bool current, differs;
-	present_t *present;
-	size_t n = list_present(claims, ctx, &present);
+	entry_claim_present_t *present;
+	size_t n = entry_claim_present(claims, ctx, &present);
 
 	pthread_mutex_lock(&claims->lock);
 	view.live = live_list(claims, ctx, present, n);
@@ -216,7 +154,7 @@
 
 /* Under the lock: this entry, unless it leaves, and those that answered. */
 static claim_list_t live_list(entry_claims_t *claims, const void *ctx,
-			      const present_t *present, size_t n)
+			      const entry_claim_present_t *present, size_t n)
 {
 	const entry_settings_t *settings = claims->daemon->settings;
 	claim_list_t list = { talloc_zero_array(ctx, claim_member_t, n + 1),
@@ -245,7 +183,7 @@
 
 /* Under the lock: those that said that they stop, this entry among them. */
 static claim_list_t left_list(entry_claims_t *claims, const void *ctx,
-			      const present_t *present, size_t n)
+			      const entry_claim_present_t *present, size_t n)
 {
 	const entry_settings_t *settings = claims->daemon->settings;
 	claim_list_t list = { talloc_zero_array(ctx, claim_member_t, n + 1),
@@ -290,6 +228,16 @@
 	return claim_table_copying(claims->table, now) > 0;
 }
 
+/* Under the lock: whether it has answered since membership last lost it. */
+static bool knows(const entry_claims_t *claims,
+		  const entry_claim_present_t *present)
+{
+	const entry_claim_peer_t *peer =
+		g_hash_table_lookup(claims->peers, present->id);
+
+	return peer && peer->memb_incarnation == present->incarnation;
+}
+
 static int by_id(const void *a, const void *b)
 {
 	const claim_member_t *left = a, *right = b;
@@ -421,7 +369,6 @@
 
 	pthread_mutex_lock(&claims->lock);
 	copying = claim_table_copying(claims->table, base_clock_mono()) > 0;
-	claims->soon |= claims->copying && !copying;
 	claims->copying = copying;
 	pthread_mutex_unlock(&claims->lock);
 }
@@ -436,8 +383,8 @@
 	const claim_epoch_t *epoch;
 	claim_contact_t self;
 	claim_list_t live;
-	present_t *present;
-	size_t n = list_present(claims, ctx, &present);
+	entry_claim_present_t *present;
+	size_t n = entry_claim_present(claims, ctx, &present);
 	bool done;
 
 	pthread_mutex_lock(&claims->lock);
--- a/packages/entry/entry_claim_wire.c
+++ b/packages/entry/entry_claim_wire.c
@@ -3,7 +3,6 @@
 
 #define TAKE_TIMEOUT_US (900 * BASE_MS)
 #define END_TIMEOUT_US BASE_SEC
-#define HELLO_TIMEOUT_US (300 * BASE_MS)
 #define PULL_TIMEOUT_US BASE_SEC
 #define LOST_US (500 * BASE_MS) /* not called again before */
 
@@ -11,23 +10,14 @@
 		    void *res);
 static bool on_end(void *arg, const peer_from_t *from, const void *args,
 		   void *res);
-static bool on_hello(void *arg, const peer_from_t *from, const void *args,
-		     void *res);
 static bool on_pull(void *arg, const peer_from_t *from, const void *args,
 		    void *res);
 static bool silent(entry_claims_t *claims, const char *id);
-static void note_call(entry_claims_t *claims, const char *id, bool answered);
 static bool is_self(const entry_claims_t *claims, const claim_member_t *target);
 static void take_here(entry_claims_t *claims, const void *ctx,
 		      const claim_take_t *take, claim_reply_t *reply);
 static void end_here(entry_claims_t *claims, const claim_finish_t *finish,
 		     bool answered);
-static void fill_hello(entry_claims_t *claims, peer_claim_hello *wire,
-		       base_buf_t *record, uint64_t known);
-static void take_hello(entry_claims_t *claims, const char *id,
-		       const peer_claim_hello *wire, int64_t asked_at);
-static void note_peer(entry_claims_t *claims, const char *id,
-		      const peer_claim_hello *wire);
 static void *copy_bytes(base_str_t bytes);
 static base_str_t bytes_of(u_int len, char *val);
 
@@ -35,7 +25,7 @@
 {
 	peer_handle(peer, PEER_CLAIM_TAKE, on_take, claims);
 	peer_handle(peer, PEER_CLAIM_END, on_end, claims);
-	peer_handle(peer, PEER_CLAIM_HELLO, on_hello, claims);
+	peer_handle(peer, PEER_CLAIM_HELLO, entry_claim_on_hello, claims);
 	peer_handle(peer, PEER_CLAIM_PULL, on_pull, claims);
 }
 
@@ -64,7 +54,7 @@
 		return;
 	answered = peer_call(claims->daemon->memb->peer, &to, PEER_CLAIM_TAKE,
 			     &args, &res, TAKE_TIMEOUT_US) == PEER_ANSWERED;
-	note_call(claims, target->id, answered);
+	entry_claim_note_call(claims, target->id, answered);
 	if (!answered)
 		return;
 	if (res.verdict < CLAIM_VERDICT_MAX)
@@ -98,41 +88,11 @@
 		end_here(claims, finish, answered);
 	else if (!silent(claims, target->id) &&
 		 entry_claim_find(claims, target->id, &to.addr))
-		note_call(claims, target->id,
-			  peer_call(claims->daemon->memb->peer, &to,
-				    PEER_CLAIM_END, &args, &res,
-				    END_TIMEOUT_US) == PEER_ANSWERED);
-}
-
-void entry_claim_hello(entry_claims_t *claims, const char *id,
-		       uint64_t memb_incarnation)
-{
-	base_buf_t *record = base_buf_new(NULL);
-	peer_claim_hello args = { 0 }, res = { 0 };
-	int64_t asked_at = base_clock_mono();
-	entry_claim_peer_t *peer;
-	uint64_t known = 0;
-	peer_to_t to = { 0 };
-
-	pthread_mutex_lock(&claims->lock);
-	peer = g_hash_table_lookup(claims->peers, id);
-	if (peer)
-		known = peer->epoch;
-	fill_hello(claims, &args, record, known);
-	pthread_mutex_unlock(&claims->lock);
-	if (entry_claim_find(claims, id, &to.addr) &&
-	    peer_call(claims->daemon->memb->peer, &to, PEER_CLAIM_HELLO, &args,
-		      &res, HELLO_TIMEOUT_US) == PEER_ANSWERED) {
-		take_hello(claims, id, &res, asked_at);
-		peer_free_res(PEER_CLAIM_HELLO, &res);
-		note_call(claims, id, true);
-		pthread_mutex_lock(&claims->lock);
-		peer = g_hash_table_lookup(claims->peers, id);
-		if (peer)
-			peer->memb_incarnation = memb_incarnation;
-		pthread_mutex_unlock(&claims->lock);
-	}
-	talloc_free(record);
+		entry_claim_note_call(claims, target->id,
+				      peer_call(claims->daemon->memb->peer, &to,
+						PEER_CLAIM_END, &args, &res,
+						END_TIMEOUT_US) ==
+					      PEER_ANSWERED);
 }
 
 void entry_claim_pull(entry_claims_t *claims, const claim_pull_t *pull)
@@ -247,26 +207,6 @@
 	return true;
 }
 
-static bool on_hello(void *arg, const peer_from_t *from, const void *args,
-		     void *res)
-{
-	const peer_claim_hello *wire = args;
-	entry_claims_t *claims = arg;
-	peer_claim_hello *out = res;
-	base_buf_t *record = base_buf_new(NULL);
-
-	/* When this was asked is not known: it is no sign of the present. */
-	take_hello(claims, from->id, wire, 0);
-	pthread_mutex_lock(&claims->lock);
-	fill_hello(claims, out, record, wire->epoch);
-	pthread_mutex_unlock(&claims->lock);
-	out->id = strdup(out->id);
-	out->zone = strdup(out->zone);
-	out->record.record_val = copy_bytes(base_buf_str(record));
-	talloc_free(record);
-	return true;
-}
-
 static bool on_pull(void *arg, const peer_from_t *from, const void *args,
 		    void *res)
 {
@@ -323,7 +263,8 @@
 	return silent;
 }
 
-static void note_call(entry_claims_t *claims, const char *id, bool answered)
+void entry_claim_note_call(entry_claims_t *claims, const char *id,
+			   bool answered)
 {
 	entry_claim_peer_t *peer;
 
@@ -364,78 +305,6 @@
 	pthread_mutex_unlock(&claims->lock);
 }
 
-/* Under the lock; what hangs from "wire" is the daemon's and "record"'s. */
-static void fill_hello(entry_claims_t *claims, peer_claim_hello *wire,
-		       base_buf_t *record, uint64_t known)
-{
-	claim_contact_t self =
-		claim_table_hello(claims->table, base_clock_mono());
-	const claim_epoch_t *epoch = claim_table_epoch(claims->table);
-
-	wire->id = claims->daemon->settings->name;
-	wire->zone = claims->daemon->settings->zone;
-	wire->incarnation = self.incarnation;
-	wire->epoch = self.epoch;
-	wire->confirmed_age = self.confirmed_age;
-	wire->leaving = atomic_load(&claims->daemon->draining) != 0;
-	wire->copying = claims->copying;
-	if (epoch && known < epoch->number)
-		claim_epoch_print(epoch, record);
-	wire->record.record_len = (u_int)record->len;
-	wire->record.record_val = record->ptr;
-}
-
-static void take_hello(entry_claims_t *claims, const char *id,
-		       const peer_claim_hello *wire, int64_t asked_at)
-{
-	claim_contact_t contact = { .entry = id,
-				    .incarnation = wire->incarnation,
-				    .epoch = wire->epoch,
-				    .confirmed_age = -1,
-				    .asked_at = asked_at };
-	base_str_t record =
-		bytes_of(wire->record.record_len, wire->record.record_val);
-	claim_epoch_t *epoch = NULL;
-	int64_t now;
-
-	/* An address that another entry has taken over proves nothing. */
-	if (strcmp(wire->id, id) != 0)
-		return;
-	if (record.len)
-		epoch = claim_epoch_parse(NULL, record, NULL);
-	if (asked_at)
-		contact.confirmed_age = wire->confirmed_age;
-	pthread_mutex_lock(&claims->lock);
-	now = base_clock_mono();
-	if (epoch)
-		entry_claim_adopt(claims, epoch, 0, now);
-	claim_table_contact(claims->table, &contact, now);
-	note_peer(claims, id, wire);
-	pthread_mutex_unlock(&claims->lock);
-	talloc_free(epoch);
-}
-
-static void note_peer(entry_claims_t *claims, const char *id,
-		      const peer_claim_hello *wire)
-{
-	entry_claim_peer_t *peer = g_hash_table_lookup(claims->peers, id);
-
-	if (peer && wire->incarnation < peer->incarnation)
-		return;
-	if (!peer) {
-		peer = g_new0(entry_claim_peer_t, 1);
-		g_hash_table_insert(claims->peers, g_strdup(id), peer);
-	}
-	if (!peer->zone || strcmp(peer->zone, wire->zone) != 0) {
-		g_free(peer->zone);
-		peer->zone = g_strdup(wire->zone);
-	}
-	peer->incarnation = wire->incarnation;
-	peer->epoch = wire->epoch;
-	peer->leaving = wire->leaving;
-	peer->copying = wire->copying;
-}
-
 static void *copy_bytes(base_str_t bytes)
 {
 	char *copy = malloc(bytes.len + 1);
