Serve a port from its first request on

Cause: the HTTP library opens the port in mg_start() and takes handlers only after it. A request that came between was answered by the library itself: 404 on the callers' port, which tells a caller nothing true about its request, and on the operators' port pages that need the key could be read before the handler that asks for it was set.

Change: each port hands one function to mg_start() (begin_request), which looks its page up in a const table; no handler is set later. Pages are whole paths now, an unknown one is 404 with the key and 401 without.

--- a/Makefile
+++ b/Makefile
@@ -146,7 +146,7 @@
 	@printf '%s\n' $(filter-out $(GENERATED),$(filter %.c,$(FORMATTED))) | \
 	xargs -P $$(nproc) -n 4 sh -c 'clang-tidy --quiet "$$@" -- $(CPPFLAGS) -std=gnu11 2>/dev/null || exit 255' sh
 
-linkcheck: $(PURE:%=$(OUT)/lib%.a)
+linkcheck: $(PURE:%=$(OUT)/lib%.a) $(OUT)/libentry.a
 	@scripts/linkcheck $^
 
 mancheck:
--- a/packages/entry/entry_caller.c
+++ b/packages/entry/entry_caller.c
@@ -9,7 +9,8 @@
 #define REQUEST_POOL 8192 /* bytes at once for one request */
 static bool caller_start(void *service, kern_t *kern, GError **err);
 static void caller_stop(void *service);
-static int on_request(struct mg_connection *conn, void *arg);
+static int on_request(struct mg_connection *conn);
+static void run(entry_daemon_t *daemon, struct mg_connection *conn);
 static void serve(entry_daemon_t *daemon, struct mg_connection *conn,
 		  entry_request_t *request);
 static void refuse(entry_daemon_t *daemon, struct mg_connection *conn,
@@ -17,6 +18,10 @@
 		   const entry_verdict_t *verdict);
 static int seconds_up(int ms);
 
+static const entry_page_t pages[] = {
+	{ "/cactusfield/ticket", entry_claim_ticket_page, true },
+};
+
 const kern_service_ops_t entry_caller_ops = { caller_start, caller_stop };
 
 static bool caller_start(void *service, kern_t *kern, GError **err)
@@ -24,13 +29,10 @@
 	entry_daemon_t *daemon = service;
 
 	(void)kern;
-	daemon->caller_http = entry_listen(&daemon->settings->caller, daemon,
-					   KEEP_ALIVE_MS, err);
-	if (!daemon->caller_http)
-		return false;
-	mg_set_request_handler(daemon->caller_http, "/", on_request, daemon);
-	entry_claim_listen(daemon);
-	return true;
+	daemon->caller_http =
+		entry_listen(&daemon->settings->caller, on_request, daemon,
+			     KEEP_ALIVE_MS, err);
+	return daemon->caller_http != NULL;
 }
 
 static void caller_stop(void *service)
@@ -40,9 +42,20 @@
 	mg_stop(daemon->caller_http);
 }
 
-static int on_request(struct mg_connection *conn, void *arg)
+static int on_request(struct mg_connection *conn)
+{
+	const entry_page_t *page =
+		entry_page_find(pages, ARRAY_SIZE(pages), conn);
+	entry_daemon_t *daemon = entry_listen_daemon(conn);
+
+	if (page)
+		return page->serve(conn, daemon);
+	run(daemon, conn);
+	return 200;
+}
+
+static void run(entry_daemon_t *daemon, struct mg_connection *conn)
 {
-	entry_daemon_t *daemon = arg;
 	entry_view_t *view = entry_view_hold(daemon->views);
 	void *ctx = talloc_pool(NULL, REQUEST_POOL);
 	entry_request_t *request;
@@ -56,7 +69,6 @@
 	atomic_fetch_sub(&daemon->in_flight, 1);
 	talloc_free(ctx);
 	entry_view_release(view);
-	return 200;
 }
 
 static void serve(entry_daemon_t *daemon, struct mg_connection *conn,
--- a/packages/entry/entry_claim.c
+++ b/packages/entry/entry_claim.c
@@ -33,7 +33,6 @@
 static bool replay(entry_request_t *request, base_str_t text,
 		   entry_message_t *answer);
 static void pack(const entry_message_t *answer, base_buf_t *out);
-static int on_ticket(struct mg_connection *conn, void *arg);
 
 const kern_service_ops_t entry_claim_ops = { claim_start, claim_stop };
 
@@ -137,12 +136,6 @@
 	return atomic_load(&daemon->claims->handed_over) != 0;
 }
 
-void entry_claim_listen(entry_daemon_t *daemon)
-{
-	mg_set_request_handler(daemon->caller_http, "/cactusfield/ticket",
-			       on_ticket, daemon);
-}
-
 void entry_metrics_claim(entry_daemon_t *daemon, base_buf_t *out)
 {
 	entry_claims_t *claims = daemon->claims;
@@ -407,9 +400,8 @@
 	base_buf_add(out, answer->body->ptr, answer->body->len);
 }
 
-static int on_ticket(struct mg_connection *conn, void *arg)
+int entry_claim_ticket_page(struct mg_connection *conn, entry_daemon_t *daemon)
 {
-	entry_daemon_t *daemon = arg;
 	entry_claims_t *claims = daemon->claims;
 	base_str_t key = base_str(daemon->settings->peer_key);
 	claim_ticket_t ticket = { .issued = base_clock_wall() / BASE_SEC };
--- a/packages/entry/entry_int.h
+++ b/packages/entry/entry_int.h
@@ -363,21 +363,45 @@
 /* Whether others home all of it. */
 bool entry_claim_handed_over(const entry_daemon_t *daemon);
 
-/* Serve tickets on the callers' port. */
-void entry_claim_listen(entry_daemon_t *daemon);
+/* The page of the callers' port that issues a ticket. */
+int entry_claim_ticket_page(struct mg_connection *conn, entry_daemon_t *daemon);
 
 void entry_metrics_claim(entry_daemon_t *daemon, base_buf_t *out);
 
 /* The duty "jobs", not started. */
 entry_jobs_t *entry_jobs_new(entry_daemon_t *daemon);
 
+/* The operators' pages about jobs; entry_jobs_pages.c. */
+int entry_jobs_page(struct mg_connection *conn, entry_daemon_t *daemon);
+int entry_jobs_explain_page(struct mg_connection *conn, entry_daemon_t *daemon);
+int entry_jobs_cancel_page(struct mg_connection *conn, entry_daemon_t *daemon);
+int entry_jobs_release_page(struct mg_connection *conn, entry_daemon_t *daemon);
+
 /* Append the jobs by state, while this entry holds their duty. */
 void entry_metrics_jobs(entry_daemon_t *daemon, base_buf_t *out);
 
-/* Start a listener; the error names the port. */
-struct mg_context *entry_listen(const entry_listen_t *listen, void *user,
+/* Answer one request whole; returns the status, never 0. */
+typedef int (*entry_serve_t)(struct mg_connection *conn);
+
+/* One page of a port. */
+typedef struct entry_page {
+	const char *path; /* the whole of it */
+	int (*serve)(struct mg_connection *conn, entry_daemon_t *daemon);
+	bool open; /* to those without the operators' key */
+} entry_page_t;
+
+/* Start a listener whose requests "serve" answers; the error names the port. */
+struct mg_context *entry_listen(const entry_listen_t *listen,
+				entry_serve_t serve, entry_daemon_t *daemon,
 				int64_t keep_alive_ms, GError **err);
 
+/* The entry at whose port the request came in. */
+entry_daemon_t *entry_listen_daemon(const struct mg_connection *conn);
+
+/* The page that the request asks for, or NULL. */
+const entry_page_t *entry_page_find(const entry_page_t *pages, size_t n,
+				    const struct mg_connection *conn);
+
 /* Send "text" as an answer of the operators' port. */
 int entry_operators_answer(struct mg_connection *conn, int status,
 			   const char *type, base_str_t text);
--- a/packages/entry/entry_jobs.c
+++ b/packages/entry/entry_jobs.c
@@ -93,10 +93,7 @@
 	if (!entry_senders_start(jobs, err) || !entry_reader_start(jobs, err))
 		return false;
 	jobs->thread = kern_duty_start(jobs, &thread, err);
-	if (!jobs->thread)
-		return false;
-	entry_jobs_listen(jobs);
-	return true;
+	return jobs->thread != NULL;
 }
 
 /* Pages may still be asked for; they find that the duty is not held. */
--- a/packages/entry/entry_jobs.h
+++ b/packages/entry/entry_jobs.h
@@ -93,7 +93,4 @@
 void entry_jobs_report(entry_jobs_t *jobs, uint64_t epoch,
 		       const jobs_report_t *report);
 
-/* Serve the operators' pages about jobs; entry_jobs_pages.c. */
-void entry_jobs_listen(entry_jobs_t *jobs);
-
 #endif
--- a/packages/entry/entry_jobs_pages.c
+++ b/packages/entry/entry_jobs_pages.c
@@ -14,10 +14,6 @@
 typedef bool (*change_fn_t)(jobs_t *core, int64_t now, base_str_t id,
 			    GError **err);
 
-static int on_jobs(struct mg_connection *conn, void *arg);
-static int on_explain(struct mg_connection *conn, void *arg);
-static int on_cancel(struct mg_connection *conn, void *arg);
-static int on_release(struct mg_connection *conn, void *arg);
 static int change(struct mg_connection *conn, entry_jobs_t *jobs,
 		  change_fn_t fn);
 static int list(struct mg_connection *conn, entry_jobs_t *jobs);
@@ -35,26 +31,17 @@
 static int answer(struct mg_connection *conn, json_t *json);
 static base_str_t id_of(struct mg_connection *conn, char *buf, size_t size);
 
-void entry_jobs_listen(entry_jobs_t *jobs)
-{
-	struct mg_context *http = jobs->daemon->operators_http;
-
-	mg_set_request_handler(http, "/jobs/explain", on_explain, jobs);
-	mg_set_request_handler(http, "/jobs/cancel", on_cancel, jobs);
-	mg_set_request_handler(http, "/jobs/release", on_release, jobs);
-	mg_set_request_handler(http, "/jobs", on_jobs, jobs);
-}
-
-static int on_jobs(struct mg_connection *conn, void *arg)
+int entry_jobs_page(struct mg_connection *conn, entry_daemon_t *daemon)
 {
 	const char *method = mg_get_request_info(conn)->request_method;
 
-	return strcmp(method, "POST") ? list(conn, arg) : submit(conn, arg);
+	return strcmp(method, "POST") ? list(conn, daemon->jobs)
+				      : submit(conn, daemon->jobs);
 }
 
-static int on_explain(struct mg_connection *conn, void *arg)
+int entry_jobs_explain_page(struct mg_connection *conn, entry_daemon_t *daemon)
 {
-	entry_jobs_t *jobs = arg;
+	entry_jobs_t *jobs = daemon->jobs;
 	char buf[JOBS_ID_MAX + 1];
 	base_str_t id = id_of(conn, buf, sizeof(buf));
 	json_t *json = NULL;
@@ -73,14 +60,14 @@
 	return answer(conn, json ? json : elsewhere(jobs));
 }
 
-static int on_cancel(struct mg_connection *conn, void *arg)
+int entry_jobs_cancel_page(struct mg_connection *conn, entry_daemon_t *daemon)
 {
-	return change(conn, arg, jobs_cancel);
+	return change(conn, daemon->jobs, jobs_cancel);
 }
 
-static int on_release(struct mg_connection *conn, void *arg)
+int entry_jobs_release_page(struct mg_connection *conn, entry_daemon_t *daemon)
 {
-	return change(conn, arg, jobs_release);
+	return change(conn, daemon->jobs, jobs_release);
 }
 
 static int change(struct mg_connection *conn, entry_jobs_t *jobs,
--- a/packages/entry/entry_listen.c
+++ b/packages/entry/entry_listen.c
@@ -4,7 +4,12 @@
 #define CONNECTION_QUEUE "1000"	   /* accepted, waiting for a thread */
 #define LISTEN_BACKLOG "1000"
 
-struct mg_context *entry_listen(const entry_listen_t *listen, void *user,
+/*
+ * The port is open before mg_start() returns, so that a handler set after it
+ * comes too late for the first requests; "serve" is there from the start.
+ */
+struct mg_context *entry_listen(const entry_listen_t *listen,
+				entry_serve_t serve, entry_daemon_t *daemon,
 				int64_t keep_alive_ms, GError **err)
 {
 	char port[32], threads[16], keep[16];
@@ -29,15 +34,31 @@
 		"no",
 		NULL,
 	};
-	struct mg_callbacks callbacks = { 0 };
+	struct mg_callbacks callbacks = { .begin_request = serve };
 	struct mg_context *ctx;
 
 	snprintf(port, sizeof(port), "%s:%d", listen->address, listen->port);
 	snprintf(threads, sizeof(threads), "%d", listen->threads);
 	snprintf(keep, sizeof(keep), "%lld", (long long)keep_alive_ms);
-	ctx = mg_start(&callbacks, user, options);
+	ctx = mg_start(&callbacks, daemon, options);
 	if (!ctx)
 		g_set_error(err, ENTRY_ERROR, ENTRY_ERROR_LISTEN,
 			    "cannot listen on %s: is the port in use?", port);
 	return ctx;
 }
+
+entry_daemon_t *entry_listen_daemon(const struct mg_connection *conn)
+{
+	return mg_get_user_data(mg_get_context(conn));
+}
+
+const entry_page_t *entry_page_find(const entry_page_t *pages, size_t n,
+				    const struct mg_connection *conn)
+{
+	const char *path = mg_get_request_info(conn)->local_uri;
+
+	for (size_t i = 0; i < n; i++)
+		if (!strcmp(path, pages[i].path))
+			return &pages[i];
+	return NULL;
+}
--- a/packages/entry/entry_memb.h
+++ b/packages/entry/entry_memb.h
@@ -103,8 +103,8 @@
 
 /* entry_rollout: the operators' port */
 
-int entry_rollout_page(struct mg_connection *conn, void *arg);
-int entry_cut_page(struct mg_connection *conn, void *arg);
+int entry_rollout_page(struct mg_connection *conn, entry_daemon_t *daemon);
+int entry_cut_page(struct mg_connection *conn, entry_daemon_t *daemon);
 void entry_metrics_memb(entry_daemon_t *daemon, base_buf_t *out);
 
 #endif
--- a/packages/entry/entry_operators.c
+++ b/packages/entry/entry_operators.c
@@ -11,32 +11,34 @@
 
 static bool operators_start(void *service, kern_t *kern, GError **err);
 static void operators_stop(void *service);
-static int allow(struct mg_connection *conn, void *arg);
+static int on_request(struct mg_connection *conn);
+static bool allowed(struct mg_connection *conn, const entry_page_t *page,
+		    const entry_daemon_t *daemon);
 static bool shows_key(struct mg_connection *conn, const char *key);
-static int on_healthz(struct mg_connection *conn, void *arg);
-static int on_readyz(struct mg_connection *conn, void *arg);
-static int on_metrics(struct mg_connection *conn, void *arg);
-static int on_status(struct mg_connection *conn, void *arg);
+static int on_healthz(struct mg_connection *conn, entry_daemon_t *daemon);
+static int on_readyz(struct mg_connection *conn, entry_daemon_t *daemon);
+static int on_metrics(struct mg_connection *conn, entry_daemon_t *daemon);
+static int on_status(struct mg_connection *conn, entry_daemon_t *daemon);
 static void add_store_calls(base_buf_t *out, const entry_daemon_t *daemon);
 static json_t *pool_status(const entry_pool_t *pool);
 
 const kern_service_ops_t entry_operators_ops = { operators_start,
 						 operators_stop };
 
-typedef struct page {
-	const char *path;
-	mg_request_handler serve;
-} page_t;
-
-static const page_t pages[] = {
-	{ "/healthz", on_healthz },	    { "/readyz", on_readyz },
-	{ "/metrics", on_metrics },	    { "/status", on_status },
-	{ "/rollout", entry_rollout_page }, { "/cut", entry_cut_page },
+/* Open are those that the balancer and the metrics' collector ask. */
+static const entry_page_t pages[] = {
+	{ "/healthz", on_healthz, true },
+	{ "/readyz", on_readyz, true },
+	{ "/metrics", on_metrics, true },
+	{ "/status", on_status, false },
+	{ "/rollout", entry_rollout_page, false },
+	{ "/cut", entry_cut_page, false },
+	{ "/jobs", entry_jobs_page, false },
+	{ "/jobs/explain", entry_jobs_explain_page, false },
+	{ "/jobs/cancel", entry_jobs_cancel_page, false },
+	{ "/jobs/release", entry_jobs_release_page, false },
 };
 
-/* What the balancer and the metrics collector ask without a key. */
-static const char *const open_pages[] = { "/healthz", "/readyz", "/metrics" };
-
 int entry_operators_answer(struct mg_connection *conn, int status,
 			   const char *type, base_str_t text)
 {
@@ -58,31 +60,33 @@
 	entry_daemon_t *daemon = service;
 
 	(void)kern;
-	daemon->operators_http = entry_listen(&daemon->settings->operators,
-					      daemon, KEEP_ALIVE_MS, err);
-	if (!daemon->operators_http)
-		return false;
-	for (size_t i = 0; i < ARRAY_SIZE(pages); i++)
-		mg_set_request_handler(daemon->operators_http, pages[i].path,
-				       pages[i].serve, daemon);
-	mg_set_auth_handler(daemon->operators_http, "/", allow, daemon);
-	return true;
+	daemon->operators_http =
+		entry_listen(&daemon->settings->operators, on_request, daemon,
+			     KEEP_ALIVE_MS, err);
+	return daemon->operators_http != NULL;
+}
+
+static int on_request(struct mg_connection *conn)
+{
+	const entry_page_t *page =
+		entry_page_find(pages, ARRAY_SIZE(pages), conn);
+	entry_daemon_t *daemon = entry_listen_daemon(conn);
+
+	if (!allowed(conn, page, daemon))
+		return entry_operators_answer(
+			conn, 401, "text/plain",
+			BASE_STR("the operators' key is needed\n"));
+	if (!page)
+		return entry_operators_answer(conn, 404, "text/plain",
+					      BASE_STR("no such page\n"));
+	return page->serve(conn, daemon);
 }
 
-/* Every page but the open ones needs the key; returns 0 when refused. */
-static int allow(struct mg_connection *conn, void *arg)
+static bool allowed(struct mg_connection *conn, const entry_page_t *page,
+		    const entry_daemon_t *daemon)
 {
-	const char *path = mg_get_request_info(conn)->local_uri;
-	entry_daemon_t *daemon = arg;
-
-	for (size_t i = 0; i < ARRAY_SIZE(open_pages); i++)
-		if (!strcmp(path, open_pages[i]))
-			return 1;
-	if (shows_key(conn, daemon->settings->operators_key))
-		return 1;
-	entry_operators_answer(conn, 401, "text/plain",
-			       BASE_STR("the operators' key is needed\n"));
-	return 0;
+	return (page && page->open) ||
+	       shows_key(conn, daemon->settings->operators_key);
 }
 
 /* The time it takes does not tell how much of the key was right. */
@@ -109,17 +113,16 @@
 	mg_stop(daemon->operators_http);
 }
 
-static int on_healthz(struct mg_connection *conn, void *arg)
+static int on_healthz(struct mg_connection *conn, entry_daemon_t *daemon)
 {
-	(void)arg;
+	(void)daemon;
 	return entry_operators_answer(conn, 200, "text/plain",
 				      BASE_STR("alive\n"));
 }
 
 /* What the balancer asks: ready with a configuration and not stopping. */
-static int on_readyz(struct mg_connection *conn, void *arg)
+static int on_readyz(struct mg_connection *conn, entry_daemon_t *daemon)
 {
-	entry_daemon_t *daemon = arg;
 	entry_view_t *view = entry_view_hold(daemon->views);
 	bool configured = view->record != NULL;
 	bool owned = view->owned;
@@ -138,9 +141,8 @@
 				      BASE_STR("ready\n"));
 }
 
-static int on_metrics(struct mg_connection *conn, void *arg)
+static int on_metrics(struct mg_connection *conn, entry_daemon_t *daemon)
 {
-	entry_daemon_t *daemon = arg;
 	base_buf_t *out = base_buf_new(NULL);
 	int status;
 
@@ -184,9 +186,8 @@
 	}
 }
 
-static int on_status(struct mg_connection *conn, void *arg)
+static int on_status(struct mg_connection *conn, entry_daemon_t *daemon)
 {
-	entry_daemon_t *daemon = arg;
 	entry_view_t *view = entry_view_hold(daemon->views);
 	json_t *pools = json_array();
 	json_t *root = json_pack("{s:s,s:s,s:s,s:b,s:i,s:b,s:b}", "entry",
--- a/packages/entry/entry_rollout.c
+++ b/packages/entry/entry_rollout.c
@@ -10,9 +10,8 @@
 static json_t *member_json(const memb_record_t *rec);
 static json_t *held_json(const entry_held_t *held);
 
-int entry_rollout_page(struct mg_connection *conn, void *arg)
+int entry_rollout_page(struct mg_connection *conn, entry_daemon_t *daemon)
 {
-	entry_daemon_t *daemon = arg;
 	entry_memb_t *memb = daemon->memb;
 	json_t *members = json_array();
 	json_t *root;
@@ -38,9 +37,8 @@
 }
 
 /* /cut?zone=NAME&on=1: only where the settings allow it, for tests. */
-int entry_cut_page(struct mg_connection *conn, void *arg)
+int entry_cut_page(struct mg_connection *conn, entry_daemon_t *daemon)
 {
-	entry_daemon_t *daemon = arg;
 	const char *query = mg_get_request_info(conn)->query_string;
 	size_t len = query ? strlen(query) : 0;
 	char zone[MEMB_NAME_MAX + 1], on[4];
--- /dev/null
+++ b/packages/entry/tests/entry_listen_test.c
@@ -0,0 +1,92 @@
+#include <arpa/inet.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include "entry_int.h"
+
+/*
+ * Below the ports that the system gives to clients: a client that tries such a
+ * port again and again ends up connected to itself.
+ */
+#define PORTS 12000
+#define ROUNDS 2 /* the HTTP library stops in up to 2 s */
+#define ASK "GET /status HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n"
+
+static entry_listen_t options = { "127.0.0.1", 0, 2 };
+
+static int serve(struct mg_connection *conn)
+{
+	entry_daemon_t *daemon = entry_listen_daemon(conn);
+
+	g_assert_nonnull(daemon);
+	return entry_operators_answer(conn, 418, "text/plain",
+				      BASE_STR("mine\n"));
+}
+
+/* The status of the first answer that the port gives once it can be reached. */
+static void *first_answer(void *arg)
+{
+	struct sockaddr_in at = { .sin_family = AF_INET,
+				  .sin_port = htons(options.port),
+				  .sin_addr.s_addr = htonl(INADDR_LOOPBACK) };
+	char text[16] = "";
+	int fd;
+
+	for (;;) {
+		fd = socket(AF_INET, SOCK_STREAM, 0);
+		if (!connect(fd, (struct sockaddr *)&at, sizeof(at)))
+			break;
+		close(fd);
+	}
+	g_assert_cmpint(write(fd, ASK, strlen(ASK)), ==, strlen(ASK));
+	if (read(fd, text, sizeof(text) - 1) > 9)
+		*(int *)arg = atoi(text + 9);
+	close(fd);
+	return NULL;
+}
+
+/* A port that is open is served: no answer of the HTTP library's own. */
+static void test_served_from_the_start(void)
+{
+	for (int i = 0; i < ROUNDS; i++) {
+		entry_daemon_t daemon = { 0 };
+		struct mg_context *http;
+		GError *err = NULL;
+		pthread_t client;
+		int status = 0;
+
+		pthread_create(&client, NULL, first_answer, &status);
+		http = entry_listen(&options, serve, &daemon, 100, &err);
+		g_assert_no_error(err);
+		pthread_join(client, NULL);
+		mg_stop(http);
+		g_assert_cmpint(status, ==, 418);
+	}
+}
+
+static void test_port_in_use(void)
+{
+	entry_daemon_t daemon = { 0 };
+	struct mg_context *http;
+	GError *err = NULL;
+	char port[16];
+
+	http = entry_listen(&options, serve, &daemon, 100, &err);
+	g_assert_no_error(err);
+	g_assert_null(entry_listen(&options, serve, &daemon, 100, &err));
+	g_assert_error(err, ENTRY_ERROR, ENTRY_ERROR_LISTEN);
+	g_snprintf(port, sizeof(port), ":%d:", options.port);
+	g_assert_nonnull(strstr(err->message, port));
+	g_clear_error(&err);
+	mg_stop(http);
+}
+
+int main(int argc, char **argv)
+{
+	g_test_init(&argc, &argv, NULL);
+	options.port = PORTS + (int)(getpid() % PORTS);
+	g_test_add_func("/entry/listen/served-from-the-start",
+			test_served_from_the_start);
+	g_test_add_func("/entry/listen/port-in-use", test_port_in_use);
+	return g_test_run();
+}
