--- a/packages/peer/tests/peer_test.c
+++ b/packages/peer/tests/peer_test.c
@@ -181,6 +181,14 @@
 }
 
 /* Both ends count the same, replies too. */
+static void same_flow(const peer_flow_t *here, const peer_flow_t *there,
+		      uint64_t messages)
+{
+	g_assert_cmpuint(here->messages, ==, messages);
+	g_assert_cmpuint(there->messages, ==, messages);
+	g_assert_cmpuint(here->bytes, ==, there->bytes);
+}
+
 static void test_flows(void)
 {
 	peer_t *server = serve(21001, 1000);
@@ -191,17 +199,11 @@
 	g_assert_cmpint(ask(client, 21001, 10, WAIT), ==, PEER_ANSWERED);
 	here = peer_stats(client);
 	there = peer_stats(server);
+	/* The first call is refused: its life was unknown. */
 	for (int i = 0; i < PEER_PROC_MAX; i++)
-		for (int way = 0; way < PEER_WAY_MAX; way++) {
-			const peer_flow_t *flow = &here.flows[i][way];
-			const peer_flow_t *back = &there.flows[i][!way];
-
-			g_assert_cmpuint(flow->messages, ==, back->messages);
-			g_assert_cmpuint(flow->bytes, ==, back->bytes);
-			/* The first call is refused: its life was unknown. */
-			g_assert_cmpuint(flow->messages, ==,
-					 i == PEER_CONFIG ? 3 : 0);
-		}
+		for (int way = 0; way < PEER_WAY_MAX; way++)
+			same_flow(&here.flows[i][way], &there.flows[i][!way],
+				  i == PEER_CONFIG ? 3 : 0);
 	g_assert_cmpuint(here.bytes_in, ==,
 			 here.flows[PEER_CONFIG][PEER_IN].bytes);
 	g_assert_cmpuint(here.bytes_in, >, 1010);
