Find an endpoint by its identity and scan only those that are ours to probe

What a probe showed was booked by comparing names with every endpoint of the site: 6,448 of 22,045 instructions a probe at 49 endpoints, and it grows with them. Each turn, ten a second in each of three threads, looked at all endpoints whoever probes them.

--- a/packages/route/route_conf.c
+++ b/packages/route/route_conf.c
@@ -133,6 +133,9 @@
 	if (!pool) {
 		pool = talloc_zero(route, route_pool_t);
 		pool->eps = g_ptr_array_new();
+		pool->by_ident =
+			g_hash_table_new(route_ident_hash, route_ident_equal);
+		pool->mine = g_ptr_array_new();
 		pool->near = g_ptr_array_new();
 		pool->far = g_ptr_array_new();
 		pool->classes = g_ptr_array_new();
@@ -307,6 +310,8 @@
 static int free_pool(route_pool_t *pool)
 {
 	g_ptr_array_free(pool->eps, TRUE);
+	g_hash_table_destroy(pool->by_ident);
+	g_ptr_array_free(pool->mine, TRUE);
 	g_ptr_array_free(pool->near, TRUE);
 	g_ptr_array_free(pool->far, TRUE);
 	g_ptr_array_free(pool->classes, TRUE);
--- a/packages/route/route_int.h
+++ b/packages/route/route_int.h
@@ -46,12 +46,19 @@
 	HEALTH_MAX
 } route_health_t;
 
+/* An endpoint's identity with its digest, so that one is found in all pools. */
+typedef struct route_ident {
+	guint digest;
+	base_str_t instance;
+	base_str_t incarnation;
+} route_ident_t;
+
 typedef struct route_ep {
 	route_endpoint_t pub;
+	route_ident_t ident; /* of "pub" */
 	struct route_pool *pool;
 	bool local;  /* in the entry's own zone */
 	bool listed; /* in the newest view */
-	bool mine;   /* ours to probe */
 	route_health_t health;
 	int running;
 	int failures; /* in a row */
@@ -111,11 +118,13 @@
 	bool retired;
 	bool viewed;
 	uint64_t version;
-	GPtrArray *eps;	    /* all that are listed or still at work */
-	GPtrArray *near;    /* may get work, own zone */
-	GPtrArray *far;	    /* may get work, other zones */
-	GPtrArray *classes; /* most urgent first */
-	double weight;	    /* of its classes */
+	GPtrArray *eps;	      /* all that are listed or still at work */
+	GHashTable *by_ident; /* the same, by route_ident_t */
+	GPtrArray *mine;      /* of these, ours to probe */
+	GPtrArray *near;      /* may get work, own zone */
+	GPtrArray *far;	      /* may get work, other zones */
+	GPtrArray *classes;   /* most urgent first */
+	double weight;	      /* of its classes */
 	int running, queued;
 	int64_t queued_bytes;
 	double tokens; /* for retries */
@@ -188,8 +197,10 @@
 /* route_view.c */
 void route_pool_reindex(route_t *route, route_pool_t *pool);
 bool route_ep_usable(const route_ep_t *ep);
-route_ep_t *route_ep(const route_pool_t *pool, base_str_t instance,
-		     base_str_t incarnation);
+route_ident_t route_ident(base_str_t instance, base_str_t incarnation);
+guint route_ident_hash(gconstpointer ident);
+gboolean route_ident_equal(gconstpointer a, gconstpointer b);
+route_ep_t *route_ep(const route_pool_t *pool, const route_ident_t *ident);
 
 /* route_probe.c */
 void route_probe_assign(route_t *route, route_pool_t *pool);
--- a/packages/route/route_probe.c
+++ b/packages/route/route_probe.c
@@ -14,10 +14,12 @@
  */
 void route_probe_assign(route_t *route, route_pool_t *pool)
 {
+	g_ptr_array_set_size(pool->mine, 0);
 	for (guint i = 0; i < pool->eps->len; i++) {
 		route_ep_t *ep = pool->eps->pdata[i];
 
-		ep->mine = route_ep_usable(ep) && owns(route, ep);
+		if (route_ep_usable(ep) && owns(route, ep))
+			g_ptr_array_add(pool->mine, ep);
 	}
 	set_interval(route);
 }
@@ -30,11 +32,10 @@
 	for (guint i = 0; i < route->pools->len; i++) {
 		const route_pool_t *pool = route->pools->pdata[i];
 
-		for (guint k = 0; k < pool->eps->len && n < max; k++) {
-			route_ep_t *ep = pool->eps->pdata[k];
+		for (guint k = 0; k < pool->mine->len && n < max; k++) {
+			route_ep_t *ep = pool->mine->pdata[k];
 
-			if (!ep->mine || ep->local != own_zone ||
-			    now < ep->probe_at)
+			if (ep->local != own_zone || now < ep->probe_at)
 				continue;
 			if (!ep->probe_at) {
 				ep->probe_at = now + spread(route);
@@ -52,13 +53,15 @@
 void route_probe_done(route_t *route, base_str_t instance,
 		      base_str_t incarnation, route_probe_t result, int64_t now)
 {
+	route_ident_t ident = route_ident(instance, incarnation);
+
 	if (result == ROUTE_PROBE_LEAVING) {
 		route_leaving(route, instance, incarnation, now);
 		return;
 	}
 	for (guint i = 0; i < route->pools->len; i++) {
 		route_pool_t *pool = route->pools->pdata[i];
-		route_ep_t *ep = route_ep(pool, instance, incarnation);
+		route_ep_t *ep = route_ep(pool, &ident);
 
 		if (!ep)
 			continue;
@@ -87,8 +90,7 @@
 	for (guint i = 0; i < route->pools->len; i++) {
 		const route_pool_t *pool = route->pools->pdata[i];
 
-		for (guint k = 0; k < pool->eps->len; k++)
-			mine += ((route_ep_t *)pool->eps->pdata[k])->mine;
+		mine += (int)pool->mine->len;
 	}
 	route->probe_us = CLAMP(ROUTE_PROBE_US * mine / PROBES_FULL,
 				ROUTE_PROBE_US, ROUTE_PROBE_MAX_US);
--- a/packages/route/route_view.c
+++ b/packages/route/route_view.c
@@ -1,3 +1,5 @@
+#include <xxhash.h>
+
 #include "route_int.h"
 
 static void widen_later(route_t *route, int count, int64_t now);
@@ -31,6 +33,7 @@
 bool route_leaving(route_t *route, base_str_t instance, base_str_t incarnation,
 		   int64_t now)
 {
+	route_ident_t ident = route_ident(instance, incarnation);
 	char *key = identity(instance, incarnation);
 	int64_t *when = g_hash_table_lookup(route->left, key);
 
@@ -44,7 +47,7 @@
 	g_hash_table_insert(route->left, key, when);
 	for (guint i = 0; i < route->pools->len; i++) {
 		route_pool_t *pool = route->pools->pdata[i];
-		route_ep_t *ep = route_ep(pool, instance, incarnation);
+		route_ep_t *ep = route_ep(pool, &ident);
 
 		if (!ep)
 			continue;
@@ -97,28 +100,43 @@
 int route_running(const route_t *route, base_str_t instance,
 		  base_str_t incarnation)
 {
+	route_ident_t ident = route_ident(instance, incarnation);
 	int running = 0;
 
 	for (guint i = 0; i < route->pools->len; i++) {
-		const route_ep_t *ep =
-			route_ep(route->pools->pdata[i], instance, incarnation);
+		const route_ep_t *ep = route_ep(route->pools->pdata[i], &ident);
 
 		running += ep ? ep->running : 0;
 	}
 	return running;
 }
 
-route_ep_t *route_ep(const route_pool_t *pool, base_str_t instance,
-		     base_str_t incarnation)
+route_ident_t route_ident(base_str_t instance, base_str_t incarnation)
 {
-	for (guint i = 0; i < pool->eps->len; i++) {
-		route_ep_t *ep = pool->eps->pdata[i];
+	XXH64_hash_t seed = XXH64(instance.ptr, instance.len, 0);
 
-		if (base_str_eq(incarnation, base_str(ep->pub.incarnation)) &&
-		    base_str_eq(instance, base_str(ep->pub.instance)))
-			return ep;
-	}
-	return NULL;
+	return (route_ident_t){ (guint)XXH64(incarnation.ptr, incarnation.len,
+					     seed),
+				instance, incarnation };
+}
+
+guint route_ident_hash(gconstpointer ident)
+{
+	return ((const route_ident_t *)ident)->digest;
+}
+
+gboolean route_ident_equal(gconstpointer a, gconstpointer b)
+{
+	const route_ident_t *left = a, *right = b;
+
+	return left->digest == right->digest &&
+	       base_str_eq(left->instance, right->instance) &&
+	       base_str_eq(left->incarnation, right->incarnation);
+}
+
+route_ep_t *route_ep(const route_pool_t *pool, const route_ident_t *ident)
+{
+	return g_hash_table_lookup(pool->by_ident, ident);
 }
 
 bool route_ep_usable(const route_ep_t *ep)
@@ -138,6 +156,7 @@
 			g_ptr_array_add(ep->local ? pool->near : pool->far, ep);
 		} else if (!ep->listed && !ep->running) {
 			g_ptr_array_remove_index_fast(pool->eps, i);
+			g_hash_table_remove(pool->by_ident, &ep->ident);
 			talloc_free(ep);
 		}
 	}
@@ -151,7 +170,8 @@
 {
 	base_str_t instance = base_str(listed->instance);
 	base_str_t incarnation = base_str(listed->incarnation);
-	route_ep_t *ep = route_ep(pool, instance, incarnation);
+	route_ident_t ident = route_ident(instance, incarnation);
+	route_ep_t *ep = route_ep(pool, &ident);
 
 	if (listed->state == ROUTE_GONE)
 		return;
@@ -174,11 +194,14 @@
 	ep->pub.incarnation = talloc_strdup(ep, listed->incarnation);
 	ep->pub.zone = talloc_strdup(ep, listed->zone);
 	ep->pub.address = talloc_strdup(ep, listed->address);
+	ep->ident = route_ident(base_str(ep->pub.instance),
+				base_str(ep->pub.incarnation));
 	ep->pool = pool;
 	ep->local = !strcmp(listed->zone, route->opt.zone);
 	/* In a pool's first list nobody is a newcomer. */
 	ep->ramp_from = pool->viewed ? now : 0;
 	g_ptr_array_add(pool->eps, ep);
+	g_hash_table_insert(pool->by_ident, &ep->ident, ep);
 	return ep;
 }
 
