Wait for the copy when home and backup are both new

Cause: when two entries that are home and backup of a slice stop together, the two that follow them cannot vouch for an id until they have copied the slice. A request that came meanwhile was told "unknown" (claim-fence) at once: only refusals of a changing list were tried again. Seen as sys_claim_cut:/sys_claim_cut/which-refuse-nothing on a busy machine, where the copy takes long enough for a request to come in between.

Change: a reply says whether the table still copies the slice, and the holder then tries again, within the 5 s and the deadline that hold for a changing list. The attempt stays the same, no byte goes out before one of the two vouches, so that nothing is weaker than before. "Not run" instead of "unknown" was weighed: it is said of the id, and an earlier run of the id may be among what is still to be copied, so that it would not be true.

--- a/packages/claim/claim_holder.c
+++ b/packages/claim/claim_holder.c
@@ -35,6 +35,13 @@
 	[CLAIM_UNSURE] = true, [CLAIM_LOST] = true,
 };
 
+/* With these, what is missing is one that vouches for the id. */
+static const bool lacks_word[CLAIM_VERDICT_MAX] = {
+	[CLAIM_GRANTED] = true,
+	[CLAIM_NONE] = true,
+	[CLAIM_FULL] = true,
+};
+
 static void ask(claim_holder_t *holder, const claim_member_t *target,
 		claim_action_t *action);
 static void note_asked(claim_holder_t *holder, const claim_member_t *target);
@@ -67,6 +74,7 @@
 	holder->asked = 0;
 	holder->look = false;
 	holder->fresh = false;
+	holder->soon = false;
 	if (epoch)
 		pair = claim_list_pair(&epoch->now,
 				       claim_id_slice(holder->request.id));
@@ -90,6 +98,7 @@
 			int64_t now, claim_action_t *action)
 {
 	holder->fresh |= reply->fresh;
+	holder->soon |= reply->soon;
 	if (holder->asked == 1 && holder->has_backup &&
 	    (reply->verdict == CLAIM_GRANTED || reply->verdict == CLAIM_FULL)) {
 		holder->look = reply->verdict == CLAIM_FULL;
@@ -181,7 +190,8 @@
 	bool no_room = verdict == CLAIM_FULL ||
 		       (verdict == CLAIM_NONE && holder->look);
 
-	action->again = worth_again[verdict];
+	action->again = worth_again[verdict] ||
+			(lacks_word[verdict] && holder->soon && !holder->fresh);
 	action->answer = reply->answer;
 	if (verdict == CLAIM_ANSWERED && reply->answer.ptr)
 		tell(action, CLAIM_TELL_REPLAY, CLAIM_WHY_NONE);
--- a/packages/claim/claim_holder.h
+++ b/packages/claim/claim_holder.h
@@ -77,6 +77,7 @@
 	unsigned asked_all; /* in all rounds */
 	bool look;	    /* the home has no room: the backup is only asked */
 	bool fresh;
+	bool soon; /* home or backup may vouch for the id in a while */
 	bool standing;
 } claim_holder_t;
 
--- a/packages/claim/claim_int.h
+++ b/packages/claim/claim_int.h
@@ -128,4 +128,8 @@
 bool claim_table_fresh(const claim_table_t *table, unsigned slice,
 		       uint64_t ticket, int64_t now);
 
+/* Whether it still copies "slice", and has not taken too long over it. */
+bool claim_table_copies(const claim_table_t *table, unsigned slice,
+			int64_t now);
+
 #endif
--- a/packages/claim/claim_table.c
+++ b/packages/claim/claim_table.c
@@ -181,6 +181,13 @@
 	       claim_stretch(table->limits.window_us + table->limits.lag_us);
 }
 
+bool claim_table_copies(const claim_table_t *table, unsigned slice, int64_t now)
+{
+	return table->epoch && now - table->adopted_at < CLAIM_COPY_US &&
+	       table->slices[slice].need &&
+	       !claim_table_fresh(table, slice, 0, now);
+}
+
 claim_stats_t claim_table_stats(const claim_table_t *table, int64_t now)
 {
 	claim_stats_t stats = { .records = table->store.used,
@@ -200,11 +207,8 @@
 {
 	unsigned n = 0;
 
-	if (!table->epoch || now - table->adopted_at >= CLAIM_COPY_US)
-		return 0;
 	for (unsigned i = 0; i < CLAIM_SLICES; i++)
-		n += table->slices[i].need &&
-		     !claim_table_fresh(table, i, 0, now);
+		n += claim_table_copies(table, i, now);
 	return n;
 }
 
--- a/packages/claim/claim_table.h
+++ b/packages/claim/claim_table.h
@@ -115,6 +115,7 @@
 typedef struct claim_reply {
 	claim_verdict_t verdict;
 	bool fresh;	   /* no earlier run can be unknown here */
+	bool soon;	   /* not yet: the table still copies the slice */
 	uint64_t epoch;	   /* adopted by the table */
 	base_str_t answer; /* ptr NULL if not kept; the table's until the
 			      next call */
--- a/packages/claim/claim_take.c
+++ b/packages/claim/claim_take.c
@@ -23,6 +23,8 @@
 		return;
 	reply->fresh = claim_table_fresh(table, claim_id_slice(take->id),
 					 take->ticket, now);
+	reply->soon = !reply->fresh &&
+		      claim_table_copies(table, claim_id_slice(take->id), now);
 	if (!take->look)
 		reply->verdict = grant(table, rec, take, now);
 }
--- a/packages/claim/tests/claim_test.c
+++ b/packages/claim/tests/claim_test.c
@@ -326,6 +326,10 @@
 	take.epoch = 2;
 	claim_table_take(table, &take, NOW, &reply);
 	g_assert_true(reply.verdict == CLAIM_GRANTED && !reply.fresh);
+	g_assert_true(reply.soon);
+	claim_table_confirm(table, 2, NOW + CLAIM_COPY_US);
+	claim_table_take(table, &take, NOW + CLAIM_COPY_US, &reply);
+	g_assert_true(reply.verdict == CLAIM_GRANTED && !reply.soon);
 	take = take_of(id_at(true, 1), 1);
 	take.epoch = 2;
 	take.ticket = 2;
@@ -530,10 +534,12 @@
 	unsigned releases;
 } claim_case_t;
 
-static void check_case(const claim_case_t *c)
+static void check_case(const claim_case_t *c, bool soon)
 {
 	claim_epoch_t epoch = epoch_of(1, list_of(three, 3), list_of(NULL, 0));
-	claim_reply_t reply = { .verdict = c->home, .fresh = c->fresh };
+	claim_reply_t reply = { .verdict = c->home,
+				.fresh = c->fresh,
+				.soon = soon };
 	claim_holder_t holder;
 	claim_action_t action = start_for(&holder, id_at(true, 0), &epoch);
 
@@ -583,7 +589,27 @@
 	};
 
 	for (size_t i = 0; i < ARRAY_SIZE(cases); i++)
-		check_case(&cases[i]);
+		check_case(&cases[i], false);
+}
+
+/* Who will vouch for the id still copies: it is worth another round. */
+static void test_holder_copying(void)
+{
+	static const claim_case_t cases[] = {
+		{ CLAIM_GRANTED, CLAIM_GRANTED, false, CLAIM_DO_TELL,
+		  CLAIM_TELL_UNKNOWN, CLAIM_WHY_FENCE, true, 2 },
+		{ CLAIM_FULL, CLAIM_NONE, false, CLAIM_DO_TELL,
+		  CLAIM_TELL_UNKNOWN, CLAIM_WHY_FENCE, true, 1 },
+		{ CLAIM_GRANTED, CLAIM_HELD, false, CLAIM_DO_TELL,
+		  CLAIM_TELL_UNKNOWN, CLAIM_WHY_HELD, false, 2 },
+		{ CLAIM_GRANTED, CLAIM_FULL, true, CLAIM_DO_TELL,
+		  CLAIM_TELL_NOT_RUN, CLAIM_WHY_FULL, false, 2 },
+		{ CLAIM_GRANTED, CLAIM_GRANTED, true, CLAIM_DO_RUN, 0, 0, false,
+		  0 },
+	};
+
+	for (size_t i = 0; i < ARRAY_SIZE(cases); i++)
+		check_case(&cases[i], true);
 }
 
 static void test_holder_late(void)
@@ -678,6 +704,7 @@
 	g_test_add_func("/claim/sync-two-changes", test_sync_two_changes);
 	g_test_add_func("/claim/sync-poor-source", test_sync_poor_source);
 	g_test_add_func("/claim/holder", test_holder);
+	g_test_add_func("/claim/holder-copying", test_holder_copying);
 	g_test_add_func("/claim/holder-late", test_holder_late);
 	g_test_add_func("/claim/propose", test_propose);
 	g_test_add_func("/claim/propose-leaving", test_propose_leaving);
--- a/packages/entry/entry_claim_wire.c
+++ b/packages/entry/entry_claim_wire.c
@@ -70,6 +70,7 @@
 	if (res.verdict < CLAIM_VERDICT_MAX)
 		reply->verdict = (claim_verdict_t)res.verdict;
 	reply->fresh = res.fresh;
+	reply->soon = res.soon;
 	reply->epoch = res.epoch;
 	if (res.kept)
 		reply->answer =
@@ -216,6 +217,7 @@
 	claim_table_take(claims->table, &take, base_clock_mono(), &reply);
 	out->verdict = reply.verdict;
 	out->fresh = reply.fresh;
+	out->soon = reply.soon;
 	out->epoch = reply.epoch;
 	out->kept = reply.answer.ptr != NULL;
 	out->answer.answer_len = (u_int)reply.answer.len;
--- a/packages/peer/peer_proto.x
+++ b/packages/peer/peer_proto.x
@@ -169,6 +169,7 @@
 struct peer_claim_verdict {
 	unsigned int verdict;
 	bool fresh;
+	bool soon;
 	unsigned hyper epoch;
 	bool kept;
 	opaque answer<PEER_ANSWER_MAX>;
--- a/packages/peer/peer_proto_xdr.c
+++ b/packages/peer/peer_proto_xdr.c
@@ -358,10 +358,59 @@
 {
 	register int32_t *buf;
 
+
+	if (xdrs->x_op == XDR_ENCODE) {
+		buf = XDR_INLINE (xdrs, 3 * BYTES_PER_XDR_UNIT);
+		if (buf == NULL) {
+			 if (!xdr_u_int (xdrs, &objp->verdict))
+				 return FALSE;
+			 if (!xdr_bool (xdrs, &objp->fresh))
+				 return FALSE;
+			 if (!xdr_bool (xdrs, &objp->soon))
+				 return FALSE;
+
+		} else {
+		IXDR_PUT_U_LONG(buf, objp->verdict);
+		IXDR_PUT_BOOL(buf, objp->fresh);
+		IXDR_PUT_BOOL(buf, objp->soon);
+		}
+		 if (!xdr_u_quad_t (xdrs, &objp->epoch))
+			 return FALSE;
+		 if (!xdr_bool (xdrs, &objp->kept))
+			 return FALSE;
+		 if (!xdr_bytes (xdrs, (char **)&objp->answer.answer_val, (u_int *) &objp->answer.answer_len, PEER_ANSWER_MAX))
+			 return FALSE;
+		return TRUE;
+	} else if (xdrs->x_op == XDR_DECODE) {
+		buf = XDR_INLINE (xdrs, 3 * BYTES_PER_XDR_UNIT);
+		if (buf == NULL) {
+			 if (!xdr_u_int (xdrs, &objp->verdict))
+				 return FALSE;
+			 if (!xdr_bool (xdrs, &objp->fresh))
+				 return FALSE;
+			 if (!xdr_bool (xdrs, &objp->soon))
+				 return FALSE;
+
+		} else {
+		objp->verdict = IXDR_GET_U_LONG(buf);
+		objp->fresh = IXDR_GET_BOOL(buf);
+		objp->soon = IXDR_GET_BOOL(buf);
+		}
+		 if (!xdr_u_quad_t (xdrs, &objp->epoch))
+			 return FALSE;
+		 if (!xdr_bool (xdrs, &objp->kept))
+			 return FALSE;
+		 if (!xdr_bytes (xdrs, (char **)&objp->answer.answer_val, (u_int *) &objp->answer.answer_len, PEER_ANSWER_MAX))
+			 return FALSE;
+	 return TRUE;
+	}
+
 	 if (!xdr_u_int (xdrs, &objp->verdict))
 		 return FALSE;
 	 if (!xdr_bool (xdrs, &objp->fresh))
 		 return FALSE;
+	 if (!xdr_bool (xdrs, &objp->soon))
+		 return FALSE;
 	 if (!xdr_u_quad_t (xdrs, &objp->epoch))
 		 return FALSE;
 	 if (!xdr_bool (xdrs, &objp->kept))
--- a/packages/peer/peer_proto_xdr.h
+++ b/packages/peer/peer_proto_xdr.h
@@ -198,6 +198,7 @@
 struct peer_claim_verdict {
 	u_int verdict;
 	bool_t fresh;
+	bool_t soon;
 	u_quad_t epoch;
 	bool_t kept;
 	struct {
