Give the write of the list of entries its turn at the store

Cause: while the list should change, each entry asked the store every 250 ms for the members, tried the write, and on any failure read the record again: three calls for each of which it may make one in that time (4 a second). The read always took the one call there was, the write none. Calls that the open circuit held back used the budget up as well, so that an outage left entries in that state. After two stops during an outage the list did not change in the 30 s that a stop waits; the stops ended with nothing handed over, and the test passed since they had gone on answering for all of the load. A wait for copies or for the epoch before to settle used the budget up in the same way; that this is what made the list late after a kill of home and backup follows from the code and was not seen.

Change: the members are read only when the list would change by what is known without them, an attempt is made at most once a second, only a conflict reads the record again, and what the circuit holds back costs no budget. When the members cannot be read the list stays, as the comment said already; an empty list was taken for "all have gone" before.

Tests: sys_claim_cut checks that the list goes on without the two when their stops have ended; /plat/guard that a call held back by the circuit leaves the budget; it fails without the change.

--- a/packages/entry/entry_claim.h
+++ b/packages/entry/entry_claim.h
@@ -41,6 +41,7 @@
 	uint64_t entry;		/* digest of this incarnation */
 	atomic_int handed_over; /* a stop need not wait any more */
 	int64_t store_asked;
+	int64_t proposed;
 	int64_t hello_said;
 	int64_t hello_all;
 	bool none_in_store;
--- a/packages/entry/entry_claim_epoch.c
+++ b/packages/entry/entry_claim_epoch.c
@@ -7,8 +7,9 @@
  */
 
 #define STORE_PERIOD_US (3 * BASE_SEC)
-#define STORE_SOON_US (500 * BASE_MS) /* while something is to be decided */
-#define HELLO_PERIOD_US BASE_SEC      /* while somebody needs one */
+#define STORE_SOON_US BASE_SEC	 /* while something is to be decided */
+#define PROPOSE_US BASE_SEC	 /* two calls each time, within the guard's */
+#define HELLO_PERIOD_US BASE_SEC /* while somebody needs one */
 #define HELLO_IDLE_US (15 * BASE_SEC) /* otherwise */
 #define HELLO_DOUBT_US (4 * BASE_SEC) /* no word of the store */
 #define RANK_US (500 * BASE_MS)	      /* who comes later in the list waits */
@@ -37,7 +38,9 @@
 static int by_id(const void *a, const void *b);
 static bool note_live(entry_claims_t *claims, const claim_list_t *live,
 		      int64_t now);
-static void read_registered(entry_claims_t *claims, void *ctx,
+static claim_epoch_t *next_epoch(entry_claims_t *claims, const void *ctx,
+				 const claim_view_t *view, int64_t now);
+static bool read_registered(entry_claims_t *claims, void *ctx,
 			    claim_list_t *list);
 static int64_t rank_of(const entry_claims_t *claims, const claim_list_t *live);
 static void write_record(entry_claims_t *claims, const claim_epoch_t *next);
@@ -179,7 +182,11 @@
 	return peer && peer->memb_incarnation == present->incarnation;
 }
 
-/* The store is asked for the members only when a change is due. */
+/*
+ * The store is asked for the members only when the list would change if it had
+ * none of those that are gone, so that a wait costs no calls: they would use up
+ * what the guard allows, and the write would never have its turn.
+ */
 static void propose(entry_claims_t *claims, int64_t now)
 {
 	void *ctx = talloc_new(NULL);
@@ -201,19 +208,29 @@
 			: claims->none_in_store;
 	pthread_mutex_unlock(&claims->lock);
 	view.since = claims->live_since + rank_of(claims, &view.live);
-	if (differs && current &&
-	    (leaving || now - view.since >= CLAIM_VIEW_STABLE_US)) {
-		read_registered(claims, ctx, &view.registered);
-		pthread_mutex_lock(&claims->lock);
-		next = claim_propose(ctx, claims->table, &view,
-				     claims->none_in_store, now);
-		pthread_mutex_unlock(&claims->lock);
+	if (differs && current && now - claims->proposed >= PROPOSE_US &&
+	    next_epoch(claims, ctx, &view, now)) {
+		claims->proposed = now;
+		if (read_registered(claims, ctx, &view.registered))
+			next = next_epoch(claims, ctx, &view, now);
 	}
 	if (next)
 		write_record(claims, next);
 	talloc_free(ctx);
 }
 
+static claim_epoch_t *next_epoch(entry_claims_t *claims, const void *ctx,
+				 const claim_view_t *view, int64_t now)
+{
+	claim_epoch_t *next;
+
+	pthread_mutex_lock(&claims->lock);
+	next = claim_propose(ctx, claims->table, view, claims->none_in_store,
+			     now);
+	pthread_mutex_unlock(&claims->lock);
+	return next;
+}
+
 /* Under the lock: this entry, unless it leaves, and those that answered. */
 static claim_list_t live_list(entry_claims_t *claims, const void *ctx,
 			      const present_t *present, size_t n)
@@ -324,8 +341,8 @@
 	return differs;
 }
 
-/* Who has a live lease; when it cannot be read, nobody is taken out. */
-static void read_registered(entry_claims_t *claims, void *ctx,
+/* Who has a live lease; while it cannot be read the list stays. */
+static bool read_registered(entry_claims_t *claims, void *ctx,
 			    claim_list_t *list)
 {
 	plat_store_t *store =
@@ -335,7 +352,7 @@
 
 	if (!store->ops->range(store, ctx, ENTRY_MEMBERS_PREFIX, true, &kvs,
 			       NULL))
-		return;
+		return false;
 	list->members = talloc_zero_array(ctx, claim_member_t, kvs.count);
 	for (size_t i = 0; i < kvs.count; i++) {
 		base_str_t key = kvs.items[i].key, value = kvs.items[i].value;
@@ -351,6 +368,7 @@
 			};
 		json_decref(root);
 	}
+	return true;
 }
 
 /* So that not all write at once. */
@@ -371,19 +389,21 @@
 	int64_t asked_at = base_clock_mono();
 	plat_put_t put = { .key = CLAIM_EPOCH_KEY,
 			   .expected = claims->store_revision };
+	plat_cas_t done;
 	int64_t revision;
 
 	claim_epoch_print(next, text);
 	put.value = base_buf_str(text);
-	if (plat_cas_sure(store, &put, &revision, NULL) == PLAT_CAS_DONE) {
+	done = plat_cas_sure(store, &put, &revision, NULL);
+	if (done == PLAT_CAS_DONE) {
 		claims->store_number = next->number;
 		claims->store_revision = revision;
 		claims->none_in_store = false;
 		pthread_mutex_lock(&claims->lock);
 		entry_claim_adopt(claims, next, asked_at, base_clock_mono());
 		pthread_mutex_unlock(&claims->lock);
-	} else {
-		claims->store_asked = 0; /* somebody else did, or find out */
+	} else if (done == PLAT_CAS_CONFLICT) {
+		claims->store_asked = 0; /* somebody else did */
 	}
 	talloc_free(text);
 }
--- a/packages/plat/plat_guard.c
+++ b/packages/plat/plat_guard.c
@@ -64,7 +64,7 @@
 		g->store.ops = &guard_ops;
 		g->guard = guard;
 		g->purpose = (plat_purpose_t)i;
-		g->tokens = options->calls_s[i];
+		g->tokens = MAX(options->calls_s[i], 1.0);
 		g->inner = options->connect(guard, &options->address);
 	}
 	talloc_set_destructor(guard, free_guard);
@@ -200,8 +200,11 @@
 	bool allowed;
 
 	pthread_mutex_lock(&g->guard->lock);
-	allowed = take_token(g, now) &&
-		  plat_circuit_allows(&g->guard->circuit, now);
+	allowed = take_token(g, now);
+	if (allowed && !plat_circuit_allows(&g->guard->circuit, now)) {
+		g->tokens += 1.0;
+		allowed = false;
+	}
 	if (allowed)
 		g->calls.made++;
 	else
--- a/packages/plat/tests/plat_test.c
+++ b/packages/plat/tests/plat_test.c
@@ -234,7 +234,7 @@
 {
 	plat_guard_options_t options = {
 		.connect = connect_fake,
-		.calls_s = { 5.0, 5.0, 5.0, 5.0 },
+		.calls_s = { 5.0, 5.0, 5.0, 0.001 },
 		.seed = 3,
 	};
 	plat_guard_t *guard = plat_guard_new(NULL, &options);
@@ -258,6 +258,15 @@
 		g_assert_false(
 			store->ops->range(store, ctx, "k", false, &kvs, NULL));
 	g_assert_cmpint(guarded.calls, ==, answered + PLAT_CIRCUIT_FAILURES);
+	/* What the circuit holds back has not used the budget up. */
+	guarded.down = false;
+	store = plat_guard_store(guard, PLAT_FOR_DUTY);
+	for (int i = 0; i < 3000; i++) {
+		if (store->ops->range(store, ctx, "k", false, &kvs, NULL))
+			break;
+		base_clock_sleep(10 * BASE_MS);
+	}
+	g_assert_cmpuint(plat_guard_calls(guard, PLAT_FOR_DUTY).made, ==, 1);
 	talloc_free(ctx);
 	talloc_free(guard);
 }
