Write what was forgotten of the jobs without waiting for a commit

A job that had ended and was forgotten stayed in the log until the next commit, so that a successor in between knew it again and refused its id. The duty now forgets before its step, so that the ids ride in the step's commit, and the log writes what no commit took along.

No more writes where each step has a commit; where the last jobs of a burst are forgotten one more. The new case of joblog_test fails without the change (nothing written).

--- a/packages/entry/entry_jobs.c
+++ b/packages/entry/entry_jobs.c
@@ -176,6 +176,8 @@
 	entry_senders_tick(jobs);
 	if (jobs->listed)
 		forbid_unheard(jobs);
+	entry_jobs_forget(jobs,
+			  now); /* in the step's commit, if there is one */
 	jobs->committed = true;
 	if (!jobs_step(jobs->core, now) ||
 	    !site_joblog_snapshot(jobs->log, record_of, jobs->core)) {
@@ -189,7 +191,6 @@
 		jobs->commits++;
 		pthread_cond_broadcast(&jobs->stepped);
 	}
-	entry_jobs_forget(jobs, now);
 	entry_jobs_show(jobs);
 }
 
--- a/packages/site/site_joblog.h
+++ b/packages/site/site_joblog.h
@@ -56,13 +56,16 @@
 jobs_commit_t site_joblog_commit(site_joblog_t *log,
 				 const jobs_record_t *records, size_t n);
 
-/* Leave a job out from the next commit on. */
+/*
+ * Leave a job out from the next commit on, or from the next call of
+ * site_joblog_snapshot() if that comes first.
+ */
 void site_joblog_forget(site_joblog_t *log, base_str_t id);
 
 /*
- * Write a part of a snapshot if one is due: at most two values.  "record"
- * gives a job's record as it is now, or false.  False once another holder was
- * seen.
+ * Write the ids to leave out that no commit has taken along, and a part of a
+ * snapshot if one is due: at most three values.  "record" gives a job's record
+ * as it is now, or false.  False once another holder was seen.
  */
 typedef bool (*site_record_fn_t)(void *arg, base_str_t id,
 				 jobs_record_t *record);
--- a/packages/site/site_joblog_snap.c
+++ b/packages/site/site_joblog_snap.c
@@ -4,6 +4,7 @@
  * Snapshots, in parts, one written in a step.
  */
 
+static bool forget_all(site_joblog_t *log);
 static bool snapshot_due(const site_joblog_t *log);
 static void snapshot_begin(site_joblog_t *log);
 static char *snapshot_part(site_joblog_t *log, site_record_fn_t record,
@@ -16,7 +17,7 @@
 	char key[64];
 	site_wrote_t done;
 
-	if (log->lost)
+	if (log->lost || !forget_all(log))
 		return false;
 	if (!log->ids && !snapshot_due(log))
 		return true;
@@ -38,6 +39,14 @@
 	return snapshot_end(log) != SITE_WROTE_LOST;
 }
 
+/* What no commit has taken along: a successor would know the jobs again. */
+static bool forget_all(site_joblog_t *log)
+{
+	return (g_queue_is_empty(&log->gone) &&
+		g_queue_is_empty(&log->parts)) ||
+	       site_joblog_commit(log, NULL, 0) != JOBS_COMMIT_LOST;
+}
+
 static bool snapshot_due(const site_joblog_t *log)
 {
 	return !log->parts.head &&
--- a/packages/site/tests/joblog_test.c
+++ b/packages/site/tests/joblog_test.c
@@ -210,6 +210,25 @@
 	world_free(w);
 }
 
+/* A job that was forgotten stays so, also without another commit. */
+static void test_forgotten_at_once(void)
+{
+	world_t *w = world_new();
+	int writes;
+
+	g_assert_cmpint(put(w, 0, 3, JOBS_DONE), ==, JOBS_COMMIT_DONE);
+	writes = w->fake.writes;
+	site_joblog_forget(w->log, BASE_STR("job-1"));
+	w->fake.lose_requests = 1;
+	g_assert_true(site_joblog_snapshot(w->log, record_of, w));
+	g_assert_true(site_joblog_snapshot(w->log, record_of, w));
+	g_assert_true(site_joblog_snapshot(w->log, record_of, w));
+	g_assert_cmpint(w->fake.writes, ==, writes + 1);
+	take_over(w);
+	g_assert_cmpint(w->all, ==, 2);
+	world_free(w);
+}
+
 static void test_nothing_new_is_not_written(void)
 {
 	world_t *w = world_new();
@@ -337,6 +356,7 @@
 {
 	g_test_init(&argc, &argv, NULL);
 	g_test_add_func("/joblog/taken-over", test_taken_over);
+	g_test_add_func("/joblog/forgotten", test_forgotten_at_once);
 	g_test_add_func("/joblog/nothing-new", test_nothing_new_is_not_written);
 	g_test_add_func("/joblog/lost-answers", test_lost_answers);
 	g_test_add_func("/joblog/late-holder", test_late_holder_is_fenced);
