Keep learned sizes and run times through a takeover of the jobs' duty

A new holder knew the jobs but started from declared sizes: until 20 ends of a family it kept twice or more of what is needed, or too little.

--- a/packages/entry/entry_jobs.c
+++ b/packages/entry/entry_jobs.c
@@ -23,10 +23,12 @@
 static bool keep_duty(entry_jobs_t *jobs, int64_t now);
 static void step(entry_jobs_t *jobs, int64_t now);
 static bool take_over(entry_jobs_t *jobs, int64_t now);
+static void learn(void *arg, base_str_t text);
 static void restore(void *arg, base_str_t text);
 static void drop(entry_jobs_t *jobs);
 static void forbid_unheard(entry_jobs_t *jobs);
 static bool record_of(void *core, base_str_t id, jobs_record_t *record);
+static char *learned_of(void *core, const void *ctx, size_t max);
 static jobs_commit_t commit(void *arg, const jobs_record_t *records, size_t n);
 static void send_start(void *arg, const jobs_order_t *order);
 static void send_checkpoint(void *arg, const jobs_order_t *order);
@@ -180,7 +182,8 @@
 			  now); /* in the step's commit, if there is one */
 	jobs->committed = true;
 	if (!jobs_step(jobs->core, now) ||
-	    !site_joblog_snapshot(jobs->log, record_of, jobs->core)) {
+	    !site_joblog_snapshot(jobs->log, record_of, learned_of,
+				  jobs->core)) {
 		base_log(jobs->daemon->log, BASE_MSG_DUTY_LOST,
 			 BASE_F_STR("duty", "jobs"));
 		drop(jobs);
@@ -206,7 +209,7 @@
 	entry_jobs_teams(jobs);
 	jobs->seen_at = 0;
 	entry_jobs_workers(jobs, now);
-	if (!site_joblog_read(jobs->log, restore, jobs, &cause)) {
+	if (!site_joblog_read(jobs->log, restore, learn, jobs, &cause)) {
 		base_log(jobs->daemon->log, BASE_MSG_DUTY_WAITS,
 			 BASE_F_STR("why", cause->message));
 		g_clear_error(&cause);
@@ -222,6 +225,18 @@
 	return true;
 }
 
+/* Without it sizes are learned again, from the declared ones on. */
+static void learn(void *arg, base_str_t text)
+{
+	entry_jobs_t *jobs = arg;
+	GError *cause = NULL;
+
+	if (!jobs_learned_load(jobs->core, text, &cause))
+		base_log(jobs->daemon->log, BASE_MSG_DUTY_WAITS,
+			 BASE_F_STR("why", cause->message));
+	g_clear_error(&cause);
+}
+
 static void restore(void *arg, base_str_t text)
 {
 	entry_jobs_t *jobs = arg;
@@ -297,6 +312,11 @@
 	return jobs_record(core, id, record);
 }
 
+static char *learned_of(void *core, const void *ctx, size_t max)
+{
+	return jobs_learned_print(core, ctx, max);
+}
+
 static jobs_commit_t commit(void *arg, const jobs_record_t *records, size_t n)
 {
 	entry_jobs_t *jobs = arg;
--- a/packages/jobs/jobs.h
+++ b/packages/jobs/jobs.h
@@ -261,6 +261,18 @@
 bool jobs_record_load(const void *ctx, base_str_t json, jobs_record_t *record,
 		      GError **err);
 
+/*
+ * Sizes and run times as learned, as JSON text of at most "max" bytes below
+ * "ctx": the families with the most samples.
+ */
+char *jobs_learned_print(const jobs_t *jobs, const void *ctx, size_t max);
+
+/*
+ * Take them over from a predecessor.  A family that has samples already keeps
+ * its own.  On an error those before the fault were taken.
+ */
+bool jobs_learned_load(jobs_t *jobs, base_str_t json, GError **err);
+
 /* The room that a job of "family" would get now. */
 jobs_res_t jobs_safe_size(const jobs_t *jobs, base_str_t family,
 			  jobs_res_t declared);
--- a/packages/jobs/jobs_int.h
+++ b/packages/jobs/jobs_int.h
@@ -227,6 +227,8 @@
 void jobs_family_ended(jobs_family_t *family, const jobs_res_t *peak,
 		       int64_t run_us);
 void jobs_family_running(jobs_family_t *family, const jobs_res_t *peak);
+/* Work out anew what follows from the samples. */
+void jobs_family_relearn(jobs_family_t *family);
 jobs_res_t jobs_family_size(const jobs_family_t *family,
 			    const jobs_res_t *declared);
 /* Chance that a job of the family fails on a worker that is well. */
--- a/packages/jobs/jobs_learn.c
+++ b/packages/jobs/jobs_learn.c
@@ -16,7 +16,6 @@
 #define RUNS_KEPT 200.0 /* older ones fade */
 
 static int64_t quantile(const int64_t *samples, uint32_t n, uint32_t percent);
-static void relearn(jobs_family_t *family);
 static int by_size(const void *a, const void *b);
 
 jobs_family_t *jobs_family_get(jobs_t *jobs, base_str_t name)
@@ -47,7 +46,7 @@
 	/* What still runs is looked at anew after each round of samples. */
 	if (at == JOBS_SAMPLES - 1)
 		family->running = (jobs_res_t){ { 0 } };
-	relearn(family);
+	jobs_family_relearn(family);
 }
 
 void jobs_family_running(jobs_family_t *family, const jobs_res_t *peak)
@@ -123,7 +122,7 @@
 	return f ? f->run_us_q90 : 0;
 }
 
-static void relearn(jobs_family_t *family)
+void jobs_family_relearn(jobs_family_t *family)
 {
 	uint32_t n = MIN(family->n, JOBS_SAMPLES);
 
--- a/packages/jobs/tests/jobs_test.c
+++ b/packages/jobs/tests/jobs_test.c
@@ -393,6 +393,86 @@
 	talloc_free(jobs);
 }
 
+/* "n" jobs of a family end, with sizes and run times that differ. */
+static void many_end(jobs_t *jobs, log_t *log, const char *family, int n)
+{
+	for (int i = 0; i < n; i++) {
+		char *id = g_strdup_printf("%s-%d", family, i);
+		jobs_spec_t spec = spec_of(id, 1, 8000);
+		jobs_report_t report = {
+			.incarnation = 1,
+			.job = base_str(id),
+			.attempt = 1,
+			.event = JOBS_EVENT_ENDED,
+			.as_of = 1,
+			.peak = { { 12000 + i * 7 % 40, 64000 - i, 1 } },
+			.run_us = 600 * SECOND + i,
+		};
+
+		spec.family = base_str(family);
+		submit(jobs, 0, spec);
+		jobs_step(jobs, 0);
+		report.worker = base_str(log->worker);
+		jobs_report(jobs, 1, &report);
+		g_free(id);
+	}
+}
+
+static void test_learned_taken_over(void)
+{
+	jobs_res_t declared = { { 8000, 100, 1 } }, size, again;
+	base_str_t families[] = { BASE_STR("few"), BASE_STR("many") };
+	log_t log;
+	jobs_t *jobs = core_new(&log, 1, 100000);
+	jobs_t *next = core_new(&log, 1, 100000);
+	char *text;
+
+	many_end(jobs, &log, "few", 3);
+	many_end(jobs, &log, "many", 45);
+	text = jobs_learned_print(jobs, jobs, SIZE_MAX);
+	g_assert_false(jobs_learned_load(next, BASE_STR("[{}]"), NULL));
+	g_assert_true(jobs_learned_load(next, base_str(text), NULL));
+	g_assert_cmpstr(jobs_learned_print(next, next, SIZE_MAX), ==, text);
+	for (size_t i = 0; i < ARRAY_SIZE(families); i++) {
+		size = jobs_safe_size(jobs, families[i], declared);
+		again = jobs_safe_size(next, families[i], declared);
+		g_assert_cmpmem(&size, sizeof(size), &again, sizeof(again));
+		g_assert_cmpint(jobs_run_time(next, families[i]), ==,
+				jobs_run_time(jobs, families[i]));
+	}
+	talloc_free(next);
+	talloc_free(jobs);
+}
+
+/* What is kept has a bound in bytes; the best known families come first. */
+static void test_learned_bound(void)
+{
+	log_t log;
+	jobs_t *jobs = core_new(&log, 1, 100000), *next;
+	const size_t bound = 512 * 1024 - 256;
+	jobs_res_t declared = { { 8000, 100, 1 } }, size;
+	char *text;
+
+	for (int i = 0; i < 700; i++) {
+		char family[16];
+
+		g_snprintf(family, sizeof(family), "family-%d", i);
+		many_end(jobs, &log, family, i ? 32 : 1);
+	}
+	text = jobs_learned_print(jobs, jobs, bound);
+	g_test_message("%zu bytes of %zu", strlen(text),
+		       strlen(jobs_learned_print(jobs, jobs, SIZE_MAX)));
+	g_assert_cmpuint(strlen(text), <=, bound);
+	next = core_new(&log, 1, 100000);
+	g_assert_true(jobs_learned_load(next, base_str(text), NULL));
+	size = jobs_safe_size(next, BASE_STR("family-1"), declared);
+	g_assert_cmpint(size.v[JOBS_CORES], >, 12000);
+	g_assert_cmpint(size.v[JOBS_CORES], <, 16000);
+	g_assert_cmpint(jobs_run_time(next, BASE_STR("family-0")), ==, 0);
+	talloc_free(next);
+	talloc_free(jobs);
+}
+
 /* Accelerators are not cut down to what there is; cores are. */
 static void test_too_large(void)
 {
@@ -455,6 +535,8 @@
 	g_test_add_func("/jobs/cancel", test_cancel);
 	g_test_add_func("/jobs/cancel-queued", test_cancel_queued);
 	g_test_add_func("/jobs/learns", test_learns);
+	g_test_add_func("/jobs/learned", test_learned_taken_over);
+	g_test_add_func("/jobs/learned-bound", test_learned_bound);
 	g_test_add_func("/jobs/too-large", test_too_large);
 	g_test_add_func("/jobs/search-cost", test_search_cost);
 	return g_test_run();
--- a/packages/site/site_joblog.h
+++ b/packages/site/site_joblog.h
@@ -39,11 +39,13 @@
 
 /*
  * Read all that was committed; to be called once, with the duty held.  Each
- * job's record is handed to "visit" as text, in no order.
+ * job's record is handed to "visit" as text, in no order, and before them to
+ * "learn" what was learned by the time of the last snapshot, if it has that.
  */
-bool site_joblog_read(site_joblog_t *log,
-		      void (*visit)(void *arg, base_str_t record), void *arg,
-		      GError **err);
+typedef void (*site_text_fn_t)(void *arg, base_str_t text);
+
+bool site_joblog_read(site_joblog_t *log, site_text_fn_t visit,
+		      site_text_fn_t learn, void *arg, GError **err);
 
 /* Visit the id of each job, in no order. */
 void site_joblog_each(const site_joblog_t *log,
@@ -70,8 +72,10 @@
 typedef bool (*site_record_fn_t)(void *arg, base_str_t id,
 				 jobs_record_t *record);
 
+typedef char *(*site_learned_fn_t)(void *arg, const void *ctx, size_t max);
+
 bool site_joblog_snapshot(site_joblog_t *log, site_record_fn_t record,
-			  void *arg);
+			  site_learned_fn_t learned, void *arg);
 
 site_joblog_stats_t site_joblog_stats(const site_joblog_t *log);
 
--- a/packages/site/site_joblog_int.h
+++ b/packages/site/site_joblog_int.h
@@ -37,10 +37,12 @@
 	GHashTable *parts_put; /* what they change: id to text, or NULL */
 	char **ids;	       /* of the snapshot being made; NULL: none */
 	size_t ids_n, ids_at;
+	bool snap_learned; /* that part is made, the last one */
 	int64_t snap_seq;
 	int snap_parts;
 	size_t snap_bytes;
 	char *snap_text; /* of its part that is being written */
+	char *learned;	 /* as read */
 	bool lost;
 	site_joblog_stats_t stats;
 };
--- a/packages/site/site_joblog_read.c
+++ b/packages/site/site_joblog_read.c
@@ -18,9 +18,8 @@
 static void take_puts(GHashTable *texts, const json_t *value);
 static void take_all(GHashTable *texts, GHashTable *changes);
 
-bool site_joblog_read(site_joblog_t *log,
-		      void (*visit)(void *arg, base_str_t record), void *arg,
-		      GError **err)
+bool site_joblog_read(site_joblog_t *log, site_text_fn_t visit,
+		      site_text_fn_t learn, void *arg, GError **err)
 {
 	GHashTable *texts =
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
@@ -29,6 +28,9 @@
 	GHashTableIter iter;
 	void *id, *text;
 
+	if (good && log->learned)
+		learn(arg, base_str(log->learned));
+	g_clear_pointer(&log->learned, free);
 	g_hash_table_iter_init(&iter, texts);
 	while (good && g_hash_table_iter_next(&iter, &id, &text)) {
 		site_joblog_note(log, id, text);
@@ -125,12 +127,17 @@
 		      GError **err)
 {
 	char key[64];
-	json_t *value;
+	json_t *value, *learned;
 
 	site_joblog_part_key(key, log->area, part);
 	value = read_value(log, key, err);
 	if (value)
 		take_puts(texts, value);
+	learned = json_object_get(value, "learned");
+	if (learned) {
+		free(log->learned);
+		log->learned = json_dumps(learned, JSON_COMPACT);
+	}
 	json_decref(value);
 	return value != NULL;
 }
--- a/packages/site/site_joblog_snap.c
+++ b/packages/site/site_joblog_snap.c
@@ -4,15 +4,19 @@
  * Snapshots, in parts, one written in a step.
  */
 
+#define LEARNED_MAX (SITE_JOBLOG_VALUE_MAX - 256) /* bytes, in one part */
+
 static bool forget_all(site_joblog_t *log);
 static bool snapshot_due(const site_joblog_t *log);
 static void snapshot_begin(site_joblog_t *log);
 static char *snapshot_part(site_joblog_t *log, site_record_fn_t record,
-			   void *arg);
+			   site_learned_fn_t learned, void *arg);
+static void add_learned(site_joblog_t *log, site_learned_fn_t learned,
+			void *arg, GString *out, bool first);
 static site_wrote_t snapshot_end(site_joblog_t *log);
 
 bool site_joblog_snapshot(site_joblog_t *log, site_record_fn_t record,
-			  void *arg)
+			  site_learned_fn_t learned, void *arg)
 {
 	char key[64];
 	site_wrote_t done;
@@ -24,7 +28,7 @@
 	if (!log->ids)
 		snapshot_begin(log);
 	if (!log->snap_text)
-		log->snap_text = snapshot_part(log, record, arg);
+		log->snap_text = snapshot_part(log, record, learned, arg);
 	if (log->snap_text) {
 		site_joblog_part_key(key, 1 - log->area, log->snap_parts);
 		done = site_joblog_write(log, key, log->snap_text);
@@ -34,7 +38,7 @@
 		log->snap_parts++;
 		g_clear_pointer(&log->snap_text, g_free);
 	}
-	if (log->ids_at < log->ids_n)
+	if (!log->snap_learned)
 		return true;
 	return snapshot_end(log) != SITE_WROTE_LOST;
 }
@@ -68,15 +72,16 @@
 		log->ids[i] = g_strdup(log->ids[i]);
 	log->ids_n = n;
 	log->ids_at = 0;
+	log->snap_learned = false;
 	log->snap_seq = log->seq;
 	log->snap_parts = 0;
 	log->snap_bytes = 0;
 	log->since = 0;
 }
 
-/* The next part's text, or NULL at the end. */
+/* The next records, then what was learned; NULL at the end. */
 static char *snapshot_part(site_joblog_t *log, site_record_fn_t record,
-			   void *arg)
+			   site_learned_fn_t learned, void *arg)
 {
 	GString *out = g_string_new("{\"put\":[");
 	void *ctx = talloc_new(NULL);
@@ -97,14 +102,36 @@
 		talloc_free(text);
 	}
 	talloc_free(ctx);
-	if (out->len == empty) {
+	if (log->snap_learned) {
 		g_string_free(out, TRUE);
 		return NULL;
 	}
-	g_string_append(out, "]}");
+	if (log->ids_at < log->ids_n)
+		g_string_append(out, "]}");
+	else
+		add_learned(log, learned, arg, out, out->len == empty);
 	return g_string_free(out, FALSE);
 }
 
+/*
+ * After the last record, or in a part of its own where it does not fit; a
+ * reader that does not know it skips it.
+ */
+static void add_learned(site_joblog_t *log, site_learned_fn_t learned,
+			void *arg, GString *out, bool first)
+{
+	void *ctx = talloc_new(NULL);
+	char *text = learned(arg, ctx, LEARNED_MAX);
+
+	log->snap_learned =
+		first || out->len + strlen(text) <= SITE_JOBLOG_VALUE_MAX - 64;
+	if (log->snap_learned)
+		g_string_append_printf(out, "],\"learned\":%s}", text);
+	else
+		g_string_append(out, "]}");
+	talloc_free(ctx);
+}
+
 static site_wrote_t snapshot_end(site_joblog_t *log)
 {
 	char *text =
--- a/packages/site/tests/joblog_test.c
+++ b/packages/site/tests/joblog_test.c
@@ -107,6 +107,8 @@
 	GHashTable *states;	  /* id to state, as last put */
 	int read[JOBS_STATE_MAX]; /* jobs that the last one to take over read */
 	int all;
+	const char *learned; /* what the holder's core has, or NULL */
+	char *read_learned;
 } world_t;
 
 static void count(void *arg, base_str_t text)
@@ -136,6 +138,21 @@
 	return g_hash_table_contains(w->states, id.ptr);
 }
 
+static char *learned_of(void *arg, const void *ctx, size_t max)
+{
+	const char *learned = ((world_t *)arg)->learned;
+
+	g_assert_cmpuint(max, <, SITE_JOBLOG_VALUE_MAX);
+	return talloc_strdup(ctx, learned ? learned : "[]");
+}
+
+static void learn(void *arg, base_str_t text)
+{
+	world_t *w = arg;
+
+	w->read_learned = base_str_dup(w, text);
+}
+
 /* Another holder takes over from the present one. */
 static void take_over(world_t *w)
 {
@@ -151,7 +168,8 @@
 	w->log = site_joblog_new(w->ctx, &w->fake.store, w->duty);
 	memset(w->read, 0, sizeof(w->read));
 	w->all = 0;
-	site_joblog_read(w->log, count, w, &err);
+	w->read_learned = NULL;
+	site_joblog_read(w->log, count, learn, w, &err);
 	g_assert_no_error(err);
 }
 
@@ -220,9 +238,9 @@
 	writes = w->fake.writes;
 	site_joblog_forget(w->log, BASE_STR("job-1"));
 	w->fake.lose_requests = 1;
-	g_assert_true(site_joblog_snapshot(w->log, record_of, w));
-	g_assert_true(site_joblog_snapshot(w->log, record_of, w));
-	g_assert_true(site_joblog_snapshot(w->log, record_of, w));
+	g_assert_true(site_joblog_snapshot(w->log, record_of, learned_of, w));
+	g_assert_true(site_joblog_snapshot(w->log, record_of, learned_of, w));
+	g_assert_true(site_joblog_snapshot(w->log, record_of, learned_of, w));
 	g_assert_cmpint(w->fake.writes, ==, writes + 1);
 	take_over(w);
 	g_assert_cmpint(w->all, ==, 2);
@@ -269,7 +287,7 @@
 	present = w->log;
 	w->log = late;
 	g_assert_cmpint(put(w, 1, 1, JOBS_QUEUED), ==, JOBS_COMMIT_LOST);
-	g_assert_false(site_joblog_snapshot(late, record_of, w));
+	g_assert_false(site_joblog_snapshot(late, record_of, learned_of, w));
 	w->log = present;
 	g_assert_cmpint(put(w, 2, 1, JOBS_QUEUED), ==, JOBS_COMMIT_DONE);
 	take_over(w);
@@ -308,7 +326,7 @@
 	g_assert_cmpint(put(w, i % 50, 1 + i % 7, state), ==, JOBS_COMMIT_DONE);
 	w->fake.lose_answers = i % 11 == 0;
 	w->fake.lose_requests = i % 13 == 0;
-	g_assert_true(site_joblog_snapshot(w->log, record_of, w));
+	g_assert_true(site_joblog_snapshot(w->log, record_of, learned_of, w));
 	w->fake.lose_requests = 0;
 }
 
@@ -334,6 +352,31 @@
 	world_free(w);
 }
 
+/* What a snapshot tells of sizes; one from before that tells none. */
+static void test_learned(void)
+{
+	world_t *w = world_new();
+	plat_kv_t *part;
+	char *end;
+
+	w->learned = "[{\"family\":\"pack\"}]";
+	for (int i = 0; !site_joblog_stats(w->log).snapshots; i++) {
+		g_assert_cmpint(i, <, SITE_JOBLOG_SLOTS);
+		put_and_snapshot(w, i);
+	}
+	take_over(w);
+	g_assert_cmpstr(w->read_learned, ==, w->learned);
+	part = find(&w->fake, "/cactusfield/jobs/snap/1/0000");
+	end = strstr(part->value.ptr, ",\"learned\":");
+	g_assert_nonnull(end);
+	g_strlcpy(end, "}", 2);
+	part->value = base_str(part->value.ptr);
+	take_over(w);
+	g_assert_null(w->read_learned);
+	g_assert_cmpint(w->all, ==, 56);
+	world_free(w);
+}
+
 /* While no snapshot can be written the log fills up and waits. */
 static void test_full_ring_waits(void)
 {
@@ -345,7 +388,7 @@
 		done = put(w, 0, 1, i % 2 ? JOBS_QUEUED : JOBS_HELD);
 	g_assert_cmpint(done, ==, JOBS_COMMIT_AGAIN);
 	g_assert_cmpint(i, ==, SITE_JOBLOG_SLOTS);
-	g_assert_true(site_joblog_snapshot(w->log, record_of, w));
+	g_assert_true(site_joblog_snapshot(w->log, record_of, learned_of, w));
 	g_assert_cmpint(put(w, 0, 1, JOBS_DONE), ==, JOBS_COMMIT_DONE);
 	take_over(w);
 	g_assert_cmpint(w->read[JOBS_DONE], ==, 1);
@@ -362,6 +405,7 @@
 	g_test_add_func("/joblog/late-holder", test_late_holder_is_fenced);
 	g_test_add_func("/joblog/half-a-commit", test_half_a_commit_is_none);
 	g_test_add_func("/joblog/snapshots", test_snapshots);
+	g_test_add_func("/joblog/learned", test_learned);
 	g_test_add_func("/joblog/full-ring", test_full_ring_waits);
 	return g_test_run();
 }
