Do not reboot or move a worker under the tasks of jobs

The fleet's duty waited for the entries alone: a wave rebooted a worker whose entries had nothing in flight while tasks of jobs ran on it, also such as must not run twice.

The holder of the jobs' duty now names the cordoned instances that have no task, each with the seq of its record, in a record that its duty's key fences and that each holder writes anew before it starts anything. The fleet's core takes that as an input and keeps an instance cordoned until it is named for this very record. Meanwhile the jobs' core has tasks there checkpointed, or stopped after a while; what must not run twice is waited for.

That of the jobs has workers that drain and holds that nothing runs or begins on one that was said to be empty (3,000 cases).

--- a/packages/entry/entry_duty.c
+++ b/packages/entry/entry_duty.c
@@ -70,6 +70,7 @@
 
 	if (!site_read_records(fleet->reader, err) ||
 	    !site_read_entries(fleet->reader, &entries, err) ||
+	    !site_read_idle(fleet->reader, err) ||
 	    !list->ops->read(list, ctx, NULL, &instances, err))
 		return false;
 	site_observe(fleet->core, &instances, base_clock_wall());
--- a/packages/entry/entry_fleet.c
+++ b/packages/entry/entry_fleet.c
@@ -118,11 +118,14 @@
 		fleet_inst_view_t view;
 
 		fleet_inst_view(fleet->core, i, &view);
-		owners[i] = (entry_owner_t){ .id = view.id,
-					     .inc = view.inc,
-					     .pool = view.pool,
-					     .serves = fleet_state_serves(
-						     view.state) };
+		owners[i] = (entry_owner_t){
+			.id = view.id,
+			.inc = view.inc,
+			.pool = view.pool,
+			.serves = fleet_state_serves(view.state),
+			.cordoned = view.state == FLEET_CORDONED,
+			.seq = view.seq
+		};
 	}
 	entry_views_take_owners(fleet->daemon->views, owners, n);
 	entry_route_apply(fleet->daemon->route);
--- a/packages/entry/entry_int.h
+++ b/packages/entry/entry_int.h
@@ -61,7 +61,9 @@
 	base_str_t text;	/* of the record, as it stands in the store */
 	entry_pool_t *pools;	/* in the order of the configuration */
 	size_t pool_count;
-	bool owned; /* some records are known */
+	bool owned;		      /* some records are known */
+	struct entry_owner *cordoned; /* those that drain */
+	size_t cordoned_count;
 } entry_view_t;
 
 typedef struct entry_views entry_views_t;
@@ -89,6 +91,8 @@
 	uint64_t inc;
 	const char *pool; /* NULL: nobody */
 	bool serves;	  /* may be sent new work */
+	bool cordoned;	  /* drains */
+	uint64_t seq;	  /* of its record */
 } entry_owner_t;
 
 /* Take the records in place of those before. */
--- a/packages/entry/entry_jobs.c
+++ b/packages/entry/entry_jobs.c
@@ -181,7 +181,8 @@
 	entry_jobs_forget(jobs,
 			  now); /* in the step's commit, if there is one */
 	jobs->committed = true;
-	if (!jobs_step(jobs->core, now) ||
+	if (!entry_jobs_idle(jobs, &jobs->told) ||
+	    (jobs->told && !jobs_step(jobs->core, now)) ||
 	    !site_joblog_snapshot(jobs->log, record_of, learned_of,
 				  jobs->core)) {
 		base_log(jobs->daemon->log, BASE_MSG_DUTY_LOST,
@@ -190,6 +191,8 @@
 		plat_duty_release(jobs->duty);
 		return;
 	}
+	if (!jobs->told)
+		return;
 	if (jobs->committed) {
 		jobs->commits++;
 		pthread_cond_broadcast(&jobs->stepped);
@@ -286,7 +289,7 @@
 	g_hash_table_remove_all(jobs->workers);
 	g_hash_table_remove_all(jobs->unheard);
 	entry_jobs_ended_clear(jobs);
-	jobs->listed = false;
+	jobs->listed = jobs->told = false;
 	entry_jobs_show(jobs);
 	pthread_cond_broadcast(&jobs->stepped);
 }
--- a/packages/entry/entry_jobs.h
+++ b/packages/entry/entry_jobs.h
@@ -23,11 +23,13 @@
 	struct entry_reader *reader; /* that thread's */
 	entry_sender_t *senders[ENTRY_JOBS_SENDERS];
 	plat_store_t *store;
-	plat_duty_t *duty;   /* the thread's own */
-	int64_t asked_at;    /* when the duty was last asked for */
-	int64_t seen_at;     /* when workers were last looked at */
-	int64_t generation;  /* of the configuration that the core follows */
-	GHashTable *workers; /* id to what the core was told */
+	plat_duty_t *duty;    /* the thread's own */
+	int64_t asked_at;     /* when the duty was last asked for */
+	int64_t seen_at;      /* when workers were last looked at */
+	int64_t generation;   /* of the configuration that the core follows */
+	GHashTable *workers;  /* id to what the core was told */
+	fleet_idle_t *drains; /* cordoned instances, as the core was told */
+	size_t drain_count;
 	atomic_ullong epoch; /* of this holding; 0: not held */
 	uint64_t epochs;
 	atomic_llong held_until; /* on base_clock_mono() */
@@ -39,6 +41,7 @@
 	bool committed;	     /* in this step */
 	GHashTable *unheard; /* restored tasks that nobody has reported */
 	bool listed;	     /* every task was reported once */
+	bool told;	     /* what the predecessor said of tasks is void */
 	GQueue ended;	     /* ended_t, the oldest first */
 	GHashTable *ended_ids;
 	pthread_mutex_t shown_lock; /* of what the metrics tell */
@@ -74,6 +77,12 @@
 void entry_jobs_teams(entry_jobs_t *jobs);
 void entry_jobs_workers(entry_jobs_t *jobs, int64_t now);
 
+/*
+ * Say which instances that drain have no task; false once another holder was
+ * seen.  Nothing is started before "*told".
+ */
+bool entry_jobs_idle(entry_jobs_t *jobs, bool *told);
+
 /* Note a job that has ended, forget the oldest; entry_jobs_ended.c. */
 void entry_jobs_ended(entry_jobs_t *jobs, base_str_t id);
 void entry_jobs_forget(entry_jobs_t *jobs, int64_t now);
--- a/packages/entry/entry_jobs_workers.c
+++ b/packages/entry/entry_jobs_workers.c
@@ -18,6 +18,7 @@
 		    const conf_shape_t *shape);
 static void tell(entry_jobs_t *jobs, int64_t now, const char *id,
 		 const worker_t *worker);
+static void drain(entry_jobs_t *jobs, int64_t now, const entry_view_t *view);
 static void free_worker(void *worker);
 
 GHashTable *entry_jobs_workers_new(void)
@@ -72,7 +73,6 @@
 			look_at(jobs, now, &pool->endpoints[k],
 				&pool->conf->worker);
 	}
-	entry_view_release(view);
 	g_hash_table_iter_init(&iter, jobs->workers);
 	while (g_hash_table_iter_next(&iter, &id, &value)) {
 		worker_t *worker = value;
@@ -82,6 +82,47 @@
 		worker->takes = false;
 		tell(jobs, now, id, worker);
 	}
+	drain(jobs, now, view);
+	entry_view_release(view);
+}
+
+/* By the same view that the workers were told by. */
+static void drain(entry_jobs_t *jobs, int64_t now, const entry_view_t *view)
+{
+	size_t n = view->cordoned_count;
+	jobs_drain_t *drains = talloc_zero_array(NULL, jobs_drain_t, n);
+
+	TALLOC_FREE(jobs->drains);
+	jobs->drains = talloc_zero_array(jobs, fleet_idle_t, n);
+	jobs->drain_count = n;
+	for (size_t i = 0; i < n; i++) {
+		const entry_owner_t *owner = &view->cordoned[i];
+
+		jobs->drains[i] =
+			(fleet_idle_t){ talloc_strdup(jobs->drains, owner->id),
+					owner->seq };
+		drains[i] = (jobs_drain_t){ base_str(owner->id),
+					    (int64_t)owner->inc };
+	}
+	jobs_drain(jobs->core, now, drains, n);
+	talloc_free(drains);
+}
+
+bool entry_jobs_idle(entry_jobs_t *jobs, bool *told)
+{
+	fleet_idle_t *idle =
+		talloc_zero_array(NULL, fleet_idle_t, jobs->drain_count);
+	jobs_commit_t done;
+	size_t n = 0;
+
+	for (size_t i = 0; i < jobs->drain_count; i++)
+		if (!jobs_worker_tasks(jobs->core,
+				       base_str(jobs->drains[i].id)))
+			idle[n++] = jobs->drains[i];
+	done = site_joblog_idle(jobs->log, idle, n);
+	talloc_free(idle);
+	*told = *told || done == JOBS_COMMIT_DONE;
+	return done != JOBS_COMMIT_LOST;
 }
 
 static void look_at(entry_jobs_t *jobs, int64_t now,
--- a/packages/entry/entry_view.c
+++ b/packages/entry/entry_view.c
@@ -19,6 +19,7 @@
 static int free_views(entry_views_t *views);
 static int free_view(entry_view_t *view);
 static void rebuild(entry_views_t *views, entry_config_t *config);
+static void add_cordoned(entry_views_t *views, entry_view_t *view);
 static void place(entry_views_t *views, entry_view_t *view,
 		  const plat_instance_t *instance);
 static void add_endpoint(entry_view_t *view, entry_pool_t *pool,
@@ -174,10 +175,35 @@
 	view->owned = g_hash_table_size(views->owner_of) > 0;
 	for (size_t i = 0; i < views->list.count; i++)
 		place(views, view, &views->list.items[i]);
+	add_cordoned(views, view);
 	views->current = view;
 	entry_view_release(old);
 }
 
+static void add_cordoned(entry_views_t *views, entry_view_t *view)
+{
+	GHashTableIter iter;
+	void *value;
+	size_t n = 0;
+
+	g_hash_table_iter_init(&iter, views->owner_of);
+	while (g_hash_table_iter_next(&iter, NULL, &value))
+		n += ((entry_owner_t *)value)->cordoned;
+	view->cordoned = talloc_zero_array(view, entry_owner_t, n);
+	g_hash_table_iter_init(&iter, views->owner_of);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		const entry_owner_t *owner = value;
+		entry_owner_t *copy;
+
+		if (!owner->cordoned)
+			continue;
+		copy = &view->cordoned[view->cordoned_count++];
+		*copy = *owner;
+		copy->id = talloc_strdup(view, owner->id);
+		copy->pool = NULL;
+	}
+}
+
 /*
  * An instance is routed to only in the life that its record names, by the
  * pool that the record names.
--- a/packages/fleet/fleet.h
+++ b/packages/fleet/fleet.h
@@ -105,6 +105,20 @@
 void fleet_confirm(fleet_t *fleet, const char *entry, uint64_t entry_inc,
 		   const char *instance, uint64_t seq);
 
+/*
+ * What the holder of the jobs' duty says of tasks: "idle" names the instances
+ * that have none and get none as long as their records stand at "seq".  Takes
+ * the place of what it said before.  While jobs "may_run", no other instance
+ * is taken for drained.
+ */
+typedef struct fleet_idle {
+	const char *id;
+	uint64_t seq;
+} fleet_idle_t;
+
+void fleet_tasks(fleet_t *fleet, bool may_run, const fleet_idle_t *idle,
+		 size_t n);
+
 /* Demand on a pool in slots, to be called every few seconds. */
 void fleet_demand(fleet_t *fleet, const char *pool, double slots, int64_t now);
 
--- a/packages/fleet/fleet_explain.c
+++ b/packages/fleet/fleet_explain.c
@@ -40,6 +40,10 @@
 				     "wave; an operator resumes it",
 				     say_text },
 	[FLEET_WHY_ENTRY] = { "entry", NULL, say_entry },
+	[FLEET_WHY_TASKS] = { "tasks",
+			      "waits until the holder of the jobs' duty says "
+			      "that no task is left on it",
+			      say_text },
 	[FLEET_WHY_BOOT] = { "boot", "waits for its reboot to end", say_text },
 	[FLEET_WHY_VERIFY] = { "verify",
 			       "waits for a first sign of its new life",
--- a/packages/fleet/fleet_int.h
+++ b/packages/fleet/fleet_int.h
@@ -40,6 +40,7 @@
 
 	uint64_t confirmed_seq;
 	uint64_t confirmed; /* a bit an entry */
+	uint64_t idle_seq;  /* of the record at which it has no task */
 
 	int64_t asked_at; /* last reboot asked for by this process */
 
@@ -119,6 +120,7 @@
 
 	fleet_router_t entries[FLEET_ENTRIES_MAX];
 	bool entries_full;
+	bool jobs; /* may run tasks on instances */
 
 	fleet_wave_t wave;
 	fleet_wave_t wave_next;
--- a/packages/fleet/fleet_model.c
+++ b/packages/fleet/fleet_model.c
@@ -144,6 +144,21 @@
 	}
 }
 
+void fleet_tasks(fleet_t *fleet, bool may_run, const fleet_idle_t *idle,
+		 size_t n)
+{
+	fleet->jobs = may_run;
+	for (guint i = 0; i < fleet->insts->len; i++)
+		((fleet_inst_t *)g_ptr_array_index(fleet->insts, i))->idle_seq =
+			0;
+	for (size_t i = 0; i < n; i++) {
+		fleet_inst_t *inst = fleet_inst_find(fleet, idle[i].id);
+
+		if (inst)
+			inst->idle_seq = idle[i].seq;
+	}
+}
+
 void fleet_demand(fleet_t *fleet, const char *pool, double slots, int64_t now)
 {
 	int32_t at = fleet_pool_index(fleet, pool, false);
--- a/packages/fleet/fleet_step.c
+++ b/packages/fleet/fleet_step.c
@@ -90,10 +90,12 @@
 {
 	if (lost(run, inst) || turn_back(run, inst))
 		return;
-	if (confirmed(run->fleet, inst))
-		fleet_stage(run, inst, FLEET_EV_CONFIRM);
-	else
+	if (!confirmed(run->fleet, inst))
 		inst->why = FLEET_WHY_ENTRY;
+	else if (run->fleet->jobs && inst->idle_seq != inst->rec.seq)
+		inst->why = FLEET_WHY_TASKS;
+	else
+		fleet_stage(run, inst, FLEET_EV_CONFIRM);
 }
 
 static void advance_drained(fleet_run_t *run, fleet_inst_t *inst)
--- a/packages/fleet/fleet_why.h
+++ b/packages/fleet/fleet_why.h
@@ -13,6 +13,7 @@
 	FLEET_WHY_WAVE_PAUSED,
 	FLEET_WHY_WAVE_STOPPED,
 	FLEET_WHY_ENTRY,   /* an entry has not confirmed */
+	FLEET_WHY_TASKS,   /* tasks of jobs may run on it */
 	FLEET_WHY_BOOT,	   /* the reboot is under way */
 	FLEET_WHY_VERIFY,  /* no sign of the new life yet */
 	FLEET_WHY_HELD,	   /* kept out by an operator */
--- a/packages/fleet/tests/fleet_prop.cpp
+++ b/packages/fleet/tests/fleet_prop.cpp
@@ -29,7 +29,7 @@
 
 std::ostream &operator<<(std::ostream &os, const Event &e)
 {
-	return os << '{' << e.what % 15 << ", " << e.arg << '}';
+	return os << '{' << e.what % 16 << ", " << e.arg << '}';
 }
 
 struct Rec {
@@ -56,6 +56,9 @@
 	std::vector<Rec> recs; /* of the store at "recs_rev" */
 	std::map<std::string, std::pair<int64_t, std::vector<Rec>>> shards;
 	std::map<std::string, json_int_t> grants;
+	size_t jobs_at = 0;		/* the entry that decides on jobs */
+	std::vector<fleet_idle_t> idle; /* as it wrote */
+	size_t salt = 0;
 	int64_t recs_rev = -1;
 };
 
@@ -170,7 +173,7 @@
 
 		if (!same)
 			continue;
-		inst.up = inst.rebooting = false;
+		inst.up = inst.rebooting = inst.task = false;
 		s.failed.insert(i);
 	}
 }
@@ -208,13 +211,52 @@
 			  fleet_wave(fleet)->rev);
 }
 
+/*
+ * Tasks begin and end, as the entry that decides on jobs knows the records:
+ * perhaps not those of now.  Nothing begins while the store is down.
+ */
+void jobs_turn(Scene &s)
+{
+	const fleet_t *map = s.w->entries[s.jobs_at].map;
+	size_t salt = ++s.salt;
+	bool tells = salt % 4; /* else what it writes is lost */
+
+	if (s.w->down)
+		return;
+	if (tells)
+		s.idle.clear();
+	for (size_t i = 0; i < fleet_n_instances(map); i++) {
+		fleet_inst_view_t view;
+
+		fleet_inst_view(map, i, &view);
+		if (view.state == FLEET_FREE)
+			continue;
+		world_inst_t *inst = s.inst.at(view.id);
+		if (inst->task)
+			inst->task = (i + salt) % 3 != 0;
+		else if (view.state == FLEET_SERVING && inst->up &&
+			 view.inc == inst->inc)
+			inst->task = (i + salt) % 5 == 0;
+		if (view.state == FLEET_CORDONED && !inst->task && tells)
+			s.idle.push_back({ inst->id, view.seq });
+		s.hits["tasks on what drains"] +=
+			view.state == FLEET_CORDONED && inst->task;
+	}
+}
+
+void feed(Scene &s, fleet_t *fleet)
+{
+	world_read_all(s.w, fleet);
+	world_feed(s.w, fleet);
+	world_confirm(s.w, fleet);
+	fleet_tasks(fleet, true, s.idle.data(), s.idle.size());
+}
+
 /* The holder decides, is paused, and the other takes over. */
 void take_over(Scene &s)
 {
 	talloc_free(s.late[s.active]);
-	world_read_all(s.w, s.holder[s.active]);
-	world_feed(s.w, s.holder[s.active]);
-	world_confirm(s.w, s.holder[s.active]);
+	feed(s, s.holder[s.active]);
 	s.late[s.active] = fleet_step(s.holder[s.active], nullptr, s.w->now);
 	s.active = !s.active;
 	fleet_fence(s.holder[s.active], ++s.token);
@@ -247,7 +289,7 @@
 
 void happen(Scene &s, const Event &e)
 {
-	switch (e.what % 15) {
+	switch (e.what % 16) {
 	case 0:
 		fail_domain(s, e.arg);
 		break;
@@ -284,6 +326,13 @@
 	case 14:
 		reconfigure(s, e.arg);
 		break;
+	case 15: /* a new holder's first word voids its predecessor's */
+		if (!s.w->down) {
+			s.jobs_at = e.arg % s.w->n_entries;
+			s.idle.clear();
+			jobs_turn(s);
+		}
+		break;
 	case 11: /* demand that asks for moves */
 		for (int i = 0; i < 50; i++)
 			fleet_demand(s.holder[s.active],
@@ -365,6 +414,7 @@
 	if (s.pool_of.count(rec.id) && s.pool_of[rec.id] != rec.pool) {
 		s.hits["moves"]++;
 		world_must_be_idle(s.w, rec.id.c_str(), "move");
+		RC_ASSERT(!rec.inst->task);
 	}
 	if (rec.state == FLEET_CORDONED || rec.state == FLEET_DRAINED ||
 	    rec.state == FLEET_REBOOTING) {
@@ -424,9 +474,8 @@
 	fleet_ops_t *ops;
 
 	world_tick(s.w, BASE_SEC);
-	world_read_all(s.w, fleet);
-	world_feed(s.w, fleet);
-	world_confirm(s.w, fleet);
+	jobs_turn(s);
+	feed(s, fleet);
 	ops = fleet_step(fleet, nullptr, s.w->now);
 	for (size_t i = 0; i < ops->n; i++)
 		world_do(s.w, fleet, &ops->ops[i],
@@ -502,7 +551,7 @@
 	return rc::gen::build<Event>(
 		rc::gen::set(&Event::what,
 			     rc::gen::resize(rc::kNominalSize,
-					     rc::gen::inRange(0u, 15u))),
+					     rc::gen::inRange(0u, 16u))),
 		rc::gen::set(&Event::arg,
 			     rc::gen::resize(rc::kNominalSize,
 					     rc::gen::inRange(0u, 10000u))));
--- a/packages/fleet/tests/fleet_test.c
+++ b/packages/fleet/tests/fleet_test.c
@@ -578,6 +578,45 @@
 	talloc_free(out);
 }
 
+/* A reboot waits for the tasks there, as of this drain. */
+static void test_tasks(void)
+{
+	fleet_t *fleet;
+	world_t *w = site(&fleet);
+	const char *id = w->insts[0].id;
+	fleet_inst_view_t view;
+	fleet_idle_t idle = { id, 0 };
+	char *text;
+
+	fleet_tasks(fleet, true, NULL, 0);
+	world_cas(
+		w, FLEET_ORDERS_KEY,
+		fleet_order_edit(w, BASE_STR(""), id, FLEET_FOR_URGENT, w->now),
+		0);
+	turns(w, fleet, 20, BASE_SEC);
+	fleet_inst_view(fleet, 0, &view);
+	g_assert_cmpstr(view.id, ==, id);
+	g_assert_cmpint(view.state, ==, FLEET_CORDONED);
+	g_assert_cmpint(view.why, ==, FLEET_WHY_TASKS);
+	text = fleet_explain(fleet, w, id, w->now);
+	g_assert_nonnull(strstr(text, "no task is left on it"));
+	/* What was said of an earlier record of it does not count. */
+	idle.seq = view.seq - 1;
+	fleet_tasks(fleet, true, &idle, 1);
+	turns(w, fleet, 2, BASE_SEC);
+	g_assert_cmpint(w->reboots, ==, 0);
+	/* Nor what a holder said before another one took over. */
+	idle.seq = view.seq;
+	fleet_tasks(fleet, true, &idle, 1);
+	fleet_tasks(fleet, true, NULL, 0);
+	turns(w, fleet, 2, BASE_SEC);
+	g_assert_cmpint(w->reboots, ==, 0);
+	fleet_tasks(fleet, true, &idle, 1);
+	turns(w, fleet, 5, BASE_SEC);
+	g_assert_cmpint(w->reboots, ==, 1);
+	talloc_free(w);
+}
+
 static void test_explain(void)
 {
 	fleet_t *fleet;
@@ -619,6 +658,7 @@
 	g_test_add_func("/fleet/budget-machines", test_budget_machines);
 	g_test_add_func("/fleet/budget-small-zone", test_budget_small_zone);
 	g_test_add_func("/fleet/budget-single-rack", test_budget_single_rack);
+	g_test_add_func("/fleet/tasks", test_tasks);
 	g_test_add_func("/fleet/explain", test_explain);
 	return g_test_run();
 }
--- a/packages/fleet/tests/fleet_world.h
+++ b/packages/fleet/tests/fleet_world.h
@@ -30,7 +30,7 @@
 typedef struct world_inst {
 	char id[24], zone[16], rack[16];
 	uint64_t inc;
-	bool up, listed, bricks, rebooting;
+	bool up, listed, bricks, rebooting, task;
 	int64_t back_at; /* when a reboot ends */
 	int64_t seen_at; /* what the list says */
 	char pool[32];	 /* of its record, at the last audit */
@@ -214,6 +214,10 @@
 	if (!inst || inst->inc != inc || inst->rebooting)
 		return;
 	world_must_be_idle(w, id, "reboot");
+	if (inst->task && !w->broken++)
+		g_snprintf(w->first_broken, sizeof(w->first_broken),
+			   "reboot of %s under a task", id);
+	inst->task = false;
 	w->reboots++;
 	inst->up = false;
 	inst->rebooting = true;
--- a/packages/jobs/jobs.h
+++ b/packages/jobs/jobs.h
@@ -198,6 +198,7 @@
 	uint64_t visited;	       /* nodes of the index looked at */
 	uint64_t searches;	       /* in the index */
 	uint64_t yields;	       /* tasks told to make room */
+	uint64_t drained;	       /* tasks told to leave a worker */
 	uint64_t taken_out;	       /* workers, for failing */
 	uint64_t strays;	       /* reports of tasks that are not known */
 	size_t jobs;		       /* known */
@@ -227,6 +228,23 @@
 bool jobs_submit(jobs_t *jobs, int64_t now, const jobs_spec_t *spec,
 		 GError **err);
 
+/*
+ * The workers that are to be emptied, for a reboot or a move, in the life that
+ * each has by now; they take the place of those named before.  Tasks there are
+ * checkpointed or, where that cannot be, stopped after a while; those that must
+ * not run twice are waited for.  Workers that are not known are left out.
+ */
+typedef struct jobs_drain {
+	base_str_t worker;
+	int64_t incarnation;
+} jobs_drain_t;
+
+void jobs_drain(jobs_t *jobs, int64_t now, const jobs_drain_t *drains,
+		size_t n);
+
+/* Tasks that may run on a worker, or may yet begin there. */
+size_t jobs_worker_tasks(const jobs_t *jobs, base_str_t worker);
+
 /*
  * Cancel a job: at once if it is not started, else its task is stopped; a
  * task that ends well first is done.
--- a/packages/jobs/jobs_explain.c
+++ b/packages/jobs/jobs_explain.c
@@ -79,14 +79,20 @@
 		return NULL;
 	buf = base_buf_new(NULL);
 	base_buf_addf(buf, "worker %s %s", worker->id,
-		      !worker->present ? "is not in the list"
-		      : !worker->takes ? "drains"
-				       : healths[worker->health]);
+		      !worker->present		   ? "is not in the list"
+		      : !jobs_worker_takes(worker) ? "drains"
+						   : healths[worker->health]);
 	if (worker->health == JOBS_OUT)
 		base_buf_addf(buf, "; its trial is in %" PRId64 " s",
 			      MAX(0, worker->out_until - now) / JOBS_SECOND);
 	add_res(buf, "taken", &worker->taken);
 	add_res(buf, "of", &worker->capacity);
+	if (worker->draining)
+		base_buf_addf(buf,
+			      "; it is being emptied for %" PRId64
+			      " s, %u tasks are left",
+			      (now - worker->drain_at) / JOBS_SECOND,
+			      worker->tasks.length);
 	if (worker->claim)
 		base_buf_addf(buf, "; it is being cleared for job %s",
 			      worker->claim->spec.id.ptr);
--- a/packages/jobs/jobs_health.c
+++ b/packages/jobs/jobs_health.c
@@ -138,7 +138,7 @@
 	    job->n_tried || !job->family->n)
 		return NULL;
 	room = jobs_worker_free(worker);
-	if (!worker->present || !worker->takes || worker->claim ||
+	if (!jobs_worker_takes(worker) || worker->claim ||
 	    !jobs_fits(need, &room)) {
 		wait_in(worker, &jobs->trial);
 		return NULL;
--- a/packages/jobs/jobs_int.h
+++ b/packages/jobs/jobs_int.h
@@ -29,6 +29,15 @@
 #define JOBS_AGAIN_US (30 * JOBS_SECOND)
 /* A task that runs for so long speaks for its worker. */
 #define JOBS_SURVIVED_US (10 * JOBS_SECOND)
+/*
+ * On a worker that drains a task has so long to answer a checkpoint; one that
+ * has none is stopped once its family's run time is over, or a time that
+ * stands for it, but neither sooner nor later after the drain began than this.
+ */
+#define JOBS_DRAIN_CHECKPOINT_US (10 * JOBS_SECOND)
+#define JOBS_DRAIN_UNKNOWN_US (60 * JOBS_SECOND)
+#define JOBS_DRAIN_LEAST_US (10 * JOBS_SECOND)
+#define JOBS_DRAIN_MOST_US (600 * JOBS_SECOND)
 #define JOBS_OUT_US (60 * JOBS_SECOND) /* first wait of a worker taken out */
 #define JOBS_PLACES_MAX 512	       /* placements of one step */
 #define JOBS_LOOKAHEAD 16    /* teams without luck, in one step and urgency */
@@ -172,6 +181,9 @@
 	int n_blamed;
 	bool over; /* more taken than it has */
 	GList over_link;
+	bool draining, named; /* to be emptied; was named so again */
+	int64_t drain_at;     /* when that began */
+	GList drain_link;
 	bool throttling; /* has throttled tasks */
 	GList throttled_link;
 };
@@ -191,6 +203,7 @@
 	GQueue trial;			 /* workers */
 	GQueue over;			 /* workers */
 	GQueue throttled;		 /* workers */
+	GQueue draining;		 /* workers */
 	jobs_res_t largest; /* of each kind, of any worker yet seen */
 	uint64_t serial;    /* of the last worker */
 	bool fenced;
@@ -279,6 +292,8 @@
 jobs_worker_t *jobs_worker_find(const jobs_t *jobs, base_str_t id);
 jobs_worker_t *jobs_worker_get(jobs_t *jobs, base_str_t id,
 			       int64_t incarnation);
+/* Whether it may be given tasks, as far as the list and drains go. */
+bool jobs_worker_takes(const jobs_worker_t *worker);
 jobs_res_t jobs_worker_free(const jobs_worker_t *worker);
 /* Something of it has changed: bring the index up to date. */
 void jobs_worker_moved(jobs_t *jobs, jobs_worker_t *worker);
@@ -310,6 +325,10 @@
 /* What is still missing on a worker once all orders are answered. */
 jobs_res_t jobs_deficit(const jobs_worker_t *worker);
 
+/* jobs_drain.c */
+void jobs_drain_step(jobs_t *jobs, int64_t now);
+void jobs_drain_end(jobs_t *jobs, jobs_worker_t *worker);
+
 /* jobs_place.c */
 void jobs_place(jobs_t *jobs, int64_t now);
 void jobs_start_on(jobs_t *jobs, int64_t now, jobs_job_t *job,
--- a/packages/jobs/jobs_room.c
+++ b/packages/jobs/jobs_room.c
@@ -313,7 +313,8 @@
 		jobs_task_answered(jobs, task);
 		return;
 	}
-	if (task->order == JOBS_EFFECT_CHECKPOINT) {
+	/* On a worker that drains it is asked again; jobs_drain.c hardens. */
+	if (task->order == JOBS_EFFECT_CHECKPOINT && !task->worker->draining) {
 		jobs_add(&deficit, &task->share);
 		next = JOBS_EFFECT_STOP;
 		if (spec->throttles && !task->throttled && only_cores(&deficit))
@@ -354,8 +355,7 @@
 {
 	jobs_worker_t *worker = job->claim;
 	jobs_res_t room = jobs_worker_free(worker), need = job->claim_share;
-	bool usable =
-		worker->present && worker->takes && worker->health == JOBS_FIT;
+	bool usable = jobs_worker_takes(worker) && worker->health == JOBS_FIT;
 
 	if (usable && !jobs_negative(&room)) {
 		jobs_unclaim(jobs, job);
--- a/packages/jobs/jobs_step.c
+++ b/packages/jobs/jobs_step.c
@@ -14,6 +14,7 @@
 	jobs_lapse(jobs, now);
 	jobs_health_step(jobs, now);
 	jobs_room_step(jobs, now);
+	jobs_drain_step(jobs, now);
 	jobs_place(jobs, now);
 	if (commit(jobs))
 		send_all(jobs, now);
--- a/packages/jobs/jobs_worker.c
+++ b/packages/jobs/jobs_worker.c
@@ -27,7 +27,7 @@
 	worker->serial = ++jobs->serial;
 	worker->incarnation = incarnation;
 	worker->health_link.data = worker->over_link.data = worker;
-	worker->throttled_link.data = worker;
+	worker->throttled_link.data = worker->drain_link.data = worker;
 	worker->leaf = jobs_tree_add(jobs->tree, worker);
 	g_hash_table_insert(jobs->workers, (char *)worker->id, worker);
 	return worker;
@@ -78,6 +78,7 @@
 void jobs_worker_drop(jobs_t *jobs, jobs_worker_t *worker)
 {
 	jobs_health_forget(jobs, worker);
+	jobs_drain_end(jobs, worker);
 	if (worker->over)
 		g_queue_unlink(&jobs->over, &worker->over_link);
 	if (worker->throttling)
@@ -87,6 +88,11 @@
 	talloc_free(worker);
 }
 
+bool jobs_worker_takes(const jobs_worker_t *worker)
+{
+	return worker->present && worker->takes && !worker->draining;
+}
+
 jobs_res_t jobs_worker_free(const jobs_worker_t *worker)
 {
 	return jobs_less(&worker->capacity, &worker->taken);
@@ -98,7 +104,7 @@
 	jobs_res_t room[JOBS_ROOM_MAX] = { none, none };
 
 	worker->yield = yield_of(worker);
-	if (worker->present && worker->takes && worker->health == JOBS_FIT) {
+	if (jobs_worker_takes(worker) && worker->health == JOBS_FIT) {
 		room[JOBS_ROOM_FREE] = jobs_worker_free(worker);
 		if (!worker->claim) {
 			room[JOBS_ROOM_YIELD] = room[JOBS_ROOM_FREE];
--- a/packages/jobs/tests/jobs_prop.cpp
+++ b/packages/jobs/tests/jobs_prop.cpp
@@ -37,6 +37,8 @@
 	int64_t incarnation = 1;
 	bool bad = false;
 	bool there = true;
+	bool drains = false;	  /* is to be emptied */
+	bool empty = false;	  /* drains, and the holder says so */
 	std::set<task_id> fenced; /* said to be gone: a late start is refused */
 };
 
@@ -127,6 +129,9 @@
 	if (!job.repeatable)
 		RC_ASSERT(job.in_doubt == 0);
 	job.in_doubt++;
+	for (size_t i = 0; w->holder == h && i < w->workers.size(); i++)
+		RC_ASSERT(text(order->worker) != "w" + std::to_string(i) ||
+			  !w->workers[i].empty);
 	if (w->holder == h)
 		check_load(h);
 	w->starts.push_back(*order);
@@ -183,6 +188,31 @@
 	jobs_worker_seen(h->core, h->w->now, &info);
 }
 
+/* Tell of the workers that drain, and hear which are empty. */
+void drain(holder *h)
+{
+	std::vector<std::string> ids;
+	std::vector<jobs_drain_t> drains;
+	world *w = h->w;
+
+	for (size_t i = 0; i < w->workers.size(); i++)
+		ids.push_back("w" + std::to_string(i));
+	for (size_t i = 0; i < ids.size(); i++)
+		if (w->workers[i].drains)
+			drains.push_back({ base_str(ids[i].c_str()),
+					   w->workers[i].incarnation });
+	jobs_drain(h->core, w->now, drains.data(), drains.size());
+	for (size_t i = 0; i < ids.size(); i++) {
+		fake_worker &worker = w->workers[i];
+
+		worker.empty =
+			worker.drains &&
+			!jobs_worker_tasks(h->core, base_str(ids[i].c_str()));
+	}
+	for (auto &it : w->running)
+		RC_ASSERT(!w->workers[(size_t)it.second.worker].empty);
+}
+
 /* A new holder that knows what the store holds. */
 void take_over(world *w, void *ctx)
 {
@@ -207,6 +237,7 @@
 		RC_ASSERT(jobs_record_load(ctx, json, &record, &err));
 		RC_ASSERT(jobs_restore(h->core, w->now, &record, &err));
 	}
+	drain(h);
 	for (size_t i = 0; i < w->workers.size(); i++)
 		see(h, i);
 }
@@ -418,19 +449,24 @@
 		if (!w->said.empty())
 			deliver(w, w->said[y % w->said.size()]);
 		break;
+	case 28:
+		w->workers[y % w->workers.size()].drains = y / 8 % 2;
+		break;
 	default:
 		w->now += (int64_t)(y % 4000) * (y % 7 ? 1000 : 4000);
 		jobs_step(w->holder->core, w->now);
 		check_load(w->holder);
 	}
 	check_workers(w);
+	drain(w->holder);
 }
 
 /* All workers answer, and nothing is lost any more. */
 void settle(world *w)
 {
 	for (auto &worker : w->workers)
-		worker.there = true;
+		worker.there = true, worker.drains = false;
+	drain(w->holder);
 	w->fate = 0;
 	for (int i = 0; i < 400; i++) {
 		std::vector<task_id> ids;
--- a/packages/jobs/tests/jobs_test.c
+++ b/packages/jobs/tests/jobs_test.c
@@ -337,6 +337,86 @@
 	talloc_free(jobs);
 }
 
+/* A worker that is to be emptied: what its task is asked, and when. */
+static void drains(jobs_spec_t spec, int64_t until, int checkpoints, int stops)
+{
+	log_t log;
+	jobs_t *jobs = core_new(&log, 2, 8000);
+	jobs_drain_t drain;
+	char worker[16];
+	int64_t now;
+
+	submit(jobs, 0, spec);
+	jobs_step(jobs, 0);
+	g_strlcpy(worker, log.worker, sizeof(worker));
+	drain = (jobs_drain_t){ base_str(worker), 1 };
+	say(jobs, 1, &log, spec.id.ptr, 1, JOBS_EVENT_RUNNING);
+	for (now = SECOND; now < until; now += JOBS_STEP_US) {
+		jobs_drain(jobs, now, &drain, 1);
+		say(jobs, now, &log, spec.id.ptr, 1, JOBS_EVENT_RUNNING);
+		jobs_step(jobs, now);
+	}
+	g_assert_cmpint(!!log.checkpoints, ==, checkpoints);
+	g_assert_cmpint(!!log.stops, ==, stops);
+	g_assert_cmpint(log.throttles, ==, 0);
+	/* Room that it may still take up is not free, and nothing begins. */
+	g_assert_cmpuint(jobs_worker_tasks(jobs, drain.worker), ==, 1);
+	submit(jobs, now, spec_of("next", 1, 4000));
+	submit(jobs, now, spec_of("more", 1, 4000));
+	jobs_step(jobs, now);
+	g_assert_cmpint(log.starts, ==, 2);
+	g_assert_cmpstr(log.worker, !=, worker);
+	g_strlcpy(log.worker, worker, sizeof(log.worker));
+	say(jobs, now, &log, spec.id.ptr, 1,
+	    spec.repeatable ? JOBS_EVENT_GONE : JOBS_EVENT_ENDED);
+	g_assert_cmpuint(jobs_worker_tasks(jobs, drain.worker), ==, 0);
+	jobs_step(jobs, now + 1);
+	g_assert_cmpuint(jobs_worker_tasks(jobs, drain.worker), ==, 0);
+	jobs_drain(jobs, now + 2, NULL, 0);
+	jobs_step(jobs, now + 2);
+	g_assert_cmpuint(jobs_worker_tasks(jobs, drain.worker), ==, 1);
+	talloc_free(jobs);
+}
+
+static void test_drain(void)
+{
+	jobs_spec_t spec = spec_of("a", 1, 1000);
+
+	spec.throttles = true;
+	drains(spec, 50 * SECOND, 0, 0);
+	drains(spec, 63 * SECOND, 0, 1);
+	spec.checkpoints = true;
+	drains(spec, 5 * SECOND, 1, 0);
+	drains(spec, 13 * SECOND, 1, 1);
+	spec.urgency = 0;
+	drains(spec, 13 * SECOND, 1, 1);
+	spec.repeatable = false;
+	drains(spec, 3600 * SECOND, 0, 0);
+}
+
+/* A successor that was told of a drain before the worker's list. */
+static void test_drain_taken_over(void)
+{
+	log_t log;
+	jobs_t *jobs = core_new(&log, 1, 8000), *next = core_new(&log, 0, 0);
+	jobs_drain_t drain = { BASE_STR("w0"), 1 };
+	jobs_record_t record;
+
+	submit(jobs, 0, spec_of("a", 1, 1000));
+	jobs_step(jobs, 0);
+	g_assert_true(jobs_record(jobs, BASE_STR("a"), &record));
+	g_assert_true(jobs_restore(next, 0, &record, NULL));
+	jobs_drain(next, 0, &drain, 1);
+	g_assert_cmpuint(jobs_worker_tasks(next, drain.worker), ==, 1);
+	/* A later life of it has none of them. */
+	drain.incarnation = 2;
+	jobs_drain(next, 1, &drain, 1);
+	g_assert_cmpuint(jobs_worker_tasks(next, drain.worker), ==, 0);
+	g_assert_cmpint(state(next, "a"), ==, JOBS_QUEUED);
+	talloc_free(next);
+	talloc_free(jobs);
+}
+
 static void test_cancel_queued(void)
 {
 	log_t log;
@@ -532,6 +612,8 @@
 	g_test_add_func("/jobs/room", test_room);
 	g_test_add_func("/jobs/room-silent", test_room_silent);
 	g_test_add_func("/jobs/throttle", test_throttle);
+	g_test_add_func("/jobs/drain", test_drain);
+	g_test_add_func("/jobs/drain-taken-over", test_drain_taken_over);
 	g_test_add_func("/jobs/cancel", test_cancel);
 	g_test_add_func("/jobs/cancel-queued", test_cancel_queued);
 	g_test_add_func("/jobs/learns", test_learns);
--- a/packages/site/site.h
+++ b/packages/site/site.h
@@ -82,6 +82,13 @@
 bool site_read_entries(site_reader_t *reader, site_entries_t *out,
 		       GError **err);
 
+/*
+ * Load what is said of tasks.  After the entries: a holder of the jobs' duty
+ * says it anew before it starts anything, so that it is read then from each
+ * that an entry's confirmation does not bind.
+ */
+bool site_read_idle(site_reader_t *reader, GError **err);
+
 /* Add up the entries' demand and hand it to the fleet. */
 void site_take_demand(fleet_t *fleet, const site_entries_t *entries,
 		      int64_t now);
--- a/packages/site/site_joblog.c
+++ b/packages/site/site_joblog.c
@@ -35,6 +35,7 @@
 static int free_log(site_joblog_t *log)
 {
 	site_joblog_snap_drop(log);
+	g_free(log->idle);
 	g_queue_clear_full(&log->gone, g_free);
 	g_queue_clear_full(&log->parts, g_free);
 	g_hash_table_destroy(log->digests);
@@ -57,20 +58,26 @@
 jobs_commit_t site_joblog_commit(site_joblog_t *log,
 				 const jobs_record_t *records, size_t n)
 {
-	static const jobs_commit_t commits[SITE_WROTE_MAX] = {
-		[SITE_WROTE_DONE] = JOBS_COMMIT_DONE,
-		[SITE_WROTE_AGAIN] = JOBS_COMMIT_AGAIN,
-		[SITE_WROTE_LOST] = JOBS_COMMIT_LOST,
-	};
 	site_wrote_t done = flush(log);
 
 	if (done != SITE_WROTE_DONE)
-		return commits[done];
+		return site_joblog_told(done);
 	if (!build(log, records, n))
 		return JOBS_COMMIT_AGAIN;
 	if (!g_queue_is_empty(&log->parts))
 		log->stats.commits++;
-	return commits[flush(log)];
+	return site_joblog_told(flush(log));
+}
+
+jobs_commit_t site_joblog_told(site_wrote_t wrote)
+{
+	static const jobs_commit_t commits[SITE_WROTE_MAX] = {
+		[SITE_WROTE_DONE] = JOBS_COMMIT_DONE,
+		[SITE_WROTE_AGAIN] = JOBS_COMMIT_AGAIN,
+		[SITE_WROTE_LOST] = JOBS_COMMIT_LOST,
+	};
+
+	return commits[wrote];
 }
 
 void site_joblog_forget(site_joblog_t *log, base_str_t id)
--- a/packages/site/site_joblog.h
+++ b/packages/site/site_joblog.h
@@ -11,11 +11,13 @@
 #ifndef SITE_JOBLOG_H
 #define SITE_JOBLOG_H
 
+#include "fleet.h"
 #include "jobs.h"
 #include "plat.h"
 
 #define SITE_JOBS_PREFIX "/cactusfield/jobs/"
 #define SITE_JOBS_HEAD SITE_JOBS_PREFIX "head"
+#define SITE_JOBS_IDLE SITE_JOBS_PREFIX "idle"
 #define SITE_JOBLOG_SLOTS 1024		   /* keys of the ring */
 #define SITE_JOBLOG_VALUE_MAX (512 * 1024) /* bytes of one record or part */
 /* A snapshot is made once the log since the last one holds so much ... */
@@ -77,6 +79,17 @@
 bool site_joblog_snapshot(site_joblog_t *log, site_record_fn_t record,
 			  site_learned_fn_t learned, void *arg);
 
+/*
+ * Say which instances have no task and get none as long as their records stand
+ * so.  Written when it differs from what stands there, and once by each
+ * holder, which starts nothing before: what its predecessor said is void.
+ */
+jobs_commit_t site_joblog_idle(site_joblog_t *log, const fleet_idle_t *idle,
+			       size_t n);
+
+/* Decode what was said and hand it to "fleet"; false when it is none. */
+bool site_take_idle(fleet_t *fleet, base_str_t value);
+
 site_joblog_stats_t site_joblog_stats(const site_joblog_t *log);
 
 #endif
--- a/packages/site/site_joblog_int.h
+++ b/packages/site/site_joblog_int.h
@@ -41,12 +41,17 @@
 	int64_t snap_seq;
 	int snap_parts;
 	size_t snap_bytes;
-	char *snap_text; /* of its part that is being written */
-	char *learned;	 /* as read */
+	char *snap_text;  /* of its part that is being written */
+	char *idle;	  /* as it stands, or is to stand, in the store */
+	bool idle_unsure; /* whether it stands there */
+	char *learned;	  /* as read */
 	bool lost;
 	site_joblog_stats_t stats;
 };
 
+/* What the core is told of a write. */
+jobs_commit_t site_joblog_told(site_wrote_t wrote);
+
 /* Write "text" to "key", fenced; a lost answer is found out. */
 site_wrote_t site_joblog_write(site_joblog_t *log, const char *key,
 			       const char *text);
--- a/packages/site/site_reader.c
+++ b/packages/site/site_reader.c
@@ -1,6 +1,7 @@
 #include <string.h>
 
 #include "site.h"
+#include "site_joblog.h"
 
 /*
  * What changed is asked for by revision: one call a kind, which carries
@@ -14,6 +15,7 @@
 	KIND_WAVE,
 	KIND_ORDERS,
 	KIND_ENTRIES,
+	KIND_IDLE,
 	KIND_MAX
 } kind_t;
 
@@ -43,6 +45,8 @@
 			const plat_kv_t *kv, GError **err);
 static bool take_entry(site_reader_t *reader, const char *key,
 		       const plat_kv_t *kv, GError **err);
+static bool take_idle(site_reader_t *reader, const char *key,
+		      const plat_kv_t *kv, GError **err);
 static void free_entry(void *entry);
 
 static const struct {
@@ -57,6 +61,7 @@
 	[KIND_WAVE] = { FLEET_WAVE_KEY, false, false, take_record },
 	[KIND_ORDERS] = { FLEET_ORDERS_KEY, false, false, take_record },
 	[KIND_ENTRIES] = { SITE_ENTRIES_PREFIX, true, true, take_entry },
+	[KIND_IDLE] = { SITE_JOBS_IDLE, false, false, take_idle },
 };
 
 site_reader_t *site_reader_new(const void *ctx, fleet_t *fleet,
@@ -107,6 +112,11 @@
 	return true;
 }
 
+bool site_read_idle(site_reader_t *reader, GError **err)
+{
+	return read_kind(reader, KIND_IDLE, err);
+}
+
 static int free_reader(site_reader_t *reader)
 {
 	for (int i = 0; i < KIND_MAX; i++)
@@ -222,3 +232,14 @@
 	g_hash_table_replace(reader->entries, g_strdup(name), entry);
 	return true;
 }
+
+static bool take_idle(site_reader_t *reader, const char *key,
+		      const plat_kv_t *kv, GError **err)
+{
+	bool good = site_take_idle(reader->fleet, kv->value);
+
+	if (!good)
+		g_set_error(err, FLEET_ERROR, FLEET_ERROR_RECORD,
+			    "%s does not decode", key);
+	return good;
+}
--- a/packages/tool/tool_fleet.c
+++ b/packages/tool/tool_fleet.c
@@ -46,6 +46,7 @@
 	}
 	if (!conf || !site_read_records(reader, &cause) ||
 	    !site_read_entries(reader, &entries, &cause) ||
+	    !site_read_idle(reader, &cause) ||
 	    !tool->list->ops->read(tool->list, tool->ctx, NULL, &instances,
 				   &cause)) {
 		fprintf(tool->err, "cannot read the fleet: %s\n",
