--- a/packages/jobs/jobs_learned.c
+++ b/packages/jobs/jobs_learned.c
@@ -15,21 +15,14 @@
 
 char *jobs_learned_print(const jobs_t *jobs, const void *ctx, size_t max)
 {
-	size_t n = g_hash_table_size(jobs->families), at = 0;
-	const jobs_family_t **all =
-		talloc_zero_array(NULL, const jobs_family_t *, n + 1);
+	GList *all = g_list_sort(g_hash_table_get_values(jobs->families),
+				 by_samples);
 	base_buf_t *out = base_buf_new(NULL);
-	GHashTableIter iter;
-	void *family;
 	char *text;
 
-	g_hash_table_iter_init(&iter, jobs->families);
-	while (g_hash_table_iter_next(&iter, NULL, &family))
-		all[at++] = family;
-	qsort(all, n, sizeof(*all), by_samples);
 	base_buf_adds(out, "[");
-	for (at = 0; at < n && all[at]->n; at++) {
-		json_t *json = family_print(all[at]);
+	for (GList *l = all; l && ((jobs_family_t *)l->data)->n; l = l->next) {
+		json_t *json = family_print(l->data);
 		char *dump = json_dumps(json, JSON_COMPACT);
 		bool fits = out->len + strlen(dump) + 2 <= max;
 
@@ -45,7 +38,7 @@
 	base_buf_adds(out, "]");
 	text = talloc_strdup(ctx, out->ptr);
 	talloc_free(out);
-	talloc_free(all);
+	g_list_free(all);
 	return text;
 }
 
@@ -66,8 +59,7 @@
 /* The most samples first; names keep the order the same each time. */
 static int by_samples(const void *a, const void *b)
 {
-	const jobs_family_t *x = *(const jobs_family_t *const *)a;
-	const jobs_family_t *y = *(const jobs_family_t *const *)b;
+	const jobs_family_t *x = a, *y = b;
 
 	if (x->n != y->n)
 		return x->n < y->n ? 1 : -1;
