--- a/packages/jobs/jobs.h
+++ b/packages/jobs/jobs.h
@@ -198,6 +198,7 @@
 	uint64_t visited;	       /* nodes of the index looked at */
 	uint64_t searches;	       /* in the index */
 	uint64_t yields;	       /* tasks told to make room */
+	uint64_t drained;	       /* tasks told to leave a worker */
 	uint64_t taken_out;	       /* workers, for failing */
 	uint64_t strays;	       /* reports of tasks that are not known */
 	size_t jobs;		       /* known */
@@ -227,6 +228,23 @@
 bool jobs_submit(jobs_t *jobs, int64_t now, const jobs_spec_t *spec,
 		 GError **err);
 
+/*
+ * The workers that are to be emptied, for a reboot or a move, in the life that
+ * each has by now; they take the place of those named before.  Tasks there are
+ * checkpointed or, where that cannot be, stopped after a while; those that must
+ * not run twice are waited for.  Workers that are not known are left out.
+ */
+typedef struct jobs_drain {
+	base_str_t worker;
+	int64_t incarnation;
+} jobs_drain_t;
+
+void jobs_drain(jobs_t *jobs, int64_t now, const jobs_drain_t *drains,
+		size_t n);
+
+/* Tasks that may run on a worker, or may yet begin there. */
+size_t jobs_worker_tasks(const jobs_t *jobs, base_str_t worker);
+
 /*
  * Cancel a job: at once if it is not started, else its task is stopped; a
  * task that ends well first is done.
@@ -261,6 +279,18 @@
 bool jobs_record_load(const void *ctx, base_str_t json, jobs_record_t *record,
 		      GError **err);
 
+/*
+ * Sizes and run times as learned, as JSON text of at most "max" bytes below
+ * "ctx": the families with the most samples.
+ */
+char *jobs_learned_print(const jobs_t *jobs, const void *ctx, size_t max);
+
+/*
+ * Take them over from a predecessor.  A family that has samples already keeps
+ * its own.  On an error those before the fault were taken.
+ */
+bool jobs_learned_load(jobs_t *jobs, base_str_t json, GError **err);
+
 /* The room that a job of "family" would get now. */
 jobs_res_t jobs_safe_size(const jobs_t *jobs, base_str_t family,
 			  jobs_res_t declared);
