--- a/packages/site/site_joblog_int.h
+++ b/packages/site/site_joblog_int.h
@@ -37,14 +37,21 @@
 	GHashTable *parts_put; /* what they change: id to text, or NULL */
 	char **ids;	       /* of the snapshot being made; NULL: none */
 	size_t ids_n, ids_at;
+	bool snap_learned; /* that part is made, the last one */
 	int64_t snap_seq;
 	int snap_parts;
 	size_t snap_bytes;
-	char *snap_text; /* of its part that is being written */
+	char *snap_text;  /* of its part that is being written */
+	char *idle;	  /* as it stands, or is to stand, in the store */
+	bool idle_unsure; /* whether it stands there */
+	char *learned;	  /* as read */
 	bool lost;
 	site_joblog_stats_t stats;
 };
 
+/* What the core is told of a write. */
+jobs_commit_t site_joblog_told(site_wrote_t wrote);
+
 /* Write "text" to "key", fenced; a lost answer is found out. */
 site_wrote_t site_joblog_write(site_joblog_t *log, const char *key,
 			       const char *text);
--- a/packages/tool/tool_fleet.c
+++ b/packages/tool/tool_fleet.c
@@ -46,6 +46,7 @@
 	}
 	if (!conf || !site_read_records(reader, &cause) ||
 	    !site_read_entries(reader, &entries, &cause) ||
+	    !site_read_idle(reader, &cause) ||
 	    !tool->list->ops->read(tool->list, tool->ctx, NULL, &instances,
 				   &cause)) {
 		fprintf(tool->err, "cannot read the fleet: %s\n",
@@ -105,7 +106,7 @@
 	const conf_record_t *record;
 	plat_kvs_t kvs;
 
-	if (!tool->store->ops->range(tool->store, tool->ctx, TOOL_CONFIG_KEY,
+	if (!tool->store->ops->range(tool->store, tool->ctx, SITE_CONFIG_KEY,
 				     false, &kvs, err))
 		return NULL;
 	if (!kvs.count) {
