--- a/packages/entry/entry_claim.c
+++ b/packages/entry/entry_claim.c
@@ -130,6 +130,17 @@
 	pthread_mutex_unlock(&claims->lock);
 }
 
+bool entry_claim_listed(entry_daemon_t *daemon)
+{
+	entry_claims_t *claims = daemon->claims;
+	bool listed;
+
+	pthread_mutex_lock(&claims->lock);
+	listed = claim_table_epoch(claims->table) != NULL;
+	pthread_mutex_unlock(&claims->lock);
+	return listed;
+}
+
 bool entry_claim_handed_over(const entry_daemon_t *daemon)
 {
 	return atomic_load(&daemon->claims->handed_over) != 0;
--- a/packages/entry/entry_int.h
+++ b/packages/entry/entry_int.h
@@ -295,9 +295,10 @@
 	entry_forward_t *forward;
 	plat_guard_t *guard; /* all calls to the store */
 	plat_list_t *list;
-	char incarnation[24]; /* of this process */
-	atomic_int draining;  /* planned stop has begun */
-	atomic_int in_flight; /* requests on the callers' port */
+	char incarnation[24];  /* of this process */
+	atomic_int draining;   /* planned stop has begun */
+	atomic_llong owned_at; /* when it could have been ready, us */
+	atomic_int in_flight;  /* requests on the callers' port */
 	atomic_ullong outcomes[ENTRY_OUTCOME_MAX];
 	struct mg_context *operators_http;
 	struct mg_context *caller_http;
@@ -364,6 +365,9 @@
 /* Give what this entry homes to others, and tell them so; it drains. */
 void entry_claim_leave(entry_daemon_t *daemon);
 
+/* Whether the list of entries that home claims is known here. */
+bool entry_claim_listed(entry_daemon_t *daemon);
+
 /* Whether others home all of it. */
 bool entry_claim_handed_over(const entry_daemon_t *daemon);
 
--- a/packages/entry/entry_operators.c
+++ b/packages/entry/entry_operators.c
@@ -9,6 +9,12 @@
 #define KEEP_ALIVE_MS 5000
 #define BEARER "Bearer "
 
+/*
+ * Without the list what must not be repeated is refused.  It is there in no
+ * time, or the store was lost just now: then the rest need not wait for it.
+ */
+#define CLAIMS_WAIT_US (5 * BASE_SEC)
+
 static bool operators_start(void *service, kern_t *kern, GError **err);
 static void operators_stop(void *service);
 static int on_request(struct mg_connection *conn);
@@ -17,6 +23,7 @@
 static bool shows_key(struct mg_connection *conn, const char *key);
 static int on_healthz(struct mg_connection *conn, entry_daemon_t *daemon);
 static int on_readyz(struct mg_connection *conn, entry_daemon_t *daemon);
+static bool waits_for_claims(entry_daemon_t *daemon);
 static int on_metrics(struct mg_connection *conn, entry_daemon_t *daemon);
 static int on_status(struct mg_connection *conn, entry_daemon_t *daemon);
 static void add_store_calls(base_buf_t *out, const entry_daemon_t *daemon);
@@ -137,10 +144,26 @@
 	if (!owned)
 		return entry_operators_answer(conn, 503, "text/plain",
 					      BASE_STR("no pools yet\n"));
+	if (waits_for_claims(daemon))
+		return entry_operators_answer(
+			conn, 503, "text/plain",
+			BASE_STR("no list of entries for claims yet\n"));
 	return entry_operators_answer(conn, 200, "text/plain",
 				      BASE_STR("ready\n"));
 }
 
+static bool waits_for_claims(entry_daemon_t *daemon)
+{
+	int64_t now = base_clock_mono();
+	long long since = 0;
+
+	if (entry_claim_listed(daemon))
+		return false;
+	if (atomic_compare_exchange_strong(&daemon->owned_at, &since, now))
+		return true;
+	return now - since < CLAIMS_WAIT_US;
+}
+
 static int on_metrics(struct mg_connection *conn, entry_daemon_t *daemon)
 {
 	base_buf_t *out = base_buf_new(NULL);
