Let drains end after the last team is taken out

Where the jobs' duty once said which instances have no task, drains wait for it; after the last team was taken out nobody held it any more, and no instance would have been rebooted again.

The holder now stays until no task is left and then says that nothing has to be waited for; an entry takes the duty up for this where it finds that it was not said. A team that is taken out loses its quota, as it did for a successor only.

--- a/packages/entry/entry_jobs.c
+++ b/packages/entry/entry_jobs.c
@@ -7,7 +7,8 @@
  */
 
 #define LEASE_S 3
-#define ASK_US (900 * BASE_MS) /* for the duty */
+#define LEFT_US (30 * BASE_SEC) /* between looks for tasks of no team */
+#define ASK_US (900 * BASE_MS)	/* for the duty */
 
 /* A restored task. */
 typedef struct unheard {
@@ -19,7 +20,7 @@
 static bool service_start(void *service, kern_t *kern, GError **err);
 static void service_stop(void *service);
 static void tick(void *arg, int64_t now);
-static bool wanted(entry_jobs_t *jobs);
+static bool wanted(entry_jobs_t *jobs, int64_t now);
 static bool keep_duty(entry_jobs_t *jobs, int64_t now);
 static void step(entry_jobs_t *jobs, int64_t now);
 static bool take_over(entry_jobs_t *jobs, int64_t now);
@@ -137,7 +138,7 @@
 {
 	bool held;
 
-	if (!wanted(jobs)) {
+	if (!wanted(jobs, now)) {
 		if (jobs->core)
 			plat_duty_release(jobs->duty);
 		atomic_store(&jobs->held_until, 0);
@@ -152,14 +153,28 @@
 	return held;
 }
 
-/* A site without teams runs no jobs. */
-static bool wanted(entry_jobs_t *jobs)
+/*
+ * A site without teams runs no jobs, but may have to wait for the last tasks
+ * of teams that it had.
+ */
+static bool wanted(entry_jobs_t *jobs, int64_t now)
 {
 	entry_view_t *view = entry_view_hold(jobs->daemon->views);
-	bool teams = view->record && view->record->config->n_teams;
+	bool known = view->record != NULL;
+	bool teams = known && view->record->config->n_teams;
 
 	entry_view_release(view);
-	return teams && !atomic_load(&jobs->daemon->draining);
+	if (!known || atomic_load(&jobs->daemon->draining))
+		return false;
+	if (teams)
+		return true;
+	if (jobs->core)
+		return !jobs->over;
+	if (!jobs->left_at || now - jobs->left_at >= LEFT_US) {
+		jobs->left_at = now;
+		site_jobs_may_run(jobs->store, &jobs->left, NULL);
+	}
+	return jobs->left;
 }
 
 bool entry_jobs_holds(entry_jobs_t *jobs, uint64_t epoch)
@@ -179,7 +194,7 @@
 			  now); /* in the step's commit, if there is one */
 	jobs->committed = true;
 	if (!entry_jobs_idle(jobs, &jobs->told) ||
-	    (jobs->told && !jobs_step(jobs->core, now)) ||
+	    (jobs->told && !jobs->over && !jobs_step(jobs->core, now)) ||
 	    !site_joblog_snapshot(jobs->log, record_of, learned_of,
 				  jobs->core)) {
 		base_log(jobs->daemon->log, BASE_MSG_DUTY_LOST,
@@ -286,7 +301,8 @@
 	g_hash_table_remove_all(jobs->workers);
 	g_hash_table_remove_all(jobs->unheard);
 	entry_jobs_ended_clear(jobs);
-	jobs->listed = jobs->told = false;
+	jobs->listed = jobs->told = jobs->over = false;
+	jobs->left = false;
 	entry_jobs_show(jobs);
 	pthread_cond_broadcast(&jobs->stepped);
 }
--- a/packages/entry/entry_jobs.h
+++ b/packages/entry/entry_jobs.h
@@ -25,6 +25,8 @@
 	plat_store_t *store;
 	plat_duty_t *duty;    /* the thread's own */
 	int64_t asked_at;     /* when the duty was last asked for */
+	int64_t left_at;      /* when tasks of no team were last looked for */
+	bool left;	      /* there may be some */
 	int64_t seen_at;      /* when workers were last looked at */
 	int64_t generation;   /* of the configuration that the core follows */
 	GHashTable *workers;  /* id to what the core was told */
@@ -41,6 +43,8 @@
 	bool committed;	     /* in this step */
 	GHashTable *unheard; /* restored tasks that nobody has reported */
 	bool listed;	     /* every task was reported once */
+	bool teams;	     /* the configuration has some */
+	bool over;	     /* it has none, and no task is left */
 	bool told;	     /* what the predecessor said of tasks is void */
 	GQueue ended;	     /* ended_t, the oldest first */
 	GHashTable *ended_ids;
--- a/packages/entry/entry_jobs_workers.c
+++ b/packages/entry/entry_jobs_workers.c
@@ -31,10 +31,11 @@
 {
 	entry_view_t *view = entry_view_hold(jobs->daemon->views);
 	const conf_t *conf = view->record->config;
+	bool newer = view->record->generation != jobs->generation;
 
-	for (size_t i = 0;
-	     view->record->generation != jobs->generation && i < conf->n_teams;
-	     i++) {
+	if (newer)
+		jobs_teams_clear(jobs->core);
+	for (size_t i = 0; newer && i < conf->n_teams; i++) {
 		const conf_team_t *team = &conf->teams[i];
 		jobs_res_t quota = { {
 			[JOBS_CORES] = team->cores * 1000,
@@ -45,6 +46,7 @@
 		jobs_team_set(jobs->core, team->name, quota);
 	}
 	jobs->generation = view->record->generation;
+	jobs->teams = conf->n_teams > 0;
 	entry_view_release(view);
 }
 
@@ -113,15 +115,22 @@
 	fleet_idle_t *idle =
 		talloc_zero_array(NULL, fleet_idle_t, jobs->drain_count);
 	jobs_commit_t done;
+	jobs_stats_t stats;
+	bool may_run;
 	size_t n = 0;
 
 	for (size_t i = 0; i < jobs->drain_count; i++)
 		if (!jobs_worker_tasks(jobs->core,
 				       base_str(jobs->drains[i].id)))
 			idle[n++] = jobs->drains[i];
-	done = site_joblog_idle(jobs->log, idle, n);
+	jobs_stats(jobs->core, &stats);
+	may_run = jobs->teams || stats.tasks;
+	done = site_joblog_idle(jobs->log, may_run, idle, n);
 	talloc_free(idle);
-	*told = *told || done == JOBS_COMMIT_DONE;
+	/* What was said to be over begins again only once that is void. */
+	*told = (*told && !jobs->over && may_run) || done == JOBS_COMMIT_DONE;
+	if (done == JOBS_COMMIT_DONE)
+		jobs->over = !may_run;
 	return done != JOBS_COMMIT_LOST;
 }
 
--- a/packages/jobs/jobs.h
+++ b/packages/jobs/jobs.h
@@ -202,6 +202,7 @@
 	uint64_t taken_out;	       /* workers, for failing */
 	uint64_t strays;	       /* reports of tasks that are not known */
 	size_t jobs;		       /* known */
+	size_t tasks;		       /* that may run */
 	size_t workers;		       /* known */
 	size_t out;		       /* workers taken out, or on trial */
 	size_t claims;		       /* workers being cleared */
@@ -216,6 +217,9 @@
 /* Set a team's quota; jobs of teams without one wait. */
 void jobs_team_set(jobs_t *jobs, base_str_t team, jobs_res_t quota);
 
+/* Take every team's quota away. */
+void jobs_teams_clear(jobs_t *jobs);
+
 /* A worker is there, has changed or has restarted. */
 void jobs_worker_seen(jobs_t *jobs, int64_t now,
 		      const jobs_worker_info_t *info);
--- a/packages/jobs/jobs_core.c
+++ b/packages/jobs/jobs_core.c
@@ -41,6 +41,18 @@
 	jobs_team_moved(jobs, t);
 }
 
+void jobs_teams_clear(jobs_t *jobs)
+{
+	GHashTableIter iter;
+	void *team;
+
+	g_hash_table_iter_init(&iter, jobs->teams);
+	while (g_hash_table_iter_next(&iter, NULL, &team)) {
+		((jobs_team_t *)team)->quota = (jobs_res_t){ { 0 } };
+		jobs_team_moved(jobs, team);
+	}
+}
+
 bool jobs_submit(jobs_t *jobs, int64_t now, const jobs_spec_t *spec,
 		 GError **err)
 {
--- a/packages/jobs/jobs_task.c
+++ b/packages/jobs/jobs_task.c
@@ -17,6 +17,7 @@
 	task->effect_link.data = task;
 	g_queue_push_tail_link(&worker->tasks, &task->worker_link);
 	g_queue_push_tail_link(&job->tasks, &task->job_link);
+	jobs->stats.tasks++;
 	jobs_add(&worker->taken, share);
 	jobs_add(&job->team->used, share);
 	jobs_dirty(jobs, job);
@@ -37,6 +38,7 @@
 		g_queue_unlink(&jobs->effects, &task->effect_link);
 	g_queue_unlink(&worker->tasks, &task->worker_link);
 	g_queue_unlink(&job->tasks, &task->job_link);
+	jobs->stats.tasks--;
 	jobs_sub(&worker->taken, &task->share);
 	jobs_sub(&job->team->used, &task->share);
 	if (job->task == task)
--- a/packages/site/site_joblog.h
+++ b/packages/site/site_joblog.h
@@ -80,12 +80,16 @@
 			  site_learned_fn_t learned, void *arg);
 
 /*
- * Say which instances have no task and get none as long as their records stand
- * so.  Written when it differs from what stands there, and once by each
- * holder, which starts nothing before: what its predecessor said is void.
+ * Say whether jobs may run tasks at all and, if so, which instances have none
+ * and get none as long as their records stand so.  Written when it differs from
+ * what stands there, and once by each holder, which starts nothing before: what
+ * its predecessor said is void.
  */
-jobs_commit_t site_joblog_idle(site_joblog_t *log, const fleet_idle_t *idle,
-			       size_t n);
+jobs_commit_t site_joblog_idle(site_joblog_t *log, bool may_run,
+			       const fleet_idle_t *idle, size_t n);
+
+/* Whether it was said last that jobs may run; false where nothing was. */
+bool site_jobs_may_run(plat_store_t *store, bool *may_run, GError **err);
 
 /* Decode what was said and hand it to "fleet"; false when it is none. */
 bool site_take_idle(fleet_t *fleet, base_str_t value);
--- a/packages/site/tests/joblog_test.c
+++ b/packages/site/tests/joblog_test.c
@@ -393,22 +393,40 @@
 	world_t *w = world_new();
 	site_joblog_t *late = w->log;
 
-	g_assert_cmpint(site_joblog_idle(w->log, idle, 2), ==,
+	g_assert_cmpint(site_joblog_idle(w->log, true, idle, 2), ==,
 			JOBS_COMMIT_DONE);
 	idle_is(w, "\"instances\":{\"a\":5,\"b\":7}");
 	g_assert_true(site_take_idle(fleet_new(w, &opts),
 				     find(&w->fake, SITE_JOBS_IDLE)->value));
-	site_joblog_idle(w->log, idle, 2);
+	site_joblog_idle(w->log, true, idle, 2);
 	g_assert_cmpint(w->fake.writes, ==, 2);
 	take_over(w);
-	g_assert_cmpint(site_joblog_idle(w->log, NULL, 0), ==,
+	g_assert_cmpint(site_joblog_idle(w->log, true, NULL, 0), ==,
 			JOBS_COMMIT_DONE);
-	g_assert_cmpint(site_joblog_idle(late, idle, 1), ==, JOBS_COMMIT_LOST);
+	g_assert_cmpint(site_joblog_idle(late, true, idle, 1), ==,
+			JOBS_COMMIT_LOST);
 	idle_is(w, "\"instances\":{}");
 	g_assert_false(site_take_idle(NULL, BASE_STR("{}")));
 	world_free(w);
 }
 
+/* After the last team is gone and the last task. */
+static void test_no_jobs(void)
+{
+	world_t *w = world_new();
+	bool may_run = true;
+
+	g_assert_true(site_jobs_may_run(&w->fake.store, &may_run, NULL));
+	g_assert_false(may_run);
+	site_joblog_idle(w->log, true, NULL, 0);
+	g_assert_true(site_jobs_may_run(&w->fake.store, &may_run, NULL));
+	g_assert_true(may_run);
+	site_joblog_idle(w->log, false, NULL, 0);
+	g_assert_true(site_jobs_may_run(&w->fake.store, &may_run, NULL));
+	g_assert_false(may_run);
+	world_free(w);
+}
+
 /* What is lost is written before anything else. */
 static void test_idle_lost(void)
 {
@@ -416,13 +434,13 @@
 	world_t *w = world_new();
 
 	w->fake.lose_requests = 1;
-	g_assert_cmpint(site_joblog_idle(w->log, idle, 1), ==,
+	g_assert_cmpint(site_joblog_idle(w->log, true, idle, 1), ==,
 			JOBS_COMMIT_AGAIN);
 	w->fake.lose_answers = 1;
-	g_assert_cmpint(site_joblog_idle(w->log, idle, 0), ==,
+	g_assert_cmpint(site_joblog_idle(w->log, true, idle, 0), ==,
 			JOBS_COMMIT_DONE);
 	idle_is(w, "\"instances\":{}");
-	site_joblog_idle(w->log, idle, 1);
+	site_joblog_idle(w->log, true, idle, 1);
 	idle_is(w, "\"instances\":{\"b\":7}");
 	world_free(w);
 }
@@ -458,6 +476,7 @@
 	g_test_add_func("/joblog/learned", test_learned);
 	g_test_add_func("/joblog/idle", test_idle);
 	g_test_add_func("/joblog/idle-lost", test_idle_lost);
+	g_test_add_func("/joblog/no-jobs", test_no_jobs);
 	g_test_add_func("/joblog/full-ring", test_full_ring_waits);
 	return g_test_run();
 }
