--- a/packages/entry/entry_int.h
+++ b/packages/entry/entry_int.h
@@ -13,8 +13,7 @@
 #include "conf.h"
 #include "entry.h"
 #include "route.h"
-
-#define ENTRY_CONFIG_KEY "/cactusfield/config"
+#include "site_config.h"
 
 /*
  * entry_lock - a lock that each request takes for less than a microsecond:
@@ -61,7 +60,9 @@
 	base_str_t text;	/* of the record, as it stands in the store */
 	entry_pool_t *pools;	/* in the order of the configuration */
 	size_t pool_count;
-	bool owned; /* some records are known */
+	bool owned;		      /* some records are known */
+	struct entry_owner *cordoned; /* those that drain */
+	size_t cordoned_count;
 } entry_view_t;
 
 typedef struct entry_views entry_views_t;
@@ -89,6 +90,8 @@
 	uint64_t inc;
 	const char *pool; /* NULL: nobody */
 	bool serves;	  /* may be sent new work */
+	bool cordoned;	  /* drains */
+	uint64_t seq;	  /* of its record */
 } entry_owner_t;
 
 /* Take the records in place of those before. */
@@ -272,11 +275,13 @@
 int entry_route_running(entry_route_t *route, base_str_t instance,
 			base_str_t incarnation);
 
-/* Visit the core's counters under its lock. */
-void entry_route_visit(entry_route_t *route,
-		       void (*pool)(void *, const route_pool_stats_t *),
-		       void (*group)(void *, const route_group_stats_t *),
-		       void *arg);
+/* Visit the core's counters; requests go on between some and the next. */
+void entry_route_visit(entry_route_t *route, const route_visitor_t *visitor);
+
+/* Visit its pools under its lock. */
+void entry_route_each_pool(entry_route_t *route,
+			   void (*visit)(void *, const route_pool_stats_t *),
+			   void *arg);
 
 /* Append the core's counters and histograms. */
 void entry_metrics_route(entry_daemon_t *daemon, base_buf_t *out);
@@ -292,13 +297,15 @@
 	entry_forward_t *forward;
 	plat_guard_t *guard; /* all calls to the store */
 	plat_list_t *list;
-	char incarnation[24]; /* of this process */
-	atomic_int draining;  /* planned stop has begun */
-	atomic_int in_flight; /* requests on the callers' port */
+	char incarnation[24];  /* of this process */
+	atomic_int draining;   /* planned stop has begun */
+	atomic_llong owned_at; /* when it could have been ready, us */
+	atomic_int in_flight;  /* requests on the callers' port */
 	atomic_ullong outcomes[ENTRY_OUTCOME_MAX];
 	struct mg_context *operators_http;
 	struct mg_context *caller_http;
 	int64_t config_seen; /* mod_revision; the config duty's own */
+	atomic_ullong config_news[SITE_NEWS_MAX]; /* reads of the store */
 	kern_duty_t *config_duty;
 	kern_duty_t *list_duty;
 	int64_t config_read; /* when the store was asked last; its duty's */
@@ -360,6 +367,9 @@
 /* Give what this entry homes to others, and tell them so; it drains. */
 void entry_claim_leave(entry_daemon_t *daemon);
 
+/* Whether the list of entries that home claims is known here. */
+bool entry_claim_listed(entry_daemon_t *daemon);
+
 /* Whether others home all of it. */
 bool entry_claim_handed_over(const entry_daemon_t *daemon);
 
