--- a/packages/entry/entry_claim_epoch.c
+++ b/packages/entry/entry_claim_epoch.c
@@ -77,7 +77,7 @@
 
 /*
  * The record grows with the entries and seldom changes: its revision is asked
- * for, and the record where that is another one than the last.
+ * for, and the record where none was read yet or that one is another.
  */
 static void read_store(entry_claims_t *claims, int64_t now)
 {
@@ -89,7 +89,8 @@
 	bool read;
 
 	claims->store_asked = now;
-	read = store->ops->keys(store, ctx, CLAIM_EPOCH_KEY, false, &kvs, NULL);
+	read = !claims->store_number ||
+	       store->ops->keys(store, ctx, CLAIM_EPOCH_KEY, false, &kvs, NULL);
 	if (read && claims->store_number && kvs.count &&
 	    kvs.items[0].mod_revision == claims->store_revision) {
 		pthread_mutex_lock(&claims->lock);
