--- a/packages/entry/entry_memb.h
+++ b/packages/entry/entry_memb.h
@@ -41,8 +41,10 @@
 	kern_duty_t *pulls;
 	kern_duty_t *members;
 	int64_t started;
-	int64_t lease;	 /* of our key in the store, 0: none */
-	uint32_t rounds; /* of the members duty */
+	int64_t lease;	      /* of our key in the store, 0: none */
+	uint32_t rounds;      /* of the members duty */
+	uint32_t reads;	      /* of the others' keys */
+	int64_t members_seen; /* the newest of these */
 } entry_memb_t;
 
 /* A pull that the core asked for; owned by the duty that runs it. */
--- a/packages/entry/entry_members.c
+++ b/packages/entry/entry_members.c
@@ -8,7 +8,8 @@
  */
 
 #define LEASE_S 30
-#define READ_EVERY 6 /* rounds of the duty */
+#define READ_EVERY 6   /* rounds of the duty */
+#define WHOLE_EVERY 10 /* reads: the others are of what changed */
 
 static void read_seeds(entry_memb_t *memb, plat_store_t *store, int64_t *own);
 static void take_seed(entry_memb_t *memb, base_str_t value);
@@ -51,16 +52,26 @@
 	store->ops->lease_revoke(store, memb->lease, NULL);
 }
 
-/* "*own" becomes the revision of our key, 0 when it is absent. */
+/*
+ * What changed, for the list grows with the entries; the whole now and then,
+ * since the core keeps some seeds only, and while our key is to be written:
+ * "*own" becomes its revision, 0 when it is absent.
+ */
 static void read_seeds(entry_memb_t *memb, plat_store_t *store, int64_t *own)
 {
 	void *ctx = talloc_new(NULL);
 	char *key = own_key(memb, ctx);
+	bool whole = !memb->lease || memb->reads % WHOLE_EVERY == 0;
 	plat_kvs_t kvs;
 
-	if (store->ops->range(store, ctx, ENTRY_MEMBERS_PREFIX, true, &kvs,
-			      NULL)) {
+	if (store->ops->changes(store, ctx, ENTRY_MEMBERS_PREFIX, true,
+				whole ? 0 : memb->members_seen, &kvs, NULL)) {
+		memb->reads++;
+		if (whole)
+			memb->members_seen = 0;
 		for (size_t i = 0; i < kvs.count; i++) {
+			memb->members_seen = MAX(memb->members_seen,
+						 kvs.items[i].mod_revision);
 			if (base_str_eq(kvs.items[i].key, base_str(key)))
 				*own = kvs.items[i].mod_revision;
 			else
