Measure the hand-over of a full table of claims

claim_bench fills a table with its 262,144 records, less what is kept free, and lets a new entry take over all slices, which is the most that one entry ever copies.

--- a/bench/claim_bench.c
+++ b/bench/claim_bench.c
@@ -18,12 +18,17 @@
 static int64_t take_loop(claim_table_t *table, claim_verdict_t want);
 static void memory(void);
 static void messages(void);
+static void handover(void);
+static void fill(claim_table_t *table);
+static claim_table_t *table_in(const char *name, const claim_epoch_t *epoch);
+static size_t batch_bytes(const claim_batch_t *batch);
 static size_t sealed(xdrproc_t head, void *head_of, xdrproc_t args, void *of);
 
 int main(void)
 {
 	memory();
 	messages();
+	handover();
 	return 0;
 }
 
@@ -116,6 +121,94 @@
 	       2 * (take_out + take_back + end_out + end_back));
 }
 
+/*
+ * The most that one entry ever copies: the other one of two stops, and a third
+ * takes over all slices of a full table.
+ */
+static void handover(void)
+{
+	claim_member_t before[] = { { "a", "z1", 1 }, { "b", "z2", 1 } };
+	claim_member_t after[] = { { "a", "z1", 1 }, { "c", "z2", 1 } };
+	claim_epoch_t first = { .number = 1, .now = { before, 2 } };
+	claim_epoch_t second = { .number = 2,
+				 .now = { after, 2 },
+				 .former = { before, 2 } };
+	claim_table_t *from = table_in("a", &first);
+	claim_table_t *to = table_in("c", &second);
+	claim_batch_t *batch = talloc(from, claim_batch_t);
+	double empty = (double)digest_loop();
+	uint32_t calls = 0, slice = 0;
+	size_t bytes = 0;
+	claim_pull_t pull;
+	int64_t begin;
+
+	fill(from);
+	claim_table_adopt(from, &second, BASE_SEC, BASE_SEC);
+	begin = base_clock_mono();
+	while (claim_table_next_pull(to, slice, BASE_SEC, &pull)) {
+		bool answers = !strcmp(pull.source.id, "a");
+
+		slice = pull.slice;
+		if (answers)
+			claim_table_export(from, &pull, BASE_SEC, batch);
+		claim_table_import(to, &pull, answers ? batch : NULL, BASE_SEC);
+		calls += answers;
+		bytes += answers ? batch_bytes(batch) : 0;
+	}
+	printf("{\"bench\":\"claim-handover\",\"records\":%u,\"copied\":%u,"
+	       "\"calls\":%u,\"bytes\":%zu,\"bytes_per_record\":%.1f,"
+	       "\"still_copying\":%u,\"record_to_digest\":%.2f}\n",
+	       claim_table_stats(from, BASE_SEC).records,
+	       claim_table_stats(to, BASE_SEC).records, calls, bytes,
+	       (double)bytes / claim_table_stats(to, BASE_SEC).records,
+	       claim_table_copying(to, BASE_SEC),
+	       (double)(base_clock_mono() - begin) /
+		       claim_table_stats(to, BASE_SEC).records / empty *
+		       RECORDS);
+	talloc_free(from);
+	talloc_free(to);
+}
+
+/* With claims of many callers, until there is no room for a new one. */
+static void fill(claim_table_t *table)
+{
+	claim_reply_t reply = { .verdict = CLAIM_GRANTED };
+
+	for (uint32_t i = 0; reply.verdict == CLAIM_GRANTED; i++) {
+		claim_take_t take = { .id = id_of(i),
+				      .attempt = { 7, i + 1 },
+				      .caller = i,
+				      .epoch = 1 };
+
+		claim_table_take(table, &take, BASE_SEC, &reply);
+	}
+}
+
+static claim_table_t *table_in(const char *name, const claim_epoch_t *epoch)
+{
+	claim_table_opts_t opts = { name, 1, claim_limits_default };
+	claim_table_t *table = claim_table_new(NULL, &opts);
+
+	claim_table_adopt(table, epoch, BASE_SEC, BASE_SEC);
+	return table;
+}
+
+/* The claims have no answers yet. */
+static size_t batch_bytes(const claim_batch_t *batch)
+{
+	peer_call_head call = { .from = (char *)NAME,
+				.zone = (char *)"zone-1" };
+	peer_reply_head reply = { 0 };
+	peer_claim_pull pull = { 0 };
+	peer_claim_copy copies[CLAIM_BATCH_MAX] = { 0 };
+	peer_claim_batch wire = { .copies = { batch->n, copies } };
+
+	return sealed((xdrproc_t)xdr_peer_call_head, &call,
+		      (xdrproc_t)xdr_peer_claim_pull, &pull) +
+	       sealed((xdrproc_t)xdr_peer_reply_head, &reply,
+		      (xdrproc_t)xdr_peer_claim_batch, &wire);
+}
+
 static size_t sealed(xdrproc_t head, void *head_of, xdrproc_t args, void *of)
 {
 	return xdr_sizeof(head, head_of) + xdr_sizeof(args, of) + SEAL_BYTES;
