Give the check of calls held back a test of its own

What it checked stays as it was; /plat/guard-held-back checks that a call that the circuit holds back leaves the budget, and fails without that.

--- a/packages/plat/tests/plat_test.c
+++ b/packages/plat/tests/plat_test.c
@@ -230,22 +230,39 @@
 	return &guarded.store;
 }
 
-static void test_guard(void)
+static plat_guard_t *guard_of(double calls_s)
 {
 	plat_guard_options_t options = {
 		.connect = connect_fake,
-		.calls_s = { 5.0, 5.0, 5.0, 0.001 },
+		.calls_s = { calls_s, calls_s, calls_s, calls_s },
 		.seed = 3,
 	};
-	plat_guard_t *guard = plat_guard_new(NULL, &options);
-	plat_store_t *store = plat_guard_store(guard, PLAT_FOR_CONFIG);
+
+	return plat_guard_new(NULL, &options);
+}
+
+/* How many of "n" ranges were answered. */
+static int ask(plat_guard_t *guard, plat_purpose_t purpose, int n)
+{
+	plat_store_t *store = plat_guard_store(guard, purpose);
 	void *ctx = talloc_new(NULL);
 	plat_kvs_t kvs;
 	int answered = 0;
 
-	for (int i = 0; i < 50; i++)
+	while (n--)
 		answered +=
 			store->ops->range(store, ctx, "k", false, &kvs, NULL);
+	talloc_free(ctx);
+	return answered;
+}
+
+static void test_guard(void)
+{
+	plat_guard_t *guard = guard_of(5.0);
+	int answered;
+
+	guarded = (fake_t){ .store = { &fake_ops } };
+	answered = ask(guard, PLAT_FOR_CONFIG, 50);
 	g_assert_cmpint(answered, >=, 5);
 	g_assert_cmpint(answered, <, 50);
 	g_assert_cmpint(guarded.calls, ==, answered);
@@ -253,21 +270,27 @@
 			 50 - (guint)answered);
 	/* Another purpose has a budget of its own, and the circuit closes. */
 	guarded.down = true;
-	store = plat_guard_store(guard, PLAT_FOR_FLEET);
-	for (int i = 0; i < 5; i++)
-		g_assert_false(
-			store->ops->range(store, ctx, "k", false, &kvs, NULL));
+	g_assert_cmpint(ask(guard, PLAT_FOR_FLEET, 5), ==, 0);
 	g_assert_cmpint(guarded.calls, ==, answered + PLAT_CIRCUIT_FAILURES);
-	/* What the circuit holds back has not used the budget up. */
+	talloc_free(guard);
+}
+
+/* What the circuit holds back has not used the budget up. */
+static void test_guard_held_back(void)
+{
+	plat_guard_t *guard = guard_of(0.001);
+
+	guarded = (fake_t){ .store = { &fake_ops }, .down = true };
+	for (int i = 0; i < PLAT_CIRCUIT_FAILURES; i++)
+		g_assert_cmpint(ask(guard, (plat_purpose_t)i, 1), ==, 0);
+	g_assert_cmpint(guarded.calls, ==, PLAT_CIRCUIT_FAILURES);
 	guarded.down = false;
-	store = plat_guard_store(guard, PLAT_FOR_DUTY);
 	for (int i = 0; i < 3000; i++) {
-		if (store->ops->range(store, ctx, "k", false, &kvs, NULL))
+		if (ask(guard, PLAT_FOR_DUTY, 1))
 			break;
 		base_clock_sleep(10 * BASE_MS);
 	}
 	g_assert_cmpuint(plat_guard_calls(guard, PLAT_FOR_DUTY).made, ==, 1);
-	talloc_free(ctx);
 	talloc_free(guard);
 }
 
@@ -280,5 +303,6 @@
 	g_test_add_func("/plat/duty-outage", test_duty_outage);
 	g_test_add_func("/plat/circuit", test_circuit);
 	g_test_add_func("/plat/guard", test_guard);
+	g_test_add_func("/plat/guard-held-back", test_guard_held_back);
 	return g_test_run();
 }
