Split the pod API's client by subject

plat_pods.c had 500 lines: orders, the list and the watch, and what a pod says of its task. Each is a file of its own now (243, 135 and 120 lines); no line of logic changed.

--- a/packages/plat/plat_pods.c
+++ b/packages/plat/plat_pods.c
@@ -1,7 +1,7 @@
 #include <inttypes.h>
 #include <stdlib.h>
 
-#include "plat_int.h"
+#include "plat_pods_int.h"
 
 /*
  * Kubernetes' pod API, core/v1.  A task is a pod that is bound to its worker
@@ -21,31 +21,9 @@
  * The worker reports in annotations of the pod what status has no place for.
  */
 
-#define PODS_PATH "/api/v1/namespaces/jobs/pods"
-#define NOTE "cactusfield/"
 #define MERGE "application/merge-patch+json"
-#define VERSION_MAX 32		     /* bytes */
-#define LIST_PART 2000		     /* pods of one answer */
-#define WATCH_S 20		     /* then the platform ends a watch ... */
-#define WATCH_MAX_US (30 * BASE_SEC) /* ... or is taken to be gone */
 #define START_BY_US (30 * BASE_SEC)
 
-typedef struct plat_pods {
-	plat_tasks_t tasks;
-	plat_address_t address;
-	plat_http_t *http;
-	plat_ws_t *watch;	   /* NULL: none */
-	int64_t watched_at;	   /* when it was opened */
-	char version[VERSION_MAX]; /* "": not followed */
-} plat_pods_t;
-
-/* While reports are read. */
-typedef struct reading {
-	plat_pods_t *pods;
-	plat_report_fn_t report;
-	void *arg;
-} reading_t;
-
 static bool pods_start(plat_tasks_t *tasks, const jobs_order_t *order,
 		       GError **err);
 static bool pods_checkpoint(plat_tasks_t *tasks, const jobs_order_t *order,
@@ -59,8 +37,6 @@
 static bool pods_forbid(plat_tasks_t *tasks, const jobs_order_t *order,
 			GError **err);
 static bool pods_forget(plat_tasks_t *tasks, const char *name, GError **err);
-static bool pods_reports(plat_tasks_t *tasks, plat_report_fn_t report,
-			 void *arg, bool *whole, GError **err);
 static int post_pod(plat_pods_t *pods, const jobs_order_t *order, bool forbid,
 		    GError **err);
 static void forbid_pod(json_t *pod, const char *life, bool repeatable);
@@ -69,18 +45,6 @@
 static int patch(plat_pods_t *pods, const jobs_order_t *order,
 		 const char *below, const char *body, GError **err);
 static bool judge(int status, const char *what, GError **err);
-static bool list_all(reading_t *reading, GError **err);
-static bool follow(const reading_t *reading, GError **err);
-static bool open_watch(plat_pods_t *pods, GError **err);
-static bool take_event(const reading_t *reading, const GString *message);
-static void note_version(plat_pods_t *pods, const json_t *object);
-static void take_pod(const reading_t *reading, const json_t *pod);
-static bool event_of(const json_t *pod, jobs_event_t *event);
-static bool is_throttled(const json_t *pod);
-static int64_t milli_of(const char *quantity);
-static const char *text_in(const json_t *pod, const char *section,
-			   const char *key);
-static int64_t note_of(const json_t *pod, const char *key);
 
 static const plat_tasks_ops_t pods_ops = {
 	.start = pods_start,
@@ -90,7 +54,7 @@
 	.stop = pods_stop,
 	.forbid = pods_forbid,
 	.forget = pods_forget,
-	.reports = pods_reports,
+	.reports = plat_pods_reports,
 };
 
 plat_tasks_t *plat_pods_new(const void *ctx, const plat_address_t *address)
@@ -188,63 +152,6 @@
 	return status == 404 || judge(status, "forget", err);
 }
 
-static bool pods_reports(plat_tasks_t *tasks, plat_report_fn_t report,
-			 void *arg, bool *whole, GError **err)
-{
-	plat_pods_t *pods = (plat_pods_t *)tasks;
-	reading_t reading = { pods, report, arg };
-	bool heard;
-
-	*whole = !pods->version[0];
-	if (*whole)
-		return list_all(&reading, err);
-	heard = follow(&reading, err);
-	if (!heard)
-		pods->version[0] = '\0';
-	return heard;
-}
-
-/*
- * The watch goes over a websocket, as the API server offers it: a message an
- * event.  Civetweb's client cannot say where an event of a stream that grows
- * ends without reading byte by byte.
- */
-static bool follow(const reading_t *reading, GError **err)
-{
-	plat_pods_t *pods = reading->pods;
-	int64_t wait_us = PLAT_TASKS_WAIT_S * BASE_SEC;
-	GString *message;
-	bool good = true;
-
-	if (!pods->watch && !open_watch(pods, err))
-		return false;
-	while (good && (message = plat_ws_take(pods->watch, wait_us))) {
-		good = take_event(reading, message);
-		g_string_free(message, TRUE);
-		wait_us = 0;
-	}
-	if (!good || plat_ws_closed(pods->watch) ||
-	    base_clock_mono() - pods->watched_at > WATCH_MAX_US)
-		TALLOC_FREE(pods->watch);
-	if (!good)
-		g_set_error(err, PLAT_ERROR, PLAT_ERROR_BAD,
-			    "tasks cannot be followed");
-	return good;
-}
-
-static bool open_watch(plat_pods_t *pods, GError **err)
-{
-	char *path = talloc_asprintf(NULL,
-				     PODS_PATH "?watch=true&resourceVersion=%s"
-					       "&timeoutSeconds=%d",
-				     pods->version, WATCH_S);
-
-	pods->watch = plat_ws_open(pods, &pods->address, path, err);
-	pods->watched_at = base_clock_mono();
-	talloc_free(path);
-	return pods->watch != NULL;
-}
-
 /* The status, or 0. */
 static int post_pod(plat_pods_t *pods, const jobs_order_t *order, bool forbid,
 		    GError **err)
@@ -334,167 +241,3 @@
 			    "%s: status %d", what, status);
 	return false;
 }
-
-/* In parts, all as of one version. */
-static bool list_all(reading_t *reading, GError **err)
-{
-	plat_pods_t *pods = reading->pods;
-	char *path = talloc_asprintf(NULL, PODS_PATH "?limit=%d", LIST_PART);
-	bool more = true;
-
-	while (more) {
-		json_t *root = plat_http_call(pods->http, path, NULL, err);
-		const char *next = text_in(root, "metadata", "continue");
-		json_t *pod;
-		size_t i;
-
-		talloc_free(path);
-		path = NULL;
-		if (!root) {
-			pods->version[0] = '\0';
-			return false;
-		}
-		json_array_foreach(json_object_get(root, "items"), i, pod)
-			take_pod(reading, pod);
-		note_version(pods, root);
-		more = next && next[0];
-		if (more)
-			path = talloc_asprintf(
-				NULL, PODS_PATH "?limit=%d&continue=%s",
-				LIST_PART, next);
-		json_decref(root);
-	}
-	return true;
-}
-
-static bool take_event(const reading_t *reading, const GString *message)
-{
-	json_t *event = json_loadb(message->str, message->len, 0, NULL);
-	const char *type = json_string_value(json_object_get(event, "type"));
-	const json_t *pod = json_object_get(event, "object");
-	bool good = type && strcmp(type, "ERROR") != 0 && pod;
-
-	if (good && strcmp(type, "DELETED") != 0)
-		take_pod(reading, pod);
-	if (good)
-		note_version(reading->pods, pod);
-	json_decref(event);
-	return good;
-}
-
-static void note_version(plat_pods_t *pods, const json_t *object)
-{
-	const char *version = text_in(object, "metadata", "resourceVersion");
-
-	g_strlcpy(pods->version, version ? version : "", VERSION_MAX);
-}
-
-/* A pod that is not one of ours is passed over. */
-static void take_pod(const reading_t *reading, const json_t *pod)
-{
-	const char *name = text_in(pod, "metadata", "name");
-	const char *worker = text_in(pod, "spec", "nodeName");
-	const char *dot = name ? strrchr(name, '.') : NULL;
-	jobs_report_t report = { .event = JOBS_EVENT_RUNNING };
-	jobs_event_t event;
-
-	if (!dot || !worker)
-		return;
-	report.job = (base_str_t){ name, (size_t)(dot - name) };
-	report.attempt = strtoll(dot + 1, NULL, 10);
-	report.worker = base_str(worker);
-	report.incarnation = note_of(pod, "forbidden");
-	if (!report.incarnation)
-		report.incarnation = note_of(pod, "incarnation");
-	report.as_of = note_of(pod, "as-of-us");
-	report.run_us = note_of(pod, "run-us");
-	report.peak.v[JOBS_CORES] = note_of(pod, "peak-millicores");
-	report.peak.v[JOBS_MEMORY] = note_of(pod, "peak-mb");
-	if (!event_of(pod, &event)) {
-		reading->report(reading->arg, report.job, report.attempt, NULL);
-		return;
-	}
-	/* A running one says that too, besides whether it is throttled. */
-	if (event == JOBS_EVENT_THROTTLED || event == JOBS_EVENT_RESUMED)
-		reading->report(reading->arg, report.job, report.attempt,
-				&report);
-	report.event = event;
-	reading->report(reading->arg, report.job, report.attempt, &report);
-}
-
-/* False while the worker has said nothing. */
-static bool event_of(const json_t *pod, jobs_event_t *event)
-{
-	const char *phase = text_in(pod, "status", "phase");
-	const char *reason = text_in(pod, "status", "reason");
-	json_t *notes = json_object_get(json_object_get(pod, "metadata"),
-					"annotations");
-	const char *again =
-		json_string_value(json_object_get(notes, NOTE "repeatable"));
-
-	if (json_object_get(notes, NOTE "forbidden")) {
-		*event = again && !strcmp(again, "true") ? JOBS_EVENT_GONE
-							 : JOBS_EVENT_REFUSED;
-		return true;
-	}
-	if (!phase || !strcmp(phase, "Pending"))
-		return false;
-	if (!strcmp(phase, "Running"))
-		*event = is_throttled(pod) ? JOBS_EVENT_THROTTLED
-					   : JOBS_EVENT_RESUMED;
-	else if (!strcmp(phase, "Succeeded"))
-		*event = JOBS_EVENT_ENDED;
-	else if (reason && !strcmp(reason, "UnexpectedAdmissionError"))
-		*event = JOBS_EVENT_REFUSED;
-	else if (reason && !strcmp(reason, "DeadlineExceeded"))
-		*event = json_object_get(notes, NOTE "checkpointed")
-				 ? JOBS_EVENT_CHECKPOINTED
-				 : JOBS_EVENT_GONE;
-	else
-		*event = JOBS_EVENT_FAILED;
-	return true;
-}
-
-static bool is_throttled(const json_t *pod)
-{
-	json_t *status = json_object_get(pod, "status");
-	json_t *container =
-		json_array_get(json_object_get(status, "containerStatuses"), 0);
-	json_t *requests = json_object_get(
-		json_object_get(container, "resources"), "requests");
-	json_t *notes = json_object_get(json_object_get(pod, "metadata"),
-					"annotations");
-	const char *now = json_string_value(json_object_get(requests, "cpu"));
-	const char *full =
-		json_string_value(json_object_get(notes, NOTE "cpu"));
-
-	return now && full && milli_of(now) < milli_of(full);
-}
-
-/* "1500m" or "2". */
-static int64_t milli_of(const char *quantity)
-{
-	char *end;
-	int64_t number = strtoll(quantity, &end, 10);
-
-	return *end == 'm' ? number : number * 1000;
-}
-
-static const char *text_in(const json_t *pod, const char *section,
-			   const char *key)
-{
-	return json_string_value(
-		json_object_get(json_object_get(pod, section), key));
-}
-
-static int64_t note_of(const json_t *pod, const char *key)
-{
-	json_t *notes = json_object_get(json_object_get(pod, "metadata"),
-					"annotations");
-	char name[64];
-	const char *text;
-
-	g_snprintf(name, sizeof(name), NOTE "%s", key);
-	text = json_string_value(json_object_get(notes, name));
-	return text ? strtoll(text, NULL, 10) : 0;
-}
