--- a/packages/plat/plat_pod.c
+++ b/packages/plat/plat_pod.c
@@ -16,13 +16,16 @@
 	const char *name = plat_pod_text(pod, "metadata", "name");
 	const char *worker = plat_pod_text(pod, "spec", "nodeName");
 	const char *dot = name ? strrchr(name, '.') : NULL;
+	gint64 attempt;
 	jobs_report_t report = { .event = JOBS_EVENT_RUNNING };
 	jobs_event_t event;
 
-	if (!dot || !worker)
+	if (!dot || dot == name || !worker ||
+	    !g_ascii_string_to_signed(dot + 1, 10, 0, G_MAXINT64, &attempt,
+				      NULL))
 		return;
 	report.job = (base_str_t){ name, (size_t)(dot - name) };
-	report.attempt = strtoll(dot + 1, NULL, 10);
+	report.attempt = attempt;
 	report.worker = base_str(worker);
 	report.incarnation = note_of(pod, "forbidden");
 	if (!report.incarnation)
@@ -42,7 +45,10 @@
 	report_fn(arg, report.job, report.attempt, &report);
 }
 
-/* False while the worker has said nothing. */
+/*
+ * False while the worker has said nothing, or is not heard ("Unknown"): its
+ * task may still run.
+ */
 static bool event_of(const json_t *pod, jobs_event_t *event)
 {
 	const char *phase = plat_pod_text(pod, "status", "phase");
@@ -57,13 +63,15 @@
 							 : JOBS_EVENT_REFUSED;
 		return true;
 	}
-	if (!phase || !strcmp(phase, "Pending"))
+	if (!phase)
 		return false;
 	if (!strcmp(phase, "Running"))
 		*event = is_throttled(pod) ? JOBS_EVENT_THROTTLED
 					   : JOBS_EVENT_RESUMED;
 	else if (!strcmp(phase, "Succeeded"))
 		*event = JOBS_EVENT_ENDED;
+	else if (strcmp(phase, "Failed") != 0)
+		return false;
 	else if (reason && !strcmp(reason, "UnexpectedAdmissionError"))
 		*event = JOBS_EVENT_REFUSED;
 	else if (reason && !strcmp(reason, "DeadlineExceeded"))
--- a/packages/plat/plat_pods.c
+++ b/packages/plat/plat_pods.c
@@ -44,6 +44,7 @@
 		   GError **err);
 static int patch(plat_pods_t *pods, const jobs_order_t *order,
 		 const char *below, const char *body, GError **err);
+static char *escaped(base_str_t name);
 static bool judge(int status, const char *what, GError **err);
 
 static const plat_tasks_ops_t pods_ops = {
@@ -81,16 +82,17 @@
 			    GError **err)
 {
 	plat_pods_t *pods = (plat_pods_t *)tasks;
+	char *worker = escaped(order->worker), *job = escaped(order->job);
 	char *path = talloc_asprintf(
 		NULL,
-		"/api/v1/nodes/%.*s/proxy/checkpoint/jobs/%.*s.%" PRId64
-		"/task",
-		BASE_STR_ARG(order->worker), BASE_STR_ARG(order->job),
-		order->attempt);
+		"/api/v1/nodes/%s/proxy/checkpoint/jobs/%s.%" PRId64 "/task",
+		worker, job, order->attempt);
 	plat_http_request_t request = { "POST", path, NULL, "{}" };
 	int status = plat_http_send(pods->http, &request, err);
 
 	talloc_free(path);
+	g_free(worker);
+	g_free(job);
 	if (!judge(status, "checkpoint", err))
 		return false;
 	status = patch(pods, order, "",
@@ -144,11 +146,13 @@
 static bool pods_forget(plat_tasks_t *tasks, const char *name, GError **err)
 {
 	plat_pods_t *pods = (plat_pods_t *)tasks;
-	char *path = talloc_asprintf(NULL, PODS_PATH "/%s", name);
+	char *segment = escaped(base_str(name));
+	char *path = talloc_asprintf(NULL, PODS_PATH "/%s", segment);
 	plat_http_request_t request = { "DELETE", path, NULL, NULL };
 	int status = plat_http_send(pods->http, &request, err);
 
 	talloc_free(path);
+	g_free(segment);
 	return status == 404 || judge(status, "forget", err);
 }
 
@@ -168,7 +172,7 @@
 	char *acc = talloc_asprintf(name, "%" PRId64, v[JOBS_ACCELERATORS]);
 	plat_http_request_t request = { "POST", PODS_PATH, NULL, NULL };
 	char *body;
-	int status;
+	int status = 0;
 
 	pod = json_pack(
 		"{s:s,s:s,s:{s:s,s:{s:s,s:s,s:s,s:s}},s:{s:s%,s:s,s:[{s:s,s:s%,"
@@ -183,9 +187,13 @@
 		"memory", memory, NOTE "accelerator", acc);
 	if (forbid)
 		forbid_pod(pod, life, order->repeatable);
-	body = json_dumps(pod, JSON_COMPACT);
+	body = pod ? json_dumps(pod, JSON_COMPACT) : NULL;
 	request.body = body;
-	status = plat_http_send(pods->http, &request, err);
+	if (body)
+		status = plat_http_send(pods->http, &request, err);
+	else
+		g_set_error(err, PLAT_ERROR, PLAT_ERROR_BAD,
+			    "a name is no UTF-8");
 	free(body);
 	json_decref(pod);
 	talloc_free(name);
@@ -220,24 +228,43 @@
 static int patch(plat_pods_t *pods, const jobs_order_t *order,
 		 const char *below, const char *body, GError **err)
 {
-	char *path = talloc_asprintf(NULL, PODS_PATH "/%.*s.%" PRId64 "%s",
-				     BASE_STR_ARG(order->job), order->attempt,
-				     below);
+	char *job = escaped(order->job);
+	char *path = talloc_asprintf(NULL, PODS_PATH "/%s.%" PRId64 "%s", job,
+				     order->attempt, below);
 	plat_http_request_t request = { "PATCH", path, MERGE, body };
 	int status = plat_http_send(pods->http, &request, err);
 
 	talloc_free(path);
+	g_free(job);
 	return status;
 }
 
-/* Status 0 has its error already. */
+/* One segment of a path; g_free() it. */
+static char *escaped(base_str_t name)
+{
+	char *text = g_strndup(name.ptr, name.len);
+	char *segment = g_uri_escape_string(text, NULL, FALSE);
+
+	g_free(text);
+	return segment;
+}
+
+/*
+ * Status 0 has its error already.  A platform that has too much to do (429)
+ * did nothing; one that gave up waiting (408) may have.
+ */
 static bool judge(int status, const char *what, GError **err)
 {
+	plat_error_t code = PLAT_ERROR_BAD;
+
 	if (status >= 200 && status < 300)
 		return true;
+	if (status == 429)
+		code = PLAT_ERROR_DOWN;
+	else if (status == 408 || status >= 500)
+		code = PLAT_ERROR_UNKNOWN;
 	if (status)
-		g_set_error(err, PLAT_ERROR,
-			    status >= 500 ? PLAT_ERROR_UNKNOWN : PLAT_ERROR_BAD,
-			    "%s: status %d", what, status);
+		g_set_error(err, PLAT_ERROR, code, "%s: status %d", what,
+			    status);
 	return false;
 }
--- a/packages/plat/plat_pods_watch.c
+++ b/packages/plat/plat_pods_watch.c
@@ -19,8 +19,9 @@
 static bool follow(const reading_t *reading, GError **err);
 static bool open_watch(plat_pods_t *pods, GError **err);
 static bool list_all(reading_t *reading, GError **err);
+static char *list_part(reading_t *reading, const char *path, GError **err);
 static bool take_event(const reading_t *reading, const GString *message);
-static void note_version(plat_pods_t *pods, const json_t *object);
+static bool note_version(plat_pods_t *pods, const json_t *object);
 
 bool plat_pods_reports(plat_tasks_t *tasks, plat_report_fn_t report, void *arg,
 		       bool *whole, GError **err)
@@ -68,47 +69,73 @@
 
 static bool open_watch(plat_pods_t *pods, GError **err)
 {
+	char *version = g_uri_escape_string(pods->version, NULL, FALSE);
 	char *path = talloc_asprintf(NULL,
 				     PODS_PATH "?watch=true&resourceVersion=%s"
 					       "&timeoutSeconds=%d",
-				     pods->version, WATCH_S);
+				     version, WATCH_S);
 
 	pods->watch = plat_ws_open(pods, &pods->address, path, err);
 	pods->watched_at = base_clock_mono();
 	talloc_free(path);
+	g_free(version);
 	return pods->watch != NULL;
 }
 
 /* In parts, all as of one version. */
 static bool list_all(reading_t *reading, GError **err)
 {
-	plat_pods_t *pods = reading->pods;
 	char *path = talloc_asprintf(NULL, PODS_PATH "?limit=%d", LIST_PART);
-	bool more = true;
+	GError *cause = NULL;
 
-	while (more) {
-		json_t *root = plat_http_call(pods->http, path, NULL, err);
-		const char *next = plat_pod_text(root, "metadata", "continue");
-		json_t *pod;
-		size_t i;
+	for (int parts = 0; path && parts < LIST_PARTS_MAX; parts++) {
+		char *next = list_part(reading, path, &cause);
 
 		talloc_free(path);
-		path = NULL;
-		if (!root) {
-			pods->version[0] = '\0';
-			return false;
-		}
-		json_array_foreach(json_object_get(root, "items"), i, pod)
-			plat_pod_report(pod, reading->report, reading->arg);
-		note_version(pods, root);
-		more = next && next[0];
-		if (more)
-			path = talloc_asprintf(
-				NULL, PODS_PATH "?limit=%d&continue=%s",
-				LIST_PART, next);
+		path = next;
+	}
+	if (path)
+		g_set_error(&cause, PLAT_ERROR, PLAT_ERROR_BAD,
+			    "the list of tasks has no end");
+	talloc_free(path);
+	if (!cause)
+		return true;
+	reading->pods->version[0] = '\0';
+	g_propagate_error(err, cause);
+	return false;
+}
+
+/*
+ * The path of the next part, or NULL.  What has no items or no version is no
+ * list: taken for an empty one it would say that no task is there.
+ */
+static char *list_part(reading_t *reading, const char *path, GError **err)
+{
+	json_t *root = plat_http_call(reading->pods->http, path, NULL, err);
+	json_t *items = json_object_get(root, "items");
+	const char *token = plat_pod_text(root, "metadata", "continue");
+	char *next = NULL, *escaped;
+	json_t *pod;
+	size_t i;
+
+	if (!root)
+		return NULL;
+	if (!json_is_array(items) || !note_version(reading->pods, root)) {
+		g_set_error(err, PLAT_ERROR, PLAT_ERROR_BAD,
+			    "answer is no list of tasks");
 		json_decref(root);
+		return NULL;
+	}
+	json_array_foreach(items, i, pod)
+		plat_pod_report(pod, reading->report, reading->arg);
+	if (token && token[0]) {
+		escaped = g_uri_escape_string(token, NULL, FALSE);
+		next = talloc_asprintf(NULL, PODS_PATH "?limit=%d&continue=%s",
+				       LIST_PART, escaped);
+		g_free(escaped);
 	}
-	return true;
+	json_decref(root);
+	return next;
 }
 
 static bool take_event(const reading_t *reading, const GString *message)
@@ -116,20 +143,21 @@
 	json_t *event = json_loadb(message->str, message->len, 0, NULL);
 	const char *type = json_string_value(json_object_get(event, "type"));
 	const json_t *pod = json_object_get(event, "object");
-	bool good = type && strcmp(type, "ERROR") != 0 && pod;
+	bool good = type && strcmp(type, "ERROR") != 0 &&
+		    note_version(reading->pods, pod);
 
 	if (good && strcmp(type, "DELETED") != 0)
 		plat_pod_report(pod, reading->report, reading->arg);
-	if (good)
-		note_version(reading->pods, pod);
 	json_decref(event);
 	return good;
 }
 
-static void note_version(plat_pods_t *pods, const json_t *object)
+/* False for one that is missing, or that does not fit. */
+static bool note_version(plat_pods_t *pods, const json_t *object)
 {
 	const char *version =
 		plat_pod_text(object, "metadata", "resourceVersion");
 
-	g_strlcpy(pods->version, version ? version : "", VERSION_MAX);
+	return version && version[0] &&
+	       g_strlcpy(pods->version, version, VERSION_MAX) < VERSION_MAX;
 }
