Wait for the stand-in that was started, and say an error page's status

With the thread sanitizer on a busy machine entries logged "answer of 127.0.0.1:PORT was cut short" from their first call on. The stand-in cut nothing: it answered 404, as it listened and had no handlers yet.

- tests/lib.sh gave a stand-in 5 s to be ready, started another on the next block of ports without ending the first, and both wrote to one log, so that the first one's "ready" was taken for the second one's.
Each one given up stayed, 2,300 threads each.
- The end of a body without a length cannot be told from a cut, and so plat_http called every such page cut short.

A log for each try, up to a minute, and what is given up is ended. A status of 400 and above counts without its body. The stand-in takes a body that ends short for none, and closes after an answer it could not write whole.

--- a/packages/plat/plat_http.c
+++ b/packages/plat/plat_http.c
@@ -106,6 +106,14 @@
 	*status = mg_get_response_info(http->conn)->status_code;
 	if (read_body(http->conn, answer))
 		return true;
+	/*
+	 * The end of a body without a length cannot be told from a cut; an
+	 * error page has said what counts.
+	 */
+	if (*status >= 400) {
+		disconnect(http);
+		return true;
+	}
 	g_set_error(err, PLAT_ERROR, PLAT_ERROR_UNKNOWN,
 		    "answer of %s:%d was cut short", http->host, http->port);
 	disconnect(http);
--- a/packages/plat/tests/pods_test.c
+++ b/packages/plat/tests/pods_test.c
@@ -5,6 +5,7 @@
 #include "plat.h"
 
 #define PODS "/api/v1/namespaces/jobs/pods"
+#define NO_LENGTH -1   /* of "missing": the body ends with the connection */
 #define LISTS_MAX 5000 /* requests that end a list without end */
 
 /* One answer of the platform; the last one is given again. */
@@ -65,6 +66,7 @@
 	const char *query = info->query_string;
 	char *body = read_all(conn), *text;
 	answer_t answer;
+	size_t length;
 
 	(void)arg;
 	pthread_mutex_lock(&platform.lock);
@@ -79,10 +81,11 @@
 		answer = (answer_t){ 500, "", 0 };
 	platform.at++;
 	pthread_mutex_unlock(&platform.lock);
+	length = strlen(answer.body) + (size_t)MAX(answer.missing, 0);
 	text = g_strdup_printf(
-		"HTTP/1.1 %d Answer\r\nContent-Length: %zu\r\n\r\n%s",
-		answer.status, strlen(answer.body) + (size_t)answer.missing,
-		answer.body);
+		"HTTP/1.1 %d Answer\r\n%s: %zu\r\n\r\n%s", answer.status,
+		answer.missing == NO_LENGTH ? "X-Length" : "Content-Length",
+		length, answer.body);
 	mg_write(conn, text, strlen(text));
 	g_free(text);
 	if (answer.missing)
@@ -243,6 +246,8 @@
 		{ { 500, "", 0 }, PLAT_ERROR_UNKNOWN },
 		{ { 504, "{}", 0 }, PLAT_ERROR_UNKNOWN },
 		{ { 200, "{", 9 }, PLAT_ERROR_UNKNOWN },
+		{ { 400, "no", NO_LENGTH }, PLAT_ERROR_BAD },
+		{ { 429, "busy", NO_LENGTH }, PLAT_ERROR_DOWN },
 	};
 
 	for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
@@ -511,7 +516,7 @@
 int main(int argc, char **argv)
 {
 	const char *options[] = {
-		"listening_ports",	 "127.0.0.1:0", "num_threads", "4",
+		"listening_ports",	 "127.0.0.1:0", "num_threads", "8",
 		"enable_keep_alive",	 "yes",		"decode_url",  "no",
 		"keep_alive_timeout_ms", "5000",	NULL
 	};
--- a/standin/standin_http.c
+++ b/standin/standin_http.c
@@ -11,6 +11,7 @@
 
 char *read_body(struct mg_connection *conn)
 {
+	int64_t announced = mg_get_request_info(conn)->content_length;
 	base_buf_t *buf = base_buf_new(NULL);
 	char chunk[8192];
 	char *body;
@@ -23,6 +24,10 @@
 			return NULL;
 		}
 	}
+	if (got < 0 || (int64_t)buf->len < announced) {
+		talloc_free(buf);
+		return NULL;
+	}
 	body = talloc_steal(NULL, buf->ptr);
 	talloc_free(buf);
 	return body;
@@ -40,7 +45,8 @@
 		      "Content-Length: %zu\r\n\r\n",
 		      status, len);
 	base_buf_add(out, text, len);
-	mg_write(conn, out->ptr, out->len);
+	if (mg_write(conn, out->ptr, out->len) != (int)out->len)
+		mg_disable_connection_keep_alive(conn);
 	talloc_free(out);
 	free(text);
 	json_decref(json);
--- a/standin/standin_int.h
+++ b/standin/standin_int.h
@@ -95,7 +95,10 @@
 /* A query parameter's value, or "" when absent. */
 void param(struct mg_connection *conn, const char *name, char *out, size_t len);
 
-/* The whole body, NUL-terminated, below NULL; NULL when too large. */
+/*
+ * The whole body, NUL-terminated, below NULL; NULL when too large or when it
+ * ends short of what was announced.
+ */
 char *read_body(struct mg_connection *conn);
 
 /* Answer with "json", which is released. */
--- a/tests/lib.sh
+++ b/tests/lib.sh
@@ -50,32 +50,42 @@
 	do
 		zone_args="$zone_args --zone=$zone"
 	done
-	: >"$work/standin.log"
 	block=$(($$ % 70))
 	tries=0
 	while test $tries -lt 20
 	do
 		PORTS=$((10000 + block * 300))
+		# A log for each: one given up late would speak for the next.
+		log=$work/standin-$tries.log
 		# shellcheck disable=SC2086
 		"$OUT/standin/standin" --port=$PORTS --base=$((PORTS + 100)) \
-			$zone_args ${STANDIN_ARGS:-} >"$work/standin.log" 2>&1 &
+			$zone_args ${STANDIN_ARGS:-} >"$log" 2>&1 &
 		standin_pid=$!
-		waited=0
-		while test $waited -lt 100
-		do
-			grep -q ready "$work/standin.log" && return 0
-			kill -0 $standin_pid 2>/dev/null || break
-			sleep 0.05
-			waited=$((waited + 1))
-		done
+		await_standin "$log" && return 0
 		block=$(((block + 7) % 70))
 		tries=$((tries + 1))
 	done
 	echo "no stand-in could be started" >&2
-	cat "$work/standin.log" >&2
+	cat "$work"/standin-*.log >&2
 	exit 1
 }
 
+# await_standin LOG: until it serves; ended if it does not within a minute,
+# which 2,300 threads need on a busy machine with the thread sanitizer.
+await_standin() {
+	waited=0
+	while test $waited -lt 1200
+	do
+		grep -q "^standin ready" "$1" && return 0
+		kill -0 $standin_pid 2>/dev/null || break
+		sleep 0.05
+		waited=$((waited + 1))
+	done
+	kill $standin_pid 2>/dev/null
+	wait $standin_pid 2>/dev/null
+	return 1
+}
+
 get() {
 	"$OUT/load/load" get "127.0.0.1:$1" "$2"
 }
