--- a/packages/entry/entry_int.h
+++ b/packages/entry/entry_int.h
@@ -13,8 +13,7 @@
 #include "conf.h"
 #include "entry.h"
 #include "route.h"
-
-#define ENTRY_CONFIG_KEY "/cactusfield/config"
+#include "site_config.h"
 
 /*
  * entry_lock - a lock that each request takes for less than a microsecond:
@@ -61,7 +60,9 @@
 	base_str_t text;	/* of the record, as it stands in the store */
 	entry_pool_t *pools;	/* in the order of the configuration */
 	size_t pool_count;
-	bool owned; /* some records are known */
+	bool owned;		      /* some records are known */
+	struct entry_owner *cordoned; /* those that drain */
+	size_t cordoned_count;
 } entry_view_t;
 
 typedef struct entry_views entry_views_t;
@@ -89,6 +90,8 @@
 	uint64_t inc;
 	const char *pool; /* NULL: nobody */
 	bool serves;	  /* may be sent new work */
+	bool cordoned;	  /* drains */
+	uint64_t seq;	  /* of its record */
 } entry_owner_t;
 
 /* Take the records in place of those before. */
@@ -292,13 +295,15 @@
 	entry_forward_t *forward;
 	plat_guard_t *guard; /* all calls to the store */
 	plat_list_t *list;
-	char incarnation[24]; /* of this process */
-	atomic_int draining;  /* planned stop has begun */
-	atomic_int in_flight; /* requests on the callers' port */
+	char incarnation[24];  /* of this process */
+	atomic_int draining;   /* planned stop has begun */
+	atomic_llong owned_at; /* when it could have been ready, us */
+	atomic_int in_flight;  /* requests on the callers' port */
 	atomic_ullong outcomes[ENTRY_OUTCOME_MAX];
 	struct mg_context *operators_http;
 	struct mg_context *caller_http;
 	int64_t config_seen; /* mod_revision; the config duty's own */
+	atomic_ullong config_news[SITE_NEWS_MAX]; /* reads of the store */
 	kern_duty_t *config_duty;
 	kern_duty_t *list_duty;
 	int64_t config_read; /* when the store was asked last; its duty's */
@@ -360,24 +365,51 @@
 /* Give what this entry homes to others, and tell them so; it drains. */
 void entry_claim_leave(entry_daemon_t *daemon);
 
+/* Whether the list of entries that home claims is known here. */
+bool entry_claim_listed(entry_daemon_t *daemon);
+
 /* Whether others home all of it. */
 bool entry_claim_handed_over(const entry_daemon_t *daemon);
 
-/* Serve tickets on the callers' port. */
-void entry_claim_listen(entry_daemon_t *daemon);
+/* The page of the callers' port that issues a ticket. */
+int entry_claim_ticket_page(struct mg_connection *conn, entry_daemon_t *daemon);
 
 void entry_metrics_claim(entry_daemon_t *daemon, base_buf_t *out);
 
 /* The duty "jobs", not started. */
 entry_jobs_t *entry_jobs_new(entry_daemon_t *daemon);
 
+/* The operators' pages about jobs; entry_jobs_pages.c. */
+int entry_jobs_page(struct mg_connection *conn, entry_daemon_t *daemon);
+int entry_jobs_explain_page(struct mg_connection *conn, entry_daemon_t *daemon);
+int entry_jobs_cancel_page(struct mg_connection *conn, entry_daemon_t *daemon);
+int entry_jobs_release_page(struct mg_connection *conn, entry_daemon_t *daemon);
+
 /* Append the jobs by state, while this entry holds their duty. */
 void entry_metrics_jobs(entry_daemon_t *daemon, base_buf_t *out);
 
-/* Start a listener; the error names the port. */
-struct mg_context *entry_listen(const entry_listen_t *listen, void *user,
+/* Answer one request whole; returns the status, never 0. */
+typedef int (*entry_serve_t)(struct mg_connection *conn);
+
+/* One page of a port. */
+typedef struct entry_page {
+	const char *path; /* the whole of it */
+	int (*serve)(struct mg_connection *conn, entry_daemon_t *daemon);
+	bool open; /* to those without the operators' key */
+} entry_page_t;
+
+/* Start a listener whose requests "serve" answers; the error names the port. */
+struct mg_context *entry_listen(const entry_listen_t *listen,
+				entry_serve_t serve, entry_daemon_t *daemon,
 				int64_t keep_alive_ms, GError **err);
 
+/* The entry at whose port the request came in. */
+entry_daemon_t *entry_listen_daemon(const struct mg_connection *conn);
+
+/* The page that the request asks for, or NULL. */
+const entry_page_t *entry_page_find(const entry_page_t *pages, size_t n,
+				    const struct mg_connection *conn);
+
 /* Send "text" as an answer of the operators' port. */
 int entry_operators_answer(struct mg_connection *conn, int status,
 			   const char *type, base_str_t text);
--- a/packages/entry/entry_jobs.c
+++ b/packages/entry/entry_jobs.c
@@ -7,7 +7,8 @@
  */
 
 #define LEASE_S 3
-#define ASK_US (900 * BASE_MS) /* for the duty */
+#define LEFT_US (30 * BASE_SEC) /* between looks for tasks of no team */
+#define ASK_US (900 * BASE_MS)	/* for the duty */
 
 /* A restored task. */
 typedef struct unheard {
@@ -19,14 +20,16 @@
 static bool service_start(void *service, kern_t *kern, GError **err);
 static void service_stop(void *service);
 static void tick(void *arg, int64_t now);
-static bool wanted(entry_jobs_t *jobs);
+static bool wanted(entry_jobs_t *jobs, int64_t now);
 static bool keep_duty(entry_jobs_t *jobs, int64_t now);
 static void step(entry_jobs_t *jobs, int64_t now);
 static bool take_over(entry_jobs_t *jobs, int64_t now);
+static void learn(void *arg, base_str_t text);
 static void restore(void *arg, base_str_t text);
 static void drop(entry_jobs_t *jobs);
 static void forbid_unheard(entry_jobs_t *jobs);
 static bool record_of(void *core, base_str_t id, jobs_record_t *record);
+static char *learned_of(void *core, const void *ctx, size_t max);
 static jobs_commit_t commit(void *arg, const jobs_record_t *records, size_t n);
 static void send_start(void *arg, const jobs_order_t *order);
 static void send_checkpoint(void *arg, const jobs_order_t *order);
@@ -93,10 +96,7 @@
 	if (!entry_senders_start(jobs, err) || !entry_reader_start(jobs, err))
 		return false;
 	jobs->thread = kern_duty_start(jobs, &thread, err);
-	if (!jobs->thread)
-		return false;
-	entry_jobs_listen(jobs);
-	return true;
+	return jobs->thread != NULL;
 }
 
 /* Pages may still be asked for; they find that the duty is not held. */
@@ -138,7 +138,7 @@
 {
 	bool held;
 
-	if (!wanted(jobs)) {
+	if (!wanted(jobs, now)) {
 		if (jobs->core)
 			plat_duty_release(jobs->duty);
 		atomic_store(&jobs->held_until, 0);
@@ -153,14 +153,28 @@
 	return held;
 }
 
-/* A site without teams runs no jobs. */
-static bool wanted(entry_jobs_t *jobs)
+/*
+ * A site without teams runs no jobs, but may have to wait for the last tasks
+ * of teams that it had.
+ */
+static bool wanted(entry_jobs_t *jobs, int64_t now)
 {
 	entry_view_t *view = entry_view_hold(jobs->daemon->views);
-	bool teams = view->record && view->record->config->n_teams;
+	bool known = view->record != NULL;
+	bool teams = known && view->record->config->n_teams;
 
 	entry_view_release(view);
-	return teams && !atomic_load(&jobs->daemon->draining);
+	if (!known || atomic_load(&jobs->daemon->draining))
+		return false;
+	if (teams)
+		return true;
+	if (jobs->core)
+		return !jobs->over;
+	if (!jobs->left_at || now - jobs->left_at >= LEFT_US) {
+		jobs->left_at = now;
+		site_jobs_may_run(jobs->store, &jobs->left, NULL);
+	}
+	return jobs->left;
 }
 
 bool entry_jobs_holds(entry_jobs_t *jobs, uint64_t epoch)
@@ -176,20 +190,25 @@
 	entry_senders_tick(jobs);
 	if (jobs->listed)
 		forbid_unheard(jobs);
+	entry_jobs_forget(jobs,
+			  now); /* in the step's commit, if there is one */
 	jobs->committed = true;
-	if (!jobs_step(jobs->core, now) ||
-	    !site_joblog_snapshot(jobs->log, record_of, jobs->core)) {
+	if (!entry_jobs_idle(jobs, &jobs->told) ||
+	    (jobs->told && !jobs->over && !jobs_step(jobs->core, now)) ||
+	    !site_joblog_snapshot(jobs->log, record_of, learned_of,
+				  jobs->core)) {
 		base_log(jobs->daemon->log, BASE_MSG_DUTY_LOST,
 			 BASE_F_STR("duty", "jobs"));
 		drop(jobs);
 		plat_duty_release(jobs->duty);
 		return;
 	}
+	if (!jobs->told)
+		return;
 	if (jobs->committed) {
 		jobs->commits++;
 		pthread_cond_broadcast(&jobs->stepped);
 	}
-	entry_jobs_forget(jobs, now);
 	entry_jobs_show(jobs);
 }
 
@@ -205,7 +224,7 @@
 	entry_jobs_teams(jobs);
 	jobs->seen_at = 0;
 	entry_jobs_workers(jobs, now);
-	if (!site_joblog_read(jobs->log, restore, jobs, &cause)) {
+	if (!site_joblog_read(jobs->log, restore, learn, jobs, &cause)) {
 		base_log(jobs->daemon->log, BASE_MSG_DUTY_WAITS,
 			 BASE_F_STR("why", cause->message));
 		g_clear_error(&cause);
@@ -221,6 +240,18 @@
 	return true;
 }
 
+/* Without it sizes are learned again, from the declared ones on. */
+static void learn(void *arg, base_str_t text)
+{
+	entry_jobs_t *jobs = arg;
+	GError *cause = NULL;
+
+	if (!jobs_learned_load(jobs->core, text, &cause))
+		base_log(jobs->daemon->log, BASE_MSG_DUTY_WAITS,
+			 BASE_F_STR("why", cause->message));
+	g_clear_error(&cause);
+}
+
 static void restore(void *arg, base_str_t text)
 {
 	entry_jobs_t *jobs = arg;
@@ -270,7 +301,8 @@
 	g_hash_table_remove_all(jobs->workers);
 	g_hash_table_remove_all(jobs->unheard);
 	entry_jobs_ended_clear(jobs);
-	jobs->listed = false;
+	jobs->listed = jobs->told = jobs->over = false;
+	jobs->left = false;
 	entry_jobs_show(jobs);
 	pthread_cond_broadcast(&jobs->stepped);
 }
@@ -296,6 +328,11 @@
 	return jobs_record(core, id, record);
 }
 
+static char *learned_of(void *core, const void *ctx, size_t max)
+{
+	return jobs_learned_print(core, ctx, max);
+}
+
 static jobs_commit_t commit(void *arg, const jobs_record_t *records, size_t n)
 {
 	entry_jobs_t *jobs = arg;
--- a/packages/entry/entry_jobs_workers.c
+++ b/packages/entry/entry_jobs_workers.c
@@ -18,6 +18,7 @@
 		    const conf_shape_t *shape);
 static void tell(entry_jobs_t *jobs, int64_t now, const char *id,
 		 const worker_t *worker);
+static void drain(entry_jobs_t *jobs, int64_t now, const entry_view_t *view);
 static void free_worker(void *worker);
 
 GHashTable *entry_jobs_workers_new(void)
@@ -30,10 +31,11 @@
 {
 	entry_view_t *view = entry_view_hold(jobs->daemon->views);
 	const conf_t *conf = view->record->config;
+	bool newer = view->record->generation != jobs->generation;
 
-	for (size_t i = 0;
-	     view->record->generation != jobs->generation && i < conf->n_teams;
-	     i++) {
+	if (newer)
+		jobs_teams_clear(jobs->core);
+	for (size_t i = 0; newer && i < conf->n_teams; i++) {
 		const conf_team_t *team = &conf->teams[i];
 		jobs_res_t quota = { {
 			[JOBS_CORES] = team->cores * 1000,
@@ -44,6 +46,7 @@
 		jobs_team_set(jobs->core, team->name, quota);
 	}
 	jobs->generation = view->record->generation;
+	jobs->teams = conf->n_teams > 0;
 	entry_view_release(view);
 }
 
@@ -72,7 +75,6 @@
 			look_at(jobs, now, &pool->endpoints[k],
 				&pool->conf->worker);
 	}
-	entry_view_release(view);
 	g_hash_table_iter_init(&iter, jobs->workers);
 	while (g_hash_table_iter_next(&iter, &id, &value)) {
 		worker_t *worker = value;
@@ -82,6 +84,54 @@
 		worker->takes = false;
 		tell(jobs, now, id, worker);
 	}
+	drain(jobs, now, view);
+	entry_view_release(view);
+}
+
+/* By the same view that the workers were told by. */
+static void drain(entry_jobs_t *jobs, int64_t now, const entry_view_t *view)
+{
+	size_t n = view->cordoned_count;
+	jobs_drain_t *drains = talloc_zero_array(NULL, jobs_drain_t, n);
+
+	TALLOC_FREE(jobs->drains);
+	jobs->drains = talloc_zero_array(jobs, fleet_idle_t, n);
+	jobs->drain_count = n;
+	for (size_t i = 0; i < n; i++) {
+		const entry_owner_t *owner = &view->cordoned[i];
+
+		jobs->drains[i] =
+			(fleet_idle_t){ talloc_strdup(jobs->drains, owner->id),
+					owner->seq };
+		drains[i] = (jobs_drain_t){ base_str(owner->id),
+					    (int64_t)owner->inc };
+	}
+	jobs_drain(jobs->core, now, drains, n);
+	talloc_free(drains);
+}
+
+bool entry_jobs_idle(entry_jobs_t *jobs, bool *told)
+{
+	fleet_idle_t *idle =
+		talloc_zero_array(NULL, fleet_idle_t, jobs->drain_count);
+	jobs_commit_t done;
+	jobs_stats_t stats;
+	bool may_run;
+	size_t n = 0;
+
+	for (size_t i = 0; i < jobs->drain_count; i++)
+		if (!jobs_worker_tasks(jobs->core,
+				       base_str(jobs->drains[i].id)))
+			idle[n++] = jobs->drains[i];
+	jobs_stats(jobs->core, &stats);
+	may_run = jobs->teams || stats.tasks;
+	done = site_joblog_idle(jobs->log, may_run, idle, n);
+	talloc_free(idle);
+	/* What was said to be over begins again only once that is void. */
+	*told = (*told && !jobs->over && may_run) || done == JOBS_COMMIT_DONE;
+	if (done == JOBS_COMMIT_DONE)
+		jobs->over = !may_run;
+	return done != JOBS_COMMIT_LOST;
 }
 
 static void look_at(entry_jobs_t *jobs, int64_t now,
