Let one function serve where the same logic stood twice

Four pairs are gone from it: the end of a member in conf_pos (scan_member), a file's text in conf_gen and conf_template (conf_print), the look-up by an id that does not end in a NUL in jobs_core and jobs_worker (jobs_lookup), and the world with failing endpoints in route_flood_bench and route_flood_test (flood_failing).

Looked at and left, as merging would make them harder to read: plat_guard (a wrapper a signature; tried with a function for two of them each, as many lines as before and two casts more), plat_etcd and plat_pods (declarations only), conf_fields and conf_jobs (tables of fields), conf_jobs and conf_load (the steps between differ), entry_memb and entry_platform (option structs of different duties), peer_proto_xdr (generated).

--- a/bench/flood.h
+++ b/bench/flood.h
@@ -94,6 +94,9 @@
 flood_options_t flood_five_pools(void);
 flood_options_t flood_shared_pool(void);
 
+/* Five pools, a third of each failing for five seconds. */
+flood_options_t flood_failing(flood_fault_t fault);
+
 /* The bit of a class in "flooding". */
 unsigned flood_bit(int cls);
 
--- a/bench/flood_world.c
+++ b/bench/flood_world.c
@@ -70,6 +70,16 @@
 	return opt;
 }
 
+flood_options_t flood_failing(flood_fault_t fault)
+{
+	flood_options_t opt = flood_five_pools();
+
+	opt.fault = fault;
+	opt.fault_from = 3 * BASE_SEC;
+	opt.fault_until = 8 * BASE_SEC;
+	return opt;
+}
+
 flood_options_t flood_shared_pool(void)
 {
 	flood_options_t opt = flood_five_pools();
--- a/bench/route_flood_bench.c
+++ b/bench/route_flood_bench.c
@@ -103,12 +103,9 @@
 
 	for (int fault = FLOOD_NO_CONNECTION; fault < FLOOD_FAULT_MAX;
 	     fault++) {
-		flood_options_t opt = flood_five_pools();
+		flood_options_t opt = flood_failing((flood_fault_t)fault);
 		flood_result_t r;
 
-		opt.fault = (flood_fault_t)fault;
-		opt.fault_from = 3 * BASE_SEC;
-		opt.fault_until = 8 * BASE_SEC;
 		flood_run(&opt, &r);
 		printf("{\"bench\":\"retry\",\"fault\":\"%s\","
 		       "\"amplification\":%.4f,\"answered\":%.4f}\n",
--- a/packages/conf/conf_gen.c
+++ b/packages/conf/conf_gen.c
@@ -8,7 +8,7 @@
 	conf_t conf = *answers;
 	char digest[CONF_DIGEST_LEN + 1];
 	json_t *root;
-	char *dump, *text;
+	char *text;
 
 	conf.pools = talloc_memdup(tmp, answers->pools,
 				   answers->n_pools * sizeof(*answers->pools));
@@ -18,9 +18,7 @@
 	root = conf_encode(&conf, CONF_IN_CONFIG);
 	conf_digest(root, digest);
 	json_object_set_new(root, "digest", json_string(digest));
-	dump = json_dumps(root, JSON_INDENT(2));
-	text = talloc_asprintf(ctx, "%s\n", dump);
-	free(dump);
+	text = conf_print(ctx, root);
 	json_decref(root);
 	talloc_free(tmp);
 	if (strlen(text) > CONF_TEXT_MAX) {
@@ -32,3 +30,12 @@
 	}
 	return text;
 }
+
+char *conf_print(const void *ctx, const json_t *root)
+{
+	char *dump = json_dumps(root, JSON_INDENT(2));
+	char *text = talloc_asprintf(ctx, "%s\n", dump);
+
+	free(dump);
+	return text;
+}
--- a/packages/conf/conf_int.h
+++ b/packages/conf/conf_int.h
@@ -99,6 +99,9 @@
 /* The model as JSON with the members that "where" has. */
 json_t *conf_encode(const conf_t *conf, unsigned int where);
 
+/* A file's text: indented, with a newline at its end. */
+char *conf_print(const void *ctx, const json_t *root);
+
 /* What a field accepts, in words. */
 char *conf_field_want(const void *ctx, const conf_field_t *field);
 
--- a/packages/conf/conf_pos.c
+++ b/packages/conf/conf_pos.c
@@ -25,6 +25,7 @@
 static void scan_value(scan_t *sc, const char *path);
 static void scan_object(scan_t *sc, const char *path);
 static void scan_list(scan_t *sc, const char *path);
+static void scan_member(scan_t *sc, char *below);
 static char *scan_string(scan_t *sc);
 static void note(scan_t *sc, const char *path, int line);
 static bool plain_key(const char *key);
@@ -131,11 +132,7 @@
 		g_hash_table_add(seen, key);
 		skip_space(sc);
 		sc->at++; /* the colon */
-		scan_value(sc, sc->depth < DEPTH_MAX ? below : "");
-		talloc_free(below);
-		skip_space(sc);
-		if (sc->at < sc->end && *sc->at == ',')
-			sc->at++;
+		scan_member(sc, below);
 	}
 	sc->at++;
 	sc->depth--;
@@ -153,16 +150,22 @@
 		char *below = talloc_asprintf(NULL, "%s[%zu]", path, i++);
 
 		note(sc, below, sc->line);
-		scan_value(sc, sc->depth < DEPTH_MAX ? below : "");
-		talloc_free(below);
-		skip_space(sc);
-		if (sc->at < sc->end && *sc->at == ',')
-			sc->at++;
+		scan_member(sc, below);
 	}
 	sc->at++;
 	sc->depth--;
 }
 
+/* A value at the path "below", which is released, and the comma after it. */
+static void scan_member(scan_t *sc, char *below)
+{
+	scan_value(sc, sc->depth < DEPTH_MAX ? below : "");
+	talloc_free(below);
+	skip_space(sc);
+	if (sc->at < sc->end && *sc->at == ',')
+		sc->at++;
+}
+
 /* The string at "at" without its escapes, to be freed with free(3). */
 static char *scan_string(scan_t *sc)
 {
--- a/packages/conf/conf_template.c
+++ b/packages/conf/conf_template.c
@@ -16,13 +16,11 @@
 {
 	json_t *about = json_pack("{s:s}", "_about", ABOUT);
 	json_t *root = ask_object(&conf_schema_root);
-	char *dump, *text;
+	char *text;
 
 	json_object_update(about, root);
 	json_object_set_new(about, "schema", json_integer(CONF_SCHEMA));
-	dump = json_dumps(about, JSON_INDENT(2));
-	text = talloc_asprintf(ctx, "%s\n", dump);
-	free(dump);
+	text = conf_print(ctx, about);
 	json_decref(root);
 	json_decref(about);
 	return text;
--- a/packages/jobs/jobs_core.c
+++ b/packages/jobs/jobs_core.c
@@ -121,6 +121,11 @@
 }
 
 jobs_job_t *jobs_find(const jobs_t *jobs, base_str_t id)
+{
+	return jobs_lookup(jobs->jobs, id);
+}
+
+void *jobs_lookup(GHashTable *by_id, base_str_t id)
 {
 	char key[JOBS_ID_MAX + 1];
 
@@ -128,7 +133,7 @@
 		return NULL;
 	memcpy(key, id.ptr, id.len);
 	key[id.len] = '\0';
-	return g_hash_table_lookup(jobs->jobs, key);
+	return g_hash_table_lookup(by_id, key);
 }
 
 void jobs_dirty(jobs_t *jobs, jobs_job_t *job)
--- a/packages/jobs/jobs_int.h
+++ b/packages/jobs/jobs_int.h
@@ -262,6 +262,8 @@
 
 /* jobs_core.c */
 jobs_job_t *jobs_find(const jobs_t *jobs, base_str_t id);
+/* What "by_id" has under "id", which need not end in a NUL. */
+void *jobs_lookup(GHashTable *by_id, base_str_t id);
 void jobs_dirty(jobs_t *jobs, jobs_job_t *job);
 void jobs_set(jobs_t *jobs, jobs_job_t *job, jobs_state_t state,
 	      jobs_why_t why);
--- a/packages/jobs/jobs_worker.c
+++ b/packages/jobs/jobs_worker.c
@@ -7,13 +7,7 @@
 
 jobs_worker_t *jobs_worker_find(const jobs_t *jobs, base_str_t id)
 {
-	char key[JOBS_ID_MAX + 1];
-
-	if (id.len > JOBS_ID_MAX)
-		return NULL;
-	memcpy(key, id.ptr, id.len);
-	key[id.len] = '\0';
-	return g_hash_table_lookup(jobs->workers, key);
+	return jobs_lookup(jobs->workers, id);
 }
 
 jobs_worker_t *jobs_worker_get(jobs_t *jobs, base_str_t id, int64_t incarnation)
--- a/packages/route/tests/route_flood_test.c
+++ b/packages/route/tests/route_flood_test.c
@@ -95,12 +95,9 @@
 {
 	for (int fault = FLOOD_NO_CONNECTION; fault < FLOOD_FAULT_MAX;
 	     fault++) {
-		flood_options_t opt = flood_five_pools();
+		flood_options_t opt = flood_failing((flood_fault_t)fault);
 		flood_result_t r;
 
-		opt.fault = (flood_fault_t)fault;
-		opt.fault_from = 3 * BASE_SEC;
-		opt.fault_until = 8 * BASE_SEC;
 		flood_run(&opt, &r);
 		g_assert_cmpfloat((double)r.attempts, <=,
 				  1.1 * (double)r.requests);
