--- a/packages/entry/entry_claim.h
+++ b/packages/entry/entry_claim.h
@@ -42,6 +42,7 @@
 	uint64_t entry;		/* digest of this incarnation */
 	atomic_int handed_over; /* a stop need not wait any more */
 	int64_t store_asked;
+	int64_t proposed;
 	claim_greeter_t greeter;
 	bool none_in_store;
 	uint64_t store_number;	/* the epoch in the store ... */
