Split the tests of claims by subject

The small network is claim_world.h with two files for the list of entries and for a request; the flood, copying, the holder and the list are files of their own.

--- /dev/null
+++ b/packages/claim/tests/claim_holder_test.c
@@ -0,0 +1,136 @@
+#include "claim_three.h"
+
+static claim_action_t start_for(claim_holder_t *holder, claim_id_t id,
+				const claim_epoch_t *epoch)
+{
+	claim_request_t request = { .id = id,
+				    .attempt = { 7, 1 },
+				    .arrived = NOW };
+	claim_action_t action;
+
+	claim_holder_start(holder, &request, epoch, &claim_limits_default, NOW,
+			   &action);
+	g_assert_cmpint(action.todo, ==, CLAIM_DO_TAKE);
+	return action;
+}
+
+typedef struct claim_case {
+	claim_verdict_t home, backup;
+	bool fresh;
+	claim_do_t todo;
+	claim_tell_t tell;
+	claim_reason_t reason;
+	bool again;
+	unsigned releases;
+} claim_case_t;
+
+static void check_case(const claim_case_t *c, bool soon)
+{
+	claim_epoch_t epoch = epoch_of(1, list_of(three, 3), list_of(NULL, 0));
+	claim_reply_t reply = { .verdict = c->home,
+				.fresh = c->fresh,
+				.soon = soon };
+	claim_holder_t holder;
+	claim_action_t action = start_for(&holder, id_at(true, 0), &epoch);
+
+	claim_holder_reply(&holder, &reply, NOW, &action);
+	if (action.todo == CLAIM_DO_TAKE) {
+		g_assert_cmpint(action.take.look, ==, c->home == CLAIM_FULL);
+		reply.verdict = c->backup;
+		claim_holder_reply(&holder, &reply, NOW, &action);
+	}
+	g_assert_cmpint(action.todo, ==, c->todo);
+	g_assert_cmpint(action.tell, ==, c->tell);
+	g_assert_cmpint(action.reason, ==, c->reason);
+	g_assert_true(action.again == c->again &&
+		      action.releases == c->releases);
+	g_assert_cmpint(claim_holder_may_write(&holder, NOW), ==,
+			c->todo == CLAIM_DO_RUN);
+}
+
+/* What the caller is told for what home and backup said. */
+static void test_holder(void)
+{
+	static const claim_case_t cases[] = {
+		{ CLAIM_GRANTED, CLAIM_GRANTED, true, CLAIM_DO_RUN, 0, 0, false,
+		  0 },
+		{ CLAIM_GRANTED, CLAIM_GRANTED, false, CLAIM_DO_TELL,
+		  CLAIM_TELL_UNKNOWN, CLAIM_WHY_FENCE, false, 2 },
+		{ CLAIM_HELD, 0, true, CLAIM_DO_TELL, CLAIM_TELL_UNKNOWN,
+		  CLAIM_WHY_HELD, false, 1 },
+		{ CLAIM_GRANTED, CLAIM_HELD, true, CLAIM_DO_TELL,
+		  CLAIM_TELL_UNKNOWN, CLAIM_WHY_HELD, false, 2 },
+		{ CLAIM_LOST, 0, false, CLAIM_DO_TELL, CLAIM_TELL_UNKNOWN,
+		  CLAIM_WHY_UNREACHABLE, true, 1 },
+		{ CLAIM_GRANTED, CLAIM_SEALED, true, CLAIM_DO_TELL,
+		  CLAIM_TELL_UNKNOWN, CLAIM_WHY_EPOCH, true, 2 },
+		{ CLAIM_FULL, CLAIM_NONE, true, CLAIM_DO_TELL,
+		  CLAIM_TELL_NOT_RUN, CLAIM_WHY_FULL, false, 1 },
+		{ CLAIM_FULL, CLAIM_NONE, false, CLAIM_DO_TELL,
+		  CLAIM_TELL_UNKNOWN, CLAIM_WHY_FENCE, false, 1 },
+		{ CLAIM_FULL, CLAIM_HELD, true, CLAIM_DO_TELL,
+		  CLAIM_TELL_UNKNOWN, CLAIM_WHY_HELD, false, 1 },
+		{ CLAIM_FULL, CLAIM_LOST, true, CLAIM_DO_TELL,
+		  CLAIM_TELL_UNKNOWN, CLAIM_WHY_UNREACHABLE, true, 1 },
+		{ CLAIM_GRANTED, CLAIM_FULL, true, CLAIM_DO_TELL,
+		  CLAIM_TELL_NOT_RUN, CLAIM_WHY_FULL, false, 2 },
+		{ CLAIM_ANSWERED, 0, false, CLAIM_DO_TELL, CLAIM_TELL_UNKNOWN,
+		  CLAIM_WHY_NOT_KEPT, false, 1 },
+	};
+
+	for (size_t i = 0; i < ARRAY_SIZE(cases); i++)
+		check_case(&cases[i], false);
+}
+
+/* Who will vouch for the id still copies: it is worth another round. */
+static void test_holder_copying(void)
+{
+	static const claim_case_t cases[] = {
+		{ CLAIM_GRANTED, CLAIM_GRANTED, false, CLAIM_DO_TELL,
+		  CLAIM_TELL_UNKNOWN, CLAIM_WHY_FENCE, true, 2 },
+		{ CLAIM_FULL, CLAIM_NONE, false, CLAIM_DO_TELL,
+		  CLAIM_TELL_UNKNOWN, CLAIM_WHY_FENCE, true, 1 },
+		{ CLAIM_GRANTED, CLAIM_HELD, false, CLAIM_DO_TELL,
+		  CLAIM_TELL_UNKNOWN, CLAIM_WHY_HELD, false, 2 },
+		{ CLAIM_GRANTED, CLAIM_FULL, true, CLAIM_DO_TELL,
+		  CLAIM_TELL_NOT_RUN, CLAIM_WHY_FULL, false, 2 },
+		{ CLAIM_GRANTED, CLAIM_GRANTED, true, CLAIM_DO_RUN, 0, 0, false,
+		  0 },
+	};
+
+	for (size_t i = 0; i < ARRAY_SIZE(cases); i++)
+		check_case(&cases[i], true);
+}
+
+static void test_holder_late(void)
+{
+	claim_epoch_t epoch = epoch_of(1, list_of(three, 3), list_of(NULL, 0));
+	const claim_limits_t *limits = &claim_limits_default;
+	claim_reply_t reply = { .verdict = CLAIM_GRANTED, .fresh = true };
+	claim_holder_t holder;
+	claim_action_t action = start_for(&holder, id_at(true, 0), &epoch);
+	int64_t late = NOW + limits->hold_us + 1;
+
+	claim_holder_reply(&holder, &reply, NOW, &action);
+	claim_holder_reply(&holder, &reply, late, &action);
+	g_assert_true(action.again);
+	claim_holder_again(&holder, &epoch, late, &action);
+	g_assert_cmpuint(action.take.attempt.number, ==, 1);
+	claim_holder_reply(&holder, &reply, late, &action);
+	claim_holder_reply(&holder, &reply, late, &action);
+	g_assert_cmpint(action.todo, ==, CLAIM_DO_RUN);
+	g_assert_false(
+		claim_holder_may_write(&holder, NOW + limits->window_us / 2));
+	claim_holder_cancel(&holder, &action);
+	g_assert_cmpint(action.tell, ==, CLAIM_TELL_NOT_RUN);
+	g_assert_false(claim_holder_may_write(&holder, late));
+}
+
+int main(int argc, char **argv)
+{
+	g_test_init(&argc, &argv, NULL);
+	g_test_add_func("/claim/holder", test_holder);
+	g_test_add_func("/claim/holder-copying", test_holder_copying);
+	g_test_add_func("/claim/holder-late", test_holder_late);
+	return g_test_run();
+}
--- /dev/null
+++ b/packages/claim/tests/claim_world_run.h
@@ -0,0 +1,186 @@
+// The world of claim_world.h: what becomes of a request.
+#ifndef CLAIM_WORLD_RUN_H
+#define CLAIM_WORLD_RUN_H
+
+#include "claim_world.h"
+
+namespace
+{
+
+inline void World::submit(int at, int key, uint64_t ticket)
+{
+	auto r = std::make_shared<Request>();
+	claim_action_t action;
+	claim_limits_t l = limits();
+	claim_request_t request = {};
+	std::string name = std::to_string(key);
+
+	r->entry = at;
+	r->incarnation = all[at].incarnation;
+	r->key = key;
+	r->submitted = now;
+	request.id = claim_id(BASE_STR("caller"), base_str(name.c_str()));
+	request.attempt = { claim_entry_digest(base_str(all[at].id.c_str()),
+					       all[at].incarnation),
+			    ++all[at].attempts };
+	request.caller = (uint64_t)key % 3;
+	request.ticket = ticket;
+	request.arrived = local(at);
+	requests.push_back(r);
+	r->epoch = epoch_of(at);
+	claim_holder_start(&r->holder, &request, r->epoch, &l, local(at),
+			   &action);
+	act(r, action);
+}
+
+inline void World::act(std::shared_ptr<Request> r, const claim_action_t &action)
+{
+	if (action.todo == CLAIM_DO_TAKE) {
+		ask(r, action);
+	} else if (action.todo == CLAIM_DO_RUN) {
+		r->granted = true;
+		if (!claim_holder_may_write(&r->holder, local(r->entry)))
+			return;
+		// Between this check and the first byte anything
+		// may happen, a pause above all.
+		later(r->entry, below(50) * MS, [=] { run(r); });
+	} else {
+		tell(r, action);
+	}
+}
+
+inline void World::ask(std::shared_ptr<Request> r, const claim_action_t &action)
+{
+	unsigned step = ++r->step;
+	int to = index_of(action.target), from = r->entry;
+	claim_take_t take = action.take;
+
+	send(from, to, [=] {
+		claim_reply_t reply;
+
+		claim_table_take(all[to].table, &take, local(to), &reply);
+		std::string answer(reply.answer.ptr ? reply.answer.ptr : "",
+				   reply.answer.len);
+		bool kept = reply.answer.ptr != nullptr;
+		send(to, from, [=] {
+			claim_reply_t r2 = reply;
+
+			r2.answer = { kept ? answer.c_str() : nullptr,
+				      answer.size() };
+			reply_to(r, step, r2);
+		});
+	});
+	later(from, 400 * MS, [=] {
+		claim_reply_t lost = {};
+
+		lost.verdict = CLAIM_LOST;
+		reply_to(r, step, lost);
+	});
+}
+
+inline void World::reply_to(std::shared_ptr<Request> r, unsigned step,
+			    const claim_reply_t &reply)
+{
+	claim_action_t action;
+
+	if (dead(r) || r->step != step)
+		return;
+	r->step++;
+	claim_holder_reply(&r->holder, &reply, local(r->entry), &action);
+	act(r, action);
+}
+
+inline void World::release(const claim_action_t &action,
+			   const std::shared_ptr<Request> &r)
+{
+	for (unsigned i = 0; i < action.releases; i++) {
+		int to = index_of(action.release[i]);
+		claim_request_t q = r->holder.request;
+
+		send(r->entry, to, [=] {
+			claim_table_release(all[to].table, q.id, q.attempt,
+					    local(to));
+		});
+	}
+}
+
+inline void World::tell(std::shared_ptr<Request> r,
+			const claim_action_t &action)
+{
+	if (action.again && r->rounds++ < 3 && chance(0.7)) {
+		r->step++;
+		later(r->entry, 300 * MS, [=] {
+			claim_action_t next;
+
+			if (dead(r))
+				return;
+			r->epoch = epoch_of(r->entry);
+			claim_holder_again(&r->holder, r->epoch,
+					   local(r->entry), &next);
+			act(r, next);
+		});
+		return;
+	}
+	r->over = true;
+	release(action, r);
+	if (action.tell == CLAIM_TELL_NOT_RUN)
+		not_run(r);
+	else
+		unknown++;
+	if (action.tell == CLAIM_TELL_REPLAY &&
+	    (runs[r->key].empty() ||
+	     strtol(action.answer.ptr, nullptr, 10) != r->key))
+		fault = "replayed an answer that was not given";
+}
+
+inline void World::not_run(std::shared_ptr<Request> r)
+{
+	refused_not_run++;
+	for (int64_t at : runs[r->key])
+		if (std::abs(at - r->submitted) <= WINDOW)
+			fault = "not run was told of key " +
+				std::to_string(r->key) + ", which ran";
+}
+
+inline void World::run(std::shared_ptr<Request> r)
+{
+	claim_action_t action;
+
+	if (dead(r))
+		return;
+	r->over = true;
+	if (chance(0.2)) { // no endpoint: nothing was written
+		claim_holder_cancel(&r->holder, &action);
+		release(action, r);
+		not_run(r);
+		return;
+	}
+	for (int64_t at : runs[r->key])
+		if (std::abs(at - r->submitted) <= WINDOW)
+			fault = "key " + std::to_string(r->key) + " ran twice";
+	runs[r->key].push_back(r->submitted);
+	ran++;
+	if (chance(0.3)) // the endpoint's answer is lost
+		return;
+	claim_member_t targets[2];
+	unsigned n = claim_holder_targets(&r->holder, targets);
+	claim_request_t q = r->holder.request;
+	for (unsigned i = 0; i < n; i++) {
+		int to = index_of(targets[i]);
+		std::string text = std::to_string(r->key) + " done";
+
+		send(r->entry, to, [=] {
+			claim_finish_t f = { q.id,
+					     q.attempt,
+					     q.print,
+					     q.caller,
+					     { text.c_str(), text.size() } };
+
+			claim_table_finish(all[to].table, &f, local(to));
+		});
+	}
+}
+
+} // namespace
+
+#endif
