Give the steps of a jobs' commit and of a take-over names

build() in site_joblog.c had 44 lines: what is forgotten, what changed and what is taken back when the ring has no room are functions now. restore() in entry_jobs.c hands the tasks that nobody has heard of to expect().

--- a/packages/entry/entry_jobs.c
+++ b/packages/entry/entry_jobs.c
@@ -10,7 +10,7 @@
 #define LEFT_US (30 * BASE_SEC) /* between looks for tasks of no team */
 #define ASK_US (900 * BASE_MS)	/* for the duty */
 
-/* A restored task. */
+/* A restored task that no list has named yet. */
 typedef struct unheard {
 	char *job, *worker;
 	jobs_order_t order;
@@ -26,6 +26,8 @@
 static bool take_over(entry_jobs_t *jobs, int64_t now);
 static void learn(void *arg, base_str_t text);
 static void restore(void *arg, base_str_t text);
+static void expect(entry_jobs_t *jobs, const jobs_record_t *record,
+		   const jobs_record_task_t *task);
 static void drop(entry_jobs_t *jobs);
 static void forbid_unheard(entry_jobs_t *jobs);
 static bool record_of(void *core, base_str_t id, jobs_record_t *record);
@@ -269,29 +271,34 @@
 	}
 	if (record.state >= JOBS_DONE)
 		entry_jobs_ended(jobs, record.spec.id);
-	for (int i = 0; i < record.n_tasks; i++) {
-		const jobs_record_task_t *task = &record.tasks[i];
-		unheard_t *unheard = g_new0(unheard_t, 1);
-
-		unheard->job =
-			g_strndup(record.spec.id.ptr, record.spec.id.len);
-		unheard->worker = g_strndup(task->worker.ptr, task->worker.len);
-		unheard->order = (jobs_order_t){
-			.job = base_str(unheard->job),
-			.attempt = task->attempt,
-			.worker = base_str(unheard->worker),
-			.incarnation = task->incarnation,
-			.family = BASE_STR("none"),
-			.repeatable = record.spec.repeatable,
-		};
-		g_hash_table_replace(jobs->unheard,
-				     g_strdup_printf("%s.%lld", unheard->job,
-						     (long long)task->attempt),
-				     unheard);
-	}
+	for (int i = 0; i < record.n_tasks; i++)
+		expect(jobs, &record, &record.tasks[i]);
 	talloc_free(ctx);
 }
 
+/* Until it is listed nobody knows whether the predecessor sent its start. */
+static void expect(entry_jobs_t *jobs, const jobs_record_t *record,
+		   const jobs_record_task_t *task)
+{
+	unheard_t *unheard = g_new0(unheard_t, 1);
+	base_str_t id = record->spec.id;
+
+	unheard->job = g_strndup(id.ptr, id.len);
+	unheard->worker = g_strndup(task->worker.ptr, task->worker.len);
+	unheard->order = (jobs_order_t){
+		.job = base_str(unheard->job),
+		.attempt = task->attempt,
+		.worker = base_str(unheard->worker),
+		.incarnation = task->incarnation,
+		.family = BASE_STR("none"),
+		.repeatable = record->spec.repeatable,
+	};
+	g_hash_table_replace(jobs->unheard,
+			     g_strdup_printf("%s.%lld", unheard->job,
+					     (long long)task->attempt),
+			     unheard);
+}
+
 /* Under the lock. */
 static void drop(entry_jobs_t *jobs)
 {
--- a/packages/site/site_joblog.c
+++ b/packages/site/site_joblog.c
@@ -7,6 +7,10 @@
 static int free_log(site_joblog_t *log);
 static void note_all(site_joblog_t *log);
 static bool build(site_joblog_t *log, const jobs_record_t *records, size_t n);
+static void add_gone(site_joblog_t *log, base_buf_t *gone);
+static void add_record(site_joblog_t *log, const jobs_record_t *record,
+		       base_buf_t *put, base_buf_t *gone);
+static void take_back(site_joblog_t *log);
 static void end_part(site_joblog_t *log, base_buf_t *put, base_buf_t *gone,
 		     bool more);
 static site_wrote_t flush(site_joblog_t *log);
@@ -121,8 +125,22 @@
 {
 	base_buf_t *put = base_buf_new(log), *gone = base_buf_new(log);
 	int64_t room = SITE_JOBLOG_SLOTS - 1 - (log->seq - log->head_seq);
-	bool fits;
 
+	add_gone(log, gone);
+	for (size_t i = 0; i < n; i++)
+		add_record(log, &records[i], put, gone);
+	if (put->len || gone->len || !g_queue_is_empty(&log->parts))
+		end_part(log, put, gone, false);
+	talloc_free(put);
+	talloc_free(gone);
+	if (g_queue_get_length(&log->parts) <= room)
+		return true;
+	take_back(log);
+	return false;
+}
+
+static void add_gone(site_joblog_t *log, base_buf_t *gone)
+{
 	while (!g_queue_is_empty(&log->gone)) {
 		char *id = g_queue_pop_head(&log->gone);
 
@@ -130,38 +148,37 @@
 		base_buf_add_json(gone, base_str(id));
 		g_hash_table_replace(log->parts_put, id, NULL);
 	}
-	for (size_t i = 0; i < n; i++) {
-		char *id = base_str_dup(put, records[i].spec.id);
-		char *text = jobs_record_print(put, &records[i]);
-		const uint64_t *old = g_hash_table_lookup(log->digests, id);
-
-		if (old && *old == XXH3_64bits(text, strlen(text)))
-			continue;
-		if (put->len + gone->len + strlen(text) >
-		    SITE_JOBLOG_VALUE_MAX - 256)
-			end_part(log, put, gone, true);
-		base_buf_adds(put, put->len ? "," : "");
-		base_buf_adds(put, text);
-		g_hash_table_replace(log->parts_put, g_strdup(id),
-				     g_strdup(text));
-	}
-	if (put->len || gone->len || !g_queue_is_empty(&log->parts))
-		end_part(log, put, gone, false);
-	talloc_free(put);
-	talloc_free(gone);
-	fits = g_queue_get_length(&log->parts) <= room;
-	if (!fits) {
-		GHashTableIter iter;
-		void *id, *text;
-
-		g_hash_table_iter_init(&iter, log->parts_put);
-		while (g_hash_table_iter_next(&iter, &id, &text))
-			if (!text)
-				g_queue_push_tail(&log->gone, g_strdup(id));
-		g_hash_table_remove_all(log->parts_put);
-		g_queue_clear_full(&log->parts, g_free);
-	}
-	return fits;
+}
+
+/* One that stands in the log as it is would only cost room. */
+static void add_record(site_joblog_t *log, const jobs_record_t *record,
+		       base_buf_t *put, base_buf_t *gone)
+{
+	char *id = base_str_dup(put, record->spec.id);
+	char *text = jobs_record_print(put, record);
+	const uint64_t *old = g_hash_table_lookup(log->digests, id);
+
+	if (old && *old == XXH3_64bits(text, strlen(text)))
+		return;
+	if (put->len + gone->len + strlen(text) > SITE_JOBLOG_VALUE_MAX - 256)
+		end_part(log, put, gone, true);
+	base_buf_adds(put, put->len ? "," : "");
+	base_buf_adds(put, text);
+	g_hash_table_replace(log->parts_put, g_strdup(id), g_strdup(text));
+}
+
+/* The records come again with the next commit, the forgotten ids do not. */
+static void take_back(site_joblog_t *log)
+{
+	GHashTableIter iter;
+	void *id, *text;
+
+	g_hash_table_iter_init(&iter, log->parts_put);
+	while (g_hash_table_iter_next(&iter, &id, &text))
+		if (!text)
+			g_queue_push_tail(&log->gone, g_strdup(id));
+	g_hash_table_remove_all(log->parts_put);
+	g_queue_clear_full(&log->parts, g_free);
 }
 
 static void end_part(site_joblog_t *log, base_buf_t *put, base_buf_t *gone,
