--- a/packages/plat/tests/plat_test.c
+++ b/packages/plat/tests/plat_test.c
@@ -230,6 +230,21 @@
 	return &guarded.store;
 }
 
+/* Calls of "n" that were answered. */
+static int read_often(plat_guard_t *guard, plat_purpose_t purpose, int n)
+{
+	plat_store_t *store = plat_guard_store(guard, purpose);
+	void *ctx = talloc_new(NULL);
+	int answered = 0;
+	plat_kvs_t kvs;
+
+	for (int i = 0; i < n; i++)
+		answered +=
+			store->ops->range(store, ctx, "k", false, &kvs, NULL);
+	talloc_free(ctx);
+	return answered;
+}
+
 static void test_guard(void)
 {
 	plat_guard_options_t options = {
@@ -238,14 +253,8 @@
 		.seed = 3,
 	};
 	plat_guard_t *guard = plat_guard_new(NULL, &options);
-	plat_store_t *store = plat_guard_store(guard, PLAT_FOR_CONFIG);
-	void *ctx = talloc_new(NULL);
-	plat_kvs_t kvs;
-	int answered = 0;
+	int answered = read_often(guard, PLAT_FOR_CONFIG, 50);
 
-	for (int i = 0; i < 50; i++)
-		answered +=
-			store->ops->range(store, ctx, "k", false, &kvs, NULL);
 	g_assert_cmpint(answered, >=, 5);
 	g_assert_cmpint(answered, <, 50);
 	g_assert_cmpint(guarded.calls, ==, answered);
@@ -253,21 +262,16 @@
 			 50 - (guint)answered);
 	/* Another purpose has a budget of its own, and the circuit closes. */
 	guarded.down = true;
-	store = plat_guard_store(guard, PLAT_FOR_FLEET);
-	for (int i = 0; i < 5; i++)
-		g_assert_false(
-			store->ops->range(store, ctx, "k", false, &kvs, NULL));
+	g_assert_cmpint(read_often(guard, PLAT_FOR_FLEET, 5), ==, 0);
 	g_assert_cmpint(guarded.calls, ==, answered + PLAT_CIRCUIT_FAILURES);
 	/* What the circuit holds back has not used the budget up. */
 	guarded.down = false;
-	store = plat_guard_store(guard, PLAT_FOR_DUTY);
 	for (int i = 0; i < 3000; i++) {
-		if (store->ops->range(store, ctx, "k", false, &kvs, NULL))
+		if (read_often(guard, PLAT_FOR_DUTY, 1))
 			break;
 		base_clock_sleep(10 * BASE_MS);
 	}
 	g_assert_cmpuint(plat_guard_calls(guard, PLAT_FOR_DUTY).made, ==, 1);
-	talloc_free(ctx);
 	talloc_free(guard);
 }
 
