Read no value of the jobs' log in part

An id in "gone" that is no text ended the process of whoever took over (a look-up of NULL in the hash table), a record without an id was passed over, and with it its job.

--- a/packages/site/site_joblog_read.c
+++ b/packages/site/site_joblog_read.c
@@ -15,7 +15,7 @@
 		      GError **err);
 static bool read_log(site_joblog_t *log, GHashTable *texts, GError **err);
 static bool bad_value(const char *key, GError **err);
-static void take_puts(GHashTable *texts, const json_t *value);
+static bool take_puts(GHashTable *texts, const json_t *value);
 static void take_all(GHashTable *texts, GHashTable *changes);
 
 bool site_joblog_read(site_joblog_t *log, site_text_fn_t visit,
@@ -128,18 +128,20 @@
 {
 	char key[64];
 	json_t *value, *learned;
+	bool good;
 
 	site_joblog_part_key(key, log->area, part);
 	value = read_value(log, key, err);
-	if (value)
-		take_puts(texts, value);
+	good = value != NULL;
+	if (good && !take_puts(texts, value))
+		good = bad_value(key, err);
 	learned = json_object_get(value, "learned");
 	if (learned) {
 		free(log->learned);
 		log->learned = json_dumps(learned, JSON_COMPACT);
 	}
 	json_decref(value);
-	return value != NULL;
+	return good;
 }
 
 /*
@@ -175,9 +177,11 @@
 		}
 		log->fence = fence;
 		seq++;
-		take_puts(log->parts_put, value);
+		good = take_puts(log->parts_put, value) || bad_value(key, err);
 		log->since += log->read_size;
 		json_decref(value);
+		if (!good)
+			break;
 		if (more)
 			continue;
 		take_all(texts, log->parts_put);
@@ -193,26 +197,35 @@
 	return false;
 }
 
-/* What a value takes out, as NULL, and then puts. */
-static void take_puts(GHashTable *texts, const json_t *value)
+/*
+ * What a value takes out, as NULL, and then puts.  False where one has no id:
+ * a job that is passed over would be lost.
+ */
+static bool take_puts(GHashTable *texts, const json_t *value)
 {
 	json_t *record, *id;
 	size_t i;
 
 	json_array_foreach(json_object_get(value, "gone"), i, id)
+	{
+		if (!json_is_string(id))
+			return false;
 		g_hash_table_replace(texts, g_strdup(json_string_value(id)),
 				     NULL);
+	}
 	json_array_foreach(json_object_get(value, "put"), i, record)
 	{
-		char *dump = json_dumps(record, JSON_COMPACT);
+		char *dump;
 
 		id = json_object_get(json_object_get(record, "spec"), "id");
-		if (json_is_string(id))
-			g_hash_table_replace(texts,
-					     g_strdup(json_string_value(id)),
-					     g_strdup(dump));
+		if (!json_is_string(id))
+			return false;
+		dump = json_dumps(record, JSON_COMPACT);
+		g_hash_table_replace(texts, g_strdup(json_string_value(id)),
+				     g_strdup(dump));
 		free(dump);
 	}
+	return true;
 }
 
 static void take_all(GHashTable *texts, GHashTable *changes)
--- a/packages/site/tests/joblog_test.c
+++ b/packages/site/tests/joblog_test.c
@@ -318,6 +318,30 @@
 	world_free(w);
 }
 
+/* A value that cannot be read is not passed over, whatever is wrong in it. */
+static void test_no_id(void)
+{
+	static const char *const values[] = {
+		"{\"seq\":1,\"fence\":1,\"more\":false,\"gone\":[7]}",
+		"{\"seq\":1,\"fence\":1,\"more\":false,\"put\":[{}]}",
+	};
+	world_t *w = world_new();
+
+	put(w, 0, 1, JOBS_QUEUED);
+	for (size_t i = 0; i < G_N_ELEMENTS(values); i++) {
+		site_joblog_t *log =
+			site_joblog_new(w->ctx, &w->fake.store, w->duty);
+		GError *err = NULL;
+
+		find(&w->fake, "/cactusfield/jobs/log/0001")->value =
+			base_str(values[i]);
+		g_assert_false(site_joblog_read(log, count, learn, w, &err));
+		g_assert_error(err, JOBS_ERROR, JOBS_ERR_RECORD);
+		g_clear_error(&err);
+	}
+	world_free(w);
+}
+
 /* One step with what may get lost in it. */
 static void put_and_snapshot(world_t *w, int i)
 {
@@ -472,6 +496,7 @@
 	g_test_add_func("/joblog/lost-answers", test_lost_answers);
 	g_test_add_func("/joblog/late-holder", test_late_holder_is_fenced);
 	g_test_add_func("/joblog/half-a-commit", test_half_a_commit_is_none);
+	g_test_add_func("/joblog/no-id", test_no_id);
 	g_test_add_func("/joblog/snapshots", test_snapshots);
 	g_test_add_func("/joblog/learned", test_learned);
 	g_test_add_func("/joblog/idle", test_idle);
