Bound what a stream of messages may hold

Cause: messages of the platform's watch of tasks waited in a queue without limit for the jobs' duty, which may wait for the store meanwhile.

Change: the stream ends where more than 4 MB would wait.

--- a/packages/plat/plat_int.h
+++ b/packages/plat/plat_int.h
@@ -51,8 +51,10 @@
 		   GError **err);
 
 /*
- * A stream of messages over a websocket, below "ctx"; for one thread.
+ * A stream of messages over a websocket, below "ctx"; for one thread.  It ends
+ * where more than this would wait to be taken.
  */
+#define PLAT_WS_BYTES_MAX ((size_t)4 * 1024 * 1024)
 typedef struct plat_ws plat_ws_t;
 
 plat_ws_t *plat_ws_open(const void *ctx, const plat_address_t *address,
@@ -61,6 +63,9 @@
 /* The next message, or NULL after "wait_us" or at the end; the caller's. */
 GString *plat_ws_take(plat_ws_t *ws, int64_t wait_us);
 
+/* Whether no more comes; some may still wait to be taken. */
+bool plat_ws_ended(plat_ws_t *ws);
+
 /* Whether it has ended and everything was taken. */
 bool plat_ws_closed(plat_ws_t *ws);
 
--- a/packages/plat/plat_ws.c
+++ b/packages/plat/plat_ws.c
@@ -15,6 +15,7 @@
 	pthread_cond_t changed;
 	GQueue messages; /* GString */
 	GString *part;	 /* of a message whose end is missing */
+	size_t bytes;	 /* of all these */
 	bool closed;
 };
 
@@ -57,10 +58,22 @@
 	       !pthread_cond_timedwait(&ws->changed, &ws->lock, &wake))
 		continue;
 	message = g_queue_pop_head(&ws->messages);
+	if (message)
+		ws->bytes -= message->len;
 	pthread_mutex_unlock(&ws->lock);
 	return message;
 }
 
+bool plat_ws_ended(plat_ws_t *ws)
+{
+	bool ended;
+
+	pthread_mutex_lock(&ws->lock);
+	ended = ws->closed;
+	pthread_mutex_unlock(&ws->lock);
+	return ended;
+}
+
 bool plat_ws_closed(plat_ws_t *ws)
 {
 	bool closed;
@@ -88,19 +101,24 @@
 {
 	int opcode = bits & OPCODE;
 	plat_ws_t *ws = arg;
+	bool room;
 
 	(void)conn;
 	if (opcode > MG_WEBSOCKET_OPCODE_BINARY)
 		return opcode != MG_WEBSOCKET_OPCODE_CONNECTION_CLOSE;
 	pthread_mutex_lock(&ws->lock);
-	g_string_append_len(ws->part, data, (gssize)len);
-	if (bits & FIN) {
+	room = len <= PLAT_WS_BYTES_MAX - ws->bytes;
+	if (room) {
+		g_string_append_len(ws->part, data, (gssize)len);
+		ws->bytes += len;
+	}
+	if (room && bits & FIN) {
 		g_queue_push_tail(&ws->messages, ws->part);
 		ws->part = g_string_new("");
 		pthread_cond_signal(&ws->changed);
 	}
 	pthread_mutex_unlock(&ws->lock);
-	return 1;
+	return room;
 }
 
 static void on_close(const struct mg_connection *conn, void *arg)
