Say what a verb waits for

A verb that asked a slow store said nothing until the answer came or the time was over. What takes longer than a second now says so each second on the error output, from a thread beside the verb: 'config approve: 1 s, waiting for the store'.

--- a/packages/tool/tool_approve.c
+++ b/packages/tool/tool_approve.c
@@ -65,6 +65,7 @@
 		g_clear_error(&cause);
 		goto out;
 	}
+	tool_progress_ask("the store");
 	a.store = plat_etcd_new(ctx, &address);
 	a.base = base->ival[0];
 	a.change = change->count ? change->sval[0] : uuid;
--- a/packages/tool/tool_fleet.c
+++ b/packages/tool/tool_fleet.c
@@ -14,11 +14,13 @@
 
 	if (!tool_address(tool->ctx, store, &address, tool->err))
 		return false;
+	tool_progress_ask("the store");
 	tool->store = plat_etcd_new(tool->ctx, &address);
 	if (!list)
 		return true;
 	if (!tool_address(tool->ctx, list, &address, tool->err))
 		return false;
+	tool_progress_ask("the store or the list");
 	tool->list = plat_slices_new(tool->ctx, &address);
 	return true;
 }
--- a/packages/tool/tool_int.h
+++ b/packages/tool/tool_int.h
@@ -34,6 +34,13 @@
 bool tool_address(const void *ctx, const char *text, plat_address_t *address,
 		  FILE *err);
 
+/* Run a verb; one that takes longer than a second says what it waits for. */
+int tool_progress_run(const tool_verb_t *verb, int argc, char **argv, FILE *out,
+		      FILE *err);
+
+/* Who is asked from now on, for that. */
+void tool_progress_ask(const char *who);
+
 /* A whole file below "ctx", or NULL with the reason told. */
 char *tool_read_file(const void *ctx, const char *path, FILE *err);
 
--- a/packages/tool/tool_jobs.c
+++ b/packages/tool/tool_jobs.c
@@ -190,6 +190,7 @@
 		if (!tool_address(ctx, to, &address, err))
 			return NULL;
 		json_decref(answer);
+		tool_progress_ask(to);
 		answer = body ? plat_post_json(&address, path, body, &cause)
 			      : plat_get_json(&address, path, &cause);
 		if (!answer) {
--- a/packages/tool/tool_rollout.c
+++ b/packages/tool/tool_rollout.c
@@ -59,6 +59,7 @@
 
 		if (!tool_address(ctx, entries->sval[i], &address, err))
 			continue;
+		tool_progress_ask(entries->sval[i]);
 		answer = plat_get_json(&address, "/rollout", &cause);
 		if (answer)
 			return answer;
--- a/packages/tool/tool_status.c
+++ b/packages/tool/tool_status.c
@@ -55,6 +55,7 @@
 
 	if (!tool_address(ctx, text, &address, err))
 		return NULL;
+	tool_progress_ask(text);
 	answer = plat_get_json(&address, "/status", &cause);
 	if (!answer) {
 		fprintf(err, "%s does not answer: %s\n", text, cause->message);
--- a/packages/tool/tool_verbs.c
+++ b/packages/tool/tool_verbs.c
@@ -53,7 +53,7 @@
 	}
 	full_name(verb, name);
 	argv[words] = name;
-	return verb->run(argc - words, argv + words, out, err);
+	return tool_progress_run(verb, argc - words, argv + words, out, err);
 }
 
 static const tool_verb_t *find(int argc, char **argv, int *words)
