Be ready when this entry holds its part of the claims

Readiness had just become sooner (a map after 135 ms), so that the test, like an operator, took the next entry while the one before it was not in the list of claims yet.

The fleet duty's early turns are gone, since the list takes longer.

--- a/packages/entry/entry_claim.c
+++ b/packages/entry/entry_claim.c
@@ -133,10 +133,15 @@
 bool entry_claim_listed(entry_daemon_t *daemon)
 {
 	entry_claims_t *claims = daemon->claims;
+	uint64_t incarnation = g_ascii_strtoull(daemon->incarnation, NULL, 10);
+	const claim_epoch_t *epoch;
 	bool listed;
 
 	pthread_mutex_lock(&claims->lock);
-	listed = claim_table_epoch(claims->table) != NULL;
+	epoch = claim_table_epoch(claims->table);
+	listed = epoch && !claims->copying &&
+		 claim_list_find(&epoch->now, daemon->settings->name,
+				 incarnation) >= 0;
 	pthread_mutex_unlock(&claims->lock);
 	return listed;
 }
--- a/packages/entry/entry_fleet.c
+++ b/packages/entry/entry_fleet.c
@@ -9,14 +9,9 @@
 #define STEP_US (900 * BASE_MS) /* every second tick */
 #define LEASE_S 3
 
-/* Until this entry has a map, its holder may just be writing the pools. */
-#define EARLY_US (50 * BASE_MS)
-#define EARLY_TURNS 20 /* at most, each some calls of the store */
-
 static bool fleet_start(void *service, kern_t *kern, GError **err);
 static void fleet_stop(void *service);
 static void tick(void *arg, int64_t now);
-static int64_t until_next(void *arg);
 static bool take_conf(entry_fleet_t *fleet);
 static void apply(entry_fleet_t *fleet);
 static void confirm(entry_fleet_t *fleet, const void *ctx, bool gone);
@@ -36,8 +31,7 @@
 					.period_us = PERIOD_US,
 					.ring_size = 8,
 					.arg = fleet,
-					.tick = tick,
-					.next = until_next };
+					.tick = tick };
 	plat_duty_options_t duty = { .name = "fleet", .ttl_s = LEASE_S };
 
 	(void)kern;
@@ -91,20 +85,6 @@
 	talloc_free(ctx);
 }
 
-static int64_t until_next(void *arg)
-{
-	entry_fleet_t *fleet = arg;
-	entry_view_t *view = entry_view_hold(fleet->daemon->views);
-	bool owned = view->owned;
-
-	entry_view_release(view);
-	if (owned || fleet->early_turns >= EARLY_TURNS)
-		return PERIOD_US;
-	if (fleet->core)
-		fleet->early_turns++;
-	return EARLY_US;
-}
-
 /* A core for the configuration in force; false as long as there is none. */
 static bool take_conf(entry_fleet_t *fleet)
 {
--- a/packages/entry/entry_fleet.h
+++ b/packages/entry/entry_fleet.h
@@ -27,7 +27,6 @@
 	plat_store_t *store;
 	plat_action_t *action;
 	plat_duty_t *duty;
-	int early_turns; /* since there is a configuration */
 	bool held;
 	int64_t stepped_at;
 	bool blind; /* the last step could not be decided */
--- a/packages/entry/entry_int.h
+++ b/packages/entry/entry_int.h
@@ -297,10 +297,11 @@
 	entry_forward_t *forward;
 	plat_guard_t *guard; /* all calls to the store */
 	plat_list_t *list;
-	char incarnation[24];  /* of this process */
-	atomic_int draining;   /* planned stop has begun */
-	atomic_llong owned_at; /* when it could have been ready, us */
-	atomic_int in_flight;  /* requests on the callers' port */
+	char incarnation[24];	/* of this process */
+	atomic_int draining;	/* planned stop has begun */
+	atomic_llong owned_at;	/* when it could have been ready, us */
+	atomic_int claims_held; /* it was waited for */
+	atomic_int in_flight;	/* requests on the callers' port */
 	atomic_ullong outcomes[ENTRY_OUTCOME_MAX];
 	struct mg_context *operators_http;
 	struct mg_context *caller_http;
@@ -367,7 +368,7 @@
 /* Give what this entry homes to others, and tell them so; it drains. */
 void entry_claim_leave(entry_daemon_t *daemon);
 
-/* Whether the list of entries that home claims is known here. */
+/* Whether this entry homes its part of the claims and has copied it. */
 bool entry_claim_listed(entry_daemon_t *daemon);
 
 /* Whether others home all of it. */
--- a/packages/entry/entry_operators.c
+++ b/packages/entry/entry_operators.c
@@ -10,8 +10,10 @@
 #define BEARER "Bearer "
 
 /*
- * Without the list what must not be repeated is refused.  It is there in no
- * time, or the store was lost just now: then the rest need not wait for it.
+ * Without the list what must not be repeated is refused; and whoever replaces
+ * entries one by one must not take the next before this one holds its part of
+ * the claims.  Where that takes longer the rest need not wait for it; and once
+ * ready an entry stays so, also when others go on without it.
  */
 #define CLAIMS_WAIT_US (5 * BASE_SEC)
 
@@ -145,9 +147,8 @@
 		return entry_operators_answer(conn, 503, "text/plain",
 					      BASE_STR("no pools yet\n"));
 	if (waits_for_claims(daemon))
-		return entry_operators_answer(
-			conn, 503, "text/plain",
-			BASE_STR("no list of entries for claims yet\n"));
+		return entry_operators_answer(conn, 503, "text/plain",
+					      BASE_STR("no claims yet\n"));
 	return entry_operators_answer(conn, 200, "text/plain",
 				      BASE_STR("ready\n"));
 }
@@ -157,11 +158,14 @@
 	int64_t now = base_clock_mono();
 	long long since = 0;
 
-	if (entry_claim_listed(daemon))
+	if (atomic_load(&daemon->claims_held))
 		return false;
-	if (atomic_compare_exchange_strong(&daemon->owned_at, &since, now))
+	if (!entry_claim_listed(daemon) &&
+	    (atomic_compare_exchange_strong(&daemon->owned_at, &since, now) ||
+	     now - since < CLAIMS_WAIT_US))
 		return true;
-	return now - since < CLAIMS_WAIT_US;
+	atomic_store(&daemon->claims_held, 1);
+	return false;
 }
 
 static int on_metrics(struct mg_connection *conn, entry_daemon_t *daemon)
