--- a/packages/claim/claim_holder.c
+++ b/packages/claim/claim_holder.c
@@ -146,7 +146,7 @@
 	if (!holder->look)
 		note_asked(holder, target);
 	memset(action, 0, sizeof(*action));
-	action->todo = CLAIM_DO_TAKE;
+	action->next = CLAIM_DO_TAKE;
 	action->target = *target;
 	action->take = (claim_take_t){ .id = request->id,
 				       .attempt = request->attempt,
@@ -166,7 +166,7 @@
 
 	if (reply->verdict == CLAIM_GRANTED && holder->fresh && in_time) {
 		holder->standing = true;
-		action->todo = CLAIM_DO_RUN;
+		action->next = CLAIM_DO_RUN;
 		return;
 	}
 	add_releases(holder, action);
@@ -220,7 +220,7 @@
 static void tell(claim_action_t *action, claim_tell_t what,
 		 claim_reason_t reason)
 {
-	action->todo = CLAIM_DO_TELL;
+	action->next = CLAIM_DO_TELL;
 	action->tell = what;
 	action->reason = reason;
 }
--- a/packages/claim/claim_holder.h
+++ b/packages/claim/claim_holder.h
@@ -45,7 +45,7 @@
 const char *claim_reason_name(claim_reason_t reason);
 
 typedef struct claim_action {
-	claim_do_t todo;
+	claim_do_t next;
 	claim_member_t target;
 	claim_take_t take;
 	claim_tell_t tell;
--- a/packages/claim/tests/claim_holder_test.c
+++ b/packages/claim/tests/claim_holder_test.c
@@ -10,14 +10,14 @@
 
 	claim_holder_start(holder, &request, epoch, &claim_limits_default, NOW,
 			   &action);
-	g_assert_cmpint(action.todo, ==, CLAIM_DO_TAKE);
+	g_assert_cmpint(action.next, ==, CLAIM_DO_TAKE);
 	return action;
 }
 
 typedef struct claim_case {
 	claim_verdict_t home, backup;
 	bool fresh;
-	claim_do_t todo;
+	claim_do_t next;
 	claim_tell_t tell;
 	claim_reason_t reason;
 	bool again;
@@ -34,18 +34,18 @@
 	claim_action_t action = start_for(&holder, id_at(true, 0), &epoch);
 
 	claim_holder_reply(&holder, &reply, NOW, &action);
-	if (action.todo == CLAIM_DO_TAKE) {
+	if (action.next == CLAIM_DO_TAKE) {
 		g_assert_cmpint(action.take.look, ==, c->home == CLAIM_FULL);
 		reply.verdict = c->backup;
 		claim_holder_reply(&holder, &reply, NOW, &action);
 	}
-	g_assert_cmpint(action.todo, ==, c->todo);
+	g_assert_cmpint(action.next, ==, c->next);
 	g_assert_cmpint(action.tell, ==, c->tell);
 	g_assert_cmpint(action.reason, ==, c->reason);
 	g_assert_true(action.again == c->again &&
 		      action.releases == c->releases);
 	g_assert_cmpint(claim_holder_may_write(&holder, NOW), ==,
-			c->todo == CLAIM_DO_RUN);
+			c->next == CLAIM_DO_RUN);
 }
 
 /* What the caller is told for what home and backup said. */
@@ -118,7 +118,7 @@
 	g_assert_cmpuint(action.take.attempt.number, ==, 1);
 	claim_holder_reply(&holder, &reply, late, &action);
 	claim_holder_reply(&holder, &reply, late, &action);
-	g_assert_cmpint(action.todo, ==, CLAIM_DO_RUN);
+	g_assert_cmpint(action.next, ==, CLAIM_DO_RUN);
 	g_assert_false(
 		claim_holder_may_write(&holder, NOW + limits->window_us / 2));
 	claim_holder_cancel(&holder, &action);
--- a/packages/claim/tests/claim_world_run.h
+++ b/packages/claim/tests/claim_world_run.h
@@ -35,9 +35,9 @@
 
 inline void World::act(std::shared_ptr<Request> r, const claim_action_t &action)
 {
-	if (action.todo == CLAIM_DO_TAKE) {
+	if (action.next == CLAIM_DO_TAKE) {
 		ask(r, action);
-	} else if (action.todo == CLAIM_DO_RUN) {
+	} else if (action.next == CLAIM_DO_RUN) {
 		r->granted = true;
 		if (!claim_holder_may_write(&r->holder, local(r->entry)))
 			return;
--- a/packages/entry/entry_claim.c
+++ b/packages/entry/entry_claim.c
@@ -61,7 +61,7 @@
 				entry_message_t *answer)
 {
 	entry_claims_t *claims = daemon->claims;
-	claim_action_t action = { .todo = CLAIM_DO_TELL,
+	claim_action_t action = { .next = CLAIM_DO_TELL,
 				  .tell = CLAIM_TELL_UNKNOWN,
 				  .reason = CLAIM_WHY_STALE };
 	entry_verdict_t verdict;
@@ -247,9 +247,9 @@
 	for (;;) {
 		claim_reply_t reply;
 
-		if (action->todo == CLAIM_DO_RUN)
+		if (action->next == CLAIM_DO_RUN)
 			return true;
-		if (action->todo == CLAIM_DO_TELL) {
+		if (action->next == CLAIM_DO_TELL) {
 			if (!again(claims, request, action))
 				return false;
 			continue;
