--- a/Makefile
+++ b/Makefile
@@ -21,7 +21,7 @@
 PC = glib-2.0 jansson talloc libtirpc libxxhash gsl argtable2
 PC_CFLAGS := $(shell pkg-config --cflags $(PC) 2>/dev/null)
 PC_LIBS := $(shell pkg-config --libs $(PC) 2>/dev/null)
-CPPFLAGS = -D_GNU_SOURCE $(PACKAGES:%=-Ipackages/%) $(PC_CFLAGS)
+CPPFLAGS = -D_GNU_SOURCE $(PACKAGES:%=-Ipackages/%) -Iplatform $(PC_CFLAGS)
 WARN = -Wall -Wextra -Werror
 SANFLAGS_plain =
 SANFLAGS_asan = -fsanitize=address,undefined -fno-sanitize-recover=undefined
@@ -30,7 +30,7 @@
 CFLAGS = -std=gnu11 -O2 -g $(WARN) $(SANFLAGS)
 CXXFLAGS = -std=gnu++17 -O1 -g $(WARN) $(SANFLAGS)
 LDFLAGS = $(SANFLAGS) -pthread
-LDLIBS = $(PC_LIBS) -lcivetweb -lck -lm
+LDLIBS = $(PC_LIBS) -lcivetweb -lck -lm -levent
 
 LIBS = $(PACKAGES:%=$(OUT)/lib%.a)
 GROUP = -Wl,--start-group $(LIBS) -Wl,--end-group
@@ -63,7 +63,7 @@
 deps:
 	@scripts/deps
 
-binaries: $(LIBS) $(wildcard $(OUT)/none) $(foreach b,$(BINS),$(if $(wildcard packages/*/$(notdir $(b))_main.c),$(b))) $(STANDIN) $(LOADGEN)
+binaries: $(LIBS) $(wildcard $(OUT)/none) $(foreach b,$(BINS),$(if $(wildcard packages/*/$(notdir $(b))_main.c),$(b))) $(STANDIN) $(LOADGEN) $(OUT)/cactusfield-node
 
 define library
 $(OUT)/lib$(1).a: $(filter $(OUT)/packages/$(1)/%,$(OBJS))
@@ -91,6 +91,17 @@
 $(OUT)/cactusfield: $(OUT)/packages/tool/cactusfield_main.o $(LIBS)
 	$(CC) $(LDFLAGS) -o $@ $< $(GROUP) $(LDLIBS)
 
+# The entry on the users' platform: the adapter and what it needs, no more.
+NODE_PACKAGES = base batch net node
+NODE_PC = glib-2.0 jansson talloc gsl argtable2
+$(OUT)/libplatform.a: $(patsubst %.c,$(OUT)/%.o,$(filter-out %_main.c,$(wildcard platform/*.c)))
+	@mkdir -p $(@D)
+	@rm -f $@
+	ar rcs $@ $^
+
+$(OUT)/cactusfield-node: $(OUT)/platform/cactusfield-node_main.o $(OUT)/libplatform.a $(NODE_PACKAGES:%=$(OUT)/lib%.a)
+	$(CC) $(LDFLAGS) -o $@ $< -Wl,--start-group $(filter %.a,$^) -Wl,--end-group $(shell pkg-config --libs $(NODE_PC)) -levent -lm
+
 $(BENCH_LIB): $(BENCH_OBJS)
 	@mkdir -p $(@D)
 	@rm -f $@
--- /dev/null
+++ b/packages/batch/batch.c
@@ -0,0 +1,422 @@
+#include "batch_int.h"
+
+BASE_ERROR_DOMAIN(batch)
+
+static const char *const state_names[BATCH_STATE_MAX] = {
+	[BATCH_UNKNOWN] = "unknown",	 [BATCH_QUEUED] = "queued",
+	[BATCH_RUNNING] = "running",	 [BATCH_COMPLETED] = "completed",
+	[BATCH_FAILED] = "failed",	 [BATCH_CANCELLED] = "cancelled",
+};
+
+const char *batch_state_name(batch_state_t state)
+{
+	return state_names[state];
+}
+
+static int core_free(batch_t *core)
+{
+	GHashTableIter iter;
+	gpointer value;
+
+	g_hash_table_iter_init(&iter, core->workers);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		batch_worker_t *worker = value;
+
+		g_ptr_array_unref(worker->runs);
+		g_array_unref(worker->gates);
+	}
+	g_hash_table_iter_init(&iter, core->pools);
+	while (g_hash_table_iter_next(&iter, NULL, &value))
+		g_ptr_array_unref(((batch_pool_t *)value)->workers);
+	g_hash_table_iter_init(&iter, core->jobs);
+	while (g_hash_table_iter_next(&iter, NULL, &value))
+		if (((batch_job_t *)value)->occs)
+			g_ptr_array_unref(((batch_job_t *)value)->occs);
+	g_hash_table_unref(core->jobs);
+	g_hash_table_unref(core->workers);
+	g_hash_table_unref(core->queues);
+	g_hash_table_unref(core->pools);
+	g_ptr_array_unref(core->open);
+	g_ptr_array_unref(core->taken);
+	g_queue_clear(&core->rows);
+	return 0;
+}
+
+batch_t *batch_new(const void *ctx, const batch_options_t *options)
+{
+	batch_t *core = talloc_zero(ctx, batch_t);
+
+	core->options = *options;
+	core->jobs = g_hash_table_new(g_str_hash, g_str_equal);
+	core->workers = g_hash_table_new(g_str_hash, g_str_equal);
+	core->queues = g_hash_table_new(g_str_hash, g_str_equal);
+	core->pools = g_hash_table_new(g_str_hash, g_str_equal);
+	core->open = g_ptr_array_new();
+	core->taken = g_ptr_array_new();
+	g_queue_init(&core->rows);
+	talloc_set_destructor(core, core_free);
+	return core;
+}
+
+/* Look up by a key that need not end in a NUL. */
+static void *find(GHashTable *table, base_str_t key)
+{
+	char text[BATCH_KEY_MAX];
+
+	if (key.len >= sizeof(text))
+		return NULL;
+	memcpy(text, key.ptr, key.len);
+	text[key.len] = '\0';
+	return g_hash_table_lookup(table, text);
+}
+
+batch_job_t *batch_find_job(const batch_t *core, base_str_t id)
+{
+	return find(core->jobs, id);
+}
+
+batch_worker_t *batch_find_worker(const batch_t *core, base_str_t id)
+{
+	return find(core->workers, id);
+}
+
+batch_queue_t *batch_find_queue(const batch_t *core, base_str_t name)
+{
+	return find(core->queues, name);
+}
+
+batch_pool_t *batch_pool_get(batch_t *core, base_str_t name)
+{
+	batch_pool_t *pool = find(core->pools, name);
+
+	if (pool)
+		return pool;
+	pool = talloc_zero(core, batch_pool_t);
+	pool->name = base_str_dup(pool, name);
+	pool->guards = true;
+	pool->workers = g_ptr_array_new();
+	g_hash_table_insert(core->pools, pool->name, pool);
+	return pool;
+}
+
+batch_task_t *batch_find_task(const batch_t *core, const batch_task_id_t *id)
+{
+	batch_job_t *job = batch_find_job(core, id->job);
+	guint i;
+
+	if (!job || !job->occs || id->step < 0 || id->step >= job->spec.n_steps)
+		return NULL;
+	if (id->index < 0 || id->index >= job->spec.steps[id->step].count)
+		return NULL;
+	for (i = 0; i < job->occs->len; i++) {
+		batch_occ_t *occ = g_ptr_array_index(job->occs, i);
+
+		if (occ->number == id->occurrence)
+			return &occ->steps[id->step].tasks[id->index];
+	}
+	return NULL;
+}
+
+void batch_note(batch_t *core, const batch_note_t *note)
+{
+	if (core->options.ops->note)
+		core->options.ops->note(core->options.arg, note);
+}
+
+batch_task_id_t batch_task_name(const batch_task_t *task)
+{
+	return (batch_task_id_t){ base_str(task->step->occ->job->id),
+				  task->step->occ->number, task->step->number,
+				  task->index };
+}
+
+bool batch_job_open(const batch_job_t *job)
+{
+	return job->state == BATCH_QUEUED || job->state == BATCH_RUNNING;
+}
+
+bool batch_step_open(const batch_step_t *step)
+{
+	int i;
+
+	for (i = 0; i < step->number; i++)
+		if ((step->spec->after >> i & 1) &&
+		    step->occ->steps[i].done < step->occ->steps[i].spec->count)
+			return false;
+	return true;
+}
+
+void batch_config(batch_t *core, const batch_queue_info_t *queues,
+		  size_t n_queues, const batch_pool_info_t *pools,
+		  size_t n_pools)
+{
+	GHashTableIter iter;
+	gpointer value;
+	size_t i;
+
+	g_hash_table_iter_init(&iter, core->queues);
+	while (g_hash_table_iter_next(&iter, NULL, &value))
+		((batch_queue_t *)value)->in_force = false;
+	g_hash_table_iter_init(&iter, core->pools);
+	while (g_hash_table_iter_next(&iter, NULL, &value))
+		((batch_pool_t *)value)->in_force = false;
+	for (i = 0; i < n_pools; i++) {
+		batch_pool_t *pool = batch_pool_get(core, pools[i].name);
+
+		pool->guards = pools[i].guards;
+		pool->spare = pools[i].spare;
+		pool->in_force = true;
+	}
+	for (i = 0; i < n_queues; i++) {
+		batch_queue_t *queue = batch_find_queue(core, queues[i].name);
+
+		if (!queue) {
+			queue = talloc_zero(core, batch_queue_t);
+			queue->name = base_str_dup(queue, queues[i].name);
+			g_hash_table_insert(core->queues, queue->name, queue);
+		}
+		queue->pool = batch_pool_get(core, queues[i].pool);
+		queue->priority = queues[i].priority;
+		queue->attempts = queues[i].attempts;
+		queue->stretch = queues[i].stretch;
+		queue->target_latency = queues[i].target_latency;
+		queue->in_force = true;
+	}
+	core->changed = true;
+}
+
+static bool step_check(const batch_spec_t *spec, int number, GError **err)
+{
+	const batch_step_spec_t *step = &spec->steps[number];
+	const char *fault = NULL;
+
+	if (step->count < 1 || step->count > BATCH_TASKS_MAX)
+		fault = "has no tasks or too many";
+	else if (step->need.cpu < 0 || step->need.memory < 0 ||
+		 step->need.gpu < 0)
+		fault = "needs less than nothing";
+	else if (step->after >> number)
+		fault = "comes after itself or a later step";
+	else if (step->per_worker < 0 || step->estimate < 0)
+		fault = "has a negative bound or estimate";
+	else if (step->gang && step->lasting)
+		fault = "is a gang that lasts";
+	if (!fault)
+		return true;
+	g_set_error(err, BATCH_ERROR, BATCH_ERR_SPEC, "step %d %s", number,
+		    fault);
+	return false;
+}
+
+bool batch_spec_check(const batch_spec_t *spec, GError **err)
+{
+	int i;
+
+	if (!spec->id.len || spec->id.len >= BATCH_KEY_MAX) {
+		g_set_error(err, BATCH_ERROR, BATCH_ERR_SPEC,
+			    "the job's id is missing or too long");
+		return false;
+	}
+	if (spec->n_steps < 1 || spec->n_steps > BATCH_STEPS_MAX) {
+		g_set_error(err, BATCH_ERROR, BATCH_ERR_SPEC,
+			    "%d steps, must be 1 to %d", spec->n_steps,
+			    BATCH_STEPS_MAX);
+		return false;
+	}
+	if (spec->repeat < 0 || (spec->repeat > 1 && spec->interval <= 0)) {
+		g_set_error(err, BATCH_ERROR, BATCH_ERR_SPEC,
+			    "repeats without an interval");
+		return false;
+	}
+	for (i = 0; i < spec->n_steps; i++)
+		if (!step_check(spec, i, err))
+			return false;
+	return true;
+}
+
+static base_str_t copy_str(const void *ctx, base_str_t text)
+{
+	return (base_str_t){ base_str_dup(ctx, text), text.len };
+}
+
+static void copy_steps(batch_job_t *job, const batch_spec_t *spec)
+{
+	batch_step_spec_t *steps = talloc_memdup(
+		job, spec->steps, sizeof(*steps) * (size_t)spec->n_steps);
+	int i;
+
+	for (i = 0; i < spec->n_steps; i++) {
+		steps[i].label = copy_str(steps, spec->steps[i].label);
+		steps[i].data_rack = copy_str(steps, spec->steps[i].data_rack);
+		steps[i].image = copy_str(steps, spec->steps[i].image);
+	}
+	job->spec.steps = steps;
+}
+
+/* A job that nothing was decided about yet; "spec" NULL: it has ended. */
+batch_job_t *batch_job_new(batch_t *core, const batch_spec_t *spec)
+{
+	batch_job_t *job = talloc_zero(core, batch_job_t);
+
+	job->core = core;
+	job->spec = *spec;
+	job->id = base_str_dup(job, spec->id);
+	job->spec.id = base_str(job->id);
+	job->spec.queue = copy_str(job, spec->queue);
+	job->spec.payload = copy_str(job, spec->payload);
+	job->spec.source = copy_str(job, spec->source);
+	if (spec->n_steps)
+		copy_steps(job, spec);
+	job->queue = batch_find_queue(core, spec->queue);
+	job->state = BATCH_QUEUED;
+	job->occs = g_ptr_array_new();
+	g_hash_table_insert(core->jobs, job->id, job);
+	return job;
+}
+
+batch_occ_t *batch_occ_new(batch_job_t *job, int number)
+{
+	batch_occ_t *occ = talloc_zero(job, batch_occ_t);
+	int i;
+	int j;
+
+	occ->job = job;
+	occ->number = number;
+	occ->steps = talloc_zero_array(occ, batch_step_t,
+				       (size_t)job->spec.n_steps);
+	for (i = 0; i < job->spec.n_steps; i++) {
+		batch_step_t *step = &occ->steps[i];
+
+		step->occ = occ;
+		step->spec = &job->spec.steps[i];
+		step->number = i;
+		step->tasks = talloc_zero_array(occ, batch_task_t,
+						(size_t)step->spec->count);
+		for (j = 0; j < step->spec->count; j++) {
+			step->tasks[j].step = step;
+			step->tasks[j].index = j;
+		}
+	}
+	g_ptr_array_add(job->occs, occ);
+	return occ;
+}
+
+static void drop_job(batch_t *core, batch_job_t *job)
+{
+	g_hash_table_remove(core->jobs, job->id);
+	if (job->occs)
+		g_ptr_array_unref(job->occs);
+	talloc_free(job);
+}
+
+batch_verdict_t batch_submit(batch_t *core, int64_t now, int64_t wall,
+			     const batch_spec_t *spec, int64_t *retry_after)
+{
+	batch_job_t *job = batch_find_job(core, spec->id);
+
+	*retry_after = BASE_SEC;
+	if (job)
+		return BATCH_KNOWN;
+	if (!batch_find_queue(core, spec->queue)) {
+		core->stats.refused++;
+		return BATCH_REFUSED;
+	}
+	job = batch_job_new(core, spec);
+	job->arrived = now;
+	job->arrived_wall = wall;
+	if (!batch_admit(core, job, now, retry_after)) {
+		core->stats.refused++;
+		drop_job(core, job);
+		return BATCH_REFUSED;
+	}
+	if (!spec->repeat)
+		batch_occ_new(job, 0);
+	g_ptr_array_add(core->open, job);
+	batch_job_changed(job);
+	core->changed = true;
+	return BATCH_TAKEN;
+}
+
+bool batch_cancel(batch_t *core, int64_t now, base_str_t id,
+		  batch_state_t *state)
+{
+	batch_job_t *job = batch_find_job(core, id);
+
+	*state = job ? job->shown : BATCH_UNKNOWN;
+	if (!job || job->state == BATCH_COMPLETED || job->state == BATCH_FAILED)
+		return false;
+	if (!job->cancelled) {
+		job->cancelled = true;
+		batch_job_end(job, now, BATCH_CANCELLED);
+	}
+	return true;
+}
+
+batch_state_t batch_state(const batch_t *core, base_str_t id)
+{
+	batch_job_t *job = batch_find_job(core, id);
+
+	return job ? job->shown : BATCH_UNKNOWN;
+}
+
+size_t batch_pending(const batch_t *core, base_str_t queue)
+{
+	size_t n = 0;
+	guint i;
+
+	for (i = 0; i < core->open->len; i++) {
+		batch_job_t *job = g_ptr_array_index(core->open, i);
+
+		if (job->stored && !job->begun && batch_job_open(job) &&
+		    base_str_eq(job->spec.queue, queue))
+			n++;
+	}
+	return n;
+}
+
+GPtrArray *batch_forget(batch_t *core, int64_t before)
+{
+	GPtrArray *ids = g_ptr_array_new_with_free_func(g_free);
+	GHashTableIter iter;
+	gpointer value;
+
+	g_hash_table_iter_init(&iter, core->jobs);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		batch_job_t *job = value;
+
+		if (batch_job_open(job) || job->n_runs || job->queued ||
+		    job->kept < job->version || job->ended_wall >= before)
+			continue;
+		g_ptr_array_add(ids, g_strdup(job->id));
+		g_hash_table_iter_remove(&iter);
+		g_ptr_array_remove_fast(core->open, job);
+		if (job->occs)
+			g_ptr_array_unref(job->occs);
+		talloc_free(job);
+	}
+	return ids;
+}
+
+void batch_stats(const batch_t *core, batch_stats_t *stats)
+{
+	GHashTableIter iter;
+	gpointer value;
+	guint i;
+
+	*stats = core->stats;
+	stats->jobs = 0;
+	stats->runs = 0;
+	for (i = 0; i < core->open->len; i++) {
+		batch_job_t *job = g_ptr_array_index(core->open, i);
+
+		stats->jobs += batch_job_open(job);
+		stats->runs += (size_t)job->n_runs;
+	}
+	stats->workers = 0;
+	stats->out = 0;
+	g_hash_table_iter_init(&iter, core->workers);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		stats->workers += ((batch_worker_t *)value)->listed;
+		stats->out += ((batch_worker_t *)value)->out;
+	}
+}
--- /dev/null
+++ b/packages/batch/batch_admit.c
@@ -0,0 +1,128 @@
+/*
+ * Which jobs are taken.
+ *
+ * The pattern it answers: a queue asks for several times its mean for some
+ * seconds, more than its pool holds.  A job taken beyond what can end in time
+ * takes room from those before it and ends late itself; refused at once, its
+ * caller knows, and comes back when the backlog is worked off.
+ */
+#include "batch_int.h"
+
+/* Part of a job's slack that waiting behind others may use up: the rest is
+ * for its last task, which waits longer than the mean. */
+#define ADMIT_SLACK_PART 0.8
+#define ADMIT_RETRY_MIN BASE_SEC /* Retry-After has whole seconds */
+
+typedef struct load {
+	double cpu; /* thousandths of a core, times microseconds */
+	double memory;
+} load_t;
+
+/* Work that the job has still to do. */
+static load_t work_left(const batch_job_t *job)
+{
+	const batch_occ_t *occ = job->occs && job->occs->len ?
+					 g_ptr_array_index(job->occs, 0) :
+					 NULL;
+	load_t load = { 0, 0 };
+	int i;
+
+	for (i = 0; i < job->spec.n_steps; i++) {
+		const batch_step_spec_t *spec = &job->spec.steps[i];
+		int left = spec->count - (occ ? occ->steps[i].done : 0);
+		double time = (double)batch_task_estimate(job->queue, spec);
+
+		if (spec->lasting)
+			continue;
+		load.cpu += (double)spec->need.cpu * left * time;
+		load.memory += (double)spec->need.memory * left * time;
+	}
+	return load;
+}
+
+/* What the pool's workers give to jobs that end. */
+static load_t capacity(const batch_pool_t *pool, int64_t now)
+{
+	load_t load = { 0, 0 };
+	guint i;
+	guint j;
+
+	for (i = 0; i < pool->workers->len; i++) {
+		batch_worker_t *worker = g_ptr_array_index(pool->workers, i);
+
+		if (!batch_worker_usable(worker, now))
+			continue;
+		load.cpu += (double)worker->capacity.cpu;
+		load.memory += (double)worker->capacity.memory;
+		for (j = 0; j < worker->runs->len; j++) {
+			batch_run_t *run = g_ptr_array_index(worker->runs, j);
+			const batch_step_spec_t *spec = run->task->step->spec;
+
+			if (!spec->lasting)
+				continue;
+			load.cpu -= spec->fills ? 0 : (double)spec->need.cpu;
+			load.memory -= (double)spec->need.memory;
+		}
+	}
+	return load;
+}
+
+/* When the pool will have worked off what it has taken; microseconds. */
+static double backlog(batch_t *core, const batch_pool_t *pool, int64_t now)
+{
+	load_t have = capacity(pool, now);
+	load_t work = { 0, 0 };
+	double cpu;
+	double memory;
+	guint i;
+
+	for (i = 0; i < core->open->len; i++) {
+		batch_job_t *job = g_ptr_array_index(core->open, i);
+		load_t left;
+
+		if (!batch_job_open(job) || job->queue->pool != pool ||
+		    job->spec.repeat)
+			continue;
+		/* What is late already goes behind what can be in time. */
+		if (now - job->arrived > batch_objective(job))
+			continue;
+		left = work_left(job);
+		work.cpu += left.cpu;
+		work.memory += left.memory;
+	}
+	if (have.cpu <= 0 || have.memory <= 0)
+		return -1;
+	cpu = work.cpu / have.cpu;
+	memory = work.memory / have.memory;
+	return cpu > memory ? cpu : memory;
+}
+
+bool batch_admit(batch_t *core, const batch_job_t *job, int64_t now,
+		 int64_t *retry_after)
+{
+	int64_t slack = batch_objective(job) - batch_chain(job, false);
+	double wait;
+	int i;
+
+	/* Tasks that last and jobs of the clock do not come in floods. */
+	for (i = 0; i < job->spec.n_steps; i++)
+		if (job->spec.steps[i].lasting)
+			return true;
+	if (job->spec.repeat)
+		return true;
+	wait = backlog(core, job->queue->pool, now);
+	*retry_after = ADMIT_RETRY_MIN;
+	if (wait >= 0 && wait <= ADMIT_SLACK_PART * (double)slack)
+		return true;
+	if (wait > (double)slack)
+		*retry_after = (int64_t)wait - slack;
+	if (*retry_after < ADMIT_RETRY_MIN)
+		*retry_after = ADMIT_RETRY_MIN;
+	batch_note(core, &(batch_note_t){
+				 .kind = BATCH_NOTE_JOB_REFUSED,
+				 .task = { base_str(job->id), -1, -1, -1 },
+				 .why = wait < 0 ? "no worker" :
+						   "backlog, microseconds",
+				 .value = (int64_t)wait });
+	return false;
+}
--- /dev/null
+++ b/packages/batch/batch_commit.c
@@ -0,0 +1,111 @@
+#include "batch_int.h"
+
+static void job_kept(batch_job_t *job, int64_t now);
+
+/* The job's decided state differs from the stored one: it needs a row. */
+void batch_job_changed(batch_job_t *job)
+{
+	job->version++;
+	if (job->queued)
+		return;
+	job->queued = true;
+	g_queue_push_tail(&job->core->rows, job);
+}
+
+bool batch_rows_waiting(const batch_t *core)
+{
+	return core->taken->len == 0 && core->rows.length > 0;
+}
+
+size_t batch_rows(batch_t *core, batch_row_t *rows, size_t max)
+{
+	size_t n = 0;
+
+	if (core->taken->len)
+		return 0;
+	core->texts = talloc_new(core);
+	while (n < max && core->rows.length) {
+		batch_job_t *job = g_queue_pop_head(&core->rows);
+
+		job->queued = false;
+		job->taken = job->version;
+		rows[n].job = base_str(job->id);
+		rows[n].record = batch_record_print(core->texts, job);
+		rows[n].ended = !batch_job_open(job);
+		rows[n].source = job->stored || rows[n].ended ?
+					 BASE_STR("") :
+					 job->spec.source;
+		g_ptr_array_add(core->taken, job);
+		n++;
+	}
+	return n;
+}
+
+void batch_rows_kept(batch_t *core, int64_t now)
+{
+	guint i;
+
+	for (i = 0; i < core->taken->len; i++)
+		job_kept(g_ptr_array_index(core->taken, i), now);
+	g_ptr_array_set_size(core->taken, 0);
+	TALLOC_FREE(core->texts);
+	core->changed = true;
+}
+
+static batch_state_t state_shown(const batch_job_t *job)
+{
+	if (!batch_job_open(job))
+		return job->state;
+	return job->begun ? BATCH_RUNNING : BATCH_QUEUED;
+}
+
+/* Send the runs that are stored now. */
+static void send_runs(batch_job_t *job, int64_t now)
+{
+	guint i;
+	int s;
+	int t;
+
+	for (i = 0; i < job->occs->len; i++) {
+		batch_occ_t *occ = g_ptr_array_index(job->occs, i);
+
+		for (s = 0; s < job->spec.n_steps; s++)
+			for (t = 0; t < occ->steps[s].spec->count; t++) {
+				batch_run_t *run = occ->steps[s].tasks[t].run;
+
+				if (run && run->state == RUN_STORING &&
+				    run->version <= job->kept)
+					batch_run_send(run, now);
+			}
+	}
+}
+
+static void job_kept(batch_job_t *job, int64_t now)
+{
+	batch_t *core = job->core;
+	bool first = !job->stored;
+
+	job->kept = job->taken;
+	job->stored = true;
+	/* What changed since the row was printed is not shown yet. */
+	if (job->kept == job->version || batch_job_open(job))
+		job->shown = state_shown(job);
+	if (first) {
+		core->stats.accepted++;
+		core->options.ops->accepted(core->options.arg,
+					    base_str(job->id));
+		batch_note(core, &(batch_note_t){
+					 .kind = BATCH_NOTE_JOB_ACCEPTED,
+					 .task = { base_str(job->id), -1, -1,
+						   -1 },
+					 .why = "stored, microseconds",
+					 .value = now - job->arrived });
+	}
+	if (job->cancelled && !job->cancel_told && job->kept == job->version) {
+		job->cancel_told = true;
+		core->options.ops->cancelled(core->options.arg,
+					     base_str(job->id));
+	}
+	if (job->occs)
+		send_runs(job, now);
+}
--- /dev/null
+++ b/packages/batch/batch_int.h
@@ -0,0 +1,242 @@
+/*
+ * batch_int - what the files of this package share.
+ */
+#ifndef BATCH_INT_H
+#define BATCH_INT_H
+
+#include <string.h>
+
+#include "batch.h"
+
+#define BATCH_KEY_MAX 256 /* bytes of an id, with its NUL */
+
+/* A look is sent again and again; a worker not heard for so long is silent. */
+#define BATCH_HEARD_MAX (3 * BASE_SEC) /* three looks of a second */
+#define BATCH_STOP_RETRY (500 * BASE_MS) /* several times a round trip */
+/* Rest for a worker that refused a start: about the time of a short task. */
+#define BATCH_REFUSED_REST (300 * BASE_MS)
+
+typedef struct batch_job batch_job_t;
+typedef struct batch_occ batch_occ_t;
+typedef struct batch_step batch_step_t;
+typedef struct batch_task batch_task_t;
+typedef struct batch_run batch_run_t;
+typedef struct batch_worker batch_worker_t;
+typedef struct batch_pool batch_pool_t;
+typedef struct batch_queue batch_queue_t;
+
+struct batch_pool {
+	char *name;
+	bool guards;
+	bool spare;
+	bool in_force;
+	GPtrArray *workers;
+};
+
+struct batch_queue {
+	char *name;
+	batch_pool_t *pool;
+	int priority;
+	int attempts;
+	double stretch;
+	int64_t target_latency;
+	bool in_force;
+	double mean_run; /* of ended tasks, microseconds; 0 before the first */
+	uint64_t ended;	 /* tasks that mean_run was learned from */
+};
+
+typedef enum run_state {
+	RUN_STORING,  /* its row is not stored yet; nothing was sent */
+	RUN_SENT,     /* the worker has not answered */
+	RUN_DOUBT,    /* it may or may not exist */
+	RUN_ON,	      /* the worker confirmed it */
+	RUN_STOPPING, /* a stop was sent, or is to be sent again */
+	RUN_STATE_MAX
+} run_state_t;
+
+struct batch_run {
+	batch_task_t *task;
+	batch_worker_t *worker;
+	int64_t number;
+	run_state_t state;
+	uint64_t version; /* of the job's row that names it */
+	int64_t since;	  /* when it got into its state */
+	int64_t sure;	  /* looks sent from here on show it if it exists */
+	int64_t begun;	  /* confirmed; 0 before */
+	int64_t moved;	  /* when its percent last changed */
+	int64_t stop_at;  /* when the last stop was sent */
+	int64_t figure;
+	int percent;
+	int pace;	/* as ordered; 100 at its start */
+	bool stop_done; /* a stop was answered */
+	const char *why; /* of its stop */
+};
+
+struct batch_task {
+	batch_step_t *step;
+	int index;
+	bool done;
+	int fails;
+	int64_t number; /* highest run so far */
+	char *checkpoint;
+	batch_run_t *run;
+	const batch_worker_t *avoid; /* failed or refused there last */
+	int64_t away;		     /* lasting: since when not at work */
+};
+
+struct batch_step {
+	batch_occ_t *occ;
+	const batch_step_spec_t *spec;
+	int number;
+	batch_task_t *tasks;
+	int done;
+	bool begun;
+};
+
+struct batch_occ {
+	batch_job_t *job;
+	int number;
+	batch_step_t *steps;
+	int done_steps;
+};
+
+struct batch_job {
+	batch_t *core;
+	char *id;
+	batch_spec_t spec;
+	batch_queue_t *queue;
+	batch_state_t state; /* as decided */
+	batch_state_t shown; /* as stored */
+	bool cancelled;
+	bool stored;	/* its first row is */
+	bool queued;	/* in the list of rows that wait */
+	bool begun;	/* a task was started */
+	int64_t arrived; /* steady time */
+	int64_t arrived_wall;
+	int64_t ended_wall;
+	GPtrArray *occs;
+	uint64_t version; /* of the decided state */
+	uint64_t taken;	  /* handed out as a row */
+	uint64_t kept;	  /* stored */
+	bool cancel_told;
+	int n_runs;
+};
+
+/* An end that may be forgotten once a version of a job is stored. */
+typedef struct batch_gate {
+	int64_t number;
+	batch_job_t *job;
+	uint64_t version;
+} batch_gate_t;
+
+struct batch_worker {
+	batch_t *core;
+	char *id;
+	batch_pool_t *pool;
+	char *zone;
+	char *rack;
+	char **labels;
+	size_t n_labels;
+	batch_res_t capacity;
+	batch_res_t used;
+	int64_t born; /* 0: not looked at yet */
+	bool listed;
+	bool draining;
+	bool cordoned;
+	int64_t cordoned_at; /* or draining since */
+	int64_t heard;	   /* the last look that succeeded */
+	int64_t lease_end; /* what runs there has ended by then */
+	int64_t rest;	   /* gets no starts until then */
+	int64_t end_seen;  /* highest end handled */
+	GArray *gates;
+	GPtrArray *runs;
+	int fail_streak;
+	const batch_job_t *fail_job; /* of the last failure */
+	int fail_jobs;		     /* distinct ones in the streak */
+	int64_t out_until;
+	bool out;
+	const batch_task_t *claimed; /* room here is kept for it */
+	int64_t claimed_at;
+	int64_t calm;	  /* tails are well under their targets since then */
+	int64_t paced_at; /* last change of pace */
+};
+
+struct batch {
+	batch_options_t options;
+	GHashTable *jobs;    /* id to batch_job_t */
+	GHashTable *workers; /* id to batch_worker_t */
+	GHashTable *queues;
+	GHashTable *pools;
+	GPtrArray *open;  /* jobs that have not ended, or have runs */
+	GQueue rows;	  /* jobs that have a row to store */
+	GPtrArray *taken; /* jobs whose rows are being stored */
+	void *texts;	  /* of these rows */
+	batch_stats_t stats;
+	bool changed; /* something to decide */
+};
+
+/* batch.c */
+batch_job_t *batch_find_job(const batch_t *core, base_str_t id);
+batch_worker_t *batch_find_worker(const batch_t *core, base_str_t id);
+batch_queue_t *batch_find_queue(const batch_t *core, base_str_t name);
+batch_task_t *batch_find_task(const batch_t *core, const batch_task_id_t *id);
+batch_pool_t *batch_pool_get(batch_t *core, base_str_t name);
+bool batch_job_open(const batch_job_t *job);
+void batch_note(batch_t *core, const batch_note_t *note);
+batch_task_id_t batch_task_name(const batch_task_t *task);
+batch_job_t *batch_job_new(batch_t *core, const batch_spec_t *spec);
+batch_occ_t *batch_occ_new(batch_job_t *job, int number);
+bool batch_step_open(const batch_step_t *step);
+
+/* batch_commit.c */
+void batch_job_changed(batch_job_t *job);
+
+/* batch_run.c */
+batch_run_t *batch_run_new(batch_task_t *task, batch_worker_t *worker,
+			   int64_t now, int64_t number);
+void batch_run_free(batch_run_t *run);
+void batch_run_send(batch_run_t *run, int64_t now);
+void batch_run_stop(batch_run_t *run, int64_t now, const char *why);
+void batch_run_lost(batch_run_t *run, int64_t now, const char *why);
+void batch_run_ended(batch_run_t *run, int64_t now, batch_end_t how,
+		     base_str_t checkpoint);
+void batch_run_checkpoint(batch_run_t *run, base_str_t checkpoint);
+void batch_job_end(batch_job_t *job, int64_t now, batch_state_t state);
+void batch_runs_tick(batch_t *core, int64_t now);
+
+/* batch_health.c */
+void batch_health_failed(batch_worker_t *worker, const batch_job_t *job,
+			 int64_t now);
+void batch_health_good(batch_worker_t *worker);
+void batch_health_tick(batch_t *core, int64_t now);
+
+/* batch_estimate.c */
+int64_t batch_task_estimate(const batch_queue_t *queue,
+			    const batch_step_spec_t *spec);
+int64_t batch_chain(const batch_job_t *job, bool remaining);
+int64_t batch_objective(const batch_job_t *job);
+void batch_learn(batch_queue_t *queue, int64_t took);
+
+/* batch_admit.c */
+bool batch_admit(batch_t *core, const batch_job_t *job, int64_t now,
+		 int64_t *retry_after);
+
+/* batch_place.c */
+void batch_place(batch_t *core, int64_t now, int64_t wall);
+bool batch_worker_usable(const batch_worker_t *worker, int64_t now);
+
+/* Whether a worker has room for the task beside the one it is on. */
+bool batch_place_elsewhere(const batch_task_t *task, int64_t now);
+
+/* batch_evacuate.c */
+void batch_evacuate(batch_t *core, int64_t now);
+
+/* batch_pace.c */
+void batch_pace_look(batch_worker_t *worker, int64_t now);
+
+/* batch_record.c */
+const char *batch_record_print(const void *ctx, const batch_job_t *job);
+bool batch_record_load(batch_job_t *job, const char *record, int64_t now,
+		       int64_t until, GError **err);
+
+#endif
--- /dev/null
+++ b/packages/batch/batch_place.c
@@ -0,0 +1,416 @@
+/*
+ * Which task starts next, and where.
+ *
+ * Tasks that last go first, then jobs that can still be in time, those that
+ * have begun before those that have not, the least slack first; jobs that are
+ * late take what is left.
+ */
+#include "batch_int.h"
+
+/* Rank of a job in its pool: lower goes first. */
+typedef struct ranked {
+	batch_job_t *job;
+	int group;
+	int64_t slack;
+} ranked_t;
+
+typedef enum rank_group {
+	RANK_LASTING,
+	RANK_BEGUN,
+	RANK_NEW,
+	RANK_LATE,
+	RANK_MAX
+} rank_group_t;
+
+/* A lasting task that finds no room keeps the worker with the most for so
+ * long: short tasks there end within it. */
+#define CLAIM_MAX (3 * BASE_SEC)
+
+bool batch_worker_usable(const batch_worker_t *worker, int64_t now)
+{
+	return worker->listed && worker->born && !worker->draining &&
+	       !worker->cordoned && !worker->out && now >= worker->rest &&
+	       now - worker->heard <= BATCH_HEARD_MAX;
+}
+
+static bool has_label(const batch_worker_t *worker, base_str_t label)
+{
+	size_t i;
+
+	for (i = 0; i < worker->n_labels; i++)
+		if (base_str_eq(base_str(worker->labels[i]), label))
+			return true;
+	return false;
+}
+
+static bool has_room(const batch_worker_t *worker,
+		     const batch_step_spec_t *spec)
+{
+	if (!spec->fills &&
+	    worker->used.cpu + spec->need.cpu > worker->capacity.cpu)
+		return false;
+	return worker->used.memory + spec->need.memory <=
+		       worker->capacity.memory &&
+	       worker->used.gpu + spec->need.gpu <= worker->capacity.gpu;
+}
+
+static int siblings(const batch_worker_t *worker, const batch_step_t *step)
+{
+	int n = 0;
+	guint i;
+
+	for (i = 0; i < worker->runs->len; i++) {
+		batch_run_t *run = g_ptr_array_index(worker->runs, i);
+
+		n += run->task->step == step;
+	}
+	return n;
+}
+
+static bool may_run(const batch_worker_t *worker, const batch_task_t *task,
+		    int64_t now)
+{
+	const batch_step_spec_t *spec = task->step->spec;
+
+	if (!batch_worker_usable(worker, now))
+		return false;
+	if (worker->claimed && worker->claimed != task)
+		return false;
+	if (spec->label.len && !has_label(worker, spec->label))
+		return false;
+	if (spec->per_worker &&
+	    siblings(worker, task->step) >= spec->per_worker)
+		return false;
+	return true;
+}
+
+/* Serving tasks and those that fill disturb each other on one worker. */
+static int disturbance(const batch_worker_t *worker,
+		       const batch_step_spec_t *spec)
+{
+	int n = 0;
+	guint i;
+
+	for (i = 0; i < worker->runs->len; i++) {
+		batch_run_t *run = g_ptr_array_index(worker->runs, i);
+		const batch_step_spec_t *other = run->task->step->spec;
+
+		if (spec->fills && other->tail_target)
+			n += 4;
+		else if (spec->tail_target && other->fills)
+			n += 4;
+		else if (spec->lasting && other->lasting)
+			n += 1;
+	}
+	return n;
+}
+
+static int rack_siblings(const batch_pool_t *pool, const char *rack,
+			 const batch_step_t *step)
+{
+	int n = 0;
+	guint i;
+
+	for (i = 0; i < pool->workers->len; i++) {
+		batch_worker_t *worker = g_ptr_array_index(pool->workers, i);
+
+		if (!strcmp(worker->rack, rack))
+			n += siblings(worker, step);
+	}
+	return n;
+}
+
+/* Lower is better; free cores decide between workers that are alike. */
+static double cost(const batch_pool_t *pool, const batch_worker_t *worker,
+		   const batch_task_t *task)
+{
+	const batch_step_spec_t *spec = task->step->spec;
+	double cost = (double)worker->used.cpu /
+		      (double)(worker->capacity.cpu + 1);
+
+	if (task->avoid == worker)
+		cost += 16;
+	if (spec->data_rack.len &&
+	    !base_str_eq(base_str(worker->rack), spec->data_rack))
+		cost += 8;
+	if (spec->lasting) {
+		cost += 4 * disturbance(worker, spec);
+		cost += rack_siblings(pool, worker->rack, task->step);
+	}
+	return cost;
+}
+
+static batch_worker_t *choose(const batch_pool_t *pool,
+			      const batch_task_t *task, int64_t now, bool room)
+{
+	batch_worker_t *best = NULL;
+	double best_cost = 0;
+	guint i;
+
+	for (i = 0; i < pool->workers->len; i++) {
+		batch_worker_t *worker = g_ptr_array_index(pool->workers, i);
+		double now_cost;
+
+		if (!may_run(worker, task, now) ||
+		    has_room(worker, task->step->spec) != room)
+			continue;
+		now_cost = cost(pool, worker, task);
+		if (!best || now_cost < best_cost) {
+			best = worker;
+			best_cost = now_cost;
+		}
+	}
+	return best;
+}
+
+/* A run was made for the task: the job's row changes. */
+static void announce(batch_task_t *task, int64_t now)
+{
+	batch_step_t *step = task->step;
+	batch_job_t *job = step->occ->job;
+	batch_worker_t *worker = task->run->worker;
+
+	if (worker->claimed == task)
+		worker->claimed = NULL;
+	if (!job->begun)
+		job->begun = true;
+	if (job->state == BATCH_QUEUED)
+		job->state = BATCH_RUNNING;
+	batch_job_changed(job);
+	if (step->begun)
+		return;
+	step->begun = true;
+	batch_note(job->core, &(batch_note_t){
+				      .kind = BATCH_NOTE_STEP_STARTED,
+				      .task = batch_task_name(task),
+				      .run = task->number,
+				      .worker = base_str(worker->id),
+				      .why = "since arrival, microseconds",
+				      .value = now - job->arrived,
+				      .age = now - worker->heard });
+}
+
+/* Keep the room that comes free somewhere for a lasting task. */
+static void claim(const batch_pool_t *pool, const batch_task_t *task,
+		  int64_t now)
+{
+	batch_worker_t *worker = choose(pool, task, now, false);
+
+	if (!worker || worker->claimed)
+		return;
+	worker->claimed = task;
+	worker->claimed_at = now;
+}
+
+static bool has_claim(const batch_pool_t *pool, const batch_task_t *task)
+{
+	guint i;
+
+	for (i = 0; i < pool->workers->len; i++) {
+		batch_worker_t *worker = g_ptr_array_index(pool->workers, i);
+
+		if (worker->claimed == task)
+			return true;
+	}
+	return false;
+}
+
+static bool place_task(batch_pool_t *pool, batch_task_t *task, int64_t now)
+{
+	batch_worker_t *worker = choose(pool, task, now, true);
+
+	if (worker) {
+		batch_run_new(task, worker, now, task->number + 1);
+		announce(task, now);
+		return true;
+	}
+	if (task->step->spec->lasting && !has_claim(pool, task))
+		claim(pool, task, now);
+	return false;
+}
+
+/* All members start, with one number, or none. */
+static void place_gang(batch_pool_t *pool, batch_step_t *step, int64_t now)
+{
+	int64_t number = 0;
+	bool complete;
+	int i;
+
+	for (i = 0; i < step->spec->count; i++) {
+		if (step->tasks[i].run || step->tasks[i].done)
+			return;
+		if (step->tasks[i].number > number)
+			number = step->tasks[i].number;
+	}
+	for (i = 0; i < step->spec->count; i++) {
+		batch_worker_t *worker =
+			choose(pool, &step->tasks[i], now, true);
+
+		if (!worker)
+			break;
+		batch_run_new(&step->tasks[i], worker, now, number + 1);
+	}
+	complete = i == step->spec->count;
+	while (i-- > 0)
+		if (complete) {
+			announce(&step->tasks[i], now);
+		} else {
+			batch_run_free(step->tasks[i].run);
+			step->tasks[i].number = number;
+		}
+}
+
+static void place_step(batch_pool_t *pool, batch_step_t *step, int64_t now)
+{
+	int i;
+
+	if (step->done == step->spec->count || !batch_step_open(step))
+		return;
+	if (step->spec->gang) {
+		place_gang(pool, step, now);
+		return;
+	}
+	for (i = 0; i < step->spec->count; i++) {
+		batch_task_t *task = &step->tasks[i];
+
+		if (task->done || task->run)
+			continue;
+		/* Tasks of a step are alike: the next one fits no better. */
+		if (!place_task(pool, task, now) && !step->spec->lasting)
+			return;
+	}
+}
+
+static void place_job(batch_pool_t *pool, batch_job_t *job, int64_t now)
+{
+	guint i;
+	int s;
+
+	for (i = 0; i < job->occs->len; i++) {
+		batch_occ_t *occ = g_ptr_array_index(job->occs, i);
+
+		for (s = 0; s < job->spec.n_steps; s++)
+			place_step(pool, &occ->steps[s], now);
+	}
+}
+
+static bool job_lasts(const batch_job_t *job)
+{
+	int i;
+
+	for (i = 0; i < job->spec.n_steps; i++)
+		if (job->spec.steps[i].lasting)
+			return true;
+	return false;
+}
+
+static int rank_cmp(const void *a, const void *b)
+{
+	const ranked_t *x = a;
+	const ranked_t *y = b;
+
+	if (x->group != y->group)
+		return x->group - y->group;
+	if (x->slack != y->slack)
+		return x->slack < y->slack ? -1 : 1;
+	return strcmp(x->job->id, y->job->id);
+}
+
+static ranked_t rank(batch_job_t *job, int64_t now)
+{
+	ranked_t ranked = { .job = job, .group = RANK_NEW };
+	int64_t late_at = job->arrived + batch_objective(job);
+
+	ranked.slack = late_at - now - batch_chain(job, true);
+	if (job_lasts(job))
+		ranked.group = RANK_LASTING;
+	else if (job->spec.repeat)
+		ranked.group = RANK_BEGUN;
+	else if (now > late_at)
+		ranked.group = RANK_LATE;
+	else if (job->begun)
+		ranked.group = RANK_BEGUN;
+	return ranked;
+}
+
+static void drop_stale_claims(const batch_pool_t *pool, int64_t now)
+{
+	guint i;
+
+	for (i = 0; i < pool->workers->len; i++) {
+		batch_worker_t *worker = g_ptr_array_index(pool->workers, i);
+
+		/* Placing sets it again where the task still waits. */
+		if (worker->claimed && now - worker->claimed_at > CLAIM_MAX)
+			worker->claimed = NULL;
+	}
+}
+
+/* Occurrences whose time has come. */
+static void open_due(batch_job_t *job, int64_t wall)
+{
+	int next = (int)job->occs->len;
+
+	while (next < job->spec.repeat &&
+	       job->spec.first_at + next * job->spec.interval <= wall)
+		batch_occ_new(job, next++);
+}
+
+static void drop_ended_claims(batch_t *core)
+{
+	GHashTableIter iter;
+	gpointer value;
+
+	g_hash_table_iter_init(&iter, core->workers);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		batch_worker_t *worker = value;
+
+		if (worker->claimed &&
+		    (worker->claimed->run ||
+		     !batch_job_open(worker->claimed->step->occ->job)))
+			worker->claimed = NULL;
+	}
+}
+
+void batch_place(batch_t *core, int64_t now, int64_t wall)
+{
+	ranked_t *ranks = talloc_array(core, ranked_t, core->open->len);
+	GHashTableIter iter;
+	gpointer value;
+	size_t n = 0;
+	guint i;
+
+	drop_ended_claims(core);
+	g_hash_table_iter_init(&iter, core->pools);
+	while (g_hash_table_iter_next(&iter, NULL, &value))
+		drop_stale_claims(value, now);
+	for (i = 0; i < core->open->len; i++) {
+		batch_job_t *job = g_ptr_array_index(core->open, i);
+
+		if (!batch_job_open(job) || !job->stored || !job->queue)
+			continue;
+		if (job->spec.repeat)
+			open_due(job, wall);
+		ranks[n++] = rank(job, now);
+	}
+	qsort(ranks, n, sizeof(*ranks), rank_cmp);
+	for (i = 0; i < n; i++)
+		place_job(ranks[i].job->queue->pool, ranks[i].job, now);
+	talloc_free(ranks);
+}
+
+bool batch_place_elsewhere(const batch_task_t *task, int64_t now)
+{
+	const batch_job_t *job = task->step->occ->job;
+
+	return choose(job->queue->pool, task, now, true) != NULL;
+}
+
+void batch_step(batch_t *core, int64_t now, int64_t wall)
+{
+	batch_runs_tick(core, now);
+	batch_health_tick(core, now);
+	batch_evacuate(core, now);
+	core->changed = false;
+	batch_place(core, now, wall);
+}
--- /dev/null
+++ b/packages/batch/batch_record.c
@@ -0,0 +1,216 @@
+/*
+ * A job's row: what a successor needs beside the specification.
+ *
+ * {"state", "cancelled", "begun", "arrived" (wall, microseconds), "ended",
+ *  "occurrences" (opened), "tasks": [[occurrence, step, index, done, number,
+ *  fails, worker, checkpoint], ...]}; untouched tasks are left out, a worker
+ * is named where a run may exist.
+ */
+#include <jansson.h>
+
+#include "batch_int.h"
+
+typedef enum task_field {
+	FIELD_OCCURRENCE,
+	FIELD_STEP,
+	FIELD_INDEX,
+	FIELD_DONE,
+	FIELD_NUMBER,
+	FIELD_FAILS,
+	FIELD_WORKER,
+	FIELD_CHECKPOINT,
+	FIELD_MAX
+} task_field_t;
+
+static void print_task(base_buf_t *buf, const batch_task_t *task, bool *first)
+{
+	const batch_step_t *step = task->step;
+
+	if (!task->number && !task->done)
+		return;
+	base_buf_addf(buf, "%s[%d,%d,%d,%d,%" G_GINT64_FORMAT ",%d,",
+		      *first ? "" : ",", step->occ->number, step->number,
+		      task->index, task->done, task->number, task->fails);
+	*first = false;
+	base_buf_add_json(buf, task->run ? base_str(task->run->worker->id) :
+					   BASE_STR(""));
+	base_buf_adds(buf, ",");
+	base_buf_add_json(buf, task->done ? BASE_STR("") :
+					    base_str(task->checkpoint));
+	base_buf_adds(buf, "]");
+}
+
+const char *batch_record_print(const void *ctx, const batch_job_t *job)
+{
+	base_buf_t *buf = base_buf_new(ctx);
+	bool first = true;
+	guint i;
+	int s;
+	int t;
+
+	base_buf_adds(buf, "{\"state\":");
+	base_buf_add_json(buf, base_str(batch_state_name(job->state)));
+	base_buf_addf(buf,
+		      ",\"cancelled\":%s,\"begun\":%s,\"arrived\":%" G_GINT64_FORMAT
+		      ",\"ended\":%" G_GINT64_FORMAT
+		      ",\"occurrences\":%u,\"tasks\":[",
+		      job->cancelled ? "true" : "false",
+		      job->begun ? "true" : "false", job->arrived_wall,
+		      job->ended_wall, job->occs ? job->occs->len : 0);
+	for (i = 0; batch_job_open(job) && i < job->occs->len; i++) {
+		batch_occ_t *occ = g_ptr_array_index(job->occs, i);
+
+		for (s = 0; s < job->spec.n_steps; s++)
+			for (t = 0; t < occ->steps[s].spec->count; t++)
+				print_task(buf, &occ->steps[s].tasks[t],
+					   &first);
+	}
+	base_buf_adds(buf, "]}");
+	return buf->ptr;
+}
+
+static bool load_state(batch_job_t *job, json_t *root)
+{
+	const char *name = json_string_value(json_object_get(root, "state"));
+	int i;
+
+	for (i = 0; name && i < BATCH_STATE_MAX; i++)
+		if (!strcmp(name, batch_state_name((batch_state_t)i))) {
+			job->state = (batch_state_t)i;
+			return true;
+		}
+	return false;
+}
+
+/* A run that a predecessor stored: it may or may not exist. */
+static void load_run(batch_task_t *task, const char *worker_id, int64_t now,
+		     int64_t until)
+{
+	batch_t *core = task->step->occ->job->core;
+	batch_worker_info_t info = { .id = base_str(worker_id),
+				     .pool = base_str("") };
+	batch_worker_t *worker = batch_find_worker(core, info.id);
+	batch_run_t *run;
+
+	if (!worker) {
+		/* Not listed: it gets no work, but its runs are settled. */
+		batch_worker_listed(core, now, &info);
+		batch_worker_unlisted(core, now, info.id);
+		worker = batch_find_worker(core, info.id);
+	}
+	batch_worker_lease(core, info.id, until);
+	run = batch_run_new(task, worker, now, task->number);
+	run->state = RUN_DOUBT;
+	run->sure = now;
+}
+
+static bool load_task(batch_job_t *job, json_t *row, int64_t now, int64_t until)
+{
+	batch_task_id_t id = { base_str(job->id), 0, 0, 0 };
+	batch_task_t *task;
+	const char *worker;
+
+	if (json_array_size(row) != FIELD_MAX)
+		return false;
+	id.occurrence = (int)json_integer_value(
+		json_array_get(row, FIELD_OCCURRENCE));
+	id.step = (int)json_integer_value(json_array_get(row, FIELD_STEP));
+	id.index = (int)json_integer_value(json_array_get(row, FIELD_INDEX));
+	worker = json_string_value(json_array_get(row, FIELD_WORKER));
+	task = batch_find_task(job->core, &id);
+	if (!task || !worker)
+		return false;
+	task->done = json_integer_value(json_array_get(row, FIELD_DONE));
+	task->number = json_integer_value(json_array_get(row, FIELD_NUMBER));
+	task->fails =
+		(int)json_integer_value(json_array_get(row, FIELD_FAILS));
+	task->checkpoint = base_str_dup(
+		task->step->occ,
+		base_str(json_string_value(
+			json_array_get(row, FIELD_CHECKPOINT))));
+	task->step->begun = true;
+	if (task->done)
+		task->step->done++;
+	else if (*worker)
+		load_run(task, worker, now, until);
+	return true;
+}
+
+static void count_done_steps(batch_job_t *job)
+{
+	guint i;
+	int s;
+
+	for (i = 0; i < job->occs->len; i++) {
+		batch_occ_t *occ = g_ptr_array_index(job->occs, i);
+
+		for (s = 0; s < job->spec.n_steps; s++)
+			occ->done_steps += occ->steps[s].done ==
+					   occ->steps[s].spec->count;
+	}
+}
+
+bool batch_record_load(batch_job_t *job, const char *record, int64_t now,
+		       int64_t until, GError **err)
+{
+	json_t *root = json_loads(record, 0, NULL);
+	json_t *tasks = json_object_get(root, "tasks");
+	bool ok = root && load_state(job, root) && json_is_array(tasks);
+	size_t i;
+	int n;
+
+	if (ok) {
+		job->cancelled =
+			json_is_true(json_object_get(root, "cancelled"));
+		job->begun = json_is_true(json_object_get(root, "begun"));
+		job->arrived_wall =
+			json_integer_value(json_object_get(root, "arrived"));
+		job->ended_wall =
+			json_integer_value(json_object_get(root, "ended"));
+		n = (int)json_integer_value(
+			json_object_get(root, "occurrences"));
+		for (i = 0; batch_job_open(job) && (int)i < n; i++)
+			batch_occ_new(job, (int)i);
+		for (i = 0; ok && batch_job_open(job) &&
+			    i < json_array_size(tasks);
+		     i++)
+			ok = load_task(job, json_array_get(tasks, i), now,
+				       until);
+		count_done_steps(job);
+	}
+	json_decref(root);
+	if (!ok)
+		g_set_error(err, BATCH_ERROR, BATCH_ERR_RECORD,
+			    "the record of job %s cannot be read", job->id);
+	return ok;
+}
+
+bool batch_restore(batch_t *core, int64_t now, int64_t wall, base_str_t id,
+		   const batch_spec_t *spec, const char *record, int64_t until,
+		   GError **err)
+{
+	batch_spec_t none = { .id = id };
+	batch_job_t *job = batch_job_new(core, spec ? spec : &none);
+
+	if (!batch_record_load(job, record, now, until, err) ||
+	    (!spec && batch_job_open(job))) {
+		if (err && !*err)
+			g_set_error(err, BATCH_ERROR, BATCH_ERR_RECORD,
+				    "job %s has a row and no specification",
+				    job->id);
+		job->state = BATCH_FAILED;
+	}
+	job->arrived = now - (wall - job->arrived_wall);
+	job->stored = true;
+	job->cancel_told = job->cancelled;
+	job->shown = job->state;
+	if (batch_job_open(job)) {
+		job->shown = job->begun ? BATCH_RUNNING : BATCH_QUEUED;
+		g_ptr_array_add(core->open, job);
+	} else {
+		g_ptr_array_unref(job->occs);
+		job->occs = NULL;
+	}
+	core->changed = true;
+	return !err || !*err;
+}
--- /dev/null
+++ b/packages/batch/batch_run.c
@@ -0,0 +1,410 @@
+#include "batch_int.h"
+
+batch_run_t *batch_run_new(batch_task_t *task, batch_worker_t *worker,
+			   int64_t now, int64_t number)
+{
+	batch_job_t *job = task->step->occ->job;
+	batch_run_t *run = talloc_zero(worker, batch_run_t);
+
+	run->task = task;
+	run->worker = worker;
+	run->number = number;
+	run->state = RUN_STORING;
+	run->since = now;
+	run->pace = 100;
+	run->moved = now;
+	run->version = job->version + 1;
+	task->run = run;
+	if (number > task->number)
+		task->number = number;
+	if (!task->step->spec->fills)
+		worker->used.cpu += task->step->spec->need.cpu;
+	worker->used.memory += task->step->spec->need.memory;
+	worker->used.gpu += task->step->spec->need.gpu;
+	g_ptr_array_add(worker->runs, run);
+	job->n_runs++;
+	return run;
+}
+
+/* The run does not exist any more. */
+void batch_run_free(batch_run_t *run)
+{
+	batch_task_t *task = run->task;
+	batch_worker_t *worker = run->worker;
+
+	if (!task->step->spec->fills)
+		worker->used.cpu -= task->step->spec->need.cpu;
+	worker->used.memory -= task->step->spec->need.memory;
+	worker->used.gpu -= task->step->spec->need.gpu;
+	g_ptr_array_remove_fast(worker->runs, run);
+	task->step->occ->job->n_runs--;
+	task->run = NULL;
+	worker->core->changed = true;
+	talloc_free(run);
+}
+
+static void enter(batch_run_t *run, run_state_t state, int64_t now)
+{
+	run->state = state;
+	run->since = now;
+}
+
+static batch_order_t order_of(const batch_run_t *run)
+{
+	const batch_task_t *task = run->task;
+	batch_order_t order = {
+		.task = batch_task_name(task),
+		.run = run->number,
+		.worker = base_str(run->worker->id),
+		.payload = task->step->occ->job->spec.payload,
+		.checkpoint = base_str(task->checkpoint),
+		.percent = run->pace,
+	};
+
+	return order;
+}
+
+static void note_run(const batch_run_t *run, batch_note_kind_t kind,
+		     const char *why, int64_t value, int64_t age)
+{
+	batch_note(run->worker->core,
+		   &(batch_note_t){ .kind = kind,
+				    .task = batch_task_name(run->task),
+				    .run = run->number,
+				    .worker = base_str(run->worker->id),
+				    .why = why,
+				    .value = value,
+				    .age = age });
+}
+
+void batch_run_send(batch_run_t *run, int64_t now)
+{
+	batch_t *core = run->worker->core;
+	batch_job_t *job = run->task->step->occ->job;
+	batch_order_t order = order_of(run);
+
+	if (!batch_job_open(job)) {
+		batch_run_free(run);
+		return;
+	}
+	enter(run, RUN_SENT, now);
+	core->stats.starts++;
+	core->options.ops->start(core->options.arg, &order);
+}
+
+static void send_stop(batch_run_t *run, int64_t now)
+{
+	batch_t *core = run->worker->core;
+	batch_order_t order = order_of(run);
+
+	run->stop_at = now;
+	core->options.ops->stop(core->options.arg, &order);
+}
+
+void batch_run_stop(batch_run_t *run, int64_t now, const char *why)
+{
+	if (run->state == RUN_STOPPING)
+		return;
+	/* Nothing was sent, and now nothing will be. */
+	if (run->state == RUN_STORING) {
+		batch_run_free(run);
+		return;
+	}
+	run->why = why;
+	note_run(run, BATCH_NOTE_RUN_STOPPED, why, run->percent,
+		 now - run->worker->heard);
+	enter(run, RUN_STOPPING, now);
+	run->stop_done = false;
+	send_stop(run, now);
+}
+
+void batch_run_lost(batch_run_t *run, int64_t now, const char *why)
+{
+	batch_job_t *job = run->task->step->occ->job;
+
+	if (run->state != RUN_STORING && batch_job_open(job)) {
+		run->worker->core->stats.lost++;
+		note_run(run, BATCH_NOTE_RUN_LOST, why, 0,
+			 now - run->worker->heard);
+	}
+	batch_run_free(run);
+}
+
+/* Every member of a gang resumes from the same checkpoint. */
+void batch_run_checkpoint(batch_run_t *run, base_str_t checkpoint)
+{
+	batch_step_t *step = run->task->step;
+	int i;
+
+	if (!checkpoint.len ||
+	    base_str_eq(base_str(run->task->checkpoint), checkpoint))
+		return;
+	for (i = 0; i < step->spec->count; i++) {
+		batch_task_t *task = &step->tasks[i];
+
+		if (task != run->task && !step->spec->gang)
+			continue;
+		talloc_free(task->checkpoint);
+		task->checkpoint = base_str_dup(step->occ, checkpoint);
+	}
+}
+
+static void stop_job(batch_job_t *job, int64_t now, const char *why)
+{
+	guint i;
+	int s;
+	int t;
+
+	for (i = 0; job->occs && i < job->occs->len; i++) {
+		batch_occ_t *occ = g_ptr_array_index(job->occs, i);
+
+		for (s = 0; s < job->spec.n_steps; s++)
+			for (t = 0; t < occ->steps[s].spec->count; t++)
+				if (occ->steps[s].tasks[t].run)
+					batch_run_stop(
+						occ->steps[s].tasks[t].run, now,
+						why);
+	}
+}
+
+void batch_job_end(batch_job_t *job, int64_t now, batch_state_t state)
+{
+	batch_t *core = job->core;
+
+	job->state = state;
+	job->ended_wall = job->arrived_wall + (now - job->arrived);
+	if (state == BATCH_COMPLETED)
+		core->stats.completed++;
+	if (state == BATCH_FAILED)
+		core->stats.failed++;
+	batch_note(core,
+		   &(batch_note_t){
+			   .kind = state == BATCH_CANCELLED ?
+					   BATCH_NOTE_JOB_CANCELLED :
+					   BATCH_NOTE_JOB_ENDED,
+			   .task = { base_str(job->id), -1, -1, -1 },
+			   .why = batch_state_name(state),
+			   .value = now - job->arrived -
+				    batch_objective(job),
+		   });
+	stop_job(job, now, batch_state_name(state));
+	batch_job_changed(job);
+}
+
+static void task_done(batch_task_t *task, int64_t now)
+{
+	batch_step_t *step = task->step;
+	batch_occ_t *occ = step->occ;
+	batch_job_t *job = occ->job;
+	guint total = job->spec.repeat ? (guint)job->spec.repeat : 1;
+	guint done = 0;
+	guint i;
+
+	if (task->done)
+		return;
+	task->done = true;
+	if (++step->done < step->spec->count)
+		return;
+	if (++occ->done_steps < job->spec.n_steps)
+		return;
+	for (i = 0; i < job->occs->len; i++) {
+		batch_occ_t *other = g_ptr_array_index(job->occs, i);
+
+		done += other->done_steps == job->spec.n_steps;
+	}
+	if (done == total)
+		batch_job_end(job, now, BATCH_COMPLETED);
+}
+
+/* One done end stands for every member of a gang. */
+static void step_done(batch_task_t *task, int64_t now)
+{
+	batch_step_t *step = task->step;
+	int i;
+
+	if (!step->spec->gang) {
+		task_done(task, now);
+		return;
+	}
+	for (i = 0; i < step->spec->count; i++)
+		task_done(&step->tasks[i], now);
+}
+
+static void task_failed(batch_task_t *task, batch_worker_t *worker, int64_t now)
+{
+	batch_job_t *job = task->step->occ->job;
+
+	batch_health_failed(worker, job, now);
+	task->avoid = worker;
+	if (task->step->spec->lasting)
+		return;
+	task->fails++;
+	batch_job_changed(job);
+	if (task->fails >= job->queue->attempts)
+		batch_job_end(job, now, BATCH_FAILED);
+}
+
+void batch_run_ended(batch_run_t *run, int64_t now, batch_end_t how,
+		     base_str_t checkpoint)
+{
+	batch_task_t *task = run->task;
+	batch_worker_t *worker = run->worker;
+	batch_job_t *job = task->step->occ->job;
+	int64_t begun = run->begun ? run->begun : run->since;
+	bool open = batch_job_open(job);
+
+	batch_run_checkpoint(run, checkpoint);
+	if (how == BATCH_END_FAILED)
+		note_run(run, BATCH_NOTE_RUN_FAILED, "fails before",
+			 task->fails, 0);
+	else if (how != BATCH_END_DONE && open)
+		note_run(run, BATCH_NOTE_RUN_LOST,
+			 how == BATCH_END_LAPSED ? "lease lapsed" : "stopped",
+			 how, 0);
+	if (task->step->spec->lasting)
+		task->away = now;
+	batch_run_free(run);
+	if (!open)
+		return;
+	if (how == BATCH_END_FAILED)
+		task_failed(task, worker, now);
+	if (how != BATCH_END_DONE || task->step->spec->lasting)
+		return;
+	batch_health_good(worker);
+	batch_learn(job->queue, now - begun);
+	batch_job_changed(job);
+	step_done(task, now);
+}
+
+static bool same_life(const batch_run_t *run, const batch_order_t *order)
+{
+	return run && run->number == order->run &&
+	       base_str_eq(base_str(run->worker->id), order->worker);
+}
+
+/* A start was refused: nothing of it ran or will. */
+static void start_refused(batch_run_t *run, int64_t now, batch_answer_t answer)
+{
+	batch_task_t *task = run->task;
+	batch_worker_t *worker = run->worker;
+	bool gang = task->step->spec->gang;
+	int i;
+
+	if (answer != BATCH_ANSWER_OLD) {
+		worker->rest = now + BATCH_REFUSED_REST;
+		task->avoid = worker;
+	}
+	batch_run_lost(run, now,
+		       answer == BATCH_ANSWER_ROOM ? "no room" : "refused");
+	for (i = 0; gang && i < task->step->spec->count; i++)
+		if (task->step->tasks[i].run)
+			batch_run_stop(task->step->tasks[i].run, now,
+				       "gang incomplete");
+}
+
+void batch_start_answer(batch_t *core, int64_t now, const batch_order_t *order,
+			batch_answer_t answer)
+{
+	batch_task_t *task = batch_find_task(core, &order->task);
+	batch_run_t *run = task ? task->run : NULL;
+
+	if (!same_life(run, order) || run->state != RUN_SENT)
+		return;
+	core->changed = true;
+	switch (answer) {
+	case BATCH_ANSWER_OK:
+		enter(run, RUN_ON, now);
+		run->sure = now;
+		run->begun = now;
+		run->moved = now;
+		break;
+	case BATCH_ANSWER_SILENT:
+		run->worker->rest = now + BATCH_REFUSED_REST;
+		enter(run, RUN_DOUBT, now);
+		run->sure = now;
+		note_run(run, BATCH_NOTE_RUN_DOUBTED, "start unanswered", 0,
+			 now - run->worker->heard);
+		break;
+	case BATCH_ANSWER_OTHER_LIFE:
+		batch_run_lost(run, now, "another life there");
+		break;
+	default:
+		start_refused(run, now, answer);
+		break;
+	}
+}
+
+void batch_stop_answer(batch_t *core, int64_t now, const batch_order_t *order,
+		       batch_answer_t answer)
+{
+	batch_task_t *task = batch_find_task(core, &order->task);
+	batch_run_t *run = task ? task->run : NULL;
+
+	if (!same_life(run, order) || run->state != RUN_STOPPING)
+		return;
+	if (answer == BATCH_ANSWER_OTHER_LIFE) {
+		batch_run_lost(run, now, "another life there");
+		return;
+	}
+	if (answer != BATCH_ANSWER_OK)
+		return;
+	run->stop_done = true;
+	run->sure = now;
+}
+
+static void run_tick(batch_run_t *run, int64_t now)
+{
+	if (run->state == RUN_DOUBT &&
+	    now - run->since > 4 * run->worker->core->options.doubt)
+		batch_run_stop(run, now, "in doubt");
+	else if (run->state == RUN_STOPPING && !run->stop_done &&
+		 now - run->stop_at > BATCH_STOP_RETRY)
+		send_stop(run, now);
+}
+
+static void worker_tick(batch_worker_t *worker, int64_t now)
+{
+	bool over = worker->lease_end && now > worker->lease_end;
+	guint i;
+
+	for (i = worker->runs->len; i-- > 0;) {
+		batch_run_t *run = g_ptr_array_index(worker->runs, i);
+
+		/* A run that was not sent yet brings its own lease. */
+		if (over && run->state != RUN_STORING)
+			batch_run_lost(run, now, "lease over");
+		else
+			run_tick(run, now);
+	}
+}
+
+/* An ended job without runs keeps its id and state only. */
+static void forget_body(batch_job_t *job)
+{
+	guint i;
+
+	for (i = 0; i < job->occs->len; i++)
+		talloc_free(g_ptr_array_index(job->occs, i));
+	g_ptr_array_unref(job->occs);
+	job->occs = NULL;
+}
+
+void batch_runs_tick(batch_t *core, int64_t now)
+{
+	GHashTableIter iter;
+	gpointer value;
+	guint i;
+
+	g_hash_table_iter_init(&iter, core->workers);
+	while (g_hash_table_iter_next(&iter, NULL, &value))
+		worker_tick(value, now);
+	for (i = core->open->len; i-- > 0;) {
+		batch_job_t *job = g_ptr_array_index(core->open, i);
+
+		if (batch_job_open(job) || job->n_runs ||
+		    job->kept < job->version)
+			continue;
+		forget_body(job);
+		g_ptr_array_remove_index_fast(core->open, i);
+	}
+}
--- /dev/null
+++ b/packages/batch/batch_worker.c
@@ -0,0 +1,296 @@
+#include "batch_int.h"
+
+static batch_worker_t *worker_get(batch_t *core, base_str_t id)
+{
+	batch_worker_t *worker = batch_find_worker(core, id);
+
+	if (worker)
+		return worker;
+	worker = talloc_zero(core, batch_worker_t);
+	worker->core = core;
+	worker->id = base_str_dup(worker, id);
+	worker->runs = g_ptr_array_new();
+	worker->gates = g_array_new(FALSE, FALSE, sizeof(batch_gate_t));
+	g_hash_table_insert(core->workers, worker->id, worker);
+	return worker;
+}
+
+static void set_pool(batch_worker_t *worker, batch_pool_t *pool)
+{
+	if (worker->pool == pool)
+		return;
+	if (worker->pool)
+		g_ptr_array_remove_fast(worker->pool->workers, worker);
+	worker->pool = pool;
+	if (pool)
+		g_ptr_array_add(pool->workers, worker);
+}
+
+static void set_labels(batch_worker_t *worker, const batch_worker_info_t *info)
+{
+	size_t i;
+
+	talloc_free(worker->labels);
+	worker->labels = talloc_array(worker, char *, info->n_labels);
+	worker->n_labels = info->n_labels;
+	for (i = 0; i < info->n_labels; i++)
+		worker->labels[i] =
+			base_str_dup(worker->labels, info->labels[i]);
+}
+
+void batch_worker_listed(batch_t *core, int64_t now,
+			 const batch_worker_info_t *info)
+{
+	batch_worker_t *worker = worker_get(core, info->id);
+
+	if (!worker->listed || worker->draining != info->draining)
+		core->changed = true;
+	if (!worker->heard)
+		worker->heard = now;
+	if (info->draining && !worker->draining && !worker->cordoned)
+		worker->cordoned_at = now;
+	worker->listed = true;
+	worker->draining = info->draining;
+	worker->capacity = info->capacity;
+	talloc_free(worker->zone);
+	worker->zone = base_str_dup(worker, info->zone);
+	talloc_free(worker->rack);
+	worker->rack = base_str_dup(worker, info->rack);
+	set_labels(worker, info);
+	set_pool(worker, batch_pool_get(core, info->pool));
+}
+
+static void worker_drop(batch_t *core, batch_worker_t *worker)
+{
+	set_pool(worker, NULL);
+	g_hash_table_remove(core->workers, worker->id);
+	g_ptr_array_unref(worker->runs);
+	g_array_unref(worker->gates);
+	talloc_free(worker);
+}
+
+void batch_worker_unlisted(batch_t *core, int64_t now, base_str_t id)
+{
+	batch_worker_t *worker = batch_find_worker(core, id);
+
+	(void)now;
+	if (!worker)
+		return;
+	worker->listed = false;
+	set_pool(worker, NULL);
+	core->changed = true;
+}
+
+void batch_worker_cordon(batch_t *core, int64_t now, base_str_t id,
+			 bool cordoned)
+{
+	batch_worker_t *worker = batch_find_worker(core, id);
+
+	if (!worker || worker->cordoned == cordoned)
+		return;
+	worker->cordoned = cordoned;
+	worker->cordoned_at = now;
+	core->changed = true;
+}
+
+void batch_worker_lease(batch_t *core, base_str_t id, int64_t until)
+{
+	batch_worker_t *worker = batch_find_worker(core, id);
+
+	if (worker)
+		worker->lease_end = until;
+}
+
+static void lose_all(batch_worker_t *worker, int64_t now, const char *why)
+{
+	while (worker->runs->len)
+		batch_run_lost(g_ptr_array_index(worker->runs, 0), now, why);
+}
+
+void batch_worker_over(batch_t *core, int64_t now, base_str_t id)
+{
+	batch_worker_t *worker = batch_find_worker(core, id);
+
+	if (!worker)
+		return;
+	lose_all(worker, now, "worker gone");
+	if (!worker->listed)
+		worker_drop(core, worker);
+}
+
+size_t batch_worker_runs(const batch_t *core, base_str_t id, size_t *lasting)
+{
+	batch_worker_t *worker = batch_find_worker(core, id);
+	guint i;
+
+	*lasting = 0;
+	if (!worker)
+		return 0;
+	for (i = 0; i < worker->runs->len; i++) {
+		batch_run_t *run = g_ptr_array_index(worker->runs, i);
+
+		*lasting += run->task->step->spec->lasting;
+	}
+	return worker->runs->len;
+}
+
+/* Another life has the id: it knows nothing of the one before. */
+static void new_life(batch_worker_t *worker, int64_t now, int64_t born)
+{
+	guint i;
+
+	if (worker->born) {
+		for (i = worker->runs->len; i-- > 0;) {
+			batch_run_t *run = g_ptr_array_index(worker->runs, i);
+
+			/* A start on its way may have reached this life. */
+			if (run->state == RUN_ON)
+				batch_run_lost(run, now, "worker restarted");
+		}
+		worker->end_seen = 0;
+		g_array_set_size(worker->gates, 0);
+		worker->out = false;
+		worker->fail_streak = 0;
+	}
+	worker->born = born;
+}
+
+static void take_end(batch_worker_t *worker, int64_t now,
+		     const batch_seen_end_t *end)
+{
+	batch_t *core = worker->core;
+	batch_task_t *task = batch_find_task(core, &end->task);
+	batch_run_t *run = task ? task->run : NULL;
+	batch_job_t *job;
+	batch_gate_t gate;
+
+	if (end->number <= worker->end_seen)
+		return;
+	worker->end_seen = end->number;
+	if (!run || run->worker != worker || run->number != end->run)
+		return;
+	job = task->step->occ->job;
+	batch_run_ended(run, now, end->how, end->checkpoint);
+	gate.number = end->number;
+	gate.job = job;
+	gate.version = job->version;
+	if (job->kept < job->version)
+		g_array_append_val(worker->gates, gate);
+}
+
+int64_t batch_worker_noted(const batch_t *core, base_str_t id)
+{
+	batch_worker_t *worker = batch_find_worker(core, id);
+	batch_gate_t *gate;
+
+	if (!worker)
+		return 0;
+	while (worker->gates->len) {
+		gate = &g_array_index(worker->gates, batch_gate_t, 0);
+		if (gate->job->kept < gate->version)
+			return gate->number - 1;
+		g_array_remove_index(worker->gates, 0);
+	}
+	return worker->end_seen;
+}
+
+static void stop_stray(batch_worker_t *worker, const batch_seen_run_t *seen)
+{
+	batch_order_t order = {
+		.task = seen->task,
+		.run = seen->run,
+		.worker = base_str(worker->id),
+	};
+
+	worker->core->options.ops->stop(worker->core->options.arg, &order);
+}
+
+static void take_run(batch_worker_t *worker, int64_t now, int64_t sent,
+		     const batch_seen_run_t *seen)
+{
+	batch_task_t *task = batch_find_task(worker->core, &seen->task);
+	batch_run_t *run = task ? task->run : NULL;
+
+	if (!run || run->worker != worker || run->number != seen->run) {
+		stop_stray(worker, seen);
+		return;
+	}
+	if (run->state == RUN_STORING)
+		return;
+	if (run->state == RUN_DOUBT || run->state == RUN_SENT) {
+		run->state = RUN_ON;
+		run->since = now;
+		run->sure = sent;
+	}
+	if (!run->begun) {
+		run->begun = now;
+		run->moved = now;
+	}
+	if (seen->percent != run->percent) {
+		run->percent = seen->percent;
+		run->moved = now;
+	}
+	run->figure = seen->figure;
+	if (task->step->spec->lasting && seen->percent >= 100)
+		task->away = 0;
+	batch_run_checkpoint(run, seen->checkpoint);
+}
+
+static bool shown(const batch_look_t *look, const batch_run_t *run)
+{
+	batch_task_id_t id = batch_task_name(run->task);
+	size_t i;
+
+	for (i = 0; i < look->n_runs; i++) {
+		const batch_seen_run_t *seen = &look->runs[i];
+
+		if (seen->run == run->number && seen->task.step == id.step &&
+		    seen->task.index == id.index &&
+		    seen->task.occurrence == id.occurrence &&
+		    base_str_eq(seen->task.job, id.job))
+			return true;
+	}
+	return false;
+}
+
+/* Decide about runs that the look should have shown and did not. */
+static void settle_missing(batch_worker_t *worker, int64_t now,
+			   const batch_look_t *look)
+{
+	guint i;
+
+	for (i = worker->runs->len; i-- > 0;) {
+		batch_run_t *run = g_ptr_array_index(worker->runs, i);
+
+		if (run->state == RUN_STORING || run->state == RUN_SENT ||
+		    look->sent < run->sure || shown(look, run))
+			continue;
+		if (run->state == RUN_STOPPING && run->stop_done)
+			batch_run_lost(run, now, run->why);
+		else if (run->state == RUN_DOUBT &&
+			 now - run->since > worker->core->options.doubt)
+			batch_run_stop(run, now, "in doubt");
+		else if (run->state == RUN_ON)
+			batch_run_stop(run, now, "not listed");
+	}
+}
+
+void batch_look(batch_t *core, int64_t now, const batch_look_t *look)
+{
+	batch_worker_t *worker = batch_find_worker(core, look->worker);
+	size_t i;
+
+	if (!worker)
+		return;
+	if (worker->born != look->born)
+		new_life(worker, now, look->born);
+	worker->heard = now;
+	for (i = 0; i < look->n_ends; i++)
+		take_end(worker, now, &look->ends[i]);
+	for (i = 0; i < look->n_runs; i++)
+		take_run(worker, now, look->sent, &look->runs[i]);
+	settle_missing(worker, now, look);
+	batch_pace_look(worker, now);
+	if (look->n_ends)
+		core->changed = true;
+}
--- /dev/null
+++ b/packages/net/net_client.c
@@ -0,0 +1,272 @@
+#include <event2/buffer.h>
+#include <event2/keyvalq_struct.h>
+
+#include "net_int.h"
+
+typedef struct net_conn {
+	net_client_t *client;
+	struct evhttp_connection *evcon;
+	net_call_t *call; /* in flight; NULL when idle */
+	struct net_conn *next;
+	bool closed; /* given up; freed when libevent has left it */
+} net_conn_t;
+
+struct net_client {
+	net_loop_t *loop;
+	char *address;
+	char *host;
+	uint16_t port;
+	size_t limit;
+	size_t open;
+	net_conn_t *conns;
+	GQueue waiting;
+};
+
+struct net_call {
+	net_client_t *client;
+	net_conn_t *conn; /* NULL while it waits */
+	net_method_t method;
+	char *path;
+	net_header_t *headers;
+	size_t n_headers;
+	base_str_t body;
+	net_done_t *done;
+	void *arg;
+	net_timer_t *timer;
+};
+
+static const enum evhttp_cmd_type commands[NET_METHOD_MAX] = {
+	[NET_GET] = EVHTTP_REQ_GET,
+	[NET_POST] = EVHTTP_REQ_POST,
+	[NET_DELETE] = EVHTTP_REQ_DELETE,
+};
+
+static void send_waiting(net_client_t *client);
+
+static void free_conn(void *arg)
+{
+	net_conn_t *conn = arg;
+
+	evhttp_connection_free(conn->evcon);
+	talloc_free(conn);
+}
+
+/* libevent may be inside this connection: it is freed from the loop. */
+static void retire_conn(net_loop_t *loop, net_conn_t *conn)
+{
+	conn->closed = true;
+	conn->call = NULL;
+	conn->client = NULL;
+	talloc_steal(loop, conn);
+	net_later(loop, free_conn, conn);
+}
+
+static void close_conn(net_conn_t *conn)
+{
+	net_client_t *client = conn->client;
+	net_conn_t **at;
+
+	for (at = &client->conns; *at; at = &(*at)->next)
+		if (*at == conn) {
+			*at = conn->next;
+			break;
+		}
+	client->open--;
+	retire_conn(client->loop, conn);
+}
+
+static int client_free(net_client_t *client)
+{
+	net_conn_t *conn;
+	net_conn_t *next;
+
+	for (conn = client->conns; conn; conn = next) {
+		next = conn->next;
+		retire_conn(client->loop, conn);
+	}
+	g_queue_clear(&client->waiting);
+	return 0;
+}
+
+net_client_t *net_client_new(const void *ctx,
+			     const net_client_options_t *options)
+{
+	net_client_t *client = talloc_zero(ctx, net_client_t);
+
+	client->loop = options->loop;
+	client->address = talloc_strdup(client, options->address);
+	client->limit = options->connections;
+	g_queue_init(&client->waiting);
+	if (!net_address_split(client, options->address, &client->host,
+			       &client->port)) {
+		talloc_free(client);
+		return NULL;
+	}
+	talloc_set_destructor(client, client_free);
+	return client;
+}
+
+static void finish(net_call_t *call, const net_answer_t *answer)
+{
+	net_client_t *client = call->client;
+	net_done_t *done = call->done;
+	void *arg = call->arg;
+
+	if (!call->conn)
+		g_queue_remove(&client->waiting, call);
+	/* The callback may free the client, and with it the call. */
+	talloc_steal(NULL, call);
+	net_timer_stop(call->timer);
+	done(arg, answer);
+	talloc_free(call);
+}
+
+static void answered(struct evhttp_request *req, void *arg)
+{
+	net_conn_t *conn = arg;
+	net_call_t *call = conn->call;
+	net_client_t *client = conn->client;
+	net_answer_t answer = { NET_UNKNOWN, 0, BASE_STR("") };
+	struct evbuffer *input;
+
+	if (conn->closed)
+		return;
+	conn->call = NULL;
+	if (req && evhttp_request_get_response_code(req)) {
+		input = evhttp_request_get_input_buffer(req);
+		answer.fate = NET_ANSWERED;
+		answer.status = evhttp_request_get_response_code(req);
+		answer.body.len = evbuffer_get_length(input);
+		answer.body.ptr = (const char *)evbuffer_pullup(input, -1);
+		if (!answer.body.ptr)
+			answer.body = BASE_STR("");
+	} else {
+		close_conn(conn);
+	}
+	if (call) {
+		call->conn = NULL;
+		send_waiting(client);
+		finish(call, &answer);
+	}
+}
+
+static void timed_out(void *arg)
+{
+	net_call_t *call = arg;
+	net_client_t *client = call->client;
+	net_conn_t *conn = call->conn;
+	net_answer_t answer = { conn ? NET_UNKNOWN : NET_UNSENT, 0,
+				BASE_STR("") };
+
+	if (conn) {
+		conn->call = NULL;
+		close_conn(conn);
+		call->conn = NULL;
+		send_waiting(client);
+	}
+	finish(call, &answer);
+}
+
+static net_conn_t *idle_conn(net_client_t *client)
+{
+	net_conn_t *conn;
+
+	for (conn = client->conns; conn; conn = conn->next)
+		if (!conn->call)
+			return conn;
+	if (client->open >= client->limit)
+		return NULL;
+	conn = talloc_zero(client, net_conn_t);
+	conn->client = client;
+	conn->evcon = evhttp_connection_base_new(client->loop->base, NULL,
+						 client->host, client->port);
+	evhttp_connection_set_max_body_size(conn->evcon, NET_BODY_MAX);
+	conn->next = client->conns;
+	client->conns = conn;
+	client->open++;
+	client->loop->connections++;
+	return conn;
+}
+
+static void send_call(net_conn_t *conn, net_call_t *call)
+{
+	struct evhttp_request *req = evhttp_request_new(answered, conn);
+	struct evkeyvalq *headers = evhttp_request_get_output_headers(req);
+	size_t i;
+
+	evhttp_add_header(headers, "Host", call->client->address);
+	for (i = 0; i < call->n_headers; i++)
+		evhttp_add_header(headers, call->headers[i].name,
+				  call->headers[i].value);
+	if (call->body.len) {
+		evhttp_add_header(headers, "Content-Type", "application/json");
+		evbuffer_add(evhttp_request_get_output_buffer(req),
+			     call->body.ptr, call->body.len);
+	}
+	conn->call = call;
+	call->conn = conn;
+	call->client->loop->calls++;
+	/* On failure libevent has freed the request; the timer ends the call. */
+	if (evhttp_make_request(conn->evcon, req, commands[call->method],
+				call->path)) {
+		conn->call = NULL;
+		call->conn = NULL;
+	}
+}
+
+static void send_waiting(net_client_t *client)
+{
+	net_conn_t *conn;
+	net_call_t *call;
+
+	while (!g_queue_is_empty(&client->waiting)) {
+		conn = idle_conn(client);
+		if (!conn)
+			return;
+		call = g_queue_pop_head(&client->waiting);
+		send_call(conn, call);
+	}
+}
+
+net_call_t *net_call(net_client_t *client, const net_request_t *request,
+		     net_done_t *done, void *arg)
+{
+	net_call_t *call = talloc_zero(client, net_call_t);
+	size_t i;
+
+	call->client = client;
+	call->method = request->method;
+	call->path = talloc_strdup(call, request->path);
+	call->headers = talloc_array(call, net_header_t, request->n_headers);
+	call->n_headers = request->n_headers;
+	for (i = 0; i < request->n_headers; i++) {
+		call->headers[i].name = request->headers[i].name;
+		call->headers[i].value =
+			talloc_strdup(call, request->headers[i].value);
+	}
+	call->body.ptr = talloc_memdup(call, request->body.ptr,
+				       request->body.len);
+	call->body.len = request->body.len;
+	call->done = done;
+	call->arg = arg;
+	call->timer = net_timer_new(call, client->loop, timed_out, call);
+	net_timer_start(call->timer, request->timeout);
+	g_queue_push_tail(&client->waiting, call);
+	send_waiting(client);
+	return call;
+}
+
+void net_call_end(net_call_t *call)
+{
+	net_client_t *client = call->client;
+	net_conn_t *conn = call->conn;
+
+	if (conn) {
+		conn->call = NULL;
+		close_conn(conn);
+	} else {
+		g_queue_remove(&client->waiting, call);
+	}
+	talloc_free(call);
+	send_waiting(client);
+}
--- /dev/null
+++ b/packages/net/net_loop.c
@@ -0,0 +1,168 @@
+#include <signal.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "net_int.h"
+
+BASE_ERROR_DOMAIN(net)
+
+struct net_timer {
+	struct event *event;
+	void (*fired)(void *arg);
+	void *arg;
+};
+
+typedef struct net_signal {
+	struct event *event;
+	void (*fired)(void *arg, int signo);
+	void *arg;
+} net_signal_t;
+
+typedef struct net_later {
+	void (*work)(void *arg);
+	void *arg;
+} net_later_t;
+
+static int loop_free(net_loop_t *loop)
+{
+	event_base_free(loop->base);
+	return 0;
+}
+
+net_loop_t *net_loop_new(const void *ctx)
+{
+	net_loop_t *loop = talloc_zero(ctx, net_loop_t);
+
+	signal(SIGPIPE, SIG_IGN);
+	loop->base = event_base_new();
+	if (!loop->base)
+		abort();
+	talloc_set_destructor(loop, loop_free);
+	return loop;
+}
+
+void net_loop_run(net_loop_t *loop)
+{
+	event_base_dispatch(loop->base);
+}
+
+void net_loop_stop(net_loop_t *loop)
+{
+	event_base_loopbreak(loop->base);
+}
+
+static void signal_fired(evutil_socket_t signo, short what, void *arg)
+{
+	net_signal_t *sig = arg;
+
+	(void)what;
+	sig->fired(sig->arg, (int)signo);
+}
+
+static int signal_free(net_signal_t *sig)
+{
+	event_free(sig->event);
+	return 0;
+}
+
+void net_loop_signal(net_loop_t *loop, int signo,
+		     void (*fired)(void *arg, int signo), void *arg)
+{
+	net_signal_t *sig = talloc_zero(loop, net_signal_t);
+
+	sig->fired = fired;
+	sig->arg = arg;
+	sig->event = evsignal_new(loop->base, signo, signal_fired, sig);
+	event_add(sig->event, NULL);
+	talloc_set_destructor(sig, signal_free);
+}
+
+static void timer_fired(evutil_socket_t fd, short what, void *arg)
+{
+	net_timer_t *timer = arg;
+
+	(void)fd;
+	(void)what;
+	timer->fired(timer->arg);
+}
+
+static int timer_free(net_timer_t *timer)
+{
+	event_free(timer->event);
+	return 0;
+}
+
+net_timer_t *net_timer_new(const void *ctx, net_loop_t *loop,
+			   void (*fired)(void *arg), void *arg)
+{
+	net_timer_t *timer = talloc_zero(ctx, net_timer_t);
+
+	timer->fired = fired;
+	timer->arg = arg;
+	timer->event = evtimer_new(loop->base, timer_fired, timer);
+	talloc_set_destructor(timer, timer_free);
+	return timer;
+}
+
+void net_timer_start(net_timer_t *timer, int64_t delay)
+{
+	struct timeval tv;
+
+	if (delay < 0)
+		delay = 0;
+	tv.tv_sec = delay / BASE_SEC;
+	tv.tv_usec = delay % BASE_SEC;
+	evtimer_add(timer->event, &tv);
+}
+
+void net_timer_stop(net_timer_t *timer)
+{
+	evtimer_del(timer->event);
+}
+
+static void later_fired(evutil_socket_t fd, short what, void *arg)
+{
+	net_later_t *later = arg;
+
+	(void)fd;
+	(void)what;
+	later->work(later->arg);
+	talloc_free(later);
+}
+
+void net_later(net_loop_t *loop, void (*work)(void *arg), void *arg)
+{
+	net_later_t *later = talloc(loop, net_later_t);
+	struct timeval now = { 0, 0 };
+
+	later->work = work;
+	later->arg = arg;
+	event_base_once(loop->base, -1, EV_TIMEOUT, later_fired, later, &now);
+}
+
+bool net_address_split(const void *ctx, const char *address, char **host,
+		       uint16_t *port)
+{
+	const char *colon = address ? strrchr(address, ':') : NULL;
+	char *end;
+	unsigned long number;
+
+	if (!colon || colon == address)
+		return false;
+	number = strtoul(colon + 1, &end, 10);
+	if (!colon[1] || *end || number < 1 || number > 65535)
+		return false;
+	*host = talloc_strndup(ctx, address, (size_t)(colon - address));
+	*port = (uint16_t)number;
+	return true;
+}
+
+uint64_t net_loop_connections(const net_loop_t *loop)
+{
+	return loop->connections;
+}
+
+uint64_t net_loop_calls(const net_loop_t *loop)
+{
+	return loop->calls;
+}
--- /dev/null
+++ b/packages/node/node_commit.c
@@ -0,0 +1,162 @@
+/*
+ * What the core decided goes into the store, one change at a time.
+ *
+ * Each change needs the holder's key unchanged and moves the fence on, so
+ * that one whose answer was lost, or that is carried out late, takes effect
+ * at most once and never after a later one.
+ */
+#include "node_int.h"
+
+/* The holder's key and the fence are looked at, the fence is written; each
+ * job may need two entries. */
+#define COMMIT_FIXED 3
+#define COMMIT_ROWS ((NODE_CHANGE_MAX - COMMIT_FIXED - 2) / 2)
+/* Between two changes: what is decided meanwhile goes together. */
+#define COMMIT_GAP (12 * BASE_MS)
+#define COMMIT_RETRY (50 * BASE_MS)
+
+static void send_commit(void *arg);
+static void gap_over(void *arg);
+
+static void kept(node_owner_t *owner, int64_t fence_revision)
+{
+	int64_t now = base_clock_mono();
+
+	node_time(owner->node, NODE_TIME_CHANGE, now - owner->change_began);
+	owner->fence_revision = fence_revision;
+	owner->committing = false;
+	TALLOC_FREE(owner->commit_ctx);
+	node_waves_kept(owner->waves);
+	batch_rows_kept(owner->core, now);
+	node_owner_wake(owner);
+	if (batch_rows_waiting(owner->core) ||
+	    node_waves_waiting(owner->waves))
+		net_timer_start(owner->commit_timer, COMMIT_GAP);
+}
+
+/* Whether the fence in the store is the one that this change wrote. */
+static const node_item_t *own_fence(const node_owner_t *owner,
+				    const node_answer_t *answer)
+{
+	size_t i;
+
+	for (i = 0; i < answer->n_items; i++)
+		if (!strcmp(answer->items[i].key, NODE_KEY_FENCE) &&
+		    base_str_eq(answer->items[i].value,
+				base_str(owner->fence_text)))
+			return &answer->items[i];
+	return NULL;
+}
+
+static void committed(void *arg, const node_answer_t *answer)
+{
+	node_owner_t *owner = arg;
+	const node_item_t *fence;
+
+	node_store_answered(owner->node, answer->fate);
+	if (owner->ended)
+		return;
+	switch (answer->fate) {
+	case NODE_STORE_OK:
+		kept(owner, answer->revision);
+		break;
+	case NODE_STORE_CONFLICT:
+		fence = own_fence(owner, answer);
+		if (fence)
+			kept(owner, fence->revision);
+		else
+			node_lead_lost(owner->node, "fenced in the store");
+		break;
+	default:
+		net_timer_start(owner->retry_timer, COMMIT_RETRY);
+		break;
+	}
+}
+
+static void send_commit(void *arg)
+{
+	node_owner_t *owner = arg;
+
+	if (owner->ended)
+		return;
+	node_count(owner->node, NODE_COUNT_STORE_CHANGE);
+	owner->node->platform->change(owner->store, &owner->commit, committed,
+				      owner);
+}
+
+static void gap_over(void *arg)
+{
+	node_commit_pump(arg);
+}
+
+static void add_set(node_set_t *sets, size_t *n, const char *key,
+		    base_str_t value)
+{
+	sets[(*n)++] = (node_set_t){ key, value, 0 };
+}
+
+static void build(node_owner_t *owner)
+{
+	void *ctx = owner->commit_ctx;
+	batch_row_t rows[COMMIT_ROWS];
+	size_t n = batch_rows(owner->core, rows, COMMIT_ROWS);
+	node_expect_t *expects = talloc_array(ctx, node_expect_t, 2);
+	node_set_t *sets = talloc_array(ctx, node_set_t, NODE_CHANGE_MAX);
+	const char **removes = talloc_array(ctx, const char *, NODE_CHANGE_MAX);
+	size_t n_sets = 0;
+	size_t n_removes = 0;
+	size_t i;
+
+	expects[0] = (node_expect_t){ NODE_KEY_OWNER, owner->owner_revision };
+	expects[1] = (node_expect_t){ NODE_KEY_FENCE, owner->fence_revision };
+	owner->fence_text = talloc_asprintf(
+		ctx, "{\"term\":%lld,\"commit\":%lld}", (long long)owner->term,
+		(long long)++owner->commit_number);
+	add_set(sets, &n_sets, NODE_KEY_FENCE, base_str(owner->fence_text));
+	node_waves_row(owner->waves, ctx, sets, &n_sets);
+	for (i = 0; i < n; i++) {
+		char *key = talloc_asprintf(ctx, NODE_KEY_ROW "%.*s",
+					    BASE_STR_ARG(rows[i].job));
+		char *source = talloc_asprintf(ctx, NODE_KEY_JOB "%.*s",
+					       BASE_STR_ARG(rows[i].job));
+
+		add_set(sets, &n_sets, key, base_str(rows[i].record));
+		if (rows[i].source.len)
+			add_set(sets, &n_sets, source, rows[i].source);
+		else if (rows[i].ended)
+			removes[n_removes++] = source;
+	}
+	owner->commit = (node_change_t){ .expects = expects,
+					 .n_expects = 2,
+					 .sets = sets,
+					 .n_sets = n_sets,
+					 .removes = removes,
+					 .n_removes = n_removes };
+}
+
+void node_commit_pump(node_owner_t *owner)
+{
+	int64_t now = base_clock_mono();
+
+	if (owner->committing || owner->ended || !node_owner_valid(owner))
+		return;
+	if (!batch_rows_waiting(owner->core) &&
+	    !node_waves_waiting(owner->waves))
+		return;
+	if (!owner->commit_timer) {
+		owner->commit_timer = net_timer_new(owner, owner->node->loop,
+						    gap_over, owner);
+		owner->retry_timer = net_timer_new(owner, owner->node->loop,
+						   send_commit, owner);
+	}
+	if (now - owner->change_began < COMMIT_GAP) {
+		net_timer_start(owner->commit_timer,
+				COMMIT_GAP - (now - owner->change_began));
+		return;
+	}
+	owner->committing = true;
+	owner->change_began = now;
+	owner->commit_ctx = talloc_new(owner);
+	build(owner);
+	send_commit(owner);
+}
--- /dev/null
+++ b/packages/node/node_config.c
@@ -0,0 +1,170 @@
+/*
+ * The operator's keys: the configuration in force and the waves of upkeep.
+ */
+#include "node_int.h"
+
+/* A watch is renewed so often that one on a silent connection is found, with
+ * its grace, well inside the two seconds in which a change is to be in force. */
+#define CONFIG_WAIT (1000 * BASE_MS)
+#define CONFIG_RETRY (150 * BASE_MS) /* some answers of a store that is up */
+
+static void read_all(void *arg);
+
+void node_store_answered(node_t *node, node_store_fate_t fate)
+{
+	int64_t now = base_clock_mono();
+	bool down = fate == NODE_STORE_UNKNOWN || fate == NODE_STORE_REFUSED;
+
+	if (down)
+		node_count(node, NODE_COUNT_STORE_FAILED);
+	if (down && !node->store_down)
+		node_log(node, BASE_MSG_STORE_DOWN,
+			 BASE_F_STR("why", fate == NODE_STORE_REFUSED ?
+						   "refused" :
+						   "no answer"),
+			 BASE_F_INT("heard_us_ago", now - node->store_heard));
+	if (!down && node->store_down)
+		node_log(node, BASE_MSG_STORE_UP,
+			 BASE_F_INT("after_us", now - node->store_heard));
+	node->store_down = down;
+	if (!down)
+		node->store_heard = now;
+}
+
+static void apply(node_t *node, base_str_t text)
+{
+	void *ctx = talloc_new(node);
+	node_config_t config;
+	GError *err = NULL;
+
+	if (!node->platform->config_read(ctx, text, &config, &err)) {
+		node_log(node, BASE_MSG_CONFIG_REFUSED,
+			 BASE_F_STR("why", err->message),
+			 BASE_F_INT("in_force", node->config.version));
+		g_clear_error(&err);
+		talloc_free(ctx);
+		return;
+	}
+	/* A read may be older than what is in force: it never goes back. */
+	if (config.version <= node->config.version) {
+		talloc_free(ctx);
+		return;
+	}
+	talloc_free(node->config_ctx);
+	node->config_ctx = ctx;
+	node->config = config;
+	node_log(node, BASE_MSG_CONFIG_IN_FORCE,
+		 BASE_F_INT("version", config.version),
+		 BASE_F_INT("routes", (int64_t)config.n_routes),
+		 BASE_F_INT("pools", (int64_t)config.n_pools));
+	if (node->owner)
+		node_owner_config(node->owner);
+}
+
+static void take_items(node_t *node, const node_answer_t *answer)
+{
+	size_t i;
+
+	for (i = 0; i < answer->n_items; i++) {
+		const node_item_t *item = &answer->items[i];
+
+		if (item->removed)
+			continue;
+		if (!strcmp(item->key, node->platform->config_key))
+			apply(node, item->value);
+		else if (g_str_has_prefix(item->key,
+					  node->platform->wave_prefix))
+			g_hash_table_replace(node->wave_texts,
+					     g_strdup(item->key),
+					     g_strndup(item->value.ptr,
+						       item->value.len));
+	}
+	if (answer->n_items && node->owner)
+		node_owner_waves(node->owner);
+}
+
+static void watched(void *arg, const node_answer_t *answer);
+
+static void watch(node_t *node)
+{
+	node_count(node, NODE_COUNT_STORE_WATCH);
+	node->platform->watch(node->store, node->platform->operator_prefix,
+			      node->operator_revision, CONFIG_WAIT, watched,
+			      node);
+}
+
+static void watched(void *arg, const node_answer_t *answer)
+{
+	node_t *node = arg;
+
+	node_store_answered(node, answer->fate);
+	switch (answer->fate) {
+	case NODE_STORE_OK:
+		take_items(node, answer);
+		if (answer->revision > node->operator_revision)
+			node->operator_revision = answer->revision;
+		watch(node);
+		break;
+	case NODE_STORE_COMPACTED:
+		read_all(node);
+		break;
+	default:
+		/* Whatever was missed is read: the history may be gone too. */
+		net_timer_start(node->config_timer, CONFIG_RETRY);
+		break;
+	}
+}
+
+static void all_read(void *arg, const node_answer_t *answer)
+{
+	node_t *node = arg;
+
+	node_store_answered(node, answer->fate);
+	if (answer->fate != NODE_STORE_OK) {
+		net_timer_start(node->config_timer, CONFIG_RETRY);
+		return;
+	}
+	take_items(node, answer);
+	node->operator_revision = answer->revision;
+	node->operator_read = true;
+	if (node->config.version)
+		watch(node);
+	else
+		net_timer_start(node->config_timer, CONFIG_RETRY);
+}
+
+static void read_all(void *arg)
+{
+	node_t *node = arg;
+
+	node_count(node, NODE_COUNT_STORE_READ);
+	node->platform->list(node->store, node->platform->operator_prefix,
+			     NULL, false, all_read, node);
+}
+
+void node_config_begin(node_t *node)
+{
+	node->wave_texts =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+	node->config_timer = net_timer_new(node, node->loop, read_all, node);
+	read_all(node);
+}
+
+const node_route_t *node_route_find(const node_t *node, base_str_t host,
+				    base_str_t path)
+{
+	const node_route_t *best = NULL;
+	size_t i;
+
+	for (i = 0; i < node->config.n_routes; i++) {
+		const node_route_t *route = &node->config.routes[i];
+
+		if (path.len < route->prefix.len ||
+		    memcmp(path.ptr, route->prefix.ptr, route->prefix.len) ||
+		    (route->host.len && !base_str_eq(route->host, host)))
+			continue;
+		if (!best || route->prefix.len > best->prefix.len)
+			best = route;
+	}
+	return best;
+}
--- /dev/null
+++ b/packages/node/node_front.c
@@ -0,0 +1,290 @@
+/*
+ * Callers' requests: found a queue, handed to the holder of the duty here or
+ * at another entry, answered.
+ */
+#include "node_int.h"
+
+/* A takeover takes longer than a caller should be held: it is told to come
+ * back when nobody that decides was reached for so long. */
+#define FRONT_SEARCH (150 * BASE_MS)
+#define FRONT_RETRY (40 * BASE_MS) /* between two tries; some round trips */
+#define FRONT_BACK BASE_SEC	   /* come back then: half a takeover */
+/* Answers have to be on their way so long before the caller leaves. */
+#define FRONT_MARGIN (100 * BASE_MS)
+
+typedef struct dispatch {
+	node_t *node;
+	node_job_ask_t ask;
+	node_outcome_done_t *done;
+	void *arg;
+	net_timer_t *timer;
+	net_timer_t *deadline;
+	int64_t search_until;
+	bool trying;  /* a try has not come back */
+	bool unknown; /* one try may have been carried out */
+	bool told;    /* its time was over before a try came back */
+} dispatch_t;
+
+typedef struct front {
+	node_t *node;
+	net_exchange_t *exchange;
+	node_ask_t ask;
+	char *id;
+	char *queue;
+	int64_t began;
+} front_t;
+
+static void try_again(void *arg);
+
+static void finish(dispatch_t *dispatch, const node_outcome_t *outcome)
+{
+	if (!dispatch->told) {
+		dispatch->told = true;
+		dispatch->node->open_asks--;
+		net_timer_stop(dispatch->timer);
+		net_timer_stop(dispatch->deadline);
+		dispatch->done(dispatch->arg, outcome);
+	}
+	/* A try that is under way comes back here. */
+	if (!dispatch->trying)
+		talloc_free(dispatch);
+}
+
+static void time_over(void *arg)
+{
+	dispatch_t *dispatch = arg;
+	bool writes = dispatch->ask.ask == NODE_ASK_SUBMIT ||
+		      dispatch->ask.ask == NODE_ASK_CANCEL;
+	node_outcome_t outcome = {
+		.kind = writes && (dispatch->trying || dispatch->unknown) ?
+				NODE_OUT_UNKNOWN :
+				NODE_OUT_REFUSED,
+		.why = "no answer in time",
+	};
+
+	finish(dispatch, &outcome);
+}
+
+/* Nobody that decides was reached. */
+static void not_decided(dispatch_t *dispatch)
+{
+	node_outcome_t outcome = { .kind = NODE_OUT_REFUSED,
+				   .retry_after = FRONT_BACK,
+				   .why = "no holder reached" };
+
+	/* Only a definite answer, or the end of its time, ends the search for
+	 * one that may have been taken. */
+	if (dispatch->unknown || base_clock_mono() < dispatch->search_until)
+		net_timer_start(dispatch->timer, FRONT_RETRY);
+	else
+		finish(dispatch, &outcome);
+}
+
+static void tried(void *arg, const node_outcome_t *outcome)
+{
+	dispatch_t *dispatch = arg;
+
+	dispatch->trying = false;
+	if (dispatch->told) {
+		talloc_free(dispatch);
+		return;
+	}
+	switch (outcome->kind) {
+	case NODE_OUT_UNKNOWN:
+		/* Asking again is safe: a job's id is taken once. */
+		dispatch->unknown |= dispatch->ask.ask == NODE_ASK_SUBMIT ||
+				     dispatch->ask.ask == NODE_ASK_CANCEL;
+		not_decided(dispatch);
+		break;
+	case NODE_OUT_NOT_OWNER:
+		not_decided(dispatch);
+		break;
+	default:
+		finish(dispatch, outcome);
+		break;
+	}
+}
+
+/* The holder's address, or another entry's when the holder is not reached. */
+static const char *next_hop(dispatch_t *dispatch, int64_t now)
+{
+	node_t *node = dispatch->node;
+	const char *self = node->settings->peers;
+	bool good = node->lead.address && strcmp(node->lead.address, self) &&
+		    now >= node->lead.bad_until;
+
+	if (good)
+		return node->lead.address;
+	if (!dispatch->ask.relayed && node->members->len)
+		return g_ptr_array_index(node->members,
+					 base_rng_below(&node->rng,
+							node->members->len));
+	return NULL;
+}
+
+static void try_once(dispatch_t *dispatch)
+{
+	node_t *node = dispatch->node;
+	const char *address;
+
+	dispatch->trying = true;
+	if (node->owner && node_owner_valid(node->owner)) {
+		node_owner_ask(node->owner, &dispatch->ask, tried, dispatch);
+		return;
+	}
+	address = next_hop(dispatch, base_clock_mono());
+	if (address) {
+		node_peer_ask(node, address, &dispatch->ask, tried, dispatch);
+		return;
+	}
+	dispatch->trying = false;
+	not_decided(dispatch);
+}
+
+static void try_again(void *arg)
+{
+	try_once(arg);
+}
+
+void node_dispatch(node_t *node, const node_job_ask_t *ask,
+		   node_outcome_done_t *done, void *arg)
+{
+	dispatch_t *dispatch = talloc_zero(node, dispatch_t);
+
+	dispatch->node = node;
+	dispatch->ask = *ask;
+	dispatch->ask.queue = talloc_strdup(dispatch, ask->queue);
+	dispatch->ask.id = talloc_strdup(dispatch, ask->id);
+	dispatch->ask.body.ptr =
+		talloc_memdup(dispatch, ask->body.ptr, ask->body.len);
+	dispatch->done = done;
+	dispatch->arg = arg;
+	dispatch->timer = net_timer_new(dispatch, node->loop, try_again,
+					dispatch);
+	dispatch->deadline = net_timer_new(dispatch, node->loop, time_over,
+					   dispatch);
+	net_timer_start(dispatch->deadline,
+			ask->deadline - FRONT_MARGIN - base_clock_mono());
+	dispatch->search_until = base_clock_mono() + FRONT_SEARCH;
+	node->open_asks++;
+	try_once(dispatch);
+}
+
+static void reply(front_t *front, int status, const char *body,
+		  int64_t retry_after, const char *why)
+{
+	node_t *node = front->node;
+	int64_t took = base_clock_mono() - front->began;
+	char seconds[24];
+	net_header_t header = { "Retry-After", seconds };
+
+	g_snprintf(seconds, sizeof(seconds), "%lld",
+		   (long long)((retry_after + BASE_SEC - 1) / BASE_SEC));
+	node_time(node, NODE_TIME_ANSWER, took);
+	if (front->ask == NODE_ASK_SUBMIT || front->ask == NODE_ASK_CANCEL ||
+	    status >= 500)
+		node_log(node, BASE_MSG_JOB_REQUEST,
+			 BASE_F_STR("ask", front->ask == NODE_ASK_SUBMIT ?
+						   "submit" :
+				    front->ask == NODE_ASK_CANCEL ? "cancel" :
+								    "state"),
+			 BASE_F_STR("id", front->id),
+			 BASE_F_STR("queue", front->queue),
+			 BASE_F_INT("status", status),
+			 BASE_F_STR("why", why ? why : ""),
+			 BASE_F_INT("config", node->config.version),
+			 BASE_F_INT("term", node->lead.term),
+			 BASE_F_INT("took_us", took));
+	net_reply(front->exchange, status, &header, retry_after ? 1 : 0,
+		  base_str(body));
+	talloc_free(front);
+}
+
+static void count_submit(node_t *node, node_outcome_kind_t kind)
+{
+	if (kind == NODE_OUT_ACCEPTED)
+		node_count(node, NODE_COUNT_SUBMIT_ACCEPTED);
+	else if (kind == NODE_OUT_UNKNOWN)
+		node_count(node, NODE_COUNT_SUBMIT_UNKNOWN);
+	else
+		node_count(node, NODE_COUNT_SUBMIT_REFUSED);
+}
+
+static void decided(void *arg, const node_outcome_t *outcome)
+{
+	front_t *front = arg;
+	node_t *node = front->node;
+
+	if (front->ask == NODE_ASK_SUBMIT)
+		count_submit(node, outcome->kind);
+	switch (outcome->kind) {
+	case NODE_OUT_ACCEPTED:
+		reply(front, 200, NULL, 0, outcome->why);
+		break;
+	case NODE_OUT_STATE:
+		reply(front, 200,
+		      node->platform->state_print(front, outcome->state), 0,
+		      NULL);
+		break;
+	case NODE_OUT_PENDING:
+		reply(front, 200,
+		      node->platform->pending_print(front, outcome->pending),
+		      0, NULL);
+		break;
+	case NODE_OUT_GONE:
+		reply(front, 410, NULL, 0, "no such job");
+		break;
+	case NODE_OUT_BAD:
+		reply(front, 400, NULL, 0, outcome->why);
+		break;
+	case NODE_OUT_UNKNOWN:
+		reply(front, 504, NULL, 0, outcome->why);
+		break;
+	default:
+		reply(front, 503, NULL,
+		      outcome->retry_after ? outcome->retry_after : FRONT_BACK,
+		      outcome->why);
+		break;
+	}
+}
+
+void node_front_serve(void *arg, net_exchange_t *exchange)
+{
+	node_t *node = arg;
+	front_t *front = talloc_zero(node, front_t);
+	const node_route_t *route;
+	node_request_t request;
+	node_job_ask_t ask = { 0 };
+
+	front->node = node;
+	front->exchange = exchange;
+	front->began = base_clock_mono();
+	if (!node->config.version) {
+		front->id = talloc_strdup(front, "");
+		front->queue = front->id;
+		reply(front, 503, NULL, FRONT_BACK, "no configuration yet");
+		return;
+	}
+	if (!node->platform->request_read(front, exchange, &request))
+		request.ask = NODE_ASK_MAX;
+	route = node_route_find(node, request.host, request.path);
+	front->ask = request.ask;
+	front->id = base_str_dup(front, request.id);
+	front->queue =
+		base_str_dup(front, route ? route->queue.name : BASE_STR(""));
+	if (!route || request.ask == NODE_ASK_MAX) {
+		reply(front, 404, NULL, 0,
+		      route ? "no job's path" : "no such queue");
+		return;
+	}
+	ask.ask = request.ask;
+	ask.queue = front->queue;
+	ask.id = front->id;
+	ask.body = request.body;
+	ask.deadline = front->began + request.patience;
+	if (ask.ask == NODE_ASK_CANCEL)
+		node_count(node, NODE_COUNT_CANCEL);
+	else if (ask.ask != NODE_ASK_SUBMIT)
+		node_count(node, NODE_COUNT_STATE);
+	node_dispatch(node, &ask, decided, front);
+}
--- /dev/null
+++ b/packages/node/node_lead.c
@@ -0,0 +1,326 @@
+/*
+ * Who decides about jobs: one entry, by a key of the store that is bound to a
+ * lease, and a fence whose term rises with each holding.
+ *
+ * Whoever finds no holder tries to become it.  The holder measures its lease
+ * from before the call that renewed it, on a clock that counts suspension.
+ */
+#include "node_int.h"
+
+#define LEAD_WAIT (2000 * BASE_MS) /* of a watch */
+#define LEAD_RETRY (200 * BASE_MS)
+/* How long after a loss nobody decides; several answers of a slow store. */
+#define LEAD_TTL (2000 * BASE_MS)
+/* Entries that see the holder go do not all write in the same moment. */
+#define LEAD_SPREAD (60 * BASE_MS)
+
+static void read_owner(void *arg);
+static void campaign(node_t *node);
+
+static void forget_lead(node_t *node)
+{
+	talloc_free(node->lead.name);
+	talloc_free(node->lead.address);
+	memset(&node->lead, 0, sizeof(node->lead));
+}
+
+static void believe(node_t *node, const node_item_t *item)
+{
+	json_t *root = json_loadb(item->value.ptr, item->value.len, 0, NULL);
+	const char *name = json_string_value(json_object_get(root, "name"));
+	const char *address =
+		json_string_value(json_object_get(root, "address"));
+	int64_t term = json_integer_value(json_object_get(root, "term"));
+
+	if (name && address && term >= node->lead.term) {
+		if (term > node->lead.term)
+			node_log(node, BASE_MSG_LEAD, BASE_F_STR("holder", name),
+				 BASE_F_INT("term", term),
+				 BASE_F_INT("revision", item->revision));
+		forget_lead(node);
+		node->lead.name = talloc_strdup(node, name);
+		node->lead.address = talloc_strdup(node, address);
+		node->lead.term = term;
+		node->lead.learned = base_clock_mono();
+	}
+	json_decref(root);
+}
+
+static const node_item_t *find_item(const node_answer_t *answer,
+				    const char *key)
+{
+	size_t i;
+
+	for (i = 0; i < answer->n_items; i++)
+		if (!strcmp(answer->items[i].key, key))
+			return &answer->items[i];
+	return NULL;
+}
+
+static bool is_mine(const node_t *node, const node_item_t *item)
+{
+	json_t *root = json_loadb(item->value.ptr, item->value.len, 0, NULL);
+	const char *nonce = json_string_value(json_object_get(root, "nonce"));
+	bool mine = nonce && node->nonce && !strcmp(nonce, node->nonce);
+
+	json_decref(root);
+	return mine;
+}
+
+static void become(node_t *node, int64_t owner_revision, int64_t fence_revision)
+{
+	node_owner_options_t options = {
+		.term = node->campaign_term,
+		.lease = node->campaign_lease,
+		.lease_until = node->campaign_sent + LEAD_TTL,
+		.owner_revision = owner_revision,
+		.fence_revision = fence_revision,
+	};
+
+	node->campaigning = false;
+	forget_lead(node);
+	node->lead.name = talloc_strdup(node, node->settings->name);
+	node->lead.address = talloc_strdup(node, node->settings->peers);
+	node->lead.term = node->campaign_term;
+	node->lead.learned = base_clock_mono();
+	node_log(node, BASE_MSG_DUTY_TAKEN, BASE_F_INT("term", options.term),
+		 BASE_F_INT("owner_revision", owner_revision));
+	node->owner = node_owner_new(node, &options);
+	net_timer_start(node->lead_timer, LEAD_RETRY);
+}
+
+static void released(void *arg, const node_answer_t *answer)
+{
+	(void)arg;
+	(void)answer; /* it would end by itself */
+}
+
+static void give_up_campaign(node_t *node)
+{
+	node->campaigning = false;
+	if (node->campaign_lease)
+		node->platform->release(node->store, node->campaign_lease,
+					released, node);
+	node->campaign_lease = 0;
+	net_timer_start(node->lead_timer, LEAD_RETRY);
+}
+
+/* The answer to our claim was lost: the key says whether it was taken. */
+static void claim_checked(void *arg, const node_answer_t *answer)
+{
+	node_t *node = arg;
+	const node_item_t *item = find_item(answer, NODE_KEY_OWNER);
+
+	node_store_answered(node, answer->fate);
+	if (answer->fate == NODE_STORE_OK && item && is_mine(node, item))
+		/* Both keys were written by one change. */
+		become(node, item->revision, item->revision);
+	else
+		give_up_campaign(node);
+}
+
+static void claimed(void *arg, const node_answer_t *answer)
+{
+	node_t *node = arg;
+	const node_item_t *item;
+
+	node_store_answered(node, answer->fate);
+	switch (answer->fate) {
+	case NODE_STORE_OK:
+		become(node, answer->revision, answer->revision);
+		break;
+	case NODE_STORE_UNKNOWN:
+		node_count(node, NODE_COUNT_STORE_READ);
+		node->platform->get(node->store, NODE_KEY_OWNER, claim_checked,
+				    node);
+		break;
+	default:
+		item = find_item(answer, NODE_KEY_OWNER);
+		if (item && item->value.len)
+			believe(node, item);
+		give_up_campaign(node);
+		break;
+	}
+}
+
+static void claim(node_t *node)
+{
+	char *owner_text = talloc_asprintf(
+		NULL,
+		"{\"name\":\"%s\",\"address\":\"%s\",\"term\":%lld,"
+		"\"nonce\":\"%s\"}",
+		node->settings->name, node->settings->peers,
+		(long long)node->campaign_term, node->nonce);
+	char *fence_text =
+		talloc_asprintf(owner_text, "{\"term\":%lld,\"commit\":0}",
+				(long long)node->campaign_term);
+	node_expect_t expects[] = {
+		{ NODE_KEY_OWNER, 0 },
+		{ NODE_KEY_FENCE, node->campaign_fence },
+	};
+	node_set_t sets[] = {
+		{ NODE_KEY_OWNER, base_str(owner_text), node->campaign_lease },
+		{ NODE_KEY_FENCE, base_str(fence_text), 0 },
+	};
+	node_change_t change = { .expects = expects,
+				 .n_expects = ARRAY_SIZE(expects),
+				 .sets = sets,
+				 .n_sets = ARRAY_SIZE(sets) };
+
+	node_count(node, NODE_COUNT_STORE_CHANGE);
+	node->platform->change(node->store, &change, claimed, node);
+	talloc_free(owner_text);
+}
+
+static void leased(void *arg, const node_answer_t *answer)
+{
+	node_t *node = arg;
+
+	node_store_answered(node, answer->fate);
+	if (answer->fate != NODE_STORE_OK || !answer->lease) {
+		give_up_campaign(node);
+		return;
+	}
+	node->campaign_lease = answer->lease;
+	claim(node);
+}
+
+static void fence_read(void *arg, const node_answer_t *answer)
+{
+	node_t *node = arg;
+	const node_item_t *item = find_item(answer, NODE_KEY_FENCE);
+	json_t *root;
+
+	node_store_answered(node, answer->fate);
+	if (answer->fate != NODE_STORE_OK &&
+	    answer->fate != NODE_STORE_MISSING) {
+		give_up_campaign(node);
+		return;
+	}
+	node->campaign_term = 1;
+	node->campaign_fence = 0;
+	if (item) {
+		root = json_loadb(item->value.ptr, item->value.len, 0, NULL);
+		node->campaign_term =
+			json_integer_value(json_object_get(root, "term")) + 1;
+		node->campaign_fence = item->revision;
+		json_decref(root);
+	}
+	talloc_free(node->nonce);
+	node->nonce = talloc_asprintf(node, "%s.%llx", node->settings->name,
+				      (unsigned long long)base_rng_next(
+					      &node->rng));
+	node->campaign_sent = base_clock_mono();
+	node_count(node, NODE_COUNT_STORE_LEASE);
+	node->platform->lease(node->store,
+			      MAX(LEAD_TTL, node->settings->store_ttl_min),
+			      leased, node);
+}
+
+static void campaign(node_t *node)
+{
+	if (node->campaigning || node->owner || node->stopping ||
+	    !node->config.version)
+		return;
+	node->campaigning = true;
+	node->campaign_lease = 0;
+	node_count(node, NODE_COUNT_STORE_READ);
+	node->platform->get(node->store, NODE_KEY_FENCE, fence_read, node);
+}
+
+static void watched(void *arg, const node_answer_t *answer)
+{
+	node_t *node = arg;
+	size_t i;
+
+	node_store_answered(node, answer->fate);
+	for (i = 0; answer->fate == NODE_STORE_OK && i < answer->n_items; i++) {
+		if (!answer->items[i].removed) {
+			believe(node, &answer->items[i]);
+			continue;
+		}
+		talloc_free(node->lead.name);
+		node->lead.name = NULL;
+	}
+	if (answer->fate == NODE_STORE_OK && node->lead.name) {
+		node_count(node, NODE_COUNT_STORE_WATCH);
+		node->platform->watch(node->store, NODE_KEY_OWNER,
+				      answer->revision, LEAD_WAIT, watched,
+				      node);
+	} else if (answer->fate == NODE_STORE_OK) {
+		net_timer_start(node->lead_timer,
+				base_rng_below(&node->rng, LEAD_SPREAD));
+	} else {
+		net_timer_start(node->lead_timer, LEAD_RETRY);
+	}
+}
+
+static void owner_read(void *arg, const node_answer_t *answer)
+{
+	node_t *node = arg;
+	const node_item_t *item = find_item(answer, NODE_KEY_OWNER);
+
+	node_store_answered(node, answer->fate);
+	if (answer->fate == NODE_STORE_OK && item) {
+		believe(node, item);
+		node_count(node, NODE_COUNT_STORE_WATCH);
+		node->platform->watch(node->store, NODE_KEY_OWNER,
+				      answer->revision, LEAD_WAIT, watched,
+				      node);
+		return;
+	}
+	if (answer->fate == NODE_STORE_MISSING) {
+		talloc_free(node->lead.name);
+		node->lead.name = NULL;
+		campaign(node);
+	}
+	if (!node->campaigning)
+		net_timer_start(node->lead_timer, LEAD_RETRY);
+}
+
+static void read_owner(void *arg)
+{
+	node_t *node = arg;
+
+	/* The holder hears of its loss from its own calls. */
+	if (node->owner || node->campaigning) {
+		net_timer_start(node->lead_timer, LEAD_RETRY);
+		return;
+	}
+	node_count(node, NODE_COUNT_STORE_READ);
+	node->platform->get(node->store, NODE_KEY_OWNER, owner_read, node);
+}
+
+void node_lead_begin(node_t *node)
+{
+	node->lead_timer = net_timer_new(node, node->loop, read_owner, node);
+	net_timer_start(node->lead_timer,
+			base_rng_below(&node->rng, LEAD_SPREAD));
+}
+
+void node_lead_doubt(node_t *node)
+{
+	/* The watch tells of a successor; until then others are asked. */
+	node->lead.bad_until = base_clock_mono() + LEAD_RETRY;
+}
+
+static void free_owner(void *arg)
+{
+	talloc_free(arg);
+}
+
+void node_lead_lost(node_t *node, const char *why)
+{
+	node_owner_t *owner = node->owner;
+
+	if (!owner)
+		return;
+	node_log(node, BASE_MSG_DUTY_LOST, BASE_F_INT("term", owner->term),
+		 BASE_F_STR("why", why));
+	node->owner = NULL;
+	node_owner_end(owner);
+	net_later(node->loop, free_owner, owner);
+	talloc_free(node->lead.name);
+	node->lead.name = NULL;
+	net_timer_start(node->lead_timer, 0);
+}
--- /dev/null
+++ b/packages/node/node_member.c
@@ -0,0 +1,119 @@
+/*
+ * The other entries: each has a key with its address, bound to a lease.
+ */
+#include "node_int.h"
+
+#define MEMBER_TTL (10 * BASE_SEC)
+#define MEMBER_EVERY (3 * BASE_SEC) /* three renewals within a lease */
+#define MEMBER_ROUND 2		    /* renewals between two reads of the list */
+
+static void renew(void *arg);
+
+static void add_member(node_t *node, const char *address)
+{
+	guint i;
+
+	if (!strcmp(address, node->settings->peers))
+		return;
+	for (i = 0; i < node->members->len; i++)
+		if (!strcmp(g_ptr_array_index(node->members, i), address))
+			return;
+	g_ptr_array_add(node->members, g_strdup(address));
+}
+
+static void listed(void *arg, const node_answer_t *answer)
+{
+	node_t *node = arg;
+	size_t i;
+
+	if (answer->fate != NODE_STORE_OK)
+		return;
+	g_ptr_array_set_size(node->members, 0);
+	for (i = 0; i < answer->n_items; i++) {
+		char *address = g_strndup(answer->items[i].value.ptr,
+					  answer->items[i].value.len);
+
+		add_member(node, address);
+		g_free(address);
+	}
+}
+
+static void read_list(node_t *node)
+{
+	node_count(node, NODE_COUNT_STORE_READ);
+	node->platform->list(node->store, NODE_KEY_MEMBER, NULL, true, listed,
+			     node);
+}
+
+static void written(void *arg, const node_answer_t *answer)
+{
+	node_t *node = arg;
+
+	node_store_answered(node, answer->fate);
+	if (answer->fate != NODE_STORE_OK)
+		node->member_lease = 0;
+	else
+		read_list(node);
+	net_timer_start(node->member_timer, MEMBER_EVERY);
+}
+
+static void leased(void *arg, const node_answer_t *answer)
+{
+	node_t *node = arg;
+	char *key;
+	node_set_t set;
+	node_change_t change = { .sets = &set, .n_sets = 1 };
+
+	node_store_answered(node, answer->fate);
+	if (answer->fate != NODE_STORE_OK) {
+		net_timer_start(node->member_timer, MEMBER_EVERY);
+		return;
+	}
+	node->member_lease = answer->lease;
+	key = talloc_asprintf(NULL, NODE_KEY_MEMBER "%s",
+			      node->settings->name);
+	set = (node_set_t){ key, base_str(node->settings->peers),
+			    answer->lease };
+	node_count(node, NODE_COUNT_STORE_CHANGE);
+	node->platform->change(node->store, &change, written, node);
+	talloc_free(key);
+}
+
+static void renewed(void *arg, const node_answer_t *answer)
+{
+	node_t *node = arg;
+
+	if (answer->fate == NODE_STORE_MISSING) {
+		node->member_lease = 0;
+		renew(node);
+		return;
+	}
+	if (base_rng_below(&node->rng, MEMBER_ROUND) == 0)
+		read_list(node);
+	net_timer_start(node->member_timer, MEMBER_EVERY);
+}
+
+static void renew(void *arg)
+{
+	node_t *node = arg;
+
+	if (node->stopping)
+		return;
+	node_count(node, NODE_COUNT_STORE_LEASE);
+	if (node->member_lease)
+		node->platform->renew(node->store, node->member_lease,
+				      BASE_SEC, renewed, node);
+	else
+		node->platform->lease(node->store, MEMBER_TTL, leased, node);
+}
+
+void node_member_begin(node_t *node)
+{
+	size_t i;
+
+	node->members = g_ptr_array_new_with_free_func(g_free);
+	for (i = 0; i < node->settings->n_seeds; i++)
+		add_member(node, node->settings->seeds[i]);
+	node->member_timer = net_timer_new(node, node->loop, renew, node);
+	net_timer_start(node->member_timer, BASE_SEC);
+}
--- /dev/null
+++ b/packages/node/node_metrics.c
@@ -0,0 +1,105 @@
+#include "node_int.h"
+
+struct node_metrics {
+	uint64_t counts[NODE_COUNT_MAX];
+	base_hist_t *times[NODE_TIME_MAX];
+};
+
+static const char *const count_names[NODE_COUNT_MAX] = {
+	[NODE_COUNT_SUBMIT_ACCEPTED] = "submits{outcome=\"accepted\"}",
+	[NODE_COUNT_SUBMIT_REFUSED] = "submits{outcome=\"refused\"}",
+	[NODE_COUNT_SUBMIT_UNKNOWN] = "submits{outcome=\"unknown\"}",
+	[NODE_COUNT_STATE] = "requests{ask=\"state\"}",
+	[NODE_COUNT_CANCEL] = "requests{ask=\"cancel\"}",
+	[NODE_COUNT_STORE_READ] = "store_calls{purpose=\"read\"}",
+	[NODE_COUNT_STORE_WATCH] = "store_calls{purpose=\"watch\"}",
+	[NODE_COUNT_STORE_CHANGE] = "store_calls{purpose=\"change\"}",
+	[NODE_COUNT_STORE_LEASE] = "store_calls{purpose=\"lease\"}",
+	[NODE_COUNT_STORE_FAILED] = "store_calls_failed",
+	[NODE_COUNT_LOOK] = "worker_calls{purpose=\"look\"}",
+	[NODE_COUNT_ORDER] = "worker_calls{purpose=\"order\"}",
+	[NODE_COUNT_FORWARD] = "forwards",
+	[NODE_COUNT_LOG_DROPPED] = "log_lines_dropped",
+};
+
+static const char *const time_names[NODE_TIME_MAX] = {
+	[NODE_TIME_ANSWER] = "answer",
+	[NODE_TIME_CHANGE] = "store_change",
+	[NODE_TIME_LOOK_GAP] = "look_gap",
+	[NODE_TIME_ORDER] = "order",
+};
+
+struct node_metrics *node_metrics_new(const void *ctx)
+{
+	struct node_metrics *metrics = talloc_zero(ctx, struct node_metrics);
+	int i;
+
+	for (i = 0; i < NODE_TIME_MAX; i++)
+		metrics->times[i] = base_hist_new(metrics);
+	return metrics;
+}
+
+void node_count(node_t *node, node_count_t what)
+{
+	node->metrics->counts[what]++;
+}
+
+void node_time(node_t *node, node_time_t what, int64_t took)
+{
+	base_hist_add(node->metrics->times[what], took);
+}
+
+static void add_time(base_buf_t *out, const char *name,
+		     const base_hist_t *hist)
+{
+	static const double quantiles[] = { 0.5, 0.9, 0.99 };
+	size_t i;
+
+	for (i = 0; i < ARRAY_SIZE(quantiles); i++)
+		base_buf_addf(out,
+			      "cactusfield_seconds{of=\"%s\",quantile=\"%g\"} "
+			      "%.6f\n",
+			      name, quantiles[i],
+			      base_hist_quantile(hist, quantiles[i]) /
+				      BASE_SEC);
+	base_buf_addf(out, "cactusfield_seconds_count{of=\"%s\"} %llu\n", name,
+		      (unsigned long long)base_hist_count(hist));
+}
+
+static void add_owner(base_buf_t *out, const node_t *node)
+{
+	batch_stats_t stats;
+
+	batch_stats(node_owner_core(node->owner), &stats);
+	base_buf_addf(out, "cactusfield_jobs_open %zu\n", stats.jobs);
+	base_buf_addf(out, "cactusfield_runs %zu\n", stats.runs);
+	base_buf_addf(out, "cactusfield_workers %zu\n", stats.workers);
+	base_buf_addf(out, "cactusfield_workers_out %zu\n", stats.out);
+	base_buf_addf(out, "cactusfield_starts %llu\n",
+		      (unsigned long long)stats.starts);
+	base_buf_addf(out, "cactusfield_runs_lost %llu\n",
+		      (unsigned long long)stats.lost);
+}
+
+void node_metrics_serve(void *arg, net_exchange_t *exchange)
+{
+	node_t *node = arg;
+	base_buf_t *out = base_buf_new(NULL);
+	int64_t now = base_clock_mono();
+	int i;
+
+	for (i = 0; i < NODE_COUNT_MAX; i++)
+		base_buf_addf(out, "cactusfield_%s %llu\n", count_names[i],
+			      (unsigned long long)node->metrics->counts[i]);
+	for (i = 0; i < NODE_TIME_MAX; i++)
+		add_time(out, time_names[i], node->metrics->times[i]);
+	base_buf_addf(out, "cactusfield_config_version %lld\n",
+		      (long long)node->config.version);
+	base_buf_addf(out, "cactusfield_is_holder %d\n", node->owner != NULL);
+	base_buf_addf(out, "cactusfield_store_age_seconds %.3f\n",
+		      (double)(now - node->store_heard) / BASE_SEC);
+	if (node->owner)
+		add_owner(out, node);
+	net_reply(exchange, 200, NULL, 0, base_buf_str(out));
+	talloc_free(out);
+}
--- /dev/null
+++ b/packages/node/node_platform.h
@@ -0,0 +1,253 @@
+/*
+ * node_platform - what a platform does for a node, in the node's own words.
+ *
+ * Whoever adapts a platform fills node_platform_t.  Calls answer through
+ * their callback, once, from the loop; freeing the store or the link that
+ * they were made on ends them without it.  Keys are NUL-terminated, values
+ * any bytes.
+ */
+#ifndef NODE_PLATFORM_H
+#define NODE_PLATFORM_H
+
+#include "batch.h"
+#include "net.h"
+
+/* What became of a call to the store. */
+typedef enum node_store_fate {
+	NODE_STORE_OK,
+	NODE_STORE_CONFLICT,  /* a condition does not hold; nothing was done */
+	NODE_STORE_MISSING,   /* no such key, or the lease ended; nothing done */
+	NODE_STORE_COMPACTED, /* that history is gone: read anew */
+	NODE_STORE_REFUSED,   /* busy, or it turns us away; nothing was done */
+	NODE_STORE_UNKNOWN,   /* it may have been done, or be done later */
+	NODE_STORE_FATE_MAX
+} node_store_fate_t;
+
+typedef struct node_item {
+	const char *key;
+	base_str_t value;
+	int64_t revision; /* of its last change */
+	bool removed;	  /* a watch saw it go */
+} node_item_t;
+
+typedef struct node_answer {
+	node_store_fate_t fate;
+	const node_item_t *items; /* read, changed, or in the way */
+	size_t n_items;
+	int64_t revision; /* of the store, or of the change that was made */
+	bool more;	  /* a list has another page */
+	int64_t lease;	  /* id of a new lease */
+	int64_t ttl;	  /* that applies, microseconds */
+} node_answer_t;
+
+typedef void node_answered_t(void *arg, const node_answer_t *answer);
+
+typedef struct node_expect {
+	const char *key;
+	int64_t revision; /* 0: must not exist */
+} node_expect_t;
+
+typedef struct node_set {
+	const char *key;
+	base_str_t value;
+	int64_t lease; /* 0: none */
+} node_set_t;
+
+/* All or nothing; at most NODE_CHANGE_MAX entries in all. */
+#define NODE_CHANGE_MAX 32
+typedef struct node_change {
+	const node_expect_t *expects;
+	size_t n_expects;
+	const node_set_t *sets;
+	size_t n_sets;
+	const char *const *removes;
+	size_t n_removes;
+} node_change_t;
+
+typedef struct node_store node_store_t;
+typedef struct node_link node_link_t;
+
+/* What a worker answered to an order. */
+typedef enum node_order_fate {
+	NODE_ORDER_OK,
+	NODE_ORDER_FENCED, /* it has seen a higher term */
+	NODE_ORDER_OLD,	   /* it knows a run as high */
+	NODE_ORDER_LATE,   /* the lease that came with it is over */
+	NODE_ORDER_ROOM,   /* no room */
+	NODE_ORDER_REFUSED, /* unhealthy or malformed; nothing was done */
+	NODE_ORDER_OTHER_LIFE, /* another worker is at that address */
+	NODE_ORDER_SILENT, /* it may have been carried out, or be later */
+	NODE_ORDER_FATE_MAX
+} node_order_fate_t;
+
+/* What a worker shows of itself. */
+typedef struct node_look {
+	node_order_fate_t fate;
+	int64_t clock; /* of the worker, microseconds; -1: not said */
+	int64_t born;  /* -1: not said */
+	batch_seen_run_t *runs;
+	size_t n_runs;
+	batch_seen_end_t *ends;
+	size_t n_ends;
+} node_look_t;
+
+typedef void node_looked_t(void *arg, const node_look_t *look);
+
+typedef struct node_look_order {
+	int64_t term;
+	int64_t lease; /* until then on the worker's clock; -1: unchanged */
+	int64_t noted; /* ends up to this one may be forgotten */
+	int64_t wait;  /* for an end, microseconds */
+	int64_t timeout;
+} node_look_order_t;
+
+/* A worker's entry in the platform's list. */
+typedef struct node_worker_entry {
+	batch_worker_info_t info;
+	const char *address;
+} node_worker_entry_t;
+
+/* An instance that workers live on. */
+typedef enum node_instance_state {
+	NODE_INSTANCE_UP,
+	NODE_INSTANCE_MOVING,
+	NODE_INSTANCE_UPKEEP,
+	NODE_INSTANCE_DOWN,
+	NODE_INSTANCE_STATE_MAX
+} node_instance_state_t;
+
+typedef struct node_instance {
+	const char *name;
+	const char *pool;
+	const char *worker; /* its present life; empty: none */
+	node_instance_state_t state;
+} node_instance_t;
+
+typedef struct node_instances {
+	bool ok;
+	const node_instance_t *list;
+	size_t n;
+	const char *next; /* token of the next page; NULL: the last one */
+} node_instances_t;
+
+typedef void node_instances_done_t(void *arg, const node_instances_t *list);
+
+typedef enum node_duty_fate {
+	NODE_DUTY_OK,	  /* done, or done before */
+	NODE_DUTY_FENCED, /* a later holder acted */
+	NODE_DUTY_BUSY,	  /* not up, or leaving */
+	NODE_DUTY_WRONG,  /* not of that wave, or no such instance */
+	NODE_DUTY_REFUSED, /* too many calls, or down; nothing was done */
+	NODE_DUTY_UNKNOWN,
+	NODE_DUTY_FATE_MAX
+} node_duty_fate_t;
+
+typedef void node_duty_done_t(void *arg, node_duty_fate_t fate);
+
+/* A round of upkeep that the operator asks for. */
+typedef struct node_wave {
+	int64_t number;
+	const char **instances;
+	size_t n_instances;
+	int64_t duration; /* microseconds */
+	int at_most;	  /* instances in upkeep at once */
+} node_wave_t;
+
+typedef struct node_route {
+	base_str_t host;
+	base_str_t prefix; /* ends in "/" */
+	batch_queue_info_t queue;
+} node_route_t;
+
+typedef struct node_config {
+	int64_t version;
+	node_route_t *routes;
+	size_t n_routes;
+	batch_pool_info_t *pools;
+	size_t n_pools;
+} node_config_t;
+
+/* What a caller asks for. */
+typedef enum node_ask {
+	NODE_ASK_SUBMIT,
+	NODE_ASK_STATE,
+	NODE_ASK_CANCEL,
+	NODE_ASK_PENDING,
+	NODE_ASK_MAX
+} node_ask_t;
+
+typedef struct node_request {
+	node_ask_t ask;
+	base_str_t host;
+	base_str_t path;  /* up to the job's id */
+	base_str_t id;	  /* empty where a queue is asked about */
+	base_str_t body;
+	int64_t patience; /* how long the caller waits, microseconds */
+} node_request_t;
+
+typedef struct node_platform {
+	/* Where the operator's configuration, waves and workers are. */
+	const char *config_key;
+	const char *operator_prefix;
+	const char *wave_prefix;
+	const char *worker_prefix;
+
+	node_store_t *(*store_new)(const void *ctx, net_loop_t *loop,
+				   const char *address);
+	void (*get)(node_store_t *store, const char *key, node_answered_t *done,
+		    void *arg);
+	void (*list)(node_store_t *store, const char *prefix, const char *after,
+		     bool stale, node_answered_t *done, void *arg);
+	void (*watch)(node_store_t *store, const char *prefix, int64_t after,
+		      int64_t wait, node_answered_t *done, void *arg);
+	void (*change)(node_store_t *store, const node_change_t *change,
+		       node_answered_t *done, void *arg);
+	void (*lease)(node_store_t *store, int64_t ttl, node_answered_t *done,
+		      void *arg);
+	void (*renew)(node_store_t *store, int64_t lease, int64_t timeout,
+		      node_answered_t *done, void *arg);
+	void (*release)(node_store_t *store, int64_t lease,
+			node_answered_t *done, void *arg);
+
+	/* A link to one worker, for the orders of the holder of "term". */
+	node_link_t *(*link_new)(const void *ctx, net_loop_t *loop,
+				 const char *address, const char *worker);
+	void (*look)(node_link_t *link, const node_look_order_t *order,
+		     node_looked_t *done, void *arg);
+	void (*start)(node_link_t *link, const batch_order_t *order,
+		      int64_t term, int64_t lease, node_looked_t *done,
+		      void *arg);
+	void (*stop)(node_link_t *link, const batch_order_t *order,
+		     int64_t term, node_looked_t *done, void *arg);
+	void (*pace)(node_link_t *link, const batch_order_t *order,
+		     int64_t term, node_looked_t *done, void *arg);
+
+	void *(*instances_new)(const void *ctx, net_loop_t *loop,
+			       const char *address, const char *holder);
+	void (*instances)(void *self, const char *page,
+			  node_instances_done_t *done, void *arg);
+	void (*upkeep)(void *self, const char *instance, int64_t wave,
+		       int64_t term, node_duty_done_t *done, void *arg);
+	void (*move)(void *self, const char *instance, const char *pool,
+		     int64_t term, node_duty_done_t *done, void *arg);
+
+	/* Results go below "ctx"; false and "err" where it cannot be read. */
+	bool (*config_read)(const void *ctx, base_str_t text,
+			    node_config_t *config, GError **err);
+	bool (*worker_read)(const void *ctx, const char *key, base_str_t text,
+			    node_worker_entry_t *entry, GError **err);
+	bool (*wave_read)(const void *ctx, base_str_t text, node_wave_t *wave,
+			  GError **err);
+	bool (*job_read)(const void *ctx, base_str_t text, batch_spec_t *spec,
+			 GError **err);
+	/* The row that tells the operator how a wave stands, and its key. */
+	char *(*wave_key)(const void *ctx, int64_t number);
+	char *(*wave_print)(const void *ctx, int64_t number, bool completed);
+
+	bool (*request_read)(const void *ctx, const net_exchange_t *exchange,
+			     node_request_t *request);
+	char *(*state_print)(const void *ctx, batch_state_t state);
+	char *(*pending_print)(const void *ctx, size_t pending);
+} node_platform_t;
+
+#endif
--- /dev/null
+++ b/packages/node/node_restore.c
@@ -0,0 +1,179 @@
+/*
+ * Taking over: the workers' list, the jobs and their rows, the waves; then
+ * looks at the workers settle what runs.
+ */
+#include "node_int.h"
+
+#define RESTORE_RETRY (60 * BASE_MS)
+
+typedef enum restore_stage {
+	RESTORE_WORKERS,
+	RESTORE_SOURCES,
+	RESTORE_ROWS,
+	RESTORE_WAVES,
+	RESTORE_STAGE_MAX
+} restore_stage_t;
+
+typedef struct restore {
+	node_owner_t *owner;
+	restore_stage_t stage;
+	net_timer_t *timer;
+	size_t items;
+	size_t bad;
+} restore_t;
+
+static void read_page(void *arg);
+
+static void take_source(node_owner_t *owner, const node_item_t *item)
+{
+	g_hash_table_replace(owner->sources,
+			     g_strdup(item->key + strlen(NODE_KEY_JOB)),
+			     g_strndup(item->value.ptr, item->value.len));
+}
+
+/* The specification from what was stored of it; false for an ended job. */
+static bool read_spec(node_owner_t *owner, const void *ctx, const char *id,
+		      batch_spec_t *spec)
+{
+	const char *source = g_hash_table_lookup(owner->sources, id);
+	json_t *root = source ? json_loads(source, 0, NULL) : NULL;
+	const json_t *body = json_object_get(root, "body");
+	const char *queue = json_string_value(json_object_get(root, "queue"));
+	base_str_t text = BASE_STR("");
+	bool ok;
+
+	if (json_is_string(body))
+		text = (base_str_t){ json_string_value(body),
+				     json_string_length(body) };
+	spec->id = base_str(id);
+	spec->source = base_str(source);
+	ok = queue && owner->node->platform->job_read(ctx, text, spec, NULL) &&
+	     batch_spec_check(spec, NULL);
+	if (ok)
+		spec->queue = base_str(talloc_strdup(ctx, queue));
+	json_decref(root);
+	return ok;
+}
+
+static void take_row(restore_t *restore, const node_item_t *item)
+{
+	node_owner_t *owner = restore->owner;
+	const char *id = item->key + strlen(NODE_KEY_ROW);
+	char *record = base_str_dup(restore, item->value);
+	void *ctx = talloc_new(restore);
+	batch_spec_t spec = { 0 };
+	GError *err = NULL;
+	bool known = read_spec(owner, ctx, id, &spec);
+
+	if (!batch_restore(owner->core, base_clock_mono(), base_clock_wall(),
+			   base_str(id), known ? &spec : NULL, record,
+			   owner->orphan_until, &err)) {
+		restore->bad++;
+		node_log(owner->node, BASE_MSG_JOB_UNREADABLE,
+			 BASE_F_STR("id", id), BASE_F_STR("why", err->message),
+			 BASE_F_INT("revision", item->revision));
+		g_clear_error(&err);
+	}
+	talloc_free(ctx);
+	talloc_free(record);
+}
+
+static void finish(restore_t *restore)
+{
+	node_owner_t *owner = restore->owner;
+	int64_t now = base_clock_mono();
+
+	g_hash_table_unref(owner->sources);
+	owner->sources = NULL;
+	owner->restored = true;
+	node_log(owner->node, BASE_MSG_JOBS_TAKEN,
+		 BASE_F_INT("term", owner->term),
+		 BASE_F_INT("rows", (int64_t)restore->items),
+		 BASE_F_INT("unreadable", (int64_t)restore->bad),
+		 BASE_F_INT("took_us", now - owner->taken_at));
+	node_owner_waves(owner);
+	node_workers_begin(owner);
+	talloc_free(restore);
+	node_owner_wake(owner);
+}
+
+static void take_item(restore_t *restore, const node_item_t *item)
+{
+	node_owner_t *owner = restore->owner;
+
+	switch (restore->stage) {
+	case RESTORE_WORKERS:
+		node_workers_entry(owner, item);
+		break;
+	case RESTORE_SOURCES:
+		take_source(owner, item);
+		break;
+	case RESTORE_ROWS:
+		restore->items++;
+		take_row(restore, item);
+		break;
+	default:
+		node_waves_record(owner->waves,
+				  item->key + strlen(NODE_KEY_WAVE),
+				  item->value);
+		break;
+	}
+}
+
+static void page_read(void *arg, const node_answer_t *answer)
+{
+	restore_t *restore = arg;
+	node_owner_t *owner = restore->owner;
+	size_t i;
+
+	node_store_answered(owner->node, answer->fate);
+	if (answer->fate != NODE_STORE_OK) {
+		net_timer_start(restore->timer, RESTORE_RETRY);
+		return;
+	}
+	for (i = 0; i < answer->n_items; i++)
+		take_item(restore, &answer->items[i]);
+	talloc_free(owner->page);
+	owner->page = NULL;
+	if (answer->more && answer->n_items) {
+		owner->page = talloc_strdup(
+			owner, answer->items[answer->n_items - 1].key);
+	} else {
+		if (restore->stage == RESTORE_WORKERS)
+			node_workers_round(owner);
+		if (++restore->stage == RESTORE_STAGE_MAX) {
+			finish(restore);
+			return;
+		}
+	}
+	read_page(restore);
+}
+
+static void read_page(void *arg)
+{
+	restore_t *restore = arg;
+	node_owner_t *owner = restore->owner;
+	const node_platform_t *platform = owner->node->platform;
+	const char *const prefixes[RESTORE_STAGE_MAX] = {
+		[RESTORE_WORKERS] = platform->worker_prefix,
+		[RESTORE_SOURCES] = NODE_KEY_JOB,
+		[RESTORE_ROWS] = NODE_KEY_ROW,
+		[RESTORE_WAVES] = NODE_KEY_WAVE,
+	};
+
+	node_count(owner->node, NODE_COUNT_STORE_READ);
+	platform->list(owner->store, prefixes[restore->stage], owner->page,
+		       false, page_read, restore);
+}
+
+void node_restore_begin(node_owner_t *owner)
+{
+	restore_t *restore = talloc_zero(owner, restore_t);
+
+	restore->owner = owner;
+	restore->timer = net_timer_new(restore, owner->node->loop, read_page,
+				       restore);
+	owner->sources =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+	read_page(restore);
+}
--- /dev/null
+++ b/packages/node/node_run.c
@@ -0,0 +1,197 @@
+#include <signal.h>
+#include <stdlib.h>
+#include <unistd.h>
+
+#include "node_int.h"
+
+/* The rest of the grace is for answers on their way. */
+#define RUN_GRACE_PART 0.8
+#define RUN_STOP_TICK (50 * BASE_MS)
+/* After a stop began, the balancer may send connections for two of its
+ * checks, one a second, and a little. */
+#define RUN_STOP_LINGER (2500 * BASE_MS)
+/* Without an answer of the store or the holder for so long, no new work can
+ * be taken; shorter outages do not take this entry out of rotation. */
+#define RUN_READY_AGE (6 * BASE_SEC)
+
+static bool is_ready(const node_t *node)
+{
+	int64_t now = base_clock_mono();
+
+	return node->config.version && !node->stopping &&
+	       now - node->store_heard < RUN_READY_AGE;
+}
+
+static void serve_ready(void *arg, net_exchange_t *exchange)
+{
+	net_reply(exchange, is_ready(arg) ? 200 : 503, NULL, 0, BASE_STR(""));
+}
+
+static void stop_tick(void *arg)
+{
+	node_t *node = arg;
+	int64_t now = base_clock_mono();
+
+	if ((now >= node->stop_linger && !node->open_asks) ||
+	    now >= node->stop_by) {
+		node_log(node, BASE_MSG_STOPPED,
+			 BASE_F_INT("open", (int64_t)node->open_asks));
+		node_log_flush(node);
+		net_loop_stop(node->loop);
+		return;
+	}
+	net_timer_start(node->stop_timer, RUN_STOP_TICK);
+}
+
+static void terminate(void *arg, int signo)
+{
+	node_t *node = arg;
+	int64_t now = base_clock_mono();
+
+	if (node->stopping)
+		return;
+	node->stopping = true;
+	node->stop_by = now + (int64_t)(RUN_GRACE_PART *
+					(double)node->settings->grace);
+	node->stop_linger = now + RUN_STOP_LINGER;
+	node_log(node, BASE_MSG_DRAINING, BASE_F_INT("signal", signo),
+		 BASE_F_BOOL("holder", node->owner != NULL),
+		 BASE_F_INT("open", (int64_t)node->open_asks));
+	if (node->owner)
+		node_owner_resign(node->owner);
+	net_timer_start(node->stop_timer, RUN_STOP_TICK);
+}
+
+static node_settings_t *read_settings(const void *ctx, const char *path,
+				      GError **err)
+{
+	node_settings_t *settings;
+	char *text = NULL;
+	gsize len = 0;
+
+	if (!g_file_get_contents(path, &text, &len, err))
+		return NULL;
+	settings = node_settings_load(ctx, (base_str_t){ text, len }, err);
+	g_free(text);
+	return settings;
+}
+
+/* Addresses do not change in the life of a process; times do. */
+static void reload(void *arg, int signo)
+{
+	node_t *node = arg;
+	GError *err = NULL;
+	node_settings_t *settings =
+		read_settings(node, node->settings_file, &err);
+
+	(void)signo;
+	if (!settings) {
+		node_log(node, BASE_MSG_SETTINGS_BAD,
+			 BASE_F_STR("file", node->settings_file),
+			 BASE_F_STR("why", err->message));
+		g_clear_error(&err);
+		return;
+	}
+	node->settings->lease_max = settings->lease_max;
+	node->settings->stop_timeout = settings->stop_timeout;
+	node->settings->grace = settings->grace;
+	node->settings->keep = settings->keep;
+	talloc_free(settings);
+	node_log(node, BASE_MSG_RELOADED,
+		 BASE_F_STR("file", node->settings_file));
+}
+
+static bool listen_all(node_t *node, GError **err)
+{
+	const node_settings_t *settings = node->settings;
+
+	node->peer_server = net_server_new(node, node->loop, settings->peers,
+					   node_peer_serve, node, err);
+	if (!node->peer_server)
+		return false;
+	node->front = net_server_new(node, node->loop, settings->callers,
+				     node_front_serve, node, err);
+	if (!node->front)
+		return false;
+	node->ready = net_server_new(node, node->loop, settings->ready,
+				     serve_ready, node, err);
+	if (!node->ready)
+		return false;
+	if (!settings->metrics)
+		return true;
+	node->metrics_server =
+		net_server_new(node, node->loop, settings->metrics,
+			       node_metrics_serve, node, err);
+	return node->metrics_server != NULL;
+}
+
+static node_t *node_new(const node_options_t *options,
+			node_settings_t *settings)
+{
+	node_t *node = talloc_zero(NULL, node_t);
+
+	node->settings = talloc_steal(node, settings);
+	node->platform = options->platform;
+	node->settings_file = options->settings_file;
+	node->started = base_clock_mono();
+	node->store_heard = node->started;
+	node->rng.state = (uint64_t)base_clock_wall() ^
+			  ((uint64_t)g_str_hash(settings->name) << 32);
+	node->loop = net_loop_new(node);
+	node->log = node_log_new(node, node->loop, options->log_fd);
+	node->metrics = node_metrics_new(node);
+	node->peers = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
+					    NULL);
+	node->stop_timer = net_timer_new(node, node->loop, stop_tick, node);
+	node->store = node->platform->store_new(node, node->loop,
+						settings->store);
+	return node;
+}
+
+static int refuse(const node_options_t *options, base_msg_t msg, GError *err)
+{
+	base_log_t log = { .fd = options->log_fd, .level = BASE_INFO };
+
+	base_log(&log, msg, BASE_F_STR("file", options->settings_file),
+		 BASE_F_STR("why", err->message));
+	g_error_free(err);
+	return EXIT_FAILURE;
+}
+
+int node_run(const node_options_t *options)
+{
+	GError *err = NULL;
+	node_settings_t *settings =
+		read_settings(NULL, options->settings_file, &err);
+	node_t *node;
+
+	if (!settings)
+		return refuse(options, BASE_MSG_SETTINGS_BAD, err);
+	if (options->check_only) {
+		talloc_free(settings);
+		return EXIT_SUCCESS;
+	}
+	node = node_new(options, settings);
+	if (!node->store) {
+		g_set_error(&err, NODE_ERROR, NODE_ERR_START,
+			    "\"%s\" is no address of a store",
+			    settings->store);
+		talloc_free(node);
+		return refuse(options, BASE_MSG_START_FAILED, err);
+	}
+	if (!listen_all(node, &err)) {
+		talloc_free(node);
+		return refuse(options, BASE_MSG_START_FAILED, err);
+	}
+	net_loop_signal(node->loop, SIGTERM, terminate, node);
+	net_loop_signal(node->loop, SIGHUP, reload, node);
+	node_log(node, BASE_MSG_START, BASE_F_STR("name", settings->name),
+		 BASE_F_STR("zone", settings->zone),
+		 BASE_F_INT("pid", getpid()));
+	node_member_begin(node);
+	node_config_begin(node);
+	node_lead_begin(node);
+	net_loop_run(node->loop);
+	/* The process ends: what it holds is freed with it. */
+	return EXIT_SUCCESS;
+}
--- /dev/null
+++ b/packages/node/node_settings.c
@@ -0,0 +1,113 @@
+#include "node_int.h"
+
+BASE_ERROR_DOMAIN(node)
+
+typedef struct text_field {
+	const char *name;
+	size_t offset;
+	bool optional;
+} text_field_t;
+
+typedef struct time_field {
+	const char *name; /* in milliseconds */
+	size_t offset;
+	int64_t missing;
+} time_field_t;
+
+static const text_field_t texts[] = {
+	{ "name", offsetof(node_settings_t, name), false },
+	{ "availability_zone", offsetof(node_settings_t, zone), false },
+	{ "callers", offsetof(node_settings_t, callers), false },
+	{ "ready", offsetof(node_settings_t, ready), false },
+	{ "peers", offsetof(node_settings_t, peers), false },
+	{ "store", offsetof(node_settings_t, store), false },
+	{ "instances", offsetof(node_settings_t, instances), false },
+	{ "metrics", offsetof(node_settings_t, metrics), true },
+};
+
+static const time_field_t times[] = {
+	{ "lease_max_ms", offsetof(node_settings_t, lease_max), 10000 },
+	{ "stop_timeout_ms", offsetof(node_settings_t, stop_timeout), 200 },
+	{ "grace_ms", offsetof(node_settings_t, grace), 6000 },
+	{ "keep_ms", offsetof(node_settings_t, keep), 120000 },
+	{ "store_ttl_min_ms", offsetof(node_settings_t, store_ttl_min), 1000 },
+	{ "checkpoint_every_ms", offsetof(node_settings_t, checkpoint_every),
+	  2000 },
+};
+
+static void load_text(node_settings_t *settings, const json_t *root,
+		      const text_field_t *field, base_buf_t *faults)
+{
+	const char *value =
+		json_string_value(json_object_get(root, field->name));
+
+	if (value && *value)
+		*(const char **)((char *)settings + field->offset) =
+			talloc_strdup(settings, value);
+	else if (!field->optional)
+		base_buf_addf(faults, "; \"%s\" is missing or no text",
+			      field->name);
+}
+
+static void load_time(node_settings_t *settings, const json_t *root,
+		      const time_field_t *field, base_buf_t *faults)
+{
+	const json_t *value = json_object_get(root, field->name);
+	double ms = value ? json_number_value(value) : (double)field->missing;
+
+	if (value && (!json_is_number(value) || ms <= 0))
+		base_buf_addf(faults, "; \"%s\" is no time in milliseconds",
+			      field->name);
+	*(int64_t *)((char *)settings + field->offset) =
+		(int64_t)(ms * BASE_MS);
+}
+
+static void load_seeds(node_settings_t *settings, const json_t *root)
+{
+	const json_t *list = json_object_get(root, "seeds");
+	size_t i;
+
+	settings->seeds = talloc_zero_array(settings, const char *,
+					    json_array_size(list) + 1);
+	for (i = 0; i < json_array_size(list); i++) {
+		const char *seed = json_string_value(json_array_get(list, i));
+
+		if (seed)
+			settings->seeds[settings->n_seeds++] =
+				talloc_strdup(settings, seed);
+	}
+}
+
+node_settings_t *node_settings_load(const void *ctx, base_str_t text,
+				    GError **err)
+{
+	node_settings_t *settings = talloc_zero(ctx, node_settings_t);
+	base_buf_t *faults = base_buf_new(settings);
+	json_error_t why;
+	json_t *root = json_loadb(text.ptr, text.len, JSON_REJECT_DUPLICATES,
+				  &why);
+	size_t i;
+
+	if (!root || !json_is_object(root)) {
+		g_set_error(err, NODE_ERROR, NODE_ERR_SETTINGS,
+			    "line %d, column %d: %s", root ? 1 : why.line,
+			    root ? 1 : why.column,
+			    root ? "not an object" : why.text);
+		json_decref(root);
+		talloc_free(settings);
+		return NULL;
+	}
+	for (i = 0; i < ARRAY_SIZE(texts); i++)
+		load_text(settings, root, &texts[i], faults);
+	for (i = 0; i < ARRAY_SIZE(times); i++)
+		load_time(settings, root, &times[i], faults);
+	load_seeds(settings, root);
+	json_decref(root);
+	if (faults->len) {
+		g_set_error(err, NODE_ERROR, NODE_ERR_SETTINGS, "%s",
+			    faults->ptr + 2);
+		talloc_free(settings);
+		return NULL;
+	}
+	return settings;
+}
--- /dev/null
+++ b/packages/node/node_wave.c
@@ -0,0 +1,557 @@
+/*
+ * Rounds of upkeep: instances are emptied, a few at a time, and handed to the
+ * platform once nothing runs on them.
+ */
+#include "node_int.h"
+
+#define WAVE_TICK (100 * BASE_MS)
+#define WAVE_LIST_EVERY (400 * BASE_MS) /* upkeep takes about two seconds */
+#define WAVE_RETRY (300 * BASE_MS)
+/* Instances that are emptied while others are in upkeep: emptying takes about
+ * as long. */
+#define WAVE_AHEAD 1
+
+typedef enum place_state {
+	PLACE_WAITING,
+	PLACE_EMPTYING,
+	PLACE_ASKED, /* the platform's answer is awaited, or was lost */
+	PLACE_DOWN,  /* its upkeep has begun */
+	PLACE_BACK,
+	PLACE_GONE, /* no longer there, or not of this wave */
+	PLACE_MAX
+} place_state_t;
+
+typedef struct wave wave_t;
+
+typedef struct place {
+	wave_t *wave;
+	char *name;
+	char *worker; /* its present life, as listed; NULL: none */
+	place_state_t state;
+	node_instance_state_t listed;
+	bool in_list;
+	bool calling;
+	int64_t asked_at;
+	int64_t since;
+} place_t;
+
+struct wave {
+	node_waves_t *waves;
+	int64_t number;
+	int at_most;
+	int64_t ends_by;
+	place_t *places;
+	size_t n;
+	bool completed;
+	uint64_t version;
+	uint64_t taken;
+	uint64_t kept;
+};
+
+struct node_waves {
+	node_owner_t *owner;
+	void *instances;
+	GPtrArray *waves;
+	GHashTable *records; /* number as text to what a predecessor stored */
+	net_timer_t *tick_timer;
+	net_timer_t *list_timer;
+	bool listing;
+	int64_t list_sent;
+	GPtrArray *seen; /* names in the round that is being read */
+	wave_t *storing;
+};
+
+static void tick(void *arg);
+static void list(void *arg);
+
+static int waves_free(node_waves_t *waves)
+{
+	g_ptr_array_unref(waves->waves);
+	g_ptr_array_unref(waves->seen);
+	g_hash_table_unref(waves->records);
+	return 0;
+}
+
+node_waves_t *node_waves_new(node_owner_t *owner)
+{
+	node_t *node = owner->node;
+	node_waves_t *waves = talloc_zero(owner, node_waves_t);
+
+	waves->owner = owner;
+	waves->waves = g_ptr_array_new();
+	waves->seen = g_ptr_array_new_with_free_func(g_free);
+	waves->records =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+	waves->instances = node->platform->instances_new(
+		waves, node->loop, node->settings->instances,
+		node->settings->name);
+	waves->tick_timer = net_timer_new(waves, node->loop, tick, waves);
+	waves->list_timer = net_timer_new(waves, node->loop, list, waves);
+	talloc_set_destructor(waves, waves_free);
+	return waves;
+}
+
+void node_waves_record(node_waves_t *waves, const char *key, base_str_t text)
+{
+	g_hash_table_replace(waves->records, g_strdup(key),
+			     g_strndup(text.ptr, text.len));
+}
+
+static wave_t *find_wave(const node_waves_t *waves, int64_t number)
+{
+	guint i;
+
+	for (i = 0; i < waves->waves->len; i++) {
+		wave_t *wave = g_ptr_array_index(waves->waves, i);
+
+		if (wave->number == number)
+			return wave;
+	}
+	return NULL;
+}
+
+static place_t *find_place(const wave_t *wave, const char *name)
+{
+	size_t i;
+
+	for (i = 0; i < wave->n; i++)
+		if (!strcmp(wave->places[i].name, name))
+			return &wave->places[i];
+	return NULL;
+}
+
+/* What a predecessor has begun need not begin again. */
+static void take_record(wave_t *wave)
+{
+	char number[32];
+	const char *text;
+	json_t *root;
+	const json_t *begun;
+	size_t i;
+
+	g_snprintf(number, sizeof(number), "%lld", (long long)wave->number);
+	text = g_hash_table_lookup(wave->waves->records, number);
+	root = text ? json_loads(text, 0, NULL) : NULL;
+	begun = json_object_get(root, "begun");
+	for (i = 0; i < json_array_size(begun); i++) {
+		const char *name = json_string_value(json_array_get(begun, i));
+		place_t *place = name ? find_place(wave, name) : NULL;
+
+		if (place)
+			place->state = PLACE_DOWN;
+	}
+	wave->completed = json_is_true(json_object_get(root, "completed"));
+	json_decref(root);
+}
+
+void node_waves_text(node_waves_t *waves, base_str_t text)
+{
+	node_t *node = waves->owner->node;
+	void *ctx = talloc_new(waves);
+	node_wave_t info;
+	GError *err = NULL;
+	wave_t *wave;
+	size_t i;
+
+	if (!node->platform->wave_read(ctx, text, &info, &err)) {
+		node_log(node, BASE_MSG_WAVE_UNREADABLE,
+			 BASE_F_STR("why", err->message));
+		g_clear_error(&err);
+		talloc_free(ctx);
+		return;
+	}
+	if (find_wave(waves, info.number)) {
+		talloc_free(ctx);
+		return;
+	}
+	wave = talloc_zero(waves, wave_t);
+	wave->waves = waves;
+	wave->number = info.number;
+	wave->at_most = MAX(info.at_most, 1);
+	wave->ends_by = base_clock_mono() + info.duration;
+	wave->n = info.n_instances;
+	wave->places = talloc_zero_array(wave, place_t, wave->n + 1);
+	for (i = 0; i < wave->n; i++) {
+		wave->places[i].wave = wave;
+		wave->places[i].name =
+			talloc_strdup(wave, info.instances[i]);
+	}
+	take_record(wave);
+	if (!wave->completed)
+		wave->version = 1;
+	g_ptr_array_add(waves->waves, wave);
+	node_log(node, BASE_MSG_WAVE, BASE_F_INT("wave", wave->number),
+		 BASE_F_INT("instances", (int64_t)wave->n),
+		 BASE_F_INT("at_most", wave->at_most),
+		 BASE_F_BOOL("completed", wave->completed));
+	talloc_free(ctx);
+	if (wave->completed)
+		return;
+	net_timer_start(waves->tick_timer, 0);
+	if (!waves->listing)
+		net_timer_start(waves->list_timer, 0);
+}
+
+bool node_waves_waiting(const node_waves_t *waves)
+{
+	guint i;
+
+	for (i = 0; i < waves->waves->len; i++) {
+		const wave_t *wave = g_ptr_array_index(waves->waves, i);
+
+		if (wave->kept < wave->version)
+			return true;
+	}
+	return false;
+}
+
+static void add_rows(wave_t *wave, const void *ctx, node_set_t *sets,
+		     size_t *n_sets)
+{
+	const node_platform_t *platform = wave->waves->owner->node->platform;
+	base_buf_t *buf = base_buf_new(ctx);
+	bool first = true;
+	size_t i;
+
+	base_buf_adds(buf, "{\"begun\":[");
+	for (i = 0; i < wave->n; i++) {
+		place_state_t state = wave->places[i].state;
+
+		if (state != PLACE_DOWN && state != PLACE_BACK)
+			continue;
+		if (!first)
+			base_buf_adds(buf, ",");
+		first = false;
+		base_buf_add_json(buf, base_str(wave->places[i].name));
+	}
+	base_buf_addf(buf, "],\"completed\":%s}",
+		      wave->completed ? "true" : "false");
+	sets[(*n_sets)++] = (node_set_t){
+		talloc_asprintf(ctx, NODE_KEY_WAVE "%lld",
+				(long long)wave->number),
+		base_buf_str(buf), 0
+	};
+	sets[(*n_sets)++] = (node_set_t){
+		platform->wave_key(ctx, wave->number),
+		base_str(platform->wave_print(ctx, wave->number,
+					      wave->completed)),
+		0
+	};
+}
+
+bool node_waves_row(node_waves_t *waves, const void *ctx, node_set_t *sets,
+		    size_t *n_sets)
+{
+	guint i;
+
+	waves->storing = NULL;
+	for (i = 0; i < waves->waves->len; i++) {
+		wave_t *wave = g_ptr_array_index(waves->waves, i);
+
+		if (wave->kept >= wave->version)
+			continue;
+		wave->taken = wave->version;
+		add_rows(wave, ctx, sets, n_sets);
+		waves->storing = wave;
+		return true;
+	}
+	return false;
+}
+
+void node_waves_kept(node_waves_t *waves)
+{
+	if (waves->storing)
+		waves->storing->kept = waves->storing->taken;
+	waves->storing = NULL;
+}
+
+static void set_state(place_t *place, place_state_t state, const char *why)
+{
+	node_t *node = place->wave->waves->owner->node;
+
+	node_log(node, BASE_MSG_INSTANCE, BASE_F_STR("instance", place->name),
+		 BASE_F_STR("worker", place->worker ? place->worker : ""),
+		 BASE_F_INT("wave", place->wave->number),
+		 BASE_F_INT("from", place->state), BASE_F_INT("to", state),
+		 BASE_F_STR("why", why),
+		 BASE_F_INT("after_us", base_clock_mono() - place->since));
+	place->state = state;
+	place->since = base_clock_mono();
+}
+
+static void cordon(place_t *place, bool on)
+{
+	if (place->worker)
+		batch_worker_cordon(place->wave->waves->owner->core,
+				    base_clock_mono(), base_str(place->worker),
+				    on);
+}
+
+static void ordered(void *arg, node_duty_fate_t fate)
+{
+	place_t *place = arg;
+	wave_t *wave = place->wave;
+	node_owner_t *owner = wave->waves->owner;
+
+	place->calling = false;
+	place->asked_at = base_clock_mono();
+	if (owner->ended)
+		return;
+	switch (fate) {
+	case NODE_DUTY_OK:
+		set_state(place, PLACE_DOWN, "upkeep begun");
+		wave->version++;
+		if (place->worker)
+			batch_worker_over(owner->core, base_clock_mono(),
+					  base_str(place->worker));
+		node_owner_wake(owner);
+		break;
+	case NODE_DUTY_FENCED:
+		node_lead_lost(owner->node, "fenced by the platform");
+		break;
+	case NODE_DUTY_WRONG:
+		set_state(place, PLACE_GONE, "not of this wave");
+		cordon(place, false);
+		break;
+	case NODE_DUTY_UNKNOWN:
+		/* Asked again: if it was done it is not done twice. */
+		break;
+	default:
+		set_state(place, PLACE_EMPTYING, "refused for now");
+		break;
+	}
+}
+
+static void order(place_t *place)
+{
+	node_owner_t *owner = place->wave->waves->owner;
+
+	if (place->state != PLACE_ASKED)
+		set_state(place, PLACE_ASKED, "empty");
+	place->calling = true;
+	owner->node->platform->upkeep(place->wave->waves->instances,
+				      place->name, place->wave->number,
+				      owner->term, ordered, place);
+}
+
+static size_t runs_on(const place_t *place, size_t *lasting)
+{
+	*lasting = 0;
+	if (!place->worker)
+		return 0;
+	return batch_worker_runs(place->wave->waves->owner->core,
+				 base_str(place->worker), lasting);
+}
+
+/* The instance that is emptied with the least harm. */
+static place_t *next_place(const wave_t *wave)
+{
+	place_t *best = NULL;
+	size_t best_cost = 0;
+	size_t i;
+
+	for (i = 0; i < wave->n; i++) {
+		place_t *place = &wave->places[i];
+		size_t lasting;
+		size_t cost;
+
+		if (place->state != PLACE_WAITING || !place->in_list ||
+		    place->listed != NODE_INSTANCE_UP)
+			continue;
+		cost = runs_on(place, &lasting);
+		cost += 100 * lasting;
+		if (!best || cost < best_cost) {
+			best = place;
+			best_cost = cost;
+		}
+	}
+	return best;
+}
+
+static void count_places(const wave_t *wave, int counts[PLACE_MAX])
+{
+	size_t i;
+
+	memset(counts, 0, sizeof(int) * PLACE_MAX);
+	for (i = 0; i < wave->n; i++)
+		counts[wave->places[i].state]++;
+}
+
+static void order_empty(wave_t *wave, int *down)
+{
+	int64_t now = base_clock_mono();
+	size_t lasting;
+	size_t i;
+
+	for (i = 0; i < wave->n; i++) {
+		place_t *place = &wave->places[i];
+
+		if (place->calling || now - place->asked_at < WAVE_RETRY)
+			continue;
+		if (place->state == PLACE_ASKED) {
+			order(place);
+		} else if (place->state == PLACE_EMPTYING &&
+			   *down < wave->at_most &&
+			   !runs_on(place, &lasting)) {
+			order(place);
+			++*down;
+		}
+	}
+}
+
+static void advance(wave_t *wave)
+{
+	int counts[PLACE_MAX];
+	int down;
+	int busy;
+	place_t *place;
+
+	count_places(wave, counts);
+	if (!wave->completed &&
+	    counts[PLACE_DOWN] + counts[PLACE_BACK] + counts[PLACE_GONE] ==
+		    (int)wave->n) {
+		wave->completed = true;
+		wave->version++;
+		node_log(wave->waves->owner->node, BASE_MSG_WAVE,
+			 BASE_F_INT("wave", wave->number),
+			 BASE_F_INT("instances", (int64_t)wave->n),
+			 BASE_F_INT("at_most", wave->at_most),
+			 BASE_F_BOOL("completed", true));
+	}
+	down = counts[PLACE_ASKED] + counts[PLACE_DOWN];
+	order_empty(wave, &down);
+	busy = down + counts[PLACE_EMPTYING];
+	while (busy < wave->at_most + WAVE_AHEAD &&
+	       (place = next_place(wave)) != NULL) {
+		set_state(place, PLACE_EMPTYING, "next");
+		cordon(place, true);
+		busy++;
+	}
+}
+
+static bool active(const node_waves_t *waves)
+{
+	int counts[PLACE_MAX];
+	guint i;
+
+	for (i = 0; i < waves->waves->len; i++) {
+		const wave_t *wave = g_ptr_array_index(waves->waves, i);
+
+		count_places(wave, counts);
+		if (!wave->completed || counts[PLACE_DOWN])
+			return true;
+	}
+	return false;
+}
+
+static void tick(void *arg)
+{
+	node_waves_t *waves = arg;
+	guint i;
+
+	if (waves->owner->ended || !active(waves))
+		return;
+	net_timer_start(waves->tick_timer, WAVE_TICK);
+	if (!node_owner_valid(waves->owner))
+		return;
+	for (i = 0; i < waves->waves->len; i++)
+		advance(g_ptr_array_index(waves->waves, i));
+	if (node_waves_waiting(waves))
+		node_owner_wake(waves->owner);
+}
+
+static void take_instance(place_t *place, const node_instance_t *instance)
+{
+	bool same = place->worker && !strcmp(place->worker, instance->worker);
+
+	place->in_list = true;
+	place->listed = instance->state;
+	if (!same) {
+		talloc_free(place->worker);
+		place->worker = *instance->worker ?
+					talloc_strdup(place->wave,
+						      instance->worker) :
+					NULL;
+		if (place->state == PLACE_EMPTYING)
+			cordon(place, true);
+	}
+	/* A list that was read before the order says nothing of it. */
+	if (place->state == PLACE_DOWN &&
+	    instance->state == NODE_INSTANCE_UP &&
+	    place->asked_at < place->wave->waves->list_sent) {
+		set_state(place, PLACE_BACK, "up again");
+		cordon(place, false);
+	}
+}
+
+/* Instances that are in no page of a whole round have left. */
+static void drop_missing(node_waves_t *waves)
+{
+	guint i;
+	size_t j;
+
+	for (i = 0; i < waves->waves->len; i++) {
+		wave_t *wave = g_ptr_array_index(waves->waves, i);
+
+		for (j = 0; j < wave->n; j++) {
+			place_t *place = &wave->places[j];
+
+			if (g_ptr_array_find_with_equal_func(
+				    waves->seen, place->name, g_str_equal,
+				    NULL) ||
+			    place->calling)
+				continue;
+			if (place->state == PLACE_WAITING ||
+			    place->state == PLACE_EMPTYING)
+				set_state(place, PLACE_GONE, "left");
+		}
+	}
+}
+
+static void listed(void *arg, const node_instances_t *page)
+{
+	node_waves_t *waves = arg;
+	node_t *node = waves->owner->node;
+	guint i;
+	size_t j;
+
+	if (waves->owner->ended)
+		return;
+	for (j = 0; j < page->n; j++) {
+		g_ptr_array_add(waves->seen, g_strdup(page->list[j].name));
+		for (i = 0; i < waves->waves->len; i++) {
+			place_t *place = find_place(
+				g_ptr_array_index(waves->waves, i),
+				page->list[j].name);
+
+			if (place)
+				take_instance(place, &page->list[j]);
+		}
+	}
+	if (page->ok && page->next) {
+		node->platform->instances(waves->instances, page->next, listed,
+					  waves);
+		return;
+	}
+	waves->listing = false;
+	if (page->ok && waves->seen->len)
+		drop_missing(waves);
+	else if (!page->ok)
+		node_log(node, BASE_MSG_LIST_DOWN,
+			 BASE_F_STR("what", "instances"));
+	if (active(waves))
+		net_timer_start(waves->list_timer, WAVE_LIST_EVERY);
+}
+
+static void list(void *arg)
+{
+	node_waves_t *waves = arg;
+
+	if (waves->listing || waves->owner->ended || !waves->instances)
+		return;
+	waves->listing = true;
+	waves->list_sent = base_clock_mono();
+	g_ptr_array_set_size(waves->seen, 0);
+	waves->owner->node->platform->instances(waves->instances, NULL, listed,
+						waves);
+}
