--- a/packages/batch/batch_admit.c
+++ b/packages/batch/batch_admit.c
@@ -11,6 +11,8 @@
 /* Part of a job's slack that waiting behind others may use up: the rest is
  * for its last task, which waits longer than the mean. */
 #define ADMIT_SLACK_PART 0.8
+/* A run that takes longer than expected is thought to need this much more. */
+#define ADMIT_TAIL_PART 0.15
 #define ADMIT_RETRY_MIN BASE_SEC /* Retry-After has whole seconds */
 
 typedef struct load {
@@ -18,8 +20,29 @@
 	double memory;
 } load_t;
 
+/* What tasks of a step still take, summed; runs have done a part of theirs. */
+static double time_left(const batch_step_t *step, double each, int64_t now)
+{
+	double left = 0;
+	int i;
+
+	for (i = 0; i < step->spec->count; i++) {
+		const batch_task_t *task = &step->tasks[i];
+		double done = 0;
+
+		if (task->done)
+			continue;
+		if (task->run && task->run->begun)
+			done = (double)(now - task->run->begun);
+		left += done < each * (1 - ADMIT_TAIL_PART) ?
+				each - done :
+				each * ADMIT_TAIL_PART;
+	}
+	return left;
+}
+
 /* Work that the job has still to do. */
-static load_t work_left(const batch_job_t *job)
+static load_t work_left(const batch_job_t *job, int64_t now)
 {
 	const batch_occ_t *occ = job->occs && job->occs->len ?
 					 g_ptr_array_index(job->occs, 0) :
@@ -29,13 +52,15 @@
 
 	for (i = 0; i < job->spec.n_steps; i++) {
 		const batch_step_spec_t *spec = &job->spec.steps[i];
-		int left = spec->count - (occ ? occ->steps[i].done : 0);
-		double time = (double)batch_task_estimate(job->queue, spec);
+		double each = (double)batch_task_estimate(job->queue, spec);
+		double left;
 
 		if (spec->lasting)
 			continue;
-		load.cpu += (double)spec->need.cpu * left * time;
-		load.memory += (double)spec->need.memory * left * time;
+		left = occ ? time_left(&occ->steps[i], each, now) :
+			     each * spec->count;
+		load.cpu += (double)spec->need.cpu * left;
+		load.memory += (double)spec->need.memory * left;
 	}
 	return load;
 }
@@ -86,7 +111,7 @@
 		/* What is late already goes behind what can be in time. */
 		if (now - job->arrived > batch_objective(job))
 			continue;
-		left = work_left(job);
+		left = work_left(job, now);
 		work.cpu += left.cpu;
 		work.memory += left.memory;
 	}
--- a/packages/node/node_front.c
+++ b/packages/node/node_front.c
@@ -9,8 +9,10 @@
 #define FRONT_SEARCH (150 * BASE_MS)
 #define FRONT_RETRY (40 * BASE_MS) /* between two tries; some round trips */
 #define FRONT_BACK BASE_SEC	   /* come back then: half a takeover */
-/* Answers have to be on their way so long before the caller leaves. */
+/* Answers have to be on their way so long before the caller leaves; a caller
+ * that waits little gets a part of it. */
 #define FRONT_MARGIN (100 * BASE_MS)
+#define FRONT_MARGIN_PART 4
 
 typedef struct dispatch {
 	node_t *node;
@@ -150,6 +152,8 @@
 		   node_outcome_done_t *done, void *arg)
 {
 	dispatch_t *dispatch = talloc_zero(node, dispatch_t);
+	int64_t now = base_clock_mono();
+	int64_t left;
 
 	dispatch->node = node;
 	dispatch->ask = *ask;
@@ -163,9 +167,10 @@
 					dispatch);
 	dispatch->deadline = net_timer_new(dispatch, node->loop, time_over,
 					   dispatch);
+	left = ask->deadline - now;
 	net_timer_start(dispatch->deadline,
-			ask->deadline - FRONT_MARGIN - base_clock_mono());
-	dispatch->search_until = base_clock_mono() + FRONT_SEARCH;
+			left - MIN(FRONT_MARGIN, left / FRONT_MARGIN_PART));
+	dispatch->search_until = now + FRONT_SEARCH;
 	node->open_asks++;
 	try_once(dispatch);
 }
