--- a/packages/net/net_client.c
+++ b/packages/net/net_client.c
@@ -1,5 +1,7 @@
 #include <event2/buffer.h>
+#include <event2/bufferevent.h>
 #include <event2/keyvalq_struct.h>
+#include <sys/socket.h>
 
 #include "net_int.h"
 
@@ -51,9 +53,26 @@
 	talloc_free(conn);
 }
 
+/*
+ * Have the connection reset instead of closed: what was not delivered yet
+ * must not reach the other side after its sender has given it up.
+ */
+static void reset_on_close(const net_conn_t *conn)
+{
+	struct bufferevent *bev =
+		evhttp_connection_get_bufferevent(conn->evcon);
+	struct linger linger = { .l_onoff = 1, .l_linger = 0 };
+	evutil_socket_t fd = bev ? bufferevent_getfd(bev) : -1;
+
+	if (fd >= 0)
+		setsockopt(fd, SOL_SOCKET, SO_LINGER, &linger, sizeof(linger));
+}
+
 /* libevent may be inside this connection: it is freed from the loop. */
 static void retire_conn(net_loop_t *loop, net_conn_t *conn)
 {
+	if (conn->call)
+		reset_on_close(conn);
 	conn->closed = true;
 	conn->call = NULL;
 	conn->client = NULL;
@@ -159,7 +178,6 @@
 				BASE_STR("") };
 
 	if (conn) {
-		conn->call = NULL;
 		close_conn(conn);
 		call->conn = NULL;
 		send_waiting(client);
@@ -262,7 +280,6 @@
 	net_conn_t *conn = call->conn;
 
 	if (conn) {
-		conn->call = NULL;
 		close_conn(conn);
 	} else {
 		g_queue_remove(&client->waiting, call);
--- a/packages/node/node_int.h
+++ b/packages/node/node_int.h
@@ -194,6 +194,8 @@
 node_owner_t *node_owner_new(node_t *node, const node_owner_options_t *options);
 /* Whether it may decide now. */
 bool node_owner_valid(const node_owner_t *owner);
+/* Whether it may still extend the leases of what runs. */
+bool node_owner_keeps(const node_owner_t *owner);
 /* It cannot decide now, and the job may or may not get stored. */
 bool node_owner_doubts(const node_owner_t *owner, const char *id);
 void node_owner_ask(node_owner_t *owner, const node_job_ask_t *ask,
@@ -259,6 +261,8 @@
 /* Entries of the platform's list, a whole round of it. */
 void node_workers_entry(node_owner_t *owner, const node_item_t *item);
 void node_workers_round(node_owner_t *owner);
+/* What is given a lease now has ended after so long, on the slowest clock. */
+int64_t node_worker_lease_span(const node_owner_t *owner);
 extern const batch_ops_t node_batch_ops;
 
 /* node_wave.c */
--- a/packages/node/node_owner.c
+++ b/packages/node/node_owner.c
@@ -11,9 +11,9 @@
 #define OWNER_RENEW (500 * BASE_MS)	/* four tries within a lease */
 #define OWNER_MARGIN (100 * BASE_MS)	/* no decision so shortly before its end */
 #define OWNER_STEP_SOON (4 * BASE_MS)	/* gathers events of one moment */
-/* How long workers' leases are kept up without the store; a successor waits
- * so long for workers that it cannot look at itself. */
-#define OWNER_ORPHAN (10 * BASE_SEC)
+/* How long workers' leases are kept up without the store, beyond our own; a
+ * successor waits as long for workers that it cannot look at itself. */
+#define OWNER_ORPHAN (3 * BASE_SEC)
 #define OWNER_FORGET_EVERY 100 /* steps */
 
 typedef struct waiter {
@@ -48,7 +48,7 @@
 			 BASE_F_INT("lease_over_us_ago",
 				    now - owner->lease_until));
 	}
-	if (now > owner->lease_until + OWNER_ORPHAN) {
+	if (!node_owner_keeps(owner)) {
 		node_lead_lost(node, "store away for long");
 		return;
 	}
@@ -73,6 +73,12 @@
 	       base_clock_mono() < owner->lease_until - OWNER_MARGIN;
 }
 
+bool node_owner_keeps(const node_owner_t *owner)
+{
+	return !owner->ended &&
+	       base_clock_mono() < owner->lease_until + OWNER_ORPHAN;
+}
+
 bool node_owner_doubts(const node_owner_t *owner, const char *id)
 {
 	return !node_owner_valid(owner) &&
@@ -159,7 +165,7 @@
 	owner->fence_revision = options->fence_revision;
 	owner->taken_at = base_clock_mono();
 	owner->orphan_until = owner->taken_at + OWNER_ORPHAN +
-			      node->settings->lease_max;
+			      node_worker_lease_span(owner);
 	owner->store = node->platform->store_new(owner, node->loop,
 						 node->settings->store);
 	owner->core = batch_new(owner, &core);
--- a/packages/node/node_worker.c
+++ b/packages/node/node_worker.c
@@ -52,6 +52,12 @@
 	return MIN(length, WORKER_LEASE_MAX);
 }
 
+int64_t node_worker_lease_span(const node_owner_t *owner)
+{
+	return (int64_t)((double)lease_length(owner) / WORKER_CLOCK_SLOW) +
+	       owner->node->settings->stop_timeout + WORKER_LEASE_MARGIN;
+}
+
 /* The lease on the worker's clock if it begins now; -1 before that is known. */
 static int64_t lease_now(node_worker_t *worker)
 {
@@ -187,7 +193,7 @@
 	int64_t now = base_clock_mono();
 	node_look_order_t order = { .term = owner->term };
 
-	if (worker->looking || owner->ended)
+	if (worker->looking || !node_owner_keeps(owner))
 		return;
 	if (gone(worker, now)) {
 		batch_worker_over(owner->core, now, base_str(worker->id));
