--- a/packages/batch/batch_evacuate.c
+++ b/packages/batch/batch_evacuate.c
@@ -11,6 +11,8 @@
 #define EVACUATE_PATIENCE (2500 * BASE_MS)
 /* A worker that leaves serves on for about two seconds. */
 #define EVACUATE_LEAVING (1200 * BASE_MS)
+/* A look comes at least every second; one that is late says nothing. */
+#define EVACUATE_HEARD_MAX (1500 * BASE_MS)
 /* A moved task has been at work again for so long before the next one goes. */
 #define EVACUATE_REST (300 * BASE_MS)
 
@@ -18,7 +20,10 @@
 {
 	const batch_run_t *run = task->run;
 
+	/* What a silent worker showed last may be over. */
 	return run && run->state == RUN_ON && run->percent >= 100 &&
+	       !run->worker->silent &&
+	       now - run->worker->heard <= EVACUATE_HEARD_MAX &&
 	       now - run->begun > EVACUATE_REST;
 }
 
