--- a/packages/batch/batch_run.c
+++ b/packages/batch/batch_run.c
@@ -354,11 +354,9 @@
 
 static void run_tick(batch_run_t *run, int64_t now)
 {
-	if (run->state == RUN_DOUBT &&
-	    now - run->since > 4 * run->worker->core->options.doubt)
-		batch_run_stop(run, now, "in doubt");
-	else if (run->state == RUN_STOPPING && !run->stop_done &&
-		 now - run->stop_at > BATCH_STOP_RETRY)
+	/* A run in doubt is settled by a look, or by the end of its lease. */
+	if (run->state == RUN_STOPPING && !run->stop_done &&
+	    now - run->stop_at > BATCH_STOP_RETRY)
 		send_stop(run, now);
 }
 
--- a/packages/node/node_wave.c
+++ b/packages/node/node_wave.c
@@ -30,6 +30,8 @@
 	node_instance_state_t listed;
 	bool in_list;
 	bool calling;
+	bool maybe_down; /* a predecessor may have ordered its upkeep */
+	uint64_t version; /* of the row that says that it is asked */
 	int64_t asked_at;
 	int64_t since;
 } place_t;
@@ -113,12 +115,23 @@
 	const char *text;
 	json_t *root;
 	const json_t *begun;
+	const json_t *asked;
 	size_t i;
 
 	g_snprintf(number, sizeof(number), "%lld", (long long)wave->number);
 	text = g_hash_table_lookup(wave->waves->records, number);
 	root = text ? json_loads(text, 0, NULL) : NULL;
 	begun = json_object_get(root, "begun");
+	asked = json_object_get(root, "asked");
+	for (i = 0; i < json_array_size(asked); i++) {
+		const char *name = json_string_value(json_array_get(asked, i));
+		place_t *place = name ? find_place(wave, name) : NULL;
+
+		if (place) {
+			place->state = PLACE_EMPTYING;
+			place->maybe_down = true;
+		}
+	}
 	for (i = 0; i < json_array_size(begun); i++) {
 		const char *name = json_string_value(json_array_get(begun, i));
 		place_t *place = name ? find_place(wave, name) : NULL;
@@ -190,25 +203,34 @@
 	return false;
 }
 
-static void add_rows(wave_t *wave, const void *ctx, node_set_t *sets,
-		     size_t *n_sets)
+static void add_names(base_buf_t *buf, const wave_t *wave, place_state_t one,
+		      place_state_t other)
 {
-	const node_platform_t *platform = wave->waves->owner->node->platform;
-	base_buf_t *buf = base_buf_new(ctx);
 	bool first = true;
 	size_t i;
 
-	base_buf_adds(buf, "{\"begun\":[");
 	for (i = 0; i < wave->n; i++) {
-		place_state_t state = wave->places[i].state;
+		const place_t *place = &wave->places[i];
 
-		if (state != PLACE_DOWN && state != PLACE_BACK)
+		if (place->state != one && place->state != other)
 			continue;
 		if (!first)
 			base_buf_adds(buf, ",");
 		first = false;
-		base_buf_add_json(buf, base_str(wave->places[i].name));
+		base_buf_add_json(buf, base_str(place->name));
 	}
+}
+
+static void add_rows(wave_t *wave, const void *ctx, node_set_t *sets,
+		     size_t *n_sets)
+{
+	const node_platform_t *platform = wave->waves->owner->node->platform;
+	base_buf_t *buf = base_buf_new(ctx);
+
+	base_buf_adds(buf, "{\"begun\":[");
+	add_names(buf, wave, PLACE_DOWN, PLACE_BACK);
+	base_buf_adds(buf, "],\"asked\":[");
+	add_names(buf, wave, PLACE_ASKED, PLACE_ASKED);
 	base_buf_addf(buf, "],\"completed\":%s}",
 		      wave->completed ? "true" : "false");
 	sets[(*n_sets)++] = (node_set_t){
@@ -311,8 +333,6 @@
 {
 	node_owner_t *owner = place->wave->waves->owner;
 
-	if (place->state != PLACE_ASKED)
-		set_state(place, PLACE_ASKED, "empty");
 	place->calling = true;
 	owner->node->platform->upkeep(owner->instances->handle, place->name, place->wave->number,
 				      owner->term, ordered, place);
@@ -362,6 +382,14 @@
 		counts[wave->places[i].state]++;
 }
 
+/* The order goes out once it is stored, so that a successor counts it. */
+static void ask(place_t *place)
+{
+	set_state(place, PLACE_ASKED, "empty");
+	place->version = ++place->wave->version;
+	place->maybe_down = false;
+}
+
 static void order_empty(wave_t *wave, int *down)
 {
 	int64_t now = base_clock_mono();
@@ -374,16 +402,34 @@
 		if (place->calling || now - place->asked_at < WAVE_RETRY)
 			continue;
 		if (place->state == PLACE_ASKED) {
-			order(place);
-		} else if (place->state == PLACE_EMPTYING &&
-			   *down < wave->at_most &&
+			if (wave->kept >= place->version)
+				order(place);
+		} else if (place->state == PLACE_EMPTYING && place->in_list &&
+			   (place->maybe_down || *down < wave->at_most) &&
 			   !runs_on(place, &lasting)) {
-			order(place);
-			++*down;
+			*down += !place->maybe_down;
+			ask(place);
 		}
 	}
 }
 
+/* Instances that are down, or may be, beside those that we ordered. */
+static int seen_down(const wave_t *wave)
+{
+	int n = 0;
+	size_t i;
+
+	for (i = 0; i < wave->n; i++) {
+		const place_t *place = &wave->places[i];
+
+		if (place->state == PLACE_ASKED || place->state == PLACE_DOWN)
+			continue;
+		n += place->maybe_down ||
+		     (place->in_list && place->listed == NODE_INSTANCE_UPKEEP);
+	}
+	return n;
+}
+
 static void advance(wave_t *wave)
 {
 	int counts[PLACE_MAX];
@@ -403,9 +449,9 @@
 			 BASE_F_INT("at_most", wave->at_most),
 			 BASE_F_BOOL("completed", true));
 	}
-	down = counts[PLACE_ASKED] + counts[PLACE_DOWN];
-	order_empty(wave, &down);
+	down = counts[PLACE_ASKED] + counts[PLACE_DOWN] + seen_down(wave);
 	busy = down + counts[PLACE_EMPTYING];
+	order_empty(wave, &down);
 	while (busy < wave->at_most + WAVE_AHEAD &&
 	       (place = next_place(wave)) != NULL) {
 		set_state(place, PLACE_EMPTYING, "next");
@@ -440,7 +486,10 @@
 	node_instances_hurry(waves->owner->instances);
 	if (!node_owner_valid(waves->owner))
 		return;
-	for (i = 0; i < waves->waves->len; i++)
+	/* Before the first whole list it is not known what is down. */
+	for (i = 0; waves->owner->instances->round_sent &&
+		    i < waves->waves->len;
+	     i++)
 		advance(g_ptr_array_index(waves->waves, i));
 	if (node_waves_waiting(waves))
 		node_owner_wake(waves->owner);
