--- a/packages/batch/batch.c
+++ b/packages/batch/batch.c
@@ -3,9 +3,9 @@
 BASE_ERROR_DOMAIN(batch)
 
 static const char *const state_names[BATCH_STATE_MAX] = {
-	[BATCH_UNKNOWN] = "unknown",	 [BATCH_QUEUED] = "queued",
-	[BATCH_RUNNING] = "running",	 [BATCH_COMPLETED] = "completed",
-	[BATCH_FAILED] = "failed",	 [BATCH_CANCELLED] = "cancelled",
+	[BATCH_UNKNOWN] = "unknown", [BATCH_QUEUED] = "queued",
+	[BATCH_RUNNING] = "running", [BATCH_COMPLETED] = "completed",
+	[BATCH_FAILED] = "failed",   [BATCH_CANCELLED] = "cancelled",
 };
 
 const char *batch_state_name(batch_state_t state)
@@ -285,8 +285,8 @@
 
 	occ->job = job;
 	occ->number = number;
-	occ->steps = talloc_zero_array(occ, batch_step_t,
-				       (size_t)job->spec.n_steps);
+	occ->steps =
+		talloc_zero_array(occ, batch_step_t, (size_t)job->spec.n_steps);
 	for (i = 0; i < job->spec.n_steps; i++) {
 		batch_step_t *step = &occ->steps[i];
 
--- a/packages/batch/batch.h
+++ b/packages/batch/batch.h
@@ -40,21 +40,21 @@
 } batch_res_t;
 
 typedef struct batch_step_spec {
-	int count;		/* tasks */
-	batch_res_t need;	/* of each task */
-	int64_t estimate;	/* of a task's run time, microseconds; rough */
-	uint64_t after;		/* bit N: step N has to be done first */
-	bool checkpoints;	/* its work can be resumed */
-	bool gang;		/* all tasks run together or not at all */
-	bool same_rack;		/* slower when spread over racks */
-	bool lasting;		/* runs until the job is cancelled */
-	bool fills;		/* takes no room, uses what others leave */
-	int per_worker;		/* tasks of the step on one worker; 0: any */
-	int may_miss;		/* lasting: how many may be away; -1: unsaid */
-	int64_t tail_target;	/* lasting: microseconds; 0: none */
-	base_str_t label;	/* what a worker must have; empty: any */
-	base_str_t data_rack;	/* where its data is; empty: anywhere */
-	base_str_t image;	/* tasks of one image behave alike */
+	int count;	      /* tasks */
+	batch_res_t need;     /* of each task */
+	int64_t estimate;     /* of a task's run time, microseconds; rough */
+	uint64_t after;	      /* bit N: step N has to be done first */
+	bool checkpoints;     /* its work can be resumed */
+	bool gang;	      /* all tasks run together or not at all */
+	bool same_rack;	      /* slower when spread over racks */
+	bool lasting;	      /* runs until the job is cancelled */
+	bool fills;	      /* takes no room, uses what others leave */
+	int per_worker;	      /* tasks of the step on one worker; 0: any */
+	int may_miss;	      /* lasting: how many may be away; -1: unsaid */
+	int64_t tail_target;  /* lasting: microseconds; 0: none */
+	base_str_t label;     /* what a worker must have; empty: any */
+	base_str_t data_rack; /* where its data is; empty: anywhere */
+	base_str_t image;     /* tasks of one image behave alike */
 } batch_step_spec_t;
 
 typedef struct batch_spec {
@@ -64,17 +64,17 @@
 	base_str_t source;  /* what the job is stored as; opaque here */
 	const batch_step_spec_t *steps;
 	int n_steps;
-	int repeat;		 /* occurrences; 0: once, at once */
-	int64_t first_at;	 /* wall time of the first */
-	int64_t interval;	 /* microseconds between two */
+	int repeat;	  /* occurrences; 0: once, at once */
+	int64_t first_at; /* wall time of the first */
+	int64_t interval; /* microseconds between two */
 } batch_spec_t;
 
 typedef struct batch_queue_info {
 	base_str_t name;
 	base_str_t pool;
-	int priority;		/* 0 first */
-	int attempts;		/* failed runs of a task before its job fails */
-	double stretch;		/* objective: this times the longest chain ... */
+	int priority;	/* 0 first */
+	int attempts;	/* failed runs of a task before its job fails */
+	double stretch; /* objective: this times the longest chain ... */
 	int64_t target_latency; /* ... and these microseconds */
 } batch_queue_info_t;
 
@@ -166,7 +166,7 @@
 	const batch_ops_t *ops;
 	void *arg;
 	int64_t doubt; /* wait for a look before a silent start is stopped */
-	int64_t stop_timeout; /* a stop takes at most this long */
+	int64_t stop_timeout;	  /* a stop takes at most this long */
 	int64_t checkpoint_every; /* of work, where a step has checkpoints */
 } batch_options_t;
 
@@ -286,11 +286,11 @@
 
 typedef enum batch_answer {
 	BATCH_ANSWER_OK,
-	BATCH_ANSWER_ROOM,	/* it has no room; not started */
-	BATCH_ANSWER_OLD,	/* it knows a run as high; not started */
+	BATCH_ANSWER_ROOM,	  /* it has no room; not started */
+	BATCH_ANSWER_OLD,	  /* it knows a run as high; not started */
 	BATCH_ANSWER_NOT_STARTED, /* refused for another reason */
-	BATCH_ANSWER_OTHER_LIFE, /* another life is at that address */
-	BATCH_ANSWER_SILENT,	/* it may or may not have been done */
+	BATCH_ANSWER_OTHER_LIFE,  /* another life is at that address */
+	BATCH_ANSWER_SILENT,	  /* it may or may not have been done */
 	BATCH_ANSWER_MAX
 } batch_answer_t;
 
@@ -348,11 +348,11 @@
 GPtrArray *batch_forget(batch_t *core, int64_t before);
 
 typedef struct batch_stats {
-	size_t jobs;	 /* that have not ended */
-	size_t runs;	 /* that may exist */
-	size_t workers;	 /* listed */
-	size_t out;	 /* workers that get no work */
-	size_t ready;	 /* tasks that could start */
+	size_t jobs;	/* that have not ended */
+	size_t runs;	/* that may exist */
+	size_t workers; /* listed */
+	size_t out;	/* workers that get no work */
+	size_t ready;	/* tasks that could start */
 	uint64_t accepted;
 	uint64_t refused;
 	uint64_t completed;
--- a/packages/batch/batch_admit.c
+++ b/packages/batch/batch_admit.c
@@ -31,9 +31,9 @@
 			continue;
 		if (task->run && task->run->begun)
 			done = (double)(now - task->run->begun);
-		left += done < each * (1 - ADMIT_TAIL_PART) ?
-				each - done :
-				each * ADMIT_TAIL_PART;
+		left += done < each * (1 - ADMIT_TAIL_PART)
+				? each - done
+				: each * ADMIT_TAIL_PART;
 	}
 	return left;
 }
@@ -41,9 +41,9 @@
 /* Work that the job has still to do. */
 static batch_load_t work_left(const batch_job_t *job, int64_t now)
 {
-	const batch_occ_t *occ = job->occs && job->occs->len ?
-					 g_ptr_array_index(job->occs, 0) :
-					 NULL;
+	const batch_occ_t *occ = job->occs && job->occs->len
+					 ? g_ptr_array_index(job->occs, 0)
+					 : NULL;
 	batch_load_t load = { 0, 0 };
 	int i;
 
@@ -54,8 +54,8 @@
 
 		if (spec->lasting)
 			continue;
-		left = occ ? time_left(&occ->steps[i], each, now) :
-			     each * spec->count;
+		left = occ ? time_left(&occ->steps[i], each, now)
+			   : each * spec->count;
 		load.cpu += (double)spec->need.cpu * left;
 		load.memory += (double)spec->need.memory * left;
 	}
@@ -143,8 +143,7 @@
 }
 
 /* A refused job that is handed in again is not more demand. */
-static bool came_before(batch_t *core, const batch_job_t *job,
-			      int64_t now)
+static bool came_before(batch_t *core, const batch_job_t *job, int64_t now)
 {
 	int64_t *seen = g_hash_table_lookup(core->refused, job->id);
 
@@ -208,11 +207,11 @@
 	if (*retry_after < ADMIT_RETRY_MIN)
 		*retry_after = ADMIT_RETRY_MIN;
 	remember(core, job, now);
-	batch_note(core, &(batch_note_t){
-				 .kind = BATCH_NOTE_JOB_REFUSED,
-				 .task = { base_str(job->id), -1, -1, -1 },
-				 .why = wait < 0 ? "no worker" :
-						   "backlog, microseconds",
-				 .value = (int64_t)wait });
+	batch_note(core,
+		   &(batch_note_t){ .kind = BATCH_NOTE_JOB_REFUSED,
+				    .task = { base_str(job->id), -1, -1, -1 },
+				    .why = wait < 0 ? "no worker"
+						    : "backlog, microseconds",
+				    .value = (int64_t)wait });
 	return false;
 }
--- a/packages/batch/batch_capacity.c
+++ b/packages/batch/batch_capacity.c
@@ -15,11 +15,13 @@
 #define CAPACITY_RATE_TIME (500 * BASE_MS)
 /* Backlog is to be worked off in about the slack of a short job. */
 #define CAPACITY_BACKLOG_TIME (1500 * BASE_MS)
-#define CAPACITY_HEADROOM 1.1 /* tasks do not fill a worker to the last core */
+/* Tasks do not fill a worker to the last core. */
+#define CAPACITY_HEADROOM 1.1
 /* A worker is surplus only after this: taking one away and back costs two
  * moves, the price of it standing idle for two seconds. */
 #define CAPACITY_SURPLUS_TIME (1200 * BASE_MS)
-#define CAPACITY_SPREAD_SPARE 1 /* so that a lasting task finds another place */
+/* So that a lasting task finds another place. */
+#define CAPACITY_SPREAD_SPARE 1
 #define CAPACITY_POOLS_MAX 256
 
 typedef struct need {
@@ -118,8 +120,8 @@
 	busy = MAX(pool->rate_cpu, work.cpu / CAPACITY_BACKLOG_TIME);
 	workers = ratio(busy + lasting.cpu, pool->worker_cpu);
 	busy = MAX(pool->rate_memory, work.memory / CAPACITY_BACKLOG_TIME);
-	workers = MAX(workers,
-		      ratio(busy + lasting.memory, pool->worker_memory));
+	workers =
+		MAX(workers, ratio(busy + lasting.memory, pool->worker_memory));
 	need->least = MAX(spread(core, pool), 1);
 	need->want = MAX((int)ceil(workers * CAPACITY_HEADROOM), need->least);
 	if (need->have > need->want) {
--- a/packages/batch/batch_commit.c
+++ b/packages/batch/batch_commit.c
@@ -32,9 +32,9 @@
 		rows[n].job = base_str(job->id);
 		rows[n].record = batch_record_print(core->texts, job);
 		rows[n].ended = !batch_job_open(job);
-		rows[n].source = job->stored || rows[n].ended ?
-					 BASE_STR("") :
-					 job->spec.source;
+		rows[n].source = job->stored || rows[n].ended
+					 ? BASE_STR("")
+					 : job->spec.source;
 		g_ptr_array_add(core->taken, job);
 		n++;
 	}
@@ -94,12 +94,12 @@
 		core->stats.accepted++;
 		core->options.ops->accepted(core->options.arg,
 					    base_str(job->id));
-		batch_note(core, &(batch_note_t){
-					 .kind = BATCH_NOTE_JOB_ACCEPTED,
-					 .task = { base_str(job->id), -1, -1,
-						   -1 },
-					 .why = "stored, microseconds",
-					 .value = now - job->arrived });
+		batch_note(core,
+			   &(batch_note_t){
+				   .kind = BATCH_NOTE_JOB_ACCEPTED,
+				   .task = { base_str(job->id), -1, -1, -1 },
+				   .why = "stored, microseconds",
+				   .value = now - job->arrived });
 	}
 	if (job->cancelled && !job->cancel_told && job->kept == job->version) {
 		job->cancel_told = true;
--- a/packages/batch/batch_estimate.c
+++ b/packages/batch/batch_estimate.c
@@ -6,8 +6,8 @@
 
 #include "batch_int.h"
 
-#define LEARN_PART 0.02	 /* weight of one more task: the last fifty count */
-#define LEARN_MIN 20	 /* tasks before the mean says more than estimates */
+#define LEARN_PART 0.02	  /* weight of one more task: the last fifty count */
+#define LEARN_MIN 20	  /* tasks before the mean says more than estimates */
 #define DECLARED_PART 0.4 /* weight of the estimate, on a log scale */
 
 void batch_learn(batch_queue_t *queue, int64_t took)
@@ -25,8 +25,8 @@
 int64_t batch_task_estimate(const batch_queue_t *queue,
 			    const batch_step_spec_t *spec)
 {
-	double declared = spec->estimate > 0 ? (double)spec->estimate :
-					       (double)BASE_SEC;
+	double declared =
+		spec->estimate > 0 ? (double)spec->estimate : (double)BASE_SEC;
 
 	if (!queue || queue->ended < LEARN_MIN || queue->mean_run <= 0)
 		return (int64_t)declared;
@@ -40,9 +40,9 @@
  */
 int64_t batch_chain(const batch_job_t *job, bool remaining)
 {
-	const batch_occ_t *occ = job->occs && job->occs->len ?
-					 g_ptr_array_index(job->occs, 0) :
-					 NULL;
+	const batch_occ_t *occ = job->occs && job->occs->len
+					 ? g_ptr_array_index(job->occs, 0)
+					 : NULL;
 	int64_t ends[BATCH_STEPS_MAX] = { 0 };
 	int64_t longest = 0;
 	int i;
--- a/packages/batch/batch_evacuate.c
+++ b/packages/batch/batch_evacuate.c
@@ -56,7 +56,8 @@
 			batch_run_stop(run, now, "evacuated");
 		return;
 	}
-	/* A worker that leaves cuts its tasks anyway: only a checkpoint helps. */
+	/* A worker that leaves cuts its tasks anyway: only a checkpoint helps.
+	 */
 	if (worker->draining && !worker->cordoned) {
 		if (task->step->spec->checkpoints && waited > EVACUATE_LEAVING)
 			batch_run_stop(run, now, "worker leaves");
--- a/packages/batch/batch_health.c
+++ b/packages/batch/batch_health.c
@@ -7,8 +7,8 @@
  */
 #include "batch_int.h"
 
-#define HEALTH_JOBS 2	  /* distinct jobs in a row */
-#define HEALTH_FAILS 3	  /* failures in a row */
+#define HEALTH_JOBS 2		  /* distinct jobs in a row */
+#define HEALTH_FAILS 3		  /* failures in a row */
 #define HEALTH_OUT (4 * BASE_SEC) /* before a trial: some tasks' run time */
 
 static void take_out(batch_worker_t *worker, int64_t now, const char *why,
@@ -18,14 +18,14 @@
 	worker->out_until = now + HEALTH_OUT;
 	worker->fail_streak = 0;
 	worker->fail_jobs = 0;
-	batch_note(worker->core,
-		   &(batch_note_t){ .kind = BATCH_NOTE_WORKER_OUT,
-				    .task = { .occurrence = -1,
-					      .step = -1,
-					      .index = -1 },
-				    .worker = base_str(worker->id),
-				    .why = why,
-				    .value = value });
+	batch_note(
+		worker->core,
+		&(batch_note_t){
+			.kind = BATCH_NOTE_WORKER_OUT,
+			.task = { .occurrence = -1, .step = -1, .index = -1 },
+			.worker = base_str(worker->id),
+			.why = why,
+			.value = value });
 }
 
 void batch_health_failed(batch_worker_t *worker, const batch_job_t *job,
@@ -37,8 +37,7 @@
 	worker->fail_streak++;
 	if (worker->fail_streak >= HEALTH_FAILS &&
 	    worker->fail_jobs >= HEALTH_JOBS && !worker->out)
-		take_out(worker, now, "failures in a row",
-			 worker->fail_streak);
+		take_out(worker, now, "failures in a row", worker->fail_streak);
 }
 
 void batch_health_good(batch_worker_t *worker)
--- a/packages/batch/batch_int.h
+++ b/packages/batch/batch_int.h
@@ -11,7 +11,7 @@
 #define BATCH_KEY_MAX 256 /* bytes of an id, with its NUL */
 
 /* A look is sent again and again; a worker not heard for so long is silent. */
-#define BATCH_HEARD_MAX (3 * BASE_SEC) /* three looks of a second */
+#define BATCH_HEARD_MAX (3 * BASE_SEC)	 /* three looks of a second */
 #define BATCH_STOP_RETRY (500 * BASE_MS) /* several times a round trip */
 /* Rest for a worker that refused a start: about the time of a short task. */
 #define BATCH_REFUSED_REST (300 * BASE_MS)
@@ -36,7 +36,7 @@
 	int64_t rate_at;
 	double worker_cpu; /* of the largest worker seen */
 	double worker_memory;
-	int incoming; /* workers on their way */
+	int incoming;	       /* workers on their way */
 	int64_t surplus_since; /* 0: none */
 };
 
@@ -74,8 +74,8 @@
 	int64_t stop_at;  /* when the last stop was sent */
 	int64_t figure;
 	int percent;
-	int pace;	/* as ordered; 100 at its start */
-	bool stop_done; /* a stop was answered */
+	int pace;	 /* as ordered; 100 at its start */
+	bool stop_done;	 /* a stop was answered */
 	const char *why; /* of its stop */
 };
 
@@ -115,9 +115,9 @@
 	batch_state_t state; /* as decided */
 	batch_state_t shown; /* as stored */
 	bool cancelled;
-	bool stored;	/* its first row is */
-	bool queued;	/* in the list of rows that wait */
-	bool begun;	/* a task was started */
+	bool stored;	 /* its first row is */
+	bool queued;	 /* in the list of rows that wait */
+	bool begun;	 /* a task was started */
 	int64_t arrived; /* steady time */
 	int64_t arrived_wall;
 	int64_t ended_wall;
@@ -152,10 +152,10 @@
 	bool silent;
 	bool cordoned;
 	int64_t cordoned_at; /* or draining since */
-	int64_t heard;	   /* the last look that succeeded */
-	int64_t lease_end; /* what runs there has ended by then */
-	int64_t rest;	   /* gets no starts until then */
-	int64_t end_seen;  /* highest end handled */
+	int64_t heard;	     /* the last look that succeeded */
+	int64_t lease_end;   /* what runs there has ended by then */
+	int64_t rest;	     /* gets no starts until then */
+	int64_t end_seen;    /* highest end handled */
 	GArray *gates;
 	GPtrArray *runs;
 	int fail_streak;
--- a/packages/batch/batch_place.c
+++ b/packages/batch/batch_place.c
@@ -29,9 +29,8 @@
 bool batch_worker_usable(const batch_worker_t *worker, int64_t now)
 {
 	return worker->listed && worker->born && !worker->silent &&
-	       !worker->draining &&
-	       !worker->cordoned && !worker->out && now >= worker->rest &&
-	       now - worker->heard <= BATCH_HEARD_MAX;
+	       !worker->draining && !worker->cordoned && !worker->out &&
+	       now >= worker->rest && now - worker->heard <= BATCH_HEARD_MAX;
 }
 
 static bool has_label(const batch_worker_t *worker, base_str_t label)
@@ -96,9 +95,8 @@
 		batch_run_t *run = g_ptr_array_index(worker->runs, i);
 		const batch_step_spec_t *other = run->task->step->spec;
 
-		if (spec->fills && other->tail_target)
-			n += 4;
-		else if (spec->tail_target && other->fills)
+		if ((spec->fills && other->tail_target) ||
+		    (spec->tail_target && other->fills))
 			n += 4;
 		else if (spec->lasting && other->lasting)
 			n += 1;
@@ -129,8 +127,8 @@
 		   const batch_task_t *task)
 {
 	const batch_step_spec_t *spec = task->step->spec;
-	double cost = -(double)worker->used.cpu /
-		      (double)(worker->capacity.cpu + 1);
+	double cost =
+		-(double)worker->used.cpu / (double)(worker->capacity.cpu + 1);
 
 	if (task->avoid == worker)
 		cost += 16;
@@ -185,14 +183,14 @@
 	if (step->begun)
 		return;
 	step->begun = true;
-	batch_note(job->core, &(batch_note_t){
-				      .kind = BATCH_NOTE_STEP_STARTED,
-				      .task = batch_task_name(task),
-				      .run = task->number,
-				      .worker = base_str(worker->id),
-				      .why = "since arrival, microseconds",
-				      .value = now - job->arrived,
-				      .age = now - worker->heard });
+	batch_note(job->core,
+		   &(batch_note_t){ .kind = BATCH_NOTE_STEP_STARTED,
+				    .task = batch_task_name(task),
+				    .run = task->number,
+				    .worker = base_str(worker->id),
+				    .why = "since arrival, microseconds",
+				    .value = now - job->arrived,
+				    .age = now - worker->heard });
 }
 
 /* Keep the room that comes free somewhere for a lasting task. */
@@ -329,11 +327,9 @@
 	ranked.slack = late_at - now - batch_chain(job, true);
 	if (job_lasts(job))
 		ranked.group = RANK_LASTING;
-	else if (job->spec.repeat)
-		ranked.group = RANK_BEGUN;
-	else if (now > late_at)
+	else if (now > late_at && !job->spec.repeat)
 		ranked.group = RANK_LATE;
-	else if (job->begun)
+	else if (job->begun || job->spec.repeat)
 		ranked.group = RANK_BEGUN;
 	return ranked;
 }
--- a/packages/batch/batch_record.c
+++ b/packages/batch/batch_record.c
@@ -32,17 +32,18 @@
 		      *first ? "" : ",", step->occ->number, step->number,
 		      task->index, task->done, task->number, task->fails);
 	*first = false;
-	base_buf_add_json(buf, task->run ? base_str(task->run->worker->id) :
-					   BASE_STR(""));
+	base_buf_add_json(buf, task->run ? base_str(task->run->worker->id)
+					 : BASE_STR(""));
 	base_buf_adds(buf, ",");
-	base_buf_add_json(buf, task->done ? BASE_STR("") :
-					    base_str(task->checkpoint));
+	base_buf_add_json(buf, task->done ? BASE_STR("")
+					  : base_str(task->checkpoint));
 	base_buf_adds(buf, "]");
 }
 
 const char *batch_record_print(const void *ctx, const batch_job_t *job)
 {
 	base_buf_t *buf = base_buf_new(ctx);
+	guint opened = job->occs ? job->occs->len : 0;
 	bool first = true;
 	guint i;
 	int s;
@@ -50,14 +51,15 @@
 
 	base_buf_adds(buf, "{\"state\":");
 	base_buf_add_json(buf, base_str(batch_state_name(job->state)));
-	base_buf_addf(buf,
-		      ",\"cancelled\":%s,\"begun\":%s,\"arrived\":%" G_GINT64_FORMAT
-		      ",\"ended\":%" G_GINT64_FORMAT
-		      ",\"occurrences\":%u,\"tasks\":[",
-		      job->cancelled ? "true" : "false",
-		      job->begun ? "true" : "false", job->arrived_wall,
-		      job->ended_wall, job->occs ? job->occs->len : 0);
-	for (i = 0; batch_job_open(job) && i < job->occs->len; i++) {
+	base_buf_addf(
+		buf,
+		",\"cancelled\":%s,\"begun\":%s,\"arrived\":%" G_GINT64_FORMAT
+		",\"ended\":%" G_GINT64_FORMAT
+		",\"occurrences\":%u,\"tasks\":[",
+		job->cancelled ? "true" : "false",
+		job->begun ? "true" : "false", job->arrived_wall,
+		job->ended_wall, opened);
+	for (i = 0; batch_job_open(job) && i < opened; i++) {
 		batch_occ_t *occ = g_ptr_array_index(job->occs, i);
 
 		for (s = 0; s < job->spec.n_steps; s++)
@@ -112,8 +114,8 @@
 
 	if (json_array_size(row) != FIELD_MAX)
 		return false;
-	id.occurrence = (int)json_integer_value(
-		json_array_get(row, FIELD_OCCURRENCE));
+	id.occurrence =
+		(int)json_integer_value(json_array_get(row, FIELD_OCCURRENCE));
 	id.step = (int)json_integer_value(json_array_get(row, FIELD_STEP));
 	id.index = (int)json_integer_value(json_array_get(row, FIELD_INDEX));
 	worker = json_string_value(json_array_get(row, FIELD_WORKER));
@@ -122,12 +124,11 @@
 		return false;
 	task->done = json_integer_value(json_array_get(row, FIELD_DONE));
 	task->number = json_integer_value(json_array_get(row, FIELD_NUMBER));
-	task->fails =
-		(int)json_integer_value(json_array_get(row, FIELD_FAILS));
-	task->checkpoint = base_str_dup(
-		task->step->occ,
-		base_str(json_string_value(
-			json_array_get(row, FIELD_CHECKPOINT))));
+	task->fails = (int)json_integer_value(json_array_get(row, FIELD_FAILS));
+	task->checkpoint =
+		base_str_dup(task->step->occ,
+			     base_str(json_string_value(
+				     json_array_get(row, FIELD_CHECKPOINT))));
 	task->step->begun = true;
 	if (task->done)
 		task->step->done++;
@@ -145,8 +146,8 @@
 		batch_occ_t *occ = g_ptr_array_index(job->occs, i);
 
 		for (s = 0; s < job->spec.n_steps; s++)
-			occ->done_steps += occ->steps[s].done ==
-					   occ->steps[s].spec->count;
+			occ->done_steps +=
+				occ->steps[s].done == occ->steps[s].spec->count;
 	}
 }
 
@@ -171,8 +172,8 @@
 			json_object_get(root, "occurrences"));
 		for (i = 0; batch_job_open(job) && (int)i < n; i++)
 			batch_occ_new(job, (int)i);
-		for (i = 0; ok && batch_job_open(job) &&
-			    i < json_array_size(tasks);
+		for (i = 0;
+		     ok && batch_job_open(job) && i < json_array_size(tasks);
 		     i++)
 			ok = load_task(job, json_array_get(tasks, i), now,
 				       until);
@@ -185,32 +186,41 @@
 	return ok;
 }
 
-bool batch_restore(batch_t *core, int64_t now, int64_t wall, base_str_t id,
-		   const batch_spec_t *spec, const char *record, int64_t until,
-		   GError **err)
+/* The restored job takes its place among the others. */
+static void settle_in(batch_job_t *job, int64_t now, int64_t wall)
 {
-	batch_spec_t none = { .id = id };
-	batch_job_t *job = batch_job_new(core, spec ? spec : &none);
-
-	if (!batch_record_load(job, record, now, until, err) ||
-	    (!spec && batch_job_open(job))) {
-		if (err && !*err)
-			g_set_error(err, BATCH_ERROR, BATCH_ERR_RECORD,
-				    "job %s has a row and no specification",
-				    job->id);
-		job->state = BATCH_FAILED;
-	}
 	job->arrived = now - (wall - job->arrived_wall);
 	job->stored = true;
 	job->cancel_told = job->cancelled;
 	job->shown = job->state;
-	if (batch_job_open(job)) {
-		job->shown = job->begun ? BATCH_RUNNING : BATCH_QUEUED;
-		g_ptr_array_add(core->open, job);
-	} else {
+	if (!batch_job_open(job)) {
 		g_ptr_array_unref(job->occs);
 		job->occs = NULL;
+		return;
 	}
+	if (!job->begun)
+		job->shown = BATCH_QUEUED;
+	else
+		job->shown = BATCH_RUNNING;
+	g_ptr_array_add(job->core->open, job);
+}
+
+bool batch_restore(batch_t *core, int64_t now, int64_t wall, base_str_t id,
+		   const batch_spec_t *spec, const char *record, int64_t until,
+		   GError **err)
+{
+	batch_spec_t none = { .id = id };
+	batch_job_t *job = batch_job_new(core, spec ? spec : &none);
+	bool ok = batch_record_load(job, record, now, until, err);
+
+	if (ok && !spec && batch_job_open(job)) {
+		g_set_error(err, BATCH_ERROR, BATCH_ERR_RECORD,
+			    "job %s has a row and no specification", job->id);
+		ok = false;
+	}
+	if (!ok)
+		job->state = BATCH_FAILED;
+	settle_in(job, now, wall);
 	core->changed = true;
-	return !err || !*err;
+	return ok;
 }
--- a/packages/batch/batch_run.c
+++ b/packages/batch/batch_run.c
@@ -179,13 +179,12 @@
 		core->stats.failed++;
 	batch_note(core,
 		   &(batch_note_t){
-			   .kind = state == BATCH_CANCELLED ?
-					   BATCH_NOTE_JOB_CANCELLED :
-					   BATCH_NOTE_JOB_ENDED,
+			   .kind = state == BATCH_CANCELLED
+					   ? BATCH_NOTE_JOB_CANCELLED
+					   : BATCH_NOTE_JOB_ENDED,
 			   .task = { base_str(job->id), -1, -1, -1 },
 			   .why = batch_state_name(state),
-			   .value = now - job->arrived -
-				    batch_objective(job),
+			   .value = now - job->arrived - batch_objective(job),
 		   });
 	stop_job(job, now, batch_state_name(state));
 	batch_job_changed(job);
--- a/packages/net/net.h
+++ b/packages/net/net.h
@@ -25,7 +25,12 @@
 typedef struct net_server net_server_t;
 typedef struct net_exchange net_exchange_t;
 
-typedef enum net_method { NET_GET, NET_POST, NET_DELETE, NET_METHOD_MAX } net_method_t;
+typedef enum net_method {
+	NET_GET,
+	NET_POST,
+	NET_DELETE,
+	NET_METHOD_MAX
+} net_method_t;
 
 typedef struct net_header {
 	const char *name;
@@ -78,8 +83,8 @@
 
 typedef struct net_client_options {
 	net_loop_t *loop;
-	const char *address;  /* "IPv4:port" */
-	size_t connections;   /* kept at most; further calls wait in order */
+	const char *address; /* "IPv4:port" */
+	size_t connections;  /* kept at most; further calls wait in order */
 } net_client_options_t;
 
 /*
--- a/packages/net/net_client.c
+++ b/packages/net/net_client.c
@@ -224,7 +224,8 @@
 	conn->call = call;
 	call->conn = conn;
 	call->client->loop->calls++;
-	/* On failure libevent has freed the request; the timer ends the call. */
+	/* On failure libevent has freed the request; the timer ends the call.
+	 */
 	if (evhttp_make_request(conn->evcon, req, commands[call->method],
 				call->path)) {
 		conn->call = NULL;
@@ -262,8 +263,8 @@
 		call->headers[i].value =
 			talloc_strdup(call, request->headers[i].value);
 	}
-	call->body.ptr = talloc_memdup(call, request->body.ptr,
-				       request->body.len);
+	call->body.ptr =
+		talloc_memdup(call, request->body.ptr, request->body.len);
 	call->body.len = request->body.len;
 	call->done = done;
 	call->arg = arg;
--- a/packages/net/net_int.h
+++ b/packages/net/net_int.h
@@ -9,8 +9,9 @@
 
 #include "net.h"
 
-#define NET_BODY_MAX (4 << 20) /* bytes; four times the store's largest value */
-#define NET_HEADERS_MAX 16384  /* bytes of a request's headers */
+/* Bytes; four times the store's largest value. */
+#define NET_BODY_MAX (4 << 20)
+#define NET_HEADERS_MAX 16384 /* bytes of a request's headers */
 
 struct net_loop {
 	struct event_base *base;
--- a/packages/node/node.h
+++ b/packages/node/node.h
@@ -46,7 +46,7 @@
 typedef struct node_options {
 	const node_platform_t *platform;
 	const char *settings_file;
-	int log_fd; /* lines go here, without waiting */
+	int log_fd;	 /* lines go here, without waiting */
 	bool check_only; /* read the settings and end */
 } node_options_t;
 
--- a/packages/node/node_commit.c
+++ b/packages/node/node_commit.c
@@ -29,8 +29,7 @@
 	node_waves_kept(owner->waves);
 	batch_rows_kept(owner->core, now);
 	node_owner_wake(owner);
-	if (batch_rows_waiting(owner->core) ||
-	    node_waves_waiting(owner->waves))
+	if (batch_rows_waiting(owner->core) || node_waves_waiting(owner->waves))
 		net_timer_start(owner->commit_timer, COMMIT_GAP);
 }
 
--- a/packages/node/node_config.c
+++ b/packages/node/node_config.c
@@ -4,7 +4,8 @@
 #include "node_int.h"
 
 /* A watch is renewed so often that one on a silent connection is found, with
- * its grace, well inside the two seconds in which a change is to be in force. */
+ * its grace, well inside the two seconds in which a change is to be in force.
+ */
 #define CONFIG_WAIT (1000 * BASE_MS)
 #define CONFIG_RETRY (150 * BASE_MS) /* some answers of a store that is up */
 
@@ -19,9 +20,9 @@
 		node_count(node, NODE_COUNT_STORE_FAILED);
 	if (down && !node->store_down)
 		node_log(node, BASE_MSG_STORE_DOWN,
-			 BASE_F_STR("why", fate == NODE_STORE_REFUSED ?
-						   "refused" :
-						   "no answer"),
+			 BASE_F_STR("why", fate == NODE_STORE_REFUSED
+						   ? "refused"
+						   : "no answer"),
 			 BASE_F_INT("heard_us_ago", now - node->store_heard));
 	if (!down && node->store_down)
 		node_log(node, BASE_MSG_STORE_UP,
@@ -74,10 +75,9 @@
 			apply(node, item->value);
 		else if (g_str_has_prefix(item->key,
 					  node->platform->wave_prefix))
-			g_hash_table_replace(node->wave_texts,
-					     g_strdup(item->key),
-					     g_strndup(item->value.ptr,
-						       item->value.len));
+			g_hash_table_replace(
+				node->wave_texts, g_strdup(item->key),
+				g_strndup(item->value.ptr, item->value.len));
 	}
 	if (answer->n_items && node->owner)
 		node_owner_waves(node->owner);
@@ -138,8 +138,8 @@
 	node_t *node = arg;
 
 	node_count(node, NODE_COUNT_STORE_READ);
-	node->platform->list(node->store, node->platform->operator_prefix,
-			     NULL, false, all_read, node);
+	node->platform->list(node->store, node->platform->operator_prefix, NULL,
+			     false, all_read, node);
 }
 
 void node_config_begin(node_t *node)
--- a/packages/node/node_front.c
+++ b/packages/node/node_front.c
@@ -58,9 +58,9 @@
 	bool writes = dispatch->ask.ask == NODE_ASK_SUBMIT ||
 		      dispatch->ask.ask == NODE_ASK_CANCEL;
 	node_outcome_t outcome = {
-		.kind = writes && (dispatch->trying || dispatch->unknown) ?
-				NODE_OUT_UNKNOWN :
-				NODE_OUT_NOT_OWNER,
+		.kind = writes && (dispatch->trying || dispatch->unknown)
+				? NODE_OUT_UNKNOWN
+				: NODE_OUT_NOT_OWNER,
 		.why = "no answer in time",
 	};
 
@@ -119,9 +119,9 @@
 	if (good)
 		return node->lead.address;
 	if (!dispatch->ask.relayed && node->members->len)
-		return g_ptr_array_index(node->members,
-					 base_rng_below(&node->rng,
-							node->members->len));
+		return g_ptr_array_index(
+			node->members,
+			base_rng_below(&node->rng, node->members->len));
 	return NULL;
 }
 
@@ -170,10 +170,10 @@
 		talloc_memdup(dispatch, ask->body.ptr, ask->body.len);
 	dispatch->done = done;
 	dispatch->arg = arg;
-	dispatch->timer = net_timer_new(dispatch, node->loop, try_again,
-					dispatch);
-	dispatch->deadline = net_timer_new(dispatch, node->loop, time_over,
-					   dispatch);
+	dispatch->timer =
+		net_timer_new(dispatch, node->loop, try_again, dispatch);
+	dispatch->deadline =
+		net_timer_new(dispatch, node->loop, time_over, dispatch);
 	left = ask->deadline - now;
 	net_timer_start(dispatch->deadline,
 			left - MIN(FRONT_MARGIN, left / FRONT_MARGIN_PART));
@@ -196,10 +196,10 @@
 	if (front->ask == NODE_ASK_SUBMIT || front->ask == NODE_ASK_CANCEL ||
 	    status >= 500)
 		node_log(node, BASE_MSG_JOB_REQUEST,
-			 BASE_F_STR("ask", front->ask == NODE_ASK_SUBMIT ?
-						   "submit" :
-				    front->ask == NODE_ASK_CANCEL ? "cancel" :
-								    "state"),
+			 BASE_F_STR("ask",
+				    front->ask == NODE_ASK_SUBMIT   ? "submit"
+				    : front->ask == NODE_ASK_CANCEL ? "cancel"
+								    : "state"),
 			 BASE_F_STR("id", front->id),
 			 BASE_F_STR("queue", front->queue),
 			 BASE_F_INT("status", status),
@@ -240,8 +240,8 @@
 		break;
 	case NODE_OUT_PENDING:
 		reply(front, 200,
-		      node->platform->pending_print(front, outcome->pending),
-		      0, NULL);
+		      node->platform->pending_print(front, outcome->pending), 0,
+		      NULL);
 		break;
 	case NODE_OUT_GONE:
 		reply(front, 410, NULL, 0, "no such job");
--- a/packages/node/node_instance.c
+++ b/packages/node/node_instance.c
@@ -123,17 +123,16 @@
 	}
 	net_timer_start(instances->timer,
 			base_clock_mono() < instances->hurry_until ||
-					instances->down ?
-				INSTANCE_HURRY_EVERY :
-				INSTANCE_EVERY);
+					instances->down
+				? INSTANCE_HURRY_EVERY
+				: INSTANCE_EVERY);
 }
 
 static void list(void *arg)
 {
 	node_insts_t *instances = arg;
 
-	if (instances->listing || instances->owner->ended ||
-	    !instances->handle)
+	if (instances->listing || instances->owner->ended || !instances->handle)
 		return;
 	instances->listing = true;
 	instances->sent = base_clock_mono();
--- a/packages/node/node_int.h
+++ b/packages/node/node_int.h
@@ -139,9 +139,9 @@
 void node_log_fields(node_t *node, base_msg_t msg, const base_field_t *fields,
 		     size_t n);
 void node_log_flush(node_t *node);
-#define node_log(node, msg, ...)                                              \
-	node_log_fields(node, msg, (const base_field_t[]){ __VA_ARGS__ },     \
-			sizeof((const base_field_t[]){ __VA_ARGS__ }) /       \
+#define node_log(node, msg, ...)                                          \
+	node_log_fields(node, msg, (const base_field_t[]){ __VA_ARGS__ }, \
+			sizeof((const base_field_t[]){ __VA_ARGS__ }) /   \
 				sizeof(base_field_t))
 
 /* node_metrics.c */
@@ -165,8 +165,8 @@
 } node_count_t;
 
 typedef enum node_time {
-	NODE_TIME_ANSWER, /* from a caller's request to its answer */
-	NODE_TIME_CHANGE, /* of the store */
+	NODE_TIME_ANSWER,   /* from a caller's request to its answer */
+	NODE_TIME_CHANGE,   /* of the store */
 	NODE_TIME_LOOK_GAP, /* between two looks at a worker */
 	NODE_TIME_ORDER,
 	NODE_TIME_MAX
@@ -196,9 +196,8 @@
 
 /* node_peer.c */
 void node_peer_serve(void *arg, net_exchange_t *exchange);
-void node_peer_ask(node_t *node, const char *address,
-		   const node_job_ask_t *ask, node_outcome_done_t *done,
-		   void *arg);
+void node_peer_ask(node_t *node, const char *address, const node_job_ask_t *ask,
+		   node_outcome_done_t *done, void *arg);
 
 /* node_front.c */
 void node_front_serve(void *arg, net_exchange_t *exchange);
--- a/packages/node/node_lead.c
+++ b/packages/node/node_lead.c
@@ -34,7 +34,8 @@
 
 	if (name && address && term >= node->lead.term) {
 		if (term > node->lead.term)
-			node_log(node, BASE_MSG_LEAD, BASE_F_STR("holder", name),
+			node_log(node, BASE_MSG_LEAD,
+				 BASE_F_STR("holder", name),
 				 BASE_F_INT("term", term),
 				 BASE_F_INT("revision", item->revision));
 		forget_lead(node);
@@ -207,9 +208,9 @@
 		json_decref(root);
 	}
 	talloc_free(node->nonce);
-	node->nonce = talloc_asprintf(node, "%s.%llx", node->settings->name,
-				      (unsigned long long)base_rng_next(
-					      &node->rng));
+	node->nonce =
+		talloc_asprintf(node, "%s.%llx", node->settings->name,
+				(unsigned long long)base_rng_next(&node->rng));
 	node->campaign_sent = base_clock_mono();
 	node_count(node, NODE_COUNT_STORE_LEASE);
 	node->platform->lease(node->store,
--- a/packages/node/node_log.c
+++ b/packages/node/node_log.c
@@ -10,7 +10,7 @@
 #include "node_int.h"
 
 #define LOG_FLUSH_EVERY (100 * BASE_MS) /* one write for many lines */
-#define LOG_HELD_MAX (64 << 10)		/* bytes held before lines are dropped */
+#define LOG_HELD_MAX (64 << 10) /* bytes held before lines are dropped */
 /* Of one message a second: a heavy day has about 20 jobs a second, each with
  * some steps and failures. */
 #define LOG_LINES_MAX 120
@@ -142,9 +142,8 @@
 		return;
 	}
 	if (log->dropped > log->dropped_told) {
-		base_field_t lost =
-			BASE_F_INT("lines", (int64_t)(log->dropped -
-						      log->dropped_told));
+		base_field_t lost = BASE_F_INT(
+			"lines", (int64_t)(log->dropped - log->dropped_told));
 
 		log->dropped_told = log->dropped;
 		add_line(log, BASE_MSG_LOG_DROPPED, wall, &lost, 1);
--- a/packages/node/node_member.c
+++ b/packages/node/node_member.c
@@ -70,8 +70,7 @@
 		return;
 	}
 	node->member_lease = answer->lease;
-	key = talloc_asprintf(NULL, NODE_KEY_MEMBER "%s",
-			      node->settings->name);
+	key = talloc_asprintf(NULL, NODE_KEY_MEMBER "%s", node->settings->name);
 	set = (node_set_t){ key, base_str(node->settings->peers),
 			    answer->lease };
 	node_count(node, NODE_COUNT_STORE_CHANGE);
@@ -101,8 +100,8 @@
 		return;
 	node_count(node, NODE_COUNT_STORE_LEASE);
 	if (node->member_lease)
-		node->platform->renew(node->store, node->member_lease,
-				      BASE_SEC, renewed, node);
+		node->platform->renew(node->store, node->member_lease, BASE_SEC,
+				      renewed, node);
 	else
 		node->platform->lease(node->store, MEMBER_TTL, leased, node);
 }
--- a/packages/node/node_metrics.c
+++ b/packages/node/node_metrics.c
@@ -50,8 +50,7 @@
 	base_hist_add(node->metrics->times[what], took);
 }
 
-static void add_time(base_buf_t *out, const char *name,
-		     const base_hist_t *hist)
+static void add_time(base_buf_t *out, const char *name, const base_hist_t *hist)
 {
 	static const double quantiles[] = { 0.5, 0.9, 0.99 };
 	size_t i;
--- a/packages/node/node_move.c
+++ b/packages/node/node_move.c
@@ -91,8 +91,8 @@
 		/* The list tells; asked again it is not done twice. */
 		break;
 	default:
-		end_move(move, fate == NODE_DUTY_WRONG ? "not possible" :
-							 "refused for now");
+		end_move(move, fate == NODE_DUTY_WRONG ? "not possible"
+						       : "refused for now");
 		break;
 	}
 }
@@ -223,8 +223,8 @@
 	const node_inst_t *inst;
 	size_t n;
 
-	inst = asked->worker.len ? find_worker(moves, asked->worker) :
-				   pick_spare(moves, &n);
+	inst = asked->worker.len ? find_worker(moves, asked->worker)
+				 : pick_spare(moves, &n);
 	if (inst && inst->state == NODE_INSTANCE_UP &&
 	    !node_moves_busy(moves, inst->name) &&
 	    !node_waves_busy(moves->owner->waves, inst->name))
--- a/packages/node/node_owner.c
+++ b/packages/node/node_owner.c
@@ -7,10 +7,11 @@
  */
 #include "node_int.h"
 
-#define OWNER_TTL (2000 * BASE_MS)	/* as claimed, see node_lead.c */
-#define OWNER_RENEW (500 * BASE_MS)	/* four tries within a lease */
-#define OWNER_MARGIN (100 * BASE_MS)	/* no decision so shortly before its end */
-#define OWNER_STEP_SOON (4 * BASE_MS)	/* gathers events of one moment */
+#define OWNER_TTL (2000 * BASE_MS)  /* as claimed, see node_lead.c */
+#define OWNER_RENEW (500 * BASE_MS) /* four tries within a lease */
+/* No decision so shortly before its end. */
+#define OWNER_MARGIN (100 * BASE_MS)
+#define OWNER_STEP_SOON (4 * BASE_MS) /* gathers events of one moment */
 /* How long workers' leases are kept up without the store, beyond our own; a
  * successor waits as long for workers that it cannot look at itself. */
 #define OWNER_ORPHAN (3 * BASE_SEC)
@@ -122,8 +123,8 @@
 void node_owner_config(node_owner_t *owner)
 {
 	const node_config_t *config = &owner->node->config;
-	batch_queue_info_t *queues = talloc_array(NULL, batch_queue_info_t,
-						  config->n_routes + 1);
+	batch_queue_info_t *queues =
+		talloc_array(NULL, batch_queue_info_t, config->n_routes + 1);
 	size_t i;
 
 	for (i = 0; i < config->n_routes; i++)
@@ -164,14 +165,14 @@
 	owner->owner_revision = options->owner_revision;
 	owner->fence_revision = options->fence_revision;
 	owner->taken_at = base_clock_mono();
-	owner->orphan_until = owner->taken_at + OWNER_ORPHAN +
-			      node_worker_lease_span(owner);
+	owner->orphan_until =
+		owner->taken_at + OWNER_ORPHAN + node_worker_lease_span(owner);
 	owner->store = node->platform->store_new(owner, node->loop,
 						 node->settings->store);
 	owner->core = batch_new(owner, &core);
-	owner->waiting = g_hash_table_new_full(
-		g_str_hash, g_str_equal, g_free,
-		(GDestroyNotify)g_ptr_array_unref);
+	owner->waiting =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
+				      (GDestroyNotify)g_ptr_array_unref);
 	owner->links = g_hash_table_new(g_str_hash, g_str_equal);
 	talloc_set_destructor(owner, owner_free);
 	owner->instances = node_instances_new(owner);
@@ -294,8 +295,7 @@
 		return;
 	}
 	verdict = batch_submit(owner->core, base_clock_mono(),
-			       base_clock_wall(), &spec,
-			       &outcome.retry_after);
+			       base_clock_wall(), &spec, &outcome.retry_after);
 	talloc_free(ctx);
 	if (verdict == BATCH_REFUSED) {
 		outcome.why = "cannot end in time";
--- a/packages/node/node_peer.c
+++ b/packages/node/node_peer.c
@@ -13,9 +13,9 @@
 #define PEER_TIMEOUT (900 * BASE_MS)
 
 static const char *const kind_names[NODE_OUT_MAX] = {
-	[NODE_OUT_ACCEPTED] = "accepted", [NODE_OUT_REFUSED] = "refused",
-	[NODE_OUT_STATE] = "state",	  [NODE_OUT_GONE] = "gone",
-	[NODE_OUT_PENDING] = "pending",	  [NODE_OUT_BAD] = "bad",
+	[NODE_OUT_ACCEPTED] = "accepted",   [NODE_OUT_REFUSED] = "refused",
+	[NODE_OUT_STATE] = "state",	    [NODE_OUT_GONE] = "gone",
+	[NODE_OUT_PENDING] = "pending",	    [NODE_OUT_BAD] = "bad",
 	[NODE_OUT_NOT_OWNER] = "not-owner", [NODE_OUT_UNKNOWN] = "unknown",
 };
 
@@ -77,10 +77,9 @@
 		outcome.kind = (node_outcome_kind_t)kind;
 		outcome.state = (batch_state_t)json_integer_value(
 			json_object_get(root, "state"));
-		outcome.retry_after =
-			json_integer_value(
-				json_object_get(root, "retry_after_ms")) *
-			BASE_MS;
+		outcome.retry_after = json_integer_value(json_object_get(
+					      root, "retry_after_ms")) *
+				      BASE_MS;
 		outcome.pending = (size_t)json_integer_value(
 			json_object_get(root, "pending"));
 		outcome.why = json_string_value(json_object_get(root, "why"));
@@ -96,9 +95,8 @@
 	talloc_free(call);
 }
 
-void node_peer_ask(node_t *node, const char *address,
-		   const node_job_ask_t *ask, node_outcome_done_t *done,
-		   void *arg)
+void node_peer_ask(node_t *node, const char *address, const node_job_ask_t *ask,
+		   node_outcome_done_t *done, void *arg)
 {
 	net_client_t *client = client_of(node, address);
 	peer_call_t *call = talloc_zero(node, peer_call_t);
@@ -114,11 +112,10 @@
 	base_buf_add_json(body, ask->body);
 	base_buf_addf(body, ",\"wait_ms\":%lld,\"relayed\":%s}",
 		      (long long)(left / BASE_MS),
-		      ask->relayed ||
-				      (node->lead.address &&
-				       !strcmp(address, node->lead.address)) ?
-			      "true" :
-			      "false");
+		      ask->relayed || (node->lead.address &&
+				       !strcmp(address, node->lead.address))
+			      ? "true"
+			      : "false");
 	call->node = node;
 	call->address = talloc_strdup(call, address);
 	call->done = done;
@@ -172,9 +169,9 @@
 	ask.id = (char *)id;
 	ask.body = (base_str_t){ json_string_value(body),
 				 json_string_length(body) };
-	ask.deadline = base_clock_mono() +
-		       json_integer_value(json_object_get(root, "wait_ms")) *
-			       BASE_MS;
+	ask.deadline =
+		base_clock_mono() +
+		json_integer_value(json_object_get(root, "wait_ms")) * BASE_MS;
 	ask.relayed = json_is_true(json_object_get(root, "relayed"));
 	if (node->owner && node_owner_valid(node->owner)) {
 		node_owner_ask(node->owner, &ask, decided, exchange);
--- a/packages/node/node_platform.h
+++ b/packages/node/node_platform.h
@@ -15,8 +15,8 @@
 /* What became of a call to the store. */
 typedef enum node_store_fate {
 	NODE_STORE_OK,
-	NODE_STORE_CONFLICT,  /* a condition does not hold; nothing was done */
-	NODE_STORE_MISSING,   /* no such key, or the lease ended; nothing done */
+	NODE_STORE_CONFLICT, /* a condition does not hold; nothing was done */
+	NODE_STORE_MISSING,  /* no such key, or the lease ended; nothing done */
 	NODE_STORE_COMPACTED, /* that history is gone: read anew */
 	NODE_STORE_REFUSED,   /* busy, or it turns us away; nothing was done */
 	NODE_STORE_UNKNOWN,   /* it may have been done, or be done later */
@@ -70,13 +70,13 @@
 /* What a worker answered to an order. */
 typedef enum node_order_fate {
 	NODE_ORDER_OK,
-	NODE_ORDER_FENCED, /* it has seen a higher term */
-	NODE_ORDER_OLD,	   /* it knows a run as high */
-	NODE_ORDER_LATE,   /* the lease that came with it is over */
-	NODE_ORDER_ROOM,   /* no room */
-	NODE_ORDER_REFUSED, /* unhealthy or malformed; nothing was done */
+	NODE_ORDER_FENCED,     /* it has seen a higher term */
+	NODE_ORDER_OLD,	       /* it knows a run as high */
+	NODE_ORDER_LATE,       /* the lease that came with it is over */
+	NODE_ORDER_ROOM,       /* no room */
+	NODE_ORDER_REFUSED,    /* unhealthy or malformed; nothing was done */
 	NODE_ORDER_OTHER_LIFE, /* another worker is at that address */
-	NODE_ORDER_SILENT, /* it may have been carried out, or be later */
+	NODE_ORDER_SILENT,     /* it may have been carried out, or be later */
 	NODE_ORDER_FATE_MAX
 } node_order_fate_t;
 
@@ -133,10 +133,10 @@
 typedef void node_instances_done_t(void *arg, const node_instances_t *list);
 
 typedef enum node_duty_fate {
-	NODE_DUTY_OK,	  /* done, or done before */
-	NODE_DUTY_FENCED, /* a later holder acted */
-	NODE_DUTY_BUSY,	  /* not up, or leaving */
-	NODE_DUTY_WRONG,  /* not of that wave, or no such instance */
+	NODE_DUTY_OK,	   /* done, or done before */
+	NODE_DUTY_FENCED,  /* a later holder acted */
+	NODE_DUTY_BUSY,	   /* not up, or leaving */
+	NODE_DUTY_WRONG,   /* not of that wave, or no such instance */
 	NODE_DUTY_REFUSED, /* too many calls, or down; nothing was done */
 	NODE_DUTY_UNKNOWN,
 	NODE_DUTY_FATE_MAX
@@ -179,8 +179,8 @@
 typedef struct node_request {
 	node_ask_t ask;
 	base_str_t host;
-	base_str_t path;  /* up to the job's id */
-	base_str_t id;	  /* empty where a queue is asked about */
+	base_str_t path; /* up to the job's id */
+	base_str_t id;	 /* empty where a queue is asked about */
 	base_str_t body;
 	int64_t patience; /* how long the caller waits, microseconds */
 } node_request_t;
--- a/packages/node/node_restore.c
+++ b/packages/node/node_restore.c
@@ -173,8 +173,8 @@
 	restore_t *restore = talloc_zero(owner, restore_t);
 
 	restore->owner = owner;
-	restore->timer = net_timer_new(restore, owner->node->loop, read_page,
-				       restore);
+	restore->timer =
+		net_timer_new(restore, owner->node->loop, read_page, restore);
 	owner->sources =
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	read_page(restore);
--- a/packages/node/node_run.c
+++ b/packages/node/node_run.c
@@ -51,8 +51,8 @@
 	if (node->stopping)
 		return;
 	node->stopping = true;
-	node->stop_by = now + (int64_t)(RUN_GRACE_PART *
-					(double)node->settings->grace);
+	node->stop_by =
+		now + (int64_t)(RUN_GRACE_PART * (double)node->settings->grace);
 	node->stop_linger = now + RUN_STOP_LINGER;
 	node_log(node, BASE_MSG_DRAINING, BASE_F_INT("signal", signo),
 		 BASE_F_BOOL("holder", node->owner != NULL),
@@ -140,11 +140,11 @@
 	node->loop = net_loop_new(node);
 	node->log = node_log_new(node, node->loop, options->log_fd);
 	node->metrics = node_metrics_new(node);
-	node->peers = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
-					    NULL);
+	node->peers =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
 	node->stop_timer = net_timer_new(node, node->loop, stop_tick, node);
-	node->store = node->platform->store_new(node, node->loop,
-						settings->store);
+	node->store =
+		node->platform->store_new(node, node->loop, settings->store);
 	return node;
 }
 
@@ -174,8 +174,7 @@
 	node = node_new(options, settings);
 	if (!node->store) {
 		g_set_error(&err, NODE_ERROR, NODE_ERR_START,
-			    "\"%s\" is no address of a store",
-			    settings->store);
+			    "\"%s\" is no address of a store", settings->store);
 		talloc_free(node);
 		return refuse(options, BASE_MSG_START_FAILED, err);
 	}
--- a/packages/node/node_settings.c
+++ b/packages/node/node_settings.c
@@ -84,8 +84,8 @@
 	node_settings_t *settings = talloc_zero(ctx, node_settings_t);
 	base_buf_t *faults = base_buf_new(settings);
 	json_error_t why;
-	json_t *root = json_loadb(text.ptr, text.len, JSON_REJECT_DUPLICATES,
-				  &why);
+	json_t *root =
+		json_loadb(text.ptr, text.len, JSON_REJECT_DUPLICATES, &why);
 	size_t i;
 
 	if (!root || !json_is_object(root)) {
--- a/packages/node/node_wave.c
+++ b/packages/node/node_wave.c
@@ -30,7 +30,7 @@
 	node_instance_state_t listed;
 	bool in_list;
 	bool calling;
-	bool maybe_down; /* a predecessor may have ordered its upkeep */
+	bool maybe_down;  /* a predecessor may have ordered its upkeep */
 	uint64_t version; /* of the row that says that it is asked */
 	int64_t asked_at;
 	int64_t since;
@@ -172,8 +172,7 @@
 	wave->places = talloc_zero_array(wave, place_t, wave->n + 1);
 	for (i = 0; i < wave->n; i++) {
 		wave->places[i].wave = wave;
-		wave->places[i].name =
-			talloc_strdup(wave, info.instances[i]);
+		wave->places[i].name = talloc_strdup(wave, info.instances[i]);
 	}
 	take_record(wave);
 	if (!wave->completed)
@@ -233,17 +232,15 @@
 	add_names(buf, wave, PLACE_ASKED, PLACE_ASKED);
 	base_buf_addf(buf, "],\"completed\":%s}",
 		      wave->completed ? "true" : "false");
-	sets[(*n_sets)++] = (node_set_t){
-		talloc_asprintf(ctx, NODE_KEY_WAVE "%lld",
-				(long long)wave->number),
-		base_buf_str(buf), 0
-	};
-	sets[(*n_sets)++] = (node_set_t){
-		platform->wave_key(ctx, wave->number),
-		base_str(platform->wave_print(ctx, wave->number,
-					      wave->completed)),
-		0
-	};
+	sets[(*n_sets)++] =
+		(node_set_t){ talloc_asprintf(ctx, NODE_KEY_WAVE "%lld",
+					      (long long)wave->number),
+			      base_buf_str(buf), 0 };
+	sets[(*n_sets)++] =
+		(node_set_t){ platform->wave_key(ctx, wave->number),
+			      base_str(platform->wave_print(ctx, wave->number,
+							    wave->completed)),
+			      0 };
 }
 
 bool node_waves_row(node_waves_t *waves, const void *ctx, node_set_t *sets,
@@ -334,8 +331,9 @@
 	node_owner_t *owner = place->wave->waves->owner;
 
 	place->calling = true;
-	owner->node->platform->upkeep(owner->instances->handle, place->name, place->wave->number,
-				      owner->term, ordered, place);
+	owner->node->platform->upkeep(owner->instances->handle, place->name,
+				      place->wave->number, owner->term, ordered,
+				      place);
 }
 
 static size_t runs_on(const place_t *place, size_t *lasting)
@@ -487,9 +485,8 @@
 	if (!node_owner_valid(waves->owner))
 		return;
 	/* Before the first whole list it is not known what is down. */
-	for (i = 0; waves->owner->instances->round_sent &&
-		    i < waves->waves->len;
-	     i++)
+	for (i = 0;
+	     waves->owner->instances->round_sent && i < waves->waves->len; i++)
 		advance(g_ptr_array_index(waves->waves, i));
 	if (node_waves_waiting(waves))
 		node_owner_wake(waves->owner);
@@ -503,15 +500,16 @@
 	place->listed = inst->state;
 	if (!same) {
 		talloc_free(place->worker);
-		place->worker = *inst->worker ? talloc_strdup(place->wave,
-							      inst->worker) :
-						NULL;
+		place->worker =
+			*inst->worker ? talloc_strdup(place->wave, inst->worker)
+				      : NULL;
 		if (place->state == PLACE_EMPTYING)
 			cordon(place, true);
 	}
 	/* A list that was read before the order says nothing of it. */
 	if (place->state == PLACE_DOWN && inst->state == NODE_INSTANCE_UP &&
-	    place->asked_at < place->wave->waves->owner->instances->round_sent) {
+	    place->asked_at <
+		    place->wave->waves->owner->instances->round_sent) {
 		set_state(place, PLACE_BACK, "up again");
 		cordon(place, false);
 	}
--- a/packages/node/node_worker.c
+++ b/packages/node/node_worker.c
@@ -247,8 +247,7 @@
 		worker->id = talloc_strdup(worker, id);
 		worker->address = talloc_strdup(worker, entry.address);
 		worker->clock = -1;
-		worker->timer =
-			net_timer_new(worker, node->loop, look, worker);
+		worker->timer = net_timer_new(worker, node->loop, look, worker);
 		worker->link = node->platform->link_new(
 			worker, node->loop, entry.address, worker->id);
 		if (!worker->link) {
@@ -320,9 +319,9 @@
 	}
 	node_workers_round(owner);
 	node_owner_wake(owner);
-	net_timer_start(owner->list_timer, owner->list_hurry ?
-						   WORKER_LIST_HURRY :
-						   WORKER_LIST_EVERY);
+	net_timer_start(owner->list_timer, owner->list_hurry
+						   ? WORKER_LIST_HURRY
+						   : WORKER_LIST_EVERY);
 	owner->list_hurry = false;
 }
 
