--- a/Makefile
+++ b/Makefile
@@ -64,7 +64,7 @@
 deps:
 	@scripts/deps
 
-binaries: $(LIBS) $(wildcard $(OUT)/none) $(foreach b,$(BINS),$(if $(wildcard packages/*/$(notdir $(b))_main.c),$(b))) $(STANDIN) $(LOADGEN) $(OUT)/cactusfield-node
+binaries: $(LIBS) $(wildcard $(OUT)/none) $(foreach b,$(BINS),$(if $(wildcard packages/*/$(notdir $(b))_main.c),$(b))) $(STANDIN) $(LOADGEN) $(OUT)/cactusfield-node $(OUT)/standin/standin-platform
 
 define library
 $(OUT)/lib$(1).a: $(filter $(OUT)/packages/$(1)/%,$(OBJS))
@@ -136,6 +136,9 @@
 $(OUT)/load/load: $(patsubst %.c,$(OUT)/%.o,$(wildcard load/*.c)) $(LIBS)
 	$(CC) $(LDFLAGS) -o $@ $(filter %.o,$^) $(GROUP) $(LDLIBS)
 
+$(OUT)/standin/standin-platform: $(patsubst %.c,$(OUT)/%.o,$(wildcard standin/platform/*.c)) $(LIBS)
+	$(CC) $(LDFLAGS) -o $@ $(filter %.o,$^) $(GROUP) $(LDLIBS)
+
 $(OUT)/standin/standin: $(patsubst %.c,$(OUT)/%.o,$(wildcard standin/*.c)) $(LIBS)
 	$(CC) $(LDFLAGS) -o $@ $(filter %.o,$^) $(GROUP) $(LDLIBS)
 
--- a/packages/batch/tests/batch_test.c
+++ b/packages/batch/tests/batch_test.c
@@ -348,7 +348,7 @@
 	check(world);
 }
 
-static void test_bad_specifications(void)
+static void test_bad_steps(void)
 {
 	batch_step_spec_t step = world_step(1);
 	batch_spec_t spec = { .id = BASE_STR("a"),
@@ -366,8 +366,13 @@
 	g_assert_false(batch_spec_check(&spec, NULL));
 	step.count = BATCH_TASKS_MAX + 1;
 	g_assert_false(batch_spec_check(&spec, NULL));
-	step.count = 1;
-	spec.n_steps = 0;
+}
+
+static void test_bad_specifications(void)
+{
+	batch_step_spec_t step = world_step(1);
+	batch_spec_t spec = { .id = BASE_STR("a"), .steps = &step };
+
 	g_assert_false(batch_spec_check(&spec, NULL));
 	spec.n_steps = 1;
 	spec.id = BASE_STR("");
@@ -413,7 +418,74 @@
 	check(world);
 }
 
-/* Jobs, faults and takeovers as a seed draws them. */
+/* One fault, or the end of some, as the seed draws it. */
+static void random_fault(world_t *world, base_rng_t *rng, const char *id)
+{
+	int worker = (int)base_rng_below(rng, 8);
+	int i;
+
+	switch (base_rng_below(rng, 9)) {
+	case 0:
+		world_take_over(world);
+		break;
+	case 1:
+		world_worker_dark(world, worker);
+		break;
+	case 2:
+		world_worker_again(world, worker, base_rng_below(rng, 2));
+		break;
+	case 3:
+		world_worker_cut(world, worker, true);
+		break;
+	case 4:
+		for (i = 0; i < 8; i++)
+			world_worker_cut(world, i, false);
+		break;
+	case 5:
+		if (world_state(world, id))
+			world_cancel(world, id);
+		break;
+	case 6:
+		batch_worker_cordon(world->core, world->now,
+				    base_str(world->workers[worker].id),
+				    base_rng_below(rng, 2));
+		break;
+	default:
+		break;
+	}
+}
+
+static void random_job(world_t *world, base_rng_t *rng, const char *id)
+{
+	batch_step_spec_t steps[3];
+	int n = 1 + (int)base_rng_below(rng, 3);
+	int i;
+
+	for (i = 0; i < n; i++) {
+		steps[i] = world_step(1 + (int)base_rng_below(rng, 6));
+		steps[i].after = base_rng_below(rng, 1u << i);
+	}
+	world_submit(world, id, steps, n);
+}
+
+static void end_faults(world_t *world)
+{
+	int i;
+
+	world->lose_answer = 0;
+	world->late_order = 0;
+	world->fail_run = 0;
+	for (i = 0; i < 8; i++) {
+		world_worker_cut(world, i, false);
+		if (world->workers[i].dark)
+			world_worker_again(world, i, false);
+		batch_worker_cordon(world->core, world->now,
+				    base_str(world->workers[i].id), false);
+	}
+}
+
+/* Jobs, faults and takeovers; when all is well again, all that was taken
+ * ends. */
 static void random_day(uint64_t seed)
 {
 	world_t *world = world_new(seed, 8, 3);
@@ -422,65 +494,17 @@
 	int taken = 0;
 	int ended = 0;
 	int i;
-	int j;
 
 	world->lose_answer = (int)base_rng_below(&rng, 15);
 	world->late_order = (int)base_rng_below(&rng, 10);
 	world->fail_run = (int)base_rng_below(&rng, 10);
 	for (i = 0; i < 30; i++) {
-		batch_step_spec_t steps[3];
-		int n = 1 + (int)base_rng_below(&rng, 3);
-		int worker = (int)base_rng_below(&rng, 8);
-
-		for (j = 0; j < n; j++) {
-			steps[j] = world_step(1 + (int)base_rng_below(&rng, 6));
-			steps[j].after = base_rng_below(&rng, 1u << j);
-		}
 		g_snprintf(id, sizeof(id), "j%d", i);
-		world_submit(world, id, steps, n);
+		random_job(world, &rng, id);
 		world_pass(world, base_rng_below(&rng, 800) * MS);
-		switch (base_rng_below(&rng, 9)) {
-		case 0:
-			world_take_over(world);
-			break;
-		case 1:
-			world_worker_dark(world, worker);
-			break;
-		case 2:
-			world_worker_again(world, worker,
-					   base_rng_below(&rng, 2));
-			break;
-		case 3:
-			world_worker_cut(world, worker, true);
-			break;
-		case 4:
-			for (j = 0; j < 8; j++)
-				world_worker_cut(world, j, false);
-			break;
-		case 5:
-			if (batch_state(world->core, base_str(id)))
-				world_cancel(world, id);
-			break;
-		case 6:
-			batch_worker_cordon(world->core, world->now,
-					    base_str(world->workers[worker].id),
-					    base_rng_below(&rng, 2));
-			break;
-		default:
-			break;
-		}
-	}
-	/* All is well again: whatever was taken ends. */
-	world->lose_answer = 0;
-	world->late_order = 0;
-	world->fail_run = 0;
-	for (j = 0; j < 8; j++) {
-		world_worker_cut(world, j, false);
-		if (world->workers[j].dark)
-			world_worker_again(world, j, false);
-		batch_worker_cordon(world->core, world->now,
-				    base_str(world->workers[j].id), false);
+		random_fault(world, &rng, id);
 	}
+	end_faults(world);
 	world_pass(world, 60 * SECOND);
 	for (i = 0; i < 30; i++) {
 		batch_state_t state;
@@ -490,11 +514,8 @@
 		taken += state != BATCH_UNKNOWN;
 		ended += state >= BATCH_COMPLETED;
 	}
-	if (world->broken)
-		g_test_message("seed %d: %s", (int)seed, world->fault);
-	if (ended < taken)
-		g_test_message("seed %d: %d of %d ended", (int)seed, ended,
-			       taken);
+	g_test_message("seed %d: %d taken, %d ended, %s", (int)seed, taken,
+		       ended, world->fault);
 	g_assert_cmpint(ended, ==, taken);
 	check(world);
 }
@@ -534,6 +555,7 @@
 	g_test_add_func("/batch/gang", test_gang_starts_whole_or_not);
 	g_test_add_func("/batch/occurrences",
 			test_occurrences_keep_their_times);
+	g_test_add_func("/batch/bad-steps", test_bad_steps);
 	g_test_add_func("/batch/bad-specifications", test_bad_specifications);
 	g_test_add_func("/batch/bad-records", test_bad_records);
 	g_test_add_func("/batch/random-days", test_random_days);
--- /dev/null
+++ b/standin/platform/sp_int.h
@@ -0,0 +1,122 @@
+/*
+ * sp - a stand-in for the users' platform on loopback: its store, its
+ * workers and its instances, with switches for what goes wrong and records of
+ * its own from which the rules are judged.
+ */
+#ifndef SP_INT_H
+#define SP_INT_H
+
+#include <jansson.h>
+#include <string.h>
+
+#include "net.h"
+
+#define SP_WORKERS_MAX 64
+
+typedef struct sp sp_t;
+
+typedef struct sp_item {
+	char *key;
+	char *value; /* base64, as it came */
+	int64_t revision, created, lease;
+} sp_item_t;
+
+typedef struct sp_event {
+	char *key;
+	char *value; /* NULL: it went */
+	int64_t revision, created, lease;
+} sp_event_t;
+
+typedef struct sp_lease {
+	int64_t id, ttl, until;
+} sp_lease_t;
+
+typedef struct sp_watch {
+	net_exchange_t *exchange;
+	char *prefix;
+	int64_t after, until;
+} sp_watch_t;
+
+typedef struct sp_run {
+	char task[64];
+	char job[32];
+	int64_t number, ends_at;
+	int64_t cpu;
+} sp_run_t;
+
+typedef struct sp_end {
+	int64_t number;
+	sp_run_t run;
+	const char *how;
+} sp_end_t;
+
+typedef struct sp_hold {
+	net_exchange_t *exchange;
+	int64_t until;
+} sp_hold_t;
+
+typedef struct sp_worker {
+	sp_t *sp;
+	int index;
+	char id[32], machine[32], address[32], pool[32];
+	bool up;
+	int64_t born, lease, fence, next_end, back_at;
+	GArray *runs, *ends, *stopped;
+	sp_hold_t hold;
+	net_server_t *server;
+} sp_worker_t;
+
+/* What goes wrong in the store. */
+typedef enum sp_trouble {
+	SP_FINE,
+	SP_BUSY,   /* 503 */
+	SP_SILENT, /* no answer */
+	SP_TROUBLE_MAX
+} sp_trouble_t;
+
+struct sp {
+	net_loop_t *loop;
+	net_timer_t *tick;
+	int port;
+	int64_t revision, next_lease, begun;
+	GHashTable *items;
+	GPtrArray *events;
+	GArray *leases;
+	GPtrArray *watches;
+	GPtrArray *silent; /* exchanges that get no answer */
+	sp_trouble_t trouble;
+	int lose;    /* of a hundred changes: done and not answered */
+	int task_ms; /* how long a task takes */
+	base_rng_t rng;
+	sp_worker_t workers[SP_WORKERS_MAX];
+	int n_workers;
+	/* The judge's records. */
+	GHashTable *submitted; /* not used by the store: job ids that ran */
+	GHashTable *done;      /* tasks whose end was noted */
+	int starts, finished, broken, upkeeps;
+	char fault[160];
+	net_server_t *control;
+};
+
+/* sp_store.c */
+void sp_store_serve(sp_t *sp, net_exchange_t *exchange, const char *path);
+void sp_store_tick(sp_t *sp, int64_t now);
+/* Write a key without a caller: workers' entries, the operator's. */
+void sp_store_put(sp_t *sp, const char *key, const char *text);
+void sp_store_drop(sp_t *sp, const char *key);
+bool sp_store_in_trouble(sp_t *sp, net_exchange_t *exchange);
+char *sp_store_text(sp_t *sp, const char *key);
+
+/* sp_worker.c */
+void sp_workers_begin(sp_t *sp, int n, int base_port);
+void sp_workers_tick(sp_t *sp, int64_t now);
+void sp_worker_end_life(sp_worker_t *worker);
+void sp_worker_begin_life(sp_worker_t *worker);
+void sp_instances_serve(sp_t *sp, net_exchange_t *exchange, const char *path);
+
+/* sp_main.c */
+void sp_reply_json(net_exchange_t *exchange, int status, json_t *body);
+char *sp_query(const char *path, const char *name);
+void sp_broke(sp_t *sp, const char *rule, const sp_run_t *run);
+
+#endif
--- /dev/null
+++ b/standin/platform/sp_main.c
@@ -0,0 +1,180 @@
+#include <argtable2.h>
+#include <signal.h>
+#include <stdlib.h>
+
+#include "sp_int.h"
+
+#define TICK (10 * BASE_MS)
+
+void sp_reply_json(net_exchange_t *exchange, int status, json_t *body)
+{
+	char *text = body ? json_dumps(body, JSON_COMPACT) : NULL;
+
+	net_reply(exchange, status, NULL, 0, base_str(text));
+	free(text);
+	json_decref(body);
+}
+
+/* The value of "name" in a query; "" where it is missing. */
+char *sp_query(const char *path, const char *name)
+{
+	const char *at = strchr(path, '?');
+	size_t len = strlen(name);
+
+	while (at) {
+		at++;
+		if (!strncmp(at, name, len) && at[len] == '=')
+			return g_strndup(at + len + 1,
+					 strcspn(at + len + 1, "&"));
+		at = strchr(at, '&');
+	}
+	return g_strdup("");
+}
+
+void sp_broke(sp_t *sp, const char *rule, const sp_run_t *run)
+{
+	if (!sp->broken++)
+		g_snprintf(sp->fault, sizeof(sp->fault), "%s: %s run %d", rule,
+			   run->task, (int)run->number);
+}
+
+static void serve_verdict(sp_t *sp, net_exchange_t *exchange)
+{
+	sp_reply_json(exchange, 200,
+		      json_pack("{s:i,s:i,s:i,s:i,s:s}", "starts", sp->starts,
+				"finished", sp->finished, "broken", sp->broken,
+				"upkeeps", sp->upkeeps, "fault", sp->fault));
+}
+
+static void set_switch(sp_t *sp, const char *path)
+{
+	char *trouble = sp_query(path, "store");
+	char *lose = sp_query(path, "lose");
+	char *task = sp_query(path, "task-ms");
+	char *worker = sp_query(path, "crash");
+
+	if (*trouble)
+		sp->trouble = !strcmp(trouble, "busy")	   ? SP_BUSY
+			      : !strcmp(trouble, "silent") ? SP_SILENT
+							   : SP_FINE;
+	if (*lose)
+		sp->lose = (int)strtol(lose, NULL, 10);
+	if (*task)
+		sp->task_ms = (int)strtol(task, NULL, 10);
+	if (*worker) {
+		sp_worker_t *it =
+			&sp->workers[strtol(worker, NULL, 10) % sp->n_workers];
+
+		sp_worker_end_life(it);
+		it->back_at = base_clock_mono() + BASE_SEC;
+	}
+	g_free(trouble);
+	g_free(lose);
+	g_free(task);
+	g_free(worker);
+}
+
+/* The test's own side: /judge, /switch?..., /operator?key=..., /read?key=... */
+static void serve_test(sp_t *sp, net_exchange_t *exchange, const char *path)
+{
+	base_str_t body = net_exchange_body(exchange);
+	char *key = sp_query(path, "key");
+	char *text;
+
+	if (!strcmp(path, "/judge")) {
+		serve_verdict(sp, exchange);
+	} else if (g_str_has_prefix(path, "/operator")) {
+		text = g_strndup(body.ptr, body.len);
+		sp_store_put(sp, key, text);
+		net_reply(exchange, 200, NULL, 0, BASE_STR(""));
+		g_free(text);
+	} else if (g_str_has_prefix(path, "/read")) {
+		text = sp_store_text(sp, key);
+		net_reply(exchange, text ? 200 : 404, NULL, 0, base_str(text));
+		g_free(text);
+	} else {
+		set_switch(sp, path);
+		net_reply(exchange, 200, NULL, 0, BASE_STR(""));
+	}
+	g_free(key);
+}
+
+static void serve(void *arg, net_exchange_t *exchange)
+{
+	sp_t *sp = arg;
+	char *path = g_strdup(net_exchange_path(exchange));
+
+	if (g_str_has_prefix(path, "/v1/kv-"))
+		sp_store_serve(sp, exchange, path);
+	else if (g_str_has_prefix(path, "/v1/machine"))
+		sp_instances_serve(sp, exchange, path);
+	else
+		serve_test(sp, exchange, path);
+	g_free(path);
+}
+
+static void tick(void *arg)
+{
+	sp_t *sp = arg;
+	int64_t now = base_clock_mono();
+
+	sp_workers_tick(sp, now);
+	sp_store_tick(sp, now);
+	net_timer_start(sp->tick, TICK);
+}
+
+static void terminate(void *arg, int signo)
+{
+	sp_t *sp = arg;
+
+	(void)signo;
+	net_loop_stop(sp->loop);
+}
+
+static sp_t *sp_new(int port, int workers)
+{
+	sp_t *sp = talloc_zero(NULL, sp_t);
+	char address[32];
+	GError *err = NULL;
+
+	sp->loop = net_loop_new(sp);
+	sp->port = port;
+	sp->task_ms = 300;
+	sp->rng.state = 7;
+	sp->items = g_hash_table_new(g_str_hash, g_str_equal);
+	sp->events = g_ptr_array_new();
+	sp->leases = g_array_new(FALSE, TRUE, sizeof(sp_lease_t));
+	sp->watches = g_ptr_array_new();
+	sp->silent = g_ptr_array_new();
+	sp->done = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+	sp->tick = net_timer_new(sp, sp->loop, tick, sp);
+	g_snprintf(address, sizeof(address), "127.0.0.1:%d", port);
+	sp->control = net_server_new(sp, sp->loop, address, serve, sp, &err);
+	if (!sp->control) {
+		fprintf(stderr, "standin-platform: %s\n", err->message);
+		exit(1);
+	}
+	sp_workers_begin(sp, workers, port + 1);
+	return sp;
+}
+
+int main(int argc, char **argv)
+{
+	struct arg_int *port =
+		arg_int1(NULL, "port", "PORT", "store; workers' ports follow");
+	struct arg_int *workers = arg_int0(
+		NULL, "workers", "N", "instances, a quarter of them spare (8)");
+	struct arg_end *end = arg_end(4);
+	void *table[] = { port, workers, end };
+	sp_t *sp;
+
+	if (arg_parse(argc, argv, table)) {
+		arg_print_errors(stderr, end, "standin-platform");
+		return 2;
+	}
+	sp = sp_new(port->ival[0], workers->count ? workers->ival[0] : 8);
+	net_loop_signal(sp->loop, SIGTERM, terminate, sp);
+	tick(sp);
+	net_loop_run(sp->loop);
+	return 0;
+}
--- /dev/null
+++ b/standin/platform/sp_worker.c
@@ -0,0 +1,368 @@
+#include <stdlib.h>
+
+#include "sp_int.h"
+
+#define WORKER_CPU 16000
+#define WORKER_MEMORY 65536
+#define WORKER_BACK (500 * BASE_MS) /* an upkeep or a move takes so long */
+
+static int64_t clock_of(const sp_worker_t *worker)
+{
+	return base_clock_mono() - worker->born;
+}
+
+static void list_entry(sp_worker_t *worker)
+{
+	char *key = g_strdup_printf("servers/%s", worker->id);
+	char *text = g_strdup_printf(
+		"{\"service\":\"%s\",\"address\":\"%s\",\"zone\":\"z%d\","
+		"\"version\":\"v1\",\"slots\":8,\"state\":\"ready\","
+		"\"capacity\":{\"cpu\":%d,\"memMb\":%d,\"gpu\":0},"
+		"\"labels\":[\"a\",\"r%d\"],\"seq\":1}",
+		worker->pool, worker->address, worker->index % 3, WORKER_CPU,
+		WORKER_MEMORY, worker->index / 4);
+
+	sp_store_put(worker->sp, key, text);
+	g_free(text);
+	g_free(key);
+}
+
+void sp_worker_begin_life(sp_worker_t *worker)
+{
+	static int lives;
+
+	g_snprintf(worker->id, sizeof(worker->id), "i-%d-%d", worker->index,
+		   ++lives);
+	worker->up = strcmp(worker->pool, "spare") != 0;
+	worker->born = base_clock_mono();
+	worker->lease = 0;
+	worker->fence = 0;
+	worker->next_end = 1;
+	worker->back_at = 0;
+	if (worker->up)
+		list_entry(worker);
+}
+
+void sp_worker_end_life(sp_worker_t *worker)
+{
+	char *key = g_strdup_printf("servers/%s", worker->id);
+
+	worker->up = false;
+	g_array_set_size(worker->runs, 0);
+	g_array_set_size(worker->ends, 0);
+	g_array_set_size(worker->stopped, 0);
+	if (worker->hold.exchange)
+		net_reply(worker->hold.exchange, 503, NULL, 0, BASE_STR(""));
+	worker->hold.exchange = NULL;
+	sp_store_drop(worker->sp, key);
+	g_free(key);
+}
+
+static void add_end(sp_worker_t *worker, guint at, const char *how)
+{
+	sp_end_t end = { worker->next_end++,
+			 g_array_index(worker->runs, sp_run_t, at), how };
+
+	g_array_append_val(worker->ends, end);
+	g_array_append_val(worker->stopped, end.run);
+	g_array_remove_index(worker->runs, at);
+}
+
+static json_t *report(const sp_worker_t *worker)
+{
+	json_t *running = json_array();
+	json_t *finished = json_array();
+	guint i;
+
+	for (i = 0; i < worker->runs->len; i++) {
+		const sp_run_t *run = &g_array_index(worker->runs, sp_run_t, i);
+
+		json_array_append_new(running,
+				      json_pack("[s,I,s,i,i]", run->task,
+						(json_int_t)run->number, "",
+						run->ends_at ? 50 : 100, 1));
+	}
+	for (i = 0; i < worker->ends->len; i++) {
+		const sp_end_t *end = &g_array_index(worker->ends, sp_end_t, i);
+
+		json_array_append_new(
+			finished,
+			json_pack("[I,s,I,s,s]", (json_int_t)end->number,
+				  end->run.task, (json_int_t)end->run.number,
+				  end->how, ""));
+	}
+	return json_pack("{s:I,s:I,s:o,s:o}", "clockMs",
+			 (json_int_t)(clock_of(worker) / BASE_MS), "born",
+			 (json_int_t)(worker->born / BASE_MS), "running",
+			 running, "finished", finished);
+}
+
+static void refuse(const sp_worker_t *worker, net_exchange_t *exchange,
+		   const char *reason)
+{
+	sp_reply_json(exchange, 409,
+		      json_pack("{s:I,s:s}", "clockMs",
+				(json_int_t)(clock_of(worker) / BASE_MS),
+				"reason", reason));
+}
+
+static void note_ends(sp_worker_t *worker, int64_t up_to)
+{
+	while (worker->ends->len) {
+		const sp_end_t *end = &g_array_index(worker->ends, sp_end_t, 0);
+
+		if (end->number > up_to)
+			return;
+		if (!strcmp(end->how, "done"))
+			g_hash_table_add(worker->sp->done,
+					 g_strdup(end->run.task));
+		g_array_remove_index(worker->ends, 0);
+	}
+}
+
+static void serve_hold(sp_worker_t *worker, net_exchange_t *exchange,
+		       const json_t *root)
+{
+	int64_t wait = json_integer_value(json_object_get(root, "waitMs"));
+
+	note_ends(worker,
+		  json_integer_value(json_object_get(root, "lastSeen")));
+	if (worker->hold.exchange)
+		sp_reply_json(worker->hold.exchange, 200, report(worker));
+	worker->hold.exchange = exchange;
+	worker->hold.until = base_clock_mono() + wait * BASE_MS;
+}
+
+static void judge_start(sp_worker_t *worker, const sp_run_t *run)
+{
+	sp_t *sp = worker->sp;
+	int i;
+	guint j;
+
+	if (g_hash_table_contains(sp->done, run->task))
+		sp_broke(sp, "started after its end was noted", run);
+	for (i = 0; i < sp->n_workers; i++)
+		for (j = 0; j < sp->workers[i].runs->len; j++)
+			if (!strcmp(g_array_index(sp->workers[i].runs, sp_run_t,
+						  j)
+					    .task,
+				    run->task))
+				sp_broke(sp, "two runs at a time", run);
+}
+
+static bool known_run(const GArray *list, const sp_run_t *run, bool or_higher)
+{
+	guint i;
+
+	for (i = 0; i < list->len; i++) {
+		const sp_run_t *other = &g_array_index(list, sp_run_t, i);
+
+		if (!strcmp(other->task, run->task) &&
+		    (or_higher ? other->number >= run->number
+			       : other->number == run->number))
+			return true;
+	}
+	return false;
+}
+
+static void read_run(const json_t *root, sp_run_t *run)
+{
+	const char *task = json_string_value(json_object_get(root, "task"));
+
+	g_strlcpy(run->task, task ? task : "", sizeof(run->task));
+	g_strlcpy(run->job, run->task, sizeof(run->job));
+	if (strchr(run->job, '.'))
+		*strchr(run->job, '.') = '\0';
+	run->number = json_integer_value(json_object_get(root, "run"));
+}
+
+static void serve_start(sp_worker_t *worker, net_exchange_t *exchange,
+			const json_t *root)
+{
+	const char *spec = json_string_value(json_object_get(root, "spec"));
+	sp_run_t run = { .cpu = 1000 };
+
+	read_run(root, &run);
+	if (known_run(worker->runs, &run, false)) {
+		sp_reply_json(exchange, 200, report(worker));
+		return;
+	}
+	if (known_run(worker->stopped, &run, true)) {
+		refuse(worker, exchange, "old");
+		return;
+	}
+	judge_start(worker, &run);
+	worker->sp->starts++;
+	/* A job whose text says so lasts. */
+	run.ends_at =
+		spec && strstr(spec, "lasts")
+			? 0
+			: base_clock_mono() + worker->sp->task_ms * BASE_MS;
+	g_array_append_val(worker->runs, run);
+	sp_reply_json(exchange, 200, report(worker));
+}
+
+static void serve_stop(sp_worker_t *worker, net_exchange_t *exchange,
+		       const json_t *root)
+{
+	sp_run_t run = { .cpu = 0 };
+	guint i;
+
+	read_run(root, &run);
+	for (i = worker->runs->len; i-- > 0;) {
+		const sp_run_t *other =
+			&g_array_index(worker->runs, sp_run_t, i);
+
+		if (!strcmp(other->task, run.task) &&
+		    other->number == run.number)
+			add_end(worker, i, "stopped");
+	}
+	g_array_append_val(worker->stopped, run);
+	sp_reply_json(exchange, 200, report(worker));
+}
+
+static void serve(void *arg, net_exchange_t *exchange)
+{
+	sp_worker_t *worker = arg;
+	const char *path = net_exchange_path(exchange);
+	const char *expect = net_exchange_header(exchange, "X-Expect-Instance");
+	base_str_t text = net_exchange_body(exchange);
+	json_t *root = json_loadb(text.ptr, text.len, 0, NULL);
+	int64_t fence =
+		json_integer_value(json_object_get(root, "fencingToken"));
+	int64_t lease = json_integer_value(json_object_get(root, "deadlineMs"));
+
+	if (!worker->up || (expect && strcmp(expect, worker->id))) {
+		net_reply(exchange, worker->up ? 421 : 503, NULL, 0,
+			  BASE_STR(""));
+	} else if (fence < worker->fence) {
+		refuse(worker, exchange, "fence");
+	} else {
+		worker->fence = fence;
+		worker->lease = MAX(worker->lease, lease * BASE_MS);
+		if (!strcmp(path, "/v1/hold"))
+			serve_hold(worker, exchange, root);
+		else if (!strcmp(path, "/v1/run-start"))
+			serve_start(worker, exchange, root);
+		else if (!strcmp(path, "/v1/run-stop"))
+			serve_stop(worker, exchange, root);
+		else
+			sp_reply_json(exchange, 200, report(worker));
+	}
+	json_decref(root);
+}
+
+void sp_workers_begin(sp_t *sp, int n, int base_port)
+{
+	int i;
+
+	sp->n_workers = n;
+	for (i = 0; i < n; i++) {
+		sp_worker_t *worker = &sp->workers[i];
+		GError *err = NULL;
+
+		worker->sp = sp;
+		worker->index = i;
+		g_snprintf(worker->machine, sizeof(worker->machine), "m-%d", i);
+		g_snprintf(worker->address, sizeof(worker->address),
+			   "127.0.0.1:%d", base_port + i);
+		g_snprintf(worker->pool, sizeof(worker->pool), "%s",
+			   i >= n - n / 4 ? "spare" : "desk");
+		worker->runs = g_array_new(FALSE, TRUE, sizeof(sp_run_t));
+		worker->ends = g_array_new(FALSE, TRUE, sizeof(sp_end_t));
+		worker->stopped = g_array_new(FALSE, TRUE, sizeof(sp_run_t));
+		worker->server = net_server_new(sp, sp->loop, worker->address,
+						serve, worker, &err);
+		if (!worker->server) {
+			fprintf(stderr, "standin-platform: %s\n", err->message);
+			exit(1);
+		}
+		sp_worker_begin_life(worker);
+	}
+}
+
+static void worker_tick(sp_worker_t *worker, int64_t now)
+{
+	guint i;
+
+	if (worker->back_at && now >= worker->back_at)
+		sp_worker_begin_life(worker);
+	for (i = worker->runs->len; i-- > 0;) {
+		const sp_run_t *run = &g_array_index(worker->runs, sp_run_t, i);
+
+		if (clock_of(worker) > worker->lease) {
+			add_end(worker, i, "lapsed");
+		} else if (run->ends_at && run->ends_at <= now) {
+			worker->sp->finished++;
+			add_end(worker, i, "done");
+		}
+	}
+	if (worker->hold.exchange &&
+	    (worker->ends->len || now >= worker->hold.until)) {
+		sp_reply_json(worker->hold.exchange, 200, report(worker));
+		worker->hold.exchange = NULL;
+	}
+}
+
+void sp_workers_tick(sp_t *sp, int64_t now)
+{
+	int i;
+
+	for (i = 0; i < sp->n_workers; i++)
+		worker_tick(&sp->workers[i], now);
+}
+
+static void serve_list(sp_t *sp, net_exchange_t *exchange)
+{
+	json_t *machines = json_array();
+	int i;
+
+	for (i = 0; i < sp->n_workers; i++) {
+		const sp_worker_t *worker = &sp->workers[i];
+
+		json_array_append_new(
+			machines,
+			json_pack("{s:s,s:s,s:s,s:s,s:s}", "machine",
+				  worker->machine, "pool", worker->pool,
+				  "state", worker->back_at ? "moving" : "up",
+				  "zone", "z0", "id",
+				  worker->up ? worker->id : ""));
+	}
+	sp_reply_json(
+		exchange, 200,
+		json_pack("{s:o,s:n}", "machines", machines, "nextToken"));
+}
+
+void sp_instances_serve(sp_t *sp, net_exchange_t *exchange, const char *path)
+{
+	base_str_t text = net_exchange_body(exchange);
+	json_t *root = json_loadb(text.ptr, text.len, 0, NULL);
+	const char *machine =
+		json_string_value(json_object_get(root, "machine"));
+	const char *pool = json_string_value(json_object_get(root, "pool"));
+	sp_worker_t *worker = NULL;
+	int i;
+
+	if (g_str_has_prefix(path, "/v1/machines")) {
+		serve_list(sp, exchange);
+		json_decref(root);
+		return;
+	}
+	for (i = 0; machine && i < sp->n_workers; i++)
+		if (!strcmp(sp->workers[i].machine, machine))
+			worker = &sp->workers[i];
+	if (!worker) {
+		net_reply(exchange, 400, NULL, 0, BASE_STR(""));
+	} else if (worker->back_at) {
+		net_reply(exchange, 409, NULL, 0,
+			  BASE_STR("{\"reason\":\"busy\"}"));
+	} else {
+		sp->upkeeps += g_str_has_suffix(path, "upkeep");
+		sp_worker_end_life(worker);
+		if (pool)
+			g_strlcpy(worker->pool, pool, sizeof(worker->pool));
+		worker->back_at = base_clock_mono() + WORKER_BACK;
+		net_reply(exchange, 200, NULL, 0, BASE_STR("{}"));
+	}
+	json_decref(root);
+}
--- /dev/null
+++ b/tests/node.sh
@@ -0,0 +1,155 @@
+# Helpers of the tests on the platform's stand-in: it, entries, requests.
+# Sourced by them; every process started here is ended by its id.
+
+set -u
+top=$(cd "$(dirname "$0")/.." && pwd)
+OUT=${OUT:-build/plain}
+case $OUT in /*) ;; *) OUT=$top/$OUT ;; esac
+work=$(mktemp -d)
+pids=
+
+end_all() {
+	for pid in $pids
+	do
+		kill -CONT "$pid" 2>/dev/null
+		kill "$pid" 2>/dev/null
+	done
+	for pid in $pids
+	do
+		wait "$pid" 2>/dev/null
+	done
+	if test "${KEEP:-0}" = 0
+	then
+		rm -rf "$work"
+	else
+		echo "# kept: $work" >&2
+	fi
+}
+trap end_all EXIT
+trap 'exit 130' INT TERM
+
+# start_platform WORKERS: on a block of free ports.
+start_platform() {
+	block=$(($$ % 150))
+	tries=0
+	while test $tries -lt 20
+	do
+		PORT=$((34000 + block * 150))
+		"$OUT/standin/standin-platform" --port=$PORT --workers="$1" \
+			2>>"$work/standin.log" &
+		standin=$!
+		pids="$pids $standin"
+		waited=0
+		while test $waited -lt 100
+		do
+			kill -0 $standin 2>/dev/null || break
+			curl -sf "http://127.0.0.1:$PORT/judge" >/dev/null &&
+				return 0
+			sleep 0.1
+			waited=$((waited + 1))
+		done
+		block=$(((block + 1) % 150))
+		tries=$((tries + 1))
+	done
+	echo "Bail out! no ports for the stand-in"
+	exit 1
+}
+
+# start_node N: callers at PORT + 80 + N.
+start_node() {
+	cat >"$work/node-$1.json" <<END
+{"name": "edge-$1", "availability_zone": "z$1",
+"callers": "127.0.0.1:$((PORT + 80 + $1))",
+"ready": "127.0.0.1:$((PORT + 90 + $1))",
+"peers": "127.0.0.1:$((PORT + 100 + $1))",
+"metrics": "127.0.0.1:$((PORT + 110 + $1))",
+"seeds": ["127.0.0.1:$((PORT + 101))", "127.0.0.1:$((PORT + 102))"],
+"store": "127.0.0.1:$PORT", "instances": "127.0.0.1:$PORT",
+"lease_max_ms": 6000}
+END
+	"$OUT/cactusfield-node" --settings="$work/node-$1.json" \
+		>>"$work/node-$1.log" 2>&1 &
+	eval "node_$1=$!"
+	pids="$pids $!"
+}
+
+node_pid() {
+	eval "echo \$node_$1"
+}
+
+# ended N: its process is gone and waited for.
+ended() {
+	wait "$(node_pid "$1")" 2>/dev/null
+}
+
+# until_is WANT COMMAND...: wait for the state, however slow the machine is.
+until_is() {
+	want=$1
+	shift
+	waited=0
+	while test $waited -lt 600
+	do
+		got=$("$@" 2>/dev/null)
+		test "$got" = "$want" && break
+		sleep 0.1
+		waited=$((waited + 1))
+	done
+	echo "$got"
+}
+
+ready() {
+	curl -s -m 5 -o /dev/null -w '%{http_code}' \
+		"http://127.0.0.1:$((PORT + 90 + $1))/v1/readyz"
+}
+
+configure() {
+	curl -s -d "$1" "http://127.0.0.1:$PORT/operator?key=op/config"
+}
+
+# submit N ID [SPEC [COUNT]]: the status that the caller gets.
+submit() {
+	curl -s -m 10 -o /dev/null -w '%{http_code}' \
+		-H 'Host: desk.example' -H 'X-Deadline-Ms: 3000' \
+		-d "{\"spec\":\"${3:-x}\",\"steps\":[{\"count\":${4:-3},\"cpu\":500,\"memMb\":100,\"estimateMs\":300},{\"count\":2,\"cpu\":500,\"memMb\":100,\"estimateMs\":300,\"after\":[0]}]}" \
+		"http://127.0.0.1:$((PORT + 80 + $1))/jobs/$2"
+}
+
+# submit_kept N ID: as a caller that comes back until it has an answer.
+submit_kept() {
+	until_is 200 submit "$1" "$2" x 3
+}
+
+state() {
+	curl -s -m 10 -H 'Host: desk.example' \
+		"http://127.0.0.1:$((PORT + 80 + $1))/jobs/$2" |
+		sed -n 's/.*"state":"\([a-z]*\)".*/\1/p'
+}
+
+status_of() {
+	curl -s -m 10 -o /dev/null -w '%{http_code}' -H 'Host: desk.example' \
+		"$@"
+}
+
+judge() {
+	curl -s "http://127.0.0.1:$PORT/judge" |
+		sed -n "s/.*\"$1\":\"\{0,1\}\([^,}\"]*\).*/\1/p"
+}
+
+set_switch() {
+	curl -s -d x "http://127.0.0.1:$PORT/switch?$1"
+}
+
+# holder: the number of the entry that says it decides.
+holder() {
+	for n in 1 2 3
+	do
+		curl -s -m 2 "http://127.0.0.1:$((PORT + 110 + n))/metrics" |
+			grep -q '^cactusfield_is_holder 1' && echo $n
+	done
+}
+
+has_holder() {
+	test -n "$(holder)" && echo yes
+}
+
+CONFIG='{"version":3,"routes":[{"name":"jobs","host":"desk.example","prefix":"/jobs/","service":"desk","attempts":2,"stretch":50,"targetLatencyMs":20000,"priority":0}],"services":[{"name":"desk","admissionCheck":true},{"name":"spare","admissionCheck":true,"spare":true}]}'
