--- a/packages/batch/tests/batch_world.c
+++ b/packages/batch/tests/batch_world.c
@@ -398,8 +398,8 @@
 	batch_queue_info_t queue = { .name = BASE_STR("queue"),
 				     .pool = BASE_STR("pool"),
 				     .attempts = world->attempts,
-				     .stretch = 1000,
-				     .target_latency = BASE_SEC };
+				     .stretch = world->stretch,
+				     .target_latency = 600 * BASE_MS };
 
 	world->core = batch_new(NULL, &options);
 	batch_config(world->core, &queue, 1, pools, 2);
@@ -407,12 +407,51 @@
 }
 
 world_t *world_new(uint64_t seed, int workers, int attempts)
+{
+	return world_new_queue(seed, workers, attempts, 1000);
+}
+
+int world_add_worker(world_t *world)
+{
+	int i = world->n_workers;
+	world_worker_t *worker = &world->workers[i];
+
+	g_assert_cmpint(i, <, WORLD_WORKERS_MAX);
+	g_snprintf(worker->id, sizeof(worker->id), "w%d", i);
+	g_snprintf(worker->pool, sizeof(worker->pool), "pool");
+	g_snprintf(worker->rack, sizeof(worker->rack), "r%d", i / 4);
+	worker->listed = true;
+	worker->born = 1;
+	worker->next_end = 1;
+	worker->capacity = (batch_res_t){ 8000, 32000, 0 };
+	worker->runs = g_array_new(FALSE, FALSE, sizeof(world_run_t));
+	worker->ends = g_array_new(FALSE, FALSE, sizeof(world_end_t));
+	worker->fence = g_array_new(FALSE, FALSE, sizeof(world_run_t));
+	world->n_workers++;
+	if (world->core)
+		list_workers(world);
+	return i;
+}
+
+void world_drop_worker(world_t *world, const char *id)
+{
+	world_worker_t *worker = worker_of(world, id);
+
+	g_assert_cmpuint(worker->runs->len, ==, 0);
+	worker->listed = false;
+	batch_worker_unlisted(world->core, world->now, base_str(id));
+	batch_worker_over(world->core, world->now, base_str(id));
+}
+
+world_t *world_new_queue(uint64_t seed, int workers, int attempts,
+			 double stretch)
 {
 	world_t *world = g_new0(world_t, 1);
 	int i;
 
 	world->rng.state = seed;
 	world->attempts = attempts;
+	world->stretch = stretch;
 	world->now = BASE_SEC;
 	world->term = 1;
 	world->orders = g_array_new(FALSE, FALSE, sizeof(world_order_t));
@@ -421,21 +460,8 @@
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	world->ended =
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
-	world->n_workers = workers;
-	for (i = 0; i < workers; i++) {
-		world_worker_t *worker = &world->workers[i];
-
-		g_snprintf(worker->id, sizeof(worker->id), "w%d", i);
-		g_snprintf(worker->pool, sizeof(worker->pool), "pool");
-		g_snprintf(worker->rack, sizeof(worker->rack), "r%d", i / 4);
-		worker->listed = true;
-		worker->born = 1;
-		worker->next_end = 1;
-		worker->capacity = (batch_res_t){ 8000, 32000, 0 };
-		worker->runs = g_array_new(FALSE, FALSE, sizeof(world_run_t));
-		worker->ends = g_array_new(FALSE, FALSE, sizeof(world_end_t));
-		worker->fence = g_array_new(FALSE, FALSE, sizeof(world_run_t));
-	}
+	for (i = 0; i < workers; i++)
+		world_add_worker(world);
 	new_core(world);
 	world_pass(world, 100 * BASE_MS);
 	return world;
--- a/packages/batch/tests/batch_world.h
+++ b/packages/batch/tests/batch_world.h
@@ -12,7 +12,7 @@
 
 #define WORLD_LEASE (4500 * BASE_MS)
 #define WORLD_TICK (10 * BASE_MS)
-#define WORLD_WORKERS_MAX 32
+#define WORLD_WORKERS_MAX 256
 #define WORLD_NAME_MAX 64
 
 typedef struct world_run {
@@ -93,6 +93,7 @@
 	bool taken_ended[16];
 	int64_t stored_at; /* when the rows that were taken are stored */
 	int attempts;
+	double stretch;
 	/* Faults, in a hundred. */
 	int lose_answer, late_order, fail_run;
 	bool store_down;
@@ -101,7 +102,10 @@
 	char fault[256];
 } world_t;
 
+/* "stretch" of the queue's objective: 0 for one that nothing misses. */
 world_t *world_new(uint64_t seed, int workers, int attempts);
+world_t *world_new_queue(uint64_t seed, int workers, int attempts,
+			 double stretch);
 void world_free(world_t *world);
 
 /* One step spec with "count" tasks of a second on two cores. */
@@ -109,6 +113,10 @@
 batch_verdict_t world_submit(world_t *world, const char *id,
 			     const batch_step_spec_t *steps, int n);
 bool world_cancel(world_t *world, const char *id);
+/* One more worker in the pool; its index. */
+int world_add_worker(world_t *world);
+/* It is taken out of the pool, idle. */
+void world_drop_worker(world_t *world, const char *id);
 /* Let "span" microseconds pass. */
 void world_pass(world_t *world, int64_t span);
 /* The holder is gone with all it knew; another one restores what is stored. */
