--- a/packages/batch/batch.c
+++ b/packages/batch/batch.c
@@ -69,7 +69,8 @@
 
 	if (key.len >= sizeof(text))
 		return NULL;
-	memcpy(text, key.ptr, key.len);
+	if (key.len)
+		memcpy(text, key.ptr, key.len);
 	text[key.len] = '\0';
 	return g_hash_table_lookup(table, text);
 }
