Forget jobs that nobody may ask for; let young entries take over first

Rows go after twice the time for which a job can be asked for, in the room that changes have left. An entry waits 4 ms a second of its age, 120 ms at most, before it claims the duty.

--- a/packages/node/node_commit.c
+++ b/packages/node/node_commit.c
@@ -125,6 +125,15 @@
 		else if (rows[i].ended)
 			removes[n_removes++] = source;
 	}
+	/* What room is left takes rows of jobs that nobody asks for. */
+	while (COMMIT_FIXED - 1 + n_sets + n_removes < NODE_CHANGE_MAX &&
+	       owner->forgotten.length) {
+		char *id = g_queue_pop_head(&owner->forgotten);
+
+		removes[n_removes++] =
+			talloc_asprintf(ctx, NODE_KEY_ROW "%s", id);
+		g_free(id);
+	}
 	owner->commit = (node_change_t){ .expects = expects,
 					 .n_expects = 2,
 					 .sets = sets,
@@ -140,7 +149,7 @@
 	if (owner->committing || owner->ended || !node_owner_valid(owner))
 		return;
 	if (!batch_rows_waiting(owner->core) &&
-	    !node_waves_waiting(owner->waves))
+	    !node_waves_waiting(owner->waves) && !owner->forgotten.length)
 		return;
 	if (!owner->commit_timer) {
 		owner->commit_timer = net_timer_new(owner, owner->node->loop,
--- a/packages/node/node_int.h
+++ b/packages/node/node_int.h
@@ -266,6 +266,8 @@
 	void *commit_ctx;
 	node_change_t commit;
 	GHashTable *waiting; /* id to list of asks */
+	GQueue forgotten;    /* ids whose rows are to go */
+	int64_t forgot_at;
 
 	net_timer_t *list_timer;
 	int64_t list_round;
--- a/packages/node/node_lead.c
+++ b/packages/node/node_lead.c
@@ -11,12 +11,25 @@
 #define LEAD_RETRY (200 * BASE_MS)
 /* How long after a loss nobody decides; several answers of a slow store. */
 #define LEAD_TTL (2000 * BASE_MS)
-/* Entries that see the holder go do not all write in the same moment. */
-#define LEAD_SPREAD (60 * BASE_MS)
+/*
+ * Entries that see the holder go do not all write in the same moment; those
+ * that started last go first, since a planned roll has them behind it.  A
+ * roll takes some seconds an entry, which is more than the random part.
+ */
+#define LEAD_SPREAD (20 * BASE_MS)
+#define LEAD_AGE_MAX (30 * BASE_SEC)
+#define LEAD_AGE_PART 250 /* of the age: 4 ms a second, 120 ms at most */
 
 static void read_owner(void *arg);
 static void campaign(node_t *node);
 
+static int64_t campaign_delay(node_t *node)
+{
+	int64_t age = MIN(base_clock_mono() - node->started, LEAD_AGE_MAX);
+
+	return age / LEAD_AGE_PART + base_rng_below(&node->rng, LEAD_SPREAD);
+}
+
 static void forget_lead(node_t *node)
 {
 	talloc_free(node->lead.name);
@@ -249,8 +262,7 @@
 				      answer->revision, LEAD_WAIT, watched,
 				      node);
 	} else if (answer->fate == NODE_STORE_OK) {
-		net_timer_start(node->lead_timer,
-				base_rng_below(&node->rng, LEAD_SPREAD));
+		net_timer_start(node->lead_timer, campaign_delay(node));
 	} else {
 		net_timer_start(node->lead_timer, LEAD_RETRY);
 	}
--- a/packages/node/node_owner.c
+++ b/packages/node/node_owner.c
@@ -15,7 +15,10 @@
 /* How long workers' leases are kept up without the store, beyond our own; a
  * successor waits as long for workers that it cannot look at itself. */
 #define OWNER_ORPHAN (3 * BASE_SEC)
-#define OWNER_FORGET_EVERY 100 /* steps */
+/* Ended jobs are looked through so often; they are kept twice as long as they
+ * have to be. */
+#define OWNER_FORGET_EVERY (5 * BASE_SEC)
+#define OWNER_KEEP_TIMES 2
 
 typedef struct waiter {
 	node_job_ask_t ask;
@@ -99,6 +102,23 @@
 	net_timer_start(owner->step_timer, OWNER_STEP_SOON);
 }
 
+/* Ended jobs that nobody may ask for any more leave memory and store. */
+static void forget(node_owner_t *owner, int64_t now)
+{
+	int64_t keep = OWNER_KEEP_TIMES * owner->node->settings->keep;
+	GPtrArray *ids;
+	guint i;
+
+	if (now - owner->forgot_at < OWNER_FORGET_EVERY)
+		return;
+	owner->forgot_at = now;
+	ids = batch_forget(owner->core, base_clock_wall() - keep);
+	for (i = 0; i < ids->len; i++)
+		g_queue_push_tail(&owner->forgotten,
+				  g_strdup(g_ptr_array_index(ids, i)));
+	g_ptr_array_unref(ids);
+}
+
 static void step(void *arg)
 {
 	node_owner_t *owner = arg;
@@ -108,11 +128,13 @@
 	if (!node_owner_valid(owner))
 		return;
 	batch_step(owner->core, base_clock_mono(), base_clock_wall());
+	forget(owner, base_clock_mono());
 	node_commit_pump(owner);
 }
 
 static int owner_free(node_owner_t *owner)
 {
+	g_queue_clear_full(&owner->forgotten, g_free);
 	g_hash_table_unref(owner->waiting);
 	g_hash_table_unref(owner->links);
 	if (owner->sources)
@@ -174,6 +196,8 @@
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
 				      (GDestroyNotify)g_ptr_array_unref);
 	owner->links = g_hash_table_new(g_str_hash, g_str_equal);
+	g_queue_init(&owner->forgotten);
+	owner->forgot_at = owner->taken_at;
 	talloc_set_destructor(owner, owner_free);
 	owner->instances = node_instances_new(owner);
 	owner->waves = node_waves_new(owner);
