--- a/packages/net/tests/net_test.c
+++ b/packages/net/tests/net_test.c
@@ -191,30 +191,51 @@
 	teardown(f);
 }
 
+/* A listener that accepts nothing by itself, and its address. */
+static int listen_idle(char *address, size_t size)
+{
+	struct sockaddr_in addr = { .sin_family = AF_INET,
+				    .sin_addr.s_addr = htonl(INADDR_LOOPBACK) };
+	socklen_t len = sizeof(addr);
+	int listener = socket(AF_INET, SOCK_STREAM, 0);
+
+	g_assert_cmpint(bind(listener, (struct sockaddr *)&addr, len), ==, 0);
+	getsockname(listener, (struct sockaddr *)&addr, &len);
+	g_assert_cmpint(listen(listener, 4), ==, 0);
+	g_snprintf(address, size, "127.0.0.1:%d", ntohs(addr.sin_port));
+	return listener;
+}
+
+/* The error behind what had arrived; 0 for an orderly end. */
+static int error_at_end(int fd)
+{
+	char data[256];
+	int error = 0;
+	socklen_t len = sizeof(error);
+	ssize_t got;
+
+	do
+		got = read(fd, data, sizeof(data));
+	while (got > 0);
+	if (got < 0)
+		return errno;
+	getsockopt(fd, SOL_SOCKET, SO_ERROR, &error, &len);
+	return error;
+}
+
 /*
  * Found on trouble-3 (REFUSED): what was given up must not be delivered later.
- * The listener accepts after the caller has gone.
+ * The listener accepts after the caller has gone; a reset has come behind what
+ * had arrived, without which the rest would be delivered.
  */
 static void test_given_up_is_reset(void)
 {
 	fixture_t *f = setup();
-	struct sockaddr_in addr = { .sin_family = AF_INET,
-				    .sin_addr.s_addr = htonl(INADDR_LOOPBACK) };
-	socklen_t len = sizeof(addr);
-	int listener = socket(AF_INET, SOCK_STREAM, 0);
 	net_client_options_t options = { .loop = f->loop, .connections = 1 };
 	char address[32];
-	char data[256];
-	int error;
-	socklen_t error_len = sizeof(error);
+	int listener = listen_idle(address, sizeof(address));
 	int fd;
-	ssize_t got;
 
-	g_assert_cmpint(bind(listener, (struct sockaddr *)&addr, len), ==, 0);
-	getsockname(listener, (struct sockaddr *)&addr, &len);
-	g_assert_cmpint(listen(listener, 4), ==, 0);
-	g_snprintf(address, sizeof(address), "127.0.0.1:%d",
-		   ntohs(addr.sin_port));
 	options.address = address;
 	f->client = net_client_new(f->loop, &options);
 	call(f, NET_POST, "x", 50 * BASE_MS);
@@ -225,15 +246,7 @@
 	net_loop_run(f->loop);
 	fd = accept(listener, NULL, NULL);
 	g_assert_cmpint(fd, >=, 0);
-	/* What had arrived can be read; a reset has come behind it, without
-	 * which the rest would be delivered. */
-	do
-		got = read(fd, data, sizeof(data));
-	while (got > 0);
-	error = got < 0 ? errno : 0;
-	if (!error)
-		getsockopt(fd, SOL_SOCKET, SO_ERROR, &error, &error_len);
-	g_assert_cmpint(error, !=, 0);
+	g_assert_cmpint(error_at_end(fd), !=, 0);
 	close(fd);
 	close(listener);
 	teardown(f);
