Let half of the threads wait while the list of entries changes

While entry 2 is replaced 0.2 s after entry 1, nearly every request that needs a claim waits there, so that the tenth of twelve callers was told "unknown" at once (claim-epoch; 0.4 to 3 ms after it came, where those that waited took some 100 ms).

Found by: six runs beside each other with the thread sanitizer, logs kept; 1 of 18 failed with 12 callers, 2 of 4 with 24. Ruled out: a claim whose home was asked too often (three entries, six may be asked), and a round that came to its end (5 s; these took milliseconds).

Mended: half of the threads. The other half serves what is repeatable and what is settled.

--- a/packages/entry/entry_claim.c
+++ b/packages/entry/entry_claim.c
@@ -7,7 +7,9 @@
 #define TICK_US (250 * BASE_MS)
 #define AGAIN_PAUSE_US (25 * BASE_MS)
 #define AGAIN_MAX_US (5 * BASE_SEC) /* a change of the list is over by then */
-#define WAITING_PART 8 /* of the threads may wait for another round */
+/* While the list of entries changes, most requests that need a claim wait for
+ * another round: they may hold this part of the threads, the rest serves. */
+#define WAITING_PART 2
 #define RETRY_AFTER_MS 1000
 
 static bool claim_start(void *service, kern_t *kern, GError **err);
