--- a/Makefile
+++ b/Makefile
@@ -121,8 +121,9 @@
 	ar rcs $@ $^
 
 # What tests of one package share beside their main files.
-WORLD_OBJS = $(patsubst %.c,$(OUT)/%.o,$(wildcard packages/batch/tests/*_world.c))
-$(OUT)/t/batch/tests/%_test: $(OUT)/packages/batch/tests/%_test.o $(WORLD_OBJS) $(LIBS)
+WORLD_OBJS = $(patsubst %.c,$(OUT)/%.o,$(wildcard packages/batch/tests/batch_world*.c))
+WORLD_TESTS = $(filter $(OUT)/t/batch/tests/%_test,$(TESTS))
+$(WORLD_TESTS): $(OUT)/t/batch/tests/%_test: $(OUT)/packages/batch/tests/%_test.o $(WORLD_OBJS) $(LIBS)
 	@mkdir -p $(@D)
 	$(CC) $(LDFLAGS) -o $@ $< $(WORLD_OBJS) $(GROUP) $(LDLIBS)
 
--- a/packages/batch/batch.c
+++ b/packages/batch/batch.c
@@ -183,6 +183,7 @@
 		queue->pool = batch_pool_get(core, queues[i].pool);
 		queue->priority = queues[i].priority;
 		queue->attempts = queues[i].attempts;
+		queue->advised = queues[i].advised;
 		queue->stretch = queues[i].stretch;
 		queue->target_latency = queues[i].target_latency;
 		queue->in_force = true;
--- a/packages/batch/batch.h
+++ b/packages/batch/batch.h
@@ -74,6 +74,7 @@
 	base_str_t pool;
 	int priority;	/* 0 first */
 	int attempts;	/* failed runs of a task before its job fails */
+	bool advised;	/* only some workers may run a step: see advise() */
 	double stretch; /* objective: this times the longest chain ... */
 	int64_t target_latency; /* ... and these microseconds */
 } batch_queue_info_t;
@@ -120,6 +121,7 @@
 	base_str_t worker;
 	base_str_t payload;
 	base_str_t checkpoint; /* empty: from the beginning */
+	base_str_t ticket;     /* that allows the start; empty: none needed */
 	int percent;	       /* of a pace order */
 } batch_order_t;
 
@@ -150,8 +152,17 @@
 	int64_t age;	 /* microseconds since that figure was true */
 } batch_note_t;
 
+/* Which of these workers may run a step?  The task's index does not count. */
+typedef struct batch_question {
+	batch_task_id_t step;
+	const base_str_t *workers;
+	size_t n_workers;
+} batch_question_t;
+
 /* Effects.  None of them may call back into the core. */
 typedef struct batch_ops {
+	/* One question at a time; batch_advised() answers it. */
+	void (*advise)(void *arg, const batch_question_t *question);
 	/* The job's first row is stored. */
 	void (*accepted)(void *arg, base_str_t job);
 	/* The job's cancel is stored. */
@@ -166,8 +177,6 @@
 	const batch_ops_t *ops;
 	void *arg;
 	int64_t doubt; /* wait for a look before a silent start is stopped */
-	int64_t stop_timeout;	  /* a stop takes at most this long */
-	int64_t checkpoint_every; /* of work, where a step has checkpoints */
 } batch_options_t;
 
 typedef struct batch batch_t;
@@ -288,6 +297,7 @@
 	BATCH_ANSWER_OK,
 	BATCH_ANSWER_ROOM,	  /* it has no room; not started */
 	BATCH_ANSWER_OLD,	  /* it knows a run as high; not started */
+	BATCH_ANSWER_TICKET,	  /* its ticket is not valid; not started */
 	BATCH_ANSWER_NOT_STARTED, /* refused for another reason */
 	BATCH_ANSWER_OTHER_LIFE,  /* another life is at that address */
 	BATCH_ANSWER_SILENT,	  /* it may or may not have been done */
@@ -299,6 +309,20 @@
 void batch_stop_answer(batch_t *core, int64_t now, const batch_order_t *order,
 		       batch_answer_t answer);
 
+/* A worker that may run the step, and what its starts have to carry. */
+typedef struct batch_ticket {
+	base_str_t worker;
+	base_str_t text;
+} batch_ticket_t;
+
+/*
+ * The answer to the last question: workers that it named and that are not
+ * among "tickets" may not run the step.  Tickets are valid for "validity"
+ * microseconds.  NULL: there was no answer, ask again.
+ */
+void batch_advised(batch_t *core, int64_t now, const batch_ticket_t *tickets,
+		   size_t n, int64_t validity);
+
 /* Decide.  To be called after events, and at least every BATCH_STEP. */
 #define BATCH_STEP (100 * BASE_MS)
 void batch_step(batch_t *core, int64_t now, int64_t wall);
@@ -348,6 +372,11 @@
 bool batch_restore(batch_t *core, int64_t now, int64_t wall,
 		   const batch_stored_t *stored, GError **err);
 
+/* What was learned of run times, as text; NULL: nothing since the last time. */
+const char *batch_learned_print(batch_t *core, const void *ctx);
+/* Begin with what a predecessor learned, after batch_config(). */
+bool batch_learned_load(batch_t *core, base_str_t text, GError **err);
+
 /* Forget jobs that ended before "before"; their ids below "ctx". */
 GPtrArray *batch_forget(batch_t *core, int64_t before);
 
--- a/packages/batch/batch_admit.c
+++ b/packages/batch/batch_admit.c
@@ -17,7 +17,7 @@
 #define ADMIT_RETRY_MIN BASE_SEC /* Retry-After has whole seconds */
 
 /* What the pool's workers have; those on their way count as much as others. */
-static batch_load_t capacity(const batch_pool_t *pool, int64_t now)
+static batch_load_t capacity(const batch_pool_t *pool)
 {
 	batch_load_t load = { pool->incoming * pool->worker_cpu,
 			      pool->incoming * pool->worker_memory };
@@ -26,7 +26,7 @@
 	for (i = 0; i < pool->workers->len; i++) {
 		batch_worker_t *worker = g_ptr_array_index(pool->workers, i);
 
-		if (!batch_worker_usable(worker, now))
+		if (!batch_worker_counts(worker))
 			continue;
 		load.cpu += (double)worker->capacity.cpu;
 		load.memory += (double)worker->capacity.memory;
@@ -38,7 +38,7 @@
  * than 0 where it has no worker. */
 static double backlog_time(batch_t *core, const batch_pool_t *pool, int64_t now)
 {
-	batch_load_t have = capacity(pool, now);
+	batch_load_t have = capacity(pool);
 	batch_load_t lasting = batch_pool_lasting(pool);
 	batch_load_t work = batch_pool_backlog(core, pool, now);
 
--- a/packages/batch/batch_capacity.c
+++ b/packages/batch/batch_capacity.c
@@ -68,12 +68,6 @@
 			       pool->rate.memory - pool->rate_top.memory };
 }
 
-static bool counts(const batch_worker_t *worker)
-{
-	return worker->listed && !worker->draining && !worker->cordoned &&
-	       !worker->silent && !worker->out;
-}
-
 /* Workers that the tasks that last need: they keep apart from each other. */
 static int spread(const batch_t *core, const batch_pool_t *pool)
 {
@@ -124,7 +118,7 @@
 	for (i = 0; i < pool->workers->len; i++) {
 		batch_worker_t *worker = g_ptr_array_index(pool->workers, i);
 
-		if (!counts(worker))
+		if (!batch_worker_counts(worker))
 			continue;
 		need->have++;
 		cpu = MAX(cpu, (double)worker->capacity.cpu);
@@ -161,8 +155,8 @@
 		batch_worker_t *worker =
 			g_ptr_array_index(need->pool->workers, i);
 
-		if (counts(worker) && worker->born && !worker->runs->len &&
-		    !worker->claimed)
+		if (batch_worker_counts(worker) && worker->born &&
+		    !worker->runs->len && !worker->claimed)
 			return worker;
 	}
 	return NULL;
--- a/packages/batch/batch_estimate.c
+++ b/packages/batch/batch_estimate.c
@@ -2,6 +2,7 @@
  * How long tasks and jobs take: declared estimates are rough, so they are
  * mixed with what tasks of the same queue took.
  */
+#include <jansson.h>
 #include <math.h>
 
 #include "batch_int.h"
@@ -10,18 +11,74 @@
 #define LEARN_MIN 20	  /* tasks before the mean says more than estimates */
 #define DECLARED_PART 0.4 /* weight of the estimate, on a log scale */
 
-void batch_learn(batch_queue_t *queue, int64_t took)
+void batch_learn(batch_t *core, batch_queue_t *queue, int64_t took)
 {
 	double part = LEARN_PART;
 
 	if (took <= 0)
 		return;
+	core->learned = true;
 	queue->ended++;
 	if (queue->ended < (uint64_t)(1 / LEARN_PART))
 		part = 1.0 / (double)queue->ended;
 	queue->mean_run += part * ((double)took - queue->mean_run);
 }
 
+const char *batch_learned_print(batch_t *core, const void *ctx)
+{
+	base_buf_t *out;
+	GHashTableIter iter;
+	gpointer value;
+	bool first = true;
+
+	if (!core->learned)
+		return NULL;
+	core->learned = false;
+	out = base_buf_new(ctx);
+	base_buf_adds(out, "{");
+	g_hash_table_iter_init(&iter, core->queues);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		const batch_queue_t *queue = value;
+
+		if (!queue->ended)
+			continue;
+		base_buf_adds(out, first ? "" : ",");
+		base_buf_add_json(out, base_str(queue->name));
+		base_buf_addf(out, ":[%.0f,%llu]", queue->mean_run,
+			      (unsigned long long)queue->ended);
+		first = false;
+	}
+	base_buf_adds(out, "}");
+	return out->ptr;
+}
+
+bool batch_learned_load(batch_t *core, base_str_t text, GError **err)
+{
+	json_t *root = json_loadb(text.ptr, text.len, 0, NULL);
+	const char *name;
+	json_t *row;
+
+	if (!json_is_object(root)) {
+		g_set_error(err, BATCH_ERROR, BATCH_ERR_RECORD,
+			    "learned run times are not an object");
+		json_decref(root);
+		return false;
+	}
+	json_object_foreach(root, name, row)
+	{
+		batch_queue_t *queue = batch_find_queue(core, base_str(name));
+		double mean = json_number_value(json_array_get(row, 0));
+		json_int_t ended = json_integer_value(json_array_get(row, 1));
+
+		if (!queue || mean <= 0 || ended <= 0)
+			continue;
+		queue->mean_run = mean;
+		queue->ended = (uint64_t)ended;
+	}
+	json_decref(root);
+	return true;
+}
+
 int64_t batch_task_estimate(const batch_queue_t *queue,
 			    const batch_step_spec_t *spec)
 {
--- a/packages/batch/batch_int.h
+++ b/packages/batch/batch_int.h
@@ -52,6 +52,7 @@
 	batch_pool_t *pool;
 	int priority;
 	int attempts;
+	bool advised;
 	double stretch;
 	int64_t target_latency;
 	bool in_force;
@@ -96,12 +97,31 @@
 	char *checkpoint;
 	batch_run_t *run;
 	const batch_worker_t *avoid; /* failed or refused there last */
+	int slow_moves;		     /* times it was stopped for being slow */
 	int64_t away;		     /* lasting: since when not at work */
 };
 
+/* What is known of one worker's life and an advised step. */
+typedef struct batch_permit {
+	char *worker;
+	int64_t born;
+	char *ticket; /* NULL: it may not run the step */
+	int64_t until;
+} batch_permit_t;
+
+/* A question that was asked and not answered. */
+typedef struct batch_asked {
+	batch_task_id_t step;
+	char **workers;
+	int64_t *born;
+	size_t n;
+	int64_t at;
+} batch_asked_t;
+
 struct batch_step {
 	batch_occ_t *occ;
 	const batch_step_spec_t *spec;
+	batch_permit_t *permits; /* talloc array, of advised queues */
 	int number;
 	batch_task_t *tasks;
 	int done;
@@ -180,6 +200,7 @@
 	int fail_streak;
 	const batch_job_t *fail_job; /* of the last failure */
 	int fail_jobs;		     /* distinct ones in the streak */
+	int outs;		     /* times in a row without a good end */
 	int64_t out_until;
 	bool out;
 	const batch_task_t *claimed; /* room here is kept for it */
@@ -201,7 +222,10 @@
 	batch_stats_t stats;
 	GHashTable *refused; /* ids refused lately, to when */
 	int64_t refused_swept;
-	bool changed; /* something to decide */
+	batch_asked_t *asked;
+	int64_t ask_again; /* no question before */
+	bool learned;	   /* since it was printed last */
+	bool changed;	   /* something to decide */
 };
 
 /* batch.c */
@@ -239,15 +263,31 @@
 /* batch_health.c */
 void batch_health_failed(batch_worker_t *worker, const batch_job_t *job,
 			 int64_t now);
+void batch_health_stuck(batch_worker_t *worker, const batch_job_t *job,
+			int64_t now, const char *why);
+void batch_health_slow(batch_worker_t *worker, int64_t now, int runs);
 void batch_health_good(batch_worker_t *worker);
 void batch_health_tick(batch_t *core, int64_t now);
 
+/* batch_progress.c */
+void batch_progress_look(batch_worker_t *worker, int64_t now);
+
+/* batch_advice.c */
+bool batch_advice_allows(const batch_task_t *task, const batch_worker_t *worker,
+			 int64_t now);
+/* The ticket for a start there; empty where none is needed. */
+base_str_t batch_advice_ticket(const batch_task_t *task,
+			       const batch_worker_t *worker);
+void batch_advice_refused(batch_task_t *task, const batch_worker_t *worker);
+/* Ask for what the job lacks; false when no question may be asked now. */
+bool batch_advice_job(batch_job_t *job, int64_t now);
+
 /* batch_estimate.c */
 int64_t batch_task_estimate(const batch_queue_t *queue,
 			    const batch_step_spec_t *spec);
 int64_t batch_chain(const batch_job_t *job, bool remaining);
 int64_t batch_objective(const batch_job_t *job);
-void batch_learn(batch_queue_t *queue, int64_t took);
+void batch_learn(batch_t *core, batch_queue_t *queue, int64_t took);
 
 /* batch_demand.c */
 batch_load_t batch_job_work(const batch_job_t *job, int64_t now);
@@ -268,7 +308,10 @@
 
 /* batch_place.c */
 void batch_place(batch_t *core, int64_t now, int64_t wall);
+/* Whether it may get a start now. */
 bool batch_worker_usable(const batch_worker_t *worker, int64_t now);
+/* Whether it counts among what its pool has. */
+bool batch_worker_counts(const batch_worker_t *worker);
 
 /* Whether a worker has room for the task beside the one it is on. */
 bool batch_place_elsewhere(const batch_task_t *task, int64_t now);
--- a/packages/batch/batch_place.c
+++ b/packages/batch/batch_place.c
@@ -35,6 +35,10 @@
  * a short task is left to them. */
 #define PLACE_SLACK_ERROR (100 * BASE_MS)
 
+/* Costs of a place; what is taken of a worker counts up to 1. */
+#define PLACE_REMOTE 8 /* another rack: run times double there, and more */
+#define PLACE_AVOID 16 /* it failed or was refused there last */
+
 bool batch_worker_usable(const batch_worker_t *worker, int64_t now)
 {
 	return worker->listed && worker->born && !worker->silent &&
@@ -42,6 +46,13 @@
 	       now >= worker->rest && now - worker->heard <= BATCH_HEARD_MAX;
 }
 
+/* One that was not looked at yet, after a takeover, counts as well. */
+bool batch_worker_counts(const batch_worker_t *worker)
+{
+	return worker->listed && !worker->draining && !worker->cordoned &&
+	       !worker->silent && !worker->out;
+}
+
 static bool has_label(const batch_worker_t *worker, base_str_t label)
 {
 	size_t i;
@@ -90,7 +101,7 @@
 	if (spec->per_worker &&
 	    siblings(worker, task->step) >= spec->per_worker)
 		return false;
-	return true;
+	return batch_advice_allows(task, worker, now);
 }
 
 /* Serving tasks and those that fill disturb each other on one worker. */
@@ -128,6 +139,68 @@
 	return n;
 }
 
+/* Tasks of the step that would fit there beside what runs. */
+static int64_t fitting(const batch_worker_t *worker,
+		       const batch_step_spec_t *spec)
+{
+	int64_t n = spec->count;
+
+	if (spec->need.cpu)
+		n = MIN(n, (worker->capacity.cpu - worker->used.cpu) /
+				   spec->need.cpu);
+	if (spec->need.memory)
+		n = MIN(n, (worker->capacity.memory - worker->used.memory) /
+				   spec->need.memory);
+	if (spec->need.gpu)
+		n = MIN(n, (worker->capacity.gpu - worker->used.gpu) /
+				   spec->need.gpu);
+	return MAX(n, 0);
+}
+
+/*
+ * Where a step belongs that is slower when spread over racks: beside its runs,
+ * else at its data, else where most of it fits.  NULL: anywhere.
+ */
+static const char *home_rack(const batch_pool_t *pool, const batch_task_t *task,
+			     int64_t now)
+{
+	const batch_step_t *step = task->step;
+	const char *best = NULL;
+	int64_t most = 0;
+	guint i;
+	guint j;
+
+	for (i = 0; i < pool->workers->len; i++) {
+		const batch_worker_t *worker =
+			g_ptr_array_index(pool->workers, i);
+
+		if (siblings(worker, step))
+			return worker->rack;
+	}
+	for (i = 0; i < pool->workers->len; i++) {
+		const batch_worker_t *worker =
+			g_ptr_array_index(pool->workers, i);
+		int64_t fits = 0;
+
+		if (step->spec->data_rack.len &&
+		    base_str_eq(base_str(worker->rack), step->spec->data_rack))
+			return worker->rack;
+		for (j = 0; j < pool->workers->len; j++) {
+			const batch_worker_t *other =
+				g_ptr_array_index(pool->workers, j);
+
+			if (!strcmp(other->rack, worker->rack) &&
+			    may_run(other, task, now))
+				fits += fitting(other, step->spec);
+		}
+		if (fits > most) {
+			most = fits;
+			best = worker->rack;
+		}
+	}
+	return best;
+}
+
 /*
  * Lower is better.  Between workers that are alike, tasks that end go where
  * most is taken, so that others stay empty and can be given back.
@@ -140,10 +213,10 @@
 		-(double)worker->used.cpu / (double)(worker->capacity.cpu + 1);
 
 	if (task->avoid == worker)
-		cost += 16;
+		cost += PLACE_AVOID;
 	if (spec->data_rack.len &&
 	    !base_str_eq(base_str(worker->rack), spec->data_rack))
-		cost += 8;
+		cost += PLACE_REMOTE;
 	if (spec->lasting) {
 		cost = -cost;
 		cost += 4 * disturbance(worker, spec);
@@ -155,6 +228,8 @@
 static batch_worker_t *choose(const batch_pool_t *pool,
 			      const batch_task_t *task, int64_t now, bool room)
 {
+	const char *home =
+		task->step->spec->same_rack ? home_rack(pool, task, now) : NULL;
 	batch_worker_t *best = NULL;
 	double best_cost = 0;
 	guint i;
@@ -167,6 +242,8 @@
 		    has_room(worker, task->step->spec) != room)
 			continue;
 		now_cost = cost(pool, worker, task);
+		if (home && strcmp(home, worker->rack))
+			now_cost += PLACE_REMOTE;
 		if (!best || now_cost < best_cost) {
 			best = worker;
 			best_cost = now_cost;
@@ -413,6 +490,8 @@
 	qsort(ranks, n, sizeof(*ranks), rank_cmp);
 	for (i = 0; i < n; i++)
 		place_job(ranks[i].job->queue->pool, ranks[i].job, now);
+	for (i = 0; i < n && batch_advice_job(ranks[i].job, now); i++)
+		;
 	talloc_free(ranks);
 }
 
--- a/packages/batch/batch_run.c
+++ b/packages/batch/batch_run.c
@@ -58,6 +58,7 @@
 		.worker = base_str(run->worker->id),
 		.payload = task->step->occ->job->spec.payload,
 		.checkpoint = base_str(task->checkpoint),
+		.ticket = batch_advice_ticket(task, run->worker),
 		.percent = run->pace,
 	};
 
@@ -270,7 +271,7 @@
 	if (how != BATCH_END_DONE || task->step->spec->lasting)
 		return;
 	batch_health_good(worker);
-	batch_learn(job->queue, now - begun);
+	batch_learn(job->core, job->queue, now - begun);
 	batch_job_changed(job);
 	step_done(task, now);
 }
@@ -289,12 +290,16 @@
 	bool gang = task->step->spec->gang;
 	int i;
 
-	if (answer != BATCH_ANSWER_OLD) {
+	if (answer == BATCH_ANSWER_TICKET) {
+		batch_advice_refused(task, worker);
+	} else if (answer != BATCH_ANSWER_OLD) {
 		worker->rest = now + BATCH_REFUSED_REST;
 		task->avoid = worker;
 	}
 	batch_run_lost(run, now,
-		       answer == BATCH_ANSWER_ROOM ? "no room" : "refused");
+		       answer == BATCH_ANSWER_ROOM     ? "no room"
+		       : answer == BATCH_ANSWER_TICKET ? "ticket not valid"
+						       : "refused");
 	for (i = 0; gang && i < task->step->spec->count; i++)
 		if (task->step->tasks[i].run)
 			batch_run_stop(task->step->tasks[i].run, now,
--- a/packages/batch/batch_worker.c
+++ b/packages/batch/batch_worker.c
@@ -224,6 +224,7 @@
 		worker->end_seen = 0;
 		g_array_set_size(worker->gates, 0);
 		worker->out = false;
+		worker->outs = 0;
 		worker->fail_streak = 0;
 	}
 	worker->born = born;
@@ -368,6 +369,7 @@
 	for (i = 0; i < look->n_runs; i++)
 		take_run(worker, now, look->sent, &look->runs[i]);
 	settle_missing(worker, now, look);
+	batch_progress_look(worker, now);
 	batch_pace_look(worker, now);
 	if (look->n_ends)
 		core->changed = true;
--- a/packages/batch/tests/batch_world.c
+++ b/packages/batch/tests/batch_world.c
@@ -1,33 +1,11 @@
-#include "batch_world.h"
+#include "batch_world_int.h"
 
-static void broke(world_t *world, const char *rule, const world_run_t *run)
-{
-	if (!world->broken++)
-		g_snprintf(world->fault, sizeof(world->fault),
-			   "%s at %.3f s: %s.%d.%d.%d run %d", rule,
-			   (double)world->now / BASE_SEC, run->job,
-			   run->occurrence, run->step, run->index,
-			   (int)run->number);
-}
-
-static char *task_text(const world_run_t *run)
-{
-	return g_strdup_printf("%d.%d.%d", run->occurrence, run->step,
-			       run->index);
-}
-
-static bool same_task(const world_run_t *a, const world_run_t *b)
-{
-	return !strcmp(a->job, b->job) && a->occurrence == b->occurrence &&
-	       a->step == b->step && a->index == b->index;
-}
-
-static world_job_t *job_of(world_t *world, const char *id)
+world_job_t *world_job_of(world_t *world, const char *id)
 {
 	return g_hash_table_lookup(world->jobs, id);
 }
 
-static world_worker_t *worker_of(world_t *world, const char *id)
+world_worker_t *world_worker_of(world_t *world, const char *id)
 {
 	int i;
 
@@ -37,188 +15,14 @@
 	return NULL;
 }
 
-static bool chance(world_t *world, int in_hundred)
+bool world_chance(world_t *world, int in_hundred)
 {
 	return (int)base_rng_below(&world->rng, 100) < in_hundred;
 }
 
-static void add_end(world_worker_t *worker, const world_run_t *run,
-		    batch_end_t how)
-{
-	world_end_t end = { worker->next_end++, *run, how, false };
-
-	g_array_append_val(worker->ends, end);
-	g_array_append_val(worker->fence, *run);
-}
-
-/* The rules that a start can break, from the world's own records. */
-static void check_start(world_t *world, const world_run_t *run, bool late)
-{
-	world_job_t *job = job_of(world, run->job);
-	const batch_step_spec_t *spec;
-	char *text = task_text(run);
-	gpointer fails;
-	int i;
-	guint j;
-
-	if (!job) {
-		broke(world, "UNASKED", run);
-		g_free(text);
-		return;
-	}
-	spec = &job->spec.steps[run->step];
-	if (g_hash_table_contains(job->done, text))
-		broke(world, "TWICE after its end", run);
-	for (i = 0; i < world->n_workers; i++) {
-		const world_worker_t *worker = &world->workers[i];
-
-		for (j = 0; !worker->dark && j < worker->runs->len; j++)
-			if (same_task(&g_array_index(worker->runs, world_run_t,
-						     j),
-				      run))
-				broke(world, "TWICE at a time", run);
-	}
-	for (i = 0; i < run->step; i++) {
-		world_run_t before = *run;
-
-		before.step = i;
-		for (before.index = 0; (spec->after >> i & 1) &&
-				       before.index < job->spec.steps[i].count;
-		     before.index++) {
-			char *name = task_text(&before);
-
-			if (!g_hash_table_contains(job->over, name))
-				broke(world, "ORDER", run);
-			g_free(name);
-		}
-	}
-	fails = g_hash_table_lookup(job->fails, text);
-	if (!spec->lasting && GPOINTER_TO_INT(fails) >= world->attempts)
-		broke(world, "BUDGET", run);
-	/* The pages set no time for orders that were carried out late. */
-	if (!late && job->cancelled &&
-	    world->now - job->cancelled_at > 3 * BASE_SEC)
-		broke(world, "UNASKED after its cancel", run);
-	g_free(text);
-}
-
-/* An end is noted: it is forgotten there, and counts from now on. */
-static void note_ends(world_t *world, world_worker_t *worker, int64_t up_to)
-{
-	while (worker->ends->len) {
-		world_end_t *end = &g_array_index(worker->ends, world_end_t, 0);
-		world_job_t *job = job_of(world, end->run.job);
-
-		if (end->number > up_to)
-			return;
-		if (job && end->how == BATCH_END_DONE && !end->stale)
-			g_hash_table_insert(job->done, task_text(&end->run),
-					    GINT_TO_POINTER(1));
-		if (job && end->how == BATCH_END_FAILED) {
-			char *text = task_text(&end->run);
-			int n = GPOINTER_TO_INT(
-				g_hash_table_lookup(job->fails, text));
-
-			g_hash_table_insert(job->fails, text,
-					    GINT_TO_POINTER(n + 1));
-		}
-		g_array_remove_index(worker->ends, 0);
-	}
-}
-
-static bool fenced(const world_worker_t *worker, const world_run_t *run)
-{
-	guint i;
-
-	for (i = 0; i < worker->fence->len; i++) {
-		const world_run_t *past =
-			&g_array_index(worker->fence, world_run_t, i);
-
-		if (same_task(past, run) && run->number <= past->number)
-			return true;
-	}
-	return false;
-}
-
-static batch_res_t used(const world_worker_t *worker)
-{
-	batch_res_t sum = { 0, 0, 0 };
-	guint i;
-
-	for (i = 0; i < worker->runs->len; i++) {
-		const world_run_t *run =
-			&g_array_index(worker->runs, world_run_t, i);
-
-		sum.cpu += run->need.cpu;
-		sum.memory += run->need.memory;
-	}
-	return sum;
-}
-
-static batch_answer_t do_start(world_t *world, world_worker_t *worker,
-			       const world_order_t *order)
-{
-	world_run_t run = order->run;
-	batch_res_t taken = used(worker);
-	guint i;
-
-	if (order->term < worker->term)
-		return BATCH_ANSWER_NOT_STARTED;
-	worker->term = order->term;
-	if (order->lease < world->now)
-		return BATCH_ANSWER_NOT_STARTED;
-	worker->lease = MAX(worker->lease, order->lease);
-	for (i = 0; i < worker->runs->len; i++) {
-		const world_run_t *other =
-			&g_array_index(worker->runs, world_run_t, i);
-
-		if (same_task(other, &run) && other->number == run.number)
-			return BATCH_ANSWER_OK;
-	}
-	if (fenced(worker, &run))
-		return BATCH_ANSWER_OLD;
-	if (taken.cpu + run.need.cpu > worker->capacity.cpu ||
-	    taken.memory + run.need.memory > worker->capacity.memory)
-		return BATCH_ANSWER_ROOM;
-	check_start(world, &run, order->holder < 0);
-	world->starts++;
-	run.begun = world->now;
-	run.fails = worker->fails_all || chance(world, world->fail_run);
-	if (run.ends_at)
-		run.ends_at = world->now +
-			      run.ends_at *
-				      (50 + (int64_t)base_rng_below(&world->rng,
-								    100)) /
-				      100;
-	g_array_append_val(worker->runs, run);
-	return BATCH_ANSWER_OK;
-}
-
-static batch_answer_t do_stop(world_worker_t *worker,
-			      const world_order_t *order)
-{
-	guint i;
-
-	if (order->term < worker->term)
-		return BATCH_ANSWER_NOT_STARTED;
-	worker->term = order->term;
-	for (i = 0; i < worker->runs->len; i++) {
-		world_run_t run = g_array_index(worker->runs, world_run_t, i);
-
-		if (!same_task(&run, &order->run) ||
-		    run.number != order->run.number)
-			continue;
-		g_array_remove_index(worker->runs, i);
-		add_end(worker, &run, BATCH_END_STOPPED);
-		return BATCH_ANSWER_OK;
-	}
-	g_array_append_val(worker->fence, order->run);
-	return BATCH_ANSWER_OK;
-}
-
 static void deliver(world_t *world, const world_order_t *order)
 {
-	world_worker_t *worker = worker_of(world, order->worker);
+	world_worker_t *worker = world_worker_of(world, order->worker);
 	batch_order_t named = {
 		.task = { base_str(order->run.job), order->run.occurrence,
 			  order->run.step, order->run.index },
@@ -233,8 +37,8 @@
 	if (!worker)
 		answer = BATCH_ANSWER_OTHER_LIFE;
 	else if (!worker->dark && !worker->cut && !order->answer_only)
-		answer = order->stop ? do_stop(worker, order)
-				     : do_start(world, worker, order);
+		answer = order->stop ? world_worker_stop(worker, order)
+				     : world_worker_start(world, worker, order);
 	if (order->holder != world->holder)
 		return;
 	if (order->lost || order->answer_only)
@@ -281,15 +85,18 @@
 	sent.run.number = order->run;
 	sent.at = world->now + 2 * BASE_MS;
 	sent.lease = world->now + WORLD_LEASE;
-	worker = worker_of(world, sent.worker);
-	job = job_of(world, sent.run.job);
+	worker = world_worker_of(world, sent.worker);
+	job = world_job_of(world, sent.run.job);
 	if (job && order->task.step >= 0) {
 		const batch_step_spec_t *spec =
 			&job->spec.steps[order->task.step];
 
 		sent.run.need = spec->need;
-		sent.run.ends_at = spec->lasting ? 0 : spec->estimate;
+		if (spec->fills)
+			sent.run.need.cpu = 0;
+		sent.run.length = spec->lasting ? 0 : spec->estimate;
 	}
+	sent.ticket = base_str_eq(order->ticket, base_str(sent.worker));
 	if (worker)
 		sent.born = worker->born;
 	if (worker && !stop) {
@@ -299,8 +106,8 @@
 			batch_worker_lease(world->core, order->worker,
 					   worker->holder_lease);
 	}
-	sent.lost = chance(world, world->lose_answer);
-	if (chance(world, world->late_order)) {
+	sent.lost = world_chance(world, world->lose_answer);
+	if (world_chance(world, world->late_order)) {
 		/* No answer now, and the order itself seconds later. */
 		unanswered = sent;
 		unanswered.answer_only = true;
@@ -327,8 +134,55 @@
 
 static void op_pace(void *arg, const batch_order_t *order)
 {
-	(void)arg;
-	(void)order;
+	world_t *world = arg;
+	world_run_t named = { .occurrence = order->task.occurrence,
+			      .step = order->task.step,
+			      .index = order->task.index,
+			      .number = order->run };
+	char *id = base_str_dup(NULL, order->worker);
+	world_worker_t *worker = world_worker_of(world, id);
+
+	g_snprintf(named.job, sizeof(named.job), "%.*s",
+		   BASE_STR_ARG(order->task.job));
+	if (worker && !worker->dark && !worker->cut)
+		world_worker_pace(worker, &named, order->percent);
+	talloc_free(id);
+}
+
+/* Whoever knows the policy takes longer the more workers it is asked about. */
+static void op_advise(void *arg, const batch_question_t *question)
+{
+	world_t *world = arg;
+	size_t i;
+
+	g_assert_cmpint(world->advice_at, ==, 0);
+	world->questions++;
+	world->n_asked = question->n_workers;
+	for (i = 0; i < question->n_workers; i++)
+		g_snprintf(world->asked[i], WORLD_NAME_MAX, "%.*s",
+			   BASE_STR_ARG(question->workers[i]));
+	world->advice_at = world->now + 40 * BASE_MS +
+			   (int64_t)question->n_workers * 4 * BASE_MS;
+}
+
+static void answer_advice(world_t *world)
+{
+	batch_ticket_t tickets[WORLD_WORKERS_MAX];
+	size_t n = 0;
+	size_t i;
+
+	if (!world->advice_at || world->now < world->advice_at)
+		return;
+	world->advice_at = 0;
+	for (i = 0; i < world->n_asked; i++) {
+		const world_worker_t *worker =
+			world_worker_of(world, world->asked[i]);
+
+		if (worker && worker->allowed)
+			tickets[n++] = (batch_ticket_t){ base_str(worker->id),
+							 base_str(worker->id) };
+	}
+	batch_advised(world->core, world->now, tickets, n, 2 * BASE_SEC);
 }
 
 static void op_accepted(void *arg, base_str_t id)
@@ -336,7 +190,7 @@
 	world_t *world = arg;
 	char *text = base_str_dup(NULL, id);
 
-	job_of(world, text)->accepted = true;
+	world_job_of(world, text)->accepted = true;
 	talloc_free(text);
 }
 
@@ -345,8 +199,8 @@
 	world_t *world = arg;
 	char *text = base_str_dup(NULL, id);
 
-	job_of(world, text)->cancelled = true;
-	job_of(world, text)->cancelled_at = world->now;
+	world_job_of(world, text)->cancelled = true;
+	world_job_of(world, text)->cancelled_at = world->now;
 	talloc_free(text);
 }
 
@@ -356,6 +210,7 @@
 	.start = op_start,
 	.stop = op_stop,
 	.pace = op_pace,
+	.advise = op_advise,
 };
 
 static void list_workers(world_t *world)
@@ -364,7 +219,7 @@
 
 	for (i = 0; i < world->n_workers; i++) {
 		world_worker_t *worker = &world->workers[i];
-		base_str_t label = BASE_STR("a");
+		base_str_t label = base_str(worker->label);
 		batch_worker_info_t info = {
 			.id = base_str(worker->id),
 			.pool = base_str(worker->pool),
@@ -388,9 +243,7 @@
 {
 	batch_options_t options = { .ops = &ops,
 				    .arg = world,
-				    .doubt = 300 * BASE_MS,
-				    .stop_timeout = 200 * BASE_MS,
-				    .checkpoint_every = 2 * BASE_SEC };
+				    .doubt = 300 * BASE_MS };
 	batch_pool_info_t pools[] = {
 		{ .name = BASE_STR("pool"), .guards = true },
 		{ .name = BASE_STR("spare"), .spare = true }
@@ -398,9 +251,11 @@
 	batch_queue_info_t queue = { .name = BASE_STR("queue"),
 				     .pool = BASE_STR("pool"),
 				     .attempts = world->attempts,
+				     .advised = world->advised,
 				     .stretch = world->stretch,
 				     .target_latency = 600 * BASE_MS };
 
+	world->advice_at = 0;
 	world->core = batch_new(NULL, &options);
 	batch_config(world->core, &queue, 1, pools, 2);
 	list_workers(world);
@@ -420,7 +275,9 @@
 	g_snprintf(worker->id, sizeof(worker->id), "w%d", i);
 	g_snprintf(worker->pool, sizeof(worker->pool), "pool");
 	g_snprintf(worker->rack, sizeof(worker->rack), "r%d", i / 4);
+	g_snprintf(worker->label, sizeof(worker->label), "a");
 	worker->listed = true;
+	worker->allowed = true;
 	worker->born = 1;
 	worker->next_end = 1;
 	worker->capacity = (batch_res_t){ 8000, 32000, 0 };
@@ -435,7 +292,7 @@
 
 void world_drop_worker(world_t *world, const char *id)
 {
-	world_worker_t *worker = worker_of(world, id);
+	world_worker_t *worker = world_worker_of(world, id);
 
 	g_assert_cmpuint(worker->runs->len, ==, 0);
 	worker->listed = false;
@@ -510,7 +367,7 @@
 batch_verdict_t world_submit(world_t *world, const char *id,
 			     const batch_step_spec_t *steps, int n)
 {
-	world_job_t *job = job_of(world, id);
+	world_job_t *job = world_job_of(world, id);
 	int64_t retry_after;
 
 	if (!job) {
@@ -537,7 +394,7 @@
 {
 	batch_state_t state;
 
-	job_of(world, id)->cancel_asked = true;
+	world_job_of(world, id)->cancel_asked = true;
 	return batch_cancel(world->core, world->now, base_str(id), &state);
 }
 
@@ -565,86 +422,6 @@
 	return n;
 }
 
-static void end_runs(world_t *world, world_worker_t *worker)
-{
-	guint i;
-
-	/* The pages count no end that its lease did not outlast. */
-	for (i = 0; world->now > worker->lease && i < worker->ends->len; i++)
-		g_array_index(worker->ends, world_end_t, i).stale = true;
-	i = 0;
-	while (i < worker->runs->len) {
-		world_run_t run = g_array_index(worker->runs, world_run_t, i);
-		bool lapsed = world->now > worker->lease;
-
-		if (!lapsed && (!run.ends_at || run.ends_at > world->now)) {
-			i++;
-			continue;
-		}
-		g_array_remove_index(worker->runs, i);
-		if (!lapsed)
-			world->finished++;
-		if (!lapsed && !run.fails && job_of(world, run.job))
-			g_hash_table_insert(job_of(world, run.job)->over,
-					    task_text(&run),
-					    GINT_TO_POINTER(1));
-		add_end(worker, &run,
-			lapsed	    ? BATCH_END_LAPSED
-			: run.fails ? BATCH_END_FAILED
-				    : BATCH_END_DONE);
-	}
-}
-
-static void look_at(world_t *world, world_worker_t *worker)
-{
-	batch_seen_run_t runs[256];
-	batch_seen_end_t ends[256];
-	batch_look_t look = { .worker = base_str(worker->id),
-			      .born = worker->born,
-			      .sent = world->now,
-			      .runs = runs,
-			      .ends = ends };
-	guint i;
-
-	worker->looked = world->now;
-	if (worker->term < world->term)
-		worker->term = world->term;
-	note_ends(world, worker,
-		  batch_worker_noted(world->core, base_str(worker->id)));
-	worker->lease = world->now + WORLD_LEASE;
-	worker->holder_lease =
-		MAX(worker->holder_lease, worker->lease + BASE_SEC / 2);
-	worker->met = true;
-	batch_worker_lease(world->core, base_str(worker->id),
-			   worker->holder_lease);
-	for (i = 0; i < worker->runs->len && i < 256; i++) {
-		const world_run_t *run =
-			&g_array_index(worker->runs, world_run_t, i);
-
-		runs[look.n_runs++] = (batch_seen_run_t){
-			.task = { base_str(run->job), run->occurrence,
-				  run->step, run->index },
-			.run = run->number,
-			.checkpoint = BASE_STR(""),
-			.percent = 100,
-		};
-	}
-	for (i = 0; i < worker->ends->len && i < 256; i++) {
-		const world_end_t *end =
-			&g_array_index(worker->ends, world_end_t, i);
-
-		ends[look.n_ends++] = (batch_seen_end_t){
-			.number = end->number,
-			.task = { base_str(end->run.job), end->run.occurrence,
-				  end->run.step, end->run.index },
-			.run = end->run.number,
-			.how = end->how,
-			.checkpoint = BASE_STR(""),
-		};
-	}
-	batch_look(world->core, world->now, &look);
-}
-
 static void store_rows(world_t *world)
 {
 	size_t i;
@@ -681,16 +458,17 @@
 	while (world->now < until) {
 		world->now += WORLD_TICK;
 		deliver_due(world);
+		answer_advice(world);
 		for (i = 0; i < world->n_workers; i++)
 			if (!world->workers[i].dark)
-				end_runs(world, &world->workers[i]);
+				world_worker_run(world, &world->workers[i]);
 		for (i = 0; i < world->n_workers; i++) {
 			world_worker_t *worker = &world->workers[i];
 
 			if (world->now - worker->looked < 50 * BASE_MS)
 				continue;
 			if (!worker->dark && !worker->cut && worker->listed)
-				look_at(world, worker);
+				world_worker_look(world, worker);
 			else if (world->now - worker->looked > BASE_SEC)
 				batch_worker_silent(world->core,
 						    base_str(worker->id));
@@ -726,7 +504,7 @@
 			.id = base_str(key),
 			.spec = g_hash_table_contains(world->ended, key)
 					? NULL
-					: &job_of(world, key)->spec,
+					: &world_job_of(world, key)->spec,
 			.record = value,
 			.until = world->now + WORLD_LEASE + BASE_SEC / 2,
 		};
@@ -736,6 +514,19 @@
 	}
 }
 
+void world_advise(world_t *world)
+{
+	world->advised = true;
+	world_take_over(world);
+}
+
+void world_worker_drain(world_t *world, int worker)
+{
+	world->workers[worker].draining = true;
+	world->workers[worker].draining_at = world->now;
+	list_workers(world);
+}
+
 void world_worker_cut(world_t *world, int worker, bool cut)
 {
 	world->workers[worker].cut = cut;
--- a/packages/batch/tests/batch_world.h
+++ b/packages/batch/tests/batch_world.h
@@ -12,6 +12,8 @@
 
 #define WORLD_LEASE (4500 * BASE_MS)
 #define WORLD_TICK (10 * BASE_MS)
+#define WORLD_DRAIN (2 * BASE_SEC) /* no start on a worker that leaves */
+#define WORLD_HARM (4 * BASE_SEC)  /* of a tail over its target */
 #define WORLD_WORKERS_MAX 256
 #define WORLD_NAME_MAX 64
 
@@ -19,8 +21,11 @@
 	char job[WORLD_NAME_MAX];
 	int occurrence, step, index;
 	int64_t number;
-	int64_t ends_at; /* 0: lasts */
+	int64_t length; /* of its work, microseconds; 0: lasts */
+	int64_t done;	/* of it */
 	int64_t begun;
+	int64_t over_since; /* its tail is over its target; 0: it is not */
+	int pace;	    /* percent */
 	bool fails;
 	batch_res_t need;
 } world_run_t;
@@ -38,6 +43,11 @@
 	char rack[WORLD_NAME_MAX];
 	/* "cut" runs on and is not reached; "dark" has crashed. */
 	bool listed, draining, dark, cut, fails_all;
+	bool still;   /* nothing there makes progress */
+	bool allowed; /* by the policy of an advised queue */
+	int slow;     /* times as long; 0: not */
+	char label[8];
+	int64_t draining_at;
 	int64_t born;
 	int64_t lease; /* everything ends then */
 	int64_t term;  /* highest seen */
@@ -61,6 +71,7 @@
 	world_run_t run;
 	int64_t lease;
 	int64_t term;
+	bool ticket;  /* a valid one came along */
 	int holder;   /* which core sent it; -1: it is told nothing */
 	int64_t born; /* of the life that took it */
 } world_order_t;
@@ -94,11 +105,16 @@
 	int64_t stored_at; /* when the rows that were taken are stored */
 	int attempts;
 	double stretch;
+	bool advised;	   /* the queue; "allowed" workers run its steps */
+	int64_t advice_at; /* the answer to a question; 0: none was asked */
+	char asked[WORLD_WORKERS_MAX][WORLD_NAME_MAX];
+	size_t n_asked;
+	int disturb; /* of a target in a hundred, by each task that fills */
 	/* Faults, in a hundred. */
 	int lose_answer, late_order, fail_run;
 	bool store_down;
 	/* What was seen. */
-	int starts, finished, broken;
+	int starts, finished, broken, questions, tickets_refused;
 	char fault[256];
 } world_t;
 
@@ -107,6 +123,10 @@
 world_t *world_new_queue(uint64_t seed, int workers, int attempts,
 			 double stretch);
 void world_free(world_t *world);
+/* The queue is one whose policy allows only some workers. */
+void world_advise(world_t *world);
+/* It says that it leaves. */
+void world_worker_drain(world_t *world, int worker);
 
 /* One step spec with "count" tasks of a second on two cores. */
 batch_step_spec_t world_step(int count);
--- /dev/null
+++ b/packages/batch/tests/batch_world_worker.c
@@ -0,0 +1,255 @@
+#include "batch_world_int.h"
+
+static void add_end(world_worker_t *worker, const world_run_t *run,
+		    batch_end_t how)
+{
+	world_end_t end = { worker->next_end++, *run, how, false };
+
+	g_array_append_val(worker->ends, end);
+	g_array_append_val(worker->fence, *run);
+}
+
+static bool fenced(const world_worker_t *worker, const world_run_t *run)
+{
+	guint i;
+
+	for (i = 0; i < worker->fence->len; i++) {
+		const world_run_t *past =
+			&g_array_index(worker->fence, world_run_t, i);
+
+		if (world_same_task(past, run) && run->number <= past->number)
+			return true;
+	}
+	return false;
+}
+
+static const batch_step_spec_t *spec_of(world_t *world, const world_run_t *run)
+{
+	world_job_t *job = world_job_of(world, run->job);
+
+	return job ? &job->spec.steps[run->step] : NULL;
+}
+
+static batch_res_t used(const world_worker_t *worker)
+{
+	batch_res_t sum = { 0, 0, 0 };
+	guint i;
+
+	for (i = 0; i < worker->runs->len; i++) {
+		const world_run_t *run =
+			&g_array_index(worker->runs, world_run_t, i);
+
+		sum.cpu += run->need.cpu;
+		sum.memory += run->need.memory;
+	}
+	return sum;
+}
+
+batch_answer_t world_worker_start(world_t *world, world_worker_t *worker,
+				  const world_order_t *order)
+{
+	world_run_t run = order->run;
+	batch_res_t taken = used(worker);
+	guint i;
+
+	if (order->term < worker->term)
+		return BATCH_ANSWER_NOT_STARTED;
+	worker->term = order->term;
+	if (order->lease < world->now)
+		return BATCH_ANSWER_NOT_STARTED;
+	worker->lease = MAX(worker->lease, order->lease);
+	for (i = 0; i < worker->runs->len; i++) {
+		const world_run_t *other =
+			&g_array_index(worker->runs, world_run_t, i);
+
+		if (world_same_task(other, &run) && other->number == run.number)
+			return BATCH_ANSWER_OK;
+	}
+	if (fenced(worker, &run))
+		return BATCH_ANSWER_OLD;
+	if (world->advised && !(order->ticket && worker->allowed)) {
+		world->tickets_refused++;
+		return BATCH_ANSWER_TICKET;
+	}
+	if (taken.cpu + run.need.cpu > worker->capacity.cpu ||
+	    taken.memory + run.need.memory > worker->capacity.memory)
+		return BATCH_ANSWER_ROOM;
+	world_judge_start(world, worker, &run, order->holder < 0);
+	world->starts++;
+	run.begun = world->now;
+	run.fails = worker->fails_all || world_chance(world, world->fail_run);
+	run.pace = 100;
+	run.length = run.length *
+		     (50 + (int64_t)base_rng_below(&world->rng, 100)) / 100;
+	g_array_append_val(worker->runs, run);
+	return BATCH_ANSWER_OK;
+}
+
+batch_answer_t world_worker_stop(world_worker_t *worker,
+				 const world_order_t *order)
+{
+	guint i;
+
+	if (order->term < worker->term)
+		return BATCH_ANSWER_NOT_STARTED;
+	worker->term = order->term;
+	for (i = 0; i < worker->runs->len; i++) {
+		world_run_t run = g_array_index(worker->runs, world_run_t, i);
+
+		if (!world_same_task(&run, &order->run) ||
+		    run.number != order->run.number)
+			continue;
+		g_array_remove_index(worker->runs, i);
+		add_end(worker, &run, BATCH_END_STOPPED);
+		return BATCH_ANSWER_OK;
+	}
+	g_array_append_val(worker->fence, order->run);
+	return BATCH_ANSWER_OK;
+}
+
+void world_worker_pace(world_worker_t *worker, const world_run_t *named,
+		       int percent)
+{
+	guint i;
+
+	for (i = 0; i < worker->runs->len; i++) {
+		world_run_t *run = &g_array_index(worker->runs, world_run_t, i);
+
+		if (world_same_task(run, named) && run->number == named->number)
+			run->pace = percent;
+	}
+}
+
+/* Percent of their targets by which tasks that fill raise the tails here. */
+static int disturbance(world_t *world, const world_worker_t *worker)
+{
+	int sum = 0;
+	guint i;
+
+	for (i = 0; i < worker->runs->len; i++) {
+		const world_run_t *run =
+			&g_array_index(worker->runs, world_run_t, i);
+		const batch_step_spec_t *spec = spec_of(world, run);
+
+		if (spec && spec->fills)
+			sum += world->disturb * run->pace / 100;
+	}
+	return sum;
+}
+
+#define QUIET_TAIL 40 /* percent of the target, with nothing beside it */
+
+static int64_t tail_of(world_t *world, const world_worker_t *worker,
+		       const world_run_t *run)
+{
+	const batch_step_spec_t *spec = spec_of(world, run);
+
+	if (!spec || !spec->tail_target)
+		return 0;
+	return spec->tail_target * (QUIET_TAIL + disturbance(world, worker)) /
+	       100;
+}
+
+static void make_progress(world_t *world, world_worker_t *worker,
+			  world_run_t *run)
+{
+	const batch_step_spec_t *spec = spec_of(world, run);
+	bool over = spec && spec->tail_target &&
+		    tail_of(world, worker, run) > spec->tail_target;
+
+	if (!over)
+		run->over_since = 0;
+	else if (!run->over_since)
+		run->over_since = world->now;
+	if (!worker->still)
+		run->done += WORLD_TICK * run->pace / 100 /
+			     (worker->slow ? worker->slow : 1);
+}
+
+void world_worker_run(world_t *world, world_worker_t *worker)
+{
+	guint i;
+
+	for (i = 0; i < worker->runs->len; i++)
+		make_progress(world, worker,
+			      &g_array_index(worker->runs, world_run_t, i));
+	world_judge_tails(world, worker);
+
+	/* The pages count no end that its lease did not outlast. */
+	for (i = 0; world->now > worker->lease && i < worker->ends->len; i++)
+		g_array_index(worker->ends, world_end_t, i).stale = true;
+	i = 0;
+	while (i < worker->runs->len) {
+		world_run_t run = g_array_index(worker->runs, world_run_t, i);
+		bool lapsed = world->now > worker->lease;
+
+		if (!lapsed && (!run.length || run.done < run.length)) {
+			i++;
+			continue;
+		}
+		g_array_remove_index(worker->runs, i);
+		if (!lapsed)
+			world->finished++;
+		if (!lapsed && !run.fails && world_job_of(world, run.job))
+			g_hash_table_insert(world_job_of(world, run.job)->over,
+					    world_task_text(&run),
+					    GINT_TO_POINTER(1));
+		add_end(worker, &run,
+			lapsed	    ? BATCH_END_LAPSED
+			: run.fails ? BATCH_END_FAILED
+				    : BATCH_END_DONE);
+	}
+}
+
+void world_worker_look(world_t *world, world_worker_t *worker)
+{
+	batch_seen_run_t runs[256];
+	batch_seen_end_t ends[256];
+	batch_look_t look = { .worker = base_str(worker->id),
+			      .born = worker->born,
+			      .sent = world->now,
+			      .runs = runs,
+			      .ends = ends };
+	guint i;
+
+	worker->looked = world->now;
+	if (worker->term < world->term)
+		worker->term = world->term;
+	world_judge_ends(world, worker,
+			 batch_worker_noted(world->core, base_str(worker->id)));
+	worker->lease = world->now + WORLD_LEASE;
+	worker->holder_lease =
+		MAX(worker->holder_lease, worker->lease + BASE_SEC / 2);
+	worker->met = true;
+	batch_worker_lease(world->core, base_str(worker->id),
+			   worker->holder_lease);
+	for (i = 0; i < worker->runs->len && i < 256; i++) {
+		const world_run_t *run =
+			&g_array_index(worker->runs, world_run_t, i);
+
+		runs[look.n_runs++] = (batch_seen_run_t){
+			.task = { base_str(run->job), run->occurrence,
+				  run->step, run->index },
+			.run = run->number,
+			.checkpoint = BASE_STR(""),
+			.percent = run->length ? (int)(100 * run->done /
+						       run->length)
+					       : 100,
+			.figure = tail_of(world, worker, run),
+		};
+	}
+	for (i = 0; i < worker->ends->len && i < 256; i++) {
+		const world_end_t *end =
+			&g_array_index(worker->ends, world_end_t, i);
+
+		ends[look.n_ends++] = (batch_seen_end_t){
+			.number = end->number,
+			.task = { base_str(end->run.job), end->run.occurrence,
+				  end->run.step, end->run.index },
+			.run = end->run.number,
+			.how = end->how,
+			.checkpoint = BASE_STR(""),
+		};
+	}
+	batch_look(world->core, world->now, &look);
+}
--- a/packages/node/node.h
+++ b/packages/node/node.h
@@ -27,6 +27,7 @@
 	const char *ready;
 	const char *peers;
 	const char *metrics; /* NULL: none */
+	const char *advice;  /* who knows the policy of queues; NULL: nobody */
 	const char *store;
 	const char *instances;
 	const char **seeds; /* some peers' addresses */
@@ -36,7 +37,7 @@
 	int64_t grace;	       /* from SIGTERM to SIGKILL */
 	int64_t keep;	       /* how long an ended job can be asked for */
 	int64_t store_ttl_min; /* shortest lease in the store */
-	int64_t checkpoint_every;
+	double processor;      /* cores that this entry may use */
 } node_settings_t;
 
 /* Read the settings; every fault is named. */
--- /dev/null
+++ b/packages/node/node_advice.c
@@ -0,0 +1,54 @@
+/*
+ * The core's questions about advised queues, to whoever knows their policy.
+ */
+#include "node_int.h"
+
+static void advised(void *arg, const node_advice_t *advice)
+{
+	node_owner_t *owner = arg;
+
+	if (owner->ended)
+		return;
+	node_log(owner->node, BASE_MSG_ADVICE, BASE_F_BOOL("ok", advice->ok),
+		 BASE_F_INT("good", (int64_t)advice->n),
+		 BASE_F_INT("valid_us", advice->validity),
+		 BASE_F_INT("term", owner->term));
+	batch_advised(owner->core, base_clock_mono(),
+		      advice->ok ? advice->tickets : NULL, advice->n,
+		      advice->validity);
+	node_owner_wake(owner);
+}
+
+/* The core must not be called back from within its question. */
+static void nobody_to_ask(void *arg)
+{
+	node_advice_t none = { .ok = false };
+
+	advised(arg, &none);
+}
+
+void node_advise(void *arg, const batch_question_t *question)
+{
+	node_owner_t *owner = arg;
+
+	if (!owner->advice) {
+		net_later(owner->node->loop, nobody_to_ask, owner);
+		return;
+	}
+	node_count(owner->node, NODE_COUNT_ADVICE);
+	owner->node->platform->advise(owner->advice, question, advised, owner);
+}
+
+void node_advice_begin(node_owner_t *owner)
+{
+	const node_t *node = owner->node;
+
+	if (!node->settings->advice)
+		return;
+	owner->advice = node->platform->advice_new(owner, node->loop,
+						   node->settings->advice);
+	if (!owner->advice)
+		node_log(owner->node, BASE_MSG_SETTINGS_BAD,
+			 BASE_F_STR("file", node->settings_file),
+			 BASE_F_STR("why", "\"advice\" is no address"));
+}
--- a/packages/node/node_commit.c
+++ b/packages/node/node_commit.c
@@ -10,7 +10,9 @@
 /* The holder's key and the fence are looked at, the fence is written; each
  * job may need two entries. */
 #define COMMIT_FIXED 3
-#define COMMIT_ROWS ((NODE_CHANGE_MAX - COMMIT_FIXED - 2) / 2)
+#define COMMIT_ROWS ((NODE_CHANGE_MAX - COMMIT_FIXED - 3) / 2)
+/* Run times change slowly: a successor begins with some seconds old ones. */
+#define COMMIT_LEARNED_EVERY (3 * BASE_SEC)
 /* Between two changes: what is decided meanwhile goes together. */
 #define COMMIT_GAP (12 * BASE_MS)
 #define COMMIT_RETRY (50 * BASE_MS)
@@ -94,6 +96,21 @@
 	sets[(*n)++] = (node_set_t){ key, value, 0 };
 }
 
+/* What was learned goes along with what has to be stored anyway. */
+static void add_learned(node_owner_t *owner, node_set_t *sets, size_t *n)
+{
+	int64_t now = base_clock_mono();
+	const char *text;
+
+	if (now - owner->learned_at < COMMIT_LEARNED_EVERY)
+		return;
+	text = batch_learned_print(owner->core, owner->commit_ctx);
+	if (!text)
+		return;
+	owner->learned_at = now;
+	add_set(sets, n, NODE_KEY_LEARNED, base_str(text));
+}
+
 static void build(node_owner_t *owner)
 {
 	void *ctx = owner->commit_ctx;
@@ -113,6 +130,7 @@
 		(long long)++owner->commit_number);
 	add_set(sets, &n_sets, NODE_KEY_FENCE, base_str(owner->fence_text));
 	node_waves_row(owner->waves, ctx, sets, &n_sets);
+	add_learned(owner, sets, &n_sets);
 	for (i = 0; i < n; i++) {
 		char *key = talloc_asprintf(ctx, NODE_KEY_ROW "%.*s",
 					    BASE_STR_ARG(rows[i].job));
--- a/packages/node/node_int.h
+++ b/packages/node/node_int.h
@@ -16,6 +16,7 @@
 #define NODE_KEY_ROW "cactusfield/row/"
 #define NODE_KEY_WAVE "cactusfield/wave/"
 #define NODE_KEY_MEMBER "cactusfield/member/"
+#define NODE_KEY_LEARNED "cactusfield/learned"
 
 typedef struct node node_t;
 typedef struct node_owner node_owner_t;
@@ -113,6 +114,7 @@
 	char *nonce;
 	int64_t campaign_lease;
 	int64_t campaign_fence;
+	int64_t campaign_owner; /* revision of the holder's key; 0: none */
 	int64_t campaign_sent;
 	int64_t campaign_term;
 	bool campaigning;
@@ -120,6 +122,7 @@
 
 	GHashTable *peers;  /* address to net_client_t */
 	GPtrArray *members; /* addresses of other entries */
+	double largest;	    /* processor of any entry that is known */
 	net_timer_t *member_timer;
 	int64_t member_lease;
 
@@ -160,6 +163,7 @@
 	NODE_COUNT_ORDER,
 	NODE_COUNT_FORWARD,
 	NODE_COUNT_INSTANCE_LIST,
+	NODE_COUNT_ADVICE,
 	NODE_COUNT_LOG_DROPPED,
 	NODE_COUNT_MAX
 } node_count_t;
@@ -266,6 +270,7 @@
 	void *commit_ctx;
 	node_change_t commit;
 	GHashTable *waiting; /* id to list of asks */
+	int64_t learned_at;  /* run times were stored */
 	GQueue forgotten;    /* ids whose rows are to go */
 	int64_t forgot_at;
 
@@ -276,8 +281,13 @@
 	node_insts_t *instances;
 	node_waves_t *waves;
 	node_moves_t *moves;
+	void *advice; /* handle of the platform's; NULL: nobody to ask */
 };
 
+/* node_advice.c */
+void node_advice_begin(node_owner_t *owner);
+void node_advise(void *arg, const batch_question_t *question);
+
 /* node_restore.c */
 void node_restore_begin(node_owner_t *owner);
 
--- a/packages/node/node_member.c
+++ b/packages/node/node_member.c
@@ -1,5 +1,6 @@
 /*
- * The other entries: each has a key with its address, bound to a lease.
+ * The other entries: each has a key with its address and the cores that it may
+ * use, bound to a lease.
  */
 #include "node_int.h"
 
@@ -21,6 +22,23 @@
 	g_ptr_array_add(node->members, g_strdup(address));
 }
 
+/* "address cores"; an entry of an older version says its address only. */
+static void read_member(node_t *node, base_str_t value)
+{
+	char **words;
+	char *text = g_strndup(value.ptr, value.len);
+	double cores;
+
+	words = g_strsplit(text, " ", 2);
+	g_free(text);
+	if (words[0]) {
+		add_member(node, words[0]);
+		cores = words[1] ? g_ascii_strtod(words[1], NULL) : 0;
+		node->largest = MAX(node->largest, cores);
+	}
+	g_strfreev(words);
+}
+
 static void listed(void *arg, const node_answer_t *answer)
 {
 	node_t *node = arg;
@@ -29,13 +47,9 @@
 	if (answer->fate != NODE_STORE_OK)
 		return;
 	g_ptr_array_set_size(node->members, 0);
-	for (i = 0; i < answer->n_items; i++) {
-		char *address = g_strndup(answer->items[i].value.ptr,
-					  answer->items[i].value.len);
-
-		add_member(node, address);
-		g_free(address);
-	}
+	node->largest = MAX(node->largest, node->settings->processor);
+	for (i = 0; i < answer->n_items; i++)
+		read_member(node, answer->items[i].value);
 }
 
 static void read_list(node_t *node)
@@ -61,6 +75,7 @@
 {
 	node_t *node = arg;
 	char *key;
+	char *value;
 	node_set_t set;
 	node_change_t change = { .sets = &set, .n_sets = 1 };
 
@@ -71,8 +86,9 @@
 	}
 	node->member_lease = answer->lease;
 	key = talloc_asprintf(NULL, NODE_KEY_MEMBER "%s", node->settings->name);
-	set = (node_set_t){ key, base_str(node->settings->peers),
-			    answer->lease };
+	value = talloc_asprintf(key, "%s %g", node->settings->peers,
+				node->settings->processor);
+	set = (node_set_t){ key, base_str(value), answer->lease };
 	node_count(node, NODE_COUNT_STORE_CHANGE);
 	node->platform->change(node->store, &change, written, node);
 	talloc_free(key);
--- a/packages/node/node_owner.c
+++ b/packages/node/node_owner.c
@@ -176,8 +176,6 @@
 		.ops = &node_batch_ops,
 		.arg = owner,
 		.doubt = 300 * BASE_MS,
-		.stop_timeout = node->settings->stop_timeout,
-		.checkpoint_every = node->settings->checkpoint_every,
 	};
 
 	owner->node = node;
@@ -199,6 +197,7 @@
 	g_queue_init(&owner->forgotten);
 	owner->forgot_at = owner->taken_at;
 	talloc_set_destructor(owner, owner_free);
+	node_advice_begin(owner);
 	owner->instances = node_instances_new(owner);
 	owner->waves = node_waves_new(owner);
 	owner->moves = node_moves_new(owner);
--- a/packages/node/node_platform.h
+++ b/packages/node/node_platform.h
@@ -74,6 +74,7 @@
 	NODE_ORDER_OLD,	       /* it knows a run as high */
 	NODE_ORDER_LATE,       /* the lease that came with it is over */
 	NODE_ORDER_ROOM,       /* no room */
+	NODE_ORDER_TICKET,     /* no ticket, or one that is not valid */
 	NODE_ORDER_REFUSED,    /* unhealthy or malformed; nothing was done */
 	NODE_ORDER_OTHER_LIFE, /* another worker is at that address */
 	NODE_ORDER_SILENT,     /* it may have been carried out, or be later */
@@ -144,6 +145,16 @@
 
 typedef void node_duty_done_t(void *arg, node_duty_fate_t fate);
 
+/* Which workers may run a step. */
+typedef struct node_advice {
+	bool ok;
+	const batch_ticket_t *tickets;
+	size_t n;
+	int64_t validity; /* of the tickets, microseconds */
+} node_advice_t;
+
+typedef void node_advised_t(void *arg, const node_advice_t *advice);
+
 /* A round of upkeep that the operator asks for. */
 typedef struct node_wave {
 	int64_t number;
@@ -231,6 +242,12 @@
 	void (*move)(void *self, const char *instance, const char *pool,
 		     int64_t term, node_duty_done_t *done, void *arg);
 
+	/* Whoever knows the policy of advised queues. */
+	void *(*advice_new)(const void *ctx, net_loop_t *loop,
+			    const char *address);
+	void (*advise)(void *self, const batch_question_t *question,
+		       node_advised_t *done, void *arg);
+
 	/* Results go below "ctx"; false and "err" where it cannot be read. */
 	bool (*config_read)(const void *ctx, base_str_t text,
 			    node_config_t *config, GError **err);
--- a/packages/node/node_restore.c
+++ b/packages/node/node_restore.c
@@ -11,6 +11,7 @@
 	RESTORE_SOURCES,
 	RESTORE_ROWS,
 	RESTORE_WAVES,
+	RESTORE_LEARNED,
 	RESTORE_STAGE_MAX
 } restore_stage_t;
 
@@ -102,6 +103,19 @@
 	node_owner_wake(owner);
 }
 
+/* Without it run times are learned again, from the declared ones on. */
+static void take_learned(const node_owner_t *owner, const node_item_t *item)
+{
+	GError *err = NULL;
+
+	if (batch_learned_load(owner->core, item->value, &err))
+		return;
+	node_log(owner->node, BASE_MSG_JOB_UNREADABLE,
+		 BASE_F_STR("id", item->key), BASE_F_STR("why", err->message),
+		 BASE_F_INT("revision", item->revision));
+	g_clear_error(&err);
+}
+
 static void take_item(restore_t *restore, const node_item_t *item)
 {
 	node_owner_t *owner = restore->owner;
@@ -117,6 +131,9 @@
 		restore->items++;
 		take_row(restore, item);
 		break;
+	case RESTORE_LEARNED:
+		take_learned(owner, item);
+		break;
 	default:
 		node_waves_record(owner->waves,
 				  item->key + strlen(NODE_KEY_WAVE),
@@ -164,6 +181,7 @@
 		[RESTORE_SOURCES] = NODE_KEY_JOB,
 		[RESTORE_ROWS] = NODE_KEY_ROW,
 		[RESTORE_WAVES] = NODE_KEY_WAVE,
+		[RESTORE_LEARNED] = NODE_KEY_LEARNED,
 	};
 
 	node_count(owner->node, NODE_COUNT_STORE_READ);
--- a/packages/node/node_run.c
+++ b/packages/node/node_run.c
@@ -14,6 +14,10 @@
  * be taken; shorter outages do not take this entry out of rotation. */
 #define RUN_READY_AGE (6 * BASE_SEC)
 
+/* Cores of an entry that is large enough to decide, where no other is known:
+ * a quarter core carries some hundreds of workers. */
+#define RUN_PROCESSOR 0.25
+
 static bool is_ready(const node_t *node)
 {
 	int64_t now = base_clock_mono();
@@ -135,6 +139,7 @@
 	node->settings_file = options->settings_file;
 	node->started = base_clock_mono();
 	node->store_heard = node->started;
+	node->largest = MAX(settings->processor, RUN_PROCESSOR);
 	node->rng.state = (uint64_t)base_clock_wall() ^
 			  ((uint64_t)g_str_hash(settings->name) << 32);
 	node->loop = net_loop_new(node);
--- a/packages/node/node_settings.c
+++ b/packages/node/node_settings.c
@@ -2,6 +2,8 @@
 
 BASE_ERROR_DOMAIN(node)
 
+#define SETTINGS_PROCESSOR 0.25 /* cores, of the users' entries */
+
 typedef struct text_field {
 	const char *name;
 	size_t offset;
@@ -9,9 +11,10 @@
 } text_field_t;
 
 typedef struct time_field {
-	const char *name; /* in milliseconds */
+	const char *name;
 	size_t offset;
-	int64_t missing;
+	int64_t unit;	 /* of the value, in microseconds */
+	int64_t missing; /* in that unit */
 } time_field_t;
 
 static const text_field_t texts[] = {
@@ -23,16 +26,18 @@
 	{ "store", offsetof(node_settings_t, store), false },
 	{ "instances", offsetof(node_settings_t, instances), false },
 	{ "metrics", offsetof(node_settings_t, metrics), true },
+	{ "advice", offsetof(node_settings_t, advice), true },
 };
 
 static const time_field_t times[] = {
-	{ "lease_max_ms", offsetof(node_settings_t, lease_max), 10000 },
-	{ "stop_timeout_ms", offsetof(node_settings_t, stop_timeout), 200 },
-	{ "grace_ms", offsetof(node_settings_t, grace), 6000 },
-	{ "keep_ms", offsetof(node_settings_t, keep), 120000 },
-	{ "store_ttl_min_ms", offsetof(node_settings_t, store_ttl_min), 1000 },
-	{ "checkpoint_every_ms", offsetof(node_settings_t, checkpoint_every),
-	  2000 },
+	{ "lease_max_ms", offsetof(node_settings_t, lease_max), BASE_MS,
+	  10000 },
+	{ "stop_timeout_ms", offsetof(node_settings_t, stop_timeout), BASE_MS,
+	  200 },
+	{ "grace_s", offsetof(node_settings_t, grace), BASE_SEC, 6 },
+	{ "keep_s", offsetof(node_settings_t, keep), BASE_SEC, 120 },
+	{ "store_ttl_min_ms", offsetof(node_settings_t, store_ttl_min), BASE_MS,
+	  1000 },
 };
 
 static void load_text(node_settings_t *settings, const json_t *root,
@@ -53,13 +58,27 @@
 		      const time_field_t *field, base_buf_t *faults)
 {
 	const json_t *value = json_object_get(root, field->name);
-	double ms = value ? json_number_value(value) : (double)field->missing;
+	double time = value ? json_number_value(value) : (double)field->missing;
 
-	if (value && (!json_is_number(value) || ms <= 0))
-		base_buf_addf(faults, "; \"%s\" is no time in milliseconds",
-			      field->name);
+	if (value && (!json_is_number(value) || time <= 0))
+		base_buf_addf(faults, "; \"%s\" is no time in %s", field->name,
+			      field->unit == BASE_SEC ? "seconds"
+						      : "milliseconds");
 	*(int64_t *)((char *)settings + field->offset) =
-		(int64_t)(ms * BASE_MS);
+		(int64_t)(time * (double)field->unit);
+}
+
+/* Only the share against others' counts: an unknown one is a usual one. */
+static void load_processor(node_settings_t *settings, const json_t *root,
+			   base_buf_t *faults)
+{
+	const json_t *value = json_object_get(root, "processor_cores");
+
+	settings->processor =
+		value ? json_number_value(value) : SETTINGS_PROCESSOR;
+	if (settings->processor <= 0)
+		base_buf_addf(faults, "; \"%s\" is no number of cores",
+			      "processor_cores");
 }
 
 static void load_seeds(node_settings_t *settings, const json_t *root)
@@ -101,6 +120,7 @@
 		load_text(settings, root, &texts[i], faults);
 	for (i = 0; i < ARRAY_SIZE(times); i++)
 		load_time(settings, root, &times[i], faults);
+	load_processor(settings, root, faults);
 	load_seeds(settings, root);
 	json_decref(root);
 	if (faults->len) {
--- a/packages/node/node_worker.c
+++ b/packages/node/node_worker.c
@@ -354,6 +354,7 @@
 	[NODE_ORDER_OLD] = BATCH_ANSWER_OLD,
 	[NODE_ORDER_LATE] = BATCH_ANSWER_NOT_STARTED,
 	[NODE_ORDER_ROOM] = BATCH_ANSWER_ROOM,
+	[NODE_ORDER_TICKET] = BATCH_ANSWER_TICKET,
 	[NODE_ORDER_REFUSED] = BATCH_ANSWER_NOT_STARTED,
 	[NODE_ORDER_OTHER_LIFE] = BATCH_ANSWER_OTHER_LIFE,
 	[NODE_ORDER_SILENT] = BATCH_ANSWER_SILENT,
@@ -402,6 +403,7 @@
 	call->order.worker = base_str(base_str_dup(call, order->worker));
 	call->order.payload = BASE_STR("");
 	call->order.checkpoint = BASE_STR("");
+	call->order.ticket = BASE_STR("");
 	call->began = base_clock_mono();
 	call->start = start;
 	return call;
@@ -509,6 +511,7 @@
 }
 
 const batch_ops_t node_batch_ops = {
+	.advise = node_advise,
 	.accepted = node_owner_accepted,
 	.cancelled = node_owner_cancelled,
 	.start = start,
--- a/tests/node.sh
+++ b/tests/node.sh
@@ -65,7 +65,7 @@
 "metrics": "127.0.0.1:$((PORT + 110 + $1))",
 "seeds": ["127.0.0.1:$((PORT + 101))", "127.0.0.1:$((PORT + 102))"],
 "store": "127.0.0.1:$PORT", "instances": "127.0.0.1:$PORT",
-"lease_max_ms": 6000, "keep_ms": 10000}
+"advice": "127.0.0.1:$PORT", "lease_max_ms": 6000, "keep_s": 10}
 END
 	"$OUT/cactusfield-node" --settings="$work/node-$1.json" \
 		>>"$work/node-$1.log" 2>&1 &
