Take the duty of a former life at once, and let the largest entry decide

Mended: an entry that finds itself named as the holder, by name and address, and does not hold the duty, replaces the key as it read it: nobody else can listen on that address, and what the former life may still have on its way needs the old revision.

Ruled out: a shorter lease (a holder with a slow store would lose it).

Tests: sys_node keeps the stand-in's leases from running out and kills the holder; with the old code nobody gets the duty then.

--- a/packages/node/node_lead.c
+++ b/packages/node/node_lead.c
@@ -4,6 +4,10 @@
  *
  * Whoever finds no holder tries to become it.  The holder measures its lease
  * from before the call that renewed it, on a clock that counts suspension.
+ *
+ * An entry that finds itself named as the holder, and is not, was the holder
+ * in a former life: nobody else can listen on its address, so that life is
+ * over, and it takes the duty again without waiting for that lease to end.
  */
 #include "node_int.h"
 
@@ -19,15 +23,21 @@
 #define LEAD_SPREAD (20 * BASE_MS)
 #define LEAD_AGE_MAX (30 * BASE_SEC)
 #define LEAD_AGE_PART 250 /* of the age: 4 ms a second, 120 ms at most */
+/* The holder does the most work: an entry with less processor than the largest
+ * leaves it the time to go first, which is a few answers of the store. */
+#define LEAD_SMALL (160 * BASE_MS)
 
 static void read_owner(void *arg);
-static void campaign(node_t *node);
 
 static int64_t campaign_delay(node_t *node)
 {
 	int64_t age = MIN(base_clock_mono() - node->started, LEAD_AGE_MAX);
 
-	return age / LEAD_AGE_PART + base_rng_below(&node->rng, LEAD_SPREAD);
+	double part = node->settings->processor / node->largest;
+
+	return age / LEAD_AGE_PART +
+	       (int64_t)((double)LEAD_SMALL * (1 - MIN(part, 1))) +
+	       base_rng_below(&node->rng, LEAD_SPREAD);
 }
 
 static void forget_lead(node_t *node)
@@ -81,6 +91,19 @@
 	return mine;
 }
 
+static bool names_me(const node_t *node, const node_item_t *item)
+{
+	json_t *root = json_loadb(item->value.ptr, item->value.len, 0, NULL);
+	const char *name = json_string_value(json_object_get(root, "name"));
+	const char *address =
+		json_string_value(json_object_get(root, "address"));
+	bool mine = name && address && !strcmp(name, node->settings->name) &&
+		    !strcmp(address, node->settings->peers);
+
+	json_decref(root);
+	return mine;
+}
+
 static void become(node_t *node, int64_t owner_revision, int64_t fence_revision)
 {
 	node_owner_options_t options = {
@@ -98,7 +121,8 @@
 	node->lead.term = node->campaign_term;
 	node->lead.learned = base_clock_mono();
 	node_log(node, BASE_MSG_DUTY_TAKEN, BASE_F_INT("term", options.term),
-		 BASE_F_INT("owner_revision", owner_revision));
+		 BASE_F_INT("owner_revision", owner_revision),
+		 BASE_F_BOOL("former_life", node->campaign_owner != 0));
 	node->owner = node_owner_new(node, &options);
 	net_timer_start(node->lead_timer, LEAD_RETRY);
 }
@@ -169,7 +193,7 @@
 		talloc_asprintf(owner_text, "{\"term\":%lld,\"commit\":0}",
 				(long long)node->campaign_term);
 	node_expect_t expects[] = {
-		{ NODE_KEY_OWNER, 0 },
+		{ NODE_KEY_OWNER, node->campaign_owner },
 		{ NODE_KEY_FENCE, node->campaign_fence },
 	};
 	node_set_t sets[] = {
@@ -231,12 +255,14 @@
 			      leased, node);
 }
 
-static void campaign(node_t *node)
+/* The key must still be as it was read: not there, or of a former life. */
+static void campaign(node_t *node, int64_t owner_revision)
 {
 	if (node->campaigning || node->owner || node->stopping ||
 	    !node->config.version)
 		return;
 	node->campaigning = true;
+	node->campaign_owner = owner_revision;
 	node->campaign_lease = 0;
 	node_count(node, NODE_COUNT_STORE_READ);
 	node->platform->get(node->store, NODE_KEY_FENCE, fence_read, node);
@@ -274,6 +300,12 @@
 	const node_item_t *item = find_item(answer, NODE_KEY_OWNER);
 
 	node_store_answered(node, answer->fate);
+	if (answer->fate == NODE_STORE_OK && item && names_me(node, item)) {
+		campaign(node, item->revision);
+		if (!node->campaigning)
+			net_timer_start(node->lead_timer, LEAD_RETRY);
+		return;
+	}
 	if (answer->fate == NODE_STORE_OK && item) {
 		believe(node, item);
 		node_count(node, NODE_COUNT_STORE_WATCH);
@@ -285,7 +317,7 @@
 	if (answer->fate == NODE_STORE_MISSING) {
 		talloc_free(node->lead.name);
 		node->lead.name = NULL;
-		campaign(node);
+		campaign(node, 0);
 	}
 	if (!node->campaigning)
 		net_timer_start(node->lead_timer, LEAD_RETRY);
@@ -307,8 +339,7 @@
 void node_lead_begin(node_t *node)
 {
 	node->lead_timer = net_timer_new(node, node->loop, read_owner, node);
-	net_timer_start(node->lead_timer,
-			base_rng_below(&node->rng, LEAD_SPREAD));
+	net_timer_start(node->lead_timer, campaign_delay(node));
 }
 
 void node_lead_doubt(node_t *node)
--- a/standin/platform/sp_int.h
+++ b/standin/platform/sp_int.h
@@ -87,13 +87,15 @@
 	sp_trouble_t trouble;
 	int lose;    /* of a hundred changes: done and not answered */
 	int task_ms; /* how long a task takes */
+	bool advice; /* starts need a ticket; workers of even number get one */
+	bool hold_leases; /* none of them runs out */
 	base_rng_t rng;
 	sp_worker_t workers[SP_WORKERS_MAX];
 	int n_workers;
 	/* The judge's records. */
 	GHashTable *submitted; /* not used by the store: job ids that ran */
 	GHashTable *done;      /* tasks whose end was noted */
-	int starts, finished, broken, upkeeps;
+	int starts, finished, broken, upkeeps, questions, tickets_refused;
 	char fault[160];
 	net_server_t *control;
 };
@@ -114,6 +116,12 @@
 void sp_worker_begin_life(sp_worker_t *worker);
 void sp_instances_serve(sp_t *sp, net_exchange_t *exchange, const char *path);
 
+/* sp_advice.c */
+void sp_advice_serve(sp_t *sp, net_exchange_t *exchange);
+/* Whether the start carries what it needs. */
+bool sp_advice_allows(const sp_worker_t *worker, const sp_run_t *run,
+		      const json_t *root);
+
 /* sp_main.c */
 void sp_reply_json(net_exchange_t *exchange, int status, json_t *body);
 char *sp_query(const char *path, const char *name);
--- a/standin/platform/sp_main.c
+++ b/standin/platform/sp_main.c
@@ -41,9 +41,11 @@
 static void serve_verdict(sp_t *sp, net_exchange_t *exchange)
 {
 	sp_reply_json(exchange, 200,
-		      json_pack("{s:i,s:i,s:i,s:i,s:s}", "starts", sp->starts,
-				"finished", sp->finished, "broken", sp->broken,
-				"upkeeps", sp->upkeeps, "fault", sp->fault));
+		      json_pack("{s:i,s:i,s:i,s:i,s:i,s:i,s:s}", "starts",
+				sp->starts, "finished", sp->finished, "broken",
+				sp->broken, "upkeeps", sp->upkeeps, "questions",
+				sp->questions, "tickets_refused",
+				sp->tickets_refused, "fault", sp->fault));
 }
 
 static void set_switch(sp_t *sp, const char *path)
@@ -52,6 +54,8 @@
 	char *lose = sp_query(path, "lose");
 	char *task = sp_query(path, "task-ms");
 	char *worker = sp_query(path, "crash");
+	char *advice = sp_query(path, "advice");
+	char *leases = sp_query(path, "leases");
 
 	if (*trouble)
 		sp->trouble = !strcmp(trouble, "busy")	   ? SP_BUSY
@@ -61,6 +65,10 @@
 		sp->lose = (int)strtol(lose, NULL, 10);
 	if (*task)
 		sp->task_ms = (int)strtol(task, NULL, 10);
+	if (*advice)
+		sp->advice = !strcmp(advice, "on");
+	if (*leases)
+		sp->hold_leases = !strcmp(leases, "hold");
 	if (*worker) {
 		sp_worker_t *it =
 			&sp->workers[strtol(worker, NULL, 10) % sp->n_workers];
@@ -72,6 +80,8 @@
 	g_free(lose);
 	g_free(task);
 	g_free(worker);
+	g_free(advice);
+	g_free(leases);
 }
 
 /* The test's own side: /judge, /switch?..., /operator?key=..., /read?key=... */
@@ -106,6 +116,8 @@
 
 	if (g_str_has_prefix(path, "/v1/kv-"))
 		sp_store_serve(sp, exchange, path);
+	else if (!strcmp(path, "/v1/advise"))
+		sp_advice_serve(sp, exchange);
 	else if (g_str_has_prefix(path, "/v1/machine"))
 		sp_instances_serve(sp, exchange, path);
 	else
--- a/standin/platform/sp_store.c
+++ b/standin/platform/sp_store.c
@@ -370,7 +370,7 @@
 	for (i = sp->leases->len; i-- > 0;) {
 		sp_lease_t *lease = &g_array_index(sp->leases, sp_lease_t, i);
 
-		if (now > lease->until)
+		if (now > lease->until && !sp->hold_leases)
 			end_lease(sp, lease->id);
 	}
 	for (i = sp->watches->len; i-- > 0;)
--- a/standin/platform/sp_worker.c
+++ b/standin/platform/sp_worker.c
@@ -191,6 +191,10 @@
 		refuse(worker, exchange, "old");
 		return;
 	}
+	if (!sp_advice_allows(worker, &run, root)) {
+		refuse(worker, exchange, "ticket");
+		return;
+	}
 	judge_start(worker, &run);
 	worker->sp->starts++;
 	/* A job whose text says so lasts. */
