--- /dev/null
+++ b/models/run_end_broken.pml
@@ -0,0 +1,5 @@
+/* expect: violation */
+/* pan: -w24 */
+/* See run.pml. */
+#define BROKEN_END
+#include "run.pml"
