--- a/packages/batch/batch_progress.c
+++ b/packages/batch/batch_progress.c
@@ -29,12 +29,12 @@
 #define SLOW_MOVES 2 /* of one task: the second worker may be bad too */
 #define SLOW_RUNS 3  /* of two jobs, and most of those on the worker */
 
-typedef struct pace {
+typedef struct progress {
 	int judged;
 	int slow;
 	const batch_job_t *job; /* of the first slow run */
 	bool jobs;		/* slow runs of several */
-} pace_t;
+} progress_t;
 
 /* Members of a gang make progress only together. */
 static bool gang_complete(const batch_step_t *step, int64_t since)
@@ -103,9 +103,9 @@
 	return projected(run, now) > SLOW_TIMES * estimate(run);
 }
 
-static pace_t judge(const batch_worker_t *worker, int64_t now)
+static progress_t judge(const batch_worker_t *worker, int64_t now)
 {
-	pace_t pace = { 0 };
+	progress_t seen = { 0 };
 	guint i;
 
 	for (i = 0; i < worker->runs->len; i++) {
@@ -114,14 +114,14 @@
 
 		if (!projected(run, now))
 			continue;
-		pace.judged++;
+		seen.judged++;
 		if (!is_slow(run, now))
 			continue;
-		pace.slow++;
-		pace.jobs |= pace.job && pace.job != job;
-		pace.job = job;
+		seen.slow++;
+		seen.jobs |= seen.job && seen.job != job;
+		seen.job = job;
 	}
-	return pace;
+	return seen;
 }
 
 static void move_slow(batch_run_t *run, int64_t now)
@@ -141,13 +141,13 @@
 /* After a look: "moved" is when a look last showed other progress. */
 void batch_progress_look(batch_worker_t *worker, int64_t now)
 {
-	pace_t pace = judge(worker, now);
-	bool slow = pace.slow >= SLOW_RUNS && pace.jobs &&
-		    2 * pace.slow > pace.judged;
+	progress_t seen = judge(worker, now);
+	bool slow = seen.slow >= SLOW_RUNS && seen.jobs &&
+		    2 * seen.slow > seen.judged;
 	guint i;
 
 	if (slow)
-		batch_health_slow(worker, now, pace.slow);
+		batch_health_slow(worker, now, seen.slow);
 	for (i = worker->runs->len; i-- > 0;) {
 		batch_run_t *run = g_ptr_array_index(worker->runs, i);
 		batch_task_t *task = run->task;
@@ -157,7 +157,7 @@
 					   "tasks that stand still");
 			task->avoid = worker;
 			batch_run_stop(run, now, "stands still");
-		} else if (slow || pace.slow == pace.judged) {
+		} else if (slow || seen.slow == seen.judged) {
 			move_slow(run, now);
 		}
 	}
--- a/packages/node/node_advice.c
+++ b/packages/node/node_advice.c
@@ -6,16 +6,20 @@
 static void advised(void *arg, const node_advice_t *advice)
 {
 	node_owner_t *owner = arg;
+	int64_t now = base_clock_mono();
 
 	if (owner->ended)
 		return;
-	node_log(owner->node, BASE_MSG_ADVICE, BASE_F_BOOL("ok", advice->ok),
+	node_log(owner->node, BASE_MSG_ADVICE,
+		 BASE_F_STR("id", owner->advice_id),
+		 BASE_F_INT("step", owner->advice_step),
+		 BASE_F_BOOL("ok", advice->ok),
 		 BASE_F_INT("good", (int64_t)advice->n),
 		 BASE_F_INT("valid_us", advice->validity),
+		 BASE_F_INT("took_us", now - owner->advice_asked),
 		 BASE_F_INT("term", owner->term));
-	batch_advised(owner->core, base_clock_mono(),
-		      advice->ok ? advice->tickets : NULL, advice->n,
-		      advice->validity);
+	batch_advised(owner->core, now, advice->ok ? advice->tickets : NULL,
+		      advice->n, advice->validity);
 	node_owner_wake(owner);
 }
 
@@ -31,6 +35,10 @@
 {
 	node_owner_t *owner = arg;
 
+	talloc_free(owner->advice_id);
+	owner->advice_id = base_str_dup(owner, question->step.job);
+	owner->advice_step = question->step.step;
+	owner->advice_asked = base_clock_mono();
 	if (!owner->advice) {
 		net_later(owner->node->loop, nobody_to_ask, owner);
 		return;
--- a/packages/node/node_int.h
+++ b/packages/node/node_int.h
@@ -289,7 +289,10 @@
 	node_insts_t *instances;
 	node_waves_t *waves;
 	node_moves_t *moves;
-	void *advice; /* handle of the platform's; NULL: nobody to ask */
+	void *advice;	 /* handle of the platform's; NULL: nobody to ask */
+	char *advice_id; /* the job that the last question was about */
+	int advice_step;
+	int64_t advice_asked; /* when */
 };
 
 /* node_advice.c */
--- a/packages/node/node_run.c
+++ b/packages/node/node_run.c
@@ -33,12 +33,12 @@
 	int64_t now = base_clock_mono();
 	guint open = g_hash_table_size(node->open_asks);
 
-	/* What came late is answered, and that goes out before the next tick.
-	 */
+	/* What is answered here goes out before the next tick. */
 	if (now >= node->stop_by && open) {
 		node_dispatch_end(node);
 	} else if (now >= node->stop_linger && !open) {
-		node_log(node, BASE_MSG_STOPPED, BASE_F_INT("open", 0));
+		node_log(node, BASE_MSG_STOPPED,
+			 BASE_F_INT("term", node->lead.term));
 		node_log_flush(node);
 		net_loop_stop(node->loop);
 		return;
