Give the test of ports one that no system test uses

Cause of a failure in the whole script (ASan, entry_listen_test, "cannot listen on 127.0.0.1:19301: is the port in use?"): the test took 12000 and its process id modulo 12000, in the range of 10000 to 31000 that the system tests draw their blocks from, which run beside it; with five at once instead of four it met one.

Ruled out: the product, which said rightly that the port was taken.

Mended: a port from 5000 to 9999 that can be bound. The checks are the same.

--- a/packages/entry/tests/entry_listen_test.c
+++ b/packages/entry/tests/entry_listen_test.c
@@ -6,9 +6,11 @@
 
 /*
  * Below the ports that the system gives to clients: a client that tries such a
- * port again and again ends up connected to itself.
+ * port again and again ends up connected to itself.  And below those of the
+ * system tests, which run beside this one.
  */
-#define PORTS 12000
+#define PORTS 5000
+#define PORTS_FROM 5000
 #define ROUNDS 2 /* the HTTP library stops in up to 2 s */
 #define ASK "GET /status HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n"
 
@@ -81,10 +83,26 @@
 	mg_stop(http);
 }
 
+static bool is_free(int port)
+{
+	struct sockaddr_in at = { .sin_family = AF_INET,
+				  .sin_port = htons(port),
+				  .sin_addr.s_addr = htonl(INADDR_LOOPBACK) };
+	int fd = socket(AF_INET, SOCK_STREAM, 0);
+	bool bound = !bind(fd, (struct sockaddr *)&at, sizeof(at));
+
+	close(fd);
+	return bound;
+}
+
 int main(int argc, char **argv)
 {
+	int tries = 0;
+
 	g_test_init(&argc, &argv, NULL);
-	options.port = PORTS + (int)(getpid() % PORTS);
+	do
+		options.port = PORTS_FROM + (int)(getpid() + tries * 7) % PORTS;
+	while (!is_free(options.port) && ++tries < PORTS);
 	g_test_add_func("/entry/listen/served-from-the-start",
 			test_served_from_the_start);
 	g_test_add_func("/entry/listen/port-in-use", test_port_in_use);
