--- a/tests/lib.sh
+++ b/tests/lib.sh
@@ -16,32 +16,7 @@
 export LOAD_KEY CACTUSFIELD_KEY_FILE
 echo $LOAD_KEY >"$CACTUSFIELD_KEY_FILE"
 
-# Whether the process is still a child of this script: once one was waited
-# for, its number may belong to somebody else.
-is_ours() {
-	test "$(sed -n 's/^PPid:[[:space:]]*//p' "/proc/$1/status" 2>/dev/null)" = $$
-}
-
-end_all() {
-	for pid in $pids $standin_pid
-	do
-		is_ours "$pid" || continue
-		kill -CONT "$pid" 2>/dev/null
-		kill "$pid" 2>/dev/null
-	done
-	for pid in $pids $standin_pid
-	do
-		wait "$pid" 2>/dev/null
-	done
-	if test "${KEEP:-0}" = 0
-	then
-		rm -rf "$work"
-	else
-		echo "# kept: $work" >&2
-	fi
-}
-trap end_all EXIT
-trap 'exit 130' INT TERM
+. "$(dirname "$0")/ends.sh"
 
 # start_standin ZONE:COUNT... : on a block of free ports.
 start_standin() {
--- a/tests/node.sh
+++ b/tests/node.sh
@@ -8,25 +8,8 @@
 work=$(mktemp -d)
 pids=
 
-end_all() {
-	for pid in $pids
-	do
-		kill -CONT "$pid" 2>/dev/null
-		kill "$pid" 2>/dev/null
-	done
-	for pid in $pids
-	do
-		wait "$pid" 2>/dev/null
-	done
-	if test "${KEEP:-0}" = 0
-	then
-		rm -rf "$work"
-	else
-		echo "# kept: $work" >&2
-	fi
-}
-trap end_all EXIT
-trap 'exit 130' INT TERM
+standin_pid=
+. "$(dirname "$0")/ends.sh"
 
 # start_platform WORKERS: on a block of free ports.
 start_platform() {
