--- a/packages/batch/batch.h
+++ b/packages/batch/batch.h
@@ -340,20 +340,6 @@
 size_t batch_moves(batch_t *core, int64_t now, size_t spares, bool spare_pool,
 		   batch_move_t *moves, size_t max);
 
-/* What is left of a round of upkeep. */
-typedef struct batch_upkeep {
-	int at_most;  /* out at once, the round's bound */
-	int left;     /* whose upkeep has not begun */
-	int64_t time; /* until the round is due, microseconds; may be over */
-} batch_upkeep_t;
-
-/*
- * How many instances are to be out at once, so that the round is done in time
- * even where each has to be emptied first.  Idle ones may be more, up to the
- * bound.  At least 1 where any is left and the bound allows it.
- */
-int batch_upkeep_pace(const batch_upkeep_t *upkeep);
-
 /* How many workers are on their way to a pool, not listed yet. */
 void batch_pool_incoming(batch_t *core, base_str_t pool, int workers);
 
--- a/packages/node/node_wave.c
+++ b/packages/node/node_wave.c
@@ -40,8 +40,7 @@
 	node_waves_t *waves;
 	int64_t number;
 	int at_most;
-	int64_t began;	  /* on our clock; before our time after a takeover */
-	int64_t duration; /* from then on, microseconds */
+	int64_t ends_by;
 	place_t *places;
 	size_t n;
 	bool completed;
@@ -109,20 +108,6 @@
 	return NULL;
 }
 
-/*
- * How much of the round's time is over.  The clock of the day may have been
- * stepped, or be another entry's: what a predecessor has counted is the least.
- */
-static int64_t time_spent(const json_t *record)
-{
-	int64_t spent = json_integer_value(json_object_get(record, "spent_us"));
-	int64_t told = json_integer_value(json_object_get(record, "told_us"));
-
-	if (!told)
-		return spent;
-	return spent + MAX(base_clock_wall() - told, 0);
-}
-
 /* What a predecessor has begun need not begin again. */
 static void take_record(wave_t *wave)
 {
@@ -155,7 +140,6 @@
 			place->state = PLACE_DOWN;
 	}
 	wave->completed = json_is_true(json_object_get(root, "completed"));
-	wave->began -= time_spent(root);
 	json_decref(root);
 }
 
@@ -183,8 +167,7 @@
 	wave->waves = waves;
 	wave->number = info.number;
 	wave->at_most = MAX(info.at_most, 1);
-	wave->began = base_clock_mono();
-	wave->duration = info.duration;
+	wave->ends_by = base_clock_mono() + info.duration;
 	wave->n = info.n_instances;
 	wave->places = talloc_zero_array(wave, place_t, wave->n + 1);
 	for (i = 0; i < wave->n; i++) {
@@ -247,10 +230,7 @@
 	add_names(buf, wave, PLACE_DOWN, PLACE_BACK);
 	base_buf_adds(buf, "],\"asked\":[");
 	add_names(buf, wave, PLACE_ASKED, PLACE_ASKED);
-	base_buf_addf(buf,
-		      "],\"spent_us\":%lld,\"told_us\":%lld,\"completed\":%s}",
-		      (long long)(base_clock_mono() - wave->began),
-		      (long long)base_clock_wall(),
+	base_buf_addf(buf, "],\"completed\":%s}",
 		      wave->completed ? "true" : "false");
 	sets[(*n_sets)++] =
 		(node_set_t){ talloc_asprintf(ctx, NODE_KEY_WAVE "%lld",
@@ -448,34 +428,12 @@
 	return n;
 }
 
-/* Empty what runs nothing up to the bound, and the rest as time presses. */
-static void empty_some(wave_t *wave, int out, int left)
-{
-	batch_upkeep_t upkeep = { .at_most = wave->at_most,
-				  .left = left,
-				  .time = wave->began + wave->duration -
-					  base_clock_mono() };
-	int pace = batch_upkeep_pace(&upkeep);
-	place_t *place;
-	size_t lasting;
-
-	while (out < wave->at_most + WAVE_AHEAD &&
-	       (place = next_place(wave)) != NULL) {
-		bool idle = !runs_on(place, &lasting);
-
-		if (out >= pace + WAVE_AHEAD && !idle)
-			return;
-		set_state(place, PLACE_EMPTYING, idle ? "idle" : "due");
-		cordon(place, true);
-		out++;
-	}
-}
-
 static void advance(wave_t *wave)
 {
 	int counts[PLACE_MAX];
 	int down;
-	int out;
+	int busy;
+	place_t *place;
 
 	count_places(wave, counts);
 	if (!wave->completed &&
@@ -490,11 +448,14 @@
 			 BASE_F_BOOL("completed", true));
 	}
 	down = counts[PLACE_ASKED] + counts[PLACE_DOWN] + seen_down(wave);
-	out = down + counts[PLACE_EMPTYING];
+	busy = down + counts[PLACE_EMPTYING];
 	order_empty(wave, &down);
-	empty_some(wave, out,
-		   counts[PLACE_WAITING] + counts[PLACE_EMPTYING] +
-			   counts[PLACE_ASKED]);
+	while (busy < wave->at_most + WAVE_AHEAD &&
+	       (place = next_place(wave)) != NULL) {
+		set_state(place, PLACE_EMPTYING, "next");
+		cordon(place, true);
+		busy++;
+	}
 }
 
 static bool active(const node_waves_t *waves)
