--- a/packages/batch/batch.h
+++ b/packages/batch/batch.h
@@ -132,6 +132,7 @@
 	BATCH_NOTE_JOB_ENDED,
 	BATCH_NOTE_JOB_CANCELLED,
 	BATCH_NOTE_STEP_STARTED,
+	BATCH_NOTE_STEP_PLACED, /* its last task, well after the first */
 	BATCH_NOTE_RUN_FAILED,
 	BATCH_NOTE_RUN_LOST,
 	BATCH_NOTE_RUN_STOPPED,
@@ -398,6 +399,16 @@
 
 void batch_stats(const batch_t *core, batch_stats_t *stats);
 
+/*
+ * Why a job, a worker, a queue's pool or a pool is as it is: "said" is a
+ * sentence, the other members the facts that it rests on and their age in
+ * microseconds.  NULL where nothing is called so.  The caller's to release.
+ */
+struct json_t *batch_explain(const batch_t *core, int64_t now, base_str_t name);
+
+/* The same for each pool in force, as a list. */
+struct json_t *batch_explain_pools(const batch_t *core, int64_t now);
+
 const char *batch_state_name(batch_state_t state);
 
 #endif
--- a/packages/batch/batch_capacity.c
+++ b/packages/batch/batch_capacity.c
@@ -135,6 +135,7 @@
 		MAX(workers, ratio(busy + lasting.memory, pool->worker_memory));
 	need->least = MAX(spread(core, pool), 1);
 	need->want = MAX((int)ceil(workers * CAPACITY_HEADROOM), need->least);
+	pool->want = need->want;
 	if (need->have > need->want) {
 		if (!pool->surplus_since)
 			pool->surplus_since = now;
--- /dev/null
+++ b/packages/batch/batch_fit.c
@@ -0,0 +1,122 @@
+/*
+ * Whether a worker can take a task, and where none can, why.
+ */
+#include "batch_int.h"
+
+bool batch_worker_usable(const batch_worker_t *worker, int64_t now)
+{
+	return worker->listed && worker->born && !worker->silent &&
+	       !worker->draining && !worker->cordoned && !worker->out &&
+	       now >= worker->rest && now - worker->heard <= BATCH_HEARD_MAX;
+}
+
+/* One that was not looked at yet, after a takeover, counts as well. */
+bool batch_worker_counts(const batch_worker_t *worker)
+{
+	return worker->listed && !worker->draining && !worker->cordoned &&
+	       !worker->silent && !worker->out;
+}
+
+static bool has_label(const batch_worker_t *worker, base_str_t label)
+{
+	size_t i;
+
+	for (i = 0; i < worker->n_labels; i++)
+		if (base_str_eq(base_str(worker->labels[i]), label))
+			return true;
+	return false;
+}
+
+bool batch_fit_room(const batch_worker_t *worker, const batch_step_spec_t *spec)
+{
+	if (!spec->fills &&
+	    worker->used.cpu + spec->need.cpu > worker->capacity.cpu)
+		return false;
+	return worker->used.memory + spec->need.memory <=
+		       worker->capacity.memory &&
+	       worker->used.gpu + spec->need.gpu <= worker->capacity.gpu;
+}
+
+int batch_fit_siblings(const batch_worker_t *worker, const batch_step_t *step)
+{
+	int n = 0;
+	guint i;
+
+	for (i = 0; i < worker->runs->len; i++) {
+		batch_run_t *run = g_ptr_array_index(worker->runs, i);
+
+		n += run->task->step == step;
+	}
+	return n;
+}
+
+bool batch_fit_allows(const batch_worker_t *worker, const batch_task_t *task,
+		      int64_t now)
+{
+	const batch_step_spec_t *spec = task->step->spec;
+
+	if (!batch_worker_usable(worker, now))
+		return false;
+	if (worker->claimed && worker->claimed != task)
+		return false;
+	if (spec->label.len && !has_label(worker, spec->label))
+		return false;
+	if (spec->per_worker &&
+	    batch_fit_siblings(worker, task->step) >= spec->per_worker)
+		return false;
+	return batch_advice_allows(task, worker, now);
+}
+
+/* Which test the workers of the pool fail, from the first on. */
+typedef struct fit_counts {
+	int listed;
+	int usable;
+	int labelled;
+	int allowed;
+	int roomy;
+} fit_counts_t;
+
+static fit_counts_t count(const batch_task_t *task, int64_t now)
+{
+	const batch_step_spec_t *spec = task->step->spec;
+	const GPtrArray *workers = task->step->occ->job->queue->pool->workers;
+	fit_counts_t counts = { 0 };
+	guint i;
+
+	for (i = 0; i < workers->len; i++) {
+		const batch_worker_t *worker = g_ptr_array_index(workers, i);
+
+		counts.listed++;
+		if (!batch_worker_usable(worker, now))
+			continue;
+		counts.usable++;
+		if (spec->label.len && !has_label(worker, spec->label))
+			continue;
+		counts.labelled++;
+		if (!batch_fit_allows(worker, task, now))
+			continue;
+		counts.allowed++;
+		counts.roomy += batch_fit_room(worker, spec);
+	}
+	return counts;
+}
+
+const char *batch_fit_why(const batch_task_t *task, int64_t now)
+{
+	fit_counts_t counts = count(task, now);
+
+	if (!counts.listed)
+		return "its pool has no worker";
+	if (!counts.usable)
+		return "no worker of its pool can take work now";
+	if (!counts.labelled)
+		return "no worker that can take work has its label";
+	if (!counts.allowed)
+		return "policy, spread or room kept for others exclude the "
+		       "workers that can take work";
+	if (!counts.roomy)
+		return "no worker has room";
+	if (task->step->spec->gang)
+		return "not all tasks of its gang find room";
+	return "it starts with the next decision";
+}
--- a/packages/batch/batch_int.h
+++ b/packages/batch/batch_int.h
@@ -48,6 +48,7 @@
 	bool full; /* what needs as much found no room in this pass */
 	batch_res_t full_need;
 	int incoming;	       /* workers on their way */
+	int want;	       /* workers, as measured last */
 	int64_t surplus_since; /* 0: none */
 };
 
@@ -131,6 +132,8 @@
 	batch_task_t *tasks;
 	int done;
 	bool begun;
+	int64_t begun_at; /* 0: by a predecessor */
+	int placed;	  /* tasks that had a run */
 };
 
 struct batch_occ {
@@ -317,12 +320,23 @@
 bool batch_admit(batch_t *core, const batch_job_t *job, int64_t now,
 		 int64_t *retry_after);
 
-/* batch_place.c */
-void batch_place(batch_t *core, int64_t now, int64_t wall);
+/* batch_fit.c */
 /* Whether it may get a start now. */
 bool batch_worker_usable(const batch_worker_t *worker, int64_t now);
 /* Whether it counts among what its pool has. */
 bool batch_worker_counts(const batch_worker_t *worker);
+bool batch_fit_room(const batch_worker_t *worker,
+		    const batch_step_spec_t *spec);
+/* Runs of the step on the worker. */
+int batch_fit_siblings(const batch_worker_t *worker, const batch_step_t *step);
+/* All but its room: whether the worker may run the task. */
+bool batch_fit_allows(const batch_worker_t *worker, const batch_task_t *task,
+		      int64_t now);
+/* Why a task without a run, of an open step, has none. */
+const char *batch_fit_why(const batch_task_t *task, int64_t now);
+
+/* batch_place.c */
+void batch_place(batch_t *core, int64_t now, int64_t wall);
 
 /* Whether a worker has room for the task beside the one it is on. */
 bool batch_place_elsewhere(const batch_task_t *task, int64_t now);
--- a/packages/batch/batch_place.c
+++ b/packages/batch/batch_place.c
@@ -35,75 +35,13 @@
  * a short task is left to them. */
 #define PLACE_SLACK_ERROR (100 * BASE_MS)
 
+/* Tasks of a step that are placed within two decisions are placed together. */
+#define PLACE_NOTE_AFTER (2 * BATCH_STEP)
+
 /* Costs of a place; what is taken of a worker counts up to 1. */
 #define PLACE_REMOTE 8 /* another rack: run times double there, and more */
 #define PLACE_AVOID 16 /* it failed or was refused there last */
 
-bool batch_worker_usable(const batch_worker_t *worker, int64_t now)
-{
-	return worker->listed && worker->born && !worker->silent &&
-	       !worker->draining && !worker->cordoned && !worker->out &&
-	       now >= worker->rest && now - worker->heard <= BATCH_HEARD_MAX;
-}
-
-/* One that was not looked at yet, after a takeover, counts as well. */
-bool batch_worker_counts(const batch_worker_t *worker)
-{
-	return worker->listed && !worker->draining && !worker->cordoned &&
-	       !worker->silent && !worker->out;
-}
-
-static bool has_label(const batch_worker_t *worker, base_str_t label)
-{
-	size_t i;
-
-	for (i = 0; i < worker->n_labels; i++)
-		if (base_str_eq(base_str(worker->labels[i]), label))
-			return true;
-	return false;
-}
-
-static bool has_room(const batch_worker_t *worker,
-		     const batch_step_spec_t *spec)
-{
-	if (!spec->fills &&
-	    worker->used.cpu + spec->need.cpu > worker->capacity.cpu)
-		return false;
-	return worker->used.memory + spec->need.memory <=
-		       worker->capacity.memory &&
-	       worker->used.gpu + spec->need.gpu <= worker->capacity.gpu;
-}
-
-static int siblings(const batch_worker_t *worker, const batch_step_t *step)
-{
-	int n = 0;
-	guint i;
-
-	for (i = 0; i < worker->runs->len; i++) {
-		batch_run_t *run = g_ptr_array_index(worker->runs, i);
-
-		n += run->task->step == step;
-	}
-	return n;
-}
-
-static bool may_run(const batch_worker_t *worker, const batch_task_t *task,
-		    int64_t now)
-{
-	const batch_step_spec_t *spec = task->step->spec;
-
-	if (!batch_worker_usable(worker, now))
-		return false;
-	if (worker->claimed && worker->claimed != task)
-		return false;
-	if (spec->label.len && !has_label(worker, spec->label))
-		return false;
-	if (spec->per_worker &&
-	    siblings(worker, task->step) >= spec->per_worker)
-		return false;
-	return batch_advice_allows(task, worker, now);
-}
-
 /* Serving tasks and those that fill disturb each other on one worker. */
 static int disturbance(const batch_worker_t *worker,
 		       const batch_step_spec_t *spec)
@@ -134,7 +72,7 @@
 		batch_worker_t *worker = g_ptr_array_index(pool->workers, i);
 
 		if (!strcmp(worker->rack, rack))
-			n += siblings(worker, step);
+			n += batch_fit_siblings(worker, step);
 	}
 	return n;
 }
@@ -174,7 +112,7 @@
 		const batch_worker_t *worker =
 			g_ptr_array_index(pool->workers, i);
 
-		if (siblings(worker, step))
+		if (batch_fit_siblings(worker, step))
 			return worker->rack;
 	}
 	for (i = 0; i < pool->workers->len; i++) {
@@ -190,7 +128,7 @@
 				g_ptr_array_index(pool->workers, j);
 
 			if (!strcmp(other->rack, worker->rack) &&
-			    may_run(other, task, now))
+			    batch_fit_allows(other, task, now))
 				fits += fitting(other, step->spec);
 		}
 		if (fits > most) {
@@ -238,8 +176,8 @@
 		batch_worker_t *worker = g_ptr_array_index(pool->workers, i);
 		double now_cost;
 
-		if (!may_run(worker, task, now) ||
-		    has_room(worker, task->step->spec) != room)
+		if (!batch_fit_allows(worker, task, now) ||
+		    batch_fit_room(worker, task->step->spec) != room)
 			continue;
 		now_cost = cost(pool, worker, task);
 		if (home && strcmp(home, worker->rack))
@@ -252,6 +190,22 @@
 	return best;
 }
 
+static void note_step(const batch_task_t *task, batch_note_kind_t kind,
+		      const char *why, int64_t value)
+{
+	const batch_worker_t *worker = task->run->worker;
+	batch_t *core = task->step->occ->job->core;
+
+	batch_note(core,
+		   &(batch_note_t){ .kind = kind,
+				    .task = batch_task_name(task),
+				    .run = task->number,
+				    .worker = base_str(worker->id),
+				    .why = why,
+				    .value = value,
+				    .age = task->run->since - worker->heard });
+}
+
 /* A run was made for the task: the job's row changes. */
 static void announce(batch_task_t *task, int64_t now)
 {
@@ -266,17 +220,19 @@
 	if (job->state == BATCH_QUEUED)
 		job->state = BATCH_RUNNING;
 	batch_job_changed(job);
-	if (step->begun)
-		return;
-	step->begun = true;
-	batch_note(job->core,
-		   &(batch_note_t){ .kind = BATCH_NOTE_STEP_STARTED,
-				    .task = batch_task_name(task),
-				    .run = task->number,
-				    .worker = base_str(worker->id),
-				    .why = "since arrival, microseconds",
-				    .value = now - job->arrived,
-				    .age = now - worker->heard });
+	step->placed += task->run->number == 1;
+	if (!step->begun) {
+		step->begun = true;
+		step->begun_at = now;
+		note_step(task, BATCH_NOTE_STEP_STARTED,
+			  "since arrival, microseconds", now - job->arrived);
+	} else if (task->run->number == 1 &&
+		   step->placed == step->spec->count && step->begun_at &&
+		   now - step->begun_at > PLACE_NOTE_AFTER) {
+		note_step(task, BATCH_NOTE_STEP_PLACED,
+			  "last task, since the first, microseconds",
+			  now - step->begun_at);
+	}
 }
 
 /* Keep the room that comes free somewhere for a lasting task. */
--- a/packages/batch/batch_record.c
+++ b/packages/batch/batch_record.c
@@ -131,6 +131,7 @@
 			     base_str(json_string_value(
 				     json_array_get(row, FIELD_CHECKPOINT))));
 	task->step->begun = true;
+	task->step->placed += task->number > 0;
 	if (task->done)
 		task->step->done++;
 	else if (*worker)
--- /dev/null
+++ b/packages/batch/tests/batch_explain_test.c
@@ -0,0 +1,136 @@
+/*
+ * What is said of a job that waits, of its worker and of its pool: the reason
+ * must be the one that holds it, and the facts carry their age.
+ */
+#include <jansson.h>
+
+#include "batch_world.h"
+
+#define SECOND BASE_SEC
+
+static json_t *explain(const world_t *world, const char *name)
+{
+	json_t *answer = batch_explain(world->core, world->now, base_str(name));
+
+	g_assert_nonnull(answer);
+	return answer;
+}
+
+static void assert_said(const world_t *world, const char *name,
+			const char *part)
+{
+	json_t *answer = explain(world, name);
+	const char *said = json_string_value(json_object_get(answer, "said"));
+
+	if (!strstr(said, part))
+		g_test_message("%s: %s", name, said);
+	g_assert_nonnull(strstr(said, part));
+	json_decref(answer);
+}
+
+static int64_t number(const world_t *world, const char *name, const char *key)
+{
+	json_t *answer = explain(world, name);
+	const json_t *value = json_object_get(answer, key);
+	int64_t result = json_integer_value(value);
+
+	g_assert_true(json_is_integer(value));
+	json_decref(answer);
+	return result;
+}
+
+static void test_job_that_runs(void)
+{
+	world_t *world = world_new(1, 2, 2);
+	batch_step_spec_t steps[2] = { world_step(2), world_step(1) };
+	json_t *answer;
+	json_t *run;
+
+	steps[1].after = 1;
+	world_submit(world, "a", steps, 2);
+	world_pass(world, SECOND / 2);
+	assert_said(world, "a", "job a is running");
+	assert_said(world, "a", "step 0: 0 of 2 tasks done, 2 placed");
+	assert_said(world, "a", "the steps before it are not done");
+	g_assert_cmpint(number(world, "a", "age_us"), ==, SECOND / 2);
+	answer = explain(world, "a");
+	run = json_array_get(json_object_get(answer, "runs"), 0);
+	g_assert_cmpstr(json_string_value(json_object_get(run, "state")), ==,
+			"running");
+	g_assert_cmpint(
+		json_integer_value(json_object_get(run, "looked_us_ago")), <,
+		SECOND + SECOND / 2);
+	json_decref(answer);
+	world_pass(world, 5 * SECOND);
+	assert_said(world, "a", "job a is completed.");
+	world_free(world);
+}
+
+/* Each reason in its turn, the nearest cause first. */
+static void test_why_a_task_waits(void)
+{
+	world_t *world = world_new(1, 2, 2);
+	batch_step_spec_t step = world_step(1);
+
+	step.label = BASE_STR("none");
+	world_submit(world, "label", &step, 1);
+	step = world_step(1);
+	step.need.cpu = 8001;
+	world_submit(world, "large", &step, 1);
+	world_pass(world, SECOND / 2);
+	assert_said(world, "label", "has its label");
+	assert_said(world, "large", "no worker has room");
+	world_worker_cut(world, 0, true);
+	world_worker_cut(world, 1, true);
+	world_pass(world, 4 * SECOND);
+	assert_said(world, "large", "can take work now");
+	world_free(world);
+}
+
+static void test_job_that_is_not_stored(void)
+{
+	world_t *world = world_new(1, 2, 2);
+	batch_step_spec_t step = world_step(1);
+
+	world->store_down = true;
+	world_submit(world, "a", &step, 1);
+	world_pass(world, SECOND);
+	assert_said(world, "a", "it is not stored yet");
+	world_free(world);
+}
+
+static void test_worker_and_pool(void)
+{
+	world_t *world = world_new(1, 2, 2);
+	batch_step_spec_t step = world_step(3);
+	const char *id = world->workers[0].id;
+
+	world_submit(world, "a", &step, 1);
+	world_pass(world, SECOND / 2);
+	assert_said(world, id, "takes work");
+	g_assert_cmpint(number(world, id, "cpu_used") +
+				number(world, world->workers[1].id, "cpu_used"),
+			==, 6000);
+	g_assert_cmpint(number(world, "pool", "workers"), ==, 2);
+	g_assert_cmpint(number(world, "pool", "jobs_open"), ==, 1);
+	assert_said(world, "queue", "pool pool has 2 workers");
+	batch_worker_cordon(world->core, world->now, base_str(id), true);
+	assert_said(world, id, "is being emptied");
+	batch_worker_silent(world->core, base_str(id));
+	assert_said(world, id, "does not answer");
+	g_assert_cmpint(number(world, "pool", "usable"), ==, 1);
+	g_assert_null(batch_explain(world->core, world->now, BASE_STR("no")));
+	world_free(world);
+}
+
+int main(int argc, char **argv)
+{
+	g_test_init(&argc, &argv, NULL);
+	g_test_add_func("/batch-explain/job-that-runs", test_job_that_runs);
+	g_test_add_func("/batch-explain/why-a-task-waits",
+			test_why_a_task_waits);
+	g_test_add_func("/batch-explain/job-that-is-not-stored",
+			test_job_that_is_not_stored);
+	g_test_add_func("/batch-explain/worker-and-pool", test_worker_and_pool);
+	return g_test_run();
+}
--- a/packages/node/node_int.h
+++ b/packages/node/node_int.h
@@ -183,7 +183,7 @@
 struct node_metrics *node_metrics_new(const void *ctx);
 void node_count(node_t *node, node_count_t what);
 void node_time(node_t *node, node_time_t what, int64_t took);
-void node_metrics_serve(void *arg, net_exchange_t *exchange);
+void node_metrics_serve(node_t *node, net_exchange_t *exchange);
 
 /* node_config.c */
 void node_config_begin(node_t *node);
@@ -208,6 +208,9 @@
 void node_peer_serve(void *arg, net_exchange_t *exchange);
 void node_peer_ask(node_t *node, const char *address, const node_job_ask_t *ask,
 		   node_outcome_done_t *done, void *arg);
+/* An operator's question to another entry; false: that is no address. */
+bool node_peer_get(node_t *node, const char *address, const char *path,
+		   net_done_t *done, void *arg);
 
 /* node_front.c */
 void node_front_serve(void *arg, net_exchange_t *exchange);
@@ -330,6 +333,9 @@
 /* A whole list was read. */
 void node_moves_round(node_moves_t *moves);
 bool node_moves_busy(const node_moves_t *moves, const char *name);
+/* What there is to say of an instance's move is added to both. */
+void node_moves_explain(const node_moves_t *moves, const char *name,
+			json_t *answer, base_buf_t *said);
 
 /* node_wave.c */
 void node_waves_round(node_waves_t *waves);
@@ -346,4 +352,18 @@
 void node_waves_kept(node_waves_t *waves);
 bool node_waves_waiting(const node_waves_t *waves);
 
+/* node_wave_explain.c */
+/* By its number as text; NULL: none. */
+json_t *node_waves_explain(const node_waves_t *waves, const char *name);
+json_t *node_waves_list(const node_waves_t *waves);
+/* What the rounds say of an instance is added to both. */
+void node_waves_explain_place(const node_waves_t *waves, const char *name,
+			      json_t *answer, base_buf_t *said);
+
+/* node_operators.c */
+/* Metrics, status, and why something is as it is; asks the holder. */
+void node_operators_serve(void *arg, net_exchange_t *exchange);
+/* The same from another entry: what is not known here is not asked on. */
+void node_operators_relayed(node_t *node, net_exchange_t *exchange);
+
 #endif
--- a/packages/node/node_metrics.c
+++ b/packages/node/node_metrics.c
@@ -82,9 +82,8 @@
 		      (unsigned long long)stats.lost);
 }
 
-void node_metrics_serve(void *arg, net_exchange_t *exchange)
+void node_metrics_serve(node_t *node, net_exchange_t *exchange)
 {
-	node_t *node = arg;
 	base_buf_t *out = base_buf_new(NULL);
 	int64_t now = base_clock_mono();
 	int i;
--- a/packages/node/node_move.c
+++ b/packages/node/node_move.c
@@ -55,6 +55,22 @@
 	return g_hash_table_contains(moves->by_name, name);
 }
 
+void node_moves_explain(const node_moves_t *moves, const char *name,
+			json_t *answer, base_buf_t *said)
+{
+	const move_t *move = g_hash_table_lookup(moves->by_name, name);
+	int64_t span;
+
+	if (!move)
+		return;
+	span = base_clock_mono() - move->began;
+	json_object_set_new(answer, "move",
+			    json_pack("{s:s,s:I,s:b}", "to", move->to, "for_us",
+				      (json_int_t)span, "begun", move->done));
+	base_buf_addf(said, "; it moves to pool %s since %.1f s", move->to,
+		      (double)span / BASE_SEC);
+}
+
 static void end_move(move_t *move, const char *why)
 {
 	node_moves_t *moves = move->moves;
--- /dev/null
+++ b/packages/node/node_operators.c
@@ -0,0 +1,178 @@
+/*
+ * What operators ask an entry: metrics, status, and why a job, a worker, a
+ * pool, an instance or a round of upkeep is as it is.
+ *
+ * Only the holder of the duty knows the latter; another entry asks it on the
+ * operator's behalf.  Every answer about one thing is an object with "result",
+ * "said", the facts and the entry that answered.
+ */
+#include <stdlib.h>
+
+#include "node_int.h"
+
+#define EXPLAIN_PATH "/jobs/explain?id="
+#define STATUS_PATH "/status"
+#define METRICS_PATH "/metrics"
+
+static const char *const instance_words[NODE_INSTANCE_STATE_MAX] = {
+	[NODE_INSTANCE_UP] = "up",
+	[NODE_INSTANCE_MOVING] = "moving",
+	[NODE_INSTANCE_UPKEEP] = "in upkeep",
+	[NODE_INSTANCE_DOWN] = "down",
+};
+
+typedef struct relay {
+	net_exchange_t *exchange;
+} relay_t;
+
+static void reply_json(net_exchange_t *exchange, int status, json_t *answer)
+{
+	char *text = json_dumps(answer, JSON_COMPACT | JSON_SORT_KEYS);
+
+	net_reply(exchange, status, NULL, 0, base_str(text));
+	free(text);
+	json_decref(answer);
+}
+
+static json_t *explain_instance(const node_owner_t *owner, const char *name)
+{
+	const node_inst_t *inst = node_instance_find(owner->instances, name);
+	int64_t age = base_clock_mono() - owner->instances->round_sent;
+	base_buf_t *said;
+	json_t *answer;
+
+	if (!inst)
+		return NULL;
+	said = base_buf_new(NULL);
+	answer = json_pack("{s:s,s:s,s:s,s:s,s:s,s:I}", "kind", "instance",
+			   "instance", inst->name, "pool", inst->pool, "worker",
+			   inst->worker, "state", instance_words[inst->state],
+			   "listed_us_ago", (json_int_t)age);
+	base_buf_addf(said, "instance %s of pool %s is %s, listed %.1f s ago",
+		      inst->name, inst->pool, instance_words[inst->state],
+		      (double)age / BASE_SEC);
+	if (*inst->worker)
+		base_buf_addf(said, ", as worker %s", inst->worker);
+	node_moves_explain(owner->moves, name, answer, said);
+	node_waves_explain_place(owner->waves, name, answer, said);
+	base_buf_adds(said, ".");
+	json_object_set_new(answer, "said", json_string(said->ptr));
+	talloc_free(said);
+	return answer;
+}
+
+static json_t *explain(const node_t *node, const char *name)
+{
+	const node_owner_t *owner = node->owner;
+	json_t *answer =
+		batch_explain(owner->core, base_clock_mono(), base_str(name));
+
+	if (!answer)
+		answer = explain_instance(owner, name);
+	if (!answer)
+		answer = node_waves_explain(owner->waves, name);
+	if (!answer)
+		return json_pack("{s:s,s:s}", "result", "refused", "why",
+				 "nothing is called so here, or no more");
+	json_object_set_new(answer, "result", json_string("done"));
+	json_object_set_new(answer, "entry", json_string(node->settings->name));
+	json_object_set_new(answer, "term", json_integer(owner->term));
+	json_object_set_new(answer, "decides",
+			    json_boolean(node_owner_valid(owner)));
+	return answer;
+}
+
+/* The holder's view; what it cannot know is left out elsewhere. */
+static void add_holding(const node_owner_t *owner, json_t *answer)
+{
+	json_object_set_new(answer, "decides",
+			    json_boolean(node_owner_valid(owner)));
+	json_object_set_new(
+		answer, "pools",
+		batch_explain_pools(owner->core, base_clock_mono()));
+	json_object_set_new(answer, "waves", node_waves_list(owner->waves));
+}
+
+static json_t *status(const node_t *node)
+{
+	int64_t now = base_clock_mono();
+	json_t *answer = json_pack(
+		"{s:s,s:s,s:I,s:i,s:b,s:b,s:I,s:s,s:I,s:I}", "entry",
+		node->settings->name, "zone", node->settings->zone,
+		"generation", (json_int_t)node->config.version, "in_flight",
+		(int)g_hash_table_size(node->open_asks), "draining",
+		node->stopping, "store_down", node->store_down,
+		"store_heard_us_ago", (json_int_t)(now - node->store_heard),
+		"holder", node->lead.name ? node->lead.name : "", "term",
+		(json_int_t)node->lead.term, "holder_learned_us_ago",
+		(json_int_t)(now - node->lead.learned));
+
+	if (node->owner)
+		add_holding(node->owner, answer);
+	return answer;
+}
+
+static void relayed(void *arg, const net_answer_t *answer)
+{
+	relay_t *relay = arg;
+
+	if (answer->fate == NET_ANSWERED && answer->status == 200)
+		net_reply(relay->exchange, 200, NULL, 0, answer->body);
+	else
+		reply_json(relay->exchange, 200,
+			   json_pack("{s:s,s:s}", "result", "refused", "why",
+				     "the holder does not answer"));
+	talloc_free(relay);
+}
+
+static void serve_explain(node_t *node, net_exchange_t *exchange, bool ask_on)
+{
+	const char *path = net_exchange_path(exchange);
+	char *name = g_uri_unescape_string(path + strlen(EXPLAIN_PATH), NULL);
+	relay_t *relay;
+
+	if (!name) {
+		reply_json(exchange, 400,
+			   json_pack("{s:s,s:s}", "result", "refused", "why",
+				     "the name is not escaped as a URI"));
+	} else if (node->owner) {
+		reply_json(exchange, 200, explain(node, name));
+	} else {
+		relay = talloc_zero(node, relay_t);
+		relay->exchange = exchange;
+		if (!ask_on || !node->lead.address ||
+		    !node_peer_get(node, node->lead.address, path, relayed,
+				   relay)) {
+			talloc_free(relay);
+			reply_json(exchange, 200,
+				   json_pack("{s:s}", "result", "nobody"));
+		}
+	}
+	g_free(name);
+}
+
+static void serve(node_t *node, net_exchange_t *exchange, bool ask_on)
+{
+	const char *path = net_exchange_path(exchange);
+
+	if (net_exchange_method(exchange) != NET_GET)
+		net_reply(exchange, 405, NULL, 0, BASE_STR(""));
+	else if (!strcmp(path, METRICS_PATH))
+		node_metrics_serve(node, exchange);
+	else if (!strcmp(path, STATUS_PATH))
+		reply_json(exchange, 200, status(node));
+	else if (g_str_has_prefix(path, EXPLAIN_PATH))
+		serve_explain(node, exchange, ask_on);
+	else
+		net_reply(exchange, 404, NULL, 0, BASE_STR(""));
+}
+
+void node_operators_serve(void *arg, net_exchange_t *exchange)
+{
+	serve(arg, exchange, true);
+}
+
+void node_operators_relayed(node_t *node, net_exchange_t *exchange)
+{
+	serve(node, exchange, false);
+}
--- a/packages/node/node_run.c
+++ b/packages/node/node_run.c
@@ -125,7 +125,7 @@
 		return true;
 	node->metrics_server =
 		net_server_new(node, node->loop, settings->metrics,
-			       node_metrics_serve, node, err);
+			       node_operators_serve, node, err);
 	return node->metrics_server != NULL;
 }
 
--- a/packages/node/node_wave.c
+++ b/packages/node/node_wave.c
@@ -2,7 +2,7 @@
  * Rounds of upkeep: instances are emptied, a few at a time, and handed to the
  * platform once nothing runs on them.
  */
-#include "node_int.h"
+#include "node_wave_int.h"
 
 #define WAVE_TICK (100 * BASE_MS)
 #define WAVE_RETRY (300 * BASE_MS)
@@ -10,53 +10,6 @@
  * as long. */
 #define WAVE_AHEAD 1
 
-typedef enum place_state {
-	PLACE_WAITING,
-	PLACE_EMPTYING,
-	PLACE_ASKED, /* the platform's answer is awaited, or was lost */
-	PLACE_DOWN,  /* its upkeep has begun */
-	PLACE_BACK,
-	PLACE_GONE, /* no longer there, or not of this wave */
-	PLACE_MAX
-} place_state_t;
-
-typedef struct wave wave_t;
-
-typedef struct place {
-	wave_t *wave;
-	char *name;
-	char *worker; /* its present life, as listed; NULL: none */
-	place_state_t state;
-	node_instance_state_t listed;
-	bool in_list;
-	bool calling;
-	bool maybe_down;  /* a predecessor may have ordered its upkeep */
-	uint64_t version; /* of the row that says that it is asked */
-	int64_t asked_at;
-	int64_t since;
-} place_t;
-
-struct wave {
-	node_waves_t *waves;
-	int64_t number;
-	int at_most;
-	int64_t ends_by;
-	place_t *places;
-	size_t n;
-	bool completed;
-	uint64_t version;
-	uint64_t taken;
-	uint64_t kept;
-};
-
-struct node_waves {
-	node_owner_t *owner;
-	GPtrArray *waves;
-	GHashTable *records; /* number as text to what a predecessor stored */
-	net_timer_t *tick_timer;
-	wave_t *storing;
-};
-
 static void tick(void *arg);
 static int waves_free(node_waves_t *waves)
 {
@@ -79,13 +32,7 @@
 	return waves;
 }
 
-void node_waves_record(node_waves_t *waves, const char *key, base_str_t text)
-{
-	g_hash_table_replace(waves->records, g_strdup(key),
-			     g_strndup(text.ptr, text.len));
-}
-
-static wave_t *find_wave(const node_waves_t *waves, int64_t number)
+wave_t *node_wave_find(const node_waves_t *waves, int64_t number)
 {
 	guint i;
 
@@ -98,7 +45,7 @@
 	return NULL;
 }
 
-static place_t *find_place(const wave_t *wave, const char *name)
+place_t *node_wave_place(const wave_t *wave, const char *name)
 {
 	size_t i;
 
@@ -108,41 +55,6 @@
 	return NULL;
 }
 
-/* What a predecessor has begun need not begin again. */
-static void take_record(wave_t *wave)
-{
-	char number[32];
-	const char *text;
-	json_t *root;
-	const json_t *begun;
-	const json_t *asked;
-	size_t i;
-
-	g_snprintf(number, sizeof(number), "%lld", (long long)wave->number);
-	text = g_hash_table_lookup(wave->waves->records, number);
-	root = text ? json_loads(text, 0, NULL) : NULL;
-	begun = json_object_get(root, "begun");
-	asked = json_object_get(root, "asked");
-	for (i = 0; i < json_array_size(asked); i++) {
-		const char *name = json_string_value(json_array_get(asked, i));
-		place_t *place = name ? find_place(wave, name) : NULL;
-
-		if (place) {
-			place->state = PLACE_EMPTYING;
-			place->maybe_down = true;
-		}
-	}
-	for (i = 0; i < json_array_size(begun); i++) {
-		const char *name = json_string_value(json_array_get(begun, i));
-		place_t *place = name ? find_place(wave, name) : NULL;
-
-		if (place)
-			place->state = PLACE_DOWN;
-	}
-	wave->completed = json_is_true(json_object_get(root, "completed"));
-	json_decref(root);
-}
-
 void node_waves_text(node_waves_t *waves, base_str_t text)
 {
 	node_t *node = waves->owner->node;
@@ -159,7 +71,7 @@
 		talloc_free(ctx);
 		return;
 	}
-	if (find_wave(waves, info.number)) {
+	if (node_wave_find(waves, info.number)) {
 		talloc_free(ctx);
 		return;
 	}
@@ -174,7 +86,7 @@
 		wave->places[i].wave = wave;
 		wave->places[i].name = talloc_strdup(wave, info.instances[i]);
 	}
-	take_record(wave);
+	node_wave_take_record(wave);
 	if (!wave->completed)
 		wave->version = 1;
 	g_ptr_array_add(waves->waves, wave);
@@ -189,86 +101,6 @@
 	node_instances_hurry(waves->owner->instances);
 }
 
-bool node_waves_waiting(const node_waves_t *waves)
-{
-	guint i;
-
-	for (i = 0; i < waves->waves->len; i++) {
-		const wave_t *wave = g_ptr_array_index(waves->waves, i);
-
-		if (wave->kept < wave->version)
-			return true;
-	}
-	return false;
-}
-
-static void add_names(base_buf_t *buf, const wave_t *wave, place_state_t one,
-		      place_state_t other)
-{
-	bool first = true;
-	size_t i;
-
-	for (i = 0; i < wave->n; i++) {
-		const place_t *place = &wave->places[i];
-
-		if (place->state != one && place->state != other)
-			continue;
-		if (!first)
-			base_buf_adds(buf, ",");
-		first = false;
-		base_buf_add_json(buf, base_str(place->name));
-	}
-}
-
-static void add_rows(wave_t *wave, const void *ctx, node_set_t *sets,
-		     size_t *n_sets)
-{
-	const node_platform_t *platform = wave->waves->owner->node->platform;
-	base_buf_t *buf = base_buf_new(ctx);
-
-	base_buf_adds(buf, "{\"begun\":[");
-	add_names(buf, wave, PLACE_DOWN, PLACE_BACK);
-	base_buf_adds(buf, "],\"asked\":[");
-	add_names(buf, wave, PLACE_ASKED, PLACE_ASKED);
-	base_buf_addf(buf, "],\"completed\":%s}",
-		      wave->completed ? "true" : "false");
-	sets[(*n_sets)++] =
-		(node_set_t){ talloc_asprintf(ctx, NODE_KEY_WAVE "%lld",
-					      (long long)wave->number),
-			      base_buf_str(buf), 0 };
-	sets[(*n_sets)++] =
-		(node_set_t){ platform->wave_key(ctx, wave->number),
-			      base_str(platform->wave_print(ctx, wave->number,
-							    wave->completed)),
-			      0 };
-}
-
-bool node_waves_row(node_waves_t *waves, const void *ctx, node_set_t *sets,
-		    size_t *n_sets)
-{
-	guint i;
-
-	waves->storing = NULL;
-	for (i = 0; i < waves->waves->len; i++) {
-		wave_t *wave = g_ptr_array_index(waves->waves, i);
-
-		if (wave->kept >= wave->version)
-			continue;
-		wave->taken = wave->version;
-		add_rows(wave, ctx, sets, n_sets);
-		waves->storing = wave;
-		return true;
-	}
-	return false;
-}
-
-void node_waves_kept(node_waves_t *waves)
-{
-	if (waves->storing)
-		waves->storing->kept = waves->storing->taken;
-	waves->storing = NULL;
-}
-
 static void set_state(place_t *place, place_state_t state, const char *why)
 {
 	node_t *node = place->wave->waves->owner->node;
@@ -276,7 +108,8 @@
 	node_log(node, BASE_MSG_INSTANCE, BASE_F_STR("instance", place->name),
 		 BASE_F_STR("worker", place->worker ? place->worker : ""),
 		 BASE_F_INT("wave", place->wave->number),
-		 BASE_F_INT("from", place->state), BASE_F_INT("to", state),
+		 BASE_F_STR("from", node_wave_place_word(place->state)),
+		 BASE_F_STR("to", node_wave_place_word(state)),
 		 BASE_F_STR("why", why),
 		 BASE_F_INT("after_us", base_clock_mono() - place->since));
 	place->state = state;
@@ -544,7 +377,7 @@
 
 	for (i = 0; i < waves->waves->len; i++) {
 		const wave_t *wave = g_ptr_array_index(waves->waves, i);
-		const place_t *place = find_place(wave, name);
+		const place_t *place = node_wave_place(wave, name);
 
 		if (place && place->state != PLACE_BACK &&
 		    place->state != PLACE_GONE)
--- /dev/null
+++ b/packages/node/node_wave_record.c
@@ -0,0 +1,124 @@
+/*
+ * What is stored of rounds of upkeep, for a successor and for the operator.
+ */
+#include "node_wave_int.h"
+
+void node_waves_record(node_waves_t *waves, const char *key, base_str_t text)
+{
+	g_hash_table_replace(waves->records, g_strdup(key),
+			     g_strndup(text.ptr, text.len));
+}
+
+void node_wave_take_record(wave_t *wave)
+{
+	char number[32];
+	const char *text;
+	json_t *root;
+	const json_t *begun;
+	const json_t *asked;
+	size_t i;
+
+	g_snprintf(number, sizeof(number), "%lld", (long long)wave->number);
+	text = g_hash_table_lookup(wave->waves->records, number);
+	root = text ? json_loads(text, 0, NULL) : NULL;
+	begun = json_object_get(root, "begun");
+	asked = json_object_get(root, "asked");
+	for (i = 0; i < json_array_size(asked); i++) {
+		const char *name = json_string_value(json_array_get(asked, i));
+		place_t *place = name ? node_wave_place(wave, name) : NULL;
+
+		if (place) {
+			place->state = PLACE_EMPTYING;
+			place->maybe_down = true;
+		}
+	}
+	for (i = 0; i < json_array_size(begun); i++) {
+		const char *name = json_string_value(json_array_get(begun, i));
+		place_t *place = name ? node_wave_place(wave, name) : NULL;
+
+		if (place)
+			place->state = PLACE_DOWN;
+	}
+	wave->completed = json_is_true(json_object_get(root, "completed"));
+	json_decref(root);
+}
+
+bool node_waves_waiting(const node_waves_t *waves)
+{
+	guint i;
+
+	for (i = 0; i < waves->waves->len; i++) {
+		const wave_t *wave = g_ptr_array_index(waves->waves, i);
+
+		if (wave->kept < wave->version)
+			return true;
+	}
+	return false;
+}
+
+static void add_names(base_buf_t *buf, const wave_t *wave, place_state_t one,
+		      place_state_t other)
+{
+	bool first = true;
+	size_t i;
+
+	for (i = 0; i < wave->n; i++) {
+		const place_t *place = &wave->places[i];
+
+		if (place->state != one && place->state != other)
+			continue;
+		if (!first)
+			base_buf_adds(buf, ",");
+		first = false;
+		base_buf_add_json(buf, base_str(place->name));
+	}
+}
+
+static void add_rows(wave_t *wave, const void *ctx, node_set_t *sets,
+		     size_t *n_sets)
+{
+	const node_platform_t *platform = wave->waves->owner->node->platform;
+	base_buf_t *buf = base_buf_new(ctx);
+
+	base_buf_adds(buf, "{\"begun\":[");
+	add_names(buf, wave, PLACE_DOWN, PLACE_BACK);
+	base_buf_adds(buf, "],\"asked\":[");
+	add_names(buf, wave, PLACE_ASKED, PLACE_ASKED);
+	base_buf_addf(buf, "],\"completed\":%s}",
+		      wave->completed ? "true" : "false");
+	sets[(*n_sets)++] =
+		(node_set_t){ talloc_asprintf(ctx, NODE_KEY_WAVE "%lld",
+					      (long long)wave->number),
+			      base_buf_str(buf), 0 };
+	sets[(*n_sets)++] =
+		(node_set_t){ platform->wave_key(ctx, wave->number),
+			      base_str(platform->wave_print(ctx, wave->number,
+							    wave->completed)),
+			      0 };
+}
+
+bool node_waves_row(node_waves_t *waves, const void *ctx, node_set_t *sets,
+		    size_t *n_sets)
+{
+	guint i;
+
+	waves->storing = NULL;
+	for (i = 0; i < waves->waves->len; i++) {
+		wave_t *wave = g_ptr_array_index(waves->waves, i);
+
+		if (wave->kept >= wave->version)
+			continue;
+		wave->taken = wave->version;
+		add_rows(wave, ctx, sets, n_sets);
+		waves->storing = wave;
+		return true;
+	}
+	return false;
+}
+
+void node_waves_kept(node_waves_t *waves)
+{
+	if (waves->storing)
+		waves->storing->kept = waves->storing->taken;
+	waves->storing = NULL;
+}
--- a/packages/tool/tool_explain.c
+++ b/packages/tool/tool_explain.c
@@ -2,24 +2,35 @@
 
 /*
  * explain: why an instance, a pool or a job is as it is, in a sentence.  What
- * concerns jobs the holder of their duty is asked.
+ * concerns jobs the holder of their duty is asked; on the users' platform it
+ * is asked about everything.
  */
 
-static int explain_job(const void *ctx, const struct arg_str *entries,
-		       const char *id, FILE *out, FILE *err);
+typedef struct explain_ask {
+	const struct arg_str *entries;
+	const char *name;
+	bool json;
+} explain_ask_t;
+
+static int ask_holder(const void *ctx, const explain_ask_t *ask, FILE *out,
+		      FILE *err);
 
 int tool_explain(int argc, char **argv, FILE *out, FILE *err)
 {
 	struct arg_lit *help = tool_arg_help();
+	struct arg_lit *json = arg_lit0(
+		NULL, "json", "print what an entry answers, with its facts");
 	struct arg_str *store = tool_arg_store(0);
 	struct arg_str *list = tool_arg_list(0);
 	struct arg_str *name =
-		arg_str1(NULL, NULL, "INSTANCE|POOL|JOB", "what to explain");
+		arg_str1(NULL, NULL, "NAME",
+			 "of an instance, a pool, a worker, a wave or a job");
 	struct arg_str *entries =
 		arg_strn(NULL, "entry", "ADDRESS:PORT", 0, 64,
-			 "operators' port of an entry, for a job");
+			 "operators' port of an entry, for a job or on the "
+			 "users' platform");
 	struct arg_end *end = arg_end(8);
-	void *table[] = { help, store, list, entries, name, end };
+	void *table[] = { help, json, store, list, entries, name, end };
 	void *ctx = talloc_new(NULL);
 	tool_fleet_t tool = { .ctx = ctx, .out = out, .err = err };
 	int status = TOOL_OK;
@@ -28,7 +39,10 @@
 	if (!tool_parse(argc, argv, table, end, out, err, &status))
 		goto out;
 	if (entries->count) {
-		status = explain_job(ctx, entries, name->sval[0], out, err);
+		status = ask_holder(ctx,
+				    &(explain_ask_t){ entries, name->sval[0],
+						      json->count > 0 },
+				    out, err);
 		goto out;
 	}
 	status = TOOL_USAGE;
@@ -55,16 +69,20 @@
 	return status;
 }
 
-static int explain_job(const void *ctx, const struct arg_str *entries,
-		       const char *id, FILE *out, FILE *err)
+static int ask_holder(const void *ctx, const explain_ask_t *ask, FILE *out,
+		      FILE *err)
 {
-	char *path = tool_jobs_path(ctx, "/jobs/explain", id);
-	json_t *answer = tool_jobs_ask(ctx, entries, path, NULL, err);
+	char *path = tool_jobs_path(ctx, "/jobs/explain", ask->name);
+	json_t *answer = tool_jobs_ask(ctx, ask->entries, path, NULL, err);
 	int status = tool_jobs_status(answer, err);
 
-	if (status == TOOL_OK)
+	if (status == TOOL_OK && ask->json) {
+		json_dumpf(answer, out, JSON_INDENT(2) | JSON_SORT_KEYS);
+		fputc('\n', out);
+	} else if (status == TOOL_OK) {
 		fprintf(out, "%s\n",
 			json_string_value(json_object_get(answer, "said")));
+	}
 	json_decref(answer);
 	return status;
 }
--- a/packages/tool/tool_status.c
+++ b/packages/tool/tool_status.c
@@ -6,6 +6,7 @@
 
 static json_t *ask(const void *ctx, const char *text, FILE *err);
 static void print_entries(const json_t *answers, FILE *out);
+static const json_t *first_with_pools(const json_t *answers);
 static void print_pools(const json_t *answer, FILE *out);
 static const char *text_of(const json_t *object, const char *key);
 static long long number_of(const json_t *object, const char *key);
@@ -38,7 +39,7 @@
 		fputc('\n', out);
 	} else if (json_array_size(answers)) {
 		print_entries(answers, out);
-		print_pools(json_array_get(answers, 0), out);
+		print_pools(first_with_pools(answers), out);
 	}
 out:
 	json_decref(answers);
@@ -86,14 +87,54 @@
 	}
 }
 
+/* On the users' platform only the holder of the duty has them. */
+static const json_t *first_with_pools(const json_t *answers)
+{
+	json_t *answer;
+	size_t i;
+
+	json_array_foreach(answers, i, answer)
+	{
+		if (json_object_get(answer, "pools"))
+			return answer;
+	}
+	return NULL;
+}
+
+/* Pools whose instances follow the demand. */
+static void print_demand(const json_t *pools, FILE *out)
+{
+	json_t *pool;
+	size_t i;
+
+	fprintf(out, "\n%-18s %8s %6s %6s %7s %10s %5s  %s\n", "POOL",
+		"WORKERS", "USABLE", "NEEDED", "JOINING", "JOBS", "NEW", "");
+	json_array_foreach(pools, i, pool)
+	{
+		fprintf(out, "%-18s %8lld %6lld %6lld %7lld %10lld %5lld  %s\n",
+			text_of(pool, "pool"), number_of(pool, "workers"),
+			number_of(pool, "usable"), number_of(pool, "needed"),
+			number_of(pool, "incoming"),
+			number_of(pool, "jobs_open"),
+			number_of(pool, "jobs_not_started"),
+			json_is_true(json_object_get(pool, "spare")) ? "spare"
+								     : "");
+	}
+}
+
 static void print_pools(const json_t *answer, FILE *out)
 {
+	const json_t *pools = json_object_get(answer, "pools");
 	json_t *pool;
 	size_t i;
 
+	if (json_object_get(json_array_get(pools, 0), "needed")) {
+		print_demand(pools, out);
+		return;
+	}
 	fprintf(out, "\n%-18s %9s %5s %7s %10s  %s\n", "POOL", "EXECUTORS",
 		"LIVE", "MIN UP", "MAY BE OUT", "LEAVING");
-	json_array_foreach(json_object_get(answer, "pools"), i, pool)
+	json_array_foreach(pools, i, pool)
 	{
 		long long room = number_of(pool, "room");
 		json_t *leaving = json_object_get(pool, "leaving"), *item;
--- a/tests/node.sh
+++ b/tests/node.sh
@@ -9,6 +9,9 @@
 pids=
 
 standin_pid=
+CACTUSFIELD_KEY_FILE=$work/operators.key
+export CACTUSFIELD_KEY_FILE
+echo operators-0123456789abcdef >"$CACTUSFIELD_KEY_FILE"
 . "$(dirname "$0")/ends.sh"
 
 # start_platform WORKERS: on a block of free ports, above those of the tests
@@ -167,4 +170,12 @@
 	test -n "$(holder)" && echo yes
 }
 
+# ask VERB N ARGUMENT...: what an operator is told by entry N.
+ask() {
+	verb=$1
+	at=$((PORT + 110 + $2))
+	shift 2
+	"$OUT/cactusfield" "$verb" --entry=127.0.0.1:$at "$@" 2>&1
+}
+
 CONFIG='{"version":3,"routes":[{"name":"jobs","host":"desk.example","prefix":"/jobs/","service":"desk","attempts":2,"stretch":50,"targetLatencyMs":20000,"priority":0}],"services":[{"name":"desk","admissionCheck":true},{"name":"spare","admissionCheck":true,"spare":true}]}'
