Pass the duty on when the store turns only the holder away

The holder asks another entry whether it reaches the store, which does nothing, and then to end its lease; from then on it decides nothing. The lease's end is what the others' watches wait for.

--- a/packages/node/node_int.h
+++ b/packages/node/node_int.h
@@ -208,9 +208,15 @@
 void node_peer_serve(void *arg, net_exchange_t *exchange);
 void node_peer_ask(node_t *node, const char *address, const node_job_ask_t *ask,
 		   node_outcome_done_t *done, void *arg);
-/* An operator's question to another entry; false: that is no address. */
-bool node_peer_get(node_t *node, const char *address, const char *path,
-		   net_done_t *done, void *arg);
+/* Another question to an entry; false: that is no address. */
+bool node_peer_call(node_t *node, const char *address,
+		    const net_request_t *request, net_done_t *done, void *arg);
+
+/* node_pass.c */
+#define NODE_PASS_PATH "/pass"
+/* Pass the duty on where the store turns only this entry away. */
+void node_pass_look(node_owner_t *owner);
+void node_pass_serve(node_t *node, net_exchange_t *exchange);
 
 /* node_front.c */
 void node_front_serve(void *arg, net_exchange_t *exchange);
@@ -264,6 +270,11 @@
 	bool restored;
 	bool ended; /* given up; freed when its callbacks have returned */
 	bool said_suspended;
+	bool passing;	    /* a peer was asked to end our lease, and may */
+	bool pass_waits;    /* for a peer's answer */
+	int64_t pass_asked; /* when a round of questions began */
+	guint pass_left;    /* to be asked in this round */
+	guint pass_next;    /* its index, modulo the members */
 	int64_t renew_sent;
 	int64_t change_began;
 	char *page; /* last key of the page that was read */
--- a/packages/node/node_operators.c
+++ b/packages/node/node_operators.c
@@ -13,6 +13,7 @@
 #define EXPLAIN_PATH "/jobs/explain?id="
 #define STATUS_PATH "/status"
 #define METRICS_PATH "/metrics"
+#define EXPLAIN_TIMEOUT BASE_SEC /* an operator asks again */
 
 static const char *const instance_words[NODE_INSTANCE_STATE_MAX] = {
 	[NODE_INSTANCE_UP] = "up",
@@ -129,6 +130,8 @@
 {
 	const char *path = net_exchange_path(exchange);
 	char *name = g_uri_unescape_string(path + strlen(EXPLAIN_PATH), NULL);
+	net_request_t request = { .method = NET_GET,
+				  .timeout = EXPLAIN_TIMEOUT };
 	relay_t *relay;
 
 	if (!name) {
@@ -140,9 +143,10 @@
 	} else {
 		relay = talloc_zero(node, relay_t);
 		relay->exchange = exchange;
+		request.path = path;
 		if (!ask_on || !node->lead.address ||
-		    !node_peer_get(node, node->lead.address, path, relayed,
-				   relay)) {
+		    !node_peer_call(node, node->lead.address, &request, relayed,
+				    relay)) {
 			talloc_free(relay);
 			reply_json(exchange, 200,
 				   json_pack("{s:s}", "result", "nobody"));
--- a/packages/node/node_owner.c
+++ b/packages/node/node_owner.c
@@ -41,6 +41,10 @@
 		node_lead_lost(node, "lease ended in the store");
 		return;
 	}
+	if (answer->fate == NODE_STORE_OK && owner->passing) {
+		node_owner_resign(owner, "a peer may have ended the lease");
+		return;
+	}
 	if (answer->fate == NODE_STORE_OK) {
 		owner->lease_until = owner->renew_sent + OWNER_TTL;
 		owner->said_suspended = false;
@@ -73,7 +77,7 @@
 
 bool node_owner_valid(const node_owner_t *owner)
 {
-	return owner->restored && !owner->ended &&
+	return owner->restored && !owner->ended && !owner->passing &&
 	       base_clock_mono() < owner->lease_until - OWNER_MARGIN;
 }
 
@@ -125,6 +129,7 @@
 
 	owner->step_soon = false;
 	net_timer_start(owner->step_timer, BATCH_STEP);
+	node_pass_look(owner);
 	if (!node_owner_valid(owner))
 		return;
 	batch_step(owner->core, base_clock_mono(), base_clock_wall());
--- a/packages/node/node_peer.c
+++ b/packages/node/node_peer.c
@@ -126,17 +126,14 @@
 	net_call(client, &request, answered, call);
 }
 
-bool node_peer_get(node_t *node, const char *address, const char *path,
-		   net_done_t *done, void *arg)
+bool node_peer_call(node_t *node, const char *address,
+		    const net_request_t *request, net_done_t *done, void *arg)
 {
 	net_client_t *client = client_of(node, address);
-	net_request_t request = { .method = NET_GET,
-				  .path = path,
-				  .timeout = PEER_TIMEOUT };
 
 	if (!client)
 		return false;
-	net_call(client, &request, done, arg);
+	net_call(client, request, done, arg);
 	return true;
 }
 
@@ -177,6 +174,11 @@
 		node_operators_relayed(node, exchange);
 		return;
 	}
+	if (!strcmp(net_exchange_path(exchange), NODE_PASS_PATH)) {
+		json_decref(root);
+		node_pass_serve(node, exchange);
+		return;
+	}
 	if (kind < 0 || !queue || !id || !json_is_string(body) ||
 	    strcmp(net_exchange_path(exchange), PEER_PATH)) {
 		json_decref(root);
--- a/standin/platform/sp_int.h
+++ b/standin/platform/sp_int.h
@@ -66,6 +66,9 @@
 	net_server_t *server;
 } sp_worker_t;
 
+/* The store's second port, after the first. */
+#define SP_SECOND 70
+
 /* What goes wrong in the store. */
 typedef enum sp_trouble {
 	SP_FINE,
@@ -98,6 +101,8 @@
 	int starts, finished, broken, upkeeps, questions, tickets_refused;
 	char fault[160];
 	net_server_t *control;
+	net_server_t *second; /* the store again, for the entry it turns away */
+	bool turns_away;
 };
 
 /* sp_store.c */
--- a/standin/platform/sp_main.c
+++ b/standin/platform/sp_main.c
@@ -56,6 +56,7 @@
 	char *worker = sp_query(path, "crash");
 	char *advice = sp_query(path, "advice");
 	char *leases = sp_query(path, "leases");
+	char *second = sp_query(path, "second");
 
 	if (*trouble)
 		sp->trouble = !strcmp(trouble, "busy")	   ? SP_BUSY
@@ -67,6 +68,8 @@
 		sp->task_ms = (int)strtol(task, NULL, 10);
 	if (*advice)
 		sp->advice = !strcmp(advice, "on");
+	if (*second)
+		sp->turns_away = !strcmp(second, "busy");
 	if (*leases)
 		sp->hold_leases = !strcmp(leases, "hold");
 	if (*worker) {
@@ -82,6 +85,7 @@
 	g_free(worker);
 	g_free(advice);
 	g_free(leases);
+	g_free(second);
 }
 
 /* The test's own side: /judge, /switch?..., /operator?key=..., /read?key=... */
@@ -125,6 +129,16 @@
 	g_free(path);
 }
 
+static void serve_second(void *arg, net_exchange_t *exchange)
+{
+	const sp_t *sp = arg;
+
+	if (sp->turns_away)
+		net_reply(exchange, 503, NULL, 0, BASE_STR(""));
+	else
+		serve(arg, exchange);
+}
+
 static void tick(void *arg)
 {
 	sp_t *sp = arg;
@@ -162,7 +176,11 @@
 	sp->tick = net_timer_new(sp, sp->loop, tick, sp);
 	g_snprintf(address, sizeof(address), "127.0.0.1:%d", port);
 	sp->control = net_server_new(sp, sp->loop, address, serve, sp, &err);
-	if (!sp->control) {
+	g_snprintf(address, sizeof(address), "127.0.0.1:%d", port + SP_SECOND);
+	if (sp->control)
+		sp->second = net_server_new(sp, sp->loop, address, serve_second,
+					    sp, &err);
+	if (!sp->second) {
 		fprintf(stderr, "standin-platform: %s\n", err->message);
 		exit(1);
 	}
--- a/tests/node.sh
+++ b/tests/node.sh
@@ -73,7 +73,7 @@
 "peers": "127.0.0.1:$((PORT + 100 + $1))",
 "metrics": "127.0.0.1:$((PORT + 110 + $1))",
 "seeds": ["127.0.0.1:$((PORT + 101))", "127.0.0.1:$((PORT + 102))"],
-"store": "127.0.0.1:$PORT", "instances": "127.0.0.1:$PORT",
+"store": "127.0.0.1:$((PORT + ${STORE:-0}))", "instances": "127.0.0.1:$PORT",
 "advice": "127.0.0.1:$PORT", "processor_cores": ${CORES:-0.25},
 "lease_max_ms": 6000, "keep_s": 10}
 END
