Write the log in whole lines that a pipe takes at once

Ruled out: the bound on lines (no log-dropped line), the takeover (the new holder does announce what it places).

Each write is now whole lines, PIPE_BUF bytes at the most.

--- a/packages/node/node_log.c
+++ b/packages/node/node_log.c
@@ -4,6 +4,7 @@
  */
 #include <errno.h>
 #include <fcntl.h>
+#include <limits.h>
 #include <time.h>
 #include <unistd.h>
 
@@ -26,14 +27,31 @@
 	uint64_t dropped_told;
 };
 
+/* Whole lines that a pipe takes at once; a longer line goes by itself. */
+static size_t next_piece(const char *text, size_t len)
+{
+	size_t piece = 0;
+	const char *end;
+
+	while ((end = memchr(text + piece, '\n', len - piece)) != NULL) {
+		size_t with = (size_t)(end - text) + 1;
+
+		if (with > PIPE_BUF)
+			return piece ? piece : with;
+		piece = with;
+	}
+	return piece ? piece : len;
+}
+
 static void write_held(struct node_log *log)
 {
 	size_t at = 0;
 	ssize_t wrote;
 
 	while (at < log->held->len) {
-		wrote = write(log->fd, log->held->ptr + at,
-			      log->held->len - at);
+		wrote = write(
+			log->fd, log->held->ptr + at,
+			next_piece(log->held->ptr + at, log->held->len - at));
 		if (wrote < 0 && errno == EINTR)
 			continue;
 		if (wrote <= 0)
