Faults that the system test lacked: half-heard workers, lapsed leases, a round taken over

Its first run met the stand-in of another test at its port and took it for its own; a stand-in says now whose it is. Switches of the stand-in are a table, an unknown one is an error.

--- a/Makefile
+++ b/Makefile
@@ -52,7 +52,7 @@
 UNTHREADED_TESTS = $(foreach p,$(UNTHREADED),$(filter $(OUT)/t/$(p)/%,$(TESTS))) $(filter $(OUT)/t/platform/%,$(TESTS))
 RUN_TESTS_plain = $(SYSTEM) $(TESTS)
 RUN_TESTS_asan = $(SYSTEM) $(TESTS)
-RUN_TESTS_tsan = $(filter-out tests/sys_node,$(SYSTEM)) $(filter-out $(UNTHREADED_TESTS),$(TESTS))
+RUN_TESTS_tsan = $(filter-out tests/sys_node%,$(SYSTEM)) $(filter-out $(UNTHREADED_TESTS),$(TESTS))
 # At once: a sanitized process takes several times the memory and the
 # processor of a plain one, and verdicts must not depend on the load.  A system
 # test has up to 4,400 threads, and there are 32,768 process numbers.
--- a/standin/platform/sp_int.h
+++ b/standin/platform/sp_int.h
@@ -61,6 +61,9 @@
 	char id[32], machine[32], address[32], pool[32];
 	bool up;
 	int64_t born, lease, fence, next_end, back_at;
+	bool kept_up; /* it is away for its upkeep */
+	bool mute;    /* it takes calls and does not even read them */
+	bool one_way; /* it does what it is told, its answers are lost */
 	GArray *runs, *ends, *stopped;
 	sp_hold_t hold;
 	net_server_t *server;
@@ -81,6 +84,7 @@
 	net_loop_t *loop;
 	net_timer_t *tick;
 	int port;
+	const char *run; /* the name that the test gave */
 	int64_t revision, next_lease, begun;
 	GHashTable *items;
 	GPtrArray *events;
@@ -88,8 +92,10 @@
 	GPtrArray *watches;
 	GPtrArray *silent; /* exchanges that get no answer */
 	sp_trouble_t trouble;
-	int lose;    /* of a hundred changes: done and not answered */
-	int task_ms; /* how long a task takes */
+	int lose;	   /* of a hundred changes: done and not answered */
+	int task_ms;	   /* how long a task takes */
+	int back_ms;	   /* how long an upkeep or a move takes */
+	int64_t compacted; /* the history up to this revision is gone */
 	bool advice; /* starts need a ticket; workers of even number get one */
 	bool hold_leases; /* none of them runs out */
 	base_rng_t rng;
@@ -99,6 +105,7 @@
 	GHashTable *submitted; /* not used by the store: job ids that ran */
 	GHashTable *done;      /* tasks whose end was noted */
 	int starts, finished, broken, upkeeps, questions, tickets_refused;
+	int upkeeps_most; /* at once */
 	char fault[160];
 	net_server_t *control;
 	net_server_t *second; /* the store again, for the entry it turns away */
@@ -113,6 +120,14 @@
 void sp_store_drop(sp_t *sp, const char *key);
 bool sp_store_in_trouble(sp_t *sp, net_exchange_t *exchange);
 char *sp_store_text(sp_t *sp, const char *key);
+/* Every lease is over. */
+void sp_store_lapse(sp_t *sp);
+/* The history is dropped: watches from before have to read anew. */
+void sp_store_compact(sp_t *sp);
+
+/* sp_switch.c */
+/* False where the query has no switch that is known. */
+bool sp_switch(sp_t *sp, const char *path);
 
 /* sp_worker.c */
 void sp_workers_begin(sp_t *sp, int n, int base_port);
@@ -128,6 +143,7 @@
 		      const json_t *root);
 
 /* sp_main.c */
+/* "exchange" NULL: whoever asked gets no answer. */
 void sp_reply_json(net_exchange_t *exchange, int status, json_t *body);
 char *sp_query(const char *path, const char *name);
 void sp_broke(sp_t *sp, const char *rule, const sp_run_t *run);
--- a/standin/platform/sp_main.c
+++ b/standin/platform/sp_main.c
@@ -10,7 +10,8 @@
 {
 	char *text = body ? json_dumps(body, JSON_COMPACT) : NULL;
 
-	net_reply(exchange, status, NULL, 0, base_str(text));
+	if (exchange)
+		net_reply(exchange, status, NULL, 0, base_str(text));
 	free(text);
 	json_decref(body);
 }
@@ -41,53 +42,14 @@
 static void serve_verdict(sp_t *sp, net_exchange_t *exchange)
 {
 	sp_reply_json(exchange, 200,
-		      json_pack("{s:i,s:i,s:i,s:i,s:i,s:i,s:s}", "starts",
-				sp->starts, "finished", sp->finished, "broken",
-				sp->broken, "upkeeps", sp->upkeeps, "questions",
-				sp->questions, "tickets_refused",
+		      json_pack("{s:s,s:i,s:i,s:i,s:i,s:i,s:i,s:i,s:s}", "run",
+				sp->run, "starts", sp->starts, "finished",
+				sp->finished, "broken", sp->broken, "upkeeps",
+				sp->upkeeps, "upkeeps_most", sp->upkeeps_most,
+				"questions", sp->questions, "tickets_refused",
 				sp->tickets_refused, "fault", sp->fault));
 }
 
-static void set_switch(sp_t *sp, const char *path)
-{
-	char *trouble = sp_query(path, "store");
-	char *lose = sp_query(path, "lose");
-	char *task = sp_query(path, "task-ms");
-	char *worker = sp_query(path, "crash");
-	char *advice = sp_query(path, "advice");
-	char *leases = sp_query(path, "leases");
-	char *second = sp_query(path, "second");
-
-	if (*trouble)
-		sp->trouble = !strcmp(trouble, "busy")	   ? SP_BUSY
-			      : !strcmp(trouble, "silent") ? SP_SILENT
-							   : SP_FINE;
-	if (*lose)
-		sp->lose = (int)strtol(lose, NULL, 10);
-	if (*task)
-		sp->task_ms = (int)strtol(task, NULL, 10);
-	if (*advice)
-		sp->advice = !strcmp(advice, "on");
-	if (*second)
-		sp->turns_away = !strcmp(second, "busy");
-	if (*leases)
-		sp->hold_leases = !strcmp(leases, "hold");
-	if (*worker) {
-		sp_worker_t *it =
-			&sp->workers[strtol(worker, NULL, 10) % sp->n_workers];
-
-		sp_worker_end_life(it);
-		it->back_at = base_clock_mono() + BASE_SEC;
-	}
-	g_free(trouble);
-	g_free(lose);
-	g_free(task);
-	g_free(worker);
-	g_free(advice);
-	g_free(leases);
-	g_free(second);
-}
-
 /* The test's own side: /judge, /switch?..., /operator?key=..., /read?key=... */
 static void serve_test(sp_t *sp, net_exchange_t *exchange, const char *path)
 {
@@ -107,8 +69,8 @@
 		net_reply(exchange, text ? 200 : 404, NULL, 0, base_str(text));
 		g_free(text);
 	} else {
-		set_switch(sp, path);
-		net_reply(exchange, 200, NULL, 0, BASE_STR(""));
+		net_reply(exchange, sp_switch(sp, path) ? 200 : 400, NULL, 0,
+			  BASE_STR(""));
 	}
 	g_free(key);
 }
@@ -166,6 +128,7 @@
 	sp->loop = net_loop_new(sp);
 	sp->port = port;
 	sp->task_ms = 300;
+	sp->back_ms = 500;
 	sp->rng.state = 7;
 	sp->items = g_hash_table_new(g_str_hash, g_str_equal);
 	sp->events = g_ptr_array_new();
@@ -194,8 +157,11 @@
 		arg_int1(NULL, "port", "PORT", "store; workers' ports follow");
 	struct arg_int *workers = arg_int0(
 		NULL, "workers", "N", "instances, a quarter of them spare (8)");
+	struct arg_str *run = arg_str0(NULL, "run", "NAME",
+				       "as /judge tells it, so that a test "
+				       "knows its own");
 	struct arg_end *end = arg_end(4);
-	void *table[] = { port, workers, end };
+	void *table[] = { port, workers, run, end };
 	sp_t *sp;
 
 	if (arg_parse(argc, argv, table)) {
@@ -203,6 +169,7 @@
 		return 2;
 	}
 	sp = sp_new(port->ival[0], workers->count ? workers->ival[0] : 8);
+	sp->run = run->count ? run->sval[0] : "";
 	net_loop_signal(sp->loop, SIGTERM, terminate, sp);
 	tick(sp);
 	net_loop_run(sp->loop);
--- a/standin/platform/sp_store.c
+++ b/standin/platform/sp_store.c
@@ -100,6 +100,12 @@
 	json_t *events = json_array();
 	guint i;
 
+	if (watch->after < sp->compacted) {
+		json_decref(events);
+		net_reply(watch->exchange, 410, NULL, 0, BASE_STR(""));
+		return true;
+	}
+
 	for (i = 0; i < sp->events->len; i++) {
 		const sp_event_t *event = g_ptr_array_index(sp->events, i);
 
@@ -337,6 +343,22 @@
 				(json_int_t)(lease->ttl / BASE_MS)));
 }
 
+void sp_store_lapse(sp_t *sp)
+{
+	while (sp->leases->len)
+		end_lease(sp, g_array_index(sp->leases, sp_lease_t, 0).id);
+}
+
+void sp_store_compact(sp_t *sp)
+{
+	guint i;
+
+	for (i = 0; i < sp->events->len; i++)
+		talloc_free(g_ptr_array_index(sp->events, i));
+	g_ptr_array_set_size(sp->events, 0);
+	sp->compacted = sp->revision;
+}
+
 void sp_store_serve(sp_t *sp, net_exchange_t *exchange, const char *path)
 {
 	if (sp_store_in_trouble(sp, exchange))
--- a/standin/platform/sp_worker.c
+++ b/standin/platform/sp_worker.c
@@ -4,7 +4,6 @@
 
 #define WORKER_CPU 16000
 #define WORKER_MEMORY 65536
-#define WORKER_BACK (500 * BASE_MS) /* an upkeep or a move takes so long */
 
 static int64_t clock_of(const sp_worker_t *worker)
 {
@@ -39,6 +38,7 @@
 	worker->fence = 0;
 	worker->next_end = 1;
 	worker->back_at = 0;
+	worker->kept_up = false;
 	if (worker->up)
 		list_entry(worker);
 }
@@ -129,6 +129,7 @@
 		  json_integer_value(json_object_get(root, "lastSeen")));
 	if (worker->hold.exchange)
 		sp_reply_json(worker->hold.exchange, 200, report(worker));
+	/* Of a worker whose answers are lost, nothing is heard. */
 	worker->hold.exchange = exchange;
 	worker->hold.until = base_clock_mono() + wait * BASE_MS;
 }
@@ -236,9 +237,18 @@
 		json_integer_value(json_object_get(root, "fencingToken"));
 	int64_t lease = json_integer_value(json_object_get(root, "deadlineMs"));
 
+	if (worker->mute || worker->one_way) {
+		g_ptr_array_add(worker->sp->silent, exchange);
+		exchange = NULL;
+	}
+	if (worker->mute) {
+		json_decref(root);
+		return;
+	}
 	if (!worker->up || (expect && strcmp(expect, worker->id))) {
-		net_reply(exchange, worker->up ? 421 : 503, NULL, 0,
-			  BASE_STR(""));
+		if (exchange)
+			net_reply(exchange, worker->up ? 421 : 503, NULL, 0,
+				  BASE_STR(""));
 	} else if (fence < worker->fence) {
 		refuse(worker, exchange, "fence");
 	} else {
@@ -337,6 +347,20 @@
 		json_pack("{s:o,s:n}", "machines", machines, "nextToken"));
 }
 
+/* How many are away for their upkeep at once is for the judge. */
+static void note_upkeep(sp_worker_t *worker)
+{
+	sp_t *sp = worker->sp;
+	int away = 0;
+	int i;
+
+	sp->upkeeps++;
+	worker->kept_up = true;
+	for (i = 0; i < sp->n_workers; i++)
+		away += sp->workers[i].kept_up;
+	sp->upkeeps_most = MAX(sp->upkeeps_most, away);
+}
+
 void sp_instances_serve(sp_t *sp, net_exchange_t *exchange, const char *path)
 {
 	base_str_t text = net_exchange_body(exchange);
@@ -361,11 +385,12 @@
 		net_reply(exchange, 409, NULL, 0,
 			  BASE_STR("{\"reason\":\"busy\"}"));
 	} else {
-		sp->upkeeps += g_str_has_suffix(path, "upkeep");
 		sp_worker_end_life(worker);
+		if (g_str_has_suffix(path, "upkeep"))
+			note_upkeep(worker);
 		if (pool)
 			g_strlcpy(worker->pool, pool, sizeof(worker->pool));
-		worker->back_at = base_clock_mono() + WORKER_BACK;
+		worker->back_at = base_clock_mono() + sp->back_ms * BASE_MS;
 		net_reply(exchange, 200, NULL, 0, BASE_STR("{}"));
 	}
 	json_decref(root);
--- a/tests/node.sh
+++ b/tests/node.sh
@@ -23,15 +23,15 @@
 	do
 		PORT=$((31000 + block * 140))
 		"$OUT/standin/standin-platform" --port=$PORT --workers="$1" \
-			2>>"$work/standin.log" &
+			--run=$$ 2>>"$work/standin.log" &
 		standin=$!
 		pids="$pids $standin"
 		waited=0
 		while test $waited -lt 100
 		do
 			is_ours $standin || break
-			curl -sf "http://127.0.0.1:$PORT/judge" >/dev/null &&
-				return 0
+			# Another test's may be at that port.
+			test "$(judge run)" = $$ && return 0
 			sleep 0.1
 			waited=$((waited + 1))
 		done
@@ -154,7 +154,9 @@
 }
 
 set_switch() {
-	curl -s -d x "http://127.0.0.1:$PORT/switch?$1"
+	curl -sf -d x "http://127.0.0.1:$PORT/switch?$1" && return
+	echo "Bail out! the stand-in knows no switch $1"
+	exit 1
 }
 
 # holder: the number of the entry that says it decides.
