Acknowledge a cancel only once the end before it is stored

The holder changed, the successor found the job running and started its last two tasks again at 29.59 s.

Ruled out: the successor (it read what was stored), the lease (it was over).

--- a/packages/batch/batch.c
+++ b/packages/batch/batch.c
@@ -344,18 +344,28 @@
 	return BATCH_TAKEN;
 }
 
+/* It ended, and not by a cancel. */
+static bool is_over(const batch_job_t *job)
+{
+	return job->state == BATCH_COMPLETED || job->state == BATCH_FAILED;
+}
+
 bool batch_cancel(batch_t *core, int64_t now, base_str_t id,
 		  batch_state_t *state)
 {
 	batch_job_t *job = batch_find_job(core, id);
 
 	*state = job ? job->shown : BATCH_UNKNOWN;
-	if (!job || job->state == BATCH_COMPLETED || job->state == BATCH_FAILED)
+	if (!job || (is_over(job) && job->kept == job->version))
 		return false;
-	if (!job->cancelled) {
-		job->cancelled = true;
+	if (job->cancelled)
+		return true;
+	job->cancelled = true;
+	/* A successor that does not find the end stored would run it on. */
+	if (is_over(job))
+		batch_job_changed(job);
+	else
 		batch_job_end(job, now, BATCH_CANCELLED);
-	}
 	return true;
 }
 
--- a/packages/batch/batch.h
+++ b/packages/batch/batch.h
@@ -207,7 +207,8 @@
 			     const batch_spec_t *spec, int64_t *retry_after);
 
 /*
- * Cancel a job; cancelled() follows.  False if it is not known or has ended,
+ * Cancel a job; cancelled() follows once that is stored, or the end that came
+ * before it is.  False if it is not known or has ended and is stored so,
  * "state" then says which.
  */
 bool batch_cancel(batch_t *core, int64_t now, base_str_t id,
--- a/packages/batch/tests/batch_test.c
+++ b/packages/batch/tests/batch_test.c
@@ -274,6 +274,33 @@
 	check(world);
 }
 
+/*
+ * Found by a day of the store's troubles (UNASKED): a cancel was acknowledged
+ * because the job had ended, its end was not stored, and a successor ran its
+ * last tasks again.
+ */
+static void test_cancel_waits_for_a_stored_end(void)
+{
+	world_t *world = world_new(1, 4, 2);
+	batch_step_spec_t step = world_step(4);
+
+	world_submit(world, "a", &step, 1);
+	world_pass(world, 500 * MS);
+	g_assert_cmpint(world_state(world, "a"), ==, BATCH_RUNNING);
+	world->store_down = true;
+	world_pass(world, 3 * SECOND);
+	g_assert_cmpint(world->finished, ==, 4);
+	g_assert_cmpint(world_state(world, "a"), ==, BATCH_RUNNING);
+	g_assert_true(world_cancel(world, "a"));
+	g_assert_false(world_cancelled(world, "a"));
+	world->store_down = false;
+	world_pass(world, SECOND);
+	g_assert_true(world_cancelled(world, "a"));
+	g_assert_false(world_cancel(world, "a"));
+	g_assert_cmpint(world_state(world, "a"), ==, BATCH_COMPLETED);
+	check(world);
+}
+
 /* Found on a grown site (MIXED): a job whose starts had no answer yet was not
  * counted among those that wait. */
 static void test_waits_until_a_task_has_started(void)
@@ -571,6 +598,8 @@
 	g_test_add_func("/batch/take-over-at-every-moment",
 			test_take_over_at_every_moment);
 	g_test_add_func("/batch/cancel", test_cancel);
+	g_test_add_func("/batch/cancel-waits-for-a-stored-end",
+			test_cancel_waits_for_a_stored_end);
 	g_test_add_func("/batch/nothing-begins-before-it-is-stored",
 			test_nothing_begins_before_it_is_stored);
 	g_test_add_func("/batch/waits-until-a-task-has-started",
--- a/packages/batch/tests/batch_world.c
+++ b/packages/batch/tests/batch_world.c
@@ -398,6 +398,11 @@
 	return batch_cancel(world->core, world->now, base_str(id), &state);
 }
 
+bool world_cancelled(world_t *world, const char *id)
+{
+	return world_job_of(world, id)->cancelled;
+}
+
 batch_state_t world_state(world_t *world, const char *id)
 {
 	return batch_state(world->core, base_str(id));
--- a/packages/batch/tests/batch_world.h
+++ b/packages/batch/tests/batch_world.h
@@ -133,6 +133,8 @@
 batch_verdict_t world_submit(world_t *world, const char *id,
 			     const batch_step_spec_t *steps, int n);
 bool world_cancel(world_t *world, const char *id);
+/* Whether its cancel was acknowledged. */
+bool world_cancelled(world_t *world, const char *id);
 /* One more worker in the pool; its index. */
 int world_add_worker(world_t *world);
 /* It is taken out of the pool, idle. */
