--- a/packages/base/base_clock.c
+++ b/packages/base/base_clock.c
@@ -15,6 +15,11 @@
 	return read_clock(CLOCK_REALTIME);
 }
 
+int64_t base_clock_processor(void)
+{
+	return read_clock(CLOCK_PROCESS_CPUTIME_ID);
+}
+
 void base_clock_sleep(int64_t us)
 {
 	struct timespec left = { us / BASE_SEC, us % BASE_SEC * 1000 };
--- a/packages/base/base_clock.h
+++ b/packages/base/base_clock.h
@@ -20,6 +20,9 @@
 /* Microseconds since 1970-01-01 00:00 UTC. */
 int64_t base_clock_wall(void);
 
+/* Processor time of this process so far, microseconds. */
+int64_t base_clock_processor(void);
+
 /* Sleep for "us" microseconds. */
 void base_clock_sleep(int64_t us);
 
--- a/packages/node/node_int.h
+++ b/packages/node/node_int.h
@@ -183,6 +183,8 @@
 struct node_metrics *node_metrics_new(const void *ctx);
 void node_count(node_t *node, node_count_t what);
 void node_time(node_t *node, node_time_t what, int64_t took);
+/* Of all purposes, since the process began. */
+uint64_t node_store_calls(const node_t *node);
 void node_metrics_serve(node_t *node, net_exchange_t *exchange);
 
 /* node_config.c */
@@ -270,6 +272,7 @@
 	bool restored;
 	bool ended; /* given up; freed when its callbacks have returned */
 	bool said_suspended;
+	bool said_first_start;
 	bool passing;	    /* a peer was asked to end our lease, and may */
 	bool pass_waits;    /* for a peer's answer */
 	int64_t pass_asked; /* when a round of questions began */
--- a/packages/node/node_metrics.c
+++ b/packages/node/node_metrics.c
@@ -51,6 +51,14 @@
 	base_hist_add(node->metrics->times[what], took);
 }
 
+uint64_t node_store_calls(const node_t *node)
+{
+	const uint64_t *counts = node->metrics->counts;
+
+	return counts[NODE_COUNT_STORE_READ] + counts[NODE_COUNT_STORE_WATCH] +
+	       counts[NODE_COUNT_STORE_CHANGE] + counts[NODE_COUNT_STORE_LEASE];
+}
+
 static void add_time(base_buf_t *out, const char *name, const base_hist_t *hist)
 {
 	static const double quantiles[] = { 0.5, 0.9, 0.99 };
@@ -96,6 +104,8 @@
 	base_buf_addf(out, "cactusfield_config_version %lld\n",
 		      (long long)node->config.version);
 	base_buf_addf(out, "cactusfield_is_holder %d\n", node->owner != NULL);
+	base_buf_addf(out, "cactusfield_processor_seconds %.6f\n",
+		      (double)base_clock_processor() / BASE_SEC);
 	base_buf_addf(out, "cactusfield_store_age_seconds %.3f\n",
 		      (double)(now - node->store_heard) / BASE_SEC);
 	if (node->owner)
--- a/packages/node/node_worker.c
+++ b/packages/node/node_worker.c
@@ -437,6 +437,21 @@
 	ordered(arg, &look_seen);
 }
 
+/* How long a recovery took, and what it cost. */
+static void tell_first_start(node_owner_t *owner)
+{
+	int64_t now = base_clock_mono();
+
+	owner->said_first_start = true;
+	node_log(owner->node, BASE_MSG_FIRST_START,
+		 BASE_F_INT("term", owner->term),
+		 BASE_F_INT("taken_us_ago", now - owner->taken_at),
+		 BASE_F_INT("process_us_ago", now - owner->node->started),
+		 BASE_F_INT("store_calls",
+			    (int64_t)node_store_calls(owner->node)),
+		 BASE_F_INT("processor_us", base_clock_processor()));
+}
+
 static void start(void *arg, const batch_order_t *order)
 {
 	node_owner_t *owner = arg;
@@ -447,6 +462,8 @@
 		net_later(owner->node->loop, not_sent, call);
 		return;
 	}
+	if (!owner->said_first_start)
+		tell_first_start(owner);
 	node_count(owner->node, NODE_COUNT_ORDER);
 	owner->node->platform->start(worker->link, order, owner->term,
 				     lease_now(worker), ordered, call);
