--- a/packages/batch/batch.h
+++ b/packages/batch/batch.h
@@ -333,6 +333,8 @@
 typedef struct batch_move {
 	base_str_t worker; /* idle, and cordoned now; empty: one switched off */
 	base_str_t to;	   /* empty: switch it off */
+	int have;	   /* of the pool that asks for the move, before it */
+	int need;
 } batch_move_t;
 
 /*
--- a/packages/batch/batch_capacity.c
+++ b/packages/batch/batch_capacity.c
@@ -176,6 +176,8 @@
 {
 	move->worker = base_str(worker->id);
 	move->to = to ? base_str(to->pool->name) : BASE_STR("");
+	move->have = to ? to->have : from->have;
+	move->need = to ? to->want : from->want;
 	batch_worker_cordon(worker->core, now, move->worker, true);
 	from->have--;
 }
@@ -199,6 +201,8 @@
 	--*spares;
 	move->worker = BASE_STR("");
 	move->to = base_str(to->pool->name);
+	move->have = to->have;
+	move->need = to->want;
 	return true;
 }
 
--- a/packages/node/node_move.c
+++ b/packages/node/node_move.c
@@ -123,7 +123,8 @@
 	node_instances_hurry(owner->instances);
 }
 
-static void begin(node_moves_t *moves, const node_inst_t *inst, const char *to)
+static void begin(node_moves_t *moves, const node_inst_t *inst,
+		  const batch_move_t *asked, const char *to)
 {
 	move_t *move = talloc_zero(moves, move_t);
 
@@ -136,7 +137,8 @@
 	node_log(moves->owner->node, BASE_MSG_MOVE,
 		 BASE_F_STR("instance", move->name),
 		 BASE_F_STR("from", inst->pool), BASE_F_STR("to", to),
-		 BASE_F_STR("why", "asked"));
+		 BASE_F_STR("why", "asked"), BASE_F_INT("have", asked->have),
+		 BASE_F_INT("need", asked->need));
 	order(move);
 }
 
@@ -257,7 +259,7 @@
 	if (inst && inst->state == NODE_INSTANCE_UP &&
 	    !node_moves_busy(moves, inst->name) &&
 	    !node_waves_busy(moves->owner->waves, inst->name))
-		begin(moves, inst, to);
+		begin(moves, inst, asked, to);
 	else if (asked->worker.len)
 		/* Not listed yet, or taken for upkeep meanwhile. */
 		batch_worker_cordon(moves->owner->core, base_clock_mono(),
