Show the platform's path in make demo

submit_kept dropped its last two arguments: the job of sys_node_faults that is to take all workers had three tasks.

--- a/Makefile
+++ b/Makefile
@@ -165,6 +165,7 @@
 
 demo: all
 	@OUT=$(OUT) tests/demo
+	@OUT=$(OUT) tests/demo_node
 
 bench: all
 	+@$(MAKE) --no-print-directory -s -j$$(nproc) $(BENCHES) $(OUT)/bench/relay
--- a/tests/node.sh
+++ b/tests/node.sh
@@ -132,9 +132,10 @@
 		"http://127.0.0.1:$((PORT + 80 + $1))/jobs/$2"
 }
 
-# submit_kept N ID: as a caller that comes back until it has an answer.
+# submit_kept N ID [SPEC [COUNT]]: as a caller that comes back until it has an
+# answer.
 submit_kept() {
-	until_is 200 submit "$1" "$2" x 3
+	until_is 200 submit "$1" "$2" "${3:-x}" "${4:-3}"
 }
 
 state() {
