--- a/packages/node/node_pass.c
+++ b/packages/node/node_pass.c
@@ -54,7 +54,7 @@
 	bool look;
 	int64_t since;
 	net_timer_t *timer;
-	bool told; /* that nothing is done; the store's answer came too late */
+	bool told; /* answered: what the store says comes too late */
 } pass_asked_t;
 
 static bool ask(node_owner_t *owner, const char *address, bool look);
@@ -81,21 +81,19 @@
 	const node_t *node = owner->node;
 	int64_t silence = base_clock_mono() - node->store_heard;
 
-	return node->store_down	   ? silence > PASS_AFTER
-	       : owner->committing ? silence > PASS_SILENT_AFTER
-				   : false;
+	if (node->store_down)
+		return silence > PASS_AFTER;
+	return owner->committing && silence > PASS_SILENT_AFTER;
 }
 
 static void asked_to_look(node_owner_t *owner, const pass_call_t *call,
 			  pass_outcome_t outcome)
 {
 	if (outcome == PASS_YES && node_owner_valid(owner) &&
-	    is_turned_away(owner)) {
-		owner->passing = true;
-		ask(owner, call->address, false);
-	} else {
+	    is_turned_away(owner))
+		owner->passing = ask(owner, call->address, false);
+	if (!owner->passing)
 		ask_next(owner);
-	}
 }
 
 static void asked_to_end(node_owner_t *owner, pass_outcome_t outcome)
