--- a/packages/batch/batch.c
+++ b/packages/batch/batch.c
@@ -47,8 +47,11 @@
 batch_t *batch_new(const void *ctx, const batch_options_t *options)
 {
 	batch_t *core = talloc_zero(ctx, batch_t);
+	int i;
 
 	core->options = *options;
+	for (i = 0; i < BATCH_TIME_MAX; i++)
+		core->times[i] = base_hist_new(core);
 	core->jobs = g_hash_table_new(g_str_hash, g_str_equal);
 	core->workers = g_hash_table_new(g_str_hash, g_str_equal);
 	core->queues = g_hash_table_new(g_str_hash, g_str_equal);
@@ -421,6 +424,26 @@
 	return ids;
 }
 
+const base_hist_t *batch_times(const batch_t *core, batch_time_t which)
+{
+	return core->times[which];
+}
+
+void batch_look_ages(const batch_t *core, int64_t now, batch_age_t *tell,
+		     void *arg)
+{
+	GHashTableIter iter;
+	gpointer value;
+
+	g_hash_table_iter_init(&iter, core->workers);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		const batch_worker_t *worker = value;
+
+		if (worker->listed && worker->born)
+			tell(arg, worker->id, now - worker->heard);
+	}
+}
+
 void batch_stats(const batch_t *core, batch_stats_t *stats)
 {
 	GHashTableIter iter;
--- a/packages/batch/batch.h
+++ b/packages/batch/batch.h
@@ -293,7 +293,7 @@
 void batch_look(batch_t *core, int64_t now, const batch_look_t *look);
 
 /* The highest end that the worker may forget: all up to it are stored. */
-int64_t batch_worker_noted(const batch_t *core, base_str_t id);
+int64_t batch_worker_noted(batch_t *core, int64_t now, base_str_t id);
 
 typedef enum batch_answer {
 	BATCH_ANSWER_OK,
@@ -386,6 +386,20 @@
 /* Forget jobs that ended before "before"; their ids below "ctx". */
 GPtrArray *batch_forget(batch_t *core, int64_t before);
 
+/* Spans that the core measures, microseconds. */
+typedef enum batch_time {
+	BATCH_TIME_RUN,	  /* of a run that ended well, from its confirmation */
+	BATCH_TIME_NOTED, /* from an end that was listed until it is stored */
+	BATCH_TIME_MAX
+} batch_time_t;
+
+const base_hist_t *batch_times(const batch_t *core, batch_time_t which);
+
+/* Tell each listed worker's id and how old the last look at it is. */
+typedef void batch_age_t(void *arg, const char *worker, int64_t age);
+void batch_look_ages(const batch_t *core, int64_t now, batch_age_t *tell,
+		     void *arg);
+
 typedef struct batch_stats {
 	size_t jobs;	/* that have not ended */
 	size_t runs;	/* that may exist */
--- a/packages/batch/batch_int.h
+++ b/packages/batch/batch_int.h
@@ -172,6 +172,7 @@
 	int64_t number;
 	batch_job_t *job;
 	uint64_t version;
+	int64_t seen; /* when it was listed to us */
 } batch_gate_t;
 
 /* A start that was not answered: it may be carried out until then. */
@@ -230,6 +231,7 @@
 	GPtrArray *taken; /* jobs whose rows are being stored */
 	void *texts;	  /* of these rows */
 	batch_stats_t stats;
+	base_hist_t *times[BATCH_TIME_MAX];
 	GHashTable *refused; /* ids refused lately, to when */
 	int64_t refused_swept;
 	batch_asked_t *asked;
--- a/packages/batch/batch_run.c
+++ b/packages/batch/batch_run.c
@@ -273,6 +273,7 @@
 		return;
 	batch_health_good(worker);
 	batch_learn(job->core, job->queue, now - begun);
+	base_hist_add(job->core->times[BATCH_TIME_RUN], now - begun);
 	batch_job_changed(job);
 	step_done(task, now);
 }
--- a/packages/batch/batch_worker.c
+++ b/packages/batch/batch_worker.c
@@ -249,11 +249,12 @@
 	gate.number = end->number;
 	gate.job = job;
 	gate.version = job->version;
+	gate.seen = now;
 	if (job->kept < job->version)
 		g_array_append_val(worker->gates, gate);
 }
 
-int64_t batch_worker_noted(const batch_t *core, base_str_t id)
+int64_t batch_worker_noted(batch_t *core, int64_t now, base_str_t id)
 {
 	batch_worker_t *worker = batch_find_worker(core, id);
 	batch_gate_t *gate;
@@ -264,6 +265,7 @@
 		gate = &g_array_index(worker->gates, batch_gate_t, 0);
 		if (gate->job->kept < gate->version)
 			return gate->number - 1;
+		base_hist_add(core->times[BATCH_TIME_NOTED], now - gate->seen);
 		g_array_remove_index(worker->gates, 0);
 	}
 	return worker->end_seen;
--- a/packages/batch/tests/batch_world_worker.c
+++ b/packages/batch/tests/batch_world_worker.c
@@ -216,7 +216,8 @@
 	if (worker->term < world->term)
 		worker->term = world->term;
 	world_judge_ends(world, worker,
-			 batch_worker_noted(world->core, base_str(worker->id)));
+			 batch_worker_noted(world->core, world->now,
+					    base_str(worker->id)));
 	worker->lease = world->now + WORLD_LEASE;
 	worker->holder_lease =
 		MAX(worker->holder_lease, worker->lease + BASE_SEC / 2);
--- a/packages/node/node_front.c
+++ b/packages/node/node_front.c
@@ -203,7 +203,7 @@
 
 	g_snprintf(seconds, sizeof(seconds), "%lld",
 		   (long long)((retry_after + BASE_SEC - 1) / BASE_SEC));
-	node_time(node, NODE_TIME_ANSWER, took);
+	node_time(node, (node_time_t)(NODE_TIME_SUBMIT + front->ask), took);
 	if (front->ask == NODE_ASK_SUBMIT || front->ask == NODE_ASK_CANCEL ||
 	    status >= 500)
 		node_log(node, BASE_MSG_JOB_REQUEST,
--- a/packages/node/node_int.h
+++ b/packages/node/node_int.h
@@ -173,7 +173,11 @@
 } node_count_t;
 
 typedef enum node_time {
-	NODE_TIME_ANSWER,   /* from a caller's request to its answer */
+	/* From a caller's request to its answer, in the order of node_ask_t. */
+	NODE_TIME_SUBMIT,
+	NODE_TIME_STATE,
+	NODE_TIME_CANCEL,
+	NODE_TIME_PENDING,
 	NODE_TIME_CHANGE,   /* of the store */
 	NODE_TIME_LOOK_GAP, /* between two looks at a worker */
 	NODE_TIME_ORDER,
@@ -301,6 +305,7 @@
 
 	net_timer_t *list_timer;
 	int64_t list_round;
+	int64_t listed_at; /* the last whole round was read; 0: none */
 	bool list_hurry;
 	GHashTable *links; /* worker id to node_worker_t */
 	node_insts_t *instances;
--- a/packages/node/node_metrics.c
+++ b/packages/node/node_metrics.c
@@ -25,9 +25,9 @@
 };
 
 static const char *const time_names[NODE_TIME_MAX] = {
-	[NODE_TIME_ANSWER] = "answer",
-	[NODE_TIME_CHANGE] = "store_change",
-	[NODE_TIME_LOOK_GAP] = "look_gap",
+	[NODE_TIME_SUBMIT] = "submit",	     [NODE_TIME_STATE] = "state",
+	[NODE_TIME_CANCEL] = "cancel",	     [NODE_TIME_PENDING] = "pending",
+	[NODE_TIME_CHANGE] = "store_change", [NODE_TIME_LOOK_GAP] = "look_gap",
 	[NODE_TIME_ORDER] = "order",
 };
 
@@ -75,10 +75,31 @@
 		      (unsigned long long)base_hist_count(hist));
 }
 
+static void add_age(base_buf_t *out, const char *of, int64_t age)
+{
+	base_buf_addf(out, "cactusfield_age_seconds{of=\"%s\"} %.3f\n", of,
+		      (double)age / BASE_SEC);
+}
+
+static void add_look(void *arg, const char *worker, int64_t age)
+{
+	base_buf_addf(arg, "cactusfield_look_age_seconds{worker=\"%s\"} %.3f\n",
+		      worker, (double)age / BASE_SEC);
+}
+
+/* What only the holder of the duty knows. */
 static void add_owner(base_buf_t *out, const node_t *node)
 {
+	const node_owner_t *owner = node->owner;
+	int64_t now = base_clock_mono();
 	batch_stats_t stats;
 
+	base_buf_addf(out, "cactusfield_decides %d\n", node_owner_valid(owner));
+	add_time(out, "run", batch_times(owner->core, BATCH_TIME_RUN));
+	add_time(out, "end_noted", batch_times(owner->core, BATCH_TIME_NOTED));
+	add_age(out, "workers_list", now - owner->listed_at);
+	add_age(out, "instances_list", now - owner->instances->round_sent);
+	batch_look_ages(owner->core, now, add_look, out);
 	batch_stats(node_owner_core(node->owner), &stats);
 	base_buf_addf(out, "cactusfield_jobs_open %zu\n", stats.jobs);
 	base_buf_addf(out, "cactusfield_runs %zu\n", stats.runs);
@@ -106,8 +127,10 @@
 	base_buf_addf(out, "cactusfield_is_holder %d\n", node->owner != NULL);
 	base_buf_addf(out, "cactusfield_processor_seconds %.6f\n",
 		      (double)base_clock_processor() / BASE_SEC);
-	base_buf_addf(out, "cactusfield_store_age_seconds %.3f\n",
-		      (double)(now - node->store_heard) / BASE_SEC);
+	base_buf_addf(out, "cactusfield_term %lld\n",
+		      (long long)node->lead.term);
+	add_age(out, "store", now - node->store_heard);
+	add_age(out, "holder", now - node->lead.learned);
 	if (node->owner)
 		add_owner(out, node);
 	net_reply(exchange, 200, NULL, 0, base_buf_str(out));
--- a/packages/node/node_worker.c
+++ b/packages/node/node_worker.c
@@ -204,7 +204,8 @@
 	}
 	/* What keeps silent is let go: asking must not keep its tasks alive. */
 	order.lease = worker->silent ? -1 : lease_now(worker);
-	order.noted = batch_worker_noted(owner->core, base_str(worker->id));
+	order.noted = batch_worker_noted(owner->core, base_clock_mono(),
+					 base_str(worker->id));
 	order.wait = worker->met && !worker->silent ? WORKER_WAIT : 0;
 	order.timeout = order.wait + WORKER_LATE;
 	worker->looking = true;
@@ -317,6 +318,7 @@
 		list_page(owner);
 		return;
 	}
+	owner->listed_at = base_clock_mono();
 	node_workers_round(owner);
 	node_owner_wake(owner);
 	net_timer_start(owner->list_timer, owner->list_hurry
