--- a/standin/platform/sp_worker.c
+++ b/standin/platform/sp_worker.c
@@ -129,7 +129,6 @@
 		  json_integer_value(json_object_get(root, "lastSeen")));
 	if (worker->hold.exchange)
 		sp_reply_json(worker->hold.exchange, 200, report(worker));
-	/* Of a worker whose answers are lost, nothing is heard. */
 	worker->hold.exchange = exchange;
 	worker->hold.until = base_clock_mono() + wait * BASE_MS;
 }
@@ -238,6 +237,7 @@
 	int64_t lease = json_integer_value(json_object_get(root, "deadlineMs"));
 
 	if (worker->mute || worker->one_way) {
+		/* What is done for nobody is answered to nobody. */
 		g_ptr_array_add(worker->sp->silent, exchange);
 		exchange = NULL;
 	}
