--- a/packages/node/node_log.c
+++ b/packages/node/node_log.c
@@ -12,9 +12,9 @@
 
 #define LOG_FLUSH_EVERY (100 * BASE_MS) /* one write for many lines */
 #define LOG_HELD_MAX (64 << 10) /* bytes held before lines are dropped */
-/* Of one message a second: a heavy day has about 20 jobs a second, each with
- * some steps and failures. */
-#define LOG_LINES_MAX 120
+/* Of one message a second: 350 workers take some 60 jobs a second on the mean
+ * and five times that in a turn, each with some steps; a line costs 2 us. */
+#define LOG_LINES_MAX 500
 
 struct node_log {
 	int fd;
