--- a/packages/batch/batch_place.c
+++ b/packages/batch/batch_place.c
@@ -190,6 +190,7 @@
 	return best;
 }
 
+/* "task" was placed now, which makes something known of its step. */
 static void note_step(const batch_task_t *task, batch_note_kind_t kind,
 		      const char *why, int64_t value)
 {
--- a/packages/node/node_operators.c
+++ b/packages/node/node_operators.c
@@ -22,10 +22,6 @@
 	[NODE_INSTANCE_DOWN] = "down",
 };
 
-typedef struct relay {
-	net_exchange_t *exchange;
-} relay_t;
-
 static void reply_json(net_exchange_t *exchange, int status, json_t *answer)
 {
 	char *text = json_dumps(answer, JSON_COMPACT | JSON_SORT_KEYS);
@@ -115,15 +111,14 @@
 
 static void relayed(void *arg, const net_answer_t *answer)
 {
-	relay_t *relay = arg;
+	net_exchange_t *exchange = arg;
 
 	if (answer->fate == NET_ANSWERED && answer->status == 200)
-		net_reply(relay->exchange, 200, NULL, 0, answer->body);
+		net_reply(exchange, 200, NULL, 0, answer->body);
 	else
-		reply_json(relay->exchange, 200,
+		reply_json(exchange, 200,
 			   json_pack("{s:s,s:s}", "result", "refused", "why",
 				     "the holder does not answer"));
-	talloc_free(relay);
 }
 
 static void serve_explain(node_t *node, net_exchange_t *exchange, bool ask_on)
@@ -131,8 +126,8 @@
 	const char *path = net_exchange_path(exchange);
 	char *name = g_uri_unescape_string(path + strlen(EXPLAIN_PATH), NULL);
 	net_request_t request = { .method = NET_GET,
+				  .path = path,
 				  .timeout = EXPLAIN_TIMEOUT };
-	relay_t *relay;
 
 	if (!name) {
 		reply_json(exchange, 400,
@@ -140,17 +135,11 @@
 				     "the name is not escaped as a URI"));
 	} else if (node->owner) {
 		reply_json(exchange, 200, explain(node, name));
-	} else {
-		relay = talloc_zero(node, relay_t);
-		relay->exchange = exchange;
-		request.path = path;
-		if (!ask_on || !node->lead.address ||
-		    !node_peer_call(node, node->lead.address, &request, relayed,
-				    relay)) {
-			talloc_free(relay);
-			reply_json(exchange, 200,
-				   json_pack("{s:s}", "result", "nobody"));
-		}
+	} else if (!ask_on || !node->lead.address ||
+		   !node_peer_call(node, node->lead.address, &request, relayed,
+				   exchange)) {
+		reply_json(exchange, 200,
+			   json_pack("{s:s}", "result", "nobody"));
 	}
 	g_free(name);
 }
--- a/packages/node/node_wave_int.h
+++ b/packages/node/node_wave_int.h
@@ -36,7 +36,7 @@
 	node_waves_t *waves;
 	int64_t number;
 	int at_most;
-	int64_t ends_by;
+	int64_t ends_by; /* counted from when this entry read of it */
 	place_t *places;
 	size_t n;
 	bool completed;
--- a/packages/tool/tool_status.c
+++ b/packages/tool/tool_status.c
@@ -128,6 +128,8 @@
 	json_t *pool;
 	size_t i;
 
+	if (!pools)
+		return;
 	if (json_object_get(json_array_get(pools, 0), "needed")) {
 		print_demand(pools, out);
 		return;
