A randomized soak of the real programs; store calls timed by purpose

What is tested so far are scripted faults (sys_node, sys_node_faults) and the pure core; nothing mixed signals, links, the store and workers at random.

soak/: relays of every link, signals, the stand-in's switches, callers that keep their connections, a judge over the workers' records. An entry says where others reach it (peers_at), so that a relay can stand there. The stand-in records each task, lists workers elsewhere, has clocks that are off and refuses a start that came after its time. node_store.c counts and times all calls of the store in one place, which were counted at 19 sites; /metrics has buckets. An HTTP client's request may say its own Host.

Ruled out: a soak in one process with a simulated network, since the pure core has that and sockets and signals are what it leaves out.

Before: no such run.

--- a/Makefile
+++ b/Makefile
@@ -77,7 +77,7 @@
 deps:
 	@scripts/deps
 
-binaries: $(LIBS) $(wildcard $(OUT)/none) $(foreach b,$(BINS),$(if $(wildcard packages/*/$(notdir $(b))_main.c),$(b))) $(STANDIN) $(LOADGEN) $(OUT)/cactusfield-node $(OUT)/standin/standin-platform
+binaries: $(LIBS) $(wildcard $(OUT)/none) $(foreach b,$(BINS),$(if $(wildcard packages/*/$(notdir $(b))_main.c),$(b))) $(STANDIN) $(LOADGEN) $(OUT)/cactusfield-node $(OUT)/standin/standin-platform $(OUT)/soak/soak
 
 define library
 $(OUT)/lib$(1).a: $(filter $(OUT)/packages/$(1)/%,$(OBJS))
@@ -150,6 +150,9 @@
 $(OUT)/load/load: $(patsubst %.c,$(OUT)/%.o,$(wildcard load/*.c)) $(LIBS)
 	$(CC) $(LDFLAGS) -o $@ $(filter %.o,$^) $(GROUP) $(LDLIBS)
 
+$(OUT)/soak/soak: $(patsubst %.c,$(OUT)/%.o,$(wildcard soak/*.c)) $(LIBS)
+	$(CC) $(LDFLAGS) -o $@ $(filter %.o,$^) $(GROUP) $(LDLIBS)
+
 $(OUT)/standin/standin-platform: $(patsubst %.c,$(OUT)/%.o,$(wildcard standin/platform/*.c)) $(LIBS)
 	$(CC) $(LDFLAGS) -o $@ $(filter %.o,$^) $(GROUP) $(LDLIBS)
 
@@ -173,6 +176,7 @@
 
 soak: all
 	@OUT=$(OUT) RC_PARAMS="seed=$$(date +%s) max_success=2000" scripts/runtests 6 $(OUT)/log $(filter %_prop,$(TESTS))
+	@OUT=$(OUT) soak/run
 
 FORMATTED = $(filter-out $(GENERATED),$(shell git ls-files -co --exclude-standard '*.c' '*.h' '*.cpp'))
 
--- a/packages/base/base_hist.c
+++ b/packages/base/base_hist.c
@@ -58,6 +58,18 @@
 	return hist->sum_us;
 }
 
+uint64_t base_hist_below(const base_hist_t *hist, int64_t us)
+{
+	double seen = 0.0;
+
+	for (size_t i = 0; i < hist->bins->n; i++) {
+		if (hist->bins->range[i + 1] > (double)us * BASE_HIST_RATIO)
+			break;
+		seen += gsl_histogram_get(hist->bins, i);
+	}
+	return (uint64_t)seen;
+}
+
 double base_hist_quantile(const base_hist_t *hist, double q)
 {
 	double rank = ceil(q * (double)hist->count);
--- a/packages/base/base_hist.h
+++ b/packages/base/base_hist.h
@@ -30,6 +30,9 @@
 /* Their sum in microseconds. */
 int64_t base_hist_sum(const base_hist_t *hist);
 
+/* How many values are at most "us", to the width of a bin. */
+uint64_t base_hist_below(const base_hist_t *hist, int64_t us);
+
 /*
  * The upper edge, in microseconds, of the bin that holds quantile "q" (0 to
  * 1); 0 when empty.
--- a/packages/base/tests/base_test.c
+++ b/packages/base/tests/base_test.c
@@ -42,8 +42,14 @@
 	g_assert_cmpfloat(base_hist_quantile(hist, 0.5), >=, 50000);
 	g_assert_cmpfloat(base_hist_quantile(hist, 0.5), <=,
 			  50000 * BASE_HIST_RATIO);
+	/* 100 us apart: 500 of them are at most 50 ms, to a bin's width. */
+	g_assert_cmpuint(base_hist_below(hist, 50000), >=, 500);
+	g_assert_cmpuint(base_hist_below(hist, 50000), <=,
+			 (uint64_t)(500 * BASE_HIST_RATIO));
+	g_assert_cmpuint(base_hist_below(hist, 200000), ==, 1000);
 	base_hist_add(hist, INT64_MAX / 2);
 	base_hist_add(hist, -5);
+	g_assert_cmpuint(base_hist_below(hist, 10), ==, 1);
 	g_assert_cmpuint(base_hist_count(hist), ==, 1002);
 	talloc_free(hist);
 }
--- a/packages/net/net.h
+++ b/packages/net/net.h
@@ -18,6 +18,7 @@
 	NET_ERR_MAX
 } net_error_t;
 
+struct event_base;
 typedef struct net_loop net_loop_t;
 typedef struct net_timer net_timer_t;
 typedef struct net_client net_client_t;
@@ -42,6 +43,9 @@
 void net_loop_run(net_loop_t *loop);
 void net_loop_stop(net_loop_t *loop);
 
+/* Its base, for what is not HTTP. */
+struct event_base *net_loop_base(const net_loop_t *loop);
+
 /* Run "work" from the loop, after the present callback. */
 void net_later(net_loop_t *loop, void (*work)(void *arg), void *arg);
 
@@ -74,8 +78,8 @@
 
 typedef struct net_request {
 	net_method_t method;
-	const char *path; /* with its query */
-	const net_header_t *headers;
+	const char *path;	     /* with its query */
+	const net_header_t *headers; /* "Host" is the address if not said */
 	size_t n_headers;
 	base_str_t body;
 	int64_t timeout; /* from the call to the whole answer */
--- a/packages/net/net_client.c
+++ b/packages/net/net_client.c
@@ -212,10 +212,11 @@
 	struct evkeyvalq *headers = evhttp_request_get_output_headers(req);
 	size_t i;
 
-	evhttp_add_header(headers, "Host", call->client->address);
 	for (i = 0; i < call->n_headers; i++)
 		evhttp_add_header(headers, call->headers[i].name,
 				  call->headers[i].value);
+	if (!evhttp_find_header(headers, "Host"))
+		evhttp_add_header(headers, "Host", call->client->address);
 	if (call->body.len) {
 		evhttp_add_header(headers, "Content-Type", "application/json");
 		evbuffer_add(evhttp_request_get_output_buffer(req),
--- a/packages/net/net_loop.c
+++ b/packages/net/net_loop.c
@@ -45,6 +45,11 @@
 	return loop;
 }
 
+struct event_base *net_loop_base(const net_loop_t *loop)
+{
+	return loop->base;
+}
+
 void net_loop_run(net_loop_t *loop)
 {
 	event_base_dispatch(loop->base);
--- a/packages/node/node.h
+++ b/packages/node/node.h
@@ -26,8 +26,9 @@
 	const char *callers; /* addresses to listen on */
 	const char *ready;
 	const char *peers;
-	const char *metrics; /* NULL: none */
-	const char *advice;  /* who knows the policy of queues; NULL: nobody */
+	const char *peers_at; /* where others reach it; as "peers" if unsaid */
+	const char *metrics;  /* NULL: none */
+	const char *advice;   /* who knows the policy of queues; NULL: nobody */
 	const char *store;
 	const char *instances;
 	const char **seeds; /* some peers' addresses */
--- a/packages/node/node_commit.c
+++ b/packages/node/node_commit.c
@@ -25,7 +25,7 @@
 {
 	int64_t now = base_clock_mono();
 
-	node_time(owner->node, NODE_TIME_CHANGE, now - owner->change_began);
+	node_time(owner->node, NODE_TIME_COMMIT, now - owner->change_began);
 	owner->fence_revision = fence_revision;
 	owner->committing = false;
 	TALLOC_FREE(owner->commit_ctx);
@@ -80,9 +80,8 @@
 
 	if (owner->ended)
 		return;
-	node_count(owner->node, NODE_COUNT_STORE_CHANGE);
-	owner->node->platform->change(owner->store, &owner->commit, committed,
-				      owner);
+	node_store_change(owner->node, owner->store, &owner->commit, committed,
+			  owner);
 }
 
 static void gap_over(void *arg)
--- a/packages/node/node_config.c
+++ b/packages/node/node_config.c
@@ -87,10 +87,8 @@
 
 static void watch(node_t *node)
 {
-	node_count(node, NODE_COUNT_STORE_WATCH);
-	node->platform->watch(node->store, node->platform->operator_prefix,
-			      node->operator_revision, CONFIG_WAIT, watched,
-			      node);
+	node_store_watch(node, node->platform->operator_prefix,
+			 node->operator_revision, CONFIG_WAIT, watched);
 }
 
 static void watched(void *arg, const node_answer_t *answer)
@@ -136,10 +134,9 @@
 static void read_all(void *arg)
 {
 	node_t *node = arg;
+	node_range_t range = { .prefix = node->platform->operator_prefix };
 
-	node_count(node, NODE_COUNT_STORE_READ);
-	node->platform->list(node->store, node->platform->operator_prefix, NULL,
-			     false, all_read, node);
+	node_store_list(node, node->store, &range, all_read, node);
 }
 
 void node_config_begin(node_t *node)
--- a/packages/node/node_front.c
+++ b/packages/node/node_front.c
@@ -113,7 +113,7 @@
 static const char *next_hop(dispatch_t *dispatch, int64_t now)
 {
 	node_t *node = dispatch->node;
-	const char *self = node->settings->peers;
+	const char *self = node->settings->peers_at;
 	bool good = node->lead.address && strcmp(node->lead.address, self) &&
 		    now >= node->lead.bad_until;
 
--- a/packages/node/node_int.h
+++ b/packages/node/node_int.h
@@ -178,7 +178,10 @@
 	NODE_TIME_STATE,
 	NODE_TIME_CANCEL,
 	NODE_TIME_PENDING,
-	NODE_TIME_CHANGE,   /* of the store */
+	NODE_TIME_STORE_READ,
+	NODE_TIME_STORE_CHANGE,
+	NODE_TIME_STORE_LEASE,
+	NODE_TIME_COMMIT,   /* until a change is known to be done: all tries */
 	NODE_TIME_LOOK_GAP, /* between two looks at a worker */
 	NODE_TIME_ORDER,
 	NODE_TIME_MAX
@@ -191,6 +194,36 @@
 uint64_t node_store_calls(const node_t *node);
 void node_metrics_serve(node_t *node, net_exchange_t *exchange);
 
+/* node_store.c */
+typedef struct node_range {
+	const char *prefix;
+	const char *after; /* key; NULL: from the beginning */
+	bool stale;	   /* may be some seconds old */
+} node_range_t;
+
+typedef struct node_renewal {
+	int64_t lease;
+	int64_t timeout; /* microseconds */
+} node_renewal_t;
+
+void node_store_get(node_t *node, node_store_t *store, const char *key,
+		    node_answered_t *done, void *arg);
+void node_store_list(node_t *node, node_store_t *store,
+		     const node_range_t *range, node_answered_t *done,
+		     void *arg);
+/* On the entry's own connection, which also lends and ends leases. */
+void node_store_watch(node_t *node, const char *prefix, int64_t after,
+		      int64_t wait, node_answered_t *done);
+void node_store_change(node_t *node, node_store_t *store,
+		       const node_change_t *change, node_answered_t *done,
+		       void *arg);
+void node_store_lease(node_t *node, int64_t ttl, node_answered_t *done);
+void node_store_renew(node_t *node, node_store_t *store,
+		      const node_renewal_t *renewal, node_answered_t *done,
+		      void *arg);
+void node_store_release(node_t *node, int64_t lease, node_answered_t *done,
+			void *arg);
+
 /* node_config.c */
 void node_config_begin(node_t *node);
 const node_route_t *node_route_find(const node_t *node, base_str_t host,
--- a/packages/node/node_lead.c
+++ b/packages/node/node_lead.c
@@ -112,7 +112,7 @@
 	const char *address =
 		json_string_value(json_object_get(root, "address"));
 	bool mine = name && address && !strcmp(name, node->settings->name) &&
-		    !strcmp(address, node->settings->peers);
+		    !strcmp(address, node->settings->peers_at);
 
 	json_decref(root);
 	return mine;
@@ -131,7 +131,7 @@
 	node->campaigning = false;
 	forget_lead(node);
 	node->lead.name = talloc_strdup(node, node->settings->name);
-	node->lead.address = talloc_strdup(node, node->settings->peers);
+	node->lead.address = talloc_strdup(node, node->settings->peers_at);
 	node->lead.term = node->campaign_term;
 	node->lead.learned = base_clock_mono();
 	node_log(node, BASE_MSG_DUTY_TAKEN, BASE_F_INT("term", options.term),
@@ -182,9 +182,8 @@
 		become(node, answer->revision, answer->revision);
 		break;
 	case NODE_STORE_UNKNOWN:
-		node_count(node, NODE_COUNT_STORE_READ);
-		node->platform->get(node->store, NODE_KEY_OWNER, claim_checked,
-				    node);
+		node_store_get(node, node->store, NODE_KEY_OWNER, claim_checked,
+			       node);
 		break;
 	default:
 		item = find_item(answer, NODE_KEY_OWNER);
@@ -201,7 +200,7 @@
 		NULL,
 		"{\"name\":\"%s\",\"address\":\"%s\",\"term\":%lld,"
 		"\"nonce\":\"%s\"}",
-		node->settings->name, node->settings->peers,
+		node->settings->name, node->settings->peers_at,
 		(long long)node->campaign_term, node->nonce);
 	char *fence_text =
 		talloc_asprintf(owner_text, "{\"term\":%lld,\"commit\":0}",
@@ -219,8 +218,7 @@
 				 .sets = sets,
 				 .n_sets = ARRAY_SIZE(sets) };
 
-	node_count(node, NODE_COUNT_STORE_CHANGE);
-	node->platform->change(node->store, &change, claimed, node);
+	node_store_change(node, node->store, &change, claimed, node);
 	talloc_free(owner_text);
 }
 
@@ -263,10 +261,8 @@
 		talloc_asprintf(node, "%s.%llx", node->settings->name,
 				(unsigned long long)base_rng_next(&node->rng));
 	node->campaign_sent = base_clock_mono();
-	node_count(node, NODE_COUNT_STORE_LEASE);
-	node->platform->lease(node->store,
-			      MAX(LEAD_TTL, node->settings->store_ttl_min),
-			      leased, node);
+	node_store_lease(node, MAX(LEAD_TTL, node->settings->store_ttl_min),
+			 leased);
 }
 
 /* The key must still be as it was read: not there, or of a former life. */
@@ -278,8 +274,7 @@
 	node->campaigning = true;
 	node->campaign_owner = owner_revision;
 	node->campaign_lease = 0;
-	node_count(node, NODE_COUNT_STORE_READ);
-	node->platform->get(node->store, NODE_KEY_FENCE, fence_read, node);
+	node_store_get(node, node->store, NODE_KEY_FENCE, fence_read, node);
 }
 
 static void watched(void *arg, const node_answer_t *answer)
@@ -297,10 +292,8 @@
 		node->lead.name = NULL;
 	}
 	if (answer->fate == NODE_STORE_OK && node->lead.name) {
-		node_count(node, NODE_COUNT_STORE_WATCH);
-		node->platform->watch(node->store, NODE_KEY_OWNER,
-				      answer->revision, LEAD_WAIT, watched,
-				      node);
+		node_store_watch(node, NODE_KEY_OWNER, answer->revision,
+				 LEAD_WAIT, watched);
 	} else if (answer->fate == NODE_STORE_OK) {
 		net_timer_start(node->lead_timer, campaign_delay(node));
 	} else {
@@ -323,10 +316,8 @@
 	}
 	if (answer->fate == NODE_STORE_OK && item) {
 		believe(node, item);
-		node_count(node, NODE_COUNT_STORE_WATCH);
-		node->platform->watch(node->store, NODE_KEY_OWNER,
-				      answer->revision, LEAD_WAIT, watched,
-				      node);
+		node_store_watch(node, NODE_KEY_OWNER, answer->revision,
+				 LEAD_WAIT, watched);
 		return;
 	}
 	if (answer->fate == NODE_STORE_MISSING) {
@@ -347,8 +338,7 @@
 		net_timer_start(node->lead_timer, LEAD_RETRY);
 		return;
 	}
-	node_count(node, NODE_COUNT_STORE_READ);
-	node->platform->get(node->store, NODE_KEY_OWNER, owner_read, node);
+	node_store_get(node, node->store, NODE_KEY_OWNER, owner_read, node);
 }
 
 void node_lead_begin(node_t *node)
--- a/packages/node/node_member.c
+++ b/packages/node/node_member.c
@@ -14,7 +14,7 @@
 {
 	guint i;
 
-	if (!strcmp(address, node->settings->peers))
+	if (!strcmp(address, node->settings->peers_at))
 		return;
 	for (i = 0; i < node->members->len; i++)
 		if (!strcmp(g_ptr_array_index(node->members, i), address))
@@ -56,9 +56,9 @@
 
 static void read_list(node_t *node)
 {
-	node_count(node, NODE_COUNT_STORE_READ);
-	node->platform->list(node->store, NODE_KEY_MEMBER, NULL, true, listed,
-			     node);
+	node_range_t range = { .prefix = NODE_KEY_MEMBER, .stale = true };
+
+	node_store_list(node, node->store, &range, listed, node);
 }
 
 static void written(void *arg, const node_answer_t *answer)
@@ -88,11 +88,10 @@
 	}
 	node->member_lease = answer->lease;
 	key = talloc_asprintf(NULL, NODE_KEY_MEMBER "%s", node->settings->name);
-	value = talloc_asprintf(key, "%s %g", node->settings->peers,
+	value = talloc_asprintf(key, "%s %g", node->settings->peers_at,
 				node->settings->processor);
 	set = (node_set_t){ key, base_str(value), answer->lease };
-	node_count(node, NODE_COUNT_STORE_CHANGE);
-	node->platform->change(node->store, &change, written, node);
+	node_store_change(node, node->store, &change, written, node);
 	talloc_free(key);
 }
 
@@ -114,14 +113,14 @@
 {
 	node_t *node = arg;
 
+	node_renewal_t renewal = { node->member_lease, BASE_SEC };
+
 	if (node->stopping)
 		return;
-	node_count(node, NODE_COUNT_STORE_LEASE);
 	if (node->member_lease)
-		node->platform->renew(node->store, node->member_lease, BASE_SEC,
-				      renewed, node);
+		node_store_renew(node, node->store, &renewal, renewed, node);
 	else
-		node->platform->lease(node->store, MEMBER_TTL, leased, node);
+		node_store_lease(node, MEMBER_TTL, leased);
 }
 
 void node_member_begin(node_t *node)
--- a/packages/node/node_metrics.c
+++ b/packages/node/node_metrics.c
@@ -25,9 +25,15 @@
 };
 
 static const char *const time_names[NODE_TIME_MAX] = {
-	[NODE_TIME_SUBMIT] = "submit",	     [NODE_TIME_STATE] = "state",
-	[NODE_TIME_CANCEL] = "cancel",	     [NODE_TIME_PENDING] = "pending",
-	[NODE_TIME_CHANGE] = "store_change", [NODE_TIME_LOOK_GAP] = "look_gap",
+	[NODE_TIME_SUBMIT] = "submit",
+	[NODE_TIME_STATE] = "state",
+	[NODE_TIME_CANCEL] = "cancel",
+	[NODE_TIME_PENDING] = "pending",
+	[NODE_TIME_STORE_READ] = "store_read",
+	[NODE_TIME_STORE_CHANGE] = "store_change",
+	[NODE_TIME_STORE_LEASE] = "store_lease",
+	[NODE_TIME_COMMIT] = "commit",
+	[NODE_TIME_LOOK_GAP] = "look_gap",
 	[NODE_TIME_ORDER] = "order",
 };
 
@@ -59,19 +65,36 @@
 	       counts[NODE_COUNT_STORE_CHANGE] + counts[NODE_COUNT_STORE_LEASE];
 }
 
+/* From an answer of the store (4 ms) to what no caller waits for. */
+static const int64_t buckets[] = {
+	2 * BASE_MS,  5 * BASE_MS,   10 * BASE_MS,  20 * BASE_MS,
+	50 * BASE_MS, 100 * BASE_MS, 200 * BASE_MS, 500 * BASE_MS,
+	1 * BASE_SEC, 2 * BASE_SEC,  5 * BASE_SEC,  10 * BASE_SEC,
+};
+
+static void add_bucket(base_buf_t *out, const char *name, const char *edge,
+		       uint64_t count)
+{
+	base_buf_addf(out,
+		      "cactusfield_seconds_bucket{of=\"%s\",le=\"%s\"} %llu\n",
+		      name, edge, (unsigned long long)count);
+}
+
 static void add_time(base_buf_t *out, const char *name, const base_hist_t *hist)
 {
-	static const double quantiles[] = { 0.5, 0.9, 0.99 };
+	char edge[24];
 	size_t i;
 
-	for (i = 0; i < ARRAY_SIZE(quantiles); i++)
-		base_buf_addf(out,
-			      "cactusfield_seconds{of=\"%s\",quantile=\"%g\"} "
-			      "%.6f\n",
-			      name, quantiles[i],
-			      base_hist_quantile(hist, quantiles[i]) /
-				      BASE_SEC);
-	base_buf_addf(out, "cactusfield_seconds_count{of=\"%s\"} %llu\n", name,
+	for (i = 0; i < ARRAY_SIZE(buckets); i++) {
+		g_snprintf(edge, sizeof(edge), "%g",
+			   (double)buckets[i] / BASE_SEC);
+		add_bucket(out, name, edge, base_hist_below(hist, buckets[i]));
+	}
+	add_bucket(out, name, "+Inf", base_hist_count(hist));
+	base_buf_addf(out,
+		      "cactusfield_seconds_sum{of=\"%s\"} %.6f\n"
+		      "cactusfield_seconds_count{of=\"%s\"} %llu\n",
+		      name, (double)base_hist_sum(hist) / BASE_SEC, name,
 		      (unsigned long long)base_hist_count(hist));
 }
 
--- a/packages/node/node_owner.c
+++ b/packages/node/node_owner.c
@@ -67,12 +67,11 @@
 static void renew(void *arg)
 {
 	node_owner_t *owner = arg;
+	node_renewal_t renewal = { owner->lease, OWNER_RENEW };
 
 	/* The lease runs from the arrival of the call, which is later. */
 	owner->renew_sent = base_clock_mono();
-	node_count(owner->node, NODE_COUNT_STORE_LEASE);
-	owner->node->platform->renew(owner->store, owner->lease, OWNER_RENEW,
-				     renewed, owner);
+	node_store_renew(owner->node, owner->store, &renewal, renewed, owner);
 }
 
 bool node_owner_valid(const node_owner_t *owner)
--- a/packages/node/node_pass.c
+++ b/packages/node/node_pass.c
@@ -274,8 +274,7 @@
 		finish(asked, PASS_YES);
 		return;
 	}
-	node_count(node, NODE_COUNT_STORE_LEASE);
-	node->platform->release(node->store, asked->lease, released, asked);
+	node_store_release(node, asked->lease, released, asked);
 }
 
 void node_pass_serve(node_t *node, net_exchange_t *exchange)
@@ -301,6 +300,5 @@
 	asked->timer = net_timer_new(asked, node->loop, too_late, asked);
 	net_timer_start(asked->timer, PASS_PROBE);
 	json_decref(root);
-	node_count(node, NODE_COUNT_STORE_READ);
-	node->platform->get(node->store, NODE_KEY_OWNER, probed, asked);
+	node_store_get(node, node->store, NODE_KEY_OWNER, probed, asked);
 }
--- a/packages/node/node_restore.c
+++ b/packages/node/node_restore.c
@@ -183,10 +183,9 @@
 		[RESTORE_WAVES] = NODE_KEY_WAVE,
 		[RESTORE_LEARNED] = NODE_KEY_LEARNED,
 	};
+	node_range_t range = { prefixes[restore->stage], owner->page, false };
 
-	node_count(owner->node, NODE_COUNT_STORE_READ);
-	platform->list(owner->store, prefixes[restore->stage], owner->page,
-		       false, page_read, restore);
+	node_store_list(owner->node, owner->store, &range, page_read, restore);
 }
 
 void node_restore_begin(node_owner_t *owner)
--- a/packages/node/node_settings.c
+++ b/packages/node/node_settings.c
@@ -23,6 +23,7 @@
 	{ "peers", offsetof(node_settings_t, peers), false },
 	{ "store", offsetof(node_settings_t, store), false },
 	{ "instances", offsetof(node_settings_t, instances), false },
+	{ "peers_at", offsetof(node_settings_t, peers_at), true },
 	{ "metrics", offsetof(node_settings_t, metrics), true },
 	{ "advice", offsetof(node_settings_t, advice), true },
 };
@@ -117,6 +118,8 @@
 		load_text(settings, root, &texts[i], faults);
 	for (i = 0; i < ARRAY_SIZE(times); i++)
 		load_time(settings, root, &times[i], faults);
+	if (!settings->peers_at)
+		settings->peers_at = settings->peers;
 	load_processor(settings, root, faults);
 	load_seeds(settings, root);
 	json_decref(root);
--- a/packages/node/node_worker.c
+++ b/packages/node/node_worker.c
@@ -330,11 +330,10 @@
 static void list_page(void *arg)
 {
 	node_owner_t *owner = arg;
+	node_range_t range = { owner->node->platform->worker_prefix,
+			       owner->page, false };
 
-	node_count(owner->node, NODE_COUNT_STORE_READ);
-	owner->node->platform->list(owner->store,
-				    owner->node->platform->worker_prefix,
-				    owner->page, false, page_read, owner);
+	node_store_list(owner->node, owner->store, &range, page_read, owner);
 }
 
 void node_workers_begin(node_owner_t *owner)
--- /dev/null
+++ b/soak/soak_main.c
@@ -0,0 +1,508 @@
+/*
+ * usage: soak --seed=N --seconds=N --programs=DIR --work=DIR
+ *
+ * One run: the site settles, faults come while callers go on, everything
+ * heals, and what was accepted has to end.  Closes with one JSON line; exit
+ * status 1 if something went against a promise.
+ */
+#include <argtable2.h>
+#include <signal.h>
+#include <stdarg.h>
+#include <stdlib.h>
+#include <unistd.h>
+
+#include "soak_int.h"
+
+#define SOAK_TICK (10 * BASE_MS)
+/* A site is served again so long after its processes are back, RULES'
+ * recoveryS. */
+#define SOAK_RECOVER (15 * BASE_SEC)
+/* Then the wide jobs of the last moments may take this long on a machine
+ * that runs several of these. */
+#define SOAK_FINISH (60 * BASE_SEC)
+#define SOAK_START                                                 \
+	(20 * BASE_SEC) /* programs with a sanitizer, several runs \
+			 */
+/* Ports above the stand-ins' own choice of blocks and below the other tests'.
+ */
+#define SOAK_PORT_FIRST 5000
+#define SOAK_PORT_BLOCK 200
+#define SOAK_PORT_BLOCKS 24
+#define SOAK_UPKEEPS 5 /* instances in the round */
+#define SOAK_DRIFT 2   /* percent that workers' clocks are off, PROTOCOL */
+
+typedef enum phase {
+	PHASE_START,
+	PHASE_FAULTS,
+	PHASE_HEALED,
+	PHASE_JUDGE,
+	PHASE_MAX
+} phase_t;
+
+typedef struct run {
+	soak_t *soak;
+	const char *name;
+	int64_t seconds;
+	phase_t phase;
+	int64_t since; /* the phase began */
+	bool asking;
+	bool started; /* the stand-in is ours */
+	bool served;  /* a job handed in after the healing was accepted */
+	guint jobs;   /* that had been handed in by then */
+	net_timer_t *timer;
+} run_t;
+
+void soak_broke(soak_t *soak, const char *format, ...)
+{
+	va_list args;
+	char *text;
+
+	va_start(args, format);
+	text = g_strdup_vprintf(format, args);
+	va_end(args);
+	printf("{\"at_ms\":%lld,\"broken\":\"%s\"}\n",
+	       (long long)((base_clock_mono() - soak->began) / BASE_MS), text);
+	g_ptr_array_add(soak->broken, text);
+}
+
+int64_t soak_between(base_rng_t *rng, int64_t least, int64_t most)
+{
+	return least +
+	       (int64_t)base_rng_below(rng, (uint64_t)(most - least + 1));
+}
+
+int soak_port(const soak_t *soak, soak_port_kind_t kind, int number)
+{
+	static const int first[SOAK_PORT_KIND_MAX] = {
+		[SOAK_PORT_STANDIN] = 0,
+		[SOAK_PORT_CALLERS] = 80,
+		[SOAK_PORT_READY] = 90,
+		[SOAK_PORT_PEERS] = 100,
+		[SOAK_PORT_METRICS] = 110,
+		[SOAK_PORT_STORE_LINK] = 120,
+		[SOAK_PORT_INSTANCES_LINK] = 130,
+		[SOAK_PORT_PEERS_LINK] = 140,
+		[SOAK_PORT_CALLERS_LINK] = 150,
+		[SOAK_PORT_WORKERS_LINK] = 160,
+	};
+
+	return soak->port + first[kind] + number;
+}
+
+static void told(void *arg, const net_answer_t *answer)
+{
+	soak_t *soak = arg;
+
+	if (answer->fate != NET_ANSWERED || answer->status != 200)
+		soak_broke(soak, "the stand-in does not take a switch");
+}
+
+static void tell(soak_t *soak, const char *path, const char *body)
+{
+	net_request_t request = { .method = NET_POST,
+				  .path = path,
+				  .body = base_str(body),
+				  .timeout = 5 * BASE_SEC };
+
+	net_call(soak->control, &request, told, soak);
+}
+
+void soak_tell(soak_t *soak, const char *path, const char *body)
+{
+	tell(soak, path, body);
+}
+
+void soak_configure(soak_t *soak, int version)
+{
+	char *body = g_strdup_printf(
+		"{\"version\":%d,\"routes\":[{\"name\":\"jobs\","
+		"\"host\":\"desk.example\",\"prefix\":\"/jobs/\","
+		"\"service\":\"desk\",\"attempts\":2,\"stretch\":50,"
+		"\"targetLatencyMs\":20000,\"priority\":0}],\"services\":["
+		"{\"name\":\"desk\",\"admissionCheck\":true},"
+		"{\"name\":\"spare\",\"admissionCheck\":true,\"spare\":true}]}",
+		version);
+
+	tell(soak, "/operator?key=op/config", body);
+	g_free(body);
+}
+
+void soak_order_upkeep(soak_t *soak, int at_most)
+{
+	GString *body = g_string_new("{\"wave\":1,\"machines\":[");
+	int i;
+
+	for (i = 0; i < SOAK_UPKEEPS; i++)
+		g_string_append_printf(body, "%s\"m-%d\"", i ? "," : "", i * 2);
+	g_string_append_printf(body, "],\"durationS\":60,\"atMost\":%d}",
+			       at_most);
+	tell(soak, "/operator?key=op/wave/1", body->str);
+	g_string_free(body, TRUE);
+}
+
+static char *write_settings(const soak_t *soak, int i)
+{
+	char *file = talloc_asprintf(soak, "%s/node-%d.json", soak->work, i);
+	char *text = g_strdup_printf(
+		"{\"name\": \"edge-%d\", \"availability_zone\": \"z%d\",\n"
+		"\"callers\": \"127.0.0.1:%d\", \"ready\": \"127.0.0.1:%d\",\n"
+		"\"peers\": \"127.0.0.1:%d\", \"peers_at\": \"127.0.0.1:%d\",\n"
+		"\"metrics\": \"127.0.0.1:%d\", \"store\": \"127.0.0.1:%d\",\n"
+		"\"instances\": \"127.0.0.1:%d\", \"processor_cores\": 0.25,\n"
+		"\"lease_max_ms\": 6000, \"keep_s\": 600}\n",
+		i, i % 3, soak_port(soak, SOAK_PORT_CALLERS, i),
+		soak_port(soak, SOAK_PORT_READY, i),
+		soak_port(soak, SOAK_PORT_PEERS, i),
+		soak_port(soak, SOAK_PORT_PEERS_LINK, i),
+		soak_port(soak, SOAK_PORT_METRICS, i),
+		soak_port(soak, SOAK_PORT_STORE_LINK, i),
+		soak_port(soak, SOAK_PORT_INSTANCES_LINK, i));
+	GError *err = NULL;
+
+	if (!g_file_set_contents(file, text, -1, &err)) {
+		fprintf(stderr, "soak: %s\n", err->message);
+		exit(2);
+	}
+	g_free(text);
+	return file;
+}
+
+static soak_process_t *node_new(soak_t *soak, int i)
+{
+	char *name = talloc_asprintf(soak, "node-%d", i);
+	char *argv[] = {
+		talloc_asprintf(soak, "%s/cactusfield-node", soak->programs),
+		talloc_asprintf(soak, "--settings=%s", write_settings(soak, i)),
+		NULL
+	};
+	soak_process_t *node = soak_process_new(soak, name, argv);
+
+	node->restart_gap = soak_between(&soak->rng, 0, 2 * BASE_SEC);
+	return node;
+}
+
+static soak_process_t *standin_new(soak_t *soak, const char *run)
+{
+	char *argv[] = { talloc_asprintf(soak, "%s/standin/standin-platform",
+					 soak->programs),
+			 talloc_asprintf(soak, "--port=%d", soak->port),
+			 talloc_asprintf(soak, "--workers=%d", SOAK_WORKERS),
+			 talloc_asprintf(
+				 soak, "--listed=%d",
+				 soak_port(soak, SOAK_PORT_WORKERS_LINK, 0)),
+			 talloc_asprintf(soak, "--drift=%d", SOAK_DRIFT),
+			 talloc_asprintf(soak, "--run=%s", run),
+			 NULL };
+
+	return soak_process_new(soak, "standin", argv);
+}
+
+static bool link_all(soak_t *soak)
+{
+	soak_link_t **const links[] = { soak->stores, soak->instances,
+					soak->peers, soak->callers_links };
+	static const soak_port_kind_t from[] = { SOAK_PORT_STORE_LINK,
+						 SOAK_PORT_INSTANCES_LINK,
+						 SOAK_PORT_PEERS_LINK,
+						 SOAK_PORT_CALLERS_LINK };
+	bool ok = true;
+	size_t k;
+	int i;
+
+	for (k = 0; k < ARRAY_SIZE(links); k++)
+		for (i = 0; i < SOAK_NODES; i++) {
+			int to = soak->port;
+
+			if (links[k] == soak->peers)
+				to = soak_port(soak, SOAK_PORT_PEERS, i);
+			else if (links[k] == soak->callers_links)
+				to = soak_port(soak, SOAK_PORT_CALLERS, i);
+			links[k][i] =
+				soak_link_new(soak, soak->base,
+					      soak_port(soak, from[k], i), to);
+			ok = ok && links[k][i];
+		}
+	for (i = 0; i < SOAK_WORKERS; i++) {
+		soak->workers[i] = soak_link_new(
+			soak, soak->base,
+			soak_port(soak, SOAK_PORT_WORKERS_LINK, i),
+			soak->port + 1 + i);
+		ok = ok && soak->workers[i];
+	}
+	return ok;
+}
+
+static void begin_phase(run_t *run, phase_t phase)
+{
+	run->phase = phase;
+	run->since = base_clock_mono();
+}
+
+/* The stand-in serves: the site is set up. */
+static void set_up(run_t *run)
+{
+	soak_t *soak = run->soak;
+	int i;
+
+	if (!link_all(soak)) {
+		fprintf(stderr, "soak: a port is taken\n");
+		exit(2);
+	}
+	soak->standin->killed = false;
+	soak_configure(soak, 1);
+	for (i = 0; i < SOAK_NODES; i++) {
+		soak->nodes[i] = node_new(soak, i);
+		soak_process_start(soak->nodes[i]);
+	}
+	soak->callers = soak_callers_new(soak);
+	soak->faults = soak_faults_new(soak);
+	begin_phase(run, PHASE_FAULTS);
+}
+
+static void verdict_read(void *arg, const net_answer_t *answer)
+{
+	run_t *run = arg;
+	soak_t *soak = run->soak;
+	json_t *root = NULL;
+	const char *name;
+
+	run->asking = false;
+	if (answer->fate == NET_ANSWERED)
+		root = json_loadb(answer->body.ptr, answer->body.len, 0, NULL);
+	name = json_string_value(json_object_get(root, "run"));
+	if (run->phase == PHASE_START) {
+		if (name && !strcmp(name, run->name))
+			set_up(run);
+	} else if (!root) {
+		soak_broke(soak, "the stand-in gives no verdict");
+	} else {
+		if (json_integer_value(json_object_get(root, "broken")))
+			soak_broke(soak, "%s",
+				   json_string_value(
+					   json_object_get(root, "fault")));
+		if (json_integer_value(json_object_get(root, "upkeeps_most")) >
+		    2)
+			soak_broke(soak, "more upkeeps at once than allowed");
+	}
+	json_decref(root);
+}
+
+static void ask_standin(run_t *run, const char *path, net_done_t *done)
+{
+	net_request_t request = { .method = NET_GET,
+				  .path = path,
+				  .timeout = 10 * BASE_SEC };
+
+	run->asking = true;
+	net_call(run->soak->control, &request, done, run);
+}
+
+static void records_read(void *arg, const net_answer_t *answer)
+{
+	run_t *run = arg;
+
+	run->asking = false;
+	if (answer->fate == NET_ANSWERED)
+		soak_judge(run->soak, answer->body);
+	else
+		soak_broke(run->soak, "the stand-in gives no records");
+	net_loop_stop(run->soak->loop);
+}
+
+static void judge(run_t *run)
+{
+	ask_standin(run, "/judge", verdict_read);
+	ask_standin(run, "/records", records_read);
+}
+
+static bool served_again(const run_t *run)
+{
+	const GPtrArray *jobs = soak_callers_jobs(run->soak->callers);
+	guint i;
+
+	for (i = run->jobs; i < jobs->len; i++)
+		if (((soak_job_t *)g_ptr_array_index(jobs, i))->outcome ==
+		    SOAK_JOB_ACCEPTED)
+			return true;
+	return false;
+}
+
+static void heal(run_t *run)
+{
+	soak_t *soak = run->soak;
+	int i;
+
+	soak_faults_heal(soak->faults);
+	for (i = 0; i < SOAK_NODES; i++)
+		soak_process_signal(soak->nodes[i], SIGCONT);
+	run->jobs = soak_callers_jobs(soak->callers)->len;
+	begin_phase(run, PHASE_HEALED);
+}
+
+static void healed_tick(run_t *run, int64_t now)
+{
+	soak_t *soak = run->soak;
+
+	if (!run->served && served_again(run)) {
+		run->served = true;
+		run->since = now;
+	}
+	if (!run->served && now - run->since > SOAK_RECOVER) {
+		soak_broke(soak, "not served %d s after all had healed",
+			   (int)(SOAK_RECOVER / BASE_SEC));
+		run->served = true;
+		run->since = now;
+	}
+	soak_callers_tick(soak->callers, now, run->served);
+	if (!run->served)
+		return;
+	if (!soak_callers_owed(soak->callers) ||
+	    now - run->since > SOAK_FINISH) {
+		begin_phase(run, PHASE_JUDGE);
+		judge(run);
+	}
+}
+
+static void tick(void *arg)
+{
+	run_t *run = arg;
+	soak_t *soak = run->soak;
+	int64_t now = base_clock_mono();
+	int i;
+
+	net_timer_start(run->timer, SOAK_TICK);
+	soak_process_tick(soak->standin, now);
+	for (i = 0; i < SOAK_NODES && soak->nodes[i]; i++)
+		soak_process_tick(soak->nodes[i], now);
+	switch (run->phase) {
+	case PHASE_START:
+		if (!soak->standin->pid || now - run->since > SOAK_START)
+			net_loop_stop(soak->loop);
+		else if (!run->asking)
+			ask_standin(run, "/judge", verdict_read);
+		break;
+	case PHASE_FAULTS:
+		soak_faults_tick(soak->faults, now);
+		soak_callers_tick(soak->callers, now, false);
+		if (now - run->since > run->seconds * BASE_SEC)
+			heal(run);
+		break;
+	case PHASE_HEALED:
+		healed_tick(run, now);
+		break;
+	default:
+		break;
+	}
+}
+
+static int count_outcome(const soak_t *soak, soak_outcome_t outcome)
+{
+	const GPtrArray *jobs = soak_callers_jobs(soak->callers);
+	int n = 0;
+	guint i;
+
+	for (i = 0; i < jobs->len; i++)
+		n += ((soak_job_t *)g_ptr_array_index(jobs, i))->outcome ==
+		     outcome;
+	return n;
+}
+
+static int print_verdict(const run_t *run, int64_t seed)
+{
+	const soak_t *soak = run->soak;
+
+	printf("{\"seed\":%lld,\"seconds\":%lld,\"faults\":%d,\"jobs\":%u,"
+	       "\"accepted\":%d,\"refused\":%d,\"unknown\":%d,\"broken\":%u}\n",
+	       (long long)seed, (long long)run->seconds,
+	       soak_faults_count(soak->faults),
+	       soak_callers_jobs(soak->callers)->len,
+	       count_outcome(soak, SOAK_JOB_ACCEPTED),
+	       count_outcome(soak, SOAK_JOB_REFUSED),
+	       count_outcome(soak, SOAK_JOB_UNKNOWN), soak->broken->len);
+	if (!count_outcome(soak, SOAK_JOB_ACCEPTED))
+		return 2;
+	return soak->broken->len ? 1 : 0;
+}
+
+/* One run on a block of ports; -1: they are taken. */
+static int run_once(soak_t *soak, run_t *run, int64_t seed)
+{
+	char address[32];
+	net_client_options_t options = { .loop = soak->loop,
+					 .address = address,
+					 .connections = 2 };
+	int status = -1;
+	int i;
+
+	g_snprintf(address, sizeof(address), "127.0.0.1:%d", soak->port);
+	soak->control = net_client_new(soak, &options);
+	soak->standin = standin_new(soak, run->name);
+	soak_process_start(soak->standin);
+	/* Where its ports are taken, it ends, and the next block is tried. */
+	soak->standin->killed = true;
+	begin_phase(run, PHASE_START);
+	tick(run);
+	net_loop_run(soak->loop);
+	if (run->phase != PHASE_START)
+		status = print_verdict(run, seed);
+	for (i = 0; i < SOAK_NODES && soak->nodes[i]; i++)
+		soak_process_end(soak->nodes[i]);
+	soak_process_end(soak->standin);
+	return status;
+}
+
+static int run_seed(int64_t seed, int64_t seconds, const char *programs,
+		    const char *work)
+{
+	char *name = g_strdup_printf("soak-%d", (int)getpid());
+	int status = -1;
+	int i;
+
+	for (i = 0; i < SOAK_PORT_BLOCKS && status < 0; i++) {
+		soak_t *soak = talloc_zero(NULL, soak_t);
+		run_t *run = talloc_zero(soak, run_t);
+
+		*run = (run_t){ .soak = soak,
+				.name = name,
+				.seconds = seconds };
+		soak->loop = net_loop_new(soak);
+		soak->base = net_loop_base(soak->loop);
+		soak->rng.state = (uint64_t)seed;
+		soak->programs = programs;
+		soak->work = work;
+		soak->broken = g_ptr_array_new_with_free_func(g_free);
+		soak->began = base_clock_mono();
+		soak->port =
+			SOAK_PORT_FIRST +
+			SOAK_PORT_BLOCK * ((getpid() + i) % SOAK_PORT_BLOCKS);
+		run->timer = net_timer_new(run, soak->loop, tick, run);
+		status = run_once(soak, run, seed);
+	}
+	g_free(name);
+	return status < 0 ? 2 : status;
+}
+
+int main(int argc, char **argv)
+{
+	struct arg_int *seed =
+		arg_int1(NULL, "seed", "N", "of all that is random");
+	struct arg_int *seconds =
+		arg_int0(NULL, "seconds", "N", "with faults (20)");
+	struct arg_str *programs =
+		arg_str1(NULL, "programs", "DIR", "where they were built");
+	struct arg_str *work = arg_str1(NULL, "work", "DIR",
+					"for logs and settings; is there");
+	struct arg_end *end = arg_end(4);
+	void *table[] = { seed, seconds, programs, work, end };
+	int status;
+
+	if (arg_parse(argc, argv, table)) {
+		arg_print_errors(stderr, end, "soak");
+		return 2;
+	}
+	setvbuf(stdout, NULL, _IOLBF, 0);
+	status = run_seed(seed->ival[0], seconds->count ? seconds->ival[0] : 20,
+			  programs->sval[0], work->sval[0]);
+	arg_freetable(table, ARRAY_SIZE(table));
+	return status;
+}
--- a/standin/platform/sp_int.h
+++ b/standin/platform/sp_int.h
@@ -60,6 +60,7 @@
 	int index;
 	char id[32], machine[32], address[32], pool[32];
 	bool up;
+	double rate; /* of its clock */
 	int64_t born, lease, fence, next_end, back_at;
 	bool kept_up; /* it is away for its upkeep */
 	bool mute;    /* it takes calls and does not even read them */
@@ -85,6 +86,8 @@
 	net_timer_t *tick;
 	int port;
 	const char *run; /* the name that the test gave */
+	int listed;	 /* first port that workers say they are at */
+	int drift;	 /* percent that workers' clocks are off */
 	int64_t revision, next_lease, begun;
 	GHashTable *items;
 	GPtrArray *events;
@@ -102,8 +105,8 @@
 	sp_worker_t workers[SP_WORKERS_MAX];
 	int n_workers;
 	/* The judge's records. */
-	GHashTable *submitted; /* not used by the store: job ids that ran */
-	GHashTable *done;      /* tasks whose end was noted */
+	GHashTable *done;  /* tasks whose end was noted */
+	GHashTable *tasks; /* by name: sp_task_t */
 	int starts, finished, broken, upkeeps, questions, tickets_refused;
 	int upkeeps_most; /* at once */
 	char fault[160];
@@ -142,6 +145,12 @@
 bool sp_advice_allows(const sp_worker_t *worker, const sp_run_t *run,
 		      const json_t *root);
 
+/* sp_record.c */
+GHashTable *sp_records_new(void);
+void sp_record_start(sp_t *sp, const char *task);
+void sp_record_done(sp_t *sp, const char *task);
+void sp_records_serve(const sp_t *sp, net_exchange_t *exchange);
+
 /* sp_main.c */
 /* "exchange" NULL: whoever asked gets no answer. */
 void sp_reply_json(net_exchange_t *exchange, int status, json_t *body);
--- a/standin/platform/sp_main.c
+++ b/standin/platform/sp_main.c
@@ -6,6 +6,14 @@
 
 #define TICK (10 * BASE_MS)
 
+typedef struct sp_options {
+	int port;
+	int workers;
+	int listed; /* 0: where the workers are */
+	int drift;
+	const char *run;
+} sp_options_t;
+
 void sp_reply_json(net_exchange_t *exchange, int status, json_t *body)
 {
 	char *text = body ? json_dumps(body, JSON_COMPACT) : NULL;
@@ -50,7 +58,8 @@
 				sp->tickets_refused, "fault", sp->fault));
 }
 
-/* The test's own side: /judge, /switch?..., /operator?key=..., /read?key=... */
+/* The test's own side: /judge, /records, /switch?..., /operator?key=...,
+ * /read?key=... */
 static void serve_test(sp_t *sp, net_exchange_t *exchange, const char *path)
 {
 	base_str_t body = net_exchange_body(exchange);
@@ -59,6 +68,8 @@
 
 	if (!strcmp(path, "/judge")) {
 		serve_verdict(sp, exchange);
+	} else if (!strcmp(path, "/records")) {
+		sp_records_serve(sp, exchange);
 	} else if (g_str_has_prefix(path, "/operator")) {
 		text = g_strndup(body.ptr, body.len);
 		sp_store_put(sp, key, text);
@@ -119,14 +130,18 @@
 	net_loop_stop(sp->loop);
 }
 
-static sp_t *sp_new(int port, int workers)
+static sp_t *sp_new(const sp_options_t *options)
 {
 	sp_t *sp = talloc_zero(NULL, sp_t);
+	int port = options->port;
 	char address[32];
 	GError *err = NULL;
 
 	sp->loop = net_loop_new(sp);
 	sp->port = port;
+	sp->run = options->run;
+	sp->drift = options->drift;
+	sp->listed = options->listed ? options->listed : port + 1;
 	sp->task_ms = 300;
 	sp->back_ms = 500;
 	sp->rng.state = 7;
@@ -136,6 +151,7 @@
 	sp->watches = g_ptr_array_new();
 	sp->silent = g_ptr_array_new();
 	sp->done = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+	sp->tasks = sp_records_new();
 	sp->tick = net_timer_new(sp, sp->loop, tick, sp);
 	g_snprintf(address, sizeof(address), "127.0.0.1:%d", port);
 	sp->control = net_server_new(sp, sp->loop, address, serve, sp, &err);
@@ -147,7 +163,7 @@
 		fprintf(stderr, "standin-platform: %s\n", err->message);
 		exit(1);
 	}
-	sp_workers_begin(sp, workers, port + 1);
+	sp_workers_begin(sp, options->workers, port + 1);
 	return sp;
 }
 
@@ -160,16 +176,30 @@
 	struct arg_str *run = arg_str0(NULL, "run", "NAME",
 				       "as /judge tells it, so that a test "
 				       "knows its own");
+	struct arg_int *listed =
+		arg_int0(NULL, "listed", "PORT",
+			 "workers are listed at this port and those after it");
+	struct arg_int *drift = arg_int0(NULL, "drift", "PERCENT",
+					 "that workers' clocks are off (0)");
 	struct arg_end *end = arg_end(4);
-	void *table[] = { port, workers, run, end };
+	void *table[] = { port, workers, run, listed, drift, end };
+	sp_options_t options = { .run = "", .workers = 8 };
 	sp_t *sp;
 
 	if (arg_parse(argc, argv, table)) {
 		arg_print_errors(stderr, end, "standin-platform");
 		return 2;
 	}
-	sp = sp_new(port->ival[0], workers->count ? workers->ival[0] : 8);
-	sp->run = run->count ? run->sval[0] : "";
+	options.port = port->ival[0];
+	if (workers->count)
+		options.workers = workers->ival[0];
+	if (run->count)
+		options.run = run->sval[0];
+	if (listed->count)
+		options.listed = listed->ival[0];
+	if (drift->count)
+		options.drift = drift->ival[0];
+	sp = sp_new(&options);
 	net_loop_signal(sp->loop, SIGTERM, terminate, sp);
 	tick(sp);
 	net_loop_run(sp->loop);
--- a/standin/platform/sp_worker.c
+++ b/standin/platform/sp_worker.c
@@ -7,19 +7,21 @@
 
 static int64_t clock_of(const sp_worker_t *worker)
 {
-	return base_clock_mono() - worker->born;
+	return (int64_t)((double)(base_clock_mono() - worker->born) *
+			 worker->rate);
 }
 
 static void list_entry(sp_worker_t *worker)
 {
 	char *key = g_strdup_printf("servers/%s", worker->id);
 	char *text = g_strdup_printf(
-		"{\"service\":\"%s\",\"address\":\"%s\",\"zone\":\"z%d\","
+		"{\"service\":\"%s\",\"address\":\"127.0.0.1:%d\",\"zone\":\"z%d\","
 		"\"version\":\"v1\",\"slots\":8,\"state\":\"ready\","
 		"\"capacity\":{\"cpu\":%d,\"memMb\":%d,\"gpu\":0},"
 		"\"labels\":[\"a\",\"r%d\"],\"seq\":1}",
-		worker->pool, worker->address, worker->index % 3, WORKER_CPU,
-		WORKER_MEMORY, worker->index / 4);
+		worker->pool, worker->sp->listed + worker->index,
+		worker->index % 3, WORKER_CPU, WORKER_MEMORY,
+		worker->index / 4);
 
 	sp_store_put(worker->sp, key, text);
 	g_free(text);
@@ -191,12 +193,17 @@
 		refuse(worker, exchange, "old");
 		return;
 	}
+	if (clock_of(worker) > worker->lease) {
+		refuse(worker, exchange, "late");
+		return;
+	}
 	if (!sp_advice_allows(worker, &run, root)) {
 		refuse(worker, exchange, "ticket");
 		return;
 	}
 	judge_start(worker, &run);
 	worker->sp->starts++;
+	sp_record_start(worker->sp, run.task);
 	/* A job whose text says so lasts. */
 	run.ends_at =
 		spec && strstr(spec, "lasts")
@@ -277,6 +284,8 @@
 
 		worker->sp = sp;
 		worker->index = i;
+		/* Half of them are fast, half of them slow. */
+		worker->rate = 1 + (i % 2 ? -sp->drift : sp->drift) / 100.0;
 		g_snprintf(worker->machine, sizeof(worker->machine), "m-%d", i);
 		g_snprintf(worker->address, sizeof(worker->address),
 			   "127.0.0.1:%d", base_port + i);
@@ -308,6 +317,7 @@
 			add_end(worker, i, "lapsed");
 		} else if (run->ends_at && run->ends_at <= now) {
 			worker->sp->finished++;
+			sp_record_done(worker->sp, run->task);
 			add_end(worker, i, "done");
 		}
 	}
