Probe a holder that went silent before it is asked again

Now a peer that left a question unanswered for 300 ms is probed with a question that changes nothing; until it answers it is not asked. Another entry hands on what changes something only if it reached the holder within the last second. So what was never sent is refused truthfully, after a second of searching.

Ruled out: that those requests could be served. Their callers wait for 3 s, the cut lasts 5: what comes in the first two seconds is lost whatever is done.

--- a/packages/node/node_front.c
+++ b/packages/node/node_front.c
@@ -4,9 +4,12 @@
  */
 #include "node_int.h"
 
-/* A takeover takes longer than a caller should be held: it is told to come
- * back when nobody that decides was reached for so long. */
-#define FRONT_SEARCH (150 * BASE_MS)
+/* A caller is told to come back when nobody that decides was reached for so
+ * long: a duty that is passed on is taken up within a second, any other
+ * takeover takes longer than a caller should be held. */
+#define FRONT_SEARCH (1000 * BASE_MS)
+/* For another entry: that one goes on searching, and waits PEER_TIMEOUT. */
+#define FRONT_SEARCH_RELAYED (150 * BASE_MS)
 #define FRONT_RETRY (40 * BASE_MS) /* between two tries; some round trips */
 #define FRONT_BACK BASE_SEC	   /* come back then: half a takeover */
 /* Answers have to be on their way so long before the caller leaves; a caller
@@ -117,9 +120,16 @@
 	bool good = node->lead.address && strcmp(node->lead.address, self) &&
 		    now >= node->lead.bad_until;
 
+	const char *relay;
+
 	if (good)
 		return node->lead.address;
-	if (!dispatch->ask.relayed && node->members->len)
+	if (dispatch->ask.relayed)
+		return NULL;
+	relay = node_peer_relay(node);
+	if (relay)
+		return relay;
+	if (node->members->len)
 		return g_ptr_array_index(
 			node->members,
 			base_rng_below(&node->rng, node->members->len));
@@ -178,7 +188,8 @@
 	left = ask->deadline - now;
 	net_timer_start(dispatch->deadline,
 			left - MIN(FRONT_MARGIN, left / FRONT_MARGIN_PART));
-	dispatch->search_until = now + FRONT_SEARCH;
+	dispatch->search_until =
+		now + (ask->relayed ? FRONT_SEARCH_RELAYED : FRONT_SEARCH);
 	g_hash_table_add(node->open_asks, dispatch);
 	try_once(dispatch);
 }
--- a/packages/node/node_int.h
+++ b/packages/node/node_int.h
@@ -124,7 +124,7 @@
 	bool campaigning;
 	node_owner_t *owner; /* NULL: not the holder */
 
-	GHashTable *peers;  /* address to net_client_t */
+	GHashTable *peers;  /* address to what is known of it */
 	GPtrArray *members; /* addresses of other entries */
 	double largest;	    /* processor of any entry that is known */
 	net_timer_t *member_timer;
@@ -245,8 +245,12 @@
 
 /* node_peer.c */
 void node_peer_serve(void *arg, net_exchange_t *exchange);
+/* A peer that went silent is probed first, and "done" is called at once: it
+ * was not asked. */
 void node_peer_ask(node_t *node, const char *address, const node_job_ask_t *ask,
 		   node_outcome_done_t *done, void *arg);
+/* An entry that reached the holder a moment ago; NULL: none is known. */
+const char *node_peer_relay(const node_t *node);
 /* Another question to an entry; false: that is no address. */
 bool node_peer_call(node_t *node, const char *address,
 		    const net_request_t *request, net_done_t *done, void *arg);
--- a/packages/node/node_peer.c
+++ b/packages/node/node_peer.c
@@ -11,6 +11,13 @@
 /* A holder answers a submit after one or two changes of the store; a slow
  * store takes a quarter of a second each. */
 #define PEER_TIMEOUT (900 * BASE_MS)
+/* A holder that said nothing for so long after a question, some ten times what
+ * an answer takes, is probed before it is asked again. */
+#define PEER_SILENT (300 * BASE_MS)
+#define PEER_PROBE (300 * BASE_MS) /* the same for a probe */
+/* An entry that is not the holder is asked to hand on what changes something
+ * only if it reached the holder so short a time ago: half a takeover. */
+#define PEER_FRESH (1000 * BASE_MS)
 
 static const char *const kind_names[NODE_OUT_MAX] = {
 	[NODE_OUT_ACCEPTED] = "accepted",   [NODE_OUT_REFUSED] = "refused",
@@ -26,9 +33,22 @@
 	[NODE_ASK_PENDING] = "pending",
 };
 
-typedef struct peer_call {
+/* Another entry, and what is known of the way to it. */
+typedef struct peer {
 	node_t *node;
 	char *address;
+	net_client_t *client;
+	net_client_t *probes; /* not held up by questions that wait */
+	int64_t reached;      /* its last answer from a holder; 0: none */
+	int64_t silent_since; /* asked then, nothing was heard since; 0: not */
+	guint waiting;	      /* questions without an answer */
+	bool probing;
+	bool probe_failed; /* the last one */
+} peer_t;
+
+typedef struct peer_call {
+	peer_t *peer;
+	bool probe;
 	node_outcome_done_t *done;
 	void *arg;
 } peer_call_t;
@@ -43,66 +63,116 @@
 	return -1;
 }
 
-static net_client_t *client_of(node_t *node, const char *address)
+static peer_t *peer_of(node_t *node, const char *address)
 {
-	net_client_t *client = g_hash_table_lookup(node->peers, address);
+	peer_t *peer = g_hash_table_lookup(node->peers, address);
 	net_client_options_t options = { .loop = node->loop,
 					 .address = address,
 					 .connections = PEER_CONNECTIONS };
 
-	if (client)
-		return client;
-	client = net_client_new(node, &options);
-	if (client)
-		g_hash_table_insert(node->peers, g_strdup(address), client);
-	return client;
+	if (peer)
+		return peer;
+	peer = talloc_zero(node, peer_t);
+	peer->node = node;
+	peer->address = talloc_strdup(peer, address);
+	peer->client = net_client_new(peer, &options);
+	options.connections = 1;
+	peer->probes = net_client_new(peer, &options);
+	if (!peer->client || !peer->probes) {
+		talloc_free(peer);
+		return NULL;
+	}
+	g_hash_table_insert(node->peers, g_strdup(address), peer);
+	return peer;
 }
 
-static void answered(void *arg, const net_answer_t *answer)
+static bool is_holder(const peer_t *peer)
+{
+	const char *holder = peer->node->lead.address;
+
+	return holder && !strcmp(holder, peer->address);
+}
+
+/* What a holder decided, here or there. */
+static bool is_decided(node_outcome_kind_t kind)
+{
+	return kind != NODE_OUT_NOT_OWNER && kind != NODE_OUT_UNKNOWN;
+}
+
+static void note_asked(peer_t *peer)
+{
+	peer->waiting++;
+	if (!peer->silent_since)
+		peer->silent_since = base_clock_mono();
+}
+
+static void note_answer(peer_t *peer, bool heard, bool reached)
+{
+	int64_t now = base_clock_mono();
+
+	if (heard)
+		peer->silent_since = peer->waiting ? now : 0;
+	if (reached)
+		peer->reached = now;
+	else
+		peer->reached = 0;
+}
+
+static node_outcome_t read_outcome(const net_answer_t *answer,
+				   const json_t *root)
 {
-	peer_call_t *call = arg;
-	node_t *node = call->node;
 	node_outcome_t outcome = { .kind = NODE_OUT_UNKNOWN,
 				   .why = "peer did not answer" };
-	json_t *root = NULL;
-	int kind = -1;
+	int kind = find_name(kind_names, NODE_OUT_MAX,
+			     json_string_value(json_object_get(root, "kind")));
 
 	if (answer->fate == NET_UNSENT)
 		outcome.kind = NODE_OUT_NOT_OWNER;
-	if (answer->fate == NET_ANSWERED && answer->status == 200)
-		root = json_loadb(answer->body.ptr, answer->body.len, 0, NULL);
-	kind = find_name(kind_names, NODE_OUT_MAX,
-			 json_string_value(json_object_get(root, "kind")));
-	if (kind >= 0) {
-		outcome.kind = (node_outcome_kind_t)kind;
-		outcome.state = (batch_state_t)json_integer_value(
-			json_object_get(root, "state"));
-		outcome.retry_after = json_integer_value(json_object_get(
-					      root, "retry_after_ms")) *
-				      BASE_MS;
-		outcome.pending = (size_t)json_integer_value(
-			json_object_get(root, "pending"));
-		outcome.why = json_string_value(json_object_get(root, "why"));
-		if (outcome.state >= BATCH_STATE_MAX)
-			outcome.state = BATCH_UNKNOWN;
-	}
-	if ((kind < 0 || outcome.kind == NODE_OUT_NOT_OWNER) &&
-	    node->lead.address && !strcmp(node->lead.address, call->address))
-		node_lead_doubt(node);
+	if (kind < 0)
+		return outcome;
+	outcome.kind = (node_outcome_kind_t)kind;
+	outcome.state = (batch_state_t)json_integer_value(
+		json_object_get(root, "state"));
+	outcome.retry_after =
+		json_integer_value(json_object_get(root, "retry_after_ms")) *
+		BASE_MS;
+	outcome.pending =
+		(size_t)json_integer_value(json_object_get(root, "pending"));
+	outcome.why = json_string_value(json_object_get(root, "why"));
+	if (outcome.state >= BATCH_STATE_MAX)
+		outcome.state = BATCH_UNKNOWN;
+	return outcome;
+}
+
+static void answered(void *arg, const net_answer_t *answer)
+{
+	peer_call_t *call = arg;
+	peer_t *peer = call->peer;
+	bool heard = answer->fate == NET_ANSWERED && answer->status == 200;
+	json_t *root =
+		heard ? json_loadb(answer->body.ptr, answer->body.len, 0, NULL)
+		      : NULL;
+	node_outcome_t outcome = read_outcome(answer, root);
+
+	peer->waiting--;
+	note_answer(peer, heard, is_decided(outcome.kind));
+	if (!is_decided(outcome.kind) && is_holder(peer))
+		node_lead_doubt(peer->node);
 	talloc_steal(NULL, call);
-	call->done(call->arg, &outcome);
+	if (call->probe) {
+		peer->probing = false;
+		peer->probe_failed = !heard;
+	} else {
+		call->done(call->arg, &outcome);
+	}
 	json_decref(root);
 	talloc_free(call);
 }
 
-void node_peer_ask(node_t *node, const char *address, const node_job_ask_t *ask,
-		   node_outcome_done_t *done, void *arg)
+static char *print_question(const void *ctx, const peer_t *peer,
+			    const node_job_ask_t *ask, int64_t left)
 {
-	net_client_t *client = client_of(node, address);
-	peer_call_t *call = talloc_zero(node, peer_call_t);
-	base_buf_t *body = base_buf_new(call);
-	int64_t left = ask->deadline - base_clock_mono();
-	net_request_t request = { .method = NET_POST, .path = PEER_PATH };
+	base_buf_t *body = base_buf_new(ctx);
 
 	base_buf_addf(body, "{\"ask\":\"%s\",\"queue\":", ask_names[ask->ask]);
 	base_buf_add_json(body, base_str(ask->queue));
@@ -112,28 +182,102 @@
 	base_buf_add_json(body, ask->body);
 	base_buf_addf(body, ",\"wait_ms\":%lld,\"relayed\":%s}",
 		      (long long)(left / BASE_MS),
-		      ask->relayed || (node->lead.address &&
-				       !strcmp(address, node->lead.address))
-			      ? "true"
-			      : "false");
-	call->node = node;
-	call->address = talloc_strdup(call, address);
+		      ask->relayed || is_holder(peer) ? "true" : "false");
+	return body->ptr;
+}
+
+static void send_question(peer_t *peer, const node_job_ask_t *ask,
+			  peer_call_t *call)
+{
+	int64_t left =
+		call->probe ? PEER_PROBE : ask->deadline - base_clock_mono();
+	net_request_t request = { .method = NET_POST, .path = PEER_PATH };
+
+	request.body = base_str(print_question(call, peer, ask, left));
+	request.timeout = MAX(MIN(left, PEER_TIMEOUT), BASE_MS);
+	call->peer = peer;
+	note_asked(peer);
+	node_count(peer->node, NODE_COUNT_FORWARD);
+	net_call(call->probe ? peer->probes : peer->client, &request, answered,
+		 call);
+}
+
+/* Whether it answers at all: a question that changes nothing. */
+static void probe(peer_t *peer, const node_job_ask_t *about)
+{
+	node_job_ask_t ask = { .ask = NODE_ASK_STATE,
+			       .queue = about->queue,
+			       .id = about->id,
+			       .body = BASE_STR(""),
+			       .relayed = about->relayed };
+	peer_call_t *call;
+
+	if (peer->probing)
+		return;
+	peer->probing = true;
+	call = talloc_zero(peer, peer_call_t);
+	call->probe = true;
+	send_question(peer, &ask, call);
+}
+
+static bool may_be_asked(const peer_t *peer, const node_job_ask_t *ask)
+{
+	int64_t now = base_clock_mono();
+
+	if (is_holder(peer))
+		return !peer->silent_since ||
+		       now - peer->silent_since < PEER_SILENT;
+	return ask->ask == NODE_ASK_STATE || ask->ask == NODE_ASK_PENDING ||
+	       (peer->reached && now - peer->reached < PEER_FRESH);
+}
+
+void node_peer_ask(node_t *node, const char *address, const node_job_ask_t *ask,
+		   node_outcome_done_t *done, void *arg)
+{
+	static const node_outcome_t silent = { .kind = NODE_OUT_NOT_OWNER,
+					       .why = "peer is silent" };
+	peer_t *peer = peer_of(node, address);
+	peer_call_t *call;
+
+	if (!peer || !may_be_asked(peer, ask)) {
+		if (peer)
+			probe(peer, ask);
+		if (peer && peer->probe_failed && is_holder(peer))
+			node_lead_doubt(node);
+		done(arg, &silent);
+		return;
+	}
+	call = talloc_zero(peer, peer_call_t);
 	call->done = done;
 	call->arg = arg;
-	request.body = base_buf_str(body);
-	request.timeout = MAX(MIN(left, PEER_TIMEOUT), BASE_MS);
-	node_count(node, NODE_COUNT_FORWARD);
-	net_call(client, &request, answered, call);
+	send_question(peer, ask, call);
+}
+
+const char *node_peer_relay(const node_t *node)
+{
+	int64_t now = base_clock_mono();
+	GHashTableIter iter;
+	gpointer value;
+
+	g_hash_table_iter_init(&iter, node->peers);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		const peer_t *peer = value;
+
+		if (!is_holder(peer) && peer->reached &&
+		    now - peer->reached < PEER_FRESH)
+			return peer->address;
+	}
+	return NULL;
 }
 
 bool node_peer_call(node_t *node, const char *address,
 		    const net_request_t *request, net_done_t *done, void *arg)
 {
-	net_client_t *client = client_of(node, address);
+	peer_t *peer = peer_of(node, address);
 
-	if (!client)
+	if (!peer)
 		return false;
-	net_call(client, request, done, arg);
+	net_call(peer->client, request, done, arg);
 	return true;
 }
 
