Requests' ids differ on both sides of a cut

Both sides are given the same seed for the same idempotency keys, and so had the same request ids: what one side was truthfully refused had run for the other side's request of that name.

Ruled out: that a refused request ran (ids were ambiguous); another test on the same ports (blocks differ).

--- a/load/load_int.h
+++ b/load/load_int.h
@@ -64,6 +64,7 @@
 	bool shared_keys;   /* all workers use the same ones */
 	int deadline_ms;    /* 0: none told */
 	uint64_t seed;
+	uint64_t ids; /* begins the requests' ids; keys go by the seed */
 	FILE *log;
 	pthread_mutex_t log_lock;
 	atomic_int next_worker;
--- a/load/load_run.c
+++ b/load/load_run.c
@@ -36,12 +36,16 @@
 	struct arg_int *deadline =
 		arg_int0(NULL, "deadline-ms", "MS", "told to the entry");
 	struct arg_int *seed = arg_int0(NULL, "seed", "N", "(1)");
+	struct arg_int *ids =
+		arg_int0(NULL, "ids", "N",
+			 "in requests' ids, so that two runs with "
+			 "the same keys differ (the seed)");
 	struct arg_file *out =
 		arg_file1(NULL, "out", "FILE", "one JSON line a request");
 	struct arg_end *end = arg_end(8);
 	void *table[] = { targets, config, services, seconds, workers,
 			  work,	   bytes,  repeat,   shared,  deadline,
-			  seed,	   out,	   end };
+			  seed,	   ids,	   out,	     end };
 	load_t *load = talloc_zero(NULL, load_t);
 	conf_t *conf;
 	int status;
@@ -62,6 +66,7 @@
 	load->shared_keys = shared->count > 0;
 	load->deadline_ms = deadline->count ? deadline->ival[0] : 0;
 	load->seed = seed->count ? (uint64_t)seed->ival[0] : 1;
+	load->ids = ids->count ? (uint64_t)ids->ival[0] : load->seed;
 	load->until = base_clock_mono() +
 		      (int64_t)(seconds->dval[0] * (double)BASE_SEC);
 	load->log = fopen(out->filename[0], "w");
--- a/load/load_work.c
+++ b/load/load_work.c
@@ -122,7 +122,7 @@
 	request->class = class;
 	w->count++;
 	snprintf(request->id, sizeof(request->id), "r%llu-%d-%u",
-		 (unsigned long long)w->load->seed, w->number, w->count);
+		 (unsigned long long)w->load->ids, w->number, w->count);
 	request->key[0] = '\0';
 	if (!class->repeatable && w->load->shared_keys)
 		snprintf(request->key, sizeof(request->key),
