Log when a holder goes silent and when it answers again

Cause: read as a newcomer, the probing of a silent holder changes a belief and refuses requests for it, and said nothing; the soak had two names for one call.

Ruled out: a line for each refused request (job-request is that line).

--- a/packages/node/node_peer.c
+++ b/packages/node/node_peer.c
@@ -44,6 +44,7 @@
 	guint waiting;	      /* questions without an answer */
 	bool probing;
 	bool probe_failed; /* the last one */
+	bool said_silent;
 } peer_t;
 
 typedef struct peer_call {
@@ -110,12 +111,27 @@
 {
 	int64_t now = base_clock_mono();
 
-	if (heard)
-		peer->silent_since = peer->waiting ? now : 0;
-	if (reached)
-		peer->reached = now;
-	else
-		peer->reached = 0;
+	peer->reached = reached ? now : 0;
+	if (!heard)
+		return;
+	if (peer->said_silent)
+		node_log(peer->node, BASE_MSG_PEER_HEARD,
+			 BASE_F_STR("peer", peer->address),
+			 BASE_F_INT("after_us", now - peer->silent_since));
+	peer->said_silent = false;
+	peer->silent_since = peer->waiting ? now : 0;
+}
+
+static void note_silence(peer_t *peer)
+{
+	if (peer->said_silent || !is_holder(peer))
+		return;
+	peer->said_silent = true;
+	node_log(peer->node, BASE_MSG_PEER_SILENT,
+		 BASE_F_STR("peer", peer->address),
+		 BASE_F_INT("asked_us_ago",
+			    base_clock_mono() - peer->silent_since),
+		 BASE_F_INT("waiting", peer->waiting));
 }
 
 static node_outcome_t read_outcome(const net_answer_t *answer,
@@ -239,10 +255,14 @@
 	peer_t *peer = peer_of(node, address);
 	peer_call_t *call;
 
-	if (!peer || !may_be_asked(peer, ask)) {
-		if (peer)
-			probe(peer, ask);
-		if (peer && peer->probe_failed && is_holder(peer))
+	if (!peer) {
+		done(arg, &silent);
+		return;
+	}
+	if (!may_be_asked(peer, ask)) {
+		note_silence(peer);
+		probe(peer, ask);
+		if (peer->probe_failed && is_holder(peer))
 			node_lead_doubt(node);
 		done(arg, &silent);
 		return;
--- a/soak/soak_main.c
+++ b/soak/soak_main.c
@@ -96,7 +96,7 @@
 		soak_broke(soak, "the stand-in does not take a switch");
 }
 
-static void tell(soak_t *soak, const char *path, const char *body)
+void soak_tell(soak_t *soak, const char *path, const char *body)
 {
 	net_request_t request = { .method = NET_POST,
 				  .path = path,
@@ -106,11 +106,6 @@
 	net_call(soak->control, &request, told, soak);
 }
 
-void soak_tell(soak_t *soak, const char *path, const char *body)
-{
-	tell(soak, path, body);
-}
-
 void soak_configure(soak_t *soak, int version)
 {
 	char *body = g_strdup_printf(
@@ -122,7 +117,7 @@
 		"{\"name\":\"spare\",\"admissionCheck\":true,\"spare\":true}]}",
 		version);
 
-	tell(soak, "/operator?key=op/config", body);
+	soak_tell(soak, "/operator?key=op/config", body);
 	g_free(body);
 }
 
@@ -135,7 +130,7 @@
 		g_string_append_printf(body, "%s\"m-%d\"", i ? "," : "", i * 2);
 	g_string_append_printf(body, "],\"durationS\":60,\"atMost\":%d}",
 			       at_most);
-	tell(soak, "/operator?key=op/wave/1", body->str);
+	soak_tell(soak, "/operator?key=op/wave/1", body->str);
 	g_string_free(body, TRUE);
 }
 
