Build the thread sanitizer's programs with clang

The runtime of clang 14 allocates traces as needed. Weighed: fewer CivetWeb threads by an option, which would test another program than the one that runs.

Not run: x86-64, which is not at hand.

--- a/Makefile
+++ b/Makefile
@@ -17,8 +17,17 @@
 # scripts/linkcheck).
 PURE = $(shell cat packages/PURE)
 
-CC = gcc
-CXX = g++
+# The thread sanitizer of GCC 12 reserves a fixed region for the traces of all
+# threads, which on arm64 is too small for the threads of CivetWeb; that of
+# clang allocates traces as needed.
+CC_plain = gcc
+CC_asan = gcc
+CC_tsan = clang-14
+CXX_plain = g++
+CXX_asan = g++
+CXX_tsan = clang++-14
+CC = $(CC_$(SAN))
+CXX = $(CXX_$(SAN))
 PC = glib-2.0 jansson talloc libtirpc libxxhash gsl argtable2
 PC_CFLAGS := $(shell pkg-config --cflags $(PC) 2>/dev/null)
 PC_LIBS := $(shell pkg-config --libs $(PC) 2>/dev/null)
--- a/packages/entry/entry_duty.c
+++ b/packages/entry/entry_duty.c
@@ -119,9 +119,9 @@
 	*process = (entry_process_t){
 		.name = talloc_strdup(fleet, entry->name),
 		.inc = entry->inc,
-		.operators = { talloc_strdup(fleet,
-					     entry->operator_address.host),
-			       entry->operator_address.port },
+		.operators = { .host = talloc_strdup(
+				       fleet, entry->operator_address.host),
+			       .port = entry->operator_address.port },
 	};
 }
 
--- a/packages/entry/entry_fleet.c
+++ b/packages/entry/entry_fleet.c
@@ -150,9 +150,10 @@
 	size_t n = fleet_n_instances(fleet->core);
 	site_entry_t own = {
 		.inc = fleet->inc,
-		.operator_address = { fleet->daemon->settings->operators
-					      .address,
-				      fleet->daemon->settings->operators.port },
+		.operator_address = { .host = fleet->daemon->settings->operators
+						      .address,
+				      .port = fleet->daemon->settings->operators
+						      .port },
 		.has_shut_down = gone,
 		.confirmed_ids = talloc_zero_array(ctx, const char *, n),
 		.confirmed_seqs = talloc_zero_array(ctx, uint64_t, n),
--- a/packages/site/site_entry.c
+++ b/packages/site/site_entry.c
@@ -50,7 +50,8 @@
 	*entry = (site_entry_t){
 		.name = talloc_strdup(ctx, name),
 		.inc = (uint64_t)inc,
-		.operator_address = { talloc_strdup(ctx, address), port },
+		.operator_address = { .host = talloc_strdup(ctx, address),
+				      .port = port },
 		.has_shut_down = gone,
 		.n = json_object_size(confirmed),
 	};
--- a/packages/site/tests/site_test.c
+++ b/packages/site/tests/site_test.c
@@ -7,7 +7,8 @@
 	const char *pools[] = { "p" };
 	double demand[] = { 12.0 };
 	site_entry_t in = { .inc = 5,
-			    .operator_address = { "127.0.0.1", 80 },
+			    .operator_address = { .host = "127.0.0.1",
+						  .port = 80 },
 			    .confirmed_ids = ids,
 			    .confirmed_seqs = seqs,
 			    .n = 2,
@@ -33,8 +34,8 @@
 		"",
 		"[]",
 		"{\"incarnation\":1}",
-		"{\"incarnation\":\"1\",\"address\":\"x\",\"port\":1,"
-		"\"gone\":false,\"confirmed\":{},\"demand\":{}}",
+		("{\"incarnation\":\"1\",\"address\":\"x\",\"port\":1,"
+		 "\"gone\":false,\"confirmed\":{},\"demand\":{}}"),
 	};
 	site_entry_t out;
 
