memb: take messages only once the pull thread is there

An entry ended with a segmentation fault at its start: kern_thread_post() was called with NULL from request_pull(), since the peer server was started before the thread that pulls configurations. A message of another entry that names a newer generation and arrives between the two is enough. At a stop the threads were freed while the server still took messages.

The pull thread is started before the server, and the threads are freed after it has stopped. No test of its own: the window is some microseconds long and nothing outside of the process can widen it; the thread sanitizer's run of the system tests, which found it, goes on.

--- a/packages/entry/entry_memb.c
+++ b/packages/entry/entry_memb.c
@@ -19,6 +19,7 @@
 static int free_memb(entry_memb_t *memb);
 static bool make_peer(entry_memb_t *memb, GError **err);
 static void make_core(entry_memb_t *memb);
+static bool start_pulls(entry_memb_t *memb, GError **err);
 static bool start_duties(entry_memb_t *memb, GError **err);
 static void tick(void *arg, int64_t now);
 static void update_route_entries(entry_memb_t *memb);
@@ -141,7 +142,9 @@
 
 	(void)kern;
 	memb->started = base_clock_mono();
-	if (peer_serve(memb->peer, err) && start_duties(memb, err))
+	/* A message that arrives while the server starts may request a pull. */
+	if (start_pulls(memb, err) && peer_serve(memb->peer, err) &&
+	    start_duties(memb, err))
 		return true;
 	memb_stop(daemon);
 	return false;
@@ -154,13 +157,14 @@
 	kern_thread_t *duties[] = { memb->gossip, memb->members, memb->pulls };
 
 	for (size_t i = 0; i < ARRAY_SIZE(duties); i++)
-		if (duties[i]) {
+		if (duties[i])
 			kern_thread_stop(duties[i]);
-			talloc_free(duties[i]);
-		}
 	if (memb->lease)
 		entry_members_leave(memb);
+	/* Until then messages of other entries may be posted to the threads. */
 	peer_stop(memb->peer);
+	for (size_t i = 0; i < ARRAY_SIZE(duties); i++)
+		talloc_free(duties[i]);
 }
 
 static bool make_peer(entry_memb_t *memb, GError **err)
@@ -212,28 +216,33 @@
 				      (memb_addr_t){ addr.ip, addr.port });
 }
 
-static bool start_duties(entry_memb_t *memb, GError **err)
+static bool start_pulls(entry_memb_t *memb, GError **err)
 {
-	kern_thread_options_t gossip = { .name = "gossip",
-					 .period_us = TICK_US,
-					 .ring_size = 2,
-					 .arg = memb,
-					 .tick = tick };
 	kern_thread_options_t pulls = { .name = "pull",
 					.period_us = PULLS_PERIOD_US,
 					.ring_size = PULL_QUEUE_SIZE,
 					.arg = memb,
 					.tick = no_tick,
 					.message = entry_pull_run };
+
+	memb->pulls = kern_thread_start(NULL, &pulls, err);
+	return memb->pulls != NULL;
+}
+
+static bool start_duties(entry_memb_t *memb, GError **err)
+{
+	kern_thread_options_t gossip = { .name = "gossip",
+					 .period_us = TICK_US,
+					 .ring_size = 2,
+					 .arg = memb,
+					 .tick = tick };
 	kern_thread_options_t members = { .name = "members",
 					  .period_us = MEMBERS_PERIOD_US,
 					  .ring_size = 2,
 					  .arg = memb,
 					  .tick = entry_members_tick };
 
-	memb->pulls = kern_thread_start(NULL, &pulls, err);
-	if (memb->pulls)
-		memb->gossip = kern_thread_start(NULL, &gossip, err);
+	memb->gossip = kern_thread_start(NULL, &gossip, err);
 	if (memb->gossip)
 		memb->members = kern_thread_start(NULL, &members, err);
 	return memb->members != NULL;
