node: leave no request unanswered when a planned stop ends

The process exited at the first tick 2.5 s after SIGTERM at which no request was passed on. A reply given in the same round of the loop was not written yet, and a connection accepted in it not read yet; on a slow or paused machine such a round gathers all that came meanwhile.

Now it exits after two ticks in a row in which no connection was accepted, nothing was read or replied and nobody waits, and a late tick does not count. After four fifths of the grace period it exits as before.

tests/sys_node_stop pauses an entry over the end of its wait.

--- a/packages/net/net.h
+++ b/packages/net/net.h
@@ -139,4 +139,10 @@
 /* Number of requests that are not answered yet. */
 size_t net_server_pending(const net_server_t *server);
 
+/*
+ * Connections accepted, requests received and replies given so far.  A
+ * connection is read, and a reply is written, in a later round of the loop.
+ */
+uint64_t net_server_activity(const net_server_t *server);
+
 #endif
--- a/packages/net/net_server.c
+++ b/packages/net/net_server.c
@@ -1,4 +1,5 @@
 #include <event2/buffer.h>
+#include <event2/bufferevent.h>
 #include <event2/keyvalq_struct.h>
 #include <string.h>
 
@@ -9,6 +10,9 @@
 	net_handler_t *handler;
 	void *arg;
 	size_t n_pending;
+	uint64_t n_connections;
+	uint64_t n_requests;
+	uint64_t n_replies;
 };
 
 struct net_exchange {
@@ -36,9 +40,19 @@
 	if (!exchange->body.ptr)
 		exchange->body = BASE_STR("");
 	server->n_pending++;
+	server->n_requests++;
 	server->handler(server->arg, exchange);
 }
 
+/* Counts the connections; the bufferevent is the one that evhttp would make. */
+static struct bufferevent *on_connection(struct event_base *base, void *arg)
+{
+	net_server_t *server = arg;
+
+	server->n_connections++;
+	return bufferevent_socket_new(base, -1, BEV_OPT_CLOSE_ON_FREE);
+}
+
 net_server_t *net_server_new(const void *ctx, net_loop_t *loop,
 			     const char *address, net_handler_t *handler,
 			     void *arg, GError **err)
@@ -57,6 +71,7 @@
 	evhttp_set_max_body_size(server->http, NET_BODY_MAX);
 	evhttp_set_max_headers_size(server->http, NET_HEADERS_MAX);
 	evhttp_set_gencb(server->http, on_request, server);
+	evhttp_set_bevcb(server->http, on_connection, server);
 	if (!net_address_split(server, address, &host, &port) ||
 	    evhttp_bind_socket(server->http, host, port)) {
 		g_set_error(err, NET_ERROR, NET_ERR_ADDRESS,
@@ -111,6 +126,7 @@
 		evbuffer_add(buffer, body.ptr, body.len);
 	}
 	exchange->server->n_pending--;
+	exchange->server->n_replies++;
 	evhttp_send_reply(exchange->req, status, NULL, buffer);
 	evbuffer_free(buffer);
 	talloc_free(exchange);
@@ -120,3 +136,8 @@
 {
 	return server->n_pending;
 }
+
+uint64_t net_server_activity(const net_server_t *server)
+{
+	return server->n_connections + server->n_requests + server->n_replies;
+}
--- a/packages/node/node_int.h
+++ b/packages/node/node_int.h
@@ -137,8 +137,11 @@
 	net_server_t *peer_server;
 	net_server_t *metrics_server;
 	net_timer_t *stop_timer;
-	int64_t stop_deadline; /* open requests are ended then */
-	int64_t linger_until;  /* new connections may arrive until then */
+	int64_t stop_deadline;	/* open requests are ended then */
+	int64_t linger_until;	/* new connections may arrive until then */
+	uint64_t stop_activity; /* of the servers at the last tick */
+	int64_t stop_ticked_at;
+	int stop_idle_ticks; /* consecutive ticks without activity */
 	bool stopping;
 	GHashTable *open_requests; /* set of requests without an answer */
 };
--- a/packages/node/node_run.c
+++ b/packages/node/node_run.c
@@ -8,6 +8,10 @@
  * an answer from this entry.  The rest is for sending these answers. */
 #define RUN_GRACE_FRACTION 0.8
 #define RUN_STOP_TICK (50 * BASE_MS)
+/* The process exits after this many ticks in a row without a connection,
+ * request or reply: what had arrived by the first one was read and answered by
+ * the second. */
+#define RUN_STOP_IDLE_TICKS 2
 /* After a stop has begun the load balancer sends connections until two of its
  * checks have failed, one a second; the rest is a margin. */
 #define RUN_STOP_LINGER (2500 * BASE_MS)
@@ -29,16 +33,43 @@
 	net_reply(exchange, is_ready(arg) ? 200 : 503, NULL, 0, BASE_STR(""));
 }
 
+/* Whether nobody waits for an answer and nothing happened since the last tick.
+ * A late tick, after a pause of the process, tells nothing: the loop may not
+ * have looked at its connections yet. */
+static bool is_idle_tick(node_t *node, int64_t now)
+{
+	uint64_t activity = net_server_activity(node->front) +
+			    net_server_activity(node->peer_server);
+	bool idle = activity == node->stop_activity &&
+		    now - node->stop_ticked_at < 2 * RUN_STOP_TICK &&
+		    !net_server_pending(node->front) &&
+		    !g_hash_table_size(node->open_requests);
+
+	node->stop_activity = activity;
+	node->stop_ticked_at = now;
+	return idle;
+}
+
+/* Whether the process may exit: no answer is lost, or its time is over. */
+static bool has_drained(const node_t *node, int64_t now)
+{
+	return now >= node->linger_until &&
+	       (node->stop_idle_ticks >= RUN_STOP_IDLE_TICKS ||
+		(now >= node->stop_deadline &&
+		 !g_hash_table_size(node->open_requests)));
+}
+
 static void stop_tick(void *arg)
 {
 	node_t *node = arg;
 	int64_t now = base_clock_mono();
-	guint n_open = g_hash_table_size(node->open_requests);
 
-	/* Answers given here are sent before the next tick. */
-	if (now >= node->stop_deadline && n_open) {
+	node->stop_idle_ticks =
+		is_idle_tick(node, now) ? node->stop_idle_ticks + 1 : 0;
+	if (now >= node->stop_deadline &&
+	    g_hash_table_size(node->open_requests)) {
 		node_dispatch_answer_all(node);
-	} else if (now >= node->linger_until && !n_open) {
+	} else if (has_drained(node, now)) {
 		node_log(node, BASE_MSG_STOPPED,
 			 BASE_F_INT("term", node->known_holder.term));
 		node_log_flush(node);
