tests: end the stand-in after the processes in its block of ports

A test ended its entries and its stand-in at once; an entry takes seconds to stop, the stand-in does not, and a stand-in that listens is what tells the next test that the block of ports is taken. So a test that drew the same block, one in 70, could not start its first entry. That the two drew the same block is not on record, since the folder of the test that ended is removed; nothing else listens there, and no other process of tests ran on the machine then.

--- a/tests/node.sh
+++ b/tests/node.sh
@@ -25,7 +25,7 @@
 		"$OUT/standin/standin-platform" --port=$PORT --workers="$1" \
 			--run=$$ 2>>"$work/standin.log" &
 		standin=$!
-		pids="$pids $standin"
+		standin_pid=$standin
 		waited=0
 		while test $waited -lt 100
 		do
@@ -35,6 +35,7 @@
 			sleep 0.1
 			waited=$((waited + 1))
 		done
+		end_processes $standin
 		block=$(((block + 1) % 12))
 		tries=$((tries + 1))
 	done
@@ -46,7 +47,7 @@
 # lines of all logs.  Bails out if the stand-in has ended, since the rest of the
 # test would be meaningless.
 tell_state() {
-	for pid in $pids
+	for pid in $pids $standin_pid
 	do
 		if is_ours "$pid"
 		then
