plat, tool: a lost write that a read does not show is in doubt

An operator whose approval had lost its answer was told "nothing was changed" (exit status 4) although the store could still carry it out, and approved something else; writes of records were taken for conflicts alike.

Cause: after a lost answer, plat_cas_confirmed() and `config approve` read the key back and took an unchanged key for the proof that nothing had been written. A write may be carried out seconds after its answer was given up, as long as its condition holds, which is just while the key is unchanged. Where the read failed too, the caller got the read's error, which says "not sent".

An unchanged key is now in doubt: PLAT_CAS_FAILED with PLAT_ERROR_UNKNOWN, exit status 5 with the change's id; a changed one is a conflict as before. All callers repeat the same write after a failure, so that the condition settles it.

--- a/packages/plat/plat.h
+++ b/packages/plat/plat.h
@@ -232,9 +232,10 @@
 
 /*
  * Like cas, but if the response is lost, the key is read back: if it has
- * changed and holds the same bytes, the write counts as done, otherwise it is
- * a conflict.  PLAT_CAS_FAILED remains if the read fails too and after any
- * error but PLAT_ERROR_UNKNOWN.
+ * changed, the write is done where the key holds the same bytes, and otherwise
+ * a conflict.  PLAT_CAS_FAILED with PLAT_ERROR_UNKNOWN remains if the key is
+ * unchanged, since the store may still carry the write out, and if the read
+ * fails too; other errors are passed on.
  */
 plat_cas_t plat_cas_confirmed(plat_store_t *store, const plat_put_t *put,
 			      int64_t *revision, GError **err);
--- a/packages/plat/plat_cas.c
+++ b/packages/plat/plat_cas.c
@@ -17,15 +17,21 @@
 		return result;
 	}
 	ctx = talloc_new(NULL);
-	if (store->ops->range(store, ctx, put->key, false, &kvs, err)) {
-		bool is_written = kvs.count == 1 &&
-				  base_str_eq(kvs.items[0].value, put->value) &&
-				  kvs.items[0].mod_revision > put->expected;
+	if (store->ops->range(store, ctx, put->key, false, &kvs, NULL)) {
+		int64_t found = kvs.count ? kvs.items[0].mod_revision : 0;
 
-		result = is_written ? PLAT_CAS_DONE : PLAT_CAS_CONFLICT;
-		*revision = kvs.count ? kvs.items[0].mod_revision : 0;
+		if (found > put->expected &&
+		    base_str_eq(kvs.items[0].value, put->value))
+			result = PLAT_CAS_DONE;
+		else if (found != put->expected)
+			result = PLAT_CAS_CONFLICT;
+		if (result != PLAT_CAS_FAILED)
+			*revision = found;
 	}
-	g_clear_error(&cause);
 	talloc_free(ctx);
+	if (result == PLAT_CAS_FAILED)
+		g_propagate_error(err, cause);
+	else
+		g_clear_error(&cause);
 	return result;
 }
--- a/packages/plat/tests/plat_test.c
+++ b/packages/plat/tests/plat_test.c
@@ -11,7 +11,9 @@
 	int64_t next_lease; /* last lease granted */
 	int64_t revision;
 	int lost_responses; /* number of write responses to lose */
-	bool down;	    /* calls fail without effect */
+	bool delays;	 /* a write whose response is lost has no effect yet */
+	bool unreadable; /* reads fail */
+	bool down;	 /* calls fail without effect */
 	int calls;
 } fake_t;
 
@@ -23,7 +25,7 @@
 	(void)key;
 	(void)prefix;
 	fake->calls++;
-	if (fake->down) {
+	if (fake->down || fake->unreadable) {
 		g_set_error(err, PLAT_ERROR, PLAT_ERROR_UNAVAILABLE, "down");
 		return false;
 	}
@@ -49,6 +51,10 @@
 		g_set_error(err, PLAT_ERROR, PLAT_ERROR_UNAVAILABLE, "down");
 		return PLAT_CAS_FAILED;
 	}
+	if (fake->delays) {
+		g_set_error(err, PLAT_ERROR, PLAT_ERROR_UNKNOWN, "lost");
+		return PLAT_CAS_FAILED;
+	}
 	if (put->expected != fake->mod)
 		return PLAT_CAS_CONFLICT;
 	g_strlcpy(fake->value, put->value.ptr,
@@ -128,6 +134,29 @@
 			==, PLAT_CAS_FAILED);
 }
 
+/*
+ * Guards against a write that is reported as not done although the store may
+ * still carry it out: its response is lost, and the key is unchanged or cannot
+ * be read.
+ */
+static void test_cas_in_doubt(void)
+{
+	fake_t fake = { .store = { &fake_ops }, .delays = true };
+	plat_put_t put = { .key = "k", .value = BASE_STR("one") };
+	GError *err = NULL;
+	int64_t revision = 0;
+
+	g_assert_cmpint(plat_cas_confirmed(&fake.store, &put, &revision, &err),
+			==, PLAT_CAS_FAILED);
+	g_assert_error(err, PLAT_ERROR, PLAT_ERROR_UNKNOWN);
+	g_clear_error(&err);
+	fake.unreadable = true;
+	g_assert_cmpint(plat_cas_confirmed(&fake.store, &put, &revision, &err),
+			==, PLAT_CAS_FAILED);
+	g_assert_error(err, PLAT_ERROR, PLAT_ERROR_UNKNOWN);
+	g_clear_error(&err);
+}
+
 /* Two contenders for the same duty; the first one holds it. */
 typedef struct contenders {
 	fake_t fake;
@@ -306,6 +335,7 @@
 {
 	g_test_init(&argc, &argv, NULL);
 	g_test_add_func("/plat/cas-sure", test_cas_sure);
+	g_test_add_func("/plat/cas-in-doubt", test_cas_in_doubt);
 	g_test_add_func("/plat/duty", test_duty);
 	g_test_add_func("/plat/duty-paused", test_duty_paused);
 	g_test_add_func("/plat/duty-outage", test_duty_outage);
--- a/packages/tool/tool_approve.c
+++ b/packages/tool/tool_approve.c
@@ -22,7 +22,8 @@
 } stored_config_t;
 
 static int approve(const void *ctx, const approval_t *a);
-static int resolve_write(const void *ctx, const approval_t *a, GError *cause);
+static int resolve_write(const void *ctx, const approval_t *a,
+			 int64_t base_revision, GError *cause);
 static plat_put_t make_put(const void *ctx, const stored_config_t *stored,
 			   base_str_t record);
 static bool read_stored(const void *ctx, const approval_t *a,
@@ -105,7 +106,7 @@
 	result = a->store->ops->cas(a->store, &put, &written, &cause);
 	if (result == PLAT_CAS_DONE)
 		return print_applied(a);
-	return resolve_write(ctx, a, cause);
+	return resolve_write(ctx, a, put.expected, cause);
 }
 
 /* Builds the write: the whole record and its delta to the previous one. */
@@ -129,31 +130,31 @@
 /*
  * Resolves a write that was refused or whose answer was lost, by reading the
  * store again.  The record lists earlier changes, so a later change does not
- * hide this one.
+ * hide this one.  While the record still has "base_revision", the store may
+ * carry out a write whose answer was lost.
  */
-static int resolve_write(const void *ctx, const approval_t *a, GError *cause)
+static int resolve_write(const void *ctx, const approval_t *a,
+			 int64_t base_revision, GError *cause)
 {
 	bool sent = !g_error_matches(cause, PLAT_ERROR, PLAT_ERROR_UNAVAILABLE);
 	int status = TOOL_IN_DOUBT;
 	stored_config_t stored;
+	bool is_read = read_stored(ctx, a, &stored, &status);
 
-	if (read_stored(ctx, a, &stored, &status)) {
+	if (is_read && is_applied(a, stored.record)) {
+		print_applied(a);
 		status = TOOL_OK;
-		if (is_applied(a, stored.record))
-			print_applied(a);
-		else if (cause)
-			status = TOOL_UNREACHABLE;
-		else
-			status = print_conflict(a, stored.record);
-		if (status == TOOL_UNREACHABLE)
-			fprintf(a->err, "nothing was changed: %s\n",
-				cause->message);
+	} else if (is_read && (!cause || stored.revision != base_revision)) {
+		status = print_conflict(a, stored.record);
 	} else if (sent) {
 		fprintf(a->err,
 			"in doubt: run the same command again with "
 			"--change=%s\n",
 			a->change);
 		status = TOOL_IN_DOUBT;
+	} else if (is_read) {
+		fprintf(a->err, "nothing was changed: %s\n", cause->message);
+		status = TOOL_UNREACHABLE;
 	}
 	g_clear_error(&cause);
 	return status;
--- a/standin/standin_fleet.c
+++ b/standin/standin_fleet.c
@@ -177,7 +177,8 @@
 static int on_switch(struct mg_connection *conn, void *arg)
 {
 	static const char *const store_names[] = { "store", "store_slow_ms",
-						   "store_lose" };
+						   "store_lose",
+						   "store_drop_writes" };
 	standin_t *s = arg;
 	char value[ID_MAX], mode[ID_MAX];
 	bool done = false;
--- a/standin/standin_store.c
+++ b/standin/standin_store.c
@@ -39,6 +39,7 @@
 	bool is_down;
 	int64_t delay_us;
 	int answers_to_drop;  /* answers to writes still to drop */
+	int writes_to_drop;   /* writes still to drop, without an answer */
 	int64_t calls[4];     /* by CALL_ value */
 	int64_t range_bytes;  /* bodies of range answers */
 	int64_t config_bytes; /* of range_bytes, the configuration */
@@ -106,6 +107,8 @@
 		store.delay_us = atoll(value) * BASE_MS;
 	else if (!strcmp(name, "store_lose"))
 		store.answers_to_drop = atoi(value);
+	else if (!strcmp(name, "store_drop_writes"))
+		store.writes_to_drop = atoi(value);
 	else
 		is_known = false;
 	pthread_cond_broadcast(&store.changed);
@@ -163,7 +166,11 @@
 		base_clock_sleep(delay_us);
 	pthread_mutex_lock(&store.lock);
 	expire(base_clock_mono());
-	if (request)
+	if (kind == CALL_TXN && store.writes_to_drop > 0) {
+		store.writes_to_drop--;
+		is_dropped = true;
+	}
+	if (request && !is_dropped)
 		answer = fn(request);
 	if (answer && kind == CALL_RANGE)
 		count_range(request,
