node: wait for the store before asking a worker for more ends

The holder was out of processor for seconds.

Cause: a worker lists an end again until a poll acknowledges it, and the holder acknowledges an end only once it is stored. A poll sent before that is answered at once, with nothing new; the next one followed 30 ms later. As soon as storing took longer than 30 ms, every worker with an end was polled 33 times a second, which took the processor away from storing, and storing took longer still.

The poll that follows a report of ends now waits until they are stored, at most 250 ms, so that leases are extended and later ends are still seen when the store is slow.

--- a/packages/batch/batch.h
+++ b/packages/batch/batch.h
@@ -338,6 +338,9 @@
 
 /* The highest end that the worker may discard: all up to it are stored. */
 int64_t batch_worker_stored_end(batch_t *core, int64_t now, base_str_t id);
+/* Whether an end that the worker has listed is not stored yet: the worker lists
+ * it again in its answer to each poll. */
+bool batch_worker_has_unstored_ends(const batch_t *core, base_str_t id);
 
 typedef enum batch_answer {
 	BATCH_ANSWER_OK,
--- a/packages/batch/batch_worker.c
+++ b/packages/batch/batch_worker.c
@@ -293,6 +293,21 @@
 	return worker->last_end;
 }
 
+bool batch_worker_has_unstored_ends(const batch_t *core, base_str_t id)
+{
+	const batch_worker_t *worker = batch_find_worker(core, id);
+	const batch_unstored_end_t *gate;
+	guint i;
+
+	for (i = 0; worker && i < worker->unstored_ends->len; i++) {
+		gate = &g_array_index(worker->unstored_ends,
+				      batch_unstored_end_t, i);
+		if (gate->job->stored_version < gate->version)
+			return true;
+	}
+	return false;
+}
+
 static void stop_unknown_run(batch_worker_t *worker,
 			     const batch_listed_run_t *seen)
 {
--- a/packages/node/node_commit.c
+++ b/packages/node/node_commit.c
@@ -34,6 +34,7 @@
 	TALLOC_FREE(holder->commit_ctx);
 	node_waves_rows_stored(holder->waves);
 	batch_rows_stored(holder->core, now);
+	node_workers_rows_stored(holder);
 	node_holder_step_soon(holder);
 	node_commit_send_pending(holder);
 }
--- a/packages/node/node_int.h
+++ b/packages/node/node_int.h
@@ -382,6 +382,8 @@
 
 /* node_worker.c */
 void node_workers_begin(node_holder_t *holder);
+/* Call after rows were stored: sends the polls that waited for this. */
+void node_workers_rows_stored(node_holder_t *holder);
 /* Takes one entry of the platform's list of workers. */
 void node_workers_add_listed(node_holder_t *holder, const node_item_t *item);
 /* The list of workers was read completely: marks workers that are not in it as
--- a/packages/node/node_worker.c
+++ b/packages/node/node_worker.c
@@ -22,6 +22,9 @@
 /* Delay of the poll that follows a report of ended runs, so that this poll
  * returns several runs that end together. */
 #define WORKER_POLL_GAP (30 * BASE_MS)
+/* Longest delay of a poll until the ends that its worker has listed are stored:
+ * the worker would list them again at once.  Several fit into one lease. */
+#define WORKER_STORED_WAIT_MAX (250 * BASE_MS)
 #define WORKER_LIST_PERIOD_SHORT (150 * BASE_MS)
 /* Interval at which the list of workers is read: a drain that the list shows
  * must be in force within two seconds. */
@@ -41,6 +44,7 @@
 	int64_t list_round; /* number of the list in which the worker was last
 			       seen */
 	bool is_polling;
+	bool awaits_stored; /* the next poll waits until ends are stored */
 	bool has_seen_term; /* it rejects orders of earlier terms */
 	bool is_listed;
 	bool is_silent; /* the last poll had no answer */
@@ -212,6 +216,14 @@
 		   worker->has_seen_term ? 0 : worker->holder->orphan_until);
 }
 
+static bool awaits_stored_ends(const node_worker_t *worker, int64_t now)
+{
+	return !worker->is_silent &&
+	       now - worker->polled_at < WORKER_STORED_WAIT_MAX &&
+	       batch_worker_has_unstored_ends(worker->holder->core,
+					      base_str(worker->id));
+}
+
 static void poll_worker(void *arg)
 {
 	node_worker_t *worker = arg;
@@ -228,6 +240,12 @@
 		remove_worker(worker);
 		return;
 	}
+	worker->awaits_stored = awaits_stored_ends(worker, now);
+	if (worker->awaits_stored) {
+		schedule_poll(worker,
+			      worker->polled_at + WORKER_STORED_WAIT_MAX - now);
+		return;
+	}
 	/*
 	 * A worker that does not answer gets no lease: a poll whose answer is
 	 * lost must not keep its tasks alive, because it is to be given up.
@@ -246,6 +264,24 @@
 				     worker);
 }
 
+void node_workers_rows_stored(node_holder_t *holder)
+{
+	GHashTableIter iter;
+	gpointer value;
+
+	g_hash_table_iter_init(&iter, holder->worker_links);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		node_worker_t *worker = value;
+
+		if (worker->awaits_stored &&
+		    !batch_worker_has_unstored_ends(holder->core,
+						    base_str(worker->id))) {
+			worker->awaits_stored = false;
+			schedule_poll(worker, 0);
+		}
+	}
+}
+
 void node_workers_add_listed(node_holder_t *holder, const node_item_t *item)
 {
 	node_t *node = holder->node;
--- /dev/null
+++ b/packages/node/tests/node_worker_test.c
@@ -0,0 +1,289 @@
+/*
+ * The holder's polls of one worker.  The test plays the worker and the store:
+ * the worker runs one task, which ends at once, and answers a poll as soon as
+ * it has an end that the poll does not acknowledge.
+ */
+#include <fcntl.h>
+#include <unistd.h>
+
+#include "node_int.h"
+
+/* How long a change takes in the store when the holder is overloaded. */
+#define STORE_DELAY (1000 * BASE_MS)
+/* Least time between polls of a worker while nothing new can be learned. */
+#define POLL_SPACING_MIN (200 * BASE_MS)
+/* Time for a poll that is due to be sent, on a busy machine. */
+#define POLL_DUE (5 * BASE_SEC)
+
+/* A call that the worker or the store has not answered. */
+typedef struct held_call {
+	void *done;
+	void *arg; /* NULL: none is held */
+} held_call_t;
+
+static struct {
+	node_t *node;
+	node_holder_t *holder;
+	held_call_t poll;
+	held_call_t start;
+	held_call_t change;
+	batch_task_id_t task;
+	int64_t run;
+	bool has_run;
+	int64_t acknowledged; /* the last end that a poll acknowledged */
+	int n_polls;
+} test;
+
+static void answer_order(held_call_t *held, node_poll_result_t *result)
+{
+	node_polled_t *done = (node_polled_t *)held->done;
+	void *arg = held->arg;
+
+	held->arg = NULL;
+	result->order_status = NODE_ORDER_OK;
+	done(arg, result);
+}
+
+static void answer_poll(void *arg)
+{
+	batch_listed_end_t end = { .number = 1,
+				   .task = test.task,
+				   .run = test.run,
+				   .end_kind = BATCH_END_DONE,
+				   .checkpoint = BASE_STR("") };
+	node_poll_result_t result = { .clock = base_clock_mono(),
+				      .incarnation = 1,
+				      .ends = &end };
+
+	(void)arg;
+	if (!test.poll.arg)
+		return;
+	result.n_ends = test.has_run && test.acknowledged < end.number;
+	answer_order(&test.poll, &result);
+}
+
+static void answer_start(void *arg)
+{
+	node_poll_result_t result = { .clock = -1, .incarnation = -1 };
+
+	(void)arg;
+	test.has_run = true;
+	answer_order(&test.start, &result);
+	answer_poll(NULL);
+}
+
+static void fake_poll(node_link_t *link, const node_poll_request_t *order,
+		      node_polled_t *done, void *arg)
+{
+	(void)link;
+	test.poll = (held_call_t){ (void *)done, arg };
+	test.acknowledged = order->last_stored_end;
+	test.n_polls++;
+	if (!order->wait || (test.has_run && test.acknowledged < 1))
+		net_defer(test.node->loop, answer_poll, NULL);
+}
+
+static void fake_start(node_link_t *link, const batch_order_t *order,
+		       int64_t term, int64_t lease, node_polled_t *done,
+		       void *arg)
+{
+	(void)link;
+	(void)term;
+	(void)lease;
+	test.start = (held_call_t){ (void *)done, arg };
+	test.task = order->task;
+	test.run = order->run;
+	net_defer(test.node->loop, answer_start, NULL);
+}
+
+static void fake_change(node_store_t *store, const node_change_t *change,
+			node_answered_t *done, void *arg)
+{
+	(void)store;
+	(void)change;
+	test.change = (held_call_t){ (void *)done, arg };
+}
+
+static void store_change(void)
+{
+	node_answered_t *done = (node_answered_t *)test.change.done;
+	void *arg = test.change.arg;
+	node_answer_t answer = { .store_status = NODE_STORE_OK, .revision = 1 };
+
+	g_assert_nonnull(arg);
+	test.change.arg = NULL;
+	done(arg, &answer);
+}
+
+static node_link_t *fake_link_new(const void *ctx, net_loop_t *loop,
+				  const char *address, const char *worker)
+{
+	(void)loop;
+	(void)address;
+	(void)worker;
+	return talloc_size(ctx, 1);
+}
+
+static bool fake_worker_read(const void *ctx, const char *key, base_str_t text,
+			     node_worker_entry_t *entry, GError **err)
+{
+	(void)ctx;
+	(void)key;
+	(void)text;
+	(void)err;
+	*entry = (node_worker_entry_t){
+		.info = { .id = BASE_STR("w"),
+			  .pool = BASE_STR("p"),
+			  .zone = BASE_STR("z"),
+			  .rack = BASE_STR("r"),
+			  .capacity = { 4000, 4000, 0 } },
+		.address = "127.0.0.1:1",
+	};
+	return true;
+}
+
+static const node_platform_t fake_platform = {
+	.link_new = fake_link_new,
+	.poll = fake_poll,
+	.start = fake_start,
+	.change = fake_change,
+	.worker_read = fake_worker_read,
+};
+
+static void tick(void *arg)
+{
+	(void)arg;
+	test.holder->step_soon = false;
+	batch_tick(test.holder->core, base_clock_mono(), base_clock_wall());
+	node_commit_send_pending(test.holder);
+}
+
+static void stop_loop(void *arg)
+{
+	(void)arg;
+	net_loop_stop(test.node->loop);
+}
+
+/* Runs the loop for some time; returns how long it was. */
+static int64_t run_for(int64_t span)
+{
+	net_timer_t *timer =
+		net_timer_new(NULL, test.node->loop, stop_loop, NULL);
+	int64_t began = base_clock_mono();
+
+	net_timer_start(timer, span);
+	net_loop_run(test.node->loop);
+	talloc_free(timer);
+	return base_clock_mono() - began;
+}
+
+static void run_until_change(void)
+{
+	int64_t limit = base_clock_mono() + POLL_DUE;
+
+	while (!test.change.arg && base_clock_mono() < limit)
+		run_for(BASE_MS);
+}
+
+static void submit_job(void)
+{
+	batch_step_spec_t step = { .count = 1,
+				   .need = { 1000, 100, 0 },
+				   .estimate = BASE_SEC };
+	batch_spec_t spec = { .id = BASE_STR("j"),
+			      .queue = BASE_STR("q"),
+			      .payload = BASE_STR("x"),
+			      .source = BASE_STR("x"),
+			      .steps = &step,
+			      .n_steps = 1 };
+	int64_t retry_after;
+
+	g_assert_cmpint(batch_submit(test.holder->core, base_clock_mono(),
+				     base_clock_wall(), &spec, &retry_after),
+			==, BATCH_ACCEPTED);
+}
+
+static void setup(void)
+{
+	batch_options_t options = { .ops = &node_batch_ops,
+				    .in_doubt_timeout = BASE_SEC };
+	batch_queue_info_t queue = { .name = BASE_STR("q"),
+				     .pool = BASE_STR("p"),
+				     .attempts = 3,
+				     .stretch = 2,
+				     .target_latency = 10 * BASE_SEC };
+	batch_pool_info_t pool = { .name = BASE_STR("p") };
+	node_item_t item = { .key = "w" };
+	node_holder_t *holder;
+
+	memset(&test, 0, sizeof(test));
+	test.node = talloc_zero(NULL, node_t);
+	test.node->platform = &fake_platform;
+	test.node->settings = talloc_zero(test.node, node_settings_t);
+	test.node->settings->lease_max = 6 * BASE_SEC;
+	test.node->loop = net_loop_new(test.node);
+	test.node->metrics = node_metrics_new(test.node);
+	test.node->log = node_log_new(test.node, test.node->loop,
+				      open("/dev/null", O_WRONLY));
+	test.holder = holder = talloc_zero(test.node, node_holder_t);
+	holder->node = test.node;
+	holder->term = 1;
+	holder->restored = true;
+	holder->lease_until = INT64_MAX / 2;
+	options.arg = holder;
+	holder->core = batch_new(holder, &options);
+	holder->waiting = g_hash_table_new(g_str_hash, g_str_equal);
+	holder->worker_links = g_hash_table_new(g_str_hash, g_str_equal);
+	g_queue_init(&holder->forgotten);
+	holder->waves = node_waves_new(holder);
+	holder->step_timer = net_timer_new(holder, test.node->loop, tick, NULL);
+	batch_config(holder->core, &queue, 1, &pool, 1);
+	node_workers_add_listed(holder, &item);
+}
+
+static void teardown(void)
+{
+	g_hash_table_unref(test.holder->waiting);
+	g_hash_table_unref(test.holder->worker_links);
+	talloc_free(test.node);
+}
+
+/*
+ * Guards against a poll storm: while the store was slow, each worker with an
+ * unstored end was polled every 30 ms, and each poll listed that end again.
+ */
+static void test_no_poll_storm_while_store_is_slow(void)
+{
+	int64_t took;
+	int64_t limit;
+
+	setup();
+	while (!batch_worker_known(test.holder->core, BASE_STR("w")))
+		run_for(BASE_MS);
+	submit_job();
+	run_until_change(); /* the job is accepted */
+	store_change();
+	run_until_change(); /* its run is decided */
+	store_change();
+	run_until_change(); /* the end is listed and its row is being stored */
+	g_assert_true(test.has_run);
+	test.n_polls = 0;
+	took = run_for(STORE_DELAY);
+	g_assert_cmpint(test.n_polls, <=, took / POLL_SPACING_MIN);
+	g_assert_cmpint(test.acknowledged, ==, 0);
+
+	store_change();
+	limit = base_clock_mono() + POLL_DUE;
+	while (test.acknowledged < 1 && base_clock_mono() < limit)
+		run_for(BASE_MS);
+	g_assert_cmpint(test.acknowledged, ==, 1);
+	teardown();
+}
+
+int main(int argc, char **argv)
+{
+	g_test_init(&argc, &argv, NULL);
+	g_test_add_func("/node-worker/no-poll-storm-while-store-is-slow",
+			test_no_poll_storm_while_store_is_slow);
+	return g_test_run();
+}
