node: log each try that brought no decision, and which try was judged

Users saw a job run whose caller had been told 503 (REFUSED). An entry tries a request more than once, directly or through other entries, and the logs told neither the tries nor which of them the holder had judged, so that "two tries, two verdicts", "a relay went on alone" and "a takeover" could not be told apart.

Each request that an entry dispatches now has a token, the same in all its tries and different between entries, processes and attempts of the caller. It goes with the try's number to the other entries, which ignore it if they are of an older build. The entry logs a try without a decision (job-try; the next one that ends alike only if it took over 0.1 s); job-refused and job-accepted of the holder name token and try, and a counter has the tries without a decision. A request with one try has no new line. No decision changes.

--- a/packages/node/node_front.c
+++ b/packages/node/node_front.c
@@ -20,6 +20,9 @@
  * the margin is its waiting time over FRONT_MARGIN_DIVISOR. */
 #define FRONT_MARGIN (100 * BASE_MS)
 #define FRONT_MARGIN_DIVISOR 4
+/* A try that ends as the one before it is logged only if it took longer: while
+ * no holder is known there is one every FRONT_RETRY_DELAY. */
+#define FRONT_TRY_LOG_MIN (100 * BASE_MS)
 
 typedef struct dispatch {
 	node_t *node;
@@ -29,9 +32,16 @@
 	net_timer_t *timer;
 	net_timer_t *deadline_timer;
 	int64_t search_until;
-	bool is_trying;	  /* a try has no outcome yet */
-	bool may_be_done; /* a try may have been carried out */
-	bool is_answered; /* "done" was called */
+	int64_t tried_at;
+	int64_t tried_term; /* of the holder that was known then */
+	int n_tries;
+	int first_try_number; /* of a relayed request: the one relayed */
+	char *hop; /* address that was tried; NULL: this entry decides */
+	bool through_relay;		 /* that address was not the holder's */
+	node_outcome_kind_t logged_kind; /* NODE_OUT_MAX: none logged */
+	bool is_trying;			 /* a try has no outcome yet */
+	bool may_be_done;		 /* a try may have been carried out */
+	bool is_answered;		 /* "done" was called */
 } dispatch_t;
 
 typedef struct front {
@@ -92,11 +102,47 @@
 		finish_dispatch(dispatch, &outcome);
 }
 
+static const char *const op_names[NODE_OP_MAX] = {
+	[NODE_OP_SUBMIT] = "submit",
+	[NODE_OP_STATE] = "state",
+	[NODE_OP_CANCEL] = "cancel",
+	[NODE_OP_PENDING] = "pending",
+};
+
+static void log_try(dispatch_t *dispatch, const node_outcome_t *outcome)
+{
+	node_t *node = dispatch->node;
+	const node_job_request_t *ask = &dispatch->ask;
+	int64_t took = base_clock_mono() - dispatch->tried_at;
+
+	node_metrics_count(node, NODE_COUNT_TRY_UNDECIDED);
+	if (outcome->kind == dispatch->logged_kind && took < FRONT_TRY_LOG_MIN)
+		return;
+	dispatch->logged_kind = outcome->kind;
+	node_log(node, BASE_MSG_JOB_TRY,
+		 BASE_F_STR("ask", op_names[ask->job_op]),
+		 BASE_F_STR("id", ask->id),
+		 BASE_F_STR("token", ask->token ? ask->token : ""),
+		 BASE_F_INT("try", ask->try_number),
+		 BASE_F_STR("peer", dispatch->hop ? dispatch->hop : ""),
+		 BASE_F_BOOL("through_relay", dispatch->through_relay),
+		 BASE_F_BOOL("for_peer", ask->relayed),
+		 BASE_F_INT("term", dispatch->tried_term),
+		 BASE_F_STR("outcome", outcome->kind == NODE_OUT_UNKNOWN
+					       ? "unknown"
+					       : "not done"),
+		 BASE_F_STR("why", outcome->why ? outcome->why : ""),
+		 BASE_F_INT("took_us", took));
+}
+
 static void try_done(void *arg, const node_outcome_t *outcome)
 {
 	dispatch_t *dispatch = arg;
 
 	dispatch->is_trying = false;
+	if (outcome->kind == NODE_OUT_UNKNOWN ||
+	    outcome->kind == NODE_OUT_NOT_HOLDER)
+		log_try(dispatch, outcome);
 	if (dispatch->is_answered) {
 		talloc_free(dispatch);
 		return;
@@ -152,6 +198,12 @@
 	const char *address;
 
 	dispatch->is_trying = true;
+	dispatch->tried_at = base_clock_mono();
+	dispatch->ask.try_number =
+		dispatch->first_try_number + dispatch->n_tries++;
+	dispatch->tried_term = node->known_holder.term;
+	dispatch->through_relay = false;
+	TALLOC_FREE(dispatch->hop);
 	if (node->holder &&
 	    node_holder_job_uncertain(node->holder, dispatch->ask.id)) {
 		try_done(dispatch, &unknown);
@@ -164,11 +216,15 @@
 	}
 	address = next_hop(dispatch, base_clock_mono());
 	if (address) {
+		dispatch->hop = talloc_strdup(dispatch, address);
+		dispatch->through_relay =
+			g_strcmp0(address, node->known_holder.address) != 0;
 		node_peer_forward(node, address, &dispatch->ask, try_done,
 				  dispatch);
 		return;
 	}
 	dispatch->is_trying = false;
+	dispatch->n_tries--;
 	retry_or_fail(dispatch);
 }
 
@@ -190,6 +246,13 @@
 	dispatch->ask.id = talloc_strdup(dispatch, ask->id);
 	dispatch->ask.body.ptr =
 		talloc_memdup(dispatch, ask->body.ptr, ask->body.len);
+	dispatch->ask.token =
+		ask->relayed ? talloc_strdup(dispatch, ask->token)
+			     : talloc_asprintf(
+				       dispatch, "%s.%llu", node->token_prefix,
+				       (unsigned long long)++node->n_requests);
+	dispatch->first_try_number = ask->relayed ? ask->try_number : 1;
+	dispatch->logged_kind = NODE_OUT_MAX;
 	dispatch->done = done;
 	dispatch->arg = arg;
 	dispatch->timer =
--- a/packages/node/node_holder.c
+++ b/packages/node/node_holder.c
@@ -26,7 +26,8 @@
 #define HOLDER_KEEP_FACTOR 2
 
 typedef struct waiter {
-	node_job_request_t ask;
+	char *token;
+	int try_number;
 	node_outcome_done_t *done;
 	void *arg;
 	bool cancel;
@@ -239,6 +240,7 @@
 		}
 		g_ptr_array_remove_index(list, i);
 		waiter->done(waiter->arg, outcome);
+		g_free(waiter->token);
 		g_free(waiter);
 	}
 }
@@ -268,12 +270,51 @@
 		list = g_ptr_array_new();
 		g_hash_table_insert(holder->waiting, g_strdup(ask->id), list);
 	}
+	waiter->token = g_strdup(ask->token);
+	waiter->try_number = ask->try_number;
 	waiter->done = done;
 	waiter->arg = arg;
 	waiter->cancel = ask->job_op == NODE_OP_CANCEL;
 	g_ptr_array_add(list, waiter);
 }
 
+static void set_judged(node_holder_t *holder, const char *id, const char *token,
+		       int try_number)
+{
+	talloc_free(holder->judged_id);
+	talloc_free(holder->judged_token);
+	holder->judged_id = talloc_strdup(holder, id);
+	holder->judged_token = talloc_strdup(holder, token ? token : "");
+	holder->judged_try = try_number;
+}
+
+const char *node_holder_judged(const node_holder_t *holder, base_str_t job,
+			       int *try_number)
+{
+	*try_number = 0;
+	if (!holder->judged_id ||
+	    !base_str_eq(job, base_str(holder->judged_id)))
+		return "";
+	*try_number = holder->judged_try;
+	return holder->judged_token;
+}
+
+/* The submit that waits longest is the one that was accepted. */
+static void set_judged_waiter(node_holder_t *holder, const char *id,
+			      const GPtrArray *list)
+{
+	guint i;
+
+	for (i = 0; i < list->len; i++) {
+		const waiter_t *waiter = g_ptr_array_index(list, i);
+
+		if (waiter->cancel)
+			continue;
+		set_judged(holder, id, waiter->token, waiter->try_number);
+		return;
+	}
+}
+
 static void answer_job_waiters(node_holder_t *holder, base_str_t job,
 			       bool cancel)
 {
@@ -282,6 +323,8 @@
 	GPtrArray *list = g_hash_table_lookup(holder->waiting, id);
 
 	if (list) {
+		if (!cancel)
+			set_judged_waiter(holder, id, list);
 		answer_waiters(list, cancel, &outcome);
 		if (!list->len)
 			g_hash_table_remove(holder->waiting, id);
@@ -333,6 +376,7 @@
 		talloc_free(ctx);
 		return;
 	}
+	set_judged(holder, ask->id, ask->token, ask->try_number);
 	verdict = batch_submit(holder->core, base_clock_mono(),
 			       base_clock_wall(), &spec, &outcome.retry_after);
 	talloc_free(ctx);
--- a/packages/node/node_int.h
+++ b/packages/node/node_int.h
@@ -82,6 +82,10 @@
 	base_str_t body;
 	int64_t deadline; /* monotonic time */
 	bool relayed; /* came from another entry: only the holder may get it */
+	/* Names the request, the same in all its tries; NULL: it came from an
+	 * entry that gives none. */
+	char *token;
+	int try_number; /* from 1 */
 };
 
 /* The holder as far as this entry knows it. */
@@ -101,6 +105,8 @@
 	node_store_t *store;
 	int64_t process_started_at;
 	base_rng_t rng;
+	char *token_prefix;  /* differs between entries and processes */
+	uint64_t n_requests; /* that got a token */
 
 	struct node_log *log;
 	struct node_metrics *metrics;
@@ -171,6 +177,7 @@
 	NODE_COUNT_POLL,
 	NODE_COUNT_ORDER,
 	NODE_COUNT_FORWARD,
+	NODE_COUNT_TRY_UNDECIDED,
 	NODE_COUNT_INSTANCE_LIST,
 	NODE_COUNT_ADVICE,
 	NODE_COUNT_LOG_DROPPED,
@@ -313,6 +320,10 @@
 /* Releases the lease and ends this entry's term; stored data stays. */
 void node_holder_resign(node_holder_t *holder, const char *why);
 batch_t *node_holder_core(const node_holder_t *holder);
+/* The token of the submit of "job" that was accepted or refused just now, and
+ * in "try_number" which try of it; "" if none is known. */
+const char *node_holder_judged(const node_holder_t *holder, base_str_t job,
+			       int *try_number);
 
 /* The state of the holder. */
 struct node_holder {
@@ -351,7 +362,12 @@
 	char *fence_text;
 	void *commit_ctx;
 	node_change_t commit;
-	GHashTable *waiting;	   /* job id to list of waiting requests */
+	GHashTable *waiting; /* job id to list of waiting requests */
+	/* The try of a submit that was accepted or refused last, for the log.
+	 */
+	char *judged_id;
+	char *judged_token;
+	int judged_try;
 	int64_t learned_stored_at; /* when run times were last stored */
 	GQueue forgotten; /* ids of jobs whose rows are to be removed */
 	int64_t forgot_at;
--- a/packages/node/node_peer.c
+++ b/packages/node/node_peer.c
@@ -1,7 +1,7 @@
 /*
  * Requests between entries: JSON over HTTP, one POST per request.
  *
- * {"ask", "queue", "id", "body", "wait_ms", "relayed"} ->
+ * {"ask", "queue", "id", "body", "wait_ms", "relayed", "token", "try"} ->
  * {"kind", "state", "retry_after_ms", "pending", "why"}
  */
 #include "node_int.h"
@@ -144,8 +144,10 @@
 	int kind = find_index(kind_names, NODE_OUT_MAX,
 			      json_string_value(json_object_get(root, "kind")));
 
-	if (answer->call_outcome == NET_UNSENT)
+	if (answer->call_outcome == NET_UNSENT) {
 		outcome.kind = NODE_OUT_NOT_HOLDER;
+		outcome.why = "not sent in time";
+	}
 	if (kind < 0)
 		return outcome;
 	outcome.kind = (node_outcome_kind_t)kind;
@@ -200,9 +202,15 @@
 	base_buf_add_json(body, base_str(ask->id));
 	base_buf_adds(body, ",\"body\":");
 	base_buf_add_json(body, ask->body);
-	base_buf_addf(body, ",\"wait_ms\":%lld,\"relayed\":%s}",
+	base_buf_addf(body, ",\"wait_ms\":%lld,\"relayed\":%s",
 		      (long long)(left / BASE_MS),
 		      ask->relayed || is_holder(peer) ? "true" : "false");
+	if (ask->token) {
+		base_buf_adds(body, ",\"token\":");
+		base_buf_add_json(body, base_str(ask->token));
+		base_buf_addf(body, ",\"try\":%d", ask->try_number);
+	}
+	base_buf_adds(body, "}");
 	return body->ptr;
 }
 
@@ -336,7 +344,8 @@
 	int kind = find_index(ask_names, NODE_OP_MAX,
 			      json_string_value(json_object_get(root, "ask")));
 	node_job_request_t ask = { 0 };
-	node_outcome_t none = { .kind = NODE_OUT_NOT_HOLDER };
+	node_outcome_t none = { .kind = NODE_OUT_NOT_HOLDER,
+				.why = "not the holder" };
 	node_outcome_t unknown = { .kind = NODE_OUT_UNKNOWN,
 				   .why = "being stored" };
 
@@ -365,6 +374,8 @@
 		base_clock_mono() +
 		json_integer_value(json_object_get(root, "wait_ms")) * BASE_MS;
 	ask.relayed = json_is_true(json_object_get(root, "relayed"));
+	ask.token = (char *)json_string_value(json_object_get(root, "token"));
+	ask.try_number = (int)json_integer_value(json_object_get(root, "try"));
 	if (node->holder && node_holder_may_decide(node->holder)) {
 		node_holder_handle_request(node->holder, &ask, reply_outcome,
 					   exchange);
--- a/packages/node/node_run.c
+++ b/packages/node/node_run.c
@@ -175,6 +175,9 @@
 	node->largest_cores = MAX(settings->usable_cores, NODE_DEFAULT_CORES);
 	node->rng.state = (uint64_t)base_clock_wall() ^
 			  ((uint64_t)g_str_hash(settings->name) << 32);
+	node->token_prefix =
+		talloc_asprintf(node, "%s.%llx", settings->name,
+				(unsigned long long)base_rng_next(&node->rng));
 	node->loop = net_loop_new(node);
 	node->log = node_log_new(node, node->loop, options->log_fd);
 	node->metrics = node_metrics_new(node);
--- a/packages/node/node_worker.c
+++ b/packages/node/node_worker.c
@@ -573,15 +573,28 @@
 	node_holder_t *holder = arg;
 	char *id = base_str_dup(NULL, event->task.job);
 	char *worker = base_str_dup(id, event->worker);
+	int try_number;
+	const char *token =
+		node_holder_judged(holder, event->task.job, &try_number);
+	const base_field_t fields[] = {
+		BASE_F_STR("id", id),
+		BASE_F_INT("step", event->task.step),
+		BASE_F_INT("index", event->task.index),
+		BASE_F_INT("run", event->run),
+		BASE_F_STR("worker", worker),
+		BASE_F_STR("why", event->why ? event->why : ""),
+		BASE_F_INT("value", event->value),
+		BASE_F_INT("age_us", event->age),
+		BASE_F_INT("term", holder->term),
+		/* Only of a submit: */
+		BASE_F_STR("token", token),
+		BASE_F_INT("try", try_number),
+	};
+	bool is_verdict = event->kind == BATCH_LOG_JOB_ACCEPTED ||
+			  event->kind == BATCH_LOG_JOB_REFUSED;
 
-	node_log(holder->node, event_messages[event->kind],
-		 BASE_F_STR("id", id), BASE_F_INT("step", event->task.step),
-		 BASE_F_INT("index", event->task.index),
-		 BASE_F_INT("run", event->run), BASE_F_STR("worker", worker),
-		 BASE_F_STR("why", event->why ? event->why : ""),
-		 BASE_F_INT("value", event->value),
-		 BASE_F_INT("age_us", event->age),
-		 BASE_F_INT("term", holder->term));
+	node_log_fields(holder->node, event_messages[event->kind], fields,
+			ARRAY_SIZE(fields) - (is_verdict ? 0 : 2));
 	talloc_free(id);
 }
 
