node: give all tries of a request the same verdict

An entry tries a request again if it had no answer within 0.9 s. The holder judged each try by itself: it refused the second one, the entry passed that on, and then it read the first one, when there was room. That the connection of a try is reset does not help: what has arrived is still read. The first try may also sit at a relay, which reads it late, or goes on trying for as long as the caller would wait although the entry that asked has given it up; and it may meet a later holder, which knows nothing of the refusal.

Shown with tests/sys_node_refused on the code before this change (with tokens, which it ignored): the first try, read by the holder after the second was refused, was accepted and ran; so was the one that a paused relay passed on afterwards; and so was one that a relay passed on to the next holder. 5 of its checks failed:

Which of the three the users met their record cannot tell; the entry had made several tries in each.

The holder now remembers the tokens that it refused in a second or later try, and refuses their other tries as well. A try names the term it is for, so that no later holder takes it, and a relay stops when its asker does. Where an entry of an older version was on the way of a lost try, the refusal is told as "unknown". An entry of an older version ignores the new fields and sends none: its requests are judged as before.

Ruled out: a predecessor's change that is carried out after the next holder refused the job. It expects the owner's key as it was.

--- a/packages/node/node_election.c
+++ b/packages/node/node_election.c
@@ -87,6 +87,7 @@
 		node->known_holder.name = talloc_strdup(node, name);
 		node->known_holder.address = talloc_strdup(node, address);
 		node->known_holder.term = term;
+		node_election_heard_term(node, term);
 		node->known_holder.refreshed_at = base_clock_mono();
 	}
 	json_decref(root);
@@ -145,6 +146,7 @@
 	node->known_holder.address =
 		talloc_strdup(node, node->settings->peers_at);
 	node->known_holder.term = node->campaign_term;
+	node_election_heard_term(node, node->campaign_term);
 	node->known_holder.refreshed_at = base_clock_mono();
 	node_log(node, BASE_MSG_DUTY_TAKEN, BASE_F_INT("term", options.term),
 		 BASE_F_INT("owner_revision", holder_revision),
@@ -370,6 +372,11 @@
 				base_rng_below(&node->rng, ELECTION_JITTER));
 }
 
+void node_election_heard_term(node_t *node, int64_t term)
+{
+	node->highest_term = MAX(node->highest_term, term);
+}
+
 void node_election_suspect(node_t *node)
 {
 	/* The watch reports a new holder; until then use other entries. */
--- a/packages/node/node_front.c
+++ b/packages/node/node_front.c
@@ -33,9 +33,12 @@
 	net_timer_t *deadline_timer;
 	int64_t search_until;
 	int64_t tried_at;
-	int64_t tried_term; /* of the holder that was known then */
+	int64_t relayed_term; /* that a relayed request is for; 0: any */
 	int n_tries;
-	int first_try_number; /* of a relayed request: the one relayed */
+	char **lost; /* addresses of tries that may be carried out late */
+	size_t n_lost;
+	bool lost_without_term; /* one of these tries named no term */
+	int first_try_number;	/* of a relayed request: the one relayed */
 	char *hop; /* address that was tried; NULL: this entry decides */
 	bool through_relay;		 /* that address was not the holder's */
 	node_outcome_kind_t logged_kind; /* NODE_OUT_MAX: none logged */
@@ -69,14 +72,18 @@
 		talloc_free(dispatch);
 }
 
+static bool is_change(const dispatch_t *dispatch)
+{
+	return dispatch->ask.job_op == NODE_OP_SUBMIT ||
+	       dispatch->ask.job_op == NODE_OP_CANCEL;
+}
+
 static void deadline_reached(void *arg)
 {
 	dispatch_t *dispatch = arg;
-	bool is_change = dispatch->ask.job_op == NODE_OP_SUBMIT ||
-			 dispatch->ask.job_op == NODE_OP_CANCEL;
 	node_outcome_t outcome = {
-		.kind = is_change && (dispatch->is_trying ||
-				      dispatch->may_be_done)
+		.kind = is_change(dispatch) && (dispatch->is_trying ||
+						dispatch->may_be_done)
 				? NODE_OUT_UNKNOWN
 				: NODE_OUT_NOT_HOLDER,
 		.why = dispatch->node->stopping ? "this entry ends"
@@ -127,7 +134,7 @@
 		 BASE_F_STR("peer", dispatch->hop ? dispatch->hop : ""),
 		 BASE_F_BOOL("through_relay", dispatch->through_relay),
 		 BASE_F_BOOL("for_peer", ask->relayed),
-		 BASE_F_INT("term", dispatch->tried_term),
+		 BASE_F_INT("term", ask->term),
 		 BASE_F_STR("outcome", outcome->kind == NODE_OUT_UNKNOWN
 					       ? "unknown"
 					       : "not done"),
@@ -135,6 +142,51 @@
 		 BASE_F_INT("took_us", took));
 }
 
+/* A try may have been carried out, or may be when it is read. */
+static void record_lost_try(dispatch_t *dispatch)
+{
+	dispatch->may_be_done = true;
+	if (!dispatch->hop)
+		return;
+	dispatch->lost = talloc_realloc(dispatch, dispatch->lost, char *,
+					dispatch->n_lost + 1);
+	dispatch->lost[dispatch->n_lost++] =
+		talloc_strdup(dispatch->lost, dispatch->hop);
+	dispatch->lost_without_term |= !dispatch->ask.term;
+}
+
+/* Whether an earlier try might still be accepted in spite of a refusal: it, or
+ * the refusal, came by an entry of a version that ignores tokens, or it can
+ * reach a later holder. */
+static bool may_still_be_accepted(const dispatch_t *dispatch,
+				  const node_outcome_t *refusal)
+{
+	size_t i;
+
+	if (!dispatch->n_lost)
+		return false;
+	if (!refusal->is_binding || dispatch->lost_without_term)
+		return true;
+	for (i = 0; i < dispatch->n_lost; i++)
+		if (!node_peer_keeps_tokens(dispatch->node, dispatch->lost[i]))
+			return true;
+	return false;
+}
+
+static void finish_refused(dispatch_t *dispatch, const node_outcome_t *outcome)
+{
+	static const node_outcome_t unknown = {
+		.kind = NODE_OUT_UNKNOWN,
+		.why = "an earlier try may be accepted"
+	};
+
+	if (is_change(dispatch) && may_still_be_accepted(dispatch, outcome)) {
+		node_metrics_count(dispatch->node, NODE_COUNT_REFUSAL_UNSURE);
+		outcome = &unknown;
+	}
+	finish_dispatch(dispatch, outcome);
+}
+
 static void try_done(void *arg, const node_outcome_t *outcome)
 {
 	dispatch_t *dispatch = arg;
@@ -150,14 +202,17 @@
 	switch (outcome->kind) {
 	case NODE_OUT_UNKNOWN:
 		/* A retry is safe: each job id is accepted only once. */
-		dispatch->may_be_done |=
-			dispatch->ask.job_op == NODE_OP_SUBMIT ||
-			dispatch->ask.job_op == NODE_OP_CANCEL;
+		if (is_change(dispatch))
+			record_lost_try(dispatch);
 		retry_or_fail(dispatch);
 		break;
 	case NODE_OUT_NOT_HOLDER:
 		retry_or_fail(dispatch);
 		break;
+	case NODE_OUT_REFUSED:
+	case NODE_OUT_NOT_FOUND:
+		finish_refused(dispatch, outcome);
+		break;
 	default:
 		finish_dispatch(dispatch, outcome);
 		break;
@@ -195,13 +250,16 @@
 	node_t *node = dispatch->node;
 	node_outcome_t unknown = { .kind = NODE_OUT_UNKNOWN,
 				   .why = "being stored" };
+	node_outcome_t other_term = { .kind = NODE_OUT_NOT_HOLDER,
+				      .why = "another term" };
 	const char *address;
 
 	dispatch->is_trying = true;
 	dispatch->tried_at = base_clock_mono();
 	dispatch->ask.try_number =
 		dispatch->first_try_number + dispatch->n_tries++;
-	dispatch->tried_term = node->known_holder.term;
+	dispatch->ask.term = dispatch->relayed_term ? dispatch->relayed_term
+						    : node->highest_term;
 	dispatch->through_relay = false;
 	TALLOC_FREE(dispatch->hop);
 	if (node->holder &&
@@ -209,6 +267,11 @@
 		try_done(dispatch, &unknown);
 		return;
 	}
+	if (dispatch->relayed_term &&
+	    dispatch->relayed_term < node->highest_term) {
+		try_done(dispatch, &other_term);
+		return;
+	}
 	if (node->holder && node_holder_may_decide(node->holder)) {
 		node_holder_handle_request(node->holder, &dispatch->ask,
 					   try_done, dispatch);
@@ -251,6 +314,7 @@
 			     : talloc_asprintf(
 				       dispatch, "%s.%llu", node->token_prefix,
 				       (unsigned long long)++node->n_requests);
+	dispatch->relayed_term = ask->relayed ? ask->term : 0;
 	dispatch->first_try_number = ask->relayed ? ask->try_number : 1;
 	dispatch->logged_kind = NODE_OUT_MAX;
 	dispatch->done = done;
--- a/packages/node/node_holder.c
+++ b/packages/node/node_holder.c
@@ -97,6 +97,12 @@
 	       base_clock_mono() < holder->lease_until + HOLDER_ORPHAN_GRACE;
 }
 
+bool node_holder_is_meant(const node_holder_t *holder,
+			  const node_job_request_t *ask)
+{
+	return !ask->term || ask->term == holder->term;
+}
+
 bool node_holder_job_uncertain(const node_holder_t *holder, const char *id)
 {
 	return !node_holder_may_decide(holder) &&
@@ -206,6 +212,7 @@
 	holder->store = node->platform->store_new(holder, node->loop,
 						  node->settings->store);
 	holder->core = batch_new(holder, &core);
+	holder->refusals = node_refusals_new(holder);
 	holder->waiting =
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
 				      (GDestroyNotify)g_ptr_array_unref);
@@ -355,6 +362,45 @@
 	return buf->ptr;
 }
 
+/* Makes a refusal binding for all tries of the request, or turns it into
+ * NODE_OUT_UNKNOWN.  The first try needs no memory: no other one is on its
+ * way. */
+static void bind_refusal(node_holder_t *holder, const node_job_request_t *ask,
+			 node_outcome_t *outcome)
+{
+	if (!ask->token)
+		return;
+	outcome->is_binding =
+		ask->try_number == 1 ||
+		node_refusals_add(holder->refusals, base_clock_mono(),
+				  ask->token, outcome);
+	if (outcome->is_binding)
+		return;
+	outcome->kind = NODE_OUT_UNKNOWN;
+	outcome->why = "too many refusals to remember";
+}
+
+/* Answers a try of a request that was refused before; false: it was not. */
+static bool refuse_again(node_holder_t *holder, const node_job_request_t *ask,
+			 node_outcome_done_t *done, void *arg)
+{
+	node_outcome_t outcome;
+
+	if (!ask->token ||
+	    !node_refusals_find(holder->refusals, base_clock_mono(), ask->token,
+				&outcome))
+		return false;
+	outcome.is_binding = true;
+	node_metrics_count(holder->node, NODE_COUNT_REFUSED_AGAIN);
+	node_log(holder->node, BASE_MSG_JOB_REFUSED_AGAIN,
+		 BASE_F_STR("id", ask->id), BASE_F_STR("why", outcome.why),
+		 BASE_F_INT("term", holder->term),
+		 BASE_F_STR("token", ask->token),
+		 BASE_F_INT("try", ask->try_number));
+	done(arg, &outcome);
+	return true;
+}
+
 static void submit(node_holder_t *holder, const node_job_request_t *ask,
 		   node_outcome_done_t *done, void *arg)
 {
@@ -382,6 +428,7 @@
 	talloc_free(ctx);
 	if (verdict == BATCH_REFUSED) {
 		outcome.why = "cannot end in time";
+		bind_refusal(holder, ask, &outcome);
 		done(arg, &outcome);
 	} else if (verdict == BATCH_DUPLICATE &&
 		   batch_state(holder->core, base_str(ask->id)) !=
@@ -404,8 +451,10 @@
 	if (!batch_cancel(holder->core, base_clock_mono(), base_str(ask->id),
 			  &state)) {
 		/* Cancelling an ended job succeeds without effect. */
-		if (state == BATCH_UNKNOWN)
+		if (state == BATCH_UNKNOWN) {
 			outcome.kind = NODE_OUT_NOT_FOUND;
+			bind_refusal(holder, ask, &outcome);
+		}
 		done(arg, &outcome);
 		return;
 	}
@@ -426,9 +475,13 @@
 
 	switch (ask->job_op) {
 	case NODE_OP_SUBMIT:
+		if (refuse_again(holder, ask, done, arg))
+			break;
 		submit(holder, ask, done, arg);
 		break;
 	case NODE_OP_CANCEL:
+		if (refuse_again(holder, ask, done, arg))
+			break;
 		cancel(holder, ask, done, arg);
 		break;
 	case NODE_OP_STATE:
--- a/packages/node/node_int.h
+++ b/packages/node/node_int.h
@@ -70,6 +70,7 @@
 	int64_t retry_after; /* microseconds; with NODE_OUT_REFUSED */
 	size_t pending;
 	const char *why;
+	bool is_binding; /* a refusal that all tries of the request get */
 } node_outcome_t;
 
 typedef void node_outcome_done_t(void *arg, const node_outcome_t *outcome);
@@ -85,7 +86,8 @@
 	/* Names the request, the same in all its tries; NULL: it came from an
 	 * entry that gives none. */
 	char *token;
-	int try_number; /* from 1 */
+	int try_number; /* from 1; 1 only if there was no other try */
+	int64_t term;	/* of the holder it is meant for; 0: any */
 };
 
 /* The holder as far as this entry knows it. */
@@ -122,6 +124,7 @@
 	bool store_down;
 
 	node_holder_info_t known_holder;
+	int64_t highest_term; /* that was heard of */
 	net_timer_t *election_timer;
 	char *campaign_nonce;
 	int64_t campaign_lease;
@@ -178,6 +181,8 @@
 	NODE_COUNT_ORDER,
 	NODE_COUNT_FORWARD,
 	NODE_COUNT_TRY_UNDECIDED,
+	NODE_COUNT_REFUSED_AGAIN,
+	NODE_COUNT_REFUSAL_UNSURE,
 	NODE_COUNT_INSTANCE_LIST,
 	NODE_COUNT_ADVICE,
 	NODE_COUNT_LOG_DROPPED,
@@ -250,6 +255,8 @@
 /* The holder did not answer, or answered that it is not the holder: use other
  * entries for a short time. */
 void node_election_suspect(node_t *node);
+/* A holder of this term exists or existed. */
+void node_election_heard_term(node_t *node, int64_t term);
 /* Ends this entry's term as the holder. */
 void node_election_lost(node_t *node, const char *why);
 /* Call after other entries were listed: this entry resigns as the holder if one
@@ -268,12 +275,24 @@
 void node_peer_forward(node_t *node, const char *address,
 		       const node_job_request_t *ask, node_outcome_done_t *done,
 		       void *arg);
+/* Whether the entry passes on tokens and terms, as far as its answers show. */
+bool node_peer_keeps_tokens(const node_t *node, const char *address);
 /* Address of an entry that reached the holder recently; NULL: none. */
 const char *node_peer_find_relay(const node_t *node);
 /* Sends any other request to a peer; false: the address is invalid. */
 bool node_peer_call(node_t *node, const char *address,
 		    const net_request_t *request, net_done_t *done, void *arg);
 
+/* node_refusal.c */
+typedef struct node_refusals node_refusals_t;
+node_refusals_t *node_refusals_new(const void *ctx);
+/* Remembers the refusal of a request; false: there are too many. */
+bool node_refusals_add(node_refusals_t *refusals, int64_t now,
+		       const char *token, const node_outcome_t *outcome);
+/* Sets "outcome" to the remembered refusal; false: there is none. */
+bool node_refusals_find(node_refusals_t *refusals, int64_t now,
+			const char *token, node_outcome_t *outcome);
+
 /* node_pass.c */
 #define NODE_PASS_PATH "/pass"
 /* If the store does not answer the holder, asks another entry that reaches the
@@ -304,6 +323,9 @@
 bool node_holder_may_decide(const node_holder_t *holder);
 /* Whether this entry may still extend the leases of workers. */
 bool node_holder_may_extend(const node_holder_t *holder);
+/* Whether the request is for this holder, not for one of another term. */
+bool node_holder_is_meant(const node_holder_t *holder,
+			  const node_job_request_t *ask);
 /* Whether this entry cannot decide now and the job may or may not be stored. */
 bool node_holder_job_uncertain(const node_holder_t *holder, const char *id);
 void node_holder_handle_request(node_holder_t *holder,
@@ -363,6 +385,7 @@
 	void *commit_ctx;
 	node_change_t commit;
 	GHashTable *waiting; /* job id to list of waiting requests */
+	node_refusals_t *refusals;
 	/* The try of a submit that was accepted or refused last, for the log.
 	 */
 	char *judged_id;
--- a/packages/node/node_metrics.c
+++ b/packages/node/node_metrics.c
@@ -20,6 +20,8 @@
 	[NODE_COUNT_ORDER] = "worker_calls{purpose=\"order\"}",
 	[NODE_COUNT_FORWARD] = "forwards",
 	[NODE_COUNT_TRY_UNDECIDED] = "tries_undecided",
+	[NODE_COUNT_REFUSED_AGAIN] = "refusals_given_again",
+	[NODE_COUNT_REFUSAL_UNSURE] = "refusals_told_unknown",
 	[NODE_COUNT_INSTANCE_LIST] = "instance_lists",
 	[NODE_COUNT_ADVICE] = "advice_calls",
 	[NODE_COUNT_LOG_DROPPED] = "log_lines_dropped",
--- a/packages/node/node_peer.c
+++ b/packages/node/node_peer.c
@@ -1,8 +1,9 @@
 /*
  * Requests between entries: JSON over HTTP, one POST per request.
  *
- * {"ask", "queue", "id", "body", "wait_ms", "relayed", "token", "try"} ->
- * {"kind", "state", "retry_after_ms", "pending", "why"}
+ * {"ask", "queue", "id", "body", "wait_ms", "relayed", "token", "try", "term"}
+ * -> {"kind", "state", "retry_after_ms", "pending", "why", "binding", "term",
+ * "decides"}
  */
 #include "node_int.h"
 
@@ -46,6 +47,7 @@
 	guint outstanding;    /* requests without an answer */
 	bool probing;
 	bool probe_failed; /* the last probe had no answer */
+	bool keeps_tokens; /* its last answer had a term */
 	bool silence_logged;
 } peer_t;
 
@@ -56,6 +58,12 @@
 	void *arg;
 } peer_call_t;
 
+/* A request of another entry. */
+typedef struct peer_request {
+	node_t *node;
+	net_exchange_t *exchange;
+} peer_request_t;
+
 static int find_index(const char *const *names, int n, const char *name)
 {
 	int i;
@@ -159,11 +167,25 @@
 	outcome.pending =
 		(size_t)json_integer_value(json_object_get(root, "pending"));
 	outcome.why = json_string_value(json_object_get(root, "why"));
+	outcome.is_binding = json_is_true(json_object_get(root, "binding"));
 	if (outcome.state >= BATCH_STATE_MAX)
 		outcome.state = BATCH_UNKNOWN;
 	return outcome;
 }
 
+/* Learns the term that the peer has heard of.  Returns whether the peer decides
+ * in the highest term known: it only turned away a try for a former one. */
+static bool hear_term(peer_t *peer, const json_t *root)
+{
+	node_t *node = peer->node;
+	const json_t *term = json_object_get(root, "term");
+
+	peer->keeps_tokens = term != NULL;
+	node_election_heard_term(node, json_integer_value(term));
+	return json_is_true(json_object_get(root, "decides")) &&
+	       json_integer_value(term) == node->highest_term;
+}
+
 static void answered(void *arg, const net_answer_t *answer)
 {
 	peer_call_t *call = arg;
@@ -174,10 +196,11 @@
 		heard ? json_loadb(answer->body.ptr, answer->body.len, 0, NULL)
 		      : NULL;
 	node_outcome_t outcome = read_outcome(answer, root);
+	bool decides = heard && hear_term(peer, root);
 
 	peer->outstanding--;
 	record_answer(peer, heard, is_decided(outcome.kind));
-	if (!is_decided(outcome.kind) && is_holder(peer))
+	if (!is_decided(outcome.kind) && !decides && is_holder(peer))
 		node_election_suspect(peer->node);
 	talloc_steal(NULL, call);
 	if (call->probe) {
@@ -190,8 +213,9 @@
 	talloc_free(call);
 }
 
+/* "wait": how long this entry waits for the answer. */
 static char *print_request(const void *ctx, const peer_t *peer,
-			   const node_job_request_t *ask, int64_t left)
+			   const node_job_request_t *ask, int64_t wait)
 {
 	base_buf_t *body = base_buf_new(ctx);
 
@@ -203,12 +227,13 @@
 	base_buf_adds(body, ",\"body\":");
 	base_buf_add_json(body, ask->body);
 	base_buf_addf(body, ",\"wait_ms\":%lld,\"relayed\":%s",
-		      (long long)(left / BASE_MS),
+		      (long long)(wait / BASE_MS),
 		      ask->relayed || is_holder(peer) ? "true" : "false");
 	if (ask->token) {
 		base_buf_adds(body, ",\"token\":");
 		base_buf_add_json(body, base_str(ask->token));
-		base_buf_addf(body, ",\"try\":%d", ask->try_number);
+		base_buf_addf(body, ",\"try\":%d,\"term\":%lld",
+			      ask->try_number, (long long)ask->term);
 	}
 	base_buf_adds(body, "}");
 	return body->ptr;
@@ -221,8 +246,9 @@
 				   : ask->deadline - base_clock_mono();
 	net_request_t request = { .method = NET_POST, .path = PEER_PATH };
 
-	request.body = base_str(print_request(call, peer, ask, left));
 	request.timeout = MAX(MIN(left, PEER_TIMEOUT), BASE_MS);
+	request.body =
+		base_str(print_request(call, peer, ask, request.timeout));
 	call->peer = peer;
 	record_request(peer);
 	node_metrics_count(peer->node, NODE_COUNT_FORWARD);
@@ -288,6 +314,13 @@
 	send_request(peer, ask, call);
 }
 
+bool node_peer_keeps_tokens(const node_t *node, const char *address)
+{
+	const peer_t *peer = g_hash_table_lookup(node->peers, address);
+
+	return peer && peer->keeps_tokens;
+}
+
 const char *node_peer_find_relay(const node_t *node)
 {
 	int64_t now = base_clock_mono();
@@ -318,7 +351,8 @@
 
 static void reply_outcome(void *arg, const node_outcome_t *outcome)
 {
-	net_exchange_t *exchange = arg;
+	peer_request_t *request = arg;
+	const node_t *node = request->node;
 	base_buf_t *body = base_buf_new(NULL);
 
 	base_buf_addf(body,
@@ -328,9 +362,51 @@
 		      (long long)(outcome->retry_after / BASE_MS),
 		      outcome->pending);
 	base_buf_add_json(body, base_str(outcome->why));
-	base_buf_adds(body, "}");
-	net_reply(exchange, 200, NULL, 0, base_buf_str(body));
+	base_buf_addf(body, ",\"binding\":%s,\"term\":%lld,\"decides\":%s}",
+		      outcome->is_binding ? "true" : "false",
+		      (long long)node->highest_term,
+		      node->holder && node_holder_may_decide(node->holder)
+			      ? "true"
+			      : "false");
+	net_reply(request->exchange, 200, NULL, 0, base_buf_str(body));
 	talloc_free(body);
+	talloc_free(request);
+}
+
+static bool is_change(node_op_t job_op)
+{
+	return job_op == NODE_OP_SUBMIT || job_op == NODE_OP_CANCEL;
+}
+
+static void serve_request(node_t *node, net_exchange_t *exchange,
+			  node_job_request_t *ask)
+{
+	static const node_outcome_t none = { .kind = NODE_OUT_NOT_HOLDER,
+					     .why = "not the holder" };
+	static const node_outcome_t other_term = { .kind = NODE_OUT_NOT_HOLDER,
+						   .why = "another term" };
+	static const node_outcome_t unknown = { .kind = NODE_OUT_UNKNOWN,
+						.why = "being stored" };
+	peer_request_t *request = talloc(node, peer_request_t);
+
+	request->node = node;
+	request->exchange = exchange;
+	if (node->holder && node_holder_job_uncertain(node->holder, ask->id)) {
+		reply_outcome(request, &unknown);
+	} else if (ask->term && ask->term < node->highest_term) {
+		reply_outcome(request, &other_term);
+	} else if (node->holder && node_holder_may_decide(node->holder)) {
+		if (node_holder_is_meant(node->holder, ask))
+			node_holder_handle_request(node->holder, ask,
+						   reply_outcome, request);
+		else
+			reply_outcome(request, &other_term);
+	} else if (ask->relayed) {
+		reply_outcome(request, &none);
+	} else {
+		ask->relayed = true;
+		node_dispatch(node, ask, reply_outcome, request);
+	}
 }
 
 void node_peer_serve(void *arg, net_exchange_t *exchange)
@@ -344,10 +420,6 @@
 	int kind = find_index(ask_names, NODE_OP_MAX,
 			      json_string_value(json_object_get(root, "ask")));
 	node_job_request_t ask = { 0 };
-	node_outcome_t none = { .kind = NODE_OUT_NOT_HOLDER,
-				.why = "not the holder" };
-	node_outcome_t unknown = { .kind = NODE_OUT_UNKNOWN,
-				   .why = "being stored" };
 
 	if (net_exchange_method(exchange) == NET_GET) {
 		json_decref(root);
@@ -370,23 +442,18 @@
 	ask.id = (char *)id;
 	ask.body = (base_str_t){ json_string_value(body),
 				 json_string_length(body) };
+	/* No entry waits longer than that for the answer; one of an older
+	 * version names the time that its caller waits. */
 	ask.deadline =
 		base_clock_mono() +
-		json_integer_value(json_object_get(root, "wait_ms")) * BASE_MS;
+		MIN(json_integer_value(json_object_get(root, "wait_ms")) *
+			    BASE_MS,
+		    PEER_TIMEOUT);
 	ask.relayed = json_is_true(json_object_get(root, "relayed"));
 	ask.token = (char *)json_string_value(json_object_get(root, "token"));
 	ask.try_number = (int)json_integer_value(json_object_get(root, "try"));
-	if (node->holder && node_holder_may_decide(node->holder)) {
-		node_holder_handle_request(node->holder, &ask, reply_outcome,
-					   exchange);
-	} else if (node->holder &&
-		   node_holder_job_uncertain(node->holder, id)) {
-		reply_outcome(exchange, &unknown);
-	} else if (ask.relayed) {
-		reply_outcome(exchange, &none);
-	} else {
-		ask.relayed = true;
-		node_dispatch(node, &ask, reply_outcome, exchange);
-	}
+	if (is_change(ask.job_op))
+		ask.term = json_integer_value(json_object_get(root, "term"));
+	serve_request(node, exchange, &ask);
 	json_decref(root);
 }
