node: tell "unknown" if the caller's time ends without a decision

What an entry has not sent itself does not tell what another one has.

A submit or cancel whose time ends without a decision of the holder is answered 504 now. A search of a second that reached no holder stays a refusal, and a relay still tells its asker that nothing was done where that is so. Also at a planned stop ("this entry ends").

The check in tests/sys_node_refused, "nor is it when it comes again with little time left", got 503 before.

--- a/packages/node/node_front.c
+++ b/packages/node/node_front.c
@@ -81,11 +81,12 @@
 static void deadline_reached(void *arg)
 {
 	dispatch_t *dispatch = arg;
+	/* The caller may have sent the request to another entry before. */
+	bool is_unsure = dispatch->is_trying || dispatch->may_be_done ||
+			 !dispatch->ask.relayed;
 	node_outcome_t outcome = {
-		.kind = is_change(dispatch) && (dispatch->is_trying ||
-						dispatch->may_be_done)
-				? NODE_OUT_UNKNOWN
-				: NODE_OUT_NOT_HOLDER,
+		.kind = is_change(dispatch) && is_unsure ? NODE_OUT_UNKNOWN
+							 : NODE_OUT_NOT_HOLDER,
 		.why = dispatch->node->stopping ? "this entry ends"
 						: "no answer in time",
 	};
