node: let a small entry wait also when it starts without a holder

An entry that starts reads the holder's key after about 0.5 s. If that read falls into the 0.15 s after a holder has resigned, it found the key missing and wrote it at once, while the others, which were told by their watch, still waited by size and age. Ruled out: the order of starts, a reservation or a quarantine.

Now an entry that finds the key missing for the first time waits as if its watch had told it.

tests/sys_node_election: before "after 0.98 s, want yes", now more than 1.3 s.

--- a/packages/node/node_election.c
+++ b/packages/node/node_election.c
@@ -13,7 +13,8 @@
  * that lease to end.
  *
  * The holder does the most work.  So entries with more cores campaign first,
- * and a holder resigns when an entry is listed that is twice as large.
+ * also if an entry finds the key missing when it starts, and a holder resigns
+ * when an entry is listed that is twice as large.
  */
 #include "node_int.h"
 
@@ -140,6 +141,7 @@
 	};
 
 	node->campaigning = false;
+	node->vacancy_known = false;
 	clear_holder(node);
 	node->known_holder.name = talloc_strdup(node, node->settings->name);
 	node->known_holder.address =
@@ -308,6 +310,7 @@
 		}
 		talloc_free(node->known_holder.name);
 		node->known_holder.name = NULL;
+		node->vacancy_known = true;
 	}
 	if (answer->store_status == NODE_STORE_OK && node->known_holder.name) {
 		node_store_watch(node, NODE_KEY_HOLDER, answer->revision,
@@ -319,12 +322,35 @@
 	}
 }
 
+/* The key is missing: campaigns if the delay for that has passed, else waits
+ * for it, so that larger entries that learn of it now are first. */
+static void handle_vacancy(node_t *node)
+{
+	int64_t delay = ELECTION_RETRY;
+
+	talloc_free(node->known_holder.name);
+	node->known_holder.name = NULL;
+	if (node->vacancy_known)
+		campaign(node, 0);
+	else
+		delay = campaign_delay(node);
+	node->vacancy_known = true;
+	if (!node->campaigning)
+		net_timer_start(node->election_timer, delay);
+}
+
 static void holder_key_read(void *arg, const node_answer_t *answer)
 {
 	node_t *node = arg;
 	const node_item_t *item = find_item(answer, NODE_KEY_HOLDER);
 
 	node_store_track_status(node, answer->store_status);
+	if (answer->store_status == NODE_STORE_MISSING) {
+		handle_vacancy(node);
+		return;
+	}
+	if (answer->store_status == NODE_STORE_OK && item)
+		node->vacancy_known = false;
 	if (answer->store_status == NODE_STORE_OK && item &&
 	    names_this_entry(node, item) &&
 	    node->settings->usable_cores >= node->largest_cores) {
@@ -339,13 +365,7 @@
 				 ELECTION_WATCH_WAIT, watched);
 		return;
 	}
-	if (answer->store_status == NODE_STORE_MISSING) {
-		talloc_free(node->known_holder.name);
-		node->known_holder.name = NULL;
-		campaign(node, 0);
-	}
-	if (!node->campaigning)
-		net_timer_start(node->election_timer, ELECTION_RETRY);
+	net_timer_start(node->election_timer, ELECTION_RETRY);
 }
 
 static void read_holder_key(void *arg)
@@ -394,6 +414,7 @@
 	net_defer(node->loop, free_holder, holder);
 	talloc_free(node->known_holder.name);
 	node->known_holder.name = NULL;
+	node->vacancy_known = true;
 	net_timer_start(node->election_timer,
 			size_delay(node, ELECTION_SMALL_DELAY));
 }
--- a/packages/node/node_int.h
+++ b/packages/node/node_int.h
@@ -124,6 +124,9 @@
 	int64_t campaign_sent;
 	int64_t campaign_term;
 	bool campaigning;
+	/* The holder key was seen missing, and the delay before a campaign was
+	 * begun. */
+	bool vacancy_known;
 	node_holder_t *holder; /* NULL: this entry is not the holder */
 
 	GHashTable *peers;    /* address to peer_t */
