net: connect to IPv4 addresses only

Any host was taken, too. A name would have been looked up by evhttp_connection_base_new() without a resolver of its own, which blocks the loop for as long as the lookup takes, for each poll anew.

The host is now an IPv4 address and the port is digits, as the header already said; the platform's page says that there are no name lookups. Public, since readers of addresses need the same check.

Test: /net/addresses. The lookup's time was not measured.

--- a/packages/net/net.h
+++ b/packages/net/net.h
@@ -145,4 +145,12 @@
  */
 uint64_t net_server_activity(const net_server_t *server);
 
+/*
+ * Splits "IPv4:port".  Names are not accepted, since looking one up would block
+ * the loop.  Returns false, and sets nothing, if "address" is anything else or
+ * NULL; "host" becomes a child of "ctx".
+ */
+bool net_address_split(const void *ctx, const char *address, char **host,
+		       uint16_t *port);
+
 #endif
--- a/packages/net/net_int.h
+++ b/packages/net/net_int.h
@@ -19,8 +19,4 @@
 	uint64_t calls;
 };
 
-/* Split "IPv4:port"; "*host" is allocated below "ctx". */
-bool net_address_split(const void *ctx, const char *address, char **host,
-		       uint16_t *port);
-
 #endif
--- a/packages/net/net_loop.c
+++ b/packages/net/net_loop.c
@@ -1,3 +1,4 @@
+#include <arpa/inet.h>
 #include <signal.h>
 #include <stdlib.h>
 #include <string.h>
@@ -157,15 +158,21 @@
 		       uint16_t *port)
 {
 	const char *colon = address ? strrchr(address, ':') : NULL;
-	char *end;
-	unsigned long number;
+	char digits[INET_ADDRSTRLEN];
+	struct in_addr ignored;
+	uint64_t number;
 
-	if (!colon || colon == address)
+	if (!colon || (size_t)(colon - address) >= sizeof(digits))
 		return false;
-	number = strtoul(colon + 1, &end, 10);
-	if (!colon[1] || *end || number < 1 || number > 65535)
+	/* Unlike strtoul(), this accepts no sign and no space. */
+	if (!g_ascii_string_to_unsigned(colon + 1, 10, 1, UINT16_MAX, &number,
+					NULL))
 		return false;
-	*host = talloc_strndup(ctx, address, (size_t)(colon - address));
+	g_strlcpy(digits, address, (size_t)(colon - address) + 1);
+	/* A name would be looked up, which blocks the loop. */
+	if (inet_pton(AF_INET, digits, &ignored) != 1)
+		return false;
+	*host = talloc_strdup(ctx, digits);
 	*port = (uint16_t)number;
 	return true;
 }
--- a/packages/net/tests/net_test.c
+++ b/packages/net/tests/net_test.c
@@ -279,6 +279,49 @@
 	talloc_free(loop);
 }
 
+/* Guards against addresses that another program wrote and that cannot be
+ * connected to, or that would be looked up while the loop waits. */
+static void test_addresses(void)
+{
+	static const char *const odd[] = {
+		"",
+		":",
+		":80",
+		"127.0.0.1",
+		"127.0.0.1:",
+		"127.0.0.1:0",
+		"127.0.0.1:65536",
+		"127.0.0.1:-1",
+		"127.0.0.1:-18446744073709551536",
+		"127.0.0.1:18446744073709551696",
+		"127.0.0.1:+80",
+		"127.0.0.1: 80",
+		"127.0.0.1:80 ",
+		"127.0.0.1:80/",
+		"127.0.0.256:80",
+		"127.0.0.1.1:80",
+		"127.1:80",
+		"localhost:80",
+		"::1:80",
+		" 127.0.0.1:80",
+	};
+	void *ctx = talloc_new(NULL);
+	char *host;
+	uint16_t port;
+	size_t i;
+
+	g_assert_true(net_address_split(ctx, "10.0.0.9:65535", &host, &port));
+	g_assert_cmpstr(host, ==, "10.0.0.9");
+	g_assert_cmpint(port, ==, 65535);
+	g_assert_false(net_address_split(ctx, NULL, &host, &port));
+	for (i = 0; i < G_N_ELEMENTS(odd); i++)
+		if (net_address_split(ctx, odd[i], &host, &port)) {
+			g_test_message("\"%s\" was taken", odd[i]);
+			g_test_fail();
+		}
+	talloc_free(ctx);
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
@@ -291,5 +334,6 @@
 	g_test_add_func("/net/given-up-is-reset",
 			test_timeout_resets_connection);
 	g_test_add_func("/net/bad-addresses", test_bad_addresses);
+	g_test_add_func("/net/addresses", test_addresses);
 	return g_test_run();
 }
