--- a/packages/base/base.h
+++ b/packages/base/base.h
@@ -24,6 +24,7 @@
 #include "base_msg.h"
 #include "base_log.h"
 #include "base_hist.h"
+#include "base_json.h"
 #include "base_clock.h"
 #include "base_rng.h"
 
--- a/packages/base/tests/base_test.c
+++ b/packages/base/tests/base_test.c
@@ -101,6 +101,36 @@
 	}
 }
 
+static void test_json_int(void)
+{
+	static const struct {
+		const char *text;
+		bool ok;
+		int64_t number;
+	} cases[] = {
+		{ "7", true, 7 },	{ "-3", true, -3 },
+		{ "10", true, 10 },	{ "7.9", true, 7 },
+		{ "-3.9", true, -3 },	{ "11", false, 0 },
+		{ "-4", false, 0 },	{ "9223372036854775807", false, 0 },
+		{ "1e300", false, 0 },	{ "-1e300", false, 0 },
+		{ "9.3e18", false, 0 }, { "\"7\"", false, 0 },
+		{ "null", false, 0 },	{ "[7]", false, 0 },
+	};
+
+	for (size_t i = 0; i < ARRAY_SIZE(cases); i++) {
+		json_t *value =
+			json_loads(cases[i].text, JSON_DECODE_ANY, NULL);
+		int64_t number = 99;
+
+		g_assert_nonnull(value);
+		g_assert_cmpint(base_json_int(value, -3, 10, &number), ==,
+				cases[i].ok);
+		g_assert_cmpint(number, ==, cases[i].ok ? cases[i].number : 99);
+		json_decref(value);
+	}
+	g_assert_false(base_json_int(NULL, 0, 1, NULL));
+}
+
 static void test_rng(void)
 {
 	base_rng_t a = { 1 }, b = { 1 };
@@ -125,6 +155,7 @@
 	g_test_add_func("/base/histogram-below", test_hist_below);
 	g_test_add_func("/base/log", test_log);
 	g_test_add_func("/base/catalogue", test_catalogue);
+	g_test_add_func("/base/json-int", test_json_int);
 	g_test_add_func("/base/rng", test_rng);
 	return g_test_run();
 }
--- a/packages/batch/batch_estimate.c
+++ b/packages/batch/batch_estimate.c
@@ -16,6 +16,9 @@
 /* Weight of the declared estimate in the mean of the logarithms. */
 #define DECLARED_WEIGHT 0.4
 
+/* Longest time that is computed with, microseconds: 570 years. */
+#define ESTIMATE_MAX 18014398509481984.0 /* 2^54 */
+
 static void set_mean(batch_queue_t *queue, double mean)
 {
 	queue->mean_run = mean;
@@ -82,7 +85,7 @@
 		double mean = json_number_value(json_array_get(row, 0));
 		json_int_t ended = json_integer_value(json_array_get(row, 1));
 
-		if (!queue || mean <= 0 || ended <= 0)
+		if (!queue || mean <= 0 || mean > ESTIMATE_MAX || ended <= 0)
 			continue;
 		set_mean(queue, mean);
 		queue->ended = (uint64_t)ended;
@@ -156,7 +159,8 @@
 {
 	if (!job->queue || !job->spec.n_steps)
 		return 0;
-	return (int64_t)(job->queue->stretch *
-			 (double)batch_critical_path(job, false)) +
+	return (int64_t)MIN(job->queue->stretch *
+				    (double)batch_critical_path(job, false),
+			    ESTIMATE_MAX) +
 	       job->queue->target_latency;
 }
