--- a/standin/platform/sp_main.c
+++ b/standin/platform/sp_main.c
@@ -202,6 +202,12 @@
 		options.run = run->sval[0];
 	if (listed_port->count)
 		options.listed_port = listed_port->ival[0];
+	if (options.workers < 0 || options.workers > SP_WORKERS_MAX) {
+		fprintf(stderr, "standin-platform: --workers must be 0 to %d\n",
+			SP_WORKERS_MAX);
+		arg_freetable(table, ARRAY_SIZE(table));
+		return 2;
+	}
 	if (drift_percent->count)
 		options.drift_percent = drift_percent->ival[0];
 	sp = sp_new(&options);
