--- a/standin/platform/sp_main.c
+++ b/standin/platform/sp_main.c
@@ -31,9 +31,13 @@
 
 	while (at) {
 		at++;
-		if (!strncmp(at, name, len) && at[len] == '=')
-			return g_strndup(at + len + 1,
-					 strcspn(at + len + 1, "&"));
+		if (!strncmp(at, name, len) && at[len] == '=') {
+			const char *value = at + len + 1;
+			char *text = g_uri_unescape_segment(
+				value, value + strcspn(value, "&"), NULL);
+
+			return text ? text : g_strdup("");
+		}
 		at = strchr(at, '&');
 	}
 	return g_strdup("");
@@ -198,16 +202,16 @@
 	options.port = port->ival[0];
 	if (workers->count)
 		options.workers = workers->ival[0];
-	if (run->count)
-		options.run = run->sval[0];
-	if (listed_port->count)
-		options.listed_port = listed_port->ival[0];
 	if (options.workers < 0 || options.workers > SP_WORKERS_MAX) {
 		fprintf(stderr, "standin-platform: --workers must be 0 to %d\n",
 			SP_WORKERS_MAX);
 		arg_freetable(table, ARRAY_SIZE(table));
 		return 2;
 	}
+	if (run->count)
+		options.run = run->sval[0];
+	if (listed_port->count)
+		options.listed_port = listed_port->ival[0];
 	if (drift_percent->count)
 		options.drift_percent = drift_percent->ival[0];
 	sp = sp_new(&options);
