node: log an unreadable worker entry once per revision

The holder logged each entry of the list of workers that names none each time it read the list, that is every 0.7 s for as long as the entry is there.

It is now logged once per revision of the key in a term, and counted in cactusfield_worker_entries_unreadable. At most 1,024 keys are remembered.

--- a/packages/node/node_int.h
+++ b/packages/node/node_int.h
@@ -174,6 +174,7 @@
 	NODE_COUNT_INSTANCE_LIST,
 	NODE_COUNT_ADVICE,
 	NODE_COUNT_LOG_DROPPED,
+	NODE_COUNT_WORKER_UNREADABLE,
 	NODE_COUNT_MAX
 } node_count_t;
 
@@ -361,6 +362,7 @@
 	int64_t listed_at; /* end of the last complete round; 0: none */
 	bool poll_soon;
 	GHashTable *worker_links; /* worker id to node_worker_t, not owned */
+	GHashTable *unreadable_entries; /* key to the revision last logged */
 	node_insts_t *instances;
 	node_waves_t *waves;
 	node_moves_t *moves;
--- a/packages/node/node_metrics.c
+++ b/packages/node/node_metrics.c
@@ -22,6 +22,7 @@
 	[NODE_COUNT_INSTANCE_LIST] = "instance_lists",
 	[NODE_COUNT_ADVICE] = "advice_calls",
 	[NODE_COUNT_LOG_DROPPED] = "log_lines_dropped",
+	[NODE_COUNT_WORKER_UNREADABLE] = "worker_entries_unreadable",
 };
 
 static const char *const time_names[NODE_TIME_MAX] = {
--- a/packages/node/node_worker.c
+++ b/packages/node/node_worker.c
@@ -27,6 +27,10 @@
  * must be in force within two seconds. */
 #define WORKER_LIST_PERIOD (700 * BASE_MS)
 
+/* Revisions of unreadable entries that are remembered; more than a list has in
+ * practice. */
+#define WORKER_UNREADABLE_MAX 1024
+
 struct node_worker {
 	node_holder_t *holder;
 	char *id;
@@ -246,6 +250,27 @@
 				     worker);
 }
 
+/* Logs and counts an unreadable entry once per revision. */
+static void note_unreadable(node_holder_t *holder, const node_item_t *item,
+			    const char *why)
+{
+	const int64_t *noted =
+		g_hash_table_lookup(holder->unreadable_entries, item->key);
+
+	if (noted && *noted == item->revision)
+		return;
+	if (g_hash_table_size(holder->unreadable_entries) >=
+	    WORKER_UNREADABLE_MAX)
+		g_hash_table_remove_all(holder->unreadable_entries);
+	g_hash_table_replace(
+		holder->unreadable_entries, g_strdup(item->key),
+		g_memdup2(&item->revision, sizeof(item->revision)));
+	node_metrics_count(holder->node, NODE_COUNT_WORKER_UNREADABLE);
+	node_log(holder->node, BASE_MSG_WORKER_UNREADABLE,
+		 BASE_F_STR("key", item->key), BASE_F_STR("why", why),
+		 BASE_F_INT("revision", item->revision));
+}
+
 void node_workers_add_listed(node_holder_t *holder, const node_item_t *item)
 {
 	node_t *node = holder->node;
@@ -257,10 +282,7 @@
 
 	if (!node->platform->worker_read(ctx, item->key, item->value, &entry,
 					 &err)) {
-		node_log(node, BASE_MSG_WORKER_UNREADABLE,
-			 BASE_F_STR("key", item->key),
-			 BASE_F_STR("why", err->message),
-			 BASE_F_INT("revision", item->revision));
+		note_unreadable(holder, item, err->message);
 		g_clear_error(&err);
 		talloc_free(ctx);
 		return;
@@ -285,10 +307,7 @@
 		worker->link = node->platform->link_new(
 			worker, node->loop, entry.address, worker->id);
 		if (!worker->link) {
-			node_log(node, BASE_MSG_WORKER_UNREADABLE,
-				 BASE_F_STR("key", item->key),
-				 BASE_F_STR("why", "address"),
-				 BASE_F_INT("revision", item->revision));
+			note_unreadable(holder, item, "address");
 			talloc_free(worker);
 			talloc_free(ctx);
 			return;
