node: check what members, holders and peers write

A member's key carries its cores, read with strtod() and without bounds: "inf" or 1e300 made it the largest entry, to which every holder passes the duty; with "nan" the comparison forgot all sizes before it. The term in the holder's key and in the fence had no upper bound, and one was added to it; numbers in the answers and questions between entries were multiplied unchecked, and a negative state, an index, was taken as it was. Found by looking for the cause of the odd worker entries elsewhere.

A size above 65,536 cores does not count; a term that could not be raised is not read; a number between entries that is out of bounds counts as 0.

The terms and the numbers between entries have no test of their own.

--- a/packages/node/node_election.c
+++ b/packages/node/node_election.c
@@ -42,6 +42,9 @@
  * sizes yet: a small entry waits until the others are up. */
 #define ELECTION_START_DELAY (1000 * BASE_MS)
 
+/* A larger term could not be raised. */
+#define ELECTION_TERM_MAX (INT64_MAX - 1)
+
 static void read_holder_key(void *arg);
 
 /* From 0 for the largest entry up to "most" for one without any cores. */
@@ -75,9 +78,12 @@
 	const char *name = json_string_value(json_object_get(root, "name"));
 	const char *address =
 		json_string_value(json_object_get(root, "address"));
-	int64_t term = json_integer_value(json_object_get(root, "term"));
+	int64_t term;
 
-	if (name && address && term >= node->known_holder.term) {
+	if (name && address &&
+	    base_json_int(json_object_get(root, "term"), 0, ELECTION_TERM_MAX,
+			  &term) &&
+	    term >= node->known_holder.term) {
 		if (term > node->known_holder.term)
 			node_log(node, BASE_MSG_LEAD,
 				 BASE_F_STR("holder", name),
@@ -266,8 +272,9 @@
 	node->campaign_fence = 0;
 	if (item) {
 		root = json_loadb(item->value.ptr, item->value.len, 0, NULL);
-		node->campaign_term =
-			json_integer_value(json_object_get(root, "term")) + 1;
+		if (base_json_int(json_object_get(root, "term"), 0,
+				  ELECTION_TERM_MAX, &node->campaign_term))
+			node->campaign_term++;
 		node->campaign_fence = item->revision;
 		json_decref(root);
 	}
--- a/packages/node/node_member.c
+++ b/packages/node/node_member.c
@@ -6,6 +6,7 @@
 
 #define MEMBER_TTL (10 * BASE_SEC)
 #define MEMBER_RENEW_EVERY (3 * BASE_SEC) /* three renewals within a lease */
+#define MEMBER_CORES_MAX 65536		  /* of one entry; more is not read */
 #define MEMBER_LIST_ROUND 2 /* renewals per read of the list, on average */
 
 static void renew(void *arg);
@@ -34,7 +35,9 @@
 	if (words[0]) {
 		add_member(node, words[0]);
 		cores = words[1] ? g_ascii_strtod(words[1], NULL) : 0;
-		node->largest_cores = MAX(node->largest_cores, cores);
+		/* A wrong size would keep the others from deciding. */
+		if (cores <= MEMBER_CORES_MAX)
+			node->largest_cores = MAX(node->largest_cores, cores);
 	}
 	g_strfreev(words);
 }
--- a/packages/node/node_peer.c
+++ b/packages/node/node_peer.c
@@ -15,6 +15,7 @@
  * usual, is probed before it gets another request. */
 #define PEER_SILENCE_MAX (300 * BASE_MS)
 #define PEER_PROBE_TIMEOUT (300 * BASE_MS)
+#define PEER_TIME_MS_MAX 86400000 /* longest time that is read: a day */
 /* A submit or cancel is relayed through an entry that is not the holder only if
  * that entry reached the holder within this time, which is half the time until
  * a failed holder is replaced. */
@@ -136,6 +137,15 @@
 		 BASE_F_INT("waiting", peer->outstanding));
 }
 
+/* 0 if it is missing or out of bounds. */
+static int64_t read_number(const json_t *root, const char *name, int64_t most)
+{
+	int64_t number = 0;
+
+	base_json_int(json_object_get(root, name), 0, most, &number);
+	return number;
+}
+
 static node_outcome_t read_outcome(const net_answer_t *answer,
 				   const json_t *root)
 {
@@ -149,16 +159,12 @@
 	if (kind < 0)
 		return outcome;
 	outcome.kind = (node_outcome_kind_t)kind;
-	outcome.state = (batch_state_t)json_integer_value(
-		json_object_get(root, "state"));
+	outcome.state =
+		(batch_state_t)read_number(root, "state", BATCH_STATE_MAX - 1);
 	outcome.retry_after =
-		json_integer_value(json_object_get(root, "retry_after_ms")) *
-		BASE_MS;
-	outcome.pending =
-		(size_t)json_integer_value(json_object_get(root, "pending"));
+		read_number(root, "retry_after_ms", PEER_TIME_MS_MAX) * BASE_MS;
+	outcome.pending = (size_t)read_number(root, "pending", INT64_MAX);
 	outcome.why = json_string_value(json_object_get(root, "why"));
-	if (outcome.state >= BATCH_STATE_MAX)
-		outcome.state = BATCH_UNKNOWN;
 	return outcome;
 }
 
@@ -361,9 +367,8 @@
 	ask.id = (char *)id;
 	ask.body = (base_str_t){ json_string_value(body),
 				 json_string_length(body) };
-	ask.deadline =
-		base_clock_mono() +
-		json_integer_value(json_object_get(root, "wait_ms")) * BASE_MS;
+	ask.deadline = base_clock_mono() +
+		       read_number(root, "wait_ms", PEER_TIME_MS_MAX) * BASE_MS;
 	ask.relayed = json_is_true(json_object_get(root, "relayed"));
 	if (node->holder && node_holder_may_decide(node->holder)) {
 		node_holder_handle_request(node->holder, &ask, reply_outcome,
