node: keep the runs of a worker whose entry changes its address

When the entry of a worker named another address, the holder counted the worker as terminated: its runs were lost at once and started again elsewhere, while they went on under their lease at the old address. Callers saw tasks run twice at the same time.

The runs are now kept until the worker answers at the new address as another incarnation, or until their lease ends; until then it gets neither a start nor a lease, since its clock is unknown. "421" from an address at which it has not answered yet says nothing of its runs. The former link stays for the answers that are under way, and an address changes at most once in two seconds, the longest that one can be.

Test: sys_node_odd puts 23 kinds of odd entries beside twelve workers, one after another, with jobs on three entries; then one below a worker's key, and three in place of workers' own entries while these run 250 tasks, and checks that jobs complete, the list is followed, no process ended and no task ran twice. A worker that truly restarts at another address with its id has no test.

--- a/packages/node/node_worker.c
+++ b/packages/node/node_worker.c
@@ -27,6 +27,9 @@
  * must be in force within two seconds. */
 #define WORKER_LIST_PERIOD (700 * BASE_MS)
 
+/* Least time between two addresses of a worker: by then no order or poll at
+ * the former one lacks an answer. */
+#define WORKER_MOVE_GAP (2 * BASE_SEC)
 /* Revisions of unreadable entries that are remembered; more than a list has in
  * practice. */
 #define WORKER_UNREADABLE_MAX 1024
@@ -36,6 +39,8 @@
 	char *id;
 	char *address;
 	node_link_t *link;
+	node_link_t *former_link; /* at its former address, for late answers */
+	int64_t moved_at;	  /* when its address changed; 0: never */
 	net_timer_t *timer;
 	int64_t clock;	   /* last known reading of its clock; -1: unknown */
 	int64_t clock_at;  /* monotonic time of that reading */
@@ -48,6 +53,7 @@
 	bool has_seen_term; /* it rejects orders of earlier terms */
 	bool is_listed;
 	bool is_silent; /* the last poll had no answer */
+	bool is_moved;	/* its address changed, and it did not answer there */
 };
 
 typedef struct order_call {
@@ -57,6 +63,11 @@
 	bool is_start; /* false: it stops or paces a run */
 } order_call_t;
 
+typedef struct poll_call {
+	node_worker_t *worker;
+	const node_link_t *link;
+} poll_call_t;
+
 static void poll_worker(void *arg);
 
 static int64_t lease_length(const node_holder_t *holder)
@@ -165,16 +176,22 @@
 
 static void poll_answered(void *arg, const node_poll_result_t *answer)
 {
-	node_worker_t *worker = arg;
+	poll_call_t *call = arg;
+	node_worker_t *worker = call->worker;
 	node_holder_t *holder = worker->holder;
 	int64_t sent = worker->poll_sent_at;
+	bool is_current = call->link == worker->link;
 
+	talloc_free(call);
+	if (!is_current)
+		return;
 	worker->is_polling = false;
 	if (holder->ended)
 		return;
 	switch (answer->order_status) {
 	case NODE_ORDER_OK:
 		set_silent(worker, false, "answered");
+		worker->is_moved = false;
 		apply_poll(worker, sent, answer);
 		node_holder_step_soon(holder);
 		schedule_poll(worker,
@@ -186,10 +203,13 @@
 	case NODE_ORDER_OTHER_INCARNATION:
 		set_silent(worker, true,
 			   "another worker answers at its address");
-		batch_worker_terminated(holder->core, base_clock_mono(),
-					base_str(worker->id));
+		/* It may live on at its former address, if the new one is
+		 * wrong; its runs then end with their lease. */
+		if (!worker->is_moved)
+			batch_worker_terminated(holder->core, base_clock_mono(),
+						base_str(worker->id));
 		node_holder_step_soon(holder);
-		if (worker->is_listed)
+		if (worker->is_listed || worker->is_moved)
 			schedule_poll(worker, WORKER_POLL_GRACE);
 		else
 			remove_worker(worker);
@@ -222,6 +242,7 @@
 	node_holder_t *holder = worker->holder;
 	int64_t now = base_clock_mono();
 	node_poll_request_t order = { .term = holder->term };
+	poll_call_t *call;
 
 	if (worker->is_polling || !node_holder_may_extend(holder))
 		return;
@@ -246,8 +267,39 @@
 	worker->is_polling = true;
 	worker->poll_sent_at = now;
 	node_metrics_count(holder->node, NODE_COUNT_POLL);
-	holder->node->platform->poll(worker->link, &order, poll_answered,
-				     worker);
+	call = talloc(worker, poll_call_t);
+	*call = (poll_call_t){ worker, worker->link };
+	holder->node->platform->poll(worker->link, &order, poll_answered, call);
+}
+
+/*
+ * The entry has another address: the worker restarted there, or another writer
+ * named it.  Its runs are lost only once it answers there as another
+ * incarnation, or when their lease ends.
+ */
+static void move_worker(node_worker_t *worker, const char *address)
+{
+	const node_t *node = worker->holder->node;
+	int64_t now = base_clock_mono();
+	node_link_t *link;
+
+	if (worker->moved_at && now - worker->moved_at < WORKER_MOVE_GAP)
+		return;
+	link = node->platform->link_new(worker, node->loop, address,
+					worker->id);
+	if (!link)
+		return;
+	talloc_free(worker->former_link);
+	worker->former_link = worker->link;
+	worker->link = link;
+	talloc_free(worker->address);
+	worker->address = talloc_strdup(worker, address);
+	worker->moved_at = now;
+	worker->is_moved = true;
+	worker->clock = -1;
+	worker->has_seen_term = false;
+	worker->is_polling = false;
+	schedule_poll(worker, 0);
 }
 
 /* Logs and counts an unreadable entry once per revision. */
@@ -289,13 +341,8 @@
 	}
 	id = base_str_dup(ctx, entry.info.id);
 	worker = g_hash_table_lookup(holder->worker_links, id);
-	if (worker && strcmp(worker->address, entry.address)) {
-		/* Restarted at another address: the link is of no more use. */
-		batch_worker_terminated(holder->core, base_clock_mono(),
-					entry.info.id);
-		remove_worker(worker);
-		worker = NULL;
-	}
+	if (worker && strcmp(worker->address, entry.address))
+		move_worker(worker, entry.address);
 	if (!worker) {
 		worker = talloc_zero(holder, node_worker_t);
 		worker->holder = holder;
