--- a/packages/node/node_int.h
+++ b/packages/node/node_int.h
@@ -22,6 +22,8 @@
  * holder: a quarter core serves some hundreds of workers. */
 #define NODE_DEFAULT_CORES 0.25
 
+#define NODE_TERM_MAX (INT64_MAX - 1) /* a larger one could not be raised */
+
 typedef struct node node_t;
 typedef struct node_holder node_holder_t;
 typedef struct node_worker node_worker_t;
@@ -189,6 +191,7 @@
 	NODE_COUNT_INSTANCE_LIST,
 	NODE_COUNT_ADVICE,
 	NODE_COUNT_LOG_DROPPED,
+	NODE_COUNT_WORKER_UNREADABLE,
 	NODE_COUNT_MAX
 } node_count_t;
 
@@ -403,6 +406,7 @@
 	int64_t listed_at; /* end of the last complete round; 0: none */
 	bool poll_soon;
 	GHashTable *worker_links; /* worker id to node_worker_t, not owned */
+	GHashTable *unreadable_entries; /* key to the revision last logged */
 	node_insts_t *instances;
 	node_waves_t *waves;
 	node_moves_t *moves;
--- a/packages/node/node_peer.c
+++ b/packages/node/node_peer.c
@@ -5,6 +5,8 @@
  * -> {"kind", "state", "retry_after_ms", "pending", "why", "binding", "term",
  * "decides"}
  */
+#include <limits.h>
+
 #include "node_int.h"
 
 #define PEER_PATH "/ask"
@@ -16,6 +18,7 @@
  * usual, is probed before it gets another request. */
 #define PEER_SILENCE_MAX (300 * BASE_MS)
 #define PEER_PROBE_TIMEOUT (300 * BASE_MS)
+#define PEER_TIME_MS_MAX 86400000 /* longest time that is read: a day */
 /* A submit or cancel is relayed through an entry that is not the holder only if
  * that entry reached the holder within this time, which is half the time until
  * a failed holder is replaced. */
@@ -144,6 +147,15 @@
 		 BASE_F_INT("waiting", peer->outstanding));
 }
 
+/* 0 if it is missing or out of bounds. */
+static int64_t read_number(const json_t *root, const char *name, int64_t most)
+{
+	int64_t number = 0;
+
+	base_json_int(json_object_get(root, name), 0, most, &number);
+	return number;
+}
+
 static node_outcome_t read_outcome(const net_answer_t *answer,
 				   const json_t *root)
 {
@@ -159,17 +171,13 @@
 	if (kind < 0)
 		return outcome;
 	outcome.kind = (node_outcome_kind_t)kind;
-	outcome.state = (batch_state_t)json_integer_value(
-		json_object_get(root, "state"));
+	outcome.state =
+		(batch_state_t)read_number(root, "state", BATCH_STATE_MAX - 1);
 	outcome.retry_after =
-		json_integer_value(json_object_get(root, "retry_after_ms")) *
-		BASE_MS;
-	outcome.pending =
-		(size_t)json_integer_value(json_object_get(root, "pending"));
+		read_number(root, "retry_after_ms", PEER_TIME_MS_MAX) * BASE_MS;
+	outcome.pending = (size_t)read_number(root, "pending", INT64_MAX);
 	outcome.why = json_string_value(json_object_get(root, "why"));
 	outcome.is_binding = json_is_true(json_object_get(root, "binding"));
-	if (outcome.state >= BATCH_STATE_MAX)
-		outcome.state = BATCH_UNKNOWN;
 	return outcome;
 }
 
@@ -178,12 +186,12 @@
 static bool hear_term(peer_t *peer, const json_t *root)
 {
 	node_t *node = peer->node;
-	const json_t *term = json_object_get(root, "term");
+	int64_t term = read_number(root, "term", NODE_TERM_MAX);
 
-	peer->keeps_tokens = term != NULL;
-	node_election_heard_term(node, json_integer_value(term));
+	peer->keeps_tokens = json_object_get(root, "term") != NULL;
+	node_election_heard_term(node, term);
 	return json_is_true(json_object_get(root, "decides")) &&
-	       json_integer_value(term) == node->highest_term;
+	       term == node->highest_term;
 }
 
 static void answered(void *arg, const net_answer_t *answer)
@@ -446,14 +454,13 @@
 	 * version names the time that its caller waits. */
 	ask.deadline =
 		base_clock_mono() +
-		MIN(json_integer_value(json_object_get(root, "wait_ms")) *
-			    BASE_MS,
+		MIN(read_number(root, "wait_ms", PEER_TIME_MS_MAX) * BASE_MS,
 		    PEER_TIMEOUT);
 	ask.relayed = json_is_true(json_object_get(root, "relayed"));
 	ask.token = (char *)json_string_value(json_object_get(root, "token"));
-	ask.try_number = (int)json_integer_value(json_object_get(root, "try"));
+	ask.try_number = (int)read_number(root, "try", INT_MAX);
 	if (is_change(ask.job_op))
-		ask.term = json_integer_value(json_object_get(root, "term"));
+		ask.term = read_number(root, "term", NODE_TERM_MAX);
 	serve_request(node, exchange, &ask);
 	json_decref(root);
 }
