--- a/Makefile
+++ b/Makefile
@@ -28,7 +28,7 @@
 CXX_tsan = clang++-14
 CC = $(CC_$(SAN))
 CXX = $(CXX_$(SAN))
-PC = glib-2.0 jansson talloc libtirpc libxxhash gsl argtable2
+PC = glib-2.0 jansson yajl talloc libtirpc libxxhash gsl argtable2
 PC_CFLAGS := $(shell pkg-config --cflags $(PC) 2>/dev/null)
 PC_LIBS := $(shell pkg-config --libs $(PC) 2>/dev/null)
 CPPFLAGS = -D_GNU_SOURCE $(PACKAGES:%=-Ipackages/%) -Iplatform $(PC_CFLAGS)
@@ -117,7 +117,7 @@
 
 # The entry for the users' platform links only the adapter and what it needs.
 NODE_PACKAGES = base batch net node
-NODE_PC = glib-2.0 jansson talloc gsl argtable2
+NODE_PC = glib-2.0 jansson yajl talloc gsl argtable2
 $(OUT)/libplatform.a: $(patsubst %.c,$(OUT)/%.o,$(filter-out %_main.c,$(wildcard platform/*.c)))
 	@mkdir -p $(@D)
 	@rm -f $@
