net, base: fewer system calls and copies for each call

A holder that starts hundreds of tasks a second spent 5 % of its processor time in epoll_ctl: for each call libevent changes twice what it waits for on the connection. The event loop now keeps these changes until it waits, so that most cancel out. Strings in JSON, among them the payload of up to 4,000 bytes in each start, were added one character at a time; they are now added in pieces.

--- a/packages/base/base_str.c
+++ b/packages/base/base_str.c
@@ -77,17 +77,22 @@
 
 void base_buf_add_json(base_buf_t *buf, base_str_t s)
 {
+	size_t copied = 0;
+
 	base_buf_add(buf, "\"", 1);
 	for (size_t i = 0; i < s.len; i++) {
 		unsigned char c = (unsigned char)s.ptr[i];
 
+		if (c >= 0x20 && c != '"' && c != '\\' && c != 0x7f)
+			continue;
+		base_buf_add(buf, s.ptr + copied, i - copied);
+		copied = i + 1;
 		if (c == '"' || c == '\\')
 			base_buf_addf(buf, "\\%c", c);
-		else if (c < 0x20 || c == 0x7f)
-			base_buf_addf(buf, "\\u%04x", c);
 		else
-			base_buf_add(buf, &s.ptr[i], 1);
+			base_buf_addf(buf, "\\u%04x", c);
 	}
+	base_buf_add(buf, s.ptr + copied, s.len - copied);
 	base_buf_add(buf, "\"", 1);
 }
 
--- a/packages/base/tests/base_test.c
+++ b/packages/base/tests/base_test.c
@@ -11,6 +11,9 @@
 	base_buf_add_json(buf, BASE_STR("a\"\\\n"));
 	g_assert_cmpstr(buf->ptr, ==, "7-\"a\\\"\\\\\\u000a\"");
 	base_buf_reset(buf);
+	base_buf_add_json(buf, BASE_STR("\tab\x7f\xc3\xa9 end"));
+	g_assert_cmpstr(buf->ptr, ==, "\"\\u0009ab\\u007f\xc3\xa9 end\"");
+	base_buf_reset(buf);
 	g_assert_cmpuint(buf->len, ==, 0);
 	base_buf_add_uint(buf, 0);
 	base_buf_add(buf, " ", 1);
--- a/packages/net/net_loop.c
+++ b/packages/net/net_loop.c
@@ -39,9 +39,16 @@
 net_loop_t *net_loop_new(const void *ctx)
 {
 	net_loop_t *loop = talloc_zero(ctx, net_loop_t);
+	struct event_config *config = event_config_new();
 
 	signal(SIGPIPE, SIG_IGN);
-	loop->base = event_base_new();
+	if (!config)
+		abort();
+	/* A connection's changes in one round of the loop, most of which cancel
+	 * out, make one system call; no descriptor is duplicated. */
+	event_config_set_flag(config, EVENT_BASE_FLAG_EPOLL_USE_CHANGELIST);
+	loop->base = event_base_new_with_config(config);
+	event_config_free(config);
 	if (!loop->base)
 		abort();
 	talloc_set_destructor(loop, loop_free);
