soak: find lost requests and tasks that last and stay away

- A link to callers notes since when a request waits on a connection.
If an entry closes it after more than lossSlackMs and no fault but planned work has touched the entry for stableMs before the request, that is a violation.
- 6 in 100 jobs last.
Once nothing was disturbed or started for stableMs and 6 s, each of their tasks runs or has ended less than 6 s before.
- Every other stopped entry runs for 100 of 500 ms from then on.
- One fault in five begins a series of two to four; there are two waves, judged one by one, and values that cannot be read.

--- a/soak/soak_caller.c
+++ b/soak/soak_caller.c
@@ -14,6 +14,8 @@
 #define CALLER_QUERY_INTERVAL (40 * BASE_MS)
 /* Same as the platform's callers. */
 #define CALLER_ATTEMPTS_MAX 4
+/* Jobs whose caller tries once: hardly any job is refused four times. */
+#define CALLER_ONE_ATTEMPT_PERCENT 40
 /* Sent to the entry as X-Deadline-Ms. */
 #define CALLER_DEADLINE (3 * BASE_SEC)
 /* Waited beyond the deadline. */
@@ -26,6 +28,9 @@
 #define CALLER_CANCEL_PERCENT 12
 #define CALLER_CANCEL_MAX (3 * BASE_SEC)
 #define CALLER_WIDE_STEP_MAX 40 /* most tasks of a wide step */
+/* Jobs that run until they are cancelled. */
+#define CALLER_LONG_RUNNING_PERCENT 6
+#define CALLER_LONG_RUNNING_TASKS_MAX 3
 /* Maximum age of a reported state: visible_ms in PROTOCOL. */
 #define CALLER_STALE_MAX (3 * BASE_SEC)
 
@@ -76,7 +81,7 @@
 
 static void retry_or_finish(soak_job_t *job, int64_t delay)
 {
-	if (job->attempts < CALLER_ATTEMPTS_MAX)
+	if (job->attempts < job->attempts_max)
 		net_timer_start(job->timer, delay);
 	else
 		job->outcome = job->may_be_accepted ? SOAK_JOB_UNKNOWN
@@ -108,12 +113,19 @@
 static void submit_job(void *arg)
 {
 	soak_job_t *job = arg;
-	char *body = g_strdup_printf(
+	static const char two_steps[] =
 		"{\"spec\":\"x\",\"steps\":["
 		"{\"count\":%d,\"cpu\":500,\"memMb\":100,\"estimateMs\":300},"
 		"{\"count\":%d,\"cpu\":500,\"memMb\":100,\"estimateMs\":300,"
-		"\"after\":[0]}]}",
-		job->task_count[0], job->task_count[1]);
+		"\"after\":[0]}]}";
+	/* The stand-in knows long-running tasks by their spec. */
+	static const char long_running[] =
+		"{\"spec\":\"lasts\",\"steps\":[{\"count\":%d,\"cpu\":500,"
+		"\"memMb\":100,\"longRunning\":true}]}";
+	char *body = job->is_long_running
+			     ? g_strdup_printf(long_running, job->task_count[0])
+			     : g_strdup_printf(two_steps, job->task_count[0],
+					       job->task_count[1]);
 
 	job->attempts++;
 	send_request(job, NET_POST, body, submit_done, job);
@@ -131,6 +143,17 @@
 	job->task_count[0] = (int)soak_random_range(
 		&callers->rng, 1, wide ? CALLER_WIDE_STEP_MAX : 4);
 	job->task_count[1] = (int)soak_random_range(&callers->rng, 1, 2);
+	job->attempts_max =
+		base_rng_below(&callers->rng, 100) < CALLER_ONE_ATTEMPT_PERCENT
+			? 1
+			: CALLER_ATTEMPTS_MAX;
+	job->is_long_running = base_rng_below(&callers->rng, 100) <
+			       CALLER_LONG_RUNNING_PERCENT;
+	if (job->is_long_running) {
+		job->task_count[0] = (int)soak_random_range(
+			&callers->rng, 1, CALLER_LONG_RUNNING_TASKS_MAX);
+		job->task_count[1] = 0;
+	}
 	if (base_rng_below(&callers->rng, 100) < CALLER_CANCEL_PERCENT)
 		job->cancel_at =
 			base_clock_mono() +
@@ -171,7 +194,7 @@
 		soak_report_violation(
 			job->soak, "job %s: state changed from completed to %s",
 			job->id, state);
-	if (!strcmp(state, "failed") ||
+	if (!strcmp(state, "failed") || (completed && job->is_long_running) ||
 	    (!strcmp(state, "canceled") && !job->cancel_sent))
 		soak_report_violation(job->soak, "job %s: %s without a cause",
 				      job->id, state);
@@ -209,7 +232,7 @@
 static bool is_pending(const soak_job_t *job)
 {
 	return job->outcome == SOAK_JOB_ACCEPTED && !job->cancel_sent &&
-	       !job->completed_at;
+	       !job->completed_at && !job->is_long_running;
 }
 
 /* The next accepted job in round-robin order; while closing, the next pending
--- a/soak/soak_fault.c
+++ b/soak/soak_fault.c
@@ -18,6 +18,13 @@
 /* Longer than the timeout of most calls. */
 #define FAULT_DELAY_MAX (1500 * BASE_MS)
 #define FAULT_WAVE_MAX 2 /* instances of a wave in maintenance at once */
+#define FAULT_WAVES 2	 /* waves in a run; they may overlap */
+/* One fault in so many is the first of a series: the same kind on the same
+ * target, in quick succession. */
+#define FAULT_SERIES_ONE_IN 5
+#define FAULT_SERIES_MAX 3 /* faults after the first */
+#define FAULT_SERIES_GAP_MIN (50 * BASE_MS)
+#define FAULT_SERIES_GAP_MAX (700 * BASE_MS)
 
 typedef struct fault fault_t;
 
@@ -43,8 +50,11 @@
 	int64_t next_at;
 	int started_count;
 	bool is_over;
-	int config_version;   /* last version written */
-	bool is_wave_ordered; /* the wave was ordered; it is ordered once */
+	int config_version; /* last version written */
+	int wave_count;	    /* waves ordered */
+	const kind_t *series_kind;
+	int series_target;
+	int series_left; /* faults that are still due in the series */
 };
 
 static soak_process_t *target_node(soak_t *soak, const fault_t *fault)
@@ -84,10 +94,12 @@
 static bool stop_node(soak_t *soak, fault_t *fault)
 {
 	soak_process_t *node = target_node(soak, fault);
+	bool is_slow = base_rng_below(&soak->rng, 2);
 
 	if (base_clock_mono() - node->started_at < FAULT_PROCESS_AGE_MIN)
 		return false;
 	soak_process_signal(node, SIGTERM);
+	node->is_slow |= is_slow;
 	return true;
 }
 
@@ -119,6 +131,8 @@
 		&soak->rng, SOAK_LINK_DELAY, SOAK_LINK_RESET);
 
 	fault->link = links[kind_index][fault->target % n];
+	if (n == SOAK_NODES)
+		soak_process_disturb(target_node(soak, fault), fault->ends_at);
 	soak_link_set_fault(fault->link, link_fault,
 			    soak_random_range(&soak->rng, FAULT_DELAY_MIN,
 					      FAULT_DELAY_MAX));
@@ -145,6 +159,7 @@
 static bool isolate_node(soak_t *soak, fault_t *fault)
 {
 	set_node_links(soak, fault, SOAK_LINK_DROP_BOTH);
+	soak_process_disturb(target_node(soak, fault), fault->ends_at);
 	return true;
 }
 
@@ -245,13 +260,38 @@
 static bool order_wave(soak_t *soak, fault_t *fault)
 {
 	(void)fault;
-	if (soak->faults->is_wave_ordered)
+	if (soak->faults->wave_count >= FAULT_WAVES)
 		return false;
-	soak->faults->is_wave_ordered = true;
-	soak_order_wave(soak, FAULT_WAVE_MAX);
+	soak_order_wave(soak, ++soak->faults->wave_count, FAULT_WAVE_MAX);
 	return true;
 }
 
+/* The operator makes a mistake and corrects it. */
+static bool write_nonsense(soak_t *soak, fault_t *fault)
+{
+	static const struct {
+		const char *path;
+		const char *body;
+	} writes[] = {
+		{ "/operator?key=op/config", "{\"version\":" },
+		{ "/operator?key=op/config", "null" },
+		{ "/operator?key=op/config", "{\"version\":0,\"routes\":{}}" },
+		{ "/operator?key=op/wave/9", "[9]" },
+		{ "/operator?key=op/wave/9",
+		  "{\"wave\":9,\"machines\":\"m-1\"}" },
+	};
+	uint64_t i = base_rng_below(&soak->rng, ARRAY_SIZE(writes));
+
+	(void)fault;
+	soak_post(soak, writes[i].path, writes[i].body);
+	return true;
+}
+
+static void correct_config(soak_t *soak, fault_t *fault)
+{
+	change_config(soak, fault);
+}
+
 static bool longer_tasks(soak_t *soak, fault_t *fault)
 {
 	(void)fault;
@@ -286,6 +326,8 @@
 	{ "worker silent", 8, 300 * BASE_MS, 6 * BASE_SEC, silence_worker,
 	  clear_worker_fault },
 	{ "configuration", 6, 0, 0, change_config, NULL },
+	{ "nonsense", 4, 50 * BASE_MS, 2 * BASE_SEC, write_nonsense,
+	  correct_config },
 	{ "upkeep", 4, 0, 0, order_wave, NULL },
 	{ "long tasks", 5, 500 * BASE_MS, 5 * BASE_SEC, longer_tasks,
 	  default_tasks },
@@ -343,6 +385,22 @@
 	talloc_free(fault);
 }
 
+/* The next fault of the series, or another one that may begin a series. */
+static void draw_series(soak_faults_t *faults)
+{
+	soak_t *soak = faults->soak;
+
+	if (faults->series_left) {
+		faults->series_left--;
+		return;
+	}
+	faults->series_kind = draw_kind(soak);
+	faults->series_target = (int)base_rng_below(&soak->rng, SOAK_WORKERS);
+	if (base_rng_below(&soak->rng, FAULT_SERIES_ONE_IN) == 0)
+		faults->series_left =
+			(int)soak_random_range(&soak->rng, 1, FAULT_SERIES_MAX);
+}
+
 /* Draws every random value even if the fault cannot start, so that the later
  * sequence depends on the seed alone. */
 static void begin_fault(soak_faults_t *faults, int64_t now)
@@ -350,8 +408,9 @@
 	soak_t *soak = faults->soak;
 	fault_t *fault = talloc_zero(faults, fault_t);
 
-	fault->kind = draw_kind(soak);
-	fault->target = (int)base_rng_below(&soak->rng, SOAK_WORKERS);
+	draw_series(faults);
+	fault->kind = faults->series_kind;
+	fault->target = faults->series_target;
 	fault->ends_at =
 		now + soak_random_range(&soak->rng, fault->kind->min_us,
 					fault->kind->max_us);
@@ -378,8 +437,14 @@
 	    faults->active->len >= FAULT_ACTIVE_MAX)
 		return;
 	begin_fault(faults, now);
-	faults->next_at = now + soak_random_range(&faults->soak->rng,
-						  FAULT_GAP_MIN, FAULT_GAP_MAX);
+	faults->next_at =
+		now +
+		(faults->series_left
+			 ? soak_random_range(&faults->soak->rng,
+					     FAULT_SERIES_GAP_MIN,
+					     FAULT_SERIES_GAP_MAX)
+			 : soak_random_range(&faults->soak->rng, FAULT_GAP_MIN,
+					     FAULT_GAP_MAX));
 }
 
 void soak_faults_end_all(soak_faults_t *faults)
--- a/soak/soak_int.h
+++ b/soak/soak_int.h
@@ -38,6 +38,11 @@
 /* Relays 127.0.0.1:"from" to 127.0.0.1:"to"; NULL if "from" cannot be bound. */
 soak_link_t *soak_link_new(const void *ctx, struct event_base *base, int from,
 			   int to);
+/* Called when the server closes a connection on which a request waits that was
+ * sent at "asked_at". */
+typedef void soak_link_lost_t(void *arg, int64_t asked_at);
+void soak_link_report_lost(soak_link_t *link, soak_link_lost_t *lost,
+			   void *arg);
 /* Sets the fault of a link; "delay" is used by SOAK_LINK_DELAY.  Resets each
  * connection that has lost bytes. */
 void soak_link_set_fault(soak_link_t *link, soak_link_fault_t fault,
@@ -52,7 +57,12 @@
 	pid_t pid; /* 0: not running */
 	int64_t started_at;
 	bool is_paused;
+	/* Starved: it runs for a fifth of the time.  No fault in itself. */
+	bool is_slow;
 	bool is_exit_expected; /* any exit status is accepted */
+	/* When a fault other than planned work last touched it or its links,
+	 * or will. */
+	int64_t disturbed_at;
 	int64_t terminated_at; /* when SIGTERM was sent; 0: not sent */
 	int64_t restart_at;    /* 0: no restart planned */
 	int64_t restart_delay; /* from the exit to the restart */
@@ -64,6 +74,10 @@
 void soak_process_signal(soak_process_t *process, int signo);
 /* Handles an exit, and restarts the process when it is due. */
 void soak_process_tick(soak_process_t *process, int64_t now);
+/* Notes that a fault touches the process or its links until then. */
+void soak_process_disturb(soak_process_t *process, int64_t until);
+/* Whether no such fault has touched it since then. */
+bool soak_process_is_calm(const soak_process_t *process, int64_t since);
 /* Kills the process and does not restart it. */
 void soak_process_kill(soak_process_t *process);
 
@@ -86,14 +100,22 @@
 } soak_outcome_t;
 
 #define SOAK_STEPS 2
+/* "Calm" and a machine "in touch": no fault for this long, stableMs in RULES.
+ */
+#define SOAK_STABLE (4 * BASE_SEC)
+/* A long-running task runs again within this time after its last run, from
+ * RULES. */
+#define SOAK_AWAY_MAX (6 * BASE_SEC)
 
 typedef struct soak_job {
 	soak_t *soak;
 	char id[17];
 	int task_count[SOAK_STEPS]; /* step 1 depends on step 0 */
+	bool is_long_running;	    /* it has one step and never completes */
 	soak_outcome_t outcome;
 	bool may_be_accepted; /* an attempt may have been accepted */
 	int attempts;
+	int attempts_max;
 	int64_t accepted_at;
 	int64_t cancel_at;    /* when the caller cancels; 0: never */
 	bool cancel_sent;     /* it may have been accepted */
@@ -113,7 +135,8 @@
 size_t soak_callers_count_pending(const soak_callers_t *callers);
 
 /* soak_judge.c */
-/* Checks the answers to callers against the workers' records. */
+/* Checks the answers to callers against the workers' records.  Without a fault
+ * for SOAK_STABLE + SOAK_AWAY_MAX, long-running tasks have to be at work. */
 void soak_check_jobs(soak_t *soak, base_str_t records);
 
 /* soak_main.c */
@@ -159,9 +182,10 @@
 /* Posts to the stand-in; "body" may be NULL. */
 void soak_post(soak_t *soak, const char *path, const char *body);
 int soak_port(const soak_t *soak, soak_port_kind_t kind, int number);
-/* Writes a configuration, or orders a wave, as the operator. */
+/* Writes a configuration, or orders a wave, as the operator.  Waves of even
+ * and of odd numbers have different instances. */
 void soak_configure(soak_t *soak, int version);
-void soak_order_wave(soak_t *soak, int max_concurrent);
+void soak_order_wave(soak_t *soak, int number, int max_concurrent);
 /* A random number from "min" to "max", both included. */
 int64_t soak_random_range(base_rng_t *rng, int64_t min, int64_t max);
 
--- a/soak/soak_judge.c
+++ b/soak/soak_judge.c
@@ -15,7 +15,8 @@
 	int64_t starts;
 	int64_t first_start;
 	int64_t last_start;
-	int64_t done; /* first completion; 0: none */
+	int64_t done;	  /* first completion; 0: none */
+	int64_t last_end; /* 0: none, or it runs again */
 } task_record_t;
 
 /* The records of all tasks of one step. */
@@ -25,6 +26,7 @@
 	int64_t first_start;
 	int64_t last_start;
 	int64_t last_done; /* latest first completion of a task */
+	int64_t present;   /* tasks that run or ended a short time ago */
 } step_t;
 
 typedef struct history {
@@ -42,10 +44,13 @@
 	step->done += task_record->done != 0;
 	step->last_start = MAX(step->last_start, task_record->last_start);
 	step->last_done = MAX(step->last_done, task_record->done);
+	step->present +=
+		!task_record->last_end ||
+		base_clock_mono() - task_record->last_end < SOAK_AWAY_MAX;
 }
 
-/* Reads rows of task (ID.K.STEP.INDEX), starts, first start, last start and
- * first completion into a table of job histories. */
+/* Reads rows of task (ID.K.STEP.INDEX), starts, first start, last start, first
+ * completion and last end into a table of job histories. */
 static GHashTable *read_records(soak_t *soak, base_str_t text)
 {
 	GHashTable *jobs =
@@ -66,6 +71,7 @@
 			json_integer_value(json_array_get(row, 2)),
 			json_integer_value(json_array_get(row, 3)),
 			json_integer_value(json_array_get(row, 4)),
+			json_integer_value(json_array_get(row, 5)),
 		};
 		job_history_t *history;
 		long number;
@@ -139,6 +145,20 @@
 					BASE_SEC);
 }
 
+static void check_long_running(const soak_job_t *job,
+			       const job_history_t *history)
+{
+	if (job->outcome == SOAK_JOB_ACCEPTED && !job->cancel_sent &&
+	    base_clock_mono() - job->accepted_at > SOAK_AWAY_MAX &&
+	    history->steps[0].present < job->task_count[0])
+		soak_report_violation(
+			job->soak,
+			"job %s: %d of %d long-running tasks do not run",
+			job->id,
+			job->task_count[0] - (int)history->steps[0].present,
+			job->task_count[0]);
+}
+
 static void check_job(const soak_job_t *job, const job_history_t *history)
 {
 	static const job_history_t empty;
@@ -147,13 +167,16 @@
 		soak_report_violation(job->soak, "job %s: refused, but it ran",
 				      job->id);
 	if (job->outcome == SOAK_JOB_ACCEPTED && !job->cancel_sent &&
-	    !job->completed_at)
+	    !job->completed_at && !job->is_long_running)
 		soak_report_violation(job->soak,
 				      "job %s: accepted, but not completed",
 				      job->id);
 	if (!history)
 		history = &empty;
-	check_order(job, history);
+	if (job->is_long_running)
+		check_long_running(job, history);
+	else
+		check_order(job, history);
 	if (job->completed_at)
 		check_completed(job, history);
 	if (job->cancelled_at)
--- a/soak/soak_link.c
+++ b/soak/soak_link.c
@@ -2,6 +2,10 @@
  * A TCP relay that can delay or drop bytes or reset connections.  A connection
  * that has lost bytes discards further input of both sides and is reset when
  * the link recovers, since no network delivers the rest of such a stream.
+ *
+ * Callers send one request at a time on a connection, so that a connection
+ * waits for an answer from the last byte of its client to the next byte of its
+ * server.
  */
 #include <arpa/inet.h>
 #include <event2/buffer.h>
@@ -35,6 +39,8 @@
 	struct bufferevent *ends[SIDE_MAX];
 	flow_t flows[SIDE_MAX];
 	bool has_lost_bytes;
+	bool is_accepted; /* by the server's host */
+	int64_t asked_at; /* last byte of a request; 0: none waits */
 };
 
 struct soak_link {
@@ -43,6 +49,8 @@
 	int to;
 	soak_link_fault_t fault;
 	int64_t delay;
+	soak_link_lost_t *lost;
+	void *arg;
 	GPtrArray *connections;
 };
 
@@ -124,6 +132,14 @@
 	}
 }
 
+/* Passes bytes of "from" on. */
+static void deliver(connection_t *connection, side_t from,
+		    struct evbuffer *bytes)
+{
+	connection->asked_at = from == SIDE_CLIENT ? base_clock_mono() : 0;
+	bufferevent_write_buffer(connection->ends[!from], bytes);
+}
+
 static void deliver_due(evutil_socket_t fd, short what, void *arg)
 {
 	flow_t *flow = arg;
@@ -135,8 +151,7 @@
 	while ((chunk = g_queue_peek_head(&flow->delayed)) &&
 	       chunk->due_at <= now) {
 		g_queue_pop_head(&flow->delayed);
-		bufferevent_write_buffer(flow->connection->ends[!flow->from],
-					 chunk->bytes);
+		deliver(flow->connection, flow->from, chunk->bytes);
 		chunk_free(chunk);
 	}
 	schedule_next(flow, now);
@@ -180,7 +195,7 @@
 		   !g_queue_is_empty(&flow->delayed)) {
 		delay_bytes(flow, input);
 	} else {
-		bufferevent_write_buffer(connection->ends[!from], input);
+		deliver(connection, from, input);
 	}
 }
 
@@ -194,7 +209,13 @@
 {
 	connection_t *connection = arg;
 	side_t from = side_of(connection, end);
+	const soak_link_t *link = connection->link;
 
+	if (what & BEV_EVENT_CONNECTED)
+		connection->is_accepted = true;
+	if ((what & (BEV_EVENT_ERROR | BEV_EVENT_EOF)) && from == SIDE_SERVER &&
+	    connection->is_accepted && connection->asked_at && link->lost)
+		link->lost(link->arg, connection->asked_at);
 	if (what & BEV_EVENT_ERROR) {
 		connection_close(connection, true);
 	} else if (what & BEV_EVENT_EOF) {
@@ -275,6 +296,12 @@
 	return link;
 }
 
+void soak_link_report_lost(soak_link_t *link, soak_link_lost_t *lost, void *arg)
+{
+	link->lost = lost;
+	link->arg = arg;
+}
+
 void soak_link_set_fault(soak_link_t *link, soak_link_fault_t fault,
 			 int64_t delay)
 {
--- a/soak/soak_main.c
+++ b/soak/soak_main.c
@@ -29,6 +29,9 @@
 #define SOAK_PORT_BLOCKS 40
 #define SOAK_WAVE_INSTANCES 5 /* instances in the wave */
 #define SOAK_DRIFT_PERCENT 2  /* clock error of the workers, from PROTOCOL */
+/* A request may be lost if its connection is closed sooner than this after its
+ * last byte: lossSlackMs in RULES. */
+#define SOAK_LOSS_SLACK (200 * BASE_MS)
 
 typedef enum phase {
 	PHASE_START,
@@ -48,6 +51,7 @@
 	bool started;	   /* the stand-in is this run's own */
 	bool is_served;	   /* a job submitted after the faults was accepted */
 	guint jobs_before; /* submitted before the faults ended */
+	int64_t faults_ended_at;
 	net_timer_t *timer;
 } run_t;
 
@@ -123,17 +127,39 @@
 	g_free(body);
 }
 
-void soak_order_wave(soak_t *soak, int max_concurrent)
+void soak_order_wave(soak_t *soak, int number, int max_concurrent)
 {
-	GString *body = g_string_new("{\"wave\":1,\"machines\":[");
+	GString *body = g_string_new(NULL);
+	char *path = g_strdup_printf("/operator?key=op/wave/%d", number);
 	int i;
 
+	g_string_append_printf(body, "{\"wave\":%d,\"machines\":[", number);
 	for (i = 0; i < SOAK_WAVE_INSTANCES; i++)
-		g_string_append_printf(body, "%s\"m-%d\"", i ? "," : "", i * 2);
+		g_string_append_printf(body, "%s\"m-%d\"", i ? "," : "",
+				       i * 2 + (number + 1) % 2);
 	g_string_append_printf(body, "],\"durationS\":60,\"atMost\":%d}",
 			       max_concurrent);
-	soak_post(soak, "/operator?key=op/wave/1", body->str);
+	soak_post(soak, path, body->str);
 	g_string_free(body, TRUE);
+	g_free(path);
+}
+
+/* A node closed a connection on which a request waits. */
+static void request_lost(void *arg, int64_t asked_at)
+{
+	soak_process_t *node = arg;
+	int64_t now = base_clock_mono();
+
+	if (now - asked_at > SOAK_LOSS_SLACK &&
+	    soak_process_is_calm(node, asked_at - SOAK_STABLE))
+		soak_report_violation(
+			node->soak,
+			"%s: closed a connection without an answer, %d ms "
+			"after a request and %d ms after SIGTERM",
+			node->name, (int)((now - asked_at) / BASE_MS),
+			node->terminated_at
+				? (int)((now - node->terminated_at) / BASE_MS)
+				: -1);
 }
 
 static char *write_settings(const soak_t *soak, int i)
@@ -250,6 +276,8 @@
 	soak_configure(soak, 1);
 	for (i = 0; i < SOAK_NODES; i++) {
 		soak->nodes[i] = node_new(soak, i);
+		soak_link_report_lost(soak->caller_links[i], request_lost,
+				      soak->nodes[i]);
 		soak_process_start(soak->nodes[i]);
 	}
 	soak->callers = soak_callers_new(soak);
@@ -337,10 +365,23 @@
 	soak_faults_end_all(soak->faults);
 	for (i = 0; i < SOAK_NODES; i++)
 		soak_process_signal(soak->nodes[i], SIGCONT);
+	run->faults_ended_at = base_clock_mono();
 	run->jobs_before = soak_callers_jobs(soak->callers)->len;
 	begin_phase(run, PHASE_RECOVERY);
 }
 
+/* Whether no process was started, and no fault was there, for so long that
+ * long-running tasks must be at work. */
+static bool is_calm(const run_t *run, int64_t now)
+{
+	int64_t since = run->faults_ended_at;
+	int i;
+
+	for (i = 0; i < SOAK_NODES; i++)
+		since = MAX(since, run->soak->nodes[i]->started_at);
+	return now - since > SOAK_STABLE + SOAK_AWAY_MAX;
+}
+
 static void recovery_tick(run_t *run, int64_t now)
 {
 	soak_t *soak = run->soak;
@@ -360,7 +401,7 @@
 	soak_callers_tick(soak->callers, now, run->is_served);
 	if (!run->is_served)
 		return;
-	if (!soak_callers_count_pending(soak->callers) ||
+	if ((is_calm(run, now) && !soak_callers_count_pending(soak->callers)) ||
 	    now - run->phase_since > SOAK_COMPLETION_MAX) {
 		begin_phase(run, PHASE_CHECK);
 		query_results(run);
--- a/soak/soak_process.c
+++ b/soak/soak_process.c
@@ -14,6 +14,10 @@
 /* Longest time from SIGTERM to the exit: twice the setting grace_s, to allow
  * for a busy machine. */
 #define PROCESS_STOP_MAX (12 * BASE_SEC)
+/* A slow process is stopped for the second part of each period.  On a machine
+ * with a small share of a processor the rounds of a loop get as long. */
+#define PROCESS_SLOW_PERIOD (500 * BASE_MS)
+#define PROCESS_SLOW_RUNS (100 * BASE_MS)
 
 soak_process_t *soak_process_new(soak_t *soak, const char *name,
 				 char *const *argv)
@@ -54,6 +58,7 @@
 	process->terminated_at = 0;
 	process->is_exit_expected = false;
 	process->is_paused = false;
+	process->is_slow = false;
 	process->pid = fork();
 	if (!process->pid)
 		exec_program(process);
@@ -69,6 +74,8 @@
 	if (!process->pid)
 		return;
 	kill(process->pid, signo);
+	if (signo == SIGKILL || signo == SIGSTOP || signo == SIGCONT)
+		soak_process_disturb(process, base_clock_mono());
 	if (signo == SIGKILL)
 		process->is_exit_expected = true;
 	else if (signo == SIGTERM && !process->terminated_at)
@@ -79,6 +86,24 @@
 		process->is_paused = false;
 }
 
+void soak_process_disturb(soak_process_t *process, int64_t until)
+{
+	process->disturbed_at = MAX(process->disturbed_at, until);
+}
+
+bool soak_process_is_calm(const soak_process_t *process, int64_t since)
+{
+	return !process->is_paused && process->disturbed_at < since;
+}
+
+static void slow_down(const soak_process_t *process, int64_t now)
+{
+	bool runs = now % PROCESS_SLOW_PERIOD < PROCESS_SLOW_RUNS;
+
+	if (process->is_slow && !process->is_paused)
+		kill(process->pid, runs ? SIGCONT : SIGSTOP);
+}
+
 static void handle_exit(soak_process_t *process, int status, int64_t now)
 {
 	if (process->terminated_at && !process->is_exit_expected && status)
@@ -107,6 +132,7 @@
 		handle_exit(process, status, now);
 		return;
 	}
+	slow_down(process, now);
 	if (process->terminated_at && !process->is_paused &&
 	    !process->is_exit_expected &&
 	    now - process->terminated_at > PROCESS_STOP_MAX) {
--- a/standin/platform/sp_int.h
+++ b/standin/platform/sp_int.h
@@ -65,6 +65,7 @@
 	int64_t started_at, lease_end_us, fencing_token, next_end_number,
 		restart_at;
 	bool in_maintenance;   /* stopped for maintenance */
+	int64_t wave;	       /* that the maintenance belongs to */
 	bool ignores_requests; /* accepts requests, ignores them */
 	bool drops_answers;    /* handles requests, never answers */
 	GArray *runs, *unacknowledged_ends, *ended_runs;
@@ -111,7 +112,7 @@
 	GHashTable *tasks;	  /* by name: sp_task_t */
 	int starts, finished, violations, maintenance_count, advice_requests,
 		tickets_refused;
-	int max_in_maintenance; /* most at the same time */
+	int max_in_maintenance; /* most at the same time for one wave */
 	char first_violation[160];
 	net_server_t *control;
 	/* The store on a second port, whose entry can be rejected. */
@@ -156,6 +157,7 @@
 GHashTable *sp_records_new(void);
 void sp_record_start(sp_t *sp, const char *task);
 void sp_record_done(sp_t *sp, const char *task);
+void sp_record_end(sp_t *sp, const char *task);
 void sp_records_serve(const sp_t *sp, net_exchange_t *exchange);
 
 /* sp_main.c */
--- a/standin/platform/sp_record.c
+++ b/standin/platform/sp_record.c
@@ -1,6 +1,6 @@
 /*
- * Records of each task for tests: how often and when it started, and when it
- * first completed.
+ * Records of each task for tests: how often and when it started, when it first
+ * completed, and when its last run ended.
  */
 #include "sp_int.h"
 
@@ -8,7 +8,8 @@
 	int starts;
 	int64_t first_start; /* monotonic time, microseconds */
 	int64_t last_start;
-	int64_t done; /* first completion; 0: none */
+	int64_t done;	  /* first completion; 0: none */
+	int64_t last_end; /* 0: none, or it runs again */
 } sp_task_t;
 
 GHashTable *sp_records_new(void)
@@ -32,6 +33,7 @@
 	sp_task_t *task = get_task(sp, name);
 
 	task->last_start = base_clock_mono();
+	task->last_end = 0;
 	if (!task->starts++)
 		task->first_start = task->last_start;
 }
@@ -44,7 +46,13 @@
 		task->done = base_clock_mono();
 }
 
-/* [[task, starts, first start, last start, first completion], ...] */
+void sp_record_end(sp_t *sp, const char *name)
+{
+	get_task(sp, name)->last_end = base_clock_mono();
+}
+
+/* [[task, starts, first start, last start, first completion, last end],
+ * ...] */
 void sp_records_serve(const sp_t *sp, net_exchange_t *exchange)
 {
 	json_t *rows = json_array();
@@ -58,10 +66,11 @@
 
 		json_array_append_new(
 			rows,
-			json_pack("[s,i,I,I,I]", (const char *)name,
+			json_pack("[s,i,I,I,I,I]", (const char *)name,
 				  task->starts, (json_int_t)task->first_start,
 				  (json_int_t)task->last_start,
-				  (json_int_t)task->done));
+				  (json_int_t)task->done,
+				  (json_int_t)task->last_end));
 	}
 	sp_reply_json(exchange, 200, rows);
 }
--- a/standin/platform/sp_worker.c
+++ b/standin/platform/sp_worker.c
@@ -48,8 +48,12 @@
 void sp_worker_terminate(sp_worker_t *worker)
 {
 	char *key = g_strdup_printf("servers/%s", worker->id);
+	guint i;
 
 	worker->up = false;
+	for (i = 0; i < worker->runs->len; i++)
+		sp_record_end(worker->sp,
+			      g_array_index(worker->runs, sp_run_t, i).task);
 	g_array_set_size(worker->runs, 0);
 	g_array_set_size(worker->unacknowledged_ends, 0);
 	g_array_set_size(worker->ended_runs, 0);
@@ -66,6 +70,7 @@
 			     g_array_index(worker->runs, sp_run_t, at),
 			     result };
 
+	sp_record_end(worker->sp, end.run.task);
 	g_array_append_val(worker->unacknowledged_ends, end);
 	g_array_append_val(worker->ended_runs, end.run);
 	g_array_remove_index(worker->runs, at);
@@ -369,8 +374,8 @@
 		json_pack("{s:o,s:n}", "machines", machines, "nextToken"));
 }
 
-/* Records the most workers in maintenance at the same time. */
-static void record_maintenance(sp_worker_t *worker)
+/* Records the most workers in maintenance at the same time for one wave. */
+static void record_maintenance(sp_worker_t *worker, int64_t wave)
 {
 	sp_t *sp = worker->sp;
 	int in_maintenance = 0;
@@ -378,8 +383,10 @@
 
 	sp->maintenance_count++;
 	worker->in_maintenance = true;
+	worker->wave = wave;
 	for (i = 0; i < sp->n_workers; i++)
-		in_maintenance += sp->workers[i].in_maintenance;
+		in_maintenance += sp->workers[i].in_maintenance &&
+				  sp->workers[i].wave == wave;
 	sp->max_in_maintenance = MAX(sp->max_in_maintenance, in_maintenance);
 }
 
@@ -409,7 +416,9 @@
 	} else {
 		sp_worker_terminate(worker);
 		if (g_str_has_suffix(path, "upkeep"))
-			record_maintenance(worker);
+			record_maintenance(
+				worker, json_integer_value(
+						json_object_get(root, "wave")));
 		if (pool)
 			g_strlcpy(worker->pool, pool, sizeof(worker->pool));
 		worker->restart_at =
