node: end a planned stop only when nothing happens

An entry that was short of processor closed connections without an answer 5 to 10 s after SIGTERM, found by the soak: "node-1: closed a connection without an answer, 356 ms after a request and 5555 ms after SIGTERM". It exits after two idle ticks, and a late tick began the count anew; where every other tick is late it never got to two. After four fifths of the grace period it then exited at the first tick at which nobody waited, with replies of that round unwritten and requests unread.

Now a late tick keeps the count but is never the last. After four fifths of the grace period the entry stops listening, closes each connection after its reply, no longer counts what other entries send, and still waits for two idle ticks; at 95 % it exits in any case.

--- a/packages/net/net.h
+++ b/packages/net/net.h
@@ -136,6 +136,12 @@
 void net_reply(net_exchange_t *exchange, int status,
 	       const net_header_t *headers, size_t n_headers, base_str_t body);
 
+/*
+ * Stops listening.  Open connections are served on; each is closed after its
+ * next reply.
+ */
+void net_server_close(net_server_t *server);
+
 /* Number of requests that are not answered yet. */
 size_t net_server_pending(const net_server_t *server);
 
--- a/packages/net/net_server.c
+++ b/packages/net/net_server.c
@@ -9,6 +9,7 @@
 	struct evhttp *http;
 	net_handler_t *handler;
 	void *arg;
+	struct evhttp_bound_socket *listener; /* NULL: it is closed */
 	size_t n_pending;
 	uint64_t n_connections;
 	uint64_t n_requests;
@@ -72,8 +73,10 @@
 	evhttp_set_max_headers_size(server->http, NET_HEADERS_MAX);
 	evhttp_set_gencb(server->http, on_request, server);
 	evhttp_set_bevcb(server->http, on_connection, server);
-	if (!net_address_split(server, address, &host, &port) ||
-	    evhttp_bind_socket(server->http, host, port)) {
+	if (net_address_split(server, address, &host, &port))
+		server->listener = evhttp_bind_socket_with_handle(server->http,
+								  host, port);
+	if (!server->listener) {
 		g_set_error(err, NET_ERROR, NET_ERR_ADDRESS,
 			    "cannot listen on \"%s\"", address);
 		talloc_free(server);
@@ -125,6 +128,8 @@
 		evhttp_add_header(out, "Content-Type", "application/json");
 		evbuffer_add(buffer, body.ptr, body.len);
 	}
+	if (!exchange->server->listener)
+		evhttp_add_header(out, "Connection", "close");
 	exchange->server->n_pending--;
 	exchange->server->n_replies++;
 	evhttp_send_reply(exchange->req, status, NULL, buffer);
@@ -132,6 +137,13 @@
 	talloc_free(exchange);
 }
 
+void net_server_close(net_server_t *server)
+{
+	if (server->listener)
+		evhttp_del_accept_socket(server->http, server->listener);
+	server->listener = NULL;
+}
+
 size_t net_server_pending(const net_server_t *server)
 {
 	return server->n_pending;
--- a/packages/node/node_int.h
+++ b/packages/node/node_int.h
@@ -141,6 +141,7 @@
 	net_server_t *metrics_server;
 	net_timer_t *stop_timer;
 	int64_t stop_deadline;	/* open requests are ended then */
+	int64_t stop_end;	/* the process exits then in any case */
 	int64_t linger_until;	/* new connections may arrive until then */
 	uint64_t stop_activity; /* of the servers at the last tick */
 	int64_t stop_ticked_at;
--- a/packages/node/node_run.c
+++ b/packages/node/node_run.c
@@ -7,6 +7,9 @@
 /* Fraction of the grace period after which requests that are still open get
  * an answer from this entry.  The rest is for sending these answers. */
 #define RUN_GRACE_FRACTION 0.8
+/* Fraction of the grace period after which the process exits in any case: the
+ * platform kills it soon after. */
+#define RUN_EXIT_FRACTION 0.95
 #define RUN_STOP_TICK (50 * BASE_MS)
 /* The process exits after this many ticks in a row without a connection,
  * request or reply: what had arrived by the first one was read and answered by
@@ -33,30 +36,36 @@
 	net_reply(exchange, is_ready(arg) ? 200 : 503, NULL, 0, BASE_STR(""));
 }
 
-/* Whether nobody waits for an answer and nothing happened since the last tick.
- * A late tick, after a pause of the process, tells nothing: the loop may not
- * have looked at its connections yet. */
-static bool is_idle_tick(node_t *node, int64_t now)
+/* Counts the ticks in a row at which nobody waits for an answer and nothing
+ * happened since the tick before.  A late tick, after a pause of the process,
+ * is never the last of them: the loop may not have looked at its connections
+ * yet. */
+static void count_idle_tick(node_t *node, int64_t now)
 {
-	uint64_t activity = net_server_activity(node->front) +
-			    net_server_activity(node->peer_server);
-	bool idle = activity == node->stop_activity &&
-		    now - node->stop_ticked_at < 2 * RUN_STOP_TICK &&
-		    !net_server_pending(node->front) &&
-		    !g_hash_table_size(node->open_requests);
-
+	uint64_t activity = net_server_activity(node->front);
+
+	/* Other entries repeat a request elsewhere if its answer is missing. */
+	if (now < node->stop_deadline)
+		activity += net_server_activity(node->peer_server);
+	if (activity != node->stop_activity ||
+	    net_server_pending(node->front) ||
+	    g_hash_table_size(node->open_requests))
+		node->stop_idle_ticks = 0;
+	else if (now - node->stop_ticked_at < 2 * RUN_STOP_TICK)
+		node->stop_idle_ticks++;
+	else
+		node->stop_idle_ticks =
+			MIN(node->stop_idle_ticks, RUN_STOP_IDLE_TICKS - 1);
 	node->stop_activity = activity;
 	node->stop_ticked_at = now;
-	return idle;
 }
 
 /* Whether the process may exit: no answer is lost, or its time is over. */
 static bool has_drained(const node_t *node, int64_t now)
 {
-	return now >= node->linger_until &&
-	       (node->stop_idle_ticks >= RUN_STOP_IDLE_TICKS ||
-		(now >= node->stop_deadline &&
-		 !g_hash_table_size(node->open_requests)));
+	return (now >= node->linger_until &&
+		node->stop_idle_ticks >= RUN_STOP_IDLE_TICKS) ||
+	       now >= node->stop_end;
 }
 
 static void stop_tick(void *arg)
@@ -64,12 +73,14 @@
 	node_t *node = arg;
 	int64_t now = base_clock_mono();
 
-	node->stop_idle_ticks =
-		is_idle_tick(node, now) ? node->stop_idle_ticks + 1 : 0;
-	if (now >= node->stop_deadline &&
-	    g_hash_table_size(node->open_requests)) {
+	count_idle_tick(node, now);
+	if (now >= node->stop_deadline) {
+		/* Callers that come all the time must not keep it from being
+		 * idle. */
+		net_server_close(node->front);
 		node_dispatch_answer_all(node);
-	} else if (has_drained(node, now)) {
+	}
+	if (has_drained(node, now)) {
 		node_log(node, BASE_MSG_STOPPED,
 			 BASE_F_INT("term", node->known_holder.term));
 		node_log_flush(node);
@@ -89,6 +100,8 @@
 	node->stopping = true;
 	node->stop_deadline = now + (int64_t)(RUN_GRACE_FRACTION *
 					      (double)node->settings->grace);
+	node->stop_end = now + (int64_t)(RUN_EXIT_FRACTION *
+					 (double)node->settings->grace);
 	node->linger_until = now + RUN_STOP_LINGER;
 	node_log(node, BASE_MSG_DRAINING, BASE_F_INT("signal", signo),
 		 BASE_F_BOOL("holder", node->holder != NULL),
