node: hold signals until their handlers are set

An entry that was told to read its settings again while it started was ended by that signal, and one that was told to stop exited with the signal's status: the handlers are set after the settings are read and the ports are open, which takes some time on a small machine.

SIGTERM and SIGHUP are blocked until then. What the loader does before main() is still without protection.

tests/sys_node_signal keeps the settings in a pipe, so that the process waits for them as the signal comes.

--- a/packages/node/node_run.c
+++ b/packages/node/node_run.c
@@ -211,13 +211,25 @@
 	return EXIT_FAILURE;
 }
 
+/* A signal that comes while the process starts waits for its handler. */
+static void hold_signals(int how)
+{
+	sigset_t set;
+
+	sigemptyset(&set);
+	sigaddset(&set, SIGTERM);
+	sigaddset(&set, SIGHUP);
+	sigprocmask(how, &set, NULL);
+}
+
 int node_run(const node_options_t *options)
 {
 	GError *err = NULL;
-	node_settings_t *settings =
-		read_settings(NULL, options->settings_file, &err);
+	node_settings_t *settings;
 	node_t *node;
 
+	hold_signals(SIG_BLOCK);
+	settings = read_settings(NULL, options->settings_file, &err);
 	if (!settings)
 		return fail_start(options, BASE_MSG_SETTINGS_BAD, err);
 	if (options->check_only) {
@@ -238,6 +250,7 @@
 	}
 	net_loop_signal(node->loop, SIGTERM, begin_stop, node);
 	net_loop_signal(node->loop, SIGHUP, reload, node);
+	hold_signals(SIG_UNBLOCK);
 	node_log(node, BASE_MSG_START, BASE_F_STR("name", settings->name),
 		 BASE_F_STR("zone", settings->zone),
 		 BASE_F_INT("pid", getpid()));
