--- a/soak/soak_main.c
+++ b/soak/soak_main.c
@@ -374,11 +374,12 @@
  * long-running tasks must be at work. */
 static bool is_calm(const run_t *run, int64_t now)
 {
+	soak_process_t *const *nodes = run->soak->nodes;
 	int64_t since = run->faults_ended_at;
 	int i;
 
-	for (i = 0; i < SOAK_NODES; i++)
-		since = MAX(since, run->soak->nodes[i]->started_at);
+	for (i = 0; i < SOAK_NODES && nodes[i]; i++)
+		since = MAX(since, nodes[i]->started_at);
 	return now - since > SOAK_STABLE + SOAK_AWAY_MAX;
 }
 
