node: end the runs of workers that the platform no longer lists

Its lease had lapsed in a cut zone at 38.0 s; one holder noted that at 39.6 s and did not get to store a new run. The instance answered nothing from 41.7 s on, while instances of its pool were being moved. The next holder took over at 43.7 s, found the run in the row, could not poll the worker, and gave the run up 3 s and a lease later, at 51.6 s, when that wait was over.

The list of instances tells the worker of each, and all that runs on an instance ends when it is moved or goes into maintenance. So a worker that this holder has not polled yet, and that a list read since the takeover names on no instance, has ended with its runs. While an instance of a pool in use is down without a worker, nothing is concluded, since that may be the worker's.

tests/sys_node_gone: the holder is killed and every worker replaced. Before: "got 'after 10 s', want 'yes'" for 6 s; now it passes in three of three.

--- a/packages/batch/batch.h
+++ b/packages/batch/batch.h
@@ -443,6 +443,12 @@
 /* Loads run times that a predecessor learned.  Call after batch_config(). */
 bool batch_learned_load(batch_t *core, base_str_t text, GError **err);
 
+/*
+ * Returns the ids of the workers that were not polled yet and that may run
+ * tasks, by the rows of a predecessor.  The caller unreferences the list.
+ */
+GPtrArray *batch_workers_unpolled(const batch_t *core);
+
 /*
  * Drops jobs that ended before "before" and returns their ids.  The caller
  * unreferences the list.
--- a/packages/batch/batch_worker.c
+++ b/packages/batch/batch_worker.c
@@ -161,6 +161,22 @@
 	return worker->runs->len;
 }
 
+GPtrArray *batch_workers_unpolled(const batch_t *core)
+{
+	GPtrArray *ids = g_ptr_array_new_with_free_func(g_free);
+	GHashTableIter iter;
+	gpointer value;
+
+	g_hash_table_iter_init(&iter, core->workers);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		const batch_worker_t *worker = value;
+
+		if (!worker->incarnation && worker->runs->len)
+			g_ptr_array_add(ids, g_strdup(worker->id));
+	}
+	return ids;
+}
+
 static void drop_in_doubt_start(batch_worker_t *worker, guint at)
 {
 	talloc_free(g_array_index(worker->in_doubt_starts,
--- a/packages/node/node_instance.c
+++ b/packages/node/node_instance.c
@@ -96,6 +96,54 @@
 	}
 }
 
+static bool is_spare(const node_t *node, const char *name)
+{
+	const node_config_t *config = &node->config;
+	size_t i;
+
+	for (i = 0; i < config->n_pools; i++)
+		if (base_str_eq(config->pools[i].name, base_str(name)))
+			return config->pools[i].spare;
+	return false;
+}
+
+/*
+ * A worker is one life of an instance.  If a list that was read since the
+ * holder took over names it on no instance, it has ended with all its runs: its
+ * instance was moved or is in maintenance.  An instance that is down without a
+ * worker may be a failed one whose worker cannot be reached, so that nothing is
+ * concluded while there is one; those of a spare pool are off.
+ */
+static void end_missing_workers(node_insts_t *instances)
+{
+	node_holder_t *holder = instances->holder;
+	GPtrArray *ids = batch_workers_unpolled(holder->core);
+	GHashTable *present = g_hash_table_new(g_str_hash, g_str_equal);
+	bool is_certain = g_hash_table_size(instances->table) > 0;
+	GHashTableIter iter;
+	gpointer value;
+	guint i;
+
+	g_hash_table_iter_init(&iter, instances->table);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		const node_inst_t *inst = value;
+
+		if (*inst->worker)
+			g_hash_table_add(present, inst->worker);
+		else if (inst->state == NODE_INSTANCE_DOWN &&
+			 !is_spare(holder->node, inst->pool))
+			is_certain = false;
+	}
+	for (i = 0; is_certain && i < ids->len; i++)
+		if (!g_hash_table_contains(present, g_ptr_array_index(ids, i)))
+			batch_worker_terminated(
+				holder->core, base_clock_mono(),
+				base_str(g_ptr_array_index(ids, i)));
+	g_hash_table_unref(present);
+	g_ptr_array_unref(ids);
+	node_holder_step_soon(holder);
+}
+
 static void listed(void *arg, const node_instances_t *page)
 {
 	node_insts_t *instances = arg;
@@ -121,6 +169,7 @@
 	if (page->ok) {
 		instances->complete_round_start = instances->round_start;
 		drop_missing(instances);
+		end_missing_workers(instances);
 		node_waves_list_done(holder->waves);
 		node_moves_list_done(holder->moves);
 	}
