node: close the port of a stopped entry only after it was looked at

A late tick after four fifths of the grace period stopped listening before the loop had accepted the connections that came during the pause; these were reset.

Now only a tick that is in time stops listening.

--- a/packages/node/node_run.c
+++ b/packages/node/node_run.c
@@ -37,10 +37,8 @@
 }
 
 /* Counts the ticks in a row at which nobody waits for an answer and nothing
- * happened since the tick before.  A late tick, after a pause of the process,
- * is never the last of them: the loop may not have looked at its connections
- * yet. */
-static void count_idle_tick(node_t *node, int64_t now)
+ * happened since the tick before.  A late tick is never the last of them. */
+static void count_idle_tick(node_t *node, int64_t now, bool is_late)
 {
 	uint64_t activity = net_server_activity(node->front);
 
@@ -51,13 +49,12 @@
 	    net_server_pending(node->front) ||
 	    g_hash_table_size(node->open_requests))
 		node->stop_idle_ticks = 0;
-	else if (now - node->stop_ticked_at < 2 * RUN_STOP_TICK)
-		node->stop_idle_ticks++;
-	else
+	else if (is_late)
 		node->stop_idle_ticks =
 			MIN(node->stop_idle_ticks, RUN_STOP_IDLE_TICKS - 1);
+	else
+		node->stop_idle_ticks++;
 	node->stop_activity = activity;
-	node->stop_ticked_at = now;
 }
 
 /* Whether the process may exit: no answer is lost, or its time is over. */
@@ -72,12 +69,17 @@
 {
 	node_t *node = arg;
 	int64_t now = base_clock_mono();
+	/* After a pause of the process the loop may not have looked at its
+	 * connections and at its port yet. */
+	bool is_late = now - node->stop_ticked_at >= 2 * RUN_STOP_TICK;
 
-	count_idle_tick(node, now);
+	node->stop_ticked_at = now;
+	count_idle_tick(node, now, is_late);
 	if (now >= node->stop_deadline) {
 		/* Callers that come all the time must not keep it from being
 		 * idle. */
-		net_server_close(node->front);
+		if (!is_late)
+			net_server_close(node->front);
 		node_dispatch_answer_all(node);
 	}
 	if (has_drained(node, now)) {
