--- a/packages/node/node_run.c
+++ b/packages/node/node_run.c
@@ -7,6 +7,9 @@
 /* Fraction of the grace period after which requests that are still open get
  * an answer from this entry.  The rest is for sending these answers. */
 #define RUN_GRACE_FRACTION 0.8
+/* Fraction of the grace period after which the process exits in any case: the
+ * platform kills it soon after. */
+#define RUN_EXIT_FRACTION 0.95
 #define RUN_STOP_TICK (50 * BASE_MS)
 /* The process exits after this many ticks in a row without a connection,
  * request or reply: what had arrived by the first one was read and answered by
@@ -33,43 +36,53 @@
 	net_reply(exchange, is_ready(arg) ? 200 : 503, NULL, 0, BASE_STR(""));
 }
 
-/* Whether nobody waits for an answer and nothing happened since the last tick.
- * A late tick, after a pause of the process, tells nothing: the loop may not
- * have looked at its connections yet. */
-static bool is_idle_tick(node_t *node, int64_t now)
+/* Counts the ticks in a row at which nobody waits for an answer and nothing
+ * happened since the tick before.  A late tick is never the last of them. */
+static void count_idle_tick(node_t *node, int64_t now, bool is_late)
 {
-	uint64_t activity = net_server_activity(node->front) +
-			    net_server_activity(node->peer_server);
-	bool idle = activity == node->stop_activity &&
-		    now - node->stop_ticked_at < 2 * RUN_STOP_TICK &&
-		    !net_server_pending(node->front) &&
-		    !g_hash_table_size(node->open_requests);
+	uint64_t activity = net_server_activity(node->front);
 
+	/* Other entries repeat a request elsewhere if its answer is missing. */
+	if (now < node->stop_deadline)
+		activity += net_server_activity(node->peer_server);
+	if (activity != node->stop_activity ||
+	    net_server_pending(node->front) ||
+	    g_hash_table_size(node->open_requests))
+		node->stop_idle_ticks = 0;
+	else if (is_late)
+		node->stop_idle_ticks =
+			MIN(node->stop_idle_ticks, RUN_STOP_IDLE_TICKS - 1);
+	else
+		node->stop_idle_ticks++;
 	node->stop_activity = activity;
-	node->stop_ticked_at = now;
-	return idle;
 }
 
 /* Whether the process may exit: no answer is lost, or its time is over. */
 static bool has_drained(const node_t *node, int64_t now)
 {
-	return now >= node->linger_until &&
-	       (node->stop_idle_ticks >= RUN_STOP_IDLE_TICKS ||
-		(now >= node->stop_deadline &&
-		 !g_hash_table_size(node->open_requests)));
+	return (now >= node->linger_until &&
+		node->stop_idle_ticks >= RUN_STOP_IDLE_TICKS) ||
+	       now >= node->stop_end;
 }
 
 static void stop_tick(void *arg)
 {
 	node_t *node = arg;
 	int64_t now = base_clock_mono();
+	/* After a pause of the process the loop may not have looked at its
+	 * connections and at its port yet. */
+	bool is_late = now - node->stop_ticked_at >= 2 * RUN_STOP_TICK;
 
-	node->stop_idle_ticks =
-		is_idle_tick(node, now) ? node->stop_idle_ticks + 1 : 0;
-	if (now >= node->stop_deadline &&
-	    g_hash_table_size(node->open_requests)) {
+	node->stop_ticked_at = now;
+	count_idle_tick(node, now, is_late);
+	if (now >= node->stop_deadline) {
+		/* Callers that come all the time must not keep it from being
+		 * idle. */
+		if (!is_late)
+			net_server_close(node->front);
 		node_dispatch_answer_all(node);
-	} else if (has_drained(node, now)) {
+	}
+	if (has_drained(node, now)) {
 		node_log(node, BASE_MSG_STOPPED,
 			 BASE_F_INT("term", node->known_holder.term));
 		node_log_flush(node);
@@ -89,6 +102,8 @@
 	node->stopping = true;
 	node->stop_deadline = now + (int64_t)(RUN_GRACE_FRACTION *
 					      (double)node->settings->grace);
+	node->stop_end = now + (int64_t)(RUN_EXIT_FRACTION *
+					 (double)node->settings->grace);
 	node->linger_until = now + RUN_STOP_LINGER;
 	node_log(node, BASE_MSG_DRAINING, BASE_F_INT("signal", signo),
 		 BASE_F_BOOL("holder", node->holder != NULL),
@@ -201,13 +216,25 @@
 	return EXIT_FAILURE;
 }
 
+/* A signal that comes while the process starts waits for its handler. */
+static void hold_signals(int how)
+{
+	sigset_t set;
+
+	sigemptyset(&set);
+	sigaddset(&set, SIGTERM);
+	sigaddset(&set, SIGHUP);
+	sigprocmask(how, &set, NULL);
+}
+
 int node_run(const node_options_t *options)
 {
 	GError *err = NULL;
-	node_settings_t *settings =
-		read_settings(NULL, options->settings_file, &err);
+	node_settings_t *settings;
 	node_t *node;
 
+	hold_signals(SIG_BLOCK);
+	settings = read_settings(NULL, options->settings_file, &err);
 	if (!settings)
 		return fail_start(options, BASE_MSG_SETTINGS_BAD, err);
 	if (options->check_only) {
@@ -228,6 +255,7 @@
 	}
 	net_loop_signal(node->loop, SIGTERM, begin_stop, node);
 	net_loop_signal(node->loop, SIGHUP, reload, node);
+	hold_signals(SIG_UNBLOCK);
 	node_log(node, BASE_MSG_START, BASE_F_STR("name", settings->name),
 		 BASE_F_STR("zone", settings->zone),
 		 BASE_F_INT("pid", getpid()));
