--- a/packages/node/node_run.c
+++ b/packages/node/node_run.c
@@ -11,6 +11,9 @@
  * platform kills it soon after. */
 #define RUN_EXIT_FRACTION 0.95
 #define RUN_STOP_TICK (50 * BASE_MS)
+/* After that fraction: several fit into the time that a process with a small
+ * share of a processor runs at a stretch. */
+#define RUN_STOP_TICK_SHORT (5 * BASE_MS)
 /* The process exits after this many ticks in a row without a connection,
  * request or reply: what had arrived by the first one was read and answered by
  * the second. */
@@ -89,7 +92,9 @@
 		net_loop_stop(node->loop);
 		return;
 	}
-	net_timer_start(node->stop_timer, RUN_STOP_TICK);
+	net_timer_start(node->stop_timer, now >= node->stop_deadline
+						  ? RUN_STOP_TICK_SHORT
+						  : RUN_STOP_TICK);
 }
 
 static void begin_stop(void *arg, int signo)
