batch: do not decide more starts than the holder sends soon

A pass placed every task that found a free worker. The holder, half a core, sends about 1,000 starts a second; the others waited in the queue of rows, 1.0 to 1.8 s each, twice for a job of two steps, and a start once decided went out in the order of decision, however late its job was by then. Of 2,113 late jobs in the holder's log 1,650 had a start that took more than 0.5 s from decision to sending, 1,186 waited more than 0.5 s for their first start, 353 had a task run again. Starts of late jobs kept the holder busy and so made the next jobs late too.

Only so many starts may wait to be sent as one change of the store holds, about 64. The others stay undecided, and each pass gives the next starts to the jobs that rank first at that time. Jobs that are late, or waited long, get half of that, and nothing while a start takes over 50 ms to be sent. While the holder keeps up the limits are not reached.

Two new load tests model a holder that spends 2 ms on each start. It can start 843 jobs during the bursts, and the bound is three quarters of these. With a holder that keeps up all jobs end in time, before and now.

--- a/packages/batch/batch_int.h
+++ b/packages/batch/batch_int.h
@@ -249,6 +249,8 @@
 	GPtrArray
 		*active_jobs; /* jobs that have not ended or still have runs */
 	GQueue rows;	      /* jobs with a row to store */
+	int n_unsent;	      /* starts decided and not sent */
+	int64_t send_delay;   /* of the last start, from its decision */
 	GPtrArray *storing_jobs; /* jobs whose rows are being stored */
 	void *row_texts;	 /* strings of these rows */
 	batch_stats_t stats;
@@ -282,6 +284,7 @@
 batch_run_t *batch_run_new(batch_task_t *task, batch_worker_t *worker,
 			   int64_t now, int64_t number);
 void batch_run_free(batch_run_t *run);
+void batch_run_set_state(batch_run_t *run, run_state_t state, int64_t now);
 void batch_run_send(batch_run_t *run, int64_t now);
 void batch_run_stop(batch_run_t *run, int64_t now, const char *why);
 void batch_run_lost(batch_run_t *run, int64_t now, const char *why);
--- a/packages/batch/batch_place.c
+++ b/packages/batch/batch_place.c
@@ -49,6 +49,20 @@
  */
 #define PLACE_LOG_DELAY (2 * BATCH_PASS_INTERVAL)
 
+/*
+ * No short task is placed while this many starts wait to be sent, about as many
+ * as one change of the store holds: a start that is decided later goes to the
+ * job that needs it most by then.
+ */
+#define PLACE_UNSENT_MAX 64
+/* Starts that may wait when deferred jobs are placed; others go before them. */
+#define PLACE_UNSENT_DEFERRED_MAX 32
+/*
+ * Deferred jobs are not placed while a start takes longer than this from its
+ * decision to being sent, a few times the usual time of a change.
+ */
+#define PLACE_SEND_DELAY_MAX (50 * BASE_MS)
+
 /* Cost terms of a worker; its cpu utilization counts at most 1. */
 /* Run times at least double on a worker of another rack. */
 #define PLACE_COST_REMOTE_RACK 8
@@ -493,6 +507,21 @@
 	}
 }
 
+/* Whether the holder keeps up well enough to place jobs of this group. */
+static bool may_decide(const batch_t *core, int group)
+{
+	switch (group) {
+	case RANK_LONG_RUNNING:
+		return true;
+	case RANK_DEFERRED:
+		return core->n_unsent < PLACE_UNSENT_DEFERRED_MAX &&
+		       (!core->n_unsent ||
+			core->send_delay <= PLACE_SEND_DELAY_MAX);
+	default:
+		return core->n_unsent < PLACE_UNSENT_MAX;
+	}
+}
+
 void batch_place(batch_t *core, int64_t now, int64_t wall)
 {
 	ranked_t *ranks = talloc_array(core, ranked_t, core->active_jobs->len);
@@ -517,7 +546,7 @@
 		ranks[n++] = rank_job(job, now);
 	}
 	qsort(ranks, n, sizeof(*ranks), rank_cmp);
-	for (i = 0; i < n; i++)
+	for (i = 0; i < n && may_decide(core, ranks[i].group); i++)
 		place_job(ranks[i].job->queue->pool, ranks[i].job, now);
 	for (i = 0; i < n && batch_advice_request(ranks[i].job, now); i++)
 		;
--- a/packages/batch/batch_record.c
+++ b/packages/batch/batch_record.c
@@ -108,7 +108,7 @@
 	}
 	batch_worker_lease(core, info.id, until);
 	run = batch_run_new(task, worker, now, task->number);
-	run->state = RUN_IN_DOUBT;
+	batch_run_set_state(run, RUN_IN_DOUBT, now);
 	run->listed_from = now;
 	batch_worker_add_in_doubt(run, now);
 }
--- a/packages/batch/batch_run.c
+++ b/packages/batch/batch_run.c
@@ -27,6 +27,7 @@
 	worker->used.gpu += task->step->spec->need.gpu;
 	g_ptr_array_add(worker->runs, run);
 	job->n_runs++;
+	worker->core->n_unsent++;
 	return run;
 }
 
@@ -36,6 +37,8 @@
 	batch_task_t *task = run->task;
 	batch_worker_t *worker = run->worker;
 
+	if (run->state == RUN_STORING)
+		worker->core->n_unsent--;
 	if (!task->step->spec->best_effort)
 		worker->used.cpu -= task->step->spec->need.cpu;
 	worker->used.memory -= task->step->spec->need.memory;
@@ -47,8 +50,10 @@
 	talloc_free(run);
 }
 
-static void set_state(batch_run_t *run, run_state_t state, int64_t now)
+void batch_run_set_state(batch_run_t *run, run_state_t state, int64_t now)
 {
+	if (run->state == RUN_STORING && state != RUN_STORING)
+		run->worker->core->n_unsent--;
 	run->state = state;
 	run->state_since = now;
 }
@@ -95,7 +100,8 @@
 	}
 	log_run(run, BATCH_LOG_RUN_SENT, "since decided, microseconds",
 		now - run->state_since, now - run->worker->polled_at);
-	set_state(run, RUN_SENT, now);
+	core->send_delay = now - run->state_since;
+	batch_run_set_state(run, RUN_SENT, now);
 	core->stats.starts++;
 	core->options.ops->start(core->options.arg, &order);
 }
@@ -121,7 +127,7 @@
 	run->stop_reason = why;
 	log_run(run, BATCH_LOG_RUN_STOPPED, why, run->percent,
 		now - run->worker->polled_at);
-	set_state(run, RUN_STOPPING, now);
+	batch_run_set_state(run, RUN_STOPPING, now);
 	run->stop_acknowledged = false;
 	send_stop(run, now);
 }
@@ -334,7 +340,7 @@
 	core->pass_needed = true;
 	switch (answer) {
 	case BATCH_ANSWER_OK:
-		set_state(run, RUN_CONFIRMED, now);
+		batch_run_set_state(run, RUN_CONFIRMED, now);
 		task->step->occ->job->started = true;
 		run->listed_from = now;
 		run->start_confirmed_at = now;
@@ -342,7 +348,7 @@
 		break;
 	case BATCH_ANSWER_NO_REPLY:
 		run->worker->backoff_until = now + BATCH_REFUSED_BACKOFF;
-		set_state(run, RUN_IN_DOUBT, now);
+		batch_run_set_state(run, RUN_IN_DOUBT, now);
 		run->listed_from = now;
 		batch_worker_add_in_doubt(run, now);
 		log_run(run, BATCH_LOG_RUN_IN_DOUBT, "start unanswered", 0,
--- a/packages/batch/tests/batch_load_test.c
+++ b/packages/batch/tests/batch_load_test.c
@@ -203,6 +203,75 @@
 	load_free(&fixed);
 }
 
+#define HOLDER_WORKERS 200
+#define HOLDER_TASKS 8		   /* starts of a job, see submit_job() */
+#define HOLDER_START_COST (2 * MS) /* 500 starts a second */
+#define HOLDER_BURST_TICKS 450	   /* 4.5 s, in ticks of 10 ms */
+#define HOLDER_PERIOD_TICKS 2250   /* the burst is a fifth of it */
+
+/*
+ * Runs three bursts in which all demand comes, five times its mean.  The pool
+ * has room for 800 tasks of one second, so that the holder, which can send 500
+ * starts a second, is the bottleneck.  "rate" is the number of jobs a second in
+ * a burst.
+ */
+static load_t run_holder_bursts(double rate)
+{
+	load_t load = { .rng = { .state = 5 } };
+	double due = 0;
+	int tick;
+
+	load.world = world_new_queue(12, HOLDER_WORKERS, 2, 1.6);
+	load.world->start_cost = HOLDER_START_COST;
+	load.arrived_at = g_array_new(FALSE, FALSE, sizeof(int64_t));
+	load.ended_at = g_array_new(FALSE, FALSE, sizeof(int64_t));
+	for (tick = 0; tick < 3 * HOLDER_PERIOD_TICKS; tick++) {
+		if (tick % HOLDER_PERIOD_TICKS < HOLDER_BURST_TICKS)
+			due += rate * (0.5 + base_rng_unit(&load.rng)) / 100;
+		while (due >= 1) {
+			submit_job(&load);
+			due--;
+		}
+		world_advance(load.world, 10 * MS);
+		if (tick % 10 == 0)
+			record_ends(&load);
+	}
+	world_advance(load.world, 10 * SECOND);
+	record_ends(&load);
+	g_test_message("holder: submitted %d, accepted %d, in time %d, late %d",
+		       load.submitted, load.accepted, load.in_time, load.late);
+	g_assert_cmpint(load.world->broken, ==, 0);
+	g_assert_cmpint(load.in_time + load.late, ==, load.accepted);
+	return load;
+}
+
+/*
+ * Guards against goodput that collapses in a burst because the holder cannot
+ * send all starts: jobs wait for each other's starts and all end late.
+ */
+static void test_goodput_stays_level_with_a_slow_holder(void)
+{
+	/* Jobs whose tasks the holder can start during the three bursts. */
+	int possible = (int)(3 * HOLDER_BURST_TICKS * 10 * MS /
+			     (HOLDER_TASKS * HOLDER_START_COST));
+	load_t twice = run_holder_bursts(125);
+	load_t five = run_holder_bursts(312);
+
+	g_assert_cmpint(twice.in_time * 4, >=, possible * 3);
+	g_assert_cmpint(five.in_time * 4, >=, possible * 3);
+	load_free(&twice);
+	load_free(&five);
+}
+
+/* Guards against a limit on starts that makes jobs late that were in time. */
+static void test_holder_that_keeps_up_ends_all_in_time(void)
+{
+	load_t below = run_holder_bursts(50);
+
+	g_assert_cmpint(below.in_time, ==, below.submitted);
+	load_free(&below);
+}
+
 /* Submits more than two workers can run; a refusal must say when to retry. */
 static void submit_overload(world_t *world, int jobs)
 {
@@ -256,6 +325,10 @@
 			test_capacity_follows_demand);
 	g_test_add_func("/batch-load/overload-serves-what-the-pool-holds",
 			test_overload_does_not_delay_all_jobs);
+	g_test_add_func("/batch-load/goodput-stays-level-with-a-slow-holder",
+			test_goodput_stays_level_with_a_slow_holder);
+	g_test_add_func("/batch-load/holder-that-keeps-up-ends-all-in-time",
+			test_holder_that_keeps_up_ends_all_in_time);
 	g_test_add_func("/batch-load/refusals-are-true",
 			test_refused_jobs_never_run);
 	return g_test_run();
--- a/packages/batch/tests/batch_world.c
+++ b/packages/batch/tests/batch_world.c
@@ -129,7 +129,11 @@
 
 static void op_start(void *arg, const batch_order_t *order)
 {
-	send_order(arg, order, false);
+	world_t *world = arg;
+
+	world->busy_until =
+		MAX(world->busy_until, world->now) + world->start_cost;
+	send_order(world, order, false);
 }
 
 static void op_stop(void *arg, const batch_order_t *order)
@@ -484,6 +488,8 @@
 				batch_worker_silent(world->core,
 						    base_str(worker->id));
 		}
+		if (world->now < world->busy_until)
+			continue;
 		batch_tick(world->core, world->now, world->now);
 		store_rows(world);
 	}
