batch: do not take a slow store for a holder that is behind

A start waits as long for a slow store as for a slow holder, but few starts then wait because the holder has too many, and 64 of them fill only half of the two changes that can be under way.

The time from sending a start to its answer does not involve the store: it is some milliseconds, and more only when the holder falls behind with its events.

The new load test sends eight starts a row to a store that takes 250 ms: the changes have to be full.

--- a/packages/batch/batch_int.h
+++ b/packages/batch/batch_int.h
@@ -251,6 +251,7 @@
 	GQueue rows;	      /* jobs with a row to store */
 	int n_unsent;	      /* starts decided and not sent */
 	int64_t send_delay;   /* of the last start, from its decision */
+	int64_t answer_time;  /* of starts, decaying average */
 	GPtrArray *storing_jobs; /* jobs whose rows are being stored */
 	void *row_texts;	 /* strings of these rows */
 	batch_stats_t stats;
--- a/packages/batch/batch_place.c
+++ b/packages/batch/batch_place.c
@@ -50,16 +50,26 @@
 #define PLACE_LOG_DELAY (2 * BATCH_PASS_INTERVAL)
 
 /*
- * No short task is placed while this many starts wait to be sent, about as many
- * as one change of the store holds: a start that is decided later goes to the
- * job that needs it most by then.
+ * No short task is placed while this many starts wait to be sent, so that the
+ * next start goes to the job that needs it most by then.  It is what two
+ * changes of the store hold: one is being stored while the next one fills.
  */
-#define PLACE_UNSENT_MAX 64
-/* Starts that may wait when deferred jobs are placed; others go before them. */
-#define PLACE_UNSENT_DEFERRED_MAX 32
+#define PLACE_UNSENT_MAX 256
 /*
- * Deferred jobs are not placed while a start takes longer than this from its
- * decision to being sent, a few times the usual time of a change.
+ * The same while the holder itself is too slow to send starts as they are
+ * decided: about as many as one change of the store holds.
+ */
+#define PLACE_UNSENT_BUSY_MAX 64
+/* Part of it for deferred jobs, which leave the rest to the others. */
+#define PLACE_UNSENT_DEFERRED_PART 0.5
+/*
+ * The holder is busy when starts are answered later than this: several times
+ * the round trip to a worker, which does not involve the store.
+ */
+#define PLACE_BUSY_ANSWER_TIME (10 * BASE_MS)
+/*
+ * A busy holder places no deferred jobs while a start takes longer than this
+ * from its decision to being sent, a few times the usual time of a change.
  */
 #define PLACE_SEND_DELAY_MAX (50 * BASE_MS)
 
@@ -507,19 +517,19 @@
 	}
 }
 
-/* Whether the holder keeps up well enough to place jobs of this group. */
+/* Whether jobs of this group may be placed, as far as the holder keeps up. */
 static bool may_decide(const batch_t *core, int group)
 {
-	switch (group) {
-	case RANK_LONG_RUNNING:
+	bool busy = core->answer_time > PLACE_BUSY_ANSWER_TIME;
+	int max = busy ? PLACE_UNSENT_BUSY_MAX : PLACE_UNSENT_MAX;
+
+	if (group == RANK_LONG_RUNNING)
 		return true;
-	case RANK_DEFERRED:
-		return core->n_unsent < PLACE_UNSENT_DEFERRED_MAX &&
-		       (!core->n_unsent ||
-			core->send_delay <= PLACE_SEND_DELAY_MAX);
-	default:
-		return core->n_unsent < PLACE_UNSENT_MAX;
-	}
+	if (group != RANK_DEFERRED)
+		return core->n_unsent < max;
+	if (busy && core->n_unsent && core->send_delay > PLACE_SEND_DELAY_MAX)
+		return false;
+	return core->n_unsent < PLACE_UNSENT_DEFERRED_PART * max;
 }
 
 void batch_place(batch_t *core, int64_t now, int64_t wall)
--- a/packages/batch/batch_run.c
+++ b/packages/batch/batch_run.c
@@ -4,6 +4,11 @@
  */
 #include "batch_int.h"
 
+/* The answer time of starts is averaged over about this many answers. */
+#define ANSWER_TIME_SAMPLES 32
+/* A single slow worker counts no more than this. */
+#define ANSWER_TIME_MAX (200 * BASE_MS)
+
 batch_run_t *batch_run_new(batch_task_t *task, batch_worker_t *worker,
 			   int64_t now, int64_t number)
 {
@@ -329,6 +334,12 @@
 				       "gang incomplete");
 }
 
+static void learn_answer_time(batch_t *core, int64_t time)
+{
+	core->answer_time += (MIN(time, ANSWER_TIME_MAX) - core->answer_time) /
+			     ANSWER_TIME_SAMPLES;
+}
+
 void batch_start_answer(batch_t *core, int64_t now, const batch_order_t *order,
 			batch_answer_t answer)
 {
@@ -340,6 +351,7 @@
 	core->pass_needed = true;
 	switch (answer) {
 	case BATCH_ANSWER_OK:
+		learn_answer_time(core, now - run->state_since);
 		batch_run_set_state(run, RUN_CONFIRMED, now);
 		task->step->occ->job->started = true;
 		run->listed_from = now;
--- a/packages/batch/tests/batch_load_test.c
+++ b/packages/batch/tests/batch_load_test.c
@@ -263,6 +263,28 @@
 	load_free(&five);
 }
 
+/*
+ * Guards against a limit on starts that takes a slow store for a slow holder,
+ * and so sends less than the changes of the store hold.
+ */
+static void test_slow_store_has_full_changes(void)
+{
+	world_t *world = world_new(13, HOLDER_WORKERS, 2);
+	batch_step_spec_t step = world_step(8);
+	char id[16];
+	int i;
+
+	world->store_time = 250 * MS;
+	/* Two changes hold the new jobs, and two more all starts. */
+	for (i = 0; i < 28; i++) {
+		job_name(id, sizeof(id), i);
+		world_submit(world, id, &step, 1);
+	}
+	world_advance(world, 4 * world->store_time + 5 * WORLD_TICK);
+	g_assert_cmpint(world->starts, ==, 28 * 8);
+	world_free(world);
+}
+
 /* Guards against a limit on starts that makes jobs late that were in time. */
 static void test_holder_that_keeps_up_ends_all_in_time(void)
 {
@@ -327,6 +349,8 @@
 			test_overload_does_not_delay_all_jobs);
 	g_test_add_func("/batch-load/goodput-stays-level-with-a-slow-holder",
 			test_goodput_stays_level_with_a_slow_holder);
+	g_test_add_func("/batch-load/slow-store-has-full-changes",
+			test_slow_store_has_full_changes);
 	g_test_add_func("/batch-load/holder-that-keeps-up-ends-all-in-time",
 			test_holder_that_keeps_up_ends_all_in_time);
 	g_test_add_func("/batch-load/refusals-are-true",
--- a/packages/batch/tests/batch_world.c
+++ b/packages/batch/tests/batch_world.c
@@ -88,7 +88,7 @@
 	sent.run.step = order->task.step;
 	sent.run.index = order->task.index;
 	sent.run.number = order->run;
-	sent.at = world->now + 2 * BASE_MS;
+	sent.at = MAX(world->now, world->busy_until) + 2 * BASE_MS;
 	sent.lease = world->now + WORLD_LEASE;
 	worker = world_find_worker(world, sent.worker);
 	job = world_find_job(world, sent.run.job);
@@ -318,6 +318,7 @@
 	world->rng.state = seed;
 	world->attempts = attempts;
 	world->stretch = stretch;
+	world->store_time = 4 * BASE_MS;
 	world->now = BASE_SEC;
 	world->term = 1;
 	world->orders = g_array_new(FALSE, FALSE, sizeof(world_order_t));
@@ -461,7 +462,7 @@
 		world->taken_text[i] = g_strdup(world->taken[i].record);
 		world->taken_ended[i] = world->taken[i].ended;
 	}
-	world->stored_at = world->now + 4 * BASE_MS;
+	world->stored_at = world->now + world->store_time;
 }
 
 void world_advance(world_t *world, int64_t span)
--- a/packages/batch/tests/batch_world.h
+++ b/packages/batch/tests/batch_world.h
@@ -116,6 +116,7 @@
 	int interference; /* percent of the tail target, per best-effort task */
 	int lost_answer_percent, late_order_percent, failed_run_percent;
 	bool store_down;
+	int64_t store_time; /* of one change */
 	int64_t start_cost; /* processor time of the holder for each start */
 	int64_t busy_until; /* the holder does nothing else before then */
 	/* Counters and the first violated rule. */
