--- a/packages/batch/batch_place.c
+++ b/packages/batch/batch_place.c
@@ -49,6 +49,30 @@
  */
 #define PLACE_LOG_DELAY (2 * BATCH_PASS_INTERVAL)
 
+/*
+ * No short task is placed while this many starts wait to be sent, so that the
+ * next start goes to the job that needs it most by then.  It is what two
+ * changes of the store hold: one is being stored while the next one fills.
+ */
+#define PLACE_UNSENT_MAX 256
+/*
+ * The same while the holder itself is too slow to send starts as they are
+ * decided: about as many as one change of the store holds.
+ */
+#define PLACE_UNSENT_BUSY_MAX 64
+/* Part of it for deferred jobs, which leave the rest to the others. */
+#define PLACE_UNSENT_DEFERRED_PART 0.5
+/*
+ * The holder is busy when starts are answered later than this: several times
+ * the round trip to a worker, which does not involve the store.
+ */
+#define PLACE_BUSY_ANSWER_TIME (10 * BASE_MS)
+/*
+ * A busy holder places no deferred jobs while a start takes longer than this
+ * from its decision to being sent, a few times the usual time of a change.
+ */
+#define PLACE_SEND_DELAY_MAX (50 * BASE_MS)
+
 /* Cost terms of a worker; its cpu utilization counts at most 1. */
 /* Run times at least double on a worker of another rack. */
 #define PLACE_COST_REMOTE_RACK 8
@@ -493,6 +517,21 @@
 	}
 }
 
+/* Whether jobs of this group may be placed, as far as the holder keeps up. */
+static bool may_decide(const batch_t *core, int group)
+{
+	bool busy = core->answer_time > PLACE_BUSY_ANSWER_TIME;
+	int max = busy ? PLACE_UNSENT_BUSY_MAX : PLACE_UNSENT_MAX;
+
+	if (group == RANK_LONG_RUNNING)
+		return true;
+	if (group != RANK_DEFERRED)
+		return core->n_unsent < max;
+	if (busy && core->n_unsent && core->send_delay > PLACE_SEND_DELAY_MAX)
+		return false;
+	return core->n_unsent < PLACE_UNSENT_DEFERRED_PART * max;
+}
+
 void batch_place(batch_t *core, int64_t now, int64_t wall)
 {
 	ranked_t *ranks = talloc_array(core, ranked_t, core->active_jobs->len);
@@ -517,7 +556,7 @@
 		ranks[n++] = rank_job(job, now);
 	}
 	qsort(ranks, n, sizeof(*ranks), rank_cmp);
-	for (i = 0; i < n; i++)
+	for (i = 0; i < n && may_decide(core, ranks[i].group); i++)
 		place_job(ranks[i].job->queue->pool, ranks[i].job, now);
 	for (i = 0; i < n && batch_advice_request(ranks[i].job, now); i++)
 		;
--- a/packages/batch/tests/batch_world.c
+++ b/packages/batch/tests/batch_world.c
@@ -88,7 +88,7 @@
 	sent.run.step = order->task.step;
 	sent.run.index = order->task.index;
 	sent.run.number = order->run;
-	sent.at = world->now + 2 * BASE_MS;
+	sent.at = MAX(world->now, world->busy_until) + 2 * BASE_MS;
 	sent.lease = world->now + WORLD_LEASE;
 	worker = world_find_worker(world, sent.worker);
 	job = world_find_job(world, sent.run.job);
@@ -129,7 +129,11 @@
 
 static void op_start(void *arg, const batch_order_t *order)
 {
-	send_order(arg, order, false);
+	world_t *world = arg;
+
+	world->busy_until =
+		MAX(world->busy_until, world->now) + world->start_cost;
+	send_order(world, order, false);
 }
 
 static void op_stop(void *arg, const batch_order_t *order)
@@ -314,6 +318,7 @@
 	world->rng.state = seed;
 	world->attempts = attempts;
 	world->stretch = stretch;
+	world->store_time = 4 * BASE_MS;
 	world->now = BASE_SEC;
 	world->term = 1;
 	world->orders = g_array_new(FALSE, FALSE, sizeof(world_order_t));
@@ -457,7 +462,7 @@
 		world->taken_text[i] = g_strdup(world->taken[i].record);
 		world->taken_ended[i] = world->taken[i].ended;
 	}
-	world->stored_at = world->now + 4 * BASE_MS;
+	world->stored_at = world->now + world->store_time;
 }
 
 void world_advance(world_t *world, int64_t span)
@@ -484,6 +489,8 @@
 				batch_worker_silent(world->core,
 						    base_str(worker->id));
 		}
+		if (world->now < world->busy_until)
+			continue;
 		batch_tick(world->core, world->now, world->now);
 		store_rows(world);
 	}
