node: learn the term from the store, not from another entry's answer

Callers of an entry were told 503 "no holder reached" for good, also after the holder had been replaced.

An entry remembered the highest term that any answer to a request between entries had named, and from then on its requests were meant for that term, so that the holder turned them away. One wrong answer is enough, such as that of another program at an address that an old key in the store names as a member; and an entry that had taken it passed it on in its own answers.

The term of a try is the one that the store has named. A later one in an answer counts for the next try of that request only, which serves an entry that the store does not answer; if it is wrong, the answer to that try says so.

--- a/packages/node/node_front.c
+++ b/packages/node/node_front.c
@@ -34,6 +34,9 @@
 	int64_t search_until;
 	int64_t tried_at;
 	int64_t relayed_term; /* that a relayed request is for; 0: any */
+	/* A later term than the store has named here, from the answer to the
+	 * last try; 0: none.  A wrong one spoils only the next try. */
+	int64_t peer_term;
 	int n_tries;
 	char **lost; /* addresses of tries that may be carried out late */
 	size_t n_lost;
@@ -208,6 +211,7 @@
 		retry_or_fail(dispatch);
 		break;
 	case NODE_OUT_NOT_HOLDER:
+		dispatch->peer_term = outcome->term;
 		retry_or_fail(dispatch);
 		break;
 	case NODE_OUT_REFUSED:
@@ -260,7 +264,8 @@
 	dispatch->ask.try_number =
 		dispatch->first_try_number + dispatch->n_tries++;
 	dispatch->ask.term = dispatch->relayed_term ? dispatch->relayed_term
-						    : node->highest_term;
+						    : MAX(node->highest_term,
+							  dispatch->peer_term);
 	dispatch->through_relay = false;
 	TALLOC_FREE(dispatch->hop);
 	if (node->holder &&
--- a/packages/node/node_int.h
+++ b/packages/node/node_int.h
@@ -73,6 +73,7 @@
 	size_t pending;
 	const char *why;
 	bool is_binding; /* a refusal that all tries of the request get */
+	int64_t term;	 /* that the answering peer knows; 0: none */
 } node_outcome_t;
 
 typedef void node_outcome_done_t(void *arg, const node_outcome_t *outcome);
@@ -126,7 +127,7 @@
 	bool store_down;
 
 	node_holder_info_t known_holder;
-	int64_t highest_term; /* that was heard of */
+	int64_t highest_term; /* that the store has named */
 	net_timer_t *election_timer;
 	char *campaign_nonce;
 	int64_t campaign_lease;
--- a/packages/node/node_peer.c
+++ b/packages/node/node_peer.c
@@ -178,20 +178,17 @@
 	outcome.pending = (size_t)read_number(root, "pending", INT64_MAX);
 	outcome.why = json_string_value(json_object_get(root, "why"));
 	outcome.is_binding = json_is_true(json_object_get(root, "binding"));
+	outcome.term = read_number(root, "term", NODE_TERM_MAX);
 	return outcome;
 }
 
-/* Learns the term that the peer has heard of.  Returns whether the peer decides
- * in the highest term known: it only turned away a try for a former one. */
-static bool hear_term(peer_t *peer, const json_t *root)
+/* Whether the peer decides, in the term known here or in a later one: it only
+ * turned away a try for another term. */
+static bool is_deciding(const peer_t *peer, const json_t *root)
 {
-	node_t *node = peer->node;
-	int64_t term = read_number(root, "term", NODE_TERM_MAX);
-
-	peer->keeps_tokens = json_object_get(root, "term") != NULL;
-	node_election_heard_term(node, term);
 	return json_is_true(json_object_get(root, "decides")) &&
-	       term == node->highest_term;
+	       read_number(root, "term", NODE_TERM_MAX) >=
+		       peer->node->highest_term;
 }
 
 static void answered(void *arg, const net_answer_t *answer)
@@ -204,8 +201,10 @@
 		heard ? json_loadb(answer->body.ptr, answer->body.len, 0, NULL)
 		      : NULL;
 	node_outcome_t outcome = read_outcome(answer, root);
-	bool decides = heard && hear_term(peer, root);
+	bool decides = heard && is_deciding(peer, root);
 
+	if (heard)
+		peer->keeps_tokens = json_object_get(root, "term") != NULL;
 	peer->outstanding--;
 	record_answer(peer, heard, is_decided(outcome.kind));
 	if (!is_decided(outcome.kind) && !decides && is_holder(peer))
--- a/standin/platform/sp_main.c
+++ b/standin/platform/sp_main.c
@@ -50,6 +50,13 @@
 			   "%s: %s run %d", rule, run->task, (int)run->number);
 }
 
+/* To an entry that takes the stand-in for another entry, as an old key in the
+ * store may tell it: a term that no holder has had. */
+#define ODD_PEER_ANSWER                                             \
+	"{\"kind\":\"not-owner\",\"state\":0,\"retry_after_ms\":0," \
+	"\"pending\":0,\"why\":\"x\",\"binding\":false,"            \
+	"\"term\":500,\"decides\":false}"
+
 static void serve_results(sp_t *sp, net_exchange_t *exchange)
 {
 	sp_reply_json(exchange, 200,
@@ -71,7 +78,9 @@
 	char *key = sp_query(path, "key");
 	char *text;
 
-	if (!strcmp(path, "/judge")) {
+	if (!strcmp(path, "/ask")) {
+		net_reply(exchange, 200, NULL, 0, BASE_STR(ODD_PEER_ANSWER));
+	} else if (!strcmp(path, "/judge")) {
 		serve_results(sp, exchange);
 	} else if (!strcmp(path, "/records")) {
 		sp_records_serve(sp, exchange);
