--- a/packages/node/tests/node_front_test.c
+++ b/packages/node/tests/node_front_test.c
@@ -186,6 +186,28 @@
 	fixture.submit_answer =
 		"{\"kind\":\"refused\",\"binding\":true,\"term\":7}";
 	g_assert_cmpint(submit(&fixture), ==, NODE_OUT_UNKNOWN);
+	/* The answer to a state request names no term for a submit. */
+	g_assert_cmpint(fixture.last_term, ==, 0);
+	fixture_free(&fixture);
+}
+
+/* Guards against a term that is kept from another entry's answer: a wrong one
+ * would have all later requests turned away. */
+static void test_term_of_an_answer(void)
+{
+	front_fixture_t fixture;
+
+	fixture_init(&fixture);
+	fixture.answers_first = true;
+	fixture.state_answer = "{\"kind\":\"gone\",\"term\":9}";
+	fixture.submit_answer = "{\"kind\":\"not-owner\",\"term\":9}";
+	g_assert_cmpint(submit(&fixture), ==, NODE_OUT_NOT_HOLDER);
+	g_assert_cmpint(fixture.n_submits, >=, 2);
+	g_assert_cmpint(fixture.last_term, ==, 9);
+	fixture.submit_answer =
+		"{\"kind\":\"refused\",\"binding\":true,\"term\":7}";
+	fixture.node->known_holder.suspect_until = 0;
+	g_assert_cmpint(submit(&fixture), ==, NODE_OUT_REFUSED);
 	g_assert_cmpint(fixture.last_term, ==, TERM);
 	fixture_free(&fixture);
 }
@@ -201,5 +223,7 @@
 			test_only_try_refused);
 	g_test_add_func("/node-front/a-lost-try-without-a-term-is-unknown",
 			test_lost_without_term);
+	g_test_add_func("/node-front/term-of-an-answer-is-not-kept",
+			test_term_of_an_answer);
 	return g_test_run();
 }
