node: log which ends are acknowledged and when workers are forgotten

Callers saw a task run again after its end had been acknowledged. The logs did not say which end a poll acknowledged, when the holder forgot a worker or met it again, nor that a listed end had no run, so that a forgotten worker, an end without its run and a late poll looked alike.

Lines ends-acknowledged (debug), end-unmatched, worker-added and worker-dropped, and counters for the last two of these causes. An acknowledgement is logged when it changes, at most once for each run; no decision changes.

--- a/packages/batch/batch_worker.c
+++ b/packages/batch/batch_worker.c
@@ -266,6 +266,23 @@
 	worker->incarnation = incarnation;
 }
 
+/* An end whose run the holder does not have, and why. */
+static void log_unmatched_end(batch_worker_t *worker, const batch_task_t *task,
+			      const batch_listed_end_t *end)
+{
+	batch_log_emit(worker->core,
+		       &(batch_log_event_t){
+			       .kind = BATCH_LOG_END_UNMATCHED,
+			       .task = end->task,
+			       .run = end->run,
+			       .worker = base_str(worker->id),
+			       .why = !task	   ? "no such task"
+				      : task->done ? "the task is done"
+				      : task->run  ? "a later run"
+						   : "the run was given up",
+			       .value = end->end_kind });
+}
+
 static void handle_end(batch_worker_t *worker, int64_t now,
 		       const batch_listed_end_t *end)
 {
@@ -278,8 +295,10 @@
 	if (end->number <= worker->last_end)
 		return;
 	worker->last_end = end->number;
-	if (!run || run->worker != worker || run->number != end->run)
+	if (!run || run->worker != worker || run->number != end->run) {
+		log_unmatched_end(worker, task, end);
 		return;
+	}
 	job = task->step->occ->job;
 	batch_run_ended(run, now, end->end_kind, end->checkpoint);
 	gate.number = end->number;
--- a/packages/node/node_metrics.c
+++ b/packages/node/node_metrics.c
@@ -26,6 +26,8 @@
 	[NODE_COUNT_ADVICE] = "advice_calls",
 	[NODE_COUNT_LOG_DROPPED] = "log_lines_dropped",
 	[NODE_COUNT_WORKER_UNREADABLE] = "worker_entries_unreadable",
+	[NODE_COUNT_WORKER_DROPPED] = "workers_dropped",
+	[NODE_COUNT_END_UNMATCHED] = "ends_unmatched",
 };
 
 static const char *const time_names[NODE_TIME_MAX] = {
--- a/packages/node/node_worker.c
+++ b/packages/node/node_worker.c
@@ -50,8 +50,9 @@
 	int64_t lease_end; /* monotonic, for the slowest clock allowed */
 	int64_t polled_at;
 	int64_t poll_sent_at;
-	int64_t list_round; /* number of the list in which the worker was last
-			       seen */
+	int64_t acknowledged; /* the last end that it was told to discard */
+	int64_t list_round;   /* number of the list in which the worker was last
+				 seen */
 	bool is_polling;
 	bool awaits_stored; /* the next poll waits until ends are stored */
 	bool has_seen_term; /* it rejects orders of earlier terms */
@@ -119,8 +120,15 @@
 	return lease;
 }
 
-static void remove_worker(node_worker_t *worker)
+static void remove_worker(node_worker_t *worker, const char *why)
 {
+	node_metrics_count(worker->holder->node, NODE_COUNT_WORKER_DROPPED);
+	node_log(worker->holder->node, BASE_MSG_WORKER_DROPPED,
+		 BASE_F_STR("worker", worker->id), BASE_F_STR("why", why),
+		 BASE_F_INT("acknowledged", worker->acknowledged),
+		 BASE_F_INT("looked_us_ago",
+			    base_clock_mono() - worker->polled_at),
+		 BASE_F_INT("term", worker->holder->term));
 	g_hash_table_remove(worker->holder->worker_links, worker->id);
 	talloc_free(worker);
 }
@@ -216,7 +224,8 @@
 		if (worker->is_listed || worker->is_moved)
 			schedule_poll(worker, WORKER_POLL_GRACE);
 		else
-			remove_worker(worker);
+			remove_worker(worker,
+				      "another worker answers at its address");
 		break;
 	default:
 		set_silent(worker, true, "no answer");
@@ -240,6 +249,18 @@
 		   worker->has_seen_term ? 0 : worker->holder->orphan_until);
 }
 
+static void log_acknowledged(node_worker_t *worker, int64_t last_stored_end)
+{
+	if (last_stored_end == worker->acknowledged)
+		return;
+	node_log(worker->holder->node, BASE_MSG_ENDS_ACKNOWLEDGED,
+		 BASE_F_STR("worker", worker->id),
+		 BASE_F_INT("from", worker->acknowledged),
+		 BASE_F_INT("to", last_stored_end),
+		 BASE_F_INT("term", worker->holder->term));
+	worker->acknowledged = last_stored_end;
+}
+
 static bool awaits_stored_ends(const node_worker_t *worker, int64_t now)
 {
 	return !worker->is_silent &&
@@ -262,7 +283,7 @@
 		batch_worker_terminated(holder->core, now,
 					base_str(worker->id));
 		node_holder_step_soon(holder);
-		remove_worker(worker);
+		remove_worker(worker, "not listed and without runs");
 		return;
 	}
 	worker->awaits_stored = awaits_stored_ends(worker, now);
@@ -278,6 +299,7 @@
 	order.lease = worker->is_silent ? -1 : grant_lease(worker);
 	order.last_stored_end = batch_worker_stored_end(
 		holder->core, base_clock_mono(), base_str(worker->id));
+	log_acknowledged(worker, order.last_stored_end);
 	order.wait = worker->has_seen_term && !worker->is_silent
 			     ? WORKER_POLL_WAIT
 			     : 0;
@@ -396,8 +418,14 @@
 			return;
 		}
 		g_hash_table_insert(holder->worker_links, worker->id, worker);
-		if (holder->restored)
+		if (holder->restored) {
+			node_log(node, BASE_MSG_WORKER_ADDED,
+				 BASE_F_STR("worker", id),
+				 BASE_F_STR("address", entry.address),
+				 BASE_F_INT("revision", item->revision),
+				 BASE_F_INT("term", holder->term));
 			schedule_poll(worker, 0);
+		}
 	}
 	worker->list_round = holder->list_round;
 	worker->is_listed = true;
@@ -665,6 +693,7 @@
 	[BATCH_LOG_RUN_LOST] = BASE_MSG_RUN_LOST,
 	[BATCH_LOG_RUN_STOPPED] = BASE_MSG_RUN_STOPPED,
 	[BATCH_LOG_RUN_IN_DOUBT] = BASE_MSG_RUN_DOUBTED,
+	[BATCH_LOG_END_UNMATCHED] = BASE_MSG_END_UNMATCHED,
 	[BATCH_LOG_WORKER_QUARANTINED] = BASE_MSG_WORKER_OUT,
 	[BATCH_LOG_WORKER_ON_TRIAL] = BASE_MSG_WORKER_BACK,
 	[BATCH_LOG_PACED] = BASE_MSG_PACED,
@@ -695,6 +724,8 @@
 	bool is_verdict = event->kind == BATCH_LOG_JOB_ACCEPTED ||
 			  event->kind == BATCH_LOG_JOB_REFUSED;
 
+	if (event->kind == BATCH_LOG_END_UNMATCHED)
+		node_metrics_count(holder->node, NODE_COUNT_END_UNMATCHED);
 	node_log_fields(holder->node, event_messages[event->kind], fields,
 			ARRAY_SIZE(fields) - (is_verdict ? 0 : 2));
 	talloc_free(id);
