batch: acknowledge an end only once its job is stored as it is known

A holder that has read an end notes that the worker may not discard it yet. The note belonged to the worker, and a worker that is not listed and has no runs was removed with it. Listed again, it named the same end, whose task was done in memory though not in the store; nothing held the acknowledgement back, and the next holder found the run in the row and nothing at the worker.

Whatever a listing of an end changes, the worker may now discard the end only once the store holds what is known of its job. A forgotten worker is kept until its ends are stored and no start on it is in doubt. A job is not purged while an end refers to it: that pointer was left dangling before.

Evidence: batch-store/forgotten-worker-keeps-its-ends failed before ("0 == 1": the end was acknowledged with the store down) and passes.

--- a/packages/batch/batch.c
+++ b/packages/batch/batch.c
@@ -413,7 +413,8 @@
 		batch_job_t *job = value;
 
 		if (batch_job_is_active(job) || job->n_runs ||
-		    job->row_queued || job->stored_version < job->version ||
+		    job->n_unstored_ends || job->row_queued ||
+		    job->stored_version < job->version ||
 		    job->ended_wall >= before)
 			continue;
 		g_ptr_array_add(ids, g_strdup(job->id));
--- a/packages/batch/batch_int.h
+++ b/packages/batch/batch_int.h
@@ -187,6 +187,7 @@
 	uint64_t stored_version;  /* last version stored */
 	bool cancel_confirmed;
 	int n_runs;
+	int n_unstored_ends; /* entries of workers' lists that refer to it */
 };
 
 /* An end that the worker may discard once a version of the job is stored. */
@@ -221,6 +222,7 @@
 	bool listed;
 	bool draining;
 	bool silent;
+	bool forgotten; /* all that it ran has ended; to be freed */
 	bool cordoned;
 	int64_t cordoned_at;   /* when it was cordoned or began to drain */
 	int64_t polled_at;     /* last successful poll */
@@ -310,6 +312,11 @@
 
 /* batch_worker.c */
 void batch_worker_add_in_doubt(batch_run_t *run, int64_t now);
+/* Whether nothing is lost if the worker ends now: it has no runs, and all ends
+ * that it has listed are stored. */
+bool batch_worker_is_empty(const batch_worker_t *worker);
+/* Frees the workers that were forgotten and that nothing depends on. */
+void batch_workers_free_forgotten(batch_t *core, int64_t now);
 
 /* batch_health.c */
 void batch_health_failed(batch_worker_t *worker, const batch_job_t *job,
--- a/packages/batch/batch_worker.c
+++ b/packages/batch/batch_worker.c
@@ -59,6 +59,11 @@
 		worker->polled_at = now;
 	if (info->draining && !worker->draining && !worker->cordoned)
 		worker->cordoned_at = now;
+	if (worker->forgotten) {
+		worker->forgotten = false;
+		worker->cordoned = false;
+		worker->silent = true; /* until it is polled */
+	}
 	worker->listed = true;
 	worker->draining = info->draining;
 	worker->capacity = info->capacity;
@@ -70,10 +75,22 @@
 	set_pool(worker, batch_pool_get(core, info->pool));
 }
 
-static void worker_free(batch_t *core, batch_worker_t *worker)
+static void drop_unstored_ends(batch_worker_t *worker, guint n)
+{
+	guint i;
+
+	for (i = 0; i < n; i++)
+		g_array_index(worker->unstored_ends, batch_unstored_end_t, i)
+			.job->n_unstored_ends--;
+	if (n)
+		g_array_remove_range(worker->unstored_ends, 0, n);
+}
+
+/* The caller removes it from the table of workers. */
+static void worker_free(batch_worker_t *worker)
 {
 	set_pool(worker, NULL);
-	g_hash_table_remove(core->workers, worker->id);
+	drop_unstored_ends(worker, worker->unstored_ends->len);
 	g_ptr_array_unref(worker->runs);
 	g_array_unref(worker->unstored_ends);
 	g_array_unref(worker->in_doubt_starts);
@@ -141,7 +158,55 @@
 		return;
 	lose_all_runs(worker, now, "worker gone");
 	if (!worker->listed)
-		worker_free(core, worker);
+		worker->forgotten = true;
+}
+
+static bool has_in_doubt_starts(const batch_worker_t *worker, int64_t now)
+{
+	guint i;
+
+	for (i = 0; i < worker->in_doubt_starts->len; i++)
+		if (g_array_index(worker->in_doubt_starts,
+				  batch_in_doubt_start_t, i)
+			    .until > now)
+			return true;
+	return false;
+}
+
+static bool has_unstored_ends(const batch_worker_t *worker)
+{
+	guint i;
+
+	for (i = 0; i < worker->unstored_ends->len; i++) {
+		const batch_unstored_end_t *end = &g_array_index(
+			worker->unstored_ends, batch_unstored_end_t, i);
+
+		if (end->job->stored_version < end->version)
+			return true;
+	}
+	return false;
+}
+
+bool batch_worker_is_empty(const batch_worker_t *worker)
+{
+	return !worker->runs->len && !has_unstored_ends(worker);
+}
+
+void batch_workers_free_forgotten(batch_t *core, int64_t now)
+{
+	GHashTableIter iter;
+	gpointer value;
+
+	g_hash_table_iter_init(&iter, core->workers);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		batch_worker_t *worker = value;
+
+		if (!worker->forgotten || !batch_worker_is_empty(worker) ||
+		    has_in_doubt_starts(worker, now))
+			continue;
+		g_hash_table_iter_remove(&iter);
+		worker_free(worker);
+	}
 }
 
 size_t batch_worker_runs(const batch_t *core, base_str_t id,
@@ -258,7 +323,7 @@
 		}
 		stop_in_doubt_starts(worker, now);
 		worker->last_end = 0;
-		g_array_set_size(worker->unstored_ends, 0);
+		drop_unstored_ends(worker, worker->unstored_ends->len);
 		worker->is_quarantined = false;
 		worker->n_quarantines = 0;
 		worker->fail_streak = 0;
@@ -283,30 +348,40 @@
 			       .value = end->end_kind });
 }
 
+/*
+ * The worker may discard an end once the store holds all that is known of its
+ * job now, whether or not this listing of the end has changed anything.
+ */
+static void await_stored(batch_worker_t *worker, batch_job_t *job,
+			 int64_t number, int64_t now)
+{
+	batch_unstored_end_t end = { .number = number,
+				     .job = job,
+				     .version = job->version,
+				     .first_listed_at = now };
+
+	if (job->stored_version >= job->version)
+		return;
+	job->n_unstored_ends++;
+	g_array_append_val(worker->unstored_ends, end);
+}
+
 static void handle_end(batch_worker_t *worker, int64_t now,
 		       const batch_listed_end_t *end)
 {
-	batch_t *core = worker->core;
-	batch_task_t *task = batch_find_task(core, &end->task);
+	batch_job_t *job = batch_find_job(worker->core, end->task.job);
+	batch_task_t *task = batch_find_task(worker->core, &end->task);
 	batch_run_t *run = task ? task->run : NULL;
-	batch_job_t *job;
-	batch_unstored_end_t gate;
 
 	if (end->number <= worker->last_end)
 		return;
 	worker->last_end = end->number;
-	if (!run || run->worker != worker || run->number != end->run) {
+	if (run && run->worker == worker && run->number == end->run)
+		batch_run_ended(run, now, end->end_kind, end->checkpoint);
+	else
 		log_unmatched_end(worker, task, end);
-		return;
-	}
-	job = task->step->occ->job;
-	batch_run_ended(run, now, end->end_kind, end->checkpoint);
-	gate.number = end->number;
-	gate.job = job;
-	gate.version = job->version;
-	gate.first_listed_at = now;
-	if (job->stored_version < job->version)
-		g_array_append_val(worker->unstored_ends, gate);
+	if (job)
+		await_stored(worker, job, end->number, now);
 }
 
 int64_t batch_worker_stored_end(batch_t *core, int64_t now, base_str_t id)
@@ -323,7 +398,7 @@
 			return gate->number - 1;
 		base_hist_add(core->times[BATCH_TIME_END_STORED],
 			      now - gate->first_listed_at);
-		g_array_remove_index(worker->unstored_ends, 0);
+		drop_unstored_ends(worker, 1);
 	}
 	return worker->last_end;
 }
@@ -331,16 +406,8 @@
 bool batch_worker_has_unstored_ends(const batch_t *core, base_str_t id)
 {
 	const batch_worker_t *worker = batch_find_worker(core, id);
-	const batch_unstored_end_t *gate;
-	guint i;
 
-	for (i = 0; worker && i < worker->unstored_ends->len; i++) {
-		gate = &g_array_index(worker->unstored_ends,
-				      batch_unstored_end_t, i);
-		if (gate->job->stored_version < gate->version)
-			return true;
-	}
-	return false;
+	return worker && has_unstored_ends(worker);
 }
 
 static void stop_unknown_run(batch_worker_t *worker,
--- /dev/null
+++ b/packages/batch/tests/batch_store_test.c
@@ -0,0 +1,80 @@
+/*
+ * What is acknowledged, forgotten or given up rests on what is stored.
+ */
+#include "batch_world_int.h"
+
+#define MS BASE_MS
+#define SECOND BASE_SEC
+
+static void check_and_free(world_t *world)
+{
+	if (world->broken)
+		g_test_message("%s", world->first_violation);
+	g_assert_cmpint(world->broken, ==, 0);
+	world_free(world);
+}
+
+/* Index of the worker that runs the task; -1: none. */
+static int find_run(const world_t *world, const char *job, int index)
+{
+	int i;
+	guint j;
+
+	for (i = 0; i < world->n_workers; i++)
+		for (j = 0; j < world->workers[i].runs->len; j++) {
+			const world_run_t *run = &g_array_index(
+				world->workers[i].runs, world_run_t, j);
+
+			if (!strcmp(run->job, job) && run->index == index)
+				return i;
+		}
+	return -1;
+}
+
+/* Runs one task to its end while no row can be stored; returns its worker. */
+static int end_unstored(world_t *world)
+{
+	batch_step_spec_t step = world_step(1);
+	int worker;
+
+	world_submit(world, "a", &step, 1);
+	world_advance(world, 300 * MS);
+	worker = find_run(world, "a", 0);
+	g_assert_cmpint(worker, >=, 0);
+	world->store_down = true;
+	world_advance(world, 3 * SECOND);
+	g_assert_cmpint(world->workers[worker].ends->len, ==, 1);
+	g_assert_cmpint(world_state(world, "a"), ==, BATCH_RUNNING);
+	return worker;
+}
+
+/*
+ * Guards against a task that runs again after its end was acknowledged: its
+ * worker was forgotten while the end was not stored, and met again.
+ */
+static void test_forgotten_worker_keeps_its_ends(void)
+{
+	world_t *world = world_new(1, 4, 3);
+	int worker = end_unstored(world);
+
+	world_worker_set_listed(world, worker, false);
+	world_advance(world, 200 * MS);
+	world_worker_set_listed(world, worker, true);
+	world_advance(world, 500 * MS);
+	g_assert_cmpint(world->workers[worker].ends->len, ==, 1);
+	world_take_over(world);
+	world->store_down = false;
+	world_advance(world, 5 * SECOND);
+	g_assert_cmpint(world_state(world, "a"), ==, BATCH_COMPLETED);
+	g_assert_cmpint(world->starts, ==, 1);
+	g_assert_cmpint(world->workers[worker].ends->len, ==, 0);
+	check_and_free(world);
+}
+
+int main(int argc, char **argv)
+{
+	g_test_init(&argc, &argv, NULL);
+	g_test_add_func("/batch-store/forgotten-worker-keeps-its-ends",
+			test_forgotten_worker_keeps_its_ends);
+	return g_test_run();
+}
--- a/packages/batch/tests/batch_world.c
+++ b/packages/batch/tests/batch_world.c
@@ -545,6 +545,17 @@
 	list_workers(world);
 }
 
+void world_worker_set_listed(world_t *world, int worker, bool listed)
+{
+	base_str_t id = base_str(world->workers[worker].id);
+	size_t n_long_running;
+
+	world->workers[worker].listed = listed;
+	list_workers(world);
+	if (!listed && !batch_worker_runs(world->core, id, &n_long_running))
+		batch_worker_terminated(world->core, world->now, id);
+}
+
 void world_worker_set_unreachable(world_t *world, int worker, bool unreachable)
 {
 	world->workers[worker].unreachable = unreachable;
--- a/packages/batch/tests/batch_world.h
+++ b/packages/batch/tests/batch_world.h
@@ -149,6 +149,11 @@
 void world_advance(world_t *world, int64_t span);
 /* Replaces the holder by one that restores only the stored rows. */
 void world_take_over(world_t *world);
+/*
+ * Removes a worker from the list, or lists it again; it lives on.  As in the
+ * holder, an unlisted worker is forgotten once it has no runs.
+ */
+void world_worker_set_listed(world_t *world, int worker, bool listed);
 /* Makes a worker unreachable or reachable again; its runs go on. */
 void world_worker_set_unreachable(world_t *world, int worker, bool unreachable);
 void world_worker_crash(world_t *world, int worker);
