node: poll an unlisted worker until its ends are acknowledged

Ends of a worker that left the list were never acknowledged if storing them took longer than the list's next reading, and their tasks ran again after a takeover in between.

A worker is gone once it is off the list and has no runs; that its ends were not stored did not count. It is polled on now, until the store holds them and a poll has told it so, or its lease ends.

Evidence: node-worker/unlisted-worker-is-polled-until-ends-are-stored failed before ("0 == 1": not acknowledged) and passes.

--- a/packages/node/node_worker.c
+++ b/packages/node/node_worker.c
@@ -235,7 +235,19 @@
 	}
 }
 
-/* Whether the worker is unlisted and no run on it can still be alive. */
+/* Whether the worker has listed an end that no poll has acknowledged yet. */
+static bool has_unacknowledged_ends(const node_worker_t *worker)
+{
+	batch_t *core = worker->holder->core;
+	base_str_t id = base_str(worker->id);
+
+	return batch_worker_has_unstored_ends(core, id) ||
+	       batch_worker_stored_end(core, base_clock_mono(), id) >
+		       worker->acknowledged;
+}
+
+/* Whether the worker is unlisted, no run on it can still be alive, and its ends
+ * are acknowledged or will never be. */
 static bool is_gone(const node_worker_t *worker, int64_t now)
 {
 	size_t n_long_running;
@@ -243,7 +255,8 @@
 	if (worker->is_listed)
 		return false;
 	if (!batch_worker_runs(worker->holder->core, base_str(worker->id),
-			       &n_long_running))
+			       &n_long_running) &&
+	    !has_unacknowledged_ends(worker))
 		return true;
 	return now >
 	       MAX(worker->lease_end,
--- a/packages/node/tests/node_worker_test.c
+++ b/packages/node/tests/node_worker_test.c
@@ -280,10 +280,48 @@
 	teardown();
 }
 
+/*
+ * Guards against ends that are never acknowledged, and tasks that run again: a
+ * worker was forgotten as soon as it was off the list and its runs had ended.
+ */
+static void test_unlisted_worker_is_polled_until_its_ends_are_stored(void)
+{
+	int64_t limit;
+	int i;
+
+	setup();
+	while (!batch_worker_known(test.holder->core, BASE_STR("w")))
+		run_for(BASE_MS);
+	submit_job();
+	for (i = 0; i < 2; i++) {
+		run_until_change(); /* accepted, then its run is decided */
+		store_change();
+	}
+	run_until_change(); /* the end is listed and its row is being stored */
+	test.holder->list_round++;
+	node_workers_list_done(test.holder);
+	run_for(STORE_DELAY);
+	store_change();
+	limit = base_clock_mono() + POLL_DUE;
+	while (test.acknowledged < 1 && base_clock_mono() < limit)
+		run_for(BASE_MS);
+	g_assert_cmpint(test.acknowledged, ==, 1);
+	while (g_hash_table_size(test.holder->worker_links) &&
+	       base_clock_mono() < limit) {
+		answer_poll(NULL);
+		run_for(BASE_MS);
+	}
+	g_assert_cmpuint(g_hash_table_size(test.holder->worker_links), ==, 0);
+	teardown();
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
 	g_test_add_func("/node-worker/no-poll-storm-while-store-is-slow",
 			test_no_poll_storm_while_store_is_slow);
+	g_test_add_func(
+		"/node-worker/unlisted-worker-is-polled-until-ends-are-stored",
+		test_unlisted_worker_is_polled_until_its_ends_are_stored);
 	return g_test_run();
 }
