--- a/packages/batch/tests/batch_store_test.c
+++ b/packages/batch/tests/batch_store_test.c
@@ -156,6 +156,90 @@
 	check_and_free(world);
 }
 
+#define DAY_WORKERS 6
+#define DAY_JOBS 40
+
+static void set_all_listed(world_t *world, bool listed)
+{
+	int i;
+
+	for (i = 0; i < DAY_WORKERS; i++)
+		world_worker_set_listed(world, i, listed);
+}
+
+static void random_fault(world_t *world, base_rng_t *rng)
+{
+	int worker = (int)base_rng_below(rng, DAY_WORKERS);
+
+	switch (base_rng_below(rng, 8)) {
+	case 0:
+		world_take_over(world);
+		break;
+	case 1:
+	case 2:
+		world->store_down = !world->store_down;
+		break;
+	case 3:
+		set_all_listed(world, false);
+		break;
+	case 4:
+	case 5:
+		set_all_listed(world, true);
+		break;
+	case 6:
+		world_worker_set_unreachable(
+			world, worker, !world->workers[worker].unreachable);
+		break;
+	default:
+		break;
+	}
+}
+
+static void run_random_day(uint64_t seed)
+{
+	world_t *world = world_new(seed, DAY_WORKERS, 3);
+	base_rng_t rng = { seed };
+	batch_step_spec_t steps[2];
+	char id[8];
+	int i;
+
+	for (i = 0; i < DAY_JOBS; i++) {
+		steps[0] = world_step(1 + (int)base_rng_below(&rng, 4));
+		steps[1] = world_step(1 + (int)base_rng_below(&rng, 4));
+		steps[1].depends_on = 1;
+		g_snprintf(id, sizeof(id), "j%d", i);
+		world_submit(world, id, steps, 2);
+		world_advance(world, (int64_t)base_rng_below(&rng, 600) * MS);
+		random_fault(world, &rng);
+	}
+	world->store_down = false;
+	for (i = 0; i < DAY_WORKERS; i++)
+		world_worker_set_unreachable(world, i, false);
+	set_all_listed(world, true);
+	world_advance(world, 60 * SECOND);
+	for (i = 0; i < DAY_JOBS; i++) {
+		g_snprintf(id, sizeof(id), "j%d", i);
+		/* A job that no holder has stored is unknown. */
+		if (world_state(world, id) != BATCH_UNKNOWN)
+			g_assert_cmpint(world_state(world, id), ==,
+					BATCH_COMPLETED);
+	}
+	g_test_message("seed %d: %s", (int)seed, world->first_violation);
+	check_and_free(world);
+}
+
+/*
+ * Guards against tasks that run twice while workers leave and rejoin the list,
+ * the store is away and the holder changes.
+ */
+static void test_random_days(void)
+{
+	uint64_t seed;
+
+	for (seed = 1; seed <= 300; seed++)
+		run_random_day(seed);
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
@@ -167,5 +251,6 @@
 			test_worker_with_unstored_ends_is_not_idle);
 	g_test_add_func("/batch-store/stop-is-repeated-after-a-restart",
 			test_stop_is_repeated_after_a_restart);
+	g_test_add_func("/batch-store/random-days", test_random_days);
 	return g_test_run();
 }
