batch: end a reservation before the task it refers to is freed

Callers saw nothing in most cases; with the address sanitizer the holder ended with status 1, and without it the holder read freed memory.

A long-running task that fits nowhere reserves a worker. When its job is cancelled and the cancellation is stored before the next pass, the tick frees the occurrences of the job first, and the pass that follows reads the task to see whether its reservation still holds. The reservations are now dropped in the tick, before occurrences are freed; a pass is only ever made by that tick.

The new test failed before the fix with the same report (address sanitizer), and passes with it, as do the 21 others of that program.

--- a/packages/batch/batch_int.h
+++ b/packages/batch/batch_int.h
@@ -394,6 +394,8 @@
 
 /* batch_place.c */
 void batch_place(batch_t *core, int64_t now, int64_t wall);
+/* Ends the reservations of tasks that run and of jobs that have ended. */
+void batch_place_drop_ended(batch_t *core);
 
 /* Whether another worker may run the task and has enough free capacity. */
 bool batch_place_fits_elsewhere(const batch_task_t *task, int64_t now);
--- a/packages/batch/batch_place.c
+++ b/packages/batch/batch_place.c
@@ -500,7 +500,7 @@
 		batch_occ_new(job, next++);
 }
 
-static void drop_ended_reservations(batch_t *core)
+void batch_place_drop_ended(batch_t *core)
 {
 	GHashTableIter iter;
 	gpointer value;
@@ -540,7 +540,6 @@
 	size_t n = 0;
 	guint i;
 
-	drop_ended_reservations(core);
 	g_hash_table_iter_init(&iter, core->pools);
 	while (g_hash_table_iter_next(&iter, NULL, &value)) {
 		drop_stale_reservations(value, now);
--- a/packages/batch/batch_run.c
+++ b/packages/batch/batch_run.c
@@ -487,6 +487,8 @@
 	while (g_hash_table_iter_next(&iter, NULL, &value))
 		check_lease_and_stops(value, now);
 	batch_workers_free_forgotten(core, now);
+	/* A reservation refers to a task of an occurrence. */
+	batch_place_drop_ended(core);
 	for (i = core->active_jobs->len; i-- > 0;) {
 		batch_job_t *job = g_ptr_array_index(core->active_jobs, i);
 
--- a/packages/batch/tests/batch_test.c
+++ b/packages/batch/tests/batch_test.c
@@ -240,6 +240,35 @@
 	check_and_free(world);
 }
 
+/*
+ * Guards against a read of freed memory: a job is cancelled while its task
+ * waits with a reservation, and this is stored before the next pass.
+ */
+static void test_cancel_of_a_reservation_is_stored_at_once(void)
+{
+	world_t *world = world_new(1, 2, 2);
+	batch_step_spec_t filling = long_running_step(2);
+	batch_step_spec_t waiting = long_running_step(1);
+	batch_row_t rows[2];
+
+	filling.need.cpu = world->workers[0].capacity.cpu;
+	waiting.need.cpu = world->workers[0].capacity.cpu;
+	world_submit(world, "a", &filling, 1);
+	world_advance(world, 2 * SECOND);
+	g_assert_cmpint(count_running(world, "a", 2), ==, 2);
+	world_submit(world, "b", &waiting, 1);
+	world_advance(world, SECOND);
+	g_assert_true(world_cancel(world, "b"));
+	g_assert_cmpuint(batch_rows(world->core, rows, 2), ==, 1);
+	batch_rows_stored(world->core, world->now);
+	g_assert_true(world_cancelled(world, "b"));
+	world_submit(world, "c", &waiting, 1);
+	g_assert_true(world_cancel(world, "a"));
+	world_advance(world, 2 * SECOND);
+	g_assert_cmpint(count_running(world, "c", 1), ==, 1);
+	check_and_free(world);
+}
+
 static void test_takeover_at_any_time(void)
 {
 	int at;
@@ -611,6 +640,8 @@
 	g_test_add_func("/batch/take-over-at-every-moment",
 			test_takeover_at_any_time);
 	g_test_add_func("/batch/cancel", test_cancel);
+	g_test_add_func("/batch/cancel-of-a-reservation-is-stored-at-once",
+			test_cancel_of_a_reservation_is_stored_at_once);
 	g_test_add_func("/batch/cancel-waits-for-a-stored-end",
 			test_cancel_waits_for_a_stored_end);
 	g_test_add_func("/batch/nothing-begins-before-it-is-stored",
