node: close the sockets of a stopped entry with its loop

Callers got no answer to a request that they sent within half a second before a stopped entry ended: "closed a connection without an answer", 0.2 to 0.5 s after the request.

The entry ended its loop after it had answered what it had read, but its ports and connections stayed open until the process was gone. Until then the system went on taking connections and requests, which nobody read. With the address sanitizer the leak check makes the exit long, and an entry that runs for a fifth of the time is paused within it.

The entry now closes its servers right after its loop has ended, before its last line is logged.

The new test failed before: a kept connection was still open (recv: -1 instead of 0) after node_run() had returned.

--- a/packages/node/node_run.c
+++ b/packages/node/node_run.c
@@ -86,9 +86,6 @@
 		node_dispatch_answer_all(node);
 	}
 	if (has_drained(node, now)) {
-		node_log(node, BASE_MSG_STOPPED,
-			 BASE_F_INT("term", node->known_holder.term));
-		node_log_flush(node);
 		net_loop_stop(node->loop);
 		return;
 	}
@@ -221,6 +218,19 @@
 	return EXIT_FAILURE;
 }
 
+/* Until its sockets are closed, the system takes requests for a process that
+ * will not read them, and the rest of an exit can take a while. */
+static void finish_stop(node_t *node)
+{
+	TALLOC_FREE(node->front);
+	TALLOC_FREE(node->peer_server);
+	TALLOC_FREE(node->ready);
+	TALLOC_FREE(node->metrics_server);
+	node_log(node, BASE_MSG_STOPPED,
+		 BASE_F_INT("term", node->known_holder.term));
+	node_log_flush(node);
+}
+
 /* A signal that comes while the process starts waits for its handler. */
 static void hold_signals(int how)
 {
@@ -268,6 +278,7 @@
 	node_config_begin(node);
 	node_election_begin(node);
 	net_loop_run(node->loop);
-	/* The process ends here, so nothing is freed. */
+	finish_stop(node);
+	/* The process ends here, so nothing else is freed. */
 	return EXIT_SUCCESS;
 }
