site: let the reader's test look more often after a peer's text

After a peer has supplied a text, the reader now looks next in every second case. The check is unchanged.

--- a/packages/site/tests/config_prop.cpp
+++ b/packages/site/tests/config_prop.cpp
@@ -135,10 +135,12 @@
 	rng = { *rc::gen::arbitrary<uint64_t>() };
 	std::map<int64_t, std::string> texts = { { 1, random_text() } };
 	approve(&w, {}, config(texts[1], 1));
-	for (int step = 40; step >= 0; step--) {
-		int act = step ? random_below(8) : 7;
+	for (int step = 40, act = 0; step >= 0; step--) {
 		site_config_update_t update = {};
 
+		/* What a peer has supplied is often read next. */
+		act = !step || (act == 4 && random_below(2)) ? 7
+							     : random_below(8);
 		if (act < 4) {
 			texts[last + 1] = edited(texts[last]);
 			approve(&w, config(texts[last], last),
