plat: report a list that another thread has read to the one that follows it

Callers of one entry were told "not-run", "no-endpoint" for every request, for as long as no endpoint changed.

The thread that follows the instance list passes it to the router when follow() says that it changed. The thread with the fleet's duty reads the same list. If it read first, at the start of the entry or after a watch that had failed, follow() only watched from the version that the other had got, saw no event, and the router kept the old list, or none. follow() now reports a list that read() has got from the platform. After a list that could not be read, follow() reads it whole, as the manual says; before, a reported change was lost if the read that followed it failed.

--- a/packages/plat/plat.h
+++ b/packages/plat/plat.h
@@ -286,7 +286,8 @@
 	/*
 	 * Update the cache.  The first call, and the first after an error,
 	 * reads the whole list; others wait up to PLAT_LIST_WAIT_S for changes.
-	 * Sets "*changed" to true if read() may return something new.
+	 * Sets "*changed" to true if read() may return something new, also if
+	 * another thread's read() has updated the cache.
 	 */
 	bool (*follow)(plat_list_t *list, bool *changed, GError **err);
 } plat_list_ops_t;
--- a/packages/plat/plat_slices.c
+++ b/packages/plat/plat_slices.c
@@ -4,7 +4,8 @@
  * Client of the EndpointSlice list, discovery.k8s.io/v1.  The incarnation is
  * the uid of the target; the rack is in deprecatedTopology.  After a full list,
  * follow() watches for changes from the last resourceVersion; each watch ends
- * after PLAT_LIST_WAIT_S.
+ * after PLAT_LIST_WAIT_S.  read() may read a full list as well, from another
+ * thread; follow() then reports it first.
  */
 
 #define SLICES_PATH "/apis/discovery.k8s.io/v1/endpointslices"
@@ -19,6 +20,7 @@
 	/* Last resourceVersion received; "": read the full list next. */
 	char version[VERSION_MAX];
 	int64_t updated_at; /* time of the last update; monotonic */
+	bool is_unfollowed; /* a list was read that follow() has not reported */
 } plat_slices_t;
 
 static bool slices_read(plat_list_t *list, const void *ctx, const char *zone,
@@ -96,15 +98,19 @@
 static bool slices_follow(plat_list_t *list, bool *changed, GError **err)
 {
 	plat_slices_t *slices = (plat_slices_t *)list;
-	bool received;
+	bool received = true;
 
 	pthread_mutex_lock(&slices->request_lock);
-	if (slices->version[0]) {
-		received = watch(slices, changed, err);
-	} else {
+	if (!slices->version[0])
 		received = list_all(slices, err);
-		*changed = received;
+	else if (!slices->is_unfollowed)
+		received = watch(slices, changed, err);
+	pthread_mutex_lock(&slices->lock);
+	if (received && slices->is_unfollowed) {
+		*changed = true;
+		slices->is_unfollowed = false;
 	}
+	pthread_mutex_unlock(&slices->lock);
 	pthread_mutex_unlock(&slices->request_lock);
 	return received;
 }
@@ -115,14 +121,18 @@
 	json_t *slice;
 	size_t i;
 
-	if (!root)
-		return false;
 	pthread_mutex_lock(&slices->lock);
+	if (!root) {
+		slices->version[0] = '\0';
+		pthread_mutex_unlock(&slices->lock);
+		return false;
+	}
 	g_hash_table_remove_all(slices->slices);
 	json_array_foreach(json_object_get(root, "items"), i, slice)
 		store_slice(slices, slice);
 	save_version(slices, root);
 	slices->updated_at = base_clock_mono();
+	slices->is_unfollowed = true;
 	pthread_mutex_unlock(&slices->lock);
 	json_decref(root);
 	return true;
