tests: ends that are not stored, with real processes

Callers saw a task run again after its end had been acknowledged (TWICE). The decision is covered by batch-store/forgotten-worker-keeps-its-ends; nothing showed it with processes, a store and a list.

The stand-in can hide a worker's entry while the worker works on ("unlist", "list"), and carry out changes that it does not answer later ("late-ms"). Its judge also sees an end that is acknowledged after a later start of the task, unless the worker's lease lapsed in between.

--- a/standin/platform/sp_int.h
+++ b/standin/platform/sp_int.h
@@ -38,6 +38,12 @@
 	int64_t after, deadline_us;
 } sp_watch_t;
 
+/* A change that is carried out later; its answer is lost. */
+typedef struct sp_late_change {
+	char *body;
+	int64_t due_us;
+} sp_late_change_t;
+
 typedef struct sp_run {
 	char task[64];
 	char job[32];
@@ -46,7 +52,7 @@
 } sp_run_t;
 
 typedef struct sp_run_end {
-	int64_t number;
+	int64_t number, ended_at;
 	sp_run_t run;
 	const char *result;
 } sp_run_end_t;
@@ -64,6 +70,8 @@
 	double clock_rate; /* speed of its clock, 1.0 is exact */
 	int64_t started_at, lease_end_us, fencing_token, next_end_number,
 		restart_at;
+	int64_t lapsed_at;     /* when its lease was last seen to be over */
+	bool is_unlisted;      /* its entry is hidden; it works on */
 	bool in_maintenance;   /* stopped for maintenance */
 	int64_t wave;	       /* that the maintenance belongs to */
 	bool ignores_requests; /* accepts requests, ignores them */
@@ -99,11 +107,13 @@
 	GPtrArray *unanswered; /* exchanges left without an answer */
 	sp_store_fault_t store_fault;
 	int unanswered_percent; /* changes applied but not answered */
-	int task_duration_ms;	/* run time of a task */
-	int restart_delay_ms;	/* duration of maintenance or a pool change */
-	int64_t compacted;	/* events up to this revision are deleted */
-	bool requires_ticket;	/* starts need a ticket; even workers get one */
-	bool keeps_leases;	/* no lease expires */
+	int late_ms;		/* delay of these changes */
+	GArray *late_changes;
+	int task_duration_ms; /* run time of a task */
+	int restart_delay_ms; /* duration of maintenance or a pool change */
+	int64_t compacted;    /* events up to this revision are deleted */
+	bool requires_ticket; /* starts need a ticket; even workers get one */
+	bool keeps_leases;    /* no lease expires */
 	base_rng_t rng;
 	sp_worker_t workers[SP_WORKERS_MAX];
 	int n_workers;
@@ -145,6 +155,8 @@
 void sp_workers_tick(sp_t *sp, int64_t now);
 void sp_worker_terminate(sp_worker_t *worker);
 void sp_worker_start(sp_worker_t *worker);
+/* Hides or shows a worker's entry in the store. */
+void sp_worker_set_unlisted(sp_worker_t *worker, bool is_unlisted);
 void sp_instances_serve(sp_t *sp, net_exchange_t *exchange, const char *path);
 
 /* sp_advice.c */
@@ -158,6 +170,8 @@
 void sp_record_start(sp_t *sp, const char *task);
 void sp_record_done(sp_t *sp, const char *task);
 void sp_record_end(sp_t *sp, const char *task);
+/* Whether a run of the task began after this time. */
+bool sp_record_started_after(const sp_t *sp, const char *task, int64_t at);
 void sp_records_serve(const sp_t *sp, net_exchange_t *exchange);
 
 /* sp_main.c */
--- a/standin/platform/sp_main.c
+++ b/standin/platform/sp_main.c
@@ -165,6 +165,7 @@
 	sp->leases = g_array_new(FALSE, TRUE, sizeof(sp_lease_t));
 	sp->watches = g_ptr_array_new();
 	sp->unanswered = g_ptr_array_new();
+	sp->late_changes = g_array_new(FALSE, TRUE, sizeof(sp_late_change_t));
 	sp->acknowledged =
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
 	sp->tasks = sp_records_new();
--- a/standin/platform/sp_record.c
+++ b/standin/platform/sp_record.c
@@ -51,6 +51,13 @@
 	get_task(sp, name)->last_end = base_clock_mono();
 }
 
+bool sp_record_started_after(const sp_t *sp, const char *name, int64_t at)
+{
+	const sp_task_t *task = g_hash_table_lookup(sp->tasks, name);
+
+	return task && task->last_start > at;
+}
+
 /* [[task, starts, first start, last start, first completion, last end],
  * ...] */
 void sp_records_serve(const sp_t *sp, net_exchange_t *exchange)
--- a/standin/platform/sp_store.c
+++ b/standin/platform/sp_store.c
@@ -282,15 +282,50 @@
 	base_str_t text = net_exchange_body(exchange);
 	json_t *root = json_loadb(text.ptr, text.len, 0, NULL);
 	json_t *body = NULL;
-	int status = root ? apply_transaction(sp, root, &body) : 400;
-
+	bool is_answered =
+		(int)base_rng_below(&sp->rng, 100) >= sp->unanswered_percent;
+	sp_late_change_t late = { 0 };
+	int status;
+
+	if (!is_answered && sp->late_ms) {
+		late.body = g_strndup(text.ptr, text.len);
+		late.due_us = base_clock_mono() + sp->late_ms * BASE_MS;
+		g_array_append_val(sp->late_changes, late);
+		status = 0;
+	} else {
+		status = root ? apply_transaction(sp, root, &body) : 400;
+	}
 	json_decref(root);
-	if ((int)base_rng_below(&sp->rng, 100) < sp->unanswered_percent) {
-		json_decref(body);
-		g_ptr_array_add(sp->unanswered, exchange);
+	if (is_answered) {
+		sp_reply_json(exchange, status, body);
 		return;
 	}
-	sp_reply_json(exchange, status, body);
+	json_decref(body);
+	g_ptr_array_add(sp->unanswered, exchange);
+}
+
+static void apply_late_changes(sp_t *sp, int64_t now)
+{
+	guint i = 0;
+
+	while (i < sp->late_changes->len) {
+		sp_late_change_t late =
+			g_array_index(sp->late_changes, sp_late_change_t, i);
+		json_t *root;
+		json_t *body = NULL;
+
+		if (now < late.due_us) {
+			i++;
+			continue;
+		}
+		g_array_remove_index(sp->late_changes, i);
+		root = json_loads(late.body, 0, NULL);
+		if (root)
+			apply_transaction(sp, root, &body);
+		json_decref(root);
+		json_decref(body);
+		g_free(late.body);
+	}
 }
 
 static void end_lease(sp_t *sp, int64_t id)
@@ -393,6 +428,7 @@
 
 	if (sp->store_fault != SP_STORE_OK)
 		return;
+	apply_late_changes(sp, now);
 	for (i = sp->leases->len; i-- > 0;) {
 		sp_lease_t *lease = &g_array_index(sp->leases, sp_lease_t, i);
 
--- a/standin/platform/sp_switch.c
+++ b/standin/platform/sp_switch.c
@@ -45,6 +45,11 @@
 	sp->unanswered_percent = (int)strtol(value, NULL, 10);
 }
 
+static void set_late(sp_t *sp, const char *value)
+{
+	sp->late_ms = (int)strtol(value, NULL, 10);
+}
+
 static void set_task_duration(sp_t *sp, const char *value)
 {
 	sp->task_duration_ms = (int)strtol(value, NULL, 10);
@@ -84,6 +89,16 @@
 	find_worker(sp, value)->drops_answers = false;
 }
 
+static void unlist_worker(sp_t *sp, const char *value)
+{
+	sp_worker_set_unlisted(find_worker(sp, value), true);
+}
+
+static void list_worker(sp_t *sp, const char *value)
+{
+	sp_worker_set_unlisted(find_worker(sp, value), false);
+}
+
 static const sp_switch_t switches[] = {
 	{ "store", set_store_fault },	  { "second", set_second_store },
 	{ "leases", set_leases },	  { "history", compact_history },
@@ -91,6 +106,8 @@
 	{ "back-ms", set_restart_delay }, { "advice", set_requires_ticket },
 	{ "crash", crash_worker },	  { "mute", set_ignores_requests },
 	{ "one-way", set_drops_answers }, { "heal", clear_worker_faults },
+	{ "late-ms", set_late },	  { "unlist", unlist_worker },
+	{ "list", list_worker },
 };
 
 bool sp_apply_switches(sp_t *sp, const char *path)
--- a/standin/platform/sp_worker.c
+++ b/standin/platform/sp_worker.c
@@ -41,10 +41,27 @@
 	worker->next_end_number = 1;
 	worker->restart_at = 0;
 	worker->in_maintenance = false;
+	worker->is_unlisted = false;
 	if (worker->up)
 		register_worker(worker);
 }
 
+void sp_worker_set_unlisted(sp_worker_t *worker, bool is_unlisted)
+{
+	char *key;
+
+	if (!worker->up || worker->is_unlisted == is_unlisted)
+		return;
+	worker->is_unlisted = is_unlisted;
+	if (!is_unlisted) {
+		register_worker(worker);
+		return;
+	}
+	key = g_strdup_printf("servers/%s", worker->id);
+	sp_store_delete(worker->sp, key);
+	g_free(key);
+}
+
 void sp_worker_terminate(sp_worker_t *worker)
 {
 	char *key = g_strdup_printf("servers/%s", worker->id);
@@ -66,7 +83,7 @@
 
 static void add_end(sp_worker_t *worker, guint at, const char *result)
 {
-	sp_run_end_t end = { worker->next_end_number++,
+	sp_run_end_t end = { worker->next_end_number++, base_clock_mono(),
 			     g_array_index(worker->runs, sp_run_t, at),
 			     result };
 
@@ -115,6 +132,18 @@
 				"reason", reason));
 }
 
+/* An end does not count as acknowledged if the lease lapsed before that. */
+static void check_acknowledged(const sp_worker_t *worker,
+			       const sp_run_end_t *end)
+{
+	if (worker->lapsed_at <= end->ended_at &&
+	    sp_record_started_after(worker->sp, end->run.task, end->ended_at))
+		sp_record_violation(
+			worker->sp,
+			"its completion was acknowledged after a later start",
+			&end->run);
+}
+
 static void acknowledge_ends(sp_worker_t *worker, int64_t last_seen)
 {
 	while (worker->unacknowledged_ends->len) {
@@ -123,9 +152,11 @@
 
 		if (end->number > last_seen)
 			return;
-		if (!strcmp(end->result, "done"))
+		if (!strcmp(end->result, "done")) {
+			check_acknowledged(worker, end);
 			g_hash_table_add(worker->sp->acknowledged,
 					 g_strdup(end->run.task));
+		}
 		g_array_remove_index(worker->unacknowledged_ends, 0);
 	}
 }
@@ -327,6 +358,8 @@
 
 	if (worker->restart_at && now >= worker->restart_at)
 		sp_worker_start(worker);
+	if (worker_clock_us(worker) > worker->lease_end_us)
+		worker->lapsed_at = now;
 	for (i = worker->runs->len; i-- > 0;) {
 		const sp_run_t *run = &g_array_index(worker->runs, sp_run_t, i);
 
