node: answer what came in a pause before a stopped entry exits

Callers got no answer to a request that they sent while a stopped entry was paused over the end of its grace period (an entry with a small share of a processor is paused often).

It now exits five ticks (25 ms) later: one that may come too early, and one each to accept, read, answer and write.

The new test failed before (recv: 0 bytes, the connection was closed; want an answer), for a request on a kept connection, and passes with it, also for one on a new connection.

--- a/packages/node/node_int.h
+++ b/packages/node/node_int.h
@@ -153,11 +153,12 @@
 	net_server_t *metrics_server;
 	net_timer_t *stop_timer;
 	int64_t stop_deadline;	/* open requests are ended then */
-	int64_t stop_end;	/* the process exits then in any case */
+	int64_t stop_end;	/* the process exits soon after in any case */
 	int64_t linger_until;	/* new connections may arrive until then */
 	uint64_t stop_activity; /* of the servers at the last tick */
 	int64_t stop_ticked_at;
 	int stop_idle_ticks; /* consecutive ticks without activity */
+	int stop_last_ticks; /* ticks since "stop_end" */
 	bool stopping;
 	GHashTable *open_requests; /* set of requests without an answer */
 };
--- a/packages/node/node_run.c
+++ b/packages/node/node_run.c
@@ -18,6 +18,10 @@
  * request or reply: what had arrived by the first one was read and answered by
  * the second. */
 #define RUN_STOP_IDLE_TICKS 2
+/* Ticks from the end until the process exits.  After a pause the first may come
+ * before a look at the connections; then what has arrived is accepted, read,
+ * answered and written, a tick for each. */
+#define RUN_STOP_LAST_TICKS 5
 /* After a stop has begun the load balancer sends connections until two of its
  * checks have failed, one a second; the rest is a margin. */
 #define RUN_STOP_LINGER (2500 * BASE_MS)
@@ -65,7 +69,7 @@
 {
 	return (now >= node->linger_until &&
 		node->stop_idle_ticks >= RUN_STOP_IDLE_TICKS) ||
-	       now >= node->stop_end;
+	       node->stop_last_ticks >= RUN_STOP_LAST_TICKS;
 }
 
 static void stop_tick(void *arg)
@@ -85,6 +89,7 @@
 			net_server_close(node->front);
 		node_dispatch_answer_all(node);
 	}
+	node->stop_last_ticks += now >= node->stop_end;
 	if (has_drained(node, now)) {
 		net_loop_stop(node->loop);
 		return;
--- a/packages/node/tests/node_stop_test.c
+++ b/packages/node/tests/node_stop_test.c
@@ -3,7 +3,6 @@
  * after its loop has ended until the test has looked at its connections.
  */
 #include <arpa/inet.h>
-#include <fcntl.h>
 #include <signal.h>
 #include <string.h>
 #include <sys/prctl.h>
@@ -123,7 +122,16 @@
 		close(fds[i]);
 }
 
-static char *write_settings(const int *ports)
+/* An entry in a child process, and what the test has of it. */
+typedef struct entry {
+	pid_t pid;
+	int ports[4]; /* the first one is for callers */
+	int log;
+	int ended; /* gets a byte once the loop has ended */
+	char *file;
+} entry_t;
+
+static char *write_settings(const int *ports, int grace_s)
 {
 	char *file = NULL;
 	int fd = g_file_open_tmp("node-stop-XXXXXX", &file, NULL);
@@ -131,8 +139,9 @@
 		"{\"name\": \"edge-1\", \"availability_zone\": \"z1\",\n"
 		"\"callers\": \"127.0.0.1:%d\", \"ready\": \"127.0.0.1:%d\",\n"
 		"\"peers\": \"127.0.0.1:%d\", \"metrics\": \"127.0.0.1:%d\",\n"
-		"\"store\": \"127.0.0.1:1\", \"instances\": \"127.0.0.1:1\"}\n",
-		ports[0], ports[1], ports[2], ports[3]);
+		"\"store\": \"127.0.0.1:1\", \"instances\": \"127.0.0.1:1\",\n"
+		"\"grace_s\": %d}\n",
+		ports[0], ports[1], ports[2], ports[3], grace_s);
 
 	g_assert_cmpint(fd, >=, 0);
 	close(fd);
@@ -141,70 +150,132 @@
 	return file;
 }
 
-/* Runs an entry in a child process, which writes a byte to "ended" once its
- * loop has ended, and then waits to be killed. */
-static pid_t start_entry(const char *file, int ended)
+static void entry_start(entry_t *entry, int grace_s)
+{
+	node_options_t options = { .platform = &fake_platform };
+	int log[2];
+	int ended[2];
+
+	unused_ports(entry->ports, 4);
+	entry->file = write_settings(entry->ports, grace_s);
+	g_assert_cmpint(pipe(log), ==, 0);
+	g_assert_cmpint(pipe(ended), ==, 0);
+	alarm(HANG_TIMEOUT_S);
+	entry->pid = fork();
+	g_assert_cmpint(entry->pid, >=, 0);
+	if (!entry->pid) {
+		prctl(PR_SET_PDEATHSIG, SIGKILL);
+		options.settings_file = entry->file;
+		options.log_fd = log[1];
+		if (node_run(&options) == EXIT_SUCCESS)
+			(void)!write(ended[1], "x", 1);
+		for (;;)
+			pause();
+	}
+	close(log[1]);
+	close(ended[1]);
+	entry->log = log[0];
+	entry->ended = ended[0];
+}
+
+static void entry_end(entry_t *entry)
+{
+	kill(entry->pid, SIGKILL);
+	waitpid(entry->pid, NULL, 0);
+	alarm(0);
+	close(entry->log);
+	close(entry->ended);
+	unlink(entry->file);
+	g_free(entry->file);
+}
+
+/* Reads the log up to a line with this message. */
+static void await_log(const entry_t *entry, const char *msg)
 {
-	node_options_t options = { .platform = &fake_platform,
-				   .settings_file = file,
-				   .log_fd = open("/dev/null", O_WRONLY) };
-	pid_t pid = fork();
+	GString *text = g_string_new(NULL);
+	char byte;
 
-	g_assert_cmpint(pid, >=, 0);
-	if (pid)
-		return pid;
-	prctl(PR_SET_PDEATHSIG, SIGKILL);
-	if (node_run(&options) == EXIT_SUCCESS)
-		(void)!write(ended, "x", 1);
-	for (;;)
-		pause();
+	while (!strstr(text->str, msg)) {
+		g_assert_cmpint(read(entry->log, &byte, 1), ==, 1);
+		g_string_append_c(text, byte);
+	}
+	g_string_free(text, TRUE);
 }
 
-static int connect_patiently(int port)
+static int connect_patiently(const entry_t *entry)
 {
 	int fd;
 
-	while ((fd = connect_to(port)) < 0)
+	while ((fd = connect_to(entry->ports[0])) < 0)
 		g_usleep(CONNECT_DELAY_US);
 	return fd;
 }
 
+static void send_request(int fd)
+{
+	static const char request[] = "GET /x HTTP/1.1\r\nHost: a\r\n\r\n";
+
+	g_assert_cmpint(send(fd, request, strlen(request), MSG_NOSIGNAL), ==,
+			strlen(request));
+}
+
+/* Without a configuration the answer to each request is 503. */
+static void assert_answered(int fd)
+{
+	char answer[512] = "";
+
+	g_assert_cmpint(recv(fd, answer, sizeof(answer) - 1, 0), >, 12);
+	answer[12] = '\0';
+	g_assert_cmpstr(answer, ==, "HTTP/1.1 503");
+}
+
 /* Guards against an answer that never comes: while the process leaves, which
  * takes long on a busy machine, its host took requests that nobody read. */
 static void test_connections_are_closed_with_the_loop(void)
 {
-	static const char ask[] = "GET /x HTTP/1.1\r\nHost: a\r\n\r\n";
-	char answer[512];
-	int ports[4];
-	int ended[2];
-	char *file;
-	pid_t pid;
+	entry_t entry;
+	char byte;
 	int kept;
-	int i;
+	size_t i;
 
-	unused_ports(ports, 4);
-	file = write_settings(ports);
-	g_assert_cmpint(pipe(ended), ==, 0);
-	pid = start_entry(file, ended[1]);
-	alarm(HANG_TIMEOUT_S);
-	kept = connect_patiently(ports[0]);
-	g_assert_cmpint(send(kept, ask, strlen(ask), 0), ==, strlen(ask));
-	g_assert_cmpint(recv(kept, answer, sizeof(answer), 0), >, 12);
-	g_assert_cmpint(memcmp(answer, "HTTP/1.1 503", 12), ==, 0);
-	g_assert_cmpint(kill(pid, SIGTERM), ==, 0);
-	g_assert_cmpint(read(ended[0], answer, 1), ==, 1);
-	g_assert_cmpint(recv(kept, answer, sizeof(answer), MSG_DONTWAIT), ==,
-			0);
-	for (i = 0; i < 4; i++)
-		g_assert_cmpint(connect_to(ports[i]), ==, -1);
-	kill(pid, SIGKILL);
-	waitpid(pid, NULL, 0);
-	alarm(0);
+	entry_start(&entry, 6);
+	kept = connect_patiently(&entry);
+	send_request(kept);
+	assert_answered(kept);
+	g_assert_cmpint(kill(entry.pid, SIGTERM), ==, 0);
+	g_assert_cmpint(read(entry.ended, &byte, 1), ==, 1);
+	g_assert_cmpint(recv(kept, &byte, 1, MSG_DONTWAIT), ==, 0);
+	for (i = 0; i < ARRAY_SIZE(entry.ports); i++)
+		g_assert_cmpint(connect_to(entry.ports[i]), ==, -1);
 	close(kept);
-	close(ended[0]);
-	close(ended[1]);
-	unlink(file);
-	g_free(file);
+	entry_end(&entry);
+}
+
+/* Guards against an answer that never comes: a process that was paused over the
+ * end of its grace period left without a look at its connections. */
+static void test_requests_of_a_pause_are_answered(void)
+{
+	entry_t entry;
+	int kept;
+	int new;
+
+	entry_start(&entry, 3);
+	kept = connect_patiently(&entry);
+	send_request(kept);
+	assert_answered(kept);
+	g_assert_cmpint(kill(entry.pid, SIGTERM), ==, 0);
+	await_log(&entry, "\"draining\"");
+	g_assert_cmpint(kill(entry.pid, SIGSTOP), ==, 0);
+	new = connect_patiently(&entry);
+	send_request(kept);
+	send_request(new);
+	g_usleep(3 * G_USEC_PER_SEC);
+	g_assert_cmpint(kill(entry.pid, SIGCONT), ==, 0);
+	assert_answered(kept);
+	assert_answered(new);
+	close(kept);
+	close(new);
+	entry_end(&entry);
 }
 
 int main(int argc, char **argv)
@@ -212,5 +283,7 @@
 	g_test_init(&argc, &argv, NULL);
 	g_test_add_func("/node-stop/connections-are-closed-with-the-loop",
 			test_connections_are_closed_with_the_loop);
+	g_test_add_func("/node-stop/requests-of-a-pause-are-answered",
+			test_requests_of_a_pause_are_answered);
 	return g_test_run();
 }
