node: acknowledge nothing to a worker that did not answer

Callers may see a task run again after its end was acknowledged (TWICE): a worker restarts under its id, a start that was in flight is carried out by the new process and ends, and a poll that was sent after the silence tells it to discard its ends up to the last one of the former process. Nobody has read that end, the run is taken for one in doubt and the task starts again.

Cause: an acknowledgement names an end by its number alone, and numbers begin anew with each process. The end of a process that has answered was taken for one of the process that is there now.

A poll of a worker that left the one before unanswered acknowledges nothing; the next one does, when the worker has said which process it is. A poll that was on its way when the worker restarted can still do harm, as it names no process.

Evidence: node-worker/poll-after-silence-acknowledges-nothing failed before ("1 == 0": the end's number was sent) and passes.

--- a/packages/node/node_worker.c
+++ b/packages/node/node_worker.c
@@ -263,16 +263,24 @@
 		   worker->has_seen_term ? 0 : worker->holder->orphan_until);
 }
 
-static void log_acknowledged(node_worker_t *worker, int64_t last_stored_end)
+/*
+ * Returns the last end that the worker may discard.  Not for a worker that did
+ * not answer: it may have restarted, and its ends are numbered anew.
+ */
+static int64_t acknowledge_stored_ends(node_worker_t *worker)
 {
+	int64_t last_stored_end = batch_worker_stored_end(
+		worker->holder->core, base_clock_mono(), base_str(worker->id));
+
 	if (last_stored_end == worker->acknowledged)
-		return;
+		return last_stored_end;
 	node_log(worker->holder->node, BASE_MSG_ENDS_ACKNOWLEDGED,
 		 BASE_F_STR("worker", worker->id),
 		 BASE_F_INT("from", worker->acknowledged),
 		 BASE_F_INT("to", last_stored_end),
 		 BASE_F_INT("term", worker->holder->term));
 	worker->acknowledged = last_stored_end;
+	return last_stored_end;
 }
 
 static bool awaits_stored_ends(const node_worker_t *worker, int64_t now)
@@ -311,9 +319,8 @@
 	 * lost must not keep its tasks alive, because it is to be given up.
 	 */
 	order.lease = worker->is_silent ? -1 : grant_lease(worker);
-	order.last_stored_end = batch_worker_stored_end(
-		holder->core, base_clock_mono(), base_str(worker->id));
-	log_acknowledged(worker, order.last_stored_end);
+	if (!worker->is_silent)
+		order.last_stored_end = acknowledge_stored_ends(worker);
 	order.wait = worker->has_seen_term && !worker->is_silent
 			     ? WORKER_POLL_WAIT
 			     : 0;
--- a/packages/node/tests/node_worker_test.c
+++ b/packages/node/tests/node_worker_test.c
@@ -315,9 +315,48 @@
 	teardown();
 }
 
+/*
+ * Guards against ends that are acknowledged before anybody has read them: a
+ * worker that did not answer may have restarted, and the next poll told it to
+ * discard the ends of its new process by the numbers of the former one.
+ */
+static void test_poll_after_silence_acknowledges_nothing(void)
+{
+	node_poll_result_t no_reply = { .order_status = NODE_ORDER_NO_REPLY,
+					.clock = -1 };
+	int64_t limit = base_clock_mono() + POLL_DUE;
+	held_call_t poll;
+	int i;
+
+	setup();
+	while (!batch_worker_known(test.holder->core, BASE_STR("w")))
+		run_for(BASE_MS);
+	submit_job();
+	for (i = 0; i < 3; i++) {
+		run_until_change(); /* accepted, its run decided, its end */
+		store_change();
+	}
+	while (test.acknowledged < 1 && base_clock_mono() < limit)
+		run_for(BASE_MS);
+	g_assert_cmpint(test.acknowledged, ==, 1);
+	poll = test.poll;
+	test.poll.arg = NULL;
+	test.n_polls = 0;
+	((node_polled_t *)poll.done)(poll.arg, &no_reply);
+	while (!test.n_polls && base_clock_mono() < limit)
+		run_for(BASE_MS);
+	g_assert_cmpint(test.acknowledged, ==, 0);
+	while (test.acknowledged < 1 && base_clock_mono() < limit)
+		run_for(BASE_MS);
+	g_assert_cmpint(test.acknowledged, ==, 1);
+	teardown();
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
+	g_test_add_func("/node-worker/poll-after-silence-acknowledges-nothing",
+			test_poll_after_silence_acknowledges_nothing);
 	g_test_add_func("/node-worker/no-poll-storm-while-store-is-slow",
 			test_no_poll_storm_while_store_is_slow);
 	g_test_add_func(
