batch: let a run go on that is listed after the doubt about it

Tasks that last were ended at work while more of their step were away than may be (AVAIL). A start without an answer is stopped once a poll does not list its run. When that stop had no answer either, it was sent again every 500 ms, also when the start had been carried out late meanwhile and a poll had listed the run at work.

Task 10 of job...: start sent 13.735 s, unanswered 14.35, stop sent 15.78, unanswered 16.34, sent again; the task, begun late, is ended at 16.748.

A run of a gang or of an ended job is stopped as before. The new test failed before with "assertion failed (world->starts == 1): (2 == 1)".

--- a/packages/batch/batch_int.h
+++ b/packages/batch/batch_int.h
@@ -97,8 +97,9 @@
 	int percent;
 	int pace; /* percent, as ordered; 100 at its start */
 	bool stop_acknowledged;
-	bool worker_restarted;	 /* its worker restarted since it began */
-	const char *stop_reason; /* reason of its stop */
+	bool worker_restarted;	  /* its worker restarted since it began */
+	bool is_stopped_in_doubt; /* its stop has no reason but the doubt */
+	const char *stop_reason;  /* reason of its stop */
 };
 
 struct batch_task {
--- a/packages/batch/batch_run.c
+++ b/packages/batch/batch_run.c
@@ -134,6 +134,7 @@
 		now - run->worker->polled_at);
 	batch_run_set_state(run, RUN_STOPPING, now);
 	run->stop_acknowledged = false;
+	run->is_stopped_in_doubt = false;
 	send_stop(run, now);
 }
 
--- a/packages/batch/batch_worker.c
+++ b/packages/batch/batch_worker.c
@@ -428,6 +428,25 @@
 	worker->core->options.ops->stop(worker->core->options.arg, &order);
 }
 
+static void stop_in_doubt(batch_run_t *run, int64_t now)
+{
+	batch_run_stop(run, now, "in doubt");
+	run->is_stopped_in_doubt = true;
+}
+
+/*
+ * Whether the run, which is listed, is to go on: it is stopped only because it
+ * was not listed, and no answer shows that a stop has reached it.
+ */
+static bool is_doubt_over(const batch_run_t *run)
+{
+	const batch_step_t *step = run->task->step;
+
+	return run->state == RUN_STOPPING && run->is_stopped_in_doubt &&
+	       !run->stop_acknowledged && !step->spec->gang &&
+	       batch_job_is_active(step->occ->job);
+}
+
 static void handle_run(batch_worker_t *worker, int64_t now, int64_t sent,
 		       const batch_listed_run_t *seen)
 {
@@ -442,7 +461,8 @@
 		return;
 	run->worker_restarted = false;
 	task->step->occ->job->started = true;
-	if (run->state == RUN_IN_DOUBT || run->state == RUN_SENT) {
+	if (run->state == RUN_IN_DOUBT || run->state == RUN_SENT ||
+	    is_doubt_over(run)) {
 		run->state = RUN_CONFIRMED;
 		run->state_since = now;
 		run->listed_from = sent;
@@ -497,7 +517,7 @@
 		else if (run->state == RUN_IN_DOUBT &&
 			 now - run->state_since >
 				 worker->core->options.in_doubt_timeout)
-			batch_run_stop(run, now, "in doubt");
+			stop_in_doubt(run, now);
 		else if (run->state == RUN_CONFIRMED)
 			batch_run_stop(run, now, "not listed");
 	}
--- a/packages/batch/tests/batch_store_test.c
+++ b/packages/batch/tests/batch_store_test.c
@@ -191,6 +191,50 @@
 	check_and_free(world);
 }
 
+/* A start or stop that is carried out late; NULL: none. */
+static world_order_t *find_late_order(world_t *world, bool stop)
+{
+	guint i;
+
+	for (i = 0; i < world->orders->len; i++) {
+		world_order_t *order =
+			&g_array_index(world->orders, world_order_t, i);
+
+		if (order->holder == -1 && order->stop == stop)
+			return order;
+	}
+	return NULL;
+}
+
+/*
+ * Guards against a task that is ended at work (AVAIL): its start was carried
+ * out late, and the stop that was sent for the doubt has not arrived.
+ */
+static void test_run_listed_after_the_doubt_goes_on(void)
+{
+	world_t *world = world_new(1, 2, 3);
+	batch_step_spec_t step = world_step(1);
+	int i;
+
+	step.long_running = true;
+	world->late_order_percent = 100;
+	world_submit(world, "a", &step, 1);
+	for (i = 0; i < 200 && !find_late_order(world, true); i++) {
+		world_advance(world, 10 * MS);
+		if (find_late_order(world, false))
+			find_late_order(world, false)->at =
+				world->now + 20 * MS;
+	}
+	/* The stop arrives after the end of the test. */
+	find_late_order(world, true)->at = world->now + 60 * SECOND;
+	world->late_order_percent = 0;
+	g_assert_cmpint(find_run(world, "a", 0), <, 0);
+	world_advance(world, 5 * SECOND);
+	g_assert_cmpint(world->starts, ==, 1);
+	g_assert_cmpint(find_run(world, "a", 0), >=, 0);
+	check_and_free(world);
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
@@ -204,5 +248,7 @@
 			test_stop_is_repeated_after_a_restart);
 	g_test_add_func("/batch-store/start-given-up-before-its-answer",
 			test_start_given_up_before_its_answer);
+	g_test_add_func("/batch-store/run-listed-after-the-doubt-goes-on",
+			test_run_listed_after_the_doubt_goes_on);
 	return g_test_run();
 }
