batch: a stopped run of a task that is done does not go on

A run that is stopped for doubt goes on once it is listed; one of a task that an earlier run has ended meanwhile would have gone on for nothing. By reading, when two changes met that were made apart; not tested on its own.

--- a/packages/batch/batch_worker.c
+++ b/packages/batch/batch_worker.c
@@ -444,7 +444,7 @@
 
 	return run->state == RUN_STOPPING && run->is_stopped_in_doubt &&
 	       !run->stop_acknowledged && !step->spec->gang &&
-	       batch_job_is_active(step->occ->job);
+	       !run->task->done && batch_job_is_active(step->occ->job);
 }
 
 static void handle_run(batch_worker_t *worker, int64_t now, int64_t sent,
