batch: drop unsent starts that no longer fit

Callers would see a worker with more tasks than it has capacity for: a worker that does not check admission carries out every start. A start was decided for the capacity known then, and sent once its row was stored, without another look. When the list of workers showed less capacity meanwhile, it was sent all the same. A capacity that had grown was used only in the next periodic pass.

A change of the capacity now drops the unsent starts that do not fit any more, those of a gang together, the later decision first and those of long-running tasks last, and calls for a pass that places their tasks anew. What runs goes on.

The simulated workers get a capacity that changes, no admission, stops that take time, and a judge that counts running and stopping tasks against the capacity of the last 4.5 s (stableMs and a heartbeat).

--- a/packages/batch/batch_int.h
+++ b/packages/batch/batch_int.h
@@ -324,6 +324,14 @@
 /* Frees the workers that were forgotten and that nothing depends on. */
 void batch_workers_free_forgotten(batch_t *core, int64_t now);
 
+/* batch_resize.c */
+/*
+ * Sets the capacity, and drops unsent starts that do not fit any more; the
+ * next pass places their tasks anew.
+ */
+void batch_worker_set_capacity(batch_worker_t *worker,
+			       const batch_res_t *capacity);
+
 /* batch_health.c */
 void batch_health_failed(batch_worker_t *worker, const batch_job_t *job,
 			 int64_t now);
--- a/packages/batch/batch_worker.c
+++ b/packages/batch/batch_worker.c
@@ -64,9 +64,9 @@
 		worker->cordoned = false;
 		worker->silent = true; /* until it is polled */
 	}
+	batch_worker_set_capacity(worker, &info->capacity);
 	worker->listed = true;
 	worker->draining = info->draining;
-	worker->capacity = info->capacity;
 	talloc_free(worker->zone);
 	worker->zone = base_str_dup(worker, info->zone);
 	talloc_free(worker->rack);
--- /dev/null
+++ b/packages/batch/tests/batch_capacity_change_test.c
@@ -0,0 +1,284 @@
+/*
+ * The capacity of a worker changes while it runs tasks.  Its workers start
+ * whatever they are told to, so that only the core keeps to the capacity.
+ */
+#include "batch_world_int.h"
+
+#define MS BASE_MS
+#define SECOND BASE_SEC
+/* Until every capacity that a worker had before counts no more. */
+#define PAST_LIMIT (WORLD_CAPACITY_LIMIT + SECOND)
+
+static const batch_res_t full = { 8000, 32000, 0 };
+static const batch_res_t quarter = { 2000, 8000, 0 };
+static const batch_res_t none = { 0, 0, 0 };
+
+static world_t *new_world(uint64_t seed, int workers)
+{
+	world_t *world = world_new(seed, workers, 3);
+
+	world->no_admission = true;
+	world->stop_time = 200 * MS;
+	return world;
+}
+
+static void check_and_free(world_t *world)
+{
+	if (world->broken)
+		g_test_message("%s", world->first_violation);
+	g_assert_cmpint(world->broken, ==, 0);
+	world_free(world);
+}
+
+/* Submits a job whose starts are decided and wait for the store. */
+static void submit_unsent(world_t *world, const char *id,
+			  const batch_step_spec_t *step)
+{
+	int starts = world->starts;
+
+	world_submit(world, id, step, 1);
+	while (world_state(world, id) == BATCH_UNKNOWN)
+		world_advance(world, WORLD_TICK);
+	world->store_down = true;
+	world_advance(world, 5 * WORLD_TICK);
+	g_assert_cmpint(world->starts, ==, starts);
+}
+
+static void assert_completes(world_t *world, const char *id)
+{
+	world_advance(world, 20 * SECOND);
+	g_assert_cmpint(world_state(world, id), ==, BATCH_COMPLETED);
+}
+
+/* Starts that are being stored while the capacity falls to "less". */
+static void shrink_with_unsent_starts(batch_res_t before, batch_res_t less,
+				      batch_res_t need)
+{
+	world_t *world = new_world(1, 2);
+	batch_step_spec_t step = world_step(8);
+
+	step.need = need;
+	world_worker_set_capacity(world, 0, before);
+	world_worker_set_capacity(world, 1, before);
+	submit_unsent(world, "a", &step);
+	world_worker_set_capacity(world, 0, less);
+	world_advance(world, PAST_LIMIT);
+	world->store_down = false;
+	assert_completes(world, "a");
+	/* No start was sent in vain. */
+	g_assert_cmpint(world->starts, ==, 8);
+	g_assert_cmpint(world->stops, ==, 0);
+	check_and_free(world);
+}
+
+/*
+ * Guards against a start that is sent as decided, to a worker whose capacity
+ * has fallen while the start was stored.
+ */
+static void test_unsent_starts(void)
+{
+	const batch_res_t gpus = { 8000, 32000, 4 };
+
+	shrink_with_unsent_starts(full, quarter, world_step(1).need);
+	shrink_with_unsent_starts(full, none, world_step(1).need);
+	shrink_with_unsent_starts(full, (batch_res_t){ 8000, 12000, 0 },
+				  (batch_res_t){ 100, 8000, 0 });
+	shrink_with_unsent_starts(gpus, (batch_res_t){ 8000, 32000, 1 },
+				  (batch_res_t){ 100, 100, 1 });
+}
+
+/*
+ * Guards against starts that are dropped and not decided anew before their row
+ * is stored, though another worker has capacity.
+ */
+static void test_unsent_starts_move(void)
+{
+	world_t *world = new_world(2, 2);
+	batch_step_spec_t step = world_step(4);
+
+	submit_unsent(world, "a", &step);
+	world_worker_set_capacity(world, 0, none);
+	world_worker_set_capacity(world, 1, full);
+	world_advance(world, PAST_LIMIT);
+	world->store_down = false;
+	/* The change that is being stored, the next one, and the orders. */
+	world_advance(world, 4 * WORLD_TICK);
+	g_assert_cmpuint(world->workers[0].runs->len, ==, 0);
+	g_assert_cmpuint(world->workers[1].runs->len, ==, 4);
+	assert_completes(world, "a");
+	check_and_free(world);
+}
+
+/*
+ * Guards against the loss of long-running tasks to short ones when only some of
+ * the unsent starts still fit.
+ */
+static void test_long_running_starts_stay(void)
+{
+	world_t *world = new_world(3, 1);
+	batch_step_spec_t serving = world_step(1);
+	batch_step_spec_t step = world_step(3);
+
+	serving.long_running = true;
+	world->store_down = false;
+	world_submit(world, "short", &step, 1);
+	world_submit(world, "long", &serving, 1);
+	while (world_state(world, "long") == BATCH_UNKNOWN)
+		world_advance(world, WORLD_TICK);
+	world->store_down = true;
+	world_advance(world, 5 * WORLD_TICK);
+	g_assert_cmpint(world->starts, ==, 0);
+	world_worker_set_capacity(world, 0, quarter);
+	world_advance(world, PAST_LIMIT);
+	world->store_down = false;
+	world_advance(world, SECOND);
+	g_assert_cmpint(world_running(world, "long", 0, 0), ==, 1);
+	g_assert_cmpint(world->starts, ==, 1);
+	check_and_free(world);
+}
+
+/* Guards against starts in doubt that do not count while others are placed. */
+static void test_starts_in_doubt(void)
+{
+	uint64_t seed;
+
+	for (seed = 1; seed <= 50; seed++) {
+		world_t *world = new_world(seed, 2);
+		batch_step_spec_t step = world_step(6);
+
+		world->late_order_percent = 100;
+		world_submit(world, "a", &step, 1);
+		world_advance(world, (int64_t)seed * 20 * MS);
+		world_worker_set_capacity(world, 0, quarter);
+		world->late_order_percent = 0;
+		world_submit(world, "b", &step, 1);
+		assert_completes(world, "a");
+		assert_completes(world, "b");
+		check_and_free(world);
+	}
+}
+
+/*
+ * Guards against a successor that takes what its predecessor decided, sent or
+ * not, for free capacity of a worker that has less of it now.
+ */
+static void test_takeover(void)
+{
+	int cut;
+
+	for (cut = 0; cut < 60; cut++) {
+		world_t *world = new_world((uint64_t)cut + 1, 2);
+		batch_step_spec_t step = world_step(8);
+
+		world->store_time = 120 * MS;
+		world->late_order_percent = 30;
+		world_submit(world, "a", &step, 1);
+		world_advance(world, cut * 10 * MS);
+		world_worker_set_capacity(world, 0, quarter);
+		world_advance(world, (cut % 7) * 20 * MS);
+		world_take_over(world);
+		world->late_order_percent = 0;
+		world->store_time = PAST_LIMIT;
+		world_advance(world, SECOND);
+		world_worker_set_capacity(world, 1, quarter);
+		world_advance(world, 2 * PAST_LIMIT);
+		world->store_time = 4 * MS;
+		if (world_state(world, "a") != BATCH_UNKNOWN)
+			assert_completes(world, "a");
+		check_and_free(world);
+	}
+}
+
+/* Advances and checks that the gang has no start or "size" of them. */
+static void advance_with_gang(world_t *world, int size, int64_t span)
+{
+	int64_t until = world->now + span;
+
+	while (world->now < until) {
+		world_advance(world, WORLD_TICK);
+		g_assert_true(!world->starts || world->starts == size);
+	}
+}
+
+/*
+ * Guards against a gang of which some members start and others do not, because
+ * they were dropped.
+ */
+static void test_gang(void)
+{
+	world_t *world = new_world(4, 2);
+	batch_step_spec_t step = world_step(6);
+
+	step.gang = true;
+	submit_unsent(world, "a", &step);
+	world_worker_set_capacity(world, 0, none);
+	advance_with_gang(world, 6, PAST_LIMIT);
+	world->store_down = false;
+	advance_with_gang(world, 6, 2 * SECOND);
+	g_assert_cmpint(world->starts, ==, 0);
+	world_worker_set_capacity(world, 0, (batch_res_t){ 6000, 32000, 0 });
+	advance_with_gang(world, 6, 200 * MS);
+	g_assert_cmpint(world->starts, ==, 6);
+	assert_completes(world, "a");
+	check_and_free(world);
+}
+
+/* A worker without capacity that runs four tasks of "a"; four of "b" wait. */
+static world_t *new_world_without_capacity(uint64_t seed)
+{
+	world_t *world = new_world(seed, 1);
+	batch_step_spec_t step = world_step(4);
+
+	step.estimate = 10 * SECOND;
+	world_submit(world, "a", &step, 1);
+	world_submit(world, "b", &step, 1);
+	world_advance(world, SECOND);
+	g_assert_cmpint(world->starts, ==, 4);
+	world_worker_set_capacity(world, 0, none);
+	return world;
+}
+
+/* Guards against stops for a capacity that fell below what runs. */
+static void test_shrink_to_nothing(void)
+{
+	world_t *world = new_world_without_capacity(5);
+
+	world_advance(world, 30 * SECOND);
+	g_assert_cmpint(world->finished, ==, 4);
+	g_assert_cmpint(world->starts, ==, 4);
+	g_assert_cmpint(world->stops, ==, 0);
+	check_and_free(world);
+}
+
+/* Guards against capacity that is not used as soon as it is back. */
+static void test_grow(void)
+{
+	world_t *world = new_world_without_capacity(5);
+
+	world_advance(world, 30 * SECOND + 5 * WORLD_TICK);
+	world_worker_set_capacity(world, 0, full);
+	/* A pass, its rows and its orders take a tick each. */
+	world_advance(world, 4 * WORLD_TICK);
+	g_assert_cmpint(world->starts, ==, 8);
+	world_advance(world, 30 * SECOND);
+	g_assert_cmpint(world_state(world, "a"), ==, BATCH_COMPLETED);
+	g_assert_cmpint(world_state(world, "b"), ==, BATCH_COMPLETED);
+	check_and_free(world);
+}
+
+int main(int argc, char **argv)
+{
+	g_test_init(&argc, &argv, NULL);
+	g_test_add_func("/batch/capacity/unsent-starts", test_unsent_starts);
+	g_test_add_func("/batch/capacity/unsent-starts-move",
+			test_unsent_starts_move);
+	g_test_add_func("/batch/capacity/long-running-starts-stay",
+			test_long_running_starts_stay);
+	g_test_add_func("/batch/capacity/starts-in-doubt",
+			test_starts_in_doubt);
+	g_test_add_func("/batch/capacity/takeover", test_takeover);
+	g_test_add_func("/batch/capacity/gang", test_gang);
+	g_test_add_func("/batch/capacity/to-nothing", test_shrink_to_nothing);
+	g_test_add_func("/batch/capacity/grow", test_grow);
+	return g_test_run();
+}
--- a/packages/batch/tests/batch_world.c
+++ b/packages/batch/tests/batch_world.c
@@ -42,7 +42,7 @@
 		answer = BATCH_ANSWER_OTHER_INCARNATION;
 	else if (!worker->crashed && !worker->unreachable &&
 		 !order->answer_only)
-		answer = order->stop ? world_worker_stop(worker, order)
+		answer = order->stop ? world_worker_stop(world, worker, order)
 				     : world_worker_start(world, worker, order);
 	if (order->holder != world->holder)
 		return;
@@ -138,7 +138,10 @@
 
 static void op_stop(void *arg, const batch_order_t *order)
 {
-	send_order(arg, order, true);
+	world_t *world = arg;
+
+	world->stops++;
+	send_order(world, order, true);
 }
 
 static void op_pace(void *arg, const batch_order_t *order)
@@ -254,7 +257,8 @@
 				    .arg = world,
 				    .in_doubt_timeout = 300 * BASE_MS };
 	batch_pool_info_t pools[] = {
-		{ .name = BASE_STR("pool"), .checks_admission = true },
+		{ .name = BASE_STR("pool"),
+		  .checks_admission = !world->no_admission },
 		{ .name = BASE_STR("spare"), .spare = true }
 	};
 	batch_queue_info_t queue = { .name = BASE_STR("queue"),
@@ -275,6 +279,24 @@
 	return world_new_queue(seed, workers, attempts, 1000);
 }
 
+static void record_capacity(const world_t *world, world_worker_t *worker,
+			    batch_res_t capacity)
+{
+	world_capacity_t entry = { world->now, capacity };
+
+	worker->capacity = capacity;
+	g_array_append_val(worker->capacities, entry);
+}
+
+void world_worker_set_capacity(world_t *world, int worker, batch_res_t capacity)
+{
+	record_capacity(world, &world->workers[worker], capacity);
+	if (!world->list_time)
+		list_workers(world);
+	else if (!world->list_at)
+		world->list_at = world->now + world->list_time;
+}
+
 int world_add_worker(world_t *world)
 {
 	int i = world->n_workers;
@@ -289,7 +311,9 @@
 	worker->allowed = true;
 	worker->incarnation = 1;
 	worker->next_end = 1;
-	worker->capacity = (batch_res_t){ 8000, 32000, 0 };
+	worker->capacities =
+		g_array_new(FALSE, FALSE, sizeof(world_capacity_t));
+	record_capacity(world, worker, (batch_res_t){ 8000, 32000, 0 });
 	worker->runs = g_array_new(FALSE, FALSE, sizeof(world_run_t));
 	worker->ends = g_array_new(FALSE, FALSE, sizeof(world_end_t));
 	worker->fence = g_array_new(FALSE, FALSE, sizeof(world_run_t));
@@ -353,6 +377,7 @@
 		g_free(job);
 	}
 	for (i = 0; i < world->n_workers; i++) {
+		g_array_unref(world->workers[i].capacities);
 		g_array_unref(world->workers[i].runs);
 		g_array_unref(world->workers[i].ends);
 		g_array_unref(world->workers[i].fence);
@@ -474,6 +499,10 @@
 		world->now += WORLD_TICK;
 		deliver_due(world);
 		answer_advice(world);
+		if (world->list_at && world->now >= world->list_at) {
+			world->list_at = 0;
+			list_workers(world);
+		}
 		for (i = 0; i < world->n_workers; i++)
 			if (!world->workers[i].crashed)
 				world_worker_advance(world, &world->workers[i]);
--- a/packages/batch/tests/batch_world.h
+++ b/packages/batch/tests/batch_world.h
@@ -18,6 +18,11 @@
 #define WORLD_DRAIN_LIMIT (2 * BASE_SEC)
 /* Longest time that a tail latency may exceed its target. */
 #define WORLD_TAIL_OVER_LIMIT (4 * BASE_SEC)
+/*
+ * No start may bring a worker over a capacity that it has had for longer: the
+ * span of calm that the rules grant, and one heartbeat.
+ */
+#define WORLD_CAPACITY_LIMIT (3 * BASE_SEC + 1500 * BASE_MS)
 #define WORLD_WORKERS_MAX 256
 #define WORLD_NAME_MAX 64
 
@@ -29,6 +34,7 @@
 	int64_t done;	/* part of length */
 	int64_t begun;
 	int64_t tail_over_since; /* 0: tail latency within the target */
+	int64_t stops_at;	 /* when its stop takes effect; 0: no stop */
 	int pace;		 /* percent */
 	bool fails;
 	batch_res_t need;
@@ -41,6 +47,12 @@
 	bool stale; /* the worker's lease has expired since */
 } world_end_t;
 
+/* A capacity that a worker has had since "from". */
+typedef struct world_capacity {
+	int64_t from;
+	batch_res_t capacity;
+} world_capacity_t;
+
 typedef struct world_worker {
 	char id[WORLD_NAME_MAX];
 	char pool[WORLD_NAME_MAX];
@@ -57,9 +69,10 @@
 	int64_t term;	   /* highest term in an order so far */
 	int64_t next_end;
 	batch_res_t capacity;
-	GArray *runs;  /* world_run_t */
-	GArray *ends;  /* world_end_t, not acknowledged yet */
-	GArray *fence; /* world_run_t, stopped or ended here */
+	GArray *capacities; /* world_capacity_t, in order of time */
+	GArray *runs;	    /* world_run_t */
+	GArray *ends;	    /* world_end_t, not acknowledged yet */
+	GArray *fence;	    /* world_run_t, stopped or ended here */
 	int64_t polled_at;
 	int64_t holder_lease; /* lease end as known to the holder */
 	bool polled;	      /* polled by the present holder */
@@ -113,6 +126,10 @@
 	int64_t advice_at; /* when the question is answered; 0: no question */
 	char asked[WORLD_WORKERS_MAX][WORLD_NAME_MAX];
 	size_t n_asked;
+	bool no_admission; /* workers start what does not fit */
+	int64_t stop_time; /* from a stop to the end of its run */
+	int64_t list_time; /* from a change of capacity to its listing */
+	int64_t list_at;   /* when the workers are listed again; 0: never */
 	int interference; /* percent of the tail target, per best-effort task */
 	int lost_answer_percent, late_order_percent, failed_run_percent;
 	bool store_down;
@@ -120,7 +137,7 @@
 	int64_t start_cost; /* processor time of the holder for each start */
 	int64_t busy_until; /* the holder does nothing else before then */
 	/* Counters and the first violated rule. */
-	int starts, finished, broken, questions, tickets_refused;
+	int starts, stops, finished, broken, questions, tickets_refused;
 	char first_violation[256];
 } world_t;
 
@@ -143,6 +160,9 @@
 bool world_cancelled(world_t *world, const char *id);
 /* Adds a worker to the pool and returns its index. */
 int world_add_worker(world_t *world);
+/* Changes a worker's capacity; it is listed with it after "list_time". */
+void world_worker_set_capacity(world_t *world, int worker,
+			       batch_res_t capacity);
 /* Removes an idle worker from the pool. */
 void world_drop_worker(world_t *world, const char *id);
 /* Advances virtual time by "span" microseconds. */
--- a/packages/batch/tests/batch_world_int.h
+++ b/packages/batch/tests/batch_world_int.h
@@ -26,8 +26,10 @@
 /* batch_world_worker.c: a worker's handling of orders, time and polls. */
 batch_answer_t world_worker_start(world_t *world, world_worker_t *worker,
 				  const world_order_t *order);
-batch_answer_t world_worker_stop(world_worker_t *worker,
+batch_answer_t world_worker_stop(const world_t *world, world_worker_t *worker,
 				 const world_order_t *order);
+/* The capacity that the runs use, with those that are being stopped. */
+batch_res_t world_worker_used(const world_worker_t *worker);
 void world_worker_pace(world_worker_t *worker, const world_run_t *named,
 		       int percent);
 void world_worker_advance(world_t *world, world_worker_t *worker);
--- a/packages/batch/tests/batch_world_judge.c
+++ b/packages/batch/tests/batch_world_judge.c
@@ -55,6 +55,41 @@
 		world_record_violation(world, "DRAIN", run);
 }
 
+/*
+ * The most that the worker may use: the highest that its capacity has been
+ * within WORLD_CAPACITY_LIMIT.
+ */
+static batch_res_t allowed_capacity(const world_t *world,
+				    const world_worker_t *worker)
+{
+	batch_res_t most = worker->capacity;
+	guint i;
+
+	for (i = worker->capacities->len; i-- > 0;) {
+		const world_capacity_t *entry =
+			&g_array_index(worker->capacities, world_capacity_t, i);
+
+		most.cpu = MAX(most.cpu, entry->capacity.cpu);
+		most.memory = MAX(most.memory, entry->capacity.memory);
+		most.gpu = MAX(most.gpu, entry->capacity.gpu);
+		if (world->now - entry->from > WORLD_CAPACITY_LIMIT)
+			break;
+	}
+	return most;
+}
+
+static void check_capacity(world_t *world, const world_worker_t *worker,
+			   const world_run_t *run)
+{
+	batch_res_t used = world_worker_used(worker);
+	batch_res_t most = allowed_capacity(world, worker);
+
+	if (used.cpu + run->need.cpu > most.cpu ||
+	    used.memory + run->need.memory > most.memory ||
+	    used.gpu + run->need.gpu > most.gpu)
+		world_record_violation(world, "LIMIT", run);
+}
+
 /*
  * Checks that no tail latency exceeds its target for longer than
  * WORLD_TAIL_OVER_LIMIT.
@@ -89,6 +124,7 @@
 		return;
 	}
 	spec = &job->spec.steps[run->step];
+	check_capacity(world, at, run);
 	if (!late)
 		check_placement(world, at, spec, run);
 	if (g_hash_table_contains(job->acked_tasks, key))
--- a/packages/batch/tests/batch_world_worker.c
+++ b/packages/batch/tests/batch_world_worker.c
@@ -34,7 +34,7 @@
 	return job ? &job->spec.steps[run->step] : NULL;
 }
 
-static batch_res_t used_resources(const world_worker_t *worker)
+batch_res_t world_worker_used(const world_worker_t *worker)
 {
 	batch_res_t sum = { 0, 0, 0 };
 	guint i;
@@ -45,15 +45,24 @@
 
 		sum.cpu += run->need.cpu;
 		sum.memory += run->need.memory;
+		sum.gpu += run->need.gpu;
 	}
 	return sum;
 }
 
+static bool has_room(const world_worker_t *worker, const world_run_t *run)
+{
+	batch_res_t used = world_worker_used(worker);
+
+	return used.cpu + run->need.cpu <= worker->capacity.cpu &&
+	       used.memory + run->need.memory <= worker->capacity.memory &&
+	       used.gpu + run->need.gpu <= worker->capacity.gpu;
+}
+
 batch_answer_t world_worker_start(world_t *world, world_worker_t *worker,
 				  const world_order_t *order)
 {
 	world_run_t run = order->run;
-	batch_res_t taken = used_resources(worker);
 	guint i;
 
 	if (order->term < worker->term)
@@ -75,8 +84,7 @@
 		world->tickets_refused++;
 		return BATCH_ANSWER_INVALID_TICKET;
 	}
-	if (taken.cpu + run.need.cpu > worker->capacity.cpu ||
-	    taken.memory + run.need.memory > worker->capacity.memory)
+	if (!world->no_admission && !has_room(worker, &run))
 		return BATCH_ANSWER_NO_CAPACITY;
 	world_check_start(world, worker, &run, order->holder < 0);
 	world->starts++;
@@ -90,7 +98,7 @@
 	return BATCH_ANSWER_OK;
 }
 
-batch_answer_t world_worker_stop(world_worker_t *worker,
+batch_answer_t world_worker_stop(const world_t *world, world_worker_t *worker,
 				 const world_order_t *order)
 {
 	guint i;
@@ -99,13 +107,19 @@
 		return BATCH_ANSWER_NOT_STARTED;
 	worker->term = order->term;
 	for (i = 0; i < worker->runs->len; i++) {
-		world_run_t run = g_array_index(worker->runs, world_run_t, i);
+		world_run_t *run = &g_array_index(worker->runs, world_run_t, i);
+		world_run_t stopped = *run;
 
-		if (!world_same_task(&run, &order->run) ||
-		    run.number != order->run.number)
+		if (!world_same_task(run, &order->run) ||
+		    run->number != order->run.number)
 			continue;
+		if (world->stop_time) {
+			if (!run->stops_at)
+				run->stops_at = world->now + world->stop_time;
+			return BATCH_ANSWER_OK;
+		}
 		g_array_remove_index(worker->runs, i);
-		add_end(worker, &run, BATCH_END_STOPPED);
+		add_end(worker, &stopped, BATCH_END_STOPPED);
 		return BATCH_ANSWER_OK;
 	}
 	g_array_append_val(worker->fence, order->run);
@@ -172,7 +186,7 @@
 		run->tail_over_since = 0;
 	else if (!run->tail_over_since)
 		run->tail_over_since = world->now;
-	if (!worker->stalled)
+	if (!worker->stalled && !run->stops_at)
 		run->done += WORLD_TICK * run->pace / 100 /
 			     (worker->slowdown ? worker->slowdown : 1);
 }
@@ -195,6 +209,11 @@
 		world_run_t run = g_array_index(worker->runs, world_run_t, i);
 		bool expired = world->now > worker->lease_end;
 
+		if (!expired && run.stops_at && world->now >= run.stops_at) {
+			g_array_remove_index(worker->runs, i);
+			add_end(worker, &run, BATCH_END_STOPPED);
+			continue;
+		}
 		if (!expired && (!run.length || run.done < run.length)) {
 			i++;
 			continue;
