batch: place no best-effort task on a worker that is over

A best-effort task reserves no cpu, so cpu was not looked at: the task was placed on a worker whose cpu had shrunk below what runs there, where nothing is left for it and a worker that checks admission refuses it. cpu is now compared as memory and gpu are, with a need of nothing.

--- a/packages/batch/batch_fit.c
+++ b/packages/batch/batch_fit.c
@@ -26,15 +26,27 @@
 	return false;
 }
 
+static void add_need(batch_res_t *sum, const batch_step_spec_t *spec)
+{
+	if (!spec->best_effort)
+		sum->cpu += spec->need.cpu;
+	sum->memory += spec->need.memory;
+	sum->gpu += spec->need.gpu;
+}
+
+static bool is_within(const batch_res_t *sum, const batch_res_t *capacity)
+{
+	return sum->cpu <= capacity->cpu && sum->memory <= capacity->memory &&
+	       sum->gpu <= capacity->gpu;
+}
+
 bool batch_fit_has_capacity(const batch_worker_t *worker,
 			    const batch_step_spec_t *spec)
 {
-	if (!spec->best_effort &&
-	    worker->used.cpu + spec->need.cpu > worker->capacity.cpu)
-		return false;
-	return worker->used.memory + spec->need.memory <=
-		       worker->capacity.memory &&
-	       worker->used.gpu + spec->need.gpu <= worker->capacity.gpu;
+	batch_res_t sum = worker->used;
+
+	add_need(&sum, spec);
+	return is_within(&sum, &worker->capacity);
 }
 
 int batch_fit_siblings(const batch_worker_t *worker, const batch_step_t *step)
--- a/packages/batch/tests/batch_capacity_change_test.c
+++ b/packages/batch/tests/batch_capacity_change_test.c
@@ -266,6 +266,29 @@
 	check_and_free(world);
 }
 
+/*
+ * Guards against best-effort tasks, which reserve no cpu, on a worker whose cpu
+ * is exceeded already.
+ */
+static void test_best_effort(void)
+{
+	world_t *world = new_world(6, 1);
+	batch_step_spec_t step = world_step(4);
+	batch_step_spec_t filler = world_step(1);
+
+	step.estimate = 10 * SECOND;
+	filler.best_effort = true;
+	world_submit(world, "a", &step, 1);
+	world_advance(world, SECOND);
+	world_worker_set_capacity(world, 0, (batch_res_t){ 2000, 32000, 0 });
+	world_advance(world, PAST_LIMIT);
+	world_submit(world, "b", &filler, 1);
+	world_advance(world, SECOND);
+	g_assert_cmpint(world->broken, ==, 0);
+	assert_completes(world, "b");
+	check_and_free(world);
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
@@ -280,5 +303,6 @@
 	g_test_add_func("/batch/capacity/gang", test_gang);
 	g_test_add_func("/batch/capacity/to-nothing", test_shrink_to_nothing);
 	g_test_add_func("/batch/capacity/grow", test_grow);
+	g_test_add_func("/batch/capacity/best-effort", test_best_effort);
 	return g_test_run();
 }
