batch: no starts beside runs that the holder does not know

A successor does not restore the runs of jobs that have ended; what a worker still lists of them is told to stop, but its resources counted as free until the stop took effect. Starts of other jobs were sent at once and brought a worker that does not check admission over its capacity; one that checks refuses them.

While a worker's last poll lists such runs it gets no starts, and its unsent ones are dropped.

--- a/packages/batch/batch_explain.c
+++ b/packages/batch/batch_explain.c
@@ -156,6 +156,8 @@
 		return "is being emptied";
 	if (worker->is_quarantined)
 		return "is quarantined because its tasks fail, stall or are slow";
+	if (worker->lists_unknown_runs)
+		return "gets no work until runs of no job have stopped";
 	if (!worker->incarnation)
 		return "has not been polled yet";
 	if (now < worker->backoff_until)
--- a/packages/batch/batch_fit.c
+++ b/packages/batch/batch_fit.c
@@ -5,7 +5,8 @@
 {
 	return worker->listed && worker->incarnation && !worker->silent &&
 	       !worker->draining && !worker->cordoned &&
-	       !worker->is_quarantined && now >= worker->backoff_until &&
+	       !worker->is_quarantined && !worker->lists_unknown_runs &&
+	       now >= worker->backoff_until &&
 	       now - worker->polled_at <= BATCH_POLL_AGE_MAX;
 }
 
--- a/packages/batch/batch_int.h
+++ b/packages/batch/batch_int.h
@@ -224,6 +224,8 @@
 	bool silent;
 	bool forgotten; /* all that it ran has ended; to be freed */
 	bool cordoned;
+	/* Its last poll lists runs that "used" does not count. */
+	bool lists_unknown_runs;
 	int64_t cordoned_at;   /* when it was cordoned or began to drain */
 	int64_t polled_at;     /* last successful poll */
 	int64_t lease_end;     /* everything on it has ended by then */
@@ -331,6 +333,8 @@
  */
 void batch_worker_set_capacity(batch_worker_t *worker,
 			       const batch_res_t *capacity);
+/* Drops all its unsent starts, as for a capacity of nothing. */
+void batch_worker_drop_unsent(batch_worker_t *worker);
 
 /* batch_health.c */
 void batch_health_failed(batch_worker_t *worker, const batch_job_t *job,
--- a/packages/batch/batch_resize.c
+++ b/packages/batch/batch_resize.c
@@ -86,6 +86,14 @@
 		drop_unsent(run);
 }
 
+void batch_worker_drop_unsent(batch_worker_t *worker)
+{
+	batch_run_t *run;
+
+	while ((run = choose_unsent(worker)) != NULL)
+		drop_unsent(run);
+}
+
 void batch_worker_set_capacity(batch_worker_t *worker,
 			       const batch_res_t *capacity)
 {
--- a/packages/batch/batch_worker.c
+++ b/packages/batch/batch_worker.c
@@ -437,6 +437,7 @@
 
 	if (!run || run->worker != worker || run->number != seen->run) {
 		stop_unknown_run(worker, seen);
+		worker->lists_unknown_runs = true;
 		return;
 	}
 	if (run->state == RUN_STORING)
@@ -518,8 +519,11 @@
 	worker->silent = false;
 	for (i = 0; i < poll->n_ends; i++)
 		handle_end(worker, now, &poll->ends[i]);
+	worker->lists_unknown_runs = false;
 	for (i = 0; i < poll->n_runs; i++)
 		handle_run(worker, now, poll->sent, &poll->runs[i]);
+	if (worker->lists_unknown_runs)
+		batch_worker_drop_unsent(worker);
 	resolve_unlisted_runs(worker, now, poll);
 	batch_progress_check(worker, now);
 	batch_pace_adjust(worker, now);
--- a/packages/batch/tests/batch_capacity_change_test.c
+++ b/packages/batch/tests/batch_capacity_change_test.c
@@ -189,6 +189,34 @@
 	}
 }
 
+/*
+ * Guards against starts beside a run that is being stopped and that the
+ * successor does not know, because the store has no rows of ended jobs.
+ */
+static void test_runs_of_ended_jobs(void)
+{
+	int cut;
+
+	for (cut = 1; cut < 15; cut++) {
+		world_t *world = new_world(12, 1);
+		batch_step_spec_t step = world_step(4);
+
+		step.estimate = 10 * SECOND;
+		world_submit(world, "a", &step, 1);
+		world_submit(world, "b", &step, 1);
+		world_advance(world, SECOND);
+		g_assert_cmpint(world->starts, ==, 4);
+		world_cancel(world,
+			     world_running(world, "a", 0, 0) ? "a" : "b");
+		world_advance(world, cut * 2 * WORLD_TICK);
+		world_take_over(world);
+		world_advance(world, 10 * MS);
+		world_advance(world, 20 * SECOND);
+		g_assert_cmpint(world->starts, ==, 8);
+		check_and_free(world);
+	}
+}
+
 /* Advances and checks that the gang has no start or "size" of them. */
 static void advance_with_gang(world_t *world, int size, int64_t span)
 {
@@ -289,6 +317,111 @@
 	check_and_free(world);
 }
 
+static batch_res_t random_capacity(base_rng_t *rng)
+{
+	return (batch_res_t){ base_rng_below(rng, 5) * 2000,
+			      base_rng_below(rng, 5) * 8000, 0 };
+}
+
+static void random_job(world_t *world, base_rng_t *rng, const char *id)
+{
+	batch_step_spec_t steps[3];
+	int n = 1 + (int)base_rng_below(rng, 3);
+	int i;
+
+	for (i = 0; i < n; i++) {
+		steps[i] = world_step(1 + (int)base_rng_below(rng, 6));
+		steps[i].depends_on = base_rng_below(rng, 1u << i);
+		/* The simulated members of a gang do not end together. */
+		steps[i].gang = i == n - 1 && !base_rng_below(rng, 4);
+		steps[i].best_effort = !base_rng_below(rng, 6);
+		steps[i].estimate = (1 + base_rng_below(rng, 4)) * SECOND;
+	}
+	world_submit(world, id, steps, n);
+}
+
+/* Changes a capacity, and injects other faults more seldom. */
+static void random_change(world_t *world, base_rng_t *rng)
+{
+	int worker = (int)base_rng_below(rng, 6);
+
+	switch (base_rng_below(rng, 12)) {
+	case 0:
+		world_take_over(world);
+		break;
+	case 1:
+		world_worker_crash(world, worker);
+		break;
+	case 2:
+		world_worker_restart(world, worker, base_rng_below(rng, 2));
+		break;
+	case 3:
+	case 4:
+		world->store_down = !world->store_down;
+		break;
+	default:
+		world_worker_set_capacity(world, worker, random_capacity(rng));
+		break;
+	}
+}
+
+static void clear_faults(world_t *world)
+{
+	int i;
+
+	world->lost_answer_percent = 0;
+	world->late_order_percent = 0;
+	world->store_down = false;
+	for (i = 0; i < world->n_workers; i++) {
+		world_worker_set_capacity(world, i, full);
+		if (world->workers[i].crashed)
+			world_worker_restart(world, i, false);
+	}
+}
+
+static void run_random_scenario(uint64_t seed)
+{
+	world_t *world = new_world(seed, 6);
+	base_rng_t rng = { .state = seed * 91 };
+	char id[8];
+	int taken = 0;
+	int ended = 0;
+	int i;
+
+	world->lost_answer_percent = (int)base_rng_below(&rng, 10);
+	world->late_order_percent = (int)base_rng_below(&rng, 10);
+	world->list_time = base_rng_below(&rng, 1000) * MS;
+	for (i = 0; i < 40; i++) {
+		g_snprintf(id, sizeof(id), "j%d", i);
+		random_job(world, &rng, id);
+		world_advance(world, base_rng_below(&rng, 2000) * MS);
+		random_change(world, &rng);
+	}
+	clear_faults(world);
+	world_advance(world, 120 * SECOND);
+	for (i = 0; i < 40; i++) {
+		batch_state_t state;
+
+		g_snprintf(id, sizeof(id), "j%d", i);
+		state = world_state(world, id);
+		taken += state != BATCH_UNKNOWN;
+		ended += state >= BATCH_COMPLETED;
+	}
+	g_test_message("seed %d: %d taken, %d ended, %d broken, %s", (int)seed,
+		       taken, ended, world->broken, world->first_violation);
+	g_assert_cmpint(ended, ==, taken);
+	check_and_free(world);
+}
+
+/* Guards against any order of these events that exceeds a capacity. */
+static void test_random_scenarios(void)
+{
+	uint64_t seed;
+
+	for (seed = 1; seed <= 300; seed++)
+		run_random_scenario(seed);
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
@@ -300,9 +433,12 @@
 	g_test_add_func("/batch/capacity/starts-in-doubt",
 			test_starts_in_doubt);
 	g_test_add_func("/batch/capacity/takeover", test_takeover);
+	g_test_add_func("/batch/capacity/runs-of-ended-jobs",
+			test_runs_of_ended_jobs);
 	g_test_add_func("/batch/capacity/gang", test_gang);
 	g_test_add_func("/batch/capacity/to-nothing", test_shrink_to_nothing);
 	g_test_add_func("/batch/capacity/grow", test_grow);
 	g_test_add_func("/batch/capacity/best-effort", test_best_effort);
+	g_test_add_func("/batch/capacity/random", test_random_scenarios);
 	return g_test_run();
 }
