batch: reserve only workers on which the task will fit

A long-running task that fits nowhere reserves the least utilized worker. One that had shrunk below the task's need was the least utilized: it was reserved again every 3 s, and the task never started while short tasks took what became free on the other worker. Only workers count on which the task fits once the short tasks there have ended, and a reservation ends when a change of the capacity makes that impossible.

reservation failed before: 0 runs after 10 s, 1 wanted.

--- a/packages/batch/batch_fit.c
+++ b/packages/batch/batch_fit.c
@@ -50,6 +50,23 @@
 	return is_within(&sum, &worker->capacity);
 }
 
+bool batch_fit_once_free(const batch_worker_t *worker,
+			 const batch_step_spec_t *spec)
+{
+	batch_res_t sum = { 0, 0, 0 };
+	guint i;
+
+	add_need(&sum, spec);
+	for (i = 0; i < worker->runs->len; i++) {
+		batch_run_t *run = g_ptr_array_index(worker->runs, i);
+
+		if (run->task->step->spec->long_running &&
+		    run->state != RUN_STOPPING)
+			add_need(&sum, run->task->step->spec);
+	}
+	return is_within(&sum, &worker->capacity);
+}
+
 int batch_fit_siblings(const batch_worker_t *worker, const batch_step_t *step)
 {
 	int n = 0;
--- a/packages/batch/batch_int.h
+++ b/packages/batch/batch_int.h
@@ -396,6 +396,9 @@
 bool batch_worker_in_capacity(const batch_worker_t *worker);
 bool batch_fit_has_capacity(const batch_worker_t *worker,
 			    const batch_step_spec_t *spec);
+/* Whether a task of the step fits once the short tasks there have ended. */
+bool batch_fit_once_free(const batch_worker_t *worker,
+			 const batch_step_spec_t *spec);
 /* Number of runs of the step on the worker. */
 int batch_fit_siblings(const batch_worker_t *worker, const batch_step_t *step);
 /* Whether the worker may run the task, apart from its free capacity. */
--- a/packages/batch/batch_place.c
+++ b/packages/batch/batch_place.c
@@ -222,6 +222,9 @@
 		    batch_fit_has_capacity(worker, task->step->spec) !=
 			    has_capacity)
 			continue;
+		if (!has_capacity &&
+		    !batch_fit_once_free(worker, task->step->spec))
+			continue;
 		worker_cost = cost(pool, worker, task);
 		if (rack && strcmp(rack, worker->rack))
 			worker_cost += PLACE_COST_REMOTE_RACK;
--- a/packages/batch/batch_resize.c
+++ b/packages/batch/batch_resize.c
@@ -102,4 +102,7 @@
 	worker->capacity = *capacity;
 	worker->core->pass_needed = true;
 	drop_unfitting(worker);
+	if (worker->reserved_for &&
+	    !batch_fit_once_free(worker, worker->reserved_for->step->spec))
+		worker->reserved_for = NULL;
 }
--- a/packages/batch/tests/batch_capacity_change_test.c
+++ b/packages/batch/tests/batch_capacity_change_test.c
@@ -317,6 +317,41 @@
 	check_and_free(world);
 }
 
+/* Keeps short jobs waiting for "span". */
+static void advance_with_short_jobs(world_t *world, int *number, int64_t span)
+{
+	batch_step_spec_t step = world_step(1);
+	int64_t until = world->now + span;
+	char id[16];
+
+	while (world->now < until) {
+		g_snprintf(id, sizeof(id), "s%d", (*number)++);
+		world_submit(world, id, &step, 1);
+		world_advance(world, 150 * MS);
+	}
+}
+
+/*
+ * Guards against a long-running task that waits for the capacity of a worker
+ * that has shrunk below its need, while short tasks take that of another.
+ */
+static void test_reservation(void)
+{
+	world_t *world = new_world(7, 2);
+	batch_step_spec_t serving = world_step(1);
+	int number = 0;
+
+	serving.long_running = true;
+	serving.need.cpu = 6000;
+	advance_with_short_jobs(world, &number, 6 * SECOND);
+	world_worker_set_capacity(world, 0, none);
+	advance_with_short_jobs(world, &number, 3 * SECOND);
+	world_submit(world, "long", &serving, 1);
+	advance_with_short_jobs(world, &number, 10 * SECOND);
+	g_assert_cmpint(world_running(world, "long", 0, 0), ==, 1);
+	check_and_free(world);
+}
+
 static batch_res_t random_capacity(base_rng_t *rng)
 {
 	return (batch_res_t){ base_rng_below(rng, 5) * 2000,
@@ -439,6 +474,7 @@
 	g_test_add_func("/batch/capacity/to-nothing", test_shrink_to_nothing);
 	g_test_add_func("/batch/capacity/grow", test_grow);
 	g_test_add_func("/batch/capacity/best-effort", test_best_effort);
+	g_test_add_func("/batch/capacity/reservation", test_reservation);
 	g_test_add_func("/batch/capacity/random", test_random_scenarios);
 	return g_test_run();
 }
