batch: count a pool's workers by their present capacity

The pool's need was divided by the largest worker and compared with the number of workers, so a pool whose workers had shrunk got no others, and one whose only worker had no capacity kept it and refused all jobs. What the workers lack to the size of the largest is now added to the need. Of several empty workers another pool gets the largest, and the smallest is switched off; among equal ones the choice is as before.

Failed before: pool-gets-workers, 0 moves, 1 wanted; pool-of-nothing-gets-workers, 0 moves, 1 wanted; moves-choose-by-capacity, worker 0 (without capacity) moved, 1 wanted. admission passed before: it goes by the present sum.

--- a/packages/batch/batch_capacity.c
+++ b/packages/batch/batch_capacity.c
@@ -112,6 +112,32 @@
 	return have > 0 ? need / have : 0;
 }
 
+/*
+ * How many workers of the largest size the workers lack to that size: each
+ * counts by the resource of which it has least.
+ */
+static double lacking_workers(const batch_pool_t *pool)
+{
+	double lacking = 0;
+	guint i;
+
+	for (i = 0; i < pool->workers->len; i++) {
+		const batch_worker_t *worker =
+			g_ptr_array_index(pool->workers, i);
+		double part = 1;
+
+		if (!batch_worker_in_capacity(worker))
+			continue;
+		if (pool->worker_cpu > 0)
+			part = (double)worker->capacity.cpu / pool->worker_cpu;
+		if (pool->worker_memory > 0)
+			part = MIN(part, (double)worker->capacity.memory /
+						 pool->worker_memory);
+		lacking += MAX(1 - part, 0);
+	}
+	return lacking;
+}
+
 static void measure_need(batch_t *core, need_t *need, int64_t now)
 {
 	batch_pool_t *pool = need->pool;
@@ -120,6 +146,7 @@
 	batch_load_t long_running = batch_pool_long_running(pool);
 	double cpu = 0;
 	double memory = 0;
+	double lacking;
 	double workers;
 	double busy;
 	guint i;
@@ -145,8 +172,10 @@
 	busy = MAX(expected_load.memory, need_now.memory);
 	workers = MAX(workers,
 		      ratio(busy + long_running.memory, pool->worker_memory));
-	need->least = MAX(spread_workers(core, pool), 1);
-	need->want = MAX((int)ceil(workers * CAPACITY_HEADROOM), need->least);
+	lacking = lacking_workers(pool);
+	need->least = MAX(spread_workers(core, pool), 1) + (int)lacking;
+	need->want = MAX((int)ceil(workers * CAPACITY_HEADROOM + lacking),
+			 need->least);
 	pool->workers_wanted = need->want;
 	if (need->have > need->want) {
 		if (!pool->surplus_since)
@@ -156,9 +185,13 @@
 	}
 }
 
-/* An empty worker of a pool that has had a surplus for long enough. */
-static batch_worker_t *idle_worker(need_t *need, int64_t now)
+/*
+ * An empty worker of a pool that has had a surplus for long enough: the largest
+ * one for another pool, the smallest one to be switched off.
+ */
+static batch_worker_t *idle_worker(need_t *need, int64_t now, bool largest)
 {
+	batch_worker_t *best = NULL;
 	guint i;
 
 	if (need->have <= need->want || !need->pool->surplus_since ||
@@ -168,11 +201,15 @@
 		batch_worker_t *worker =
 			g_ptr_array_index(need->pool->workers, i);
 
-		if (batch_worker_in_capacity(worker) && worker->incarnation &&
-		    batch_worker_is_empty(worker) && !worker->reserved_for)
-			return worker;
+		if (!batch_worker_in_capacity(worker) || !worker->incarnation ||
+		    !batch_worker_is_empty(worker) || worker->reserved_for)
+			continue;
+		if (!best ||
+		    (largest ? worker->capacity.cpu > best->capacity.cpu
+			     : worker->capacity.cpu < best->capacity.cpu))
+			best = worker;
 	}
-	return NULL;
+	return best;
 }
 
 static int compare_shortage(const void *a, const void *b)
@@ -201,7 +238,7 @@
 	size_t i;
 
 	for (i = n; i-- > 0;) {
-		batch_worker_t *worker = idle_worker(&needs[i], now);
+		batch_worker_t *worker = idle_worker(&needs[i], now, true);
 
 		if (!worker)
 			continue;
@@ -251,7 +288,7 @@
 		batch_worker_t *worker;
 
 		while (n_moves < max &&
-		       (worker = idle_worker(&needs[i], now)) != NULL)
+		       (worker = idle_worker(&needs[i], now, false)) != NULL)
 			move_worker(&moves[n_moves++], &needs[i], worker, NULL,
 				    now);
 	}
--- a/packages/batch/tests/batch_capacity_change_test.c
+++ b/packages/batch/tests/batch_capacity_change_test.c
@@ -352,6 +352,138 @@
 	check_and_free(world);
 }
 
+/* Instances that the pool is given now. */
+static size_t count_moves(world_t *world)
+{
+	batch_move_t moves[16];
+
+	return batch_moves(world->core, world->now, 16, false, moves, 16);
+}
+
+/*
+ * Guards against a pool that counts its workers as whole while some of them
+ * have less than they had.
+ */
+static void test_pool_gets_workers(void)
+{
+	const batch_res_t less[] = { quarter, none };
+	const size_t expected[] = { 1, 2 };
+	size_t i;
+	int w;
+
+	for (i = 0; i < ARRAY_SIZE(less); i++) {
+		world_t *world = world_new_queue(8, 4, 3, 1.6);
+		batch_step_spec_t step = world_step(8);
+
+		world_submit(world, "a", &step, 1);
+		world_advance(world, 30 * MS);
+		g_assert_cmpuint(count_moves(world), ==, 0);
+		for (w = 0; w < 3; w++)
+			world_worker_set_capacity(world, w, less[i]);
+		g_assert_cmpuint(count_moves(world), >=, expected[i]);
+		world_free(world);
+	}
+}
+
+/* Guards against a pool without any capacity that gets no worker. */
+static void test_pool_of_nothing_gets_workers(void)
+{
+	world_t *world = world_new_queue(9, 1, 3, 1.6);
+
+	world_advance(world, SECOND);
+	g_assert_cmpuint(count_moves(world), ==, 0);
+	world_worker_set_capacity(world, 0, none);
+	g_assert_cmpuint(count_moves(world), ==, 1);
+	world_free(world);
+}
+
+/* Asks for moves until there is one; returns the index of its worker. */
+static int next_move(world_t *world, bool spare_pool)
+{
+	batch_move_t move;
+	char id[WORLD_NAME_MAX];
+	int i;
+
+	for (i = 0; i < 200; i++) {
+		world_advance(world, WORLD_TICK);
+		if (!batch_moves(world->core, world->now, 0, spare_pool, &move,
+				 1))
+			continue;
+		g_snprintf(id, sizeof(id), "%.*s", BASE_STR_ARG(move.worker));
+		return (int)(world_find_worker(world, id) - world->workers);
+	}
+	return -1;
+}
+
+/* Adds a pool without workers, with a queue. */
+static void add_empty_pool(world_t *world)
+{
+	const batch_pool_info_t pools[] = { { .name = BASE_STR("pool") },
+					    { .name = BASE_STR("other") },
+					    { .name = BASE_STR("spare"),
+					      .spare = true } };
+	batch_queue_info_t queues[] = { { .name = BASE_STR("queue"),
+					  .pool = BASE_STR("pool"),
+					  .attempts = 3,
+					  .stretch = 1.6 },
+					{ .name = BASE_STR("queue2"),
+					  .pool = BASE_STR("other"),
+					  .attempts = 3,
+					  .stretch = 1.6 } };
+
+	batch_config(world->core, queues, 2, pools, 3);
+}
+
+/*
+ * Guards against a move that gives a pool the worker with the least capacity,
+ * or switches off the one with the most.
+ */
+static void test_moves_choose_by_capacity(void)
+{
+	world_t *world = world_new_queue(11, 4, 3, 1.6);
+
+	world_worker_set_capacity(world, 0, none);
+	world_worker_set_capacity(world, 2, quarter);
+	add_empty_pool(world);
+	g_assert_cmpint(next_move(world, false), ==, 1);
+	world_free(world);
+	world = world_new_queue(11, 4, 3, 1.6);
+	world_worker_set_capacity(world, 2, quarter);
+	g_assert_cmpint(next_move(world, true), ==, 2);
+	world_free(world);
+}
+
+/* Jobs that are accepted at once, of four seconds of a worker each. */
+static int count_accepted(world_t *world, int jobs)
+{
+	batch_step_spec_t step = world_step(4);
+	char id[16];
+	int accepted = 0;
+	int i;
+
+	for (i = 0; i < jobs; i++) {
+		g_snprintf(id, sizeof(id), "j%d", i);
+		accepted += world_submit(world, id, &step, 1) == BATCH_ACCEPTED;
+	}
+	return accepted;
+}
+
+/* Guards against admission by the capacity that the workers had. */
+static void test_admission(void)
+{
+	world_t *world = world_new_queue(10, 4, 3, 1.6);
+	int before = count_accepted(world, 200);
+	int w;
+
+	world_free(world);
+	world = world_new_queue(10, 4, 3, 1.6);
+	for (w = 0; w < 4; w++)
+		world_worker_set_capacity(world, w, quarter);
+	g_assert_cmpint(before, <, 200);
+	g_assert_cmpint(count_accepted(world, 200), <=, before / 4 + 1);
+	world_free(world);
+}
+
 static batch_res_t random_capacity(base_rng_t *rng)
 {
 	return (batch_res_t){ base_rng_below(rng, 5) * 2000,
@@ -475,6 +607,13 @@
 	g_test_add_func("/batch/capacity/grow", test_grow);
 	g_test_add_func("/batch/capacity/best-effort", test_best_effort);
 	g_test_add_func("/batch/capacity/reservation", test_reservation);
+	g_test_add_func("/batch/capacity/pool-gets-workers",
+			test_pool_gets_workers);
+	g_test_add_func("/batch/capacity/pool-of-nothing-gets-workers",
+			test_pool_of_nothing_gets_workers);
+	g_test_add_func("/batch/capacity/moves-choose-by-capacity",
+			test_moves_choose_by_capacity);
+	g_test_add_func("/batch/capacity/admission", test_admission);
 	g_test_add_func("/batch/capacity/random", test_random_scenarios);
 	return g_test_run();
 }
