batch: log and explain a change of a worker's capacity

An operator could not tell from the log or from explain why a worker gets no tasks after it has shrunk. worker-capacity (info) names the worker, each resource before and after, and the unsent starts that were dropped; once a change, not for a worker that is listed for the first time. explain shows gpu, the capacity before its last change, and since when.

--- a/packages/batch/batch.h
+++ b/packages/batch/batch.h
@@ -163,6 +163,7 @@
 	BATCH_LOG_WORKER_QUARANTINED,
 	BATCH_LOG_WORKER_ON_TRIAL,
 	BATCH_LOG_PACED,
+	BATCH_LOG_WORKER_CAPACITY,
 	BATCH_LOG_MAX
 } batch_log_event_kind_t;
 
@@ -174,6 +175,9 @@
 	const char *why; /* reason in a few words; NULL: none */
 	int64_t value;	 /* the deciding figure; "why" names its unit */
 	int64_t age;	 /* age of "value", microseconds */
+	/* A worker's capacity before and after its change; else NULL. */
+	const batch_res_t *from;
+	const batch_res_t *to;
 } batch_log_event_t;
 
 /* Asks which of these workers may run a step; the task index is unused. */
--- a/packages/batch/batch_explain.c
+++ b/packages/batch/batch_explain.c
@@ -167,6 +167,31 @@
 	return "takes work";
 }
 
+/* The last change of the worker's capacity. */
+static void explain_capacity(const batch_worker_t *worker, json_t *answer,
+			     base_buf_t *sentence, int64_t now)
+{
+	const batch_res_t *before = &worker->capacity_before;
+	int64_t age = now - worker->capacity_changed_at;
+
+	json_object_set_new(answer, "capacity_before",
+			    json_pack("{s:I,s:I,s:I}", "cpu",
+				      (json_int_t)before->cpu, "memory_mb",
+				      (json_int_t)before->memory, "gpu",
+				      (json_int_t)before->gpu));
+	json_object_set_new(answer, "capacity_changed_us_ago",
+			    json_integer(age));
+	base_buf_addf(sentence,
+		      "; %.1f s ago its capacity changed from %.1f cores, "
+		      "%lld MB and %lld GPUs to %.1f cores, %lld MB and "
+		      "%lld GPUs",
+		      to_seconds(age), (double)before->cpu / 1000,
+		      (long long)before->memory, (long long)before->gpu,
+		      (double)worker->capacity.cpu / 1000,
+		      (long long)worker->capacity.memory,
+		      (long long)worker->capacity.gpu);
+}
+
 static json_t *explain_worker(const batch_worker_t *worker, int64_t now)
 {
 	base_buf_t *sentence = base_buf_new(NULL);
@@ -183,8 +208,8 @@
 		json_array_append_new(runs, item);
 	}
 	answer = json_pack(
-		"{s:s,s:s,s:s,s:s,s:b,s:I,s:I,s:I,s:I,s:I,s:I,s:o}", "kind",
-		"worker", "worker", worker->id, "pool",
+		"{s:s,s:s,s:s,s:s,s:b,s:I,s:I,s:I,s:I,s:I,s:I,s:I,s:I,s:o}",
+		"kind", "worker", "worker", worker->id, "pool",
 		worker->pool ? worker->pool->name : "", "rack", worker->rack,
 		"usable", batch_worker_usable(worker, now), "looked_us_ago",
 		(json_int_t)(now - worker->polled_at), "lease_left_us",
@@ -192,7 +217,9 @@
 		(json_int_t)worker->capacity.cpu, "cpu_used",
 		(json_int_t)worker->used.cpu, "memory_mb",
 		(json_int_t)worker->capacity.memory, "memory_mb_used",
-		(json_int_t)worker->used.memory, "runs", runs);
+		(json_int_t)worker->used.memory, "gpu",
+		(json_int_t)worker->capacity.gpu, "gpu_used",
+		(json_int_t)worker->used.gpu, "runs", runs);
 	base_buf_addf(sentence, "worker %s of pool %s %s", worker->id,
 		      worker->pool ? worker->pool->name : "-",
 		      worker_status(worker, now));
@@ -206,6 +233,8 @@
 	base_buf_addf(sentence, "; %u tasks take %.1f of %.1f cores",
 		      worker->runs->len, (double)worker->used.cpu / 1000,
 		      (double)worker->capacity.cpu / 1000);
+	if (worker->capacity_changed_at)
+		explain_capacity(worker, answer, sentence, now);
 	return finish_answer(answer, sentence);
 }
 
--- a/packages/batch/batch_int.h
+++ b/packages/batch/batch_int.h
@@ -217,6 +217,8 @@
 	char **labels;
 	size_t n_labels;
 	batch_res_t capacity;
+	batch_res_t capacity_before; /* its last change */
+	int64_t capacity_changed_at; /* 0: it has not changed */
 	batch_res_t used;
 	int64_t incarnation; /* 0: not polled yet */
 	bool listed;
@@ -331,7 +333,7 @@
  * Sets the capacity, and drops unsent starts that do not fit any more; the
  * next pass places their tasks anew.
  */
-void batch_worker_set_capacity(batch_worker_t *worker,
+void batch_worker_set_capacity(batch_worker_t *worker, int64_t now,
 			       const batch_res_t *capacity);
 /* Drops all its unsent starts, as for a capacity of nothing. */
 void batch_worker_drop_unsent(batch_worker_t *worker);
--- a/packages/batch/batch_resize.c
+++ b/packages/batch/batch_resize.c
@@ -61,29 +61,35 @@
 }
 
 /* Drops the unsent start, with those of its whole gang. */
-static void drop_unsent(batch_run_t *run)
+static int drop_unsent(batch_run_t *run)
 {
 	batch_step_t *step = run->task->step;
+	int n = 0;
 	int i;
 
 	if (!step->spec->gang) {
 		batch_run_free(run);
-		return;
+		return 1;
 	}
 	for (i = 0; i < step->spec->count; i++) {
 		batch_run_t *member = step->tasks[i].run;
 
-		if (member && member->state == RUN_STORING)
-			batch_run_free(member);
+		if (!member || member->state != RUN_STORING)
+			continue;
+		batch_run_free(member);
+		n++;
 	}
+	return n;
 }
 
-static void drop_unfitting(batch_worker_t *worker)
+static int drop_unfitting(batch_worker_t *worker)
 {
 	batch_run_t *run;
+	int n = 0;
 
 	while (is_over(worker) && (run = choose_unsent(worker)) != NULL)
-		drop_unsent(run);
+		n += drop_unsent(run);
+	return n;
 }
 
 void batch_worker_drop_unsent(batch_worker_t *worker)
@@ -94,15 +100,33 @@
 		drop_unsent(run);
 }
 
-void batch_worker_set_capacity(batch_worker_t *worker,
+void batch_worker_set_capacity(batch_worker_t *worker, int64_t now,
 			       const batch_res_t *capacity)
 {
+	int dropped;
+
 	if (is_equal(&worker->capacity, capacity))
 		return;
+	worker->capacity_before = worker->capacity;
 	worker->capacity = *capacity;
 	worker->core->pass_needed = true;
-	drop_unfitting(worker);
+	dropped = drop_unfitting(worker);
 	if (worker->reserved_for &&
 	    !batch_fit_once_free(worker, worker->reserved_for->step->spec))
 		worker->reserved_for = NULL;
+	/* A worker that is listed for the first time had no capacity. */
+	if (is_equal(&worker->capacity_before, &(batch_res_t){ 0, 0, 0 }) &&
+	    !worker->listed)
+		return;
+	worker->capacity_changed_at = now;
+	batch_log_emit(
+		worker->core,
+		&(batch_log_event_t){
+			.kind = BATCH_LOG_WORKER_CAPACITY,
+			.task = { .occurrence = -1, .step = -1, .index = -1 },
+			.worker = base_str(worker->id),
+			.why = "starts that were dropped",
+			.value = dropped,
+			.from = &worker->capacity_before,
+			.to = &worker->capacity });
 }
--- a/packages/batch/batch_worker.c
+++ b/packages/batch/batch_worker.c
@@ -64,7 +64,7 @@
 		worker->cordoned = false;
 		worker->silent = true; /* until it is polled */
 	}
-	batch_worker_set_capacity(worker, &info->capacity);
+	batch_worker_set_capacity(worker, now, &info->capacity);
 	worker->listed = true;
 	worker->draining = info->draining;
 	talloc_free(worker->zone);
--- a/packages/batch/tests/batch_capacity_change_test.c
+++ b/packages/batch/tests/batch_capacity_change_test.c
@@ -484,6 +484,33 @@
 	world_free(world);
 }
 
+/*
+ * Guards against a change without a line in the log, or more than one, and
+ * against lines for capacities that are listed for the first time.
+ */
+static void test_log(void)
+{
+	world_t *world = new_world(13, 2);
+	batch_step_spec_t step = world_step(4);
+
+	world_submit(world, "a", &step, 1);
+	world_advance(world, SECOND / 2);
+	world_take_over(world);
+	world_advance(world, SECOND / 10);
+	g_assert_cmpint(world->capacity_logs, ==, 0);
+	world_worker_set_capacity(world, 0, quarter);
+	world_worker_set_capacity(world, 0, quarter);
+	world_add_worker(world);
+	g_assert_cmpint(world->capacity_logs, ==, 1);
+	g_assert_true(!memcmp(&world->logged_from, &full, sizeof(full)));
+	g_assert_true(!memcmp(&world->logged_to, &quarter, sizeof(quarter)));
+	world_worker_set_capacity(world, 0, none);
+	world_worker_set_capacity(world, 0, full);
+	g_assert_cmpint(world->capacity_logs, ==, 3);
+	assert_completes(world, "a");
+	check_and_free(world);
+}
+
 static batch_res_t random_capacity(base_rng_t *rng)
 {
 	return (batch_res_t){ base_rng_below(rng, 5) * 2000,
@@ -614,6 +641,7 @@
 	g_test_add_func("/batch/capacity/moves-choose-by-capacity",
 			test_moves_choose_by_capacity);
 	g_test_add_func("/batch/capacity/admission", test_admission);
+	g_test_add_func("/batch/capacity/log", test_log);
 	g_test_add_func("/batch/capacity/random", test_random_scenarios);
 	return g_test_run();
 }
--- a/packages/batch/tests/batch_explain_test.c
+++ b/packages/batch/tests/batch_explain_test.c
@@ -124,6 +124,31 @@
 	world_free(world);
 }
 
+/* A changed capacity shows, with what it was before and since when. */
+static void test_changed_capacity(void)
+{
+	world_t *world = world_new(1, 1, 2);
+	batch_step_spec_t step = world_step(4);
+
+	step.estimate = 10 * SECOND;
+	world_submit(world, "a", &step, 1);
+	world_submit(world, "b", &step, 1);
+	world_advance(world, SECOND);
+	world_worker_set_capacity(world, 0, (batch_res_t){ 2000, 8000, 0 });
+	world_advance(world, 2 * SECOND);
+	assert_sentence_has(world, "w0", "4 tasks take 8.0 of 2.0 cores");
+	assert_sentence_has(world, "w0",
+			    "2.0 s ago its capacity changed from 8.0 cores, "
+			    "32000 MB and 0 GPUs to 2.0 cores, 8000 MB and "
+			    "0 GPUs.");
+	g_assert_cmpint(get_fact(world, "w0", "cpu"), ==, 2000);
+	g_assert_cmpint(get_fact(world, "w0", "gpu"), ==, 0);
+	g_assert_cmpint(get_fact(world, "w0", "capacity_changed_us_ago"), ==,
+			2 * SECOND);
+	assert_sentence_has(world, "b", "4 wait: no worker has room");
+	world_free(world);
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
@@ -133,5 +158,7 @@
 	g_test_add_func("/batch-explain/job-that-is-not-stored",
 			test_job_that_is_not_stored);
 	g_test_add_func("/batch-explain/worker-and-pool", test_worker_and_pool);
+	g_test_add_func("/batch-explain/changed-capacity",
+			test_changed_capacity);
 	return g_test_run();
 }
--- a/packages/batch/tests/batch_world.c
+++ b/packages/batch/tests/batch_world.c
@@ -216,6 +216,17 @@
 	talloc_free(text);
 }
 
+static void op_log_event(void *arg, const batch_log_event_t *event)
+{
+	world_t *world = arg;
+
+	if (event->kind != BATCH_LOG_WORKER_CAPACITY)
+		return;
+	world->capacity_logs++;
+	world->logged_from = *event->from;
+	world->logged_to = *event->to;
+}
+
 static const batch_ops_t ops = {
 	.accepted = op_accepted,
 	.cancelled = op_cancelled,
@@ -223,6 +234,7 @@
 	.stop = op_stop,
 	.pace = op_pace,
 	.advise = op_advise,
+	.log_event = op_log_event,
 };
 
 static void list_workers(world_t *world)
--- a/packages/batch/tests/batch_world.h
+++ b/packages/batch/tests/batch_world.h
@@ -136,6 +136,9 @@
 	int64_t store_time; /* of one change */
 	int64_t start_cost; /* processor time of the holder for each start */
 	int64_t busy_until; /* the holder does nothing else before then */
+	/* Logged changes of capacity, and the last of them. */
+	int capacity_logs;
+	batch_res_t logged_from, logged_to;
 	/* Counters and the first violated rule. */
 	int starts, stops, finished, broken, questions, tickets_refused;
 	char first_violation[256];
--- a/packages/node/node_worker.c
+++ b/packages/node/node_worker.c
@@ -734,11 +734,28 @@
 	[BATCH_LOG_WORKER_QUARANTINED] = BASE_MSG_WORKER_OUT,
 	[BATCH_LOG_WORKER_ON_TRIAL] = BASE_MSG_WORKER_BACK,
 	[BATCH_LOG_PACED] = BASE_MSG_PACED,
+	[BATCH_LOG_WORKER_CAPACITY] = BASE_MSG_WORKER_CAPACITY,
 };
 
-static void log_batch_event(void *arg, const batch_log_event_t *event)
+static void log_capacity(node_holder_t *holder, const batch_log_event_t *event)
+{
+	char *worker = base_str_dup(NULL, event->worker);
+
+	node_log(holder->node, event_messages[event->kind],
+		 BASE_F_STR("worker", worker),
+		 BASE_F_INT("cpu_from", event->from->cpu),
+		 BASE_F_INT("cpu_to", event->to->cpu),
+		 BASE_F_INT("memory_mb_from", event->from->memory),
+		 BASE_F_INT("memory_mb_to", event->to->memory),
+		 BASE_F_INT("gpu_from", event->from->gpu),
+		 BASE_F_INT("gpu_to", event->to->gpu),
+		 BASE_F_INT("dropped", event->value),
+		 BASE_F_INT("term", holder->term));
+	talloc_free(worker);
+}
+
+static void log_fields(node_holder_t *holder, const batch_log_event_t *event)
 {
-	node_holder_t *holder = arg;
 	char *id = base_str_dup(NULL, event->task.job);
 	char *worker = base_str_dup(id, event->worker);
 	int try_number;
@@ -768,6 +785,14 @@
 	talloc_free(id);
 }
 
+static void log_batch_event(void *arg, const batch_log_event_t *event)
+{
+	if (event->kind == BATCH_LOG_WORKER_CAPACITY)
+		log_capacity(arg, event);
+	else
+		log_fields(arg, event);
+}
+
 const batch_ops_t node_batch_ops = {
 	.advise = node_advise,
 	.accepted = node_holder_accepted,
