node: test that a listed capacity holds for decided starts

A start is decided, the list shows less capacity while its row is being stored, and no order is sent; the line worker-capacity comes once, and the start follows when the capacity is back. With the capacity only noted, as before the fix, the order is sent: "'test.has_run' should be FALSE".

--- a/packages/node/tests/node_worker_test.c
+++ b/packages/node/tests/node_worker_test.c
@@ -30,6 +30,7 @@
 	batch_task_id_t task;
 	int64_t run;
 	bool has_run;
+	batch_res_t capacity; /* as the list has it */
 	int64_t acknowledged; /* the last end that a poll acknowledged */
 	int n_polls;
 } test;
@@ -136,7 +137,7 @@
 			  .pool = BASE_STR("p"),
 			  .zone = BASE_STR("z"),
 			  .rack = BASE_STR("r"),
-			  .capacity = { 4000, 4000, 0 } },
+			  .capacity = test.capacity },
 		.address = "127.0.0.1:1",
 	};
 	return true;
@@ -217,6 +218,7 @@
 	node_holder_t *holder;
 
 	memset(&test, 0, sizeof(test));
+	test.capacity = (batch_res_t){ 4000, 4000, 0 };
 	test.node = talloc_zero(NULL, node_t);
 	test.node->platform = &fake_platform;
 	test.node->settings = talloc_zero(test.node, node_settings_t);
@@ -315,6 +317,72 @@
 	teardown();
 }
 
+/* The worker is listed with another capacity. */
+static void list_with_cpu(int64_t cpu)
+{
+	node_item_t item = { .key = "w" };
+
+	test.capacity.cpu = cpu;
+	node_workers_add_listed(test.holder, &item);
+}
+
+/* Lines of the log on "fd" that hold the text, of those written so far. */
+static int count_lines(int fd, const char *text)
+{
+	char lines[8192];
+	const char *at = lines;
+	ssize_t len = read(fd, lines, sizeof(lines) - 1);
+	int n = 0;
+
+	lines[MAX(len, 0)] = '\0';
+	while ((at = strstr(at, text)) != NULL) {
+		at++;
+		n++;
+	}
+	return n;
+}
+
+/*
+ * Guards against an order to start what does not fit any more: the list showed
+ * less capacity while the start was being stored.
+ */
+static void test_listed_capacity_holds_for_decided_starts(void)
+{
+	int64_t limit;
+	int fds[2];
+
+	g_assert_cmpint(pipe(fds), ==, 0);
+	setup();
+	test.node->log = node_log_new(test.node, test.node->loop, fds[1]);
+	while (!batch_worker_known(test.holder->core, BASE_STR("w")))
+		run_for(BASE_MS);
+	submit_job();
+	run_until_change(); /* the job is accepted */
+	store_change();
+	run_until_change(); /* its run is decided */
+	list_with_cpu(500);
+	list_with_cpu(500);
+	store_change();
+	run_for(STORE_DELAY);
+	g_assert_false(test.has_run);
+	g_assert_cmpint(
+		count_lines(fds[0], "\"cpu_from\":4000,\"cpu_to\":500,"), ==,
+		1);
+
+	list_with_cpu(1000);
+	limit = base_clock_mono() + POLL_DUE;
+	while (!test.has_run && base_clock_mono() < limit) {
+		if (test.change.arg)
+			store_change();
+		run_for(BASE_MS);
+		tick(NULL);
+	}
+	g_assert_true(test.has_run);
+	teardown();
+	close(fds[0]);
+	close(fds[1]);
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
@@ -323,5 +391,7 @@
 	g_test_add_func(
 		"/node-worker/unlisted-worker-is-polled-until-ends-are-stored",
 		test_unlisted_worker_is_polled_until_its_ends_are_stored);
+	g_test_add_func("/node-worker/listed-capacity-holds-for-decided-starts",
+			test_listed_capacity_holds_for_decided_starts);
 	return g_test_run();
 }
