batch: send no starts by an old list where nobody checks them

While the list of workers cannot be read and the store answers otherwise, a holder went on placing and sending by the capacities that it had read last, for any time. Pools that check admission are served as before.

The simulated list is read every 0.7 s, and can fail.

--- a/packages/batch/batch_commit.c
+++ b/packages/batch/batch_commit.c
@@ -64,24 +64,40 @@
 	return job->start_decided ? BATCH_RUNNING : BATCH_QUEUED;
 }
 
+static bool is_to_be_sent(const batch_run_t *run)
+{
+	return run && run->state == RUN_STORING &&
+	       run->version <= run->task->step->occ->job->stored_version;
+}
+
+/* Sends the runs of a step, or of a gang none if one cannot be sent. */
+static void send_step_runs(batch_step_t *step, int64_t now)
+{
+	int t;
+
+	for (t = 0; t < step->spec->count; t++) {
+		batch_run_t *run = step->tasks[t].run;
+
+		if (is_to_be_sent(run) &&
+		    batch_worker_capacity_is_old(run->worker, now))
+			batch_run_drop_unsent(run);
+	}
+	for (t = 0; t < step->spec->count; t++)
+		if (is_to_be_sent(step->tasks[t].run))
+			batch_run_send(step->tasks[t].run, now);
+}
+
 /* Sends the runs that the stored row contains. */
 static void send_runs(batch_job_t *job, int64_t now)
 {
 	guint i;
 	int s;
-	int t;
 
 	for (i = 0; i < job->occs->len; i++) {
 		batch_occ_t *occ = g_ptr_array_index(job->occs, i);
 
 		for (s = 0; s < job->spec.n_steps; s++)
-			for (t = 0; t < occ->steps[s].spec->count; t++) {
-				batch_run_t *run = occ->steps[s].tasks[t].run;
-
-				if (run && run->state == RUN_STORING &&
-				    run->version <= job->stored_version)
-					batch_run_send(run, now);
-			}
+			send_step_runs(&occ->steps[s], now);
 	}
 }
 
--- a/packages/batch/batch_explain.c
+++ b/packages/batch/batch_explain.c
@@ -158,6 +158,8 @@
 		return "is quarantined because its tasks fail, stall or are slow";
 	if (worker->lists_unknown_runs)
 		return "gets no work until runs of no job have stopped";
+	if (batch_worker_capacity_is_old(worker, now))
+		return "gets no work because the list was not read for too long";
 	if (!worker->incarnation)
 		return "has not been polled yet";
 	if (now < worker->backoff_until)
--- a/packages/batch/batch_fit.c
+++ b/packages/batch/batch_fit.c
@@ -7,7 +7,8 @@
 	       !worker->draining && !worker->cordoned &&
 	       !worker->is_quarantined && !worker->lists_unknown_runs &&
 	       now >= worker->backoff_until &&
-	       now - worker->polled_at <= BATCH_POLL_AGE_MAX;
+	       now - worker->polled_at <= BATCH_POLL_AGE_MAX &&
+	       !batch_worker_capacity_is_old(worker, now);
 }
 
 /* Workers that were not polled yet after a takeover count as well. */
--- a/packages/batch/batch_int.h
+++ b/packages/batch/batch_int.h
@@ -10,6 +10,12 @@
 
 /* A worker gets no new runs if its last successful poll is older than this. */
 #define BATCH_POLL_AGE_MAX (3 * BASE_SEC) /* three polls, one a second */
+/*
+ * A worker that does not check admission gets no starts if it was last listed
+ * longer ago: its capacity may have fallen since.  Several readings of the
+ * list; the rules grant this span and a heartbeat.
+ */
+#define BATCH_LIST_AGE_MAX (3 * BASE_SEC)
 /* Time before a stop is repeated: several times a round trip. */
 #define BATCH_STOP_RETRY (500 * BASE_MS)
 /* Backoff after a worker refused a start: about the time of a short task. */
@@ -219,6 +225,7 @@
 	batch_res_t capacity;
 	batch_res_t capacity_before; /* its last change */
 	int64_t capacity_changed_at; /* 0: it has not changed */
+	int64_t listed_at;	     /* when the list last had it */
 	batch_res_t used;
 	int64_t incarnation; /* 0: not polled yet */
 	bool listed;
@@ -335,6 +342,10 @@
  */
 void batch_worker_set_capacity(batch_worker_t *worker, int64_t now,
 			       const batch_res_t *capacity);
+/* Whether its capacity may be another one by now, and it does not check. */
+bool batch_worker_capacity_is_old(const batch_worker_t *worker, int64_t now);
+/* Drops the unsent start, with those of its whole gang; returns how many. */
+int batch_run_drop_unsent(batch_run_t *run);
 /* Drops all its unsent starts, as for a capacity of nothing. */
 void batch_worker_drop_unsent(batch_worker_t *worker);
 
--- a/packages/batch/batch_resize.c
+++ b/packages/batch/batch_resize.c
@@ -60,8 +60,7 @@
 	return chosen;
 }
 
-/* Drops the unsent start, with those of its whole gang. */
-static int drop_unsent(batch_run_t *run)
+int batch_run_drop_unsent(batch_run_t *run)
 {
 	batch_step_t *step = run->task->step;
 	int n = 0;
@@ -88,16 +87,22 @@
 	int n = 0;
 
 	while (is_over(worker) && (run = choose_unsent(worker)) != NULL)
-		n += drop_unsent(run);
+		n += batch_run_drop_unsent(run);
 	return n;
 }
 
+bool batch_worker_capacity_is_old(const batch_worker_t *worker, int64_t now)
+{
+	return worker->pool && !worker->pool->checks_admission &&
+	       now - worker->listed_at > BATCH_LIST_AGE_MAX;
+}
+
 void batch_worker_drop_unsent(batch_worker_t *worker)
 {
 	batch_run_t *run;
 
 	while ((run = choose_unsent(worker)) != NULL)
-		drop_unsent(run);
+		batch_run_drop_unsent(run);
 }
 
 void batch_worker_set_capacity(batch_worker_t *worker, int64_t now,
--- a/packages/batch/batch_worker.c
+++ b/packages/batch/batch_worker.c
@@ -65,6 +65,7 @@
 		worker->silent = true; /* until it is polled */
 	}
 	batch_worker_set_capacity(worker, now, &info->capacity);
+	worker->listed_at = now;
 	worker->listed = true;
 	worker->draining = info->draining;
 	talloc_free(worker->zone);
--- a/packages/batch/tests/batch_capacity_change_test.c
+++ b/packages/batch/tests/batch_capacity_change_test.c
@@ -17,8 +17,9 @@
 {
 	world_t *world = world_new(seed, workers, 3);
 
-	world->no_admission = true;
+	world_set_no_admission(world);
 	world->stop_time = 200 * MS;
+	world_advance(world, 100 * MS);
 	return world;
 }
 
@@ -137,6 +138,73 @@
 	check_and_free(world);
 }
 
+/*
+ * Guards against starts by a list that has not been read for long, while the
+ * rest of the store answers: decided by it, or decided before and sent by it.
+ */
+static void test_old_list(void)
+{
+	world_t *world = new_world(14, 2);
+	batch_step_spec_t step = world_step(6);
+
+	submit_unsent(world, "a", &step);
+	world->list_down = true;
+	world_worker_set_capacity(world, 0, none);
+	world_worker_set_capacity(world, 1, quarter);
+	world_advance(world, PAST_LIMIT);
+	world->store_down = false;
+	world_submit(world, "b", &step, 1);
+	world_advance(world, 2 * SECOND);
+	g_assert_cmpint(world->broken, ==, 0);
+	g_assert_cmpint(world->starts, ==, 0);
+	world->list_down = false;
+	world_advance(world, 30 * SECOND);
+	assert_completes(world, "a");
+	assert_completes(world, "b");
+	check_and_free(world);
+}
+
+/* The same with a gang, of which one worker alone was listed in time. */
+static void test_old_list_and_gang(void)
+{
+	world_t *world = new_world(15, 2);
+	batch_worker_info_t info = { .id = BASE_STR("w1"),
+				     .pool = BASE_STR("pool"),
+				     .zone = BASE_STR("z"),
+				     .rack = BASE_STR("r0"),
+				     .capacity = full };
+	batch_step_spec_t step = world_step(6);
+
+	step.gang = true;
+	submit_unsent(world, "a", &step);
+	world->list_down = true;
+	world_advance(world, PAST_LIMIT);
+	batch_worker_listed(world->core, world->now, &info);
+	world->store_down = false;
+	world_advance(world, SECOND);
+	g_assert_cmpint(world->starts, ==, 0);
+	world->list_down = false;
+	world_advance(world, SECOND / 2);
+	g_assert_cmpint(world->starts, ==, 6);
+	assert_completes(world, "a");
+	check_and_free(world);
+}
+
+/* Guards against an old list that keeps work from workers that check it. */
+static void test_old_list_with_admission(void)
+{
+	world_t *world = world_new(16, 2, 3);
+	batch_step_spec_t step = world_step(6);
+
+	world->list_down = true;
+	world_advance(world, 10 * SECOND);
+	world_submit(world, "a", &step, 1);
+	world_advance(world, 100 * MS);
+	g_assert_cmpint(world->starts, ==, 6);
+	assert_completes(world, "a");
+	check_and_free(world);
+}
+
 /* Guards against starts in doubt that do not count while others are placed. */
 static void test_starts_in_doubt(void)
 {
@@ -553,6 +621,9 @@
 	case 4:
 		world->store_down = !world->store_down;
 		break;
+	case 5:
+		world->list_down = !world->list_down;
+		break;
 	default:
 		world_worker_set_capacity(world, worker, random_capacity(rng));
 		break;
@@ -566,6 +637,7 @@
 	world->lost_answer_percent = 0;
 	world->late_order_percent = 0;
 	world->store_down = false;
+	world->list_down = false;
 	for (i = 0; i < world->n_workers; i++) {
 		world_worker_set_capacity(world, i, full);
 		if (world->workers[i].crashed)
@@ -624,6 +696,11 @@
 			test_unsent_starts_move);
 	g_test_add_func("/batch/capacity/long-running-starts-stay",
 			test_long_running_starts_stay);
+	g_test_add_func("/batch/capacity/old-list", test_old_list);
+	g_test_add_func("/batch/capacity/old-list-and-gang",
+			test_old_list_and_gang);
+	g_test_add_func("/batch/capacity/old-list-with-admission",
+			test_old_list_with_admission);
 	g_test_add_func("/batch/capacity/starts-in-doubt",
 			test_starts_in_doubt);
 	g_test_add_func("/batch/capacity/takeover", test_takeover);
--- a/packages/batch/tests/batch_world.c
+++ b/packages/batch/tests/batch_world.c
@@ -241,6 +241,7 @@
 {
 	int i;
 
+	world->listed_at = world->now;
 	for (i = 0; i < world->n_workers; i++) {
 		world_worker_t *worker = &world->workers[i];
 		base_str_t label = base_str(worker->label);
@@ -303,7 +304,7 @@
 void world_worker_set_capacity(world_t *world, int worker, batch_res_t capacity)
 {
 	record_capacity(world, &world->workers[worker], capacity);
-	if (!world->list_time)
+	if (!world->list_time && !world->list_down)
 		list_workers(world);
 	else if (!world->list_at)
 		world->list_at = world->now + world->list_time;
@@ -502,6 +503,18 @@
 	world->stored_at = world->now + world->store_time;
 }
 
+/* Lists the workers after a change of a capacity, and now and then. */
+static void read_list(world_t *world)
+{
+	int64_t due = world->list_at ? world->list_at
+				     : world->listed_at + WORLD_LIST_PERIOD;
+
+	if (world->list_down || world->now < due)
+		return;
+	world->list_at = 0;
+	list_workers(world);
+}
+
 void world_advance(world_t *world, int64_t span)
 {
 	int64_t until = world->now + span;
@@ -511,10 +524,7 @@
 		world->now += WORLD_TICK;
 		deliver_due(world);
 		answer_advice(world);
-		if (world->list_at && world->now >= world->list_at) {
-			world->list_at = 0;
-			list_workers(world);
-		}
+		read_list(world);
 		for (i = 0; i < world->n_workers; i++)
 			if (!world->workers[i].crashed)
 				world_worker_advance(world, &world->workers[i]);
@@ -579,6 +589,12 @@
 	world_take_over(world);
 }
 
+void world_set_no_admission(world_t *world)
+{
+	world->no_admission = true;
+	world_take_over(world);
+}
+
 void world_worker_drain(world_t *world, int worker)
 {
 	world->workers[worker].draining = true;
--- a/packages/batch/tests/batch_world.h
+++ b/packages/batch/tests/batch_world.h
@@ -23,6 +23,8 @@
  * span of calm that the rules grant, and one heartbeat.
  */
 #define WORLD_CAPACITY_LIMIT (3 * BASE_SEC + 1500 * BASE_MS)
+/* Time between two readings of the list of workers. */
+#define WORLD_LIST_PERIOD (700 * BASE_MS)
 #define WORLD_WORKERS_MAX 256
 #define WORLD_NAME_MAX 64
 
@@ -127,6 +129,8 @@
 	char asked[WORLD_WORKERS_MAX][WORLD_NAME_MAX];
 	size_t n_asked;
 	bool no_admission; /* workers start what does not fit */
+	bool list_down;	   /* the list of workers cannot be read */
+	int64_t listed_at;
 	int64_t stop_time; /* from a stop to the end of its run */
 	int64_t list_time; /* from a change of capacity to its listing */
 	int64_t list_at;   /* when the workers are listed again; 0: never */
@@ -163,6 +167,8 @@
 bool world_cancelled(world_t *world, const char *id);
 /* Adds a worker to the pool and returns its index. */
 int world_add_worker(world_t *world);
+/* Its workers start what does not fit. */
+void world_set_no_admission(world_t *world);
 /* Changes a worker's capacity; it is listed with it after "list_time". */
 void world_worker_set_capacity(world_t *world, int worker,
 			       batch_res_t capacity);
