batch: count long-running tasks no higher than their worker

What long-running tasks use was subtracted from the pool's capacity in full. On a worker that had shrunk below it, it was taken from the other workers too: a pool of two with one such worker refused every job ("no worker") while the other was idle, and asked for more workers than it lacked.

admission-beside-long-running failed before: 0 jobs accepted, 1 wanted.

--- a/packages/batch/batch_demand.c
+++ b/packages/batch/batch_demand.c
@@ -65,26 +65,38 @@
 	return load;
 }
 
+/* What long-running tasks use of the worker's present capacity. */
+static batch_load_t worker_long_running(const batch_worker_t *worker)
+{
+	batch_load_t load = { 0, 0 };
+	guint i;
+
+	for (i = 0; i < worker->runs->len; i++) {
+		batch_run_t *run = g_ptr_array_index(worker->runs, i);
+		const batch_step_spec_t *spec = run->task->step->spec;
+
+		if (!spec->long_running)
+			continue;
+		load.cpu += spec->best_effort ? 0 : (double)spec->need.cpu;
+		load.memory += (double)spec->need.memory;
+	}
+	load.cpu = MIN(load.cpu, (double)worker->capacity.cpu);
+	load.memory = MIN(load.memory, (double)worker->capacity.memory);
+	return load;
+}
+
 /* Capacity that long-running tasks use on the workers of a pool. */
 batch_load_t batch_pool_long_running(const batch_pool_t *pool)
 {
 	batch_load_t load = { 0, 0 };
 	guint i;
-	guint j;
 
 	for (i = 0; i < pool->workers->len; i++) {
-		batch_worker_t *worker = g_ptr_array_index(pool->workers, i);
-
-		for (j = 0; j < worker->runs->len; j++) {
-			batch_run_t *run = g_ptr_array_index(worker->runs, j);
-			const batch_step_spec_t *spec = run->task->step->spec;
-
-			if (!spec->long_running)
-				continue;
-			load.cpu +=
-				spec->best_effort ? 0 : (double)spec->need.cpu;
-			load.memory += (double)spec->need.memory;
-		}
+		batch_load_t part = worker_long_running(
+			g_ptr_array_index(pool->workers, i));
+
+		load.cpu += part.cpu;
+		load.memory += part.memory;
 	}
 	return load;
 }
--- a/packages/batch/tests/batch_capacity_change_test.c
+++ b/packages/batch/tests/batch_capacity_change_test.c
@@ -579,6 +579,29 @@
 	check_and_free(world);
 }
 
+/*
+ * Guards against jobs that are refused because long-running tasks use more than
+ * the capacity that their own worker has left.
+ */
+static void test_admission_beside_long_running(void)
+{
+	world_t *world = world_new_queue(17, 2, 3, 1.6);
+	batch_step_spec_t serving = world_step(1);
+
+	serving.long_running = true;
+	serving.need.cpu = full.cpu;
+	world_submit(world, "long", &serving, 1);
+	world_advance(world, SECOND);
+	g_assert_cmpint(world_running(world, "long", 0, 0), ==, 1);
+	world_worker_set_capacity(world, world->workers[0].runs->len ? 0 : 1,
+				  none);
+	/* The other worker ends a job of four tasks within its objective. */
+	g_assert_cmpint(count_accepted(world, 1), ==, 1);
+	world_advance(world, 3 * SECOND);
+	g_assert_cmpint(world_state(world, "j0"), ==, BATCH_COMPLETED);
+	world_free(world);
+}
+
 static batch_res_t random_capacity(base_rng_t *rng)
 {
 	return (batch_res_t){ base_rng_below(rng, 5) * 2000,
@@ -718,6 +741,8 @@
 	g_test_add_func("/batch/capacity/moves-choose-by-capacity",
 			test_moves_choose_by_capacity);
 	g_test_add_func("/batch/capacity/admission", test_admission);
+	g_test_add_func("/batch/capacity/admission-beside-long-running",
+			test_admission_beside_long_running);
 	g_test_add_func("/batch/capacity/log", test_log);
 	g_test_add_func("/batch/capacity/random", test_random_scenarios);
 	return g_test_run();
