batch: a worker that has ended takes its gangs' unsent starts along

The runs of a worker that has ended were lost one by one. Of a gang whose starts were being stored the others remained and were sent, and their members waited at their workers for those that never came. Unsent starts are now dropped by gang.

--- a/packages/batch/batch_worker.c
+++ b/packages/batch/batch_worker.c
@@ -147,6 +147,7 @@
 
 static void lose_all_runs(batch_worker_t *worker, int64_t now, const char *why)
 {
+	batch_worker_drop_unsent(worker);
 	while (worker->runs->len)
 		batch_run_lost(g_ptr_array_index(worker->runs, 0), now, why);
 }
--- a/packages/batch/tests/batch_capacity_change_test.c
+++ b/packages/batch/tests/batch_capacity_change_test.c
@@ -319,6 +319,27 @@
 	check_and_free(world);
 }
 
+/*
+ * Guards against a gang of which only some members start: the worker of the
+ * others had ended while the starts were being stored.
+ */
+static void test_gang_and_worker_gone(void)
+{
+	world_t *world = new_world(18, 3);
+	batch_step_spec_t step = world_step(6);
+
+	step.gang = true;
+	submit_unsent(world, "a", &step);
+	world_worker_crash(world, 0);
+	batch_worker_terminated(world->core, world->now, BASE_STR("w0"));
+	world_worker_set_listed(world, 0, false);
+	world->store_down = false;
+	advance_with_gang(world, 6, SECOND / 2);
+	g_assert_cmpint(world->starts, ==, 6);
+	assert_completes(world, "a");
+	check_and_free(world);
+}
+
 /* A worker without capacity that runs four tasks of "a"; four of "b" wait. */
 static world_t *new_world_without_capacity(uint64_t seed)
 {
@@ -730,6 +751,8 @@
 	g_test_add_func("/batch/capacity/runs-of-ended-jobs",
 			test_runs_of_ended_jobs);
 	g_test_add_func("/batch/capacity/gang", test_gang);
+	g_test_add_func("/batch/capacity/gang-and-worker-gone",
+			test_gang_and_worker_gone);
 	g_test_add_func("/batch/capacity/to-nothing", test_shrink_to_nothing);
 	g_test_add_func("/batch/capacity/grow", test_grow);
 	g_test_add_func("/batch/capacity/best-effort", test_best_effort);
