batch: drop the unsent starts of a worker that drains or is not listed

A start that was being stored when its worker began to drain, or left the list, was sent however long that took. It is dropped, and its task placed on another worker.

--- a/packages/batch/batch_worker.c
+++ b/packages/batch/batch_worker.c
@@ -68,6 +68,8 @@
 	worker->listed_at = now;
 	worker->listed = true;
 	worker->draining = info->draining;
+	if (worker->draining)
+		batch_worker_drop_unsent(worker);
 	talloc_free(worker->zone);
 	worker->zone = base_str_dup(worker, info->zone);
 	talloc_free(worker->rack);
@@ -107,6 +109,7 @@
 		return;
 	worker->listed = false;
 	set_pool(worker, NULL);
+	batch_worker_drop_unsent(worker);
 	core->pass_needed = true;
 }
 
--- a/packages/batch/tests/batch_capacity_change_test.c
+++ b/packages/batch/tests/batch_capacity_change_test.c
@@ -340,6 +340,34 @@
 	check_and_free(world);
 }
 
+/*
+ * Guards against starts on a worker that began to drain, or left the list, long
+ * before they were stored.
+ */
+static void test_unsent_starts_and_drain(void)
+{
+	bool drains = false;
+
+	do {
+		world_t *world = new_world(19, 2);
+		batch_step_spec_t step = world_step(4);
+
+		submit_unsent(world, "a", &step);
+		if (drains)
+			world_worker_drain(world, 0);
+		else
+			world_worker_set_listed(world, 0, false);
+		world_advance(world, WORLD_DRAIN_LIMIT + SECOND);
+		world->store_down = false;
+		world_advance(world, SECOND / 5);
+		g_assert_cmpuint(world->workers[0].runs->len, ==, 0);
+		g_assert_cmpint(world->starts, ==, 4);
+		assert_completes(world, "a");
+		check_and_free(world);
+		drains = !drains;
+	} while (drains);
+}
+
 /* A worker without capacity that runs four tasks of "a"; four of "b" wait. */
 static world_t *new_world_without_capacity(uint64_t seed)
 {
@@ -753,6 +781,8 @@
 	g_test_add_func("/batch/capacity/gang", test_gang);
 	g_test_add_func("/batch/capacity/gang-and-worker-gone",
 			test_gang_and_worker_gone);
+	g_test_add_func("/batch/capacity/unsent-starts-and-drain",
+			test_unsent_starts_and_drain);
 	g_test_add_func("/batch/capacity/to-nothing", test_shrink_to_nothing);
 	g_test_add_func("/batch/capacity/grow", test_grow);
 	g_test_add_func("/batch/capacity/best-effort", test_best_effort);
