--- a/packages/batch/batch_explain.c
+++ b/packages/batch/batch_explain.c
@@ -156,6 +156,10 @@
 		return "is being emptied";
 	if (worker->is_quarantined)
 		return "is quarantined because its tasks fail, stall or are slow";
+	if (worker->lists_unknown_runs)
+		return "gets no work until runs of no job have stopped";
+	if (batch_worker_capacity_is_old(worker, now))
+		return "gets no work because the list was not read for too long";
 	if (!worker->incarnation)
 		return "has not been polled yet";
 	if (now < worker->backoff_until)
@@ -165,6 +169,31 @@
 	return "takes work";
 }
 
+/* The last change of the worker's capacity. */
+static void explain_capacity(const batch_worker_t *worker, json_t *answer,
+			     base_buf_t *sentence, int64_t now)
+{
+	const batch_res_t *before = &worker->capacity_before;
+	int64_t age = now - worker->capacity_changed_at;
+
+	json_object_set_new(answer, "capacity_before",
+			    json_pack("{s:I,s:I,s:I}", "cpu",
+				      (json_int_t)before->cpu, "memory_mb",
+				      (json_int_t)before->memory, "gpu",
+				      (json_int_t)before->gpu));
+	json_object_set_new(answer, "capacity_changed_us_ago",
+			    json_integer(age));
+	base_buf_addf(sentence,
+		      "; %.1f s ago its capacity changed from %.1f cores, "
+		      "%lld MB and %lld GPUs to %.1f cores, %lld MB and "
+		      "%lld GPUs",
+		      to_seconds(age), (double)before->cpu / 1000,
+		      (long long)before->memory, (long long)before->gpu,
+		      (double)worker->capacity.cpu / 1000,
+		      (long long)worker->capacity.memory,
+		      (long long)worker->capacity.gpu);
+}
+
 static json_t *explain_worker(const batch_worker_t *worker, int64_t now)
 {
 	base_buf_t *sentence = base_buf_new(NULL);
@@ -181,8 +210,8 @@
 		json_array_append_new(runs, item);
 	}
 	answer = json_pack(
-		"{s:s,s:s,s:s,s:s,s:b,s:I,s:I,s:I,s:I,s:I,s:I,s:o}", "kind",
-		"worker", "worker", worker->id, "pool",
+		"{s:s,s:s,s:s,s:s,s:b,s:I,s:I,s:I,s:I,s:I,s:I,s:I,s:I,s:o}",
+		"kind", "worker", "worker", worker->id, "pool",
 		worker->pool ? worker->pool->name : "", "rack", worker->rack,
 		"usable", batch_worker_usable(worker, now), "looked_us_ago",
 		(json_int_t)(now - worker->polled_at), "lease_left_us",
@@ -190,7 +219,9 @@
 		(json_int_t)worker->capacity.cpu, "cpu_used",
 		(json_int_t)worker->used.cpu, "memory_mb",
 		(json_int_t)worker->capacity.memory, "memory_mb_used",
-		(json_int_t)worker->used.memory, "runs", runs);
+		(json_int_t)worker->used.memory, "gpu",
+		(json_int_t)worker->capacity.gpu, "gpu_used",
+		(json_int_t)worker->used.gpu, "runs", runs);
 	base_buf_addf(sentence, "worker %s of pool %s %s", worker->id,
 		      worker->pool ? worker->pool->name : "-",
 		      worker_status(worker, now));
@@ -204,6 +235,8 @@
 	base_buf_addf(sentence, "; %u tasks take %.1f of %.1f cores",
 		      worker->runs->len, (double)worker->used.cpu / 1000,
 		      (double)worker->capacity.cpu / 1000);
+	if (worker->capacity_changed_at)
+		explain_capacity(worker, answer, sentence, now);
 	return finish_answer(answer, sentence);
 }
 
--- a/packages/batch/batch_fit.c
+++ b/packages/batch/batch_fit.c
@@ -5,8 +5,10 @@
 {
 	return worker->listed && worker->incarnation && !worker->silent &&
 	       !worker->draining && !worker->cordoned &&
-	       !worker->is_quarantined && now >= worker->backoff_until &&
-	       now - worker->polled_at <= BATCH_POLL_AGE_MAX;
+	       !worker->is_quarantined && !worker->lists_unknown_runs &&
+	       now >= worker->backoff_until &&
+	       now - worker->polled_at <= BATCH_POLL_AGE_MAX &&
+	       !batch_worker_capacity_is_old(worker, now);
 }
 
 /* Workers that were not polled yet after a takeover count as well. */
@@ -26,15 +28,44 @@
 	return false;
 }
 
+static void add_need(batch_res_t *sum, const batch_step_spec_t *spec)
+{
+	if (!spec->best_effort)
+		sum->cpu += spec->need.cpu;
+	sum->memory += spec->need.memory;
+	sum->gpu += spec->need.gpu;
+}
+
+static bool is_within(const batch_res_t *sum, const batch_res_t *capacity)
+{
+	return sum->cpu <= capacity->cpu && sum->memory <= capacity->memory &&
+	       sum->gpu <= capacity->gpu;
+}
+
 bool batch_fit_has_capacity(const batch_worker_t *worker,
 			    const batch_step_spec_t *spec)
 {
-	if (!spec->best_effort &&
-	    worker->used.cpu + spec->need.cpu > worker->capacity.cpu)
-		return false;
-	return worker->used.memory + spec->need.memory <=
-		       worker->capacity.memory &&
-	       worker->used.gpu + spec->need.gpu <= worker->capacity.gpu;
+	batch_res_t sum = worker->used;
+
+	add_need(&sum, spec);
+	return is_within(&sum, &worker->capacity);
+}
+
+bool batch_fit_once_free(const batch_worker_t *worker,
+			 const batch_step_spec_t *spec)
+{
+	batch_res_t sum = { 0, 0, 0 };
+	guint i;
+
+	add_need(&sum, spec);
+	for (i = 0; i < worker->runs->len; i++) {
+		batch_run_t *run = g_ptr_array_index(worker->runs, i);
+
+		if (run->task->step->spec->long_running &&
+		    run->state != RUN_STOPPING)
+			add_need(&sum, run->task->step->spec);
+	}
+	return is_within(&sum, &worker->capacity);
 }
 
 int batch_fit_siblings(const batch_worker_t *worker, const batch_step_t *step)
--- a/packages/batch/batch_int.h
+++ b/packages/batch/batch_int.h
@@ -10,6 +10,12 @@
 
 /* A worker gets no new runs if its last successful poll is older than this. */
 #define BATCH_POLL_AGE_MAX (3 * BASE_SEC) /* three polls, one a second */
+/*
+ * A worker that does not check admission gets no starts if it was last listed
+ * longer ago: its capacity may have fallen since.  Several readings of the
+ * list; the rules grant this span and a heartbeat.
+ */
+#define BATCH_LIST_AGE_MAX (3 * BASE_SEC)
 /* Time before a stop is repeated: several times a round trip. */
 #define BATCH_STOP_RETRY (500 * BASE_MS)
 /* Backoff after a worker refused a start: about the time of a short task. */
@@ -218,6 +224,9 @@
 	char **labels;
 	size_t n_labels;
 	batch_res_t capacity;
+	batch_res_t capacity_before; /* its last change */
+	int64_t capacity_changed_at; /* 0: it has not changed */
+	int64_t listed_at;	     /* when the list last had it */
 	batch_res_t used;
 	int64_t incarnation; /* 0: not polled yet */
 	bool listed;
@@ -225,6 +234,8 @@
 	bool silent;
 	bool forgotten; /* all that it ran has ended; to be freed */
 	bool cordoned;
+	/* Its last poll lists runs that "used" does not count. */
+	bool lists_unknown_runs;
 	int64_t cordoned_at;   /* when it was cordoned or began to drain */
 	int64_t polled_at;     /* last successful poll */
 	int64_t lease_end;     /* everything on it has ended by then */
@@ -327,6 +338,20 @@
 /* Frees the workers that were forgotten and that nothing depends on. */
 void batch_workers_free_forgotten(batch_t *core, int64_t now);
 
+/* batch_resize.c */
+/*
+ * Sets the capacity, and drops unsent starts that do not fit any more; the
+ * next pass places their tasks anew.
+ */
+void batch_worker_set_capacity(batch_worker_t *worker, int64_t now,
+			       const batch_res_t *capacity);
+/* Whether its capacity may be another one by now, and it does not check. */
+bool batch_worker_capacity_is_old(const batch_worker_t *worker, int64_t now);
+/* Drops the unsent start, with those of its whole gang; returns how many. */
+int batch_run_drop_unsent(batch_run_t *run);
+/* Drops all its unsent starts, as for a capacity of nothing. */
+void batch_worker_drop_unsent(batch_worker_t *worker);
+
 /* batch_health.c */
 void batch_health_failed(batch_worker_t *worker, const batch_job_t *job,
 			 int64_t now);
@@ -387,6 +412,9 @@
 bool batch_worker_in_capacity(const batch_worker_t *worker);
 bool batch_fit_has_capacity(const batch_worker_t *worker,
 			    const batch_step_spec_t *spec);
+/* Whether a task of the step fits once the short tasks there have ended. */
+bool batch_fit_once_free(const batch_worker_t *worker,
+			 const batch_step_spec_t *spec);
 /* Number of runs of the step on the worker. */
 int batch_fit_siblings(const batch_worker_t *worker, const batch_step_t *step);
 /* Whether the worker may run the task, apart from its free capacity. */
--- a/packages/batch/batch_worker.c
+++ b/packages/batch/batch_worker.c
@@ -64,9 +64,12 @@
 		worker->cordoned = false;
 		worker->silent = true; /* until it is polled */
 	}
+	batch_worker_set_capacity(worker, now, &info->capacity);
+	worker->listed_at = now;
 	worker->listed = true;
 	worker->draining = info->draining;
-	worker->capacity = info->capacity;
+	if (worker->draining)
+		batch_worker_drop_unsent(worker);
 	talloc_free(worker->zone);
 	worker->zone = base_str_dup(worker, info->zone);
 	talloc_free(worker->rack);
@@ -106,6 +109,7 @@
 		return;
 	worker->listed = false;
 	set_pool(worker, NULL);
+	batch_worker_drop_unsent(worker);
 	core->pass_needed = true;
 }
 
@@ -146,6 +150,7 @@
 
 static void lose_all_runs(batch_worker_t *worker, int64_t now, const char *why)
 {
+	batch_worker_drop_unsent(worker);
 	while (worker->runs->len)
 		batch_run_lost(g_ptr_array_index(worker->runs, 0), now, why);
 }
@@ -455,6 +460,7 @@
 
 	if (!run || run->worker != worker || run->number != seen->run) {
 		stop_unknown_run(worker, seen);
+		worker->lists_unknown_runs = true;
 		return;
 	}
 	if (run->state == RUN_STORING)
@@ -537,8 +543,11 @@
 	worker->silent = false;
 	for (i = 0; i < poll->n_ends; i++)
 		handle_end(worker, now, &poll->ends[i]);
+	worker->lists_unknown_runs = false;
 	for (i = 0; i < poll->n_runs; i++)
 		handle_run(worker, now, poll->sent, &poll->runs[i]);
+	if (worker->lists_unknown_runs)
+		batch_worker_drop_unsent(worker);
 	resolve_unlisted_runs(worker, now, poll);
 	batch_progress_check(worker, now);
 	batch_pace_adjust(worker, now);
