--- a/packages/batch/batch.c
+++ b/packages/batch/batch.c
@@ -39,6 +39,7 @@
 	g_hash_table_unref(core->pools);
 	g_ptr_array_unref(core->active_jobs);
 	g_ptr_array_unref(core->storing_jobs);
+	g_array_unref(core->losses);
 	g_hash_table_unref(core->refused);
 	g_queue_clear(&core->rows);
 	return 0;
@@ -60,6 +61,7 @@
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	core->active_jobs = g_ptr_array_new();
 	core->storing_jobs = g_ptr_array_new();
+	core->losses = batch_crash_losses_new();
 	g_queue_init(&core->rows);
 	talloc_set_destructor(core, core_free);
 	return core;
--- a/packages/batch/batch.h
+++ b/packages/batch/batch.h
@@ -163,6 +163,10 @@
 	BATCH_LOG_WORKER_QUARANTINED,
 	BATCH_LOG_WORKER_ON_TRIAL,
 	BATCH_LOG_PACED,
+	/* A worker was lost, and this run may have crashed it. */
+	BATCH_LOG_RUN_SUSPECTED,
+	/* The job has a task that crashes the workers that start it. */
+	BATCH_LOG_JOB_GIVEN_UP,
 	BATCH_LOG_MAX
 } batch_log_event_kind_t;
 
@@ -270,6 +274,10 @@
  * succeeds. */
 void batch_worker_silent(batch_t *core, base_str_t id);
 
+/* A poll of the worker broke off before its time: the worker was alive until
+ * then. */
+void batch_worker_broke_off(batch_t *core, int64_t now, base_str_t id);
+
 /* Starts or stops evacuating a worker, for maintenance or a move. */
 void batch_worker_cordon(batch_t *core, int64_t now, base_str_t id,
 			 bool cordoned);
@@ -281,8 +289,20 @@
  */
 void batch_worker_lease(batch_t *core, base_str_t id, int64_t until);
 
-/* The worker's present incarnation has ended, and all its runs with it. */
-void batch_worker_terminated(batch_t *core, int64_t now, base_str_t id);
+/* Why a worker's incarnation has ended. */
+typedef enum batch_loss_cause {
+	BATCH_LOSS_CRASHED, /* it ended by itself, without draining */
+	BATCH_LOSS_ORDERED, /* its instance was moved or is in maintenance */
+	BATCH_LOSS_UNKNOWN, /* it crashed, was cut off, or ended otherwise */
+	BATCH_LOSS_MAX
+} batch_loss_cause_t;
+
+/*
+ * The worker's present incarnation has ended, and all its runs with it.  Only a
+ * crash, or a loss of unknown cause, counts against the tasks on it.
+ */
+void batch_worker_terminated(batch_t *core, int64_t now, base_str_t id,
+			     batch_loss_cause_t cause);
 
 /*
  * Returns the number of runs that may exist on a worker, and sets
--- /dev/null
+++ b/packages/batch/batch_crash.c
@@ -0,0 +1,572 @@
+/*
+ * Tasks that crash the workers that start them.
+ *
+ * When a worker crashes, the runs that it had only just started are suspected:
+ * each run is proven harmless once its worker was alive for some time after its
+ * start.  The next start of a suspected task is a trial: the worker has no
+ * other run that is not proven, and gets no start before the outcome is known.
+ * So a second crash has one possible cause.  The counts are part of the job's
+ * row, which is stored before each start.  docs/design/crashes.md
+ */
+#include "batch_int.h"
+
+/*
+ * A worker that is alive this long after a start was confirmed has survived it:
+ * a worker crashes some ten milliseconds after it, and the holder may be late
+ * to see either.
+ */
+#define CRASH_PROVEN_AGE (200 * BASE_MS)
+/*
+ * Earlier crashes no longer count once a run lasts this long, and a run of this
+ * age is not suspected: many times the age above.
+ */
+#define CRASH_CLEARED_AGE (5 * BASE_SEC)
+/* Crashes of which the task is the only possible cause. */
+#define CRASH_CERTAIN_MAX 2
+/*
+ * The same together with losses of unknown cause.  One more than of crashes: a
+ * single worker that is cut off looks alike.
+ */
+#define CRASH_UNCLEAR_MAX 3
+/*
+ * All of them, with crashes that had several possible causes: a task must not
+ * be started three times more once three workers have crashed under it.
+ */
+#define CRASH_TOTAL_MAX 5
+/*
+ * Workers of one rack or zone whose last answers are this close may have one
+ * cause: an idle worker answers a poll each second, and a poll waits for half a
+ * second more.
+ */
+#define CRASH_CORRELATED_TIME (2 * BASE_SEC)
+/* A loss is found by then: the longest lease and some more. */
+#define CRASH_LOSS_AGE_MAX (15 * BASE_SEC)
+/* Other lost workers of a rack or zone that show a common cause, besides being
+ * most of it. */
+#define CRASH_RACK_LOST_MIN 2
+#define CRASH_ZONE_LOST_MIN 3
+/*
+ * Part of a pool's workers that may be kept for trials, 1 in this many: each is
+ * kept from other starts for some tenths of a second.
+ */
+#define CRASH_TRIAL_WORKERS_PART 2
+
+typedef struct batch_loss {
+	const batch_worker_t *worker; /* compared only; it may be freed */
+	GQuark zone;
+	GQuark rack;
+	int64_t alive_at; /* its last answer */
+	int64_t found_at;
+	bool by_trial; /* it had a run on trial */
+} batch_loss_t;
+
+GArray *batch_crash_losses_new(void)
+{
+	return g_array_new(FALSE, FALSE, sizeof(batch_loss_t));
+}
+
+/* The members of a gang start together, so they are judged together. */
+batch_task_t *batch_crash_head(const batch_task_t *task)
+{
+	batch_step_t *step = task->step;
+
+	return step->spec->gang ? &step->tasks[0] : &step->tasks[task->index];
+}
+
+bool batch_crash_needs_trial(const batch_task_t *task)
+{
+	const batch_crashes_t *crashes = &batch_crash_head(task)->crashes;
+
+	return crashes->needs_trial || crashes->certain || crashes->unclear;
+}
+
+static bool is_given_up(const batch_crashes_t *crashes)
+{
+	int sole = crashes->certain + crashes->unclear;
+
+	return crashes->certain >= CRASH_CERTAIN_MAX ||
+	       sole >= CRASH_UNCLEAR_MAX ||
+	       sole + crashes->shared >= CRASH_TOTAL_MAX;
+}
+
+/* Time for which the worker is known to have lived with the run. */
+static int64_t survived(const batch_run_t *run)
+{
+	if (!run->start_confirmed_at ||
+	    run->incarnation != run->worker->incarnation)
+		return 0;
+	return MAX(run->worker->alive_at - run->start_confirmed_at, 0);
+}
+
+static bool is_proven(const batch_run_t *run)
+{
+	return survived(run) >= CRASH_PROVEN_AGE;
+}
+
+/*
+ * Whether the run is no longer expected to crash its worker, so that others may
+ * start there.  A worker that crashes is mostly silent at once: its connections
+ * break.  But only its next answer proves that it has not.
+ */
+static bool is_settled(const batch_run_t *run, int64_t now)
+{
+	return is_proven(run) ||
+	       (run->start_confirmed_at && !run->worker->silent &&
+		run->incarnation == run->worker->incarnation &&
+		now - run->start_confirmed_at >= CRASH_PROVEN_AGE);
+}
+
+void batch_crash_run_new(batch_run_t *run)
+{
+	run->incarnation = run->worker->incarnation;
+	run->on_trial = batch_crash_needs_trial(run->task);
+	run->worker->n_trials += run->on_trial;
+}
+
+static void end_trial(batch_run_t *run)
+{
+	run->worker->n_trials -= run->on_trial;
+	run->on_trial = false;
+	run->worker->core->pass_needed = true;
+}
+
+void batch_crash_run_freed(batch_run_t *run)
+{
+	end_trial(run);
+}
+
+/* Members of a gang are on several workers: one that lasts proves nothing for
+ * the others. */
+static void clear(batch_task_t *task, bool also_counts)
+{
+	batch_crashes_t *crashes = &task->crashes;
+
+	if (task->step->spec->gang ||
+	    !(crashes->needs_trial ||
+	      (also_counts &&
+	       (crashes->certain || crashes->unclear || crashes->shared))))
+		return;
+	crashes->needs_trial = false;
+	if (also_counts)
+		crashes->certain = crashes->unclear = crashes->shared = 0;
+	if (batch_job_is_active(task->step->occ->job))
+		batch_job_changed(task->step->occ->job);
+}
+
+void batch_crash_worker_alive(batch_worker_t *worker, int64_t now)
+{
+	guint i;
+
+	worker->alive_at = now;
+	for (i = 0; i < worker->runs->len; i++) {
+		batch_run_t *run = g_ptr_array_index(worker->runs, i);
+
+		if (survived(run) >= CRASH_CLEARED_AGE)
+			clear(run->task, true);
+		if (!run->on_trial || !is_proven(run))
+			continue;
+		clear(run->task, false);
+		end_trial(run);
+	}
+}
+
+void batch_crash_run_ended(batch_task_t *task, batch_end_t how)
+{
+	if (how == BATCH_END_FAILED)
+		clear(task, true);
+}
+
+int batch_crash_unsettled(const batch_worker_t *worker, const batch_task_t *but,
+			  int64_t now)
+{
+	int n = 0;
+	guint i;
+
+	for (i = 0; i < worker->runs->len; i++) {
+		const batch_run_t *run = g_ptr_array_index(worker->runs, i);
+
+		n += batch_crash_head(run->task) != batch_crash_head(but) &&
+		     !is_settled(run, now);
+	}
+	return n;
+}
+
+/* Two trials on one worker must not both be unproven when it crashes. */
+static bool has_other_trial(const batch_worker_t *worker,
+			    const batch_task_t *task, int64_t now)
+{
+	bool is_trial = batch_crash_needs_trial(task);
+	guint i;
+
+	for (i = 0; worker->n_trials && i < worker->runs->len; i++) {
+		const batch_run_t *run = g_ptr_array_index(worker->runs, i);
+
+		if (run->on_trial && (is_trial || !is_settled(run, now)) &&
+		    batch_crash_head(run->task) != batch_crash_head(task))
+			return true;
+	}
+	return false;
+}
+
+/*
+ * A gang needs many workers at once and would seldom find all of them without
+ * unsettled runs: those stay suspected with it.
+ */
+bool batch_crash_allows(const batch_worker_t *worker, const batch_task_t *task,
+			int64_t now)
+{
+	if (has_other_trial(worker, task, now))
+		return false;
+	return !batch_crash_needs_trial(task) || task->step->spec->gang ||
+	       !batch_crash_unsettled(worker, task, now);
+}
+
+static bool has_unsettled_trial(const batch_worker_t *worker, int64_t now)
+{
+	guint i;
+
+	for (i = 0; worker->n_trials && i < worker->runs->len; i++) {
+		const batch_run_t *run = g_ptr_array_index(worker->runs, i);
+
+		if (run->on_trial && !is_settled(run, now))
+			return true;
+	}
+	return false;
+}
+
+bool batch_crash_may_try(const batch_pool_t *pool, int64_t now)
+{
+	guint n = 0;
+	guint i;
+
+	for (i = 0; i < pool->workers->len; i++) {
+		const batch_worker_t *worker =
+			g_ptr_array_index(pool->workers, i);
+
+		n += has_unsettled_trial(worker, now) ||
+		     (worker->reserved_for &&
+		      batch_crash_needs_trial(worker->reserved_for));
+	}
+	return n < MAX(1, pool->workers->len / CRASH_TRIAL_WORKERS_PART);
+}
+
+/* One start of a gang counts once, on however many workers. */
+static bool is_counted(const batch_run_t *run)
+{
+	return batch_crash_head(run->task)->crashes.counted_run >= run->number;
+}
+
+static void add_head(GPtrArray *heads, const batch_run_t *run)
+{
+	batch_task_t *head = batch_crash_head(run->task);
+
+	if (!g_ptr_array_find(heads, head, NULL))
+		g_ptr_array_add(heads, head);
+}
+
+/* The tasks that may have crashed a worker. */
+typedef struct suspects {
+	GPtrArray *heads;
+	/* The likely one: alone on trial, or the only one.  NULL: none. */
+	const batch_task_t *likely;
+	bool unproven;	 /* their runs are not proven */
+	GPtrArray *late; /* tasks whose starts may have found it crashed */
+} suspects_t;
+
+/*
+ * Whether the run was sent so long after the worker's last answer that a run
+ * from before it is the likelier cause.
+ */
+static bool is_late(const batch_run_t *run)
+{
+	const batch_worker_t *worker = run->worker;
+	guint i;
+
+	if (run->start_confirmed_at || !run->sent_at ||
+	    run->sent_at - worker->alive_at < CRASH_PROVEN_AGE)
+		return false;
+	for (i = 0; i < worker->runs->len; i++) {
+		const batch_run_t *other = g_ptr_array_index(worker->runs, i);
+
+		if (other->start_confirmed_at && !is_proven(other) &&
+		    !is_counted(other))
+			return true;
+	}
+	return false;
+}
+
+/*
+ * Unproven runs, or else young ones.  One on trial is the likely cause; runs
+ * beside it started once it had settled, or before a takeover.
+ */
+static suspects_t find_suspects(const batch_worker_t *worker,
+				batch_loss_cause_t cause)
+{
+	GPtrArray *trials = g_ptr_array_new();
+	GPtrArray *recent = g_ptr_array_new();
+	GPtrArray *young = g_ptr_array_new();
+	suspects_t found = { .late = g_ptr_array_new() };
+	guint i;
+
+	for (i = 0; i < worker->runs->len; i++) {
+		const batch_run_t *run = g_ptr_array_index(worker->runs, i);
+		bool unproven = !is_proven(run);
+
+		if (run->state == RUN_STORING || is_counted(run))
+			continue;
+		if (unproven && is_late(run)) {
+			add_head(found.late, run);
+			continue;
+		}
+		if (unproven)
+			add_head(recent, run);
+		if (unproven && run->on_trial && !run->task->step->spec->gang)
+			add_head(trials, run);
+		if (!unproven && cause == BATCH_LOSS_CRASHED &&
+		    survived(run) < CRASH_CLEARED_AGE)
+			add_head(young, run);
+	}
+	found.heads = recent->len ? recent : young;
+	found.unproven = recent->len > 0;
+	found.likely = trials->len == 1 ? g_ptr_array_index(trials, 0)
+		       : found.heads->len == 1
+			       ? g_ptr_array_index(found.heads, 0)
+			       : NULL;
+	g_ptr_array_ref(found.heads);
+	g_ptr_array_unref(trials);
+	g_ptr_array_unref(recent);
+	g_ptr_array_unref(young);
+	return found;
+}
+
+static batch_loss_t describe_loss(const batch_worker_t *worker, int64_t now)
+{
+	batch_loss_t loss = { .worker = worker,
+			      .zone = g_quark_from_string(worker->zone),
+			      .rack = g_quark_from_string(worker->rack),
+			      .alive_at = worker->alive_at,
+			      .found_at = now,
+			      .by_trial = worker->n_trials > 0 };
+
+	return loss;
+}
+
+static const batch_loss_t *find_loss(const batch_t *core,
+				     const batch_worker_t *worker)
+{
+	guint i;
+
+	for (i = 0; i < core->losses->len; i++) {
+		const batch_loss_t *loss =
+			&g_array_index(core->losses, batch_loss_t, i);
+
+		if (loss->worker == worker)
+			return loss;
+	}
+	return NULL;
+}
+
+/* Workers of a rack or zone, without the one in question. */
+typedef struct domain {
+	int present;
+	int lost;	 /* at the same time */
+	int unexplained; /* of these, without a run on trial */
+} domain_t;
+
+static void count_loss(const batch_loss_t *own, const batch_loss_t *loss,
+		       domain_t *rack, domain_t *zone)
+{
+	if (ABS(loss->alive_at - own->alive_at) > CRASH_CORRELATED_TIME)
+		return;
+	rack->lost += loss->rack == own->rack;
+	rack->unexplained += loss->rack == own->rack && !loss->by_trial;
+	zone->unexplained += loss->zone == own->zone && !loss->by_trial;
+}
+
+/*
+ * Whether the worker's whole rack was lost together with it, or the larger part
+ * of its rack or zone, apart from workers with runs on trial: these runs may
+ * have crashed them.
+ */
+static bool is_correlated(const batch_worker_t *worker, int64_t now)
+{
+	batch_t *core = worker->core;
+	batch_loss_t own = describe_loss(worker, now);
+	domain_t rack = { 0 };
+	domain_t zone = { 0 };
+	GHashTableIter iter;
+	gpointer value;
+	guint i;
+
+	g_hash_table_iter_init(&iter, core->workers);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		const batch_worker_t *other = value;
+		batch_loss_t loss = describe_loss(other, now);
+
+		if (other == worker || !other->listed)
+			continue;
+		rack.present += loss.rack == own.rack;
+		zone.present += loss.zone == own.zone;
+		if (other->silent && !find_loss(core, other))
+			count_loss(&own, &loss, &rack, &zone);
+	}
+	for (i = 0; i < core->losses->len; i++) {
+		const batch_loss_t *loss =
+			&g_array_index(core->losses, batch_loss_t, i);
+
+		if (loss->worker != worker)
+			count_loss(&own, loss, &rack, &zone);
+	}
+	return (rack.lost >= CRASH_RACK_LOST_MIN &&
+		(rack.lost >= rack.present ||
+		 2 * rack.unexplained > rack.present)) ||
+	       (zone.unexplained >= CRASH_ZONE_LOST_MIN &&
+		2 * zone.unexplained > zone.present);
+}
+
+/* Drops the losses that are too old, and that of the worker. */
+static void drop_past_losses(const batch_worker_t *worker, int64_t now)
+{
+	GArray *losses = worker->core->losses;
+	guint i;
+
+	for (i = losses->len; i-- > 0;) {
+		const batch_loss_t *past =
+			&g_array_index(losses, batch_loss_t, i);
+
+		if (past->worker == worker ||
+		    now - past->found_at > CRASH_LOSS_AGE_MAX)
+			g_array_remove_index_fast(losses, i);
+	}
+}
+
+static void suspect(batch_task_t *head, const batch_worker_t *worker,
+		    int64_t now, bool alone, bool certain)
+{
+	batch_job_t *job = head->step->occ->job;
+	batch_crashes_t *crashes = &head->crashes;
+
+	if (!batch_job_is_active(job))
+		return;
+	crashes->counted_run = head->number;
+	crashes->needs_trial = true;
+	if (!alone)
+		crashes->shared++;
+	else if (certain)
+		crashes->certain++;
+	else
+		crashes->unclear++;
+	batch_job_changed(job);
+	batch_log_emit(
+		job->core,
+		&(batch_log_event_t){
+			.kind = BATCH_LOG_RUN_SUSPECTED,
+			.task = batch_task_get_id(head),
+			.run = head->number,
+			.worker = base_str(worker->id),
+			.why = !alone	 ? "lost, one of several causes"
+			       : certain ? "crashed, the only cause"
+					 : "lost, the only cause if it crashed",
+			.value = crashes->certain + crashes->unclear +
+				 crashes->shared,
+			.age = now - worker->polled_at });
+	if (is_given_up(crashes)) {
+		job->crash_task = head;
+		job->core->give_up_due = true;
+	}
+}
+
+void batch_crash_worker_lost(batch_worker_t *worker, int64_t now,
+			     batch_loss_cause_t cause)
+{
+	suspects_t found;
+	bool correlated;
+	bool certain;
+	guint n;
+	guint i;
+
+	if (cause == BATCH_LOSS_ORDERED || worker->draining || worker->cordoned)
+		return;
+	found = find_suspects(worker, cause);
+	n = found.heads->len;
+	drop_past_losses(worker, now);
+	correlated = n && is_correlated(worker, now);
+	certain = found.unproven && n == 1 && !found.late->len &&
+		  cause == BATCH_LOSS_CRASHED;
+	for (i = 0; (found.unproven || !correlated) && i < n; i++) {
+		batch_task_t *head = g_ptr_array_index(found.heads, i);
+
+		suspect(head, worker, now,
+			found.likely && head == found.likely && !correlated,
+			certain);
+	}
+	for (i = 0; i < found.late->len; i++)
+		((batch_task_t *)g_ptr_array_index(found.late, i))
+			->crashes.needs_trial = true;
+	g_ptr_array_unref(found.late);
+	if (cause == BATCH_LOSS_CRASHED || n) {
+		batch_loss_t loss = describe_loss(worker, now);
+
+		g_array_append_val(worker->core->losses, loss);
+	}
+	g_ptr_array_unref(found.heads);
+}
+
+void batch_crash_first_poll(batch_worker_t *worker, int64_t now,
+			    int64_t incarnation)
+{
+	guint i;
+
+	for (i = 0; i < worker->runs->len; i++) {
+		const batch_run_t *run = g_ptr_array_index(worker->runs, i);
+
+		if (!run->incarnation || run->incarnation == incarnation)
+			continue;
+		batch_crash_worker_lost(worker, now, BATCH_LOSS_CRASHED);
+		return;
+	}
+}
+
+void batch_crash_restored(batch_task_t *task)
+{
+	if (!is_given_up(&task->crashes))
+		return;
+	task->step->occ->job->crash_task = task;
+	task->step->occ->job->core->give_up_due = true;
+}
+
+static void give_up(batch_job_t *job, int64_t now)
+{
+	const batch_task_t *task = job->crash_task;
+	const batch_crashes_t *crashes = &task->crashes;
+
+	job->given_up = (batch_given_up_t){
+		.workers =
+			crashes->certain + crashes->unclear + crashes->shared,
+		.occurrence = task->step->occ->number,
+		.step = task->step->number,
+		.index = task->index,
+	};
+	batch_log_emit(job->core,
+		       &(batch_log_event_t){ .kind = BATCH_LOG_JOB_GIVEN_UP,
+					     .task = batch_task_get_id(task),
+					     .run = task->number,
+					     .why = "workers that it crashed",
+					     .value = job->given_up.workers });
+	batch_job_end(job, now, BATCH_FAILED);
+}
+
+void batch_crash_tick(batch_t *core, int64_t now)
+{
+	guint i;
+
+	if (!core->give_up_due)
+		return;
+	core->give_up_due = false;
+	for (i = 0; i < core->active_jobs->len; i++) {
+		batch_job_t *job = g_ptr_array_index(core->active_jobs, i);
+
+		if (job->crash_task && batch_job_is_active(job))
+			give_up(job, now);
+	}
+}
--- a/packages/batch/batch_explain.c
+++ b/packages/batch/batch_explain.c
@@ -111,6 +111,23 @@
 	}
 }
 
+static void explain_given_up(const batch_job_t *job, json_t *answer,
+			     base_buf_t *sentence)
+{
+	const batch_given_up_t *given_up = &job->given_up;
+
+	if (!given_up->workers)
+		return;
+	base_buf_addf(sentence,
+		      ": %d workers were lost under its task %d of step %d",
+		      given_up->workers, given_up->index, given_up->step);
+	json_object_set_new(
+		answer, "given_up",
+		json_pack("{s:i,s:i,s:i,s:i}", "workers", given_up->workers,
+			  "occurrence", given_up->occurrence, "step",
+			  given_up->step, "index", given_up->index));
+}
+
 static json_t *explain_job(const batch_job_t *job, int64_t now)
 {
 	base_buf_t *sentence = base_buf_new(NULL);
@@ -128,6 +145,7 @@
 				    json_string(job->queue->name));
 	base_buf_addf(sentence, "job %s is %s", job->id,
 		      batch_state_name(job->state));
+	explain_given_up(job, answer, sentence);
 	if (!batch_job_is_active(job))
 		return finish_answer(answer, sentence);
 	base_buf_addf(sentence, ", taken %.1f s ago", to_seconds(age));
--- a/packages/batch/batch_fit.c
+++ b/packages/batch/batch_fit.c
@@ -50,8 +50,8 @@
 	return n;
 }
 
-bool batch_fit_allows(const batch_worker_t *worker, const batch_task_t *task,
-		      int64_t now)
+bool batch_fit_allows_later(const batch_worker_t *worker,
+			    const batch_task_t *task, int64_t now)
 {
 	const batch_step_spec_t *spec = task->step->spec;
 
@@ -67,6 +67,13 @@
 	return batch_advice_allows(task, worker, now);
 }
 
+bool batch_fit_allows(const batch_worker_t *worker, const batch_task_t *task,
+		      int64_t now)
+{
+	return batch_crash_allows(worker, task, now) &&
+	       batch_fit_allows_later(worker, task, now);
+}
+
 /* Number of workers in the pool that pass each test and those before it. */
 typedef struct fit_counts {
 	int listed;
@@ -111,6 +118,9 @@
 		return "no worker in its pool can take work now";
 	if (!counts.labelled)
 		return "no worker that can take work has its label";
+	if (batch_crash_needs_trial(task) && !counts.with_capacity)
+		return "a worker crashed under it: it waits for one where "
+		       "nothing else is starting";
 	if (!counts.allowed)
 		return "the policy, the limit of tasks per worker or a "
 		       "reservation excludes the workers that can take work";
--- a/packages/batch/batch_int.h
+++ b/packages/batch/batch_int.h
@@ -90,6 +90,7 @@
 	uint64_t version;    /* the job's row that contains it */
 	int64_t state_since; /* start of its current state */
 	int64_t listed_from; /* polls sent from here on list it if it exists */
+	int64_t sent_at;     /* 0: by a predecessor, if at all */
 	int64_t start_confirmed_at; /* confirmation of its start; 0: none yet */
 	int64_t progress_at;	    /* last change of its percent */
 	int64_t stop_at;	    /* when the last stop was sent */
@@ -98,9 +99,22 @@
 	int pace; /* percent, as ordered; 100 at its start */
 	bool stop_acknowledged;
 	bool worker_restarted;	 /* its worker restarted since it began */
+	bool on_trial;		 /* see batch_crash.c */
+	int64_t incarnation;	 /* of its worker; 0: not known */
 	const char *stop_reason; /* reason of its stop */
 };
 
+/* Workers lost under a task; of a gang, kept in its first task. */
+typedef struct batch_crashes {
+	int certain; /* crashed, and nothing else can have caused it */
+	/* Lost for an unknown cause; if it was a crash, nothing else can have
+	 * caused it. */
+	int unclear;
+	int shared; /* crashed, and other tasks can have caused it as well */
+	bool needs_trial;
+	int64_t counted_run; /* number of the last run that was counted */
+} batch_crashes_t;
+
 struct batch_task {
 	batch_step_t *step;
 	int index;
@@ -110,7 +124,8 @@
 	char *checkpoint;
 	batch_run_t *run;
 	const batch_worker_t
-		*avoid_worker;	   /* where it last failed or was refused */
+		*avoid_worker; /* where it last failed or was refused */
+	batch_crashes_t crashes;
 	int slow_moves;		   /* times it was stopped for being slow */
 	int64_t unavailable_since; /* of a long-running task; 0: it is
 				      available */
@@ -164,6 +179,14 @@
 	int n_done;	   /* -1: "left" is not set */
 } batch_paths_t;
 
+/* The task for which a job was given up. */
+typedef struct batch_given_up {
+	int workers; /* lost under the task; 0: the job was not given up */
+	int occurrence;
+	int step;
+	int index;
+} batch_given_up_t;
+
 struct batch_job {
 	batch_t *core;
 	char *id;
@@ -188,6 +211,8 @@
 	bool cancel_confirmed;
 	int n_runs;
 	int n_unstored_ends; /* entries of workers' lists that refer to it */
+	const batch_task_t *crash_task; /* it is to be given up for this task */
+	batch_given_up_t given_up;
 };
 
 /* An end that the worker may discard once a version of the job is stored. */
@@ -226,6 +251,8 @@
 	bool cordoned;
 	int64_t cordoned_at;   /* when it was cordoned or began to drain */
 	int64_t polled_at;     /* last successful poll */
+	int64_t alive_at;      /* last answer of its present incarnation */
+	int n_trials;	       /* of its runs */
 	int64_t lease_end;     /* everything on it has ended by then */
 	int64_t backoff_until; /* no starts before then */
 	int64_t last_end;      /* highest end processed */
@@ -269,6 +296,8 @@
 	int64_t answer_time;  /* of starts, decaying average */
 	GPtrArray *storing_jobs; /* jobs whose rows are being stored */
 	void *row_texts;	 /* strings of these rows */
+	GArray *losses;		 /* of workers, lately; see batch_crash.c */
+	bool give_up_due;
 	batch_stats_t stats;
 	base_hist_t *times[BATCH_TIME_MAX];
 	GHashTable *refused; /* recently refused job ids, with the time */
@@ -333,6 +362,37 @@
 void batch_health_succeeded(batch_worker_t *worker);
 void batch_health_tick(batch_t *core, int64_t now);
 
+/* batch_crash.c */
+GArray *batch_crash_losses_new(void);
+/* The task that the counts of the task's crashes are kept in. */
+batch_task_t *batch_crash_head(const batch_task_t *task);
+/* Whether the next start of the task is a trial: a worker was lost under it. */
+bool batch_crash_needs_trial(const batch_task_t *task);
+void batch_crash_run_new(batch_run_t *run);
+void batch_crash_run_freed(batch_run_t *run);
+/* The present incarnation of the worker has answered. */
+void batch_crash_worker_alive(batch_worker_t *worker, int64_t now);
+void batch_crash_run_ended(batch_task_t *task, batch_end_t how);
+/* Number of runs on the worker, but those of the task, that started lately. */
+int batch_crash_unsettled(const batch_worker_t *worker, const batch_task_t *but,
+			  int64_t now);
+/* Whether a start of the task leaves each crash of the worker with one likely
+ * cause, as far as trials need it. */
+bool batch_crash_allows(const batch_worker_t *worker, const batch_task_t *task,
+			int64_t now);
+/* Whether the pool can spare one more worker for a trial. */
+bool batch_crash_may_try(const batch_pool_t *pool, int64_t now);
+/* Call before the runs of the worker are given up. */
+void batch_crash_worker_lost(batch_worker_t *worker, int64_t now,
+			     batch_loss_cause_t cause);
+/* Call before the first poll's runs are read: the worker may have restarted
+ * between two holders. */
+void batch_crash_first_poll(batch_worker_t *worker, int64_t now,
+			    int64_t incarnation);
+void batch_crash_restored(batch_task_t *task);
+/* Ends jobs with a task that crashes its workers. */
+void batch_crash_tick(batch_t *core, int64_t now);
+
 /* batch_progress.c */
 void batch_progress_check(batch_worker_t *worker, int64_t now);
 
@@ -389,6 +449,9 @@
 /* Whether the worker may run the task, apart from its free capacity. */
 bool batch_fit_allows(const batch_worker_t *worker, const batch_task_t *task,
 		      int64_t now);
+/* The same, apart from runs on trial: it may once these have an outcome. */
+bool batch_fit_allows_later(const batch_worker_t *worker,
+			    const batch_task_t *task, int64_t now);
 /* Why a task without a run, of a step that may run, is not placed. */
 const char *batch_fit_why(const batch_task_t *task, int64_t now);
 
--- a/packages/batch/batch_place.c
+++ b/packages/batch/batch_place.c
@@ -78,6 +78,8 @@
 #define PLACE_COST_REMOTE_RACK 8
 /* The task's last run failed or was refused on this worker. */
 #define PLACE_COST_AVOID 16
+/* More than a worker's runs: one without capacity is kept for a trial last. */
+#define PLACE_COST_NO_CAPACITY 1000
 
 /* Penalty for tasks that interfere on one worker: best-effort with serving
  * tasks, and long-running tasks with each other. */
@@ -311,7 +313,8 @@
 	const batch_step_spec_t *spec = task->step->spec;
 
 	return !spec->long_running && !spec->best_effort && !spec->label.len &&
-	       !spec->max_per_worker && !task->step->occ->job->queue->advised;
+	       !spec->max_per_worker && !task->step->occ->job->queue->advised &&
+	       !batch_crash_needs_trial(task);
 }
 
 static bool needs_at_least(const batch_res_t *need, const batch_res_t *other)
@@ -341,10 +344,46 @@
 	pool->full_need = task->step->spec->need;
 }
 
+/*
+ * Keeps a worker free of other starts for a task on trial, until its present
+ * runs are proven or have ended.
+ */
+static void reserve_for_trial(const batch_pool_t *pool,
+			      const batch_task_t *task, int64_t now)
+{
+	batch_worker_t *best = NULL;
+	int best_cost = 0;
+	guint i;
+
+	for (i = 0; i < pool->workers->len; i++) {
+		batch_worker_t *worker = g_ptr_array_index(pool->workers, i);
+		bool fits = batch_fit_has_capacity(worker, task->step->spec);
+		int cost;
+
+		if (worker->reserved_for ||
+		    !batch_fit_allows_later(worker, task, now))
+			continue;
+		cost = batch_crash_unsettled(worker, task, now) +
+		       (fits ? 0 : PLACE_COST_NO_CAPACITY);
+		if (!best || cost < best_cost) {
+			best = worker;
+			best_cost = cost;
+		}
+	}
+	if (!best)
+		return;
+	best->reserved_for = task;
+	best->reserved_at = now;
+}
+
 static bool place_task(batch_pool_t *pool, batch_task_t *task, int64_t now)
 {
+	bool trial = batch_crash_needs_trial(task);
 	batch_worker_t *worker;
 
+	if (trial && !has_reservation(pool, task) &&
+	    !batch_crash_may_try(pool, now))
+		return false;
 	if (is_known_not_to_fit(pool, task))
 		return false;
 	worker = choose_worker(pool, task, now, true);
@@ -354,7 +393,9 @@
 		return true;
 	}
 	record_no_fit(pool, task);
-	if (task->step->spec->long_running && !has_reservation(pool, task))
+	if (trial && !has_reservation(pool, task))
+		reserve_for_trial(pool, task, now);
+	else if (task->step->spec->long_running && !has_reservation(pool, task))
 		reserve_worker(pool, task, now);
 	return false;
 }
@@ -407,9 +448,10 @@
 			continue;
 		/*
 		 * All tasks of a step need the same resources, so if one does
-		 * not fit, none of the others does.
+		 * not fit, none of the others does.  A trial needs more.
 		 */
-		if (!place_task(pool, task, now) && !step->spec->long_running)
+		if (!place_task(pool, task, now) && !step->spec->long_running &&
+		    !batch_crash_needs_trial(task))
 			return;
 	}
 }
@@ -572,6 +614,7 @@
 void batch_tick(batch_t *core, int64_t now, int64_t wall)
 {
 	batch_runs_tick(core, now);
+	batch_crash_tick(core, now);
 	batch_health_tick(core, now);
 	batch_admit_tick(core, now);
 	batch_evacuate(core, now);
--- a/packages/batch/batch_record.c
+++ b/packages/batch/batch_record.c
@@ -4,7 +4,15 @@
  *
  * {"state", "cancelled", "begun", "arrived" (wall, microseconds), "ended",
  *  "occurrences" (opened), "tasks": [[occurrence, step, index, done, number,
- *  fails, worker, checkpoint], ...]}
+ *  fails, worker, checkpoint], ...],
+ *  "incarnations": {worker: incarnation, ...},
+ *  "crashes": [[occurrence, step, index, certain, unclear, shared, needs_trial,
+ *  counted_run], ...],
+ *  "given_up": [workers, occurrence, step, index]}
+ *
+ * The last three are left out where they are empty: "crashes" lists the tasks
+ * under which workers were lost, "given_up" names the one for which the job was
+ * given up.  Former versions do not write them, and ignore them.
  *
  * Tasks that never had a run are left out.  The worker is empty unless a run
  * may exist there.
@@ -25,6 +33,16 @@
 	FIELD_MAX
 } task_field_t;
 
+/* Fields of "crashes"; the first three are as in task_field_t. */
+typedef enum crash_field {
+	CRASH_CERTAIN = FIELD_INDEX + 1,
+	CRASH_UNCLEAR,
+	CRASH_SHARED,
+	CRASH_NEEDS_TRIAL,
+	CRASH_COUNTED_RUN,
+	CRASH_MAX
+} crash_field_t;
+
 static void print_task(base_buf_t *buf, const batch_task_t *task, bool *first)
 {
 	const batch_step_t *step = task->step;
@@ -43,6 +61,89 @@
 	base_buf_adds(buf, "]");
 }
 
+static bool has_worker(const GPtrArray *runs, const batch_worker_t *worker)
+{
+	guint i;
+
+	for (i = 0; i < runs->len; i++)
+		if (((batch_run_t *)g_ptr_array_index(runs, i))->worker ==
+		    worker)
+			return true;
+	return false;
+}
+
+/* Adds a run for each worker whose incarnation is known. */
+static void add_runs(GPtrArray *runs, const batch_step_t *step)
+{
+	int i;
+
+	for (i = 0; i < step->spec->count; i++) {
+		batch_run_t *run = step->tasks[i].run;
+
+		if (run && run->incarnation && !has_worker(runs, run->worker))
+			g_ptr_array_add(runs, run);
+	}
+}
+
+/* They show a successor which workers have restarted since. */
+static void print_incarnations(base_buf_t *buf, const batch_job_t *job)
+{
+	GPtrArray *runs = g_ptr_array_new();
+	guint i;
+	int s;
+
+	for (i = 0; i < job->occs->len && job->n_runs; i++) {
+		const batch_occ_t *occ = g_ptr_array_index(job->occs, i);
+
+		for (s = 0; s < job->spec.n_steps; s++)
+			add_runs(runs, &occ->steps[s]);
+	}
+	for (i = 0; i < runs->len; i++) {
+		const batch_run_t *run = g_ptr_array_index(runs, i);
+
+		base_buf_adds(buf, i ? "," : ",\"incarnations\":{");
+		base_buf_add_json(buf, base_str(run->worker->id));
+		base_buf_addf(buf, ":%" G_GINT64_FORMAT, run->incarnation);
+	}
+	if (runs->len)
+		base_buf_adds(buf, "}");
+	g_ptr_array_unref(runs);
+}
+
+static bool print_crashed_task(base_buf_t *buf, const batch_task_t *task,
+			       bool first)
+{
+	const batch_crashes_t *crashes = &task->crashes;
+
+	if (!crashes->counted_run)
+		return false;
+	base_buf_addf(buf, "%s[%d,%d,%d,%d,%d,%d,%d,%" G_GINT64_FORMAT "]",
+		      first ? ",\"crashes\":[" : ",", task->step->occ->number,
+		      task->step->number, task->index, crashes->certain,
+		      crashes->unclear, crashes->shared, crashes->needs_trial,
+		      crashes->counted_run);
+	return true;
+}
+
+static void print_crashes(base_buf_t *buf, const batch_job_t *job)
+{
+	bool any = false;
+	guint i;
+	int s;
+	int t;
+
+	for (i = 0; i < job->occs->len; i++) {
+		const batch_occ_t *occ = g_ptr_array_index(job->occs, i);
+
+		for (s = 0; s < job->spec.n_steps; s++)
+			for (t = 0; t < occ->steps[s].spec->count; t++)
+				any |= print_crashed_task(
+					buf, &occ->steps[s].tasks[t], !any);
+	}
+	if (any)
+		base_buf_adds(buf, "]");
+}
+
 const char *batch_record_print(const void *ctx, const batch_job_t *job)
 {
 	base_buf_t *buf = base_buf_new(ctx);
@@ -70,7 +171,16 @@
 				print_task(buf, &occ->steps[s].tasks[t],
 					   &first);
 	}
-	base_buf_adds(buf, "]}");
+	base_buf_adds(buf, "]");
+	if (batch_job_is_active(job) && job->occs) {
+		print_incarnations(buf, job);
+		print_crashes(buf, job);
+	}
+	if (job->given_up.workers)
+		base_buf_addf(buf, ",\"given_up\":[%d,%d,%d,%d]",
+			      job->given_up.workers, job->given_up.occurrence,
+			      job->given_up.step, job->given_up.index);
+	base_buf_adds(buf, "}");
 	return buf->ptr;
 }
 
@@ -87,9 +197,59 @@
 	return false;
 }
 
+static int64_t number_at(const json_t *list, size_t at)
+{
+	return json_integer_value(json_array_get(list, at));
+}
+
+static batch_task_t *find_task(const batch_job_t *job, const json_t *row)
+{
+	batch_task_id_t id = {
+		.job = base_str(job->id),
+		.occurrence = (int)number_at(row, FIELD_OCCURRENCE),
+		.step = (int)number_at(row, FIELD_STEP),
+		.index = (int)number_at(row, FIELD_INDEX),
+	};
+
+	return batch_find_task(job->core, &id);
+}
+
+/* Before the runs are restored: they depend on it whether one is a trial. */
+static bool load_crashes(const batch_job_t *job, const json_t *rows)
+{
+	size_t i;
+
+	for (i = 0; i < json_array_size(rows); i++) {
+		const json_t *row = json_array_get(rows, i);
+		batch_task_t *task = find_task(job, row);
+
+		if (!task || json_array_size(row) != CRASH_MAX)
+			return false;
+		task->crashes = (batch_crashes_t){
+			.certain = (int)number_at(row, CRASH_CERTAIN),
+			.unclear = (int)number_at(row, CRASH_UNCLEAR),
+			.shared = (int)number_at(row, CRASH_SHARED),
+			.needs_trial = number_at(row, CRASH_NEEDS_TRIAL),
+			.counted_run = number_at(row, CRASH_COUNTED_RUN),
+		};
+		batch_crash_restored(task);
+	}
+	return true;
+}
+
+static void load_given_up(batch_job_t *job, const json_t *list)
+{
+	job->given_up = (batch_given_up_t){
+		.workers = (int)number_at(list, 0),
+		.occurrence = (int)number_at(list, 1),
+		.step = (int)number_at(list, 2),
+		.index = (int)number_at(list, 3),
+	};
+}
+
 /* Restores a run that a predecessor stored and that may not exist. */
-static void load_run(batch_task_t *task, const char *worker_id, int64_t now,
-		     int64_t until)
+static void load_run(batch_task_t *task, const char *worker_id,
+		     const json_t *incarnations, int64_t now, int64_t until)
 {
 	batch_t *core = task->step->occ->job->core;
 	batch_worker_info_t info = { .id = base_str(worker_id),
@@ -110,23 +270,21 @@
 	run = batch_run_new(task, worker, now, task->number);
 	batch_run_set_state(run, RUN_IN_DOUBT, now);
 	run->listed_from = now;
+	run->incarnation =
+		json_integer_value(json_object_get(incarnations, worker_id));
 	batch_worker_add_in_doubt(run, now);
 }
 
-static bool load_task(batch_job_t *job, json_t *row, int64_t now, int64_t until)
+static bool load_task(batch_job_t *job, json_t *row, const json_t *incarnations,
+		      int64_t now, int64_t until)
 {
-	batch_task_id_t id = { base_str(job->id), 0, 0, 0 };
 	batch_task_t *task;
 	const char *worker;
 
 	if (json_array_size(row) != FIELD_MAX)
 		return false;
-	id.occurrence =
-		(int)json_integer_value(json_array_get(row, FIELD_OCCURRENCE));
-	id.step = (int)json_integer_value(json_array_get(row, FIELD_STEP));
-	id.index = (int)json_integer_value(json_array_get(row, FIELD_INDEX));
 	worker = json_string_value(json_array_get(row, FIELD_WORKER));
-	task = batch_find_task(job->core, &id);
+	task = find_task(job, row);
 	if (!task || !worker)
 		return false;
 	task->done = json_integer_value(json_array_get(row, FIELD_DONE));
@@ -142,7 +300,7 @@
 	if (task->done)
 		task->step->done++;
 	else if (*worker)
-		load_run(task, worker, now, until);
+		load_run(task, worker, incarnations, now, until);
 	return true;
 }
 
@@ -178,15 +336,20 @@
 			json_integer_value(json_object_get(root, "arrived"));
 		job->ended_wall =
 			json_integer_value(json_object_get(root, "ended"));
+		load_given_up(job, json_object_get(root, "given_up"));
 		n = (int)json_integer_value(
 			json_object_get(root, "occurrences"));
 		for (i = 0; batch_job_is_active(job) && (int)i < n; i++)
 			batch_occ_new(job, (int)i);
+		if (batch_job_is_active(job))
+			ok = load_crashes(job,
+					  json_object_get(root, "crashes"));
 		for (i = 0; ok && batch_job_is_active(job) &&
 			    i < json_array_size(tasks);
 		     i++)
-			ok = load_task(job, json_array_get(tasks, i), now,
-				       until);
+			ok = load_task(job, json_array_get(tasks, i),
+				       json_object_get(root, "incarnations"),
+				       now, until);
 		count_done_steps(job);
 	}
 	json_decref(root);
--- a/packages/batch/batch_run.c
+++ b/packages/batch/batch_run.c
@@ -31,6 +31,7 @@
 	worker->used.memory += task->step->spec->need.memory;
 	worker->used.gpu += task->step->spec->need.gpu;
 	g_ptr_array_add(worker->runs, run);
+	batch_crash_run_new(run);
 	job->n_runs++;
 	worker->core->n_unsent++;
 	return run;
@@ -49,6 +50,7 @@
 	worker->used.memory -= task->step->spec->need.memory;
 	worker->used.gpu -= task->step->spec->need.gpu;
 	g_ptr_array_remove_fast(worker->runs, run);
+	batch_crash_run_freed(run);
 	task->step->occ->job->n_runs--;
 	task->run = NULL;
 	worker->core->pass_needed = true;
@@ -107,6 +109,7 @@
 		now - run->state_since, now - run->worker->polled_at);
 	core->send_delay = now - run->state_since;
 	batch_run_set_state(run, RUN_SENT, now);
+	run->sent_at = now;
 	core->stats.starts++;
 	core->options.ops->start(core->options.arg, &order);
 }
@@ -291,6 +294,7 @@
 	batch_run_free(run);
 	if (!open)
 		return;
+	batch_crash_run_ended(task, how);
 	if (how == BATCH_END_FAILED)
 		handle_task_failure(task, worker, now);
 	if (how != BATCH_END_DONE || task->step->spec->long_running)
@@ -403,6 +407,7 @@
 		run->listed_from = now;
 		run->start_confirmed_at = now;
 		run->progress_at = now;
+		batch_crash_worker_alive(run->worker, now);
 		break;
 	case BATCH_ANSWER_NO_REPLY:
 		run->worker->backoff_until = now + BATCH_REFUSED_BACKOFF;
@@ -452,6 +457,8 @@
 	bool lease_expired = worker->lease_end && now > worker->lease_end;
 	guint i;
 
+	if (lease_expired && worker->runs->len)
+		batch_crash_worker_lost(worker, now, BATCH_LOSS_UNKNOWN);
 	for (i = worker->runs->len; i-- > 0;) {
 		batch_run_t *run = g_ptr_array_index(worker->runs, i);
 
--- a/packages/batch/batch_worker.c
+++ b/packages/batch/batch_worker.c
@@ -124,6 +124,14 @@
 		worker->silent = true;
 }
 
+void batch_worker_broke_off(batch_t *core, int64_t now, base_str_t id)
+{
+	batch_worker_t *worker = batch_find_worker(core, id);
+
+	if (worker && !worker->silent && worker->incarnation)
+		worker->alive_at = now;
+}
+
 void batch_worker_cordon(batch_t *core, int64_t now, base_str_t id,
 			 bool cordoned)
 {
@@ -150,12 +158,14 @@
 		batch_run_lost(g_ptr_array_index(worker->runs, 0), now, why);
 }
 
-void batch_worker_terminated(batch_t *core, int64_t now, base_str_t id)
+void batch_worker_terminated(batch_t *core, int64_t now, base_str_t id,
+			     batch_loss_cause_t cause)
 {
 	batch_worker_t *worker = batch_find_worker(core, id);
 
 	if (!worker)
 		return;
+	batch_crash_worker_lost(worker, now, cause);
 	lose_all_runs(worker, now, "worker gone");
 	if (!worker->listed)
 		worker->forgotten = true;
@@ -309,7 +319,10 @@
 {
 	guint i;
 
-	if (worker->incarnation) {
+	if (!worker->incarnation) {
+		batch_crash_first_poll(worker, now, incarnation);
+	} else {
+		batch_crash_worker_lost(worker, now, BATCH_LOSS_CRASHED);
 		for (i = worker->runs->len; i-- > 0;) {
 			batch_run_t *run = g_ptr_array_index(worker->runs, i);
 
@@ -442,6 +455,7 @@
 	if (run->state == RUN_STORING)
 		return;
 	run->worker_restarted = false;
+	run->incarnation = worker->incarnation;
 	task->step->occ->job->started = true;
 	if (run->state == RUN_IN_DOUBT || run->state == RUN_SENT) {
 		run->state = RUN_CONFIRMED;
@@ -520,6 +534,7 @@
 		handle_end(worker, now, &poll->ends[i]);
 	for (i = 0; i < poll->n_runs; i++)
 		handle_run(worker, now, poll->sent, &poll->runs[i]);
+	batch_crash_worker_alive(worker, now);
 	resolve_unlisted_runs(worker, now, poll);
 	batch_progress_check(worker, now);
 	batch_pace_adjust(worker, now);
--- /dev/null
+++ b/packages/batch/tests/batch_crash_test.c
@@ -0,0 +1,416 @@
+/*
+ * Tasks that crash the workers that start them, beside tasks whose workers are
+ * lost for other reasons.
+ */
+#include <jansson.h>
+
+#include "batch_world.h"
+
+#define MS BASE_MS
+#define SECOND BASE_SEC
+
+/* Three crashes, and at most two starts after them. */
+#define STARTS_MAX 5
+
+static void check_and_free(world_t *world)
+{
+	if (world->broken)
+		g_test_message("%s", world->first_violation);
+	g_assert_cmpint(world->broken, ==, 0);
+	world_free(world);
+}
+
+/* A job is refused while too few workers are up; its caller tries again. */
+static void submit(world_t *world, const char *id,
+		   const batch_step_spec_t *step)
+{
+	while (world_submit(world, id, step, 1) == BATCH_REFUSED)
+		world_advance(world, 100 * MS);
+}
+
+static void submit_good(world_t *world, int first, int n, int tasks)
+{
+	batch_step_spec_t step = world_step(tasks);
+	char id[8];
+	int i;
+
+	for (i = first; i < first + n; i++) {
+		g_snprintf(id, sizeof(id), "g%d", i);
+		submit(world, id, &step);
+	}
+}
+
+static int count_good(world_t *world, int n, batch_state_t state)
+{
+	char id[8];
+	int found = 0;
+	int i;
+
+	for (i = 0; i < n; i++) {
+		g_snprintf(id, sizeof(id), "g%d", i);
+		found += world_state(world, id) == state;
+	}
+	return found;
+}
+
+static void submit_deadly(world_t *world, const char *id, int tasks, int index)
+{
+	batch_step_spec_t step = world_step(tasks);
+
+	submit(world, id, &step);
+	world_set_deadly(world, id, 0, index);
+}
+
+static void check_given_up(world_t *world, const char *id)
+{
+	g_test_message("job %s: %d starts of a task, %d crashes", id,
+		       world_most_starts(world, id),
+		       world_most_crashes(world, id));
+	g_assert_cmpint(world_state(world, id), ==, BATCH_FAILED);
+	g_assert_cmpint(world_most_starts(world, id), <=, STARTS_MAX);
+	g_assert_cmpint(world_most_crashes(world, id), >=, 2);
+}
+
+/* Guards against a task that crashes one worker after another without end. */
+static void test_deadly_task_is_given_up(void)
+{
+	int same_id;
+
+	for (same_id = 0; same_id <= 100; same_id += 50) {
+		world_t *world = world_new(1, 8, 2);
+
+		world->crash_same_id_percent = same_id;
+		submit_deadly(world, "d", 1, 0);
+		world_advance(world, 60 * SECOND);
+		check_given_up(world, "d");
+		check_and_free(world);
+	}
+}
+
+/* Guards against crashes that are not counted because the worker's lease ends
+ * before it is back. */
+static void test_crashed_worker_is_back_late(void)
+{
+	world_t *world = world_new(1, 8, 2);
+
+	world->crash_time = 8 * SECOND;
+	submit_deadly(world, "d", 1, 0);
+	world_advance(world, 90 * SECOND);
+	check_given_up(world, "d");
+	check_and_free(world);
+}
+
+/* Guards against jobs that are given up, or never end, because a deadly task
+ * ran beside theirs. */
+static void test_good_jobs_beside_deadly_ones_complete(void)
+{
+	uint64_t seed;
+	int i;
+
+	for (seed = 1; seed <= 20; seed++) {
+		world_t *world = world_new(seed, 16, 2);
+
+		for (i = 0; i < 12; i++) {
+			submit_good(world, 4 * i, 4, 6);
+			if (i == 2)
+				submit_deadly(world, "d0", 6, -1);
+			if (i == 4)
+				submit_deadly(world, "d1", 4, 2);
+			if (i == 6)
+				submit_deadly(world, "d2", 3, -1);
+			world_advance(world, 400 * MS);
+		}
+		world_advance(world, 60 * SECOND);
+		check_given_up(world, "d0");
+		check_given_up(world, "d1");
+		check_given_up(world, "d2");
+		g_assert_cmpint(count_good(world, 48, BATCH_FAILED), ==, 0);
+		g_assert_cmpint(count_good(world, 48, BATCH_COMPLETED), ==, 48);
+		check_and_free(world);
+	}
+}
+
+/* Guards against a count of crashes that ends with its holder. */
+static void test_take_over_between_crashes(void)
+{
+	int gap;
+	int same_id;
+
+	for (same_id = 0; same_id <= 100; same_id += 100)
+		for (gap = 300; gap <= 7000; gap += 190) {
+			world_t *world = world_new((uint64_t)gap, 8, 2);
+			int i;
+
+			world->crash_same_id_percent = same_id;
+			submit_good(world, 0, 4, 4);
+			submit_deadly(world, "d", 3, 1);
+			for (i = 0; i < 8; i++) {
+				world_advance(world, gap * MS);
+				world_take_over(world);
+			}
+			world_advance(world, 60 * SECOND);
+			check_given_up(world, "d");
+			g_assert_cmpint(count_good(world, 4, BATCH_COMPLETED),
+					==, 4);
+			check_and_free(world);
+		}
+}
+
+static void crash_rack(world_t *world, int first)
+{
+	int i;
+
+	for (i = first; i < first + 4; i++)
+		world_worker_crash(world, i);
+}
+
+static void restart_rack(world_t *world, int first, bool same_id)
+{
+	int i;
+
+	for (i = first; i < first + 4; i++)
+		world_worker_restart(world, i, same_id);
+}
+
+/* Guards against good jobs that are given up for a rack without power. */
+static void test_rack_lost_repeatedly(void)
+{
+	uint64_t seed;
+
+	for (seed = 1; seed <= 10; seed++) {
+		world_t *world = world_new(seed, 8, 2);
+		int64_t dark = (seed & 1) ? 3 * SECOND : 7 * SECOND;
+		int i;
+
+		submit_good(world, 0, 8, 6);
+		for (i = 0; i < 6; i++) {
+			world_advance(world, (200 + 40 * (int)seed) * MS);
+			crash_rack(world, 4 * (i & 1));
+			world_advance(world, dark);
+			restart_rack(world, 4 * (i & 1), seed & 2);
+		}
+		world_advance(world, 30 * SECOND);
+		g_assert_cmpint(count_good(world, 8, BATCH_COMPLETED), ==, 8);
+		check_and_free(world);
+	}
+}
+
+/* Guards against good jobs that are given up for workers that are cut off or
+ * leave. */
+static void test_workers_cut_off_or_drained(void)
+{
+	uint64_t seed;
+
+	for (seed = 1; seed <= 10; seed++) {
+		world_t *world = world_new(seed, 8, 2);
+		int i;
+
+		submit_good(world, 0, 6, 6);
+		for (i = 0; i < 6; i++) {
+			world_advance(world, (50 + 100 * (int)seed) * MS);
+			if (i & 1) {
+				world_worker_drain(world, i);
+				world_advance(world, 2 * SECOND);
+				world_worker_crash(world, i);
+				world_advance(world, SECOND);
+				world_worker_restart(world, i, false);
+				continue;
+			}
+			world_worker_set_unreachable(world, i, true);
+			world_advance(world, 6 * SECOND);
+			world_worker_set_unreachable(world, i, false);
+		}
+		world_advance(world, 30 * SECOND);
+		g_assert_cmpint(count_good(world, 6, BATCH_COMPLETED), ==, 6);
+		check_and_free(world);
+	}
+}
+
+/* Guards against a lasting task that crashes workers without end, and against
+ * giving up a lasting job that ran beside it. */
+static void test_long_running(void)
+{
+	world_t *world = world_new(3, 8, 2);
+	batch_step_spec_t step = world_step(3);
+
+	step.long_running = true;
+	world_submit(world, "l", &step, 1);
+	world_advance(world, 2 * SECOND);
+	world_submit(world, "d", &step, 1);
+	world_set_deadly(world, "d", 0, 1);
+	world_advance(world, 90 * SECOND);
+	check_given_up(world, "d");
+	g_assert_cmpint(world_state(world, "l"), ==, BATCH_RUNNING);
+	g_assert_cmpint(world_running(world, "l", 0, 0), ==, 1);
+	g_assert_cmpint(world_running(world, "l", 0, 1), ==, 1);
+	g_assert_cmpint(world_running(world, "l", 0, 2), ==, 1);
+	check_and_free(world);
+}
+
+/* Guards against a gang that is started again after each crash of a member. */
+static void test_gang(void)
+{
+	world_t *world = world_new(4, 8, 2);
+	batch_step_spec_t step = world_step(6);
+
+	step.gang = true;
+	world_submit(world, "d", &step, 1);
+	world_set_deadly(world, "d", 0, 3);
+	submit_good(world, 0, 6, 4);
+	world_advance(world, 60 * SECOND);
+	check_given_up(world, "d");
+	g_assert_cmpint(count_good(world, 6, BATCH_COMPLETED), ==, 6);
+	check_and_free(world);
+}
+
+/* Guards against a pool without capacity because its workers await the outcome
+ * of one start each. */
+static void test_capacity_during_crashes(void)
+{
+	world_t *world = world_new(5, 8, 2);
+	int good = 0;
+	int i;
+
+	submit_deadly(world, "d", 6, -1);
+	for (i = 0; i < 16; i++, good += 2) {
+		submit_good(world, good, 2, 4);
+		world_advance(world, 500 * MS);
+	}
+	world_advance(world, 4 * SECOND);
+	g_assert_cmpint(count_good(world, good, BATCH_COMPLETED), ==, good);
+	check_and_free(world);
+}
+
+/* Guards against crashes that escape the count when faults come together. */
+static void test_random_faults(void)
+{
+	uint64_t seed;
+
+	for (seed = 1; seed <= 100; seed++) {
+		world_t *world = world_new(seed, 12, 3);
+		base_rng_t rng = { .state = seed * 131 };
+		char id[8];
+		int i;
+
+		world->lost_answer_percent = (int)base_rng_below(&rng, 10);
+		world->crash_time =
+			(1 + (int64_t)base_rng_below(&rng, 8)) * SECOND;
+		world->crash_same_id_percent =
+			(int)base_rng_below(&rng, 2) * 100;
+		for (i = 0; i < 20; i++) {
+			g_snprintf(id, sizeof(id), "d%d", i);
+			if (i % 5 == 0)
+				submit_deadly(world, id, 4,
+					      (int)base_rng_below(&rng, 5) - 1);
+			submit_good(world, i, 1, 4);
+			world_advance(world, base_rng_below(&rng, 900) * MS);
+			/* Rows are stored in order: that of the deadly job too.
+			 */
+			while (count_good(world, i + 1, BATCH_UNKNOWN))
+				world_advance(world, 10 * MS);
+			if (!base_rng_below(&rng, 6))
+				world_take_over(world);
+		}
+		world_advance(world, 120 * SECOND);
+		for (i = 0; i < 20; i += 5) {
+			g_snprintf(id, sizeof(id), "d%d", i);
+			check_given_up(world, id);
+		}
+		g_assert_cmpint(count_good(world, 20, BATCH_FAILED), ==, 0);
+		g_assert_cmpint(count_good(world, 20, BATCH_COMPLETED), ==, 20);
+		check_and_free(world);
+	}
+}
+
+static void restore(world_t *world, const char *record, GError **err)
+{
+	static const batch_step_spec_t step = { .count = 2,
+						.need = { 2000, 4000, 0 },
+						.estimate = BASE_SEC,
+						.max_unavailable = -1 };
+	batch_spec_t spec = { .id = BASE_STR("r"),
+			      .queue = BASE_STR("queue"),
+			      .payload = BASE_STR("payload"),
+			      .source = BASE_STR("source"),
+			      .steps = &step,
+			      .n_steps = 1 };
+	batch_stored_t stored = { .id = spec.id,
+				  .spec = &spec,
+				  .record = record,
+				  .until = world->now + 5 * SECOND };
+
+	batch_restore(world->core, world->now, world->now, &stored, err);
+	batch_tick(world->core, world->now, world->now);
+}
+
+#define ROW                                                            \
+	"{\"state\":\"running\",\"cancelled\":false,\"begun\":true,"   \
+	"\"arrived\":1000000,\"ended\":0,\"occurrences\":1,\"tasks\":" \
+	"[[0,0,0,0,2,0,\"w1\",\"\"],[0,0,1,1,1,0,\"\",\"\"]]"
+
+/* Guards against rows of earlier versions that cannot be read, and against
+ * counts that are not read. */
+static void test_rows(void)
+{
+	static const struct {
+		const char *record;
+		const char *said; /* part of the explanation */
+		bool readable;
+	} cases[] = {
+		{ ROW "}", "job r is running", true },
+		{ ROW ",\"incarnations\":{\"w1\":7}}", "job r is running",
+		  true },
+		{ ROW ",\"crashes\":[[0,0,0,1,0,0,1,1]]}", "job r is running",
+		  true },
+		{ ROW ",\"crashes\":[[0,0,0,2,0,1,1,2]]}",
+		  "job r is failed: 3 workers were lost under its task 0 of "
+		  "step 0",
+		  true },
+		{ ROW ",\"crashes\":[[0,0,0,2]]}", "job r is failed", false },
+		{ ROW ",\"crashes\":[[0,0,5,1,0,0,1,1]]}", "job r is failed",
+		  false },
+	};
+	size_t i;
+
+	for (i = 0; i < G_N_ELEMENTS(cases); i++) {
+		world_t *world = world_new(1, 4, 2);
+		GError *err = NULL;
+		json_t *answer;
+
+		restore(world, cases[i].record, &err);
+		g_assert_true(!err == cases[i].readable);
+		g_clear_error(&err);
+		answer = batch_explain(world->core, world->now, BASE_STR("r"));
+		g_test_message("%s", json_string_value(
+					     json_object_get(answer, "said")));
+		g_assert_nonnull(strstr(
+			json_string_value(json_object_get(answer, "said")),
+			cases[i].said));
+		json_decref(answer);
+		world_free(world);
+	}
+}
+
+int main(int argc, char **argv)
+{
+	g_test_init(&argc, &argv, NULL);
+	g_test_add_func("/batch-crash/deadly-task-is-given-up",
+			test_deadly_task_is_given_up);
+	g_test_add_func("/batch-crash/crashed-worker-is-back-late",
+			test_crashed_worker_is_back_late);
+	g_test_add_func("/batch-crash/good-jobs-complete",
+			test_good_jobs_beside_deadly_ones_complete);
+	g_test_add_func("/batch-crash/take-over-between-crashes",
+			test_take_over_between_crashes);
+	g_test_add_func("/batch-crash/rack-lost-repeatedly",
+			test_rack_lost_repeatedly);
+	g_test_add_func("/batch-crash/workers-cut-off-or-drained",
+			test_workers_cut_off_or_drained);
+	g_test_add_func("/batch-crash/long-running", test_long_running);
+	g_test_add_func("/batch-crash/gang", test_gang);
+	g_test_add_func("/batch-crash/capacity-during-crashes",
+			test_capacity_during_crashes);
+	g_test_add_func("/batch-crash/rows", test_rows);
+	g_test_add_func("/batch-crash/random-faults", test_random_faults);
+	return g_test_run();
+}
--- a/packages/batch/tests/batch_store_test.c
+++ b/packages/batch/tests/batch_store_test.c
@@ -88,7 +88,8 @@
 	world_worker_set_unreachable(world, worker, true);
 	world_advance(world, 2 * SECOND);
 	batch_worker_terminated(world->core, world->now,
-				base_str(world->workers[worker].id));
+				base_str(world->workers[worker].id),
+				BATCH_LOSS_UNKNOWN);
 	world_advance(world, 100 * MS);
 	world_worker_set_unreachable(world, worker, false);
 	world_advance(world, SECOND);
--- a/packages/batch/tests/batch_world.c
+++ b/packages/batch/tests/batch_world.c
@@ -306,7 +306,8 @@
 	g_assert_cmpuint(worker->runs->len, ==, 0);
 	worker->listed = false;
 	batch_worker_unlisted(world->core, world->now, base_str(id));
-	batch_worker_terminated(world->core, world->now, base_str(id));
+	batch_worker_terminated(world->core, world->now, base_str(id),
+				BATCH_LOSS_UNKNOWN);
 }
 
 world_t *world_new_queue(uint64_t seed, int workers, int attempts,
@@ -319,6 +320,9 @@
 	world->attempts = attempts;
 	world->stretch = stretch;
 	world->store_time = 4 * BASE_MS;
+	world->crash_delay = 10 * BASE_MS;
+	world->crash_time = 3 * BASE_SEC;
+	world->crash_breaks_off = seed & 1;
 	world->now = BASE_SEC;
 	world->term = 1;
 	world->orders = g_array_new(FALSE, FALSE, sizeof(world_order_t));
@@ -348,6 +352,9 @@
 		g_hash_table_unref(job->finished_tasks);
 		g_hash_table_unref(job->acked_tasks);
 		g_hash_table_unref(job->fails);
+		g_hash_table_unref(job->crashes);
+		g_hash_table_unref(job->after_crashes);
+		g_hash_table_unref(job->task_starts);
 		g_free((void *)job->spec.steps);
 		g_free((char *)job->spec.id.ptr);
 		g_free(job);
@@ -394,12 +401,35 @@
 			g_str_hash, g_str_equal, g_free, NULL);
 		job->fails = g_hash_table_new_full(g_str_hash, g_str_equal,
 						   g_free, NULL);
+		job->crashes = g_hash_table_new_full(g_str_hash, g_str_equal,
+						     g_free, NULL);
+		job->after_crashes = g_hash_table_new_full(
+			g_str_hash, g_str_equal, g_free, NULL);
+		job->task_starts = g_hash_table_new_full(
+			g_str_hash, g_str_equal, g_free, NULL);
+		job->deadly_step = -1;
 		g_hash_table_insert(world->jobs, (char *)job->spec.id.ptr, job);
 	}
 	return batch_submit(world->core, world->now, world->now, &job->spec,
 			    &retry_after);
 }
 
+void world_set_deadly(world_t *world, const char *id, int step, int index)
+{
+	world_find_job(world, id)->deadly_step = step;
+	world_find_job(world, id)->deadly_index = index;
+}
+
+int world_most_starts(world_t *world, const char *id)
+{
+	return world_find_job(world, id)->most_starts;
+}
+
+int world_most_crashes(world_t *world, const char *id)
+{
+	return world_find_job(world, id)->most_crashes;
+}
+
 bool world_cancel(world_t *world, const char *id)
 {
 	batch_state_t state;
@@ -465,6 +495,55 @@
 	world->stored_at = world->now + world->store_time;
 }
 
+/* The other members of a gang end once the worker of one is lost. */
+static void break_gangs(world_t *world, const world_worker_t *lost)
+{
+	guint i;
+	int w;
+
+	for (i = 0; i < lost->runs->len; i++) {
+		const world_run_t *run =
+			&g_array_index(lost->runs, world_run_t, i);
+		const world_job_t *job = world_find_job(world, run->job);
+
+		for (w = 0; job && job->spec.steps[run->step].gang &&
+			    w < world->n_workers;
+		     w++)
+			if (&world->workers[w] != lost)
+				world_worker_break_gang(&world->workers[w],
+							run);
+	}
+}
+
+/* Crashes of deadly tasks, and returns from them. */
+static void crash_and_restart(world_t *world)
+{
+	int i;
+
+	for (i = 0; i < world->n_workers; i++) {
+		world_worker_t *worker = &world->workers[i];
+
+		if (worker->crash_at && world->now >= worker->crash_at) {
+			worker->crash_at = 0;
+			worker->back_at = world->now + world->crash_time;
+			world_count_crash(world, worker);
+			world_worker_crash(world, i);
+			if (world->crash_breaks_off) {
+				batch_worker_broke_off(world->core, world->now,
+						       base_str(worker->id));
+				batch_worker_silent(world->core,
+						    base_str(worker->id));
+			}
+			break_gangs(world, worker);
+		} else if (worker->back_at && world->now >= worker->back_at) {
+			world_worker_restart(
+				world, i,
+				world_chance(world,
+					     world->crash_same_id_percent));
+		}
+	}
+}
+
 void world_advance(world_t *world, int64_t span)
 {
 	int64_t until = world->now + span;
@@ -477,6 +556,7 @@
 		for (i = 0; i < world->n_workers; i++)
 			if (!world->workers[i].crashed)
 				world_worker_advance(world, &world->workers[i]);
+		crash_and_restart(world);
 		for (i = 0; i < world->n_workers; i++) {
 			world_worker_t *worker = &world->workers[i];
 
@@ -553,7 +633,8 @@
 	world->workers[worker].listed = listed;
 	list_workers(world);
 	if (!listed && !batch_worker_runs(world->core, id, &n_long_running))
-		batch_worker_terminated(world->core, world->now, id);
+		batch_worker_terminated(world->core, world->now, id,
+					BATCH_LOSS_UNKNOWN);
 }
 
 void world_worker_set_unreachable(world_t *world, int worker, bool unreachable)
@@ -574,13 +655,16 @@
 		batch_worker_unlisted(world->core, world->now,
 				      base_str(restarted->id));
 		batch_worker_terminated(world->core, world->now,
-					base_str(restarted->id));
+					base_str(restarted->id),
+					BATCH_LOSS_CRASHED);
 		g_snprintf(restarted->id, sizeof(restarted->id), "w%d.%d",
 			   worker, (int)++restarted->incarnation);
 	} else {
 		restarted->incarnation++;
 	}
 	restarted->crashed = false;
+	restarted->crash_at = 0;
+	restarted->back_at = 0;
 	restarted->listed = true;
 	restarted->draining = false;
 	restarted->term = 0;
--- a/packages/batch/tests/batch_world.h
+++ b/packages/batch/tests/batch_world.h
@@ -63,6 +63,8 @@
 	int64_t polled_at;
 	int64_t holder_lease; /* lease end as known to the holder */
 	bool polled;	      /* polled by the present holder */
+	int64_t crash_at;     /* when a deadly task crashes it; 0: never */
+	int64_t back_at;      /* when it is restarted; 0: by the test */
 } world_worker_t;
 
 /* An order in transit. */
@@ -86,8 +88,15 @@
 	bool accepted, cancel_asked, cancelled;
 	int64_t cancelled_at;
 	GHashTable *finished_tasks; /* tasks of which a run completed */
-	GHashTable *acked_tasks; /* tasks whose completion was acknowledged */
-	GHashTable *fails;	 /* acknowledged failures by task */
+	GHashTable *acked_tasks;   /* tasks whose completion was acknowledged */
+	GHashTable *fails;	   /* acknowledged failures by task */
+	GHashTable *crashes;	   /* workers that each task crashed */
+	GHashTable *after_crashes; /* starts of each task after three crashes */
+	GHashTable *task_starts;
+	int deadly_step;  /* step with deadly tasks; -1: none */
+	int deadly_index; /* of the deadly task; -1: all of the step */
+	int most_starts;  /* of one of its tasks */
+	int most_crashes;
 } world_job_t;
 
 typedef struct world {
@@ -115,6 +124,11 @@
 	size_t n_asked;
 	int interference; /* percent of the tail target, per best-effort task */
 	int lost_answer_percent, late_order_percent, failed_run_percent;
+	int64_t crash_delay; /* from the start of a deadly task to the crash */
+	int64_t crash_time;  /* until a crashed worker is back */
+	/* The holder sees at once that a worker has crashed. */
+	bool crash_breaks_off;
+	int crash_same_id_percent; /* that are back under the id they had */
 	bool store_down;
 	int64_t store_time; /* of one change */
 	int64_t start_cost; /* processor time of the holder for each start */
@@ -138,6 +152,12 @@
 batch_step_spec_t world_step(int count);
 batch_admission_t world_submit(world_t *world, const char *id,
 			       const batch_step_spec_t *steps, int n);
+/* Tasks of a submitted job crash the worker that starts them; index -1: all of
+ * the step. */
+void world_set_deadly(world_t *world, const char *id, int step, int index);
+/* The most starts of a task of the job, and the most crashes under one. */
+int world_most_starts(world_t *world, const char *id);
+int world_most_crashes(world_t *world, const char *id);
 bool world_cancel(world_t *world, const char *id);
 /* Whether the cancellation was acknowledged. */
 bool world_cancelled(world_t *world, const char *id);
--- a/packages/batch/tests/batch_world_int.h
+++ b/packages/batch/tests/batch_world_int.h
@@ -18,6 +18,10 @@
 bool world_same_task(const world_run_t *a, const world_run_t *b);
 void world_check_start(world_t *world, const world_worker_t *worker,
 		       const world_run_t *run, bool late);
+/* Whether the run's task crashes the worker that starts it. */
+bool world_is_deadly(world_t *world, const world_run_t *run);
+/* Counts the crash for the deadly tasks on the worker. */
+void world_count_crash(world_t *world, const world_worker_t *worker);
 /* Acknowledges ends up to "up_to": the worker forgets them, and they count. */
 void world_acknowledge_ends(world_t *world, world_worker_t *worker,
 			    int64_t up_to);
@@ -30,6 +34,8 @@
 				 const world_order_t *order);
 void world_worker_pace(world_worker_t *worker, const world_run_t *named,
 		       int percent);
+/* Ends the runs of the gang that the run belongs to. */
+void world_worker_break_gang(world_worker_t *worker, const world_run_t *member);
 void world_worker_advance(world_t *world, world_worker_t *worker);
 void world_worker_poll(world_t *world, world_worker_t *worker);
 
--- a/packages/batch/tests/batch_world_judge.c
+++ b/packages/batch/tests/batch_world_judge.c
@@ -73,6 +73,57 @@
 	}
 }
 
+bool world_is_deadly(world_t *world, const world_run_t *run)
+{
+	const world_job_t *job = world_find_job(world, run->job);
+
+	return job && job->deadly_step == run->step &&
+	       (job->deadly_index < 0 || job->deadly_index == run->index);
+}
+
+static int count(GHashTable *table, const char *key)
+{
+	int n = GPOINTER_TO_INT(g_hash_table_lookup(table, key)) + 1;
+
+	g_hash_table_insert(table, g_strdup(key), GINT_TO_POINTER(n));
+	return n;
+}
+
+void world_count_crash(world_t *world, const world_worker_t *worker)
+{
+	guint i;
+
+	for (i = 0; i < worker->runs->len; i++) {
+		const world_run_t *run =
+			&g_array_index(worker->runs, world_run_t, i);
+		world_job_t *job = world_find_job(world, run->job);
+		char *key = world_task_key(run);
+		int n;
+
+		if (world_is_deadly(world, run)) {
+			n = count(job->crashes, key);
+			job->most_crashes = MAX(job->most_crashes, n);
+		}
+		g_free(key);
+	}
+}
+
+/*
+ * A task that crashes the workers that start it is not started three more times
+ * once it has crashed three.
+ */
+static void check_crash_budget(world_t *world, world_job_t *job,
+			       const world_run_t *run, const char *key)
+{
+	int n = count(job->task_starts, key);
+
+	job->most_starts = MAX(job->most_starts, n);
+	if (GPOINTER_TO_INT(g_hash_table_lookup(job->crashes, key)) >= 3 &&
+	    count(job->after_crashes, key) >= 3)
+		world_record_violation(world, "BUDGET: crashes its workers",
+				       run);
+}
+
 void world_check_start(world_t *world, const world_worker_t *at,
 		       const world_run_t *run, bool late)
 {
@@ -89,8 +140,10 @@
 		return;
 	}
 	spec = &job->spec.steps[run->step];
-	if (!late)
+	if (!late) {
 		check_placement(world, at, spec, run);
+		check_crash_budget(world, job, run, key);
+	}
 	if (g_hash_table_contains(job->acked_tasks, key))
 		world_record_violation(world, "TWICE: started after its end",
 				       run);
--- a/packages/batch/tests/batch_world_worker.c
+++ b/packages/batch/tests/batch_world_worker.c
@@ -87,6 +87,8 @@
 	run.length = run.length *
 		     (50 + (int64_t)base_rng_below(&world->rng, 100)) / 100;
 	g_array_append_val(worker->runs, run);
+	if (world_is_deadly(world, &run) && !worker->crash_at)
+		worker->crash_at = world->now + world->crash_delay;
 	return BATCH_ANSWER_OK;
 }
 
@@ -177,6 +179,22 @@
 			     (worker->slowdown ? worker->slowdown : 1);
 }
 
+void world_worker_break_gang(world_worker_t *worker, const world_run_t *member)
+{
+	guint i;
+
+	for (i = worker->runs->len; !worker->crashed && i-- > 0;) {
+		world_run_t run = g_array_index(worker->runs, world_run_t, i);
+
+		if (strcmp(run.job, member->job) ||
+		    run.occurrence != member->occurrence ||
+		    run.step != member->step || run.number != member->number)
+			continue;
+		g_array_remove_index(worker->runs, i);
+		add_end(worker, &run, BATCH_END_GANG_BROKEN);
+	}
+}
+
 void world_worker_advance(world_t *world, world_worker_t *worker)
 {
 	guint i;
--- a/packages/node/node_instance.c
+++ b/packages/node/node_instance.c
@@ -160,7 +160,8 @@
 		if (!g_hash_table_contains(present, g_ptr_array_index(ids, i)))
 			batch_worker_terminated(
 				holder->core, base_clock_mono(),
-				base_str(g_ptr_array_index(ids, i)));
+				base_str(g_ptr_array_index(ids, i)),
+				BATCH_LOSS_UNKNOWN);
 	g_hash_table_unref(present);
 	g_ptr_array_unref(ids);
 	node_holder_step_soon(holder);
--- a/packages/node/node_wave.c
+++ b/packages/node/node_wave.c
@@ -145,7 +145,8 @@
 		 * answers alike if the order was carried out before. */
 		if (target->asked_worker)
 			batch_worker_terminated(holder->core, base_clock_mono(),
-						base_str(target->asked_worker));
+						base_str(target->asked_worker),
+						BATCH_LOSS_ORDERED);
 		node_holder_step_soon(holder);
 		break;
 	case NODE_INSTANCE_ORDER_FENCED:
--- a/packages/node/node_worker.c
+++ b/packages/node/node_worker.c
@@ -18,6 +18,9 @@
 #define WORKER_POLL_WAIT (1000 * BASE_MS)
 /* Time after WORKER_POLL_WAIT in which a poll's answer can still arrive. */
 #define WORKER_POLL_GRACE (500 * BASE_MS)
+/* A poll that fails later than this had reached its worker: several times the
+ * round trip. */
+#define WORKER_BREAK_MIN (20 * BASE_MS)
 #define WORKER_RETRY_DELAY (150 * BASE_MS)
 /* Delay of the poll that follows a report of ended runs, so that this poll
  * returns several runs that end together. */
@@ -50,6 +53,7 @@
 	int64_t lease_end; /* monotonic, for the slowest clock allowed */
 	int64_t polled_at;
 	int64_t poll_sent_at;
+	int64_t poll_timeout;
 	int64_t acknowledged; /* the last end that it was told to discard */
 	int64_t list_round;   /* number of the list in which the worker was last
 				 seen */
@@ -187,6 +191,21 @@
 	batch_worker_polled(worker->holder->core, now, &seen);
 }
 
+/*
+ * A worker that ends breaks its connections.  A poll that fails at once may
+ * have found it gone already, and one that times out tells nothing.
+ */
+static void note_broken_off(const node_worker_t *worker)
+{
+	int64_t now = base_clock_mono();
+	int64_t took = now - worker->poll_sent_at;
+
+	if (took > WORKER_BREAK_MIN &&
+	    took < worker->poll_timeout - WORKER_BREAK_MIN)
+		batch_worker_broke_off(worker->holder->core, now,
+				       base_str(worker->id));
+}
+
 static void poll_answered(void *arg, const node_poll_result_t *answer)
 {
 	poll_call_t *call = arg;
@@ -221,7 +240,8 @@
 		if (worker->has_answered ||
 		    node_instances_lack_worker(holder->instances, worker->id))
 			batch_worker_terminated(holder->core, base_clock_mono(),
-						base_str(worker->id));
+						base_str(worker->id),
+						BATCH_LOSS_CRASHED);
 		node_holder_step_soon(holder);
 		if (worker->is_listed || !worker->has_answered)
 			schedule_poll(worker, WORKER_POLL_GRACE);
@@ -230,6 +250,7 @@
 				      "another worker answers at its address");
 		break;
 	default:
+		note_broken_off(worker);
 		set_silent(worker, true, "no answer");
 		schedule_poll(worker, WORKER_RETRY_DELAY);
 		break;
@@ -303,8 +324,8 @@
 	if (worker->is_polling || !node_holder_may_extend(holder))
 		return;
 	if (is_gone(worker, now)) {
-		batch_worker_terminated(holder->core, now,
-					base_str(worker->id));
+		batch_worker_terminated(holder->core, now, base_str(worker->id),
+					BATCH_LOSS_UNKNOWN);
 		node_holder_step_soon(holder);
 		remove_worker(worker, "not listed and without runs");
 		return;
@@ -328,6 +349,7 @@
 	order.timeout = order.wait + WORKER_POLL_GRACE;
 	worker->is_polling = true;
 	worker->poll_sent_at = now;
+	worker->poll_timeout = order.timeout;
 	node_metrics_count(holder->node, NODE_COUNT_POLL);
 	call = talloc(worker, poll_call_t);
 	*call = (poll_call_t){ worker, worker->link };
@@ -741,6 +763,8 @@
 	[BATCH_LOG_WORKER_QUARANTINED] = BASE_MSG_WORKER_OUT,
 	[BATCH_LOG_WORKER_ON_TRIAL] = BASE_MSG_WORKER_BACK,
 	[BATCH_LOG_PACED] = BASE_MSG_PACED,
+	[BATCH_LOG_RUN_SUSPECTED] = BASE_MSG_RUN_SUSPECTED,
+	[BATCH_LOG_JOB_GIVEN_UP] = BASE_MSG_JOB_GIVEN_UP,
 };
 
 static void log_batch_event(void *arg, const batch_log_event_t *event)
