--- a/packages/batch/tests/batch_capacity_change_test.c
+++ b/packages/batch/tests/batch_capacity_change_test.c
@@ -331,7 +331,8 @@
 	step.gang = true;
 	submit_unsent(world, "a", &step);
 	world_worker_crash(world, 0);
-	batch_worker_terminated(world->core, world->now, BASE_STR("w0"));
+	batch_worker_terminated(world->core, world->now, BASE_STR("w0"),
+				BATCH_LOSS_UNKNOWN);
 	world_worker_set_listed(world, 0, false);
 	world->store_down = false;
 	advance_with_gang(world, 6, SECOND / 2);
--- a/packages/batch/tests/batch_store_test.c
+++ b/packages/batch/tests/batch_store_test.c
@@ -88,7 +88,8 @@
 	world_worker_set_unreachable(world, worker, true);
 	world_advance(world, 2 * SECOND);
 	batch_worker_terminated(world->core, world->now,
-				base_str(world->workers[worker].id));
+				base_str(world->workers[worker].id),
+				BATCH_LOSS_UNKNOWN);
 	world_advance(world, 100 * MS);
 	world_worker_set_unreachable(world, worker, false);
 	world_advance(world, SECOND);
@@ -117,7 +118,8 @@
 		world_advance(world, 10 * MS);
 	world->late_order_percent = 100;
 	batch_worker_terminated(world->core, world->now,
-				base_str(world->workers[worker].id));
+				base_str(world->workers[worker].id),
+				BATCH_LOSS_UNKNOWN);
 	world_advance(world, 100 * MS); /* the start is sent */
 	world->late_order_percent = 0;
 	world_worker_set_unreachable(world, worker, false);
@@ -292,7 +294,8 @@
 	g_assert_cmpint(late->holder, ==, -1);
 	late->at = world->now + 4 * SECOND;
 	worker = world_find_worker(world, late->worker);
-	batch_worker_terminated(world->core, world->now, base_str(worker->id));
+	batch_worker_terminated(world->core, world->now, base_str(worker->id),
+				BATCH_LOSS_UNKNOWN);
 	world_advance(world, SECOND);
 	world_worker_restart(world, (int)(worker - world->workers), true);
 	for (i = 0; i < (int)world->orders->len; i++) {
--- a/packages/node/tests/node_given_up_test.c
+++ b/packages/node/tests/node_given_up_test.c
@@ -382,7 +382,7 @@
 	batch_worker_unlisted(test.holder->core, base_clock_mono(),
 			      BASE_STR("w"));
 	batch_worker_terminated(test.holder->core, base_clock_mono(),
-				BASE_STR("w"));
+				BASE_STR("w"), BATCH_LOSS_UNKNOWN);
 	list_worker("w", "127.0.0.1:1");
 	restore_run("w");
 	run_for(2 * TICKS);
