--- a/packages/batch/batch.h
+++ b/packages/batch/batch.h
@@ -260,7 +260,13 @@
 /* Number of accepted jobs of a queue that have not started any task. */
 size_t batch_pending(const batch_t *core, base_str_t queue);
 
-/* Adds a worker that membership lists, or updates it. */
+/*
+ * Adds a worker that membership lists, or updates it.  Call at each reading of
+ * the list: a worker that does not check admission gets no starts once it was
+ * last listed 3 s ago.  Starts that were not sent are dropped, and their tasks
+ * placed anew, if the worker drains or its capacity has fallen below them; what
+ * runs goes on.
+ */
 void batch_worker_listed(batch_t *core, int64_t now,
 			 const batch_worker_info_t *info);
 
