soak: late changes, unlisted workers, orders that are not answered

Its judge is the stand-in's, which sees a start after an acknowledged end, an end acknowledged after a later start, and two runs at once.

A recorded seed names how many kinds of fault there were (--kinds), so that it still draws the same faults. The stand-in's "unlist" also holds for a worker's next incarnations.

--- a/soak/soak_fault.c
+++ b/soak/soak_fault.c
@@ -3,6 +3,7 @@
  * random.  Several faults can be active at once, also on the same target.
  */
 #include <signal.h>
+#include <stdlib.h>
 
 #include "soak_int.h"
 
@@ -17,6 +18,10 @@
 #define FAULT_DELAY_MIN (20 * BASE_MS)
 /* Longer than the timeout of most calls. */
 #define FAULT_DELAY_MAX (1500 * BASE_MS)
+/* Delay of late changes: some are carried out by the same holder's term, some
+ * after it. */
+#define FAULT_LATE_MIN (200 * BASE_MS)
+#define FAULT_LATE_MAX (6 * BASE_SEC)
 #define FAULT_WAVE_MAX 2 /* instances of a wave in maintenance at once */
 #define FAULT_WAVES 2	 /* waves in a run; they may overlap */
 /* One fault in so many is the first of a series: the same kind on the same
@@ -217,6 +222,51 @@
 	set_switch(soak, "lose", "0");
 }
 
+/* Some changes are carried out late and not answered. */
+static bool delay_changes(soak_t *soak, fault_t *fault)
+{
+	(void)fault;
+	set_switch_number(soak, "lose", soak_random_range(&soak->rng, 30, 100));
+	set_switch_number(soak, "late-ms",
+			  soak_random_range(&soak->rng,
+					    FAULT_LATE_MIN / BASE_MS,
+					    FAULT_LATE_MAX / BASE_MS));
+	return true;
+}
+
+static void undelay_changes(soak_t *soak, fault_t *fault)
+{
+	keep_answers(soak, fault);
+	set_switch(soak, "late-ms", "0");
+}
+
+static void holder_read(void *arg, const net_answer_t *answer)
+{
+	soak_t *soak = arg;
+	json_t *root = NULL;
+	const char *name;
+	int i;
+
+	if (answer->call_outcome == NET_ANSWERED)
+		root = json_loadb(answer->body.ptr, answer->body.len, 0, NULL);
+	name = json_string_value(json_object_get(root, "name"));
+	for (i = 0; name && i < SOAK_NODES; i++)
+		if (g_str_has_prefix(name, "edge-") &&
+		    strtol(name + strlen("edge-"), NULL, 10) == i)
+			soak_process_signal(soak->nodes[i], SIGKILL);
+	json_decref(root);
+}
+
+static void kill_holder(soak_t *soak, fault_t *fault)
+{
+	net_request_t request = { .method = NET_GET,
+				  .path = "/read?key=cactusfield/owner",
+				  .timeout = BASE_SEC };
+
+	net_call(soak->control, &request, holder_read, soak);
+	undelay_changes(soak, fault);
+}
+
 static bool drop_history(soak_t *soak, fault_t *fault)
 {
 	(void)fault;
@@ -250,6 +300,17 @@
 	set_switch_number(soak, "heal", fault->target % SOAK_WORKERS);
 }
 
+static bool unlist_worker(soak_t *soak, fault_t *fault)
+{
+	set_switch_number(soak, "unlist", fault->target % SOAK_WORKERS);
+	return true;
+}
+
+static void list_worker(soak_t *soak, fault_t *fault)
+{
+	set_switch_number(soak, "list", fault->target % SOAK_WORKERS);
+}
+
 static bool change_config(soak_t *soak, fault_t *fault)
 {
 	(void)fault;
@@ -266,6 +327,20 @@
 	return true;
 }
 
+static bool order_unanswered_wave(soak_t *soak, fault_t *fault)
+{
+	if (!order_wave(soak, fault))
+		return false;
+	set_switch(soak, "upkeep", "unanswered");
+	return true;
+}
+
+static void answer_orders(soak_t *soak, fault_t *fault)
+{
+	(void)fault;
+	set_switch(soak, "upkeep", "answered");
+}
+
 /* The operator makes a mistake and corrects it. */
 static bool write_nonsense(soak_t *soak, fault_t *fault)
 {
@@ -306,6 +381,7 @@
 	set_switch(soak, "task-ms", "300");
 }
 
+/* New kinds go to the end: a recorded seed draws from the first ones only. */
 static const kind_t kinds[] = {
 	{ "kill", 10, 0, 0, kill_node, NULL },
 	{ "kill all", 2, 0, 0, kill_all_nodes, NULL },
@@ -331,6 +407,14 @@
 	{ "upkeep", 4, 0, 0, order_wave, NULL },
 	{ "long tasks", 5, 500 * BASE_MS, 5 * BASE_SEC, longer_tasks,
 	  default_tasks },
+	{ "changes late", 6, 500 * BASE_MS, 4 * BASE_SEC, delay_changes,
+	  undelay_changes },
+	{ "changes late, holder killed", 6, 500 * BASE_MS, 2 * BASE_SEC,
+	  delay_changes, kill_holder },
+	{ "worker unlisted", 12, 50 * BASE_MS, 2 * BASE_SEC, unlist_worker,
+	  list_worker },
+	{ "upkeep unanswered", 4, BASE_SEC, 6 * BASE_SEC, order_unanswered_wave,
+	  answer_orders },
 };
 
 static int faults_free(soak_faults_t *faults)
@@ -357,7 +441,7 @@
 	int64_t at;
 	size_t i;
 
-	for (i = 0; i < ARRAY_SIZE(kinds); i++)
+	for (i = 0; i < MIN(ARRAY_SIZE(kinds), soak->kinds_max); i++)
 		total += kinds[i].weight;
 	at = soak_random_range(&soak->rng, 0, total - 1);
 	for (i = 0; at >= kinds[i].weight; i++)
--- a/soak/soak_int.h
+++ b/soak/soak_int.h
@@ -1,8 +1,8 @@
 /*
  * soak - runs the real programs as processes on loopback and injects faults
  * from outside: signals, links that delay, drop or reset, a store that loses
- * answers, workers that stop answering.  Checks the answers that callers got
- * against the records of the workers.
+ * answers or is late, workers that stop answering or leave the list.  Checks
+ * the answers that callers got against the records of the workers.
  *
  * One thread, one loop; all random values come from the seed.  Times are
  * microseconds on the monotonic clock, as in the stand-in's records.
@@ -162,6 +162,7 @@
 	const char *program_dir; /* directory of the programs */
 	const char *work_dir;	 /* directory for logs and settings */
 	int port;		 /* first port of the block */
+	size_t kinds_max;	 /* faults are drawn from so many kinds */
 	int64_t started_at;
 	soak_process_t *standin;
 	soak_process_t *nodes[SOAK_NODES];
--- a/soak/soak_main.c
+++ b/soak/soak_main.c
@@ -1,5 +1,5 @@
 /*
- * usage: soak --seed=N --seconds=N --programs=DIR --work=DIR
+ * usage: soak --seed=N --seconds=N --programs=DIR --work=DIR [--kinds=N]
  *
  * One run: the site settles, faults are injected while callers submit jobs, all
  * faults end, and every accepted job has to complete.  The last line of output
@@ -498,8 +498,15 @@
 	return status;
 }
 
-static int run_seed(int64_t seed, int64_t seconds, const char *programs,
-		    const char *work)
+typedef struct options {
+	int64_t seed;
+	int64_t seconds;
+	size_t kinds_max;
+	const char *programs;
+	const char *work;
+} options_t;
+
+static int run_seed(const options_t *options)
 {
 	char *name = g_strdup_printf("soak-%d", (int)getpid());
 	int status = -1;
@@ -511,19 +518,20 @@
 
 		*run = (run_t){ .soak = soak,
 				.name = name,
-				.seconds = seconds };
+				.seconds = options->seconds };
 		soak->loop = net_loop_new(soak);
 		soak->base = net_loop_base(soak->loop);
-		soak->rng.state = (uint64_t)seed;
-		soak->program_dir = programs;
-		soak->work_dir = work;
+		soak->rng.state = (uint64_t)options->seed;
+		soak->program_dir = options->programs;
+		soak->kinds_max = options->kinds_max;
+		soak->work_dir = options->work;
 		soak->violations = g_ptr_array_new_with_free_func(g_free);
 		soak->started_at = base_clock_mono();
 		soak->port =
 			SOAK_PORT_FIRST +
 			SOAK_PORT_BLOCK * ((getpid() + i) % SOAK_PORT_BLOCKS);
 		run->timer = net_timer_new(soak->loop, soak->loop, tick, run);
-		status = run_once(soak, run, seed);
+		status = run_once(soak, run, options->seed);
 		g_ptr_array_unref(soak->violations);
 		talloc_free(soak);
 	}
@@ -545,8 +553,12 @@
 	struct arg_str *work =
 		arg_str1(NULL, "work", "DIR",
 			 "existing directory for logs and settings");
+	struct arg_int *kinds = arg_int0(NULL, "kinds", "N",
+					 "draw from the first N kinds of fault "
+					 "(all)");
 	struct arg_end *end = arg_end(4);
-	void *table[] = { seed, seconds, programs, work, end };
+	void *table[] = { seed, seconds, programs, work, kinds, end };
+	options_t options = { .seconds = 20, .kinds_max = SIZE_MAX };
 	int status;
 
 	if (arg_parse(argc, argv, table)) {
@@ -554,8 +566,14 @@
 		return 2;
 	}
 	setvbuf(stdout, NULL, _IOLBF, 0);
-	status = run_seed(seed->ival[0], seconds->count ? seconds->ival[0] : 20,
-			  programs->sval[0], work->sval[0]);
+	options.seed = seed->ival[0];
+	if (seconds->count)
+		options.seconds = seconds->ival[0];
+	if (kinds->count && kinds->ival[0] > 0)
+		options.kinds_max = (size_t)kinds->ival[0];
+	options.programs = programs->sval[0];
+	options.work = work->sval[0];
+	status = run_seed(&options);
 	arg_freetable(table, ARRAY_SIZE(table));
 	return status;
 }
--- a/standin/platform/sp_int.h
+++ b/standin/platform/sp_int.h
@@ -72,7 +72,7 @@
 	int64_t started_at, lease_end_us, fencing_token, next_end_number,
 		restart_at;
 	int64_t lapsed_at;	  /* when its lease was last seen to be over */
-	bool is_unlisted;	  /* its entry is hidden; it works on */
+	bool is_unlisted;	  /* its entries are hidden; it works on */
 	bool in_maintenance;	  /* stopped for maintenance */
 	int64_t wave;		  /* that the maintenance belongs to */
 	bool is_order_unanswered; /* the order for that maintenance */
@@ -159,7 +159,8 @@
 void sp_workers_tick(sp_t *sp, int64_t now);
 void sp_worker_terminate(sp_worker_t *worker);
 void sp_worker_start(sp_worker_t *worker);
-/* Hides or shows a worker's entry in the store. */
+/* Hides or shows a worker's entry in the store, also that of its next
+ * incarnations. */
 void sp_worker_set_unlisted(sp_worker_t *worker, bool is_unlisted);
 void sp_instances_serve(sp_t *sp, net_exchange_t *exchange, const char *path);
 
--- a/standin/platform/sp_worker.c
+++ b/standin/platform/sp_worker.c
@@ -41,8 +41,7 @@
 	worker->next_end_number = 1;
 	worker->restart_at = 0;
 	worker->in_maintenance = false;
-	worker->is_unlisted = false;
-	if (worker->up)
+	if (worker->up && !worker->is_unlisted)
 		register_worker(worker);
 }
 
@@ -50,9 +49,11 @@
 {
 	char *key;
 
-	if (!worker->up || worker->is_unlisted == is_unlisted)
+	if (worker->is_unlisted == is_unlisted)
 		return;
 	worker->is_unlisted = is_unlisted;
+	if (!worker->up)
+		return;
 	if (!is_unlisted) {
 		register_worker(worker);
 		return;
