tests: a task that crashes each worker that starts it

The stand-in knows such a task by its spec: the worker crashes 0.3 s after the start and is back 2 s later as another incarnation.

--- a/standin/platform/sp_int.h
+++ b/standin/platform/sp_int.h
@@ -48,7 +48,8 @@
 	char task[64];
 	char job[32];
 	int64_t number, started_at;
-	int64_t ends_at; /* 0: it runs until it is stopped */
+	int64_t ends_at;    /* 0: it runs until it is stopped */
+	int64_t crashes_at; /* when its worker crashes; 0: never */
 	int64_t cpu;
 } sp_run_t;
 
--- a/standin/platform/sp_worker.c
+++ b/standin/platform/sp_worker.c
@@ -4,6 +4,10 @@
 
 #define WORKER_CPU 16000
 #define WORKER_MEMORY 65536
+/* A deadly task crashes its worker after this time. */
+#define DEADLY_DELAY (300 * BASE_MS)
+/* From such a crash to the worker's next incarnation. */
+#define DEADLY_AWAY (2 * BASE_SEC)
 
 static int64_t worker_clock_us(const sp_worker_t *worker)
 {
@@ -267,6 +271,8 @@
 			      ? 0
 			      : run.started_at +
 					worker->sp->task_duration_ms * BASE_MS;
+	if (spec && strstr(spec, "deadly"))
+		run.crashes_at = run.started_at + DEADLY_DELAY;
 	g_array_append_val(worker->runs, run);
 	sp_reply_json(exchange, 200, report(worker));
 }
@@ -366,12 +372,30 @@
 	}
 }
 
+static bool has_crashed(const sp_worker_t *worker, int64_t now)
+{
+	guint i;
+
+	for (i = 0; i < worker->runs->len; i++) {
+		const sp_run_t *run = &g_array_index(worker->runs, sp_run_t, i);
+
+		if (run->crashes_at && run->crashes_at <= now)
+			return true;
+	}
+	return false;
+}
+
 static void worker_tick(sp_worker_t *worker, int64_t now)
 {
 	guint i;
 
 	if (worker->restart_at && now >= worker->restart_at)
 		sp_worker_start(worker);
+	if (has_crashed(worker, now)) {
+		sp_worker_terminate(worker);
+		worker->restart_at = now + DEADLY_AWAY;
+		return;
+	}
 	if (worker_clock_us(worker) > worker->lease_end_us)
 		worker->lapsed_at = now;
 	for (i = worker->runs->len; i-- > 0;) {
