--- a/packages/node/tests/node_stop_test.c
+++ b/packages/node/tests/node_stop_test.c
@@ -77,8 +77,8 @@
 
 static const node_platform_t fake_platform = {
 	.config_key = "config",
-	.operator_prefix = "op/",
-	.wave_prefix = "op/wave/",
+	.operator_prefix = "operator/",
+	.wave_prefix = "operator/wave/",
 	.store_new = fake_store_new,
 	.get = fake_get,
 	.list = fake_list,
