--- a/packages/node/tests/node_given_up_test.c
+++ b/packages/node/tests/node_given_up_test.c
@@ -606,7 +606,8 @@
 	server = net_server_new(test.node, test.node->loop, peer, serve_peer,
 				NULL, NULL);
 	g_assert_nonnull(server);
-	test.node->peers = g_hash_table_new(g_str_hash, g_str_equal);
+	test.node->peers =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
 	g_ptr_array_add(test.node->members, peer);
 	test.node->store_down = true;
 	limit = base_clock_mono() + EXTEND_END_DUE;
@@ -617,6 +618,7 @@
 	}
 	g_assert_true(test.holder->handover_pending);
 	g_assert_false(node_holder_may_extend(test.holder));
+	g_hash_table_unref(test.node->peers);
 	teardown();
 }
 
