batch: stop no run in doubt of a step that allows no more to be away

Trace: task 0 of job was started at 12.87 s without an answer; a poll of 14.1 s did not list it, so it was stopped for the doubt, again and again, while three others of its step were away. The start was carried out late, after the last answered poll; the stop sent at 16.25 s arrived and ended it at work.

A long-running run in doubt is now stopped only while its step allows one more task to be away, or once its start can no longer be carried out. Until then a poll settles it: if it is listed, it goes on.

--- a/packages/batch/batch_int.h
+++ b/packages/batch/batch_int.h
@@ -20,6 +20,8 @@
 #define BATCH_STOP_RETRY (500 * BASE_MS)
 /* Backoff after a worker refused a start: about the time of a short task. */
 #define BATCH_REFUSED_BACKOFF (300 * BASE_MS)
+/* A start without an answer may still be carried out up to 12 s later. */
+#define BATCH_LATE_START_MAX (15 * BASE_SEC)
 
 typedef struct batch_job batch_job_t;
 typedef struct batch_occ batch_occ_t;
@@ -347,6 +349,11 @@
 void batch_run_set_state(batch_run_t *run, run_state_t state, int64_t now);
 void batch_run_send(batch_run_t *run, int64_t now);
 void batch_run_stop(batch_run_t *run, int64_t now, const char *why);
+/*
+ * Whether a run in doubt may be stopped: its start may have been carried out
+ * since the last poll, so that the stop may end a long-running task at work.
+ */
+bool batch_run_may_stop_in_doubt(const batch_run_t *run, int64_t now);
 void batch_run_lost(batch_run_t *run, int64_t now, const char *why);
 void batch_run_ended(batch_run_t *run, int64_t now, batch_end_t how,
 		     base_str_t checkpoint);
@@ -500,6 +507,9 @@
 bool batch_place_fits_elsewhere(const batch_task_t *task, int64_t now);
 
 /* batch_evacuate.c */
+/* Whether the task's step allows it to be unavailable, besides those that are.
+ */
+bool batch_evacuate_allows(const batch_task_t *task, int64_t now);
 void batch_evacuate(batch_t *core, int64_t now);
 
 /* batch_pace.c */
--- a/packages/batch/batch_run.c
+++ b/packages/batch/batch_run.c
@@ -141,6 +141,13 @@
 	send_stop(run, now);
 }
 
+bool batch_run_may_stop_in_doubt(const batch_run_t *run, int64_t now)
+{
+	return !run->task->step->spec->long_running ||
+	       now - run->state_since > BATCH_LATE_START_MAX ||
+	       batch_evacuate_allows(run->task, now);
+}
+
 void batch_run_lost(batch_run_t *run, int64_t now, const char *why)
 {
 	batch_job_t *job = run->task->step->occ->job;
@@ -467,7 +474,9 @@
 {
 	/* Runs in doubt are resolved by a poll or by the end of the lease. */
 	if (run->state == RUN_STOPPING && !run->stop_acknowledged &&
-	    now - run->stop_at > BATCH_STOP_RETRY)
+	    now - run->stop_at > BATCH_STOP_RETRY &&
+	    (!run->is_stopped_in_doubt ||
+	     batch_run_may_stop_in_doubt(run, now)))
 		send_stop(run, now);
 }
 
--- a/packages/batch/batch_worker.c
+++ b/packages/batch/batch_worker.c
@@ -4,9 +4,6 @@
  */
 #include "batch_int.h"
 
-/* A start without an answer may still be carried out up to 12 s later. */
-#define LATE_START_MAX (15 * BASE_SEC)
-
 static batch_worker_t *worker_get(batch_t *core, base_str_t id)
 {
 	batch_worker_t *worker = batch_find_worker(core, id);
@@ -273,7 +270,7 @@
 					 .step = id->step,
 					 .index = id->index,
 					 .run = run,
-					 .until = now + LATE_START_MAX };
+					 .until = now + BATCH_LATE_START_MAX };
 	guint i;
 
 	for (i = worker->in_doubt_starts->len; i-- > 0;)
@@ -536,7 +533,8 @@
 			batch_run_lost(run, now, run->stop_reason);
 		else if (run->state == RUN_IN_DOUBT &&
 			 now - run->state_since >
-				 worker->core->options.in_doubt_timeout)
+				 worker->core->options.in_doubt_timeout &&
+			 batch_run_may_stop_in_doubt(run, now))
 			stop_in_doubt(run, now);
 		else if (run->state == RUN_CONFIRMED)
 			batch_run_stop(run, now, "not listed");
--- a/packages/batch/tests/batch_store_test.c
+++ b/packages/batch/tests/batch_store_test.c
@@ -390,6 +390,37 @@
 	check_and_free(world);
 }
 
+/*
+ * Guards against a long-running task that is ended at work while others of its
+ * step are away (AVAIL): its start was carried out late, after the last poll,
+ * and the stop that was sent for the doubt finds it.
+ */
+static void test_no_stop_in_doubt_while_others_are_away(void)
+{
+	world_t *world = world_new(1, 6, 3);
+	batch_step_spec_t step = world_step(3);
+	int worker;
+
+	step.long_running = true;
+	step.max_unavailable = 1;
+	world_submit(world, "a", &step, 1);
+	world_advance(world, 2 * SECOND);
+	worker = find_run(world, "a", 0);
+	g_assert_cmpint(find_run(world, "a", 1), !=, worker);
+	world_worker_set_unreachable(world, find_run(world, "a", 1), true);
+	world_advance(world, 1500 * MS);
+	world->late_order_percent = 100;
+	world_worker_crash(world, worker);
+	world_worker_restart(world, worker, false);
+	while (!find_late_order(world, false))
+		world_advance(world, 10 * MS);
+	find_late_order(world, false)->at = world->now + 1500 * MS;
+	world_advance(world, 2 * SECOND);
+	g_assert_cmpint(world->stops, ==, 0);
+	g_assert_cmpint(find_run(world, "a", 0), >=, 0);
+	check_and_free(world);
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
@@ -410,5 +441,7 @@
 			test_start_given_up_before_its_answer);
 	g_test_add_func("/batch-store/run-listed-after-the-doubt-goes-on",
 			test_run_listed_after_the_doubt_goes_on);
+	g_test_add_func("/batch-store/no-stop-in-doubt-while-others-are-away",
+			test_no_stop_in_doubt_while_others_are_away);
 	return g_test_run();
 }
