node: find waves' targets, spares and workers' instances without passes over all

Each look for a spare instance went through all instances, and for each through all targets of the wave by name; a tick of moves looked up to 33 times. Each free place in a wave went through all targets, each move through all instances, each stored change through all workers.

Targets are now found by a hash of names, an instance by its worker's id; the spares are listed once a tick, the candidates of a wave sorted once, and only workers whose poll waits for stored ends are looked at when a change is stored. No decision changes but the order among equal spares.

--- a/packages/node/node_holder.c
+++ b/packages/node/node_holder.c
@@ -231,6 +231,7 @@
 	holder->unreadable_entries =
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	g_queue_init(&holder->forgotten);
+	g_queue_init(&holder->awaiting_stored);
 	holder->forgot_at = holder->taken_at;
 	talloc_set_destructor(holder, holder_free);
 	node_advice_begin(holder);
--- a/packages/node/node_instance.c
+++ b/packages/node/node_instance.c
@@ -15,6 +15,7 @@
 static int instances_free(node_insts_t *instances)
 {
 	g_hash_table_unref(instances->table);
+	g_hash_table_unref(instances->by_worker);
 	return 0;
 }
 
@@ -25,6 +26,7 @@
 
 	instances->holder = holder;
 	instances->table = g_hash_table_new(g_str_hash, g_str_equal);
+	instances->by_worker = g_hash_table_new(g_str_hash, g_str_equal);
 	instances->handle = node->platform->instances_new(
 		instances, node->loop, node->settings->instances,
 		node->settings->name);
@@ -55,19 +57,17 @@
 	return g_hash_table_lookup(instances->table, name);
 }
 
+const node_inst_t *node_instance_of_worker(const node_insts_t *instances,
+					   const char *worker)
+{
+	return g_hash_table_lookup(instances->by_worker, worker);
+}
+
 bool node_instances_lack_worker(const node_insts_t *instances,
 				const char *worker)
 {
-	GHashTableIter iter;
-	gpointer value;
-
-	if (!instances || !instances->complete_round_start)
-		return false;
-	g_hash_table_iter_init(&iter, instances->table);
-	while (g_hash_table_iter_next(&iter, NULL, &value))
-		if (!strcmp(((const node_inst_t *)value)->worker, worker))
-			return false;
-	return true;
+	return instances && instances->complete_round_start &&
+	       !node_instance_of_worker(instances, worker);
 }
 
 static void replace_text(const void *ctx, char **text, const char *with)
@@ -78,6 +78,24 @@
 	*text = talloc_strdup(ctx, with);
 }
 
+static void forget_worker(node_insts_t *instances, const node_inst_t *inst)
+{
+	if (inst->worker &&
+	    node_instance_of_worker(instances, inst->worker) == inst)
+		g_hash_table_remove(instances->by_worker, inst->worker);
+}
+
+static void set_worker(node_insts_t *instances, node_inst_t *inst,
+		       const char *worker)
+{
+	if (inst->worker && !strcmp(inst->worker, worker))
+		return;
+	forget_worker(instances, inst);
+	replace_text(inst, &inst->worker, worker);
+	if (*inst->worker)
+		g_hash_table_replace(instances->by_worker, inst->worker, inst);
+}
+
 static void update_instance(node_insts_t *instances,
 			    const node_instance_t *seen)
 {
@@ -89,7 +107,7 @@
 		g_hash_table_insert(instances->table, inst->name, inst);
 	}
 	replace_text(inst, &inst->pool, seen->pool);
-	replace_text(inst, &inst->worker, seen->worker);
+	set_worker(instances, inst, seen->worker);
 	inst->state = seen->state;
 	inst->round = instances->round;
 }
@@ -107,6 +125,7 @@
 		if (inst->round == instances->round)
 			continue;
 		g_hash_table_iter_remove(&iter);
+		forget_worker(instances, inst);
 		talloc_free(inst);
 	}
 }
@@ -141,28 +160,25 @@
 {
 	node_holder_t *holder = instances->holder;
 	GPtrArray *ids = batch_workers_unpolled(holder->core);
-	GHashTable *present = g_hash_table_new(g_str_hash, g_str_equal);
-	bool is_certain = g_hash_table_size(instances->table) > 0;
+	bool is_certain = ids->len && g_hash_table_size(instances->table) > 0;
 	GHashTableIter iter;
 	gpointer value;
 	guint i;
 
 	g_hash_table_iter_init(&iter, instances->table);
-	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+	while (is_certain && g_hash_table_iter_next(&iter, NULL, &value)) {
 		const node_inst_t *inst = value;
 
-		if (*inst->worker)
-			g_hash_table_add(present, inst->worker);
-		else if (may_have_unknown_worker(holder->node, inst))
-			is_certain = false;
+		is_certain = *inst->worker ||
+			     !may_have_unknown_worker(holder->node, inst);
 	}
 	for (i = 0; is_certain && i < ids->len; i++)
-		if (!g_hash_table_contains(present, g_ptr_array_index(ids, i)))
+		if (!node_instance_of_worker(instances,
+					     g_ptr_array_index(ids, i)))
 			batch_worker_terminated(
 				holder->core, base_clock_mono(),
 				base_str(g_ptr_array_index(ids, i)),
 				BATCH_LOSS_UNKNOWN);
-	g_hash_table_unref(present);
 	g_ptr_array_unref(ids);
 	node_holder_step_soon(holder);
 }
--- a/packages/node/node_int.h
+++ b/packages/node/node_int.h
@@ -42,8 +42,9 @@
 /* The holder's copy of the platform's list of instances. */
 typedef struct node_insts {
 	node_holder_t *holder;
-	void *handle;	   /* from instances_new(); NULL: bad address */
-	GHashTable *table; /* name to node_inst_t */
+	void *handle;	       /* from instances_new(); NULL: bad address */
+	GHashTable *table;     /* name to node_inst_t */
+	GHashTable *by_worker; /* worker id to node_inst_t */
 	net_timer_t *timer;
 	bool is_listing;
 	bool list_unavailable; /* the last call to list failed */
@@ -412,6 +413,7 @@
 	int64_t listed_at; /* end of the last complete round; 0: none */
 	bool poll_soon;
 	GHashTable *worker_links; /* worker id to node_worker_t, not owned */
+	GQueue awaiting_stored;	  /* workers whose poll waits for stored ends */
 	GHashTable *unreadable_entries; /* key to the revision last logged */
 	node_insts_t *instances;
 	node_waves_t *waves;
@@ -459,6 +461,9 @@
 				const char *worker);
 const node_inst_t *node_instance_find(const node_insts_t *instances,
 				      const char *name);
+/* The instance that the worker runs on; NULL: none that is listed. */
+const node_inst_t *node_instance_of_worker(const node_insts_t *instances,
+					   const char *worker);
 
 /* node_move.c */
 node_moves_t *node_moves_new(node_holder_t *holder);
--- a/packages/node/node_move.c
+++ b/packages/node/node_move.c
@@ -180,48 +180,46 @@
 }
 
 /*
- * Returns an instance of the spare pool and counts those available.  One that
- * no wave is still to maintain is preferred: it stays up longest.
+ * The available instances of the spare pool, to be taken from the end: first
+ * those that no wave is still to maintain, which stay up longest.
  */
-static const node_inst_t *find_spare(const node_moves_t *moves, size_t *n)
+static GPtrArray *find_spares(const node_moves_t *moves)
 {
-	const node_inst_t *best = NULL;
-	bool best_due = false;
+	GPtrArray *spares = g_ptr_array_new();
+	guint n_due = 0;
 	GHashTableIter iter;
 	gpointer value;
 
-	*n = 0;
 	g_hash_table_iter_init(&iter, moves->holder->instances->table);
 	while (g_hash_table_iter_next(&iter, NULL, &value)) {
 		const node_inst_t *inst = value;
-		bool due = node_waves_is_unfinished(moves->holder->waves,
-						    inst->name);
 
 		if (!is_available(moves, inst))
 			continue;
-		++*n;
-		if (!best || (best_due && !due)) {
-			best = inst;
-			best_due = due;
-		}
+		if (node_waves_is_unfinished(moves->holder->waves, inst->name))
+			g_ptr_array_insert(spares, (int)n_due++, value);
+		else
+			g_ptr_array_add(spares, value);
 	}
-	return best;
+	return spares;
 }
 
-static const node_inst_t *find_worker(const node_moves_t *moves,
-				      base_str_t worker)
+/* The instance to move; NULL: there is none any more. */
+static const node_inst_t *choose_instance(const node_moves_t *moves,
+					  const batch_move_t *asked,
+					  GPtrArray *spares)
 {
-	GHashTableIter iter;
-	gpointer value;
-
-	g_hash_table_iter_init(&iter, moves->holder->instances->table);
-	while (g_hash_table_iter_next(&iter, NULL, &value)) {
-		const node_inst_t *inst = value;
-
-		if (base_str_eq(base_str(inst->worker), worker))
-			return inst;
-	}
-	return NULL;
+	const node_inst_t *inst;
+	char *worker;
+
+	if (!asked->worker.len)
+		return spares->len ? g_ptr_array_steal_index(spares,
+							     spares->len - 1)
+				   : NULL;
+	worker = base_str_dup(NULL, asked->worker);
+	inst = node_instance_of_worker(moves->holder->instances, worker);
+	talloc_free(worker);
+	return inst;
 }
 
 /* Whether the worker that runs there since the move is known to the core. */
@@ -249,23 +247,20 @@
 
 		g_hash_table_iter_init(&iter, moves->by_name);
 		while (g_hash_table_iter_next(&iter, NULL, &value))
-			n += !has_new_worker(value) &&
-			     base_str_eq(base_str(((move_t *)value)->to),
-					 config->pools[i].name);
+			n += base_str_eq(base_str(((move_t *)value)->to),
+					 config->pools[i].name) &&
+			     !has_new_worker(value);
 		batch_pool_set_incoming(core, config->pools[i].name, n);
 	}
 }
 
 static void apply_move(node_moves_t *moves, const batch_move_t *asked,
-		       const char *spare)
+		       const char *spare, GPtrArray *spares)
 {
 	void *ctx = talloc_new(moves);
 	const char *to = asked->to.len ? base_str_dup(ctx, asked->to) : spare;
-	const node_inst_t *inst;
-	size_t n;
+	const node_inst_t *inst = choose_instance(moves, asked, spares);
 
-	inst = asked->worker.len ? find_worker(moves, asked->worker)
-				 : find_spare(moves, &n);
 	if (inst && inst->state == NODE_INSTANCE_UP &&
 	    !node_moves_is_moving(moves, inst->name) &&
 	    !node_waves_is_active(moves->holder->waves, inst->name))
@@ -305,7 +300,7 @@
 	int64_t now = base_clock_mono();
 	void *ctx;
 	const char *spare;
-	size_t n_spares;
+	GPtrArray *spares;
 	size_t n;
 	size_t i;
 
@@ -318,13 +313,14 @@
 		return;
 	ctx = talloc_new(moves);
 	spare = spare_pool(holder->node, ctx);
-	find_spare(moves, &n_spares);
+	spares = find_spares(moves);
 	retry_moves(moves, now);
 	count_incoming(moves);
-	n = batch_moves(holder->core, now, n_spares, spare != NULL, asked,
+	n = batch_moves(holder->core, now, spares->len, spare != NULL, asked,
 			MOVE_TICK_MAX);
 	for (i = 0; i < n; i++)
-		apply_move(moves, &asked[i], spare);
+		apply_move(moves, &asked[i], spare, spares);
+	g_ptr_array_unref(spares);
 	if (g_hash_table_size(moves->by_name))
 		node_instances_poll_fast(holder->instances);
 	talloc_free(ctx);
--- a/packages/node/node_wave.c
+++ b/packages/node/node_wave.c
@@ -2,6 +2,8 @@
  * Waves, that is, rounds of maintenance: instances are emptied, a few at a
  * time, and handed to the platform for maintenance once nothing runs on them.
  */
+#include <stdlib.h>
+
 #include "node_wave_int.h"
 
 #define WAVE_TICK (100 * BASE_MS)
@@ -48,12 +50,13 @@
 
 wave_target_t *node_wave_find_target(const wave_t *wave, const char *name)
 {
-	size_t i;
+	return g_hash_table_lookup(wave->by_name, name);
+}
 
-	for (i = 0; i < wave->n_targets; i++)
-		if (!strcmp(wave->targets[i].name, name))
-			return &wave->targets[i];
-	return NULL;
+static int wave_free(wave_t *wave)
+{
+	g_hash_table_unref(wave->by_name);
+	return 0;
 }
 
 void node_waves_add(node_waves_t *waves, base_str_t text)
@@ -84,9 +87,14 @@
 	wave->n_targets = info.n_instances;
 	wave->targets =
 		talloc_zero_array(wave, wave_target_t, wave->n_targets + 1);
+	wave->by_name = g_hash_table_new(g_str_hash, g_str_equal);
+	talloc_set_destructor(wave, wave_free);
 	for (i = 0; i < wave->n_targets; i++) {
-		wave->targets[i].wave = wave;
-		wave->targets[i].name = talloc_strdup(wave, info.instances[i]);
+		wave_target_t *target = &wave->targets[i];
+
+		target->wave = wave;
+		target->name = talloc_strdup(wave, info.instances[i]);
+		g_hash_table_insert(wave->by_name, target->name, target);
 	}
 	node_wave_restore(wave);
 	if (!wave->completed)
@@ -191,20 +199,34 @@
 					      base_str(target->worker));
 }
 
-/*
- * Returns the waiting instance that is cheapest to empty: a long-running run
- * counts as much as 100 others.  NULL: none can be emptied now.
- */
-static wave_target_t *find_next_target(const wave_t *wave)
+/* A waiting instance, and what it costs to empty it: a long-running run counts
+ * as much as 100 others. */
+typedef struct candidate {
+	wave_target_t *target;
+	size_t cost;
+} candidate_t;
+
+static int candidate_cmp(const void *a, const void *b)
+{
+	const candidate_t *x = a;
+	const candidate_t *y = b;
+
+	if (x->cost != y->cost)
+		return x->cost < y->cost ? -1 : 1;
+	return x->target < y->target ? -1 : x->target > y->target;
+}
+
+/* Begins to empty up to "most" waiting instances, the cheapest ones first. */
+static void empty_next_targets(const wave_t *wave, int most)
 {
-	wave_target_t *best = NULL;
-	size_t best_cost = 0;
+	candidate_t *candidates =
+		talloc_array(NULL, candidate_t, wave->n_targets + 1);
+	size_t n = 0;
 	size_t i;
 
 	for (i = 0; i < wave->n_targets; i++) {
 		wave_target_t *target = &wave->targets[i];
 		size_t n_long_running;
-		size_t cost;
 
 		if (target->state != WAVE_TARGET_WAITING ||
 		    !target->is_listed ||
@@ -212,14 +234,16 @@
 		    node_moves_is_moving(wave->waves->holder->moves,
 					 target->name))
 			continue;
-		cost = count_runs(target, &n_long_running);
-		cost += 100 * n_long_running;
-		if (!best || cost < best_cost) {
-			best = target;
-			best_cost = cost;
-		}
+		candidates[n].target = target;
+		candidates[n].cost = count_runs(target, &n_long_running);
+		candidates[n++].cost += 100 * n_long_running;
+	}
+	qsort(candidates, n, sizeof(*candidates), candidate_cmp);
+	for (i = 0; i < n && (int)i < most; i++) {
+		set_state(candidates[i].target, WAVE_TARGET_EMPTYING, "next");
+		cordon(candidates[i].target, true);
 	}
-	return best;
+	talloc_free(candidates);
 }
 
 static void count_targets(const wave_t *wave, int counts[WAVE_TARGET_MAX])
@@ -315,7 +339,6 @@
 	int counts[WAVE_TARGET_MAX];
 	int n_down;
 	int n_busy;
-	wave_target_t *target;
 
 	count_targets(wave, counts);
 	if (!wave->completed && counts[WAVE_TARGET_DOWN] +
@@ -334,12 +357,8 @@
 		 count_other_down(wave);
 	n_busy = n_down + counts[WAVE_TARGET_EMPTYING];
 	advance_emptied(wave, &n_down);
-	while (n_busy < wave->at_most + WAVE_AHEAD &&
-	       (target = find_next_target(wave)) != NULL) {
-		set_state(target, WAVE_TARGET_EMPTYING, "next");
-		cordon(target, true);
-		n_busy++;
-	}
+	if (n_busy < wave->at_most + WAVE_AHEAD && !wave->completed)
+		empty_next_targets(wave, wave->at_most + WAVE_AHEAD - n_busy);
 }
 
 static bool has_active(const node_waves_t *waves)
--- a/packages/node/node_wave_int.h
+++ b/packages/node/node_wave_int.h
@@ -43,6 +43,7 @@
 	int64_t deadline; /* counted from when this entry read the wave */
 	wave_target_t *targets;
 	size_t n_targets;
+	GHashTable *by_name;	  /* instance name to wave_target_t */
 	bool completed;		  /* no instance is still to go down */
 	uint64_t version;	  /* of the row that holds the current state */
 	uint64_t written_version; /* version that is being stored */
--- a/packages/node/node_worker.c
+++ b/packages/node/node_worker.c
@@ -58,7 +58,9 @@
 	int64_t list_round;   /* number of the list in which the worker was last
 				 seen */
 	bool is_polling;
-	bool awaits_stored; /* the next poll waits until ends are stored */
+	/* In holder->awaiting_stored while the next poll waits until ends are
+	 * stored; its data is NULL otherwise. */
+	GList awaits_stored;
 	bool has_seen_term; /* it rejects orders of earlier terms */
 	bool is_listed;
 	bool is_silent;	   /* the last poll had no answer */
@@ -125,8 +127,24 @@
 	return lease;
 }
 
+static void set_awaits_stored(node_worker_t *worker, bool awaits)
+{
+	if (awaits == (worker->awaits_stored.data != NULL))
+		return;
+	if (awaits) {
+		worker->awaits_stored.data = worker;
+		g_queue_push_tail_link(&worker->holder->awaiting_stored,
+				       &worker->awaits_stored);
+	} else {
+		g_queue_unlink(&worker->holder->awaiting_stored,
+			       &worker->awaits_stored);
+		worker->awaits_stored.data = NULL;
+	}
+}
+
 static void remove_worker(node_worker_t *worker, const char *why)
 {
+	set_awaits_stored(worker, false);
 	node_metrics_count(worker->holder->node, NODE_COUNT_WORKER_DROPPED);
 	node_log(worker->holder->node, BASE_MSG_WORKER_DROPPED,
 		 BASE_F_STR("worker", worker->id), BASE_F_STR("why", why),
@@ -330,8 +348,8 @@
 		remove_worker(worker, "not listed and without runs");
 		return;
 	}
-	worker->awaits_stored = awaits_stored_ends(worker, now);
-	if (worker->awaits_stored) {
+	set_awaits_stored(worker, awaits_stored_ends(worker, now));
+	if (worker->awaits_stored.data) {
 		schedule_poll(worker,
 			      worker->polled_at + WORKER_STORED_WAIT_MAX - now);
 		return;
@@ -409,17 +427,15 @@
 
 void node_workers_rows_stored(node_holder_t *holder)
 {
-	GHashTableIter iter;
-	gpointer value;
+	GList *link = holder->awaiting_stored.head;
 
-	g_hash_table_iter_init(&iter, holder->worker_links);
-	while (g_hash_table_iter_next(&iter, NULL, &value)) {
-		node_worker_t *worker = value;
+	while (link) {
+		node_worker_t *worker = link->data;
 
-		if (worker->awaits_stored &&
-		    !batch_worker_has_unstored_ends(holder->core,
+		link = link->next;
+		if (!batch_worker_has_unstored_ends(holder->core,
 						    base_str(worker->id))) {
-			worker->awaits_stored = false;
+			set_awaits_stored(worker, false);
 			schedule_poll(worker, 0);
 		}
 	}
