batch: check leases, stops and evacuations each 50 ms, not at each event

The holder runs batch_tick() after each event, up to 250 times a second.

These time-outs are a tenth of a second and more; one check in 50 ms finds them. Not changed: what an event itself decides, and the tests of the package pass.

--- a/packages/batch/batch_int.h
+++ b/packages/batch/batch_int.h
@@ -324,6 +324,7 @@
 	bool run_times_changed; /* since the last print */
 	bool pass_needed;	/* an event calls for a scheduling pass */
 	int64_t last_pass_at;
+	int64_t swept_at; /* last check of leases, stops and cordoned workers */
 };
 
 /* batch.c */
--- a/packages/batch/batch_place.c
+++ b/packages/batch/batch_place.c
@@ -73,6 +73,12 @@
  */
 #define PLACE_SEND_DELAY_MAX (50 * BASE_MS)
 
+/*
+ * Time between two checks of all workers for leases that have ended, stops to
+ * repeat and runs to evacuate: a part of the shortest of these times.
+ */
+#define PLACE_SWEEP_INTERVAL (50 * BASE_MS)
+
 /* Cost terms of a worker; its cpu utilization counts at most 1. */
 /* Run times at least double on a worker of another rack. */
 #define PLACE_COST_REMOTE_RACK 8
@@ -586,10 +592,8 @@
 	guint i;
 
 	g_hash_table_iter_init(&iter, core->pools);
-	while (g_hash_table_iter_next(&iter, NULL, &value)) {
-		drop_stale_reservations(value, now);
+	while (g_hash_table_iter_next(&iter, NULL, &value))
 		((batch_pool_t *)value)->full = false;
-	}
 	for (i = 0; i < core->active_jobs->len; i++) {
 		batch_job_t *job = g_ptr_array_index(core->active_jobs, i);
 
@@ -614,13 +618,28 @@
 	return choose_worker(job->queue->pool, task, now, true) != NULL;
 }
 
-void batch_tick(batch_t *core, int64_t now, int64_t wall)
+/* Time-outs of workers and runs.  They are found by a pass over all workers. */
+static void sweep(batch_t *core, int64_t now)
 {
+	GHashTableIter iter;
+	gpointer value;
+
+	if (now - core->swept_at < PLACE_SWEEP_INTERVAL)
+		return;
+	core->swept_at = now;
 	batch_runs_tick(core, now);
-	batch_crash_tick(core, now);
 	batch_health_tick(core, now);
 	batch_admit_tick(core, now);
 	batch_evacuate(core, now);
+	g_hash_table_iter_init(&iter, core->pools);
+	while (g_hash_table_iter_next(&iter, NULL, &value))
+		drop_stale_reservations(value, now);
+}
+
+void batch_tick(batch_t *core, int64_t now, int64_t wall)
+{
+	batch_crash_tick(core, now);
+	sweep(core, now);
 	/* Without an event, only the passing of time can change a decision. */
 	if (!core->pass_needed &&
 	    now - core->last_pass_at < BATCH_PASS_INTERVAL)
