batch: place tasks by an index of free cpu, and rank only jobs that wait

A pool keeps its workers in classes of free cpu, four to a power of two, with a bitmap of those in use. A task without a preferred rack takes the most utilized of up to eight allowed workers in the first class that has one. A pass ranks only jobs with a task that waits; steps count the runs of tasks not done. The siblings in a rack are counted over the step's tasks, not over the pool's runs.

--- a/packages/batch/batch.c
+++ b/packages/batch/batch.c
@@ -156,6 +156,12 @@
 	return true;
 }
 
+bool batch_step_has_waiting(const batch_step_t *step)
+{
+	return step->done + step->n_open_runs < step->spec->count &&
+	       batch_step_is_ready(step);
+}
+
 void batch_config(batch_t *core, const batch_queue_info_t *queues,
 		  size_t n_queues, const batch_pool_info_t *pools,
 		  size_t n_pools)
--- a/packages/batch/batch_int.h
+++ b/packages/batch/batch_int.h
@@ -23,6 +23,10 @@
 /* A start without an answer may still be carried out up to 12 s later. */
 #define BATCH_LATE_START_MAX (15 * BASE_SEC)
 
+/* Classes of free cpu; see batch_room.c. */
+#define BATCH_ROOM_CLASSES 192
+#define BATCH_ROOM_WORDS (BATCH_ROOM_CLASSES / 64)
+
 typedef struct batch_job batch_job_t;
 typedef struct batch_occ batch_occ_t;
 typedef struct batch_step batch_step_t;
@@ -47,6 +51,9 @@
 	bool spare;
 	bool in_force;
 	GPtrArray *workers;
+	/* The workers by their free cpu, and the classes that have any. */
+	batch_worker_t *room[BATCH_ROOM_CLASSES];
+	uint64_t room_used[BATCH_ROOM_WORDS];
 	batch_load_t rate; /* demand submitted lately, decaying average */
 	batch_load_t rate_largest; /* part of "rate" of its largest job */
 	int64_t rate_at;
@@ -135,8 +142,9 @@
 	int64_t number; /* highest run number so far */
 	char *checkpoint;
 	batch_run_t *run;
-	const batch_worker_t
-		*avoid_worker; /* where it last failed or was refused */
+	/* Where it last failed or was refused; compared only, it may be freed.
+	 */
+	const batch_worker_t *avoid_worker;
 	batch_crashes_t crashes;
 	int slow_moves;		   /* times it was stopped for being slow */
 	int64_t unavailable_since; /* of a long-running task; 0: it is
@@ -167,6 +175,7 @@
 	int number;
 	batch_task_t *tasks;
 	int done;
+	int n_open_runs; /* runs of tasks that are not done */
 	bool has_started;
 	int64_t begun_at; /* 0: a predecessor began it */
 	int placed;	  /* tasks that have had a run */
@@ -258,6 +267,10 @@
 	int64_t capacity_changed_at; /* 0: it has not changed */
 	int64_t listed_at;	     /* when the list last had it */
 	batch_res_t used;
+	batch_pool_t *room_pool; /* pool whose "room" has it; NULL: none */
+	int room_class;
+	batch_worker_t *room_next;
+	batch_worker_t *room_prev;
 	int64_t incarnation; /* 0: not polled yet */
 	bool listed;
 	bool draining;
@@ -339,6 +352,8 @@
 batch_job_t *batch_job_new(batch_t *core, const batch_spec_t *spec);
 batch_occ_t *batch_occ_new(batch_job_t *job, int number);
 bool batch_step_is_ready(const batch_step_t *step);
+/* Whether the step is ready and a task of it is neither done nor has a run. */
+bool batch_step_has_waiting(const batch_step_t *step);
 
 /* batch_commit.c */
 void batch_job_changed(batch_job_t *job);
@@ -499,6 +514,16 @@
 /* Why a task without a run, of a step that may run, is not placed. */
 const char *batch_fit_why(const batch_task_t *task, int64_t now);
 
+/* batch_room.c */
+/* Call after a change of the worker's pool, capacity or use. */
+void batch_room_update(batch_worker_t *worker);
+/*
+ * A worker that the task may run on and that has the capacity: about the most
+ * utilized one, so that others stay empty and can be returned.  NULL: none.
+ */
+batch_worker_t *batch_room_find(const batch_pool_t *pool,
+				const batch_task_t *task, int64_t now);
+
 /* batch_place.c */
 void batch_place(batch_t *core, int64_t now, int64_t wall);
 /* Ends the reservations of tasks that run and of jobs that have ended. */
--- a/packages/batch/batch_place.c
+++ b/packages/batch/batch_place.c
@@ -108,17 +108,18 @@
 	return n;
 }
 
+/* Runs of the step on workers of the rack in this pool. */
 static int rack_siblings(const batch_pool_t *pool, const char *rack,
 			 const batch_step_t *step)
 {
 	int n = 0;
-	guint i;
+	int i;
 
-	for (i = 0; i < pool->workers->len; i++) {
-		batch_worker_t *worker = g_ptr_array_index(pool->workers, i);
+	for (i = 0; i < step->spec->count; i++) {
+		const batch_run_t *run = step->tasks[i].run;
 
-		if (!strcmp(worker->rack, rack))
-			n += batch_fit_siblings(worker, step);
+		n += run && run->worker->pool == pool &&
+		     !strcmp(run->worker->rack, rack);
 	}
 	return n;
 }
@@ -211,6 +212,12 @@
 	return cost;
 }
 
+/* Whether the cost depends on more than utilization and the avoided worker. */
+static bool has_preference(const batch_step_spec_t *spec)
+{
+	return spec->long_running || spec->same_rack || spec->data_rack.len;
+}
+
 static batch_worker_t *choose_worker(const batch_pool_t *pool,
 				     const batch_task_t *task, int64_t now,
 				     bool has_capacity)
@@ -222,13 +229,15 @@
 	double best_cost = 0;
 	guint i;
 
+	if (has_capacity && !has_preference(task->step->spec))
+		return batch_room_find(pool, task, now);
 	for (i = 0; i < pool->workers->len; i++) {
 		batch_worker_t *worker = g_ptr_array_index(pool->workers, i);
 		double worker_cost;
 
-		if (!batch_fit_allows(worker, task, now) ||
-		    batch_fit_has_capacity(worker, task->step->spec) !=
-			    has_capacity)
+		if (batch_fit_has_capacity(worker, task->step->spec) !=
+			    has_capacity ||
+		    !batch_fit_allows(worker, task, now))
 			continue;
 		if (!has_capacity &&
 		    !batch_fit_once_free(worker, task->step->spec))
@@ -444,7 +453,7 @@
 {
 	int i;
 
-	if (step->done == step->spec->count || !batch_step_is_ready(step))
+	if (!batch_step_has_waiting(step))
 		return;
 	if (step->spec->gang) {
 		place_gang(pool, step, now);
@@ -478,6 +487,27 @@
 	}
 }
 
+/*
+ * Whether the pass has to look at the job: a task waits for a worker, or the
+ * policy may have to be asked about one.
+ */
+static bool is_to_be_placed(const batch_job_t *job)
+{
+	guint i;
+	int s;
+
+	if (job->queue->advised)
+		return true;
+	for (i = 0; i < job->occs->len; i++) {
+		const batch_occ_t *occ = g_ptr_array_index(job->occs, i);
+
+		for (s = 0; s < job->spec.n_steps; s++)
+			if (batch_step_has_waiting(&occ->steps[s]))
+				return true;
+	}
+	return false;
+}
+
 static bool has_long_running_step(const batch_job_t *job)
 {
 	int i;
@@ -601,7 +631,8 @@
 			continue;
 		if (job->spec.repeat)
 			open_due_occurrences(job, wall);
-		ranks[n++] = rank_job(job, now);
+		if (is_to_be_placed(job))
+			ranks[n++] = rank_job(job, now);
 	}
 	qsort(ranks, n, sizeof(*ranks), rank_cmp);
 	for (i = 0; i < n && may_decide(core, ranks[i].group); i++)
@@ -615,7 +646,7 @@
 {
 	const batch_job_t *job = task->step->occ->job;
 
-	return choose_worker(job->queue->pool, task, now, true) != NULL;
+	return batch_room_find(job->queue->pool, task, now) != NULL;
 }
 
 /* Time-outs of workers and runs.  They are found by a pass over all workers. */
--- a/packages/batch/batch_resize.c
+++ b/packages/batch/batch_resize.c
@@ -114,6 +114,7 @@
 		return;
 	worker->capacity_before = worker->capacity;
 	worker->capacity = *capacity;
+	batch_room_update(worker);
 	worker->core->pass_needed = true;
 	dropped = drop_unfitting(worker);
 	if (worker->reserved_for &&
--- a/packages/batch/batch_run.c
+++ b/packages/batch/batch_run.c
@@ -24,12 +24,14 @@
 	run->progress_at = now;
 	run->version = job->version + 1;
 	task->run = run;
+	task->step->n_open_runs += !task->done;
 	if (number > task->number)
 		task->number = number;
 	if (!task->step->spec->best_effort)
 		worker->used.cpu += task->step->spec->need.cpu;
 	worker->used.memory += task->step->spec->need.memory;
 	worker->used.gpu += task->step->spec->need.gpu;
+	batch_room_update(worker);
 	g_ptr_array_add(worker->runs, run);
 	batch_crash_run_new(run);
 	job->n_runs++;
@@ -49,9 +51,11 @@
 		worker->used.cpu -= task->step->spec->need.cpu;
 	worker->used.memory -= task->step->spec->need.memory;
 	worker->used.gpu -= task->step->spec->need.gpu;
+	batch_room_update(worker);
 	g_ptr_array_remove_fast(worker->runs, run);
 	batch_crash_run_freed(run);
 	task->step->occ->job->n_runs--;
+	task->step->n_open_runs -= !task->done;
 	task->run = NULL;
 	worker->core->pass_needed = true;
 	talloc_free(run);
@@ -232,6 +236,7 @@
 	if (task->done)
 		return;
 	task->done = true;
+	step->n_open_runs -= task->run != NULL;
 	if (++step->done < step->spec->count)
 		return;
 	if (++occ->done_steps < job->spec.n_steps)
--- a/packages/batch/batch_worker.c
+++ b/packages/batch/batch_worker.c
@@ -31,6 +31,7 @@
 	worker->pool = pool;
 	if (pool)
 		g_ptr_array_add(pool->workers, worker);
+	batch_room_update(worker);
 }
 
 static void set_labels(batch_worker_t *worker, const batch_worker_info_t *info)
