batch: measure pools in one pass, and pause between passes when jobs are many

The capacity is summed once in 20 ms, as the backlog is, and again after a worker has changed its pool; one pass over the jobs measures all pools; the gap between two passes is 20 us a job, at most 40 ms, and batch_tick() says when to call it again.

--- a/packages/batch/batch.h
+++ b/packages/batch/batch.h
@@ -406,10 +406,14 @@
 			 const batch_ticket_t *tickets, size_t n,
 			 int64_t validity);
 
-/* Runs a scheduling pass.  Call after events, and at least every
- * BATCH_PASS_INTERVAL. */
+/*
+ * Runs a scheduling pass if one is due.  Call after events, and again within
+ * the returned time, which is at most BATCH_PASS_INTERVAL: a pass takes the
+ * longer the more jobs there are, so with many of them it waits for more
+ * events.
+ */
 #define BATCH_PASS_INTERVAL (100 * BASE_MS)
-void batch_tick(batch_t *core, int64_t now, int64_t wall);
+int64_t batch_tick(batch_t *core, int64_t now, int64_t wall);
 
 /* An instance to move to another pool. */
 typedef struct batch_move {
--- a/packages/batch/batch_admit.c
+++ b/packages/batch/batch_admit.c
@@ -21,36 +21,15 @@
 /* The Retry-After header has whole seconds. */
 #define ADMIT_RETRY_MIN BASE_SEC
 
-/* Capacity of the pool's workers, including those that are moving to it. */
-static batch_load_t capacity(const batch_pool_t *pool)
-{
-	batch_load_t load = { pool->incoming * pool->worker_cpu,
-			      pool->incoming * pool->worker_memory };
-	guint i;
-
-	for (i = 0; i < pool->workers->len; i++) {
-		batch_worker_t *worker = g_ptr_array_index(pool->workers, i);
-
-		if (!batch_worker_in_capacity(worker))
-			continue;
-		load.cpu += (double)worker->capacity.cpu;
-		load.memory += (double)worker->capacity.memory;
-	}
-	return load;
-}
-
 /*
  * Time until the pool has worked off its backlog, microseconds; negative if it
  * has no capacity.
  */
 static double backlog_time(batch_t *core, batch_pool_t *pool, int64_t now)
 {
-	batch_load_t available = capacity(pool);
-	batch_load_t long_running = batch_pool_long_running(pool);
+	batch_load_t available = batch_pool_available(pool, now);
 	batch_load_t work = batch_pool_backlog(core, pool, now);
 
-	available.cpu -= long_running.cpu;
-	available.memory -= long_running.memory;
 	if (available.cpu <= 0 || available.memory <= 0)
 		return -1;
 	return MAX(work.cpu / available.cpu, work.memory / available.memory);
--- a/packages/batch/batch_capacity.c
+++ b/packages/batch/batch_capacity.c
@@ -80,33 +80,6 @@
 			       pool->rate.memory - pool->rate_largest.memory };
 }
 
-/* Workers needed to spread long-running tasks as max_per_worker demands. */
-static int spread_workers(const batch_t *core, const batch_pool_t *pool)
-{
-	int most = 0;
-	guint i;
-	int s;
-
-	for (i = 0; i < core->active_jobs->len; i++) {
-		batch_job_t *job = g_ptr_array_index(core->active_jobs, i);
-
-		if (!batch_job_is_active(job) || job->queue->pool != pool)
-			continue;
-		for (s = 0; s < job->spec.n_steps; s++) {
-			const batch_step_spec_t *spec = &job->spec.steps[s];
-			int workers;
-
-			if (!spec->long_running || !spec->max_per_worker)
-				continue;
-			workers = (spec->count + spec->max_per_worker - 1) /
-				  spec->max_per_worker;
-			if (workers > most)
-				most = workers;
-		}
-	}
-	return most ? most + CAPACITY_SPREAD_EXTRA : 0;
-}
-
 static double ratio(double need, double have)
 {
 	return have > 0 ? need / have : 0;
@@ -138,10 +111,10 @@
 	return lacking;
 }
 
-static void measure_need(batch_t *core, need_t *need, int64_t now)
+static void measure_need(need_t *need, int64_t now)
 {
 	batch_pool_t *pool = need->pool;
-	batch_load_t need_now = batch_pool_need(core, pool, now);
+	batch_load_t need_now = pool->need_now;
 	batch_load_t expected_load;
 	batch_load_t long_running = batch_pool_long_running(pool);
 	double cpu = 0;
@@ -173,7 +146,11 @@
 	workers = MAX(workers,
 		      ratio(busy + long_running.memory, pool->worker_memory));
 	lacking = lacking_workers(pool);
-	need->least = MAX(spread_workers(core, pool), 1) + (int)lacking;
+	need->least =
+		MAX(pool->spread_workers +
+			    (pool->spread_workers ? CAPACITY_SPREAD_EXTRA : 0),
+		    1) +
+		(int)lacking;
 	need->want = MAX((int)ceil(workers * CAPACITY_HEADROOM + lacking),
 			 need->least);
 	pool->workers_wanted = need->want;
@@ -265,6 +242,7 @@
 	size_t n_moves = 0;
 	size_t i;
 
+	batch_pools_measure(core, now);
 	g_hash_table_iter_init(&iter, core->pools);
 	while (g_hash_table_iter_next(&iter, NULL, &value) &&
 	       n < CAPACITY_POOLS_MAX) {
@@ -273,7 +251,7 @@
 		if (!pool->in_force || pool->spare)
 			continue;
 		needs[n] = (need_t){ .pool = pool };
-		measure_need(core, &needs[n++], now);
+		measure_need(&needs[n++], now);
 	}
 	qsort(needs, n, sizeof(*needs), compare_shortage);
 	for (i = 0; i < n; i++)
--- a/packages/batch/batch_demand.c
+++ b/packages/batch/batch_demand.c
@@ -12,10 +12,10 @@
  */
 #define DEMAND_SPREAD_PART 0.5
 /*
- * A pool's backlog is summed over all jobs at most once in this time, not for
- * each submitted job.
+ * A pool's backlog is summed over all jobs, and its capacity over all workers,
+ * at most once in this time, not for each submitted job.
  */
-#define DEMAND_BACKLOG_AGE (20 * BASE_MS)
+#define DEMAND_LOAD_AGE (20 * BASE_MS)
 /* About half the run time of a short task. */
 #define DEMAND_SPREAD_MIN (500 * BASE_MS)
 
@@ -101,6 +101,35 @@
 	return load;
 }
 
+static batch_load_t sum_available(const batch_pool_t *pool)
+{
+	batch_load_t load = { pool->incoming * pool->worker_cpu,
+			      pool->incoming * pool->worker_memory };
+	guint i;
+
+	for (i = 0; i < pool->workers->len; i++) {
+		batch_worker_t *worker = g_ptr_array_index(pool->workers, i);
+		batch_load_t used = worker_long_running(worker);
+
+		load.cpu -= used.cpu;
+		load.memory -= used.memory;
+		if (!batch_worker_in_capacity(worker))
+			continue;
+		load.cpu += (double)worker->capacity.cpu;
+		load.memory += (double)worker->capacity.memory;
+	}
+	return load;
+}
+
+batch_load_t batch_pool_available(batch_pool_t *pool, int64_t now)
+{
+	if (!pool->available_at || now - pool->available_at > DEMAND_LOAD_AGE) {
+		pool->available = sum_available(pool);
+		pool->available_at = now;
+	}
+	return pool->available;
+}
+
 static batch_load_t sum_backlog(batch_t *core, const batch_pool_t *pool,
 				int64_t now)
 {
@@ -127,7 +156,7 @@
 /* The accepted work of the pool that can still end in time. */
 batch_load_t batch_pool_backlog(batch_t *core, batch_pool_t *pool, int64_t now)
 {
-	if (!pool->backlog_at || now - pool->backlog_at > DEMAND_BACKLOG_AGE) {
+	if (!pool->backlog_at || now - pool->backlog_at > DEMAND_LOAD_AGE) {
 		pool->backlog = sum_backlog(core, pool, now);
 		pool->backlog_at = now;
 	}
@@ -163,31 +192,68 @@
 }
 
 /*
- * The capacity that the pool needs from now on to end its accepted jobs in
- * time: for each job its work over its remaining time, but no more than it can
- * use at once.
+ * What the job needs from now on to end in time: its work over its remaining
+ * time, but no more than it can use at once.
  */
-batch_load_t batch_pool_need(batch_t *core, const batch_pool_t *pool,
-			     int64_t now)
+static batch_load_t job_need(const batch_job_t *job, int64_t now)
 {
-	batch_load_t need = { 0, 0 };
+	int64_t time = job->arrived + batch_objective(job) - now;
+	batch_load_t work;
+	batch_load_t most;
+
+	if (job->spec.repeat || time <= 0)
+		return (batch_load_t){ 0, 0 };
+	time = MAX((int64_t)(DEMAND_SPREAD_PART * (double)time),
+		   DEMAND_SPREAD_MIN);
+	work = batch_job_work(job, now);
+	most = max_parallel_load(job);
+	return (batch_load_t){ MIN(work.cpu / (double)time, most.cpu),
+			       MIN(work.memory / (double)time, most.memory) };
+}
+
+/* Workers needed to spread the job's long-running tasks as max_per_worker
+ * demands. */
+static int job_spread_workers(const batch_job_t *job)
+{
+	int most = 0;
+	int s;
+
+	for (s = 0; s < job->spec.n_steps; s++) {
+		const batch_step_spec_t *spec = &job->spec.steps[s];
+
+		if (spec->long_running && spec->max_per_worker)
+			most = MAX(most, (spec->count + spec->max_per_worker -
+					  1) / spec->max_per_worker);
+	}
+	return most;
+}
+
+void batch_pools_measure(batch_t *core, int64_t now)
+{
+	GHashTableIter iter;
+	gpointer value;
 	guint i;
 
+	g_hash_table_iter_init(&iter, core->pools);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		batch_pool_t *pool = value;
+
+		pool->need_now = (batch_load_t){ 0, 0 };
+		pool->spread_workers = 0;
+	}
 	for (i = 0; i < core->active_jobs->len; i++) {
-		batch_job_t *job = g_ptr_array_index(core->active_jobs, i);
-		int64_t time = job->arrived + batch_objective(job) - now;
-		batch_load_t work;
-		batch_load_t most;
+		const batch_job_t *job =
+			g_ptr_array_index(core->active_jobs, i);
+		batch_pool_t *pool;
+		batch_load_t need;
 
-		if (!batch_job_is_active(job) || job->queue->pool != pool ||
-		    job->spec.repeat || time <= 0)
+		if (!batch_job_is_active(job))
 			continue;
-		time = MAX((int64_t)(DEMAND_SPREAD_PART * (double)time),
-			   DEMAND_SPREAD_MIN);
-		work = batch_job_work(job, now);
-		most = max_parallel_load(job);
-		need.cpu += MIN(work.cpu / (double)time, most.cpu);
-		need.memory += MIN(work.memory / (double)time, most.memory);
+		pool = job->queue->pool;
+		need = job_need(job, now);
+		pool->need_now.cpu += need.cpu;
+		pool->need_now.memory += need.memory;
+		pool->spread_workers =
+			MAX(pool->spread_workers, job_spread_workers(job));
 	}
-	return need;
 }
--- a/packages/batch/batch_int.h
+++ b/packages/batch/batch_int.h
@@ -61,6 +61,10 @@
 	double worker_memory;
 	batch_load_t backlog; /* see batch_pool_backlog() */
 	int64_t backlog_at;
+	batch_load_t available; /* see batch_pool_available() */
+	int64_t available_at;
+	batch_load_t need_now; /* see batch_pools_measure() */
+	int spread_workers;    /* see batch_pools_measure() */
 	/*
 	 * Set in a pass once a task did not fit on any worker; full_need is its
 	 * need, and tasks that need at least as much do not fit either.
@@ -476,13 +480,22 @@
 
 /* batch_demand.c */
 batch_load_t batch_job_work(const batch_job_t *job, int64_t now);
-/* The pool's backlog of work, computed at most DEMAND_BACKLOG_AGE ago. */
+/* The pool's backlog of work, computed at most DEMAND_LOAD_AGE ago. */
 batch_load_t batch_pool_backlog(batch_t *core, batch_pool_t *pool, int64_t now);
 /* Adds the work of a job that was just accepted. */
 void batch_backlog_add(batch_pool_t *pool, const batch_load_t *work);
 batch_load_t batch_pool_long_running(const batch_pool_t *pool);
-batch_load_t batch_pool_need(batch_t *core, const batch_pool_t *pool,
-			     int64_t now);
+/*
+ * The capacity of the pool's workers and of those that are moving to it,
+ * without what long-running tasks use; computed at most DEMAND_LOAD_AGE ago.
+ */
+batch_load_t batch_pool_available(batch_pool_t *pool, int64_t now);
+/*
+ * Sets for each pool what it needs from now on to end its accepted jobs in time
+ * ("need_now"), and the workers needed to spread its long-running tasks
+ * ("spread_workers"; 0: it has none that must be spread).
+ */
+void batch_pools_measure(batch_t *core, int64_t now);
 
 /* batch_capacity.c */
 void batch_capacity_add_demand(batch_pool_t *pool, int64_t now,
--- a/packages/batch/batch_place.c
+++ b/packages/batch/batch_place.c
@@ -73,6 +73,14 @@
  */
 #define PLACE_SEND_DELAY_MAX (50 * BASE_MS)
 
+/*
+ * Least time between two passes, for each job that has not ended: several times
+ * what a pass takes for it.
+ */
+#define PLACE_GAP_PER_JOB 20 /* microseconds */
+/* Still short beside a task of a second. */
+#define PLACE_GAP_MAX (40 * BASE_MS)
+
 /*
  * Time between two checks of all workers for leases that have ended, stops to
  * repeat and runs to evacuate: a part of the shortest of these times.
@@ -667,15 +675,26 @@
 		drop_stale_reservations(value, now);
 }
 
-void batch_tick(batch_t *core, int64_t now, int64_t wall)
+/* Least time between the starts of two passes. */
+static int64_t pass_gap(const batch_t *core)
+{
+	return MIN((int64_t)core->active_jobs->len * PLACE_GAP_PER_JOB,
+		   PLACE_GAP_MAX);
+}
+
+int64_t batch_tick(batch_t *core, int64_t now, int64_t wall)
 {
+	int64_t since = now - core->last_pass_at;
+	int64_t gap = pass_gap(core);
+
 	batch_crash_tick(core, now);
 	sweep(core, now);
 	/* Without an event, only the passing of time can change a decision. */
-	if (!core->pass_needed &&
-	    now - core->last_pass_at < BATCH_PASS_INTERVAL)
-		return;
+	if (since < (core->pass_needed ? gap : BATCH_PASS_INTERVAL))
+		return core->pass_needed ? gap - since
+					 : BATCH_PASS_INTERVAL - since;
 	core->pass_needed = false;
 	core->last_pass_at = now;
 	batch_place(core, now, wall);
+	return BATCH_PASS_INTERVAL;
 }
--- a/packages/batch/batch_resize.c
+++ b/packages/batch/batch_resize.c
@@ -115,6 +115,8 @@
 	worker->capacity_before = worker->capacity;
 	worker->capacity = *capacity;
 	batch_room_update(worker);
+	if (worker->pool)
+		worker->pool->available_at = 0;
 	worker->core->pass_needed = true;
 	dropped = drop_unfitting(worker);
 	if (worker->reserved_for &&
--- a/packages/batch/batch_room.c
+++ b/packages/batch/batch_room.c
@@ -65,6 +65,15 @@
 	mark(pool, class);
 }
 
+/* The worker changes its pool. */
+static void forget_available(const batch_worker_t *worker)
+{
+	if (worker->room_pool)
+		worker->room_pool->available_at = 0;
+	if (worker->pool)
+		worker->pool->available_at = 0;
+}
+
 void batch_room_update(batch_worker_t *worker)
 {
 	int class = room_class(worker->capacity.cpu - worker->used.cpu);
@@ -72,6 +81,8 @@
 	if (worker->room_pool == worker->pool &&
 	    (!worker->pool || worker->room_class == class))
 		return;
+	if (worker->room_pool != worker->pool)
+		forget_available(worker);
 	if (worker->room_pool)
 		remove_worker(worker);
 	if (worker->pool)
--- a/packages/node/node_holder.c
+++ b/packages/node/node_holder.c
@@ -150,12 +150,17 @@
 {
 	node_holder_t *holder = arg;
 
+	int64_t delay = BATCH_PASS_INTERVAL;
+
 	holder->step_soon = false;
-	net_timer_start(holder->step_timer, BATCH_PASS_INTERVAL);
+	net_timer_start(holder->step_timer, delay);
 	node_pass_check(holder);
 	if (!node_holder_may_decide(holder))
 		return;
-	batch_tick(holder->core, base_clock_mono(), base_clock_wall());
+	delay = batch_tick(holder->core, base_clock_mono(), base_clock_wall());
+	/* An event during the call may have scheduled the next one sooner. */
+	if (!holder->step_soon)
+		net_timer_start(holder->step_timer, delay);
 	forget_ended_jobs(holder, base_clock_mono());
 	node_commit_send_pending(holder);
 }
