batch, node: keep the settings of a queue with its jobs

A holder that restored an open job whose queue the configuration no longer had ended by a null queue at its first look at the pools, and so did each one after it.

The stored source of a job now has the settings of its queue, from which a later holder makes the queue again, not in force: the job goes on. A source that a former version stored has none: the job waits, and can be cancelled.

--- a/packages/batch/batch.c
+++ b/packages/batch/batch.c
@@ -1,3 +1,5 @@
+#include <limits.h>
+
 #include "batch_int.h"
 
 BASE_ERROR_DOMAIN(batch)
@@ -162,6 +164,31 @@
 	       batch_step_is_ready(step);
 }
 
+static void set_queue(batch_t *core, const batch_queue_info_t *info,
+		      bool in_force)
+{
+	batch_queue_t *queue = batch_find_queue(core, info->name);
+
+	if (!queue) {
+		queue = talloc_zero(core, batch_queue_t);
+		queue->name = base_str_dup(queue, info->name);
+		g_hash_table_insert(core->queues, queue->name, queue);
+	}
+	queue->pool = batch_pool_get(core, info->pool);
+	queue->priority = info->priority;
+	queue->attempts = info->attempts;
+	queue->advised = info->advised;
+	queue->stretch = info->stretch;
+	queue->target_latency = info->target_latency;
+	queue->in_force = in_force;
+}
+
+void batch_queue_keep(batch_t *core, const batch_queue_info_t *info)
+{
+	if (!batch_find_queue(core, info->name))
+		set_queue(core, info, false);
+}
+
 void batch_config(batch_t *core, const batch_queue_info_t *queues,
 		  size_t n_queues, const batch_pool_info_t *pools,
 		  size_t n_pools)
@@ -183,22 +210,8 @@
 		pool->spare = pools[i].spare;
 		pool->in_force = true;
 	}
-	for (i = 0; i < n_queues; i++) {
-		batch_queue_t *queue = batch_find_queue(core, queues[i].name);
-
-		if (!queue) {
-			queue = talloc_zero(core, batch_queue_t);
-			queue->name = base_str_dup(queue, queues[i].name);
-			g_hash_table_insert(core->queues, queue->name, queue);
-		}
-		queue->pool = batch_pool_get(core, queues[i].pool);
-		queue->priority = queues[i].priority;
-		queue->attempts = queues[i].attempts;
-		queue->advised = queues[i].advised;
-		queue->stretch = queues[i].stretch;
-		queue->target_latency = queues[i].target_latency;
-		queue->in_force = true;
-	}
+	for (i = 0; i < n_queues; i++)
+		set_queue(core, &queues[i], true);
 	core->pass_needed = true;
 }
 
@@ -270,6 +283,22 @@
 	job->spec.steps = steps;
 }
 
+/*
+ * The queue of a job.  One that was stored by a former version, and whose queue
+ * has been removed since, waits in a queue whose pool has no workers until the
+ * configuration has that queue again; it can be cancelled.
+ */
+static batch_queue_t *queue_of(batch_t *core, const batch_spec_t *spec)
+{
+	batch_queue_info_t unknown = { .name = spec->queue,
+				       .pool = BASE_STR(""),
+				       .attempts = INT_MAX };
+
+	if (spec->n_steps)
+		batch_queue_keep(core, &unknown);
+	return batch_find_queue(core, spec->queue);
+}
+
 /* Creates a job without any decision.  A job that has ended has no steps. */
 batch_job_t *batch_job_new(batch_t *core, const batch_spec_t *spec)
 {
@@ -285,7 +314,7 @@
 	if (spec->n_steps)
 		copy_steps(job, spec);
 	batch_estimate_init(job);
-	job->queue = batch_find_queue(core, spec->queue);
+	job->queue = queue_of(core, spec);
 	job->state = BATCH_QUEUED;
 	job->occs = g_ptr_array_new();
 	g_hash_table_insert(core->jobs, job->id, job);
--- a/packages/batch/batch.h
+++ b/packages/batch/batch.h
@@ -228,6 +228,12 @@
 		  size_t n_queues, const batch_pool_info_t *pools,
 		  size_t n_pools);
 
+/*
+ * Adds a queue that the configuration does not have, with the settings that it
+ * had, for jobs of it that are restored.  Without effect on a known queue.
+ */
+void batch_queue_keep(batch_t *core, const batch_queue_info_t *info);
+
 /* Whether a specification is valid. */
 bool batch_spec_check(const batch_spec_t *spec, GError **err);
 
--- a/packages/batch/tests/batch_store_test.c
+++ b/packages/batch/tests/batch_store_test.c
@@ -1,6 +1,8 @@
 /*
  * What is acknowledged, forgotten or given up rests on what is stored.
  */
+#include <jansson.h>
+
 #include "batch_world_int.h"
 
 #define MS BASE_MS
@@ -421,6 +423,31 @@
 	check_and_free(world);
 }
 
+/*
+ * Guards against a holder that ends at a job whose queue the configuration no
+ * longer has: a later holder restores the job and knows no queue for it.
+ */
+static void test_job_of_a_removed_queue_is_restored(void)
+{
+	world_t *world = world_new(1, 4, 3);
+	batch_step_spec_t step = world_step(2);
+	batch_move_t moves[4];
+
+	step.estimate = 30 * SECOND;
+	world_submit(world, "a", &step, 1);
+	world_advance(world, 500 * MS);
+	world->queue_removed = true;
+	world_take_over(world);
+	world_advance(world, 5 * SECOND);
+	batch_moves(world->core, world->now, 1, true, moves, 4);
+	json_decref(batch_explain(world->core, world->now, BASE_STR("a")));
+	json_decref(batch_explain_pools(world->core, world->now));
+	g_assert_true(world_cancel(world, "a"));
+	world_advance(world, 5 * SECOND);
+	g_assert_true(world_cancelled(world, "a"));
+	check_and_free(world);
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
@@ -443,5 +470,7 @@
 			test_run_listed_after_the_doubt_goes_on);
 	g_test_add_func("/batch-store/no-stop-in-doubt-while-others-are-away",
 			test_no_stop_in_doubt_while_others_are_away);
+	g_test_add_func("/batch-store/job-of-a-removed-queue-is-restored",
+			test_job_of_a_removed_queue_is_restored);
 	return g_test_run();
 }
--- a/packages/batch/tests/batch_world.c
+++ b/packages/batch/tests/batch_world.c
@@ -283,7 +283,7 @@
 
 	world->advice_at = 0;
 	world->core = batch_new(NULL, &options);
-	batch_config(world->core, &queue, 1, pools, 2);
+	batch_config(world->core, &queue, !world->queue_removed, pools, 2);
 	list_workers(world);
 }
 
--- a/packages/batch/tests/batch_world.h
+++ b/packages/batch/tests/batch_world.h
@@ -133,8 +133,9 @@
 	int64_t stored_at; /* when the taken rows are stored */
 	int attempts;
 	double stretch;
-	bool advised;	   /* queue: only allowed workers run its steps */
-	int64_t advice_at; /* when the question is answered; 0: no question */
+	bool queue_removed; /* the next holder's configuration has no queue */
+	bool advised;	    /* queue: only allowed workers run its steps */
+	int64_t advice_at;  /* when the question is answered; 0: no question */
 	char asked[WORLD_WORKERS_MAX][WORLD_NAME_MAX];
 	size_t n_asked;
 	bool no_admission; /* workers start what does not fit */
--- a/packages/node/node_holder.c
+++ b/packages/node/node_holder.c
@@ -368,15 +368,44 @@
 	answer_job_waiters(arg, job, true);
 }
 
-/* The stored form of a job: its queue and the body that the caller sent. */
-static char *print_source(const void *ctx, const node_job_request_t *ask)
+static const batch_queue_info_t *find_queue(const node_t *node,
+					    const char *name)
 {
+	size_t i;
+
+	for (i = 0; i < node->config.n_routes; i++)
+		if (base_str_eq(node->config.routes[i].queue.name,
+				base_str(name)))
+			return &node->config.routes[i].queue;
+	return NULL;
+}
+
+/*
+ * The stored form of a job: its queue, the body that the caller sent, and the
+ * queue's settings, which a later holder uses if the queue has been removed.
+ * {"queue", "body", "settings": [pool, priority, attempts, advised, stretch,
+ * target latency in microseconds]}
+ */
+static char *print_source(const node_t *node, const void *ctx,
+			  const node_job_request_t *ask)
+{
+	const batch_queue_info_t *queue = find_queue(node, ask->queue);
 	base_buf_t *buf = base_buf_new(ctx);
+	char stretch[G_ASCII_DTOSTR_BUF_SIZE];
 
 	base_buf_adds(buf, "{\"queue\":");
 	base_buf_add_json(buf, base_str(ask->queue));
 	base_buf_adds(buf, ",\"body\":");
 	base_buf_add_json(buf, ask->body);
+	if (queue) {
+		base_buf_adds(buf, ",\"settings\":[");
+		base_buf_add_json(buf, queue->pool);
+		base_buf_addf(buf, ",%d,%d,%d,%s,%lld]", queue->priority,
+			      queue->attempts, queue->advised,
+			      g_ascii_dtostr(stretch, sizeof(stretch),
+					     queue->stretch),
+			      (long long)queue->target_latency);
+	}
 	base_buf_adds(buf, "}");
 	return buf->ptr;
 }
@@ -431,7 +460,7 @@
 
 	spec.id = base_str(ask->id);
 	spec.queue = base_str(ask->queue);
-	spec.source = base_str(print_source(ctx, ask));
+	spec.source = base_str(print_source(holder->node, ctx, ask));
 	if (!holder->node->platform->job_read(ctx, ask->body, &spec, &err) ||
 	    !batch_spec_check(&spec, &err)) {
 		outcome.kind = NODE_OUT_INVALID;
--- a/packages/node/node_restore.c
+++ b/packages/node/node_restore.c
@@ -3,6 +3,8 @@
  * their rows, the waves and the learned run times from the store; after that,
  * polls of the workers show which runs are still alive.
  */
+#include <limits.h>
+
 #include "node_int.h"
 
 #define RESTORE_RETRY_DELAY (60 * BASE_MS)
@@ -33,6 +35,47 @@
 			     g_strndup(item->value.ptr, item->value.len));
 }
 
+typedef enum queue_field {
+	QUEUE_POOL,
+	QUEUE_PRIORITY,
+	QUEUE_ATTEMPTS,
+	QUEUE_ADVISED,
+	QUEUE_STRETCH,
+	QUEUE_TARGET_LATENCY,
+	QUEUE_MAX
+} queue_field_t;
+
+/* Keeps the job's queue, as stored with the job, in case that it has been
+ * removed.  A former version did not store it. */
+static void keep_queue(node_holder_t *holder, const char *name,
+		       const json_t *settings)
+{
+	batch_queue_info_t info = { .name = base_str(name) };
+	int64_t numbers[QUEUE_MAX] = { 0 };
+	int i;
+
+	if (json_array_size(settings) != QUEUE_MAX ||
+	    !json_is_string(json_array_get(settings, QUEUE_POOL)) ||
+	    !json_is_number(json_array_get(settings, QUEUE_STRETCH)))
+		return;
+	for (i = QUEUE_PRIORITY; i < QUEUE_MAX; i++)
+		if (i != QUEUE_STRETCH &&
+		    !base_json_int(json_array_get(settings, (size_t)i), 0,
+				   i == QUEUE_TARGET_LATENCY ? INT64_MAX
+							     : INT_MAX,
+				   &numbers[i]))
+			return;
+	info.pool = base_str(
+		json_string_value(json_array_get(settings, QUEUE_POOL)));
+	info.priority = (int)numbers[QUEUE_PRIORITY];
+	info.attempts = (int)numbers[QUEUE_ATTEMPTS];
+	info.advised = numbers[QUEUE_ADVISED] != 0;
+	info.stretch =
+		json_number_value(json_array_get(settings, QUEUE_STRETCH));
+	info.target_latency = numbers[QUEUE_TARGET_LATENCY];
+	batch_queue_keep(holder->core, &info);
+}
+
 /* Reads a job's specification from its stored source.  False: there is none,
  * because the job has ended, or it cannot be read. */
 static bool read_spec(node_holder_t *holder, const void *ctx, const char *id,
@@ -52,8 +95,10 @@
 	spec->source = base_str(source);
 	ok = queue && holder->node->platform->job_read(ctx, text, spec, NULL) &&
 	     batch_spec_check(spec, NULL);
-	if (ok)
+	if (ok) {
 		spec->queue = base_str(talloc_strdup(ctx, queue));
+		keep_queue(holder, queue, json_object_get(root, "settings"));
+	}
 	json_decref(root);
 	return ok;
 }
