--- a/packages/node/node_int.h
+++ b/packages/node/node_int.h
@@ -438,6 +438,11 @@
 void node_workers_begin(node_holder_t *holder);
 /* Call after rows were stored: sends the polls that waited for this. */
 void node_workers_rows_stored(node_holder_t *holder);
+/* Microseconds until everything that runs under a lease granted now has ended,
+ * even if the worker's clock is the slowest one allowed for. */
+int64_t node_worker_lease_span(const node_holder_t *holder);
+
+/* node_worker_list.c */
 /* Takes one entry of the platform's list of workers. */
 void node_workers_add_listed(node_holder_t *holder, const node_item_t *item);
 /* The list of workers was read completely: marks workers that are not in it as
@@ -445,9 +450,8 @@
 void node_workers_list_done(node_holder_t *holder);
 /* A new worker is about to be listed: read the list again sooner. */
 void node_workers_list_soon(node_holder_t *holder);
-/* Microseconds until everything that runs under a lease granted now has ended,
- * even if the worker's clock is the slowest one allowed for. */
-int64_t node_worker_lease_span(const node_holder_t *holder);
+
+/* node_order.c */
 extern const batch_ops_t node_batch_ops;
 
 /* node_instance.c */
--- /dev/null
+++ b/packages/node/node_worker_int.h
@@ -0,0 +1,55 @@
+/*
+ * node_worker_int - internal interface of the files about the holder's links to
+ * workers: node_worker.c (links and polls), node_worker_list.c (the list of
+ * workers) and node_order.c (orders).
+ */
+#ifndef NODE_WORKER_INT_H
+#define NODE_WORKER_INT_H
+
+#include "node_int.h"
+
+struct node_worker {
+	node_holder_t *holder;
+	char *id;
+	char *address;
+	node_link_t *link;
+	node_link_t *former_link; /* at its former address, for late answers */
+	int64_t moved_at;	  /* when its address changed; 0: never */
+	net_timer_t *timer;
+	int64_t clock;	   /* last known reading of its clock; -1: unknown */
+	int64_t clock_at;  /* monotonic time of that reading */
+	int64_t lease_end; /* monotonic, for the slowest clock allowed */
+	int64_t polled_at;
+	int64_t poll_sent_at;
+	int64_t poll_timeout;
+	int64_t acknowledged; /* the last end that it was told to discard */
+	int64_t list_round;   /* number of the list in which the worker was last
+				 seen */
+	bool is_polling;
+	/* In holder->awaiting_stored while the next poll waits until ends are
+	 * stored; its data is NULL otherwise. */
+	GList awaits_stored;
+	bool has_seen_term; /* it rejects orders of earlier terms */
+	bool is_listed;
+	bool is_silent;	   /* the last poll had no answer */
+	bool has_answered; /* at its address */
+};
+
+/* A link to a worker, in holder->worker_links; NULL: the address is not valid.
+ */
+node_worker_t *node_worker_new(node_holder_t *holder, const char *id,
+			       const char *address);
+/*
+ * Returns the end, on the worker's clock, of a lease granted now, and records
+ * when it ends at the latest.  Returns -1 while that clock is unknown.
+ */
+int64_t node_worker_grant_lease(node_worker_t *worker);
+/*
+ * The entry has another address: the worker restarted there, or another writer
+ * named it.  Its runs are lost only once it answers there as another
+ * incarnation, or when their lease ends.
+ */
+void node_worker_set_address(node_worker_t *worker, const char *address);
+void node_worker_schedule_poll(node_worker_t *worker, int64_t delay);
+
+#endif
--- a/packages/node/tests/node_given_up_test.c
+++ b/packages/node/tests/node_given_up_test.c
@@ -280,6 +280,9 @@
 	}
 	talloc_free(inst->worker);
 	inst->worker = talloc_strdup(inst, worker);
+	g_hash_table_remove_all(test.holder->instances->by_worker);
+	g_hash_table_replace(test.holder->instances->by_worker, inst->worker,
+			     inst);
 	inst->state = NODE_INSTANCE_UP;
 	test.holder->instances->complete_round_start = base_clock_mono();
 	node_waves_list_done(test.holder->waves);
