node: store answers first, fuller changes, fewer looks; links of ended workers go at once

- A worker that ends with an order for its instance loses its link at once, and its entry is not used for 5 s.
- Answers of the store are handled before other events; the loop looks for them after 16 others.
A change takes as many rows as fit.
- A poll waits 1.8 s at a worker without runs, and at all while starts are answered late; the gap after ends grows with that time.
Jobs without a waiting task are skipped by a flag.
The list of workers is read three times in the time for a drain (new setting drain_ms), at most each 0.7 s.

--- a/packages/batch/batch.c
+++ b/packages/batch/batch.c
@@ -345,6 +345,7 @@
 		}
 	}
 	g_ptr_array_add(job->occs, occ);
+	job->may_wait = true;
 	return occ;
 }
 
@@ -464,6 +465,11 @@
 	return ids;
 }
 
+int64_t batch_answer_time(const batch_t *core)
+{
+	return core->answer_time;
+}
+
 const base_hist_t *batch_times(const batch_t *core, batch_time_t which)
 {
 	return core->times[which];
--- a/packages/batch/batch.h
+++ b/packages/batch/batch.h
@@ -457,11 +457,16 @@
 } batch_row_t;
 
 /*
- * Takes up to "max" changed rows to store.  No more are handed out until
- * batch_rows_stored() is called; the strings stay valid until then.
+ * Takes up to "max" changed rows to store, as many as fit into a change of
+ * "entries": one a row, and one for its source, which is added or removed.  No
+ * more are handed out until batch_rows_stored() is called; the strings stay
+ * valid until then.
  */
-size_t batch_rows(batch_t *core, batch_row_t *rows, size_t max);
+size_t batch_rows(batch_t *core, batch_row_t *rows, size_t max, size_t entries);
 bool batch_rows_waiting(const batch_t *core);
+/* How long starts wait for their answers of late, microseconds: it rises when
+ * the holder is too slow for its events. */
+int64_t batch_answer_time(const batch_t *core);
 /* Number of rows that wait to be stored. */
 size_t batch_rows_length(const batch_t *core);
 void batch_rows_stored(batch_t *core, int64_t now);
--- a/packages/batch/batch_commit.c
+++ b/packages/batch/batch_commit.c
@@ -22,7 +22,12 @@
 	return core->rows.length;
 }
 
-size_t batch_rows(batch_t *core, batch_row_t *rows, size_t max)
+static size_t count_entries(const batch_job_t *job)
+{
+	return !job->stored || !batch_job_is_active(job) ? 2 : 1;
+}
+
+size_t batch_rows(batch_t *core, batch_row_t *rows, size_t max, size_t entries)
 {
 	size_t n = 0;
 
@@ -30,8 +35,12 @@
 		return 0;
 	core->row_texts = talloc_new(core);
 	while (n < max && core->rows.length) {
-		batch_job_t *job = g_queue_pop_head(&core->rows);
+		batch_job_t *job = g_queue_peek_head(&core->rows);
 
+		if (count_entries(job) > entries)
+			break;
+		entries -= count_entries(job);
+		g_queue_pop_head(&core->rows);
 		job->row_queued = false;
 		job->printed_version = job->version;
 		rows[n].job = base_str(job->id);
--- a/packages/batch/batch_crash.c
+++ b/packages/batch/batch_crash.c
@@ -40,10 +40,10 @@
 #define CRASH_LONG_TRIAL_MIN 3
 /*
  * Workers of one rack or zone whose last answers are this close may have one
- * cause: an idle worker answers a poll each second, and a poll waits for half a
+ * cause: an idle worker answers a poll each 1.8 s, and a poll waits for half a
  * second more.
  */
-#define CRASH_CORRELATED_TIME (2 * BASE_SEC)
+#define CRASH_CORRELATED_TIME (2500 * BASE_MS)
 /* A loss is found by then: the longest lease and some more. */
 #define CRASH_LOSS_AGE_MAX (15 * BASE_SEC)
 /* Other lost workers of a rack or zone that show a common cause, besides being
--- a/packages/batch/batch_demand.c
+++ b/packages/batch/batch_demand.c
@@ -15,7 +15,7 @@
  * A pool's backlog is summed over all jobs, and its capacity over all workers,
  * at most once in this time, not for each submitted job.
  */
-#define DEMAND_LOAD_AGE (20 * BASE_MS)
+#define DEMAND_LOAD_AGE (50 * BASE_MS)
 /* About half the run time of a short task. */
 #define DEMAND_SPREAD_MIN (500 * BASE_MS)
 
--- a/packages/batch/batch_int.h
+++ b/packages/batch/batch_int.h
@@ -236,6 +236,8 @@
 	bool cancel_confirmed;
 	int n_runs;
 	int n_unstored_ends; /* entries of workers' lists that refer to it */
+	/* A task may wait for a worker; false: none does, until an event. */
+	bool may_wait;
 	const batch_task_t *crash_task; /* it is to be given up for this task */
 	batch_given_up_t given_up;
 };
--- a/packages/batch/batch_place.c
+++ b/packages/batch/batch_place.c
@@ -499,13 +499,15 @@
  * Whether the pass has to look at the job: a task waits for a worker, or the
  * policy may have to be asked about one.
  */
-static bool is_to_be_placed(const batch_job_t *job)
+static bool is_to_be_placed(batch_job_t *job)
 {
 	guint i;
 	int s;
 
 	if (job->queue->advised)
 		return true;
+	if (!job->may_wait)
+		return false;
 	for (i = 0; i < job->occs->len; i++) {
 		const batch_occ_t *occ = g_ptr_array_index(job->occs, i);
 
@@ -513,6 +515,7 @@
 			if (batch_step_has_waiting(&occ->steps[s]))
 				return true;
 	}
+	job->may_wait = false;
 	return false;
 }
 
--- a/packages/batch/batch_run.c
+++ b/packages/batch/batch_run.c
@@ -56,6 +56,7 @@
 	batch_crash_run_freed(run);
 	task->step->occ->job->n_runs--;
 	task->step->n_open_runs -= !task->done;
+	task->step->occ->job->may_wait = true;
 	task->run = NULL;
 	worker->core->pass_needed = true;
 	talloc_free(run);
@@ -236,6 +237,7 @@
 	if (task->done)
 		return;
 	task->done = true;
+	job->may_wait = true;
 	step->n_open_runs -= task->run != NULL;
 	if (++step->done < step->spec->count)
 		return;
--- a/packages/batch/tests/batch_test.c
+++ b/packages/batch/tests/batch_test.c
@@ -259,7 +259,7 @@
 	world_submit(world, "b", &waiting, 1);
 	world_advance(world, SECOND);
 	g_assert_true(world_cancel(world, "b"));
-	g_assert_cmpuint(batch_rows(world->core, rows, 2), ==, 1);
+	g_assert_cmpuint(batch_rows(world->core, rows, 2, 4), ==, 1);
 	batch_rows_stored(world->core, world->now);
 	g_assert_true(world_cancelled(world, "b"));
 	world_submit(world, "c", &waiting, 1);
--- a/packages/batch/tests/batch_world.c
+++ b/packages/batch/tests/batch_world.c
@@ -525,7 +525,7 @@
 	}
 	if (world->n_taken || !batch_rows_waiting(world->core))
 		return;
-	world->n_taken = batch_rows(world->core, world->taken, 14);
+	world->n_taken = batch_rows(world->core, world->taken, 14, 28);
 	for (i = 0; i < world->n_taken; i++) {
 		world->taken_text[i] = g_strdup(world->taken[i].record);
 		world->taken_ended[i] = world->taken[i].ended;
--- a/packages/net/net.h
+++ b/packages/net/net.h
@@ -89,6 +89,7 @@
 	net_loop_t *loop;
 	const char *address; /* "IPv4:port" */
 	size_t connections;  /* open at most; further calls queue */
+	bool urgent;	     /* its answers are handled before other events */
 } net_client_options_t;
 
 /*
--- a/packages/net/net_client.c
+++ b/packages/net/net_client.c
@@ -19,6 +19,7 @@
 	char *host;
 	uint16_t port;
 	size_t max_conns;
+	bool urgent;
 	size_t n_conns;
 	net_conn_t *conns;
 	GQueue queued;
@@ -118,6 +119,7 @@
 	client->loop = options->loop;
 	client->address = talloc_strdup(client, options->address);
 	client->max_conns = options->connections;
+	client->urgent = options->urgent;
 	g_queue_init(&client->queued);
 	if (!net_address_split(client, options->address, &client->host,
 			       &client->port)) {
@@ -202,6 +204,10 @@
 	conn->evcon = evhttp_connection_base_new(client->loop->base, NULL,
 						 client->host, client->port);
 	evhttp_connection_set_max_body_size(conn->evcon, NET_BODY_MAX);
+	if (client->urgent)
+		bufferevent_priority_set(
+			evhttp_connection_get_bufferevent(conn->evcon),
+			NET_PRIORITY_URGENT);
 	conn->next = client->conns;
 	client->conns = conn;
 	client->n_conns++;
--- a/packages/net/net_int.h
+++ b/packages/net/net_int.h
@@ -13,6 +13,9 @@
 #define NET_BODY_MAX (4 << 20)
 #define NET_HEADERS_MAX 16384 /* bytes of a request's headers */
 
+/* Priorities of events, the first one first. */
+enum { NET_PRIORITY_URGENT, NET_PRIORITY_USUAL, NET_PRIORITY_MAX };
+
 struct net_loop {
 	struct event_base *base;
 	uint64_t connections;
--- a/packages/net/net_loop.c
+++ b/packages/net/net_loop.c
@@ -7,6 +7,9 @@
 
 BASE_ERROR_DOMAIN(net)
 
+/* Usual events that are handled before the loop looks for urgent ones. */
+#define USUAL_EVENTS_MAX 16
+
 struct net_timer {
 	struct event *event;
 	void (*fired)(void *arg);
@@ -48,10 +51,13 @@
 	/* A connection's changes in one round of the loop, most of which cancel
 	 * out, make one system call; no descriptor is duplicated. */
 	event_config_set_flag(config, EVENT_BASE_FLAG_EPOLL_USE_CHANGELIST);
+	event_config_set_max_dispatch_interval(config, NULL, USUAL_EVENTS_MAX,
+					       NET_PRIORITY_USUAL);
 	loop->base = event_base_new_with_config(config);
 	event_config_free(config);
 	if (!loop->base)
 		abort();
+	event_base_priority_init(loop->base, NET_PRIORITY_MAX);
 	talloc_set_destructor(loop, loop_free);
 	return loop;
 }
--- a/packages/node/node.h
+++ b/packages/node/node.h
@@ -52,6 +52,7 @@
 	/* Times are in microseconds. */
 	int64_t lease_max;     /* longest lease of a worker */
 	int64_t stop_timeout;  /* longest time to stop a task */
+	int64_t drain_time;    /* from a drain's report to the last start */
 	int64_t grace;	       /* from SIGTERM to SIGKILL */
 	int64_t keep;	       /* how long an ended job can be queried */
 	int64_t store_ttl_min; /* shortest lease in the store */
--- a/packages/node/node_commit.c
+++ b/packages/node/node_commit.c
@@ -9,9 +9,9 @@
 #include "node_int.h"
 
 /* Entries of a change: conditions on the holder's key and on the fence, the
- * fence itself, three for a wave and learned run times, and two per job. */
+ * fence itself, three for a wave and learned run times, and the jobs' rows. */
 #define COMMIT_FIXED_ENTRIES 3
-#define COMMIT_ROWS_MAX ((NODE_CHANGE_MAX - COMMIT_FIXED_ENTRIES - 3) / 2)
+#define COMMIT_ROWS_MAX (NODE_CHANGE_MAX - COMMIT_FIXED_ENTRIES - 3)
 /* Learned run times change slowly, so a successor may begin with some that are
  * seconds old. */
 #define COMMIT_LEARNED_PERIOD (3 * BASE_SEC)
@@ -119,7 +119,8 @@
 {
 	void *ctx = holder->commit_ctx;
 	batch_row_t rows[COMMIT_ROWS_MAX];
-	size_t n = batch_rows(holder->core, rows, COMMIT_ROWS_MAX);
+	size_t n = batch_rows(holder->core, rows, COMMIT_ROWS_MAX,
+			      COMMIT_ROWS_MAX);
 	node_expect_t *expects = talloc_array(ctx, node_expect_t, 2);
 	node_set_t *sets = talloc_array(ctx, node_set_t, NODE_CHANGE_MAX);
 	const char **removes = talloc_array(ctx, const char *, NODE_CHANGE_MAX);
--- a/packages/node/node_int.h
+++ b/packages/node/node_int.h
@@ -410,8 +410,9 @@
 
 	net_timer_t *list_timer;
 	int64_t list_round;
-	int64_t listed_at;	  /* end of the last complete round; 0: none */
-	GHashTable *worker_links; /* worker id to node_worker_t, not owned */
+	int64_t listed_at;	   /* end of the last complete round; 0: none */
+	GHashTable *worker_links;  /* worker id to node_worker_t, not owned */
+	GHashTable *ended_workers; /* id to when it ended, by an order */
 	GHashTable *lookups; /* set of ids of workers whose entries are read */
 	GQueue awaiting_stored; /* workers whose poll waits for stored ends */
 	GHashTable *unreadable_entries; /* key to the revision last logged */
@@ -442,6 +443,13 @@
  * even if the worker's clock is the slowest one allowed for. */
 int64_t node_worker_lease_span(const node_holder_t *holder);
 
+/*
+ * The worker has ended with its instance's move or maintenance, which this
+ * holder has ordered: gives up its link.  Its entry may stay in the list for a
+ * while.
+ */
+void node_workers_ended(node_holder_t *holder, const char *id);
+
 /* node_worker_list.c */
 /* Takes one entry of the platform's list of workers. */
 void node_workers_add_listed(node_holder_t *holder, const node_item_t *item);
--- a/packages/node/node_move.c
+++ b/packages/node/node_move.c
@@ -99,9 +99,7 @@
 	switch (status) {
 	case NODE_INSTANCE_ORDER_OK:
 		move->is_confirmed = true;
-		batch_worker_terminated(holder->core, move->answered_at,
-					base_str(move->worker),
-					BATCH_LOSS_ORDERED);
+		node_workers_ended(holder, move->worker);
 		break;
 	case NODE_INSTANCE_ORDER_FENCED:
 		node_election_lost(holder->node, "fenced by the platform");
--- a/packages/node/node_settings.c
+++ b/packages/node/node_settings.c
@@ -33,6 +33,7 @@
 	  10000 },
 	{ "stop_timeout_ms", offsetof(node_settings_t, stop_timeout), BASE_MS,
 	  200 },
+	{ "drain_ms", offsetof(node_settings_t, drain_time), BASE_MS, 2000 },
 	{ "grace_s", offsetof(node_settings_t, grace), BASE_SEC, 6 },
 	{ "keep_s", offsetof(node_settings_t, keep), BASE_SEC, 120 },
 	{ "store_ttl_min_ms", offsetof(node_settings_t, store_ttl_min), BASE_MS,
--- a/packages/node/node_wave.c
+++ b/packages/node/node_wave.c
@@ -152,9 +152,7 @@
 		/* The platform answers alike if the order was carried out
 		 * before; the instance may have another worker by now. */
 		if (target->asked_worker)
-			batch_worker_terminated(holder->core, base_clock_mono(),
-						base_str(target->asked_worker),
-						BATCH_LOSS_ORDERED);
+			node_workers_ended(holder, target->asked_worker);
 		node_holder_step_soon(holder);
 		break;
 	case NODE_INSTANCE_ORDER_FENCED:
--- a/packages/node/node_worker.c
+++ b/packages/node/node_worker.c
@@ -16,6 +16,12 @@
 /* Longest time that a poll waits at the worker for a run to end.  Several
  * polls fit into one lease. */
 #define WORKER_POLL_WAIT (1000 * BASE_MS)
+/* The same for a worker without runs, and for all while the holder is too slow
+ * for its events; two polls fit into one lease. */
+#define WORKER_POLL_WAIT_LONG (1800 * BASE_MS)
+/* A holder is too slow for its events when starts are answered later than this:
+ * several times the round trip to a worker. */
+#define WORKER_BUSY_ANSWER_TIME (20 * BASE_MS)
 /* Time after WORKER_POLL_WAIT in which a poll's answer can still arrive. */
 #define WORKER_POLL_GRACE (500 * BASE_MS)
 /* A poll that fails later than this had reached its worker: several times the
@@ -25,6 +31,10 @@
 /* Delay of the poll that follows a report of ended runs, so that this poll
  * returns several runs that end together. */
 #define WORKER_POLL_GAP (30 * BASE_MS)
+/* The same while the holder is too slow for its events: this many times the
+ * answer time of starts, so that a poll returns more ends. */
+#define WORKER_POLL_GAP_ANSWERS 3
+#define WORKER_POLL_GAP_MAX (250 * BASE_MS)
 /* Longest delay of a poll until the ends that its worker has listed are stored:
  * the worker would list them again at once.  Several fit into one lease. */
 #define WORKER_STORED_WAIT_MAX (250 * BASE_MS)
@@ -129,6 +139,23 @@
 			    base_clock_mono() - worker->polled_at));
 }
 
+void node_workers_ended(node_holder_t *holder, const char *id)
+{
+	node_worker_t *worker = g_hash_table_lookup(holder->worker_links, id);
+	int64_t now = base_clock_mono();
+
+	if (!*id)
+		return;
+	g_hash_table_replace(holder->ended_workers, g_strdup(id),
+			     g_memdup2(&now, sizeof(now)));
+	batch_worker_unlisted(holder->core, now, base_str(id));
+	batch_worker_terminated(holder->core, now, base_str(id),
+				BATCH_LOSS_ORDERED);
+	if (worker)
+		remove_worker(worker, "its instance was moved or is in "
+				      "maintenance");
+}
+
 static void apply_poll(node_worker_t *worker, int64_t sent,
 		       const node_poll_result_t *answer)
 {
@@ -178,6 +205,12 @@
 				       base_str(worker->id));
 }
 
+static int64_t poll_gap(const node_holder_t *holder)
+{
+	return CLAMP(WORKER_POLL_GAP_ANSWERS * batch_answer_time(holder->core),
+		     WORKER_POLL_GAP, WORKER_POLL_GAP_MAX);
+}
+
 static void poll_answered(void *arg, const node_poll_result_t *answer)
 {
 	poll_call_t *call = arg;
@@ -199,7 +232,7 @@
 		apply_poll(worker, sent, answer);
 		node_holder_step_soon(holder);
 		node_worker_schedule_poll(
-			worker, answer->n_ends ? WORKER_POLL_GAP : BASE_MS);
+			worker, answer->n_ends ? poll_gap(holder) : BASE_MS);
 		break;
 	case NODE_ORDER_FENCED:
 		node_election_lost(holder->node, "fenced by a worker");
@@ -285,6 +318,19 @@
 					      base_str(worker->id));
 }
 
+static int64_t poll_wait(const node_worker_t *worker)
+{
+	const batch_t *core = worker->holder->core;
+	size_t n_long_running;
+
+	if (!worker->has_seen_term || worker->is_silent)
+		return 0;
+	if (batch_answer_time(core) > WORKER_BUSY_ANSWER_TIME ||
+	    !batch_worker_runs(core, base_str(worker->id), &n_long_running))
+		return WORKER_POLL_WAIT_LONG;
+	return WORKER_POLL_WAIT;
+}
+
 static void poll_worker(void *arg)
 {
 	node_worker_t *worker = arg;
@@ -316,9 +362,7 @@
 	order.lease = worker->is_silent ? -1 : node_worker_grant_lease(worker);
 	if (!worker->is_silent)
 		order.last_stored_end = acknowledge_stored_ends(worker);
-	order.wait = worker->has_seen_term && !worker->is_silent
-			     ? WORKER_POLL_WAIT
-			     : 0;
+	order.wait = poll_wait(worker);
 	order.timeout = order.wait + WORKER_POLL_GRACE;
 	worker->is_polling = true;
 	worker->poll_sent_at = now;
--- a/packages/node/node_worker_list.c
+++ b/packages/node/node_worker_list.c
@@ -3,14 +3,20 @@
  */
 #include "node_worker_int.h"
 
-/* Interval at which the list of workers is read: a drain that the list shows
- * must be in force within two seconds. */
-#define WORKER_LIST_PERIOD (700 * BASE_MS)
+/* Interval at which the list of workers is read, at the least, and the part of
+ * the time within which a drain that the list shows must be in force. */
+#define WORKER_LIST_PERIOD_MIN (700 * BASE_MS)
+#define WORKER_LIST_DRAIN_PART 3
+/* An interval that leaves several readings to each worker's time-outs. */
+#define WORKER_LIST_PERIOD_MAX (1200 * BASE_MS)
 /* Delay after a part of the list could not be read. */
 #define WORKER_LIST_RETRY_DELAY (150 * BASE_MS)
 /* Revisions of unreadable entries that are remembered; more than a list has in
  * practice. */
 #define WORKER_UNREADABLE_MAX 1024
+/* The entry of a worker that has ended is not used for this long: by then it
+ * was removed, or is that of a worker that has started again under the id. */
+#define WORKER_ENDED_AGE (5 * BASE_SEC)
 /* Entries of new workers that are read at once. */
 #define WORKER_LOOKUPS_MAX 16
 
@@ -41,6 +47,19 @@
 		 BASE_F_INT("revision", item->revision));
 }
 
+static bool has_ended(const node_holder_t *holder, const char *id)
+{
+	const int64_t *at = g_hash_table_lookup(holder->ended_workers, id);
+
+	return at && base_clock_mono() - *at < WORKER_ENDED_AGE;
+}
+
+static gboolean is_old(gpointer key, gpointer value, gpointer now)
+{
+	(void)key;
+	return *(int64_t *)now - *(int64_t *)value >= WORKER_ENDED_AGE;
+}
+
 void node_workers_add_listed(node_holder_t *holder, const node_item_t *item)
 {
 	node_t *node = holder->node;
@@ -60,6 +79,10 @@
 	}
 	id = base_str_dup(ctx, entry.info.id);
 	worker = g_hash_table_lookup(holder->worker_links, id);
+	if (!worker && has_ended(holder, id)) {
+		talloc_free(ctx);
+		return;
+	}
 	if (worker && strcmp(worker->address, entry.address))
 		node_worker_set_address(worker, entry.address);
 	is_new = !worker;
@@ -89,9 +112,11 @@
 
 void node_workers_list_done(node_holder_t *holder)
 {
+	int64_t now = base_clock_mono();
 	GHashTableIter iter;
 	gpointer value;
 
+	g_hash_table_foreach_remove(holder->ended_workers, is_old, &now);
 	g_hash_table_iter_init(&iter, holder->worker_links);
 	while (g_hash_table_iter_next(&iter, NULL, &value)) {
 		node_worker_t *worker = value;
@@ -108,6 +133,12 @@
 
 static void list_page(void *arg);
 
+static int64_t list_period(const node_t *node)
+{
+	return CLAMP(node->settings->drain_time / WORKER_LIST_DRAIN_PART,
+		     WORKER_LIST_PERIOD_MIN, WORKER_LIST_PERIOD_MAX);
+}
+
 static void looked_up(void *arg, const node_answer_t *answer)
 {
 	lookup_t *lookup = arg;
@@ -131,7 +162,8 @@
 
 	if (g_hash_table_contains(holder->worker_links, id) ||
 	    g_hash_table_contains(holder->lookups, id) ||
-	    g_hash_table_size(holder->lookups) >= WORKER_LOOKUPS_MAX)
+	    g_hash_table_size(holder->lookups) >= WORKER_LOOKUPS_MAX ||
+	    has_ended(holder, id))
 		return;
 	lookup = talloc_zero(holder, lookup_t);
 	lookup->holder = holder;
@@ -168,7 +200,7 @@
 	holder->listed_at = base_clock_mono();
 	node_workers_list_done(holder);
 	node_holder_step_soon(holder);
-	net_timer_start(holder->list_timer, WORKER_LIST_PERIOD);
+	net_timer_start(holder->list_timer, list_period(holder->node));
 }
 
 static void list_page(void *arg)
@@ -190,5 +222,5 @@
 		node_worker_schedule_poll(value, 0);
 	holder->list_timer =
 		net_timer_new(holder, holder->node->loop, list_page, holder);
-	net_timer_start(holder->list_timer, WORKER_LIST_PERIOD);
+	net_timer_start(holder->list_timer, list_period(holder->node));
 }
--- a/packages/node/tests/node_given_up_test.c
+++ b/packages/node/tests/node_given_up_test.c
@@ -264,6 +264,8 @@
 	holder->core = batch_new(holder, &options);
 	holder->waiting = g_hash_table_new(g_str_hash, g_str_equal);
 	holder->worker_links = g_hash_table_new(g_str_hash, g_str_equal);
+	holder->ended_workers =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	holder->lookups = g_hash_table_new(g_str_hash, g_str_equal);
 	g_queue_init(&holder->forgotten);
 	holder->instances = node_instances_new(holder);
@@ -277,6 +279,7 @@
 {
 	g_hash_table_unref(test.holder->waiting);
 	g_hash_table_unref(test.holder->worker_links);
+	g_hash_table_unref(test.holder->ended_workers);
 	g_hash_table_unref(test.holder->lookups);
 	g_ptr_array_unref(test.node->members);
 	talloc_free(test.node);
--- a/packages/node/tests/node_worker_test.c
+++ b/packages/node/tests/node_worker_test.c
@@ -236,6 +236,8 @@
 	holder->core = batch_new(holder, &options);
 	holder->waiting = g_hash_table_new(g_str_hash, g_str_equal);
 	holder->worker_links = g_hash_table_new(g_str_hash, g_str_equal);
+	holder->ended_workers =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	g_queue_init(&holder->forgotten);
 	holder->waves = node_waves_new(holder);
 	holder->step_timer = net_timer_new(holder, test.node->loop, tick, NULL);
@@ -247,6 +249,7 @@
 {
 	g_hash_table_unref(test.holder->waiting);
 	g_hash_table_unref(test.holder->worker_links);
+	g_hash_table_unref(test.holder->ended_workers);
 	talloc_free(test.node);
 }
 
