batch, node, net: cheaper rows, log lines and calls

Numbers are printed by base_buf_add_uint(), the text of a log line's second is kept, what long-running tasks use is kept a worker, a call has one pool for its texts. The list of instances is read the less often the longer it is.

--- a/packages/batch/batch.h
+++ b/packages/batch/batch.h
@@ -327,6 +327,12 @@
 size_t batch_worker_runs(const batch_t *core, base_str_t id,
 			 size_t *n_long_running);
 
+/*
+ * Whether polls of the worker show nothing new but ends: it has no runs, or
+ * only long-running ones that are available and that no other task disturbs.
+ */
+bool batch_worker_is_steady(const batch_t *core, base_str_t id);
+
 /* One run, as a worker lists it. */
 typedef struct batch_listed_run {
 	batch_task_id_t task;
--- a/packages/batch/batch_demand.c
+++ b/packages/batch/batch_demand.c
@@ -68,21 +68,10 @@
 /* What long-running tasks use of the worker's present capacity. */
 static batch_load_t worker_long_running(const batch_worker_t *worker)
 {
-	batch_load_t load = { 0, 0 };
-	guint i;
-
-	for (i = 0; i < worker->runs->len; i++) {
-		batch_run_t *run = g_ptr_array_index(worker->runs, i);
-		const batch_step_spec_t *spec = run->task->step->spec;
-
-		if (!spec->long_running)
-			continue;
-		load.cpu += spec->best_effort ? 0 : (double)spec->need.cpu;
-		load.memory += (double)spec->need.memory;
-	}
-	load.cpu = MIN(load.cpu, (double)worker->capacity.cpu);
-	load.memory = MIN(load.memory, (double)worker->capacity.memory);
-	return load;
+	return (batch_load_t){ (double)MIN(worker->long_running.cpu,
+					   worker->capacity.cpu),
+			       (double)MIN(worker->long_running.memory,
+					   worker->capacity.memory) };
 }
 
 /* Capacity that long-running tasks use on the workers of a pool. */
--- a/packages/batch/batch_evacuate.c
+++ b/packages/batch/batch_evacuate.c
@@ -20,9 +20,9 @@
 #define EVACUATE_DRAIN_GRACE (1200 * BASE_MS)
 /*
  * A run counts as available only if the last poll of its worker is not older
- * than this; polls come at least every second.
+ * than this; polls come at least every 1.8 s.
  */
-#define EVACUATE_POLL_AGE_MAX (1500 * BASE_MS)
+#define EVACUATE_POLL_AGE_MAX (2300 * BASE_MS)
 /*
  * A moved task must have been available for this long before another task of
  * its step moves.
--- a/packages/batch/batch_int.h
+++ b/packages/batch/batch_int.h
@@ -273,7 +273,8 @@
 	int64_t capacity_changed_at; /* 0: it has not changed */
 	int64_t listed_at;	     /* when the list last had it */
 	batch_res_t used;
-	batch_pool_t *room_pool; /* pool whose "room" has it; NULL: none */
+	batch_res_t long_running; /* part of "used" of long-running tasks */
+	batch_pool_t *room_pool;  /* pool whose "room" has it; NULL: none */
 	int room_class;
 	batch_worker_t *room_next;
 	batch_worker_t *room_prev;
--- a/packages/batch/batch_record.c
+++ b/packages/batch/batch_record.c
@@ -45,16 +45,27 @@
 	CRASH_MAX
 } crash_field_t;
 
+/* Rows have many numbers, and are printed often. */
+static void add_number(base_buf_t *buf, int64_t number)
+{
+	base_buf_add_uint(buf, (uint64_t)number);
+	base_buf_add(buf, ",", 1);
+}
+
 static void print_task(base_buf_t *buf, const batch_task_t *task, bool *first)
 {
 	const batch_step_t *step = task->step;
 
 	if (!task->number && !task->done)
 		return;
-	base_buf_addf(buf, "%s[%d,%d,%d,%d,%" G_GINT64_FORMAT ",%d,",
-		      *first ? "" : ",", step->occ->number, step->number,
-		      task->index, task->done, task->number, task->n_failures);
+	base_buf_adds(buf, *first ? "[" : ",[");
 	*first = false;
+	add_number(buf, step->occ->number);
+	add_number(buf, step->number);
+	add_number(buf, task->index);
+	add_number(buf, task->done);
+	add_number(buf, task->number);
+	add_number(buf, task->n_failures);
 	base_buf_add_json(buf, task->run ? base_str(task->run->worker->id)
 					 : BASE_STR(""));
 	base_buf_adds(buf, ",");
--- a/packages/batch/batch_run.c
+++ b/packages/batch/batch_run.c
@@ -9,6 +9,24 @@
 /* A single slow worker counts no more than this. */
 #define ANSWER_TIME_MAX (200 * BASE_MS)
 
+static void add_need(batch_res_t *use, const batch_step_spec_t *spec, int sign)
+{
+	if (!spec->best_effort)
+		use->cpu += sign * spec->need.cpu;
+	use->memory += sign * spec->need.memory;
+	use->gpu += sign * spec->need.gpu;
+}
+
+/* Adds a run of the step to what is used on the worker, or removes one. */
+static void add_use(batch_worker_t *worker, const batch_step_spec_t *spec,
+		    int sign)
+{
+	add_need(&worker->used, spec, sign);
+	if (spec->long_running)
+		add_need(&worker->long_running, spec, sign);
+	batch_room_update(worker);
+}
+
 batch_run_t *batch_run_new(batch_task_t *task, batch_worker_t *worker,
 			   int64_t now, int64_t number)
 {
@@ -27,11 +45,7 @@
 	task->step->n_open_runs += !task->done;
 	if (number > task->number)
 		task->number = number;
-	if (!task->step->spec->best_effort)
-		worker->used.cpu += task->step->spec->need.cpu;
-	worker->used.memory += task->step->spec->need.memory;
-	worker->used.gpu += task->step->spec->need.gpu;
-	batch_room_update(worker);
+	add_use(worker, task->step->spec, 1);
 	g_ptr_array_add(worker->runs, run);
 	batch_crash_run_new(run);
 	job->n_runs++;
@@ -47,11 +61,7 @@
 
 	if (run->state == RUN_STORING)
 		worker->core->n_unsent--;
-	if (!task->step->spec->best_effort)
-		worker->used.cpu -= task->step->spec->need.cpu;
-	worker->used.memory -= task->step->spec->need.memory;
-	worker->used.gpu -= task->step->spec->need.gpu;
-	batch_room_update(worker);
+	add_use(worker, task->step->spec, -1);
 	g_ptr_array_remove_fast(worker->runs, run);
 	batch_crash_run_freed(run);
 	task->step->occ->job->n_runs--;
--- a/packages/batch/batch_worker.c
+++ b/packages/batch/batch_worker.c
@@ -239,6 +239,22 @@
 	return worker->runs->len;
 }
 
+bool batch_worker_is_steady(const batch_t *core, base_str_t id)
+{
+	const batch_worker_t *worker = batch_find_worker(core, id);
+	guint i;
+
+	for (i = 0; worker && i < worker->runs->len; i++) {
+		const batch_run_t *run = g_ptr_array_index(worker->runs, i);
+		const batch_step_spec_t *spec = run->task->step->spec;
+
+		if (!spec->long_running || spec->tail_target ||
+		    run->state != RUN_CONFIRMED || run->percent < 100)
+			return false;
+	}
+	return worker != NULL;
+}
+
 GPtrArray *batch_workers_unpolled(const batch_t *core)
 {
 	GPtrArray *ids = g_ptr_array_new_with_free_func(g_free);
--- a/packages/net/net_client.c
+++ b/packages/net/net_client.c
@@ -44,6 +44,11 @@
 	[NET_DELETE] = EVHTTP_REQ_DELETE,
 };
 
+/* Objects below a call without headers, and the size of its texts, but for the
+ * body; a longer text is allocated by itself. */
+#define CALL_OBJECTS 4
+#define CALL_TEXTS_SIZE 512
+
 static void send_queued(net_client_t *client);
 
 static void free_conn(void *arg)
@@ -259,9 +264,14 @@
 net_call_t *net_call(net_client_t *client, const net_request_t *request,
 		     net_done_t *done, void *arg)
 {
-	net_call_t *call = talloc_zero(client, net_call_t);
+	/* One allocation for the call and all that it copies. */
+	net_call_t *call = talloc_pooled_object(
+		client, net_call_t, CALL_OBJECTS + (unsigned)request->n_headers,
+		CALL_TEXTS_SIZE + request->body.len);
 	size_t i;
 
+	memset(call, 0, sizeof(*call));
+
 	call->client = client;
 	call->method = request->method;
 	call->path = talloc_strdup(call, request->path);
--- a/packages/node/node_instance.c
+++ b/packages/node/node_instance.c
@@ -8,6 +8,8 @@
 /* Listing period while an instance changes: a move or maintenance takes about
  * two seconds. */
 #define INSTANCE_FAST_POLL_EVERY (400 * BASE_MS)
+/* More of it for each instance: a longer list takes longer to read. */
+#define INSTANCE_FAST_POLL_PER_INSTANCE 200 /* microseconds */
 #define INSTANCE_FAST_POLL_FOR (1000 * BASE_MS)
 
 static void start_round(void *arg);
@@ -41,6 +43,13 @@
 	net_timer_start(instances->timer, 0);
 }
 
+static int64_t fast_poll_period(const node_insts_t *instances)
+{
+	return INSTANCE_FAST_POLL_EVERY +
+	       INSTANCE_FAST_POLL_PER_INSTANCE *
+		       (int64_t)g_hash_table_size(instances->table);
+}
+
 void node_instances_poll_fast(node_insts_t *instances)
 {
 	int64_t now = base_clock_mono();
@@ -48,7 +57,7 @@
 
 	instances->poll_fast_until = now + INSTANCE_FAST_POLL_FOR;
 	if (!is_polling_fast && !instances->is_listing)
-		net_timer_start(instances->timer, INSTANCE_FAST_POLL_EVERY);
+		net_timer_start(instances->timer, fast_poll_period(instances));
 }
 
 const node_inst_t *node_instance_find(const node_insts_t *instances,
@@ -233,7 +242,7 @@
 	net_timer_start(instances->timer,
 			base_clock_mono() < instances->poll_fast_until ||
 					instances->list_unavailable
-				? INSTANCE_FAST_POLL_EVERY
+				? fast_poll_period(instances)
 				: INSTANCE_POLL_EVERY);
 }
 
--- a/packages/node/node_log.c
+++ b/packages/node/node_log.c
@@ -16,6 +16,7 @@
 /* Lines per second and message id: 350 workers start some 700 tasks a second on
  * average; a line costs 2 us. */
 #define LOG_LINES_PER_SECOND 1000
+#define LOG_MICROS_DIGITS 6
 
 struct node_log {
 	int fd;
@@ -23,6 +24,8 @@
 	net_timer_t *timer;
 	bool flush_scheduled;
 	int64_t second;
+	time_t text_second; /* that "text" names */
+	char text[48];
 	uint32_t lines[BASE_MSG_MAX]; /* lines in "second", by id */
 	uint64_t dropped;
 	uint64_t dropped_reported;
@@ -96,21 +99,32 @@
 	return log;
 }
 
-static void add_time(base_buf_t *line, int64_t wall)
+/* The text of the second is kept, for the lines that follow in it. */
+static void add_time(struct node_log *log, int64_t wall)
 {
 	time_t seconds = (time_t)(wall / BASE_SEC);
+	char micros[] = "000000Z\"";
+	int64_t left = wall % BASE_SEC;
 	struct tm parts;
-	char text[32];
+	int i;
 
-	gmtime_r(&seconds, &parts);
-	strftime(text, sizeof(text), "%Y-%m-%dT%H:%M:%S", &parts);
-	base_buf_addf(line, "{\"time\":\"%s.%06dZ\"", text,
-		      (int)(wall % BASE_SEC));
+	if (seconds != log->text_second || !*log->text) {
+		log->text_second = seconds;
+		gmtime_r(&seconds, &parts);
+		strftime(log->text, sizeof(log->text),
+			 "{\"time\":\"%Y-%m-%dT%H:%M:%S.", &parts);
+	}
+	for (i = LOG_MICROS_DIGITS; i-- > 0; left /= 10)
+		micros[i] = (char)('0' + left % 10);
+	base_buf_adds(log->buffer, log->text);
+	base_buf_adds(log->buffer, micros);
 }
 
 static void add_field(base_buf_t *line, const base_field_t *field)
 {
-	base_buf_addf(line, ",\"%s\":", field->key);
+	base_buf_adds(line, ",\"");
+	base_buf_adds(line, field->key);
+	base_buf_adds(line, "\":");
 	switch (field->kind) {
 	case BASE_FIELD_STR:
 		base_buf_add_json(line, base_str(field->str));
@@ -122,7 +136,10 @@
 		base_buf_adds(line, field->num ? "true" : "false");
 		break;
 	default:
-		base_buf_addf(line, "%lld", (long long)field->num);
+		if (field->num < 0)
+			base_buf_add(line, "-", 1);
+		base_buf_add_uint(line, field->num < 0 ? -(uint64_t)field->num
+						       : (uint64_t)field->num);
 		break;
 	}
 }
@@ -133,7 +150,7 @@
 	const base_msg_info_t *info = base_msg_info(msg);
 	size_t i;
 
-	add_time(log->buffer, wall);
+	add_time(log, wall);
 	base_buf_addf(log->buffer, ",\"level\":\"%s\",\"msg\":\"%s\"",
 		      base_level_name(info->level), info->name);
 	for (i = 0; i < n; i++)
--- a/packages/node/node_worker.c
+++ b/packages/node/node_worker.c
@@ -16,8 +16,8 @@
 /* Longest time that a poll waits at the worker for a run to end.  Several
  * polls fit into one lease. */
 #define WORKER_POLL_WAIT (1000 * BASE_MS)
-/* The same for a worker without runs, and for all while the holder is too slow
- * for its events; two polls fit into one lease. */
+/* The same for a worker without changes, and for all while the holder is too
+ * slow for its events; two polls fit into one lease. */
 #define WORKER_POLL_WAIT_LONG (1800 * BASE_MS)
 /* A holder is too slow for its events when starts are answered later than this:
  * several times the round trip to a worker. */
@@ -31,6 +31,9 @@
 /* Delay of the poll that follows a report of ended runs, so that this poll
  * returns several runs that end together. */
 #define WORKER_POLL_GAP (30 * BASE_MS)
+/* More of it for each worker, so that the polls of a large fleet return more
+ * ends each. */
+#define WORKER_POLL_GAP_PER_WORKER 80 /* microseconds */
 /* The same while the holder is too slow for its events: this many times the
  * answer time of starts, so that a poll returns more ends. */
 #define WORKER_POLL_GAP_ANSWERS 3
@@ -207,8 +210,12 @@
 
 static int64_t poll_gap(const node_holder_t *holder)
 {
-	return CLAMP(WORKER_POLL_GAP_ANSWERS * batch_answer_time(holder->core),
-		     WORKER_POLL_GAP, WORKER_POLL_GAP_MAX);
+	int64_t least = WORKER_POLL_GAP + WORKER_POLL_GAP_PER_WORKER *
+						  (int64_t)g_hash_table_size(
+							  holder->worker_links);
+	int64_t gap = WORKER_POLL_GAP_ANSWERS * batch_answer_time(holder->core);
+
+	return MIN(MAX(gap, least), WORKER_POLL_GAP_MAX);
 }
 
 static void poll_answered(void *arg, const node_poll_result_t *answer)
@@ -321,12 +328,11 @@
 static int64_t poll_wait(const node_worker_t *worker)
 {
 	const batch_t *core = worker->holder->core;
-	size_t n_long_running;
 
 	if (!worker->has_seen_term || worker->is_silent)
 		return 0;
 	if (batch_answer_time(core) > WORKER_BUSY_ANSWER_TIME ||
-	    !batch_worker_runs(core, base_str(worker->id), &n_long_running))
+	    batch_worker_is_steady(core, base_str(worker->id)))
 		return WORKER_POLL_WAIT_LONG;
 	return WORKER_POLL_WAIT;
 }
