batch: run a pass each 20 ms at the latest

With thousands of jobs waiting, passes ran each 40 ms, and each decides no more than 64 starts while the holder is busy: 1,600 starts a second at the most. The gap is now 8 us a job, at most 20 ms.

A quarter instead of a half of the unsent starts for late jobs was tried and reverted: batch_load_test then ends with jobs left.

--- a/packages/batch/batch_place.c
+++ b/packages/batch/batch_place.c
@@ -77,9 +77,9 @@
  * Least time between two passes, for each job that has not ended: several times
  * what a pass takes for it.
  */
-#define PLACE_GAP_PER_JOB 20 /* microseconds */
+#define PLACE_GAP_PER_JOB 8 /* microseconds */
 /* Still short beside a task of a second. */
-#define PLACE_GAP_MAX (40 * BASE_MS)
+#define PLACE_GAP_MAX (20 * BASE_MS)
 
 /*
  * Time between two checks of all workers for leases that have ended, stops to
