node: commit in lanes while the store answers slowly

A job's rows now belong to one of eight lanes, by its id. While changes take longer than 50 ms on average and more rows wait than one holds, each lane has a change of its own open, conditional on the holder's key and on the lane's fence, so that a late or repeated change takes effect once and never after a later one of that lane. The single change and lanes are never open together. A successor needs nothing of the lanes: changes of a former holder fail by its key.

--- a/packages/batch/batch.c
+++ b/packages/batch/batch.c
@@ -19,6 +19,7 @@
 {
 	GHashTableIter iter;
 	gpointer value;
+	int i;
 
 	g_hash_table_iter_init(&iter, core->workers);
 	while (g_hash_table_iter_next(&iter, NULL, &value)) {
@@ -40,7 +41,8 @@
 	g_hash_table_unref(core->queues);
 	g_hash_table_unref(core->pools);
 	g_ptr_array_unref(core->active_jobs);
-	g_ptr_array_unref(core->storing_jobs);
+	for (i = 0; i < BATCH_LANE_MAX; i++)
+		g_ptr_array_unref(core->storing_jobs[i]);
 	g_array_unref(core->losses);
 	g_hash_table_unref(core->refused);
 	g_queue_clear(&core->rows);
@@ -62,7 +64,8 @@
 	core->refused =
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	core->active_jobs = g_ptr_array_new();
-	core->storing_jobs = g_ptr_array_new();
+	for (i = 0; i < BATCH_LANE_MAX; i++)
+		core->storing_jobs[i] = g_ptr_array_new();
 	core->losses = batch_crash_losses_new();
 	g_queue_init(&core->rows);
 	talloc_set_destructor(core, core_free);
@@ -307,6 +310,7 @@
 	job->core = core;
 	job->spec = *spec;
 	job->id = base_str_dup(job, spec->id);
+	job->lane = (int)(g_str_hash(job->id) % BATCH_LANES);
 	job->spec.id = base_str(job->id);
 	job->spec.queue = dup_str(job, spec->queue);
 	job->spec.payload = dup_str(job, spec->payload);
--- a/packages/batch/batch.h
+++ b/packages/batch/batch.h
@@ -463,19 +463,29 @@
 } batch_row_t;
 
 /*
- * Takes up to "max" changed rows to store, as many as fit into a change of
- * "entries": one a row, and one for its source, which is added or removed.  No
- * more are handed out until batch_rows_stored() is called; the strings stay
- * valid until then.
+ * Rows are stored in changes: one at a time with rows of all jobs, or one at a
+ * time in each lane.  A job's rows are always in the same lane.
  */
-size_t batch_rows(batch_t *core, batch_row_t *rows, size_t max, size_t entries);
-bool batch_rows_waiting(const batch_t *core);
+#define BATCH_LANES 8
+#define BATCH_LANE_ALL BATCH_LANES
+#define BATCH_LANE_MAX (BATCH_LANE_ALL + 1)
+
+/*
+ * Takes up to "max" changed rows of a lane to store, as many as fit into a
+ * change of "entries": one a row, and one for its source, which is added or
+ * removed.  No more are handed out in this lane, or in any for BATCH_LANE_ALL,
+ * until batch_rows_stored() is called; the strings stay valid until then.
+ */
+size_t batch_rows(batch_t *core, int lane, batch_row_t *rows, size_t max,
+		  size_t entries);
+void batch_rows_stored(batch_t *core, int lane, int64_t now);
+/* Number of rows that wait to be stored. */
+size_t batch_rows_length(const batch_t *core);
+/* Whether one of them is of the lane. */
+bool batch_lane_waits(const batch_t *core, int lane);
 /* How long starts wait for their answers of late, microseconds: it rises when
  * the holder is too slow for its events. */
 int64_t batch_answer_time(const batch_t *core);
-/* Number of rows that wait to be stored. */
-size_t batch_rows_length(const batch_t *core);
-void batch_rows_stored(batch_t *core, int64_t now);
 
 /* A job as a predecessor stored it. */
 typedef struct batch_stored {
--- a/packages/batch/batch_commit.c
+++ b/packages/batch/batch_commit.c
@@ -12,14 +12,19 @@
 	g_queue_push_tail(&job->core->rows, job);
 }
 
-bool batch_rows_waiting(const batch_t *core)
+size_t batch_rows_length(const batch_t *core)
 {
-	return core->storing_jobs->len == 0 && core->rows.length > 0;
+	return core->rows.length;
 }
 
-size_t batch_rows_length(const batch_t *core)
+bool batch_lane_waits(const batch_t *core, int lane)
 {
-	return core->rows.length;
+	const GList *link;
+
+	for (link = core->rows.head; link; link = link->next)
+		if (((const batch_job_t *)link->data)->lane == lane)
+			return true;
+	return false;
 }
 
 static size_t count_entries(const batch_job_t *job)
@@ -27,42 +32,69 @@
 	return !job->stored || !batch_job_is_active(job) ? 2 : 1;
 }
 
-size_t batch_rows(batch_t *core, batch_row_t *rows, size_t max, size_t entries)
+static bool may_store(const batch_t *core, int lane)
+{
+	int i;
+
+	if (core->storing_jobs[BATCH_LANE_ALL]->len)
+		return false;
+	for (i = 0; i < BATCH_LANES; i++)
+		if ((lane == BATCH_LANE_ALL || lane == i) &&
+		    core->storing_jobs[i]->len)
+			return false;
+	return true;
+}
+
+static batch_row_t print_row(const batch_job_t *job, const void *texts)
+{
+	bool ended = !batch_job_is_active(job);
+
+	return (batch_row_t){
+		.job = base_str(job->id),
+		.record = batch_record_print(texts, job),
+		.ended = ended,
+		.source =
+			job->stored || ended ? BASE_STR("") : job->spec.source,
+	};
+}
+
+size_t batch_rows(batch_t *core, int lane, batch_row_t *rows, size_t max,
+		  size_t entries)
 {
+	GList *link = core->rows.head;
+	GList *next;
 	size_t n = 0;
 
-	if (core->storing_jobs->len)
+	if (!may_store(core, lane))
 		return 0;
-	core->row_texts = talloc_new(core);
-	while (n < max && core->rows.length) {
-		batch_job_t *job = g_queue_peek_head(&core->rows);
+	core->row_texts[lane] = talloc_new(core);
+	for (; link && n < max; link = next) {
+		batch_job_t *job = link->data;
 
+		next = link->next;
+		if (lane != BATCH_LANE_ALL && lane != job->lane)
+			continue;
 		if (count_entries(job) > entries)
 			break;
 		entries -= count_entries(job);
-		g_queue_pop_head(&core->rows);
+		g_queue_delete_link(&core->rows, link);
 		job->row_queued = false;
 		job->printed_version = job->version;
-		rows[n].job = base_str(job->id);
-		rows[n].record = batch_record_print(core->row_texts, job);
-		rows[n].ended = !batch_job_is_active(job);
-		rows[n].source = job->stored || rows[n].ended
-					 ? BASE_STR("")
-					 : job->spec.source;
-		g_ptr_array_add(core->storing_jobs, job);
-		n++;
+		rows[n++] = print_row(job, core->row_texts[lane]);
+		g_ptr_array_add(core->storing_jobs[lane], job);
 	}
 	return n;
 }
 
-void batch_rows_stored(batch_t *core, int64_t now)
+void batch_rows_stored(batch_t *core, int lane, int64_t now)
 {
+	GPtrArray *jobs = core->storing_jobs[lane];
 	guint i;
 
-	for (i = 0; i < core->storing_jobs->len; i++)
-		job_stored(g_ptr_array_index(core->storing_jobs, i), now);
-	g_ptr_array_set_size(core->storing_jobs, 0);
-	TALLOC_FREE(core->row_texts);
+	for (i = 0; i < jobs->len; i++)
+		job_stored(g_ptr_array_index(jobs, i), now);
+	g_ptr_array_set_size(jobs, 0);
+	TALLOC_FREE(core->row_texts[lane]);
 	core->pass_needed = true;
 }
 
--- a/packages/batch/batch_int.h
+++ b/packages/batch/batch_int.h
@@ -215,6 +215,7 @@
 struct batch_job {
 	batch_t *core;
 	char *id;
+	int lane; /* in which its rows are stored */
 	batch_spec_t spec;
 	double *estimate_factors; /* factor of each step's estimate */
 	batch_paths_t *paths;	  /* critical paths */
@@ -331,9 +332,10 @@
 	int n_unsent;	      /* starts decided and not sent */
 	int64_t send_delay;   /* of the last start, from its decision */
 	int64_t answer_time;  /* of starts, decaying average */
-	GPtrArray *storing_jobs; /* jobs whose rows are being stored */
-	void *row_texts;	 /* strings of these rows */
-	GArray *losses;		 /* of workers, lately; see batch_crash.c */
+	/* Jobs whose rows are being stored, and strings of these rows. */
+	GPtrArray *storing_jobs[BATCH_LANE_MAX];
+	void *row_texts[BATCH_LANE_MAX];
+	GArray *losses; /* of workers, lately; see batch_crash.c */
 	bool give_up_due;
 	batch_stats_t stats;
 	base_hist_t *times[BATCH_TIME_MAX];
--- a/packages/batch/tests/batch_store_test.c
+++ b/packages/batch/tests/batch_store_test.c
@@ -267,7 +267,7 @@
 	}
 }
 
-static void run_random_day(uint64_t seed)
+static void run_random_day(uint64_t seed, bool lanes)
 {
 	world_t *world = world_new(seed, DAY_WORKERS, 3);
 	base_rng_t rng = { seed };
@@ -275,6 +275,7 @@
 	char id[8];
 	int i;
 
+	world->lanes = lanes;
 	for (i = 0; i < DAY_JOBS; i++) {
 		steps[0] = world_step(1 + (int)base_rng_below(&rng, 4));
 		steps[1] = world_step(1 + (int)base_rng_below(&rng, 4));
@@ -309,7 +310,7 @@
 	uint64_t seed;
 
 	for (seed = 1; seed <= 300; seed++)
-		run_random_day(seed);
+		run_random_day(seed, false);
 }
 
 /*
@@ -348,6 +349,58 @@
 	check_and_free(world);
 }
 
+/* The same while rows are stored in lanes, each change in another time. */
+static void test_random_days_in_lanes(void)
+{
+	uint64_t seed;
+
+	for (seed = 1; seed <= 300; seed++)
+		run_random_day(seed, true);
+}
+
+/*
+ * Guards against a row that an older one of the same job replaces: two changes
+ * with rows of one job are never stored at the same time.
+ */
+static void test_lanes(void)
+{
+	world_t *world = world_new(1, 8, 3);
+	batch_step_spec_t step = world_step(1);
+	batch_row_t rows[64];
+	size_t n = 0;
+	char id[8];
+	int lane;
+	int i;
+
+	for (i = 0; i < 40; i++) {
+		g_snprintf(id, sizeof(id), "j%d", i);
+		world_submit(world, id, &step, 1);
+	}
+	for (lane = 0; lane < BATCH_LANES; lane++) {
+		g_assert_true(batch_lane_waits(world->core, lane));
+		n += batch_rows(world->core, lane, rows, 64, 128);
+		g_assert_false(batch_lane_waits(world->core, lane));
+		g_assert_cmpuint(
+			batch_rows(world->core, BATCH_LANE_ALL, rows, 64, 128),
+			==, 0);
+	}
+	g_assert_cmpuint(n, ==, 40);
+	world_cancel(world, "j0");
+	for (lane = 0; lane < BATCH_LANES; lane++) {
+		g_assert_cmpuint(batch_rows(world->core, lane, rows, 64, 128),
+				 ==, 0);
+		batch_rows_stored(world->core, lane, world->now);
+	}
+	g_assert_cmpuint(batch_rows(world->core, BATCH_LANE_ALL, rows, 64, 128),
+			 ==, 1);
+	g_assert_true(base_str_eq(rows[0].job, BASE_STR("j0")));
+	for (lane = 0; lane < BATCH_LANES; lane++)
+		g_assert_cmpuint(batch_rows(world->core, lane, rows, 64, 128),
+				 ==, 0);
+	batch_rows_stored(world->core, BATCH_LANE_ALL, world->now);
+	world_free(world);
+}
+
 /* A start or stop that is carried out late; NULL: none. */
 static world_order_t *find_late_order(world_t *world, bool stop)
 {
@@ -464,6 +517,9 @@
 	g_test_add_func("/batch-store/stop-is-repeated-after-a-restart",
 			test_stop_is_repeated_after_a_restart);
 	g_test_add_func("/batch-store/random-days", test_random_days);
+	g_test_add_func("/batch-store/random-days-in-lanes",
+			test_random_days_in_lanes);
+	g_test_add_func("/batch-store/lanes", test_lanes);
 	g_test_add_func("/batch-store/start-given-up-before-its-answer",
 			test_start_given_up_before_its_answer);
 	g_test_add_func("/batch-store/run-listed-after-the-doubt-goes-on",
--- a/packages/batch/tests/batch_test.c
+++ b/packages/batch/tests/batch_test.c
@@ -259,8 +259,9 @@
 	world_submit(world, "b", &waiting, 1);
 	world_advance(world, SECOND);
 	g_assert_true(world_cancel(world, "b"));
-	g_assert_cmpuint(batch_rows(world->core, rows, 2, 4), ==, 1);
-	batch_rows_stored(world->core, world->now);
+	g_assert_cmpuint(batch_rows(world->core, BATCH_LANE_ALL, rows, 2, 4),
+			 ==, 1);
+	batch_rows_stored(world->core, BATCH_LANE_ALL, world->now);
 	g_assert_true(world_cancelled(world, "b"));
 	world_submit(world, "c", &waiting, 1);
 	g_assert_true(world_cancel(world, "a"));
@@ -576,7 +577,7 @@
  * Submits random jobs under random faults and takeovers.  Once the faults have
  * ended, every accepted job must end.
  */
-static void run_random_scenario(uint64_t seed)
+static void run_random_scenario(uint64_t seed, bool lanes)
 {
 	world_t *world = world_new(seed, 8, 3);
 	base_rng_t rng = { .state = seed * 77 };
@@ -585,6 +586,7 @@
 	int ended = 0;
 	int i;
 
+	world->lanes = lanes;
 	world->lost_answer_percent = (int)base_rng_below(&rng, 15);
 	world->late_order_percent = (int)base_rng_below(&rng, 10);
 	world->failed_run_percent = (int)base_rng_below(&rng, 10);
@@ -614,8 +616,10 @@
 {
 	uint64_t seed;
 
-	for (seed = 1; seed <= 200; seed++)
-		run_random_scenario(seed);
+	for (seed = 1; seed <= 200; seed++) {
+		run_random_scenario(seed, false);
+		run_random_scenario(seed, true);
+	}
 }
 
 int main(int argc, char **argv)
--- a/packages/batch/tests/batch_world.c
+++ b/packages/batch/tests/batch_world.c
@@ -227,6 +227,8 @@
 	world->logged_to = *event->to;
 }
 
+static void drop_rows(world_t *world);
+
 static const batch_ops_t ops = {
 	.accepted = op_accepted,
 	.cancelled = op_cancelled,
@@ -402,8 +404,7 @@
 		g_array_unref(world->workers[i].ends);
 		g_array_unref(world->workers[i].fence);
 	}
-	for (i = 0; i < (int)world->n_taken; i++)
-		g_free(world->taken_text[i]);
+	drop_rows(world);
 	g_array_unref(world->orders);
 	g_hash_table_unref(world->jobs);
 	g_hash_table_unref(world->rows);
@@ -505,32 +506,68 @@
 	return n;
 }
 
-static void store_rows(world_t *world)
+static void store_commit(world_t *world, int lane)
 {
+	world_commit_t *commit = &world->commits[lane];
 	size_t i;
 
-	if (world->n_taken && !world->store_down &&
-	    world->now >= world->stored_at) {
-		for (i = 0; i < world->n_taken; i++) {
-			char *id = g_strndup(world->taken[i].job.ptr,
-					     world->taken[i].job.len);
+	for (i = 0; i < commit->n; i++) {
+		char *id = g_strndup(commit->rows[i].job.ptr,
+				     commit->rows[i].job.len);
 
-			if (world->taken_ended[i])
-				g_hash_table_add(world->ended, g_strdup(id));
-			g_hash_table_replace(world->rows, id,
-					     world->taken_text[i]);
-		}
-		world->n_taken = 0;
-		batch_rows_stored(world->core, world->now);
+		if (commit->ended[i])
+			g_hash_table_add(world->ended, g_strdup(id));
+		g_hash_table_replace(world->rows, id, commit->texts[i]);
 	}
-	if (world->n_taken || !batch_rows_waiting(world->core))
-		return;
-	world->n_taken = batch_rows(world->core, world->taken, 14, 28);
-	for (i = 0; i < world->n_taken; i++) {
-		world->taken_text[i] = g_strdup(world->taken[i].record);
-		world->taken_ended[i] = world->taken[i].ended;
+	world->n_taken -= commit->n;
+	commit->n = 0;
+	batch_rows_stored(world->core, lane, world->now);
+}
+
+static void take_rows(world_t *world, int lane)
+{
+	world_commit_t *commit = &world->commits[lane];
+	int64_t factor =
+		world->lanes ? 1 + (int64_t)base_rng_below(&world->rng, 60) : 1;
+	size_t i;
+
+	commit->n = batch_rows(world->core, lane, commit->rows, 14, 28);
+	world->n_taken += commit->n;
+	for (i = 0; i < commit->n; i++) {
+		commit->texts[i] = g_strdup(commit->rows[i].record);
+		commit->ended[i] = commit->rows[i].ended;
 	}
-	world->stored_at = world->now + world->store_time;
+	commit->stored_at = world->now + factor * world->store_time;
+}
+
+/* Stores the rows of all jobs in one change at a time, or those of each lane;
+ * some changes are of all jobs in either case. */
+static void store_rows(world_t *world)
+{
+	bool all = !world->lanes || world_chance(world, 10);
+	int lane;
+
+	for (lane = 0; lane < BATCH_LANE_MAX; lane++)
+		if (world->commits[lane].n && !world->store_down &&
+		    world->now >= world->commits[lane].stored_at)
+			store_commit(world, lane);
+	for (lane = 0; lane < BATCH_LANE_MAX; lane++)
+		if (all == (lane == BATCH_LANE_ALL) &&
+		    !world->commits[lane].n && batch_rows_length(world->core))
+			take_rows(world, lane);
+}
+
+static void drop_rows(world_t *world)
+{
+	size_t i;
+	int lane;
+
+	for (lane = 0; lane < BATCH_LANE_MAX; lane++) {
+		for (i = 0; i < world->commits[lane].n; i++)
+			g_free(world->commits[lane].texts[i]);
+		world->commits[lane].n = 0;
+	}
+	world->n_taken = 0;
 }
 
 /* Lists the workers after a change of a capacity, and now and then. */
@@ -632,13 +669,10 @@
 	GHashTableIter iter;
 	gpointer key;
 	gpointer value;
-	size_t i;
 	int w;
 
 	talloc_free(world->core);
-	for (i = 0; i < world->n_taken; i++)
-		g_free(world->taken_text[i]);
-	world->n_taken = 0;
+	drop_rows(world);
 	world->term++;
 	world->holder++;
 	for (w = 0; w < world->n_workers; w++) {
--- a/packages/batch/tests/batch_world.h
+++ b/packages/batch/tests/batch_world.h
@@ -114,6 +114,15 @@
 	int most_crashes;
 } world_job_t;
 
+/* Rows that are being stored. */
+typedef struct world_commit {
+	batch_row_t rows[16];
+	size_t n;
+	char *texts[16];
+	bool ended[16];
+	int64_t stored_at;
+} world_commit_t;
+
 typedef struct world {
 	batch_t *core;
 	int64_t now;
@@ -126,11 +135,10 @@
 	GHashTable *jobs;  /* id to world_job_t */
 	GHashTable *rows;  /* the store: id to record */
 	GHashTable *ended; /* ids whose stored row has ended */
-	batch_row_t taken[16];
-	size_t n_taken;
-	char *taken_text[16];
-	bool taken_ended[16];
-	int64_t stored_at; /* when the taken rows are stored */
+	world_commit_t commits[BATCH_LANE_MAX];
+	size_t n_taken; /* rows that are being stored */
+	/* Rows are stored in lanes, each change in a random time. */
+	bool lanes;
 	int attempts;
 	double stretch;
 	bool queue_removed; /* the next holder's configuration has no queue */
--- a/packages/node/node_int.h
+++ b/packages/node/node_int.h
@@ -12,6 +12,7 @@
 /* Keys and key prefixes in the platform's store. */
 #define NODE_KEY_HOLDER "cactusfield/owner"
 #define NODE_KEY_FENCE "cactusfield/fence"
+#define NODE_KEY_LANE_FENCE "cactusfield/lane-fence/"
 #define NODE_KEY_JOB "cactusfield/job/"
 #define NODE_KEY_ROW "cactusfield/row/"
 #define NODE_KEY_WAVE "cactusfield/wave/"
@@ -29,6 +30,7 @@
 typedef struct node_worker node_worker_t;
 typedef struct node_waves node_waves_t;
 typedef struct node_moves node_moves_t;
+typedef struct node_commit node_commit_t;
 
 /* The last listed state of an instance. */
 typedef struct node_inst {
@@ -391,12 +393,10 @@
 	net_timer_t *step_timer;
 	bool step_soon;
 	net_timer_t *commit_timer; /* until the next change may be sent */
-	net_timer_t *retry_timer;  /* repeats a change that had no answer */
-	bool committing;
+	node_commit_t *commits;	   /* by lane; NULL: none was needed yet */
+	int n_commits_open;
+	int64_t commit_time; /* of a change, decaying average */
 	int64_t commit_number;
-	char *fence_text;
-	void *commit_ctx;
-	node_change_t commit;
 	GHashTable *waiting; /* job id to list of waiting requests */
 	node_refusals_t *refusals;
 	/* The try of a submit that was accepted or refused last, for the log.
@@ -433,6 +433,8 @@
 void node_restore_begin(node_holder_t *holder);
 
 /* node_commit.c */
+/* Whether a change has no answer of the store yet. */
+bool node_commit_is_open(const node_holder_t *holder);
 void node_commit_send_pending(node_holder_t *holder);
 
 /* node_worker.c */
--- a/packages/node/node_pass.c
+++ b/packages/node/node_pass.c
@@ -90,7 +90,7 @@
 
 	if (node->store_down)
 		return silence > PASS_FAILED_AFTER;
-	return holder->committing && silence > PASS_SILENT_AFTER;
+	return node_commit_is_open(holder) && silence > PASS_SILENT_AFTER;
 }
 
 static void probe_answered(node_holder_t *holder, const pass_call_t *call,
