--- a/packages/batch/batch_crash.c
+++ b/packages/batch/batch_crash.c
@@ -533,7 +533,7 @@
 		likely = g_ptr_array_index(heads, 0);
 	for (i = 0; i < heads->len; i++) {
 		batch_task_t *head = g_ptr_array_index(heads, i);
-		bool alone = head == likely && !correlated;
+		bool alone = likely && head == likely && !correlated;
 
 		suspect(head, worker, now,
 			!alone	  ? SUSPICION_SHARED
