--- a/packages/batch/batch_crash.c
+++ b/packages/batch/batch_crash.c
@@ -529,11 +529,10 @@
 		       heads == found->unproven && !found->late->len;
 	guint i;
 
-	if (!likely && heads->len == 1)
-		likely = g_ptr_array_index(heads, 0);
 	for (i = 0; i < heads->len; i++) {
 		batch_task_t *head = g_ptr_array_index(heads, i);
-		bool alone = likely && head == likely && !correlated;
+		bool is_likely = likely ? head == likely : heads->len == 1;
+		bool alone = is_likely && !correlated;
 
 		suspect(head, worker, now,
 			!alone	  ? SUSPICION_SHARED
