--- a/packages/batch/batch.h
+++ b/packages/batch/batch.h
@@ -333,6 +333,12 @@
  */
 bool batch_worker_is_steady(const batch_t *core, base_str_t id);
 
+/*
+ * Whether the worker has a run on trial: other starts there, and other trials,
+ * wait for an answer that shows that the worker has survived it.
+ */
+bool batch_worker_has_trial(const batch_t *core, base_str_t id);
+
 /* One run, as a worker lists it. */
 typedef struct batch_listed_run {
 	batch_task_id_t task;
--- a/packages/batch/batch_crash.c
+++ b/packages/batch/batch_crash.c
@@ -33,11 +33,6 @@
  * be started three times more once three workers have crashed under it.
  */
 #define CRASH_TOTAL_MAX 5
-/*
- * From this many losses on, a trial lasts for CRASH_CLEARED_AGE, so that the
- * last starts before CRASH_TOTAL_MAX show a task that crashes workers late.
- */
-#define CRASH_LONG_TRIAL_MIN 3
 /*
  * Workers of one rack or zone whose last answers are this close may have one
  * cause: an idle worker answers a poll each 1.8 s, and a poll waits for half a
@@ -87,8 +82,7 @@
 {
 	const batch_crashes_t *crashes = &batch_crash_head(task)->crashes;
 
-	return crashes->needs_trial || crashes->certain || crashes->unclear ||
-	       count_losses(crashes) >= CRASH_LONG_TRIAL_MIN;
+	return crashes->needs_trial || crashes->certain || crashes->unclear;
 }
 
 static bool is_given_up(const batch_crashes_t *crashes)
@@ -109,19 +103,9 @@
 	return MAX(run->worker->alive_at - run->start_confirmed_at, 0);
 }
 
-/* Time that a worker has to live with the run until it is proven harmless. */
-static int64_t proven_age(const batch_run_t *run)
-{
-	bool is_long = run->on_trial &&
-		       count_losses(&batch_crash_head(run->task)->crashes) >=
-			       CRASH_LONG_TRIAL_MIN;
-
-	return is_long ? CRASH_CLEARED_AGE : CRASH_PROVEN_AGE;
-}
-
 static bool is_proven(const batch_run_t *run)
 {
-	return survived(run) >= proven_age(run);
+	return survived(run) >= CRASH_PROVEN_AGE;
 }
 
 /*
@@ -134,7 +118,7 @@
 	return is_proven(run) ||
 	       (run->start_confirmed_at && !run->worker->silent &&
 		run->incarnation == run->worker->incarnation &&
-		now - run->start_confirmed_at >= proven_age(run));
+		now - run->start_confirmed_at >= CRASH_PROVEN_AGE);
 }
 
 void batch_crash_run_new(batch_run_t *run)
@@ -334,11 +318,7 @@
 	return false;
 }
 
-/*
- * With a common cause of the loss, a trial is not longer than usual: else a
- * rack that is lost again and again would give up what was on trial there.
- */
-static suspects_t find_suspects(const batch_worker_t *worker, bool correlated)
+static suspects_t find_suspects(const batch_worker_t *worker)
 {
 	GPtrArray *trials = g_ptr_array_new();
 	suspects_t found = { .unproven = g_ptr_array_new(),
@@ -348,11 +328,10 @@
 
 	for (i = 0; i < worker->runs->len; i++) {
 		const batch_run_t *run = g_ptr_array_index(worker->runs, i);
-		int64_t age = correlated ? CRASH_PROVEN_AGE : proven_age(run);
 
 		if (run->state == RUN_STORING || is_counted(run))
 			continue;
-		if (survived(run) >= age) {
+		if (is_proven(run)) {
 			if (survived(run) < CRASH_CLEARED_AGE)
 				add_head(found.young, run);
 			continue;
@@ -511,13 +490,19 @@
 	}
 }
 
+/* Counts unlikely causes, but for long-running tasks, which have no trials that
+ * would clear them. */
 static void suspect_all(const GPtrArray *heads, const batch_worker_t *worker,
-			int64_t now, suspicion_t suspicion)
+			int64_t now)
 {
 	guint i;
 
-	for (i = 0; i < heads->len; i++)
-		suspect(g_ptr_array_index(heads, i), worker, now, suspicion);
+	for (i = 0; i < heads->len; i++) {
+		batch_task_t *head = g_ptr_array_index(heads, i);
+
+		if (!head->step->spec->long_running)
+			suspect(head, worker, now, SUSPICION_POSSIBLE);
+	}
 }
 
 /*
@@ -565,11 +550,11 @@
 		return;
 	drop_past_losses(worker, now);
 	correlated = is_correlated(worker, now);
-	found = find_suspects(worker, correlated);
+	found = find_suspects(worker);
 	if (worker->draining || worker->cordoned) {
 		/* It was to end anyway, so that its end may have any cause. */
-		suspect_all(found.unproven, worker, now, SUSPICION_POSSIBLE);
-		suspect_all(found.young, worker, now, SUSPICION_POSSIBLE);
+		suspect_all(found.unproven, worker, now);
+		suspect_all(found.young, worker, now);
 		free_suspects(&found);
 		return;
 	}
@@ -582,7 +567,7 @@
 	/* A rack that is lost again and again must not give up what ran there.
 	 */
 	if (!by_young && !correlated)
-		suspect_all(found.young, worker, now, SUSPICION_POSSIBLE);
+		suspect_all(found.young, worker, now);
 	for (i = 0; i < found.late->len; i++)
 		((batch_task_t *)g_ptr_array_index(found.late, i))
 			->crashes.needs_trial = true;
--- a/packages/batch/batch_worker.c
+++ b/packages/batch/batch_worker.c
@@ -239,6 +239,13 @@
 	return worker->runs->len;
 }
 
+bool batch_worker_has_trial(const batch_t *core, base_str_t id)
+{
+	const batch_worker_t *worker = batch_find_worker(core, id);
+
+	return worker && worker->n_trials > 0;
+}
+
 bool batch_worker_is_steady(const batch_t *core, base_str_t id)
 {
 	const batch_worker_t *worker = batch_find_worker(core, id);
--- a/packages/node/node_worker.c
+++ b/packages/node/node_worker.c
@@ -16,6 +16,8 @@
 /* Longest time that a poll waits at the worker for a run to end.  Several
  * polls fit into one lease. */
 #define WORKER_POLL_WAIT (1000 * BASE_MS)
+/* The same for a worker with a run on trial: a little longer than a trial. */
+#define WORKER_POLL_WAIT_TRIAL (250 * BASE_MS)
 /* The same for a worker without changes, and for all while the holder is too
  * slow for its events; two polls fit into one lease. */
 #define WORKER_POLL_WAIT_LONG (1800 * BASE_MS)
@@ -331,6 +333,8 @@
 
 	if (!worker->has_seen_term || worker->is_silent)
 		return 0;
+	if (batch_worker_has_trial(core, base_str(worker->id)))
+		return WORKER_POLL_WAIT_TRIAL;
 	if (batch_answer_time(core) > WORKER_BUSY_ANSWER_TIME ||
 	    batch_worker_is_steady(core, base_str(worker->id)))
 		return WORKER_POLL_WAIT_LONG;
