--- a/review/build.sh
+++ b/review/build.sh
@@ -6,7 +6,7 @@
 make -s OUT=target target/cactusfield-node
 mkdir -p review/out
 libs="glib-2.0 jansson yajl talloc gsl argtable2"
-flags="-std=gnu11 -O2 -g -Wall -Wextra -Werror -D_GNU_SOURCE -Ipackages/base -Ipackages/net -Istandin/platform"
+flags="-std=gnu11 -O2 -g -Wall -Wextra -Werror -D_GNU_SOURCE -Ipackages/base -Ipackages/net"
 for name in platform executor
 do
 	extra=
--- a/review/lib.sh
+++ b/review/lib.sh
@@ -43,6 +43,7 @@
 		wait "$pid" 2>/dev/null
 	done
 	cat "$work"/executor-*.log 2>/dev/null >>"$record"
+	grep ' platform ' "$work/platform.log" >>"$record"
 	sort -n -k 1,1 -s -o "$record" "$record"
 	if test "${KEEP:-0}" = 0
 	then
@@ -63,7 +64,7 @@
 	while test $tries -lt 20
 	do
 		PORT=$((20000 + ($$ + tries * 37) % 110 * 100))
-		"$top/review/out/rv-platform" $PORT >"$work/platform.log" 2>&1 &
+		"$top/review/out/rv-platform" $PORT "${SPARES:-0}" >"$work/platform.log" 2>&1 &
 		platform=$!
 		pids="$pids $platform"
 		sleep 0.2
@@ -96,7 +97,7 @@
 "ready": "127.0.0.1:$((PORT + 10 + $1))",
 "peers": "127.0.0.1:$((PORT + 20 + $1))",
 "metrics": "127.0.0.1:$((PORT + 30 + $1))",
-"store": "127.0.0.1:$PORT",
+"store": "127.0.0.1:$((PORT + 60 + $1))",
 "instances": "127.0.0.1:$PORT",
 "processor_cores": 0.25,
 "lease_max_ms": 10000,
@@ -147,6 +148,12 @@
 	done
 }
 
+# Whether entry $1 holds the duty, as far as it knows.
+is_holder() {
+	curl -s -m 1 "http://127.0.0.1:$((PORT + 30 + $1))/metrics" |
+		grep -q '^cactusfield_is_holder 1'
+}
+
 has_holder() {
 	test -n "$(holder)"
 }
@@ -157,10 +164,10 @@
 	curl -s -m 2 -d "$2" "http://127.0.0.1:$PORT/operator?key=$1" >/dev/null
 }
 
-# slow_store MS: the store answers that much later.
-slow_store() {
-	curl -s -m 2 -d x "http://127.0.0.1:$PORT/store?ms=$1" >/dev/null
-	note "the store answers $1 ms late"
+# tell_store PATH: an order of the test to the store.
+tell_store() {
+	curl -s -m 2 -d x "http://127.0.0.1:$PORT$1" >/dev/null
+	note "the store is told $1"
 }
 
 # submit ENTRY PATH BODY: prints the status.
@@ -173,6 +180,15 @@
 	echo "$status"
 }
 
+# cancel ENTRY PATH: prints the status.
+cancel() {
+	status=$(curl -s -m 4 -o /dev/null -w '%{http_code}' -X DELETE \
+		-H 'Host: desk.example' -H 'X-Deadline-Ms: 3000' \
+		"http://127.0.0.1:$((PORT + $1))$2")
+	echo "$(now_ms) client DELETE $2 at entry $1: $status" >>"$record"
+	echo "$status"
+}
+
 # state ENTRY PATH: prints the state, or the status if it is not 200.
 state() {
 	answer=$(curl -s -m 4 -w ' %{http_code}' -H 'Host: desk.example' \
--- a/review/standin/rv_executor.c
+++ b/review/standin/rv_executor.c
@@ -43,6 +43,11 @@
 	const char *how;
 } end_t;
 
+typedef struct hold {
+	net_exchange_t *exchange;
+	int64_t until;
+} hold_t;
+
 typedef struct executor {
 	net_loop_t *loop;
 	net_client_t *platform;
@@ -59,8 +64,7 @@
 	GArray *runs;
 	GArray *ends;
 	GHashTable *closed; /* task to the highest run that ended here */
-	net_exchange_t *hold;
-	int64_t hold_until;
+	GArray *holds;	    /* of hold_t; each waits for an end */
 } executor_t;
 
 static int64_t wall_ms(void)
@@ -200,24 +204,33 @@
 		g_array_remove_range(executor->ends, 0, n);
 }
 
-static void answer_hold(executor_t *executor)
+/* Answers the calls whose time is over, or all if there is an end. */
+static void answer_holds(executor_t *executor, int64_t now)
 {
-	if (!executor->hold)
-		return;
-	reply_lists(executor, executor->hold);
-	executor->hold = NULL;
+	guint i = 0;
+
+	while (i < executor->holds->len) {
+		hold_t hold = g_array_index(executor->holds, hold_t, i);
+
+		if (!executor->ends->len && now < hold.until) {
+			i++;
+			continue;
+		}
+		g_array_remove_index(executor->holds, i);
+		reply_lists(executor, hold.exchange);
+	}
 }
 
 static void serve_hold(executor_t *executor, net_exchange_t *exchange,
 		       const json_t *root)
 {
-	answer_hold(executor);
+	int64_t now = base_clock_mono();
+	hold_t hold = { exchange,
+			now + MIN(member(root, "waitMs"), 2000) * BASE_MS };
+
 	forget_ends(executor, member(root, "lastSeen"));
-	executor->hold = exchange;
-	executor->hold_until =
-		base_clock_mono() + MIN(member(root, "waitMs"), 2000) * BASE_MS;
-	if (executor->ends->len || !member(root, "waitMs"))
-		answer_hold(executor);
+	g_array_append_val(executor->holds, hold);
+	answer_holds(executor, now);
 }
 
 static int64_t spec_number(const char *spec, const char *name)
@@ -354,9 +367,7 @@
 		else if (run->stop_at && now >= run->stop_at)
 			end_run(executor, i, "stopped");
 	}
-	if (executor->hold &&
-	    (executor->ends->len || now >= executor->hold_until))
-		answer_hold(executor);
+	answer_holds(executor, now);
 	fflush(stdout);
 	net_timer_start(executor->tick, TICK);
 }
@@ -420,6 +431,7 @@
 	executor->born = wall_ms();
 	executor->runs = g_array_new(FALSE, TRUE, sizeof(run_t));
 	executor->ends = g_array_new(FALSE, TRUE, sizeof(end_t));
+	executor->holds = g_array_new(FALSE, TRUE, sizeof(hold_t));
 	executor->closed =
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	client.loop = executor->loop;
