--- a/review/build.sh
+++ b/review/build.sh
@@ -7,7 +7,7 @@
 mkdir -p review/out
 libs="glib-2.0 jansson yajl talloc gsl argtable2"
 flags="-std=gnu11 -O2 -g -Wall -Wextra -Werror -D_GNU_SOURCE -Ipackages/base -Ipackages/net"
-for name in platform executor
+for name in platform executor client
 do
 	extra=
 	test $name = platform && extra=standin/platform/sp_store.c
--- a/review/lib.sh
+++ b/review/lib.sh
@@ -121,6 +121,11 @@
 	eval "echo \$entry_$1"
 }
 
+# ask PORT METHOD PATH [BODY]: print the body and, on the last line, the status.
+ask() {
+	"$top/review/out/rv-client" "$@"
+}
+
 # until_true SECONDS COMMAND...: whether the command succeeds in time.
 until_true() {
 	left=$(($1 * 20))
@@ -135,22 +140,20 @@
 }
 
 is_ready() {
-	test "$(curl -s -m 2 -o /dev/null -w '%{http_code}' \
-		"http://127.0.0.1:$((PORT + 10 + $1))/v1/readyz")" = 200
+	test "$(ask $((PORT + 10 + $1)) GET /v1/readyz | tail -n 1)" = 200
 }
 
 # Print the number of the entry that holds the duty.
 holder() {
 	for n in 1 2 3
 	do
-		curl -s -m 1 "http://127.0.0.1:$((PORT + 30 + n))/metrics" |
-			grep -q '^cactusfield_is_holder 1' && echo $n && return
+		is_holder $n && echo $n && return
 	done
 }
 
 # Whether entry $1 holds the duty, as far as it knows.
 is_holder() {
-	curl -s -m 1 "http://127.0.0.1:$((PORT + 30 + $1))/metrics" |
+	ask $((PORT + 30 + $1)) GET /metrics |
 		grep -q '^cactusfield_is_holder 1'
 }
 
@@ -161,42 +164,36 @@
 # operator KEY TEXT: the operator writes a key.
 operator() {
 	note "operator writes $1 $2"
-	curl -s -m 2 -d "$2" "http://127.0.0.1:$PORT/operator?key=$1" >/dev/null
+	ask "$PORT" POST "/operator?key=$1" "$2" >/dev/null
 }
 
 # tell_store PATH: an order of the test to the store.
 tell_store() {
-	curl -s -m 2 -d x "http://127.0.0.1:$PORT$1" >/dev/null
+	ask "$PORT" POST "$1" x >/dev/null
 	note "the store is told $1"
 }
 
 # submit ENTRY PATH BODY: prints the status.
 submit() {
-	status=$(curl -s -m 4 -o /dev/null -w '%{http_code}' \
-		-H 'Host: desk.example' -H 'X-Deadline-Ms: 3000' \
-		-H 'Content-Type: application/json' \
-		-d "$3" "http://127.0.0.1:$((PORT + $1))$2")
+	status=$(ask $((PORT + $1)) POST "$2" "$3" | tail -n 1)
 	echo "$(now_ms) client POST $2 at entry $1: $status; $3" >>"$record"
 	echo "$status"
 }
 
 # cancel ENTRY PATH: prints the status.
 cancel() {
-	status=$(curl -s -m 4 -o /dev/null -w '%{http_code}' -X DELETE \
-		-H 'Host: desk.example' -H 'X-Deadline-Ms: 3000' \
-		"http://127.0.0.1:$((PORT + $1))$2")
+	status=$(ask $((PORT + $1)) DELETE "$2" | tail -n 1)
 	echo "$(now_ms) client DELETE $2 at entry $1: $status" >>"$record"
 	echo "$status"
 }
 
 # state ENTRY PATH: prints the state, or the status if it is not 200.
 state() {
-	answer=$(curl -s -m 4 -w ' %{http_code}' -H 'Host: desk.example' \
-		-H 'X-Deadline-Ms: 3000' "http://127.0.0.1:$((PORT + $1))$2")
+	answer=$(ask $((PORT + $1)) GET "$2" | tr '\n' ' ')
 	echo "$(now_ms) client GET $2 at entry $1: $answer" >>"$record"
 	case $answer in
-	*' 200') echo "$answer" | sed -n 's/.*"state":"\([a-z]*\)".*/\1/p' ;;
-	*) echo "${answer##* }" ;;
+	*' 200 ') echo "$answer" | sed -n 's/.*"state":"\([a-z]*\)".*/\1/p' ;;
+	*) echo "$answer" | sed 's/ *$//; s/.* //' ;;
 	esac
 }
 
