Withdraw the count of a lost worker that turns out to live

A worker whose lease is over was counted as crashed by the task that had just started there, or whose start had only been sent. Nothing took that back when the same process answered again, and the third such loss ended the job. Lasting tasks that had been at work counted with every crash of their worker.

What is not known is now counted apart, and settled by the worker's next answer: the same incarnation withdraws it, another one confirms it, also under the next holder. A start that may not have arrived counts only beside two known crashes. What has no answer ends a job only at five losses of runs that had begun. Proven runs of lasting tasks do not count, and their jobs end at three certain crashes.

The stand-in's mute worker no longer answers the poll that waits.

--- a/packages/batch/batch_crash.c
+++ b/packages/batch/batch_crash.c
@@ -6,7 +6,8 @@
  * start.  The next start of a suspected task is a trial: the worker has no
  * other run that is not proven, and gets no start before the outcome is known.
  * So a second crash has one possible cause.  The counts are part of the job's
- * row, which is stored before each start.  docs/design/crashes.md
+ * row, which is stored before each start.  What is only lost may live: it is
+ * counted apart until it answers (batch_missing.c).  docs/design/crashes.md
  */
 #include "batch_int.h"
 
@@ -23,14 +24,14 @@
 #define CRASH_CLEARED_AGE (5 * BASE_SEC)
 /* Crashes of which the task is the only possible cause. */
 #define CRASH_CERTAIN_MAX 2
+/* The same of a long-running task: its end stops others at work. */
+#define CRASH_CERTAIN_MAX_LASTING 3
+/* The same together with crashes of which it is the likely cause. */
+#define CRASH_LIKELY_MAX 3
 /*
- * The same together with losses of unknown cause.  One more than of crashes: a
- * single worker that is cut off looks alike.
- */
-#define CRASH_UNCLEAR_MAX 3
-/*
- * All of them, with crashes that had several possible causes: a task must not
- * be started three times more once three workers have crashed under it.
+ * All of them, with crashes that had several possible causes, and with workers
+ * that are missing: a task must not be started three times more once three
+ * workers have crashed under it.
  */
 #define CRASH_TOTAL_MAX 5
 /*
@@ -39,6 +40,8 @@
  * second more.
  */
 #define CRASH_CORRELATED_TIME (2500 * BASE_MS)
+/* Crashes that must be known, for losses that may be none to count as well. */
+#define CRASH_KNOWN_MIN 2
 /* A loss is found by then: the longest lease and some more. */
 #define CRASH_LOSS_AGE_MAX (15 * BASE_SEC)
 /* Other lost workers of a rack or zone that show a common cause, besides being
@@ -73,25 +76,35 @@
 	return step->spec->gang ? &step->tasks[0] : &step->tasks[task->index];
 }
 
+/* A start without an answer counts only for a task under which workers have
+ * crashed. */
 static int count_losses(const batch_crashes_t *crashes)
 {
-	return crashes->certain + crashes->unclear + crashes->shared;
+	int crashed = crashes->certain + crashes->likely + crashes->shared;
+
+	return crashed + crashes->missing +
+	       (crashed >= CRASH_KNOWN_MIN ? crashes->unanswered : 0);
 }
 
 bool batch_crash_needs_trial(const batch_task_t *task)
 {
 	const batch_crashes_t *crashes = &batch_crash_head(task)->crashes;
 
-	return crashes->needs_trial || crashes->certain || crashes->unclear;
+	return crashes->needs_trial || crashes->certain || crashes->likely;
 }
 
-static bool is_given_up(const batch_crashes_t *crashes)
+static bool is_given_up(const batch_task_t *head)
 {
-	int sole = crashes->certain + crashes->unclear;
+	const batch_crashes_t *crashes = &head->crashes;
+	int n = count_losses(crashes);
 
+	/* Crashes for other reasons hit a task that lasts again and again. */
+	if (head->step->spec->long_running)
+		return crashes->certain >= CRASH_CERTAIN_MAX_LASTING ||
+		       n >= CRASH_TOTAL_MAX;
 	return crashes->certain >= CRASH_CERTAIN_MAX ||
-	       sole >= CRASH_UNCLEAR_MAX ||
-	       count_losses(crashes) >= CRASH_TOTAL_MAX;
+	       crashes->certain + crashes->likely >= CRASH_LIKELY_MAX ||
+	       crashes->certain + n >= CRASH_TOTAL_MAX;
 }
 
 /* Time for which the worker is known to have lived with the run. */
@@ -148,12 +161,14 @@
 
 	if (task->step->spec->gang ||
 	    !(crashes->needs_trial ||
-	      (also_counts &&
-	       (crashes->certain || crashes->unclear || crashes->shared))))
+	      (also_counts && (count_losses(crashes) || crashes->unanswered))))
 		return;
 	crashes->needs_trial = false;
 	if (also_counts)
-		crashes->certain = crashes->unclear = crashes->shared = 0;
+		*crashes = (batch_crashes_t){
+			.counted_run = crashes->counted_run,
+			.cleared_run = task->number,
+		};
 	if (batch_job_is_active(task->step->occ->job))
 		batch_job_changed(task->step->occ->job);
 }
@@ -272,32 +287,21 @@
 /* The tasks that may have crashed a worker. */
 typedef struct suspects {
 	GPtrArray *unproven; /* their runs are not proven */
+	GPtrArray *begun;    /* of these, those known to have begun */
 	GPtrArray *young;    /* proven, but younger than CRASH_CLEARED_AGE */
 	GPtrArray *late;     /* tasks whose starts may have found it crashed */
-	/* An unproven run is not known to have begun: its start may have found
-	 * the worker crashed, or may be carried out late. */
-	bool unconfirmed;
-	bool unlisted; /* of one, a later poll was answered without it */
 	/* Of the unproven ones, that which is alone on trial; NULL: none. */
 	const batch_task_t *on_trial;
+	bool correlated; /* the loss has a common cause with others */
+	bool leaving;	 /* the worker was to end anyway */
 } suspects_t;
 
-/* How likely a task has crashed a worker. */
-typedef enum suspicion {
-	/* One of many possible causes.  It counts, so that the number of starts
-	 * is bounded in any case, but the next start is no trial. */
-	SUSPICION_POSSIBLE,
-	SUSPICION_SHARED,  /* one of several causes */
-	SUSPICION_UNCLEAR, /* the only cause if the worker crashed */
-	SUSPICION_CERTAIN, /* the worker crashed, and nothing else caused it */
-	SUSPICION_MAX
-} suspicion_t;
-
-static const char *const suspicion_names[SUSPICION_MAX] = {
-	[SUSPICION_POSSIBLE] = "lost, an unlikely cause",
-	[SUSPICION_SHARED] = "lost, one of several causes",
-	[SUSPICION_UNCLEAR] = "lost, the only cause if it crashed",
-	[SUSPICION_CERTAIN] = "crashed, the only cause",
+static const char *const suspicion_names[BATCH_SUSPECT_MAX] = {
+	[BATCH_SUSPECT_NONE] = "lost, no cause if it crashed",
+	[BATCH_SUSPECT_POSSIBLE] = "crashed, an unlikely cause",
+	[BATCH_SUSPECT_SHARED] = "crashed, one of several causes",
+	[BATCH_SUSPECT_LIKELY] = "crashed, the likely cause",
+	[BATCH_SUSPECT_CERTAIN] = "crashed, the only cause",
 };
 
 /*
@@ -327,6 +331,7 @@
 {
 	GPtrArray *trials = g_ptr_array_new();
 	suspects_t found = { .unproven = g_ptr_array_new(),
+			     .begun = g_ptr_array_new(),
 			     .young = g_ptr_array_new(),
 			     .late = g_ptr_array_new() };
 	guint i;
@@ -347,8 +352,8 @@
 			continue;
 		}
 		add_head(found.unproven, run);
-		found.unconfirmed |= !run->start_confirmed_at;
-		found.unlisted |= run->is_unlisted && !run->start_confirmed_at;
+		if (run->start_confirmed_at)
+			add_head(found.begun, run);
 		if (run->on_trial && !run->task->step->spec->gang)
 			add_head(trials, run);
 	}
@@ -361,6 +366,7 @@
 static void free_suspects(suspects_t *found)
 {
 	g_ptr_array_unref(found->unproven);
+	g_ptr_array_unref(found->begun);
 	g_ptr_array_unref(found->young);
 	g_ptr_array_unref(found->late);
 }
@@ -466,77 +472,171 @@
 	}
 }
 
-static void suspect(batch_task_t *head, const batch_worker_t *worker,
-		    int64_t now, suspicion_t suspicion)
+static void log_suspicion(const batch_task_t *head,
+			  const batch_worker_t *worker, int64_t run,
+			  int64_t age, const char *why)
 {
-	batch_job_t *job = head->step->occ->job;
-	batch_crashes_t *crashes = &head->crashes;
+	batch_log_emit(
+		worker->core,
+		&(batch_log_event_t){ .kind = BATCH_LOG_RUN_SUSPECTED,
+				      .task = batch_task_get_id(head),
+				      .run = run,
+				      .worker = base_str(worker->id),
+				      .why = why,
+				      .value = count_losses(&head->crashes),
+				      .age = age });
+}
 
-	if (!batch_job_is_active(job))
+static void give_up_if_due(batch_task_t *head)
+{
+	if (!is_given_up(head))
 		return;
-	crashes->counted_run = head->number;
-	if (suspicion != SUSPICION_POSSIBLE)
+	head->step->occ->job->crash_task = head;
+	head->step->occ->job->core->give_up_due = true;
+}
+
+static void count_crash(batch_task_t *head, batch_suspicion_t suspicion)
+{
+	batch_crashes_t *crashes = &head->crashes;
+
+	if (suspicion >= BATCH_SUSPECT_SHARED)
 		crashes->needs_trial = true;
-	if (suspicion == SUSPICION_CERTAIN)
+	if (suspicion == BATCH_SUSPECT_CERTAIN)
 		crashes->certain++;
-	else if (suspicion == SUSPICION_UNCLEAR)
-		crashes->unclear++;
-	else
+	else if (suspicion == BATCH_SUSPECT_LIKELY)
+		crashes->likely++;
+	else if (suspicion != BATCH_SUSPECT_NONE)
 		crashes->shared++;
-	batch_job_changed(job);
-	batch_log_emit(job->core,
-		       &(batch_log_event_t){ .kind = BATCH_LOG_RUN_SUSPECTED,
-					     .task = batch_task_get_id(head),
-					     .run = head->number,
-					     .worker = base_str(worker->id),
-					     .why = suspicion_names[suspicion],
-					     .value = count_losses(crashes),
-					     .age = now - worker->polled_at });
-	if (is_given_up(crashes)) {
-		job->crash_task = head;
-		job->core->give_up_due = true;
-	}
+	batch_job_changed(head->step->occ->job);
+	give_up_if_due(head);
 }
 
-/* Counts unlikely causes, but for long-running tasks, which have no trials that
- * would clear them. */
-static void suspect_all(const GPtrArray *heads, const batch_worker_t *worker,
-			int64_t now)
+/* The task may have crashed the worker, which has crashed. */
+static void suspect(batch_task_t *head, const batch_worker_t *worker,
+		    int64_t now, batch_suspicion_t suspicion)
 {
-	guint i;
+	head->crashes.counted_run = head->number;
+	count_crash(head, suspicion);
+	log_suspicion(head, worker, head->number, now - worker->polled_at,
+		      suspicion_names[suspicion]);
+}
 
-	for (i = 0; i < heads->len; i++) {
-		batch_task_t *head = g_ptr_array_index(heads, i);
+/* The same for a worker that may live: nothing but a trial follows for a run
+ * that is not known to have begun. */
+static void miss(batch_task_t *head, const batch_worker_t *worker, int64_t now,
+		 batch_suspicion_t if_crashed, bool begun)
+{
+	batch_crashes_t *crashes = &head->crashes;
+	batch_missing_run_t run = { .run = head->number,
+				    .incarnation =
+					    head->run ? head->run->incarnation
+						      : worker->incarnation,
+				    .lost_at = now,
+				    .begun = begun,
+				    .if_crashed = if_crashed };
 
-		if (!head->step->spec->long_running)
-			suspect(head, worker, now, SUSPICION_POSSIBLE);
-	}
+	crashes->counted_run = head->number;
+	if (if_crashed >= BATCH_SUSPECT_SHARED)
+		crashes->needs_trial = true;
+	batch_job_changed(head->step->occ->job);
+	batch_missing_add(base_str(worker->id), head, &run);
+	log_suspicion(head, worker, head->number, now - worker->polled_at,
+		      begun ? "lost, perhaps crashed"
+			    : "lost, perhaps before the start");
+	give_up_if_due(head);
+}
+
+void batch_crash_withdraw(batch_task_t *head, const batch_missing_run_t *run,
+			  const batch_worker_t *worker)
+{
+	batch_crashes_t *crashes = &head->crashes;
+
+	if (!batch_job_is_active(head->step->occ->job))
+		return;
+	batch_missing_uncount(head, run);
+	if (!count_losses(crashes) && !crashes->unanswered)
+		crashes->needs_trial = false;
+	batch_job_changed(head->step->occ->job);
+	log_suspicion(head, worker, run->run, 0, "it lives, not counted");
+}
+
+void batch_crash_confirm(batch_task_t *head, const batch_missing_run_t *run,
+			 const batch_worker_t *worker, int64_t now)
+{
+	if (!batch_job_is_active(head->step->occ->job))
+		return;
+	batch_missing_uncount(head, run);
+	count_crash(head, run->if_crashed);
+	log_suspicion(head, worker, run->run, now - run->lost_at,
+		      suspicion_names[run->if_crashed]);
 }
 
 /*
- * Unproven runs are the likely causes, or else, of a crash without a common
- * cause, the young ones.  One on trial is the likely one of them: runs beside
- * it started once it had settled, or before a takeover.
+ * Unproven runs are the likely causes of a crash.  One on trial is the likely
+ * one of them: runs beside it started once it had settled, or before a
+ * takeover.  A start without an answer may have found the worker crashed.
  */
-static void suspect_likely(const suspects_t *found, const GPtrArray *heads,
-			   const batch_worker_t *worker, int64_t now,
-			   batch_loss_cause_t cause, bool correlated)
-{
-	const batch_task_t *likely = found->on_trial;
-	bool certain = cause == BATCH_LOSS_CRASHED && heads->len == 1 &&
-		       heads == found->unproven && !found->unconfirmed &&
-		       !found->late->len;
+static batch_suspicion_t judge_unproven(const suspects_t *found,
+					const batch_task_t *head)
+{
+	bool is_likely = found->on_trial ? head == found->on_trial
+					 : found->unproven->len == 1;
+
+	if (found->leaving)
+		return head->step->spec->long_running ? BATCH_SUSPECT_NONE
+						      : BATCH_SUSPECT_POSSIBLE;
+	if (!is_likely || found->correlated ||
+	    found->begun->len < found->unproven->len)
+		return BATCH_SUSPECT_SHARED;
+	return found->unproven->len == 1 && !found->late->len
+		       ? BATCH_SUSPECT_CERTAIN
+		       : BATCH_SUSPECT_LIKELY;
+}
+
+/*
+ * Without unproven runs, the young ones are the likely causes.  A rack that is
+ * lost again and again must not give up what ran there, nor a task on trial
+ * what ran beside it.  Long-running tasks do not count: at work for longer than
+ * others, they meet more crashes.
+ */
+static batch_suspicion_t judge_young(const suspects_t *found,
+				     const batch_task_t *head)
+{
+	if (head->step->spec->long_running)
+		return BATCH_SUSPECT_NONE;
+	if (found->leaving)
+		return BATCH_SUSPECT_POSSIBLE;
+	if (found->correlated || found->on_trial)
+		return BATCH_SUSPECT_NONE;
+	if (found->unproven->len)
+		return BATCH_SUSPECT_POSSIBLE;
+	return found->young->len == 1 ? BATCH_SUSPECT_LIKELY
+				      : BATCH_SUSPECT_SHARED;
+}
+
+typedef batch_suspicion_t judge_t(const suspects_t *found,
+				  const batch_task_t *head);
+
+static void count_suspects(const suspects_t *found, const GPtrArray *heads,
+			   judge_t *judge, const batch_worker_t *worker,
+			   int64_t now, batch_loss_cause_t cause)
+{
 	guint i;
 
 	for (i = 0; i < heads->len; i++) {
 		batch_task_t *head = g_ptr_array_index(heads, i);
-		bool is_likely = likely ? head == likely : heads->len == 1;
-		bool alone = is_likely && !correlated && !found->unlisted;
+		batch_suspicion_t suspicion = judge(found, head);
 
-		suspect(head, worker, now,
-			!alone	  ? SUSPICION_SHARED
-			: certain ? SUSPICION_CERTAIN
-				  : SUSPICION_UNCLEAR);
+		if (suspicion == BATCH_SUSPECT_NONE ||
+		    !batch_job_is_active(head->step->occ->job))
+			continue;
+		if (cause == BATCH_LOSS_CRASHED)
+			suspect(head, worker, now, suspicion);
+		else
+			miss(head, worker, now, suspicion,
+			     heads != found->unproven ||
+				     g_ptr_array_find(found->begun, head,
+						      NULL));
 	}
 }
 
@@ -551,35 +651,22 @@
 			      batch_loss_cause_t cause, int64_t present)
 {
 	suspects_t found;
-	bool correlated;
-	bool by_young;
 	guint i;
 
 	if (cause == BATCH_LOSS_ORDERED)
 		return;
 	drop_past_losses(worker, now);
-	correlated = is_correlated(worker, now);
+	batch_missing_expire(worker->core, now);
 	found = find_suspects(worker, present);
-	if (worker->draining || worker->cordoned) {
-		/* It was to end anyway, so that its end may have any cause. */
-		suspect_all(found.unproven, worker, now);
-		suspect_all(found.young, worker, now);
-		free_suspects(&found);
-		return;
-	}
-	by_young = !found.unproven->len && cause == BATCH_LOSS_CRASHED &&
-		   !correlated;
-	if (cause == BATCH_LOSS_CRASHED || found.unproven->len)
+	found.correlated = is_correlated(worker, now);
+	found.leaving = worker->draining || worker->cordoned;
+	if (!found.leaving &&
+	    (cause == BATCH_LOSS_CRASHED || found.unproven->len))
 		record_loss(worker, now);
-	suspect_likely(&found, by_young ? found.young : found.unproven, worker,
-		       now, cause, correlated);
-	/*
-	 * A rack that is lost again and again must not give up what ran there,
-	 * nor a task on trial what ran beside it.
-	 */
-	if (!by_young && !correlated && !found.on_trial)
-		suspect_all(found.young, worker, now);
-	for (i = 0; i < found.late->len; i++)
+	count_suspects(&found, found.unproven, judge_unproven, worker, now,
+		       cause);
+	count_suspects(&found, found.young, judge_young, worker, now, cause);
+	for (i = 0; i < found.late->len && !found.leaving; i++)
 		((batch_task_t *)g_ptr_array_index(found.late, i))
 			->crashes.needs_trial = true;
 	free_suspects(&found);
@@ -589,6 +676,8 @@
 			     batch_loss_cause_t cause)
 {
 	count_lost_worker(worker, now, cause, 0);
+	if (cause == BATCH_LOSS_CRASHED)
+		batch_missing_resolve(worker, now, 0);
 }
 
 void batch_crash_first_poll(batch_worker_t *worker, int64_t now,
@@ -608,10 +697,7 @@
 
 void batch_crash_restored(batch_task_t *task)
 {
-	if (!is_given_up(&task->crashes))
-		return;
-	task->step->occ->job->crash_task = task;
-	task->step->occ->job->core->give_up_due = true;
+	give_up_if_due(task);
 }
 
 static void give_up(batch_job_t *job, int64_t now)
--- a/packages/batch/batch_int.h
+++ b/packages/batch/batch_int.h
@@ -135,14 +135,41 @@
 /* Workers lost under a task; of a gang, kept in its first task. */
 typedef struct batch_crashes {
 	int certain; /* crashed, and nothing else can have caused it */
-	/* Lost for an unknown cause; if it was a crash, nothing else can have
-	 * caused it. */
-	int unclear;
-	int shared; /* crashed, and other tasks can have caused it as well */
+	int likely;  /* crashed, and the task is the likely cause */
+	int shared;  /* crashed, and other tasks can have caused it as well */
+	int missing; /* lost since the task began there, perhaps not crashed */
+	int unanswered; /* lost when its start was sent, perhaps before that */
 	bool needs_trial;
 	int64_t counted_run; /* number of the last run that was counted */
+	int64_t cleared_run; /* number of the last run when counts were dropped
+			      */
 } batch_crashes_t;
 
+/* How likely a task has crashed a worker. */
+typedef enum batch_suspicion {
+	BATCH_SUSPECT_NONE, /* nothing is to be counted */
+	/* One of many possible causes.  It counts, so that the number of starts
+	 * is bounded in any case, but the next start is no trial. */
+	BATCH_SUSPECT_POSSIBLE,
+	BATCH_SUSPECT_SHARED, /* one of several causes */
+	BATCH_SUSPECT_LIKELY,
+	BATCH_SUSPECT_CERTAIN, /* nothing else can have caused it */
+	BATCH_SUSPECT_MAX
+} batch_suspicion_t;
+
+/* A run whose worker was lost, before it is known whether that has crashed. */
+typedef struct batch_missing_run {
+	char *job;
+	int occurrence;
+	int step;
+	int index;
+	int64_t run;
+	int64_t incarnation; /* of its worker then */
+	int64_t lost_at;
+	bool begun; /* counted in "missing", else in "unanswered" */
+	batch_suspicion_t if_crashed;
+} batch_missing_run_t;
+
 struct batch_task {
 	batch_step_t *step;
 	int index;
@@ -248,6 +275,7 @@
 	/* A task may wait for a worker; false: none does, until an event. */
 	bool may_wait;
 	const batch_task_t *crash_task; /* it is to be given up for this task */
+	bool has_missing; /* a run of it was kept by batch_missing.c */
 	batch_given_up_t given_up;
 };
 
@@ -348,7 +376,8 @@
 	/* Jobs whose rows are being stored, and strings of these rows. */
 	GPtrArray *storing_jobs[BATCH_LANE_MAX];
 	void *row_texts[BATCH_LANE_MAX];
-	GArray *losses; /* of workers, lately; see batch_crash.c */
+	GArray *losses;	     /* of workers, lately; see batch_crash.c */
+	GHashTable *missing; /* by worker: GArray of batch_missing_run_t */
 	bool give_up_due;
 	batch_stats_t stats;
 	base_hist_t *times[BATCH_TIME_MAX];
@@ -487,6 +516,35 @@
 /* Ends jobs with a task that crashes its workers. */
 void batch_crash_tick(batch_t *core, int64_t now);
 
+/* The worker with which the run was lost lives: the loss does not count. */
+void batch_crash_withdraw(batch_task_t *head, const batch_missing_run_t *run,
+			  const batch_worker_t *worker);
+/* The worker has crashed. */
+void batch_crash_confirm(batch_task_t *head, const batch_missing_run_t *run,
+			 const batch_worker_t *worker, int64_t now);
+
+/* batch_missing.c */
+GHashTable *batch_missing_new(void);
+/* Counts the run of the task, and keeps it until the worker answers again. */
+void batch_missing_add(base_str_t worker, batch_task_t *head,
+		       const batch_missing_run_t *run);
+/* The opposite for one that no longer counts. */
+void batch_missing_uncount(batch_task_t *head, const batch_missing_run_t *run);
+/*
+ * Calls "visit" for each run of the job that is kept.  As it is seldom any, all
+ * of the core's are looked at.
+ */
+typedef void batch_missing_visit_t(void *arg, const char *worker,
+				   const batch_missing_run_t *run);
+void batch_missing_each(const batch_job_t *job, batch_missing_visit_t *visit,
+			void *arg);
+/* Drops what is too old to be resolved. */
+void batch_missing_expire(batch_t *core, int64_t now);
+/* An incarnation of the worker answers; 0: one of another worker, in place of
+ * it. */
+void batch_missing_resolve(const batch_worker_t *worker, int64_t now,
+			   int64_t incarnation);
+
 /* batch_progress.c */
 void batch_progress_check(batch_worker_t *worker, int64_t now);
 
--- a/packages/batch/batch_record.c
+++ b/packages/batch/batch_record.c
@@ -6,17 +6,20 @@
  *  "occurrences" (opened), "tasks": [[occurrence, step, index, done, number,
  *  fails, worker, checkpoint], ...],
  *  "incarnations": {worker: incarnation, ...},
- *  "crashes": [[occurrence, step, index, certain, unclear, shared, needs_trial,
+ *  "crashes": [[occurrence, step, index, certain, likely, shared, needs_trial,
  *  counted_run], ...],
+ *  "missing": [[occurrence, step, index, run, worker, incarnation, begun,
+ *  if_crashed], ...],
  *  "failed_runs": [[occurrence, step, index, run, ...], ...],
  *  "withdrawn": [[occurrence, step, index], ...],
  *  "given_up": [workers, occurrence, step, index]}
  *
- * The last five are left out where they are empty: "crashes" lists the tasks
- * under which workers were lost, "failed_runs" the runs that "fails" counts,
- * "withdrawn" the tasks whose run is being stopped, "given_up" names the task
- * for which the job was given up.  Former versions do not write them, and
- * ignore them.
+ * The last six are left out where they are empty: "crashes" lists the tasks
+ * under which workers were lost, "missing" the runs of lost workers that may
+ * live, with what follows if they have crashed, "failed_runs" the runs that
+ * "fails" counts, "withdrawn" the tasks whose run is being stopped, "given_up"
+ * names the task for which the job was given up.  Former versions do not write
+ * them, and ignore them.
  *
  * Tasks that never had a run are left out.  The worker is empty unless a run
  * may exist there.
@@ -40,13 +43,22 @@
 /* Fields of "crashes"; the first three are as in task_field_t. */
 typedef enum crash_field {
 	CRASH_CERTAIN = FIELD_INDEX + 1,
-	CRASH_UNCLEAR,
+	CRASH_LIKELY,
 	CRASH_SHARED,
 	CRASH_NEEDS_TRIAL,
 	CRASH_COUNTED_RUN,
 	CRASH_MAX
 } crash_field_t;
 
+/* Fields of "missing"; the first three are as in task_field_t. */
+typedef enum missing_field {
+	MISSING_RUN = FIELD_INDEX + 1,
+	MISSING_WORKER,
+	MISSING_INCARNATION,
+	MISSING_BEGUN,
+	MISSING_IF_CRASHED
+} missing_field_t;
+
 /* Rows have many numbers, and are printed often. */
 static void add_number(base_buf_t *buf, int64_t number)
 {
@@ -135,11 +147,39 @@
 	base_buf_addf(buf, "%s[%d,%d,%d,%d,%d,%d,%d,%" G_GINT64_FORMAT "]",
 		      first ? ",\"crashes\":[" : ",", task->step->occ->number,
 		      task->step->number, task->index, crashes->certain,
-		      crashes->unclear, crashes->shared, crashes->needs_trial,
+		      crashes->likely, crashes->shared, crashes->needs_trial,
 		      crashes->counted_run);
 	return true;
 }
 
+typedef struct missing_printer {
+	base_buf_t *buf;
+	bool any;
+} missing_printer_t;
+
+static void print_missing(void *arg, const char *worker,
+			  const batch_missing_run_t *run)
+{
+	missing_printer_t *printer = arg;
+
+	base_buf_addf(printer->buf, "%s[%d,%d,%d,%" G_GINT64_FORMAT ",",
+		      printer->any ? "," : ",\"missing\":[", run->occurrence,
+		      run->step, run->index, run->run);
+	base_buf_add_json(printer->buf, base_str(worker));
+	base_buf_addf(printer->buf, ",%" G_GINT64_FORMAT ",%d,%d]",
+		      run->incarnation, run->begun, run->if_crashed);
+	printer->any = true;
+}
+
+static void print_all_missing(base_buf_t *buf, const batch_job_t *job)
+{
+	missing_printer_t printer = { .buf = buf };
+
+	batch_missing_each(job, print_missing, &printer);
+	if (printer.any)
+		base_buf_adds(buf, "]");
+}
+
 static bool print_failed_runs(base_buf_t *buf, const batch_task_t *task,
 			      bool first)
 {
@@ -222,6 +262,7 @@
 	if (batch_job_is_active(job) && job->occs) {
 		print_incarnations(buf, job);
 		print_task_list(buf, job, print_crashed_task);
+		print_all_missing(buf, job);
 		print_task_list(buf, job, print_failed_runs);
 		print_task_list(buf, job, print_withdrawn);
 	}
@@ -276,16 +317,49 @@
 			return false;
 		task->crashes = (batch_crashes_t){
 			.certain = (int)number_at(row, CRASH_CERTAIN),
-			.unclear = (int)number_at(row, CRASH_UNCLEAR),
+			.likely = (int)number_at(row, CRASH_LIKELY),
 			.shared = (int)number_at(row, CRASH_SHARED),
 			.needs_trial = number_at(row, CRASH_NEEDS_TRIAL),
 			.counted_run = number_at(row, CRASH_COUNTED_RUN),
 		};
-		batch_crash_restored(task);
 	}
 	return true;
 }
 
+/* Rows that cannot be read are left out. */
+static void load_missing(const batch_job_t *job, const json_t *rows,
+			 int64_t now)
+{
+	size_t i;
+
+	for (i = 0; i < json_array_size(rows); i++) {
+		const json_t *row = json_array_get(rows, i);
+		const char *worker =
+			json_string_value(json_array_get(row, MISSING_WORKER));
+		int64_t if_crashed = number_at(row, MISSING_IF_CRASHED);
+		batch_task_t *task = find_task(job, row);
+		batch_missing_run_t run = {
+			.run = number_at(row, MISSING_RUN),
+			.incarnation = number_at(row, MISSING_INCARNATION),
+			.lost_at = now,
+			.begun = number_at(row, MISSING_BEGUN),
+			.if_crashed = (batch_suspicion_t)if_crashed,
+		};
+
+		if (task && worker && if_crashed > BATCH_SUSPECT_NONE &&
+		    if_crashed < BATCH_SUSPECT_MAX)
+			batch_missing_add(base_str(worker), task, &run);
+	}
+}
+
+static void check_restored_crashes(const batch_job_t *job, const json_t *rows)
+{
+	size_t i;
+
+	for (i = 0; i < json_array_size(rows); i++)
+		batch_crash_restored(find_task(job, json_array_get(rows, i)));
+}
+
 /* A list that cannot be read is one of a former version's row: missing. */
 static void load_failed_runs(const batch_job_t *job, const json_t *rows)
 {
@@ -384,6 +458,19 @@
 	return true;
 }
 
+/* A task with a missing run has counts. */
+static bool load_all_crashes(const batch_job_t *job, const json_t *root,
+			     int64_t now)
+{
+	const json_t *crashes = json_object_get(root, "crashes");
+
+	if (!load_crashes(job, crashes))
+		return false;
+	load_missing(job, json_object_get(root, "missing"), now);
+	check_restored_crashes(job, crashes);
+	return true;
+}
+
 static void count_done_steps(batch_job_t *job)
 {
 	guint i;
@@ -422,8 +509,7 @@
 		for (i = 0; batch_job_is_active(job) && (int)i < n; i++)
 			batch_occ_new(job, (int)i);
 		if (batch_job_is_active(job))
-			ok = load_crashes(job,
-					  json_object_get(root, "crashes"));
+			ok = load_all_crashes(job, root, now);
 		load_failed_runs(job, json_object_get(root, "failed_runs"));
 		for (i = 0; ok && batch_job_is_active(job) &&
 			    i < json_array_size(tasks);
--- a/packages/batch/batch_worker.c
+++ b/packages/batch/batch_worker.c
@@ -652,6 +652,7 @@
 		return;
 	if (worker->incarnation != poll->incarnation)
 		begin_incarnation(worker, now, poll->incarnation);
+	batch_missing_resolve(worker, now, poll->incarnation);
 	worker->polled_at = now;
 	worker->silent = false;
 	batch_worker_stop_in_doubt(worker, now);
--- a/packages/batch/tests/batch_crash_test.c
+++ b/packages/batch/tests/batch_crash_test.c
@@ -482,6 +482,152 @@
 	}
 }
 
+/* Runs the world until a worker runs a task of the job, and returns it. */
+static int await_worker(world_t *world, const char *job)
+{
+	int i;
+
+	for (i = 0; i < 2000 && worker_of(world, job) < 0; i++)
+		world_advance(world, WORLD_TICK);
+	g_assert_cmpint(worker_of(world, job), >=, 0);
+	return worker_of(world, job);
+}
+
+/*
+ * Guards against a job that is shown as failed though no task of it has failed
+ * or crashed a worker (LOST): each worker that starts its task is cut off until
+ * its lease is over, and answers again then, as the same process.
+ */
+typedef struct cut_case {
+	bool lasting;
+	bool unlisted;	 /* the worker leaves the list meanwhile */
+	bool taken_over; /* another holder finds that it lives */
+	int64_t delay;	 /* from the start to the cut */
+} cut_case_t;
+
+static void cut_off_and_return(world_t *world, const cut_case_t *how)
+{
+	int worker = await_worker(world, "j");
+
+	world_advance(world, how->delay);
+	world_worker_set_unreachable(world, worker, true);
+	if (how->unlisted)
+		world_worker_set_listed(world, worker, false);
+	world_advance(world, 5 * SECOND);
+	if (how->taken_over) {
+		world_take_over(world);
+		world_advance(world, 200 * MS);
+	}
+	world_worker_set_unreachable(world, worker, false);
+	world_worker_set_listed(world, worker, true);
+}
+
+static void cut_off_workers(const cut_case_t *how)
+{
+	world_t *world = world_new(1, 8, 2);
+	batch_step_spec_t step = world_step(1);
+	int i;
+
+	step.long_running = how->lasting;
+	step.estimate = 10 * SECOND;
+	submit(world, "j", &step);
+	for (i = 0; i < 8; i++) {
+		cut_off_and_return(world, how);
+		g_assert_cmpint(world_state(world, "j"), ==, BATCH_RUNNING);
+	}
+	world_advance(world, 30 * SECOND);
+	g_assert_cmpint(world_state(world, "j"), ==,
+			how->lasting ? BATCH_RUNNING : BATCH_COMPLETED);
+	check_and_free(world);
+}
+
+static void test_cut_off_workers_do_not_end_a_job(void)
+{
+	cut_case_t how = { 0 };
+	int which;
+
+	for (which = 0; which < 8; which++)
+		for (how.delay = 0; how.delay <= 600 * MS;
+		     how.delay += 100 * MS) {
+			how.lasting = which & 1;
+			how.unlisted = which & 2;
+			how.taken_over = which & 4;
+			cut_off_workers(&how);
+		}
+}
+
+/*
+ * Guards against a job that is shown as failed though it has never begun
+ * (LOST): each worker goes silent for good before its start arrives.
+ */
+static void test_silent_workers_do_not_end_a_job(void)
+{
+	int lasting;
+	int i;
+
+	for (lasting = 0; lasting < 2; lasting++) {
+		world_t *world = world_new(1, 1, 2);
+		batch_step_spec_t step = world_step(1);
+
+		step.long_running = lasting;
+		world->store_time = 100 * MS;
+		submit(world, "j", &step);
+		for (i = 0; i < 7; i++) {
+			while (!world->n_taken && world->now < 100 * SECOND)
+				world_advance(world, WORLD_TICK);
+			g_assert_cmpuint(world->n_taken, >, 0);
+			/* The row of the start is being stored. */
+			world_worker_set_unreachable(world, i, true);
+			world_advance(world, SECOND);
+			world_add_worker(world);
+			g_assert_cmpint(world->starts, ==, 0);
+		}
+		world_advance(world, 30 * SECOND);
+		g_assert_cmpint(world->starts, ==, 1);
+		g_assert_cmpint(world_state(world, "j"), ==,
+				lasting ? BATCH_RUNNING : BATCH_COMPLETED);
+		check_and_free(world);
+	}
+}
+
+/*
+ * Guards against lasting jobs that are ended, and their tasks on sound workers
+ * with them (AVAIL), because workers crash at random, one at a time.
+ */
+static void test_random_crashes_do_not_end_lasting_jobs(void)
+{
+	uint64_t seed;
+
+	for (seed = 1; seed <= 40; seed++) {
+		world_t *world = world_new(seed, 8, 2);
+		base_rng_t rng = { .state = seed * 77 };
+		batch_step_spec_t step = world_step(4);
+		char id[8];
+		int i;
+
+		step.need = (batch_res_t){ 1000, 2000, 0 };
+		step.long_running = true;
+		step.max_unavailable = 1;
+		step.max_per_worker = 1;
+		world->crash_time = SECOND;
+		for (i = 0; i < 6; i++) {
+			g_snprintf(id, sizeof(id), "g%d", i);
+			submit(world, id, &step);
+		}
+		for (i = 0; i < 40; i++) {
+			int worker = (int)base_rng_below(&rng, 8);
+
+			world_advance(world, 1500 * MS);
+			if (!world->workers[worker].crashed)
+				world->workers[worker].crash_at = world->now;
+		}
+		world_advance(world, 10 * SECOND);
+		g_test_message("seed %d", (int)seed);
+		g_assert_cmpint(count_good(world, 6, BATCH_RUNNING), ==, 6);
+		check_and_free(world);
+	}
+}
+
 static void restore(world_t *world, const char *record, GError **err)
 {
 	static const batch_step_spec_t step = { .count = 2,
@@ -526,6 +672,17 @@
 		  "job r is failed: 3 workers were lost under its task 0 of "
 		  "step 0",
 		  true },
+		/* Runs of lost workers, one of which had begun. */
+		{ ROW ",\"crashes\":[[0,0,0,0,2,1,1,2]],\"missing\":[[0,0,0,2,"
+		      "\"w9\",7,0,2]]}",
+		  "job r is running", true },
+		{ ROW ",\"crashes\":[[0,0,0,0,2,1,1,2]],\"missing\":[[0,0,0,2,"
+		      "\"w9\",7,0,2],[0,0,0,2,\"w8\",7,1,2]]}",
+		  "job r is failed: 5 workers were lost", true },
+		{ ROW ",\"crashes\":[[0,0,0,0,2,1,1,2]],\"missing\":[[0,0,9,2,"
+		      "\"w9\",7,1,2],[0,0,0,2,8,7,1,2],[0,0,0,2,\"w8\",7,1,"
+		      "99],4]}",
+		  "job r is running", true },
 		{ ROW ",\"crashes\":[[0,0,0,2]]}", "job r is failed", false },
 		{ ROW ",\"crashes\":[[0,0,5,1,0,0,1,1]]}", "job r is failed",
 		  false },
@@ -554,6 +711,12 @@
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
+	g_test_add_func("/batch-crash/cut-off-workers-do-not-end-a-job",
+			test_cut_off_workers_do_not_end_a_job);
+	g_test_add_func("/batch-crash/silent-workers-do-not-end-a-job",
+			test_silent_workers_do_not_end_a_job);
+	g_test_add_func("/batch-crash/random-crashes-do-not-end-lasting-jobs",
+			test_random_crashes_do_not_end_lasting_jobs);
 	g_test_add_func("/batch-crash/deadly-task-is-given-up",
 			test_deadly_task_is_given_up);
 	g_test_add_func("/batch-crash/crashed-worker-is-back-late",
--- a/packages/batch/tests/batch_store_test.c
+++ b/packages/batch/tests/batch_store_test.c
@@ -728,6 +728,8 @@
 	/* A holder that gave up a job may not have stored that. */
 	if (world_state(world, id) == BATCH_FAILED) {
 		g_assert_true(job->given_up);
+		/* Only a task under which two workers have crashed may be. */
+		g_assert_cmpint(job->most_crashed_under, >=, 2);
 		return;
 	}
 	if (!step->long_running) {
--- a/packages/batch/tests/batch_world.c
+++ b/packages/batch/tests/batch_world.c
@@ -445,6 +445,7 @@
 		g_hash_table_unref(job->acked_tasks);
 		g_hash_table_unref(job->fails);
 		g_hash_table_unref(job->crashes);
+		g_hash_table_unref(job->crashed_under);
 		g_hash_table_unref(job->after_crashes);
 		g_hash_table_unref(job->task_starts);
 		g_hash_table_unref(job->started_at);
@@ -518,6 +519,8 @@
 						   g_free, NULL);
 		job->crashes = g_hash_table_new_full(g_str_hash, g_str_equal,
 						     g_free, NULL);
+		job->crashed_under = g_hash_table_new_full(
+			g_str_hash, g_str_equal, g_free, NULL);
 		job->after_crashes = g_hash_table_new_full(
 			g_str_hash, g_str_equal, g_free, NULL);
 		job->task_starts = g_hash_table_new_full(
--- a/packages/batch/tests/batch_world.h
+++ b/packages/batch/tests/batch_world.h
@@ -144,6 +144,7 @@
 	GHashTable *acked_tasks;   /* tasks whose completion was acknowledged */
 	GHashTable *fails;	   /* acknowledged failures by task */
 	GHashTable *crashes;	   /* workers that each task crashed */
+	GHashTable *crashed_under; /* workers that crashed under each task */
 	GHashTable *after_crashes; /* starts of each task after three crashes */
 	GHashTable *task_starts;
 	GHashTable *started_at;	     /* last start by task, microseconds */
@@ -152,6 +153,7 @@
 	int deadly_index; /* of the deadly task; -1: all of the step */
 	int most_starts;  /* of one of its tasks */
 	int most_crashes;
+	int most_crashed_under;
 } world_job_t;
 
 /* Rows that are being stored. */
--- a/packages/batch/tests/batch_world_judge.c
+++ b/packages/batch/tests/batch_world_judge.c
@@ -135,6 +135,11 @@
 		char *key = world_task_key(run);
 		int n;
 
+		if (job) {
+			n = count(job->crashed_under, key);
+			job->most_crashed_under =
+				MAX(job->most_crashed_under, n);
+		}
 		if (world_is_deadly(world, run)) {
 			n = count(job->crashes, key);
 			job->most_crashes = MAX(job->most_crashes, n);
--- a/standin/platform/sp_switch.c
+++ b/standin/platform/sp_switch.c
@@ -75,7 +75,13 @@
 
 static void set_ignores_requests(sp_t *sp, const char *value)
 {
-	find_worker(sp, value)->ignores_requests = true;
+	sp_worker_t *worker = find_worker(sp, value);
+
+	worker->ignores_requests = true;
+	/* Nor does it answer the poll that waits. */
+	if (worker->hold.exchange)
+		g_ptr_array_add(sp->unanswered, worker->hold.exchange);
+	worker->hold.exchange = NULL;
 }
 
 static void set_drops_answers(sp_t *sp, const char *value)
