Do not repeat a change that a read has found done

A read of its fence that was already on its way showed that it was done, which frees the change and stops the timer of the reads, not that of the repetition; that sent what was freed.

close_commit() stops both.

--- a/packages/node/node_commit.c
+++ b/packages/node/node_commit.c
@@ -61,6 +61,7 @@
 	commit->is_open = false;
 	commit->holder->n_commits_open--;
 	net_timer_stop(commit->look_timer);
+	net_timer_stop(commit->retry_timer);
 	TALLOC_FREE(commit->ctx);
 }
 
--- a/packages/node/tests/node_commit_test.c
+++ b/packages/node/tests/node_commit_test.c
@@ -29,7 +29,9 @@
 	int64_t revision;
 	GHashTable *fences; /* key to its revision */
 	size_t n_reads;
-	bool answers_reads;  /* false: no read is answered */
+	bool answers_reads;	    /* false: no read is answered */
+	node_answered_t *read_done; /* of the last read */
+	void *read_arg;
 	char fence_text[64]; /* of the fence that is read next */
 } test;
 
@@ -67,6 +69,8 @@
 	(void)store;
 	test.n_reads++;
 	item.value = base_str(test.fence_text);
+	test.read_done = done;
+	test.read_arg = arg;
 	if (test.answers_reads)
 		done(arg, &answer);
 }
@@ -307,7 +311,39 @@
 	teardown();
 }
 
-/* The same for a change that was lost on its way: it is sent again. */
+/*
+ * Guards against a process that ends with a fault (seed 7017 of the soak): a
+ * change without an answer was to be repeated, and a read of its fence showed
+ * first that it is done.
+ */
+static void test_change_found_done_is_not_repeated(void)
+{
+	node_answer_t lost = { .store_status = NODE_STORE_UNKNOWN };
+	node_item_t fence = { .key = NODE_KEY_FENCE, .revision = 101 };
+	node_answer_t found = { .store_status = NODE_STORE_OK,
+				.items = &fence,
+				.n_items = 1 };
+	int i;
+
+	setup();
+	test.answers_reads = false;
+	submit(1, 5);
+	node_commit_send_pending(test.holder);
+	for (i = 0; i < 500 && !test.n_reads; i++)
+		run_loop();
+	g_assert_cmpuint(test.n_reads, ==, 1);
+	test.open[0].done(test.open[0].arg, &lost);
+	fence.value = base_str(test.open[0].text);
+	test.read_done(test.read_arg, &found);
+	g_assert_false(node_commit_is_open(test.holder));
+	for (i = 0; i < 10; i++)
+		run_loop();
+	g_assert_cmpuint(test.n_open, ==, 1);
+	teardown();
+}
+
+/* A change that was lost on its way is sent again, for the same reason as in
+ * lost-answer-is-looked-for. */
 static void test_lost_change_is_sent_again(void)
 {
 	int i;
@@ -364,6 +400,8 @@
 	g_test_add_func("/node-commit/slow-store", test_slow_store);
 	g_test_add_func("/node-commit/lost-answer-is-looked-for",
 			test_lost_answer_is_looked_for);
+	g_test_add_func("/node-commit/change-found-done-is-not-repeated",
+			test_change_found_done_is_not_repeated);
 	g_test_add_func("/node-commit/lost-change-is-sent-again",
 			test_lost_change_is_sent_again);
 	g_test_add_func("/node-commit/lost-answer-in-a-lane",
