Compare the incarnation of the lost worker's own run of a gang

The worker's return passed for a crash then, and cuts ended jobs with gangs.

cut-off-workers-do-not-end-a-job has gangs on workers of different incarnations: failed (job failed), passes. Its cuts now last longer than the lease as the holder knows it.

--- a/packages/batch/batch_crash.c
+++ b/packages/batch/batch_crash.c
@@ -297,7 +297,7 @@
 } suspects_t;
 
 static const char *const suspicion_names[BATCH_SUSPECT_MAX] = {
-	[BATCH_SUSPECT_NONE] = "lost, no cause if it crashed",
+	[BATCH_SUSPECT_NONE] = "crashed, not by this task",
 	[BATCH_SUSPECT_POSSIBLE] = "crashed, an unlikely cause",
 	[BATCH_SUSPECT_SHARED] = "crashed, one of several causes",
 	[BATCH_SUSPECT_LIKELY] = "crashed, the likely cause",
@@ -521,19 +521,34 @@
 		      suspicion_names[suspicion]);
 }
 
+/* Incarnation of the worker that has a run of the task, or of its gang. */
+static int64_t incarnation_of_run(const batch_worker_t *worker,
+				  const batch_task_t *head)
+{
+	guint i;
+
+	for (i = 0; i < worker->runs->len; i++) {
+		const batch_run_t *run = g_ptr_array_index(worker->runs, i);
+
+		if (batch_crash_head(run->task) == head)
+			return run->incarnation;
+	}
+	return worker->incarnation;
+}
+
 /* The same for a worker that may live: nothing but a trial follows for a run
  * that is not known to have begun. */
 static void miss(batch_task_t *head, const batch_worker_t *worker, int64_t now,
 		 batch_suspicion_t if_crashed, bool begun)
 {
 	batch_crashes_t *crashes = &head->crashes;
-	batch_missing_run_t run = { .run = head->number,
-				    .incarnation =
-					    head->run ? head->run->incarnation
-						      : worker->incarnation,
-				    .lost_at = now,
-				    .begun = begun,
-				    .if_crashed = if_crashed };
+	batch_missing_run_t run = {
+		.run = head->number,
+		.incarnation = incarnation_of_run(worker, head),
+		.lost_at = now,
+		.begun = begun,
+		.if_crashed = if_crashed,
+	};
 
 	crashes->counted_run = head->number;
 	if (if_crashed >= BATCH_SUSPECT_SHARED)
--- a/packages/batch/tests/batch_crash_test.c
+++ b/packages/batch/tests/batch_crash_test.c
@@ -502,6 +502,7 @@
 	bool lasting;
 	bool unlisted;	 /* the worker leaves the list meanwhile */
 	bool taken_over; /* another holder finds that it lives */
+	bool gang;	 /* of two, on workers that have restarted or not */
 	int64_t delay;	 /* from the start to the cut */
 } cut_case_t;
 
@@ -513,7 +514,8 @@
 	world_worker_set_unreachable(world, worker, true);
 	if (how->unlisted)
 		world_worker_set_listed(world, worker, false);
-	world_advance(world, 5 * SECOND);
+	/* Longer than the lease, as the holder knows it. */
+	world_advance(world, 6 * SECOND);
 	if (how->taken_over) {
 		world_take_over(world);
 		world_advance(world, 200 * MS);
@@ -529,15 +531,24 @@
 	int i;
 
 	step.long_running = how->lasting;
-	step.estimate = 10 * SECOND;
+	/* A gang is to run on to the end of the test. */
+	step.estimate = how->gang ? 300 * SECOND : 60 * SECOND;
+	step.count = how->gang ? 2 : 1;
+	step.gang = how->gang;
+	step.max_per_worker = how->gang;
+	for (i = 0; how->gang && i < 8; i += 2) {
+		world_worker_crash(world, i);
+		world_worker_restart(world, i, true);
+	}
 	submit(world, "j", &step);
 	for (i = 0; i < 8; i++) {
 		cut_off_and_return(world, how);
 		g_assert_cmpint(world_state(world, "j"), ==, BATCH_RUNNING);
 	}
-	world_advance(world, 30 * SECOND);
+	world_advance(world, 100 * SECOND);
 	g_assert_cmpint(world_state(world, "j"), ==,
-			how->lasting ? BATCH_RUNNING : BATCH_COMPLETED);
+			how->lasting || how->gang ? BATCH_RUNNING
+						  : BATCH_COMPLETED);
 	check_and_free(world);
 }
 
@@ -546,12 +557,16 @@
 	cut_case_t how = { 0 };
 	int which;
 
-	for (which = 0; which < 8; which++)
+	for (which = 0; which < 16; which++)
 		for (how.delay = 0; how.delay <= 600 * MS;
 		     how.delay += 100 * MS) {
 			how.lasting = which & 1;
 			how.unlisted = which & 2;
 			how.taken_over = which & 4;
+			how.gang = which & 8;
+			/* A gang does not last. */
+			if (how.gang && how.lasting)
+				continue;
 			cut_off_workers(&how);
 		}
 }
