review/6: a job is failed after five planned departures of its executors

Cause: packages/batch/batch_crash.c counts the loss of an executor that was draining as a possible crash by the task that ran there, and ends the job as failed at five; what has left never answers, so nothing withdraws the count.

One executor of sixteen drains and is taken away, five times in 35 s; none crashes, no run ends failed.

--- a/review/standin-2/r2.h
+++ b/review/standin-2/r2.h
@@ -57,7 +57,10 @@
 	char pool[16];
 	char address[32];
 	bool up;
-	bool is_moving;	      /* between two pools, or in upkeep */
+	bool is_moving; /* between two pools, or in upkeep */
+	bool draining;
+	bool gone;	      /* the instance was taken away */
+	int64_t leaves_at;    /* 0: it stays */
 	const char *state;    /* as the instance list names it */
 	int64_t born_ms;      /* since 1970 */
 	int64_t started_at;   /* of this life */
@@ -116,6 +119,8 @@
 /* The worker's process dies.  It is back after "back", under its id if "same".
  */
 void r2_worker_crash(r2_worker_t *worker, int64_t back, bool same);
+/* The worker drains, and leaves with its instance after "time". */
+void r2_worker_drain(r2_worker_t *worker, int64_t time);
 /* The instance's worker ends by order; one of "pool" follows after "back". */
 void r2_worker_order(r2_worker_t *worker, const char *pool, int64_t back,
 		     const char *state);
--- a/review/standin-2/r2_main.c
+++ b/review/standin-2/r2_main.c
@@ -65,7 +65,8 @@
 	int i;
 
 	for (i = 0; name && i < r2->n_workers; i++)
-		if (!strcmp(r2->workers[i].machine, name))
+		if (!strcmp(r2->workers[i].machine, name) &&
+		    !r2->workers[i].gone)
 			return &r2->workers[i];
 	return NULL;
 }
@@ -78,6 +79,8 @@
 	for (i = 0; i < r2->n_workers; i++) {
 		const r2_worker_t *worker = &r2->workers[i];
 
+		if (worker->gone)
+			continue;
 		json_array_append_new(
 			rows,
 			json_pack("{s:s,s:s,s:s,s:s,s:[s,s],s:{s:i,s:i,s:i},"
@@ -105,7 +108,7 @@
 		net_reply(exchange, 400, NULL, 0, BASE_STR(""));
 	} else if (is_move && !strcmp(worker->pool, pool)) {
 		net_reply(exchange, 200, NULL, 0, BASE_STR("{}"));
-	} else if (strcmp(worker->state, "up")) {
+	} else if (strcmp(worker->state, "up") != 0 || worker->draining) {
 		net_reply(exchange, 409, NULL, 0,
 			  BASE_STR("{\"reason\":\"busy\"}"));
 	} else {
@@ -158,17 +161,21 @@
 	for (i = 0; i < r2->n_workers; i++)
 		json_array_append_new(
 			rows, json_pack("[i,s,s,i]", i, r2->workers[i].pool,
-					r2->workers[i].up ? "up" : "down",
+					!r2->workers[i].up	  ? "down"
+					: r2->workers[i].draining ? "draining"
+								  : "up",
 					(int)r2->workers[i].runs->len));
 	sp_reply_json(exchange, 200, rows);
 }
 
 /* /ctl?crash=N&back=MS&id=same: a worker's process dies and comes back.
+ * /ctl?drain=N&ms=MS: a worker drains, and leaves with its instance after MS.
  * /ctl?late=TASK&ms=MS: the next start of the task gets no answer and is
  * carried out so much later. */
 static void serve_control(r2_t *r2, net_exchange_t *exchange, const char *path)
 {
 	int64_t crash = number_of(path, "crash", -1);
+	int64_t drain = number_of(path, "drain", -1);
 	char *late = sp_query(path, "late");
 	char *id = sp_query(path, "id");
 
@@ -176,6 +183,9 @@
 		r2_worker_crash(&r2->workers[crash],
 				number_of(path, "back", 1000) * BASE_MS,
 				!strcmp(id, "same"));
+	if (drain >= 0 && drain < r2->n_workers && r2->workers[drain].up)
+		r2_worker_drain(&r2->workers[drain],
+				number_of(path, "ms", 2000) * BASE_MS);
 	if (*late) {
 		g_strlcpy(r2->late_task, late, sizeof(r2->late_task));
 		r2->late_by = number_of(path, "ms", 2000) * BASE_MS;
--- a/review/standin-2/r2_worker.c
+++ b/review/standin-2/r2_worker.c
@@ -23,11 +23,12 @@
 	char *key = g_strdup_printf("servers/%s", worker->id);
 	char *text = g_strdup_printf(
 		"{\"service\":\"%s\",\"address\":\"%s\",\"zone\":\"z%d\","
-		"\"version\":\"v1\",\"slots\":8,\"state\":\"ready\","
+		"\"version\":\"v1\",\"slots\":8,\"state\":\"%s\","
 		"\"coldLeftMs\":0,\"capacity\":{\"cpu\":%d,\"memMb\":65536,"
 		"\"gpu\":0},\"labels\":[\"a\",\"r%d\"],\"seq\":%lld,"
 		"\"born\":%lld}",
-		worker->pool, worker->address, worker->index % 3, CAPACITY_CPU,
+		worker->pool, worker->address, worker->index % 3,
+		worker->draining ? "draining" : "ready", CAPACITY_CPU,
 		worker->index / 4, (long long)++worker->seq,
 		(long long)worker->born_ms);
 
@@ -233,6 +234,22 @@
 	worker->former_until = worker->heartbeat_at + SILENCE_MAX;
 }
 
+void r2_worker_drain(r2_worker_t *worker, int64_t time)
+{
+	r2_note(worker->r2, "worker %s drains", worker->id);
+	worker->draining = true;
+	worker->leaves_at = base_clock_mono() + time;
+	write_entry(worker);
+}
+
+static void leave(r2_worker_t *worker)
+{
+	remove_entry(worker, worker->id);
+	stop_process(worker, "it has drained and leaves");
+	worker->leaves_at = 0;
+	worker->gone = true;
+}
+
 void r2_worker_order(r2_worker_t *worker, const char *pool, int64_t back,
 		     const char *state)
 {
@@ -569,6 +586,8 @@
 		worker->former_until = 0;
 	if (worker->restart_at && now >= worker->restart_at)
 		start(worker, worker->restarts_same);
+	if (worker->leaves_at && now >= worker->leaves_at)
+		leave(worker);
 	if (!worker->up)
 		return;
 	if (now - worker->heartbeat_at > HEARTBEAT)
