--- a/review/standin-2/r2.h
+++ b/review/standin-2/r2.h
@@ -20,7 +20,7 @@
 typedef struct r2 r2_t;
 
 /* One run of a task.  Its shape is read from the job's "spec" text:
- * "cpu=N ms=N gang=N lasts quiet". */
+ * "cpu=N ms=N gang=N kind=X lasts quiet". */
 typedef struct r2_run {
 	char task[R2_TASK_MAX];
 	char step[R2_TASK_MAX]; /* its job, occurrence and step */
@@ -30,6 +30,7 @@
 	int64_t worked;
 	int64_t started_at;
 	int gang;   /* members; 0: none */
+	char kind;  /* that its job requires; 0: any */
 	bool lasts; /* until it is stopped */
 	bool quiet; /* not in the record, but for what breaks a rule */
 } r2_run_t;
@@ -55,6 +56,8 @@
 	char id[32];
 	char machine[16];
 	char pool[16];
+	char kind;
+	char next_kind; /* of its next life */
 	char address[32];
 	bool up;
 	bool is_moving; /* between two pools, or in upkeep */
@@ -105,6 +108,7 @@
 	int n_alone;
 	int n_lost;
 	int n_refused_values; /* of the store: larger than it takes */
+	int route;	      /* starts on an executor of another kind */
 	int twice;	      /* starts that break TWICE */
 	char first[200];
 };
--- a/review/standin-2/r2_main.c
+++ b/review/standin-2/r2_main.c
@@ -144,13 +144,14 @@
 {
 	sp_reply_json(
 		exchange, 200,
-		json_pack("{s:I,s:i,s:i,s:i,s:i,s:i,s:i,s:i,s:s}", "now_ms",
+		json_pack("{s:I,s:i,s:i,s:i,s:i,s:i,s:i,s:i,s:i,s:s}", "now_ms",
 			  (json_int_t)((base_clock_mono() - r2->began_at) /
 				       BASE_MS),
 			  "starts", r2->starts, "done", r2->n_done, "failed",
 			  r2->n_failed, "alone", r2->n_alone, "lost",
-			  r2->n_lost, "large_values", r2->n_refused_values,
-			  "twice", r2->twice, "first", r2->first));
+			  r2->n_lost, "route", r2->route, "large_values",
+			  r2->n_refused_values, "twice", r2->twice, "first",
+			  r2->first));
 }
 
 static void serve_workers(r2_t *r2, net_exchange_t *exchange)
@@ -168,7 +169,8 @@
 	sp_reply_json(exchange, 200, rows);
 }
 
-/* /ctl?crash=N&back=MS&id=same: a worker's process dies and comes back.
+/* /ctl?crash=N&back=MS&id=same&kind=X: a worker's process dies and
+ * comes back.
  * /ctl?drain=N&ms=MS: a worker drains, and leaves with its instance after MS.
  * /ctl?late=TASK&ms=MS: the next start of the task gets no answer and is
  * carried out so much later. */
@@ -178,7 +180,10 @@
 	int64_t drain = number_of(path, "drain", -1);
 	char *late = sp_query(path, "late");
 	char *id = sp_query(path, "id");
+	char *kind = sp_query(path, "kind");
 
+	if (crash >= 0 && crash < r2->n_workers && *kind)
+		r2->workers[crash].next_kind = *kind;
 	if (crash >= 0 && crash < r2->n_workers && r2->workers[crash].up)
 		r2_worker_crash(&r2->workers[crash],
 				number_of(path, "back", 1000) * BASE_MS,
@@ -192,6 +197,7 @@
 	}
 	net_reply(exchange, 200, NULL, 0, BASE_STR(""));
 	g_free(late);
+	g_free(kind);
 	g_free(id);
 }
 
--- a/review/standin-2/r2_worker.c
+++ b/review/standin-2/r2_worker.c
@@ -25,11 +25,11 @@
 		"{\"service\":\"%s\",\"address\":\"%s\",\"zone\":\"z%d\","
 		"\"version\":\"v1\",\"slots\":8,\"state\":\"%s\","
 		"\"coldLeftMs\":0,\"capacity\":{\"cpu\":%d,\"memMb\":65536,"
-		"\"gpu\":0},\"labels\":[\"a\",\"r%d\"],\"seq\":%lld,"
+		"\"gpu\":0},\"labels\":[\"%c\",\"r%d\"],\"seq\":%lld,"
 		"\"born\":%lld}",
 		worker->pool, worker->address, worker->index % 3,
 		worker->draining ? "draining" : "ready", CAPACITY_CPU,
-		worker->index / 4, (long long)++worker->seq,
+		worker->kind, worker->index / 4, (long long)++worker->seq,
 		(long long)worker->born_ms);
 
 	sp_store_put(&worker->r2->sp, key, text);
@@ -55,6 +55,7 @@
 		g_snprintf(worker->id, sizeof(worker->id), "i-%d-%d",
 			   worker->index, ++worker->n_lives);
 	worker->state = "up";
+	worker->kind = worker->next_kind;
 	worker->restart_at = 0;
 	worker->started_at = base_clock_mono();
 	worker->born_ms = base_clock_wall() / BASE_MS;
@@ -72,8 +73,8 @@
 		exit(2);
 	}
 	write_entry(worker);
-	r2_note(worker->r2, "worker %s of pool %s is up", worker->id,
-		worker->pool);
+	r2_note(worker->r2, "worker %s of pool %s is up, of kind %c",
+		worker->id, worker->pool, worker->kind);
 }
 
 void r2_workers_begin(r2_t *r2, int port)
@@ -90,6 +91,7 @@
 			   i >= r2->n_workers - r2->n_spare ? "spare" : "desk");
 		g_snprintf(worker->address, sizeof(worker->address),
 			   "127.0.0.1:%d", port + i);
+		worker->next_kind = 'a';
 		worker->runs = g_array_new(FALSE, TRUE, sizeof(r2_run_t));
 		worker->ends = g_array_new(FALSE, TRUE, sizeof(r2_end_t));
 		worker->closed = g_array_new(FALSE, TRUE, sizeof(r2_run_t));
@@ -320,6 +322,18 @@
 					   "at work");
 }
 
+static void check_kind(r2_worker_t *worker, const r2_run_t *run)
+{
+	if (!run->kind || run->kind == worker->kind)
+		return;
+	worker->r2->route++;
+	r2_note(worker->r2,
+		"ROUTE: task %s run %lld requires kind %c, executor %s is of "
+		"kind %c",
+		run->task, (long long)run->number, run->kind, worker->id,
+		worker->kind);
+}
+
 static int64_t shape_of(const char *spec, const char *name, int64_t fallback)
 {
 	const char *at = strstr(spec, name);
@@ -345,6 +359,7 @@
 	run->work = shape_of(spec, "ms=", DEFAULT_WORK_MS) * BASE_MS;
 	run->gang = (int)shape_of(spec, "gang=", 0);
 	run->lasts = strstr(spec, "lasts") != NULL;
+	run->kind = strstr(spec, "kind=") ? strstr(spec, "kind=")[5] : 0;
 	run->quiet = strstr(spec, "quiet") != NULL;
 	run->started_at = base_clock_mono();
 }
@@ -405,6 +420,7 @@
 			reason ? reason : "");
 	if (!reason) {
 		check_start(r2, &run);
+		check_kind(worker, &run);
 		g_hash_table_replace(
 			r2->started, g_strdup(run.task),
 			g_memdup2(&run.started_at, sizeof(run.started_at)));
