--- a/review/standin-2/r2.h
+++ b/review/standin-2/r2.h
@@ -12,7 +12,7 @@
 
 #include <stdio.h>
 
-#include "sp_int.h"
+#include "../../standin/platform/sp_int.h"
 
 #define R2_WORKERS_MAX 16
 #define R2_TASK_MAX 96 /* bytes of a task's name */
