--- a/review/7/run.sh
+++ b/review/7/run.sh
@@ -48,7 +48,7 @@
 	test "$first" != "$(where 2)" || verdict 2 "both went to the same executor"
 	since=$(sed -n "s/^ *\([0-9]*\)\.\([0-9]*\) start on .* gets no answer: task $job.*/\1\2/p" "$record")
 	sleep 1
-	control "crash=$first&back=$((11470 + since - $(judge now_ms)))&id=same"
+	control "crash=$first&back=$((11482 + since - $(judge now_ms)))&id=same"
 	say "executor $first crashes; it is back just before run 1 is carried out"
 fi
 sleep 15
