review/9: a job of a removed route is accepted and never done (LOST)

Cause: print_source() in node_holder.c finds no settings for a queue that the configuration no longer has, while batch_submit() still accepts its jobs; the next holder makes a queue without a pool for such a job (queue_of() in batch.c).

Broken: an entry that the store turns away passes a job of a removed route on, within configApplyMs; the holder answers 200. After a planned stop of the holder the job's second task is never started, with idle executors.

The stand-in has an address of the store for each entry, which it can turn away; the other cases don't use it.

--- a/review/standin-2/lib.sh
+++ b/review/standin-2/lib.sh
@@ -72,15 +72,17 @@
 }
 
 # start_node N: start entry N with the settings that platform/settings.template
-# gives on a small deployment.
+# gives on a small deployment.  With GATES=1 it reaches the store at an address of
+# its own, where the stand-in can turn it away.
 start_node() {
+	store=$((PORT + ${GATES:-0} * (80 + $1)))
 	cat >"$work/node-$1.json" <<END
 {"name": "edge-$1", "availability_zone": "z$1",
 "callers": "127.0.0.1:$((PORT + 40 + $1))",
 "ready": "127.0.0.1:$((PORT + 50 + $1))",
 "peers": "127.0.0.1:$((PORT + 60 + $1))",
 "metrics": "127.0.0.1:$((PORT + 70 + $1))",
-"store": "127.0.0.1:$PORT", "instances": "127.0.0.1:$PORT",
+"store": "127.0.0.1:$store", "instances": "127.0.0.1:$PORT",
 "processor_cores": 0.25, "lease_max_ms": 6000, "stop_timeout_ms": 200,
 "drain_ms": 2000, "grace_s": 6, "keep_s": 120, "store_ttl_min_ms": 1000}
 END
--- a/review/standin-2/r2.h
+++ b/review/standin-2/r2.h
@@ -16,6 +16,7 @@
 
 #define R2_WORKERS_MAX 16
 #define R2_TASK_MAX 96 /* bytes of a task's name */
+#define R2_GATES 3     /* addresses of the store, one for each entry */
 
 typedef struct r2 r2_t;
 
@@ -87,8 +88,16 @@
 	net_server_t *server; /* NULL: nothing listens */
 } r2_worker_t;
 
+/* An address of the store that serves one entry, or turns it away. */
+typedef struct r2_gate {
+	r2_t *r2;
+	net_server_t *server;
+	int64_t away_until;
+} r2_gate_t;
+
 struct r2 {
 	sp_t sp; /* the store */
+	r2_gate_t gates[R2_GATES];
 	r2_worker_t workers[R2_WORKERS_MAX];
 	int n_workers;
 	int n_spare;
--- a/review/standin-2/r2_main.c
+++ b/review/standin-2/r2_main.c
@@ -6,6 +6,7 @@
 #include "r2.h"
 
 #define TICK (10 * BASE_MS)
+#define GATE_PORT 81	    /* of the first one, after that of the store */
 #define VALUE_MAX (1 << 20) /* bytes that the store takes as a value */
 #define MOVE_TIME (1500 * BASE_MS)
 #define UPKEEP_TIME (2 * BASE_SEC)
@@ -173,11 +174,13 @@
  * comes back.
  * /ctl?drain=N&ms=MS: a worker drains, and leaves with its instance after MS.
  * /ctl?late=TASK&ms=MS: the next start of the task gets no answer and is
- * carried out so much later. */
+ * carried out so much later.
+ * /ctl?away=N&ms=MS: the store turns entry N away for so long. */
 static void serve_control(r2_t *r2, net_exchange_t *exchange, const char *path)
 {
 	int64_t crash = number_of(path, "crash", -1);
 	int64_t drain = number_of(path, "drain", -1);
+	int64_t away = number_of(path, "away", -1);
 	char *late = sp_query(path, "late");
 	char *id = sp_query(path, "id");
 	char *kind = sp_query(path, "kind");
@@ -191,6 +194,12 @@
 	if (drain >= 0 && drain < r2->n_workers && r2->workers[drain].up)
 		r2_worker_drain(&r2->workers[drain],
 				number_of(path, "ms", 2000) * BASE_MS);
+	if (away >= 1 && away <= R2_GATES) {
+		r2->gates[away - 1].away_until =
+			base_clock_mono() +
+			number_of(path, "ms", 2000) * BASE_MS;
+		r2_note(r2, "the store turns entry %d away", (int)away);
+	}
 	if (*late) {
 		g_strlcpy(r2->late_task, late, sizeof(r2->late_task));
 		r2->late_by = number_of(path, "ms", 2000) * BASE_MS;
@@ -249,6 +258,35 @@
 	g_free(path);
 }
 
+static void serve_gate(void *arg, net_exchange_t *exchange)
+{
+	r2_gate_t *gate = arg;
+
+	if (base_clock_mono() < gate->away_until)
+		net_reply(exchange, 503, NULL, 0, BASE_STR(""));
+	else
+		serve(gate->r2, exchange);
+}
+
+static bool open_gates(r2_t *r2, int port, GError **err)
+{
+	char address[32];
+	int i;
+
+	for (i = 0; i < R2_GATES; i++) {
+		r2_gate_t *gate = &r2->gates[i];
+
+		gate->r2 = r2;
+		g_snprintf(address, sizeof(address), "127.0.0.1:%d",
+			   port + GATE_PORT + i);
+		gate->server = net_server_new(r2, r2->sp.loop, address,
+					      serve_gate, gate, err);
+		if (!gate->server)
+			return false;
+	}
+	return true;
+}
+
 static void tick(void *arg)
 {
 	r2_t *r2 = arg;
@@ -295,7 +333,7 @@
 	r2->timer = net_timer_new(r2, r2->sp.loop, tick, r2);
 	g_snprintf(address, sizeof(address), "127.0.0.1:%d", port);
 	r2->server = net_server_new(r2, r2->sp.loop, address, serve, r2, &err);
-	if (!r2->server || !r2->record) {
+	if (!r2->server || !r2->record || !open_gates(r2, port, &err)) {
 		fprintf(stderr, "standin-review: port or record in use\n");
 		exit(2);
 	}
