review/7: one executor of nine drains, not the only one that is up

A lasting job keeps nine up.

The fault is the same: batch_crash.c counts planned departures, and the job is shown as failed after five.

--- a/review/7/run.sh
+++ b/review/7/run.sh
@@ -1,13 +1,18 @@
 #!/bin/sh
-# The pool has one executor, as little work as there is.  Five times an executor
-# drains and is taken away, as planned; none crashes.  The job must go on.
+# The pool has nine executors, with a lasting job on eight of them.  Five times the
+# executor that runs another job's task drains and is taken away, as planned, one at
+# a time; none crashes.  The job must go on.
 . "$(dirname "$0")/../standin-2/lib.sh"
 
-# pool_worker: the executor of the pool that does not drain, if there is just one.
-pool_worker() {
-	workers | sed 's/\],\[/\n/g; s/[][]//g' |
-		sed -n 's/^\([0-9]*\),"desk","up",.*/\1/p' |
-		awk '{ n = $1 } END { if (NR == 1) print n }'
+# where RUN: the executor that got this run of the job's task, or nothing.
+where() {
+	sed -n "s/.*start on i-\([0-9]*\)-.*: task $job.0.0.0 run $1\$/\1/p" "$record" |
+		head -1
+}
+
+# pool_size: executors of the pool that are up.
+pool_size() {
+	workers | grep -o '"desk","up"' | wc -l
 }
 
 # begun RUN: whether this run of the job's task has begun.
@@ -15,8 +20,12 @@
 	grep -q "start on .*: task $job.0.0.0 run $1\$" "$record"
 }
 
-start_all --workers=16 --spare=15
+start_all --workers=16 --spare=8
 job=$(id 1)
+test "$(submit_steps 1 "$(id 900)" "lasts cpu=100" \
+	'[{"count":8,"cpu":100,"memMb":64,"longRunning":true,"antiAffinity":1}]')" = 200 ||
+	verdict 2 "the lasting job was not accepted"
+until_is 9 pool_size || verdict 2 "the pool does not have nine executors"
 test "$(submit_steps 1 "$job" "ms=4000 cpu=4000" \
 	'[{"count":1,"cpu":4000,"memMb":64,"estimateMs":4000}]')" = 200 ||
 	verdict 2 "the job was not accepted"
@@ -34,9 +43,9 @@
 	done
 	begun $turn || break
 	sleep 0.5
-	worker=$(pool_worker)
-	test "$worker" || verdict 2 "the pool does not have one executor"
-	say "executor $worker drains and is taken away 2.5 s later"
+	worker=$(where $turn)
+	until_is 9 pool_size || verdict 2 "the pool does not have nine executors"
+	say "executor $worker, one of $(pool_size), drains and is taken away 2.5 s later"
 	control "drain=$worker&ms=2500"
 	turn=$((turn + 1))
 done
