--- a/review/standin-2/sitting-3/functions.sh
+++ b/review/standin-2/sitting-3/functions.sh
@@ -1,7 +1,7 @@
-# Functions for the scripts of the third sitting.  Sourced by a case's run.sh,
-# which sets "case_dir" and "standin".  Starts the platform's stand-in and
-# entries with the command of the deploy file, on free loopback ports.  Every
-# process that is started here is ended by its id.
+# Functions of review/6.  Sourced by its run.sh, which sets "case_dir" and
+# "standin".  Starts the platform's stand-in and entries with the command of the
+# deploy file, on free loopback ports.  Every process that is started here is
+# ended by its id.
 
 set -u
 top=$(cd "$case_dir/../.." && pwd)
@@ -83,7 +83,7 @@
 "ready": "127.0.0.1:$((PORT + 90 + $1))",
 "peers": "127.0.0.1:$((PORT + 100 + $1))",
 "metrics": "127.0.0.1:$((PORT + 110 + $1))",
-"store": "127.0.0.1:${STORE_PORT:-$PORT}", "instances": "127.0.0.1:$PORT",
+"store": "127.0.0.1:$PORT", "instances": "127.0.0.1:$PORT",
 "advice": "127.0.0.1:$PORT", "processor_cores": 0.25,
 "lease_max_ms": 6000, "stop_timeout_ms": 200, "drain_ms": 2000,
 "grace_s": 6, "keep_s": 120, "store_ttl_min_ms": 1000}
@@ -147,23 +147,9 @@
 		awk '{ print $1, $2, int($3 / 1000), int($4 / 1000) }'
 }
 
-# start_value_limit PROGRAM BYTES: a store at PORT + 120 that refuses larger
-# values; entries that are started then use it.
-start_value_limit() {
-	STORE_PORT=$((PORT + 120))
-	"$1" $STORE_PORT $PORT "$2" 2>"$work/value_limit.log" &
-	pids="$pids $!"
-	for _ in 1 2 3 4 5 6 7 8 9 10 11 12 13 14 15 16 17 18 19 20
-	do
-		curl -s -m 1 -o /dev/null "http://127.0.0.1:$STORE_PORT/judge" &&
-			return
-		sleep 0.1
-	done
-	cannot_run "the store's limit does not start"
-}
-
-# Starts three entries, and waits until jobs are done.
-start_entries() {
+# Starts the platform and three entries, and waits until jobs are done.
+start_all() {
+	start_platform 12
 	configure
 	for n in 1 2 3
 	do
@@ -185,9 +171,4 @@
 	cannot_run "no job is accepted and done"
 }
 
-start_all() {
-	start_platform 12
-	start_entries
-}
-
 job='{"spec":"quote","steps":[{"count":2,"cpu":1100,"memMb":2300,"estimateMs":800}]}'
