--- a/review/standin-2/sitting-3/late_look.c
+++ b/review/standin-2/sitting-3/late_look.c
@@ -7,8 +7,8 @@
 
 #include "../r2.h"
 
-#define LATE_TIME (5 * BASE_SEC)
-#define LATE_PART 4
+#define LATE_TIME (4400 * BASE_MS)
+#define LATE_PART 17 /* a share of 0.059 */
 #define LATE_LEAST (2 * BASE_SEC)
 #define LATE_SPAN (10 * BASE_SEC)
 
