batch: do not count the loss of a worker that leaves as planned

Cause: the loss of a worker that was listed as draining counted as a possible crash of what ran there. Such a worker never answers again, so that nothing withdrew the count, and five of any kind end a job. The log shows it: five times run-suspected, "lost, perhaps crashed", then job-given-up; no run-failed, no change of the holder.

Change: the loss of a worker whose present incarnation was listed as draining counts nothing, also if the list shows its next process by then.

--- a/packages/batch/batch.h
+++ b/packages/batch/batch.h
@@ -308,7 +308,7 @@
 
 /* Why a worker's incarnation has ended. */
 typedef enum batch_loss_cause {
-	BATCH_LOSS_CRASHED, /* it ended by itself, without draining */
+	BATCH_LOSS_CRASHED, /* it is known to have ended, not by an order */
 	BATCH_LOSS_ORDERED, /* its instance was moved or is in maintenance */
 	BATCH_LOSS_UNKNOWN, /* it crashed, was cut off, or ended otherwise */
 	BATCH_LOSS_MAX
@@ -316,7 +316,8 @@
 
 /*
  * The worker's present incarnation has ended, and all its runs with it.  Only a
- * crash, or a loss of unknown cause, counts against the tasks on it.
+ * crash, or a loss of unknown cause, counts against the tasks on it, unless it
+ * was listed as draining.
  */
 void batch_worker_terminated(batch_t *core, int64_t now, base_str_t id,
 			     batch_loss_cause_t cause);
--- a/packages/batch/batch_crash.c
+++ b/packages/batch/batch_crash.c
@@ -293,7 +293,7 @@
 	/* Of the unproven ones, that which is alone on trial; NULL: none. */
 	const batch_task_t *on_trial;
 	bool correlated; /* the loss has a common cause with others */
-	bool leaving;	 /* the worker was to end anyway */
+	bool explained;	 /* something else may have ended the worker */
 } suspects_t;
 
 static const char *const suspicion_names[BATCH_SUSPECT_MAX] = {
@@ -597,7 +597,7 @@
 	bool is_likely = found->on_trial ? head == found->on_trial
 					 : found->unproven->len == 1;
 
-	if (found->leaving)
+	if (found->explained)
 		return head->step->spec->long_running ? BATCH_SUSPECT_NONE
 						      : BATCH_SUSPECT_POSSIBLE;
 	if (!is_likely || found->correlated ||
@@ -619,7 +619,7 @@
 {
 	if (head->step->spec->long_running)
 		return BATCH_SUSPECT_NONE;
-	if (found->leaving)
+	if (found->explained)
 		return BATCH_SUSPECT_POSSIBLE;
 	if (found->correlated || found->on_trial)
 		return BATCH_SUSPECT_NONE;
@@ -668,20 +668,21 @@
 	suspects_t found;
 	guint i;
 
-	if (cause == BATCH_LOSS_ORDERED)
+	/* Whatever runs on a worker that leaves ends with it. */
+	if (cause == BATCH_LOSS_ORDERED || worker->leaves)
 		return;
 	drop_past_losses(worker, now);
 	batch_missing_expire(worker->core, now);
 	found = find_suspects(worker, present);
 	found.correlated = is_correlated(worker, now);
-	found.leaving = worker->draining || worker->cordoned;
-	if (!found.leaving &&
+	found.explained = worker->cordoned;
+	if (!found.explained &&
 	    (cause == BATCH_LOSS_CRASHED || found.unproven->len))
 		record_loss(worker, now);
 	count_suspects(&found, found.unproven, judge_unproven, worker, now,
 		       cause);
 	count_suspects(&found, found.young, judge_young, worker, now, cause);
-	for (i = 0; i < found.late->len && !found.leaving; i++)
+	for (i = 0; i < found.late->len && !found.explained; i++)
 		((batch_task_t *)g_ptr_array_index(found.late, i))
 			->crashes.needs_trial = true;
 	free_suspects(&found);
--- a/packages/batch/batch_int.h
+++ b/packages/batch/batch_int.h
@@ -322,6 +322,7 @@
 	int64_t incarnation; /* 0: not polled yet */
 	bool listed;
 	bool draining;
+	bool leaves; /* its present incarnation was listed as draining */
 	bool silent;
 	bool forgotten; /* all that it ran has ended; to be freed */
 	bool cordoned;
--- a/packages/batch/batch_worker.c
+++ b/packages/batch/batch_worker.c
@@ -66,6 +66,7 @@
 	worker->listed_at = now;
 	worker->listed = true;
 	worker->draining = info->draining;
+	worker->leaves |= info->draining;
 	if (worker->draining)
 		batch_worker_drop_unsent(worker);
 	talloc_free(worker->zone);
@@ -445,6 +446,7 @@
 		doubt_starts_again(worker, now);
 		worker->last_end = 0;
 		drop_unstored_ends(worker, worker->unstored_ends->len);
+		worker->leaves = worker->draining;
 		worker->is_quarantined = false;
 		worker->n_quarantines = 0;
 		worker->fail_streak = 0;
--- a/packages/batch/tests/batch_crash_test.c
+++ b/packages/batch/tests/batch_crash_test.c
@@ -643,6 +643,75 @@
 	}
 }
 
+/* How workers leave as planned, one after the other. */
+typedef struct leave_case {
+	bool lasting;
+	bool replaced; /* another worker answers at its address then */
+	bool cordoned; /* it is being emptied by the holder as well */
+	int64_t delay; /* from the start to the announcement */
+} leave_case_t;
+
+static void leave_as_planned(world_t *world, const leave_case_t *how)
+{
+	int worker = await_worker(world, "j");
+	base_str_t id = base_str(world->workers[worker].id);
+
+	world_advance(world, how->delay);
+	if (how->cordoned)
+		batch_worker_cordon(world->core, world->now, id, true);
+	world_worker_drain(world, worker);
+	world_advance(world, WORLD_DRAIN_LIMIT + 500 * MS);
+	world_worker_leave(world, worker);
+	world_add_worker(world);
+	/* Longer than the time between two readings of the list. */
+	world_advance(world, SECOND);
+	if (how->replaced)
+		batch_worker_terminated(world->core, world->now, id,
+					BATCH_LOSS_CRASHED);
+	world_advance(world, 200 * MS);
+}
+
+static void leave_one_by_one(const leave_case_t *how)
+{
+	world_t *world = world_new(1, 8, 2);
+	batch_step_spec_t step = world_step(1);
+	int i;
+
+	step.long_running = how->lasting;
+	step.estimate = 60 * SECOND;
+	submit(world, "j", &step);
+	for (i = 0; i < 8; i++) {
+		leave_as_planned(world, how);
+		g_assert_cmpint(world_state(world, "j"), ==, BATCH_RUNNING);
+	}
+	world_advance(world, 120 * SECOND);
+	g_assert_cmpint(world_state(world, "j"), ==,
+			how->lasting ? BATCH_RUNNING : BATCH_COMPLETED);
+	check_and_free(world);
+}
+
+/*
+ * Guards against a job that is shown as failed though no task of it has failed
+ * or crashed a worker (LOST): each worker that starts its task leaves as
+ * planned before the task has ended.
+ */
+static void test_planned_departures_do_not_end_a_job(void)
+{
+	leave_case_t how = { 0 };
+	int which;
+
+	for (which = 0; which < 8; which++)
+		for (how.delay = 0; how.delay <= 3 * SECOND;
+		     how.delay += 500 * MS) {
+			how.lasting = which & 1;
+			how.replaced = which & 2;
+			how.cordoned = which & 4;
+			g_test_message("case %d, delay %d ms", which,
+				       (int)(how.delay / MS));
+			leave_one_by_one(&how);
+		}
+}
+
 static void restore(world_t *world, const char *record, GError **err)
 {
 	static const batch_step_spec_t step = { .count = 2,
@@ -728,6 +797,8 @@
 	g_test_init(&argc, &argv, NULL);
 	g_test_add_func("/batch-crash/cut-off-workers-do-not-end-a-job",
 			test_cut_off_workers_do_not_end_a_job);
+	g_test_add_func("/batch-crash/planned-departures-do-not-end-a-job",
+			test_planned_departures_do_not_end_a_job);
 	g_test_add_func("/batch-crash/silent-workers-do-not-end-a-job",
 			test_silent_workers_do_not_end_a_job);
 	g_test_add_func("/batch-crash/random-crashes-do-not-end-lasting-jobs",
--- a/packages/batch/tests/batch_world.h
+++ b/packages/batch/tests/batch_world.h
@@ -229,6 +229,9 @@
 /* The worker announces that it leaves. */
 void world_worker_drain(world_t *world, int worker);
 
+/* The worker, which has announced it, leaves for good. */
+void world_worker_leave(world_t *world, int worker);
+
 /* A step of "count" tasks, each of one second on two cores. */
 batch_step_spec_t world_step(int count);
 batch_admission_t world_submit(world_t *world, const char *id,
--- a/packages/batch/tests/batch_world_judge.c
+++ b/packages/batch/tests/batch_world_judge.c
@@ -143,6 +143,9 @@
 {
 	guint i;
 
+	/* It leaves as planned. */
+	if (worker->draining)
+		return;
 	for (i = 0; i < worker->runs->len; i++) {
 		const world_run_t *run =
 			&g_array_index(worker->runs, world_run_t, i);
