batch: end no job for losses of workers that may have left

A job was shown as failed after five workers under its task had been lost, one by one, though none is known to have crashed (LOST): they were cut off, or had left as planned while the holder could not read the list or had just changed. If another worker answered at their address, two were enough.

Cause: the number of losses of unknown cause ended a job, and the end of a worker was taken for a crash, though it may have left as planned.

Change: missing runs count only beside two known crashes, and a crash is known only if the list was read often enough to rule out a planned departure. So that a deadly task is still given up in time, a worker is now found to have ended also when another one answers at its address later, or is on its instance; both are kept in the job's row. From three missing runs on, the next start of a task that does not last waits for 4 s.

--- a/packages/batch/batch.h
+++ b/packages/batch/batch.h
@@ -100,6 +100,7 @@
 
 typedef struct batch_worker_info {
 	base_str_t id;
+	base_str_t address; /* compared only; empty: not known */
 	base_str_t pool;
 	base_str_t zone;
 	base_str_t rack;
@@ -218,6 +219,8 @@
 	 * stopped, microseconds.
 	 */
 	int64_t in_doubt_timeout;
+	/* A worker that leaves is listed as draining for this long at least. */
+	int64_t drain_time;
 } batch_options_t;
 
 typedef struct batch batch_t;
@@ -314,6 +317,10 @@
 	BATCH_LOSS_MAX
 } batch_loss_cause_t;
 
+/* The instance has this worker, so that any other one that it had has ended. */
+void batch_worker_placed(batch_t *core, int64_t now, base_str_t id,
+			 base_str_t instance);
+
 /*
  * The worker's present incarnation has ended, and all its runs with it.  Only a
  * crash, or a loss of unknown cause, counts against the tasks on it, unless it
--- a/packages/batch/batch_crash.c
+++ b/packages/batch/batch_crash.c
@@ -42,6 +42,11 @@
 #define CRASH_CORRELATED_TIME (2500 * BASE_MS)
 /* Crashes that must be known, for losses that may be none to count as well. */
 #define CRASH_KNOWN_MIN 2
+/* Workers that are missing before the next start waits for one of them, and for
+ * how long: some seconds, after which a worker that has crashed is mostly back.
+ */
+#define CRASH_MISSING_MAX 3
+#define CRASH_RETURN_TIME (4 * BASE_SEC)
 /* A loss is found by then: the longest lease and some more. */
 #define CRASH_LOSS_AGE_MAX (15 * BASE_SEC)
 /* Other lost workers of a rack or zone that show a common cause, besides being
@@ -76,14 +81,23 @@
 	return step->spec->gang ? &step->tasks[0] : &step->tasks[task->index];
 }
 
-/* A start without an answer counts only for a task under which workers have
- * crashed. */
+static int count_known(const batch_crashes_t *crashes)
+{
+	return crashes->certain + crashes->likely + crashes->shared;
+}
+
+static int count_all(const batch_crashes_t *crashes)
+{
+	return count_known(crashes) + crashes->missing + crashes->unanswered;
+}
+
+/* A worker that is missing, and may live, counts only for a task under which
+ * workers have crashed. */
 static int count_losses(const batch_crashes_t *crashes)
 {
-	int crashed = crashes->certain + crashes->likely + crashes->shared;
+	int known = count_known(crashes);
 
-	return crashed + crashes->missing +
-	       (crashed >= CRASH_KNOWN_MIN ? crashes->unanswered : 0);
+	return known >= CRASH_KNOWN_MIN ? count_all(crashes) : known;
 }
 
 bool batch_crash_needs_trial(const batch_task_t *task)
@@ -160,8 +174,7 @@
 	batch_crashes_t *crashes = &task->crashes;
 
 	if (task->step->spec->gang ||
-	    !(crashes->needs_trial ||
-	      (also_counts && (count_losses(crashes) || crashes->unanswered))))
+	    !(crashes->needs_trial || (also_counts && count_all(crashes))))
 		return;
 	crashes->needs_trial = false;
 	if (also_counts)
@@ -241,6 +254,17 @@
 	       !batch_crash_unsettled(worker, task, now);
 }
 
+/* A long-running task may not be away for longer. */
+bool batch_crash_must_wait(const batch_task_t *task, int64_t now)
+{
+	const batch_crashes_t *crashes = &batch_crash_head(task)->crashes;
+
+	return crashes->missing >= CRASH_MISSING_MAX &&
+	       count_known(crashes) < CRASH_KNOWN_MIN &&
+	       now < crashes->missing_since + CRASH_RETURN_TIME &&
+	       !task->step->spec->long_running;
+}
+
 static bool has_unsettled_trial(const batch_worker_t *worker, int64_t now)
 {
 	guint i;
@@ -293,11 +317,10 @@
 	/* Of the unproven ones, that which is alone on trial; NULL: none. */
 	const batch_task_t *on_trial;
 	bool correlated; /* the loss has a common cause with others */
-	bool explained;	 /* something else may have ended the worker */
+	bool cordoned;	 /* the worker was being emptied */
 } suspects_t;
 
 static const char *const suspicion_names[BATCH_SUSPECT_MAX] = {
-	[BATCH_SUSPECT_NONE] = "crashed, not by this task",
 	[BATCH_SUSPECT_POSSIBLE] = "crashed, an unlikely cause",
 	[BATCH_SUSPECT_SHARED] = "crashed, one of several causes",
 	[BATCH_SUSPECT_LIKELY] = "crashed, the likely cause",
@@ -472,19 +495,17 @@
 	}
 }
 
-static void log_suspicion(const batch_task_t *head,
-			  const batch_worker_t *worker, int64_t run,
-			  int64_t age, const char *why)
+static void log_suspicion(const batch_task_t *head, const char *worker,
+			  int64_t run, int64_t age, const char *why)
 {
-	batch_log_emit(
-		worker->core,
-		&(batch_log_event_t){ .kind = BATCH_LOG_RUN_SUSPECTED,
-				      .task = batch_task_get_id(head),
-				      .run = run,
-				      .worker = base_str(worker->id),
-				      .why = why,
-				      .value = count_losses(&head->crashes),
-				      .age = age });
+	batch_log_emit(head->step->occ->job->core,
+		       &(batch_log_event_t){ .kind = BATCH_LOG_RUN_SUSPECTED,
+					     .task = batch_task_get_id(head),
+					     .run = run,
+					     .worker = base_str(worker),
+					     .why = why,
+					     .value = count_all(&head->crashes),
+					     .age = age });
 }
 
 static void give_up_if_due(batch_task_t *head)
@@ -517,7 +538,7 @@
 {
 	head->crashes.counted_run = head->number;
 	count_crash(head, suspicion);
-	log_suspicion(head, worker, head->number, now - worker->polled_at,
+	log_suspicion(head, worker->id, head->number, now - worker->polled_at,
 		      suspicion_names[suspicion]);
 }
 
@@ -536,47 +557,65 @@
 	return worker->incarnation;
 }
 
+/*
+ * Whether the worker may have announced that it leaves, and have left, between
+ * two readings of the list.  It leaves the list with its end, unless the entry
+ * had lapsed before.  What a former holder has read is not known.
+ */
+static bool may_have_left(const batch_worker_t *worker, int64_t now)
+{
+	bool is_end_listed =
+		!worker->listed && worker->alive_at <= worker->unlisted_at;
+	int64_t until = is_end_listed ? worker->unlisted_at : now;
+
+	return until - worker->listed_at > worker->core->options.drain_time;
+}
+
 /* The same for a worker that may live: nothing but a trial follows for a run
  * that is not known to have begun. */
 static void miss(batch_task_t *head, const batch_worker_t *worker, int64_t now,
-		 batch_suspicion_t if_crashed, bool begun)
+		 batch_suspicion_t suspicion, bool begun)
 {
 	batch_crashes_t *crashes = &head->crashes;
 	batch_missing_run_t run = {
 		.run = head->number,
 		.incarnation = incarnation_of_run(worker, head),
+		.address = worker->address,
+		.instance = worker->instance,
 		.lost_at = now,
 		.begun = begun,
-		.if_crashed = if_crashed,
+		/* That it has ended is then no sign of a crash. */
+		.if_crashed = may_have_left(worker, now) ? BATCH_SUSPECT_NONE
+							 : suspicion,
 	};
 
 	crashes->counted_run = head->number;
-	if (if_crashed >= BATCH_SUSPECT_SHARED)
+	if (suspicion >= BATCH_SUSPECT_SHARED)
 		crashes->needs_trial = true;
 	batch_job_changed(head->step->occ->job);
 	batch_missing_add(base_str(worker->id), head, &run);
-	log_suspicion(head, worker, head->number, now - worker->polled_at,
+	log_suspicion(head, worker->id, head->number, now - worker->polled_at,
 		      begun ? "lost, perhaps crashed"
 			    : "lost, perhaps before the start");
 	give_up_if_due(head);
 }
 
 void batch_crash_withdraw(batch_task_t *head, const batch_missing_run_t *run,
-			  const batch_worker_t *worker)
+			  const char *worker)
 {
 	batch_crashes_t *crashes = &head->crashes;
 
 	if (!batch_job_is_active(head->step->occ->job))
 		return;
 	batch_missing_uncount(head, run);
-	if (!count_losses(crashes) && !crashes->unanswered)
+	if (!count_all(crashes))
 		crashes->needs_trial = false;
 	batch_job_changed(head->step->occ->job);
 	log_suspicion(head, worker, run->run, 0, "it lives, not counted");
 }
 
 void batch_crash_confirm(batch_task_t *head, const batch_missing_run_t *run,
-			 const batch_worker_t *worker, int64_t now)
+			 const char *worker, int64_t now)
 {
 	if (!batch_job_is_active(head->step->occ->job))
 		return;
@@ -597,7 +636,7 @@
 	bool is_likely = found->on_trial ? head == found->on_trial
 					 : found->unproven->len == 1;
 
-	if (found->explained)
+	if (found->cordoned)
 		return head->step->spec->long_running ? BATCH_SUSPECT_NONE
 						      : BATCH_SUSPECT_POSSIBLE;
 	if (!is_likely || found->correlated ||
@@ -619,7 +658,7 @@
 {
 	if (head->step->spec->long_running)
 		return BATCH_SUSPECT_NONE;
-	if (found->explained)
+	if (found->cordoned)
 		return BATCH_SUSPECT_POSSIBLE;
 	if (found->correlated || found->on_trial)
 		return BATCH_SUSPECT_NONE;
@@ -645,7 +684,7 @@
 		if (suspicion == BATCH_SUSPECT_NONE ||
 		    !batch_job_is_active(head->step->occ->job))
 			continue;
-		if (cause == BATCH_LOSS_CRASHED)
+		if (cause == BATCH_LOSS_CRASHED && !may_have_left(worker, now))
 			suspect(head, worker, now, suspicion);
 		else
 			miss(head, worker, now, suspicion,
@@ -671,18 +710,20 @@
 	/* Whatever runs on a worker that leaves ends with it. */
 	if (cause == BATCH_LOSS_ORDERED || worker->leaves)
 		return;
+	if (worker->replaced)
+		cause = BATCH_LOSS_CRASHED;
 	drop_past_losses(worker, now);
 	batch_missing_expire(worker->core, now);
 	found = find_suspects(worker, present);
 	found.correlated = is_correlated(worker, now);
-	found.explained = worker->cordoned;
-	if (!found.explained &&
+	found.cordoned = worker->cordoned;
+	if (!found.cordoned &&
 	    (cause == BATCH_LOSS_CRASHED || found.unproven->len))
 		record_loss(worker, now);
 	count_suspects(&found, found.unproven, judge_unproven, worker, now,
 		       cause);
 	count_suspects(&found, found.young, judge_young, worker, now, cause);
-	for (i = 0; i < found.late->len && !found.explained; i++)
+	for (i = 0; i < found.late->len && !found.cordoned; i++)
 		((batch_task_t *)g_ptr_array_index(found.late, i))
 			->crashes.needs_trial = true;
 	free_suspects(&found);
@@ -693,7 +734,7 @@
 {
 	count_lost_worker(worker, now, cause, 0);
 	if (cause == BATCH_LOSS_CRASHED)
-		batch_missing_resolve(worker, now, 0);
+		batch_missing_resolve(worker->core, now, worker->id, 0);
 }
 
 void batch_crash_first_poll(batch_worker_t *worker, int64_t now,
--- a/packages/batch/batch_fit.c
+++ b/packages/batch/batch_fit.c
@@ -143,6 +143,9 @@
 {
 	fit_counts_t counts = count_workers(task, now);
 
+	if (batch_crash_must_wait(task, now))
+		return "workers were lost under it: it waits for one to be "
+		       "back";
 	if (!counts.listed)
 		return "its pool has no worker";
 	if (!counts.usable)
--- a/packages/batch/batch_int.h
+++ b/packages/batch/batch_int.h
@@ -132,6 +132,13 @@
 	const char *stop_reason; /* reason of its stop */
 };
 
+/* Where a worker is; NULL: not known.  No two workers are in one place. */
+typedef struct batch_place {
+	const char *worker;
+	const char *address;
+	const char *instance;
+} batch_place_t;
+
 /* Workers lost under a task; of a gang, kept in its first task. */
 typedef struct batch_crashes {
 	int certain; /* crashed, and nothing else can have caused it */
@@ -140,7 +147,8 @@
 	int missing; /* lost since the task began there, perhaps not crashed */
 	int unanswered; /* lost when its start was sent, perhaps before that */
 	bool needs_trial;
-	int64_t counted_run; /* number of the last run that was counted */
+	int64_t missing_since; /* when the last missing one was lost */
+	int64_t counted_run;   /* number of the last run that was counted */
 	int64_t cleared_run; /* number of the last run when counts were dropped
 			      */
 } batch_crashes_t;
@@ -165,6 +173,8 @@
 	int index;
 	int64_t run;
 	int64_t incarnation; /* of its worker then */
+	char *address;	     /* of its worker; NULL: not known */
+	char *instance;	     /* the same */
 	int64_t lost_at;
 	bool begun; /* counted in "missing", else in "unanswered" */
 	batch_suspicion_t if_crashed;
@@ -305,6 +315,8 @@
 	batch_t *core;
 	char *id;
 	batch_pool_t *pool;
+	char *address;
+	char *instance;
 	char *zone;
 	char *rack;
 	char **labels;
@@ -313,6 +325,7 @@
 	batch_res_t capacity_before; /* its last change */
 	int64_t capacity_changed_at; /* 0: it has not changed */
 	int64_t listed_at;	     /* when the list last had it */
+	int64_t unlisted_at; /* when it was first not in the list since */
 	batch_res_t used;
 	batch_res_t long_running; /* part of "used" of long-running tasks */
 	batch_pool_t *room_pool;  /* pool whose "room" has it; NULL: none */
@@ -322,7 +335,8 @@
 	int64_t incarnation; /* 0: not polled yet */
 	bool listed;
 	bool draining;
-	bool leaves; /* its present incarnation was listed as draining */
+	bool replaced; /* another worker is in its place */
+	bool leaves;   /* its present incarnation was listed as draining */
 	bool silent;
 	bool forgotten; /* all that it ran has ended; to be freed */
 	bool cordoned;
@@ -460,6 +474,7 @@
 /* The worker's process has answered a stop of the run. */
 void batch_worker_in_doubt_stopped(batch_worker_t *worker,
 				   const batch_order_t *order);
+bool batch_place_is_same(const batch_place_t *a, const batch_place_t *b);
 /* Whether nothing is lost if the worker ends now: it has no runs, and has
  * listed all its ends, which are stored. */
 bool batch_worker_is_empty(const batch_worker_t *worker);
@@ -507,6 +522,9 @@
  * cause, as far as trials need it. */
 bool batch_crash_allows(const batch_worker_t *worker, const batch_task_t *task,
 			int64_t now);
+/* Whether the task is to start only once a worker that is missing may be back.
+ */
+bool batch_crash_must_wait(const batch_task_t *task, int64_t now);
 /* Whether the pool can spare one more worker for a trial. */
 bool batch_crash_may_try(const batch_pool_t *pool, int64_t now);
 /* Call before the runs of the worker are given up. */
@@ -522,10 +540,10 @@
 
 /* The worker with which the run was lost lives: the loss does not count. */
 void batch_crash_withdraw(batch_task_t *head, const batch_missing_run_t *run,
-			  const batch_worker_t *worker);
+			  const char *worker);
 /* The worker has crashed. */
 void batch_crash_confirm(batch_task_t *head, const batch_missing_run_t *run,
-			 const batch_worker_t *worker, int64_t now);
+			 const char *worker, int64_t now);
 
 /* batch_missing.c */
 GHashTable *batch_missing_new(void);
@@ -546,8 +564,11 @@
 void batch_missing_expire(batch_t *core, int64_t now);
 /* An incarnation of the worker answers; 0: one of another worker, in place of
  * it. */
-void batch_missing_resolve(const batch_worker_t *worker, int64_t now,
+void batch_missing_resolve(batch_t *core, int64_t now, const char *worker,
 			   int64_t incarnation);
+/* The workers that were in its place have crashed. */
+void batch_missing_replace(batch_t *core, int64_t now,
+			   const batch_place_t *place);
 
 /* batch_progress.c */
 void batch_progress_check(batch_worker_t *worker, int64_t now);
--- a/packages/batch/batch_missing.c
+++ b/packages/batch/batch_missing.c
@@ -3,7 +3,8 @@
  *
  * A worker that is cut off or stands still looks like one that has crashed: its
  * lease ends, and it may leave the list.  Its next answer tells: the same
- * incarnation has not crashed.  What follows from a crash is kept until then.
+ * incarnation has not crashed.  Another one, or another worker in its place,
+ * shows that it has.  What follows from a crash is kept until then.
  */
 #include "batch_int.h"
 
@@ -19,6 +20,8 @@
 static void free_run(void *run)
 {
 	g_free(((batch_missing_run_t *)run)->job);
+	g_free(((batch_missing_run_t *)run)->address);
+	g_free(((batch_missing_run_t *)run)->instance);
 }
 
 static gboolean is_outdated(gpointer id, gpointer value, gpointer arg)
@@ -60,9 +63,13 @@
 	added.occurrence = id.occurrence;
 	added.step = id.step;
 	added.index = id.index;
+	added.address = g_strdup(run->address);
+	added.instance = g_strdup(run->instance);
 	g_array_append_val(runs_of(head->step->occ->job->core, name), added);
 	g_free(name);
 	++*count_of(&head->crashes, run);
+	if (run->begun)
+		head->crashes.missing_since = run->lost_at;
 	head->step->occ->job->has_missing = true;
 }
 
@@ -122,31 +129,65 @@
 	       (!run->incarnation || run->incarnation == incarnation);
 }
 
-void batch_missing_resolve(const batch_worker_t *worker, int64_t now,
-			   int64_t incarnation)
+/* Returns whether the run needs not be kept any longer. */
+static bool resolve_run(batch_t *core, int64_t now, const char *worker,
+			const batch_missing_run_t *run, int64_t incarnation)
+{
+	batch_task_id_t id = { base_str(run->job), run->occurrence, run->step,
+			       run->index };
+	batch_task_t *head = batch_find_task(core, &id);
+
+	if (!head || run->run <= head->crashes.cleared_run)
+		return true;
+	if (is_same_incarnation(run, incarnation)) {
+		batch_crash_withdraw(head, run, worker);
+		return true;
+	}
+	if (run->if_crashed == BATCH_SUSPECT_NONE)
+		return false;
+	batch_crash_confirm(head, run, worker, now);
+	return true;
+}
+
+/* Returns whether none of the runs needs to be kept. */
+static bool resolve(batch_t *core, int64_t now, const char *worker,
+		    GArray *runs, int64_t incarnation)
 {
-	batch_t *core = worker->core;
-	GArray *runs;
 	guint i;
 
-	if (!g_hash_table_size(core->missing))
-		return;
-	runs = g_hash_table_lookup(core->missing, worker->id);
-	if (!runs)
-		return;
-	for (i = 0; i < runs->len; i++) {
-		const batch_missing_run_t *run =
-			&g_array_index(runs, batch_missing_run_t, i);
-		batch_task_id_t id = { base_str(run->job), run->occurrence,
-				       run->step, run->index };
-		batch_task_t *head = batch_find_task(core, &id);
-
-		if (!head || run->run <= head->crashes.cleared_run)
-			continue;
-		if (is_same_incarnation(run, incarnation))
-			batch_crash_withdraw(head, run, worker);
-		else
-			batch_crash_confirm(head, run, worker, now);
+	for (i = runs->len; i-- > 0;)
+		if (resolve_run(core, now, worker,
+				&g_array_index(runs, batch_missing_run_t, i),
+				incarnation))
+			g_array_remove_index(runs, i);
+	return !runs->len;
+}
+
+void batch_missing_resolve(batch_t *core, int64_t now, const char *worker,
+			   int64_t incarnation)
+{
+	GArray *runs = g_hash_table_lookup(core->missing, worker);
+
+	if (runs && resolve(core, now, worker, runs, incarnation))
+		g_hash_table_remove(core->missing, worker);
+}
+
+void batch_missing_replace(batch_t *core, int64_t now,
+			   const batch_place_t *place)
+{
+	GHashTableIter iter;
+	gpointer id;
+	gpointer value;
+
+	g_hash_table_iter_init(&iter, core->missing);
+	while (g_hash_table_iter_next(&iter, &id, &value)) {
+		GArray *runs = value;
+		const batch_missing_run_t *last = &g_array_index(
+			runs, batch_missing_run_t, runs->len - 1);
+		batch_place_t former = { id, last->address, last->instance };
+
+		if (batch_place_is_same(&former, place) &&
+		    resolve(core, now, id, runs, 0))
+			g_hash_table_iter_remove(&iter);
 	}
-	g_hash_table_remove(core->missing, worker->id);
 }
--- a/packages/batch/batch_place.c
+++ b/packages/batch/batch_place.c
@@ -433,6 +433,8 @@
 	bool complete;
 	int i;
 
+	if (batch_crash_must_wait(&step->tasks[0], now))
+		return;
 	for (i = 0; i < step->spec->count; i++) {
 		if (step->tasks[i].run || step->tasks[i].done)
 			return;
@@ -470,7 +472,7 @@
 	for (i = 0; i < step->spec->count; i++) {
 		batch_task_t *task = &step->tasks[i];
 
-		if (task->done || task->run)
+		if (task->done || task->run || batch_crash_must_wait(task, now))
 			continue;
 		/*
 		 * All tasks of a step need the same resources, so if one does
--- a/packages/batch/batch_record.c
+++ b/packages/batch/batch_record.c
@@ -9,7 +9,7 @@
  *  "crashes": [[occurrence, step, index, certain, likely, shared, needs_trial,
  *  counted_run], ...],
  *  "missing": [[occurrence, step, index, run, worker, incarnation, begun,
- *  if_crashed], ...],
+ *  if_crashed, address, instance], ...],
  *  "failed_runs": [[occurrence, step, index, run, ...], ...],
  *  "withdrawn": [[occurrence, step, index], ...],
  *  "given_up": [workers, occurrence, step, index]}
@@ -56,7 +56,9 @@
 	MISSING_WORKER,
 	MISSING_INCARNATION,
 	MISSING_BEGUN,
-	MISSING_IF_CRASHED
+	MISSING_IF_CRASHED,
+	MISSING_ADDRESS, /* former versions do not write it and the next */
+	MISSING_INSTANCE
 } missing_field_t;
 
 /* Rows have many numbers, and are printed often. */
@@ -157,6 +159,12 @@
 	bool any;
 } missing_printer_t;
 
+static void print_place(base_buf_t *buf, const char *place)
+{
+	base_buf_adds(buf, ",");
+	base_buf_add_json(buf, base_str(place ? place : ""));
+}
+
 static void print_missing(void *arg, const char *worker,
 			  const batch_missing_run_t *run)
 {
@@ -166,8 +174,11 @@
 		      printer->any ? "," : ",\"missing\":[", run->occurrence,
 		      run->step, run->index, run->run);
 	base_buf_add_json(printer->buf, base_str(worker));
-	base_buf_addf(printer->buf, ",%" G_GINT64_FORMAT ",%d,%d]",
+	base_buf_addf(printer->buf, ",%" G_GINT64_FORMAT ",%d,%d",
 		      run->incarnation, run->begun, run->if_crashed);
+	print_place(printer->buf, run->address);
+	print_place(printer->buf, run->instance);
+	base_buf_adds(printer->buf, "]");
 	printer->any = true;
 }
 
@@ -336,17 +347,21 @@
 		const json_t *row = json_array_get(rows, i);
 		const char *worker =
 			json_string_value(json_array_get(row, MISSING_WORKER));
+		const json_t *address = json_array_get(row, MISSING_ADDRESS);
+		const json_t *instance = json_array_get(row, MISSING_INSTANCE);
 		int64_t if_crashed = number_at(row, MISSING_IF_CRASHED);
 		batch_task_t *task = find_task(job, row);
 		batch_missing_run_t run = {
 			.run = number_at(row, MISSING_RUN),
 			.incarnation = number_at(row, MISSING_INCARNATION),
+			.address = (char *)json_string_value(address),
+			.instance = (char *)json_string_value(instance),
 			.lost_at = now,
 			.begun = number_at(row, MISSING_BEGUN),
 			.if_crashed = (batch_suspicion_t)if_crashed,
 		};
 
-		if (task && worker && if_crashed > BATCH_SUSPECT_NONE &&
+		if (task && worker && if_crashed >= BATCH_SUSPECT_NONE &&
 		    if_crashed < BATCH_SUSPECT_MAX)
 			batch_missing_add(base_str(worker), task, &run);
 	}
@@ -419,6 +434,7 @@
 		batch_worker_listed(core, now, &info);
 		batch_worker_unlisted(core, now, info.id);
 		worker = batch_find_worker(core, info.id);
+		worker->listed_at = 0;
 	}
 	batch_worker_lease(core, info.id, until);
 	run = batch_run_new(task, worker, now, task->number);
--- a/packages/batch/batch_worker.c
+++ b/packages/batch/batch_worker.c
@@ -69,6 +69,8 @@
 	worker->leaves |= info->draining;
 	if (worker->draining)
 		batch_worker_drop_unsent(worker);
+	talloc_free(worker->address);
+	worker->address = base_str_dup(worker, info->address);
 	talloc_free(worker->zone);
 	worker->zone = base_str_dup(worker, info->zone);
 	talloc_free(worker->rack);
@@ -103,9 +105,10 @@
 {
 	batch_worker_t *worker = batch_find_worker(core, id);
 
-	(void)now;
 	if (!worker)
 		return;
+	if (worker->listed)
+		worker->unlisted_at = now;
 	worker->listed = false;
 	set_pool(worker, NULL);
 	batch_worker_drop_unsent(worker);
@@ -119,6 +122,53 @@
 	return worker && worker->listed && worker->incarnation;
 }
 
+static bool is_known_same(const char *a, const char *b)
+{
+	return a && b && *a && !strcmp(a, b);
+}
+
+bool batch_place_is_same(const batch_place_t *a, const batch_place_t *b)
+{
+	return strcmp(a->worker, b->worker) &&
+	       (is_known_same(a->address, b->address) ||
+		is_known_same(a->instance, b->instance));
+}
+
+/* The worker is known to be there, so that those before it have ended. */
+static void replace_workers(batch_t *core, int64_t now,
+			    const batch_place_t *place)
+{
+	GHashTableIter iter;
+	gpointer value;
+
+	g_hash_table_iter_init(&iter, core->workers);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		batch_worker_t *other = value;
+		batch_place_t former = { other->id, other->address,
+					 other->instance };
+
+		if (batch_place_is_same(&former, place))
+			other->replaced = true;
+	}
+	batch_missing_replace(core, now, place);
+}
+
+void batch_worker_placed(batch_t *core, int64_t now, base_str_t id,
+			 base_str_t instance)
+{
+	batch_worker_t *worker = batch_find_worker(core, id);
+	void *ctx = talloc_new(core);
+	batch_place_t place = { .worker = base_str_dup(ctx, id),
+				.instance = base_str_dup(ctx, instance) };
+
+	if (worker) {
+		talloc_free(worker->instance);
+		worker->instance = base_str_dup(worker, instance);
+	}
+	replace_workers(core, now, &place);
+	talloc_free(ctx);
+}
+
 void batch_worker_silent(batch_t *core, base_str_t id)
 {
 	batch_worker_t *worker = batch_find_worker(core, id);
@@ -419,6 +469,8 @@
 static void begin_incarnation(batch_worker_t *worker, int64_t now,
 			      int64_t incarnation)
 {
+	batch_place_t place = { .worker = worker->id,
+				.address = worker->address };
 	guint i;
 
 	if (!worker->incarnation) {
@@ -452,6 +504,7 @@
 		worker->fail_streak = 0;
 	}
 	worker->incarnation = incarnation;
+	replace_workers(worker->core, now, &place);
 }
 
 /* An end whose run the holder does not have, and why. */
@@ -663,7 +716,7 @@
 		return;
 	if (worker->incarnation != poll->incarnation)
 		begin_incarnation(worker, now, poll->incarnation);
-	batch_missing_resolve(worker, now, poll->incarnation);
+	batch_missing_resolve(core, now, worker->id, poll->incarnation);
 	worker->polled_at = now;
 	worker->silent = false;
 	batch_worker_stop_in_doubt(worker, now);
--- a/packages/batch/tests/batch_crash_test.c
+++ b/packages/batch/tests/batch_crash_test.c
@@ -646,9 +646,11 @@
 /* How workers leave as planned, one after the other. */
 typedef struct leave_case {
 	bool lasting;
-	bool replaced; /* another worker answers at its address then */
-	bool cordoned; /* it is being emptied by the holder as well */
-	int64_t delay; /* from the start to the announcement */
+	bool unseen;	 /* the list cannot be read while one drains */
+	bool taken_over; /* another holder finds that it has left */
+	bool replaced;	 /* another worker answers at its address then */
+	bool cordoned;	 /* it is being emptied by the holder as well */
+	int64_t delay;	 /* from the start to the announcement */
 } leave_case_t;
 
 static void leave_as_planned(world_t *world, const leave_case_t *how)
@@ -659,12 +661,16 @@
 	world_advance(world, how->delay);
 	if (how->cordoned)
 		batch_worker_cordon(world->core, world->now, id, true);
+	world->list_down = how->unseen;
 	world_worker_drain(world, worker);
 	world_advance(world, WORLD_DRAIN_LIMIT + 500 * MS);
 	world_worker_leave(world, worker);
 	world_add_worker(world);
+	if (how->taken_over)
+		world_take_over(world);
 	/* Longer than the time between two readings of the list. */
 	world_advance(world, SECOND);
+	world->list_down = false;
 	if (how->replaced)
 		batch_worker_terminated(world->core, world->now, id,
 					BATCH_LOSS_CRASHED);
@@ -712,6 +718,104 @@
 		}
 }
 
+/*
+ * Guards against a job that is shown as failed though no worker has crashed
+ * under it (LOST): the holder has not seen that the workers were to leave.
+ */
+static void test_unseen_departures_do_not_end_a_job(void)
+{
+	leave_case_t how = { 0 };
+	int which;
+
+	for (which = 0; which < 16; which++)
+		for (how.delay = 0; how.delay <= 3 * SECOND;
+		     how.delay += 500 * MS) {
+			how.unseen = which & 1;
+			how.taken_over = which & 2;
+			how.lasting = which & 4;
+			how.replaced = which & 8;
+			g_test_message("case %d, delay %d ms", which,
+				       (int)(how.delay / MS));
+			leave_one_by_one(&how);
+		}
+}
+
+#define DEPARTURE_WORKERS 4
+#define DEPARTURE_JOBS 8
+
+/* The list is in the store. */
+static void set_store(world_t *world, bool up)
+{
+	world->store_down = !up;
+	world->list_down = !up;
+}
+
+static void depart_or_crash(world_t *world, base_rng_t *rng)
+{
+	int worker = (int)base_rng_below(rng, DEPARTURE_WORKERS);
+	world_worker_t *one = &world->workers[worker];
+
+	if (one->crashed || one->crash_at)
+		return;
+	one->crash_at = world->now;
+	if (base_rng_below(rng, 2))
+		return;
+	set_store(world, base_rng_below(rng, 2));
+	world_worker_drain(world, worker);
+	one->crash_at += WORLD_DRAIN_LIMIT + base_rng_below(rng, 2000) * MS;
+}
+
+static void run_departure_day(uint64_t seed)
+{
+	world_t *world = world_new(seed, DEPARTURE_WORKERS, 2);
+	base_rng_t rng = { .state = seed * 53 };
+	batch_step_spec_t step = world_step(1);
+	const world_job_t *job;
+	char id[8];
+	int i;
+
+	step.estimate = 20 * SECOND;
+	world->crash_time = (1 + base_rng_below(&rng, 8)) * SECOND;
+	world->crash_same_id_percent = (int)base_rng_below(&rng, 3) * 50;
+	for (i = 0; i < DEPARTURE_JOBS; i++) {
+		step.long_running = i < 2;
+		g_snprintf(id, sizeof(id), "g%d", i);
+		submit(world, id, &step);
+	}
+	for (i = 0; i < 30; i++) {
+		depart_or_crash(world, &rng);
+		world_advance(world, base_rng_below(&rng, 4000) * MS);
+		set_store(world, true);
+		if (!base_rng_below(&rng, 6))
+			world_take_over(world);
+	}
+	world_advance(world, 120 * SECOND);
+	for (i = 0; i < DEPARTURE_JOBS; i++) {
+		g_snprintf(id, sizeof(id), "g%d", i);
+		job = g_hash_table_lookup(world->jobs, id);
+		g_test_message("seed %d, job %s", (int)seed, id);
+		if (world_state(world, id) == BATCH_FAILED)
+			g_assert_cmpint(job->most_crashed_under, >=, 2);
+		else if (world_state(world, id) != BATCH_UNKNOWN)
+			g_assert_cmpint(world_state(world, id), ==,
+					i < 2 ? BATCH_RUNNING
+					      : BATCH_COMPLETED);
+	}
+	check_and_free(world);
+}
+
+/*
+ * Guards against jobs that are given up without two crashes under one of their
+ * tasks (LOST), while workers leave as often as they crash, seen and unseen.
+ */
+static void test_random_departures(void)
+{
+	uint64_t seed;
+
+	for (seed = 1; seed <= 300; seed++)
+		run_departure_day(seed);
+}
+
 static void restore(world_t *world, const char *record, GError **err)
 {
 	static const batch_step_spec_t step = { .count = 2,
@@ -799,6 +903,10 @@
 			test_cut_off_workers_do_not_end_a_job);
 	g_test_add_func("/batch-crash/planned-departures-do-not-end-a-job",
 			test_planned_departures_do_not_end_a_job);
+	g_test_add_func("/batch-crash/unseen-departures-do-not-end-a-job",
+			test_unseen_departures_do_not_end_a_job);
+	g_test_add_func("/batch-crash/random-departures",
+			test_random_departures);
 	g_test_add_func("/batch-crash/silent-workers-do-not-end-a-job",
 			test_silent_workers_do_not_end_a_job);
 	g_test_add_func("/batch-crash/random-crashes-do-not-end-lasting-jobs",
--- a/packages/batch/tests/batch_world.h
+++ b/packages/batch/tests/batch_world.h
@@ -35,6 +35,10 @@
 #define WORLD_LONGEST_LEASE (6 * BASE_SEC)
 /* Time between two readings of the list of workers. */
 #define WORLD_LIST_PERIOD (700 * BASE_MS)
+/* An entry of the list without a heartbeat is removed. */
+#define WORLD_ENTRY_AGE (4500 * BASE_MS)
+/* Time between two readings of the list of instances. */
+#define WORLD_INSTANCES_PERIOD (5 * BASE_SEC)
 #define WORLD_WORKERS_MAX 256
 #define WORLD_NAME_MAX 64
 #define WORLD_LISTED_MAX 256 /* runs, or ends, in one answer to a poll */
@@ -87,6 +91,7 @@
 
 typedef struct world_worker {
 	char id[WORLD_NAME_MAX];
+	char address[WORLD_NAME_MAX]; /* another one in its place has it too */
 	char pool[WORLD_NAME_MAX];
 	char rack[WORLD_NAME_MAX];
 	/* An unreachable worker goes on running its tasks. */
@@ -114,6 +119,7 @@
 	int64_t holder_lease; /* lease end as known to the holder */
 	bool polled;	      /* polled by the present holder */
 	int64_t crash_at;     /* when a deadly task crashes it; 0: never */
+	int64_t crashed_at;   /* when it has ended */
 	int64_t back_at;      /* when it is restarted; 0: by the test */
 } world_worker_t;
 
@@ -195,8 +201,9 @@
 	/* A start is late only if its worker's lease is over, which polls may
 	 * have extended past the order's own. */
 	bool polls_revive_starts;
-	int64_t list_time; /* from a change of capacity to its listing */
-	int64_t list_at;   /* when the workers are listed again; 0: never */
+	int64_t list_time;    /* from a change of capacity to its listing */
+	int64_t list_at;      /* when the workers are listed again; 0: never */
+	int64_t instances_at; /* when the list of instances was read last */
 	int interference; /* percent of the tail target, per best-effort task */
 	int lost_answer_percent, late_order_percent, failed_run_percent;
 	int64_t crash_delay; /* from the start of a deadly task to the crash */
--- a/packages/node/node_holder.c
+++ b/packages/node/node_holder.c
@@ -233,6 +233,7 @@
 		.ops = &node_batch_ops,
 		.arg = holder,
 		.in_doubt_timeout = 300 * BASE_MS,
+		.drain_time = node->settings->drain_time,
 	};
 
 	holder->node = node;
--- a/packages/node/node_instance.c
+++ b/packages/node/node_instance.c
@@ -105,8 +105,11 @@
 		return;
 	forget_worker(instances, inst);
 	replace_text(inst, &inst->worker, worker);
-	if (*inst->worker)
-		g_hash_table_replace(instances->by_worker, inst->worker, inst);
+	if (!*inst->worker)
+		return;
+	g_hash_table_replace(instances->by_worker, inst->worker, inst);
+	batch_worker_placed(instances->holder->core, base_clock_mono(),
+			    base_str(inst->worker), base_str(inst->name));
 }
 
 static void update_instance(node_insts_t *instances,
--- a/packages/node/node_worker_list.c
+++ b/packages/node/node_worker_list.c
@@ -60,6 +60,19 @@
 	return *(int64_t *)now - *(int64_t *)value >= WORKER_ENDED_AGE;
 }
 
+/* Tells which instance the worker is on, if the list of instances names it. */
+static void note_instance(const node_holder_t *holder, const char *id)
+{
+	const node_inst_t *inst =
+		holder->instances
+			? node_instance_of_worker(holder->instances, id)
+			: NULL;
+
+	if (inst)
+		batch_worker_placed(holder->core, base_clock_mono(),
+				    base_str(id), base_str(inst->name));
+}
+
 void node_workers_add_listed(node_holder_t *holder, const node_item_t *item)
 {
 	node_t *node = holder->node;
@@ -104,7 +117,10 @@
 	}
 	worker->list_round = holder->list_round;
 	worker->is_listed = true;
+	entry.info.address = base_str(entry.address);
 	batch_worker_listed(holder->core, base_clock_mono(), &entry.info);
+	if (is_new)
+		note_instance(holder, id);
 	if (is_new && holder->waves)
 		node_waves_worker_added(holder->waves, id);
 	talloc_free(ctx);
