--- a/packages/batch/batch_int.h
+++ b/packages/batch/batch_int.h
@@ -460,20 +460,25 @@
 void batch_job_end(batch_job_t *job, int64_t now, batch_state_t state);
 void batch_runs_tick(batch_t *core, int64_t now);
 
-/* batch_worker.c */
-void batch_worker_add_in_doubt(batch_worker_t *worker, int64_t now,
-			       const batch_task_id_t *id, int64_t run);
+/* batch_doubt.c */
+void batch_doubt_add(batch_worker_t *worker, int64_t now,
+		     const batch_task_id_t *id, int64_t run);
+/* Whether the worker may still carry out a start that has no answer. */
+bool batch_doubt_any(const batch_worker_t *worker, int64_t now);
 /* Sends the stops that the worker's starts in doubt need, again each
  * BATCH_STOP_RETRY. */
-void batch_worker_stop_in_doubt(batch_worker_t *worker, int64_t now);
+void batch_doubt_send_stops(batch_worker_t *worker, int64_t now);
 /*
  * The run is given up because its worker's lease is over.  Polls may extend
  * that again before a late start: if the start is in doubt, it needs a stop.
  */
-void batch_worker_doubt_start(const batch_run_t *run);
+void batch_doubt_given_up(const batch_run_t *run);
 /* The worker's process has answered a stop of the run. */
-void batch_worker_in_doubt_stopped(batch_worker_t *worker,
-				   const batch_order_t *order);
+void batch_doubt_stopped(batch_worker_t *worker, const batch_order_t *order);
+/* The worker has another process, which has not answered any stop. */
+void batch_doubt_new_process(batch_worker_t *worker, int64_t now);
+
+/* batch_worker.c */
 bool batch_place_is_same(const batch_place_t *a, const batch_place_t *b);
 /* Whether nothing is lost if the worker ends now: it has no runs, and has
  * listed all its ends, which are stored. */
--- a/packages/batch/batch_record.c
+++ b/packages/batch/batch_record.c
@@ -442,7 +442,7 @@
 	run->listed_from = now;
 	run->incarnation =
 		json_integer_value(json_object_get(incarnations, worker_id));
-	batch_worker_add_in_doubt(worker, now, &id, run->number);
+	batch_doubt_add(worker, now, &id, run->number);
 }
 
 static bool load_task(batch_job_t *job, json_t *row, const json_t *incarnations,
--- a/packages/batch/batch_run.c
+++ b/packages/batch/batch_run.c
@@ -459,8 +459,7 @@
 	/* A run that was given up or is being stopped may begin late as well.
 	 */
 	if (worker && answer == BATCH_ANSWER_NO_REPLY)
-		batch_worker_add_in_doubt(worker, now, &order->task,
-					  order->run);
+		batch_doubt_add(worker, now, &order->task, order->run);
 	if (!is_run_of_order(run, order) || run->state != RUN_SENT)
 		return;
 	core->pass_needed = true;
@@ -503,7 +502,7 @@
 	    order->incarnation != worker->incarnation)
 		return;
 	if (worker && answer == BATCH_ANSWER_OK)
-		batch_worker_in_doubt_stopped(worker, order);
+		batch_doubt_stopped(worker, order);
 	if (!is_run_of_order(run, order) || run->state != RUN_STOPPING)
 		return;
 	if (answer == BATCH_ANSWER_OTHER_INCARNATION) {
@@ -576,13 +575,13 @@
 		 */
 		if (lease_expired && run->state != RUN_STORING &&
 		    !batch_run_may_start_late(run, now)) {
-			batch_worker_doubt_start(run);
+			batch_doubt_given_up(run);
 			batch_run_lost(run, now, "lease over");
 		} else {
 			retry_stop(run, now);
 		}
 	}
-	batch_worker_stop_in_doubt(worker, now);
+	batch_doubt_send_stops(worker, now);
 }
 
 /* Frees the occurrences of an ended job; its id and state remain. */
