batch: wait for no late start at a worker that an order has ended

Change: a worker that an order has ended has no next process under its id; its starts in doubt keep nothing waiting, and leave the rows. The wait for a late start is 13 s instead of 15: orders are carried out up to 12 s late.

--- a/packages/batch/batch_doubt.c
+++ b/packages/batch/batch_doubt.c
@@ -199,6 +199,24 @@
 	}
 }
 
+void batch_doubt_ended(const batch_worker_t *worker, int64_t now)
+{
+	guint i;
+
+	for (i = 0; i < worker->in_doubt_starts->len; i++) {
+		batch_in_doubt_start_t *start = start_at(worker, i);
+		batch_job_t *job =
+			batch_find_job(worker->core, base_str(start->job));
+
+		set_void(worker, start, now, false);
+		/* The next holder must not wait for it either. */
+		if (start->stopped_by && !start->is_assumed && job &&
+		    batch_job_is_active(job))
+			batch_job_changed(job);
+		start->stopped_by = 0;
+	}
+}
+
 void batch_doubt_new_process(batch_worker_t *worker, int64_t now)
 {
 	guint i;
--- a/packages/batch/batch_int.h
+++ b/packages/batch/batch_int.h
@@ -21,7 +21,7 @@
 /* Backoff after a worker refused a start: about the time of a short task. */
 #define BATCH_REFUSED_BACKOFF (300 * BASE_MS)
 /* A start without an answer may still be carried out up to 12 s later. */
-#define BATCH_LATE_START_MAX (15 * BASE_SEC)
+#define BATCH_LATE_START_MAX (13 * BASE_SEC)
 
 /* Classes of free cpu; see batch_room.c. */
 #define BATCH_ROOM_CLASSES 192
@@ -495,6 +495,8 @@
 /* A poll of the worker is read: it lists these runs, and then these ends. */
 void batch_doubt_poll(batch_worker_t *worker, int64_t now,
 		      const batch_poll_result_t *poll);
+/* An order has ended the worker: no other process of it follows. */
+void batch_doubt_ended(const batch_worker_t *worker, int64_t now);
 /* Stops what was started on the strength of stops that prove nothing any more,
  * and sends the stops that are needed. */
 void batch_doubt_tick(batch_worker_t *worker, int64_t now);
--- a/packages/batch/batch_worker.c
+++ b/packages/batch/batch_worker.c
@@ -238,6 +238,8 @@
 		return;
 	batch_crash_worker_lost(worker, now, cause);
 	lose_runs(worker, now, cause);
+	if (cause == BATCH_LOSS_ORDERED)
+		batch_doubt_ended(worker, now);
 	worker->ends_truncated = false;
 	if (!worker->listed)
 		worker->forgotten = true;
--- a/packages/batch/tests/batch_store_test.c
+++ b/packages/batch/tests/batch_store_test.c
@@ -494,6 +494,48 @@
 		}
 }
 
+/*
+ * Guards against a task that is kept from running until its job is late (LOST):
+ * its start had no answer and was stopped, and then the instance of that worker
+ * was moved, so that no other process of it follows.
+ */
+static void test_stopped_start_at_a_worker_that_was_moved(void)
+{
+	world_t *world = world_new(1, 3, 3);
+	batch_step_spec_t step = world_step(1);
+	base_str_t id;
+	int worker;
+
+	step.estimate = 10 * SECOND;
+	world->late_order_percent = 100;
+	world_submit(world, "a", &step, 1);
+	while (!find_late_order(world, false))
+		world_advance(world, WORLD_TICK);
+	world->late_order_percent = 0;
+	worker = (int)(world_find_worker(
+			       world, find_late_order(world, false)->worker) -
+		       world->workers);
+	g_array_set_size(world->orders, 0);
+	id = base_str(world->workers[worker].id);
+	batch_worker_cordon(world->core, world->now, id, true);
+	batch_start_answer(world->core, world->now,
+			   &(batch_order_t){ .task = { BASE_STR("a"), 0, 0, 0 },
+					     .run = 1,
+					     .worker = id },
+			   BATCH_ANSWER_NO_REPLY);
+	while (find_run(world, "a", 0) < 0)
+		world_advance(world, WORLD_TICK);
+	world->workers[worker].listed = false;
+	world_worker_crash(world, worker);
+	batch_worker_unlisted(world->core, world->now, id);
+	batch_worker_terminated(world->core, world->now, id,
+				BATCH_LOSS_ORDERED);
+	world_advance(world, 20 * SECOND);
+	g_assert_cmpint(world_state(world, "a"), ==, BATCH_COMPLETED);
+	g_assert_cmpint(world->starts, ==, 1);
+	check_and_free(world);
+}
+
 /* The wait for such a process ends: the start cannot be late any more. */
 static void test_start_at_a_worker_that_is_gone(void)
 {
@@ -1400,6 +1442,8 @@
 			test_late_start_at_a_new_process);
 	g_test_add_func("/batch-store/late-start-after-its-stopper-has-ended",
 			test_late_start_after_its_stopper_has_ended);
+	g_test_add_func("/batch-store/stopped-start-at-a-worker-that-was-moved",
+			test_stopped_start_at_a_worker_that_was_moved);
 	g_test_add_func("/batch-store/start-at-a-worker-that-is-gone",
 			test_start_at_a_worker_that_is_gone);
 	g_test_add_func("/batch-store/random-days", test_random_days);
