node: acknowledge an end until a poll with it is answered, and no longer

Cause: each poll repeated the last acknowledgement, by a number that means another end to the next process, and a worker that was back under its id got tasks at once.

Change: a poll names the last stored end only while no answered poll has named it, and then does not wait at the worker.

Tests: node-worker/answered-acknowledgement-is-not-repeated and next-process-waits-for-a-late-acknowledgement fail without the change.

--- a/packages/batch/batch.h
+++ b/packages/batch/batch.h
@@ -298,6 +298,9 @@
  * succeeds. */
 void batch_worker_silent(batch_t *core, base_str_t id);
 
+/* The worker gets no starts before "until". */
+void batch_worker_hold(batch_t *core, base_str_t id, int64_t until);
+
 /* No connection to the worker can be opened: its process may have ended. */
 void batch_worker_unreached(batch_t *core, base_str_t id);
 
--- a/packages/batch/batch_fit.c
+++ b/packages/batch/batch_fit.c
@@ -6,7 +6,7 @@
 	return worker->listed && worker->incarnation && !worker->silent &&
 	       !worker->draining && !worker->cordoned &&
 	       !worker->is_quarantined && !worker->lists_unknown_runs &&
-	       now >= worker->backoff_until &&
+	       now >= worker->backoff_until && now >= worker->held_until &&
 	       now - worker->polled_at <= BATCH_POLL_AGE_MAX &&
 	       !batch_worker_capacity_is_old(worker, now);
 }
--- a/packages/batch/batch_int.h
+++ b/packages/batch/batch_int.h
@@ -363,6 +363,7 @@
 	int n_trials;	       /* of its runs */
 	int64_t lease_end;     /* everything on it has ended by then */
 	int64_t backoff_until; /* no starts before then */
+	int64_t held_until;    /* the same */
 	int64_t last_end;      /* highest end processed */
 	GArray *unstored_ends;
 	GPtrArray *runs;
--- a/packages/batch/batch_worker.c
+++ b/packages/batch/batch_worker.c
@@ -177,6 +177,16 @@
 		worker->silent = true;
 }
 
+void batch_worker_hold(batch_t *core, base_str_t id, int64_t until)
+{
+	batch_worker_t *worker = batch_find_worker(core, id);
+
+	if (!worker)
+		return;
+	worker->held_until = until;
+	batch_worker_drop_unsent(worker);
+}
+
 void batch_worker_unreached(batch_t *core, base_str_t id)
 {
 	batch_worker_t *worker = batch_find_worker(core, id);
--- a/packages/node/node_worker.c
+++ b/packages/node/node_worker.c
@@ -46,6 +46,9 @@
  * the worker would list them again at once.  Several fit into one lease. */
 #define WORKER_STORED_WAIT_MAX (250 * BASE_MS)
 
+/* A call without an answer may still be carried out up to 12 s later. */
+#define WORKER_LATE_CALL_MAX (15 * BASE_SEC)
+
 /* Least time between two addresses of a worker: by then no order or poll at
  * the former one lacks an answer. */
 #define WORKER_MOVE_GAP (2 * BASE_SEC)
@@ -197,6 +200,25 @@
 				      "maintenance");
 }
 
+/*
+ * The worker has another process, whose ends are numbered anew: a late
+ * acknowledgement would have it discard ends that nobody has seen.
+ */
+static void begin_process(node_worker_t *worker, int64_t now)
+{
+	extend_lease_end(worker, now);
+	worker->poll_acknowledges = 0;
+	worker->acknowledged = 0;
+	worker->discarded = 0;
+	if (worker->acknowledged_until <= now)
+		return;
+	batch_worker_hold(worker->holder->core, base_str(worker->id),
+			  worker->acknowledged_until);
+	node_log(worker->holder->node, BASE_MSG_WORKER_HELD,
+		 BASE_F_STR("worker", worker->id),
+		 BASE_F_INT("for_us", worker->acknowledged_until - now));
+}
+
 static void note_truncated_ends(node_worker_t *worker,
 				const node_poll_result_t *answer)
 {
@@ -240,7 +262,8 @@
 		worker->clock_at = now;
 	}
 	if (worker->incarnation && worker->incarnation != seen.incarnation)
-		extend_lease_end(worker, now);
+		begin_process(worker, now);
+	worker->discarded = MAX(worker->discarded, worker->poll_acknowledges);
 	worker->incarnation = seen.incarnation;
 	if (!worker->has_seen_term) {
 		/*
@@ -337,6 +360,9 @@
 		break;
 	default:
 		note_broken_off(worker);
+		if (worker->poll_acknowledges && !answer->is_unreached)
+			worker->acknowledged_until =
+				worker->poll_sent_at + WORKER_LATE_CALL_MAX;
 		set_silent(worker, true,
 			   answer->is_unreached ? "not reached" : "no answer");
 		if (answer->is_unreached)
@@ -377,14 +403,17 @@
 }
 
 /*
- * Returns the last end that the worker may discard.  Not for a worker that did
- * not answer: it may have restarted, and its ends are numbered anew.
+ * Returns the last end that the worker may discard; 0 if it has done so: what a
+ * poll does not acknowledge, a late one cannot.  Not for a worker that did not
+ * answer: it may have restarted, and its ends are numbered anew.
  */
 static int64_t acknowledge_stored_ends(node_worker_t *worker)
 {
 	int64_t last_stored_end = batch_worker_stored_end(
 		worker->holder->core, base_clock_mono(), base_str(worker->id));
 
+	if (last_stored_end <= worker->discarded)
+		return 0;
 	if (last_stored_end == worker->acknowledged)
 		return last_stored_end;
 	node_log(worker->holder->node, BASE_MSG_ENDS_ACKNOWLEDGED,
@@ -454,7 +483,9 @@
 	order.lease = worker->is_silent ? -1 : node_worker_grant_lease(worker);
 	if (!worker->is_silent)
 		order.last_stored_end = acknowledge_stored_ends(worker);
-	order.wait = poll_wait(worker);
+	worker->poll_acknowledges = order.last_stored_end;
+	/* A worker that crashes mostly has a poll open: not this one. */
+	order.wait = order.last_stored_end ? 0 : poll_wait(worker);
 	order.timeout = order.wait + WORKER_POLL_GRACE;
 	worker->is_polling = true;
 	worker->poll_sent_at = now;
@@ -519,6 +550,9 @@
 	worker->clock = -1;
 	worker->has_seen_term = false;
 	worker->is_polling = false;
+	if (worker->poll_acknowledges)
+		worker->acknowledged_until =
+			worker->poll_sent_at + WORKER_LATE_CALL_MAX;
 	node_worker_schedule_poll(worker, 0);
 }
 
--- a/packages/node/node_worker_int.h
+++ b/packages/node/node_worker_int.h
@@ -24,8 +24,13 @@
 	int64_t poll_sent_at;
 	int64_t poll_timeout;
 	int64_t acknowledged; /* the last end that it was told to discard */
-	int64_t list_round;   /* number of the list in which the worker was last
-				 seen */
+	int64_t discarded;    /* the same, in a poll that was answered */
+	int64_t poll_acknowledges; /* what the open poll tells; 0: nothing */
+	/* An acknowledgement without an answer may be carried out until then,
+	 * also by the worker's next process. */
+	int64_t acknowledged_until;
+	int64_t list_round; /* number of the list in which the worker was last
+			       seen */
 	bool is_polling;
 	/* In holder->awaiting_stored while the next poll waits until ends are
 	 * stored; its data is NULL otherwise. */
