batch: sum up the steps that are done in rows of jobs with many tasks

Cause: a job's row lists each task that has ever started until the job ends, the store refuses a value of over 1 MB, and the change is repeated for ever.

Change: from 2,000 done tasks on, a row names the steps that are done instead of their tasks. Rows of other jobs are as before, so that entries of a former version read them.

--- a/packages/batch/batch_record.c
+++ b/packages/batch/batch_record.c
@@ -5,6 +5,7 @@
  * {"state", "cancelled", "begun", "arrived" (wall, microseconds), "ended",
  *  "occurrences" (opened), "tasks": [[occurrence, step, index, done, number,
  *  fails, worker, checkpoint], ...],
+ *  "done_steps": [[occurrence, step], ...],
  *  "incarnations": {worker: incarnation, ...},
  *  "crashes": [[occurrence, step, index, certain, likely, shared, needs_trial,
  *  counted_run], ...],
@@ -25,7 +26,9 @@
  * not write them, and ignore them.
  *
  * Tasks that never had a run are left out.  The worker is empty unless a run
- * may exist there.
+ * may exist there.  "done_steps" names the steps whose tasks are left out since
+ * all of them are done; only a job with many tasks has it, as former versions
+ * do not read it.
  */
 #include <jansson.h>
 
@@ -43,6 +46,10 @@
 	FIELD_MAX
 } task_field_t;
 
+/* Tasks that are done, from which on steps are printed as done: many times more
+ * than most jobs have, and far fewer than a value of the store holds. */
+#define RECORD_DONE_TASKS_MAX 2000
+
 /* Fields of "crashes"; the first three are as in task_field_t. */
 typedef enum crash_field {
 	CRASH_CERTAIN = FIELD_INDEX + 1,
@@ -280,15 +287,74 @@
 		base_buf_adds(buf, "]");
 }
 
-const char *batch_record_print(const void *ctx, const batch_job_t *job)
+static int count_done(const batch_job_t *job)
+{
+	int n = 0;
+	guint i;
+	int s;
+
+	for (i = 0; job->occs && i < job->occs->len; i++) {
+		const batch_occ_t *occ = g_ptr_array_index(job->occs, i);
+
+		for (s = 0; s < job->spec.n_steps; s++)
+			n += occ->steps[s].done;
+	}
+	return n;
+}
+
+static bool is_step_done(const batch_step_t *step)
+{
+	return step->done == step->spec->count;
+}
+
+/* Prints the touched tasks; with "sum_up" not those of steps that are done. */
+static void print_tasks(base_buf_t *buf, const batch_job_t *job, bool sum_up)
 {
-	base_buf_t *buf = base_buf_new(ctx);
-	guint opened = job->occs ? job->occs->len : 0;
 	bool first = true;
 	guint i;
 	int s;
 	int t;
 
+	for (i = 0; i < job->occs->len; i++) {
+		const batch_occ_t *occ = g_ptr_array_index(job->occs, i);
+
+		for (s = 0; s < job->spec.n_steps; s++)
+			for (t = 0; t < occ->steps[s].spec->count; t++)
+				if (!sum_up || !is_step_done(&occ->steps[s]))
+					print_task(buf, &occ->steps[s].tasks[t],
+						   &first);
+	}
+}
+
+static void print_done_steps(base_buf_t *buf, const batch_job_t *job)
+{
+	bool any = false;
+	guint i;
+	int s;
+
+	for (i = 0; i < job->occs->len; i++) {
+		const batch_occ_t *occ = g_ptr_array_index(job->occs, i);
+
+		for (s = 0; s < job->spec.n_steps; s++) {
+			if (!is_step_done(&occ->steps[s]))
+				continue;
+			base_buf_addf(buf, "%s[%d,%d]",
+				      any ? "," : ",\"done_steps\":[",
+				      occ->number, s);
+			any = true;
+		}
+	}
+	if (any)
+		base_buf_adds(buf, "]");
+}
+
+const char *batch_record_print(const void *ctx, const batch_job_t *job)
+{
+	base_buf_t *buf = base_buf_new(ctx);
+	guint opened = job->occs ? job->occs->len : 0;
+	bool sum_up = batch_job_is_active(job) &&
+		      count_done(job) > RECORD_DONE_TASKS_MAX;
+
 	base_buf_adds(buf, "{\"state\":");
 	base_buf_add_json(buf, base_str(batch_state_name(job->state)));
 	base_buf_addf(
@@ -299,15 +365,11 @@
 		job->cancelled ? "true" : "false",
 		job->start_decided ? "true" : "false", job->arrived_wall,
 		job->ended_wall, opened);
-	for (i = 0; batch_job_is_active(job) && i < opened; i++) {
-		batch_occ_t *occ = g_ptr_array_index(job->occs, i);
-
-		for (s = 0; s < job->spec.n_steps; s++)
-			for (t = 0; t < occ->steps[s].spec->count; t++)
-				print_task(buf, &occ->steps[s].tasks[t],
-					   &first);
-	}
+	if (batch_job_is_active(job) && opened)
+		print_tasks(buf, job, sum_up);
 	base_buf_adds(buf, "]");
+	if (sum_up)
+		print_done_steps(buf, job);
 	if (batch_job_is_active(job) && job->occs) {
 		print_incarnations(buf, job);
 		print_task_list(buf, job, print_crashed_task);
@@ -547,6 +609,29 @@
 	return true;
 }
 
+static void load_done_steps(const batch_job_t *job, const json_t *rows)
+{
+	size_t i;
+	int t;
+
+	for (i = 0; i < json_array_size(rows); i++) {
+		const json_t *row = json_array_get(rows, i);
+		batch_task_id_t id = { .job = base_str(job->id),
+				       .occurrence = (int)number_at(row, 0),
+				       .step = (int)number_at(row, 1) };
+		const batch_task_t *task = batch_find_task(job->core, &id);
+		batch_step_t *step = task ? task->step : NULL;
+
+		if (!step || step->done)
+			continue;
+		step->has_started = true;
+		step->placed = step->spec->count;
+		step->done = step->spec->count;
+		for (t = 0; t < step->spec->count; t++)
+			step->tasks[t].done = true;
+	}
+}
+
 /* A task with a missing run has counts. */
 static bool load_all_crashes(const batch_job_t *job, const json_t *root,
 			     int64_t now)
@@ -600,6 +685,7 @@
 		if (batch_job_is_active(job))
 			ok = load_all_crashes(job, root, now);
 		load_failed_runs(job, json_object_get(root, "failed_runs"));
+		load_done_steps(job, json_object_get(root, "done_steps"));
 		for (i = 0; ok && batch_job_is_active(job) &&
 			    i < json_array_size(tasks);
 		     i++)
--- a/packages/batch/tests/batch_store_test.c
+++ b/packages/batch/tests/batch_store_test.c
@@ -1024,6 +1024,53 @@
 	}
 }
 
+#define MANY_STEPS 24
+#define MANY_TASKS 500
+/* Of a task in a row: its numbers and its worker. */
+#define ROW_TASK_SIZE 64
+/* Done tasks that a row may list, beside those of the steps at work. */
+#define ROW_DONE_TASKS 2000
+
+static size_t row_size(const world_t *world, const char *job)
+{
+	const char *row = g_hash_table_lookup(world->rows, job);
+
+	return row ? strlen(row) : 0;
+}
+
+/*
+ * Guards against a row that outgrows the store's values, so that nothing is
+ * stored any more (LOST): a job listed each of its tasks that was done.
+ */
+static void test_row_does_not_grow_with_done_steps(void)
+{
+	world_t *world = world_new(1, 16, 3);
+	batch_step_spec_t steps[MANY_STEPS];
+	size_t most = 0;
+	int i;
+
+	for (i = 0; i < MANY_STEPS; i++) {
+		steps[i] = world_step(MANY_TASKS);
+		steps[i].need = (batch_res_t){ 500, 100, 0 };
+		steps[i].estimate = 200 * MS;
+		steps[i].depends_on = i ? 1U << (i - 1) : 0;
+	}
+	world_submit(world, "a", steps, MANY_STEPS);
+	for (i = 0; i < 600 && world_state(world, "a") != BATCH_COMPLETED;
+	     i++) {
+		world_advance(world, 100 * MS);
+		most = MAX(most, row_size(world, "a"));
+		if (i % 20 == 19)
+			world_take_over(world);
+	}
+	g_test_message("%d starts, %d bytes", world->starts, (int)most);
+	g_assert_cmpint(world_state(world, "a"), ==, BATCH_COMPLETED);
+	g_assert_cmpint(world->finished, ==, MANY_STEPS * MANY_TASKS);
+	g_assert_cmpuint(most, <,
+			 (ROW_DONE_TASKS + 2 * MANY_TASKS) * ROW_TASK_SIZE);
+	check_and_free(world);
+}
+
 static size_t take_lane(world_t *world, int lane, batch_row_t *rows)
 {
 	return batch_rows(world->core, lane, rows, LANE_JOBS, 2 * LANE_JOBS);
@@ -1452,6 +1499,8 @@
 	g_test_add_func("/batch-store/random-days-in-lanes",
 			test_random_days_in_lanes);
 	g_test_add_func("/batch-store/hard-days", test_hard_days);
+	g_test_add_func("/batch-store/row-does-not-grow-with-done-steps",
+			test_row_does_not_grow_with_done_steps);
 	g_test_add_func("/batch-store/lanes", test_lanes);
 	g_test_add_func("/batch-store/start-given-up-before-its-answer",
 			test_start_given_up_before_its_answer);
