node: refuse a job that the store cannot hold

A client that sent a specification larger than a value of the store stopped all work: the store refused the change (400), which was repeated for ever.

Test: tests/sys_node_large_job, with a stand-in that refuses such values as the store does. Without the change the job is not refused, and no job is accepted after it.

--- a/packages/node/node.h
+++ b/packages/node/node.h
@@ -32,6 +32,7 @@
 typedef enum node_error {
 	NODE_ERR_SETTINGS,
 	NODE_ERR_START,
+	NODE_ERR_JOB_SIZE, /* the store cannot hold the specification */
 	NODE_ERR_MAX
 } node_error_t;
 
@@ -50,13 +51,15 @@
 	const char **seeds;    /* addresses of some peers */
 	size_t n_seeds;
 	/* Times are in microseconds. */
-	int64_t lease_max;     /* longest lease of a worker */
-	int64_t stop_timeout;  /* longest time to stop a task */
-	int64_t drain_time;    /* from a drain's report to the last start */
-	int64_t grace;	       /* from SIGTERM to SIGKILL */
-	int64_t keep;	       /* how long an ended job can be queried */
-	int64_t store_ttl_min; /* shortest lease in the store */
-	double usable_cores;   /* cores that this entry may use */
+	int64_t lease_max;	 /* longest lease of a worker */
+	int64_t stop_timeout;	 /* longest time to stop a task */
+	int64_t drain_time;	 /* from a drain's report to the last start */
+	int64_t grace;		 /* from SIGTERM to SIGKILL */
+	int64_t keep;		 /* how long an ended job can be queried */
+	int64_t store_ttl_min;	 /* shortest lease in the store */
+	int64_t store_value_max; /* bytes of a value in the store; 0: not known
+				  */
+	double usable_cores;	 /* cores that this entry may use */
 } node_settings_t;
 
 /* Parses the settings; "err" names every fault. */
--- a/packages/node/node_holder.c
+++ b/packages/node/node_holder.c
@@ -475,6 +475,20 @@
 	return true;
 }
 
+/* The store refuses a change with a value that is too large: nothing else in it
+ * would be stored. */
+static bool check_source(const node_t *node, base_str_t source, GError **err)
+{
+	int64_t most = node->settings->store_value_max;
+
+	if (!most || source.len <= (size_t)most)
+		return true;
+	g_set_error(err, NODE_ERROR, NODE_ERR_JOB_SIZE,
+		    "the job takes %zu bytes, the store holds %lld", source.len,
+		    (long long)most);
+	return false;
+}
+
 static void submit(node_holder_t *holder, const node_job_request_t *ask,
 		   node_outcome_done_t *done, void *arg)
 {
@@ -487,7 +501,8 @@
 	spec.id = base_str(ask->id);
 	spec.queue = base_str(ask->queue);
 	spec.source = base_str(print_source(holder->node, ctx, ask));
-	if (!holder->node->platform->job_read(ctx, ask->body, &spec, &err) ||
+	if (!check_source(holder->node, spec.source, &err) ||
+	    !holder->node->platform->job_read(ctx, ask->body, &spec, &err) ||
 	    !batch_spec_check(&spec, &err)) {
 		outcome.kind = NODE_OUT_INVALID;
 		outcome.why = err->message;
--- a/packages/node/node_settings.c
+++ b/packages/node/node_settings.c
@@ -38,6 +38,8 @@
 	{ "keep_s", offsetof(node_settings_t, keep), BASE_SEC, 120 },
 	{ "store_ttl_min_ms", offsetof(node_settings_t, store_ttl_min), BASE_MS,
 	  1000 },
+	{ "store_value_bytes", offsetof(node_settings_t, store_value_max), 1,
+	  1048576 },
 };
 
 static void load_text(node_settings_t *settings, const json_t *root,
@@ -62,10 +64,11 @@
 		value ? json_number_value(value) : (double)field->default_value;
 
 	if (value && (!json_is_number(value) || time <= 0))
-		base_buf_addf(faults, "; \"%s\" is not a positive time in %s",
+		base_buf_addf(faults, "; \"%s\" is not a positive %s",
 			      field->name,
-			      field->unit == BASE_SEC ? "seconds"
-						      : "milliseconds");
+			      field->unit == BASE_SEC  ? "time in seconds"
+			      : field->unit == BASE_MS ? "time in milliseconds"
+						       : "number of bytes");
 	*(int64_t *)((char *)settings + field->offset) =
 		(int64_t)(time * (double)field->unit);
 }
--- a/standin/platform/sp_store.c
+++ b/standin/platform/sp_store.c
@@ -242,6 +242,9 @@
 	return NULL;
 }
 
+/* Of a value of 1 MB in base64. */
+#define VALUE_TEXT_MAX ((1048576 + 2) / 3 * 4)
+
 static int apply_transaction(sp_t *sp, const json_t *root, json_t **body)
 {
 	const json_t *sets = json_object_get(root, "setKeys");
@@ -260,6 +263,8 @@
 		if (integer_member(row, "lease") &&
 		    !find_lease(sp, integer_member(row, "lease")))
 			return 404;
+		if (strlen(string_member(row, "value")) > VALUE_TEXT_MAX)
+			return 400;
 		if (g_str_has_prefix(string_member(row, "key"), "op/") ||
 		    g_str_has_prefix(string_member(row, "key"), "servers/"))
 			return 403;
