batch: know crashes also where workers drain for a short time

A deadly task was started a sixth time (BUDGET) where workers drain for less than the time between two readings of the list: each might have left unseen, so that no crash was known (a trial with drain_time 0.1 s).

Change: two readings 1.5 s apart rule a planned departure out, also where workers drain for less. A worker that answers is in its place again.

Test: batch-crash/deadly-task-where-drains-are-short: 6 starts without the change, 5 at most with it.

--- a/packages/batch/batch_crash.c
+++ b/packages/batch/batch_crash.c
@@ -47,6 +47,9 @@
  */
 #define CRASH_MISSING_MAX 3
 #define CRASH_RETURN_TIME (4 * BASE_SEC)
+/* Two readings of the list are mostly closer.  Workers that drain for less may
+ * leave unseen, and are taken for crashed. */
+#define CRASH_LIST_GAP (1500 * BASE_MS)
 /* A loss is found by then: the longest lease and some more. */
 #define CRASH_LOSS_AGE_MAX (15 * BASE_SEC)
 /* Other lost workers of a rack or zone that show a common cause, besides being
@@ -567,8 +570,9 @@
 	bool is_end_listed =
 		!worker->listed && worker->alive_at <= worker->unlisted_at;
 	int64_t until = is_end_listed ? worker->unlisted_at : now;
+	int64_t limit = MAX(worker->core->options.drain_time, CRASH_LIST_GAP);
 
-	return until - worker->listed_at > worker->core->options.drain_time;
+	return until - worker->listed_at > limit;
 }
 
 /* The same for a worker that may live: nothing but a trial follows for a run
--- a/packages/batch/batch_worker.c
+++ b/packages/batch/batch_worker.c
@@ -382,6 +382,7 @@
 		worker->last_end = 0;
 		drop_unstored_ends(worker, worker->unstored_ends->len);
 		worker->leaves = worker->draining;
+		worker->replaced = false;
 		worker->is_quarantined = false;
 		worker->n_quarantines = 0;
 		worker->fail_streak = 0;
--- a/packages/batch/tests/batch_crash_test.c
+++ b/packages/batch/tests/batch_crash_test.c
@@ -87,6 +87,25 @@
 	}
 }
 
+/* Guards against the same where workers drain for less than the time between
+ * two readings of the list, so that each might have left unseen. */
+static void test_deadly_task_where_drains_are_short(void)
+{
+	int same_id;
+
+	for (same_id = 0; same_id <= 100; same_id += 50) {
+		world_t *world = world_new(1, 8, 2);
+
+		world->crash_same_id_percent = same_id;
+		world->drain_time = 100 * MS;
+		world_take_over(world);
+		submit_deadly(world, "d", 1, 0);
+		world_advance(world, 60 * SECOND);
+		check_given_up(world, "d");
+		check_and_free(world);
+	}
+}
+
 /* Guards against crashes that are not counted because the worker's lease ends
  * before it is back. */
 static void test_crashed_worker_is_back_late(void)
@@ -913,6 +932,8 @@
 			test_random_crashes_do_not_end_lasting_jobs);
 	g_test_add_func("/batch-crash/deadly-task-is-given-up",
 			test_deadly_task_is_given_up);
+	g_test_add_func("/batch-crash/deadly-task-where-drains-are-short",
+			test_deadly_task_where_drains_are_short);
 	g_test_add_func("/batch-crash/crashed-worker-is-back-late",
 			test_crashed_worker_is_back_late);
 	g_test_add_func("/batch-crash/good-jobs-complete",
--- a/packages/batch/tests/batch_world.c
+++ b/packages/batch/tests/batch_world.c
@@ -329,7 +329,7 @@
 	batch_options_t options = { .ops = &ops,
 				    .arg = world,
 				    .in_doubt_timeout = 300 * BASE_MS,
-				    .drain_time = WORLD_DRAIN_LIMIT };
+				    .drain_time = world->drain_time };
 	batch_pool_info_t pools[] = {
 		{ .name = BASE_STR("pool"),
 		  .checks_admission = !world->no_admission },
@@ -422,6 +422,7 @@
 	world->attempts = attempts;
 	world->stretch = stretch;
 	world->store_time = 4 * BASE_MS;
+	world->drain_time = WORLD_DRAIN_LIMIT;
 	world->crash_delay = 10 * BASE_MS;
 	world->crash_time = 3 * BASE_SEC;
 	world->ends_listed_max = WORLD_LISTED_MAX;
--- a/packages/batch/tests/batch_world.h
+++ b/packages/batch/tests/batch_world.h
@@ -216,6 +216,7 @@
 	int64_t instances_at; /* when the list of instances was read last */
 	int interference; /* percent of the tail target, per best-effort task */
 	int lost_answer_percent, late_order_percent, failed_run_percent;
+	int64_t drain_time;  /* as the next holder knows it */
 	int64_t crash_delay; /* from the start of a deadly task to the crash */
 	int64_t crash_time;  /* until a crashed worker is back */
 	/* The holder sees at once that a worker has crashed. */
