node: log that another process of a worker answers

A worker that restarts under its id takes a lease that was asked for by its former process's clock for up to the longest one allowed.

worker-restarted has both processes, how far the former clock is ahead, and when the worker was last heard.

--- a/packages/node/node_worker.c
+++ b/packages/node/node_worker.c
@@ -219,6 +219,23 @@
 		 BASE_F_INT("for_us", worker->acknowledged_until - now));
 }
 
+/* How far the clock of the worker's former process, if it went on, would be
+ * ahead of the reading: a lease that was asked for by it is longer by as much.
+ */
+static void log_restart(const node_worker_t *worker,
+			const node_poll_result_t *answer, int64_t now)
+{
+	int64_t former = worker->clock + now - worker->clock_at;
+
+	node_log(worker->holder->node, BASE_MSG_WORKER_RESTARTED,
+		 BASE_F_STR("worker", worker->id),
+		 BASE_F_INT("from", worker->incarnation),
+		 BASE_F_INT("to", answer->incarnation),
+		 BASE_F_INT("clock_ahead_us", former - answer->clock),
+		 BASE_F_INT("looked_us_ago", now - worker->polled_at),
+		 BASE_F_INT("term", worker->holder->term));
+}
+
 static void note_truncated_ends(node_worker_t *worker,
 				const node_poll_result_t *answer)
 {
@@ -254,14 +271,19 @@
 		.ends_truncated = answer->ends_truncated,
 	};
 
+	bool is_restarted =
+		worker->incarnation && worker->incarnation != seen.incarnation;
+
 	node_metrics_add_time(worker->holder->node, NODE_TIME_POLL_GAP,
 			      now - worker->polled_at);
+	if (is_restarted)
+		log_restart(worker, answer, now);
 	worker->polled_at = now;
 	if (answer->clock >= 0) {
 		worker->clock = answer->clock;
 		worker->clock_at = now;
 	}
-	if (worker->incarnation && worker->incarnation != seen.incarnation)
+	if (is_restarted)
 		begin_process(worker, now);
 	worker->discarded = MAX(worker->discarded, worker->poll_acknowledges);
 	worker->incarnation = seen.incarnation;
