--- a/packages/batch/batch.h
+++ b/packages/batch/batch.h
@@ -577,6 +577,9 @@
 	uint64_t failed;
 	uint64_t starts;
 	uint64_t lost;
+	/* Workers and runs that were gone through for an event or a row of
+	 * others. */
+	uint64_t scanned;
 } batch_stats_t;
 
 void batch_stats(const batch_t *core, batch_stats_t *stats);
--- a/packages/batch/batch_crash.c
+++ b/packages/batch/batch_crash.c
@@ -409,7 +409,7 @@
 	return loss;
 }
 
-static const batch_loss_t *find_loss(const batch_t *core,
+static const batch_loss_t *find_loss(batch_t *core,
 				     const batch_worker_t *worker)
 {
 	guint i;
@@ -418,6 +418,7 @@
 		const batch_loss_t *loss =
 			&g_array_index(core->losses, batch_loss_t, i);
 
+		core->stats.scanned++;
 		if (loss->worker == worker)
 			return loss;
 	}
@@ -461,6 +462,7 @@
 		const batch_worker_t *other = value;
 		batch_loss_t loss = describe_loss(other, now);
 
+		core->stats.scanned++;
 		if (other == worker || !other->listed)
 			continue;
 		rack.present += loss.rack == own.rack;
--- a/packages/batch/batch_doubt.c
+++ b/packages/batch/batch_doubt.c
@@ -325,6 +325,7 @@
 	while (g_hash_table_iter_next(&iter, NULL, &value)) {
 		const batch_worker_t *worker = value;
 
+		job->core->stats.scanned++;
 		for (i = 0; i < worker->in_doubt_starts->len; i++) {
 			const batch_in_doubt_start_t *start =
 				start_at(worker, i);
--- a/packages/batch/batch_missing.c
+++ b/packages/batch/batch_missing.c
@@ -110,6 +110,7 @@
 			const batch_missing_run_t *run =
 				&g_array_index(runs, batch_missing_run_t, i);
 
+			job->core->stats.scanned++;
 			if (is_valid(job, run))
 				visit(arg, id, run);
 		}
@@ -186,6 +187,7 @@
 			runs, batch_missing_run_t, runs->len - 1);
 		batch_place_t former = { id, last->address, last->instance };
 
+		core->stats.scanned++;
 		if (batch_place_is_same(&former, place) &&
 		    resolve(core, now, id, runs, 0))
 			g_hash_table_iter_remove(&iter);
--- a/packages/batch/batch_worker.c
+++ b/packages/batch/batch_worker.c
@@ -147,6 +147,7 @@
 		batch_place_t former = { other->id, other->address,
 					 other->instance };
 
+		core->stats.scanned++;
 		if (batch_place_is_same(&former, place))
 			other->replaced = true;
 	}
--- a/packages/node/node_metrics.c
+++ b/packages/node/node_metrics.c
@@ -143,6 +143,8 @@
 		      (unsigned long long)stats.starts);
 	base_buf_addf(out, "cactusfield_runs_lost %llu\n",
 		      (unsigned long long)stats.lost);
+	base_buf_addf(out, "cactusfield_scanned %llu\n",
+		      (unsigned long long)stats.scanned);
 }
 
 void node_metrics_serve(node_t *node, net_exchange_t *exchange)
