batch: find the workers before another one by an index

Callers saw nothing yet: a takeover of 5,000 workers took the holder some 1.5 s of processor, in which no task is placed, and grew with the square of the workers.

Cause: each new process of a worker, and each worker that an instance shows, was compared with all workers to find those before it at its address or instance. Workers are kept by address and by instance now (batch_index.c): an index is changed where the worker's address or instance is set, and where the worker is freed. What is marked is as before.

batch_takeover_test compares each event's outcome, and the indexes, with a search through all workers over 40 random sequences of 600 events. It bounds the workers gone through for 4N workers by four times those for N; with batch_worker.c as it was, that fails: 524288 for 256 new workers, each in the place of another one, bound 131072.

--- a/packages/batch/batch_int.h
+++ b/packages/batch/batch_int.h
@@ -395,6 +395,9 @@
 	batch_options_t options;
 	GHashTable *jobs;    /* by id, of batch_job_t */
 	GHashTable *workers; /* by id, of batch_worker_t */
+	/* Indexes (batch_index.c) of batch_worker_t. */
+	GHashTable *workers_by_address;
+	GHashTable *workers_by_instance;
 	GHashTable *queues;
 	GHashTable *pools;
 	GPtrArray
@@ -436,6 +439,14 @@
 /* Whether the step is ready and a task of it is neither done nor has a run. */
 bool batch_step_has_waiting(const batch_step_t *step);
 
+/* batch_index.c: values by a key; an empty key, or NULL, has none. */
+GHashTable *batch_index_new(void);
+/* Without effect if the key has the value. */
+void batch_index_add(GHashTable *index, const char *key, void *value);
+void batch_index_remove(GHashTable *index, const char *key, void *value);
+/* NULL: the key has none.  The list is valid until the next change. */
+const GPtrArray *batch_index_find(GHashTable *index, const char *key);
+
 /* batch_commit.c */
 void batch_job_changed(batch_job_t *job);
 
--- a/packages/batch/batch_worker.c
+++ b/packages/batch/batch_worker.c
@@ -34,6 +34,18 @@
 	batch_room_update(worker);
 }
 
+/* Sets the worker's address or instance. */
+static void set_place(batch_worker_t *worker, GHashTable *index, char **text,
+		      base_str_t with)
+{
+	if (*text && base_str_eq(base_str(*text), with))
+		return;
+	batch_index_remove(index, *text, worker);
+	talloc_free(*text);
+	*text = base_str_dup(worker, with);
+	batch_index_add(index, *text, worker);
+}
+
 static void set_labels(batch_worker_t *worker, const batch_worker_info_t *info)
 {
 	size_t i;
@@ -69,8 +81,8 @@
 	worker->leaves |= info->draining;
 	if (worker->draining)
 		batch_worker_drop_unsent(worker);
-	talloc_free(worker->address);
-	worker->address = base_str_dup(worker, info->address);
+	set_place(worker, core->workers_by_address, &worker->address,
+		  info->address);
 	talloc_free(worker->zone);
 	worker->zone = base_str_dup(worker, info->zone);
 	talloc_free(worker->rack);
@@ -93,7 +105,11 @@
 /* The caller removes it from the table of workers. */
 static void worker_free(batch_worker_t *worker)
 {
+	batch_t *core = worker->core;
+
 	set_pool(worker, NULL);
+	batch_index_remove(core->workers_by_address, worker->address, worker);
+	batch_index_remove(core->workers_by_instance, worker->instance, worker);
 	drop_unstored_ends(worker, worker->unstored_ends->len);
 	g_ptr_array_unref(worker->runs);
 	g_array_unref(worker->unstored_ends);
@@ -134,23 +150,32 @@
 		is_known_same(a->instance, b->instance));
 }
 
-/* The worker is known to be there, so that those before it have ended. */
-static void replace_workers(batch_t *core, int64_t now,
-			    const batch_place_t *place)
+static void mark_replaced(batch_t *core, const GPtrArray *workers,
+			  const char *by)
 {
-	GHashTableIter iter;
-	gpointer value;
+	guint i;
 
-	g_hash_table_iter_init(&iter, core->workers);
-	while (g_hash_table_iter_next(&iter, NULL, &value)) {
-		batch_worker_t *other = value;
-		batch_place_t former = { other->id, other->address,
-					 other->instance };
+	for (i = 0; workers && i < workers->len; i++) {
+		batch_worker_t *other = g_ptr_array_index(workers, i);
 
 		core->stats.scanned++;
-		if (batch_place_is_same(&former, place))
+		if (strcmp(other->id, by))
 			other->replaced = true;
 	}
+}
+
+/* The worker is known to be there, so that those before it have ended. */
+static void replace_workers(batch_t *core, int64_t now,
+			    const batch_place_t *place)
+{
+	mark_replaced(
+		core,
+		batch_index_find(core->workers_by_address, place->address),
+		place->worker);
+	mark_replaced(
+		core,
+		batch_index_find(core->workers_by_instance, place->instance),
+		place->worker);
 	batch_missing_replace(core, now, place);
 }
 
@@ -162,10 +187,9 @@
 	batch_place_t place = { .worker = base_str_dup(ctx, id),
 				.instance = base_str_dup(ctx, instance) };
 
-	if (worker) {
-		talloc_free(worker->instance);
-		worker->instance = base_str_dup(worker, instance);
-	}
+	if (worker)
+		set_place(worker, core->workers_by_instance, &worker->instance,
+			  instance);
 	replace_workers(core, now, &place);
 	talloc_free(ctx);
 }
