batch: do not search all losses for each silent worker

When many workers are lost at once, as with a zone, the holder takes the cube of their number in processor time: for each one it goes through all workers, looks up the names of their zone and rack, and for each silent one goes through all losses of late.

The workers of the losses are kept in a set now, and the names' numbers with the worker. What is found is as before.

What remains is the square of the workers: is_correlated() goes through all workers for each one that is lost.

--- a/packages/batch/batch.c
+++ b/packages/batch/batch.c
@@ -46,6 +46,7 @@
 	for (i = 0; i < BATCH_LANE_MAX; i++)
 		g_ptr_array_unref(core->storing_jobs[i]);
 	g_array_unref(core->losses);
+	g_hash_table_unref(core->lost_workers);
 	g_hash_table_unref(core->missing);
 	g_hash_table_unref(core->refused);
 	g_queue_clear(&core->rows);
@@ -72,6 +73,7 @@
 	for (i = 0; i < BATCH_LANE_MAX; i++)
 		core->storing_jobs[i] = g_ptr_array_new();
 	core->losses = batch_crash_losses_new();
+	core->lost_workers = g_hash_table_new(NULL, NULL);
 	core->missing = batch_missing_new();
 	g_queue_init(&core->rows);
 	talloc_set_destructor(core, core_free);
--- a/packages/batch/batch_crash.c
+++ b/packages/batch/batch_crash.c
@@ -400,8 +400,8 @@
 static batch_loss_t describe_loss(const batch_worker_t *worker, int64_t now)
 {
 	batch_loss_t loss = { .worker = worker,
-			      .zone = g_quark_from_string(worker->zone),
-			      .rack = g_quark_from_string(worker->rack),
+			      .zone = worker->zone_quark,
+			      .rack = worker->rack_quark,
 			      .alive_at = worker->alive_at,
 			      .found_at = now,
 			      .by_trial = worker->n_trials > 0 };
@@ -409,22 +409,6 @@
 	return loss;
 }
 
-static const batch_loss_t *find_loss(batch_t *core,
-				     const batch_worker_t *worker)
-{
-	guint i;
-
-	for (i = 0; i < core->losses->len; i++) {
-		const batch_loss_t *loss =
-			&g_array_index(core->losses, batch_loss_t, i);
-
-		core->stats.scanned++;
-		if (loss->worker == worker)
-			return loss;
-	}
-	return NULL;
-}
-
 /* Workers of a rack or zone, without the one in question. */
 typedef struct domain {
 	int present;
@@ -467,7 +451,8 @@
 			continue;
 		rack.present += loss.rack == own.rack;
 		zone.present += loss.zone == own.zone;
-		if (other->silent && !find_loss(core, other))
+		if (other->silent &&
+		    !g_hash_table_contains(core->lost_workers, other))
 			count_loss(&own, &loss, &rack, &zone);
 	}
 	for (i = 0; i < core->losses->len; i++) {
@@ -495,8 +480,11 @@
 			&g_array_index(losses, batch_loss_t, i);
 
 		if (past->worker == worker ||
-		    now - past->found_at > CRASH_LOSS_AGE_MAX)
+		    now - past->found_at > CRASH_LOSS_AGE_MAX) {
+			g_hash_table_remove(worker->core->lost_workers,
+					    past->worker);
 			g_array_remove_index_fast(losses, i);
+		}
 	}
 }
 
@@ -705,6 +693,7 @@
 	batch_loss_t loss = describe_loss(worker, now);
 
 	g_array_append_val(worker->core->losses, loss);
+	g_hash_table_add(worker->core->lost_workers, (gpointer)worker);
 }
 
 static void count_lost_worker(batch_worker_t *worker, int64_t now,
--- a/packages/batch/batch_int.h
+++ b/packages/batch/batch_int.h
@@ -331,6 +331,8 @@
 	char *instance;
 	char *zone;
 	char *rack;
+	GQuark zone_quark;
+	GQuark rack_quark;
 	char **labels;
 	size_t n_labels;
 	batch_res_t capacity;
@@ -409,8 +411,9 @@
 	/* Jobs whose rows are being stored, and strings of these rows. */
 	GPtrArray *storing_jobs[BATCH_LANE_MAX];
 	void *row_texts[BATCH_LANE_MAX];
-	GArray *losses;	     /* of workers, lately; see batch_crash.c */
-	GHashTable *missing; /* by worker: GArray of batch_missing_run_t */
+	GArray *losses;		  /* of workers, lately; see batch_crash.c */
+	GHashTable *lost_workers; /* of "losses"; compared only */
+	GHashTable *missing;	  /* by worker: GArray of batch_missing_run_t */
 	bool give_up_due;
 	batch_stats_t stats;
 	base_hist_t *times[BATCH_TIME_MAX];
--- a/packages/batch/batch_worker.c
+++ b/packages/batch/batch_worker.c
@@ -85,8 +85,10 @@
 		  info->address);
 	talloc_free(worker->zone);
 	worker->zone = base_str_dup(worker, info->zone);
+	worker->zone_quark = g_quark_from_string(worker->zone);
 	talloc_free(worker->rack);
 	worker->rack = base_str_dup(worker, info->rack);
+	worker->rack_quark = g_quark_from_string(worker->rack);
 	set_labels(worker, info);
 	set_pool(worker, batch_pool_get(core, info->pool));
 }
--- a/packages/batch/tests/batch_takeover_test.c
+++ b/packages/batch/tests/batch_takeover_test.c
@@ -180,6 +180,37 @@
 	g_hash_table_unref(replaced);
 }
 
+/* Restores a job whose one task runs on the worker of this number. */
+static void restore_job(batch_t *core, int number)
+{
+	char id[TEXT_MAX];
+	char row[256];
+	batch_step_spec_t step = {
+		.count = 1,
+		.need = { .cpu = 1000 },
+		.estimate = 60 * BASE_SEC,
+		.max_unavailable = -1,
+	};
+	batch_spec_t spec = {
+		.id = text_of(id, "j", number),
+		.queue = BASE_STR("queue"),
+		.steps = &step,
+		.n_steps = 1,
+		.repeat = 1,
+	};
+	batch_stored_t stored = { .id = spec.id,
+				  .spec = &spec,
+				  .record = row,
+				  .until = START + LEASE };
+
+	g_snprintf(row, sizeof(row),
+		   "{\"state\":\"running\",\"begun\":true,\"arrived\":1,"
+		   "\"occurrences\":1,\"tasks\":[[0,0,0,0,1,0,\"w%d\",\"\"]],"
+		   "\"incarnations\":{\"w%d\":1}}",
+		   number, number);
+	g_assert_true(batch_restore(core, START, START, &stored, NULL));
+}
+
 static void lose_worker(batch_t *core, int64_t now, int id,
 			batch_loss_cause_t cause)
 {
@@ -303,6 +334,41 @@
 			 scan_new_workers(FEW) * (MANY / FEW));
 }
 
+/* The same when a third of "n" workers are lost at once, a task with each. */
+static uint64_t scan_lost_workers(int n)
+{
+	batch_t *core = make_core();
+	char text[TEXT_MAX];
+	batch_stats_t stats;
+	int lost = n / 3;
+	int i;
+
+	for (i = 1; i <= n; i++)
+		list_worker(core, START, i, i);
+	for (i = 1; i <= lost; i++)
+		restore_job(core, i);
+	for (i = 1; i <= n; i++)
+		poll_worker(core, START, i, 1);
+	for (i = 1; i <= lost; i++)
+		batch_worker_silent(core, text_of(text, "w", i));
+	for (i = 1; i <= lost; i++)
+		lose_worker(core, START + LEASE, i, BATCH_LOSS_UNKNOWN);
+	g_assert_cmpuint(core->losses->len, ==, (guint)lost);
+	batch_stats(core, &stats);
+	talloc_free(core);
+	return stats.scanned;
+}
+
+/*
+ * Guards against a search for the common cause of lost workers that takes more
+ * than the square of the workers.
+ */
+static void test_cost_of_lost_workers(void)
+{
+	g_assert_cmpuint(scan_lost_workers(MANY), <=,
+			 scan_lost_workers(FEW) * (MANY / FEW) * (MANY / FEW));
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
@@ -310,5 +376,7 @@
 			test_workers_by_place);
 	g_test_add_func("/batch-takeover/cost-of-new-workers",
 			test_cost_of_new_workers);
+	g_test_add_func("/batch-takeover/cost-of-lost-workers",
+			test_cost_of_lost_workers);
 	return g_test_run();
 }
