batch: find the stopped starts of a job by an index

Callers saw nothing yet: after a takeover, each row of a job that had a stopped start in doubt took the holder a look at all workers, so that rows of the whole fleet took its square.

Workers are kept by the jobs of which they have a stopped start in doubt. A worker is added where a stop of the start is answered or restored, and taken out where its last start of the job is dropped, and where it is freed. A row names the same starts as before; their order may differ, which has no meaning.

--- a/packages/batch/batch_doubt.c
+++ b/packages/batch/batch_doubt.c
@@ -69,11 +69,41 @@
 				      .age = now - worker->polled_at });
 }
 
+static bool has_start_of(const batch_worker_t *worker, const char *job)
+{
+	guint i;
+
+	for (i = 0; i < worker->in_doubt_starts->len; i++)
+		if (!strcmp(start_at(worker, i)->job, job))
+			return true;
+	return false;
+}
+
 static void drop(batch_worker_t *worker, guint at, int64_t now)
 {
+	char *job = start_at(worker, at)->job;
+
 	set_void(worker, start_at(worker, at), now, false);
-	talloc_free(start_at(worker, at)->job);
 	g_array_remove_index(worker->in_doubt_starts, at);
+	if (!has_start_of(worker, job))
+		batch_index_remove(worker->core->workers_by_doubt, job, worker);
+	talloc_free(job);
+}
+
+void batch_doubt_forget(batch_worker_t *worker)
+{
+	guint i;
+
+	for (i = 0; i < worker->in_doubt_starts->len; i++)
+		batch_index_remove(worker->core->workers_by_doubt,
+				   start_at(worker, i)->job, worker);
+}
+
+static void set_stopped_by(batch_worker_t *worker,
+			   batch_in_doubt_start_t *start, int64_t incarnation)
+{
+	start->stopped_by = incarnation;
+	batch_index_add(worker->core->workers_by_doubt, start->job, worker);
 }
 
 void batch_doubt_add(batch_worker_t *worker, int64_t now,
@@ -162,7 +192,8 @@
 	if (at < 0)
 		return;
 	start_at(worker, (guint)at)->needs_stop = false;
-	start_at(worker, (guint)at)->stopped_by = worker->incarnation;
+	set_stopped_by(worker, start_at(worker, (guint)at),
+		       worker->incarnation);
 	start_at(worker, (guint)at)->stopped_at = now;
 	if (job)
 		job->has_stopped_starts = true;
@@ -315,15 +346,15 @@
 void batch_doubt_each(const batch_job_t *job, batch_doubt_visit_t *visit,
 		      void *arg)
 {
-	GHashTableIter iter;
-	gpointer value;
+	const GPtrArray *workers =
+		batch_index_find(job->core->workers_by_doubt, job->id);
+	guint w;
 	guint i;
 
 	if (!job->has_stopped_starts)
 		return;
-	g_hash_table_iter_init(&iter, job->core->workers);
-	while (g_hash_table_iter_next(&iter, NULL, &value)) {
-		const batch_worker_t *worker = value;
+	for (w = 0; workers && w < workers->len; w++) {
+		const batch_worker_t *worker = g_ptr_array_index(workers, w);
 
 		job->core->stats.scanned++;
 		for (i = 0; i < worker->in_doubt_starts->len; i++) {
@@ -346,10 +377,12 @@
 	int at = find_start(worker, &id, start->run);
 
 	if (at >= 0) {
-		start_at(worker, (guint)at)->stopped_by = start->stopped_by;
+		set_stopped_by(worker, start_at(worker, (guint)at),
+			       start->stopped_by);
 		start_at(worker, (guint)at)->is_assumed = false;
 		return;
 	}
 	added.job = talloc_strdup(worker, start->job);
+	set_stopped_by(worker, &added, start->stopped_by);
 	g_array_append_val(worker->in_doubt_starts, added);
 }
--- a/packages/batch/batch_int.h
+++ b/packages/batch/batch_int.h
@@ -400,6 +400,8 @@
 	/* Indexes (batch_index.c) of batch_worker_t. */
 	GHashTable *workers_by_address;
 	GHashTable *workers_by_instance;
+	/* The same, by job: of workers that have a stopped start in doubt. */
+	GHashTable *workers_by_doubt;
 	GHashTable *queues;
 	GHashTable *pools;
 	GPtrArray
@@ -525,6 +527,8 @@
 /* Adds one that a former holder has stored. */
 void batch_doubt_restore(batch_worker_t *worker,
 			 const batch_in_doubt_start_t *start);
+/* The worker is freed. */
+void batch_doubt_forget(batch_worker_t *worker);
 /* The worker has another process, which has not answered any stop. */
 void batch_doubt_new_process(batch_worker_t *worker, int64_t now);
 
--- a/packages/batch/batch_worker.c
+++ b/packages/batch/batch_worker.c
@@ -112,6 +112,7 @@
 	set_pool(worker, NULL);
 	batch_index_remove(core->workers_by_address, worker->address, worker);
 	batch_index_remove(core->workers_by_instance, worker->instance, worker);
+	batch_doubt_forget(worker);
 	drop_unstored_ends(worker, worker->unstored_ends->len);
 	g_ptr_array_unref(worker->runs);
 	g_array_unref(worker->unstored_ends);
--- a/packages/batch/tests/batch_takeover_test.c
+++ b/packages/batch/tests/batch_takeover_test.c
@@ -12,6 +12,8 @@
 /* Few, so that workers meet at one address or instance. */
 #define IDS 24
 #define PLACES 6
+#define JOBS 5
+#define RUNS 8
 #define FEW 64
 #define MANY (4 * FEW)
 
@@ -306,6 +308,201 @@
 	}
 }
 
+static batch_task_id_t task_of(char *text, int job, int64_t run)
+{
+	return (batch_task_id_t){ .job = text_of(text, "j", job),
+				  .index = (int)run % 2 };
+}
+
+static void restore_doubt(batch_worker_t *worker, int64_t now,
+			  const batch_task_id_t *task, int64_t run)
+{
+	batch_in_doubt_start_t start = { .job = (char *)task->job.ptr,
+					 .index = task->index,
+					 .run = run,
+					 .until = now + LEASE,
+					 .stopped_by = 1 };
+
+	batch_find_job(worker->core, task->job)->has_stopped_starts = true;
+	batch_doubt_restore(worker, &start);
+}
+
+static void end_doubt(batch_worker_t *worker, int64_t now,
+		      const batch_task_id_t *task, int64_t run)
+{
+	batch_listed_end_t end = { .task = *task, .run = run };
+	batch_poll_result_t poll = { .ends = &end, .n_ends = 1 };
+
+	batch_doubt_poll(worker, now, &poll);
+}
+
+static void do_doubt_event(batch_worker_t *worker, int64_t now, base_rng_t *rng)
+{
+	char text[TEXT_MAX];
+	int64_t run = 2 + base_rng_below(rng, RUNS);
+	batch_task_id_t task =
+		task_of(text, 1 + (int)base_rng_below(rng, JOBS), run);
+	batch_order_t order = { .task = task, .run = run };
+
+	switch (base_rng_below(rng, 7)) {
+	case 0:
+	case 1:
+		batch_doubt_add(worker, now, &task, run,
+				base_rng_below(rng, 2));
+		break;
+	case 2:
+	case 3:
+		batch_doubt_stopped(worker, now, &order);
+		break;
+	case 4:
+		restore_doubt(worker, now, &task, run);
+		break;
+	case 5:
+		end_doubt(worker, now, &task, run);
+		break;
+	default:
+		batch_doubt_tick(worker, now);
+	}
+}
+
+static void add_doubt(void *found, const batch_worker_t *worker,
+		      const batch_in_doubt_start_t *start)
+{
+	g_ptr_array_add(found, g_strdup_printf("%s %s %d", worker->id,
+					       start->job, (int)start->run));
+}
+
+/* The job's stopped starts in doubt, by a search through all workers. */
+static void search_doubts(const batch_job_t *job, GPtrArray *found)
+{
+	GHashTableIter iter;
+	gpointer value;
+	guint i;
+
+	g_hash_table_iter_init(&iter, job->core->workers);
+	while (job->has_stopped_starts &&
+	       g_hash_table_iter_next(&iter, NULL, &value)) {
+		const batch_worker_t *worker = value;
+
+		for (i = 0; i < worker->in_doubt_starts->len; i++) {
+			const batch_in_doubt_start_t *start =
+				&g_array_index(worker->in_doubt_starts,
+					       batch_in_doubt_start_t, i);
+
+			if (start->stopped_by && !start->is_assumed &&
+			    !strcmp(start->job, job->id))
+				add_doubt(found, worker, start);
+		}
+	}
+}
+
+static gint compare_texts(gconstpointer a, gconstpointer b)
+{
+	return strcmp(*(char *const *)a, *(char *const *)b);
+}
+
+/* Releases both lists; returns the length, which is the same. */
+static guint check_same(GPtrArray *found, GPtrArray *expected)
+{
+	guint n = expected->len;
+	guint i;
+
+	g_ptr_array_sort(found, compare_texts);
+	g_ptr_array_sort(expected, compare_texts);
+	g_assert_cmpuint(found->len, ==, n);
+	for (i = 0; i < n; i++)
+		g_assert_cmpstr(g_ptr_array_index(found, i), ==,
+				g_ptr_array_index(expected, i));
+	g_ptr_array_unref(found);
+	g_ptr_array_unref(expected);
+	return n;
+}
+
+static guint check_doubts(const batch_job_t *job)
+{
+	GPtrArray *found = g_ptr_array_new_with_free_func(g_free);
+	GPtrArray *expected = g_ptr_array_new_with_free_func(g_free);
+
+	batch_doubt_each(job, add_doubt, found);
+	search_doubts(job, expected);
+	return check_same(found, expected);
+}
+
+static bool is_worker(const batch_t *core, const void *found)
+{
+	GHashTableIter iter;
+	gpointer value;
+
+	g_hash_table_iter_init(&iter, core->workers);
+	while (g_hash_table_iter_next(&iter, NULL, &value))
+		if (value == found)
+			return true;
+	return false;
+}
+
+/* No worker of the index was freed. */
+static void check_doubt_index(const batch_t *core)
+{
+	GHashTableIter iter;
+	gpointer value;
+	guint i;
+
+	g_hash_table_iter_init(&iter, core->workers_by_doubt);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		const GPtrArray *workers = value;
+
+		for (i = 0; i < workers->len; i++)
+			g_assert_true(
+				is_worker(core, g_ptr_array_index(workers, i)));
+	}
+}
+
+static guint run_doubts(uint64_t seed)
+{
+	base_rng_t rng = { .state = seed };
+	batch_t *core = make_core();
+	char text[TEXT_MAX];
+	int64_t now = START;
+	guint n = 0;
+	int i;
+	int j;
+
+	for (j = 1; j <= JOBS; j++)
+		restore_job(core, j);
+	for (i = 0; i < EVENTS; i++) {
+		int id = 1 + (int)base_rng_below(&rng, IDS);
+		batch_worker_t *worker =
+			batch_find_worker(core, text_of(text, "w", id));
+
+		/* Now and then all starts are past, and workers are freed. */
+		now += base_rng_below(&rng, 30) ? 50 * BASE_MS : 30 * BASE_SEC;
+		if (!worker || base_rng_below(&rng, 4) == 0)
+			do_event(core, now, &rng);
+		else
+			do_doubt_event(worker, now, &rng);
+		check_doubt_index(core);
+		for (j = 1; j <= JOBS; j++)
+			n += check_doubts(
+				batch_find_job(core, text_of(text, "j", j)));
+	}
+	talloc_free(core);
+	return n;
+}
+
+/*
+ * Guards against a row that lacks a start that a worker may carry out late
+ * (TWICE), or names one of a worker that was freed.
+ */
+static void test_doubts_by_job(void)
+{
+	uint64_t seed;
+
+	for (seed = 1; seed <= SEEDS; seed++) {
+		g_test_message("seed %d", (int)seed);
+		g_assert_cmpuint(run_doubts(seed), >, 0);
+	}
+}
+
 /*
  * Workers and runs that are gone through for others when "n" workers are
  * listed, placed and polled, each in the place of a former one.
@@ -334,6 +531,37 @@
 			 scan_new_workers(FEW) * (MANY / FEW));
 }
 
+/* The same when the rows of "n" jobs are printed, each with a stopped start. */
+static uint64_t scan_rows(int n)
+{
+	batch_t *core = make_core();
+	batch_stats_t stats;
+	char text[TEXT_MAX];
+	int i;
+
+	for (i = 1; i <= n; i++) {
+		batch_task_id_t task = task_of(text, i, 2);
+		char worker[TEXT_MAX];
+
+		restore_job(core, i);
+		restore_doubt(batch_find_worker(core, text_of(worker, "w", i)),
+			      START, &task, 2);
+	}
+	for (i = 1; i <= n; i++)
+		batch_record_print(core,
+				   batch_find_job(core, text_of(text, "j", i)));
+	batch_stats(core, &stats);
+	talloc_free(core);
+	return stats.scanned;
+}
+
+/* Guards against rows that take the square of the workers. */
+static void test_cost_of_rows(void)
+{
+	g_assert_cmpuint(scan_rows(FEW), >, 0);
+	g_assert_cmpuint(scan_rows(MANY), <=, scan_rows(FEW) * (MANY / FEW));
+}
+
 /* The same when a third of "n" workers are lost at once, a task with each. */
 static uint64_t scan_lost_workers(int n)
 {
@@ -376,6 +604,8 @@
 			test_workers_by_place);
 	g_test_add_func("/batch-takeover/cost-of-new-workers",
 			test_cost_of_new_workers);
+	g_test_add_func("/batch-takeover/doubts-by-job", test_doubts_by_job);
+	g_test_add_func("/batch-takeover/cost-of-rows", test_cost_of_rows);
 	g_test_add_func("/batch-takeover/cost-of-lost-workers",
 			test_cost_of_lost_workers);
 	return g_test_run();
