batch: find missing runs by an index

Callers saw nothing yet: each worker that is placed or answers for the first time was compared with all lost workers whose runs may live, and each row of a job with such a run went through all of them, so that a takeover after the loss of a part of the fleet took its square.

Lost workers are kept by the address and the instance of their last run, and by the jobs of all. What is resolved and what a row names is as before; the order may differ.

--- a/packages/batch/batch.c
+++ b/packages/batch/batch.c
@@ -49,6 +49,9 @@
 	g_array_unref(core->losses);
 	g_hash_table_unref(core->lost_workers);
 	g_hash_table_unref(core->missing);
+	g_hash_table_unref(core->missing_by_address);
+	g_hash_table_unref(core->missing_by_instance);
+	g_hash_table_unref(core->missing_by_job);
 	g_hash_table_unref(core->refused);
 	g_queue_clear(&core->rows);
 	return 0;
@@ -77,6 +80,9 @@
 	core->losses = batch_crash_losses_new();
 	core->lost_workers = g_hash_table_new(NULL, NULL);
 	core->missing = batch_missing_new();
+	core->missing_by_address = batch_index_new();
+	core->missing_by_instance = batch_index_new();
+	core->missing_by_job = batch_index_new();
 	g_queue_init(&core->rows);
 	talloc_set_destructor(core, core_free);
 	return core;
--- a/packages/batch/batch_int.h
+++ b/packages/batch/batch_int.h
@@ -416,6 +416,11 @@
 	GArray *losses;		  /* of workers, lately; see batch_crash.c */
 	GHashTable *lost_workers; /* of "losses"; compared only */
 	GHashTable *missing;	  /* by worker: GArray of batch_missing_run_t */
+	/* Indexes of the keys of "missing": by the address and the instance of
+	 * the worker's last run, and by the jobs of all. */
+	GHashTable *missing_by_address;
+	GHashTable *missing_by_instance;
+	GHashTable *missing_by_job;
 	bool give_up_due;
 	batch_stats_t stats;
 	base_hist_t *times[BATCH_TIME_MAX];
--- a/packages/batch/batch_missing.c
+++ b/packages/batch/batch_missing.c
@@ -24,27 +24,61 @@
 	g_free(((batch_missing_run_t *)run)->instance);
 }
 
-static gboolean is_outdated(gpointer id, gpointer value, gpointer arg)
+static bool is_outdated(const GArray *runs, int64_t now)
 {
-	const GArray *runs = value;
-	const int64_t *now = arg;
 	const batch_missing_run_t *last =
 		&g_array_index(runs, batch_missing_run_t, runs->len - 1);
 
-	(void)id;
-	return *now - last->lost_at > MISSING_AGE_MAX;
+	return now - last->lost_at > MISSING_AGE_MAX;
 }
 
-static GArray *runs_of(batch_t *core, const char *worker)
+/* Before the worker's runs change or are freed; "id" is the key. */
+static void index_remove(batch_t *core, char *id, const GArray *runs)
 {
-	GArray *runs = g_hash_table_lookup(core->missing, worker);
+	const batch_missing_run_t *run;
+	guint i;
+
+	for (i = 0; i < runs->len; i++) {
+		run = &g_array_index(runs, batch_missing_run_t, i);
+		batch_index_remove(core->missing_by_job, run->job, id);
+		batch_index_remove(core->missing_by_address, run->address, id);
+		batch_index_remove(core->missing_by_instance, run->instance,
+				   id);
+	}
+}
+
+/* After they have changed. */
+static void index_add(batch_t *core, char *id, const GArray *runs)
+{
+	const batch_missing_run_t *run = NULL;
+	guint i;
+
+	for (i = 0; i < runs->len; i++) {
+		run = &g_array_index(runs, batch_missing_run_t, i);
+		batch_index_add(core->missing_by_job, run->job, id);
+	}
+	if (!run)
+		return;
+	batch_index_add(core->missing_by_address, run->address, id);
+	batch_index_add(core->missing_by_instance, run->instance, id);
+}
 
-	if (runs)
-		return runs;
-	runs = g_array_new(FALSE, FALSE, sizeof(batch_missing_run_t));
-	g_array_set_clear_func(runs, free_run);
-	g_hash_table_insert(core->missing, g_strdup(worker), runs);
-	return runs;
+static void add_run(batch_t *core, const char *worker,
+		    const batch_missing_run_t *run)
+{
+	gpointer id;
+	gpointer runs;
+
+	if (g_hash_table_lookup_extended(core->missing, worker, &id, &runs)) {
+		index_remove(core, id, runs);
+	} else {
+		id = g_strdup(worker);
+		runs = g_array_new(FALSE, FALSE, sizeof(batch_missing_run_t));
+		g_array_set_clear_func(runs, free_run);
+		g_hash_table_insert(core->missing, id, runs);
+	}
+	g_array_append_val(runs, *run);
+	index_add(core, id, runs);
 }
 
 static int *count_of(batch_crashes_t *crashes, const batch_missing_run_t *run)
@@ -65,7 +99,7 @@
 	added.index = id.index;
 	added.address = g_strdup(run->address);
 	added.instance = g_strdup(run->instance);
-	g_array_append_val(runs_of(head->step->occ->job->core, name), added);
+	add_run(head->step->occ->job->core, name, &added);
 	g_free(name);
 	++*count_of(&head->crashes, run);
 	if (run->begun)
@@ -95,22 +129,22 @@
 void batch_missing_each(const batch_job_t *job, batch_missing_visit_t *visit,
 			void *arg)
 {
-	GHashTableIter iter;
-	gpointer id;
-	gpointer value;
+	batch_t *core = job->core;
+	const GPtrArray *ids = batch_index_find(core->missing_by_job, job->id);
+	guint w;
 	guint i;
 
 	if (!job->has_missing)
 		return;
-	g_hash_table_iter_init(&iter, job->core->missing);
-	while (g_hash_table_iter_next(&iter, &id, &value)) {
-		const GArray *runs = value;
+	for (w = 0; ids && w < ids->len; w++) {
+		const char *id = g_ptr_array_index(ids, w);
+		const GArray *runs = g_hash_table_lookup(core->missing, id);
 
 		for (i = 0; i < runs->len; i++) {
 			const batch_missing_run_t *run =
 				&g_array_index(runs, batch_missing_run_t, i);
 
-			job->core->stats.scanned++;
+			core->stats.scanned++;
 			if (is_valid(job, run))
 				visit(arg, id, run);
 		}
@@ -119,7 +153,17 @@
 
 void batch_missing_expire(batch_t *core, int64_t now)
 {
-	g_hash_table_foreach_remove(core->missing, is_outdated, &now);
+	GHashTableIter iter;
+	gpointer id;
+	gpointer runs;
+
+	g_hash_table_iter_init(&iter, core->missing);
+	while (g_hash_table_iter_next(&iter, &id, &runs)) {
+		if (!is_outdated(runs, now))
+			continue;
+		index_remove(core, id, runs);
+		g_hash_table_iter_remove(&iter);
+	}
 }
 
 static bool is_same_incarnation(const batch_missing_run_t *run,
@@ -150,46 +194,55 @@
 	return true;
 }
 
-/* Returns whether none of the runs needs to be kept. */
-static bool resolve(batch_t *core, int64_t now, const char *worker,
-		    GArray *runs, int64_t incarnation)
+void batch_missing_resolve(batch_t *core, int64_t now, const char *worker,
+			   int64_t incarnation)
 {
+	gpointer id;
+	gpointer value;
+	GArray *runs;
 	guint i;
 
+	if (!g_hash_table_lookup_extended(core->missing, worker, &id, &value))
+		return;
+	runs = value;
+	index_remove(core, id, runs);
 	for (i = runs->len; i-- > 0;)
-		if (resolve_run(core, now, worker,
+		if (resolve_run(core, now, id,
 				&g_array_index(runs, batch_missing_run_t, i),
 				incarnation))
 			g_array_remove_index(runs, i);
-	return !runs->len;
+	index_add(core, id, runs);
+	if (!runs->len)
+		g_hash_table_remove(core->missing, id);
 }
 
-void batch_missing_resolve(batch_t *core, int64_t now, const char *worker,
-			   int64_t incarnation)
+static void resolve_others(batch_t *core, int64_t now, const GPtrArray *found,
+			   const char *by)
 {
-	GArray *runs = g_hash_table_lookup(core->missing, worker);
+	GPtrArray *ids = g_ptr_array_new_with_free_func(g_free);
+	guint i;
 
-	if (runs && resolve(core, now, worker, runs, incarnation))
-		g_hash_table_remove(core->missing, worker);
+	/* What is resolved leaves the index. */
+	for (i = 0; found && i < found->len; i++)
+		g_ptr_array_add(ids, g_strdup(g_ptr_array_index(found, i)));
+	for (i = 0; i < ids->len; i++) {
+		core->stats.scanned++;
+		if (strcmp(g_ptr_array_index(ids, i), by))
+			batch_missing_resolve(core, now,
+					      g_ptr_array_index(ids, i), 0);
+	}
+	g_ptr_array_unref(ids);
 }
 
 void batch_missing_replace(batch_t *core, int64_t now,
 			   const batch_place_t *place)
 {
-	GHashTableIter iter;
-	gpointer id;
-	gpointer value;
-
-	g_hash_table_iter_init(&iter, core->missing);
-	while (g_hash_table_iter_next(&iter, &id, &value)) {
-		GArray *runs = value;
-		const batch_missing_run_t *last = &g_array_index(
-			runs, batch_missing_run_t, runs->len - 1);
-		batch_place_t former = { id, last->address, last->instance };
-
-		core->stats.scanned++;
-		if (batch_place_is_same(&former, place) &&
-		    resolve(core, now, id, runs, 0))
-			g_hash_table_iter_remove(&iter);
-	}
+	resolve_others(
+		core, now,
+		batch_index_find(core->missing_by_address, place->address),
+		place->worker);
+	resolve_others(
+		core, now,
+		batch_index_find(core->missing_by_instance, place->instance),
+		place->worker);
 }
--- a/packages/batch/tests/batch_takeover_test.c
+++ b/packages/batch/tests/batch_takeover_test.c
@@ -503,6 +503,178 @@
 	}
 }
 
+static void add_missing(batch_t *core, int64_t now, base_rng_t *rng)
+{
+	char id[TEXT_MAX];
+	char job[TEXT_MAX];
+	char address[TEXT_MAX];
+	char instance[TEXT_MAX];
+	batch_task_id_t task =
+		task_of(job, 1 + (int)base_rng_below(rng, JOBS), 0);
+	batch_missing_run_t run = {
+		.run = 1 + base_rng_below(rng, RUNS),
+		.incarnation = base_rng_below(rng, 3),
+		.address = (char *)text_of(address, "a",
+					   (int)base_rng_below(rng, PLACES))
+				   .ptr,
+		.instance = (char *)text_of(instance, "i",
+					    (int)base_rng_below(rng, PLACES))
+				    .ptr,
+		.lost_at = now,
+		.begun = base_rng_below(rng, 2),
+		.if_crashed = (batch_suspicion_t)base_rng_below(
+			rng, BATCH_SUSPECT_MAX),
+	};
+
+	batch_missing_add(text_of(id, "w", 1 + (int)base_rng_below(rng, IDS)),
+			  batch_find_task(core, &task), &run);
+}
+
+static void note_missing(void *found, const char *worker,
+			 const batch_missing_run_t *run)
+{
+	g_ptr_array_add(found,
+			g_strdup_printf("%s %s %d %s %s %d", worker, run->job,
+					(int)run->run, run->address,
+					run->instance, (int)run->if_crashed));
+}
+
+/*
+ * The missing runs of the job, or of all, by a search through all; without
+ * those that are resolved when a worker is in the place.
+ */
+static GPtrArray *search_missing(batch_t *core, const batch_job_t *job,
+				 const batch_place_t *place)
+{
+	GPtrArray *found = g_ptr_array_new_with_free_func(g_free);
+	GHashTableIter iter;
+	gpointer id;
+	gpointer value;
+	guint i;
+
+	g_hash_table_iter_init(&iter, core->missing);
+	while (g_hash_table_iter_next(&iter, &id, &value)) {
+		const GArray *runs = value;
+		const batch_missing_run_t *last = &g_array_index(
+			runs, batch_missing_run_t, runs->len - 1);
+		batch_place_t former = { id, last->address, last->instance };
+		bool is_replaced = place && batch_place_is_same(&former, place);
+
+		for (i = 0; i < runs->len; i++) {
+			const batch_missing_run_t *run =
+				&g_array_index(runs, batch_missing_run_t, i);
+
+			if ((!job || !strcmp(run->job, job->id)) &&
+			    !(is_replaced &&
+			      run->if_crashed != BATCH_SUSPECT_NONE))
+				note_missing(found, id, run);
+		}
+	}
+	return found;
+}
+
+static void replace_missing(batch_t *core, int64_t now, base_rng_t *rng)
+{
+	char id[TEXT_MAX];
+	char address[TEXT_MAX];
+	char instance[TEXT_MAX];
+	batch_place_t place = {
+		.worker =
+			text_of(id, "w", 1 + (int)base_rng_below(rng, IDS)).ptr,
+		.address =
+			text_of(address, "a", (int)base_rng_below(rng, PLACES))
+				.ptr,
+		.instance =
+			text_of(instance, "i", (int)base_rng_below(rng, PLACES))
+				.ptr,
+	};
+	GPtrArray *expected = search_missing(core, NULL, &place);
+
+	batch_missing_replace(core, now, &place);
+	check_same(search_missing(core, NULL, NULL), expected);
+}
+
+static void do_missing_event(batch_t *core, int64_t now, base_rng_t *rng)
+{
+	char id[TEXT_MAX];
+
+	switch (base_rng_below(rng, 5)) {
+	case 0:
+	case 1:
+		add_missing(core, now, rng);
+		break;
+	case 2:
+		text_of(id, "w", 1 + (int)base_rng_below(rng, IDS));
+		batch_missing_resolve(core, now, id, base_rng_below(rng, 3));
+		break;
+	case 3:
+		replace_missing(core, now, rng);
+		break;
+	default:
+		batch_missing_expire(core, now);
+	}
+}
+
+static guint check_missing(batch_t *core, const batch_job_t *job)
+{
+	GPtrArray *found = g_ptr_array_new_with_free_func(g_free);
+
+	batch_missing_each(job, note_missing, found);
+	return check_same(found, search_missing(core, job, NULL));
+}
+
+static guint count_values(GHashTable *index)
+{
+	GHashTableIter iter;
+	gpointer value;
+	guint n = 0;
+
+	g_hash_table_iter_init(&iter, index);
+	while (g_hash_table_iter_next(&iter, NULL, &value))
+		n += ((GPtrArray *)value)->len;
+	return n;
+}
+
+/*
+ * Guards against a lost worker whose crash is not counted, or counted though
+ * it lives, since an index is not what the table of missing runs says.
+ */
+static void test_missing_by_place_and_job(void)
+{
+	char text[TEXT_MAX];
+	uint64_t seed;
+	int i;
+	int j;
+
+	for (seed = 1; seed <= SEEDS; seed++) {
+		base_rng_t rng = { .state = seed };
+		batch_t *core = make_core();
+		int64_t now = START;
+		guint n = 0;
+
+		g_test_message("seed %d", (int)seed);
+		for (j = 1; j <= JOBS; j++)
+			restore_job(core, j);
+		for (i = 0; i < EVENTS; i++) {
+			/* Some are kept for two minutes. */
+			now += base_rng_below(&rng, 10) * BASE_SEC;
+			do_missing_event(core, now, &rng);
+			for (j = 1; j <= JOBS; j++)
+				n += check_missing(
+					core,
+					batch_find_job(core,
+						       text_of(text, "j", j)));
+			g_assert_cmpuint(count_values(core->missing_by_address),
+					 <=, g_hash_table_size(core->missing));
+			g_assert_cmpuint(
+				count_values(core->missing_by_instance), <=,
+				g_hash_table_size(core->missing));
+		}
+		g_assert_cmpuint(n, >, 0);
+		talloc_free(core);
+	}
+}
+
 /*
  * Workers and runs that are gone through for others when "n" workers are
  * listed, placed and polled, each in the place of a former one.
@@ -531,6 +703,46 @@
 			 scan_new_workers(FEW) * (MANY / FEW));
 }
 
+/* The same when each of the "n" workers replaces one with a missing run. */
+static uint64_t scan_replaced(int n)
+{
+	batch_t *core = make_core();
+	batch_stats_t stats;
+	int i;
+
+	for (i = 1; i <= n; i++) {
+		char job[TEXT_MAX];
+		char former[TEXT_MAX];
+		char instance[TEXT_MAX];
+		batch_task_id_t task = task_of(job, i, 0);
+		batch_missing_run_t run = {
+			.run = 1,
+			.instance = (char *)text_of(instance, "i", i).ptr,
+			.lost_at = START,
+			.if_crashed = BATCH_SUSPECT_SHARED,
+		};
+
+		restore_job(core, i);
+		batch_missing_add(text_of(former, "former", i),
+				  batch_find_task(core, &task), &run);
+	}
+	for (i = n; i >= 1; i--) {
+		list_worker(core, START, i, i);
+		place_worker(core, START, i, i);
+	}
+	g_assert_cmpuint(g_hash_table_size(core->missing), ==, 0);
+	batch_stats(core, &stats);
+	talloc_free(core);
+	return stats.scanned;
+}
+
+/* Guards against a takeover that takes the square of the lost workers. */
+static void test_cost_of_missing_runs(void)
+{
+	g_assert_cmpuint(scan_replaced(MANY), <=,
+			 scan_replaced(FEW) * (MANY / FEW));
+}
+
 /* The same when the rows of "n" jobs are printed, each with a stopped start. */
 static uint64_t scan_rows(int n)
 {
@@ -606,6 +818,10 @@
 			test_cost_of_new_workers);
 	g_test_add_func("/batch-takeover/doubts-by-job", test_doubts_by_job);
 	g_test_add_func("/batch-takeover/cost-of-rows", test_cost_of_rows);
+	g_test_add_func("/batch-takeover/missing-by-place-and-job",
+			test_missing_by_place_and_job);
+	g_test_add_func("/batch-takeover/cost-of-missing-runs",
+			test_cost_of_missing_runs);
 	g_test_add_func("/batch-takeover/cost-of-lost-workers",
 			test_cost_of_lost_workers);
 	return g_test_run();
