--- a/packages/batch/batch.c
+++ b/packages/batch/batch.c
@@ -38,13 +38,20 @@
 			g_ptr_array_unref(((batch_job_t *)value)->occs);
 	g_hash_table_unref(core->jobs);
 	g_hash_table_unref(core->workers);
+	g_hash_table_unref(core->workers_by_address);
+	g_hash_table_unref(core->workers_by_instance);
+	g_hash_table_unref(core->workers_by_doubt);
 	g_hash_table_unref(core->queues);
 	g_hash_table_unref(core->pools);
 	g_ptr_array_unref(core->active_jobs);
 	for (i = 0; i < BATCH_LANE_MAX; i++)
 		g_ptr_array_unref(core->storing_jobs[i]);
 	g_array_unref(core->losses);
+	g_hash_table_unref(core->lost_workers);
 	g_hash_table_unref(core->missing);
+	g_hash_table_unref(core->missing_by_address);
+	g_hash_table_unref(core->missing_by_instance);
+	g_hash_table_unref(core->missing_by_job);
 	g_hash_table_unref(core->refused);
 	g_queue_clear(&core->rows);
 	return 0;
@@ -60,6 +67,9 @@
 		core->times[i] = base_hist_new(core);
 	core->jobs = g_hash_table_new(g_str_hash, g_str_equal);
 	core->workers = g_hash_table_new(g_str_hash, g_str_equal);
+	core->workers_by_address = batch_index_new();
+	core->workers_by_instance = batch_index_new();
+	core->workers_by_doubt = batch_index_new();
 	core->queues = g_hash_table_new(g_str_hash, g_str_equal);
 	core->pools = g_hash_table_new(g_str_hash, g_str_equal);
 	core->refused =
@@ -68,7 +78,11 @@
 	for (i = 0; i < BATCH_LANE_MAX; i++)
 		core->storing_jobs[i] = g_ptr_array_new();
 	core->losses = batch_crash_losses_new();
+	core->lost_workers = g_hash_table_new(NULL, NULL);
 	core->missing = batch_missing_new();
+	core->missing_by_address = batch_index_new();
+	core->missing_by_instance = batch_index_new();
+	core->missing_by_job = batch_index_new();
 	g_queue_init(&core->rows);
 	talloc_set_destructor(core, core_free);
 	return core;
--- a/packages/batch/batch_int.h
+++ b/packages/batch/batch_int.h
@@ -331,6 +331,8 @@
 	char *instance;
 	char *zone;
 	char *rack;
+	GQuark zone_quark;
+	GQuark rack_quark;
 	char **labels;
 	size_t n_labels;
 	batch_res_t capacity;
@@ -395,6 +397,11 @@
 	batch_options_t options;
 	GHashTable *jobs;    /* by id, of batch_job_t */
 	GHashTable *workers; /* by id, of batch_worker_t */
+	/* Indexes (batch_index.c) of batch_worker_t. */
+	GHashTable *workers_by_address;
+	GHashTable *workers_by_instance;
+	/* The same, by job: of workers that have a stopped start in doubt. */
+	GHashTable *workers_by_doubt;
 	GHashTable *queues;
 	GHashTable *pools;
 	GPtrArray
@@ -406,8 +413,14 @@
 	/* Jobs whose rows are being stored, and strings of these rows. */
 	GPtrArray *storing_jobs[BATCH_LANE_MAX];
 	void *row_texts[BATCH_LANE_MAX];
-	GArray *losses;	     /* of workers, lately; see batch_crash.c */
-	GHashTable *missing; /* by worker: GArray of batch_missing_run_t */
+	GArray *losses;		  /* of workers, lately; see batch_crash.c */
+	GHashTable *lost_workers; /* of "losses"; compared only */
+	GHashTable *missing;	  /* by worker: GArray of batch_missing_run_t */
+	/* Indexes of the keys of "missing": by the address and the instance of
+	 * the worker's last run, and by the jobs of all. */
+	GHashTable *missing_by_address;
+	GHashTable *missing_by_instance;
+	GHashTable *missing_by_job;
 	bool give_up_due;
 	batch_stats_t stats;
 	base_hist_t *times[BATCH_TIME_MAX];
@@ -436,6 +449,14 @@
 /* Whether the step is ready and a task of it is neither done nor has a run. */
 bool batch_step_has_waiting(const batch_step_t *step);
 
+/* batch_index.c: values by a key; an empty key, or NULL, has none. */
+GHashTable *batch_index_new(void);
+/* Without effect if the key has the value. */
+void batch_index_add(GHashTable *index, const char *key, void *value);
+void batch_index_remove(GHashTable *index, const char *key, void *value);
+/* NULL: the key has none.  The list is valid until the next change. */
+const GPtrArray *batch_index_find(GHashTable *index, const char *key);
+
 /* batch_commit.c */
 void batch_job_changed(batch_job_t *job);
 
@@ -511,6 +532,8 @@
 /* Adds one that a former holder has stored. */
 void batch_doubt_restore(batch_worker_t *worker,
 			 const batch_in_doubt_start_t *start);
+/* The worker is freed. */
+void batch_doubt_forget(batch_worker_t *worker);
 /* The worker has another process, which has not answered any stop. */
 void batch_doubt_new_process(batch_worker_t *worker, int64_t now);
 
