net: reset an open connection when its process is killed

When a holder was killed with an order in its kernel's queue, the kernel went on delivering the order and closed the connection in an orderly way: the order outlived the process that had the right to give it. SO_LINGER was set only where the client itself gave a call up, which a killed process cannot do.

Set it once the connection is open, so that the kernel drops what was not delivered, however the process ends.

The test's sender has a request in its kernel that the server's window has no room for, and is killed.

--- a/packages/net/net.h
+++ b/packages/net/net.h
@@ -119,7 +119,8 @@
  *
  * A call whose timeout has passed or whose permit is not valid any more when it
  * would be written is not sent; its outcome is NET_UNSENT.  What has been
- * written stays in the kernel for at most the timeout (TCP_USER_TIMEOUT).
+ * written stays in the kernel for at most the timeout (TCP_USER_TIMEOUT), and
+ * no longer than the process lives (SO_LINGER).
  */
 net_call_t *net_call(net_client_t *client, const net_request_t *request,
 		     net_done_t *done, void *arg);
--- a/packages/net/net_client.c
+++ b/packages/net/net_client.c
@@ -70,18 +70,16 @@
 }
 
 /*
- * Make closing the connection send a reset: request data that is not delivered
- * yet must not reach the server after the call was given up.
+ * Make closing the connection send a reset, also when the process is killed:
+ * request data that is not delivered yet must not reach the server after the
+ * call was given up.
  */
-static void reset_on_close(const net_conn_t *conn)
+static void reset_on_close(struct bufferevent *bev)
 {
-	struct bufferevent *bev =
-		evhttp_connection_get_bufferevent(conn->evcon);
 	struct linger linger = { .l_onoff = 1, .l_linger = 0 };
-	evutil_socket_t fd = bev ? bufferevent_getfd(bev) : -1;
 
-	if (fd >= 0)
-		setsockopt(fd, SOL_SOCKET, SO_LINGER, &linger, sizeof(linger));
+	setsockopt(bufferevent_getfd(bev), SOL_SOCKET, SO_LINGER, &linger,
+		   sizeof(linger));
 }
 
 /*
@@ -90,8 +88,6 @@
  */
 static void discard_conn(net_loop_t *loop, net_conn_t *conn)
 {
-	if (conn->call)
-		reset_on_close(conn);
 	conn->discarded = true;
 	conn->call = NULL;
 	conn->client = NULL;
@@ -300,6 +296,8 @@
 	bufferevent_setcb(bev, NULL, NULL, conn->connect_done,
 			  conn->connect_arg);
 	conn->is_open = what & BEV_EVENT_CONNECTED;
+	if (conn->is_open)
+		reset_on_close(bev);
 	if (call && what & BEV_EVENT_CONNECTED) {
 		if (!may_send(call)) {
 			close_conn(conn);
--- a/packages/net/tests/net_test.c
+++ b/packages/net/tests/net_test.c
@@ -1,7 +1,9 @@
 #include <arpa/inet.h>
 #include <errno.h>
+#include <signal.h>
 #include <string.h>
 #include <sys/socket.h>
+#include <sys/wait.h>
 #include <unistd.h>
 
 #include "net.h"
@@ -465,6 +467,70 @@
 	teardown(f);
 }
 
+static void stop_loop(void *arg, const net_answer_t *answer)
+{
+	g_assert_cmpint(answer->call_outcome, ==, NET_ANSWERED);
+	net_loop_stop(arg);
+}
+
+/* A process that sends two requests, the second one on an open connection,
+ * then writes to "ready" and waits to be killed. */
+static void run_sender(const char *address, size_t body_len, int ready)
+{
+	net_loop_t *loop = net_loop_new(NULL);
+	net_client_options_t options = { .loop = loop,
+					 .address = address,
+					 .connections = 1 };
+	net_client_t *client = net_client_new(loop, &options);
+	char *body = g_strnfill(body_len, 'x');
+	net_request_t request = { .method = NET_POST,
+				  .path = "/x",
+				  .body = BASE_STR("1"),
+				  .timeout = HANG_TIMEOUT };
+
+	net_call(client, &request, stop_loop, loop);
+	net_loop_run(loop);
+	request.body = base_str(body);
+	net_call(client, &request, stop_loop, loop);
+	g_assert_cmpint(write(ready, "", 1), ==, 1);
+	for (;;)
+		pause();
+}
+
+/*
+ * Guards against orders of a process that was killed (ONE): what its kernel
+ * still had of a request was delivered once the server could be reached, here
+ * once it reads, up to the orderly end of the whole.
+ */
+static void test_killed_sender_is_reset(void)
+{
+	enum { WINDOW = 2048, BODY = 8 * WINDOW };
+	hand_server_t server;
+	char address[32];
+	int window = WINDOW;
+	int ready[2];
+	char byte;
+	pid_t sender;
+
+	server.listener = listen_idle(address, sizeof(address));
+	setsockopt(server.listener, SOL_SOCKET, SO_RCVBUF, &window,
+		   sizeof(window));
+	g_assert_cmpint(pipe(ready), ==, 0);
+	sender = fork();
+	g_assert_cmpint(sender, >=, 0);
+	if (!sender)
+		run_sender(address, BODY, ready[1]);
+	answer_by_hand(&server);
+	g_assert_cmpint(read(ready[0], &byte, 1), ==, 1);
+	kill(sender, SIGKILL);
+	waitpid(sender, NULL, 0);
+	g_assert_cmpint(error_at_eof(server.fd), ==, ECONNRESET);
+	close(ready[0]);
+	close(ready[1]);
+	close(server.fd);
+	close(server.listener);
+}
+
 static void test_bad_addresses(void)
 {
 	static const char *const bad[] = { "",		":1",
@@ -555,6 +621,8 @@
 			test_failure_at_once_is_reported_later);
 	g_test_add_func("/net/given-up-is-reset",
 			test_timeout_resets_connection);
+	g_test_add_func("/net/killed-sender-is-reset",
+			test_killed_sender_is_reset);
 	g_test_add_func("/net/bad-addresses", test_bad_addresses);
 	g_test_add_func("/net/addresses", test_addresses);
 	return g_test_run();
