node: order moves of instances once the store has them

A move was ordered on the lease alone, and nothing told the successor of it.

Now a row of the store lists the instances for which an order of the holder may be carried out, and a move is ordered once a change that writes this row, conditional on the holder's key, is answered. A holder that is cut off or has lost its key thus orders no other instance than those that the row names, and its successor, which reads the row, orders nothing for these until the last order is too late: the former lease, 2 s, and the 13 s that were reckoned with for an order without an answer before. An instance leaves the row, with the next change that is due anyway, when its orders are answered.

A move whose instance is not listed any more was freed while its order was under way; its answer then used it. It stays until that answer (by reading; no test).

Three fixtures have moves now, as a holder has, and a store that answers changes.

Cost: one read more in a takeover, and one entry more in the changes that begin or settle moves; such a change is sent for a move if none is due.

--- a/packages/node/node_commit.c
+++ b/packages/node/node_commit.c
@@ -14,9 +14,10 @@
 #include "node_int.h"
 
 /* Entries of a change: conditions on the holder's key and on the fence, the
- * fence itself, three for a wave and learned run times, and the jobs' rows. */
+ * fence itself, four for a wave, moves and learned run times, and the jobs'
+ * rows. */
 #define COMMIT_FIXED_ENTRIES 3
-#define COMMIT_ROWS_MAX (NODE_CHANGE_MAX - COMMIT_FIXED_ENTRIES - 3)
+#define COMMIT_ROWS_MAX (NODE_CHANGE_MAX - COMMIT_FIXED_ENTRIES - 4)
 /* Learned run times change slowly, so a successor may begin with some that are
  * seconds old. */
 #define COMMIT_LEARNED_PERIOD (3 * BASE_SEC)
@@ -76,9 +77,11 @@
 		(took - holder->commit_time) / COMMIT_SLOW_SAMPLES;
 	commit->fence_revision = fence_revision;
 	close_commit(commit);
-	/* Only these two contain rows of waves. */
-	if (commit->lane == BATCH_LANE_ALL || !commit->lane)
+	/* Only these two contain rows of waves and moves. */
+	if (commit->lane == BATCH_LANE_ALL || !commit->lane) {
 		node_waves_rows_stored(holder->waves);
+		node_moves_row_stored(holder->moves);
+	}
 	batch_rows_stored(holder->core, commit->lane, now);
 	node_workers_rows_stored(holder);
 	node_holder_step_soon(holder);
@@ -228,6 +231,7 @@
 	if (commit->lane != BATCH_LANE_ALL && commit->lane)
 		return;
 	node_waves_add_rows(commit->holder->waves, commit->ctx, sets, n);
+	node_moves_add_row(commit->holder->moves, commit->ctx, sets, n);
 	add_learned(commit, sets, n);
 }
 
@@ -383,6 +387,7 @@
 	if (holder->ended || !node_holder_may_decide(holder))
 		return;
 	if (!n_rows && !node_waves_has_unstored(holder->waves) &&
+	    !node_moves_has_unstored(holder->moves) &&
 	    !holder->forgotten.length)
 		return;
 	if (!holder->commits)
--- a/packages/node/node_holder.c
+++ b/packages/node/node_holder.c
@@ -248,6 +248,8 @@
 	holder->orphan_until = holder->taken_at + HOLDER_TTL +
 			       HOLDER_ORPHAN_GRACE +
 			       node_worker_lease_span(holder);
+	holder->former_orders_until =
+		holder->taken_at + HOLDER_TTL + NODE_INSTANCE_ORDER_LATE_MAX;
 	holder->store = node->platform->store_new(holder, node->loop,
 						  node->settings->store);
 	holder->core = batch_new(holder, &core);
--- a/packages/node/node_int.h
+++ b/packages/node/node_int.h
@@ -18,6 +18,7 @@
 #define NODE_KEY_WAVE "cactusfield/wave/"
 #define NODE_KEY_MEMBER "cactusfield/member/"
 #define NODE_KEY_LEARNED "cactusfield/learned"
+#define NODE_KEY_MOVES "cactusfield/moves"
 
 /* Cores assumed for an entry whose size is not configured, and enough for a
  * holder: a quarter core serves some hundreds of workers. */
@@ -377,6 +378,8 @@
 	int64_t fence_revision;
 	int64_t taken_at;
 	int64_t orphan_until; /* worker leases of former holders end by then */
+	/* Orders of former holders for instances are carried out by then. */
+	int64_t former_orders_until;
 	bool restored;
 	bool ended; /* the term is over; freed once its callbacks return */
 	bool suspension_logged;
@@ -486,12 +489,26 @@
 					   const char *worker);
 
 /* node_move.c */
+/* An order without an answer is carried out 2 to 12 s later, or never. */
+#define NODE_INSTANCE_ORDER_LATE_MAX (13 * BASE_SEC)
+
 node_moves_t *node_moves_new(node_holder_t *holder);
 void node_moves_begin(node_moves_t *moves);
 /* The list of instances was read completely. */
 void node_moves_list_done(node_moves_t *moves);
-/* Whether the instance is changing its pool. */
+/* Whether the instance is changing its pool, or may do so by an order of a
+ * former holder. */
 bool node_moves_is_moving(const node_moves_t *moves, const char *name);
+/* Takes the row that a former holder stored of its orders: nothing is ordered
+ * for these instances before "until". */
+void node_moves_restore(node_moves_t *moves, base_str_t text, int64_t until);
+/* Appends the row of orders to "sets", if it has changed. */
+void node_moves_add_row(node_moves_t *moves, const void *ctx, node_set_t *sets,
+			size_t *n_sets);
+/* The row of the last node_moves_add_row() is stored: sends what waited. */
+void node_moves_row_stored(node_moves_t *moves);
+/* Whether a move waits for the row. */
+bool node_moves_has_unstored(const node_moves_t *moves);
 /* Adds the facts of an instance's move to "answer", as text to "sentence". */
 void node_moves_explain(const node_moves_t *moves, const char *name,
 			json_t *answer, base_buf_t *sentence);
--- a/packages/node/node_move.c
+++ b/packages/node/node_move.c
@@ -1,5 +1,11 @@
 /*
  * Moves of instances between pools, as the core requests them.
+ *
+ * A move is ordered once the store has the instance in the row of ordered
+ * moves, in a change that only the holder can make.  So a process that has lost
+ * the duty orders no other ones, and its successor, which reads the row, knows
+ * which instances an order may still come for: it orders nothing for these
+ * until that order is too late.
  */
 #include "node_int.h"
 
@@ -8,10 +14,15 @@
 /* A move takes under two seconds.  One that the instance list does not show
  * after this time is given up. */
 #define MOVE_TIMEOUT (6 * BASE_SEC)
-/* An order without an answer is carried out 2 to 12 s later, or never. */
-#define MOVE_LATE_MAX (13 * BASE_SEC)
 #define MOVE_TICK_MAX 32 /* moves started per tick */
 
+/* What may still come of the orders for an instance. */
+typedef struct ordered {
+	bool is_open;	    /* an order is to be sent, or its answer is due */
+	bool is_formers;    /* ordered by a former holder */
+	int64_t late_until; /* until then an unanswered order may act; or 0 */
+} ordered_t;
+
 typedef struct move {
 	node_moves_t *moves;
 	char *name;
@@ -19,6 +30,8 @@
 	char *worker; /* the worker that ends with the move; empty: none */
 	int64_t began_at;
 	int64_t answered_at; /* when the last call was answered or timed out */
+	uint64_t version;    /* first version of the row that lists it */
+	bool is_sent;
 	bool is_calling;
 	bool is_confirmed;  /* the platform has confirmed the move */
 	int64_t late_until; /* until then an unanswered order may act; or 0 */
@@ -27,6 +40,11 @@
 struct node_moves {
 	node_holder_t *holder;
 	GHashTable *by_name;
+	GHashTable *ordered;	  /* instance name to ordered_t */
+	uint64_t version;	  /* of the row that holds "ordered" */
+	uint64_t due_version;	  /* a move waits until it is stored */
+	uint64_t written_version; /* version that is being stored */
+	uint64_t stored_version;  /* version that is known to be stored */
 	net_timer_t *timer;
 };
 
@@ -35,6 +53,7 @@
 static int moves_free(node_moves_t *moves)
 {
 	g_hash_table_unref(moves->by_name);
+	g_hash_table_unref(moves->ordered);
 	return 0;
 }
 
@@ -44,6 +63,8 @@
 
 	moves->holder = holder;
 	moves->by_name = g_hash_table_new(g_str_hash, g_str_equal);
+	moves->ordered =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	moves->timer = net_timer_new(moves, holder->node->loop, tick, moves);
 	talloc_set_destructor(moves, moves_free);
 	return moves;
@@ -56,7 +77,91 @@
 
 bool node_moves_is_moving(const node_moves_t *moves, const char *name)
 {
-	return g_hash_table_contains(moves->by_name, name);
+	const ordered_t *ordered = g_hash_table_lookup(moves->ordered, name);
+
+	return g_hash_table_contains(moves->by_name, name) ||
+	       (ordered && ordered->is_formers &&
+		base_clock_mono() < ordered->late_until);
+}
+
+static ordered_t *add_ordered(node_moves_t *moves, const char *name)
+{
+	ordered_t *ordered = g_hash_table_lookup(moves->ordered, name);
+
+	if (!ordered) {
+		ordered = g_new0(ordered_t, 1);
+		g_hash_table_insert(moves->ordered, g_strdup(name), ordered);
+	}
+	return ordered;
+}
+
+void node_moves_restore(node_moves_t *moves, base_str_t text, int64_t until)
+{
+	json_t *root = json_loadb(text.ptr, text.len, 0, NULL);
+	const json_t *names = json_object_get(root, "ordered");
+	size_t i;
+
+	for (i = 0; i < json_array_size(names); i++) {
+		const char *name = json_string_value(json_array_get(names, i));
+		ordered_t *ordered;
+
+		if (!name)
+			continue;
+		ordered = add_ordered(moves, name);
+		ordered->is_formers = true;
+		ordered->late_until = until;
+		node_log(moves->holder->node, BASE_MSG_MOVE,
+			 BASE_F_STR("instance", name),
+			 BASE_F_STR("why", "ordered by a former holder"));
+	}
+	json_decref(root);
+}
+
+/* Forgets orders of which nothing comes any more.  That is stored with the next
+ * change that is due anyway. */
+static void forget_ordered(node_moves_t *moves, int64_t now)
+{
+	GHashTableIter iter;
+	gpointer value;
+
+	g_hash_table_iter_init(&iter, moves->ordered);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		const ordered_t *ordered = value;
+
+		if (ordered->is_open || now < ordered->late_until)
+			continue;
+		g_hash_table_iter_remove(&iter);
+		moves->version++;
+	}
+}
+
+bool node_moves_has_unstored(const node_moves_t *moves)
+{
+	return moves->stored_version < moves->due_version;
+}
+
+void node_moves_add_row(node_moves_t *moves, const void *ctx, node_set_t *sets,
+			size_t *n_sets)
+{
+	base_buf_t *buf;
+	GHashTableIter iter;
+	gpointer name;
+	const char *separator = "";
+
+	moves->written_version = moves->version;
+	if (moves->stored_version == moves->version)
+		return;
+	buf = base_buf_new(ctx);
+	base_buf_adds(buf, "{\"ordered\":[");
+	g_hash_table_iter_init(&iter, moves->ordered);
+	while (g_hash_table_iter_next(&iter, &name, NULL)) {
+		base_buf_adds(buf, separator);
+		base_buf_add_json(buf, base_str(name));
+		separator = ",";
+	}
+	base_buf_adds(buf, "]}");
+	sets[(*n_sets)++] =
+		(node_set_t){ NODE_KEY_MOVES, base_buf_str(buf), 0 };
 }
 
 void node_moves_explain(const node_moves_t *moves, const char *name,
@@ -76,9 +181,18 @@
 		      move->to, (double)age / BASE_SEC);
 }
 
+static ordered_t *find_ordered(const move_t *move)
+{
+	return g_hash_table_lookup(move->moves->ordered, move->name);
+}
+
 static void end_move(move_t *move, const char *why)
 {
 	node_moves_t *moves = move->moves;
+	ordered_t *ordered = find_ordered(move);
+
+	if (ordered)
+		ordered->is_open = false;
 
 	node_log(moves->holder->node, BASE_MSG_MOVE,
 		 BASE_F_STR("instance", move->name), BASE_F_STR("to", move->to),
@@ -103,6 +217,7 @@
 	case NODE_INSTANCE_ORDER_OK:
 		move->is_confirmed = true;
 		move->late_until = 0;
+		find_ordered(move)->is_open = false;
 		node_workers_ended(holder, move->worker);
 		break;
 	case NODE_INSTANCE_ORDER_FENCED:
@@ -110,7 +225,9 @@
 		break;
 	case NODE_INSTANCE_ORDER_UNKNOWN:
 		/* Retried: the platform does not carry out a move twice. */
-		move->late_until = move->answered_at + MOVE_LATE_MAX;
+		move->late_until =
+			move->answered_at + NODE_INSTANCE_ORDER_LATE_MAX;
+		find_ordered(move)->late_until = move->late_until;
 		break;
 	default:
 		/* The refusal of one order does not settle another. */
@@ -127,6 +244,7 @@
 {
 	node_holder_t *holder = move->moves->holder;
 
+	move->is_sent = true;
 	move->is_calling = true;
 	holder->node->platform->move(holder->instances->handle, move->name,
 				     move->to, holder->term, move_answered,
@@ -138,6 +256,7 @@
 		       const batch_move_t *asked, const char *to)
 {
 	move_t *move = talloc_zero(moves, move_t);
+	ordered_t *ordered;
 
 	move->moves = moves;
 	move->name = talloc_strdup(move, inst->name);
@@ -145,13 +264,31 @@
 	move->worker = talloc_strdup(move, inst->worker);
 	move->began_at = base_clock_mono();
 	g_hash_table_insert(moves->by_name, move->name, move);
+	ordered = add_ordered(moves, move->name);
+	ordered->is_open = true;
+	ordered->is_formers = false;
+	move->version = moves->due_version = ++moves->version;
 	node_log(moves->holder->node, BASE_MSG_MOVE,
 		 BASE_F_STR("instance", move->name),
 		 BASE_F_STR("from", inst->pool), BASE_F_STR("to", to),
 		 BASE_F_STR("why", "asked"),
 		 BASE_F_INT("have", asked->workers_before),
 		 BASE_F_INT("need", asked->workers_needed));
-	send_move(move);
+}
+
+void node_moves_row_stored(node_moves_t *moves)
+{
+	GHashTableIter iter;
+	gpointer value;
+
+	moves->stored_version = moves->written_version;
+	g_hash_table_iter_init(&iter, moves->by_name);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		move_t *move = value;
+
+		if (!move->is_sent && move->version <= moves->stored_version)
+			send_move(move);
+	}
 }
 
 static bool is_spare(const node_t *node, const char *pool)
@@ -292,7 +429,7 @@
 	while (g_hash_table_iter_next(&iter, NULL, &value)) {
 		move_t *move = value;
 
-		if (!move->is_calling && !move->is_confirmed &&
+		if (move->is_sent && !move->is_calling && !move->is_confirmed &&
 		    now - move->answered_at > MOVE_RETRY_DELAY)
 			send_move(move);
 	}
@@ -321,12 +458,15 @@
 	spare = spare_pool(holder->node, ctx);
 	spares = find_spares(moves);
 	retry_moves(moves, now);
+	forget_ordered(moves, now);
 	count_incoming(moves);
 	n = batch_moves(holder->core, now, spares->len, spare != NULL, asked,
 			MOVE_TICK_MAX);
 	for (i = 0; i < n; i++)
 		apply_move(moves, &asked[i], spare, spares);
 	g_ptr_array_unref(spares);
+	if (node_moves_has_unstored(moves))
+		node_commit_send_pending(holder);
 	if (g_hash_table_size(moves->by_name))
 		node_instances_poll_fast(holder->instances);
 	talloc_free(ctx);
@@ -339,10 +479,11 @@
 	const node_inst_t *inst =
 		node_instance_find(holder->instances, move->name);
 
+	if (move->is_calling)
+		return false;
 	if (!inst)
 		return true;
-	if (move->is_calling ||
-	    move->answered_at >= holder->instances->complete_round_start)
+	if (move->answered_at >= holder->instances->complete_round_start)
 		return false;
 	if (strcmp(inst->pool, move->to) || inst->state != NODE_INSTANCE_UP)
 		return false;
--- a/packages/node/node_restore.c
+++ b/packages/node/node_restore.c
@@ -1,7 +1,7 @@
 /*
  * Recovery of a new holder.  Reads the workers' list, the jobs as submitted,
- * their rows, the waves and the learned run times from the store; after that,
- * polls of the workers show which runs are still alive.
+ * their rows, the waves, ordered moves and the learned run times from the
+ * store; after that, polls of the workers show which runs are still alive.
  */
 #include <limits.h>
 
@@ -14,6 +14,7 @@
 	RESTORE_SOURCES,
 	RESTORE_ROWS,
 	RESTORE_WAVES,
+	RESTORE_MOVES,
 	RESTORE_LEARNED,
 	RESTORE_STAGE_MAX
 } restore_stage_t;
@@ -180,6 +181,10 @@
 		restore->n_rows++;
 		restore_row(restore, item);
 		break;
+	case RESTORE_MOVES:
+		node_moves_restore(holder->moves, item->value,
+				   holder->former_orders_until);
+		break;
 	case RESTORE_LEARNED:
 		restore_learned(holder, item);
 		break;
@@ -230,6 +235,7 @@
 		[RESTORE_SOURCES] = NODE_KEY_JOB,
 		[RESTORE_ROWS] = NODE_KEY_ROW,
 		[RESTORE_WAVES] = NODE_KEY_WAVE,
+		[RESTORE_MOVES] = NODE_KEY_MOVES,
 		[RESTORE_LEARNED] = NODE_KEY_LEARNED,
 	};
 	node_range_t range = { prefixes[restore->stage], holder->page, false };
--- a/packages/node/tests/node_commit_test.c
+++ b/packages/node/tests/node_commit_test.c
@@ -125,6 +125,7 @@
 	holder->core = batch_new(holder, &options);
 	holder->worker_links = g_hash_table_new(g_str_hash, g_str_equal);
 	holder->waves = node_waves_new(holder);
+	holder->moves = node_moves_new(holder);
 	holder->step_timer =
 		net_timer_new(holder, test.node->loop, no_step, NULL);
 	g_queue_init(&holder->forgotten);
--- a/packages/node/tests/node_given_up_test.c
+++ b/packages/node/tests/node_given_up_test.c
@@ -32,6 +32,10 @@
 	node_answered_t *get_done;
 	void *get_arg; /* NULL: no key was asked for */
 	char get_key[64];
+	bool holds_changes;	      /* of the store; else they are answered */
+	node_answered_t *change_done; /* of the last change */
+	void *change_arg;
+	char *moves_row; /* in the last change that has it; or NULL */
 	const char *address;
 	const char *worker; /* that the next entry of the list names */
 } test;
@@ -71,6 +75,31 @@
 	test.get_arg = arg;
 }
 
+static void answer_change(void)
+{
+	node_answer_t answer = { .store_status = NODE_STORE_OK, .revision = 9 };
+
+	test.change_done(test.change_arg, &answer);
+}
+
+static void fake_change(node_store_t *store, const node_change_t *change,
+			node_answered_t *done, void *arg)
+{
+	size_t i;
+
+	(void)store;
+	test.change_done = done;
+	test.change_arg = arg;
+	for (i = 0; i < change->n_sets; i++)
+		if (!strcmp(change->sets[i].key, NODE_KEY_MOVES)) {
+			talloc_free(test.moves_row);
+			test.moves_row =
+				base_str_dup(test.node, change->sets[i].value);
+		}
+	if (!test.holds_changes)
+		answer_change();
+}
+
 static void *fake_instances_new(const void *ctx,
 				const node_instances_options_t *options)
 {
@@ -171,6 +200,7 @@
 	.worker_read = fake_worker_read,
 	.worker_prefix = "w/",
 	.get = fake_get,
+	.change = fake_change,
 };
 
 static void tick(void *arg)
@@ -584,7 +614,7 @@
 
 /* The spare pool has the instance "m", with the worker "w", and is to give it
  * to the pool "p". */
-static void order_move(void)
+static void ask_for_move(void)
 {
 	static batch_pool_info_t pools[] = {
 		{ .name = BASE_STR("p") },
@@ -602,6 +632,11 @@
 	test.node->config.pools = pools;
 	test.node->config.n_pools = G_N_ELEMENTS(pools);
 	node_moves_begin(test.holder->moves);
+}
+
+static void order_move(void)
+{
+	ask_for_move();
 	while (!test.move_arg)
 		run_for(BATCH_PASS_INTERVAL);
 }
@@ -673,6 +708,76 @@
 	teardown();
 }
 
+/*
+ * Guards against orders of a holder that has lost its key (ONE), and against
+ * orders that its successor does not know of: a move was ordered by a lease
+ * alone, without a change of the store that names the instance.
+ */
+static void test_move_is_ordered_once_stored(void)
+{
+	setup();
+	test.holds_changes = true;
+	ask_for_move();
+	while (!test.change_arg && !test.move_arg)
+		run_for(BATCH_PASS_INTERVAL);
+	run_for(TICKS);
+	g_assert_null(test.move_arg);
+	g_assert_cmpstr(test.moves_row, ==, "{\"ordered\":[\"m\"]}");
+	answer_change();
+	g_assert_nonnull(test.move_arg);
+	teardown();
+}
+
+/*
+ * Guards against an order beside one that a former holder has sent and that may
+ * yet be carried out (ONE).
+ */
+static void test_instance_that_a_former_holder_ordered_is_left(void)
+{
+	static const char row[] = "{\"ordered\":[\"m\"]}";
+	int64_t until = base_clock_mono() + 2 * TICKS;
+
+	setup();
+	node_moves_restore(test.holder->moves, BASE_STR(row), until);
+	ask_for_move();
+	while (base_clock_mono() < until) {
+		g_assert_null(test.move_arg);
+		run_for(BATCH_PASS_INTERVAL);
+	}
+	/* A successor of this holder would leave it as well. */
+	g_assert_null(test.moves_row);
+	while (!test.move_arg)
+		run_for(BATCH_PASS_INTERVAL);
+	g_assert_cmpstr(test.moves_row, ==, row);
+	teardown();
+}
+
+/* The row names an instance as long as an order for it may be carried out. */
+static void test_row_of_moves_forgets_answered_orders(void)
+{
+	node_set_t sets[NODE_CHANGE_MAX];
+	size_t n = 0;
+
+	setup();
+	order_move();
+	answer_move(NODE_INSTANCE_ORDER_UNKNOWN);
+	while (!test.move_arg)
+		run_for(BATCH_PASS_INTERVAL);
+	answer_move(NODE_INSTANCE_ORDER_OK);
+	run_for(TICKS);
+	node_moves_add_row(test.holder->moves, test.holder, sets, &n);
+	g_assert_cmpuint(n, ==, 0);
+	teardown();
+	setup();
+	order_move();
+	answer_move(NODE_INSTANCE_ORDER_OK);
+	run_for(TICKS);
+	node_moves_add_row(test.holder->moves, test.holder, sets, &n);
+	g_assert_cmpuint(n, ==, 1);
+	g_assert_true(base_str_eq(sets[0].value, BASE_STR("{\"ordered\":[]}")));
+	teardown();
+}
+
 /* A refused order for a move that is the only one ends it. */
 static void test_refused_move_ends(void)
 {
@@ -1047,6 +1152,13 @@
 			test_no_stop_after_the_holders_lease);
 	g_test_add_func("/node-given-up/permits-end-with-a-handover",
 			test_permits_end_with_a_handover);
+	g_test_add_func("/node-given-up/move-is-ordered-once-stored",
+			test_move_is_ordered_once_stored);
+	g_test_add_func(
+		"/node-given-up/instance-that-a-former-holder-ordered-is-left",
+		test_instance_that_a_former_holder_ordered_is_left);
+	g_test_add_func("/node-given-up/row-of-moves-forgets-answered-orders",
+			test_row_of_moves_forgets_answered_orders);
 	g_test_add_func("/node-given-up/worker-of-a-moved-instance",
 			test_worker_of_a_moved_instance_is_looked_up);
 	return g_test_run();
--- a/packages/node/tests/node_worker_test.c
+++ b/packages/node/tests/node_worker_test.c
@@ -257,6 +257,7 @@
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	g_queue_init(&holder->forgotten);
 	holder->waves = node_waves_new(holder);
+	holder->moves = node_moves_new(holder);
 	holder->step_timer = net_timer_new(holder, test.node->loop, tick, NULL);
 	batch_config(holder->core, &queue, 1, &pool, 1);
 	node_workers_add_listed(holder, &item);
