node, platform: order moves as fast as the platform accepts them

Cause: two limits that were fitted to smaller fleets. Orders for instances go over two connections, one call at a time each, together with the pages of the instance list: some 130 orders a second, where the platform accepts 590. What waits longer than the call's timeout of 1 s is given up unsent, logged as "refused for now", and asked for again. And a tick of 150 ms begins at most 32 moves, 213 a second.

--- a/packages/node/node.h
+++ b/packages/node/node.h
@@ -60,6 +60,8 @@
 	int64_t store_value_max; /* bytes of a value in the store; 0: not known
 				  */
 	double usable_cores;	 /* cores that this entry may use */
+	/* moves and maintenance orders that the platform accepts a second */
+	double instance_orders_per_s;
 } node_settings_t;
 
 /* Parses the settings; "err" names every fault. */
--- a/packages/node/node_instance.c
+++ b/packages/node/node_instance.c
@@ -30,6 +30,7 @@
 		.address = node->settings->instances,
 		.holder = node->settings->name,
 		.orders = node_holder_decide_permit(holder),
+		.orders_per_s = node->settings->instance_orders_per_s,
 	};
 
 	instances->holder = holder;
--- a/packages/node/node_int.h
+++ b/packages/node/node_int.h
@@ -22,6 +22,7 @@
 /* Cores assumed for an entry whose size is not configured, and enough for a
  * holder: a quarter core serves some hundreds of workers. */
 #define NODE_DEFAULT_CORES 0.25
+#define NODE_DEFAULT_INSTANCE_ORDERS_PER_S 64
 
 #define NODE_TERM_MAX (INT64_MAX - 1) /* a larger one could not be raised */
 
@@ -488,6 +489,8 @@
 /* node_move.c */
 node_moves_t *node_moves_new(node_holder_t *holder);
 void node_moves_begin(node_moves_t *moves);
+/* How many moves may begin in a tick of 150 ms. */
+size_t node_moves_per_tick(double orders_per_s);
 /* The list of instances was read completely. */
 void node_moves_list_done(node_moves_t *moves);
 /* Whether the instance is changing its pool. */
--- a/packages/node/node_move.c
+++ b/packages/node/node_move.c
@@ -1,6 +1,8 @@
 /*
  * Moves of instances between pools, as the core requests them.
  */
+#include <math.h>
+
 #include "node_int.h"
 
 #define MOVE_TICK (150 * BASE_MS)
@@ -10,7 +12,13 @@
 #define MOVE_TIMEOUT (6 * BASE_SEC)
 /* An order without an answer is carried out 2 to 12 s later, or never. */
 #define MOVE_LATE_MAX (13 * BASE_SEC)
-#define MOVE_TICK_MAX 32 /* moves started per tick */
+/*
+ * Moves started in a tick, at the least: the platform may accept the orders of
+ * a second at once.
+ */
+#define MOVE_TICK_MIN 32
+/* More moves than any pool can give up; bounds the memory of a tick. */
+#define MOVE_TICK_MAX 4096
 
 typedef struct move {
 	node_moves_t *moves;
@@ -298,12 +306,21 @@
 	}
 }
 
+size_t node_moves_per_tick(double orders_per_s)
+{
+	double in_tick = ceil(orders_per_s * MOVE_TICK / BASE_SEC);
+
+	return (size_t)MIN(MAX(in_tick, MOVE_TICK_MIN), MOVE_TICK_MAX);
+}
+
 static void tick(void *arg)
 {
 	node_moves_t *moves = arg;
 	node_holder_t *holder = moves->holder;
-	batch_move_t asked[MOVE_TICK_MAX];
+	size_t max = node_moves_per_tick(
+		holder->node->settings->instance_orders_per_s);
 	int64_t now = base_clock_mono();
+	batch_move_t *asked;
 	void *ctx;
 	const char *spare;
 	GPtrArray *spares;
@@ -318,12 +335,13 @@
 	    !holder->instances->complete_round_start)
 		return;
 	ctx = talloc_new(moves);
+	asked = talloc_array(ctx, batch_move_t, max);
 	spare = spare_pool(holder->node, ctx);
 	spares = find_spares(moves);
 	retry_moves(moves, now);
 	count_incoming(moves);
 	n = batch_moves(holder->core, now, spares->len, spare != NULL, asked,
-			MOVE_TICK_MAX);
+			max);
 	for (i = 0; i < n; i++)
 		apply_move(moves, &asked[i], spare, spares);
 	g_ptr_array_unref(spares);
--- a/packages/node/node_platform.h
+++ b/packages/node/node_platform.h
@@ -222,6 +222,8 @@
 	const char *address;
 	const char *holder;  /* name of this entry */
 	net_permit_t orders; /* of moves and maintenance */
+	/* orders that the platform accepts a second, from all entries */
+	double orders_per_s;
 } node_instances_options_t;
 
 typedef struct node_platform {
--- a/packages/node/node_settings.c
+++ b/packages/node/node_settings.c
@@ -88,6 +88,19 @@
 			      "processor_cores");
 }
 
+static void load_order_rate(node_settings_t *settings, const json_t *root,
+			    base_buf_t *faults)
+{
+	const json_t *value = json_object_get(root, "instance_orders_per_s");
+
+	settings->instance_orders_per_s =
+		value ? json_number_value(value)
+		      : NODE_DEFAULT_INSTANCE_ORDERS_PER_S;
+	if (settings->instance_orders_per_s <= 0)
+		base_buf_addf(faults, "; \"%s\" is not a positive rate",
+			      "instance_orders_per_s");
+}
+
 static void load_seeds(node_settings_t *settings, const json_t *root)
 {
 	const json_t *list = json_object_get(root, "seeds");
@@ -130,6 +143,7 @@
 	if (!settings->peers_at)
 		settings->peers_at = settings->peers;
 	load_processor(settings, root, faults);
+	load_order_rate(settings, root, faults);
 	load_seeds(settings, root);
 	json_decref(root);
 	if (faults->len) {
