batch_store_test: a late start at a next process that is not reached

A start has no answer and its worker is lost; the worker's next process carries it out 12 s late, takes the lease in it by the former process's clock, for up to 6 s, and cannot be reached. batch_run_may_start_late() waits until the start cannot begin any more, not until what it began has ended with that lease.

--- a/packages/batch/tests/batch_store_test.c
+++ b/packages/batch/tests/batch_store_test.c
@@ -384,6 +384,45 @@
 	}
 }
 
+/*
+ * Guards against the same where that process cannot be reached: it takes the
+ * lease of the start by its former process's clock, for the longest one allowed
+ * from then on.
+ */
+static void test_late_start_at_an_unreached_new_process(void)
+{
+	world_t *world = world_new(1, 2, 3);
+	batch_step_spec_t step = world_step(1);
+	world_order_t *late;
+	int64_t late_at;
+	int worker;
+
+	step.estimate = 20 * SECOND;
+	world->late_order_percent = 100;
+	world_submit(world, "a", &step, 1);
+	while (!find_late_order(world, false))
+		world_advance(world, 10 * MS);
+	world->late_order_percent = 0;
+	late = find_late_order(world, false);
+	late_at = late->at = world->now + 12 * SECOND;
+	worker = (int)(world_find_worker(world, late->worker) - world->workers);
+	world_worker_crash(world, worker);
+	world_advance(world, late_at - 10 * MS - world->now);
+	world_worker_restart(world, worker, true);
+	late = find_late_order(world, false);
+	late->incarnation = world->workers[worker].incarnation;
+	late->lease = late_at + 6 * SECOND;
+	late->at = world->now;
+	/* No poll comes between. */
+	world->workers[worker].polled_at = world->now + SECOND;
+	world_advance(world, 2 * MS);
+	g_assert_cmpint(world->starts, ==, 1);
+	world->workers[worker].unreachable = true;
+	world_advance(world, 60 * SECOND);
+	g_assert_cmpint(world_state(world, "a"), ==, BATCH_COMPLETED);
+	check_and_free(world);
+}
+
 typedef struct stopper_case {
 	bool breaks_off; /* the crash breaks the worker's connections */
 	bool lasting;
@@ -1487,6 +1526,8 @@
 			test_start_given_up_with_the_lease_is_stopped);
 	g_test_add_func("/batch-store/late-start-at-a-new-process",
 			test_late_start_at_a_new_process);
+	g_test_add_func("/batch-store/late-start-at-an-unreached-new-process",
+			test_late_start_at_an_unreached_new_process);
 	g_test_add_func("/batch-store/late-start-after-its-stopper-has-ended",
 			test_late_start_after_its_stopper_has_ended);
 	g_test_add_func("/batch-store/stopped-start-at-a-worker-that-was-moved",
