--- a/packages/node/node_int.h
+++ b/packages/node/node_int.h
@@ -377,6 +377,9 @@
 	int64_t fence_revision;
 	int64_t taken_at;
 	int64_t orphan_until; /* worker leases of former holders end by then */
+	/* Until then workers whose links were removed, and that may be back,
+	 * may take leases that had no answer. */
+	int64_t dropped_granted_until;
 	bool restored;
 	bool ended; /* the term is over; freed once its callbacks return */
 	bool suspension_logged;
--- a/packages/node/tests/node_worker_test.c
+++ b/packages/node/tests/node_worker_test.c
@@ -596,6 +596,36 @@
 	teardown();
 }
 
+/* Guards against the same where the worker was off the list in between. */
+static void test_lease_of_a_late_poll_at_a_worker_that_is_listed_again(void)
+{
+	node_item_t item = { .key = "w" };
+	const node_worker_t *worker;
+	int64_t limit;
+	int64_t longest;
+	int64_t sent;
+
+	setup();
+	longest = test.node->settings->lease_max;
+	while (!batch_worker_known(test.holder->core, BASE_STR("w")))
+		run_for(BASE_MS);
+	while (!test.poll.arg)
+		run_for(BASE_MS);
+	worker = g_hash_table_lookup(test.holder->worker_links, "w");
+	sent = worker->poll_sent_at;
+	lose_answer(&test.poll);
+	test.holder->list_round++;
+	node_workers_list_done(test.holder);
+	limit = base_clock_mono() + POLL_DUE;
+	while (g_hash_table_size(test.holder->worker_links) &&
+	       base_clock_mono() < limit)
+		run_for(BASE_MS);
+	node_workers_add_listed(test.holder, &item);
+	worker = restart_worker();
+	g_assert_cmpint(worker->lease_end, >=, sent + LATE_CALL_MAX + longest);
+	teardown();
+}
+
 /* The worker is listed with another capacity. */
 static void list_with_cpu(int64_t cpu)
 {
@@ -683,6 +713,9 @@
 			test_lease_of_a_restarted_worker);
 	g_test_add_func("/node-worker/lease-of-a-late-poll-after-a-restart",
 			test_lease_of_a_late_poll_at_a_restarted_worker);
+	g_test_add_func(
+		"/node-worker/lease-of-a-late-poll-when-listed-again",
+		test_lease_of_a_late_poll_at_a_worker_that_is_listed_again);
 	g_test_add_func("/node-worker/lease-of-a-late-start-after-a-restart",
 			test_lease_of_a_late_start_at_a_restarted_worker);
 	g_test_add_func(
