--- a/packages/node/node_int.h
+++ b/packages/node/node_int.h
@@ -381,6 +381,9 @@
 	int64_t orphan_until; /* worker leases of former holders end by then */
 	/* Orders of former holders for instances are carried out by then. */
 	int64_t former_orders_until;
+	/* Until then workers whose links were removed, and that may be back,
+	 * may take leases that had no answer. */
+	int64_t dropped_granted_until;
 	bool restored;
 	bool ended; /* the term is over; freed once its callbacks return */
 	bool suspension_logged;
--- a/packages/node/node_worker.c
+++ b/packages/node/node_worker.c
@@ -98,6 +98,7 @@
 	      lease_span(worker->holder, lease - worker->clock);
 	if (end > worker->lease_end)
 		worker->lease_end = end;
+	worker->granted = lease;
 	if (worker->has_seen_term)
 		batch_worker_lease(worker->holder->core, base_str(worker->id),
 				   worker->lease_end);
@@ -106,12 +107,38 @@
 
 /*
  * A process that started lately may have taken a lease that was granted on the
- * clock of the former one.  It cuts that at the longest lease allowed.
+ * clock of the former one, or may yet do so.  It cuts that at the longest lease
+ * allowed.
  */
 static void extend_lease_end(node_worker_t *worker, int64_t now)
 {
+	int64_t last = MAX(now, worker->granted_until);
+
 	worker->lease_end = MAX(worker->lease_end,
-				now + node_worker_lease_span(worker->holder));
+				last + node_worker_lease_span(worker->holder));
+	batch_worker_lease(worker->holder->core, base_str(worker->id),
+			   worker->lease_end);
+}
+
+void node_worker_grant_unanswered(node_worker_t *worker, int64_t sent)
+{
+	worker->granted_until =
+		MAX(worker->granted_until, sent + WORKER_LATE_CALL_MAX);
+	if (sent < worker->restarted_at)
+		extend_lease_end(worker, base_clock_mono());
+}
+
+/*
+ * The reading is of now or earlier, and a lease that was granted on that clock
+ * ends accordingly, whichever process has it.
+ */
+static void count_lease_from(node_worker_t *worker, int64_t clock, int64_t now)
+{
+	int64_t length = MIN(worker->granted - clock,
+			     worker->holder->node->settings->lease_max);
+
+	worker->lease_end = MAX(worker->lease_end,
+				now + lease_span(worker->holder, length));
 	batch_worker_lease(worker->holder->core, base_str(worker->id),
 			   worker->lease_end);
 }
@@ -124,12 +151,17 @@
 			(int64_t)(WORKER_CLOCK_RATE_MIN * (double)elapsed) -
 			WORKER_CLOCK_SLACK;
 
-	if (clock < 0 || worker->clock < 0 ||
-	    (clock >= least &&
-	     clock <= worker->clock + elapsed + WORKER_CLOCK_SLACK))
+	if (clock < 0 || worker->clock < 0)
 		return;
+	if (clock >= least &&
+	    clock <= worker->clock + elapsed + WORKER_CLOCK_SLACK) {
+		if (worker->granted > clock)
+			count_lease_from(worker, clock, now);
+		return;
+	}
 	worker->clock = clock;
 	worker->clock_at = now;
+	worker->restarted_at = now;
 	extend_lease_end(worker, now);
 }
 
@@ -150,7 +182,11 @@
 
 static void remove_worker(node_worker_t *worker, const char *why)
 {
+	node_holder_t *holder = worker->holder;
+
 	set_awaits_stored(worker, false);
+	holder->dropped_granted_until =
+		MAX(holder->dropped_granted_until, worker->granted_until);
 	node_metrics_count(worker->holder->node, NODE_COUNT_WORKER_DROPPED);
 	node_log(worker->holder->node, BASE_MSG_WORKER_DROPPED,
 		 BASE_F_STR("worker", worker->id), BASE_F_STR("why", why),
@@ -204,6 +240,7 @@
  */
 static void begin_process(node_worker_t *worker, int64_t now)
 {
+	worker->restarted_at = now;
 	extend_lease_end(worker, now);
 	worker->poll_acknowledges = 0;
 	worker->acknowledged = 0;
@@ -383,6 +420,9 @@
 		if (worker->poll_acknowledges && !answer->is_unreached)
 			worker->acknowledged_until =
 				worker->poll_sent_at + WORKER_LATE_CALL_MAX;
+		if (worker->poll_grants && !answer->is_unreached)
+			node_worker_grant_unanswered(worker,
+						     worker->poll_sent_at);
 		set_silent(worker, true,
 			   answer->is_unreached ? "not reached" : "no answer");
 		if (answer->is_unreached)
@@ -504,6 +544,7 @@
 	if (!worker->is_silent)
 		order.last_stored_end = acknowledge_stored_ends(worker);
 	worker->poll_acknowledges = order.last_stored_end;
+	worker->poll_grants = order.lease >= 0;
 	/* A worker that crashes mostly has a poll open: not this one. */
 	order.wait = order.last_stored_end ? 0 : poll_wait(worker);
 	order.timeout = order.wait + WORKER_POLL_GRACE;
@@ -540,6 +581,7 @@
 	worker->id = talloc_strdup(worker, id);
 	worker->address = talloc_strdup(worker, address);
 	worker->clock = -1;
+	worker->granted_until = holder->dropped_granted_until;
 	worker->timer = net_timer_new(worker, node->loop, poll_worker, worker);
 	worker->link = new_link(worker, address);
 	if (!worker->link) {
@@ -569,6 +611,8 @@
 	worker->has_answered = false;
 	worker->clock = -1;
 	worker->has_seen_term = false;
+	if (worker->is_polling && worker->poll_grants)
+		node_worker_grant_unanswered(worker, worker->poll_sent_at);
 	worker->is_polling = false;
 	if (worker->poll_acknowledges)
 		worker->acknowledged_until =
