node: keep late grants in mind for the worker that they were sent to

A late call reaches only a worker with the id that it was sent to: the times are kept by id now, until they are past.

--- a/packages/node/node_holder.c
+++ b/packages/node/node_holder.c
@@ -192,6 +192,7 @@
 	g_hash_table_unref(holder->worker_links);
 	g_hash_table_unref(holder->lookups);
 	g_hash_table_unref(holder->ended_workers);
+	g_hash_table_unref(holder->dropped_grants);
 	g_hash_table_unref(holder->unreadable_entries);
 	if (holder->sources)
 		g_hash_table_unref(holder->sources);
@@ -261,6 +262,8 @@
 	holder->lookups = g_hash_table_new(g_str_hash, g_str_equal);
 	holder->ended_workers =
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+	holder->dropped_grants =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	holder->unreadable_entries =
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	g_queue_init(&holder->forgotten);
--- a/packages/node/node_int.h
+++ b/packages/node/node_int.h
@@ -381,9 +381,6 @@
 	int64_t orphan_until; /* worker leases of former holders end by then */
 	/* Orders of former holders for instances are carried out by then. */
 	int64_t former_orders_until;
-	/* Until then workers whose links were removed, and that may be back,
-	 * may take leases that had no answer. */
-	int64_t dropped_granted_until;
 	bool restored;
 	bool ended; /* the term is over; freed once its callbacks return */
 	bool suspension_logged;
@@ -424,6 +421,9 @@
 	int64_t listed_at;	   /* end of the last complete round; 0: none */
 	GHashTable *worker_links;  /* worker id to node_worker_t, not owned */
 	GHashTable *ended_workers; /* id to when it ended, by an order */
+	/* Id of a worker whose link was removed to when a lease that had no
+	 * answer is too late. */
+	GHashTable *dropped_grants;
 	GHashTable *lookups; /* set of ids of workers whose entries are read */
 	GQueue awaiting_stored; /* workers whose poll waits for stored ends */
 	GHashTable *unreadable_entries; /* key to the revision last logged */
--- a/packages/node/node_worker.c
+++ b/packages/node/node_worker.c
@@ -182,11 +182,12 @@
 
 static void remove_worker(node_worker_t *worker, const char *why)
 {
-	node_holder_t *holder = worker->holder;
-
 	set_awaits_stored(worker, false);
-	holder->dropped_granted_until =
-		MAX(holder->dropped_granted_until, worker->granted_until);
+	if (worker->granted_until > base_clock_mono())
+		g_hash_table_replace(worker->holder->dropped_grants,
+				     g_strdup(worker->id),
+				     g_memdup2(&worker->granted_until,
+					       sizeof(worker->granted_until)));
 	node_metrics_count(worker->holder->node, NODE_COUNT_WORKER_DROPPED);
 	node_log(worker->holder->node, BASE_MSG_WORKER_DROPPED,
 		 BASE_F_STR("worker", worker->id), BASE_F_STR("why", why),
@@ -576,12 +577,15 @@
 {
 	const node_t *node = holder->node;
 	node_worker_t *worker = talloc_zero(holder, node_worker_t);
+	const int64_t *granted_until;
 
 	worker->holder = holder;
 	worker->id = talloc_strdup(worker, id);
 	worker->address = talloc_strdup(worker, address);
 	worker->clock = -1;
-	worker->granted_until = holder->dropped_granted_until;
+	granted_until = g_hash_table_lookup(holder->dropped_grants, id);
+	if (granted_until)
+		worker->granted_until = *granted_until;
 	worker->timer = net_timer_new(worker, node->loop, poll_worker, worker);
 	worker->link = new_link(worker, address);
 	if (!worker->link) {
--- a/packages/node/node_worker_list.c
+++ b/packages/node/node_worker_list.c
@@ -54,6 +54,12 @@
 	return at && base_clock_mono() - *at < WORKER_ENDED_AGE;
 }
 
+static gboolean is_past(gpointer key, gpointer value, gpointer now)
+{
+	(void)key;
+	return *(int64_t *)now >= *(int64_t *)value;
+}
+
 static gboolean is_old(gpointer key, gpointer value, gpointer now)
 {
 	(void)key;
@@ -133,6 +139,7 @@
 	gpointer value;
 
 	g_hash_table_foreach_remove(holder->ended_workers, is_old, &now);
+	g_hash_table_foreach_remove(holder->dropped_grants, is_past, &now);
 	g_hash_table_iter_init(&iter, holder->worker_links);
 	while (g_hash_table_iter_next(&iter, NULL, &value)) {
 		node_worker_t *worker = value;
