batch: log why a task that may run has no place

Change: task-waits, after a second and again each four, ten times a second at the most in all, counts the workers of the pool by the first reason that keeps the task from them; explain has the same counts for each step. The sentence of explain is made from them as well.

--- a/packages/batch/batch.h
+++ b/packages/batch/batch.h
@@ -174,9 +174,39 @@
 	BATCH_LOG_RUN_SUSPECTED,
 	/* The job has a task that crashes the workers that start it. */
 	BATCH_LOG_JOB_GIVEN_UP,
+	/* A task of a step that may run has had no place for a second or more:
+	 * "value" is that time, microseconds. */
+	BATCH_LOG_TASK_WAITS,
 	BATCH_LOG_MAX
 } batch_log_event_kind_t;
 
+/* What keeps a task from a worker of its pool: the first that applies. */
+typedef enum batch_fit {
+	BATCH_FIT_DRAINING,
+	BATCH_FIT_CORDONED,
+	BATCH_FIT_SILENT, /* or not polled yet */
+	BATCH_FIT_QUARANTINED,
+	BATCH_FIT_HELD, /* it gets no starts for now */
+	BATCH_FIT_LABEL,
+	BATCH_FIT_RESERVED, /* for another task */
+	BATCH_FIT_SPREAD,   /* the limit of tasks of a step per worker */
+	BATCH_FIT_ADVICE,   /* the policy does not allow it, or has not yet */
+	BATCH_FIT_TRIAL,    /* a crash would have more than one likely cause */
+	BATCH_FIT_NO_ROOM,
+	BATCH_FIT_OK,
+	BATCH_FIT_MAX
+} batch_fit_t;
+
+/* Number of workers of a pool by what keeps a task from them. */
+typedef struct batch_fit_counts {
+	int n[BATCH_FIT_MAX];
+	int incoming; /* workers moving to the pool */
+	int wanted;   /* workers that the pool needs, as last measured */
+} batch_fit_counts_t;
+
+/* A name of one word. */
+const char *batch_fit_name(batch_fit_t fit);
+
 typedef struct batch_log_event {
 	batch_log_event_kind_t kind;
 	batch_task_id_t task; /* unused parts are empty or -1 */
@@ -188,6 +218,7 @@
 	/* A worker's capacity before and after its change; else NULL. */
 	const batch_res_t *from;
 	const batch_res_t *to;
+	const batch_fit_counts_t *workers; /* of a task that waits; else NULL */
 } batch_log_event_t;
 
 /* Asks which of these workers may run a step; the task index is unused. */
--- a/packages/batch/batch_explain.c
+++ b/packages/batch/batch_explain.c
@@ -68,6 +68,19 @@
 	return counts;
 }
 
+static json_t *workers_json(const batch_task_t *task, int64_t now)
+{
+	batch_fit_counts_t counts = batch_fit_count(task, now);
+	json_t *answer = json_pack("{s:i,s:i}", "incoming", counts.incoming,
+				   "needed", counts.wanted);
+	int i;
+
+	for (i = 0; i < BATCH_FIT_MAX; i++)
+		json_object_set_new(answer, batch_fit_name((batch_fit_t)i),
+				    json_integer(counts.n[i]));
+	return answer;
+}
+
 static void explain_step(const batch_step_t *step, json_t *answer,
 			 base_buf_t *sentence, int64_t now)
 {
@@ -76,6 +89,7 @@
 	step_counts_t counts =
 		count_step(step, json_object_get(answer, "runs"), now);
 	const char *why = "";
+	json_t *item;
 
 	if (step->done == step->spec->count)
 		return;
@@ -83,11 +97,14 @@
 		why = "the steps before it are not done";
 	else if (counts.waiting)
 		why = batch_fit_why(counts.first, now);
-	json_array_append_new(
-		steps, json_pack("{s:i,s:i,s:i,s:i,s:i,s:s}", "step",
-				 step->number, "tasks", step->spec->count,
-				 "done", step->done, "placed", counts.placed,
-				 "waiting", counts.waiting, "why", why));
+	item = json_pack("{s:i,s:i,s:i,s:i,s:i,s:s}", "step", step->number,
+			 "tasks", step->spec->count, "done", step->done,
+			 "placed", counts.placed, "waiting", counts.waiting,
+			 "why", why);
+	if (counts.waiting && batch_step_is_ready(step))
+		json_object_set_new(item, "workers",
+				    workers_json(counts.first, now));
+	json_array_append_new(steps, item);
 	if (!in_sentence)
 		return;
 	base_buf_addf(sentence, "; step %d: %d of %d tasks done, %d placed",
--- a/packages/batch/batch_fit.c
+++ b/packages/batch/batch_fit.c
@@ -105,43 +105,91 @@
 	       batch_fit_allows_later(worker, task, now);
 }
 
-/* Number of workers in the pool that pass each test and those before it. */
-typedef struct fit_counts {
-	int listed;
-	int usable;
-	int labelled;
-	int allowed;
-	int with_capacity;
-} fit_counts_t;
+static const char *const fit_names[BATCH_FIT_MAX] = {
+	[BATCH_FIT_DRAINING] = "draining",
+	[BATCH_FIT_CORDONED] = "cordoned",
+	[BATCH_FIT_SILENT] = "silent",
+	[BATCH_FIT_QUARANTINED] = "quarantined",
+	[BATCH_FIT_HELD] = "held",
+	[BATCH_FIT_LABEL] = "label",
+	[BATCH_FIT_RESERVED] = "reserved",
+	[BATCH_FIT_SPREAD] = "spread",
+	[BATCH_FIT_ADVICE] = "advice",
+	[BATCH_FIT_TRIAL] = "trial",
+	[BATCH_FIT_NO_ROOM] = "no_room",
+	[BATCH_FIT_OK] = "ok",
+};
+
+const char *batch_fit_name(batch_fit_t fit)
+{
+	return fit_names[fit];
+}
+
+static batch_fit_t judge_worker(const batch_worker_t *worker, int64_t now)
+{
+	if (worker->draining)
+		return BATCH_FIT_DRAINING;
+	if (worker->cordoned)
+		return BATCH_FIT_CORDONED;
+	if (worker->silent || !worker->incarnation ||
+	    now - worker->polled_at > BATCH_POLL_AGE_MAX)
+		return BATCH_FIT_SILENT;
+	if (worker->is_quarantined)
+		return BATCH_FIT_QUARANTINED;
+	return batch_worker_usable(worker, now) ? BATCH_FIT_OK : BATCH_FIT_HELD;
+}
 
-static fit_counts_t count_workers(const batch_task_t *task, int64_t now)
+static batch_fit_t judge(const batch_worker_t *worker, const batch_task_t *task,
+			 int64_t now)
 {
 	const batch_step_spec_t *spec = task->step->spec;
-	const GPtrArray *workers = task->step->occ->job->queue->pool->workers;
-	fit_counts_t counts = { 0 };
+	batch_fit_t fit = judge_worker(worker, now);
+
+	if (fit != BATCH_FIT_OK)
+		return fit;
+	if (spec->label.len && !has_label(worker, spec->label))
+		return BATCH_FIT_LABEL;
+	if (worker->reserved_for && worker->reserved_for != task)
+		return BATCH_FIT_RESERVED;
+	if (spec->max_per_worker &&
+	    batch_fit_siblings(worker, task->step) >= spec->max_per_worker)
+		return BATCH_FIT_SPREAD;
+	if (!batch_fit_allows_later(worker, task, now))
+		return BATCH_FIT_ADVICE;
+	if (!batch_fit_allows(worker, task, now))
+		return BATCH_FIT_TRIAL;
+	return batch_fit_has_capacity(worker, spec) ? BATCH_FIT_OK
+						    : BATCH_FIT_NO_ROOM;
+}
+
+batch_fit_counts_t batch_fit_count(const batch_task_t *task, int64_t now)
+{
+	const batch_pool_t *pool = task->step->occ->job->queue->pool;
+	batch_fit_counts_t counts = { .incoming = pool->incoming,
+				      .wanted = pool->workers_wanted };
 	guint i;
 
-	for (i = 0; i < workers->len; i++) {
-		const batch_worker_t *worker = g_ptr_array_index(workers, i);
-
-		counts.listed++;
-		if (!batch_worker_usable(worker, now))
-			continue;
-		counts.usable++;
-		if (spec->label.len && !has_label(worker, spec->label))
-			continue;
-		counts.labelled++;
-		if (!batch_fit_allows(worker, task, now))
-			continue;
-		counts.allowed++;
-		counts.with_capacity += batch_fit_has_capacity(worker, spec);
-	}
+	for (i = 0; i < pool->workers->len; i++)
+		counts.n[judge(g_ptr_array_index(pool->workers, i), task,
+			       now)]++;
 	return counts;
 }
 
+/* Number of workers that something from "from" on keeps from the task, or that
+ * nothing does. */
+static int count_from(const batch_fit_counts_t *counts, batch_fit_t from)
+{
+	int n = 0;
+	int i;
+
+	for (i = (int)from; i < BATCH_FIT_MAX; i++)
+		n += counts->n[i];
+	return n;
+}
+
 const char *batch_fit_why(const batch_task_t *task, int64_t now)
 {
-	fit_counts_t counts = count_workers(task, now);
+	batch_fit_counts_t counts = batch_fit_count(task, now);
 
 	if (batch_doubt_holds_back(task, now))
 		return "an earlier start of it had no answer, and its worker "
@@ -150,19 +198,19 @@
 	if (batch_crash_must_wait(task, now))
 		return "workers were lost under it: it waits for one to be "
 		       "back";
-	if (!counts.listed)
+	if (!count_from(&counts, BATCH_FIT_DRAINING))
 		return "its pool has no worker";
-	if (!counts.usable)
+	if (!count_from(&counts, BATCH_FIT_LABEL))
 		return "no worker in its pool can take work now";
-	if (!counts.labelled)
+	if (!count_from(&counts, BATCH_FIT_RESERVED))
 		return "no worker that can take work has its label";
-	if (batch_crash_needs_trial(task) && !counts.with_capacity)
+	if (batch_crash_needs_trial(task) && !counts.n[BATCH_FIT_OK])
 		return "a worker crashed under it: it waits for one where "
 		       "nothing else is starting";
-	if (!counts.allowed)
+	if (!count_from(&counts, BATCH_FIT_NO_ROOM))
 		return "the policy, the limit of tasks per worker or a "
 		       "reservation excludes the workers that can take work";
-	if (!counts.with_capacity)
+	if (!counts.n[BATCH_FIT_OK])
 		return "no worker has room";
 	if (task->step->spec->gang)
 		return "there is no room for all tasks of its gang";
--- a/packages/batch/batch_int.h
+++ b/packages/batch/batch_int.h
@@ -197,7 +197,9 @@
 	batch_crashes_t crashes;
 	int n_void; /* its starts in doubt whose stop proves nothing any more */
 	int64_t void_since;
-	int slow_moves;		   /* times it was stopped for being slow */
+	int slow_moves;	   /* times it was stopped for being slow */
+	int64_t due_since; /* it has had no place since; 0: it is not due */
+	int64_t wait_logged_at;
 	int64_t unavailable_since; /* of a long-running task; 0: it is
 				      available */
 };
@@ -418,6 +420,7 @@
 	bool run_times_changed; /* since the last print */
 	bool pass_needed;	/* an event calls for a scheduling pass */
 	int64_t last_pass_at;
+	int64_t wait_logged_at; /* the last log of any task that waits */
 	int64_t swept_at; /* last check of leases, stops and cordoned workers */
 };
 
@@ -682,6 +685,8 @@
 /* The same, apart from runs on trial: it may once these have an outcome. */
 bool batch_fit_allows_later(const batch_worker_t *worker,
 			    const batch_task_t *task, int64_t now);
+/* The workers of the task's pool by what keeps the task from them. */
+batch_fit_counts_t batch_fit_count(const batch_task_t *task, int64_t now);
 /* Why a task without a run, of a step that may run, is not placed. */
 const char *batch_fit_why(const batch_task_t *task, int64_t now);
 
--- a/packages/batch/batch_place.c
+++ b/packages/batch/batch_place.c
@@ -49,6 +49,13 @@
  */
 #define PLACE_LOG_DELAY (2 * BATCH_PASS_INTERVAL)
 
+/* A task without a place is logged once it waits this long, */
+#define PLACE_WAIT_LOGGED BASE_SEC
+/* again after this time, */
+#define PLACE_WAIT_LOG_PERIOD (4 * BASE_SEC)
+/* and no more than one task is logged in this time. */
+#define PLACE_WAIT_LOG_GAP (100 * BASE_MS)
+
 /*
  * No short task is placed while this many starts wait to be sent, so that the
  * next start goes to the job that needs it most by then.  It is what two
@@ -286,6 +293,7 @@
 	batch_job_t *job = step->occ->job;
 	batch_worker_t *worker = task->run->worker;
 
+	task->due_since = 0;
 	if (worker->reserved_for == task)
 		worker->reserved_for = NULL;
 	if (!job->start_decided)
@@ -426,6 +434,32 @@
 	return false;
 }
 
+/* The task, whose step may run, has got no place in this pass. */
+static void note_wait(batch_task_t *task, int64_t now)
+{
+	batch_t *core = task->step->occ->job->core;
+	batch_fit_counts_t counts;
+
+	if (!task->due_since) {
+		task->due_since = now;
+		task->wait_logged_at = now - PLACE_WAIT_LOG_PERIOD;
+	}
+	if (now - task->due_since < PLACE_WAIT_LOGGED ||
+	    now - task->wait_logged_at < PLACE_WAIT_LOG_PERIOD ||
+	    now - core->wait_logged_at < PLACE_WAIT_LOG_GAP)
+		return;
+	task->wait_logged_at = now;
+	core->wait_logged_at = now;
+	counts = batch_fit_count(task, now);
+	batch_log_emit(core,
+		       &(batch_log_event_t){ .kind = BATCH_LOG_TASK_WAITS,
+					     .task = batch_task_get_id(task),
+					     .run = task->number,
+					     .why = batch_fit_why(task, now),
+					     .value = now - task->due_since,
+					     .workers = &counts });
+}
+
 /* Starts all members of a gang with the same run number, or none. */
 static void place_gang(batch_pool_t *pool, batch_step_t *step, int64_t now)
 {
@@ -451,6 +485,8 @@
 		batch_run_new(&step->tasks[i], worker, now, number + 1);
 	}
 	complete = i == step->spec->count;
+	if (!complete)
+		note_wait(&step->tasks[i], now);
 	while (i-- > 0)
 		if (complete) {
 			record_placement(&step->tasks[i], now);
@@ -473,16 +509,21 @@
 	for (i = 0; i < step->spec->count; i++) {
 		batch_task_t *task = &step->tasks[i];
 
-		if (task->done || task->run ||
-		    batch_crash_must_wait(task, now) ||
-		    batch_doubt_holds_back(task, now))
+		if (task->done || task->run)
 			continue;
+		if (batch_crash_must_wait(task, now) ||
+		    batch_doubt_holds_back(task, now)) {
+			note_wait(task, now);
+			continue;
+		}
 		/*
 		 * All tasks of a step need the same resources, so if one does
 		 * not fit, none of the others does.  A trial needs more.
 		 */
-		if (!place_task(pool, task, now) && !step->spec->long_running &&
-		    !batch_crash_needs_trial(task))
+		if (place_task(pool, task, now))
+			continue;
+		note_wait(task, now);
+		if (!step->spec->long_running && !batch_crash_needs_trial(task))
 			return;
 	}
 }
--- a/packages/batch/tests/batch_explain_test.c
+++ b/packages/batch/tests/batch_explain_test.c
@@ -66,6 +66,43 @@
 	world_free(world);
 }
 
+/* Number of workers of the reason, for the job's first step. */
+static int64_t get_workers(const world_t *world, const char *job,
+			   const char *reason)
+{
+	json_t *answer = explain_name(world, job);
+	const json_t *step =
+		json_array_get(json_object_get(answer, "steps"), 0);
+	int64_t n = json_integer_value(
+		json_object_get(json_object_get(step, "workers"), reason));
+
+	json_decref(answer);
+	return n;
+}
+
+/* Guards against a task that waits and no line that tells why. */
+static void test_wait_is_logged(void)
+{
+	world_t *world = world_new(1, 3, 2);
+	batch_step_spec_t step = world_step(1);
+
+	step.need.cpu = 8001;
+	world_submit(world, "large", &step, 1);
+	batch_worker_cordon(world->core, world->now,
+			    base_str(world->workers[0].id), true);
+	world_advance(world, SECOND / 2);
+	g_assert_cmpint(get_workers(world, "large", "no_room"), ==, 2);
+	g_assert_cmpint(get_workers(world, "large", "cordoned"), ==, 1);
+	g_assert_cmpint(world->wait_logs, ==, 0);
+	world_advance(world, SECOND);
+	g_assert_cmpint(world->wait_logs, ==, 1);
+	g_assert_cmpint(world->logged_wait.n[BATCH_FIT_NO_ROOM], ==, 2);
+	g_assert_cmpint(world->logged_wait.n[BATCH_FIT_CORDONED], ==, 1);
+	world_advance(world, 8 * SECOND);
+	g_assert_cmpint(world->wait_logs, ==, 3);
+	world_free(world);
+}
+
 /* A missing label, no free capacity, then no usable worker in the pool. */
 static void test_why_a_task_waits(void)
 {
@@ -155,6 +192,7 @@
 	g_test_add_func("/batch-explain/job-that-runs", test_job_that_runs);
 	g_test_add_func("/batch-explain/why-a-task-waits",
 			test_why_a_task_waits);
+	g_test_add_func("/batch-explain/wait-is-logged", test_wait_is_logged);
 	g_test_add_func("/batch-explain/job-that-is-not-stored",
 			test_job_that_is_not_stored);
 	g_test_add_func("/batch-explain/worker-and-pool", test_worker_and_pool);
--- a/packages/batch/tests/batch_world.c
+++ b/packages/batch/tests/batch_world.c
@@ -277,6 +277,10 @@
 			job->given_up = true;
 		talloc_free(id);
 	}
+	if (event->kind == BATCH_LOG_TASK_WAITS) {
+		world->wait_logs++;
+		world->logged_wait = *event->workers;
+	}
 	if (event->kind != BATCH_LOG_WORKER_CAPACITY)
 		return;
 	world->capacity_logs++;
--- a/packages/batch/tests/batch_world.h
+++ b/packages/batch/tests/batch_world.h
@@ -232,6 +232,9 @@
 	/* Logged changes of capacity, and the last of them. */
 	int capacity_logs;
 	batch_res_t logged_from, logged_to;
+	/* Logged tasks that wait, and the workers of the last of them. */
+	int wait_logs;
+	batch_fit_counts_t logged_wait;
 	/* Counters and the first violated rule. */
 	int starts, stops, finished, broken, questions, tickets_refused;
 	char first_violation[256];
--- a/packages/node/node_order.c
+++ b/packages/node/node_order.c
@@ -239,6 +239,7 @@
 	[BATCH_LOG_WORKER_CAPACITY] = BASE_MSG_WORKER_CAPACITY,
 	[BATCH_LOG_RUN_SUSPECTED] = BASE_MSG_RUN_SUSPECTED,
 	[BATCH_LOG_JOB_GIVEN_UP] = BASE_MSG_JOB_GIVEN_UP,
+	[BATCH_LOG_TASK_WAITS] = BASE_MSG_TASK_WAITS,
 };
 
 static void log_capacity(node_holder_t *holder, const batch_log_event_t *event)
@@ -258,6 +259,32 @@
 	talloc_free(worker);
 }
 
+static void log_wait(node_holder_t *holder, const batch_log_event_t *event)
+{
+	char *id = base_str_dup(NULL, event->task.job);
+	const base_field_t about[] = {
+		BASE_F_STR("id", id),
+		BASE_F_INT("step", event->task.step),
+		BASE_F_INT("index", event->task.index),
+		BASE_F_INT("run", event->run),
+		BASE_F_STR("why", event->why),
+		BASE_F_INT("value", event->value),
+		BASE_F_INT("incoming", event->workers->incoming),
+		BASE_F_INT("needed", event->workers->wanted),
+		BASE_F_INT("term", holder->term),
+	};
+	base_field_t fields[ARRAY_SIZE(about) + BATCH_FIT_MAX];
+	int i;
+
+	memcpy(fields, about, sizeof(about));
+	for (i = 0; i < BATCH_FIT_MAX; i++)
+		fields[ARRAY_SIZE(about) + (size_t)i] = BASE_F_INT(
+			batch_fit_name((batch_fit_t)i), event->workers->n[i]);
+	node_log_fields(holder->node, event_messages[event->kind], fields,
+			ARRAY_SIZE(fields));
+	talloc_free(id);
+}
+
 static void log_fields(node_holder_t *holder, const batch_log_event_t *event)
 {
 	char *id = base_str_dup(NULL, event->task.job);
@@ -293,6 +320,8 @@
 {
 	if (event->kind == BATCH_LOG_WORKER_CAPACITY)
 		log_capacity(arg, event);
+	else if (event->kind == BATCH_LOG_TASK_WAITS)
+		log_wait(arg, event);
 	else
 		log_fields(arg, event);
 }
