batch: give long-running tasks that fit nowhere a worker first

Cause: instances went to the pools in the order of their shortage, whatever it is for, so that a pool that lacks one worker for a task that may not be away came after one that lacked thirty for short tasks. And the pool's need is a sum: long-running tasks that fit on none of its workers, due or on a worker to be emptied, counted for nothing once the sum would fit.

What long-running tasks need is given before the rest, to all pools.

--- a/packages/batch/batch_capacity.c
+++ b/packages/batch/batch_capacity.c
@@ -43,7 +43,7 @@
 	batch_pool_t *pool;
 	int have; /* usable workers and those moving to the pool */
 	int want;
-	int least; /* workers needed to spread the long-running tasks */
+	int lasting; /* workers that the long-running tasks need; 0: none */
 } need_t;
 
 /* Decays the measured rate to "now". */
@@ -116,6 +116,26 @@
 	return lacking;
 }
 
+/*
+ * Workers that the long-running tasks need: to spread them, and one more for
+ * each worker's capacity of those that fit on none, beside the "usable" ones.
+ */
+static int measure_lasting(const batch_pool_t *pool, int usable, int lacking)
+{
+	double cpu = pool->due.cpu + pool->stranded.cpu;
+	double memory = pool->due.memory + pool->stranded.memory;
+	double more = MAX(ratio(cpu, pool->worker_cpu),
+			  ratio(memory, pool->worker_memory));
+	int workers = 0;
+
+	if (pool->spread_workers)
+		workers =
+			pool->spread_workers + CAPACITY_SPREAD_EXTRA + lacking;
+	if (cpu > 0 || memory > 0)
+		workers = MAX(workers, usable + MAX((int)ceil(more), 1));
+	return workers;
+}
+
 static void measure_need(need_t *need, int64_t now)
 {
 	batch_pool_t *pool = need->pool;
@@ -151,13 +171,10 @@
 	workers = MAX(workers,
 		      ratio(busy + long_running.memory, pool->worker_memory));
 	lacking = lacking_workers(pool);
-	need->least =
-		MAX(pool->spread_workers +
-			    (pool->spread_workers ? CAPACITY_SPREAD_EXTRA : 0),
-		    1) +
-		(int)lacking;
+	need->lasting = measure_lasting(pool, need->have - pool->incoming,
+					(int)lacking);
 	need->want = MAX((int)ceil(workers * CAPACITY_HEADROOM + lacking),
-			 need->least);
+			 MAX(need->lasting, 1 + (int)lacking));
 	if (pool->excluded_at &&
 	    now - pool->excluded_at < CAPACITY_EXCLUDED_AGE)
 		need->want = MAX(need->want, need->have + 1);
@@ -240,6 +257,28 @@
 	return true;
 }
 
+/* Moves instances to the pools that lack some; with "lasting", only those that
+ * their long-running tasks need. */
+static size_t grow_pools(need_t *needs, size_t n, bool lasting, size_t *spares,
+			 int64_t now, batch_move_t *moves, size_t max)
+{
+	size_t n_moves = 0;
+	size_t i;
+
+	for (i = 0; i < n; i++) {
+		int want = lasting ? needs[i].lasting : needs[i].want;
+
+		while (n_moves < max && needs[i].have < want &&
+		       assign_instance(needs, n, &needs[i], spares, now,
+				       &moves[n_moves])) {
+			needs[i].have++;
+			needs[i].pool->incoming++;
+			n_moves++;
+		}
+	}
+	return n_moves;
+}
+
 size_t batch_moves(batch_t *core, int64_t now, size_t spares, bool spare_pool,
 		   batch_move_t *moves, size_t max)
 {
@@ -262,14 +301,10 @@
 		measure_need(&needs[n++], now);
 	}
 	qsort(needs, n, sizeof(*needs), compare_shortage);
-	for (i = 0; i < n; i++)
-		while (n_moves < max && needs[i].have < needs[i].want &&
-		       assign_instance(needs, n, &needs[i], &spares, now,
-				       &moves[n_moves])) {
-			needs[i].have++;
-			needs[i].pool->incoming++;
-			n_moves++;
-		}
+	/* A short task can wait for a worker, a long-running one cannot. */
+	n_moves = grow_pools(needs, n, true, &spares, now, moves, max);
+	n_moves += grow_pools(needs, n, false, &spares, now, moves + n_moves,
+			      max - n_moves);
 	for (i = n; spare_pool && i-- > 0;) {
 		batch_worker_t *worker;
 
--- a/packages/batch/batch_demand.c
+++ b/packages/batch/batch_demand.c
@@ -65,6 +65,12 @@
 	return load;
 }
 
+void batch_load_add(batch_load_t *load, const batch_step_spec_t *spec)
+{
+	load->cpu += (double)spec->need.cpu;
+	load->memory += (double)spec->need.memory;
+}
+
 /* What long-running tasks use of the worker's present capacity. */
 static batch_load_t worker_long_running(const batch_worker_t *worker)
 {
--- a/packages/batch/batch_evacuate.c
+++ b/packages/batch/batch_evacuate.c
@@ -107,6 +107,10 @@
 			return;
 		if (batch_place_fits_elsewhere(task, now))
 			batch_run_withdraw(run, "evacuated");
+		else if (!batch_place_fits_later(task, now))
+			batch_load_add(
+				&task->step->occ->job->queue->pool->stranded,
+				task->step->spec);
 		return;
 	}
 	/*
@@ -128,6 +132,9 @@
 	gpointer value;
 	guint i;
 
+	g_hash_table_iter_init(&iter, core->pools);
+	while (g_hash_table_iter_next(&iter, NULL, &value))
+		((batch_pool_t *)value)->stranded = (batch_load_t){ 0, 0 };
 	g_hash_table_iter_init(&iter, core->workers);
 	while (g_hash_table_iter_next(&iter, NULL, &value)) {
 		batch_worker_t *worker = value;
--- a/packages/batch/batch_int.h
+++ b/packages/batch/batch_int.h
@@ -71,6 +71,13 @@
 	 */
 	bool full;
 	batch_res_t full_need;
+	/*
+	 * What long-running tasks need that fit on no worker, even once the
+	 * short tasks there end: tasks that are due, as the last pass found
+	 * them, and those on workers to be emptied, as the last sweep did.
+	 */
+	batch_load_t due;
+	batch_load_t stranded;
 	int incoming; /* workers moving to the pool */
 	/* When a step was found last that the policy allows on none of the
 	 * pool's workers; 0: never. */
@@ -645,6 +652,8 @@
 batch_load_t batch_pool_backlog(batch_t *core, batch_pool_t *pool, int64_t now);
 /* Adds the work of a job that was just accepted. */
 void batch_backlog_add(batch_pool_t *pool, const batch_load_t *work);
+/* Adds the need of one task of the step. */
+void batch_load_add(batch_load_t *load, const batch_step_spec_t *spec);
 batch_load_t batch_pool_long_running(const batch_pool_t *pool);
 /*
  * The capacity of the pool's workers and of those that are moving to it,
@@ -705,6 +714,9 @@
 /* Ends the reservations of tasks that run and of jobs that have ended. */
 void batch_place_drop_ended(batch_t *core);
 
+/* Whether a worker that may run the task has room for it, or will have once
+ * the short tasks there have ended. */
+bool batch_place_fits_later(const batch_task_t *task, int64_t now);
 /* Whether another worker may run the task and has enough free capacity. */
 bool batch_place_fits_elsewhere(const batch_task_t *task, int64_t now);
 
--- a/packages/batch/batch_place.c
+++ b/packages/batch/batch_place.c
@@ -427,6 +427,9 @@
 		return true;
 	}
 	record_no_fit(pool, task);
+	if (task->step->spec->long_running &&
+	    !batch_place_fits_later(task, now))
+		batch_load_add(&pool->due, task->step->spec);
 	if (trial && !has_reservation(pool, task))
 		reserve_for_trial(pool, task, now);
 	else if (task->step->spec->long_running && !has_reservation(pool, task))
@@ -679,8 +682,12 @@
 	guint i;
 
 	g_hash_table_iter_init(&iter, core->pools);
-	while (g_hash_table_iter_next(&iter, NULL, &value))
-		((batch_pool_t *)value)->full = false;
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		batch_pool_t *pool = value;
+
+		pool->full = false;
+		pool->due = (batch_load_t){ 0, 0 };
+	}
 	for (i = 0; i < core->active_jobs->len; i++) {
 		batch_job_t *job = g_ptr_array_index(core->active_jobs, i);
 
@@ -699,6 +706,22 @@
 	talloc_free(ranks);
 }
 
+bool batch_place_fits_later(const batch_task_t *task, int64_t now)
+{
+	const batch_pool_t *pool = task->step->occ->job->queue->pool;
+	guint i;
+
+	for (i = 0; i < pool->workers->len; i++) {
+		const batch_worker_t *worker =
+			g_ptr_array_index(pool->workers, i);
+
+		if (batch_fit_once_free(worker, task->step->spec) &&
+		    batch_fit_allows(worker, task, now))
+			return true;
+	}
+	return false;
+}
+
 bool batch_place_fits_elsewhere(const batch_task_t *task, int64_t now)
 {
 	const batch_job_t *job = task->step->occ->job;
--- a/packages/batch/tests/batch_capacity_change_test.c
+++ b/packages/batch/tests/batch_capacity_change_test.c
@@ -552,6 +552,86 @@
 	batch_config(world->core, queues, 2, pools, 3);
 }
 
+/* Whether the only spare instance is given to the pool now. */
+static bool gives_spare(world_t *world, const char *pool)
+{
+	batch_move_t move;
+
+	return batch_moves(world->core, world->now, 1, false, &move, 1) == 1 &&
+	       base_str_eq(move.to, base_str(pool));
+}
+
+/*
+ * Guards against a long-running task that waits for an instance while a pool
+ * with more to do, all of it short, gets each one.
+ */
+static void test_long_running_before_short(void)
+{
+	world_t *world = new_world(15, 3);
+	batch_step_spec_t serving = world_step(2);
+	batch_step_spec_t step = world_step(200);
+	const batch_spec_t spec = { .id = BASE_STR("b"),
+				    .queue = BASE_STR("queue2"),
+				    .steps = &step,
+				    .n_steps = 1 };
+	int64_t retry_after;
+
+	add_empty_pool(world);
+	g_strlcpy(world->workers[2].pool, "other", WORLD_NAME_MAX);
+	serving.long_running = true;
+	serving.need.cpu = 8000;
+	world_submit(world, "long", &serving, 1);
+	world_advance(world, SECOND);
+	world_worker_crash(world, 0);
+	world_advance(world, 7 * SECOND);
+	g_assert_cmpint(world_running(world, "long", 0, 0) +
+				world_running(world, "long", 0, 1),
+			==, 1);
+	batch_submit(world->core, world->now, world->now, &spec, &retry_after);
+	g_assert_true(gives_spare(world, "pool"));
+	/* No more than it needs. */
+	g_assert_true(gives_spare(world, "other"));
+	world_free(world);
+}
+
+/*
+ * Guards against a pool that does not grow though long-running tasks fit on
+ * none of its workers, as their sum would fit on all of them together: tasks
+ * that are due, or those on a worker that is to be emptied.
+ */
+static void test_long_running_that_fit_nowhere(void)
+{
+	int cordoned;
+
+	for (cordoned = 0; cordoned < 2; cordoned++) {
+		world_t *world = new_world(16, 2 + cordoned);
+		batch_step_spec_t serving = world_step(3);
+		batch_move_t moves[4];
+
+		serving.long_running = true;
+		serving.need.cpu = 4100;
+		world_submit(world, "long", &serving, 1);
+		world_advance(world, 2 * SECOND);
+		if (cordoned)
+			batch_worker_cordon(world->core, world->now,
+					    base_str(world->workers[0].id),
+					    true);
+		world_advance(world, SECOND);
+		g_assert_cmpuint(batch_moves(world->core, world->now, 4, false,
+					     moves, 4),
+				 ==, 1);
+		world_add_worker(world);
+		batch_pool_set_incoming(world->core, BASE_STR("pool"), 0);
+		world_advance(world, 2 * SECOND);
+		/* It has grown enough. */
+		g_assert_cmpuint(batch_moves(world->core, world->now, 4, false,
+					     moves, 4),
+				 ==, 0);
+		g_assert_cmpuint(world->workers[0].runs->len, ==, !cordoned);
+		check_and_free(world);
+	}
+}
+
 /*
  * Guards against a move that gives a pool the worker with the least capacity,
  * or switches off the one with the most.
@@ -799,5 +879,9 @@
 			test_admission_beside_long_running);
 	g_test_add_func("/batch/capacity/log", test_log);
 	g_test_add_func("/batch/capacity/random", test_random_scenarios);
+	g_test_add_func("/batch/capacity/long-running-before-short",
+			test_long_running_before_short);
+	g_test_add_func("/batch/capacity/long-running-that-fit-nowhere",
+			test_long_running_that_fit_nowhere);
 	return g_test_run();
 }
