batch: set room aside before a long-running task is stopped

What callers saw: LOST: a long-running task is stopped ("evacuated", or "evacuated by a former holder") and has no place afterwards.

Cause: the room for its next run was looked at when the run was withdrawn, for each task by itself, and neither kept nor looked at again. Two tasks that were withdrawn at about the same time counted the same room, a short task took it while the row was stored, and the next holder stopped a withdrawn run without a look at room at all.

A withdrawn task has a claim, which counts as used on its worker until the next run exists; against other tasks, the limit of tasks per worker, and moves of the worker's instance. A run is stopped only while its task's claim holds; if the worker leaves, another one is found first. Claims are not stored: the next holder makes its own before it stops a run.

--- a/packages/batch/batch.c
+++ b/packages/batch/batch.c
@@ -26,6 +26,7 @@
 		batch_worker_t *worker = value;
 
 		g_ptr_array_unref(worker->runs);
+		g_ptr_array_unref(worker->claims);
 		g_array_unref(worker->unstored_ends);
 		g_array_unref(worker->in_doubt_starts);
 	}
--- a/packages/batch/batch_capacity.c
+++ b/packages/batch/batch_capacity.c
@@ -204,7 +204,8 @@
 			g_ptr_array_index(need->pool->workers, i);
 
 		if (!batch_worker_in_capacity(worker) || !worker->incarnation ||
-		    !batch_worker_is_empty(worker) || worker->reserved_for)
+		    !batch_worker_is_empty(worker) || worker->reserved_for ||
+		    worker->claims->len)
 			continue;
 		if (!best ||
 		    (largest ? worker->capacity.cpu > best->capacity.cpu
--- a/packages/batch/batch_evacuate.c
+++ b/packages/batch/batch_evacuate.c
@@ -94,23 +94,34 @@
 	return run->worker->draining || may_become_unavailable(run->task, now);
 }
 
+/* Counts a task that fits on no worker of its pool, so that the pool grows. */
+static void count_stranded(const batch_task_t *task, int64_t now)
+{
+	if (!batch_place_fits_later(task, now))
+		batch_load_add(&task->step->occ->job->queue->pool->stranded,
+			       task->step->spec);
+}
+
 static void evacuate_run(batch_run_t *run, int64_t now)
 {
 	const batch_worker_t *worker = run->worker;
-	const batch_task_t *task = run->task;
+	batch_task_t *task = run->task;
 	int64_t waited = now - worker->cordoned_at;
 
-	if (run->state != RUN_CONFIRMED || run->is_withdrawn)
+	if (run->state != RUN_CONFIRMED)
 		return;
+	if (run->is_withdrawn) {
+		if (!task->claim && !batch_claim_make(task, now))
+			count_stranded(task, now);
+		return;
+	}
 	if (task->step->spec->long_running) {
 		if (!may_move(run, now))
 			return;
-		if (batch_place_fits_elsewhere(task, now))
+		if (batch_claim_make(task, now))
 			batch_run_withdraw(run, "evacuated");
-		else if (!batch_place_fits_later(task, now))
-			batch_load_add(
-				&task->step->occ->job->queue->pool->stranded,
-				task->step->spec);
+		else
+			count_stranded(task, now);
 		return;
 	}
 	/*
--- a/packages/batch/batch_fit.c
+++ b/packages/batch/batch_fit.c
@@ -65,6 +65,11 @@
 		    run->state != RUN_STOPPING)
 			add_need(&sum, run->task->step->spec);
 	}
+	for (i = 0; i < worker->claims->len; i++) {
+		const batch_task_t *task = g_ptr_array_index(worker->claims, i);
+
+		add_need(&sum, task->step->spec);
+	}
 	return is_within(&sum, &worker->capacity);
 }
 
@@ -81,6 +86,22 @@
 	return n;
 }
 
+/* Other tasks of its step that are to run on the worker. */
+static int sibling_claims(const batch_worker_t *worker,
+			  const batch_task_t *task)
+{
+	int n = 0;
+	guint i;
+
+	for (i = 0; i < worker->claims->len; i++) {
+		const batch_task_t *other =
+			g_ptr_array_index(worker->claims, i);
+
+		n += other != task && other->step == task->step;
+	}
+	return n;
+}
+
 bool batch_fit_allows_later(const batch_worker_t *worker,
 			    const batch_task_t *task, int64_t now)
 {
@@ -88,12 +109,15 @@
 
 	if (!batch_worker_usable(worker, now))
 		return false;
-	if (worker->reserved_for && worker->reserved_for != task)
+	if (worker->reserved_for && worker->reserved_for != task &&
+	    task->claim != worker)
 		return false;
 	if (spec->label.len && !has_label(worker, spec->label))
 		return false;
 	if (spec->max_per_worker &&
-	    batch_fit_siblings(worker, task->step) >= spec->max_per_worker)
+	    batch_fit_siblings(worker, task->step) +
+			    sibling_claims(worker, task) >=
+		    spec->max_per_worker)
 		return false;
 	return batch_advice_allows(task, worker, now);
 }
@@ -149,10 +173,13 @@
 		return fit;
 	if (spec->label.len && !has_label(worker, spec->label))
 		return BATCH_FIT_LABEL;
-	if (worker->reserved_for && worker->reserved_for != task)
+	if (worker->reserved_for && worker->reserved_for != task &&
+	    task->claim != worker)
 		return BATCH_FIT_RESERVED;
 	if (spec->max_per_worker &&
-	    batch_fit_siblings(worker, task->step) >= spec->max_per_worker)
+	    batch_fit_siblings(worker, task->step) +
+			    sibling_claims(worker, task) >=
+		    spec->max_per_worker)
 		return BATCH_FIT_SPREAD;
 	if (!batch_fit_allows_later(worker, task, now))
 		return BATCH_FIT_ADVICE;
--- a/packages/batch/batch_int.h
+++ b/packages/batch/batch_int.h
@@ -204,8 +204,9 @@
 	batch_crashes_t crashes;
 	int n_void; /* its starts in doubt whose stop proves nothing any more */
 	int64_t void_since;
-	int slow_moves;	   /* times it was stopped for being slow */
-	int64_t due_since; /* it has had no place since; 0: it is not due */
+	int slow_moves;	       /* times it was stopped for being slow */
+	batch_worker_t *claim; /* with room for its next run; NULL: none */
+	int64_t due_since;     /* it has had no place since; 0: it is not due */
 	int64_t wait_logged_at;
 	int64_t unavailable_since; /* of a long-running task; 0: it is
 				      available */
@@ -376,6 +377,7 @@
 	int64_t last_end;      /* highest end processed */
 	GArray *unstored_ends;
 	GPtrArray *runs;
+	GPtrArray *claims; /* tasks whose next run has room here; in "used" */
 	GArray *in_doubt_starts; /* of batch_in_doubt_start_t */
 	int fail_streak;
 	const batch_job_t *fail_job; /* job of the last failed run */
@@ -717,14 +719,32 @@
 /* Whether a worker that may run the task has room for it, or will have once
  * the short tasks there have ended. */
 bool batch_place_fits_later(const batch_task_t *task, int64_t now);
-/* Whether another worker may run the task and has enough free capacity. */
-bool batch_place_fits_elsewhere(const batch_task_t *task, int64_t now);
+/* The best worker that may run the task and has the capacity; NULL: none. */
+batch_worker_t *batch_place_find(const batch_task_t *task, int64_t now);
 
 /* batch_evacuate.c */
 void batch_evacuate(batch_t *core, int64_t now);
 /* Whether the stop of a withdrawn run keeps to what its step allows now. */
 bool batch_evacuate_may_stop(const batch_run_t *run, int64_t now);
 
+/* batch_claim.c */
+/*
+ * Sets room aside for the next run of a task that has one; returns whether the
+ * next one could start there now.
+ */
+bool batch_claim_make(batch_task_t *task, int64_t now);
+/*
+ * Ends the claim, if the task has one, and returns its worker, if the task may
+ * start there now.  Else it returns NULL, and the claim stays unless the worker
+ * leaves.
+ */
+batch_worker_t *batch_claim_take(batch_task_t *task, int64_t now);
+void batch_claim_drop(batch_task_t *task);
+/* Drops all claims on the worker. */
+void batch_claim_drop_all(batch_worker_t *worker);
+/* Drops the claims for jobs that have ended and on workers that leave. */
+void batch_claims_drop_ended(batch_t *core);
+
 /* batch_pace.c */
 void batch_pace_adjust(batch_worker_t *worker, int64_t now);
 
--- a/packages/batch/batch_place.c
+++ b/packages/batch/batch_place.c
@@ -294,6 +294,7 @@
 	batch_worker_t *worker = task->run->worker;
 
 	task->due_since = 0;
+	batch_claim_drop(task);
 	if (worker->reserved_for == task)
 		worker->reserved_for = NULL;
 	if (!job->start_decided)
@@ -420,7 +421,9 @@
 		return false;
 	if (is_known_not_to_fit(pool, task))
 		return false;
-	worker = choose_worker(pool, task, now, true);
+	worker = batch_claim_take(task, now);
+	if (!worker)
+		worker = choose_worker(pool, task, now, true);
 	if (worker) {
 		batch_run_new(task, worker, now, task->number + 1);
 		record_placement(task, now);
@@ -479,6 +482,8 @@
 		if (step->tasks[i].number > number)
 			number = step->tasks[i].number;
 	}
+	for (i = 0; i < step->spec->count; i++)
+		batch_claim_drop(&step->tasks[i]);
 	for (i = 0; i < step->spec->count; i++) {
 		batch_worker_t *worker =
 			choose_worker(pool, &step->tasks[i], now, true);
@@ -722,11 +727,10 @@
 	return false;
 }
 
-bool batch_place_fits_elsewhere(const batch_task_t *task, int64_t now)
+batch_worker_t *batch_place_find(const batch_task_t *task, int64_t now)
 {
-	const batch_job_t *job = task->step->occ->job;
-
-	return batch_room_find(job->queue->pool, task, now) != NULL;
+	return choose_worker(task->step->occ->job->queue->pool, task, now,
+			     true);
 }
 
 /* Time-outs of workers and runs.  They are found by a pass over all workers. */
--- a/packages/batch/batch_resize.c
+++ b/packages/batch/batch_resize.c
@@ -86,6 +86,8 @@
 	batch_run_t *run;
 	int n = 0;
 
+	if (is_over(worker))
+		batch_claim_drop_all(worker);
 	while (is_over(worker) && (run = choose_unsent(worker)) != NULL)
 		n += batch_run_drop_unsent(run);
 	return n;
--- a/packages/batch/batch_run.c
+++ b/packages/batch/batch_run.c
@@ -175,7 +175,8 @@
 
 	if (run->is_withdrawn && run->state == RUN_CONFIRMED &&
 	    run->withdrawn_version <= job->stored_version &&
-	    batch_evacuate_may_stop(run, now))
+	    batch_evacuate_may_stop(run, now) &&
+	    batch_claim_make(run->task, now))
 		batch_run_stop(run, now, run->stop_reason);
 }
 
@@ -607,6 +608,7 @@
 	batch_workers_free_forgotten(core, now);
 	/* A reservation refers to a task of an occurrence. */
 	batch_place_drop_ended(core);
+	batch_claims_drop_ended(core);
 	for (i = core->active_jobs->len; i-- > 0;) {
 		batch_job_t *job = g_ptr_array_index(core->active_jobs, i);
 
--- a/packages/batch/batch_worker.c
+++ b/packages/batch/batch_worker.c
@@ -14,6 +14,7 @@
 	worker->core = core;
 	worker->id = base_str_dup(worker, id);
 	worker->runs = g_ptr_array_new();
+	worker->claims = g_ptr_array_new();
 	worker->in_doubt_starts =
 		g_array_new(FALSE, FALSE, sizeof(batch_in_doubt_start_t));
 	worker->unstored_ends =
@@ -93,9 +94,11 @@
 /* The caller removes it from the table of workers. */
 static void worker_free(batch_worker_t *worker)
 {
+	batch_claim_drop_all(worker);
 	set_pool(worker, NULL);
 	drop_unstored_ends(worker, worker->unstored_ends->len);
 	g_ptr_array_unref(worker->runs);
+	g_ptr_array_unref(worker->claims);
 	g_array_unref(worker->unstored_ends);
 	g_array_unref(worker->in_doubt_starts);
 	talloc_free(worker);
--- a/packages/batch/tests/batch_store_test.c
+++ b/packages/batch/tests/batch_store_test.c
@@ -1456,6 +1456,96 @@
 	check_and_free(world);
 }
 
+/*
+ * Two jobs with a long-running task each on one worker, and room for one of
+ * these on another.
+ */
+static world_t *two_tasks_on_one_worker(void)
+{
+	world_t *world = world_new(1, 1, 3);
+	batch_step_spec_t step = world_step(1);
+
+	step.long_running = true;
+	step.max_unavailable = 1;
+	step.need.cpu = 4000;
+	world->stop_time = 100 * MS;
+	world_submit(world, "a", &step, 1);
+	world_submit(world, "b", &step, 1);
+	world_advance(world, 2 * SECOND);
+	world_add_worker(world);
+	world_worker_set_capacity(world, 1, (batch_res_t){ 6000, 32000, 0 });
+	world_advance(world, SECOND);
+	g_assert_cmpuint(world->workers[0].runs->len, ==, 2);
+	return world;
+}
+
+static void assert_both_run(world_t *world, int64_t span)
+{
+	int64_t until = world->now + span;
+	int64_t away = 0;
+
+	while (world->now < until) {
+		world_advance(world, WORLD_TICK);
+		if (world_running(world, "a", 0, 0) &&
+		    world_running(world, "b", 0, 0))
+			away = 0;
+		else
+			away += WORLD_TICK;
+		g_assert_cmpint(away, <, SECOND);
+	}
+}
+
+/*
+ * Guards against a long-running task that is stopped and has no place (LOST):
+ * two tasks, each of another job, were withdrawn for the same room.
+ */
+static void test_withdrawn_tasks_do_not_share_room(void)
+{
+	world_t *world = two_tasks_on_one_worker();
+
+	batch_worker_cordon(world->core, world->now, BASE_STR("w0"), true);
+	assert_both_run(world, 10 * SECOND);
+	/* One has moved, and the other one follows once there is room. */
+	g_assert_cmpuint(world->workers[1].runs->len, ==, 1);
+	world_worker_set_capacity(world, 1, (batch_res_t){ 8000, 32000, 0 });
+	assert_both_run(world, 5 * SECOND);
+	g_assert_cmpuint(world->workers[1].runs->len, ==, 2);
+	check_and_free(world);
+}
+
+/* Guards against the same: short tasks took the room before the stop. */
+static void test_withdrawn_task_keeps_its_room(void)
+{
+	world_t *world = two_tasks_on_one_worker();
+	batch_step_spec_t step = world_step(3);
+
+	step.estimate = 20 * SECOND;
+	batch_worker_cordon(world->core, world->now, BASE_STR("w0"), true);
+	world_advance(world, 60 * MS);
+	world_submit(world, "short", &step, 1);
+	assert_both_run(world, 5 * SECOND);
+	g_assert_cmpint(find_run(world, "a", 0) + find_run(world, "b", 0), ==,
+			1);
+	check_and_free(world);
+}
+
+/* Guards against the same by a holder that finds the task withdrawn. */
+static void test_withdrawn_task_and_takeover(void)
+{
+	world_t *world = two_tasks_on_one_worker();
+
+	/* The row is stored; the stop is sent, and lost with the holder. */
+	batch_worker_cordon(world->core, world->now, BASE_STR("w0"), true);
+	while (!world->orders->len)
+		world_advance(world, WORLD_TICK);
+	g_array_set_size(world->orders, 0);
+	world_worker_set_capacity(world, 1, (batch_res_t){ 2000, 32000, 0 });
+	world_take_over(world);
+	batch_worker_cordon(world->core, world->now, BASE_STR("w0"), true);
+	assert_both_run(world, 5 * SECOND);
+	check_and_free(world);
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
@@ -1525,5 +1615,11 @@
 			test_two_in_doubt_run_again);
 	g_test_add_func("/batch-store/job-of-a-removed-queue-is-restored",
 			test_job_of_a_removed_queue_is_restored);
+	g_test_add_func("/batch-store/withdrawn-tasks-do-not-share-room",
+			test_withdrawn_tasks_do_not_share_room);
+	g_test_add_func("/batch-store/withdrawn-task-keeps-its-room",
+			test_withdrawn_task_keeps_its_room);
+	g_test_add_func("/batch-store/withdrawn-task-and-takeover",
+			test_withdrawn_task_and_takeover);
 	return g_test_run();
 }
