--- a/packages/batch/batch_int.h
+++ b/packages/batch/batch_int.h
@@ -71,6 +71,13 @@
 	 */
 	bool full;
 	batch_res_t full_need;
+	/*
+	 * What long-running tasks need that fit on no worker, even once the
+	 * short tasks there end: tasks that are due, as the last pass found
+	 * them, and those on workers to be emptied, as the last sweep did.
+	 */
+	batch_load_t due;
+	batch_load_t stranded;
 	int incoming; /* workers moving to the pool */
 	/* When a step was found last that the policy allows on none of the
 	 * pool's workers; 0: never. */
@@ -197,7 +204,10 @@
 	batch_crashes_t crashes;
 	int n_void; /* its starts in doubt whose stop proves nothing any more */
 	int64_t void_since;
-	int slow_moves;		   /* times it was stopped for being slow */
+	int slow_moves;	       /* times it was stopped for being slow */
+	batch_worker_t *claim; /* with room for its next run; NULL: none */
+	int64_t due_since;     /* it has had no place since; 0: it is not due */
+	int64_t wait_logged_at;
 	int64_t unavailable_since; /* of a long-running task; 0: it is
 				      available */
 };
@@ -369,6 +379,7 @@
 	int64_t last_end;      /* highest end processed */
 	GArray *unstored_ends;
 	GPtrArray *runs;
+	GPtrArray *claims; /* tasks whose next run has room here; in "used" */
 	GArray *in_doubt_starts; /* of batch_in_doubt_start_t */
 	int fail_streak;
 	const batch_job_t *fail_job; /* job of the last failed run */
@@ -431,6 +442,7 @@
 	bool run_times_changed; /* since the last print */
 	bool pass_needed;	/* an event calls for a scheduling pass */
 	int64_t last_pass_at;
+	int64_t wait_logged_at; /* the last log of any task that waits */
 	int64_t swept_at; /* last check of leases, stops and cordoned workers */
 };
 
@@ -665,6 +677,8 @@
 batch_load_t batch_pool_backlog(batch_t *core, batch_pool_t *pool, int64_t now);
 /* Adds the work of a job that was just accepted. */
 void batch_backlog_add(batch_pool_t *pool, const batch_load_t *work);
+/* Adds the need of one task of the step. */
+void batch_load_add(batch_load_t *load, const batch_step_spec_t *spec);
 batch_load_t batch_pool_long_running(const batch_pool_t *pool);
 /*
  * The capacity of the pool's workers and of those that are moving to it,
@@ -705,6 +719,8 @@
 /* The same, apart from runs on trial: it may once these have an outcome. */
 bool batch_fit_allows_later(const batch_worker_t *worker,
 			    const batch_task_t *task, int64_t now);
+/* The workers of the task's pool by what keeps the task from them. */
+batch_fit_counts_t batch_fit_count(const batch_task_t *task, int64_t now);
 /* Why a task without a run, of a step that may run, is not placed. */
 const char *batch_fit_why(const batch_task_t *task, int64_t now);
 
@@ -723,14 +739,35 @@
 /* Ends the reservations of tasks that run and of jobs that have ended. */
 void batch_place_drop_ended(batch_t *core);
 
-/* Whether another worker may run the task and has enough free capacity. */
-bool batch_place_fits_elsewhere(const batch_task_t *task, int64_t now);
+/* Whether a worker that may run the task has room for it, or will have once
+ * the short tasks there have ended. */
+bool batch_place_fits_later(const batch_task_t *task, int64_t now);
+/* The best worker that may run the task and has the capacity; NULL: none. */
+batch_worker_t *batch_place_find(const batch_task_t *task, int64_t now);
 
 /* batch_evacuate.c */
 void batch_evacuate(batch_t *core, int64_t now);
 /* Whether the stop of a withdrawn run keeps to what its step allows now. */
 bool batch_evacuate_may_stop(const batch_run_t *run, int64_t now);
 
+/* batch_claim.c */
+/*
+ * Sets room aside for the next run of a task that has one; returns whether the
+ * next one could start there now.
+ */
+bool batch_claim_make(batch_task_t *task, int64_t now);
+/*
+ * Ends the claim, if the task has one, and returns its worker, if the task may
+ * start there now.  Else it returns NULL, and the claim stays unless the worker
+ * leaves.
+ */
+batch_worker_t *batch_claim_take(batch_task_t *task, int64_t now);
+void batch_claim_drop(batch_task_t *task);
+/* Drops all claims on the worker. */
+void batch_claim_drop_all(batch_worker_t *worker);
+/* Drops the claims for jobs that have ended and on workers that leave. */
+void batch_claims_drop_ended(batch_t *core);
+
 /* batch_pace.c */
 void batch_pace_adjust(batch_worker_t *worker, int64_t now);
 
--- a/packages/batch/batch_worker.c
+++ b/packages/batch/batch_worker.c
@@ -14,6 +14,7 @@
 	worker->core = core;
 	worker->id = base_str_dup(worker, id);
 	worker->runs = g_ptr_array_new();
+	worker->claims = g_ptr_array_new();
 	worker->in_doubt_starts =
 		g_array_new(FALSE, FALSE, sizeof(batch_in_doubt_start_t));
 	worker->unstored_ends =
@@ -109,12 +110,14 @@
 {
 	batch_t *core = worker->core;
 
+	batch_claim_drop_all(worker);
 	set_pool(worker, NULL);
 	batch_index_remove(core->workers_by_address, worker->address, worker);
 	batch_index_remove(core->workers_by_instance, worker->instance, worker);
 	batch_doubt_forget(worker);
 	drop_unstored_ends(worker, worker->unstored_ends->len);
 	g_ptr_array_unref(worker->runs);
+	g_ptr_array_unref(worker->claims);
 	g_array_unref(worker->unstored_ends);
 	g_array_unref(worker->in_doubt_starts);
 	talloc_free(worker);
