batch: stop a task whose earlier start may be late without a place for it

Callers would have seen a task run twice (TWICE), since: a long-running task whose earlier start may be carried out by its worker's next process is stopped where it runs, and kept from running for as long. That stop had come to wait for room elsewhere, as that of an evacuation does, though the task is not to start anywhere before the doubt is over.

Change: room is set aside only for a task that may run on.

Test: late-start-after-its-stopper-has-ended has the cases in which no worker has room: TWICE at 12.640 s without the change, in the first of them.

--- a/packages/batch/batch_run.c
+++ b/packages/batch/batch_run.c
@@ -176,7 +176,8 @@
 	if (run->is_withdrawn && run->state == RUN_CONFIRMED &&
 	    run->withdrawn_version <= job->stored_version &&
 	    batch_evacuate_may_stop(run, now) &&
-	    batch_claim_make(run->task, now))
+	    (batch_doubt_holds_back(run->task, now) ||
+	     batch_claim_make(run->task, now)))
 		batch_run_stop(run, now, run->stop_reason);
 }
 
