node: confirm the key before a cancel is told that there is no such job

The store takes a holder's key away, and its successor accepts a job; a caller cancels it at the former holder's entry.

A cancel of a job that the holder does not know is now answered once a read of the holder's key, begun after the request, shows the holder's own. One read at a time serves all cancels that came before it.

Cost: a read of the store for a cancel of an unknown job, fewer if several wait.

--- a/packages/node/node_holder.c
+++ b/packages/node/node_holder.c
@@ -34,8 +34,16 @@
 	bool cancel;
 } waiter_t;
 
+/* A cancel of a job that this holder does not know. */
+typedef struct unknown_cancel {
+	node_job_request_t ask;
+	node_outcome_done_t *done;
+	void *arg;
+} unknown_cancel_t;
+
 static void renew(void *arg);
 static void step(void *arg);
+static void answer_cancels(GQueue *cancels, node_outcome_t *outcome);
 
 static void renewed(void *arg, const node_answer_t *answer)
 {
@@ -188,6 +196,8 @@
 static int holder_free(node_holder_t *holder)
 {
 	g_queue_clear_full(&holder->forgotten, g_free);
+	g_queue_clear(&holder->cancels_read);
+	g_queue_clear(&holder->cancels_next);
 	g_hash_table_unref(holder->waiting);
 	g_hash_table_unref(holder->worker_links);
 	g_hash_table_unref(holder->lookups);
@@ -265,6 +275,8 @@
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	g_queue_init(&holder->forgotten);
 	g_queue_init(&holder->awaiting_stored);
+	g_queue_init(&holder->cancels_next);
+	g_queue_init(&holder->cancels_read);
 	holder->forgot_at = holder->taken_at;
 	talloc_set_destructor(holder, holder_free);
 	node_advice_begin(holder);
@@ -312,6 +324,8 @@
 		answer_waiters(value, false, &unknown);
 		answer_waiters(value, true, &unknown);
 	}
+	answer_cancels(&holder->cancels_read, &unknown);
+	answer_cancels(&holder->cancels_next, &unknown);
 }
 
 static void add_waiter(node_holder_t *holder, const node_job_request_t *ask,
@@ -533,8 +547,93 @@
 	}
 }
 
+static void answer_cancels(GQueue *cancels, node_outcome_t *outcome)
+{
+	unknown_cancel_t *waiting;
+
+	while ((waiting = g_queue_pop_head(cancels))) {
+		waiting->done(waiting->arg, outcome);
+		talloc_free(waiting);
+	}
+}
+
+static void confirm_next_cancels(node_holder_t *holder);
+
+/* Whether the answer shows that the holder's key is still its own. */
+static bool confirms_key(const node_holder_t *holder,
+			 const node_answer_t *answer)
+{
+	return answer->store_status == NODE_STORE_OK && answer->n_items &&
+	       answer->items[0].revision == holder->holder_revision;
+}
+
 static void cancel(node_holder_t *holder, const node_job_request_t *ask,
-		   node_outcome_done_t *done, void *arg)
+		   bool is_confirmed, node_outcome_done_t *done, void *arg);
+
+static void key_confirmed(void *arg, const node_answer_t *answer)
+{
+	node_holder_t *holder = arg;
+	node_outcome_t unknown = { .kind = NODE_OUT_UNKNOWN,
+				   .why = "the store does not answer" };
+	unknown_cancel_t *waiting;
+
+	node_store_track_status(holder->node, answer->store_status);
+	if (holder->ended)
+		return;
+	if (confirms_key(holder, answer)) {
+		while ((waiting = g_queue_pop_head(&holder->cancels_read))) {
+			cancel(holder, &waiting->ask, true, waiting->done,
+			       waiting->arg);
+			talloc_free(waiting);
+		}
+	} else if (answer->store_status == NODE_STORE_OK ||
+		   answer->store_status == NODE_STORE_MISSING) {
+		node_election_lost(holder->node, "the key is not its own");
+		return;
+	} else {
+		answer_cancels(&holder->cancels_read, &unknown);
+	}
+	holder->is_key_read = false;
+	confirm_next_cancels(holder);
+}
+
+/* One read at a time, for all cancels that came before it. */
+static void confirm_next_cancels(node_holder_t *holder)
+{
+	unknown_cancel_t *waiting;
+
+	if (holder->is_key_read || !holder->cancels_next.length)
+		return;
+	while ((waiting = g_queue_pop_head(&holder->cancels_next)))
+		g_queue_push_tail(&holder->cancels_read, waiting);
+	holder->is_key_read = true;
+	node_store_get(holder->node, holder->store, NODE_KEY_HOLDER,
+		       key_confirmed, holder);
+}
+
+/*
+ * A successor may have accepted the job since the store took the key away,
+ * which no lease shows: that there is no such job is answered once a read,
+ * begun after the request, shows the key.
+ */
+static void confirm_cancel(node_holder_t *holder, const node_job_request_t *ask,
+			   node_outcome_done_t *done, void *arg)
+{
+	unknown_cancel_t *waiting = talloc_zero(holder, unknown_cancel_t);
+
+	waiting->ask.job_op = NODE_OP_CANCEL;
+	waiting->ask.id = talloc_strdup(waiting, ask->id);
+	if (ask->token)
+		waiting->ask.token = talloc_strdup(waiting, ask->token);
+	waiting->ask.try_number = ask->try_number;
+	waiting->done = done;
+	waiting->arg = arg;
+	g_queue_push_tail(&holder->cancels_next, waiting);
+	confirm_next_cancels(holder);
+}
+
+static void cancel(node_holder_t *holder, const node_job_request_t *ask,
+		   bool is_confirmed, node_outcome_done_t *done, void *arg)
 {
 	node_outcome_t outcome = { .kind = NODE_OUT_ACCEPTED };
 	batch_state_t state;
@@ -543,6 +642,10 @@
 			  &state)) {
 		/* Cancelling an ended job succeeds without effect. */
 		if (state == BATCH_UNKNOWN) {
+			if (!is_confirmed) {
+				confirm_cancel(holder, ask, done, arg);
+				return;
+			}
 			outcome.kind = NODE_OUT_NOT_FOUND;
 			bind_refusal(holder, ask, &outcome);
 		}
@@ -573,7 +676,7 @@
 	case NODE_OP_CANCEL:
 		if (refuse_again(holder, ask, done, arg))
 			break;
-		cancel(holder, ask, done, arg);
+		cancel(holder, ask, false, done, arg);
 		break;
 	case NODE_OP_STATE:
 		outcome.state = batch_state(holder->core, base_str(ask->id));
--- a/packages/node/node_int.h
+++ b/packages/node/node_int.h
@@ -405,6 +405,11 @@
 	int64_t commit_time; /* of a change, decaying average */
 	int64_t commit_number;
 	GHashTable *waiting; /* job id to list of waiting requests */
+	/* Cancels of unknown jobs: those that wait for the open read of the
+	 * holder's key, and for the next one. */
+	GQueue cancels_read;
+	GQueue cancels_next;
+	bool is_key_read;
 	node_refusals_t *refusals;
 	/* The try of a submit that was accepted or refused last, for the log.
 	 */
--- a/packages/node/tests/node_given_up_test.c
+++ b/packages/node/tests/node_given_up_test.c
@@ -778,6 +778,67 @@
 	teardown();
 }
 
+static void keep_outcome(void *arg, const node_outcome_t *outcome)
+{
+	*(node_outcome_kind_t *)arg = outcome->kind;
+}
+
+/* A cancel of a job that the holder does not know; returns what it answers
+ * before the store does.  "later" gets what it answers then. */
+static node_outcome_kind_t cancel_unknown(node_outcome_kind_t *later)
+{
+	node_job_request_t ask = { .job_op = NODE_OP_CANCEL, .id = "j" };
+
+	*later = NODE_OUT_MAX;
+	node_holder_handle_request(test.holder, &ask, keep_outcome, later);
+	return *later;
+}
+
+static void answer_get(node_store_status_t status, int64_t revision)
+{
+	node_item_t item = { .key = test.get_key, .revision = revision };
+	node_answer_t answer = { .store_status = status,
+				 .items = &item,
+				 .n_items = revision != 0 };
+
+	test.get_done(test.get_arg, &answer);
+}
+
+/*
+ * Guards against a cancel that is acknowledged by a holder that has lost its
+ * key, of a job that its successor has accepted (UNASKED).
+ */
+static void test_cancel_of_an_unknown_job_is_confirmed(void)
+{
+	node_outcome_kind_t outcomes[3];
+	node_holder_t ended;
+
+	setup();
+	test.node->election_timer =
+		net_timer_new(test.node, test.node->loop, stop_loop, NULL);
+	test.node->largest_cores = test.node->settings->usable_cores = 1;
+	test.holder->holder_revision = 7;
+	g_assert_cmpint(cancel_unknown(&outcomes[0]), ==, NODE_OUT_MAX);
+	g_assert_cmpstr(test.get_key, ==, NODE_KEY_HOLDER);
+	/* One that comes while the key is read needs a later read. */
+	cancel_unknown(&outcomes[1]);
+	answer_get(NODE_STORE_OK, 7);
+	g_assert_cmpint(outcomes[0], ==, NODE_OUT_NOT_FOUND);
+	g_assert_cmpint(outcomes[1], ==, NODE_OUT_MAX);
+	answer_get(NODE_STORE_UNKNOWN, 0);
+	g_assert_cmpint(outcomes[1], ==, NODE_OUT_UNKNOWN);
+	/* The key is another holder's. */
+	cancel_unknown(&outcomes[2]);
+	answer_get(NODE_STORE_OK, 8);
+	g_assert_cmpint(outcomes[2], ==, NODE_OUT_UNKNOWN);
+	g_assert_true(test.holder->ended);
+	/* The loop frees the holder, but not its tables. */
+	ended = *test.holder;
+	run_for(BASE_MS);
+	test.holder = &ended;
+	teardown();
+}
+
 /* A refused order for a move that is the only one ends it. */
 static void test_refused_move_ends(void)
 {
@@ -1159,6 +1220,8 @@
 		test_instance_that_a_former_holder_ordered_is_left);
 	g_test_add_func("/node-given-up/row-of-moves-forgets-answered-orders",
 			test_row_of_moves_forgets_answered_orders);
+	g_test_add_func("/node-given-up/cancel-of-an-unknown-job-is-confirmed",
+			test_cancel_of_an_unknown_job_is_confirmed);
 	g_test_add_func("/node-given-up/worker-of-a-moved-instance",
 			test_worker_of_a_moved_instance_is_looked_up);
 	return g_test_run();
