batch: don't start a task in the pool that its queue has left

What callers would have seen: ROUTE: a long-running task that was stopped for upkeep starts on a worker of the pool that its queue had before a change of the configuration.

The class: a result of a search that is used later without what the search rested on.

Change: batch_claim_take() drops a claim that does not hold before it is taken.

--- a/packages/batch/batch_claim.c
+++ b/packages/batch/batch_claim.c
@@ -74,11 +74,12 @@
 
 	if (!worker)
 		return NULL;
-	if (!batch_fit_allows(worker, task, now)) {
-		if (!is_held(task))
-			batch_claim_drop(task);
+	if (!is_held(task)) {
+		batch_claim_drop(task);
 		return NULL;
 	}
+	if (!batch_fit_allows(worker, task, now))
+		return NULL;
 	batch_claim_drop(task);
 	return batch_fit_has_capacity(worker, task->step->spec) ? worker : NULL;
 }
