batch: look for other room while a claim's worker may not start the task

What callers would have seen: a worker that is to be emptied keeps its long-running task though another worker has room, so that its upkeep waits without bound, and the claimed room is used by nobody.

Cause: a claim stays while its worker is in the pool's capacity, also while the task may not start there: the worker is held, lists a run that is not known, or has lost the label; the policy has changed. The run is not stopped as long, and no other room was looked for while there is a claim. The class: room that is set aside, and never given back or used.

If there is none the claim stays.

--- a/packages/batch/batch_claim.c
+++ b/packages/batch/batch_claim.c
@@ -59,13 +59,14 @@
 
 	if (task->claim && !is_held(task))
 		batch_claim_drop(task);
-	if (!task->claim) {
-		worker = batch_place_find(task, now);
-		if (!worker)
-			return false;
-		set_claim(task, worker);
-	}
-	return batch_fit_allows(task->claim, task, now);
+	if (task->claim && batch_fit_allows(task->claim, task, now))
+		return true;
+	worker = batch_place_find(task, now);
+	if (!worker)
+		return false;
+	batch_claim_drop(task);
+	set_claim(task, worker);
+	return true;
 }
 
 batch_worker_t *batch_claim_take(batch_task_t *task, int64_t now)
--- a/packages/batch/batch_evacuate.c
+++ b/packages/batch/batch_evacuate.c
@@ -111,7 +111,7 @@
 	if (run->state != RUN_CONFIRMED)
 		return;
 	if (run->is_withdrawn) {
-		if (!task->claim && !batch_claim_make(task, now))
+		if (!batch_claim_make(task, now) && !task->claim)
 			count_stranded(task, now);
 		return;
 	}
--- a/packages/batch/tests/batch_claim_test.c
+++ b/packages/batch/tests/batch_claim_test.c
@@ -229,6 +229,30 @@
 	g_assert_cmpint(n, >, 0);
 }
 
+/*
+ * Guards against a claim that holds a task where it is: the worker with its
+ * room is kept from it, while another one has room.
+ */
+static void test_claim_moves_to_a_worker_that_can_start(void)
+{
+	world_t *world = one_task();
+
+	batch_worker_cordon(world->core, world->now, BASE_STR("w0"), true);
+	world->store_down = true;
+	world_advance(world, 100 * MS);
+	g_assert_cmpuint(check_use(world), ==, 1);
+	batch_worker_hold(world->core, BASE_STR("w1"), INT64_MAX);
+	world->store_down = false;
+	world_advance(world, SECOND);
+	g_assert_cmpuint(world->workers[0].runs->len, ==, 1);
+	world_add_worker(world);
+	world_advance(world, 3 * SECOND);
+	g_assert_cmpuint(world->workers[0].runs->len, ==, 0);
+	g_assert_cmpuint(world->workers[2].runs->len, ==, 1);
+	g_assert_cmpuint(check_use(world), ==, 0);
+	check_and_free(world);
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
@@ -236,5 +260,7 @@
 			test_use_is_that_of_runs_and_claims);
 	g_test_add_func("/batch-claim/in-a-former-pool",
 			test_claim_in_a_former_pool);
+	g_test_add_func("/batch-claim/moves-to-a-worker-that-can-start",
+			test_claim_moves_to_a_worker_that_can_start);
 	return g_test_run();
 }
