batch: set no room aside on the worker that a task is to leave

What callers would have seen: LOST: a long-running task that a former holder withdrew is stopped, and has no place afterwards.

Cause: the next holder set room for its next run aside on its own worker, as long as it did not know yet that the worker is to be emptied, stopped the run, and dropped the claim once it knew. Otherwise the task was stopped to be started where it was, with room for two.

Change: a worker is no place for a task whose run is there.

Test: batch_claim_test is-on-another-worker failed at world_running(world, "a", 0, 0) == 1 (0 == 1), 3 s after the worker was known to be emptied.

--- a/packages/batch/batch_fit.c
+++ b/packages/batch/batch_fit.c
@@ -109,6 +109,9 @@
 
 	if (!batch_worker_usable(worker, now))
 		return false;
+	/* Its next run is to be elsewhere. */
+	if (task->run && task->run->worker == worker)
+		return false;
 	if (worker->reserved_for && worker->reserved_for != task &&
 	    task->claim != worker)
 		return false;
--- a/packages/batch/tests/batch_claim_test.c
+++ b/packages/batch/tests/batch_claim_test.c
@@ -253,6 +253,32 @@
 	check_and_free(world);
 }
 
+/*
+ * Guards against a task that is stopped by the next holder on the strength of
+ * room on its own worker, and has no place (LOST): the holder knows later that
+ * the worker is to be emptied.
+ */
+static void test_claim_is_on_another_worker(void)
+{
+	world_t *world = one_task();
+	int i;
+
+	/* The row is stored; the stop is sent, and lost with the holder. */
+	batch_worker_cordon(world->core, world->now, BASE_STR("w0"), true);
+	while (!world->orders->len)
+		world_advance(world, WORLD_TICK);
+	g_array_set_size(world->orders, 0);
+	world_worker_set_capacity(world, 1, (batch_res_t){ 0, 0, 0 });
+	world_take_over(world);
+	for (i = 0; i < 200 && !world->orders->len; i++)
+		world_advance(world, WORLD_TICK);
+	batch_worker_cordon(world->core, world->now, BASE_STR("w0"), true);
+	world_advance(world, 3 * SECOND);
+	g_assert_cmpint(world_running(world, "a", 0, 0), ==, 1);
+	g_assert_cmpint(world->starts, ==, 1);
+	check_and_free(world);
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
@@ -262,5 +288,7 @@
 			test_claim_in_a_former_pool);
 	g_test_add_func("/batch-claim/moves-to-a-worker-that-can-start",
 			test_claim_moves_to_a_worker_that_can_start);
+	g_test_add_func("/batch-claim/is-on-another-worker",
+			test_claim_is_on_another_worker);
 	return g_test_run();
 }
