batch: let a withdrawn task stay once its worker is not to be emptied

What callers would have seen: a long-running task is stopped for upkeep that was called off before its row was stored, or for a doubt that is over. Without room elsewhere it stayed withdrawn for good, counted as away, so that no other task of its step could be moved.

Cause: the mark that a run is withdrawn was never taken back.

Change: a holder that finds nothing that asks for the stop, before it sends it, takes back what it marked itself. What a former holder marked stays: its stop may be on its way.

--- a/packages/batch/batch_run.c
+++ b/packages/batch/batch_run.c
@@ -169,10 +169,27 @@
 	run->stop_reason = why;
 }
 
+/*
+ * Whether nothing asks for the stop any more.  A former holder may have sent
+ * that of a run which it withdrew.
+ */
+static bool may_stay(const batch_run_t *run, int64_t now)
+{
+	return run->withdrawn_version && run->state == RUN_CONFIRMED &&
+	       !run->worker->cordoned && !run->worker->draining &&
+	       !batch_doubt_holds_back(run->task, now);
+}
+
 void batch_run_stop_withdrawn(batch_run_t *run, int64_t now)
 {
-	const batch_job_t *job = run->task->step->occ->job;
+	batch_job_t *job = run->task->step->occ->job;
 
+	if (run->is_withdrawn && may_stay(run, now)) {
+		run->is_withdrawn = false;
+		batch_claim_drop(run->task);
+		batch_job_changed(job);
+		return;
+	}
 	if (run->is_withdrawn && run->state == RUN_CONFIRMED &&
 	    run->withdrawn_version <= job->stored_version &&
 	    batch_evacuate_may_stop(run, now) &&
--- a/packages/batch/tests/batch_claim_test.c
+++ b/packages/batch/tests/batch_claim_test.c
@@ -279,6 +279,29 @@
 	check_and_free(world);
 }
 
+/*
+ * Guards against a long-running task that is stopped though its worker is not
+ * to be emptied any more, or that counts as away from then on.
+ */
+static void test_task_stays_once_it_may(void)
+{
+	world_t *world = one_task();
+
+	batch_worker_cordon(world->core, world->now, BASE_STR("w0"), true);
+	world->store_down = true;
+	world_advance(world, 100 * MS);
+	batch_worker_cordon(world->core, world->now, BASE_STR("w0"), false);
+	world->store_down = false;
+	world_advance(world, 3 * SECOND);
+	g_assert_cmpint(world->stops, ==, 0);
+	g_assert_cmpuint(check_use(world), ==, 0);
+	/* It leaves once the worker is to be emptied again. */
+	batch_worker_cordon(world->core, world->now, BASE_STR("w0"), true);
+	world_advance(world, 3 * SECOND);
+	g_assert_cmpuint(world->workers[1].runs->len, ==, 1);
+	check_and_free(world);
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
@@ -290,5 +313,7 @@
 			test_claim_moves_to_a_worker_that_can_start);
 	g_test_add_func("/batch-claim/is-on-another-worker",
 			test_claim_is_on_another_worker);
+	g_test_add_func("/batch-claim/task-stays-once-it-may",
+			test_task_stays_once_it_may);
 	return g_test_run();
 }
