batch: ask for no instances for a task that no worker could run

What callers would have seen: since a long-running task that needs more than a whole worker, or a label that none has, took all spare instances and all that other pools had too many of, before any other need, for as long as its job is there; what its pool got was never given back.

Cause: a task that fits on no worker counted as the need of one more, whether or not one more helps. The class: a demand without an end, as nothing that is done for it meets it.

Change: it counts only if a listed worker, of any pool, could run it if that one were empty. Not bounded yet: a task that only workers of other pools could run, or a worker to be emptied, while what comes is smaller or lacks the label.

Tests, batch_claim_test: growth-for-a-task-of-no-size and growth-for-a-label-of-none failed: 16 instances in 16 rounds, want 4 at the most. batch_capacity_change_test passes, 25 of 25.

--- a/packages/batch/batch_evacuate.c
+++ b/packages/batch/batch_evacuate.c
@@ -97,7 +97,7 @@
 /* Counts a task that fits on no worker of its pool, so that the pool grows. */
 static void count_stranded(const batch_task_t *task, int64_t now)
 {
-	if (!batch_place_fits_later(task, now))
+	if (batch_place_lacks_worker(task, now))
 		batch_load_add(&task->step->occ->job->queue->pool->stranded,
 			       task->step->spec);
 }
--- a/packages/batch/batch_fit.c
+++ b/packages/batch/batch_fit.c
@@ -73,6 +73,16 @@
 	return is_within(&sum, &worker->capacity);
 }
 
+bool batch_fit_when_empty(const batch_worker_t *worker,
+			  const batch_step_spec_t *spec)
+{
+	batch_res_t need = { 0, 0, 0 };
+
+	add_need(&need, spec);
+	return is_within(&need, &worker->capacity) &&
+	       (!spec->label.len || has_label(worker, spec->label));
+}
+
 int batch_fit_siblings(const batch_worker_t *worker, const batch_step_t *step)
 {
 	int n = 0;
--- a/packages/batch/batch_int.h
+++ b/packages/batch/batch_int.h
@@ -716,6 +716,9 @@
 /* Whether a task of the step fits once the short tasks there have ended. */
 bool batch_fit_once_free(const batch_worker_t *worker,
 			 const batch_step_spec_t *spec);
+/* Whether its size and its labels let it run a task of the step. */
+bool batch_fit_when_empty(const batch_worker_t *worker,
+			  const batch_step_spec_t *spec);
 /* Number of runs of the step on the worker. */
 int batch_fit_siblings(const batch_worker_t *worker, const batch_step_t *step);
 /* Whether the worker may run the task, apart from its free capacity. */
@@ -744,9 +747,12 @@
 /* Ends the reservations of tasks that run and of jobs that have ended. */
 void batch_place_drop_ended(batch_t *core);
 
-/* Whether a worker that may run the task has room for it, or will have once
- * the short tasks there have ended. */
-bool batch_place_fits_later(const batch_task_t *task, int64_t now);
+/*
+ * Whether another worker would help the task: none that may run it has room for
+ * it, or will have once the short tasks there have ended, but one of any pool
+ * could run it if it were empty.
+ */
+bool batch_place_lacks_worker(const batch_task_t *task, int64_t now);
 /* The best worker that may run the task and has the capacity; NULL: none. */
 batch_worker_t *batch_place_find(const batch_task_t *task, int64_t now);
 
--- a/packages/batch/batch_place.c
+++ b/packages/batch/batch_place.c
@@ -431,7 +431,7 @@
 	}
 	record_no_fit(pool, task);
 	if (task->step->spec->long_running &&
-	    !batch_place_fits_later(task, now))
+	    batch_place_lacks_worker(task, now))
 		batch_load_add(&pool->due, task->step->spec);
 	if (trial && !has_reservation(pool, task))
 		reserve_for_trial(pool, task, now);
@@ -711,7 +711,7 @@
 	talloc_free(ranks);
 }
 
-bool batch_place_fits_later(const batch_task_t *task, int64_t now)
+static bool fits_later(const batch_task_t *task, int64_t now)
 {
 	const batch_pool_t *pool = task->step->occ->job->queue->pool;
 	guint i;
@@ -727,6 +727,29 @@
 	return false;
 }
 
+/* Whether there is a worker that could run the task if it were empty. */
+static bool fits_empty_worker(const batch_t *core, const batch_task_t *task)
+{
+	GHashTableIter iter;
+	gpointer value;
+
+	g_hash_table_iter_init(&iter, core->workers);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		const batch_worker_t *worker = value;
+
+		if (worker->listed &&
+		    batch_fit_when_empty(worker, task->step->spec))
+			return true;
+	}
+	return false;
+}
+
+bool batch_place_lacks_worker(const batch_task_t *task, int64_t now)
+{
+	return !fits_later(task, now) &&
+	       fits_empty_worker(task->step->occ->job->core, task);
+}
+
 batch_worker_t *batch_place_find(const batch_task_t *task, int64_t now)
 {
 	return choose_worker(task->step->occ->job->queue->pool, task, now,
--- a/packages/batch/tests/batch_claim_test.c
+++ b/packages/batch/tests/batch_claim_test.c
@@ -9,6 +9,8 @@
 #define WORKERS 5
 #define JOBS 24
 #define SEEDS 200
+/* More than what the tasks of a test need if each has a worker to itself. */
+#define ENOUGH 4
 
 static void check_and_free(world_t *world)
 {
@@ -302,6 +304,55 @@
 	check_and_free(world);
 }
 
+/* Instances that the pool asks for, each of which comes, in so many rounds. */
+static int count_growth(world_t *world, int rounds)
+{
+	batch_move_t move;
+	int n = 0;
+
+	while (rounds-- > 0) {
+		if (batch_moves(world->core, world->now, 1, false, &move, 1)) {
+			world_add_worker(world);
+			batch_pool_set_incoming(world->core, BASE_STR("pool"),
+						0);
+			n++;
+		}
+		world_advance(world, SECOND);
+	}
+	return n;
+}
+
+/*
+ * Guards against a pool that asks for instances without end, before all others:
+ * for a task that none of them can run, as it needs more than a whole one.
+ */
+static void test_growth_for_a_task_of_no_size(void)
+{
+	world_t *world = world_new(1, 2, 3);
+	batch_step_spec_t step = world_step(1);
+
+	step.long_running = true;
+	step.need.cpu = 9000;
+	world_submit(world, "big", &step, 1);
+	world_advance(world, 2 * SECOND);
+	g_assert_cmpint(count_growth(world, 4 * ENOUGH), <=, ENOUGH);
+	world_free(world);
+}
+
+/* Guards against the same for a label that no worker has. */
+static void test_growth_for_a_label_of_none(void)
+{
+	world_t *world = world_new(1, 2, 3);
+	batch_step_spec_t step = world_step(1);
+
+	step.long_running = true;
+	step.label = BASE_STR("none");
+	world_submit(world, "label", &step, 1);
+	world_advance(world, 2 * SECOND);
+	g_assert_cmpint(count_growth(world, 4 * ENOUGH), <=, ENOUGH);
+	world_free(world);
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
@@ -315,5 +366,9 @@
 			test_claim_is_on_another_worker);
 	g_test_add_func("/batch-claim/task-stays-once-it-may",
 			test_task_stays_once_it_may);
+	g_test_add_func("/batch-claim/growth-for-a-task-of-no-size",
+			test_growth_for_a_task_of_no_size);
+	g_test_add_func("/batch-claim/growth-for-a-label-of-none",
+			test_growth_for_a_label_of_none);
 	return g_test_run();
 }
