batch: look at the workers of a full pool once less for a waiting task

A pass looked at all workers of the pool for each long-running task without a place, to see whether it will fit once short tasks end; choosing a worker to reserve looks for the same. The choice now tells it. A task that has a reservation or is on trial is looked at as before.

--- a/packages/batch/batch_place.c
+++ b/packages/batch/batch_place.c
@@ -317,16 +317,22 @@
 	}
 }
 
-/* Reserves capacity that becomes free on a worker for a long-running task. */
-static void reserve_worker(const batch_pool_t *pool, const batch_task_t *task,
+/*
+ * Reserves capacity that becomes free on a worker for a long-running task.
+ * Returns whether there is such a worker.
+ */
+static bool reserve_worker(const batch_pool_t *pool, const batch_task_t *task,
 			   int64_t now)
 {
 	batch_worker_t *worker = choose_worker(pool, task, now, false);
 
-	if (!worker || worker->reserved_for)
-		return;
-	worker->reserved_for = task;
-	worker->reserved_at = now;
+	if (!worker)
+		return false;
+	if (!worker->reserved_for) {
+		worker->reserved_for = task;
+		worker->reserved_at = now;
+	}
+	return true;
 }
 
 static bool has_reservation(const batch_pool_t *pool, const batch_task_t *task)
@@ -411,6 +417,56 @@
 	best->reserved_at = now;
 }
 
+static bool fits_later(const batch_task_t *task, int64_t now)
+{
+	const batch_pool_t *pool = task->step->occ->job->queue->pool;
+	guint i;
+
+	for (i = 0; i < pool->workers->len; i++) {
+		const batch_worker_t *worker =
+			g_ptr_array_index(pool->workers, i);
+
+		if (batch_fit_once_free(worker, task->step->spec) &&
+		    batch_fit_allows(worker, task, now))
+			return true;
+	}
+	return false;
+}
+
+/* Whether there is a worker that could run the task if it were empty. */
+static bool fits_empty_worker(const batch_t *core, const batch_task_t *task)
+{
+	GHashTableIter iter;
+	gpointer value;
+
+	g_hash_table_iter_init(&iter, core->workers);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		const batch_worker_t *worker = value;
+
+		if (worker->listed &&
+		    batch_fit_when_empty(worker, task->step->spec))
+			return true;
+	}
+	return false;
+}
+
+/*
+ * A long-running task that fits on no worker reserves one, unless it has one or
+ * is on trial, or counts as what the pool lacks.
+ */
+static void await_room(batch_pool_t *pool, const batch_task_t *task,
+		       int64_t now)
+{
+	bool fits;
+
+	if (batch_crash_needs_trial(task) || has_reservation(pool, task))
+		fits = fits_later(task, now);
+	else
+		fits = reserve_worker(pool, task, now);
+	if (!fits && fits_empty_worker(task->step->occ->job->core, task))
+		batch_load_add(&pool->due, task->step->spec);
+}
+
 static bool place_task(batch_pool_t *pool, batch_task_t *task, int64_t now)
 {
 	bool trial = batch_crash_needs_trial(task);
@@ -430,13 +486,10 @@
 		return true;
 	}
 	record_no_fit(pool, task);
-	if (task->step->spec->long_running &&
-	    batch_place_lacks_worker(task, now))
-		batch_load_add(&pool->due, task->step->spec);
 	if (trial && !has_reservation(pool, task))
 		reserve_for_trial(pool, task, now);
-	else if (task->step->spec->long_running && !has_reservation(pool, task))
-		reserve_worker(pool, task, now);
+	if (task->step->spec->long_running)
+		await_room(pool, task, now);
 	return false;
 }
 
@@ -711,39 +764,6 @@
 	talloc_free(ranks);
 }
 
-static bool fits_later(const batch_task_t *task, int64_t now)
-{
-	const batch_pool_t *pool = task->step->occ->job->queue->pool;
-	guint i;
-
-	for (i = 0; i < pool->workers->len; i++) {
-		const batch_worker_t *worker =
-			g_ptr_array_index(pool->workers, i);
-
-		if (batch_fit_once_free(worker, task->step->spec) &&
-		    batch_fit_allows(worker, task, now))
-			return true;
-	}
-	return false;
-}
-
-/* Whether there is a worker that could run the task if it were empty. */
-static bool fits_empty_worker(const batch_t *core, const batch_task_t *task)
-{
-	GHashTableIter iter;
-	gpointer value;
-
-	g_hash_table_iter_init(&iter, core->workers);
-	while (g_hash_table_iter_next(&iter, NULL, &value)) {
-		const batch_worker_t *worker = value;
-
-		if (worker->listed &&
-		    batch_fit_when_empty(worker, task->step->spec))
-			return true;
-	}
-	return false;
-}
-
 bool batch_place_lacks_worker(const batch_task_t *task, int64_t now)
 {
 	return !fits_later(task, now) &&
