node: repeat a former holder's maintenance order once that is too late

Where the platform does not check fences, an order for maintenance of a former holder could be carried out after its successor's for the same instance (ONE). The row of a wave names the instance before it is ordered, but the successor took that for a reason to order it again at once, as soon as nothing ran there. The cause is that of the late moves: an order may outlive the duty of its process.

The successor now waits until the former orders are too late, as for moves. The instance counts as down and stays without starts meanwhile, as before.

Tests: maintenance-that-a-former-holder-ordered-is-left fails on the code before ("test.maintenance_arg should be NULL"). orders-of-former-holders-outlive-two-takeovers passes before; it fails if the row of moves leaves out the instances of former holders (tried).

Cost: an instance whose order was stored and not seen to have begun holds up its wave for up to 15 s after a takeover.

--- a/packages/node/node_wave.c
+++ b/packages/node/node_wave.c
@@ -309,7 +309,7 @@
 			if (wave->stored_version >= target->version)
 				order_maintenance(target);
 		} else if (target->state == WAVE_TARGET_EMPTYING &&
-			   target->is_listed &&
+			   target->is_listed && now >= target->former_until &&
 			   (target->may_be_down || *n_down < wave->at_most) &&
 			   !count_runs(target, &n_long_running) &&
 			   !has_unstored_ends(target)) {
--- a/packages/node/node_wave_int.h
+++ b/packages/node/node_wave_int.h
@@ -35,8 +35,9 @@
 	bool may_be_down;
 	bool is_in_doubt; /* an earlier order may yet be carried out */
 	uint64_t version; /* first version of the row that lists it as asked */
-	int64_t answered_at; /* when the last call was answered */
-	int64_t since;	     /* when it entered its state */
+	int64_t answered_at;  /* when the last call was answered */
+	int64_t former_until; /* until then a former holder's order may act */
+	int64_t since;	      /* when it entered its state */
 } wave_target_t;
 
 struct wave {
--- a/packages/node/node_wave_record.c
+++ b/packages/node/node_wave_record.c
@@ -33,6 +33,8 @@
 		if (target) {
 			target->state = WAVE_TARGET_EMPTYING;
 			target->may_be_down = true;
+			target->former_until =
+				wave->waves->holder->former_orders_until;
 		}
 	}
 	for (i = 0; i < json_array_size(begun); i++) {
--- a/packages/node/tests/node_given_up_test.c
+++ b/packages/node/tests/node_given_up_test.c
@@ -784,6 +784,51 @@
 	teardown();
 }
 
+/*
+ * Guards against an order for maintenance beside the one that a former holder
+ * has sent and that may yet be carried out (ONE).
+ */
+static void test_maintenance_that_a_former_holder_ordered_is_left(void)
+{
+	int64_t until = base_clock_mono() + 2 * TICKS;
+
+	setup();
+	test.holder->former_orders_until = until;
+	node_waves_add_record(test.holder->waves, "1",
+			      BASE_STR("{\"begun\":[],\"asked\":[\"m\"],"
+				       "\"completed\":false}"));
+	list_worker("w", "127.0.0.1:1");
+	node_waves_add(test.holder->waves, BASE_STR("w"));
+	set_instance("w");
+	while (base_clock_mono() < until) {
+		g_assert_null(test.maintenance_arg);
+		g_assert_true(node_waves_is_active(test.holder->waves, "m"));
+		run_for(BATCH_PASS_INTERVAL);
+		store_waves();
+	}
+	while (!test.maintenance_arg) {
+		run_for(BATCH_PASS_INTERVAL);
+		store_waves();
+	}
+	teardown();
+}
+
+/*
+ * Guards against orders that the holder after next does not know of (ONE): the
+ * row that a successor writes names the instances of its predecessors as well.
+ */
+static void test_orders_of_former_holders_outlive_two_takeovers(void)
+{
+	setup();
+	node_moves_restore(test.holder->moves,
+			   BASE_STR("{\"ordered\":[\"former\"]}"),
+			   base_clock_mono() + NODE_INSTANCE_ORDER_LATE_MAX);
+	order_move();
+	g_assert_nonnull(strstr(test.moves_row, "\"former\""));
+	g_assert_nonnull(strstr(test.moves_row, "\"m\""));
+	teardown();
+}
+
 static void keep_outcome(void *arg, const node_outcome_t *outcome)
 {
 	*(node_outcome_kind_t *)arg = outcome->kind;
@@ -1226,6 +1271,12 @@
 		test_instance_that_a_former_holder_ordered_is_left);
 	g_test_add_func("/node-given-up/row-of-moves-forgets-answered-orders",
 			test_row_of_moves_forgets_answered_orders);
+	g_test_add_func(
+		"/node-given-up/maintenance-that-a-former-holder-ordered-is-left",
+		test_maintenance_that_a_former_holder_ordered_is_left);
+	g_test_add_func(
+		"/node-given-up/orders-of-former-holders-outlive-two-takeovers",
+		test_orders_of_former_holders_outlive_two_takeovers);
 	g_test_add_func("/node-given-up/cancel-of-an-unknown-job-is-confirmed",
 			test_cancel_of_an_unknown_job_is_confirmed);
 	g_test_add_func("/node-given-up/worker-of-a-moved-instance",
