node: leave a worker that got work while its move waited for the store

Callers saw tasks end with their worker: a move is ordered once the store has it, up to 6 s after it was decided where the store is slow. A worker that is forgotten and rejoins the list meanwhile is not cordoned any more, and an instance may have another worker; both may have got runs, which the order ended. Orders of waves look at that each time; moves were ordered at once before they were stored first, and did not.

A move that was stored is now sent only if its instance has the same worker, without runs, and the worker is cordoned again. Otherwise the move ends, "changed meanwhile".

A repeated order, 0.4 s after one without an answer, does not look at it: the first one may act all the same.

--- a/packages/node/node_move.c
+++ b/packages/node/node_move.c
@@ -284,19 +284,48 @@
 		 BASE_F_INT("need", asked->workers_needed));
 }
 
+/* Whether the instance is as it was when the move was asked for. */
+static bool is_still_empty(const move_t *move)
+{
+	const node_holder_t *holder = move->moves->holder;
+	const node_inst_t *inst =
+		node_instance_find(holder->instances, move->name);
+	size_t n_long_running;
+
+	return inst && !strcmp(inst->worker, move->worker) &&
+	       !batch_worker_runs(holder->core, base_str(move->worker),
+				  &n_long_running);
+}
+
+/*
+ * Sends a move that waited for the store.  A worker that was forgotten and has
+ * rejoined the list meanwhile is not cordoned, and may have got runs.
+ */
+static void send_stored(move_t *move)
+{
+	if (!is_still_empty(move)) {
+		end_move(move, "changed meanwhile");
+		return;
+	}
+	batch_worker_cordon(move->moves->holder->core, base_clock_mono(),
+			    base_str(move->worker), true);
+	send_move(move);
+}
+
 void node_moves_row_stored(node_moves_t *moves)
 {
-	GHashTableIter iter;
-	gpointer value;
+	GList *names;
+	GList *link;
 
 	moves->stored_version = moves->written_version;
-	g_hash_table_iter_init(&iter, moves->by_name);
-	while (g_hash_table_iter_next(&iter, NULL, &value)) {
-		move_t *move = value;
+	names = g_hash_table_get_keys(moves->by_name);
+	for (link = names; link; link = link->next) {
+		move_t *move = g_hash_table_lookup(moves->by_name, link->data);
 
 		if (!move->is_sent && move->version <= moves->stored_version)
-			send_move(move);
+			send_stored(move);
 	}
+	g_list_free(names);
 }
 
 static bool is_spare(const node_t *node, const char *pool)
--- a/packages/node/tests/node_given_up_test.c
+++ b/packages/node/tests/node_given_up_test.c
@@ -829,6 +829,51 @@
 	teardown();
 }
 
+/*
+ * Guards against work that is lost with its worker: while a move waited for the
+ * store, its worker left the list, rejoined it and got runs, which the order
+ * ended.
+ */
+static void test_move_that_waited_spares_a_worker_that_rejoined(void)
+{
+	setup();
+	test.holds_changes = true;
+	ask_for_move();
+	while (!test.change_arg)
+		run_for(BATCH_PASS_INTERVAL);
+	batch_worker_unlisted(test.holder->core, base_clock_mono(),
+			      BASE_STR("w"));
+	batch_worker_terminated(test.holder->core, base_clock_mono(),
+				BASE_STR("w"), BATCH_LOSS_UNKNOWN);
+	list_worker("w", "127.0.0.1:1");
+	restore_run("w");
+	answer_change();
+	g_assert_null(test.move_arg);
+	g_assert_false(node_moves_is_moving(test.holder->moves, "m"));
+	g_assert_false(is_emptied("w"));
+	teardown();
+}
+
+/*
+ * Guards against the same where the instance has another worker by then, as
+ * after a failure.
+ */
+static void test_move_that_waited_spares_the_next_worker(void)
+{
+	setup();
+	test.holds_changes = true;
+	ask_for_move();
+	while (!test.change_arg)
+		run_for(BATCH_PASS_INTERVAL);
+	list_worker("new", "127.0.0.1:1");
+	restore_run("new");
+	set_instance("new");
+	answer_change();
+	g_assert_null(test.move_arg);
+	g_assert_false(node_moves_is_moving(test.holder->moves, "m"));
+	teardown();
+}
+
 static void keep_outcome(void *arg, const node_outcome_t *outcome)
 {
 	*(node_outcome_kind_t *)arg = outcome->kind;
@@ -1277,6 +1322,12 @@
 	g_test_add_func(
 		"/node-given-up/orders-of-former-holders-outlive-two-takeovers",
 		test_orders_of_former_holders_outlive_two_takeovers);
+	g_test_add_func(
+		"/node-given-up/move-that-waited-spares-a-worker-that-rejoined",
+		test_move_that_waited_spares_a_worker_that_rejoined);
+	g_test_add_func(
+		"/node-given-up/move-that-waited-spares-the-next-worker",
+		test_move_that_waited_spares_the_next_worker);
 	g_test_add_func("/node-given-up/cancel-of-an-unknown-job-is-confirmed",
 			test_cancel_of_an_unknown_job_is_confirmed);
 	g_test_add_func("/node-given-up/worker-of-a-moved-instance",
