--- a/packages/node/tests/node_given_up_test.c
+++ b/packages/node/tests/node_given_up_test.c
@@ -36,7 +36,8 @@
 	bool holds_changes;	      /* of the store; else they are answered */
 	node_answered_t *change_done; /* of the last change */
 	void *change_arg;
-	char *moves_row; /* in the last change that has it; or NULL */
+	char *moves_row;      /* in the last change that has it; or NULL */
+	int64_t moves_row_at; /* when the first such change was sent */
 	const char *address;
 	const char *worker; /* that the next entry of the list names */
 } test;
@@ -93,6 +94,8 @@
 	test.change_arg = arg;
 	for (i = 0; i < change->n_sets; i++)
 		if (!strcmp(change->sets[i].key, NODE_KEY_MOVES)) {
+			if (!test.moves_row)
+				test.moves_row_at = base_clock_mono();
 			talloc_free(test.moves_row);
 			test.moves_row =
 				base_str_dup(test.node, change->sets[i].value);
@@ -750,10 +753,10 @@
 		g_assert_null(test.move_arg);
 		run_for(BATCH_PASS_INTERVAL);
 	}
-	/* A successor of this holder would leave it as well. */
-	g_assert_null(test.moves_row);
 	while (!test.move_arg)
 		run_for(BATCH_PASS_INTERVAL);
+	/* A successor of this holder would leave it as well. */
+	g_assert_cmpint(test.moves_row_at, >=, until);
 	g_assert_cmpstr(test.moves_row, ==, row);
 	teardown();
 }
@@ -784,6 +787,96 @@
 	teardown();
 }
 
+/*
+ * Guards against an order for maintenance beside the one that a former holder
+ * has sent and that may yet be carried out (ONE).
+ */
+static void test_maintenance_that_a_former_holder_ordered_is_left(void)
+{
+	int64_t until = base_clock_mono() + 2 * TICKS;
+
+	setup();
+	test.holder->former_orders_until = until;
+	node_waves_add_record(test.holder->waves, "1",
+			      BASE_STR("{\"begun\":[],\"asked\":[\"m\"],"
+				       "\"completed\":false}"));
+	list_worker("w", "127.0.0.1:1");
+	node_waves_add(test.holder->waves, BASE_STR("w"));
+	set_instance("w");
+	while (base_clock_mono() < until) {
+		g_assert_null(test.maintenance_arg);
+		g_assert_true(node_waves_is_active(test.holder->waves, "m"));
+		run_for(BATCH_PASS_INTERVAL);
+		store_waves();
+	}
+	while (!test.maintenance_arg) {
+		run_for(BATCH_PASS_INTERVAL);
+		store_waves();
+	}
+	teardown();
+}
+
+/*
+ * Guards against orders that the holder after next does not know of (ONE): the
+ * row that a successor writes names the instances of its predecessors as well.
+ */
+static void test_orders_of_former_holders_outlive_two_takeovers(void)
+{
+	setup();
+	node_moves_restore(test.holder->moves,
+			   BASE_STR("{\"ordered\":[\"former\"]}"),
+			   base_clock_mono() + NODE_INSTANCE_ORDER_LATE_MAX);
+	order_move();
+	g_assert_nonnull(strstr(test.moves_row, "\"former\""));
+	g_assert_nonnull(strstr(test.moves_row, "\"m\""));
+	teardown();
+}
+
+/*
+ * Guards against work that is lost with its worker: while a move waited for the
+ * store, its worker left the list, rejoined it and got runs, which the order
+ * ended.
+ */
+static void test_move_that_waited_spares_a_worker_that_rejoined(void)
+{
+	setup();
+	test.holds_changes = true;
+	ask_for_move();
+	while (!test.change_arg)
+		run_for(BATCH_PASS_INTERVAL);
+	batch_worker_unlisted(test.holder->core, base_clock_mono(),
+			      BASE_STR("w"));
+	batch_worker_terminated(test.holder->core, base_clock_mono(),
+				BASE_STR("w"), BATCH_LOSS_UNKNOWN);
+	list_worker("w", "127.0.0.1:1");
+	restore_run("w");
+	answer_change();
+	g_assert_null(test.move_arg);
+	g_assert_false(node_moves_is_moving(test.holder->moves, "m"));
+	g_assert_false(is_emptied("w"));
+	teardown();
+}
+
+/*
+ * Guards against the same where the instance has another worker by then, as
+ * after a failure.
+ */
+static void test_move_that_waited_spares_the_next_worker(void)
+{
+	setup();
+	test.holds_changes = true;
+	ask_for_move();
+	while (!test.change_arg)
+		run_for(BATCH_PASS_INTERVAL);
+	list_worker("new", "127.0.0.1:1");
+	restore_run("new");
+	set_instance("new");
+	answer_change();
+	g_assert_null(test.move_arg);
+	g_assert_false(node_moves_is_moving(test.holder->moves, "m"));
+	teardown();
+}
+
 static void keep_outcome(void *arg, const node_outcome_t *outcome)
 {
 	*(node_outcome_kind_t *)arg = outcome->kind;
@@ -1235,6 +1328,18 @@
 		test_instance_that_a_former_holder_ordered_is_left);
 	g_test_add_func("/node-given-up/row-of-moves-forgets-answered-orders",
 			test_row_of_moves_forgets_answered_orders);
+	g_test_add_func(
+		"/node-given-up/maintenance-that-a-former-holder-ordered-is-left",
+		test_maintenance_that_a_former_holder_ordered_is_left);
+	g_test_add_func(
+		"/node-given-up/orders-of-former-holders-outlive-two-takeovers",
+		test_orders_of_former_holders_outlive_two_takeovers);
+	g_test_add_func(
+		"/node-given-up/move-that-waited-spares-a-worker-that-rejoined",
+		test_move_that_waited_spares_a_worker_that_rejoined);
+	g_test_add_func(
+		"/node-given-up/move-that-waited-spares-the-next-worker",
+		test_move_that_waited_spares_the_next_worker);
 	g_test_add_func("/node-given-up/cancel-of-an-unknown-job-is-confirmed",
 			test_cancel_of_an_unknown_job_is_confirmed);
 	g_test_add_func("/node-given-up/cancel-after-the-key-is-lost",
