batch: explain tells how far a schedule is

Callers saw nothing: no line and no answer told how many occurrences of a job that repeats are due, done and open, so that a holder that opens too many could not be told from one whose rows are too large.

`explain` of such a job counts them ("occurrences", and in its sentence).

--- a/packages/batch/batch.c
+++ b/packages/batch/batch.c
@@ -369,6 +369,24 @@
 	return occ;
 }
 
+int batch_job_opened(const batch_job_t *job)
+{
+	return job->occs ? (int)job->occs->len : 0;
+}
+
+int batch_job_open_occs(const batch_job_t *job)
+{
+	int n = 0;
+	guint i;
+
+	for (i = 0; job->occs && i < job->occs->len; i++) {
+		const batch_occ_t *occ = g_ptr_array_index(job->occs, i);
+
+		n += occ->done_steps < job->spec.n_steps;
+	}
+	return n;
+}
+
 static void drop_job(batch_t *core, batch_job_t *job)
 {
 	g_hash_table_remove(core->jobs, job->id);
--- a/packages/batch/batch_explain.c
+++ b/packages/batch/batch_explain.c
@@ -111,6 +111,36 @@
 	}
 }
 
+/* Occurrences that are due by now, opened or not. */
+static int count_due(const batch_job_t *job, int64_t now)
+{
+	int64_t wall = job->arrived_wall + now - job->arrived;
+	int64_t since = wall - job->spec.first_at;
+
+	if (since < 0)
+		return 0;
+	if (job->spec.repeat == 1)
+		return 1;
+	return (int)MIN(since / job->spec.interval + 1, job->spec.repeat);
+}
+
+static void explain_occurrences(const batch_job_t *job, json_t *answer,
+				base_buf_t *sentence, int64_t now)
+{
+	int due = count_due(job, now);
+	int open = batch_job_open_occs(job);
+	int done = batch_job_opened(job) - open;
+
+	base_buf_addf(sentence,
+		      "; of %d occurrences %d are due, %d of these done and "
+		      "%d open",
+		      job->spec.repeat, due, done, open);
+	json_object_set_new(answer, "occurrences",
+			    json_pack("{s:i,s:i,s:i,s:i}", "all",
+				      job->spec.repeat, "due", due, "done",
+				      done, "open", open));
+}
+
 static void explain_given_up(const batch_job_t *job, json_t *answer,
 			     base_buf_t *sentence)
 {
@@ -149,7 +179,9 @@
 	if (!batch_job_is_active(job))
 		return finish_answer(answer, sentence);
 	base_buf_addf(sentence, ", taken %.1f s ago", to_seconds(age));
-	if (!job->spec.repeat)
+	if (job->spec.repeat)
+		explain_occurrences(job, answer, sentence, now);
+	else
 		base_buf_addf(sentence, ", %.1f s %s its objective",
 			      to_seconds(ABS(objective - age)),
 			      age > objective ? "past" : "before");
--- a/packages/batch/batch_int.h
+++ b/packages/batch/batch_int.h
@@ -445,6 +445,9 @@
 batch_task_id_t batch_task_get_id(const batch_task_t *task);
 batch_job_t *batch_job_new(batch_t *core, const batch_spec_t *spec);
 batch_occ_t *batch_occ_new(batch_job_t *job, int number);
+/* Occurrences that were opened; those of them that are not done. */
+int batch_job_opened(const batch_job_t *job);
+int batch_job_open_occs(const batch_job_t *job);
 bool batch_step_is_ready(const batch_step_t *step);
 /* Whether the step is ready and a task of it is neither done nor has a run. */
 bool batch_step_has_waiting(const batch_step_t *step);
--- a/packages/batch/tests/batch_explain_test.c
+++ b/packages/batch/tests/batch_explain_test.c
@@ -149,6 +149,25 @@
 	world_free(world);
 }
 
+/* Guards against a schedule that is behind, and nothing that tells so. */
+static void test_occurrences(void)
+{
+	world_t *world = world_new(1, 1, 2);
+	batch_step_spec_t step = world_step(4);
+	world_schedule_t schedule = { .repeat = 9,
+				      .first_at = world->now - 2 * SECOND,
+				      .interval = SECOND };
+
+	world_submit_repeating(world, "a", &step, 1, &schedule);
+	world_advance(world, SECOND / 2);
+	assert_sentence_has(world, "a",
+			    "of 9 occurrences 3 are due, 0 of these done and "
+			    "3 open; step 0: 0 of 4 tasks done, 4 placed");
+	world_advance(world, 20 * SECOND);
+	g_assert_cmpint(world_state(world, "a"), ==, BATCH_COMPLETED);
+	world_free(world);
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
@@ -160,5 +179,6 @@
 	g_test_add_func("/batch-explain/worker-and-pool", test_worker_and_pool);
 	g_test_add_func("/batch-explain/changed-capacity",
 			test_changed_capacity);
+	g_test_add_func("/batch-explain/occurrences", test_occurrences);
 	return g_test_run();
 }
--- a/packages/batch/tests/batch_world.c
+++ b/packages/batch/tests/batch_world.c
@@ -509,44 +509,67 @@
 	}
 }
 
-batch_admission_t world_submit(world_t *world, const char *id,
-			       const batch_step_spec_t *steps, int n)
+static world_job_t *add_job(world_t *world, const char *id,
+			    const batch_step_spec_t *steps, int n)
+{
+	world_job_t *job = g_new0(world_job_t, 1);
+
+	job->spec.id = base_str(g_strdup(id));
+	job->spec.queue = BASE_STR("queue");
+	job->spec.payload = BASE_STR("payload");
+	job->spec.source = BASE_STR("source");
+	job->spec.n_steps = n;
+	job->spec.steps = g_memdup2(steps, sizeof(*steps) * (size_t)n);
+	job->finished_tasks =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+	job->acked_tasks =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+	job->fails =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+	job->crashes =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+	job->crashed_under =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+	job->after_crashes =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+	job->task_starts =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+	job->started_at =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+	job->deadly_step = -1;
+	watch_presence(world, job);
+	g_hash_table_insert(world->jobs, (char *)job->spec.id.ptr, job);
+	return job;
+}
+
+static batch_admission_t submit(world_t *world, const world_job_t *job)
 {
-	world_job_t *job = world_find_job(world, id);
 	int64_t retry_after;
 
-	if (!job) {
-		job = g_new0(world_job_t, 1);
-		job->spec.id = base_str(g_strdup(id));
-		job->spec.queue = BASE_STR("queue");
-		job->spec.payload = BASE_STR("payload");
-		job->spec.source = BASE_STR("source");
-		job->spec.n_steps = n;
-		job->spec.steps = g_memdup2(steps, sizeof(*steps) * (size_t)n);
-		job->finished_tasks = g_hash_table_new_full(
-			g_str_hash, g_str_equal, g_free, NULL);
-		job->acked_tasks = g_hash_table_new_full(
-			g_str_hash, g_str_equal, g_free, NULL);
-		job->fails = g_hash_table_new_full(g_str_hash, g_str_equal,
-						   g_free, NULL);
-		job->crashes = g_hash_table_new_full(g_str_hash, g_str_equal,
-						     g_free, NULL);
-		job->crashed_under = g_hash_table_new_full(
-			g_str_hash, g_str_equal, g_free, NULL);
-		job->after_crashes = g_hash_table_new_full(
-			g_str_hash, g_str_equal, g_free, NULL);
-		job->task_starts = g_hash_table_new_full(
-			g_str_hash, g_str_equal, g_free, NULL);
-		job->started_at = g_hash_table_new_full(g_str_hash, g_str_equal,
-							g_free, g_free);
-		job->deadly_step = -1;
-		watch_presence(world, job);
-		g_hash_table_insert(world->jobs, (char *)job->spec.id.ptr, job);
-	}
 	return batch_submit(world->core, world->now, world->now, &job->spec,
 			    &retry_after);
 }
 
+batch_admission_t world_submit(world_t *world, const char *id,
+			       const batch_step_spec_t *steps, int n)
+{
+	world_job_t *job = world_find_job(world, id);
+
+	return submit(world, job ? job : add_job(world, id, steps, n));
+}
+
+batch_admission_t world_submit_repeating(world_t *world, const char *id,
+					 const batch_step_spec_t *steps, int n,
+					 const world_schedule_t *schedule)
+{
+	world_job_t *job = add_job(world, id, steps, n);
+
+	job->spec.repeat = schedule->repeat;
+	job->spec.first_at = schedule->first_at;
+	job->spec.interval = schedule->interval;
+	return submit(world, job);
+}
+
 void world_set_deadly(world_t *world, const char *id, int step, int index)
 {
 	world_find_job(world, id)->deadly_step = step;
--- a/packages/batch/tests/batch_world.h
+++ b/packages/batch/tests/batch_world.h
@@ -254,6 +254,16 @@
 batch_step_spec_t world_step(int count);
 batch_admission_t world_submit(world_t *world, const char *id,
 			       const batch_step_spec_t *steps, int n);
+/* A job whose steps run repeatedly; times as in batch_spec_t. */
+typedef struct world_schedule {
+	int repeat;
+	int64_t first_at;
+	int64_t interval;
+} world_schedule_t;
+
+batch_admission_t world_submit_repeating(world_t *world, const char *id,
+					 const batch_step_spec_t *steps, int n,
+					 const world_schedule_t *schedule);
 /* Tasks of a submitted job crash the worker that starts them; index -1: all of
  * the step. */
 void world_set_deadly(world_t *world, const char *id, int step, int index);
