batch: open a schedule's due occurrences as far as they can be carried

Callers saw LOST: a job that repeats each minute was handed in three weeks after its start; each holder had more memory than its machine and was ended, and no accepted job was done.

Cause: open_due_occurrences() made each due occurrence with all its tasks at once, none was freed before the job had ended, and a takeover made as many as the row counts. An amount that a caller chooses had memory without a bound.

Change: due occurrences are opened, the oldest first, while those that are not done have at most 2,000 tasks; one is open in any case. Once the row sums up done steps, as it does from 2,000 done tasks on, done occurrences without a run are freed, and the row names them as ranges (done_occurrences). A takeover restores up to the last occurrence that was begun; the others of a former version's row are opened again within the bound. A start in doubt is kept when its task is freed. occurrences-wait tells once for each job and holder that occurrences wait.

--- a/packages/batch/batch.c
+++ b/packages/batch/batch.c
@@ -365,13 +365,19 @@
 		}
 	}
 	g_ptr_array_add(job->occs, occ);
+	job->n_opened = number + 1;
 	job->may_wait = true;
 	return occ;
 }
 
-int batch_job_opened(const batch_job_t *job)
+int batch_occ_tasks(const batch_job_t *job)
 {
-	return job->occs ? (int)job->occs->len : 0;
+	int n = 0;
+	int i;
+
+	for (i = 0; i < job->spec.n_steps; i++)
+		n += job->spec.steps[i].count;
+	return n;
 }
 
 int batch_job_open_occs(const batch_job_t *job)
--- a/packages/batch/batch.h
+++ b/packages/batch/batch.h
@@ -174,6 +174,8 @@
 	BATCH_LOG_RUN_SUSPECTED,
 	/* The job has a task that crashes the workers that start it. */
 	BATCH_LOG_JOB_GIVEN_UP,
+	/* More occurrences of the job are due than are opened at once. */
+	BATCH_LOG_OCCURRENCES_WAIT,
 	BATCH_LOG_MAX
 } batch_log_event_kind_t;
 
--- a/packages/batch/batch_explain.c
+++ b/packages/batch/batch_explain.c
@@ -129,7 +129,7 @@
 {
 	int due = count_due(job, now);
 	int open = batch_job_open_occs(job);
-	int done = batch_job_opened(job) - open;
+	int done = job->n_opened - open;
 
 	base_buf_addf(sentence,
 		      "; of %d occurrences %d are due, %d of these done and "
--- a/packages/batch/batch_int.h
+++ b/packages/batch/batch_int.h
@@ -277,8 +277,13 @@
 	int64_t arrived;    /* monotonic time */
 	int64_t arrived_wall;
 	int64_t ended_wall;
+	/* Occurrences that were opened, in order, without those that are freed
+	 * since they are done. */
 	GPtrArray *occs;
-	uint64_t version;	  /* of the decided state */
+	int n_opened;
+	int n_freed_occs;
+	bool occs_wait;	  /* logged: more are due than are opened at once */
+	uint64_t version; /* of the decided state */
 	uint64_t printed_version; /* last version handed out as a row */
 	uint64_t stored_version;  /* last version stored */
 	bool cancel_confirmed;
@@ -444,9 +449,11 @@
 void batch_log_emit(batch_t *core, const batch_log_event_t *event);
 batch_task_id_t batch_task_get_id(const batch_task_t *task);
 batch_job_t *batch_job_new(batch_t *core, const batch_spec_t *spec);
+/* Opens an occurrence; "number" is higher than those opened before. */
 batch_occ_t *batch_occ_new(batch_job_t *job, int number);
-/* Occurrences that were opened; those of them that are not done. */
-int batch_job_opened(const batch_job_t *job);
+/* Tasks of an occurrence of the job. */
+int batch_occ_tasks(const batch_job_t *job);
+/* Opened occurrences that are not done. */
 int batch_job_open_occs(const batch_job_t *job);
 bool batch_step_is_ready(const batch_step_t *step);
 /* Whether the step is ready and a task of it is neither done nor has a run. */
@@ -738,6 +745,8 @@
 void batch_pace_adjust(batch_worker_t *worker, int64_t now);
 
 /* batch_record.c */
+/* Whether the job's row leaves out the tasks of steps that are done. */
+bool batch_record_sums_up(const batch_job_t *job);
 const char *batch_record_print(const void *ctx, const batch_job_t *job);
 bool batch_record_load(batch_job_t *job, const batch_stored_t *stored,
 		       int64_t now, int64_t wall, GError **err);
--- a/packages/batch/batch_place.c
+++ b/packages/batch/batch_place.c
@@ -55,6 +55,12 @@
  * changes of the store hold: one is being stored while the next one fills.
  */
 #define PLACE_UNSENT_MAX 256
+/*
+ * Occurrences of a job are opened until those that are not done have this many
+ * tasks; one is open in any case.  Each task costs the holder memory and, while
+ * it waits, time of each pass.
+ */
+#define PLACE_OPEN_TASKS_MAX 2000
 /*
  * The same while the holder itself is too slow to send starts as they are
  * decided: about as many as one change of the store holds.
@@ -587,14 +593,40 @@
 	}
 }
 
-/* Creates the occurrences that are due. */
+static bool is_next_due(const batch_job_t *job, int64_t wall)
+{
+	return job->n_opened < job->spec.repeat &&
+	       job->spec.first_at + job->n_opened * job->spec.interval <= wall;
+}
+
+static void log_occurrences_wait(batch_job_t *job, int open)
+{
+	if (job->occs_wait)
+		return;
+	job->occs_wait = true;
+	batch_log_emit(
+		job->core,
+		&(batch_log_event_t){ .kind = BATCH_LOG_OCCURRENCES_WAIT,
+				      .task = { base_str(job->id), -1, -1, -1 },
+				      .why = "the open ones come first",
+				      .value = open });
+}
+
+/* Creates the occurrences that are due, the oldest first, as far as the tasks
+ * of those that are not done allow. */
 static void open_due_occurrences(batch_job_t *job, int64_t wall)
 {
-	int next = (int)job->occs->len;
+	int max;
+	int open;
 
-	while (next < job->spec.repeat &&
-	       job->spec.first_at + next * job->spec.interval <= wall)
-		batch_occ_new(job, next++);
+	if (!is_next_due(job, wall))
+		return;
+	max = MAX(PLACE_OPEN_TASKS_MAX / batch_occ_tasks(job), 1);
+	open = batch_job_open_occs(job);
+	for (; open < max && is_next_due(job, wall); open++)
+		batch_occ_new(job, job->n_opened);
+	if (is_next_due(job, wall))
+		log_occurrences_wait(job, open);
 }
 
 void batch_place_drop_ended(batch_t *core)
@@ -607,7 +639,7 @@
 		batch_worker_t *worker = value;
 
 		if (worker->reserved_for &&
-		    (worker->reserved_for->run ||
+		    (worker->reserved_for->run || worker->reserved_for->done ||
 		     !batch_job_is_active(
 			     worker->reserved_for->step->occ->job)))
 			worker->reserved_for = NULL;
--- a/packages/batch/batch_record.c
+++ b/packages/batch/batch_record.c
@@ -6,6 +6,7 @@
  *  "occurrences" (opened), "tasks": [[occurrence, step, index, done, number,
  *  fails, worker, checkpoint], ...],
  *  "done_steps": [[occurrence, step], ...],
+ *  "done_occurrences": [[first occurrence, number of them], ...],
  *  "incarnations": {worker: incarnation, ...},
  *  "crashes": [[occurrence, step, index, certain, likely, shared, needs_trial,
  *  counted_run], ...],
@@ -17,18 +18,20 @@
  *  until (wall, microseconds)], ...],
  *  "given_up": [workers, occurrence, step, index]}
  *
- * The last seven are left out where they are empty: "crashes" lists the tasks
- * under which workers were lost, "missing" the runs of lost workers that may
- * live, with what follows if they have crashed, "failed_runs" the runs that
- * "fails" counts, "withdrawn" the tasks whose run is being stopped, "in_doubt"
- * the former starts without an answer that a worker's process has refused,
- * "given_up" names the task for which the job was given up.  Former versions do
- * not write them, and ignore them.
+ * The last seven, and "done_occurrences", are left out where they are empty:
+ * "crashes" lists the tasks under which workers were lost, "missing" the runs
+ * of lost workers that may live, with what follows if they have crashed,
+ * "failed_runs" the runs that "fails" counts, "withdrawn" the tasks whose run
+ * is being stopped, "in_doubt" the former starts without an answer that a
+ * worker's process has refused, "given_up" names the task for which the job was
+ * given up.  Former versions do not write them, and ignore them.
  *
  * Tasks that never had a run are left out.  The worker is empty unless a run
  * may exist there.  "done_steps" names the steps whose tasks are left out since
- * all of them are done; only a job with many tasks has it, as former versions
- * do not read it.
+ * all of them are done, "done_occurrences" the occurrences of which neither
+ * tasks nor steps are listed for the same reason; only a job with many tasks
+ * has them, as former versions do not read them.  Former versions count in
+ * "occurrences" any number that were opened and not begun.
  */
 #include <jansson.h>
 
@@ -287,9 +290,9 @@
 		base_buf_adds(buf, "]");
 }
 
-static int count_done(const batch_job_t *job)
+static int64_t count_done(const batch_job_t *job)
 {
-	int n = 0;
+	int64_t n = (int64_t)job->n_freed_occs * batch_occ_tasks(job);
 	guint i;
 	int s;
 
@@ -302,6 +305,12 @@
 	return n;
 }
 
+bool batch_record_sums_up(const batch_job_t *job)
+{
+	return batch_job_is_active(job) && job->occs &&
+	       count_done(job) > RECORD_DONE_TASKS_MAX;
+}
+
 static bool is_step_done(const batch_step_t *step)
 {
 	return step->done == step->spec->count;
@@ -348,12 +357,35 @@
 		base_buf_adds(buf, "]");
 }
 
+/* Those that are freed: all that were opened and that the job does not have. */
+static void print_done_occurrences(base_buf_t *buf, const batch_job_t *job)
+{
+	bool any = false;
+	int next = 0;
+	guint i;
+
+	for (i = 0; i <= job->occs->len; i++) {
+		const batch_occ_t *occ =
+			i < job->occs->len ? g_ptr_array_index(job->occs, i)
+					   : NULL;
+		int end = occ ? occ->number : job->n_opened;
+
+		if (next < end)
+			base_buf_addf(buf, "%s[%d,%d]",
+				      any ? "," : ",\"done_occurrences\":[",
+				      next, end - next);
+		any |= next < end;
+		next = end + 1;
+	}
+	if (any)
+		base_buf_adds(buf, "]");
+}
+
 const char *batch_record_print(const void *ctx, const batch_job_t *job)
 {
 	base_buf_t *buf = base_buf_new(ctx);
-	guint opened = job->occs ? job->occs->len : 0;
-	bool sum_up = batch_job_is_active(job) &&
-		      count_done(job) > RECORD_DONE_TASKS_MAX;
+	int opened = job->occs ? job->n_opened : 0;
+	bool sum_up = batch_record_sums_up(job);
 
 	base_buf_adds(buf, "{\"state\":");
 	base_buf_add_json(buf, base_str(batch_state_name(job->state)));
@@ -361,7 +393,7 @@
 		buf,
 		",\"cancelled\":%s,\"begun\":%s,\"arrived\":%" G_GINT64_FORMAT
 		",\"ended\":%" G_GINT64_FORMAT
-		",\"occurrences\":%u,\"tasks\":[",
+		",\"occurrences\":%d,\"tasks\":[",
 		job->cancelled ? "true" : "false",
 		job->start_decided ? "true" : "false", job->arrived_wall,
 		job->ended_wall, opened);
@@ -371,6 +403,7 @@
 	if (sum_up)
 		print_done_steps(buf, job);
 	if (batch_job_is_active(job) && job->occs) {
+		print_done_occurrences(buf, job);
 		print_incarnations(buf, job);
 		print_task_list(buf, job, print_crashed_task);
 		print_all_missing(buf, job);
@@ -506,6 +539,57 @@
 	}
 }
 
+/* Number after the highest occurrence that a list names. */
+static int end_of_list(const json_t *rows)
+{
+	json_int_t end = 0;
+	size_t i;
+
+	for (i = 0; i < json_array_size(rows); i++)
+		end = MAX(end,
+			  number_at(json_array_get(rows, i), FIELD_OCCURRENCE) +
+				  1);
+	return (int)end;
+}
+
+/*
+ * Occurrences to be restored: the last ones without a task that had a run are
+ * left out, and opened again as far as the holder can carry them.
+ */
+static int count_begun(const batch_job_t *job, const json_t *root)
+{
+	const json_t *done = json_object_get(root, "done_occurrences");
+	const json_t *last = json_array_get(done, json_array_size(done) - 1);
+	json_int_t n = json_integer_value(json_object_get(root, "occurrences"));
+	json_int_t begun = number_at(last, 0) + number_at(last, 1);
+
+	if (!job->spec.repeat)
+		return (int)n;
+	begun = MAX(begun, end_of_list(json_object_get(root, "tasks")));
+	begun = MAX(begun, end_of_list(json_object_get(root, "done_steps")));
+	return (int)MIN(begun, n);
+}
+
+static void load_occurrences(batch_job_t *job, const json_t *root)
+{
+	const json_t *done = json_object_get(root, "done_occurrences");
+	int n = count_begun(job, root);
+	int next = 0;
+	size_t i;
+
+	for (i = 0; i < json_array_size(done); i++) {
+		const json_t *row = json_array_get(done, i);
+
+		while (next < n && next < number_at(row, 0))
+			batch_occ_new(job, next++);
+		next += (int)number_at(row, 1);
+		job->n_freed_occs += (int)number_at(row, 1);
+	}
+	while (next < n)
+		batch_occ_new(job, next++);
+	job->n_opened = n;
+}
+
 static void load_given_up(batch_job_t *job, const json_t *list)
 {
 	job->given_up = (batch_given_up_t){
@@ -552,6 +636,16 @@
 	batch_doubt_add(worker, now, &id, run->number, true);
 }
 
+/* Whether the job has or had the task of the start, which may be freed. */
+static bool is_start_of(const batch_job_t *job,
+			const batch_in_doubt_start_t *start)
+{
+	return start->occurrence >= 0 && start->occurrence < job->n_opened &&
+	       start->step >= 0 && start->step < job->spec.n_steps &&
+	       start->index >= 0 &&
+	       start->index < job->spec.steps[start->step].count;
+}
+
 /* After the runs are restored.  Rows that cannot be read are left out. */
 static void load_in_doubt(batch_job_t *job, const json_t *rows, int64_t now,
 			  int64_t wall)
@@ -573,7 +667,7 @@
 			.stopped_by = number_at(row, IN_DOUBT_STOPPED_BY),
 		};
 
-		if (!find_task(job, row) || !worker || left <= 0)
+		if (!is_start_of(job, &start) || !worker || left <= 0)
 			continue;
 		batch_doubt_restore(get_worker(job->core, worker, now), &start);
 		job->has_stopped_starts = true;
@@ -666,7 +760,6 @@
 	json_t *tasks = json_object_get(root, "tasks");
 	bool ok = root && load_state(job, root) && json_is_array(tasks);
 	size_t i;
-	int n;
 
 	if (ok) {
 		job->cancelled =
@@ -678,10 +771,8 @@
 		job->ended_wall =
 			json_integer_value(json_object_get(root, "ended"));
 		load_given_up(job, json_object_get(root, "given_up"));
-		n = (int)json_integer_value(
-			json_object_get(root, "occurrences"));
-		for (i = 0; batch_job_is_active(job) && (int)i < n; i++)
-			batch_occ_new(job, (int)i);
+		if (batch_job_is_active(job))
+			load_occurrences(job, root);
 		if (batch_job_is_active(job))
 			ok = load_all_crashes(job, root, now);
 		load_failed_runs(job, json_object_get(root, "failed_runs"));
--- a/packages/batch/batch_run.c
+++ b/packages/batch/batch_run.c
@@ -262,9 +262,7 @@
 	batch_step_t *step = task->step;
 	batch_occ_t *occ = step->occ;
 	batch_job_t *job = occ->job;
-	guint total = job->spec.repeat ? (guint)job->spec.repeat : 1;
-	guint done = 0;
-	guint i;
+	int total = job->spec.repeat ? job->spec.repeat : 1;
 
 	if (task->done)
 		return;
@@ -275,12 +273,7 @@
 		return;
 	if (++occ->done_steps < job->spec.n_steps)
 		return;
-	for (i = 0; i < job->occs->len; i++) {
-		batch_occ_t *other = g_ptr_array_index(job->occs, i);
-
-		done += other->done_steps == job->spec.n_steps;
-	}
-	if (done == total)
+	if (job->n_opened - batch_job_open_occs(job) == total)
 		batch_job_end(job, now, BATCH_COMPLETED);
 }
 
@@ -584,6 +577,40 @@
 	batch_doubt_tick(worker, now);
 }
 
+static bool has_runs(const batch_occ_t *occ)
+{
+	int s;
+	int t;
+
+	for (s = 0; s < occ->job->spec.n_steps; s++)
+		for (t = 0; t < occ->steps[s].spec->count; t++)
+			if (occ->steps[s].tasks[t].run)
+				return true;
+	return false;
+}
+
+/* Frees the done occurrences of a job that goes on, once its row does not list
+ * their tasks. */
+static void free_done_occurrences(batch_job_t *job)
+{
+	guint i = 0;
+
+	if (!job->spec.repeat || job->crash_task || !batch_record_sums_up(job))
+		return;
+	while (i < job->occs->len) {
+		batch_occ_t *occ = g_ptr_array_index(job->occs, i);
+
+		if (occ->done_steps < job->spec.n_steps || has_runs(occ)) {
+			i++;
+			continue;
+		}
+		g_ptr_array_remove_index(job->occs, i);
+		talloc_free(occ);
+		job->n_freed_occs++;
+		job->paths->n_done = -1;
+	}
+}
+
 /* Frees the occurrences of an ended job; its id and state remain. */
 static void free_occurrences(batch_job_t *job)
 {
@@ -610,6 +637,8 @@
 	for (i = core->active_jobs->len; i-- > 0;) {
 		batch_job_t *job = g_ptr_array_index(core->active_jobs, i);
 
+		if (batch_job_is_active(job))
+			free_done_occurrences(job);
 		if (batch_job_is_active(job) || job->n_runs ||
 		    job->stored_version < job->version)
 			continue;
--- a/packages/node/node_order.c
+++ b/packages/node/node_order.c
@@ -239,6 +239,7 @@
 	[BATCH_LOG_WORKER_CAPACITY] = BASE_MSG_WORKER_CAPACITY,
 	[BATCH_LOG_RUN_SUSPECTED] = BASE_MSG_RUN_SUSPECTED,
 	[BATCH_LOG_JOB_GIVEN_UP] = BASE_MSG_JOB_GIVEN_UP,
+	[BATCH_LOG_OCCURRENCES_WAIT] = BASE_MSG_OCCURRENCES_WAIT,
 };
 
 static void log_capacity(node_holder_t *holder, const batch_log_event_t *event)
