--- a/packages/batch/batch.c
+++ b/packages/batch/batch.c
@@ -372,10 +372,34 @@
 		}
 	}
 	g_ptr_array_add(job->occs, occ);
+	job->n_opened = number + 1;
 	job->may_wait = true;
 	return occ;
 }
 
+int batch_occ_tasks(const batch_job_t *job)
+{
+	int n = 0;
+	int i;
+
+	for (i = 0; i < job->spec.n_steps; i++)
+		n += job->spec.steps[i].count;
+	return n;
+}
+
+int batch_job_open_occs(const batch_job_t *job)
+{
+	int n = 0;
+	guint i;
+
+	for (i = 0; job->occs && i < job->occs->len; i++) {
+		const batch_occ_t *occ = g_ptr_array_index(job->occs, i);
+
+		n += occ->done_steps < job->spec.n_steps;
+	}
+	return n;
+}
+
 static void drop_job(batch_t *core, batch_job_t *job)
 {
 	g_hash_table_remove(core->jobs, job->id);
--- a/packages/batch/batch.h
+++ b/packages/batch/batch.h
@@ -177,6 +177,8 @@
 	/* A task of a step that may run has had no place for a second or more:
 	 * "value" is that time, microseconds. */
 	BATCH_LOG_TASK_WAITS,
+	/* More occurrences of the job are due than are opened at once. */
+	BATCH_LOG_OCCURRENCES_WAIT,
 	BATCH_LOG_MAX
 } batch_log_event_kind_t;
 
--- a/packages/batch/batch_claim.c
+++ b/packages/batch/batch_claim.c
@@ -99,7 +99,8 @@
 			batch_task_t *task =
 				g_ptr_array_index(worker->claims, i);
 
-			if (!batch_job_is_active(task->step->occ->job) ||
+			if (task->done ||
+			    !batch_job_is_active(task->step->occ->job) ||
 			    !is_held(task))
 				batch_claim_drop(task);
 		}
