batch: count a task that is on its way as one of its next worker

What callers would have seen: LOST: a long-running task is stopped for upkeep, and the worker that it is to move to is emptied next, before it is there.

Cause: a wave takes the instance with the fewest runs next, and counts a long-running one a hundred times. A worker with a claim and no run yet came first.

Change: batch_worker_runs() counts claims among the long-running tasks. The wave's order of choice is all that uses that number.

Test: batch_claim_test claims-count-as-long-running failed at n_long_running == 1 (0 == 1). The wave itself is not driven by it.

--- a/packages/batch/batch.h
+++ b/packages/batch/batch.h
@@ -372,7 +372,8 @@
 
 /*
  * Returns the number of runs that may exist on a worker, and sets
- * "n_long_running" to how many of these are runs of long-running tasks.
+ * "n_long_running" to how many long-running tasks run or are to run there:
+ * those of these runs, and those for whose next run room is set aside.
  */
 size_t batch_worker_runs(const batch_t *core, base_str_t id,
 			 size_t *n_long_running);
--- a/packages/batch/batch_worker.c
+++ b/packages/batch/batch_worker.c
@@ -367,6 +367,7 @@
 	*n_long_running = 0;
 	if (!worker)
 		return 0;
+	*n_long_running = worker->claims->len;
 	for (i = 0; i < worker->runs->len; i++) {
 		batch_run_t *run = g_ptr_array_index(worker->runs, i);
 
--- a/packages/batch/tests/batch_claim_test.c
+++ b/packages/batch/tests/batch_claim_test.c
@@ -281,6 +281,30 @@
 	check_and_free(world);
 }
 
+/*
+ * Guards against maintenance of an instance because it seems to be free, while
+ * a long-running task is being moved there (LOST).
+ */
+static void test_claims_count_as_long_running(void)
+{
+	world_t *world = one_task();
+	size_t n_long_running;
+
+	batch_worker_cordon(world->core, world->now, BASE_STR("w0"), true);
+	while (!world->stops)
+		world_advance(world, WORLD_TICK);
+	g_assert_cmpuint(
+		batch_worker_runs(world->core, BASE_STR("w1"), &n_long_running),
+		==, 0);
+	g_assert_cmpuint(n_long_running, ==, 1);
+	world_advance(world, SECOND);
+	g_assert_cmpuint(
+		batch_worker_runs(world->core, BASE_STR("w1"), &n_long_running),
+		==, 1);
+	g_assert_cmpuint(n_long_running, ==, 1);
+	check_and_free(world);
+}
+
 /*
  * Guards against a long-running task that is stopped though its worker is not
  * to be emptied any more, or that counts as away from then on.
@@ -364,6 +388,8 @@
 			test_claim_moves_to_a_worker_that_can_start);
 	g_test_add_func("/batch-claim/is-on-another-worker",
 			test_claim_is_on_another_worker);
+	g_test_add_func("/batch-claim/claims-count-as-long-running",
+			test_claims_count_as_long_running);
 	g_test_add_func("/batch-claim/task-stays-once-it-may",
 			test_task_stays_once_it_may);
 	g_test_add_func("/batch-claim/growth-for-a-task-of-no-size",
