node_given_up_test: split the test of an unknown job's cancel

The linter refuses the function as too long (63 statements, 60 allowed). Its fixture is moved into two functions; what is checked stays the same.

--- a/packages/node/tests/node_given_up_test.c
+++ b/packages/node/tests/node_given_up_test.c
@@ -903,6 +903,26 @@
 	test.get_done(test.get_arg, &answer);
 }
 
+/* A holder that may lose the duty, its key being at "revision". */
+static void setup_with_key(int64_t revision)
+{
+	setup();
+	test.node->election_timer =
+		net_timer_new(test.node, test.node->loop, stop_loop, NULL);
+	test.node->largest_cores = test.node->settings->usable_cores = 1;
+	test.holder->holder_revision = revision;
+}
+
+/* The loop frees a holder that has lost the duty, but not its tables. */
+static void teardown_ended(void)
+{
+	node_holder_t ended = *test.holder;
+
+	run_for(BASE_MS);
+	test.holder = &ended;
+	teardown();
+}
+
 /*
  * Guards against a cancel that is acknowledged by a holder that has lost its
  * key, of a job that its successor has accepted (UNASKED).
@@ -910,13 +930,8 @@
 static void test_cancel_of_an_unknown_job_is_confirmed(void)
 {
 	node_outcome_kind_t outcomes[3];
-	node_holder_t ended;
 
-	setup();
-	test.node->election_timer =
-		net_timer_new(test.node, test.node->loop, stop_loop, NULL);
-	test.node->largest_cores = test.node->settings->usable_cores = 1;
-	test.holder->holder_revision = 7;
+	setup_with_key(7);
 	g_assert_cmpint(cancel_unknown(&outcomes[0]), ==, NODE_OUT_MAX);
 	g_assert_cmpstr(test.get_key, ==, NODE_KEY_HOLDER);
 	/* One that comes while the key is read needs a later read. */
@@ -931,11 +946,7 @@
 	answer_get(NODE_STORE_OK, 8);
 	g_assert_cmpint(outcomes[2], ==, NODE_OUT_UNKNOWN);
 	g_assert_true(test.holder->ended);
-	/* The loop frees the holder, but not its tables. */
-	ended = *test.holder;
-	run_for(BASE_MS);
-	test.holder = &ended;
-	teardown();
+	teardown_ended();
 }
 
 /* A refused order for a move that is the only one ends it. */
