batch, node: names of workspaces, access keys and speculative steps

The configuration's workspaces, keys and public routes and a step's mark for copies were not read. They are now read, and a job's workspace is kept in its stored source and, once it has ended, in its row. Nothing is decided by them yet. Rows, sources and calls of jobs without a workspace are unchanged (platform_test, batch_test pass).

--- a/packages/batch/batch.c
+++ b/packages/batch/batch.c
@@ -47,6 +47,7 @@
 	g_hash_table_unref(core->listed_in_rack);
 	g_hash_table_unref(core->queues);
 	g_hash_table_unref(core->pools);
+	g_hash_table_unref(core->workspaces);
 	g_ptr_array_unref(core->active_jobs);
 	for (i = 0; i < BATCH_LANE_MAX; i++)
 		g_ptr_array_unref(core->storing_jobs[i]);
@@ -79,6 +80,7 @@
 	core->listed_in_rack = g_hash_table_new(NULL, NULL);
 	core->queues = g_hash_table_new(g_str_hash, g_str_equal);
 	core->pools = g_hash_table_new(g_str_hash, g_str_equal);
+	core->workspaces = g_hash_table_new(g_str_hash, g_str_equal);
 	core->refused =
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	core->active_jobs = g_ptr_array_new();
@@ -336,6 +338,8 @@
 	job->lane = (int)(g_str_hash(job->id) % BATCH_LANES);
 	job->spec.id = base_str(job->id);
 	job->spec.queue = dup_str(job, spec->queue);
+	job->workspace = batch_workspace_get(core, spec->workspace);
+	job->spec.workspace = dup_str(job, spec->workspace);
 	job->spec.payload = dup_str(job, spec->payload);
 	job->spec.source = dup_str(job, spec->source);
 	if (spec->n_steps)
@@ -469,6 +473,13 @@
 	return job ? job->stored_state : BATCH_UNKNOWN;
 }
 
+base_str_t batch_job_workspace(const batch_t *core, base_str_t id)
+{
+	batch_job_t *job = batch_find_job(core, id);
+
+	return job ? job->spec.workspace : BASE_STR("");
+}
+
 bool batch_job_unstored(const batch_t *core, base_str_t id)
 {
 	batch_job_t *job = batch_find_job(core, id);
--- a/packages/batch/batch.h
+++ b/packages/batch/batch.h
@@ -59,6 +59,7 @@
 	bool gang;	      /* all tasks run together or not at all */
 	bool same_rack;	      /* slower when spread over racks */
 	bool long_running;    /* its tasks run until the job is cancelled */
+	bool speculative;     /* a task may have several runs at once */
 	bool best_effort;     /* reserves no cpu, uses what is idle */
 	int max_per_worker;   /* most tasks of the step on a worker; 0: no limit
 			       */
@@ -72,8 +73,9 @@
 typedef struct batch_spec {
 	base_str_t id;
 	base_str_t queue;
-	base_str_t payload; /* passed to each task unchanged */
-	base_str_t source;  /* stored form of the job; opaque here */
+	base_str_t workspace; /* whose limit and share count; empty: none */
+	base_str_t payload;   /* passed to each task unchanged */
+	base_str_t source;    /* stored form of the job; opaque here */
 	const batch_step_spec_t *steps;
 	int n_steps;
 	int repeat;	  /* number of occurrences; 0: runs once, now */
@@ -98,6 +100,13 @@
 	bool spare;	       /* its instances are switched off */
 } batch_pool_info_t;
 
+/* A workspace: the jobs of its callers share a limit and a weight. */
+typedef struct batch_workspace_info {
+	base_str_t name;
+	double weight;	   /* share when a pool is full, relative to others */
+	batch_res_t limit; /* most that may run at once; 0: no limit */
+} batch_workspace_info_t;
+
 typedef struct batch_worker_info {
 	base_str_t id;
 	base_str_t address; /* compared only; empty: not known */
@@ -269,6 +278,13 @@
 		  size_t n_queues, const batch_pool_info_t *pools,
 		  size_t n_pools);
 
+/*
+ * Sets the workspaces.  One that is no longer among them keeps its limit and
+ * weight while jobs of it are left.
+ */
+void batch_config_workspaces(batch_t *core, const batch_workspace_info_t *list,
+			     size_t n);
+
 /*
  * Adds a queue that the configuration does not have, with the settings that it
  * had, for jobs of it that are restored.  Without effect on a known queue.
@@ -308,6 +324,9 @@
  */
 bool batch_job_unstored(const batch_t *core, base_str_t id);
 
+/* The workspace of a job; empty: none, or there is no such job. */
+base_str_t batch_job_workspace(const batch_t *core, base_str_t id);
+
 /* Number of accepted jobs of a queue that have not started any task. */
 size_t batch_pending(const batch_t *core, base_str_t queue);
 
--- a/packages/batch/batch_int.h
+++ b/packages/batch/batch_int.h
@@ -35,6 +35,7 @@
 typedef struct batch_worker batch_worker_t;
 typedef struct batch_pool batch_pool_t;
 typedef struct batch_queue batch_queue_t;
+typedef struct batch_workspace batch_workspace_t;
 
 /*
  * A demand or a capacity: cpu in thousandths of a core, memory in MB.  An
@@ -100,6 +101,13 @@
 	uint64_t ended;	    /* tasks that mean_run is based on */
 };
 
+struct batch_workspace {
+	char *name;
+	double weight;
+	batch_res_t limit; /* 0: no limit */
+	bool in_force;
+};
+
 typedef enum run_state {
 	/* The job's row with this run is not stored; nothing was sent. */
 	RUN_STORING,
@@ -277,8 +285,9 @@
 	double *estimate_factors; /* factor of each step's estimate */
 	batch_paths_t *paths;	  /* critical paths */
 	batch_queue_t *queue;
-	batch_state_t state;	    /* as decided */
-	batch_state_t stored_state; /* as stored */
+	batch_workspace_t *workspace; /* NULL: none */
+	batch_state_t state;	      /* as decided */
+	batch_state_t stored_state;   /* as stored */
 	bool cancelled;
 	bool stored;	    /* its first row is stored */
 	bool row_queued;    /* in core->rows */
@@ -424,6 +433,7 @@
 	GHashTable *listed_in_rack;
 	GHashTable *queues;
 	GHashTable *pools;
+	GHashTable *workspaces; /* by name, of batch_workspace_t */
 	GPtrArray
 		*active_jobs; /* jobs that have not ended or still have runs */
 	GQueue rows;	      /* jobs with a row to store */
@@ -475,6 +485,10 @@
 /* Whether the step is ready and a task of it is neither done nor has a run. */
 bool batch_step_has_waiting(const batch_step_t *step);
 
+/* batch_workspace.c */
+/* The workspace of that name, added if it is not known; NULL: no name. */
+batch_workspace_t *batch_workspace_get(batch_t *core, base_str_t name);
+
 /* batch_index.c: values by a key; an empty key, or NULL, has none. */
 GHashTable *batch_index_new(void);
 /* Without effect if the key has the value. */
--- a/packages/batch/batch_record.c
+++ b/packages/batch/batch_record.c
@@ -16,7 +16,8 @@
  *  "withdrawn": [[occurrence, step, index], ...],
  *  "in_doubt": [[occurrence, step, index, run, worker, stopped_by,
  *  until (wall, microseconds)], ...],
- *  "given_up": [workers, occurrence, step, index]}
+ *  "given_up": [workers, occurrence, step, index],
+ *  "workspace": of a job that has ended, if it has one}
  *
  * The last seven, and "done_occurrences", are left out where they are empty:
  * "crashes" lists the tasks under which workers were lost, "missing" the runs
@@ -415,6 +416,11 @@
 		base_buf_addf(buf, ",\"given_up\":[%d,%d,%d,%d]",
 			      job->given_up.workers, job->given_up.occurrence,
 			      job->given_up.step, job->given_up.index);
+	/* The source, which names it as well, is removed with the end. */
+	if (!batch_job_is_active(job) && job->spec.workspace.len) {
+		base_buf_adds(buf, ",\"workspace\":");
+		base_buf_add_json(buf, job->spec.workspace);
+	}
 	base_buf_adds(buf, "}");
 	return buf->ptr;
 }
@@ -590,6 +596,15 @@
 	job->n_opened = n;
 }
 
+static void load_workspace(batch_job_t *job, const json_t *name)
+{
+	if (job->spec.workspace.len || !json_string_length(name))
+		return;
+	job->spec.workspace =
+		base_str(talloc_strdup(job, json_string_value(name)));
+	job->workspace = batch_workspace_get(job->core, job->spec.workspace);
+}
+
 static void load_given_up(batch_job_t *job, const json_t *list)
 {
 	job->given_up = (batch_given_up_t){
@@ -771,6 +786,7 @@
 		job->ended_wall =
 			json_integer_value(json_object_get(root, "ended"));
 		load_given_up(job, json_object_get(root, "given_up"));
+		load_workspace(job, json_object_get(root, "workspace"));
 		if (batch_job_is_active(job))
 			load_occurrences(job, root);
 		if (batch_job_is_active(job))
--- a/packages/node/node_front.c
+++ b/packages/node/node_front.c
@@ -313,6 +313,7 @@
 	dispatch->ask = *ask;
 	dispatch->ask.queue = talloc_strdup(dispatch, ask->queue);
 	dispatch->ask.id = talloc_strdup(dispatch, ask->id);
+	dispatch->ask.workspace = talloc_strdup(dispatch, ask->workspace);
 	dispatch->ask.body.ptr =
 		talloc_memdup(dispatch, ask->body.ptr, ask->body.len);
 	dispatch->ask.token =
--- a/packages/node/node_holder.c
+++ b/packages/node/node_holder.c
@@ -220,6 +220,8 @@
 		queues[i] = config->routes[i].queue;
 	batch_config(holder->core, queues, config->n_routes, config->pools,
 		     config->n_pools);
+	batch_config_workspaces(holder->core, config->workspaces,
+				config->n_workspaces);
 	talloc_free(queues);
 	node_holder_step_soon(holder);
 }
@@ -428,8 +430,8 @@
 /*
  * The stored form of a job: its queue, the body that the caller sent, and the
  * queue's settings, which a later holder uses if the queue has been removed.
- * {"queue", "body", "settings": [pool, priority, attempts, advised, stretch,
- * target latency in microseconds]}
+ * {"queue", "body", "workspace" (if the job has one), "settings": [pool,
+ * priority, attempts, advised, stretch, target latency in microseconds]}
  */
 static char *print_source(const node_t *node, const void *ctx,
 			  const node_job_request_t *ask)
@@ -442,6 +444,10 @@
 	base_buf_add_json(buf, base_str(ask->queue));
 	base_buf_adds(buf, ",\"body\":");
 	base_buf_add_json(buf, ask->body);
+	if (ask->workspace) {
+		base_buf_adds(buf, ",\"workspace\":");
+		base_buf_add_json(buf, base_str(ask->workspace));
+	}
 	if (queue) {
 		base_buf_adds(buf, ",\"settings\":[");
 		base_buf_add_json(buf, queue->pool);
@@ -519,6 +525,7 @@
 
 	spec.id = base_str(ask->id);
 	spec.queue = base_str(ask->queue);
+	spec.workspace = base_str(ask->workspace);
 	spec.source = base_str(print_source(holder->node, ctx, ask));
 	if (!check_source(holder->node, spec.source, &err) ||
 	    !holder->node->platform->job_read(ctx, ask->body, &spec, &err) ||
--- a/packages/node/node_int.h
+++ b/packages/node/node_int.h
@@ -88,6 +88,7 @@
 	node_op_t job_op;
 	char *queue;
 	char *id;
+	char *workspace; /* that the caller's key belongs to; NULL: none */
 	base_str_t body;
 	int64_t deadline; /* monotonic time */
 	bool relayed; /* came from another entry: only the holder may get it */
--- a/packages/node/node_platform.h
+++ b/packages/node/node_platform.h
@@ -175,15 +175,28 @@
 typedef struct node_route {
 	base_str_t host;   /* empty: any */
 	base_str_t prefix; /* of the path; ends in "/" */
+	bool is_public;	   /* its calls need no key */
 	batch_queue_info_t queue;
 } node_route_t;
 
+/* An access key, and the workspace that it belongs to. */
+typedef struct node_access_key {
+	base_str_t text;
+	size_t workspace; /* index in the configuration's workspaces */
+} node_access_key_t;
+
 typedef struct node_config {
 	int64_t version;
 	node_route_t *routes;
 	size_t n_routes;
 	batch_pool_info_t *pools;
 	size_t n_pools;
+	/* Without it, calls need no key. */
+	bool has_workspaces;
+	batch_workspace_info_t *workspaces;
+	size_t n_workspaces;
+	node_access_key_t *keys;
+	size_t n_keys;
 } node_config_t;
 
 /* The kind of a caller's request. */
@@ -201,6 +214,7 @@
 	base_str_t path; /* up to the job's id */
 	base_str_t id;	 /* empty with NODE_OP_PENDING */
 	base_str_t body;
+	base_str_t key;		/* the caller's access key; empty: none */
 	int64_t caller_timeout; /* how long the caller waits, microseconds */
 } node_request_t;
 
--- a/packages/node/node_restore.c
+++ b/packages/node/node_restore.c
@@ -98,6 +98,9 @@
 	     batch_spec_check(spec, NULL);
 	if (ok) {
 		spec->queue = base_str(talloc_strdup(ctx, queue));
+		spec->workspace = base_str(talloc_strdup(
+			ctx,
+			json_string_value(json_object_get(root, "workspace"))));
 		keep_queue(holder, queue, json_object_get(root, "settings"));
 	}
 	json_decref(root);
