node: access keys of workspaces

Each entry now judges a request's key by its own configuration and refuses it once that may be older than the bound within which a removed key must stop working; the holder judges again by the key's digest. Ruled out: asking the store for each request (a call each), and other entries vouching for the configuration (an entry that does not reach the store for longer is to refuse in any case). Not measured yet.

--- a/packages/node/node.h
+++ b/packages/node/node.h
@@ -51,11 +51,14 @@
 	const char **seeds;    /* addresses of some peers */
 	size_t n_seeds;
 	/* Times are in microseconds. */
-	int64_t lease_max;	 /* longest lease of a worker */
-	int64_t stop_timeout;	 /* longest time to stop a task */
-	int64_t drain_time;	 /* from a drain's report to the last start */
-	int64_t grace;		 /* from SIGTERM to SIGKILL */
-	int64_t keep;		 /* how long an ended job can be queried */
+	int64_t lease_max;    /* longest lease of a worker */
+	int64_t stop_timeout; /* longest time to stop a task */
+	int64_t drain_time;   /* from a drain's report to the last start */
+	int64_t grace;	      /* from SIGTERM to SIGKILL */
+	int64_t keep;	      /* how long an ended job can be queried */
+	/* A key that the operator has removed opens nothing after that; 0: as
+	 * soon as the entry knows. */
+	int64_t revoke_bound;
 	int64_t store_ttl_min;	 /* shortest lease in the store */
 	int64_t store_value_max; /* bytes of a value in the store; 0: not known
 				  */
--- a/packages/node/node_config.c
+++ b/packages/node/node_config.c
@@ -37,7 +37,8 @@
 		node->store_answered_at = now;
 }
 
-static void apply_config(node_t *node, base_str_t text)
+/* Returns false if the text cannot be read. */
+static bool apply_config(node_t *node, base_str_t text)
 {
 	void *ctx = talloc_new(node);
 	node_config_t config;
@@ -49,22 +50,24 @@
 			 BASE_F_INT("in_force", node->config.version));
 		g_clear_error(&err);
 		talloc_free(ctx);
-		return;
+		return false;
 	}
 	/* A read may be stale: an older version never replaces a newer one. */
 	if (config.version <= node->config.version) {
 		talloc_free(ctx);
-		return;
+		return config.version == node->config.version;
 	}
 	talloc_free(node->config_ctx);
 	node->config_ctx = ctx;
 	node->config = config;
+	node->keys = node_keys_new(ctx, &config);
 	node_log(node, BASE_MSG_CONFIG_IN_FORCE,
 		 BASE_F_INT("version", config.version),
 		 BASE_F_INT("routes", (int64_t)config.n_routes),
 		 BASE_F_INT("pools", (int64_t)config.n_pools));
 	if (node->holder)
 		node_holder_config(node->holder);
+	return true;
 }
 
 static void apply_items(node_t *node, const node_answer_t *answer)
@@ -77,7 +80,8 @@
 		if (item->removed)
 			continue;
 		if (!strcmp(item->key, node->platform->config_key))
-			apply_config(node, item->value);
+			node->config_unreadable =
+				!apply_config(node, item->value);
 		else if (g_str_has_prefix(item->key,
 					  node->platform->wave_prefix))
 			g_hash_table_replace(
@@ -88,10 +92,21 @@
 		node_holder_waves(node->holder);
 }
 
+/*
+ * What an answer shows was true when the question was sent.  It does not renew
+ * the configuration if the operator's last one could not be read.
+ */
+static void note_current(node_t *node)
+{
+	if (!node->config_unreadable)
+		node->config_current_at = node->config_asked_at;
+}
+
 static void watch_answered(void *arg, const node_answer_t *answer);
 
 static void watch(node_t *node)
 {
+	node->config_asked_at = base_clock_mono();
 	node_store_watch(node, node->platform->operator_prefix,
 			 node->operator_revision, CONFIG_WATCH_TIMEOUT,
 			 watch_answered);
@@ -105,6 +120,7 @@
 	switch (answer->store_status) {
 	case NODE_STORE_OK:
 		apply_items(node, answer);
+		note_current(node);
 		if (answer->revision > node->operator_revision)
 			node->operator_revision = answer->revision;
 		watch(node);
@@ -130,6 +146,7 @@
 		return;
 	}
 	apply_items(node, answer);
+	note_current(node);
 	node->operator_revision = answer->revision;
 	node->operator_read = true;
 	if (node->config.version)
@@ -143,6 +160,7 @@
 	node_t *node = arg;
 	node_range_t range = { .prefix = node->platform->operator_prefix };
 
+	node->config_asked_at = base_clock_mono();
 	node_store_list(node, node->store, &range, read_all_answered, node);
 }
 
@@ -172,3 +190,14 @@
 	}
 	return best;
 }
+
+const node_route_t *node_route_by_queue(const node_t *node, const char *queue)
+{
+	size_t i;
+
+	for (i = 0; i < node->config.n_routes; i++)
+		if (base_str_eq(node->config.routes[i].queue.name,
+				base_str(queue)))
+			return &node->config.routes[i];
+	return NULL;
+}
--- a/packages/node/node_front.c
+++ b/packages/node/node_front.c
@@ -215,6 +215,7 @@
 		retry_or_fail(dispatch);
 		break;
 	case NODE_OUT_REFUSED:
+	case NODE_OUT_UNAUTHORIZED:
 	case NODE_OUT_NOT_FOUND:
 		finish_refused(dispatch, outcome);
 		break;
@@ -314,6 +315,7 @@
 	dispatch->ask.queue = talloc_strdup(dispatch, ask->queue);
 	dispatch->ask.id = talloc_strdup(dispatch, ask->id);
 	dispatch->ask.workspace = talloc_strdup(dispatch, ask->workspace);
+	dispatch->ask.key_digest = talloc_strdup(dispatch, ask->key_digest);
 	dispatch->ask.body.ptr =
 		talloc_memdup(dispatch, ask->body.ptr, ask->body.len);
 	dispatch->ask.token =
@@ -416,6 +418,9 @@
 	case NODE_OUT_NOT_FOUND:
 		reply(front, 410, NULL, 0, "no such job");
 		break;
+	case NODE_OUT_UNAUTHORIZED:
+		reply(front, 401, NULL, 0, outcome->why);
+		break;
 	case NODE_OUT_INVALID:
 		reply(front, 400, NULL, 0, outcome->why);
 		break;
@@ -438,6 +443,7 @@
 	const node_route_t *route;
 	node_request_t request;
 	node_job_request_t ask = { 0 };
+	node_key_verdict_t verdict;
 
 	front->node = node;
 	front->exchange = exchange;
@@ -466,6 +472,16 @@
 	ask.id = front->id;
 	ask.body = request.body;
 	ask.deadline = front->began_at + request.caller_timeout;
+	verdict = node_access_judge(node, route, request.key, &ask);
+	if (verdict == NODE_KEY_STALE) {
+		reply(front, 503, NULL, FRONT_RETRY_AFTER,
+		      node_key_verdict_name(verdict));
+		return;
+	}
+	if (verdict == NODE_KEY_MISSING || verdict == NODE_KEY_UNKNOWN) {
+		reply(front, 401, NULL, 0, node_key_verdict_name(verdict));
+		return;
+	}
 	if (ask.job_op == NODE_OP_CANCEL)
 		node_metrics_count(node, NODE_COUNT_CANCEL);
 	else if (ask.job_op != NODE_OP_SUBMIT)
--- a/packages/node/node_holder.c
+++ b/packages/node/node_holder.c
@@ -415,18 +415,6 @@
 	answer_job_waiters(arg, job, true);
 }
 
-static const batch_queue_info_t *find_queue(const node_t *node,
-					    const char *name)
-{
-	size_t i;
-
-	for (i = 0; i < node->config.n_routes; i++)
-		if (base_str_eq(node->config.routes[i].queue.name,
-				base_str(name)))
-			return &node->config.routes[i].queue;
-	return NULL;
-}
-
 /*
  * The stored form of a job: its queue, the body that the caller sent, and the
  * queue's settings, which a later holder uses if the queue has been removed.
@@ -436,7 +424,8 @@
 static char *print_source(const node_t *node, const void *ctx,
 			  const node_job_request_t *ask)
 {
-	const batch_queue_info_t *queue = find_queue(node, ask->queue);
+	const node_route_t *route = node_route_by_queue(node, ask->queue);
+	const batch_queue_info_t *queue = route ? &route->queue : NULL;
 	base_buf_t *buf = base_buf_new(ctx);
 	char stretch[G_ASCII_DTOSTR_BUF_SIZE];
 
@@ -514,6 +503,17 @@
 	return false;
 }
 
+/* Whether the job belongs to another workspace than the request. */
+static bool is_of_others(const node_holder_t *holder,
+			 const node_job_request_t *ask)
+{
+	base_str_t workspace =
+		batch_job_workspace(holder->core, base_str(ask->id));
+
+	return ask->workspace && workspace.len &&
+	       !base_str_eq(workspace, base_str(ask->workspace));
+}
+
 static void submit(node_holder_t *holder, const node_job_request_t *ask,
 		   node_outcome_done_t *done, void *arg)
 {
@@ -545,6 +545,10 @@
 		outcome.why = "cannot end in time";
 		bind_refusal(holder, ask, &outcome);
 		done(arg, &outcome);
+	} else if (verdict == BATCH_DUPLICATE && is_of_others(holder, ask)) {
+		outcome.kind = NODE_OUT_INVALID;
+		outcome.why = "the job's id is in use";
+		done(arg, &outcome);
 	} else if (verdict == BATCH_DUPLICATE &&
 		   batch_state(holder->core, base_str(ask->id)) !=
 			   BATCH_UNKNOWN) {
@@ -671,12 +675,23 @@
 	node_commit_send_pending(holder);
 }
 
+static bool is_change(const node_job_request_t *ask)
+{
+	return ask->job_op == NODE_OP_SUBMIT || ask->job_op == NODE_OP_CANCEL;
+}
+
 void node_holder_handle_request(node_holder_t *holder,
 				const node_job_request_t *ask,
 				node_outcome_done_t *done, void *arg)
 {
 	node_outcome_t outcome = { .kind = NODE_OUT_STATE };
 
+	if (node_access_refuses(holder->node, ask, &outcome)) {
+		if (outcome.kind == NODE_OUT_UNAUTHORIZED && is_change(ask))
+			bind_refusal(holder, ask, &outcome);
+		done(arg, &outcome);
+		return;
+	}
 	switch (ask->job_op) {
 	case NODE_OP_SUBMIT:
 		if (refuse_again(holder, ask, done, arg))
@@ -686,11 +701,17 @@
 	case NODE_OP_CANCEL:
 		if (refuse_again(holder, ask, done, arg))
 			break;
+		if (is_of_others(holder, ask)) {
+			outcome.kind = NODE_OUT_NOT_FOUND;
+			bind_refusal(holder, ask, &outcome);
+			done(arg, &outcome);
+			break;
+		}
 		cancel(holder, ask, false, done, arg);
 		break;
 	case NODE_OP_STATE:
 		outcome.state = batch_state(holder->core, base_str(ask->id));
-		if (outcome.state == BATCH_UNKNOWN)
+		if (outcome.state == BATCH_UNKNOWN || is_of_others(holder, ask))
 			outcome.kind = NODE_OUT_NOT_FOUND;
 		done(arg, &outcome);
 		break;
--- a/packages/node/node_int.h
+++ b/packages/node/node_int.h
@@ -8,6 +8,7 @@
 #include <string.h>
 
 #include "node.h"
+#include "node_key.h"
 
 /* Keys and key prefixes in the platform's store. */
 #define NODE_KEY_HOLDER "cactusfield/owner"
@@ -65,9 +66,10 @@
 	NODE_OUT_STATE,
 	NODE_OUT_NOT_FOUND, /* no such job */
 	NODE_OUT_PENDING,
-	NODE_OUT_INVALID,    /* malformed: do not retry */
-	NODE_OUT_NOT_HOLDER, /* nothing was done: try another entry */
-	NODE_OUT_UNKNOWN,    /* it may have been carried out */
+	NODE_OUT_INVALID,      /* malformed: do not retry */
+	NODE_OUT_UNAUTHORIZED, /* its key is not valid; nothing was done */
+	NODE_OUT_NOT_HOLDER,   /* nothing was done: try another entry */
+	NODE_OUT_UNKNOWN,      /* it may have been carried out */
 	NODE_OUT_MAX
 } node_outcome_kind_t;
 
@@ -88,7 +90,9 @@
 	node_op_t job_op;
 	char *queue;
 	char *id;
-	char *workspace; /* that the caller's key belongs to; NULL: none */
+	char *workspace;  /* that the caller's key belongs to; NULL: none */
+	char *key_digest; /* of that key; NULL: none */
+	int64_t config;	  /* version by which the key was judged */
 	base_str_t body;
 	int64_t deadline; /* monotonic time */
 	bool relayed; /* came from another entry: only the holder may get it */
@@ -123,7 +127,14 @@
 	struct node_metrics *metrics;
 
 	void *config_ctx;
-	node_config_t config; /* version 0: not read yet */
+	node_config_t config;	 /* version 0: not read yet */
+	node_keys_t *keys;	 /* NULL: requests need none */
+	GHashTable *access_logs; /* by reason and queue; NULL: none yet */
+	int64_t config_asked_at; /* when the last read or watch was sent */
+	/* When the last one was sent whose answer is in force, so that the
+	 * configuration is current as of then. */
+	int64_t config_current_at;
+	bool config_unreadable; /* the operator's last one cannot be read */
 	int64_t operator_revision;
 	net_timer_t *config_timer;
 	GHashTable *wave_texts; /* key to value, as the operator wrote it */
@@ -204,6 +215,9 @@
 	NODE_COUNT_WORKER_DROPPED,
 	NODE_COUNT_END_UNMATCHED,
 	NODE_COUNT_ENDS_TRUNCATED,
+	NODE_COUNT_KEY_MISSING,
+	NODE_COUNT_KEY_UNKNOWN,
+	NODE_COUNT_KEY_STALE,
 	NODE_COUNT_MAX
 } node_count_t;
 
@@ -264,10 +278,24 @@
 /* The matching route with the longest prefix; NULL: none. */
 const node_route_t *node_route_find(const node_t *node, base_str_t host,
 				    base_str_t path);
+/* The route of a queue; NULL: the configuration does not have it. */
+const node_route_t *node_route_by_queue(const node_t *node, const char *queue);
 /* Records the outcome of a store call; logs when the store becomes unavailable
  * and when it answers again. */
 void node_store_track_status(node_t *node, node_store_status_t status);
 
+/* node_access.c */
+/* Time since the operator's configuration was surely the one in force here. */
+int64_t node_config_age(const node_t *node);
+/* Whether this entry refuses requests that need a key, as that is too long. */
+bool node_access_is_stale(const node_t *node);
+/* Judges the key of a caller's request, and sets the workspace in "ask". */
+node_key_verdict_t node_access_judge(node_t *node, const node_route_t *route,
+				     base_str_t key, node_job_request_t *ask);
+/* Whether the holder refuses the request by its key; sets "outcome" then. */
+bool node_access_refuses(node_t *node, const node_job_request_t *ask,
+			 node_outcome_t *outcome);
+
 /* node_election.c */
 void node_election_begin(node_t *node);
 /* The holder did not answer, or answered that it is not the holder: use other
--- a/packages/node/node_metrics.c
+++ b/packages/node/node_metrics.c
@@ -29,6 +29,9 @@
 	[NODE_COUNT_WORKER_DROPPED] = "workers_dropped",
 	[NODE_COUNT_END_UNMATCHED] = "ends_unmatched",
 	[NODE_COUNT_ENDS_TRUNCATED] = "end_lists_truncated",
+	[NODE_COUNT_KEY_MISSING] = "key_refusals{why=\"no key\"}",
+	[NODE_COUNT_KEY_UNKNOWN] = "key_refusals{why=\"unknown key\"}",
+	[NODE_COUNT_KEY_STALE] = "key_refusals{why=\"configuration too old\"}",
 };
 
 static const char *const time_names[NODE_TIME_MAX] = {
@@ -168,6 +171,7 @@
 	base_buf_addf(out, "cactusfield_term %lld\n",
 		      (long long)node->known_holder.term);
 	add_age(out, "store", now - node->store_answered_at);
+	add_age(out, "config", node_config_age(node));
 	add_age(out, "holder", now - node->known_holder.refreshed_at);
 	if (node->holder)
 		add_holder(out, node);
--- a/packages/node/node_operators.c
+++ b/packages/node/node_operators.c
@@ -97,11 +97,12 @@
 {
 	int64_t now = base_clock_mono();
 	json_t *answer = json_pack(
-		"{s:s,s:s,s:I,s:i,s:b,s:b,s:I,s:s,s:I,s:I}", "entry",
+		"{s:s,s:s,s:I,s:I,s:i,s:b,s:b,s:I,s:s,s:I,s:I}", "entry",
 		node->settings->name, "zone", node->settings->zone,
-		"generation", (json_int_t)node->config.version, "in_flight",
-		(int)g_hash_table_size(node->open_requests), "draining",
-		node->stopping, "store_down", node->store_down,
+		"generation", (json_int_t)node->config.version,
+		"generation_current_us_ago", (json_int_t)node_config_age(node),
+		"in_flight", (int)g_hash_table_size(node->open_requests),
+		"draining", node->stopping, "store_down", node->store_down,
 		"store_heard_us_ago",
 		(json_int_t)(now - node->store_answered_at), "holder",
 		node->known_holder.name ? node->known_holder.name : "", "term",
--- a/packages/node/node_peer.c
+++ b/packages/node/node_peer.c
@@ -1,7 +1,8 @@
 /*
  * Requests between entries: JSON over HTTP, one POST per request.
  *
- * {"ask", "queue", "id", "body", "wait_ms", "relayed", "token", "try", "term"}
+ * {"ask", "queue", "id", "body", "wait_ms", "relayed", "token", "try", "term",
+ * "workspace", "key_digest", "config"}
  * -> {"kind", "state", "retry_after_ms", "pending", "why", "binding", "term",
  * "decides"}
  */
@@ -25,10 +26,15 @@
 #define PEER_REACHED_AGE_MAX (1000 * BASE_MS)
 
 static const char *const kind_names[NODE_OUT_MAX] = {
-	[NODE_OUT_ACCEPTED] = "accepted",    [NODE_OUT_REFUSED] = "refused",
-	[NODE_OUT_STATE] = "state",	     [NODE_OUT_NOT_FOUND] = "gone",
-	[NODE_OUT_PENDING] = "pending",	     [NODE_OUT_INVALID] = "bad",
-	[NODE_OUT_NOT_HOLDER] = "not-owner", [NODE_OUT_UNKNOWN] = "unknown",
+	[NODE_OUT_ACCEPTED] = "accepted",
+	[NODE_OUT_REFUSED] = "refused",
+	[NODE_OUT_STATE] = "state",
+	[NODE_OUT_NOT_FOUND] = "gone",
+	[NODE_OUT_PENDING] = "pending",
+	[NODE_OUT_INVALID] = "bad",
+	[NODE_OUT_NOT_HOLDER] = "not-owner",
+	[NODE_OUT_UNKNOWN] = "unknown",
+	[NODE_OUT_UNAUTHORIZED] = "unauthorized",
 };
 
 static const char *const ask_names[NODE_OP_MAX] = {
@@ -242,6 +248,13 @@
 		base_buf_addf(body, ",\"try\":%d,\"term\":%lld",
 			      ask->try_number, (long long)ask->term);
 	}
+	if (ask->workspace && ask->key_digest) {
+		base_buf_adds(body, ",\"workspace\":");
+		base_buf_add_json(body, base_str(ask->workspace));
+		base_buf_adds(body, ",\"key_digest\":");
+		base_buf_add_json(body, base_str(ask->key_digest));
+		base_buf_addf(body, ",\"config\":%lld", (long long)ask->config);
+	}
 	base_buf_adds(body, "}");
 	return body->ptr;
 }
@@ -270,6 +283,9 @@
 				   .queue = original->queue,
 				   .id = original->id,
 				   .body = BASE_STR(""),
+				   .workspace = original->workspace,
+				   .key_digest = original->key_digest,
+				   .config = original->config,
 				   .relayed = original->relayed };
 	peer_call_t *call;
 
@@ -458,6 +474,11 @@
 	ask.relayed = json_is_true(json_object_get(root, "relayed"));
 	ask.token = (char *)json_string_value(json_object_get(root, "token"));
 	ask.try_number = (int)read_number(root, "try", INT_MAX);
+	ask.workspace =
+		(char *)json_string_value(json_object_get(root, "workspace"));
+	ask.key_digest =
+		(char *)json_string_value(json_object_get(root, "key_digest"));
+	ask.config = read_number(root, "config", INT64_MAX);
 	if (is_change(ask.job_op))
 		ask.term = read_number(root, "term", NODE_TERM_MAX);
 	serve_request(node, exchange, &ask);
--- a/packages/node/node_run.c
+++ b/packages/node/node_run.c
@@ -35,6 +35,7 @@
 	int64_t now = base_clock_mono();
 
 	return node->config.version && !node->stopping &&
+	       !node_access_is_stale(node) &&
 	       now - node->store_answered_at < RUN_READY_AGE;
 }
 
@@ -155,6 +156,7 @@
 	node->settings->stop_timeout = settings->stop_timeout;
 	node->settings->grace = settings->grace;
 	node->settings->keep = settings->keep;
+	node->settings->revoke_bound = settings->revoke_bound;
 	talloc_free(settings);
 	node_log(node, BASE_MSG_RELOADED,
 		 BASE_F_STR("file", node->settings_file));
--- a/packages/node/node_settings.c
+++ b/packages/node/node_settings.c
@@ -36,6 +36,8 @@
 	{ "drain_ms", offsetof(node_settings_t, drain_time), BASE_MS, 2000 },
 	{ "grace_s", offsetof(node_settings_t, grace), BASE_SEC, 6 },
 	{ "keep_s", offsetof(node_settings_t, keep), BASE_SEC, 120 },
+	{ "revoke_bound_ms", offsetof(node_settings_t, revoke_bound), BASE_MS,
+	  0 },
 	{ "store_ttl_min_ms", offsetof(node_settings_t, store_ttl_min), BASE_MS,
 	  1000 },
 	{ "store_value_bytes", offsetof(node_settings_t, store_value_max), 1,
@@ -63,7 +65,8 @@
 	double time =
 		value ? json_number_value(value) : (double)field->default_value;
 
-	if (value && (!json_is_number(value) || time <= 0))
+	if (value && (!json_is_number(value) || time < 0 ||
+		      (time == 0 && field->default_value)))
 		base_buf_addf(faults, "; \"%s\" is not a positive %s",
 			      field->name,
 			      field->unit == BASE_SEC  ? "time in seconds"
