--- a/tests/node.sh
+++ b/tests/node.sh
@@ -77,7 +77,8 @@
 "seeds": ["127.0.0.1:$((PORT + 101))", "127.0.0.1:$((PORT + 102))"],
 "store": "127.0.0.1:$((PORT + ${STORE:-0}))", "instances": "127.0.0.1:$PORT",
 "advice": "127.0.0.1:$PORT", "processor_cores": ${CORES:-0.25},
-"lease_max_ms": 6000, "keep_s": ${KEEP_S:-10}}
+"lease_max_ms": 6000, "keep_s": ${KEEP_S:-10},
+"revoke_bound_ms": ${REVOKE_MS:-0}}
 END
 	"$OUT/cactusfield-node" --settings="$work/node-$1.json" \
 		>>"$work/node-$1.log" 2>&1 &
