batch: limits and shares of workspaces

What a workspace had running was bounded by nothing, and a flood by one delayed and refused the jobs of all. Each run that may exist, and each start that may still be carried out late, counts against its workspace's limit; a task starts only within it. A pool that lacks room is divided by weighted max-min fairness of dominant parts, in placement and in admission.

--- a/packages/batch/batch.c
+++ b/packages/batch/batch.c
@@ -47,7 +47,7 @@
 	g_hash_table_unref(core->listed_in_rack);
 	g_hash_table_unref(core->queues);
 	g_hash_table_unref(core->pools);
-	g_hash_table_unref(core->workspaces);
+	batch_workspaces_free(core);
 	g_ptr_array_unref(core->active_jobs);
 	for (i = 0; i < BATCH_LANE_MAX; i++)
 		g_ptr_array_unref(core->storing_jobs[i]);
@@ -80,7 +80,7 @@
 	core->listed_in_rack = g_hash_table_new(NULL, NULL);
 	core->queues = g_hash_table_new(g_str_hash, g_str_equal);
 	core->pools = g_hash_table_new(g_str_hash, g_str_equal);
-	core->workspaces = g_hash_table_new(g_str_hash, g_str_equal);
+	batch_workspaces_init(core);
 	core->refused =
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	core->active_jobs = g_ptr_array_new();
@@ -133,6 +133,7 @@
 		return pool;
 	pool = talloc_zero(core, batch_pool_t);
 	pool->name = base_str_dup(pool, name);
+	pool->number = (int)g_hash_table_size(core->pools);
 	pool->checks_admission = true;
 	pool->workers = g_ptr_array_new();
 	g_hash_table_insert(core->pools, pool->name, pool);
@@ -413,11 +414,12 @@
 }
 
 batch_admission_t batch_submit(batch_t *core, int64_t now, int64_t wall,
-			       const batch_spec_t *spec, int64_t *retry_after)
+			       const batch_spec_t *spec,
+			       batch_refusal_t *refusal)
 {
 	batch_job_t *job = batch_find_job(core, spec->id);
 
-	*retry_after = BASE_SEC;
+	*refusal = (batch_refusal_t){ BATCH_REFUSAL_NO_QUEUE, BASE_SEC };
 	if (job)
 		return BATCH_DUPLICATE;
 	if (!batch_find_queue(core, spec->queue)) {
@@ -427,8 +429,9 @@
 	job = batch_job_new(core, spec);
 	job->arrived = now;
 	job->arrived_wall = wall;
-	if (!batch_admit(core, job, now, retry_after)) {
+	if (!batch_admit(core, job, now, refusal)) {
 		core->stats.refused++;
+		job->workspace->refused[refusal->kind]++;
 		drop_job(core, job);
 		return BATCH_REFUSED;
 	}
--- a/packages/batch/batch.h
+++ b/packages/batch/batch.h
@@ -301,12 +301,27 @@
 	BATCH_ADMISSION_MAX
 } batch_admission_t;
 
-/*
- * Accepts a job, or refuses it because it could not end in time.  For a refused
- * job, "retry_after" is when to submit it again, in microseconds.
- */
+typedef enum batch_refusal_kind {
+	BATCH_REFUSAL_BACKLOG,	 /* the pool's backlog is too long */
+	BATCH_REFUSAL_SHARE,	 /* that of its workspace, for its share */
+	BATCH_REFUSAL_LIMIT,	 /* that of its workspace, for its limit */
+	BATCH_REFUSAL_TOO_LARGE, /* a task or gang exceeds that limit */
+	BATCH_REFUSAL_NO_QUEUE,
+	BATCH_REFUSAL_MAX
+} batch_refusal_kind_t;
+
+typedef struct batch_refusal {
+	batch_refusal_kind_t kind;
+	int64_t retry_after; /* when to submit it again, microseconds */
+} batch_refusal_t;
+
+/* In a few words, for a caller. */
+const char *batch_refusal_name(batch_refusal_kind_t kind);
+
+/* Accepts a job, or refuses it because it could not end in time. */
 batch_admission_t batch_submit(batch_t *core, int64_t now, int64_t wall,
-			       const batch_spec_t *spec, int64_t *retry_after);
+			       const batch_spec_t *spec,
+			       batch_refusal_t *refusal);
 
 /*
  * Cancels a job.  cancelled() follows once the cancellation, or an end that
--- a/packages/batch/batch_admit.c
+++ b/packages/batch/batch_admit.c
@@ -20,6 +20,18 @@
 #define ADMIT_RESUBMIT_WINDOW (10 * BASE_SEC)
 /* The Retry-After header has whole seconds. */
 #define ADMIT_RETRY_MIN BASE_SEC
+/* Only another configuration lets the job run. */
+#define ADMIT_RETRY_TOO_LARGE (10 * BASE_SEC)
+
+static const char *const log_texts[BATCH_REFUSAL_MAX] = {
+	[BATCH_REFUSAL_BACKLOG] = "backlog, microseconds",
+	[BATCH_REFUSAL_SHARE] =
+		"backlog of its workspace at its share, microseconds",
+	[BATCH_REFUSAL_LIMIT] =
+		"backlog of its workspace at its limit, microseconds",
+	[BATCH_REFUSAL_TOO_LARGE] = "a task exceeds its workspace's limit",
+	[BATCH_REFUSAL_NO_QUEUE] = "no such queue",
+};
 
 /*
  * Time until the pool has worked off its backlog, microseconds; negative if it
@@ -72,41 +84,102 @@
 	g_hash_table_foreach_remove(core->refused, is_refusal_expired, &now);
 }
 
-bool batch_admit(batch_t *core, const batch_job_t *job, int64_t now,
-		 int64_t *retry_after)
+static const char *const refusal_names[BATCH_REFUSAL_MAX] = {
+	[BATCH_REFUSAL_BACKLOG] = "cannot end in time",
+	[BATCH_REFUSAL_SHARE] = "beyond the share of its workspace",
+	[BATCH_REFUSAL_LIMIT] = "beyond the limit of its workspace",
+	[BATCH_REFUSAL_TOO_LARGE] =
+		"a task needs more than the limit of its workspace",
+	[BATCH_REFUSAL_NO_QUEUE] = "no such queue here yet",
+};
+
+const char *batch_refusal_name(batch_refusal_kind_t kind)
+{
+	return refusal_names[kind];
+}
+
+/* What decides about a job, and the time that it has to wait. */
+typedef struct verdict {
+	batch_refusal_kind_t kind; /* if the time is too long */
+	double wait; /* microseconds; negative: there is no capacity */
+} verdict_t;
+
+/*
+ * Load: a workspace sends many times its usual.  It waits for its own backlog
+ * at its share of the pool; the others do not wait for it.
+ */
+static verdict_t judge_wait(batch_t *core, const batch_job_t *job, int64_t now)
+{
+	batch_pool_t *pool = job->queue->pool;
+	verdict_t verdict = { BATCH_REFUSAL_BACKLOG,
+			      backlog_time(core, pool, now) };
+	batch_load_t available;
+	double limit_wait;
+
+	if (verdict.wait < 0 || !batch_workspaces_share(core))
+		return verdict;
+	available = batch_pool_available(pool, now);
+	verdict.kind = BATCH_REFUSAL_SHARE;
+	verdict.wait = batch_workspace_wait(core, job, &available);
+	limit_wait = batch_workspace_limit_wait(job->workspace);
+	if (limit_wait > verdict.wait)
+		verdict = (verdict_t){ BATCH_REFUSAL_LIMIT, limit_wait };
+	return verdict;
+}
+
+static bool refuse(batch_t *core, const batch_job_t *job,
+		   const verdict_t *verdict, int64_t slack,
+		   batch_refusal_t *refusal)
+{
+	refusal->kind = verdict->kind;
+	refusal->retry_after =
+		MAX((int64_t)verdict->wait - slack, ADMIT_RETRY_MIN);
+	if (verdict->kind == BATCH_REFUSAL_TOO_LARGE)
+		refusal->retry_after = ADMIT_RETRY_TOO_LARGE;
+	batch_log_emit(core, &(batch_log_event_t){
+				     .kind = BATCH_LOG_JOB_REFUSED,
+				     .task = { base_str(job->id), -1, -1, -1 },
+				     .why = verdict->wait < 0
+						    ? "no worker"
+						    : log_texts[verdict->kind],
+				     .value = (int64_t)verdict->wait });
+	return false;
+}
+
+static bool is_unbounded(const batch_job_t *job)
 {
-	int64_t slack = ADMIT_OBJECTIVE_FACTOR * batch_objective(job) -
-			batch_critical_path(job, false);
-	batch_load_t job_work;
-	double wait;
 	int i;
 
 	/* Long-running and periodic jobs do not come in bursts. */
 	for (i = 0; i < job->spec.n_steps; i++)
 		if (job->spec.steps[i].long_running)
 			return true;
-	if (job->spec.repeat)
+	return job->spec.repeat > 0;
+}
+
+bool batch_admit(batch_t *core, const batch_job_t *job, int64_t now,
+		 batch_refusal_t *refusal)
+{
+	int64_t slack = ADMIT_OBJECTIVE_FACTOR * batch_objective(job) -
+			batch_critical_path(job, false);
+	verdict_t verdict = { BATCH_REFUSAL_TOO_LARGE, 0 };
+	batch_load_t job_work;
+
+	if (!batch_workspace_could_run(job))
+		return refuse(core, job, &verdict, slack, refusal);
+	if (is_unbounded(job))
 		return true;
 	job_work = batch_job_work(job, now);
-	if (!is_resubmission(core, job, now)) {
+	verdict = judge_wait(core, job, now);
+	/* What its workspace may not run at once asks for no workers. */
+	if (!is_resubmission(core, job, now) &&
+	    !(verdict.kind == BATCH_REFUSAL_LIMIT &&
+	      verdict.wait > (double)slack))
 		batch_capacity_add_demand(job->queue->pool, now, &job_work);
-	}
-	wait = backlog_time(core, job->queue->pool, now);
-	*retry_after = ADMIT_RETRY_MIN;
-	if (wait >= 0 && wait <= (double)slack) {
-		batch_backlog_add(job->queue->pool, &job_work);
+	if (verdict.wait >= 0 && verdict.wait <= (double)slack) {
+		batch_backlog_add(job, &job_work);
 		return true;
 	}
-	if (wait > (double)slack)
-		*retry_after = (int64_t)wait - slack;
-	if (*retry_after < ADMIT_RETRY_MIN)
-		*retry_after = ADMIT_RETRY_MIN;
 	record_refusal(core, job, now);
-	batch_log_emit(core, &(batch_log_event_t){
-				     .kind = BATCH_LOG_JOB_REFUSED,
-				     .task = { base_str(job->id), -1, -1, -1 },
-				     .why = wait < 0 ? "no worker"
-						     : "backlog, microseconds",
-				     .value = (int64_t)wait });
-	return false;
+	return refuse(core, job, &verdict, slack, refusal);
 }
--- a/packages/batch/batch_commit.c
+++ b/packages/batch/batch_commit.c
@@ -111,7 +111,8 @@
 	       run->version <= run->task->step->occ->job->stored_version;
 }
 
-/* Sends the runs of a step, or of a gang none if one cannot be sent. */
+/* Sends the runs of a step, or of a gang none if one cannot be sent.  A limit
+ * may have been lowered since they were decided. */
 static void send_step_runs(batch_step_t *step, int64_t now)
 {
 	int t;
@@ -120,7 +121,8 @@
 		batch_run_t *run = step->tasks[t].run;
 
 		if (is_to_be_sent(run) &&
-		    batch_worker_capacity_is_old(run->worker, now))
+		    (batch_worker_capacity_is_old(run->worker, now) ||
+		     batch_workspace_is_over(step->occ->job->workspace)))
 			batch_run_drop_unsent(run);
 	}
 	for (t = 0; t < step->spec->count; t++)
--- a/packages/batch/batch_demand.c
+++ b/packages/batch/batch_demand.c
@@ -125,12 +125,29 @@
 	return pool->available;
 }
 
+static void add_load(batch_load_t *load, const batch_load_t *more)
+{
+	load->cpu += more->cpu;
+	load->memory += more->memory;
+}
+
+static void clear_backlogs(const batch_t *core, const batch_pool_t *pool)
+{
+	guint i;
+
+	for (i = 0; i < core->workspaces->len; i++)
+		batch_workspace_in_pool(g_ptr_array_index(core->workspaces, i),
+					pool)
+			->backlog = (batch_load_t){ 0, 0 };
+}
+
 static batch_load_t sum_backlog(batch_t *core, const batch_pool_t *pool,
 				int64_t now)
 {
 	batch_load_t work = { 0, 0 };
 	guint i;
 
+	clear_backlogs(core, pool);
 	for (i = 0; i < core->active_jobs->len; i++) {
 		batch_job_t *job = g_ptr_array_index(core->active_jobs, i);
 		batch_load_t left;
@@ -144,6 +161,9 @@
 		left = batch_job_work(job, now);
 		work.cpu += left.cpu;
 		work.memory += left.memory;
+		add_load(
+			&batch_workspace_in_pool(job->workspace, pool)->backlog,
+			&left);
 	}
 	return work;
 }
@@ -158,10 +178,12 @@
 	return pool->backlog;
 }
 
-void batch_backlog_add(batch_pool_t *pool, const batch_load_t *work)
+void batch_backlog_add(const batch_job_t *job, const batch_load_t *work)
 {
-	pool->backlog.cpu += work->cpu;
-	pool->backlog.memory += work->memory;
+	batch_pool_t *pool = job->queue->pool;
+
+	add_load(&pool->backlog, work);
+	add_load(&batch_workspace_in_pool(job->workspace, pool)->backlog, work);
 }
 
 /* The most that the job can use at once: that of its widest step. */
@@ -223,6 +245,31 @@
 	return most;
 }
 
+/* What a workspace cannot run at once needs no workers. */
+static void add_workspace_need(const batch_t *core,
+			       batch_workspace_t *workspace)
+{
+	batch_load_t sum = { 0, 0 };
+	GHashTableIter iter;
+	gpointer value;
+	double part;
+	size_t i;
+
+	for (i = 0; i < talloc_array_length(workspace->pools); i++)
+		add_load(&sum, &workspace->pools[i].need);
+	part = 1 / MAX(batch_workspace_limit_ratio(workspace, &sum), 1);
+	g_hash_table_iter_init(&iter, core->pools);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		batch_pool_t *pool = value;
+		batch_pool_use_t *use =
+			batch_workspace_in_pool(workspace, pool);
+
+		pool->need_now.cpu += part * use->need.cpu;
+		pool->need_now.memory += part * use->need.memory;
+		use->need = (batch_load_t){ 0, 0 };
+	}
+}
+
 void batch_pools_measure(batch_t *core, int64_t now)
 {
 	GHashTableIter iter;
@@ -246,9 +293,12 @@
 			continue;
 		pool = job->queue->pool;
 		need = job_need(job, now);
-		pool->need_now.cpu += need.cpu;
-		pool->need_now.memory += need.memory;
+		add_load(&batch_workspace_in_pool(job->workspace, pool)->need,
+			 &need);
 		pool->spread_workers =
 			MAX(pool->spread_workers, job_spread_workers(job));
 	}
+	for (i = 0; i < core->workspaces->len; i++)
+		add_workspace_need(core,
+				   g_ptr_array_index(core->workspaces, i));
 }
--- a/packages/batch/batch_doubt.c
+++ b/packages/batch/batch_doubt.c
@@ -42,6 +42,23 @@
 	return batch_find_task(worker->core, &id);
 }
 
+/*
+ * While the task has the run itself, that counts.  A start whose stop was
+ * answered is refused by that process.
+ */
+static void set_charged(batch_in_doubt_start_t *start, const batch_task_t *task,
+			bool is_charged)
+{
+	if (is_charged && !start->charged && task) {
+		start->charged = task->step->occ->job->workspace;
+		start->need = task->step->spec->need;
+		batch_workspace_charge(start->charged, &start->need, 1);
+	} else if (!is_charged && start->charged) {
+		batch_workspace_charge(start->charged, &start->need, -1);
+		start->charged = NULL;
+	}
+}
+
 static void set_void(const batch_worker_t *worker,
 		     batch_in_doubt_start_t *start, int64_t now, bool is_void)
 {
@@ -50,6 +67,7 @@
 	if (start->is_void == is_void)
 		return;
 	start->is_void = is_void;
+	set_charged(start, task, is_void);
 	if (!task)
 		return;
 	if (is_void && !task->n_void)
@@ -84,6 +102,7 @@
 	char *job = start_at(worker, at)->job;
 
 	set_void(worker, start_at(worker, at), now, false);
+	set_charged(start_at(worker, at), NULL, false);
 	g_array_remove_index(worker->in_doubt_starts, at);
 	if (!has_start_of(worker, job))
 		batch_index_remove(worker->core->workers_by_doubt, job, worker);
@@ -94,18 +113,30 @@
 {
 	guint i;
 
-	for (i = 0; i < worker->in_doubt_starts->len; i++)
+	for (i = 0; i < worker->in_doubt_starts->len; i++) {
 		batch_index_remove(worker->core->workers_by_doubt,
 				   start_at(worker, i)->job, worker);
+		set_charged(start_at(worker, i), NULL, false);
+	}
 }
 
 static void set_stopped_by(batch_worker_t *worker,
 			   batch_in_doubt_start_t *start, int64_t incarnation)
 {
 	start->stopped_by = incarnation;
+	set_charged(start, NULL, false);
 	batch_index_add(worker->core->workers_by_doubt, start->job, worker);
 }
 
+static bool has_run(const batch_worker_t *worker, const batch_task_id_t *id,
+		    int64_t run)
+{
+	const batch_task_t *task = batch_find_task(worker->core, id);
+
+	return task && task->run && task->run->worker == worker &&
+	       task->run->number == run;
+}
+
 void batch_doubt_add(batch_worker_t *worker, int64_t now,
 		     const batch_task_id_t *id, int64_t run, bool is_assumed)
 {
@@ -117,6 +148,8 @@
 					 .is_assumed = is_assumed,
 					 .until = now + BATCH_LATE_START_MAX };
 
+	set_charged(&start, batch_find_task(worker->core, id),
+		    !has_run(worker, id, run));
 	g_array_append_val(worker->in_doubt_starts, start);
 }
 
@@ -124,10 +157,10 @@
 static bool is_start_of_run(const batch_worker_t *worker,
 			    const batch_in_doubt_start_t *start)
 {
-	const batch_task_t *task = find_task(worker, start);
+	batch_task_id_t id = { base_str(start->job), start->occurrence,
+			       start->step, start->index };
 
-	return task && task->run && task->run->worker == worker &&
-	       task->run->number == start->run;
+	return has_run(worker, &id, start->run);
 }
 
 void batch_doubt_send_stops(batch_worker_t *worker, int64_t now)
@@ -172,6 +205,19 @@
 	return -1;
 }
 
+void batch_doubt_run_freed(const batch_run_t *run)
+{
+	batch_task_id_t id;
+	int at;
+
+	if (!run->worker->in_doubt_starts->len)
+		return;
+	id = batch_task_get_id(run->task);
+	at = find_start(run->worker, &id, run->number);
+	if (at >= 0 && !start_at(run->worker, (guint)at)->stopped_by)
+		set_charged(start_at(run->worker, (guint)at), run->task, true);
+}
+
 void batch_doubt_given_up(const batch_run_t *run)
 {
 	batch_task_id_t id = batch_task_get_id(run->task);
@@ -245,6 +291,7 @@
 		    batch_job_is_active(job))
 			batch_job_changed(job);
 		start->stopped_by = 0;
+		set_charged(start, NULL, false);
 	}
 }
 
--- a/packages/batch/batch_fit.c
+++ b/packages/batch/batch_fit.c
@@ -231,6 +231,10 @@
 {
 	batch_fit_counts_t counts = batch_fit_count(task, now);
 
+	if (!batch_workspace_allows(
+		    task->step,
+		    task->step->spec->gang ? task->step->spec->count : 1))
+		return "the limit of its workspace leaves no room";
 	if (batch_doubt_holds_back(task, now))
 		return "an earlier start of it had no answer, and its worker "
 		       "may have restarted since: it waits until that start "
--- a/packages/batch/batch_int.h
+++ b/packages/batch/batch_int.h
@@ -48,6 +48,7 @@
 
 struct batch_pool {
 	char *name;
+	int number; /* from 0, in the order in which they became known */
 	bool checks_admission;
 	bool spare;
 	bool in_force;
@@ -65,7 +66,11 @@
 	batch_load_t available; /* see batch_pool_available() */
 	int64_t available_at;
 	batch_load_t need_now; /* see batch_pools_measure() */
-	int spread_workers;    /* see batch_pools_measure() */
+	/* Whether it is divided among workspaces, as they want more than it
+	 * has, and what is divided. */
+	bool is_divided;
+	batch_load_t room_for_shares;
+	int spread_workers; /* see batch_pools_measure() */
 	/*
 	 * Set in a pass once a task did not fit on any worker; full_need is its
 	 * need, and tasks that need at least as much do not fit either.
@@ -101,13 +106,32 @@
 	uint64_t ended;	    /* tasks that mean_run is based on */
 };
 
+/* What one workspace has and wants of one pool, without long-running tasks. */
+typedef struct batch_pool_use {
+	batch_load_t used;    /* by its runs */
+	batch_load_t wanted;  /* by tasks that may start, as last measured */
+	batch_load_t backlog; /* as pool->backlog */
+	batch_load_t need;    /* as pool->need_now */
+	double fair;	      /* due part of the pool, as last divided */
+} batch_pool_use_t;
+
 struct batch_workspace {
 	char *name;
 	double weight;
 	batch_res_t limit; /* 0: no limit */
+	batch_res_t used;  /* by what may run, over all pools */
 	bool in_force;
+	batch_pool_use_t *pools; /* talloc array by pool->number */
+	uint64_t refused[BATCH_REFUSAL_MAX];
 };
 
+/* One of those that something is divided among. */
+typedef struct batch_share {
+	double weight; /* above 0 */
+	double demand;
+	double fair; /* set by batch_share_divide() */
+} batch_share_t;
+
 typedef enum run_state {
 	/* The job's row with this run is not stored; nothing was sent. */
 	RUN_STORING,
@@ -122,6 +146,7 @@
 struct batch_run {
 	batch_task_t *task;
 	batch_worker_t *worker;
+	batch_pool_t *charged_pool; /* that its workspace uses it in */
 	int64_t number;
 	run_state_t state;
 	uint64_t version;    /* the job's row that contains it */
@@ -285,7 +310,7 @@
 	double *estimate_factors; /* factor of each step's estimate */
 	batch_paths_t *paths;	  /* critical paths */
 	batch_queue_t *queue;
-	batch_workspace_t *workspace; /* NULL: none */
+	batch_workspace_t *workspace; /* without a name: none */
 	batch_state_t state;	      /* as decided */
 	batch_state_t stored_state;   /* as stored */
 	bool cancelled;
@@ -345,6 +370,10 @@
 	/* That process may have ended; the task must not run elsewhere. */
 	bool is_void;
 	int64_t doubted_since; /* another process is known; 0: none is */
+	/* The workspace that it counts for, as the task has no such run any
+	 * more; NULL: for none. */
+	batch_workspace_t *charged;
+	batch_res_t need;
 } batch_in_doubt_start_t;
 
 struct batch_worker {
@@ -433,7 +462,9 @@
 	GHashTable *listed_in_rack;
 	GHashTable *queues;
 	GHashTable *pools;
-	GHashTable *workspaces; /* by name, of batch_workspace_t */
+	/* Of batch_workspace_t; the first one has no name. */
+	GPtrArray *workspaces;
+	GHashTable *workspaces_by_name;
 	GPtrArray
 		*active_jobs; /* jobs that have not ended or still have runs */
 	GQueue rows;	      /* jobs with a row to store */
@@ -485,9 +516,48 @@
 /* Whether the step is ready and a task of it is neither done nor has a run. */
 bool batch_step_has_waiting(const batch_step_t *step);
 
+/* batch_share.c */
+/* Divides "room" among "n" of them: weighted max-min fairness. */
+void batch_share_divide(batch_share_t *shares, size_t n, double room);
+/*
+ * The time in which the demand of one of them is done if all are served at
+ * once, each by its weight, at the rate of all; negative without a rate.
+ */
+double batch_share_finish(const batch_share_t *shares, size_t n, size_t of,
+			  double rate);
+
 /* batch_workspace.c */
-/* The workspace of that name, added if it is not known; NULL: no name. */
+void batch_workspaces_init(batch_t *core);
+void batch_workspaces_free(batch_t *core);
+/* The workspace of that name, added if it is not known. */
 batch_workspace_t *batch_workspace_get(batch_t *core, base_str_t name);
+batch_pool_use_t *batch_workspace_in_pool(batch_workspace_t *workspace,
+					  const batch_pool_t *pool);
+/* Counts what may run, or with "sign" -1 no longer may. */
+void batch_workspace_charge(batch_workspace_t *workspace,
+			    const batch_res_t *need, int sign);
+void batch_workspace_count_run(const batch_run_t *run, int sign);
+/* Whether the limit leaves room for so many tasks of the step. */
+bool batch_workspace_allows(const batch_step_t *step, int n);
+/* Whether more may run than the limit, as it was lowered. */
+bool batch_workspace_is_over(const batch_workspace_t *workspace);
+/* Whether each task, or gang, of the job fits into the whole limit. */
+bool batch_workspace_could_run(const batch_job_t *job);
+/* How many times the limit the load is; 0: there is no limit. */
+double batch_workspace_limit_ratio(const batch_workspace_t *workspace,
+				   const batch_load_t *load);
+/* Whether there are workspaces that pools are divided among. */
+bool batch_workspaces_share(const batch_t *core);
+/* Divides the pools for a pass of placement. */
+void batch_workspaces_divide(batch_t *core, int64_t now);
+/* Whether the job's workspace has less of its pool than it is due. */
+bool batch_workspace_within_share(const batch_job_t *job);
+/* The time in which the backlog of the job's workspace in its pool is worked
+ * off at its share of the pool; negative if the pool has no capacity. */
+double batch_workspace_wait(const batch_t *core, const batch_job_t *job,
+			    const batch_load_t *rate);
+/* The same at its limit, for its backlog in all pools; 0: no limit. */
+double batch_workspace_limit_wait(const batch_workspace_t *workspace);
 
 /* batch_index.c: values by a key; an empty key, or NULL, has none. */
 GHashTable *batch_index_new(void);
@@ -554,6 +624,9 @@
 /* The worker's process has answered a stop of the run. */
 void batch_doubt_stopped(batch_worker_t *worker, int64_t now,
 			 const batch_order_t *order);
+/* The task has the run no longer: its start, if that is in doubt, counts for
+ * its workspace. */
+void batch_doubt_run_freed(const batch_run_t *run);
 /* A poll of the worker is read: it lists these runs, and then these ends. */
 void batch_doubt_poll(batch_worker_t *worker, int64_t now,
 		      const batch_poll_result_t *poll);
@@ -705,7 +778,7 @@
 /* The pool's backlog of work, computed at most DEMAND_LOAD_AGE ago. */
 batch_load_t batch_pool_backlog(batch_t *core, batch_pool_t *pool, int64_t now);
 /* Adds the work of a job that was just accepted. */
-void batch_backlog_add(batch_pool_t *pool, const batch_load_t *work);
+void batch_backlog_add(const batch_job_t *job, const batch_load_t *work);
 /* Adds the need of one task of the step. */
 void batch_load_add(batch_load_t *load, const batch_step_spec_t *spec);
 batch_load_t batch_pool_long_running(const batch_pool_t *pool);
@@ -728,7 +801,7 @@
 /* batch_admit.c */
 void batch_admit_tick(batch_t *core, int64_t now);
 bool batch_admit(batch_t *core, const batch_job_t *job, int64_t now,
-		 int64_t *retry_after);
+		 batch_refusal_t *refusal);
 
 /* batch_fit.c */
 /* Whether the worker may get a start now. */
--- a/packages/batch/batch_place.c
+++ b/packages/batch/batch_place.c
@@ -481,7 +481,8 @@
 	if (trial && !has_reservation(pool, task) &&
 	    !batch_crash_may_try(pool, now))
 		return false;
-	if (is_known_not_to_fit(pool, task))
+	if (!batch_workspace_allows(task->step, 1) ||
+	    is_known_not_to_fit(pool, task))
 		return false;
 	worker = batch_claim_take(task, now);
 	if (!worker)
@@ -534,6 +535,10 @@
 
 	if (batch_crash_must_wait(&step->tasks[0], now))
 		return;
+	if (!batch_workspace_allows(step, step->spec->count)) {
+		note_wait(&step->tasks[0], now);
+		return;
+	}
 	for (i = 0; i < step->spec->count; i++) {
 		if (step->tasks[i].run || step->tasks[i].done ||
 		    batch_doubt_holds_back(&step->tasks[i], now))
@@ -763,6 +768,38 @@
 	return core->n_unsent < PLACE_UNSENT_DEFERRED_PART * max;
 }
 
+/*
+ * Places the jobs in order of rank, as far as the holder keeps up.  Of those
+ * that have not begun, and of those that are deferred, the jobs of workspaces
+ * that have less of the pool than they are due go first.
+ */
+static void place_ranked(const batch_t *core, const ranked_t *ranks, size_t n,
+			 int64_t now)
+{
+	batch_job_t **later = g_new(batch_job_t *, n + 1);
+	size_t i = 0;
+
+	while (i < n && may_decide(core, ranks[i].group)) {
+		int group = ranks[i].group;
+		size_t n_later = 0;
+		size_t j;
+
+		for (; i < n && ranks[i].group == group &&
+		       may_decide(core, group);
+		     i++) {
+			if (group >= RANK_NEW &&
+			    !batch_workspace_within_share(ranks[i].job))
+				later[n_later++] = ranks[i].job;
+			else
+				place_job(ranks[i].job->queue->pool,
+					  ranks[i].job, now);
+		}
+		for (j = 0; j < n_later && may_decide(core, group); j++)
+			place_job(later[j]->queue->pool, later[j], now);
+	}
+	g_free(later);
+}
+
 void batch_place(batch_t *core, int64_t now, int64_t wall)
 {
 	ranked_t *ranks = talloc_array(core, ranked_t, core->active_jobs->len);
@@ -789,8 +826,8 @@
 			ranks[n++] = rank_job(job, now);
 	}
 	qsort(ranks, n, sizeof(*ranks), rank_cmp);
-	for (i = 0; i < n && may_decide(core, ranks[i].group); i++)
-		place_job(ranks[i].job->queue->pool, ranks[i].job, now);
+	batch_workspaces_divide(core, now);
+	place_ranked(core, ranks, n, now);
 	for (i = 0; i < n && batch_advice_request(ranks[i].job, now); i++)
 		;
 	talloc_free(ranks);
--- a/packages/batch/batch_run.c
+++ b/packages/batch/batch_run.c
@@ -35,6 +35,7 @@
 
 	run->task = task;
 	run->worker = worker;
+	run->charged_pool = job->queue->pool;
 	run->number = number;
 	run->state = RUN_STORING;
 	run->state_since = now;
@@ -46,6 +47,7 @@
 	if (number > task->number)
 		task->number = number;
 	add_use(worker, task->step->spec, 1);
+	batch_workspace_count_run(run, 1);
 	g_ptr_array_add(worker->runs, run);
 	batch_crash_run_new(run);
 	job->n_runs++;
@@ -62,6 +64,8 @@
 	if (run->state == RUN_STORING)
 		worker->core->n_unsent--;
 	add_use(worker, task->step->spec, -1);
+	batch_workspace_count_run(run, -1);
+	batch_doubt_run_freed(run);
 	g_ptr_array_remove_fast(worker->runs, run);
 	batch_crash_run_freed(run);
 	task->step->occ->job->n_runs--;
--- a/packages/batch/batch_workspace.c
+++ b/packages/batch/batch_workspace.c
@@ -1,40 +1,329 @@
-/* Workspaces: their settings, as the configuration has them. */
+/*
+ * Workspaces: their limits, and what each has running in all and in each pool.
+ *
+ * A run counts as running as long as it may exist, and a start that a worker
+ * may still carry out late counts as well, so that the limit holds whatever
+ * becomes of orders and workers.  Jobs without a workspace are those of one
+ * that has no name and no limit.
+ */
 #include "batch_int.h"
 
+static batch_workspace_t *add_workspace(batch_t *core, char *name)
+{
+	batch_workspace_t *workspace = talloc_zero(core, batch_workspace_t);
+
+	workspace->name = talloc_steal(workspace, name);
+	workspace->weight = 1;
+	g_ptr_array_add(core->workspaces, workspace);
+	g_hash_table_insert(core->workspaces_by_name, workspace->name,
+			    workspace);
+	return workspace;
+}
+
+void batch_workspaces_init(batch_t *core)
+{
+	core->workspaces = g_ptr_array_new();
+	core->workspaces_by_name = g_hash_table_new(g_str_hash, g_str_equal);
+	add_workspace(core, talloc_strdup(core, ""));
+}
+
+void batch_workspaces_free(batch_t *core)
+{
+	g_ptr_array_unref(core->workspaces);
+	g_hash_table_unref(core->workspaces_by_name);
+}
+
 batch_workspace_t *batch_workspace_get(batch_t *core, base_str_t name)
 {
 	char *text = base_str_dup(core, name);
 	batch_workspace_t *workspace =
-		g_hash_table_lookup(core->workspaces, text);
+		g_hash_table_lookup(core->workspaces_by_name, text);
 
-	if (workspace || !name.len) {
-		talloc_free(text);
-		return workspace;
-	}
-	workspace = talloc_zero(core, batch_workspace_t);
-	workspace->name = talloc_steal(workspace, text);
-	workspace->weight = 1;
-	g_hash_table_insert(core->workspaces, workspace->name, workspace);
+	if (!workspace)
+		return add_workspace(core, text);
+	talloc_free(text);
 	return workspace;
 }
 
+/* Jobs without a workspace have the share of an average one. */
+static void set_unnamed_weight(const batch_t *core)
+{
+	batch_workspace_t *unnamed = g_ptr_array_index(core->workspaces, 0);
+	double sum = 0;
+	int n = 0;
+	guint i;
+
+	for (i = 1; i < core->workspaces->len; i++) {
+		const batch_workspace_t *workspace =
+			g_ptr_array_index(core->workspaces, i);
+
+		if (!workspace->in_force)
+			continue;
+		sum += workspace->weight;
+		n++;
+	}
+	unnamed->weight = n ? sum / n : 1;
+}
+
 void batch_config_workspaces(batch_t *core, const batch_workspace_info_t *list,
 			     size_t n)
 {
-	GHashTableIter iter;
-	gpointer value;
 	size_t i;
 
-	g_hash_table_iter_init(&iter, core->workspaces);
-	while (g_hash_table_iter_next(&iter, NULL, &value))
-		((batch_workspace_t *)value)->in_force = false;
+	for (i = 0; i < core->workspaces->len; i++)
+		((batch_workspace_t *)g_ptr_array_index(core->workspaces, i))
+			->in_force = false;
 	for (i = 0; i < n; i++) {
-		batch_workspace_t *workspace =
-			batch_workspace_get(core, list[i].name);
+		batch_workspace_t *workspace;
 
+		if (!list[i].name.len)
+			continue;
+		workspace = batch_workspace_get(core, list[i].name);
 		workspace->weight = list[i].weight;
 		workspace->limit = list[i].limit;
 		workspace->in_force = true;
 	}
+	set_unnamed_weight(core);
 	core->pass_needed = true;
 }
+
+batch_pool_use_t *batch_workspace_in_pool(batch_workspace_t *workspace,
+					  const batch_pool_t *pool)
+{
+	size_t n = talloc_array_length(workspace->pools);
+	size_t at = (size_t)pool->number;
+
+	if (at >= n) {
+		workspace->pools = talloc_realloc(workspace, workspace->pools,
+						  batch_pool_use_t, at + 1);
+		memset(&workspace->pools[n], 0,
+		       sizeof(batch_pool_use_t) * (at + 1 - n));
+	}
+	return &workspace->pools[at];
+}
+
+void batch_workspace_charge(batch_workspace_t *workspace,
+			    const batch_res_t *need, int sign)
+{
+	workspace->used.cpu += sign * need->cpu;
+	workspace->used.memory += sign * need->memory;
+	workspace->used.gpu += sign * need->gpu;
+}
+
+void batch_workspace_count_run(const batch_run_t *run, int sign)
+{
+	const batch_step_spec_t *spec = run->task->step->spec;
+	batch_workspace_t *workspace = run->task->step->occ->job->workspace;
+	batch_pool_use_t *use;
+
+	batch_workspace_charge(workspace, &spec->need, sign);
+	if (spec->long_running)
+		return;
+	use = batch_workspace_in_pool(workspace, run->charged_pool);
+	use->used.cpu += sign * (double)spec->need.cpu;
+	use->used.memory += sign * (double)spec->need.memory;
+}
+
+static bool is_over(int64_t amount, int64_t limit)
+{
+	return limit > 0 && amount > limit;
+}
+
+/* Whether "n" tasks beside what is used exceed the limit. */
+static bool exceeds(const batch_res_t *limit, const batch_res_t *used,
+		    const batch_res_t *need, int n)
+{
+	return is_over(used->cpu + n * need->cpu, limit->cpu) ||
+	       is_over(used->memory + n * need->memory, limit->memory) ||
+	       is_over(used->gpu + n * need->gpu, limit->gpu);
+}
+
+bool batch_workspace_allows(const batch_step_t *step, int n)
+{
+	const batch_workspace_t *workspace = step->occ->job->workspace;
+
+	return !exceeds(&workspace->limit, &workspace->used, &step->spec->need,
+			n);
+}
+
+bool batch_workspace_is_over(const batch_workspace_t *workspace)
+{
+	static const batch_res_t none = { 0, 0, 0 };
+
+	return exceeds(&workspace->limit, &workspace->used, &none, 0);
+}
+
+bool batch_workspace_could_run(const batch_job_t *job)
+{
+	static const batch_res_t none = { 0, 0, 0 };
+	int i;
+
+	for (i = 0; i < job->spec.n_steps; i++) {
+		const batch_step_spec_t *spec = &job->spec.steps[i];
+
+		if (exceeds(&job->workspace->limit, &none, &spec->need,
+			    spec->gang ? spec->count : 1))
+			return false;
+	}
+	return true;
+}
+
+static double ratio(double amount, int64_t limit)
+{
+	return limit > 0 ? amount / (double)limit : 0;
+}
+
+double batch_workspace_limit_ratio(const batch_workspace_t *workspace,
+				   const batch_load_t *load)
+{
+	return MAX(ratio(load->cpu, workspace->limit.cpu),
+		   ratio(load->memory, workspace->limit.memory));
+}
+
+/* Adds what those of the job's tasks want that may start and have no run. */
+static void add_wanted(const batch_job_t *job)
+{
+	batch_pool_use_t *use =
+		batch_workspace_in_pool(job->workspace, job->queue->pool);
+	guint i;
+	int s;
+
+	for (i = 0; i < job->occs->len; i++) {
+		const batch_occ_t *occ = g_ptr_array_index(job->occs, i);
+
+		for (s = 0; s < job->spec.n_steps; s++) {
+			const batch_step_t *step = &occ->steps[s];
+			int n = step->spec->count - step->done -
+				step->n_open_runs;
+
+			if (step->spec->long_running ||
+			    !batch_step_has_waiting(step))
+				continue;
+			use->wanted.cpu += n * (double)step->spec->need.cpu;
+			use->wanted.memory +=
+				n * (double)step->spec->need.memory;
+		}
+	}
+}
+
+/* The most of the pool, by either resource, that the load is. */
+static double dominant_part(const batch_load_t *load, const batch_load_t *room)
+{
+	return MAX(room->cpu > 0 ? load->cpu / room->cpu : 0,
+		   room->memory > 0 ? load->memory / room->memory : 0);
+}
+
+static void divide_pool(const batch_t *core, batch_pool_t *pool, int64_t now)
+{
+	size_t n = core->workspaces->len;
+	batch_share_t *shares = g_new(batch_share_t, n);
+	batch_load_t demand = { 0, 0 };
+	size_t i;
+
+	pool->room_for_shares = batch_pool_available(pool, now);
+	for (i = 0; i < n; i++) {
+		batch_workspace_t *workspace =
+			g_ptr_array_index(core->workspaces, i);
+		const batch_pool_use_t *use =
+			batch_workspace_in_pool(workspace, pool);
+		batch_load_t sum = { use->used.cpu + use->wanted.cpu,
+				     use->used.memory + use->wanted.memory };
+
+		demand.cpu += sum.cpu;
+		demand.memory += sum.memory;
+		shares[i].weight = workspace->weight;
+		shares[i].demand = dominant_part(&sum, &pool->room_for_shares);
+	}
+	pool->is_divided = dominant_part(&demand, &pool->room_for_shares) > 1;
+	if (pool->is_divided)
+		batch_share_divide(shares, n, 1);
+	for (i = 0; i < n; i++)
+		batch_workspace_in_pool(g_ptr_array_index(core->workspaces, i),
+					pool)
+			->fair = shares[i].fair;
+	g_free(shares);
+}
+
+bool batch_workspaces_share(const batch_t *core)
+{
+	return core->workspaces->len > 1;
+}
+
+void batch_workspaces_divide(batch_t *core, int64_t now)
+{
+	GHashTableIter iter;
+	gpointer value;
+	guint i;
+
+	if (!batch_workspaces_share(core))
+		return;
+	g_hash_table_iter_init(&iter, core->pools);
+	while (g_hash_table_iter_next(&iter, NULL, &value))
+		for (i = 0; i < core->workspaces->len; i++)
+			batch_workspace_in_pool(
+				g_ptr_array_index(core->workspaces, i), value)
+				->wanted = (batch_load_t){ 0, 0 };
+	for (i = 0; i < core->active_jobs->len; i++) {
+		const batch_job_t *job =
+			g_ptr_array_index(core->active_jobs, i);
+
+		if (job->may_wait && batch_job_is_active(job) && job->stored)
+			add_wanted(job);
+	}
+	g_hash_table_iter_init(&iter, core->pools);
+	while (g_hash_table_iter_next(&iter, NULL, &value))
+		divide_pool(core, value, now);
+}
+
+bool batch_workspace_within_share(const batch_job_t *job)
+{
+	const batch_pool_t *pool = job->queue->pool;
+	const batch_pool_use_t *use;
+
+	if (!pool->is_divided)
+		return true;
+	use = batch_workspace_in_pool(job->workspace, pool);
+	return dominant_part(&use->used, &pool->room_for_shares) < use->fair;
+}
+
+double batch_workspace_wait(const batch_t *core, const batch_job_t *job,
+			    const batch_load_t *rate)
+{
+	size_t n = core->workspaces->len;
+	batch_share_t *cpu = g_new(batch_share_t, n);
+	batch_share_t *memory = g_new(batch_share_t, n);
+	size_t own = 0;
+	double wait;
+	size_t i;
+
+	for (i = 0; i < n; i++) {
+		batch_workspace_t *workspace =
+			g_ptr_array_index(core->workspaces, i);
+		const batch_pool_use_t *use =
+			batch_workspace_in_pool(workspace, job->queue->pool);
+
+		if (workspace == job->workspace)
+			own = i;
+		cpu[i] = (batch_share_t){ workspace->weight, use->backlog.cpu,
+					  0 };
+		memory[i] = (batch_share_t){ workspace->weight,
+					     use->backlog.memory, 0 };
+	}
+	wait = MAX(batch_share_finish(cpu, n, own, rate->cpu),
+		   batch_share_finish(memory, n, own, rate->memory));
+	g_free(cpu);
+	g_free(memory);
+	return wait;
+}
+
+double batch_workspace_limit_wait(const batch_workspace_t *workspace)
+{
+	batch_load_t work = { 0, 0 };
+	size_t i;
+
+	for (i = 0; i < talloc_array_length(workspace->pools); i++) {
+		work.cpu += workspace->pools[i].backlog.cpu;
+		work.memory += workspace->pools[i].backlog.memory;
+	}
+	return batch_workspace_limit_ratio(workspace, &work);
+}
--- a/packages/batch/tests/batch_capacity_change_test.c
+++ b/packages/batch/tests/batch_capacity_change_test.c
@@ -574,7 +574,7 @@
 				    .queue = BASE_STR("queue2"),
 				    .steps = &step,
 				    .n_steps = 1 };
-	int64_t retry_after;
+	batch_refusal_t refusal;
 
 	add_empty_pool(world);
 	g_strlcpy(world->workers[2].pool, "other", WORLD_NAME_MAX);
@@ -587,7 +587,7 @@
 	g_assert_cmpint(world_running(world, "long", 0, 0) +
 				world_running(world, "long", 0, 1),
 			==, 1);
-	batch_submit(world->core, world->now, world->now, &spec, &retry_after);
+	batch_submit(world->core, world->now, world->now, &spec, &refusal);
 	g_assert_true(gives_spare(world, "pool"));
 	/* No more than it needs. */
 	g_assert_true(gives_spare(world, "other"));
--- a/packages/batch/tests/batch_load_test.c
+++ b/packages/batch/tests/batch_load_test.c
@@ -301,7 +301,7 @@
 	batch_spec_t spec = { .queue = BASE_STR("queue"),
 			      .steps = &step,
 			      .n_steps = 1 };
-	int64_t retry = 0;
+	batch_refusal_t refusal = { 0 };
 	char id[16];
 	int i;
 
@@ -311,9 +311,9 @@
 			continue;
 		spec.id = base_str(id);
 		g_assert_cmpint(batch_submit(world->core, world->now,
-					     world->now, &spec, &retry),
+					     world->now, &spec, &refusal),
 				==, BATCH_REFUSED);
-		g_assert_cmpint(retry, >=, SECOND);
+		g_assert_cmpint(refusal.retry_after, >=, SECOND);
 	}
 }
 
--- a/packages/batch/tests/batch_test.c
+++ b/packages/batch/tests/batch_test.c
@@ -414,7 +414,7 @@
 			      .repeat = 3,
 			      .first_at = 3 * SECOND,
 			      .interval = 2 * SECOND };
-	int64_t retry;
+	batch_refusal_t refusal;
 
 	world_submit(world, "r", &step, 1); /* registers it in the simulation */
 	world_cancel(world, "r");
@@ -424,7 +424,7 @@
 	g_hash_table_insert(world->jobs, (char *)"s",
 			    g_hash_table_lookup(world->jobs, "r"));
 	g_assert_cmpint(batch_submit(world->core, world->now, world->now, &spec,
-				     &retry),
+				     &refusal),
 			==, BATCH_ACCEPTED);
 	world_advance(world, 3 * SECOND - world->now - 100 * MS);
 	g_assert_cmpint(world->starts, ==, 0);
--- a/packages/batch/tests/batch_world.c
+++ b/packages/batch/tests/batch_world.c
@@ -350,6 +350,8 @@
 	world->instances_at = 0;
 	world->core = batch_new(NULL, &options);
 	batch_config(world->core, &queue, !world->queue_removed, pools, 2);
+	batch_config_workspaces(world->core, world->workspaces,
+				world->n_workspaces);
 	list_workers(world);
 }
 
@@ -520,6 +522,7 @@
 
 	job->spec.id = base_str(g_strdup(id));
 	job->spec.queue = BASE_STR("queue");
+	job->spec.workspace = base_str(world->workspace);
 	job->spec.payload = BASE_STR("payload");
 	job->spec.source = BASE_STR("source");
 	job->spec.n_steps = n;
@@ -548,10 +551,17 @@
 
 static batch_admission_t submit(world_t *world, const world_job_t *job)
 {
-	int64_t retry_after;
-
 	return batch_submit(world->core, world->now, world->now, &job->spec,
-			    &retry_after);
+			    &world->refusal);
+}
+
+void world_set_workspaces(world_t *world, const batch_workspace_info_t *list,
+			  size_t n)
+{
+	memcpy(world->workspaces, list, sizeof(*list) * n);
+	world->n_workspaces = n;
+	world->limits_set_at = world->now;
+	batch_config_workspaces(world->core, list, n);
 }
 
 batch_admission_t world_submit(world_t *world, const char *id,
--- a/packages/batch/tests/batch_world.h
+++ b/packages/batch/tests/batch_world.h
@@ -50,6 +50,11 @@
 /* Time between two readings of the list of instances. */
 #define WORLD_INSTANCES_PERIOD (5 * BASE_SEC)
 #define WORLD_WORKERS_MAX 256
+#define WORLD_WORKSPACES_MAX 4
+/* A lowered limit is in force after this time. */
+#define WORLD_LIMIT_TIME (3 * BASE_SEC)
+/* Part of its limit by which a workspace may exceed it, and one task more. */
+#define WORLD_LIMIT_OVERAGE 0.1
 #define WORLD_NAME_MAX 64
 #define WORLD_LISTED_MAX 256 /* runs, or ends, in one answer to a poll */
 
@@ -235,6 +240,11 @@
 	/* Logged tasks that wait, and the workers of the last of them. */
 	int wait_logs;
 	batch_fit_counts_t logged_wait;
+	batch_workspace_info_t workspaces[WORLD_WORKSPACES_MAX];
+	size_t n_workspaces;
+	int64_t limits_set_at;
+	const char *workspace;	 /* of the next jobs; NULL: none */
+	batch_refusal_t refusal; /* of the last refused job */
 	/* Counters and the first violated rule. */
 	int starts, stops, finished, broken, questions, tickets_refused;
 	char first_violation[256];
@@ -255,6 +265,9 @@
 
 /* A step of "count" tasks, each of one second on two cores. */
 batch_step_spec_t world_step(int count);
+/* Sets the configuration's workspaces, for this holder and the next ones. */
+void world_set_workspaces(world_t *world, const batch_workspace_info_t *list,
+			  size_t n);
 batch_admission_t world_submit(world_t *world, const char *id,
 			       const batch_step_spec_t *steps, int n);
 /* A job whose steps run repeatedly; times as in batch_spec_t. */
--- a/packages/batch/tests/batch_world_judge.c
+++ b/packages/batch/tests/batch_world_judge.c
@@ -182,6 +182,51 @@
 				       run);
 }
 
+/* What the workspace has running on all workers that have not crashed. */
+static batch_res_t sum_workspace(world_t *world, base_str_t name)
+{
+	batch_res_t sum = { 0, 0, 0 };
+	int w;
+	guint i;
+
+	for (w = 0; w < world->n_workers; w++) {
+		const world_worker_t *worker = &world->workers[w];
+
+		for (i = 0; !worker->crashed && i < worker->runs->len; i++) {
+			const world_run_t *run =
+				&g_array_index(worker->runs, world_run_t, i);
+			const world_job_t *job =
+				world_find_job(world, run->job);
+
+			if (!job || !base_str_eq(job->spec.workspace, name))
+				continue;
+			sum.cpu += run->need.cpu;
+			sum.memory += run->need.memory;
+		}
+	}
+	return sum;
+}
+
+static void check_workspace(world_t *world, const world_job_t *job,
+			    const world_run_t *run)
+{
+	size_t i;
+
+	for (i = 0; i < world->n_workspaces; i++) {
+		const batch_workspace_info_t *workspace = &world->workspaces[i];
+		batch_res_t sum;
+
+		if (!base_str_eq(workspace->name, job->spec.workspace) ||
+		    world->now - world->limits_set_at < WORLD_LIMIT_TIME)
+			continue;
+		sum = sum_workspace(world, workspace->name);
+		if (workspace->limit.cpu &&
+		    (double)sum.cpu > (double)workspace->limit.cpu *
+					      (1 + WORLD_LIMIT_OVERAGE))
+			world_record_violation(world, "QUOTA", run);
+	}
+}
+
 void world_check_start(world_t *world, const world_worker_t *at,
 		       const world_run_t *run, bool late)
 {
@@ -199,6 +244,7 @@
 	}
 	spec = &job->spec.steps[run->step];
 	check_capacity(world, at, run);
+	check_workspace(world, job, run);
 	if (!late) {
 		check_placement(world, at, spec, run);
 		check_crash_budget(world, job, run, key);
--- a/packages/node/node_front.c
+++ b/packages/node/node_front.c
@@ -215,6 +215,7 @@
 		retry_or_fail(dispatch);
 		break;
 	case NODE_OUT_REFUSED:
+	case NODE_OUT_LIMITED:
 	case NODE_OUT_UNAUTHORIZED:
 	case NODE_OUT_NOT_FOUND:
 		finish_refused(dispatch, outcome);
@@ -418,6 +419,9 @@
 	case NODE_OUT_NOT_FOUND:
 		reply(front, 410, NULL, 0, "no such job");
 		break;
+	case NODE_OUT_LIMITED:
+		reply(front, 429, NULL, outcome->retry_after, outcome->why);
+		break;
 	case NODE_OUT_UNAUTHORIZED:
 		reply(front, 401, NULL, 0, outcome->why);
 		break;
--- a/packages/node/node_holder.c
+++ b/packages/node/node_holder.c
@@ -514,6 +514,13 @@
 	       !base_str_eq(workspace, base_str(ask->workspace));
 }
 
+/* Whether the caller's workspace, not the pool, is the reason. */
+static bool is_of_workspace(batch_refusal_kind_t kind)
+{
+	return kind == BATCH_REFUSAL_SHARE || kind == BATCH_REFUSAL_LIMIT ||
+	       kind == BATCH_REFUSAL_TOO_LARGE;
+}
+
 static void submit(node_holder_t *holder, const node_job_request_t *ask,
 		   node_outcome_done_t *done, void *arg)
 {
@@ -521,6 +528,7 @@
 	batch_spec_t spec = { 0 };
 	node_outcome_t outcome = { .kind = NODE_OUT_REFUSED };
 	GError *err = NULL;
+	batch_refusal_t refusal;
 	batch_admission_t verdict;
 
 	spec.id = base_str(ask->id);
@@ -539,10 +547,13 @@
 	}
 	set_judged(holder, ask->id, ask->token, ask->try_number);
 	verdict = batch_submit(holder->core, base_clock_mono(),
-			       base_clock_wall(), &spec, &outcome.retry_after);
+			       base_clock_wall(), &spec, &refusal);
 	talloc_free(ctx);
 	if (verdict == BATCH_REFUSED) {
-		outcome.why = "cannot end in time";
+		outcome.kind = is_of_workspace(refusal.kind) ? NODE_OUT_LIMITED
+							     : NODE_OUT_REFUSED;
+		outcome.retry_after = refusal.retry_after;
+		outcome.why = batch_refusal_name(refusal.kind);
 		bind_refusal(holder, ask, &outcome);
 		done(arg, &outcome);
 	} else if (verdict == BATCH_DUPLICATE && is_of_others(holder, ask)) {
--- a/packages/node/node_int.h
+++ b/packages/node/node_int.h
@@ -63,6 +63,7 @@
 typedef enum node_outcome_kind {
 	NODE_OUT_ACCEPTED,
 	NODE_OUT_REFUSED, /* was not accepted and never runs */
+	NODE_OUT_LIMITED, /* the same, for its workspace's share or limit */
 	NODE_OUT_STATE,
 	NODE_OUT_NOT_FOUND, /* no such job */
 	NODE_OUT_PENDING,
@@ -76,7 +77,7 @@
 typedef struct node_outcome {
 	node_outcome_kind_t kind;
 	batch_state_t state;
-	int64_t retry_after; /* microseconds; with NODE_OUT_REFUSED */
+	int64_t retry_after; /* microseconds; with a refusal of a submit */
 	size_t pending;
 	const char *why;
 	bool is_binding; /* a refusal that all tries of the request get */
--- a/packages/node/node_peer.c
+++ b/packages/node/node_peer.c
@@ -35,6 +35,7 @@
 	[NODE_OUT_NOT_HOLDER] = "not-owner",
 	[NODE_OUT_UNKNOWN] = "unknown",
 	[NODE_OUT_UNAUTHORIZED] = "unauthorized",
+	[NODE_OUT_LIMITED] = "limited",
 };
 
 static const char *const ask_names[NODE_OP_MAX] = {
--- a/packages/node/tests/node_commit_test.c
+++ b/packages/node/tests/node_commit_test.c
@@ -152,7 +152,7 @@
 			      .source = BASE_STR("s"),
 			      .steps = &step,
 			      .n_steps = 1 };
-	int64_t retry_after;
+	batch_refusal_t refusal;
 	char id[16];
 	int i;
 
@@ -161,7 +161,7 @@
 		spec.id = base_str(id);
 		g_assert_cmpint(
 			batch_submit(test.holder->core, base_clock_mono(),
-				     base_clock_wall(), &spec, &retry_after),
+				     base_clock_wall(), &spec, &refusal),
 			==, BATCH_ACCEPTED);
 	}
 }
--- a/packages/node/tests/node_worker_test.c
+++ b/packages/node/tests/node_worker_test.c
@@ -235,10 +235,10 @@
 			      .source = BASE_STR("x"),
 			      .steps = &step,
 			      .n_steps = 1 };
-	int64_t retry_after;
+	batch_refusal_t refusal;
 
 	g_assert_cmpint(batch_submit(test.holder->core, base_clock_mono(),
-				     base_clock_wall(), &spec, &retry_after),
+				     base_clock_wall(), &spec, &refusal),
 			==, BATCH_ACCEPTED);
 }
 
