--- a/packages/batch/batch.h
+++ b/packages/batch/batch.h
@@ -230,6 +230,7 @@
 	const batch_res_t *from;
 	const batch_res_t *to;
 	const batch_fit_counts_t *workers; /* of a task that waits; else NULL */
+	const char *workspace;		   /* of a refused job; NULL: none */
 } batch_log_event_t;
 
 /* Asks which of these workers may run a step; the task index is unused. */
@@ -652,8 +653,22 @@
 
 void batch_stats(const batch_t *core, batch_stats_t *stats);
 
+typedef struct batch_workspace_stats {
+	const char *name; /* "other": all that are not named */
+	batch_res_t used; /* by what may run */
+	batch_res_t limit;
+	uint64_t refused; /* jobs */
+} batch_workspace_stats_t;
+
+/* Reports the workspaces that use the most, and the others together. */
+typedef void batch_workspace_visit_t(void *arg,
+				     const batch_workspace_stats_t *stats);
+void batch_workspaces_each(const batch_t *core, batch_workspace_visit_t *visit,
+			   void *arg);
+
 /*
- * Explains the state of a job, a worker, a pool or the pool of a queue: "said"
+ * Explains the state of a job, a worker, a pool, the pool of a queue or a
+ * workspace: "said"
  * is a sentence, the other members the facts behind it and their age in
  * microseconds.  NULL if nothing has that name.  The caller releases the
  * result.
--- a/packages/batch/batch_admit.c
+++ b/packages/batch/batch_admit.c
@@ -142,7 +142,8 @@
 				     .why = verdict->wait < 0
 						    ? "no worker"
 						    : log_texts[verdict->kind],
-				     .value = (int64_t)verdict->wait });
+				     .value = (int64_t)verdict->wait,
+				     .workspace = job->workspace->name });
 	return false;
 }
 
--- a/packages/batch/batch_explain.c
+++ b/packages/batch/batch_explain.c
@@ -356,18 +356,22 @@
 	const batch_worker_t *worker = batch_find_worker(core, name);
 	const batch_queue_t *queue = batch_find_queue(core, name);
 	const batch_pool_t *pool = queue ? queue->pool : NULL;
+	batch_workspace_t *workspace;
 	char *key;
 
 	if (job)
 		return explain_job(job, now);
 	if (worker)
 		return explain_worker(worker, now);
-	if (!pool) {
-		key = g_strndup(name.ptr, name.len);
+	key = g_strndup(name.ptr, name.len);
+	if (!pool)
 		pool = g_hash_table_lookup(core->pools, key);
-		g_free(key);
-	}
-	return pool ? explain_pool(core, pool, now) : NULL;
+	workspace = g_hash_table_lookup(core->workspaces_by_name, key);
+	g_free(key);
+	if (pool)
+		return explain_pool(core, pool, now);
+	return workspace && name.len ? batch_workspace_explain(core, workspace)
+				     : NULL;
 }
 
 json_t *batch_explain_pools(const batch_t *core, int64_t now)
--- a/packages/batch/batch_int.h
+++ b/packages/batch/batch_int.h
@@ -516,6 +516,11 @@
 /* Whether the step is ready and a task of it is neither done nor has a run. */
 bool batch_step_has_waiting(const batch_step_t *step);
 
+/* batch_workspace_explain.c */
+/* The workspace for batch_explain(). */
+struct json_t *batch_workspace_explain(const batch_t *core,
+				       batch_workspace_t *workspace);
+
 /* batch_share.c */
 /* Divides "room" among "n" of them: weighted max-min fairness. */
 void batch_share_divide(batch_share_t *shares, size_t n, double room);
--- a/packages/node/node_metrics.c
+++ b/packages/node/node_metrics.c
@@ -121,6 +121,17 @@
 		      worker, (double)age / BASE_SEC);
 }
 
+static void add_workspace(void *arg, const batch_workspace_stats_t *stats)
+{
+	base_buf_addf(arg,
+		      "cactusfield_workspace_cpu{workspace=\"%s\"} %lld\n"
+		      "cactusfield_workspace_cpu_limit{workspace=\"%s\"} %lld\n"
+		      "cactusfield_workspace_refused{workspace=\"%s\"} %llu\n",
+		      stats->name, (long long)stats->used.cpu, stats->name,
+		      (long long)stats->limit.cpu, stats->name,
+		      (unsigned long long)stats->refused);
+}
+
 /* Adds what only the holder knows. */
 static void add_holder(base_buf_t *out, const node_t *node)
 {
@@ -137,6 +148,7 @@
 	add_age(out, "instances_list",
 		now - holder->instances->complete_round_start);
 	batch_poll_ages(holder->core, now, add_poll_age, out);
+	batch_workspaces_each(holder->core, add_workspace, out);
 	batch_stats(node_holder_core(node->holder), &stats);
 	base_buf_addf(out, "cactusfield_jobs_open %zu\n", stats.jobs);
 	base_buf_addf(out, "cactusfield_runs %zu\n", stats.runs);
--- a/packages/node/node_order.c
+++ b/packages/node/node_order.c
@@ -309,14 +309,17 @@
 		/* Only of a submit: */
 		BASE_F_STR("token", token),
 		BASE_F_INT("try", try_number),
+		BASE_F_STR("workspace",
+			   event->workspace ? event->workspace : ""),
 	};
 	bool is_verdict = event->kind == BATCH_LOG_JOB_ACCEPTED ||
 			  event->kind == BATCH_LOG_JOB_REFUSED;
+	bool has_workspace = event->workspace && *event->workspace;
 
 	if (event->kind == BATCH_LOG_END_UNMATCHED)
 		node_metrics_count(holder->node, NODE_COUNT_END_UNMATCHED);
 	node_log_fields(holder->node, event_messages[event->kind], fields,
-			ARRAY_SIZE(fields) - (is_verdict ? 0 : 2));
+			ARRAY_SIZE(fields) - (is_verdict ? !has_workspace : 3));
 	talloc_free(id);
 }
 
