batch: usage of starts in doubt, backlog and shares beside a limit

Found by review. A repeated answer to the stop of a void start ended its count for the workspace, as did the end of its job, so that a start could follow above the limit. A start whose answer was lost after the end of its run was known counted for 13 s more. The wait at the limit used backlogs of pools as last measured, so that work done long ago refused jobs of another pool. Shares and the workers to spread over counted tasks that the limit keeps from running; a task kept back by the limit kept its claim. A job without a workspace was refused with the reason of a share.

The start in doubt keeps its workspace and need; backlogs are measured when used; demand is capped by the limit.

--- a/packages/batch/batch_admit.c
+++ b/packages/batch/batch_admit.c
@@ -119,9 +119,10 @@
 	if (verdict.wait < 0 || !batch_workspaces_share(core))
 		return verdict;
 	available = batch_pool_available(pool, now);
-	verdict.kind = BATCH_REFUSAL_SHARE;
+	if (*job->workspace->name)
+		verdict.kind = BATCH_REFUSAL_SHARE;
 	verdict.wait = batch_workspace_wait(core, job, &available);
-	limit_wait = batch_workspace_limit_wait(job->workspace);
+	limit_wait = batch_workspace_limit_wait(core, job->workspace, now);
 	if (limit_wait > verdict.wait)
 		verdict = (verdict_t){ BATCH_REFUSAL_LIMIT, limit_wait };
 	return verdict;
--- a/packages/batch/batch_demand.c
+++ b/packages/batch/batch_demand.c
@@ -238,9 +238,13 @@
 	for (s = 0; s < job->spec.n_steps; s++) {
 		const batch_step_spec_t *spec = &job->spec.steps[s];
 
-		if (spec->long_running && spec->max_per_worker)
-			most = MAX(most, (spec->count + spec->max_per_worker -
-					  1) / spec->max_per_worker);
+		int tasks;
+
+		if (!spec->long_running || !spec->max_per_worker)
+			continue;
+		tasks = batch_workspace_max_tasks(job->workspace, spec);
+		most = MAX(most, (tasks + spec->max_per_worker - 1) /
+					 spec->max_per_worker);
 	}
 	return most;
 }
--- a/packages/batch/batch_doubt.c
+++ b/packages/batch/batch_doubt.c
@@ -46,17 +46,22 @@
  * While the task has the run itself, that counts.  A start whose stop was
  * answered is refused by that process.
  */
-static void set_charged(batch_in_doubt_start_t *start, const batch_task_t *task,
-			bool is_charged)
+static void set_charged(batch_in_doubt_start_t *start, bool is_charged)
 {
-	if (is_charged && !start->charged && task) {
-		start->charged = task->step->occ->job->workspace;
-		start->need = task->step->spec->need;
-		batch_workspace_charge(start->charged, &start->need, 1);
-	} else if (!is_charged && start->charged) {
-		batch_workspace_charge(start->charged, &start->need, -1);
-		start->charged = NULL;
-	}
+	if (!start->workspace || is_charged == start->is_charged)
+		return;
+	start->is_charged = is_charged;
+	batch_workspace_charge(start->workspace, &start->need,
+			       is_charged ? 1 : -1);
+}
+
+/* The task may be gone before its start can no longer be late. */
+static void set_owner(batch_in_doubt_start_t *start, const batch_task_t *task)
+{
+	if (!task)
+		return;
+	start->workspace = task->step->occ->job->workspace;
+	start->need = task->step->spec->need;
 }
 
 static void set_void(const batch_worker_t *worker,
@@ -67,7 +72,7 @@
 	if (start->is_void == is_void)
 		return;
 	start->is_void = is_void;
-	set_charged(start, task, is_void);
+	set_charged(start, is_void);
 	if (!task)
 		return;
 	if (is_void && !task->n_void)
@@ -102,7 +107,7 @@
 	char *job = start_at(worker, at)->job;
 
 	set_void(worker, start_at(worker, at), now, false);
-	set_charged(start_at(worker, at), NULL, false);
+	set_charged(start_at(worker, at), false);
 	g_array_remove_index(worker->in_doubt_starts, at);
 	if (!has_start_of(worker, job))
 		batch_index_remove(worker->core->workers_by_doubt, job, worker);
@@ -116,7 +121,7 @@
 	for (i = 0; i < worker->in_doubt_starts->len; i++) {
 		batch_index_remove(worker->core->workers_by_doubt,
 				   start_at(worker, i)->job, worker);
-		set_charged(start_at(worker, i), NULL, false);
+		set_charged(start_at(worker, i), false);
 	}
 }
 
@@ -124,7 +129,9 @@
 			   batch_in_doubt_start_t *start, int64_t incarnation)
 {
 	start->stopped_by = incarnation;
-	set_charged(start, NULL, false);
+	/* One that is void counts until another poll shows that it is not. */
+	if (!start->is_void)
+		set_charged(start, false);
 	batch_index_add(worker->core->workers_by_doubt, start->job, worker);
 }
 
@@ -137,9 +144,25 @@
 	       task->run->number == run;
 }
 
+/* Whether the run's end is known.  The answer to its start may come later, or
+ * be lost, and nothing of it is in doubt then. */
+static bool has_ended(const batch_task_t *task, int64_t run)
+{
+	size_t i;
+
+	if (!task)
+		return false;
+	for (i = 0; i < talloc_array_length(task->failed_runs); i++)
+		if (task->failed_runs[i] == run)
+			return true;
+	/* One end completes all members of a gang. */
+	return task->done && task->number == run && !task->step->spec->gang;
+}
+
 void batch_doubt_add(batch_worker_t *worker, int64_t now,
 		     const batch_task_id_t *id, int64_t run, bool is_assumed)
 {
+	const batch_task_t *task = batch_find_task(worker->core, id);
 	batch_in_doubt_start_t start = { .job = base_str_dup(worker, id->job),
 					 .occurrence = id->occurrence,
 					 .step = id->step,
@@ -148,8 +171,8 @@
 					 .is_assumed = is_assumed,
 					 .until = now + BATCH_LATE_START_MAX };
 
-	set_charged(&start, batch_find_task(worker->core, id),
-		    !has_run(worker, id, run));
+	set_owner(&start, task);
+	set_charged(&start, !has_run(worker, id, run) && !has_ended(task, run));
 	g_array_append_val(worker->in_doubt_starts, start);
 }
 
@@ -215,7 +238,7 @@
 	id = batch_task_get_id(run->task);
 	at = find_start(run->worker, &id, run->number);
 	if (at >= 0 && !start_at(run->worker, (guint)at)->stopped_by)
-		set_charged(start_at(run->worker, (guint)at), run->task, true);
+		set_charged(start_at(run->worker, (guint)at), true);
 }
 
 void batch_doubt_given_up(const batch_run_t *run)
@@ -291,7 +314,7 @@
 		    batch_job_is_active(job))
 			batch_job_changed(job);
 		start->stopped_by = 0;
-		set_charged(start, NULL, false);
+		set_charged(start, false);
 	}
 }
 
@@ -430,6 +453,7 @@
 		return;
 	}
 	added.job = talloc_strdup(worker, start->job);
+	set_owner(&added, batch_find_task(worker->core, &id));
 	set_stopped_by(worker, &added, start->stopped_by);
 	g_array_append_val(worker->in_doubt_starts, added);
 }
--- a/packages/batch/batch_int.h
+++ b/packages/batch/batch_int.h
@@ -370,10 +370,11 @@
 	/* That process may have ended; the task must not run elsewhere. */
 	bool is_void;
 	int64_t doubted_since; /* another process is known; 0: none is */
-	/* The workspace that it counts for, as the task has no such run any
-	 * more; NULL: for none. */
-	batch_workspace_t *charged;
+	/* Of the task, which may be gone; NULL: not known. */
+	batch_workspace_t *workspace;
 	batch_res_t need;
+	/* It counts for the workspace, as the task has no such run any more. */
+	bool is_charged;
 } batch_in_doubt_start_t;
 
 struct batch_worker {
@@ -548,6 +549,9 @@
 bool batch_workspace_is_over(const batch_workspace_t *workspace);
 /* Whether each task, or gang, of the job fits into the whole limit. */
 bool batch_workspace_could_run(const batch_job_t *job);
+/* How many tasks of the step the limit allows at once. */
+int batch_workspace_max_tasks(const batch_workspace_t *workspace,
+			      const batch_step_spec_t *spec);
 /* How many times the limit the load is; 0: there is no limit. */
 double batch_workspace_limit_ratio(const batch_workspace_t *workspace,
 				   const batch_load_t *load);
@@ -562,7 +566,8 @@
 double batch_workspace_wait(const batch_t *core, const batch_job_t *job,
 			    const batch_load_t *rate);
 /* The same at its limit, for its backlog in all pools; 0: no limit. */
-double batch_workspace_limit_wait(const batch_workspace_t *workspace);
+double batch_workspace_limit_wait(batch_t *core, batch_workspace_t *workspace,
+				  int64_t now);
 
 /* batch_index.c: values by a key; an empty key, or NULL, has none. */
 GHashTable *batch_index_new(void);
--- a/packages/batch/batch_place.c
+++ b/packages/batch/batch_place.c
@@ -481,8 +481,12 @@
 	if (trial && !has_reservation(pool, task) &&
 	    !batch_crash_may_try(pool, now))
 		return false;
-	if (!batch_workspace_allows(task->step, 1) ||
-	    is_known_not_to_fit(pool, task))
+	if (!batch_workspace_allows(task->step, 1)) {
+		/* Room that the task may not use is left to others. */
+		batch_claim_drop(task);
+		return false;
+	}
+	if (is_known_not_to_fit(pool, task))
 		return false;
 	worker = batch_claim_take(task, now);
 	if (!worker)
--- a/packages/batch/batch_workspace.c
+++ b/packages/batch/batch_workspace.c
@@ -168,6 +168,21 @@
 	return true;
 }
 
+static int64_t max_tasks(int64_t most, int64_t limit, int64_t need)
+{
+	return limit > 0 && need > 0 ? MIN(most, limit / need) : most;
+}
+
+int batch_workspace_max_tasks(const batch_workspace_t *workspace,
+			      const batch_step_spec_t *spec)
+{
+	int64_t n = spec->count;
+
+	n = max_tasks(n, workspace->limit.cpu, spec->need.cpu);
+	n = max_tasks(n, workspace->limit.memory, spec->need.memory);
+	return (int)max_tasks(n, workspace->limit.gpu, spec->need.gpu);
+}
+
 static double ratio(double amount, int64_t limit)
 {
 	return limit > 0 ? amount / (double)limit : 0;
@@ -213,6 +228,29 @@
 		   room->memory > 0 ? load->memory / room->memory : 0);
 }
 
+/* The part of what is wanted that the limit leaves room for. */
+static double allowed_part(double wanted, int64_t limit, int64_t used)
+{
+	double room = (double)MAX(limit - used, 0);
+
+	return limit > 0 && wanted > room ? room / wanted : 1;
+}
+
+/* What it uses of the pool, and wants of it as far as its limit leaves room:
+ * more would take from the shares of the others, to no use. */
+static batch_load_t demand_in_pool(const batch_workspace_t *workspace,
+				   const batch_pool_use_t *use)
+{
+	const batch_res_t *limit = &workspace->limit;
+	double part = MIN(
+		allowed_part(use->wanted.cpu, limit->cpu, workspace->used.cpu),
+		allowed_part(use->wanted.memory, limit->memory,
+			     workspace->used.memory));
+
+	return (batch_load_t){ use->used.cpu + part * use->wanted.cpu,
+			       use->used.memory + part * use->wanted.memory };
+}
+
 static void divide_pool(const batch_t *core, batch_pool_t *pool, int64_t now)
 {
 	size_t n = core->workspaces->len;
@@ -226,8 +264,7 @@
 			g_ptr_array_index(core->workspaces, i);
 		const batch_pool_use_t *use =
 			batch_workspace_in_pool(workspace, pool);
-		batch_load_t sum = { use->used.cpu + use->wanted.cpu,
-				     use->used.memory + use->wanted.memory };
+		batch_load_t sum = demand_in_pool(workspace, use);
 
 		demand.cpu += sum.cpu;
 		demand.memory += sum.memory;
@@ -316,14 +353,27 @@
 	return wait;
 }
 
-double batch_workspace_limit_wait(const batch_workspace_t *workspace)
+double batch_workspace_limit_wait(batch_t *core, batch_workspace_t *workspace,
+				  int64_t now)
 {
 	batch_load_t work = { 0, 0 };
-	size_t i;
+	GHashTableIter iter;
+	gpointer value;
 
-	for (i = 0; i < talloc_array_length(workspace->pools); i++) {
-		work.cpu += workspace->pools[i].backlog.cpu;
-		work.memory += workspace->pools[i].backlog.memory;
+	if (!workspace->limit.cpu && !workspace->limit.memory)
+		return 0;
+	/* No job may have been submitted to another pool for long, so that its
+	 * backlog is measured here. */
+	g_hash_table_iter_init(&iter, core->pools);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		const batch_pool_use_t *use =
+			batch_workspace_in_pool(workspace, value);
+
+		if (use->backlog.cpu <= 0 && use->backlog.memory <= 0)
+			continue;
+		batch_pool_backlog(core, value, now);
+		work.cpu += use->backlog.cpu;
+		work.memory += use->backlog.memory;
 	}
 	return batch_workspace_limit_ratio(workspace, &work);
 }
--- a/packages/batch/tests/batch_workspace_test.c
+++ b/packages/batch/tests/batch_workspace_test.c
@@ -256,6 +256,144 @@
 	check_and_free(world);
 }
 
+/* The job's limit is counted over all pools; a pool to which nothing was
+ * submitted for long would keep a backlog that is worked off. */
+static void test_backlog_of_an_idle_pool(void)
+{
+	world_t *world = limited_world(4);
+	batch_step_spec_t step = world_step(1);
+	batch_pool_t *other = batch_pool_get(world->core, BASE_STR("other"));
+	batch_workspace_t *blue =
+		batch_workspace_get(world->core, BASE_STR("blue"));
+
+	batch_workspace_in_pool(blue, other)->backlog.cpu = 1e15;
+	other->backlog_at = world->now;
+	world_advance(world, 5 * SECOND);
+	g_assert_cmpint(world_submit(world, "a", &step, 1), ==, BATCH_ACCEPTED);
+	check_and_free(world);
+}
+
+/* A run whose end is known would count for 13 s more, once for each start
+ * whose answer is lost. */
+static void test_answer_lost_after_the_end(void)
+{
+	world_t *world = limited_world(2);
+	batch_step_spec_t steps[2] = { world_step(1), world_step(1) };
+	batch_order_t order = { .task = { BASE_STR("a"), 0, 0, 0 }, .run = 1 };
+
+	steps[1].estimate = 5 * SECOND;
+	world_submit(world, "a", steps, 2);
+	world_advance(world, 500 * MS);
+	order.worker = base_str(
+		batch_find_task(world->core, &order.task)->run->worker->id);
+	world_advance(world, 2 * SECOND);
+	g_assert_true(batch_find_task(world->core, &order.task)->done);
+	batch_start_answer(world->core, world->now, &order,
+			   BATCH_ANSWER_NO_REPLY);
+	g_assert_cmpint(used_cpu(world), ==, TASK_CPU);
+	check_and_free(world);
+}
+
+/* A start whose stop was answered and is void counts; a repeated answer, which
+ * is not confirmed by a poll, must not end that. */
+static void test_void_start_whose_stop_is_repeated(void)
+{
+	world_t *world = limited_world(4);
+	batch_step_spec_t step = world_step(1);
+	batch_order_t order = { .task = { BASE_STR("a"), 0, 0, 0 }, .run = 9 };
+	batch_worker_t *worker;
+
+	world_submit(world, "a", &step, 1);
+	world_advance(world, 300 * MS);
+	worker = batch_find_task(world->core, &order.task)->run->worker;
+	batch_doubt_add(worker, world->now, &order.task, order.run, false);
+	g_assert_cmpint(used_cpu(world), ==, 2 * TASK_CPU);
+	batch_doubt_stopped(worker, world->now, &order);
+	g_assert_cmpint(used_cpu(world), ==, TASK_CPU);
+	worker->unreached = true;
+	batch_doubt_tick(worker, world->now);
+	g_assert_cmpint(used_cpu(world), ==, 2 * TASK_CPU);
+	batch_doubt_stopped(worker, world->now, &order);
+	g_assert_cmpint(used_cpu(world), ==, 2 * TASK_CPU);
+	worker->unreached = false;
+	world_advance(world, 20 * SECOND);
+	g_assert_cmpint(used_cpu(world), ==, 0);
+	check_and_free(world);
+}
+
+/* A start may be late although its job has ended and is forgotten. */
+static void test_void_start_of_an_ended_job(void)
+{
+	world_t *world = limited_world(4);
+	batch_step_spec_t step = world_step(1);
+	batch_order_t order = { .task = { BASE_STR("a"), 0, 0, 0 }, .run = 9 };
+	batch_worker_t *worker;
+	GPtrArray *ids;
+
+	world_submit(world, "a", &step, 1);
+	world_advance(world, 300 * MS);
+	worker = batch_find_task(world->core, &order.task)->run->worker;
+	batch_doubt_add(worker, world->now, &order.task, order.run, false);
+	batch_doubt_stopped(worker, world->now, &order);
+	world_advance(world, 3 * SECOND);
+	g_assert_cmpint(world_state(world, "a"), ==, BATCH_COMPLETED);
+	ids = batch_purge_jobs(world->core, INT64_MAX);
+	g_assert_cmpuint(ids->len, ==, 1);
+	g_ptr_array_unref(ids);
+	worker->unreached = true;
+	batch_doubt_tick(worker, world->now);
+	g_assert_cmpint(used_cpu(world), ==, TASK_CPU);
+	worker->unreached = false;
+	batch_doubt_tick(worker, world->now + 20 * SECOND);
+	g_assert_cmpint(used_cpu(world), ==, 0);
+	check_and_free(world);
+}
+
+/* Tasks that the limit keeps from running need no workers to spread over. */
+static void test_spread_within_the_limit(void)
+{
+	world_t *world = limited_world(2);
+	batch_step_spec_t step = world_step(6);
+	const batch_pool_t *pool;
+
+	step.long_running = true;
+	step.max_per_worker = 1;
+	world_submit(world, "a", &step, 1);
+	world_advance(world, SECOND);
+	batch_pools_measure(world->core, world->now);
+	pool = batch_find_job(world->core, BASE_STR("a"))->queue->pool;
+	g_assert_cmpint(count_runs(world), ==, 2);
+	g_assert_cmpint(pool->spread_workers, ==, 2);
+	world_free(world);
+}
+
+/* What its limit keeps a workspace from using is divided among the others. */
+static void test_share_beside_a_limit(void)
+{
+	world_t *world = world_new(1, 8, 2);
+	batch_workspace_info_t list[2] = { { .name = BASE_STR("blue"),
+					     .weight = 1,
+					     .limit = { .cpu = 2 * TASK_CPU } },
+					   { .name = BASE_STR("red"),
+					     .weight = 1 } };
+	batch_step_spec_t step = world_step(200);
+	const batch_pool_t *pool;
+	batch_workspace_t *red;
+
+	world_set_workspaces(world, list, 2);
+	world->limits_set_at = -WORLD_LIMIT_TIME;
+	world->workspace = "blue";
+	world_submit(world, "b", &step, 1);
+	world->workspace = "red";
+	world_submit(world, "r", &step, 1);
+	world_advance(world, 500 * MS);
+	pool = batch_find_job(world->core, BASE_STR("r"))->queue->pool;
+	red = batch_workspace_get(world->core, BASE_STR("red"));
+	g_assert_true(pool->is_divided);
+	g_assert_cmpfloat(batch_workspace_in_pool(red, pool)->fair, >, 0.6);
+	world_free(world);
+}
+
 typedef struct flood {
 	int in_time; /* jobs of the workspace that sends its usual */
 	int refused;
@@ -358,6 +496,18 @@
 			test_lowered_limit_at_a_takeover);
 	g_test_add_func("/batch-workspace/lowered-limit-drops-unsent-starts",
 			test_lowered_limit_drops_unsent_starts);
+	g_test_add_func("/batch-workspace/backlog-of-an-idle-pool",
+			test_backlog_of_an_idle_pool);
+	g_test_add_func("/batch-workspace/answer-lost-after-the-end",
+			test_answer_lost_after_the_end);
+	g_test_add_func("/batch-workspace/void-start-whose-stop-is-repeated",
+			test_void_start_whose_stop_is_repeated);
+	g_test_add_func("/batch-workspace/void-start-of-an-ended-job",
+			test_void_start_of_an_ended_job);
+	g_test_add_func("/batch-workspace/spread-within-the-limit",
+			test_spread_within_the_limit);
+	g_test_add_func("/batch-workspace/share-beside-a-limit",
+			test_share_beside_a_limit);
 	g_test_add_func("/batch-workspace/flood-of-one-workspace",
 			test_flood_of_one_workspace);
 	return g_test_run();
