node: keys: requests without a workspace, tries and reads that were missed

A request on a public route needs no key and reached the jobs of every queue: it could show, cancel and hand in again a job of a workspace. A submit whose key was removed between two tries was refused for good although the first try was accepted. A cancel that waited for the holder's key could end a job of another workspace that came meanwhile. A read without the configuration renewed its age.

Jobs of workspaces are reached by their workspace's keys or by the public route of their own queue; a later try of an accepted submit is answered as accepted; a cancel looks again; a read without the configuration is repeated and renews nothing.

--- a/packages/batch/batch.c
+++ b/packages/batch/batch.c
@@ -483,6 +483,13 @@
 	return job ? job->spec.workspace : BASE_STR("");
 }
 
+base_str_t batch_job_queue(const batch_t *core, base_str_t id)
+{
+	batch_job_t *job = batch_find_job(core, id);
+
+	return job ? job->spec.queue : BASE_STR("");
+}
+
 bool batch_job_unstored(const batch_t *core, base_str_t id)
 {
 	batch_job_t *job = batch_find_job(core, id);
--- a/packages/batch/batch.h
+++ b/packages/batch/batch.h
@@ -343,6 +343,9 @@
 /* The workspace of a job; empty: none, or there is no such job. */
 base_str_t batch_job_workspace(const batch_t *core, base_str_t id);
 
+/* The queue of a job; empty: there is no such job. */
+base_str_t batch_job_queue(const batch_t *core, base_str_t id);
+
 /* Number of accepted jobs of a queue that have not started any task. */
 size_t batch_pending(const batch_t *core, base_str_t queue);
 
--- a/packages/node/node_config.c
+++ b/packages/node/node_config.c
@@ -136,9 +136,21 @@
 	}
 }
 
+static bool lists_config(const node_t *node, const node_answer_t *answer)
+{
+	size_t i;
+
+	for (i = 0; i < answer->n_items; i++)
+		if (!strcmp(answer->items[i].key, node->platform->config_key))
+			return true;
+	return false;
+}
+
 static void read_all_answered(void *arg, const node_answer_t *answer)
 {
 	node_t *node = arg;
+	/* Nothing shows then that the keys in force still are. */
+	bool lacks_keys = node->keys && !lists_config(node, answer);
 
 	node_store_track_status(node, answer->store_status);
 	if (answer->store_status != NODE_STORE_OK) {
@@ -146,10 +158,11 @@
 		return;
 	}
 	apply_items(node, answer);
-	note_current(node);
+	if (!lacks_keys)
+		note_current(node);
 	node->operator_revision = answer->revision;
 	node->operator_read = true;
-	if (node->config.version)
+	if (node->config.version && !lacks_keys)
 		watch(node);
 	else
 		net_timer_start(node->config_timer, CONFIG_RETRY_DELAY);
--- a/packages/node/node_holder.c
+++ b/packages/node/node_holder.c
@@ -503,15 +503,23 @@
 	return false;
 }
 
-/* Whether the job belongs to another workspace than the request. */
+/*
+ * Whether the job belongs to another workspace than the request.  One on a
+ * public route has none; it must not reach the jobs of other queues.
+ */
 static bool is_of_others(const node_holder_t *holder,
 			 const node_job_request_t *ask)
 {
-	base_str_t workspace =
-		batch_job_workspace(holder->core, base_str(ask->id));
+	base_str_t id = base_str(ask->id);
+	base_str_t workspace = batch_job_workspace(holder->core, id);
 
-	return ask->workspace && workspace.len &&
-	       !base_str_eq(workspace, base_str(ask->workspace));
+	if (!workspace.len)
+		return false;
+	if (ask->workspace)
+		return !base_str_eq(workspace, base_str(ask->workspace));
+	return holder->node->keys &&
+	       !base_str_eq(base_str(ask->queue),
+			    batch_job_queue(holder->core, id));
 }
 
 /* Whether the caller's workspace, not the pool, is the reason. */
@@ -648,6 +656,8 @@
 
 	waiting->ask.job_op = NODE_OP_CANCEL;
 	waiting->ask.id = talloc_strdup(waiting, ask->id);
+	waiting->ask.queue = talloc_strdup(waiting, ask->queue);
+	waiting->ask.workspace = talloc_strdup(waiting, ask->workspace);
 	if (ask->token)
 		waiting->ask.token = talloc_strdup(waiting, ask->token);
 	waiting->ask.try_number = ask->try_number;
@@ -663,6 +673,13 @@
 	node_outcome_t outcome = { .kind = NODE_OUT_ACCEPTED };
 	batch_state_t state;
 
+	/* Also if another workspace's job has come since the first look. */
+	if (is_of_others(holder, ask)) {
+		outcome.kind = NODE_OUT_NOT_FOUND;
+		bind_refusal(holder, ask, &outcome);
+		done(arg, &outcome);
+		return;
+	}
 	if (!batch_cancel(holder->core, base_clock_mono(), base_str(ask->id),
 			  &state)) {
 		/* Cancelling an ended job succeeds without effect. */
@@ -691,6 +708,34 @@
 	return ask->job_op == NODE_OP_SUBMIT || ask->job_op == NODE_OP_CANCEL;
 }
 
+static bool is_known(const node_holder_t *holder, const node_job_request_t *ask)
+{
+	base_str_t id = base_str(ask->id);
+
+	return batch_state(holder->core, id) != BATCH_UNKNOWN ||
+	       batch_job_unstored(holder->core, id);
+}
+
+/*
+ * The key was removed since the request was read.  An earlier try may have been
+ * carried out before: that it was not must not be said.
+ */
+static void refuse_key(node_holder_t *holder, const node_job_request_t *ask,
+		       node_outcome_t *outcome, node_outcome_done_t *done,
+		       void *arg)
+{
+	bool is_unknown = !is_known(holder, ask);
+
+	if (ask->job_op == NODE_OP_SUBMIT && ask->try_number > 1 &&
+	    !is_unknown && !is_of_others(holder, ask)) {
+		submit(holder, ask, done, arg);
+		return;
+	}
+	if (is_change(ask) && is_unknown)
+		bind_refusal(holder, ask, outcome);
+	done(arg, outcome);
+}
+
 void node_holder_handle_request(node_holder_t *holder,
 				const node_job_request_t *ask,
 				node_outcome_done_t *done, void *arg)
@@ -698,9 +743,10 @@
 	node_outcome_t outcome = { .kind = NODE_OUT_STATE };
 
 	if (node_access_refuses(holder->node, ask, &outcome)) {
-		if (outcome.kind == NODE_OUT_UNAUTHORIZED && is_change(ask))
-			bind_refusal(holder, ask, &outcome);
-		done(arg, &outcome);
+		if (outcome.kind == NODE_OUT_UNAUTHORIZED)
+			refuse_key(holder, ask, &outcome, done, arg);
+		else
+			done(arg, &outcome);
 		return;
 	}
 	switch (ask->job_op) {
@@ -712,12 +758,6 @@
 	case NODE_OP_CANCEL:
 		if (refuse_again(holder, ask, done, arg))
 			break;
-		if (is_of_others(holder, ask)) {
-			outcome.kind = NODE_OUT_NOT_FOUND;
-			bind_refusal(holder, ask, &outcome);
-			done(arg, &outcome);
-			break;
-		}
 		cancel(holder, ask, false, done, arg);
 		break;
 	case NODE_OP_STATE:
