--- a/packages/batch/batch_int.h
+++ b/packages/batch/batch_int.h
@@ -121,6 +121,7 @@
 	batch_res_t limit; /* 0: no limit */
 	batch_res_t used;  /* by what may run, over all pools */
 	bool in_force;
+	bool is_kept;		 /* not in force, the limit is from rows */
 	batch_pool_use_t *pools; /* talloc array by pool->number */
 	uint64_t refused[BATCH_REFUSAL_MAX];
 };
@@ -537,6 +538,10 @@
 void batch_workspaces_free(batch_t *core);
 /* The workspace of that name, added if it is not known. */
 batch_workspace_t *batch_workspace_get(batch_t *core, base_str_t name);
+/* The limit that a row names counts if the configuration has no such workspace
+ * any more. */
+void batch_workspace_keep(batch_workspace_t *workspace,
+			  const batch_res_t *limit);
 batch_pool_use_t *batch_workspace_in_pool(batch_workspace_t *workspace,
 					  const batch_pool_t *pool);
 /* Counts what may run, or with "sign" -1 no longer may. */
--- a/packages/batch/batch_record.c
+++ b/packages/batch/batch_record.c
@@ -17,7 +17,9 @@
  *  "in_doubt": [[occurrence, step, index, run, worker, stopped_by,
  *  until (wall, microseconds)], ...],
  *  "given_up": [workers, occurrence, step, index],
- *  "workspace": of a job that has ended, if it has one}
+ *  "workspace": of a job that has ended, if it has one,
+ *  "limit": [cpu, memory, gpu] of its workspace, of a job that has not ended,
+ *  if there is a limit}
  *
  * The last seven, and "done_occurrences", are left out where they are empty:
  * "crashes" lists the tasks under which workers were lost, "missing" the runs
@@ -382,6 +384,18 @@
 		base_buf_adds(buf, "]");
 }
 
+/* The configuration may have the workspace no longer. */
+static void print_limit(base_buf_t *buf, const batch_job_t *job)
+{
+	const batch_res_t *limit = &job->workspace->limit;
+
+	if (batch_job_is_active(job) &&
+	    (limit->cpu || limit->memory || limit->gpu))
+		base_buf_addf(buf, ",\"limit\":[%lld,%lld,%lld]",
+			      (long long)limit->cpu, (long long)limit->memory,
+			      (long long)limit->gpu);
+}
+
 const char *batch_record_print(const void *ctx, const batch_job_t *job)
 {
 	base_buf_t *buf = base_buf_new(ctx);
@@ -416,6 +430,7 @@
 		base_buf_addf(buf, ",\"given_up\":[%d,%d,%d,%d]",
 			      job->given_up.workers, job->given_up.occurrence,
 			      job->given_up.step, job->given_up.index);
+	print_limit(buf, job);
 	/* The source, which names it as well, is removed with the end. */
 	if (!batch_job_is_active(job) && job->spec.workspace.len) {
 		base_buf_adds(buf, ",\"workspace\":");
@@ -605,6 +620,15 @@
 	job->workspace = batch_workspace_get(job->core, job->spec.workspace);
 }
 
+static void load_limit(const batch_job_t *job, const json_t *row)
+{
+	batch_res_t limit = { number_at(row, 0), number_at(row, 1),
+			      number_at(row, 2) };
+
+	if (json_array_size(row) == 3)
+		batch_workspace_keep(job->workspace, &limit);
+}
+
 static void load_given_up(batch_job_t *job, const json_t *list)
 {
 	job->given_up = (batch_given_up_t){
@@ -787,6 +811,7 @@
 			json_integer_value(json_object_get(root, "ended"));
 		load_given_up(job, json_object_get(root, "given_up"));
 		load_workspace(job, json_object_get(root, "workspace"));
+		load_limit(job, json_object_get(root, "limit"));
 		if (batch_job_is_active(job))
 			load_occurrences(job, root);
 		if (batch_job_is_active(job))
--- a/packages/batch/batch_workspace.c
+++ b/packages/batch/batch_workspace.c
@@ -87,6 +87,28 @@
 	core->pass_needed = true;
 }
 
+static int64_t higher_limit(int64_t a, int64_t b)
+{
+	return a && b ? MAX(a, b) : 0;
+}
+
+/* Rows that were stored at different times name different limits; the highest
+ * one leaves room for every task that was accepted. */
+void batch_workspace_keep(batch_workspace_t *workspace,
+			  const batch_res_t *limit)
+{
+	batch_res_t *kept = &workspace->limit;
+
+	if (workspace->in_force)
+		return;
+	if (!workspace->is_kept)
+		*kept = *limit;
+	workspace->is_kept = true;
+	kept->cpu = higher_limit(kept->cpu, limit->cpu);
+	kept->memory = higher_limit(kept->memory, limit->memory);
+	kept->gpu = higher_limit(kept->gpu, limit->gpu);
+}
+
 batch_pool_use_t *batch_workspace_in_pool(batch_workspace_t *workspace,
 					  const batch_pool_t *pool)
 {
--- a/packages/batch/tests/batch_workspace_test.c
+++ b/packages/batch/tests/batch_workspace_test.c
@@ -180,6 +180,27 @@
 	check_and_free(world);
 }
 
+/* The configuration has the workspace no longer: the next holder would know of
+ * no limit for the jobs that are left. */
+static void test_removed_workspace_at_a_takeover(void)
+{
+	world_t *world = limited_world(2);
+	batch_step_spec_t step = world_step(8);
+	int i;
+
+	world_submit(world, "a", &step, 1);
+	world_advance(world, 500 * MS);
+	world_set_workspaces(world, NULL, 0);
+	world_take_over(world);
+	for (i = 0; i < 20; i++) {
+		world_advance(world, 100 * MS);
+		g_assert_cmpint(count_runs(world), <=, 2);
+	}
+	world_advance(world, 12 * SECOND);
+	g_assert_cmpint(world_state(world, "a"), ==, BATCH_COMPLETED);
+	check_and_free(world);
+}
+
 /* Starts without an answer that are carried out seconds later. */
 static void test_late_starts(void)
 {
@@ -394,6 +415,104 @@
 	world_free(world);
 }
 
+#define DAY_WORKERS 8
+#define DAY_JOBS 14
+
+/* One fault of a random day.  The rule is judged only from a time after a
+ * change of the limit on, so that not all days have such changes. */
+static void day_fault(world_t *world, base_rng_t *rng, bool changes_limit)
+{
+	int worker = (int)base_rng_below(rng, DAY_WORKERS);
+
+	switch (base_rng_below(rng, changes_limit ? 8 : 6)) {
+	case 0:
+		world->late_order_percent = (int)base_rng_below(rng, 50);
+		break;
+	case 1:
+		world->lost_answer_percent = (int)base_rng_below(rng, 40);
+		break;
+	case 2:
+		world_take_over(world);
+		break;
+	case 3:
+		world->store_down = !world->store_down;
+		break;
+	case 4:
+		if (world->workers[worker].crashed)
+			world_worker_restart(world, worker,
+					     base_rng_below(rng, 2));
+		else
+			world_worker_crash(world, worker);
+		break;
+	case 5:
+		world_worker_set_unreachable(
+			world, worker, !world->workers[worker].unreachable);
+		break;
+	default:
+		set_limit(world, 2 + (int)base_rng_below(rng, 6));
+		break;
+	}
+}
+
+static void end_day_faults(world_t *world)
+{
+	int i;
+
+	world->late_order_percent = 0;
+	world->lost_answer_percent = 0;
+	world->store_down = false;
+	for (i = 0; i < DAY_WORKERS; i++) {
+		world_worker_set_unreachable(world, i, false);
+		if (world->workers[i].crashed)
+			world_worker_restart(world, i, false);
+	}
+}
+
+/* Guards against starts above a limit, against a usage that outlasts its runs,
+ * and jobs that never end because of it, while faults and changes of the limit
+ * overlap. */
+static void test_random_days(void)
+{
+	uint64_t seed;
+
+	for (seed = 1; seed <= 300; seed++) {
+		base_rng_t rng = { seed };
+		world_t *world = world_new(seed, DAY_WORKERS, 3);
+		char id[8];
+		int i;
+
+		set_limit(world, 4);
+		world->limits_set_at = -WORLD_LIMIT_TIME;
+		world->workspace = "blue";
+		for (i = 0; i < DAY_JOBS; i++) {
+			batch_step_spec_t step =
+				world_step(1 + (int)base_rng_below(&rng, 4));
+
+			step.gang = step.count == 2;
+			g_snprintf(id, sizeof(id), "j%d", i);
+			world_submit(world, id, &step, 1);
+			world_advance(world, (int64_t)base_rng_below(&rng, 8) *
+						     100 * MS);
+			day_fault(world, &rng, seed % 2);
+			if (base_rng_below(&rng, 10) == 0)
+				world_cancel(world, id);
+		}
+		end_day_faults(world);
+		world_advance(world, 60 * SECOND);
+		g_test_message("seed %d: %s", (int)seed,
+			       world->first_violation);
+		for (i = 0; i < DAY_JOBS; i++) {
+			g_snprintf(id, sizeof(id), "j%d", i);
+			g_assert_cmpint(world_state(world, id), !=,
+					BATCH_QUEUED);
+			g_assert_cmpint(world_state(world, id), !=,
+					BATCH_RUNNING);
+		}
+		g_assert_cmpint(used_cpu(world), ==, 0);
+		check_and_free(world);
+	}
+}
+
 typedef struct flood {
 	int in_time; /* jobs of the workspace that sends its usual */
 	int refused;
@@ -491,6 +610,8 @@
 	g_test_add_func("/batch-workspace/gang-starts-as-a-whole",
 			test_gang_starts_as_a_whole);
 	g_test_add_func("/batch-workspace/takeover", test_takeover);
+	g_test_add_func("/batch-workspace/removed-workspace-at-a-takeover",
+			test_removed_workspace_at_a_takeover);
 	g_test_add_func("/batch-workspace/late-starts", test_late_starts);
 	g_test_add_func("/batch-workspace/lowered-limit-at-a-takeover",
 			test_lowered_limit_at_a_takeover);
@@ -508,6 +629,7 @@
 			test_spread_within_the_limit);
 	g_test_add_func("/batch-workspace/share-beside-a-limit",
 			test_share_beside_a_limit);
+	g_test_add_func("/batch-workspace/random-days", test_random_days);
 	g_test_add_func("/batch-workspace/flood-of-one-workspace",
 			test_flood_of_one_workspace);
 	return g_test_run();
