batch: cheaper passes and admissions with many workspaces

What each workspace has of a pool is kept in one array of the pool; those that want nothing of it are left out of its division and of an admission's wait; the order of a division is sorted by figures that are computed once.

--- a/packages/batch/batch.c
+++ b/packages/batch/batch.c
@@ -133,7 +133,7 @@
 		return pool;
 	pool = talloc_zero(core, batch_pool_t);
 	pool->name = base_str_dup(pool, name);
-	pool->number = (int)g_hash_table_size(core->pools);
+	batch_pool_resize_uses(core, pool);
 	pool->checks_admission = true;
 	pool->workers = g_ptr_array_new();
 	g_hash_table_insert(core->pools, pool->name, pool);
--- a/packages/batch/batch_demand.c
+++ b/packages/batch/batch_demand.c
@@ -257,10 +257,11 @@
 	GHashTableIter iter;
 	gpointer value;
 	double part;
-	size_t i;
 
-	for (i = 0; i < talloc_array_length(workspace->pools); i++)
-		add_load(&sum, &workspace->pools[i].need);
+	g_hash_table_iter_init(&iter, core->pools);
+	while (g_hash_table_iter_next(&iter, NULL, &value))
+		add_load(&sum,
+			 &batch_workspace_in_pool(workspace, value)->need);
 	part = 1 / MAX(batch_workspace_limit_ratio(workspace, &sum), 1);
 	g_hash_table_iter_init(&iter, core->pools);
 	while (g_hash_table_iter_next(&iter, NULL, &value)) {
--- a/packages/batch/batch_int.h
+++ b/packages/batch/batch_int.h
@@ -48,7 +48,7 @@
 
 struct batch_pool {
 	char *name;
-	int number; /* from 0, in the order in which they became known */
+	struct batch_pool_use *uses; /* by workspace->number */
 	bool checks_admission;
 	bool spare;
 	bool in_force;
@@ -117,12 +117,12 @@
 
 struct batch_workspace {
 	char *name;
+	int number; /* from 0, in the order in which they became known */
 	double weight;
 	batch_res_t limit; /* 0: no limit */
 	batch_res_t used;  /* by what may run, over all pools */
 	bool in_force;
-	bool is_kept;		 /* not in force, the limit is from rows */
-	batch_pool_use_t *pools; /* talloc array by pool->number */
+	bool is_kept; /* not in force, the limit is from rows */
 	uint64_t refused[BATCH_REFUSAL_MAX];
 };
 
@@ -542,8 +542,10 @@
  * any more. */
 void batch_workspace_keep(batch_workspace_t *workspace,
 			  const batch_res_t *limit);
-batch_pool_use_t *batch_workspace_in_pool(batch_workspace_t *workspace,
+batch_pool_use_t *batch_workspace_in_pool(const batch_workspace_t *workspace,
 					  const batch_pool_t *pool);
+/* Makes room for what each workspace has of the pool. */
+void batch_pool_resize_uses(const batch_t *core, batch_pool_t *pool);
 /* Counts what may run, or with "sign" -1 no longer may. */
 void batch_workspace_charge(batch_workspace_t *workspace,
 			    const batch_res_t *need, int sign);
--- a/packages/batch/batch_share.c
+++ b/packages/batch/batch_share.c
@@ -7,34 +7,39 @@
  */
 #include "batch_int.h"
 
-static int compare_demand(const void *a, const void *b)
+typedef struct ranked {
+	double level; /* demand by weight */
+	batch_share_t *share;
+} ranked_t;
+
+static int compare_level(const void *a, const void *b)
 {
-	const batch_share_t *x = *(const batch_share_t *const *)a;
-	const batch_share_t *y = *(const batch_share_t *const *)b;
-	double left = x->demand / x->weight;
-	double right = y->demand / y->weight;
+	double left = ((const ranked_t *)a)->level;
+	double right = ((const ranked_t *)b)->level;
 
 	return (left > right) - (left < right);
 }
 
 void batch_share_divide(batch_share_t *shares, size_t n, double room)
 {
-	batch_share_t **order = g_new(batch_share_t *, n);
+	ranked_t *order = g_new(ranked_t, n);
 	double weights = 0;
 	size_t i;
 
 	for (i = 0; i < n; i++) {
-		order[i] = &shares[i];
+		order[i].level = shares[i].demand / shares[i].weight;
+		order[i].share = &shares[i];
 		weights += shares[i].weight;
 	}
 	/* Those that want the least for their weight are satisfied first. */
-	qsort(order, n, sizeof(*order), compare_demand);
+	qsort(order, n, sizeof(*order), compare_level);
 	for (i = 0; i < n; i++) {
-		double due = room * order[i]->weight / weights;
+		batch_share_t *share = order[i].share;
+		double due = room * share->weight / weights;
 
-		order[i]->fair = MIN(order[i]->demand, due);
-		room -= order[i]->fair;
-		weights -= order[i]->weight;
+		share->fair = MIN(share->demand, due);
+		room -= share->fair;
+		weights -= share->weight;
 	}
 	g_free(order);
 }
--- a/packages/batch/batch_workspace.c
+++ b/packages/batch/batch_workspace.c
@@ -8,15 +8,30 @@
  */
 #include "batch_int.h"
 
+void batch_pool_resize_uses(const batch_t *core, batch_pool_t *pool)
+{
+	size_t former = talloc_array_length(pool->uses);
+	size_t n = core->workspaces->len;
+
+	pool->uses = talloc_realloc(pool, pool->uses, batch_pool_use_t, n);
+	memset(&pool->uses[former], 0, sizeof(*pool->uses) * (n - former));
+}
+
 static batch_workspace_t *add_workspace(batch_t *core, char *name)
 {
 	batch_workspace_t *workspace = talloc_zero(core, batch_workspace_t);
+	GHashTableIter iter;
+	gpointer pool;
 
+	workspace->number = (int)core->workspaces->len;
 	workspace->name = talloc_steal(workspace, name);
 	workspace->weight = 1;
 	g_ptr_array_add(core->workspaces, workspace);
 	g_hash_table_insert(core->workspaces_by_name, workspace->name,
 			    workspace);
+	g_hash_table_iter_init(&iter, core->pools);
+	while (g_hash_table_iter_next(&iter, NULL, &pool))
+		batch_pool_resize_uses(core, pool);
 	return workspace;
 }
 
@@ -109,19 +124,10 @@
 	kept->gpu = higher_limit(kept->gpu, limit->gpu);
 }
 
-batch_pool_use_t *batch_workspace_in_pool(batch_workspace_t *workspace,
+batch_pool_use_t *batch_workspace_in_pool(const batch_workspace_t *workspace,
 					  const batch_pool_t *pool)
 {
-	size_t n = talloc_array_length(workspace->pools);
-	size_t at = (size_t)pool->number;
-
-	if (at >= n) {
-		workspace->pools = talloc_realloc(workspace, workspace->pools,
-						  batch_pool_use_t, at + 1);
-		memset(&workspace->pools[n], 0,
-		       sizeof(batch_pool_use_t) * (at + 1 - n));
-	}
-	return &workspace->pools[at];
+	return &pool->uses[workspace->number];
 }
 
 void batch_workspace_charge(batch_workspace_t *workspace,
@@ -273,33 +279,39 @@
 			       use->used.memory + part * use->wanted.memory };
 }
 
+/* Most workspaces want nothing of most pools. */
 static void divide_pool(const batch_t *core, batch_pool_t *pool, int64_t now)
 {
-	size_t n = core->workspaces->len;
-	batch_share_t *shares = g_new(batch_share_t, n);
+	batch_share_t *shares = g_new(batch_share_t, core->workspaces->len);
+	batch_pool_use_t **uses =
+		g_new(batch_pool_use_t *, core->workspaces->len);
 	batch_load_t demand = { 0, 0 };
-	size_t i;
+	size_t n = 0;
+	guint i;
 
 	pool->room_for_shares = batch_pool_available(pool, now);
-	for (i = 0; i < n; i++) {
+	for (i = 0; i < core->workspaces->len; i++) {
 		batch_workspace_t *workspace =
 			g_ptr_array_index(core->workspaces, i);
-		const batch_pool_use_t *use =
+		batch_pool_use_t *use =
 			batch_workspace_in_pool(workspace, pool);
 		batch_load_t sum = demand_in_pool(workspace, use);
 
+		use->fair = 0;
+		if (sum.cpu <= 0 && sum.memory <= 0)
+			continue;
 		demand.cpu += sum.cpu;
 		demand.memory += sum.memory;
-		shares[i].weight = workspace->weight;
-		shares[i].demand = dominant_part(&sum, &pool->room_for_shares);
+		shares[n].weight = workspace->weight;
+		shares[n].demand = dominant_part(&sum, &pool->room_for_shares);
+		uses[n++] = use;
 	}
 	pool->is_divided = dominant_part(&demand, &pool->room_for_shares) > 1;
 	if (pool->is_divided)
 		batch_share_divide(shares, n, 1);
-	for (i = 0; i < n; i++)
-		batch_workspace_in_pool(g_ptr_array_index(core->workspaces, i),
-					pool)
-			->fair = shares[i].fair;
+	for (i = 0; pool->is_divided && i < n; i++)
+		uses[i]->fair = shares[i].fair;
+	g_free(uses);
 	g_free(shares);
 }
 
@@ -319,9 +331,8 @@
 	g_hash_table_iter_init(&iter, core->pools);
 	while (g_hash_table_iter_next(&iter, NULL, &value))
 		for (i = 0; i < core->workspaces->len; i++)
-			batch_workspace_in_pool(
-				g_ptr_array_index(core->workspaces, i), value)
-				->wanted = (batch_load_t){ 0, 0 };
+			((batch_pool_t *)value)->uses[i].wanted =
+				(batch_load_t){ 0, 0 };
 	for (i = 0; i < core->active_jobs->len; i++) {
 		const batch_job_t *job =
 			g_ptr_array_index(core->active_jobs, i);
@@ -348,25 +359,27 @@
 double batch_workspace_wait(const batch_t *core, const batch_job_t *job,
 			    const batch_load_t *rate)
 {
-	size_t n = core->workspaces->len;
-	batch_share_t *cpu = g_new(batch_share_t, n);
-	batch_share_t *memory = g_new(batch_share_t, n);
+	const batch_pool_t *pool = job->queue->pool;
+	batch_share_t *cpu = g_new(batch_share_t, core->workspaces->len);
+	batch_share_t *memory = g_new(batch_share_t, core->workspaces->len);
 	size_t own = 0;
+	size_t n = 0;
 	double wait;
-	size_t i;
+	guint i;
 
-	for (i = 0; i < n; i++) {
-		batch_workspace_t *workspace =
-			g_ptr_array_index(core->workspaces, i);
-		const batch_pool_use_t *use =
-			batch_workspace_in_pool(workspace, job->queue->pool);
-
-		if (workspace == job->workspace)
-			own = i;
-		cpu[i] = (batch_share_t){ workspace->weight, use->backlog.cpu,
-					  0 };
-		memory[i] = (batch_share_t){ workspace->weight,
-					     use->backlog.memory, 0 };
+	for (i = 0; i < core->workspaces->len; i++) {
+		const batch_load_t *work = &pool->uses[i].backlog;
+		bool is_own = (int)i == job->workspace->number;
+		const batch_workspace_t *workspace;
+
+		if (work->cpu <= 0 && work->memory <= 0 && !is_own)
+			continue;
+		workspace = g_ptr_array_index(core->workspaces, i);
+		if (is_own)
+			own = n;
+		cpu[n] = (batch_share_t){ workspace->weight, work->cpu, 0 };
+		memory[n++] =
+			(batch_share_t){ workspace->weight, work->memory, 0 };
 	}
 	wait = MAX(batch_share_finish(cpu, n, own, rate->cpu),
 		   batch_share_finish(memory, n, own, rate->memory));
