--- a/packages/batch/batch_demand.c
+++ b/packages/batch/batch_demand.c
@@ -238,9 +238,13 @@
 	for (s = 0; s < job->spec.n_steps; s++) {
 		const batch_step_spec_t *spec = &job->spec.steps[s];
 
-		if (spec->long_running && spec->max_per_worker)
-			most = MAX(most, (spec->count + spec->max_per_worker -
-					  1) / spec->max_per_worker);
+		int tasks;
+
+		if (!spec->long_running || !spec->max_per_worker)
+			continue;
+		tasks = batch_workspace_max_tasks(job->workspace, spec);
+		most = MAX(most, (tasks + spec->max_per_worker - 1) /
+					 spec->max_per_worker);
 	}
 	return most;
 }
@@ -253,10 +257,11 @@
 	GHashTableIter iter;
 	gpointer value;
 	double part;
-	size_t i;
 
-	for (i = 0; i < talloc_array_length(workspace->pools); i++)
-		add_load(&sum, &workspace->pools[i].need);
+	g_hash_table_iter_init(&iter, core->pools);
+	while (g_hash_table_iter_next(&iter, NULL, &value))
+		add_load(&sum,
+			 &batch_workspace_in_pool(workspace, value)->need);
 	part = 1 / MAX(batch_workspace_limit_ratio(workspace, &sum), 1);
 	g_hash_table_iter_init(&iter, core->pools);
 	while (g_hash_table_iter_next(&iter, NULL, &value)) {
--- a/packages/batch/batch_int.h
+++ b/packages/batch/batch_int.h
@@ -48,7 +48,7 @@
 
 struct batch_pool {
 	char *name;
-	int number; /* from 0, in the order in which they became known */
+	struct batch_pool_use *uses; /* by workspace->number */
 	bool checks_admission;
 	bool spare;
 	bool in_force;
@@ -117,11 +117,12 @@
 
 struct batch_workspace {
 	char *name;
+	int number; /* from 0, in the order in which they became known */
 	double weight;
 	batch_res_t limit; /* 0: no limit */
 	batch_res_t used;  /* by what may run, over all pools */
 	bool in_force;
-	batch_pool_use_t *pools; /* talloc array by pool->number */
+	bool is_kept; /* not in force, the limit is from rows */
 	uint64_t refused[BATCH_REFUSAL_MAX];
 };
 
@@ -370,10 +371,11 @@
 	/* That process may have ended; the task must not run elsewhere. */
 	bool is_void;
 	int64_t doubted_since; /* another process is known; 0: none is */
-	/* The workspace that it counts for, as the task has no such run any
-	 * more; NULL: for none. */
-	batch_workspace_t *charged;
+	/* Of the task, which may be gone; NULL: not known. */
+	batch_workspace_t *workspace;
 	batch_res_t need;
+	/* It counts for the workspace, as the task has no such run any more. */
+	bool is_charged;
 } batch_in_doubt_start_t;
 
 struct batch_worker {
@@ -536,8 +538,14 @@
 void batch_workspaces_free(batch_t *core);
 /* The workspace of that name, added if it is not known. */
 batch_workspace_t *batch_workspace_get(batch_t *core, base_str_t name);
-batch_pool_use_t *batch_workspace_in_pool(batch_workspace_t *workspace,
+/* The limit that a row names counts if the configuration has no such workspace
+ * any more. */
+void batch_workspace_keep(batch_workspace_t *workspace,
+			  const batch_res_t *limit);
+batch_pool_use_t *batch_workspace_in_pool(const batch_workspace_t *workspace,
 					  const batch_pool_t *pool);
+/* Makes room for what each workspace has of the pool. */
+void batch_pool_resize_uses(const batch_t *core, batch_pool_t *pool);
 /* Counts what may run, or with "sign" -1 no longer may. */
 void batch_workspace_charge(batch_workspace_t *workspace,
 			    const batch_res_t *need, int sign);
@@ -548,6 +556,9 @@
 bool batch_workspace_is_over(const batch_workspace_t *workspace);
 /* Whether each task, or gang, of the job fits into the whole limit. */
 bool batch_workspace_could_run(const batch_job_t *job);
+/* How many tasks of the step the limit allows at once. */
+int batch_workspace_max_tasks(const batch_workspace_t *workspace,
+			      const batch_step_spec_t *spec);
 /* How many times the limit the load is; 0: there is no limit. */
 double batch_workspace_limit_ratio(const batch_workspace_t *workspace,
 				   const batch_load_t *load);
@@ -562,7 +573,8 @@
 double batch_workspace_wait(const batch_t *core, const batch_job_t *job,
 			    const batch_load_t *rate);
 /* The same at its limit, for its backlog in all pools; 0: no limit. */
-double batch_workspace_limit_wait(const batch_workspace_t *workspace);
+double batch_workspace_limit_wait(batch_t *core, batch_workspace_t *workspace,
+				  int64_t now);
 
 /* batch_index.c: values by a key; an empty key, or NULL, has none. */
 GHashTable *batch_index_new(void);
--- a/packages/batch/batch_workspace.c
+++ b/packages/batch/batch_workspace.c
@@ -8,15 +8,30 @@
  */
 #include "batch_int.h"
 
+void batch_pool_resize_uses(const batch_t *core, batch_pool_t *pool)
+{
+	size_t former = talloc_array_length(pool->uses);
+	size_t n = core->workspaces->len;
+
+	pool->uses = talloc_realloc(pool, pool->uses, batch_pool_use_t, n);
+	memset(&pool->uses[former], 0, sizeof(*pool->uses) * (n - former));
+}
+
 static batch_workspace_t *add_workspace(batch_t *core, char *name)
 {
 	batch_workspace_t *workspace = talloc_zero(core, batch_workspace_t);
+	GHashTableIter iter;
+	gpointer pool;
 
+	workspace->number = (int)core->workspaces->len;
 	workspace->name = talloc_steal(workspace, name);
 	workspace->weight = 1;
 	g_ptr_array_add(core->workspaces, workspace);
 	g_hash_table_insert(core->workspaces_by_name, workspace->name,
 			    workspace);
+	g_hash_table_iter_init(&iter, core->pools);
+	while (g_hash_table_iter_next(&iter, NULL, &pool))
+		batch_pool_resize_uses(core, pool);
 	return workspace;
 }
 
@@ -87,19 +102,32 @@
 	core->pass_needed = true;
 }
 
-batch_pool_use_t *batch_workspace_in_pool(batch_workspace_t *workspace,
+static int64_t higher_limit(int64_t a, int64_t b)
+{
+	return a && b ? MAX(a, b) : 0;
+}
+
+/* Rows that were stored at different times name different limits; the highest
+ * one leaves room for every task that was accepted. */
+void batch_workspace_keep(batch_workspace_t *workspace,
+			  const batch_res_t *limit)
+{
+	batch_res_t *kept = &workspace->limit;
+
+	if (workspace->in_force)
+		return;
+	if (!workspace->is_kept)
+		*kept = *limit;
+	workspace->is_kept = true;
+	kept->cpu = higher_limit(kept->cpu, limit->cpu);
+	kept->memory = higher_limit(kept->memory, limit->memory);
+	kept->gpu = higher_limit(kept->gpu, limit->gpu);
+}
+
+batch_pool_use_t *batch_workspace_in_pool(const batch_workspace_t *workspace,
 					  const batch_pool_t *pool)
 {
-	size_t n = talloc_array_length(workspace->pools);
-	size_t at = (size_t)pool->number;
-
-	if (at >= n) {
-		workspace->pools = talloc_realloc(workspace, workspace->pools,
-						  batch_pool_use_t, at + 1);
-		memset(&workspace->pools[n], 0,
-		       sizeof(batch_pool_use_t) * (at + 1 - n));
-	}
-	return &workspace->pools[at];
+	return &pool->uses[workspace->number];
 }
 
 void batch_workspace_charge(batch_workspace_t *workspace,
@@ -168,6 +196,21 @@
 	return true;
 }
 
+static int64_t max_tasks(int64_t most, int64_t limit, int64_t need)
+{
+	return limit > 0 && need > 0 ? MIN(most, limit / need) : most;
+}
+
+int batch_workspace_max_tasks(const batch_workspace_t *workspace,
+			      const batch_step_spec_t *spec)
+{
+	int64_t n = spec->count;
+
+	n = max_tasks(n, workspace->limit.cpu, spec->need.cpu);
+	n = max_tasks(n, workspace->limit.memory, spec->need.memory);
+	return (int)max_tasks(n, workspace->limit.gpu, spec->need.gpu);
+}
+
 static double ratio(double amount, int64_t limit)
 {
 	return limit > 0 ? amount / (double)limit : 0;
@@ -213,34 +256,62 @@
 		   room->memory > 0 ? load->memory / room->memory : 0);
 }
 
+/* The part of what is wanted that the limit leaves room for. */
+static double allowed_part(double wanted, int64_t limit, int64_t used)
+{
+	double room = (double)MAX(limit - used, 0);
+
+	return limit > 0 && wanted > room ? room / wanted : 1;
+}
+
+/* What it uses of the pool, and wants of it as far as its limit leaves room:
+ * more would take from the shares of the others, to no use. */
+static batch_load_t demand_in_pool(const batch_workspace_t *workspace,
+				   const batch_pool_use_t *use)
+{
+	const batch_res_t *limit = &workspace->limit;
+	double part = MIN(
+		allowed_part(use->wanted.cpu, limit->cpu, workspace->used.cpu),
+		allowed_part(use->wanted.memory, limit->memory,
+			     workspace->used.memory));
+
+	return (batch_load_t){ use->used.cpu + part * use->wanted.cpu,
+			       use->used.memory + part * use->wanted.memory };
+}
+
+/* Most workspaces want nothing of most pools. */
 static void divide_pool(const batch_t *core, batch_pool_t *pool, int64_t now)
 {
-	size_t n = core->workspaces->len;
-	batch_share_t *shares = g_new(batch_share_t, n);
+	batch_share_t *shares = g_new(batch_share_t, core->workspaces->len);
+	batch_pool_use_t **uses =
+		g_new(batch_pool_use_t *, core->workspaces->len);
 	batch_load_t demand = { 0, 0 };
-	size_t i;
+	size_t n = 0;
+	guint i;
 
 	pool->room_for_shares = batch_pool_available(pool, now);
-	for (i = 0; i < n; i++) {
+	for (i = 0; i < core->workspaces->len; i++) {
 		batch_workspace_t *workspace =
 			g_ptr_array_index(core->workspaces, i);
-		const batch_pool_use_t *use =
+		batch_pool_use_t *use =
 			batch_workspace_in_pool(workspace, pool);
-		batch_load_t sum = { use->used.cpu + use->wanted.cpu,
-				     use->used.memory + use->wanted.memory };
+		batch_load_t sum = demand_in_pool(workspace, use);
 
+		use->fair = 0;
+		if (sum.cpu <= 0 && sum.memory <= 0)
+			continue;
 		demand.cpu += sum.cpu;
 		demand.memory += sum.memory;
-		shares[i].weight = workspace->weight;
-		shares[i].demand = dominant_part(&sum, &pool->room_for_shares);
+		shares[n].weight = workspace->weight;
+		shares[n].demand = dominant_part(&sum, &pool->room_for_shares);
+		uses[n++] = use;
 	}
 	pool->is_divided = dominant_part(&demand, &pool->room_for_shares) > 1;
 	if (pool->is_divided)
 		batch_share_divide(shares, n, 1);
-	for (i = 0; i < n; i++)
-		batch_workspace_in_pool(g_ptr_array_index(core->workspaces, i),
-					pool)
-			->fair = shares[i].fair;
+	for (i = 0; pool->is_divided && i < n; i++)
+		uses[i]->fair = shares[i].fair;
+	g_free(uses);
 	g_free(shares);
 }
 
@@ -260,9 +331,8 @@
 	g_hash_table_iter_init(&iter, core->pools);
 	while (g_hash_table_iter_next(&iter, NULL, &value))
 		for (i = 0; i < core->workspaces->len; i++)
-			batch_workspace_in_pool(
-				g_ptr_array_index(core->workspaces, i), value)
-				->wanted = (batch_load_t){ 0, 0 };
+			((batch_pool_t *)value)->uses[i].wanted =
+				(batch_load_t){ 0, 0 };
 	for (i = 0; i < core->active_jobs->len; i++) {
 		const batch_job_t *job =
 			g_ptr_array_index(core->active_jobs, i);
@@ -289,25 +359,27 @@
 double batch_workspace_wait(const batch_t *core, const batch_job_t *job,
 			    const batch_load_t *rate)
 {
-	size_t n = core->workspaces->len;
-	batch_share_t *cpu = g_new(batch_share_t, n);
-	batch_share_t *memory = g_new(batch_share_t, n);
+	const batch_pool_t *pool = job->queue->pool;
+	batch_share_t *cpu = g_new(batch_share_t, core->workspaces->len);
+	batch_share_t *memory = g_new(batch_share_t, core->workspaces->len);
 	size_t own = 0;
+	size_t n = 0;
 	double wait;
-	size_t i;
+	guint i;
 
-	for (i = 0; i < n; i++) {
-		batch_workspace_t *workspace =
-			g_ptr_array_index(core->workspaces, i);
-		const batch_pool_use_t *use =
-			batch_workspace_in_pool(workspace, job->queue->pool);
-
-		if (workspace == job->workspace)
-			own = i;
-		cpu[i] = (batch_share_t){ workspace->weight, use->backlog.cpu,
-					  0 };
-		memory[i] = (batch_share_t){ workspace->weight,
-					     use->backlog.memory, 0 };
+	for (i = 0; i < core->workspaces->len; i++) {
+		const batch_load_t *work = &pool->uses[i].backlog;
+		bool is_own = (int)i == job->workspace->number;
+		const batch_workspace_t *workspace;
+
+		if (work->cpu <= 0 && work->memory <= 0 && !is_own)
+			continue;
+		workspace = g_ptr_array_index(core->workspaces, i);
+		if (is_own)
+			own = n;
+		cpu[n] = (batch_share_t){ workspace->weight, work->cpu, 0 };
+		memory[n++] =
+			(batch_share_t){ workspace->weight, work->memory, 0 };
 	}
 	wait = MAX(batch_share_finish(cpu, n, own, rate->cpu),
 		   batch_share_finish(memory, n, own, rate->memory));
@@ -316,14 +388,27 @@
 	return wait;
 }
 
-double batch_workspace_limit_wait(const batch_workspace_t *workspace)
+double batch_workspace_limit_wait(batch_t *core, batch_workspace_t *workspace,
+				  int64_t now)
 {
 	batch_load_t work = { 0, 0 };
-	size_t i;
+	GHashTableIter iter;
+	gpointer value;
+
+	if (!workspace->limit.cpu && !workspace->limit.memory)
+		return 0;
+	/* No job may have been submitted to another pool for long, so that its
+	 * backlog is measured here. */
+	g_hash_table_iter_init(&iter, core->pools);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		const batch_pool_use_t *use =
+			batch_workspace_in_pool(workspace, value);
 
-	for (i = 0; i < talloc_array_length(workspace->pools); i++) {
-		work.cpu += workspace->pools[i].backlog.cpu;
-		work.memory += workspace->pools[i].backlog.memory;
+		if (use->backlog.cpu <= 0 && use->backlog.memory <= 0)
+			continue;
+		batch_pool_backlog(core, value, now);
+		work.cpu += use->backlog.cpu;
+		work.memory += use->backlog.memory;
 	}
 	return batch_workspace_limit_ratio(workspace, &work);
 }
