--- a/packages/node/node_platform.h
+++ b/packages/node/node_platform.h
@@ -197,6 +197,8 @@
 	size_t n_workspaces;
 	node_access_key_t *keys;
 	size_t n_keys;
+	/* Routes, pools and workspaces that lack a name or a prefix. */
+	size_t n_left_out;
 } node_config_t;
 
 /* The kind of a caller's request. */
