batch: tasks wait for a better rack

A task whose data is on another rack, or a gang that would be spread over racks, started at once in the wrong place, which takes remote_penalty times as long, also if its rack had capacity a moment later.

Nothing is reserved. Setting remote_penalty of cactusfield-node, metrics of outcome and length.

--- a/packages/batch/batch.c
+++ b/packages/batch/batch.c
@@ -31,8 +31,10 @@
 		g_array_unref(worker->in_doubt_starts);
 	}
 	g_hash_table_iter_init(&iter, core->pools);
-	while (g_hash_table_iter_next(&iter, NULL, &value))
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		batch_racks_forget(value);
 		g_ptr_array_unref(((batch_pool_t *)value)->workers);
+	}
 	g_hash_table_iter_init(&iter, core->jobs);
 	while (g_hash_table_iter_next(&iter, NULL, &value))
 		if (((batch_job_t *)value)->occs)
--- a/packages/batch/batch.h
+++ b/packages/batch/batch.h
@@ -268,6 +268,9 @@
 	int64_t in_doubt_timeout;
 	/* A worker that leaves is listed as draining for this long at least. */
 	int64_t drain_time;
+	/* Factor of the run time of a task on the wrong rack, or of a gang that
+	 * is spread over racks; up to 1: no task waits for a rack. */
+	double remote_penalty;
 } batch_options_t;
 
 typedef struct batch batch_t;
@@ -624,6 +627,7 @@
 	/* Run time of a successful run, from its confirmation. */
 	BATCH_TIME_RUN,
 	BATCH_TIME_END_STORED, /* from the listing of an end to its storing */
+	BATCH_TIME_RACK_WAIT,  /* of a task for a rack */
 	BATCH_TIME_MAX
 } batch_time_t;
 
@@ -634,6 +638,14 @@
 void batch_poll_ages(const batch_t *core, int64_t now,
 		     batch_poll_age_fn_t *report, void *arg);
 
+/* How a task's wait for a rack ended. */
+typedef enum batch_rack_wait_outcome {
+	BATCH_RACK_WAIT_FREE,  /* it got capacity there */
+	BATCH_RACK_WAIT_BOUND, /* it waited as long as it may */
+	BATCH_RACK_WAIT_MOOT,  /* its reason no longer held */
+	BATCH_RACK_WAIT_MAX
+} batch_rack_wait_outcome_t;
+
 typedef struct batch_stats {
 	size_t jobs;	    /* that have not ended */
 	size_t runs;	    /* that may exist */
@@ -646,6 +658,7 @@
 	uint64_t failed;
 	uint64_t starts;
 	uint64_t lost;
+	uint64_t rack_waits[BATCH_RACK_WAIT_MAX]; /* that have ended */
 	/* Workers and runs that were gone through for an event or a row of
 	 * others. */
 	uint64_t scanned;
--- a/packages/batch/batch_demand.c
+++ b/packages/batch/batch_demand.c
@@ -214,7 +214,11 @@
  */
 static batch_load_t job_need(const batch_job_t *job, int64_t now)
 {
-	int64_t time = job->arrived + batch_objective(job) - now;
+	/* A task that waits for its rack needs no instance for that. */
+	int64_t since = now < job->rack_wait_until
+				? MIN(now, job->rack_wait_since)
+				: now;
+	int64_t time = job->arrived + batch_objective(job) - since;
 	batch_load_t work;
 	batch_load_t most;
 
--- a/packages/batch/batch_fit.c
+++ b/packages/batch/batch_fit.c
@@ -230,7 +230,10 @@
 const char *batch_fit_why(const batch_task_t *task, int64_t now)
 {
 	batch_fit_counts_t counts = batch_fit_count(task, now);
+	const char *rack_wait = batch_rack_wait_why(task, now);
 
+	if (rack_wait)
+		return rack_wait;
 	if (!batch_workspace_allows(
 		    task->step,
 		    task->step->spec->gang ? task->step->spec->count : 1))
--- a/packages/batch/batch_int.h
+++ b/packages/batch/batch_int.h
@@ -84,7 +84,8 @@
 	 */
 	batch_load_t due;
 	batch_load_t stranded;
-	int incoming; /* workers moving to the pool */
+	GHashTable *racks; /* see batch_rack.c; NULL: not used in this pass */
+	int incoming;	   /* workers moving to the pool */
 	/* When a step was found last that the policy allows on none of the
 	 * pool's workers; 0: never. */
 	int64_t excluded_at;
@@ -220,6 +221,16 @@
 	batch_suspicion_t if_crashed;
 } batch_missing_run_t;
 
+/* A task's wait for capacity on a rack. */
+typedef struct batch_rack_wait {
+	GQuark rack;
+	int64_t begun_at;
+	int64_t seen_at; /* the last pass that found it */
+	int64_t expected_at;
+	int64_t bound_at;
+	char why[160]; /* for batch_rack_wait_why() */
+} batch_rack_wait_t;
+
 struct batch_task {
 	batch_step_t *step;
 	int index;
@@ -241,8 +252,9 @@
 	batch_worker_t *claim; /* with room for its next run; NULL: none */
 	int64_t due_since;     /* it has had no place since; 0: it is not due */
 	int64_t wait_logged_at;
-	int64_t unavailable_since; /* of a long-running task; 0: it is
-				      available */
+	batch_rack_wait_t *rack_wait; /* of a gang, in its first task */
+	int64_t unavailable_since;    /* of a long-running task; 0: it is
+					 available */
 };
 
 /* Whether an incarnation of a worker may run a step of an advised queue. */
@@ -339,6 +351,9 @@
 	bool has_stopped_starts;	/* a start in doubt of it was stopped */
 	bool has_missing; /* a run of it was kept by batch_missing.c */
 	batch_given_up_t given_up;
+	/* A task of it waits for a rack, or did until lately; 0: none has. */
+	int64_t rack_wait_since;
+	int64_t rack_wait_until;
 };
 
 /* An end that the worker may discard once a version of the job is stored. */
@@ -834,6 +849,49 @@
 /* Why a task without a run, of a step that may run, is not placed. */
 const char *batch_fit_why(const batch_task_t *task, int64_t now);
 
+/* batch_wait.c */
+typedef struct batch_wait_input {
+	int64_t expected;    /* until there is capacity; negative: not known */
+	int64_t uncertainty; /* of "expected" */
+	int64_t cost;	     /* by which the worse placement takes longer */
+	int64_t slack;	     /* of the job, if the task starts well now */
+	int64_t waited;	     /* since the task could have started */
+} batch_wait_input_t;
+
+typedef enum batch_wait_kind {
+	BATCH_WAIT_NONE, /* start now: capacity comes too late */
+	BATCH_WAIT_FOR_RACK,
+	BATCH_WAIT_BOUND_REACHED,
+	BATCH_WAIT_MAX
+} batch_wait_kind_t;
+
+typedef struct batch_wait {
+	batch_wait_kind_t kind;
+	int64_t bound; /* most time from when the task could have started */
+} batch_wait_t;
+
+batch_wait_t batch_wait_decide(const batch_wait_input_t *in);
+
+/* batch_rack.c */
+/* Whether tasks of the step may wait for a rack. */
+bool batch_rack_may_wait(const batch_step_t *step);
+/*
+ * Whether the task, or the gang of which it is the first one, waits; call if it
+ * could start now on the wrong rack.  If it does not wait, its wait ends.
+ */
+bool batch_rack_wait(batch_task_t *task, int64_t now);
+/* Ends the wait of the task, if it has one. */
+void batch_rack_wait_end(batch_task_t *task, int64_t now,
+			 batch_rack_wait_outcome_t outcome);
+/* The same for a task that was placed. */
+void batch_rack_wait_placed(batch_task_t *task, int64_t now);
+/* Ends all waits of a job that has ended. */
+void batch_rack_waits_drop(batch_job_t *job, int64_t now);
+/* The wait in words, valid until the next call; NULL: it does not wait. */
+const char *batch_rack_wait_why(const batch_task_t *task, int64_t now);
+/* Call before each pass. */
+void batch_racks_forget(batch_pool_t *pool);
+
 /* batch_room.c */
 /* Call after a change of the worker's pool, capacity or use. */
 void batch_room_update(batch_worker_t *worker);
--- a/packages/batch/batch_place.c
+++ b/packages/batch/batch_place.c
@@ -300,6 +300,7 @@
 	batch_worker_t *worker = task->run->worker;
 
 	task->due_since = 0;
+	batch_rack_wait_placed(task, now);
 	batch_claim_drop(task);
 	if (worker->reserved_for == task)
 		worker->reserved_for = NULL;
@@ -473,39 +474,73 @@
 		batch_load_add(&pool->due, task->step->spec);
 }
 
-static bool place_task(batch_pool_t *pool, batch_task_t *task, int64_t now)
+/* Whether the task is slower there than on the rack of its data. */
+static bool is_on_wrong_rack(const batch_worker_t *worker,
+			     const batch_step_spec_t *spec)
+{
+	return spec->data_rack.len &&
+	       !base_str_eq(base_str(worker->rack), spec->data_rack);
+}
+
+typedef enum placement {
+	PLACEMENT_NONE,
+	PLACEMENT_DONE,
+	PLACEMENT_WAITS, /* for the rack of its data */
+	PLACEMENT_MAX
+} placement_t;
+
+/*
+ * With "others_wait", a task of the same step found its rack full in this pass
+ * and waits: the same holds for this one.
+ */
+static placement_t place_task(batch_pool_t *pool, batch_task_t *task,
+			      int64_t now, bool others_wait)
 {
 	bool trial = batch_crash_needs_trial(task);
+	bool may_wait = !trial && !task->avoid_worker &&
+			batch_rack_may_wait(task->step);
 	batch_worker_t *worker;
 
 	if (trial && !has_reservation(pool, task) &&
 	    !batch_crash_may_try(pool, now))
-		return false;
+		return PLACEMENT_NONE;
 	if (!batch_workspace_allows(task->step, 1) ||
 	    is_known_not_to_fit(pool, task))
-		return false;
+		return PLACEMENT_NONE;
 	worker = batch_claim_take(task, now);
-	if (!worker)
+	if (!worker && others_wait && may_wait && batch_rack_wait(task, now))
+		return PLACEMENT_WAITS;
+	if (!worker) {
 		worker = choose_worker(pool, task, now, true);
+		if (worker && may_wait && !others_wait &&
+		    is_on_wrong_rack(worker, task->step->spec) &&
+		    batch_rack_wait(task, now))
+			return PLACEMENT_WAITS;
+	}
 	if (worker) {
 		batch_run_new(task, worker, now, task->number + 1);
 		record_placement(task, now);
-		return true;
+		return PLACEMENT_DONE;
 	}
 	record_no_fit(pool, task);
 	if (trial && !has_reservation(pool, task))
 		reserve_for_trial(pool, task, now);
 	if (task->step->spec->long_running)
 		await_room(pool, task, now);
-	return false;
+	return PLACEMENT_NONE;
 }
 
-/* The task, whose step may run, has got no place in this pass. */
-static void note_wait(batch_task_t *task, int64_t now)
+/*
+ * The task, whose step may run, has got no place in this pass, or waits for one
+ * on its rack.
+ */
+static void note_wait(batch_task_t *task, int64_t now, bool for_rack)
 {
 	batch_t *core = task->step->occ->job->core;
 	batch_fit_counts_t counts;
 
+	if (!for_rack)
+		batch_rack_wait_end(task, now, BATCH_RACK_WAIT_MOOT);
 	if (!task->due_since) {
 		task->due_since = now;
 		task->wait_logged_at = now - PLACE_WAIT_LOG_PERIOD;
@@ -526,17 +561,61 @@
 					     .workers = &counts });
 }
 
+/* Gives the first "n" tasks of a gang back what place_members() gave them. */
+static void unplace_members(batch_step_t *step, int n, int64_t number)
+{
+	while (n-- > 0) {
+		batch_run_free(step->tasks[n].run);
+		step->tasks[n].number = number;
+	}
+}
+
+/* Returns how many members of the gang got a run; its tasks have the same. */
+static int place_members(batch_pool_t *pool, batch_step_t *step, int64_t now,
+			 int64_t number)
+{
+	int i;
+
+	for (i = 0; i < step->spec->count; i++) {
+		batch_worker_t *worker =
+			choose_worker(pool, &step->tasks[i], now, true);
+
+		if (!worker)
+			break;
+		batch_run_new(&step->tasks[i], worker, now, number + 1);
+	}
+	return i;
+}
+
+/* Whether the gang is slower as its members are placed than on one rack. */
+static bool is_spread(const batch_step_t *step)
+{
+	const batch_worker_t *first = step->tasks[0].run->worker;
+	int i;
+
+	for (i = 0; i < step->spec->count; i++) {
+		const batch_worker_t *worker = step->tasks[i].run->worker;
+
+		if (is_on_wrong_rack(worker, step->spec) ||
+		    (step->spec->same_rack &&
+		     strcmp(worker->rack, first->rack)))
+			return true;
+	}
+	return false;
+}
+
 /* Starts all members of a gang with the same run number, or none. */
 static void place_gang(batch_pool_t *pool, batch_step_t *step, int64_t now)
 {
+	batch_task_t *first = &step->tasks[0];
 	int64_t number = 0;
-	bool complete;
+	int placed;
 	int i;
 
-	if (batch_crash_must_wait(&step->tasks[0], now))
+	if (batch_crash_must_wait(first, now))
 		return;
 	if (!batch_workspace_allows(step, step->spec->count)) {
-		note_wait(&step->tasks[0], now);
+		note_wait(first, now, false);
 		return;
 	}
 	for (i = 0; i < step->spec->count; i++) {
@@ -548,28 +627,30 @@
 	}
 	for (i = 0; i < step->spec->count; i++)
 		batch_claim_drop(&step->tasks[i]);
-	for (i = 0; i < step->spec->count; i++) {
-		batch_worker_t *worker =
-			choose_worker(pool, &step->tasks[i], now, true);
-
-		if (!worker)
-			break;
-		batch_run_new(&step->tasks[i], worker, now, number + 1);
-	}
-	complete = i == step->spec->count;
-	if (!complete)
-		note_wait(&step->tasks[i], now);
-	while (i-- > 0)
-		if (complete) {
-			record_placement(&step->tasks[i], now);
-		} else {
-			batch_run_free(step->tasks[i].run);
-			step->tasks[i].number = number;
+	placed = place_members(pool, step, now, number);
+	if (placed == step->spec->count && batch_rack_may_wait(step) &&
+	    is_spread(step)) {
+		/* The expected ends are those without these runs. */
+		unplace_members(step, placed, number);
+		if (batch_rack_wait(first, now)) {
+			note_wait(first, now, true);
+			return;
 		}
+		placed = place_members(pool, step, now, number);
+	}
+	if (placed < step->spec->count) {
+		batch_rack_wait_end(first, now, BATCH_RACK_WAIT_MOOT);
+		note_wait(&step->tasks[placed], now, false);
+		unplace_members(step, placed, number);
+		return;
+	}
+	while (placed-- > 0)
+		record_placement(&step->tasks[placed], now);
 }
 
 static void place_step(batch_pool_t *pool, batch_step_t *step, int64_t now)
 {
+	bool others_wait = false;
 	int i;
 
 	if (!batch_step_has_waiting(step))
@@ -580,21 +661,27 @@
 	}
 	for (i = 0; i < step->spec->count; i++) {
 		batch_task_t *task = &step->tasks[i];
+		placement_t placement;
 
 		if (task->done || task->run)
 			continue;
 		if (batch_crash_must_wait(task, now) ||
 		    batch_doubt_holds_back(task, now)) {
-			note_wait(task, now);
+			note_wait(task, now, false);
 			continue;
 		}
 		/*
 		 * All tasks of a step need the same resources, so if one does
 		 * not fit, none of the others does.  A trial needs more.
 		 */
-		if (place_task(pool, task, now))
+		placement = place_task(pool, task, now, others_wait);
+		if (placement == PLACEMENT_DONE)
+			continue;
+		note_wait(task, now, placement == PLACEMENT_WAITS);
+		if (placement == PLACEMENT_WAITS) {
+			others_wait = true;
 			continue;
-		note_wait(task, now);
+		}
 		if (!step->spec->long_running && !batch_crash_needs_trial(task))
 			return;
 	}
@@ -813,6 +900,7 @@
 		batch_pool_t *pool = value;
 
 		pool->full = false;
+		batch_racks_forget(pool);
 		pool->due = (batch_load_t){ 0, 0 };
 	}
 	for (i = 0; i < core->active_jobs->len; i++) {
--- a/packages/batch/batch_run.c
+++ b/packages/batch/batch_run.c
@@ -276,6 +276,7 @@
 				     .value = now - job->arrived -
 					      batch_objective(job),
 			     });
+	batch_rack_waits_drop(job, now);
 	stop_job_runs(job, now, batch_state_name(state));
 	batch_job_changed(job);
 }
--- a/packages/node/node.h
+++ b/packages/node/node.h
@@ -65,6 +65,8 @@
 	double usable_cores;	 /* cores that this entry may use */
 	/* moves and maintenance orders that the platform accepts a second */
 	double instance_orders_per_s;
+	/* factor of the run time of a task on another rack than its data's */
+	double remote_penalty;
 } node_settings_t;
 
 /* Parses the settings; "err" names every fault. */
--- a/packages/node/node_holder.c
+++ b/packages/node/node_holder.c
@@ -247,6 +247,7 @@
 		.arg = holder,
 		.in_doubt_timeout = 300 * BASE_MS,
 		.drain_time = node->settings->drain_time,
+		.remote_penalty = node->settings->remote_penalty,
 	};
 
 	holder->node = node;
--- a/packages/node/node_int.h
+++ b/packages/node/node_int.h
@@ -25,6 +25,8 @@
  * holder: a quarter core serves some hundreds of workers. */
 #define NODE_DEFAULT_CORES 0.25
 #define NODE_DEFAULT_INSTANCE_ORDERS_PER_S 64
+/* Used where the platform names no factor of run times on a wrong rack. */
+#define NODE_DEFAULT_REMOTE_PENALTY 2
 
 #define NODE_TERM_MAX (INT64_MAX - 1) /* a larger one could not be raised */
 
--- a/packages/node/node_metrics.c
+++ b/packages/node/node_metrics.c
@@ -132,6 +132,23 @@
 		      (unsigned long long)stats->refused);
 }
 
+static const char *const rack_wait_names[BATCH_RACK_WAIT_MAX] = {
+	[BATCH_RACK_WAIT_FREE] = "capacity",
+	[BATCH_RACK_WAIT_BOUND] = "bound reached",
+	[BATCH_RACK_WAIT_MOOT] = "no longer useful",
+};
+
+static void add_rack_waits(base_buf_t *out, const batch_stats_t *stats)
+{
+	int i;
+
+	for (i = 0; i < BATCH_RACK_WAIT_MAX; i++)
+		base_buf_addf(out,
+			      "cactusfield_rack_waits{outcome=\"%s\"} %llu\n",
+			      rack_wait_names[i],
+			      (unsigned long long)stats->rack_waits[i]);
+}
+
 /* Adds what only the holder knows. */
 static void add_holder(base_buf_t *out, const node_t *node)
 {
@@ -144,6 +161,8 @@
 	add_time(out, "run", batch_times(holder->core, BATCH_TIME_RUN));
 	add_time(out, "end_noted",
 		 batch_times(holder->core, BATCH_TIME_END_STORED));
+	add_time(out, "rack_wait",
+		 batch_times(holder->core, BATCH_TIME_RACK_WAIT));
 	add_age(out, "workers_list", now - holder->listed_at);
 	add_age(out, "instances_list",
 		now - holder->instances->complete_round_start);
@@ -158,6 +177,7 @@
 		      (unsigned long long)stats.starts);
 	base_buf_addf(out, "cactusfield_runs_lost %llu\n",
 		      (unsigned long long)stats.lost);
+	add_rack_waits(out, &stats);
 	base_buf_addf(out, "cactusfield_scanned %llu\n",
 		      (unsigned long long)stats.scanned);
 }
--- a/packages/node/node_settings.c
+++ b/packages/node/node_settings.c
@@ -104,6 +104,18 @@
 			      "instance_orders_per_s");
 }
 
+static void load_remote_penalty(node_settings_t *settings, const json_t *root,
+				base_buf_t *faults)
+{
+	const json_t *value = json_object_get(root, "remote_penalty");
+
+	settings->remote_penalty =
+		value ? json_number_value(value) : NODE_DEFAULT_REMOTE_PENALTY;
+	if (settings->remote_penalty < 1)
+		base_buf_addf(faults, "; \"%s\" is not a number of at least 1",
+			      "remote_penalty");
+}
+
 static void load_seeds(node_settings_t *settings, const json_t *root)
 {
 	const json_t *list = json_object_get(root, "seeds");
@@ -147,6 +159,7 @@
 		settings->peers_at = settings->peers;
 	load_processor(settings, root, faults);
 	load_order_rate(settings, root, faults);
+	load_remote_penalty(settings, root, faults);
 	load_seeds(settings, root);
 	json_decref(root);
 	if (faults->len) {
