batch: tests of waits for a rack

The simulation gets a factor of run times on another rack than the data's (remote_penalty, off by default). A run that is past its expected end counted as capacity that is free now, so that a wait ended just before it paid off.

--- a/packages/batch/batch_rack.c
+++ b/packages/batch/batch_rack.c
@@ -230,7 +230,8 @@
 			&g_array_index(of->releases, release_t, i);
 
 		add(&room, &release->need, 1);
-		when->at = MAX(release->at, now);
+		/* One that is overdue still has its capacity. */
+		when->at = MAX(release->at, now + 1);
 		when->error = MAX(release->error, when->error);
 		if (is_within(need, &room))
 			return true;
--- a/packages/batch/tests/batch_world.c
+++ b/packages/batch/tests/batch_world.c
@@ -143,6 +143,11 @@
 		if (spec->best_effort)
 			sent.run.need.cpu = 0;
 		sent.run.length = spec->long_running ? 0 : spec->estimate;
+		if (world->remote_penalty > 1 && worker &&
+		    spec->data_rack.len &&
+		    !base_str_eq(spec->data_rack, base_str(worker->rack)))
+			sent.run.length = (int64_t)(world->remote_penalty *
+						    (double)sent.run.length);
 		if (spec->long_running)
 			sent.run.presence = &job->presence[order->task.step]
 							  [order->task.index];
@@ -333,7 +338,8 @@
 	batch_options_t options = { .ops = &ops,
 				    .arg = world,
 				    .in_doubt_timeout = 300 * BASE_MS,
-				    .drain_time = world->drain_time };
+				    .drain_time = world->drain_time,
+				    .remote_penalty = world->remote_penalty };
 	batch_pool_info_t pools[] = {
 		{ .name = BASE_STR("pool"),
 		  .checks_admission = !world->no_admission },
@@ -884,6 +890,12 @@
 	world_take_over(world);
 }
 
+void world_set_remote_penalty(world_t *world, double penalty)
+{
+	world->remote_penalty = penalty;
+	world_take_over(world);
+}
+
 void world_set_no_admission(world_t *world)
 {
 	world->no_admission = true;
--- a/packages/batch/tests/batch_world.h
+++ b/packages/batch/tests/batch_world.h
@@ -221,7 +221,9 @@
 	int64_t instances_at; /* when the list of instances was read last */
 	int interference; /* percent of the tail target, per best-effort task */
 	int lost_answer_percent, late_order_percent, failed_run_percent;
-	int64_t drain_time;  /* as the next holder knows it */
+	int64_t drain_time; /* as the next holder knows it */
+	/* Factor of run times on another rack than the data's; 0: none. */
+	double remote_penalty;
 	int64_t crash_delay; /* from the start of a deadly task to the crash */
 	int64_t crash_time;  /* until a crashed worker is back */
 	/* The holder sees at once that a worker has crashed. */
@@ -291,6 +293,8 @@
 bool world_cancelled(world_t *world, const char *id);
 /* Adds a worker to the pool and returns its index. */
 int world_add_worker(world_t *world);
+/* Tasks are slower on another rack than that of their data. */
+void world_set_remote_penalty(world_t *world, double penalty);
 /* Its workers start what does not fit. */
 void world_set_no_admission(world_t *world);
 /* Changes a worker's capacity; it is listed with it after "list_time". */
