--- a/packages/batch/batch.c
+++ b/packages/batch/batch.c
@@ -70,6 +70,7 @@
 	int i;
 
 	core->options = *options;
+	core->decide_wait = batch_wait_decide;
 	for (i = 0; i < BATCH_TIME_MAX; i++)
 		core->times[i] = base_hist_new(core);
 	core->jobs = g_hash_table_new(g_str_hash, g_str_equal);
--- a/packages/batch/batch_int.h
+++ b/packages/batch/batch_int.h
@@ -224,7 +224,7 @@
 /* A task's wait for capacity on a rack. */
 typedef struct batch_rack_wait {
 	GQuark rack;
-	int64_t begun_at;
+	int64_t length;	 /* without the time in which there was no room */
 	int64_t seen_at; /* the last pass that found it */
 	int64_t expected_at;
 	int64_t bound_at;
@@ -462,8 +462,31 @@
 	int64_t paced_at; /* last change of a pace */
 };
 
+/* Input and result of the decision about a wait; see batch_wait.c. */
+typedef struct batch_wait_input {
+	int64_t expected;    /* until there is capacity; negative: not known */
+	int64_t uncertainty; /* of "expected" */
+	int64_t cost;	     /* by which the worse placement takes longer */
+	int64_t slack;	     /* of the job, if the task starts well now */
+	int64_t waited;	     /* since the task could have started */
+} batch_wait_input_t;
+
+typedef enum batch_wait_kind {
+	BATCH_WAIT_NONE, /* start now: capacity comes too late */
+	BATCH_WAIT_FOR_RACK,
+	BATCH_WAIT_BOUND_REACHED,
+	BATCH_WAIT_MAX
+} batch_wait_kind_t;
+
+typedef struct batch_wait {
+	batch_wait_kind_t kind;
+	int64_t bound; /* most time from when the task could have started */
+} batch_wait_t;
+
 struct batch {
 	batch_options_t options;
+	/* Decides about waits for a rack; benchmarks compare others. */
+	batch_wait_t (*decide_wait)(const batch_wait_input_t *in);
 	GHashTable *jobs;    /* by id, of batch_job_t */
 	GHashTable *workers; /* by id, of batch_worker_t */
 	/* Indexes (batch_index.c) of batch_worker_t. */
@@ -850,26 +873,6 @@
 const char *batch_fit_why(const batch_task_t *task, int64_t now);
 
 /* batch_wait.c */
-typedef struct batch_wait_input {
-	int64_t expected;    /* until there is capacity; negative: not known */
-	int64_t uncertainty; /* of "expected" */
-	int64_t cost;	     /* by which the worse placement takes longer */
-	int64_t slack;	     /* of the job, if the task starts well now */
-	int64_t waited;	     /* since the task could have started */
-} batch_wait_input_t;
-
-typedef enum batch_wait_kind {
-	BATCH_WAIT_NONE, /* start now: capacity comes too late */
-	BATCH_WAIT_FOR_RACK,
-	BATCH_WAIT_BOUND_REACHED,
-	BATCH_WAIT_MAX
-} batch_wait_kind_t;
-
-typedef struct batch_wait {
-	batch_wait_kind_t kind;
-	int64_t bound; /* most time from when the task could have started */
-} batch_wait_t;
-
 batch_wait_t batch_wait_decide(const batch_wait_input_t *in);
 
 /* batch_rack.c */
--- a/packages/batch/batch_place.c
+++ b/packages/batch/batch_place.c
@@ -534,13 +534,11 @@
  * The task, whose step may run, has got no place in this pass, or waits for one
  * on its rack.
  */
-static void note_wait(batch_task_t *task, int64_t now, bool for_rack)
+static void note_wait(batch_task_t *task, int64_t now)
 {
 	batch_t *core = task->step->occ->job->core;
 	batch_fit_counts_t counts;
 
-	if (!for_rack)
-		batch_rack_wait_end(task, now, BATCH_RACK_WAIT_MOOT);
 	if (!task->due_since) {
 		task->due_since = now;
 		task->wait_logged_at = now - PLACE_WAIT_LOG_PERIOD;
@@ -615,7 +613,7 @@
 	if (batch_crash_must_wait(first, now))
 		return;
 	if (!batch_workspace_allows(step, step->spec->count)) {
-		note_wait(first, now, false);
+		note_wait(first, now);
 		return;
 	}
 	for (i = 0; i < step->spec->count; i++) {
@@ -633,14 +631,13 @@
 		/* The expected ends are those without these runs. */
 		unplace_members(step, placed, number);
 		if (batch_rack_wait(first, now)) {
-			note_wait(first, now, true);
+			note_wait(first, now);
 			return;
 		}
 		placed = place_members(pool, step, now, number);
 	}
 	if (placed < step->spec->count) {
-		batch_rack_wait_end(first, now, BATCH_RACK_WAIT_MOOT);
-		note_wait(&step->tasks[placed], now, false);
+		note_wait(&step->tasks[placed], now);
 		unplace_members(step, placed, number);
 		return;
 	}
@@ -667,7 +664,7 @@
 			continue;
 		if (batch_crash_must_wait(task, now) ||
 		    batch_doubt_holds_back(task, now)) {
-			note_wait(task, now, false);
+			note_wait(task, now);
 			continue;
 		}
 		/*
@@ -677,7 +674,7 @@
 		placement = place_task(pool, task, now, others_wait);
 		if (placement == PLACEMENT_DONE)
 			continue;
-		note_wait(task, now, placement == PLACEMENT_WAITS);
+		note_wait(task, now);
 		if (placement == PLACEMENT_WAITS) {
 			others_wait = true;
 			continue;
--- a/packages/batch/batch_rack.c
+++ b/packages/batch/batch_rack.c
@@ -17,8 +17,11 @@
 /* Error of a remaining time, as a part of it. */
 #define RACK_PROGRESS_ERROR 0.25
 #define RACK_ESTIMATE_ERROR 0.5
-/* Polls are a second apart, so an end is known this much later on average. */
-#define RACK_POLL_DELAY (500 * BASE_MS)
+/* An end is known this much later: a poll that waits for one may be sent late.
+ */
+#define RACK_POLL_DELAY (250 * BASE_MS)
+/* A wait that no pass has found for longer has paused: there was no room. */
+#define RACK_WAIT_GAP (2 * BATCH_PASS_INTERVAL)
 
 /* Capacity that becomes free. */
 typedef struct release {
@@ -402,6 +405,13 @@
 	       batch_critical_path(job, true);
 }
 
+/* Adds the time since the last pass that found the wait, if that is recent. */
+static void add_length(batch_rack_wait_t *wait, int64_t now)
+{
+	if (now - wait->seen_at <= RACK_WAIT_GAP)
+		wait->length += now - wait->seen_at;
+}
+
 static void note(batch_task_t *task, const rack_t *rack, int64_t now,
 		 const batch_wait_input_t *in, int64_t bound)
 {
@@ -410,8 +420,9 @@
 	if (!task->rack_wait) {
 		task->rack_wait =
 			talloc_zero(task->step->occ, batch_rack_wait_t);
-		task->rack_wait->begun_at = now;
+		task->rack_wait->seen_at = now;
 	}
+	add_length(task->rack_wait, now);
 	task->rack_wait->rack = rack->name;
 	task->rack_wait->seen_at = now;
 	task->rack_wait->expected_at = now + in->expected;
@@ -431,7 +442,7 @@
 				  (double)batch_task_estimate(
 					  job, task->step->number)),
 	};
-	batch_wait_t wait = batch_wait_decide(&in);
+	batch_wait_t wait = job->core->decide_wait(&in);
 	release_t when = { 0 };
 	rack_t *rack = NULL;
 	guint length = 0;
@@ -444,7 +455,7 @@
 		in.expected =
 			queue_all(rack, task, now, &when) ? when.at - now : -1;
 		in.uncertainty = when.error;
-		wait = batch_wait_decide(&in);
+		wait = job->core->decide_wait(&in);
 	}
 	if (rack && wait.kind == BATCH_WAIT_FOR_RACK) {
 		note(task, rack, now, &in, wait.bound);
@@ -466,9 +477,12 @@
 
 	if (!task->rack_wait)
 		return;
+	if (now - task->rack_wait->seen_at > RACK_WAIT_GAP)
+		outcome = BATCH_RACK_WAIT_MOOT;
+	add_length(task->rack_wait, now);
 	core->stats.rack_waits[outcome]++;
 	base_hist_add(core->times[BATCH_TIME_RACK_WAIT],
-		      now - task->rack_wait->begun_at);
+		      task->rack_wait->length);
 	talloc_free(task->rack_wait);
 	task->rack_wait = NULL;
 }
