batch: a waiting task looks at its rack only

Each pass looked at all workers of the pool for each waiting task. One that the last pass found waiting now looks at its rack first.

--- a/bench/wait_bench.c
+++ b/bench/wait_bench.c
@@ -26,6 +26,9 @@
 #define SHORTEST BASE_SEC
 #define LONGEST_RATIO 20
 #define POPULAR_RACKS 2
+#define COST_TASKS 256
+#define COST_RACK_WORKERS 16
+#define COST_PENALTY 3
 #define END (8 * 3600 * BASE_SEC)
 
 typedef struct bench_run {
@@ -480,9 +483,97 @@
 	teardown(b);
 }
 
+static void submit_local(batch_t *core, const char *id, int count)
+{
+	batch_step_spec_t step = { .count = count,
+				   .need = { TASK_CPU, 1000, 0 },
+				   .estimate = 10 * BASE_SEC,
+				   .max_unavailable = -1,
+				   .data_rack = BASE_STR("r0") };
+	batch_spec_t spec = { .id = base_str(id),
+			      .queue = BASE_STR("queue"),
+			      .steps = &step,
+			      .n_steps = 1 };
+	batch_refusal_t refusal;
+	batch_row_t row;
+
+	if (batch_submit(core, BASE_SEC, BASE_SEC, &spec, &refusal) !=
+	    BATCH_ACCEPTED)
+		g_error("%s is refused", id);
+	while (batch_rows(core, BATCH_LANE_ALL, &row, 1, 2))
+		batch_rows_stored(core, BATCH_LANE_ALL, BASE_SEC);
+}
+
+static void add_worker(batch_t *core, int number)
+{
+	char id[16];
+	char rack[16];
+	batch_worker_info_t info = { .pool = BASE_STR("pool"),
+				     .zone = BASE_STR("zone"),
+				     .capacity = { WORKER_TASKS * TASK_CPU,
+						   64000, 0 } };
+	batch_poll_result_t poll = { .incarnation = 1, .sent = BASE_SEC };
+
+	g_snprintf(id, sizeof(id), "w%d", number);
+	g_snprintf(rack, sizeof(rack), "r%d", number / COST_RACK_WORKERS);
+	info.id = base_str(id);
+	info.rack = base_str(rack);
+	batch_worker_listed(core, BASE_SEC, &info);
+	poll.worker = info.id;
+	batch_worker_lease(core, info.id, 60 * BASE_SEC);
+	batch_worker_polled(core, BASE_SEC, &poll);
+}
+
+static double time_pass(batch_t *core, int64_t now)
+{
+	double start_ms = cpu_ms();
+
+	batch_tick(core, now, now);
+	return cpu_ms() - start_ms;
+}
+
+/* The cost of two passes over COST_TASKS jobs of one task, whose rack is full.
+ */
+static void measure_cost(int workers, double penalty)
+{
+	variant_t variant = { "cost", penalty, batch_wait_decide };
+	bench_t *b = g_new0(bench_t, 1);
+	double first_ms;
+	double next_ms;
+	int waiting = 0;
+	char id[16];
+	guint i;
+	int w;
+
+	setup(b, &variant);
+	for (w = 0; w < workers; w++)
+		add_worker(b->core, w);
+	submit_local(b->core, "fill", COST_RACK_WORKERS * WORKER_TASKS);
+	batch_tick(b->core, BASE_SEC, BASE_SEC);
+	for (i = 0; i < COST_TASKS; i++) {
+		g_snprintf(id, sizeof(id), "j%u", i);
+		submit_local(b->core, id, 1);
+	}
+	first_ms = time_pass(b->core, BASE_SEC + BATCH_PASS_INTERVAL);
+	next_ms = time_pass(b->core, BASE_SEC + 2 * BATCH_PASS_INTERVAL);
+	for (i = 0; i < COST_TASKS; i++) {
+		batch_task_id_t task = { .index = 0 };
+
+		g_snprintf(id, sizeof(id), "j%u", i);
+		task.job = base_str(id);
+		waiting += !batch_find_task(b->core, &task)->run;
+	}
+	printf("{\"bench\":\"wait-cost\",\"workers\":%d,\"penalty\":%.0f,"
+	       "\"tasks\":%d,\"waiting\":%d,\"first_ms\":%.2f,\"next_ms\":%.2f}\n",
+	       workers, penalty, COST_TASKS, waiting, first_ms, next_ms);
+	fflush(stdout);
+	teardown(b);
+}
+
 int main(int argc, char **argv)
 {
 	static const double loads[] = { 0.3, 0.5, 0.7, 0.85 };
+	static const int sizes[] = { 350, 19467 };
 	uint64_t seed = argc > 1 ? strtoull(argv[1], NULL, 10) : 1;
 	size_t i;
 	size_t v;
@@ -490,5 +581,9 @@
 	for (i = 0; i < G_N_ELEMENTS(loads); i++)
 		for (v = 0; v < G_N_ELEMENTS(variants); v++)
 			measure(&variants[v], loads[i], seed);
+	for (i = 0; i < G_N_ELEMENTS(sizes); i++) {
+		measure_cost(sizes[i], 1);
+		measure_cost(sizes[i], COST_PENALTY);
+	}
 	return 0;
 }
--- a/packages/batch/batch_int.h
+++ b/packages/batch/batch_int.h
@@ -883,6 +883,12 @@
  * could start now on the wrong rack.  If it does not wait, its wait ends.
  */
 bool batch_rack_wait(batch_task_t *task, int64_t now);
+/*
+ * Whether a task that the last pass found waiting still waits, as its rack has
+ * no capacity.  Looks at the workers of that rack only; of a gang without one,
+ * at all.
+ */
+bool batch_rack_still_waits(batch_task_t *task, int64_t now);
 /* Ends the wait of the task, if it has one. */
 void batch_rack_wait_end(batch_task_t *task, int64_t now,
 			 batch_rack_wait_outcome_t outcome);
--- a/packages/batch/batch_place.c
+++ b/packages/batch/batch_place.c
@@ -508,7 +508,9 @@
 	    is_known_not_to_fit(pool, task))
 		return PLACEMENT_NONE;
 	worker = batch_claim_take(task, now);
-	if (!worker && others_wait && may_wait && batch_rack_wait(task, now))
+	if (!worker && may_wait &&
+	    (others_wait ? batch_rack_wait(task, now)
+			 : batch_rack_still_waits(task, now)))
 		return PLACEMENT_WAITS;
 	if (!worker) {
 		worker = choose_worker(pool, task, now, true);
@@ -625,6 +627,10 @@
 	}
 	for (i = 0; i < step->spec->count; i++)
 		batch_claim_drop(&step->tasks[i]);
+	if (batch_rack_may_wait(step) && batch_rack_still_waits(first, now)) {
+		note_wait(first, now);
+		return;
+	}
 	placed = place_members(pool, step, now, number);
 	if (placed == step->spec->count && batch_rack_may_wait(step) &&
 	    is_spread(step)) {
--- a/packages/batch/batch_rack.c
+++ b/packages/batch/batch_rack.c
@@ -320,7 +320,7 @@
 	int i;
 
 	if (!step->spec->gang)
-		return queue_task(rack, task, now, when) && when->at > now;
+		return queue_task(rack, task, now, when);
 	*when = (release_t){ .at = now };
 	for (i = 0; i < step->spec->count; i++) {
 		release_t one = { 0 };
@@ -332,7 +332,19 @@
 		when->at = MAX(when->at, one.at);
 		when->error = MAX(when->error, one.error);
 	}
-	return when->at > now;
+	return true;
+}
+
+/* NULL: no worker there may get a start. */
+static rack_t *data_rack(GHashTable *racks, const batch_step_spec_t *spec)
+{
+	char name[BATCH_KEY_MAX];
+
+	if (spec->data_rack.len >= sizeof(name))
+		return NULL;
+	g_snprintf(name, sizeof(name), "%.*s", BASE_STR_ARG(spec->data_rack));
+	return g_hash_table_lookup(
+		racks, GUINT_TO_POINTER((guint)g_quark_try_string(name)));
 }
 
 /* The rack on which the gang has capacity first. */
@@ -352,7 +364,8 @@
 		bool found = queue_all(rack, task, now, &when);
 
 		unqueue(rack, length);
-		if (!found || (best && when.at >= best_when.at))
+		if (!found || when.at <= now ||
+		    (best && when.at >= best_when.at))
 			continue;
 		best = rack;
 		best_when = when;
@@ -360,19 +373,64 @@
 	return best;
 }
 
+static int64_t count_fitting(const batch_worker_t *worker,
+			     const batch_step_spec_t *spec)
+{
+	batch_res_t need = need_of(spec);
+	int64_t n = spec->max_per_worker ? spec->max_per_worker : spec->count;
+
+	if (need.cpu)
+		n = MIN(n,
+			(worker->capacity.cpu - worker->used.cpu) / need.cpu);
+	if (need.memory)
+		n = MIN(n, (worker->capacity.memory - worker->used.memory) /
+				   need.memory);
+	if (need.gpu)
+		n = MIN(n,
+			(worker->capacity.gpu - worker->used.gpu) / need.gpu);
+	return MAX(n, 0);
+}
+
+/* Whether the rack has capacity now, also such as others wait for. */
+static bool has_capacity(const rack_t *rack, const batch_task_t *task,
+			 int64_t now)
+{
+	const batch_step_spec_t *spec = task->step->spec;
+	int64_t missing = spec->gang ? spec->count : 1;
+	guint i;
+
+	for (i = 0; i < rack->workers->len && missing > 0; i++) {
+		const batch_worker_t *worker =
+			g_array_index(rack->workers, rack_worker_t, i).worker;
+
+		if (batch_fit_has_capacity(worker, spec) &&
+		    batch_fit_allows(worker, task, now))
+			missing -= count_fitting(worker, spec);
+	}
+	return missing <= 0;
+}
+
+static bool any_has_capacity(GHashTable *racks, const batch_task_t *task,
+			     int64_t now)
+{
+	GHashTableIter iter;
+	gpointer value;
+
+	g_hash_table_iter_init(&iter, racks);
+	while (g_hash_table_iter_next(&iter, NULL, &value))
+		if (has_capacity(value, task, now))
+			return true;
+	return false;
+}
+
 static rack_t *preferred_rack(const batch_task_t *task, int64_t now)
 {
 	const batch_step_spec_t *spec = task->step->spec;
 	GHashTable *racks = find_racks(task->step->occ->job->queue->pool, now);
-	char name[BATCH_KEY_MAX];
 
 	if (!spec->data_rack.len)
 		return best_rack(racks, task, now);
-	if (spec->data_rack.len >= sizeof(name))
-		return NULL;
-	g_snprintf(name, sizeof(name), "%.*s", BASE_STR_ARG(spec->data_rack));
-	return g_hash_table_lookup(
-		racks, GUINT_TO_POINTER((guint)g_quark_try_string(name)));
+	return data_rack(racks, spec);
 }
 
 bool batch_rack_may_wait(const batch_step_t *step)
@@ -452,8 +510,9 @@
 		rack = preferred_rack(task, now);
 	if (rack) {
 		length = rack->queue->len;
-		in.expected =
-			queue_all(rack, task, now, &when) ? when.at - now : -1;
+		in.expected = queue_all(rack, task, now, &when) && when.at > now
+				      ? when.at - now
+				      : -1;
 		in.uncertainty = when.error;
 		wait = job->core->decide_wait(&in);
 	}
@@ -470,6 +529,22 @@
 	return false;
 }
 
+bool batch_rack_still_waits(batch_task_t *task, int64_t now)
+{
+	const batch_step_spec_t *spec = task->step->spec;
+	GHashTable *racks;
+	const rack_t *rack;
+
+	if (!task->rack_wait || now - task->rack_wait->seen_at > RACK_WAIT_GAP)
+		return false;
+	racks = find_racks(task->step->occ->job->queue->pool, now);
+	rack = spec->data_rack.len ? data_rack(racks, spec) : NULL;
+	if (rack ? has_capacity(rack, task, now)
+		 : !spec->data_rack.len && any_has_capacity(racks, task, now))
+		return false;
+	return batch_rack_wait(task, now);
+}
+
 void batch_rack_wait_end(batch_task_t *task, int64_t now,
 			 batch_rack_wait_outcome_t outcome)
 {
