batch: expected ends after a takeover; more tests of waits

A new holder does not know when runs began, and took the full estimate for what they have left, so that no task waited. It now uses their progress.

--- a/packages/batch/batch_rack.c
+++ b/packages/batch/batch_rack.c
@@ -153,8 +153,9 @@
 }
 
 /*
- * When the run ends: by its progress if this holder saw its start, else by its
- * estimate.  One that has exceeded its estimate takes as much longer again.
+ * When the run ends: by its progress, with its estimate if a former holder
+ * started it, or by its estimate alone.  One that has exceeded that takes as
+ * much longer again.
  */
 static release_t expected_end(const batch_run_t *run, int64_t now)
 {
@@ -177,6 +178,8 @@
 
 		left = MAX(total - done, 0);
 		error = RACK_PROGRESS_ERROR;
+	} else if (!run->sent_at) {
+		left = estimate * (100 - run->percent) / 100;
 	} else {
 		left = MAX(fabs(estimate - done), RACK_LEFT_PART * estimate);
 	}
--- a/packages/batch/tests/batch_wait_test.c
+++ b/packages/batch/tests/batch_wait_test.c
@@ -268,6 +268,55 @@
 	check_and_free(world);
 }
 
+static double needed_cpu(const world_t *world)
+{
+	batch_pools_measure(world->core, world->now);
+	return batch_pool_get(world->core, BASE_STR("pool"))->need_now.cpu;
+}
+
+/* Load: a job that waits, with little slack.  The time that it waits must not
+ * raise what its pool needs. */
+static void test_wait_adds_no_demand(void)
+{
+	world_t *world = nearly_free_world();
+	batch_job_t *job;
+	double need;
+
+	world->stretch = 3;
+	world_take_over(world);
+	world_advance(world, 100 * MS);
+	submit_local(world, "a", 4);
+	world_advance(world, 400 * MS);
+	job = batch_find_job(world->core, BASE_STR("a"));
+	g_assert_nonnull(strstr(why(world, "a"), "rack r0"));
+	need = needed_cpu(world);
+	job->rack_wait_until = 0;
+	g_assert_cmpfloat(need, <, needed_cpu(world));
+	check_and_free(world);
+}
+
+/* Load: a task that is smaller than one that waits.  Capacity that is too small
+ * for the latter must not stay idle for it. */
+static void test_smaller_task_goes_first(void)
+{
+	world_t *world = nearly_free_world();
+	batch_step_spec_t large = world_step(1);
+	batch_step_spec_t small = world_step(1);
+
+	g_array_index(world->workers[0].runs, world_run_t, 0).length = MS;
+	large.estimate = ESTIMATE;
+	large.need.cpu = 8000;
+	large.data_rack = BASE_STR("r0");
+	small.data_rack = BASE_STR("r0");
+	world_submit(world, "large", &large, 1);
+	world_advance(world, 100 * MS);
+	world_submit(world, "small", &small, 1);
+	world_advance(world, 100 * MS);
+	g_assert_nonnull(strstr(why(world, "large"), "rack r0"));
+	g_assert_cmpint(count_runs(world, "small", "r0"), ==, 1);
+	check_and_free(world);
+}
+
 static void cordon(world_t *world, int worker)
 {
 	batch_worker_cordon(world->core, world->now,
@@ -386,6 +435,9 @@
 	g_test_add_func("/batch/wait/no-penalty", test_no_penalty);
 	g_test_add_func("/batch/wait/crowd", test_crowd);
 	g_test_add_func("/batch/wait/blocks-nobody", test_wait_blocks_nobody);
+	g_test_add_func("/batch/wait/adds-no-demand", test_wait_adds_no_demand);
+	g_test_add_func("/batch/wait/smaller-task-goes-first",
+			test_smaller_task_goes_first);
 	g_test_add_data_func("/batch/wait/rack-cordoned", (gconstpointer)cordon,
 			     test_rack_goes);
 	g_test_add_data_func("/batch/wait/rack-unreachable",
