--- a/packages/batch/batch.c
+++ b/packages/batch/batch.c
@@ -31,8 +31,10 @@
 		g_array_unref(worker->in_doubt_starts);
 	}
 	g_hash_table_iter_init(&iter, core->pools);
-	while (g_hash_table_iter_next(&iter, NULL, &value))
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		batch_racks_forget(value);
 		g_ptr_array_unref(((batch_pool_t *)value)->workers);
+	}
 	g_hash_table_iter_init(&iter, core->jobs);
 	while (g_hash_table_iter_next(&iter, NULL, &value))
 		if (((batch_job_t *)value)->occs)
@@ -68,6 +70,7 @@
 	int i;
 
 	core->options = *options;
+	core->decide_wait = batch_wait_decide;
 	for (i = 0; i < BATCH_TIME_MAX; i++)
 		core->times[i] = base_hist_new(core);
 	core->jobs = g_hash_table_new(g_str_hash, g_str_equal);
