soak: workspaces, keys and the removal of a key

--workspaces: two workspaces, one with a limit; callers send keys, and the operator removes and adds one of them beside all faults. No request may succeed that was sent with it longer after its removal than the bound; the other key is never refused. Runs without the option draw and send what they did.

--- a/soak/soak_caller.c
+++ b/soak/soak_caller.c
@@ -31,6 +31,9 @@
 /* Jobs that run until they are cancelled. */
 #define CALLER_LONG_RUNNING_PERCENT 6
 #define CALLER_LONG_RUNNING_TASKS_MAX 3
+/* Jobs of the workspace with a limit and a key that is removed at times; none
+ * of them is long-running, as those might fill the limit. */
+#define CALLER_RED_PERCENT 30
 /* Maximum age of a reported state: visible_ms in PROTOCOL. */
 #define CALLER_STALE_MAX (3 * BASE_SEC)
 
@@ -47,6 +50,7 @@
 typedef struct query {
 	soak_job_t *job;
 	int64_t sent_at;
+	soak_key_use_t use;
 } query_t;
 
 static void submit_job(void *arg);
@@ -62,15 +66,16 @@
 static void send_request(soak_job_t *job, net_method_t method, const char *body,
 			 net_done_t *done, void *arg)
 {
-	static const net_header_t headers[] = {
+	const net_header_t headers[] = {
 		{ "Host", "desk.example" },
 		{ "X-Deadline-Ms", "3000" },
+		{ "X-Key", soak_key(job->workspace) },
 	};
 	char path[40];
 	net_request_t request = { .method = method,
 				  .path = path,
 				  .headers = headers,
-				  .n_headers = ARRAY_SIZE(headers),
+				  .n_headers = job->soak->keys ? 3 : 2,
 				  .body = base_str(body),
 				  .timeout = CALLER_DEADLINE +
 					     CALLER_DEADLINE_MARGIN };
@@ -91,14 +96,20 @@
 static void submit_done(void *arg, const net_answer_t *answer)
 {
 	soak_job_t *job = arg;
+	bool is_answered = answer->call_outcome == NET_ANSWERED;
 
-	if (answer->call_outcome == NET_ANSWERED && answer->status == 200) {
+	if (is_answered)
+		soak_key_judge(job->soak, job->workspace, &job->submit_use,
+			       answer->status);
+	if (is_answered && answer->status == 200) {
 		job->outcome = SOAK_JOB_ACCEPTED;
 		job->accepted_at = base_clock_mono();
 		return;
 	}
 	/* 503: this attempt was not accepted.  504: it may have been. */
-	if (answer->call_outcome == NET_ANSWERED && answer->status == 503) {
+	if (is_answered && (answer->status == 503 ||
+			    (job->soak->keys && (answer->status == 401 ||
+						 answer->status == 429)))) {
 		retry_or_finish(job, CALLER_REFUSED_DELAY);
 		return;
 	}
@@ -128,6 +139,7 @@
 					       job->task_count[1]);
 
 	job->attempts++;
+	job->submit_use = soak_key_use(job->soak, job->workspace);
 	send_request(job, NET_POST, body, submit_done, job);
 	g_free(body);
 }
@@ -154,6 +166,10 @@
 			&callers->rng, 1, CALLER_LONG_RUNNING_TASKS_MAX);
 		job->task_count[1] = 0;
 	}
+	if (soak->keys &&
+	    base_rng_below(&callers->rng, 100) < CALLER_RED_PERCENT &&
+	    !job->is_long_running)
+		job->workspace = SOAK_RED;
 	if (base_rng_below(&callers->rng, 100) < CALLER_CANCEL_PERCENT)
 		job->cancel_at =
 			base_clock_mono() +
@@ -168,6 +184,9 @@
 	soak_job_t *job = arg;
 	bool is_answered = answer->call_outcome == NET_ANSWERED;
 
+	if (is_answered)
+		soak_key_judge(job->soak, job->workspace, &job->cancel_use,
+			       answer->status);
 	if (is_answered && answer->status == 200)
 		job->cancelled_at = base_clock_mono();
 	else if (is_answered && answer->status == 410)
@@ -180,6 +199,7 @@
 {
 	job->cancel_sent = true;
 	job->cancel_at = INT64_MAX;
+	job->cancel_use = soak_key_use(job->soak, job->workspace);
 	send_request(job, NET_DELETE, NULL, cancel_done, job);
 }
 
@@ -207,6 +227,9 @@
 	json_t *root;
 	const char *state;
 
+	if (answer->call_outcome == NET_ANSWERED)
+		soak_key_judge(job->soak, job->workspace, &query->use,
+			       answer->status);
 	if (answer->call_outcome == NET_ANSWERED && answer->status == 410 &&
 	    !job->cancel_sent &&
 	    query->sent_at > job->accepted_at + CALLER_STALE_MAX)
@@ -263,6 +286,7 @@
 	query = talloc_zero(callers, query_t);
 	query->job = job;
 	query->sent_at = base_clock_mono();
+	query->use = soak_key_use(job->soak, job->workspace);
 	send_request(job, NET_GET, NULL, query_done, query);
 }
 
--- a/soak/soak_fault.c
+++ b/soak/soak_fault.c
@@ -390,10 +390,15 @@
 	set_switch_number(soak, "list", fault->target % SOAK_WORKERS);
 }
 
+void soak_configure_next(soak_t *soak)
+{
+	soak_configure(soak, ++soak->faults->config_version);
+}
+
 static bool change_config(soak_t *soak, fault_t *fault)
 {
 	(void)fault;
-	soak_configure(soak, ++soak->faults->config_version);
+	soak_configure_next(soak);
 	return true;
 }
 
--- a/soak/soak_int.h
+++ b/soak/soak_int.h
@@ -90,6 +90,37 @@
 void soak_faults_end_all(soak_faults_t *faults);
 int soak_faults_count(const soak_faults_t *faults);
 
+/* soak_key.c: two workspaces; the operator removes and adds the key of one. */
+typedef struct soak_keys soak_keys_t;
+
+typedef enum soak_workspace {
+	SOAK_BLUE, /* its key stays */
+	SOAK_RED,
+	SOAK_WORKSPACE_MAX
+} soak_workspace_t;
+
+/* A request with a key, as it was sent. */
+typedef struct soak_key_use {
+	int64_t sent_at;
+	int64_t removed_at; /* since when the key was removed; 0: it is not */
+} soak_key_use_t;
+
+soak_keys_t *soak_keys_new(soak_t *soak);
+/* Changes the keys now and then. */
+void soak_keys_tick(soak_t *soak, int64_t now);
+/* From now on all keys are there. */
+void soak_keys_restore(soak_t *soak);
+/* The configuration's workspaces, for the version that is written next. */
+const char *soak_keys_tenants(soak_t *soak);
+void soak_keys_sent(soak_t *soak, int version);
+/* The operator's write of that version was acknowledged. */
+void soak_keys_written(soak_t *soak, int version);
+const char *soak_key(soak_workspace_t workspace);
+soak_key_use_t soak_key_use(const soak_t *soak, soak_workspace_t workspace);
+/* Judges an answer to a request of the workspace. */
+void soak_key_judge(soak_t *soak, soak_workspace_t workspace,
+		    const soak_key_use_t *use, int status);
+
 /* soak_caller.c: callers and the answers that they got. */
 typedef enum soak_outcome {
 	SOAK_JOB_OPEN,
@@ -110,6 +141,9 @@
 typedef struct soak_job {
 	soak_t *soak;
 	char id[17];
+	soak_workspace_t workspace;
+	soak_key_use_t submit_use;
+	soak_key_use_t cancel_use;
 	int task_count[SOAK_STEPS]; /* step 1 depends on step 0 */
 	bool is_long_running;	    /* it has one step and never completes */
 	soak_outcome_t outcome;
@@ -163,6 +197,7 @@
 	const char *work_dir;	 /* directory for logs and settings */
 	int port;		 /* first port of the block */
 	size_t kinds_max;	 /* faults are drawn from so many kinds */
+	soak_keys_t *keys;	 /* NULL: a run without workspaces */
 	int64_t started_at;
 	soak_process_t *standin;
 	soak_process_t *nodes[SOAK_NODES];
@@ -186,6 +221,8 @@
 /* Writes a configuration, or orders a wave, as the operator.  Waves of even
  * and of odd numbers have different instances. */
 void soak_configure(soak_t *soak, int version);
+/* Writes the next version. */
+void soak_configure_next(soak_t *soak);
 void soak_order_wave(soak_t *soak, int number, int max_concurrent);
 /* A random number from "min" to "max", both included. */
 int64_t soak_random_range(base_rng_t *rng, int64_t min, int64_t max);
--- a/soak/soak_main.c
+++ b/soak/soak_main.c
@@ -1,5 +1,6 @@
 /*
  * usage: soak --seed=N --seconds=N --programs=DIR --work=DIR [--kinds=N]
+ *             [--workspaces]
  *
  * One run: the site settles, faults are injected while callers submit jobs, all
  * faults end, and every accepted job has to complete.  The last line of output
@@ -45,6 +46,7 @@
 	soak_t *soak;
 	const char *name;
 	int64_t seconds;
+	bool has_workspaces;
 	phase_t phase;
 	int64_t phase_since; /* when the phase began or service was restored */
 	bool is_querying;
@@ -112,18 +114,40 @@
 	net_call(soak->control, &request, post_done, soak);
 }
 
+typedef struct config_write {
+	soak_t *soak;
+	int version;
+} config_write_t;
+
+static void config_written(void *arg, const net_answer_t *answer)
+{
+	config_write_t *write = arg;
+
+	post_done(write->soak, answer);
+	if (answer->call_outcome == NET_ANSWERED && answer->status == 200)
+		soak_keys_written(write->soak, write->version);
+	talloc_free(write);
+}
+
 void soak_configure(soak_t *soak, int version)
 {
+	config_write_t *write = talloc_zero(soak, config_write_t);
+	net_request_t request = { .method = NET_POST,
+				  .path = "/operator?key=op/config",
+				  .timeout = 5 * BASE_SEC };
 	char *body = g_strdup_printf(
 		"{\"version\":%d,\"routes\":[{\"name\":\"jobs\","
 		"\"host\":\"desk.example\",\"prefix\":\"/jobs/\","
 		"\"service\":\"desk\",\"attempts\":2,\"stretch\":50,"
 		"\"targetLatencyMs\":20000,\"priority\":0}],\"services\":["
 		"{\"name\":\"desk\",\"admissionCheck\":true},"
-		"{\"name\":\"spare\",\"admissionCheck\":true,\"spare\":true}]}",
-		version);
+		"{\"name\":\"spare\",\"admissionCheck\":true,\"spare\":true}]%s}",
+		version, soak_keys_tenants(soak));
 
-	soak_post(soak, "/operator?key=op/config", body);
+	*write = (config_write_t){ soak, version };
+	soak_keys_sent(soak, version);
+	request.body = base_str(body);
+	net_call(soak->control, &request, config_written, write);
 	g_free(body);
 }
 
@@ -172,14 +196,15 @@
 		"\"peers\": \"127.0.0.1:%d\", \"peers_at\": \"127.0.0.1:%d\",\n"
 		"\"metrics\": \"127.0.0.1:%d\", \"store\": \"127.0.0.1:%d\",\n"
 		"\"instances\": \"127.0.0.1:%d\", \"processor_cores\": 0.25,\n"
-		"\"lease_max_ms\": 6000, \"keep_s\": 600}\n",
+		"\"lease_max_ms\": 6000, \"keep_s\": 600%s}\n",
 		i, i % 3, soak_port(soak, SOAK_PORT_CALLERS, i),
 		soak_port(soak, SOAK_PORT_READY, i),
 		soak_port(soak, SOAK_PORT_PEERS, i),
 		soak_port(soak, SOAK_PORT_PEERS_LINK, i),
 		soak_port(soak, SOAK_PORT_METRICS, i),
 		soak_port(soak, SOAK_PORT_STORE_LINK, i),
-		soak_port(soak, SOAK_PORT_INSTANCES_LINK, i));
+		soak_port(soak, SOAK_PORT_INSTANCES_LINK, i),
+		soak->keys ? ", \"revoke_bound_ms\": 3000" : "");
 	GError *err = NULL;
 
 	if (!g_file_set_contents(file, text, -1, &err)) {
@@ -273,6 +298,8 @@
 		exit(2);
 	}
 	soak->standin->is_exit_expected = false;
+	if (run->has_workspaces)
+		soak->keys = soak_keys_new(soak);
 	soak_configure(soak, 1);
 	for (i = 0; i < SOAK_NODES; i++) {
 		soak->nodes[i] = node_new(soak, i);
@@ -366,6 +393,7 @@
 	int i;
 
 	soak_faults_end_all(soak->faults);
+	soak_keys_restore(soak);
 	for (i = 0; i < SOAK_NODES; i++)
 		soak_process_signal(soak->nodes[i], SIGCONT);
 	run->faults_ended_at = base_clock_mono();
@@ -433,6 +461,7 @@
 		break;
 	case PHASE_FAULTS:
 		soak_faults_tick(soak->faults, now);
+		soak_keys_tick(soak, now);
 		soak_callers_tick(soak->callers, now, false);
 		if (now - run->phase_since > run->seconds * BASE_SEC)
 			end_faults(run);
@@ -505,6 +534,7 @@
 	int64_t seed;
 	int64_t seconds;
 	size_t kinds_max;
+	bool has_workspaces;
 	const char *programs;
 	const char *work;
 } options_t;
@@ -521,7 +551,8 @@
 
 		*run = (run_t){ .soak = soak,
 				.name = name,
-				.seconds = options->seconds };
+				.seconds = options->seconds,
+				.has_workspaces = options->has_workspaces };
 		soak->loop = net_loop_new(soak);
 		soak->base = net_loop_base(soak->loop);
 		soak->rng.state = (uint64_t)options->seed;
@@ -559,8 +590,14 @@
 	struct arg_int *kinds = arg_int0(NULL, "kinds", "N",
 					 "draw from the first N kinds of fault "
 					 "(all)");
+	struct arg_lit *workspaces =
+		arg_lit0(NULL, "workspaces",
+			 "two workspaces, of which one has a key that is "
+			 "removed and added");
 	struct arg_end *end = arg_end(4);
-	void *table[] = { seed, seconds, programs, work, kinds, end };
+	void *table[] = {
+		seed, seconds, programs, work, kinds, workspaces, end
+	};
 	options_t options = { .seconds = 20, .kinds_max = SIZE_MAX };
 	int status;
 
@@ -574,6 +611,7 @@
 		options.seconds = seconds->ival[0];
 	if (kinds->count && kinds->ival[0] > 0)
 		options.kinds_max = (size_t)kinds->ival[0];
+	options.has_workspaces = workspaces->count > 0;
 	options.programs = programs->sval[0];
 	options.work = work->sval[0];
 	status = run_seed(&options);
