--- a/packages/batch/tests/batch_workspace_test.c
+++ b/packages/batch/tests/batch_workspace_test.c
@@ -186,11 +186,12 @@
 {
 	world_t *world = limited_world(2);
 	batch_step_spec_t step = world_step(8);
+	batch_workspace_info_t none = { 0 };
 	int i;
 
 	world_submit(world, "a", &step, 1);
 	world_advance(world, 500 * MS);
-	world_set_workspaces(world, NULL, 0);
+	world_set_workspaces(world, &none, 0);
 	world_take_over(world);
 	for (i = 0; i < 20; i++) {
 		world_advance(world, 100 * MS);
