batch: copies of slow runs of speculative steps

Cause: a task of a step with `speculative` ran once; a slow run was stopped and started elsewhere, and its work was lost where the estimate was wrong.

The first end that is done counts, the other run is stopped. Where the other run's start has no answer, the end is not acknowledged, nor the job completed, until it cannot be carried out. Rows list runs that "tasks" cannot name in "copies". Crash counts keep the number of the run that was lost, not the task's highest. Other steps are as before.

--- a/packages/batch/batch.c
+++ b/packages/batch/batch.c
@@ -332,6 +332,7 @@
 batch_job_t *batch_job_new(batch_t *core, const batch_spec_t *spec)
 {
 	batch_job_t *job = talloc_zero(core, batch_job_t);
+	int i;
 
 	job->core = core;
 	job->spec = *spec;
@@ -345,6 +346,8 @@
 	job->spec.source = dup_str(job, spec->source);
 	if (spec->n_steps)
 		copy_steps(job, spec);
+	for (i = 0; i < spec->n_steps; i++)
+		job->is_speculative |= batch_step_may_copy(&spec->steps[i]);
 	batch_estimate_init(job);
 	job->queue = queue_of(core, spec);
 	job->state = BATCH_QUEUED;
--- a/packages/batch/batch.h
+++ b/packages/batch/batch.h
@@ -169,6 +169,7 @@
 	BATCH_LOG_RUN_FAILED,
 	BATCH_LOG_RUN_LOST,
 	BATCH_LOG_RUN_STOPPED,
+	BATCH_LOG_RUN_COPIED, /* a copy starts beside a slow run */
 	BATCH_LOG_RUN_IN_DOUBT,
 	/* A worker that may carry out an earlier start of the task late is lost
 	 * since it has answered the stop of that run, or no longer is. */
--- a/packages/batch/batch_commit.c
+++ b/packages/batch/batch_commit.c
@@ -111,6 +111,14 @@
 	       run->version <= run->task->step->occ->job->stored_version;
 }
 
+static void drop_if_unfit(batch_run_t *run, int64_t now)
+{
+	if (is_to_be_sent(run) &&
+	    (batch_worker_capacity_is_old(run->worker, now) ||
+	     batch_workspace_is_over(run->task->step->occ->job->workspace)))
+		batch_run_drop_unsent(run);
+}
+
 /* Sends the runs of a step, or of a gang none if one cannot be sent.  A limit
  * may have been lowered since they were decided. */
 static void send_step_runs(batch_step_t *step, int64_t now)
@@ -118,16 +126,15 @@
 	int t;
 
 	for (t = 0; t < step->spec->count; t++) {
-		batch_run_t *run = step->tasks[t].run;
-
-		if (is_to_be_sent(run) &&
-		    (batch_worker_capacity_is_old(run->worker, now) ||
-		     batch_workspace_is_over(step->occ->job->workspace)))
-			batch_run_drop_unsent(run);
+		drop_if_unfit(step->tasks[t].copy, now);
+		drop_if_unfit(step->tasks[t].run, now);
 	}
-	for (t = 0; t < step->spec->count; t++)
+	for (t = 0; t < step->spec->count; t++) {
+		if (is_to_be_sent(step->tasks[t].copy))
+			batch_run_send(step->tasks[t].copy, now);
 		if (is_to_be_sent(step->tasks[t].run))
 			batch_run_send(step->tasks[t].run, now);
+	}
 }
 
 static void stop_withdrawn_runs(const batch_step_t *step, int64_t now)
--- a/packages/batch/batch_crash.c
+++ b/packages/batch/batch_crash.c
@@ -532,13 +532,39 @@
 	give_up_if_due(head);
 }
 
+/* The run of the task, or of its gang, on the worker: of two runs of a task the
+ * other one may be lost later. */
+static const batch_run_t *find_run(const batch_worker_t *worker,
+				   const batch_task_t *head)
+{
+	guint i;
+
+	for (i = 0; i < worker->runs->len; i++) {
+		const batch_run_t *run = g_ptr_array_index(worker->runs, i);
+
+		if (batch_crash_head(run->task) == head)
+			return run;
+	}
+	return NULL;
+}
+
+static int64_t number_of_run(const batch_worker_t *worker,
+			     const batch_task_t *head)
+{
+	const batch_run_t *run = find_run(worker, head);
+
+	return run && !head->step->spec->gang ? run->number : head->number;
+}
+
 /* The task may have crashed the worker, which has crashed. */
 static void suspect(batch_task_t *head, const batch_worker_t *worker,
 		    int64_t now, batch_suspicion_t suspicion)
 {
-	head->crashes.counted_run = head->number;
+	int64_t run = number_of_run(worker, head);
+
+	head->crashes.counted_run = MAX(head->crashes.counted_run, run);
 	count_crash(head, suspicion);
-	log_suspicion(head, worker->id, head->number, now - worker->polled_at,
+	log_suspicion(head, worker->id, run, now - worker->polled_at,
 		      suspicion_names[suspicion]);
 }
 
@@ -546,15 +572,9 @@
 static int64_t incarnation_of_run(const batch_worker_t *worker,
 				  const batch_task_t *head)
 {
-	guint i;
+	const batch_run_t *run = find_run(worker, head);
 
-	for (i = 0; i < worker->runs->len; i++) {
-		const batch_run_t *run = g_ptr_array_index(worker->runs, i);
-
-		if (batch_crash_head(run->task) == head)
-			return run->incarnation;
-	}
-	return worker->incarnation;
+	return run ? run->incarnation : worker->incarnation;
 }
 
 /*
@@ -579,7 +599,7 @@
 {
 	batch_crashes_t *crashes = &head->crashes;
 	batch_missing_run_t run = {
-		.run = head->number,
+		.run = number_of_run(worker, head),
 		.incarnation = incarnation_of_run(worker, head),
 		.address = worker->address,
 		.instance = worker->instance,
@@ -590,12 +610,12 @@
 							 : suspicion,
 	};
 
-	crashes->counted_run = head->number;
+	crashes->counted_run = MAX(crashes->counted_run, run.run);
 	if (suspicion >= BATCH_SUSPECT_SHARED)
 		crashes->needs_trial = true;
 	batch_job_changed(head->step->occ->job);
 	batch_missing_add(base_str(worker->id), head, &run);
-	log_suspicion(head, worker->id, head->number, now - worker->polled_at,
+	log_suspicion(head, worker->id, run.run, now - worker->polled_at,
 		      begun ? "lost, perhaps crashed"
 			    : "lost, perhaps before the start");
 	give_up_if_due(head);
--- a/packages/batch/batch_doubt.c
+++ b/packages/batch/batch_doubt.c
@@ -133,8 +133,7 @@
 {
 	const batch_task_t *task = batch_find_task(worker->core, id);
 
-	return task && task->run && task->run->worker == worker &&
-	       task->run->number == run;
+	return task && batch_task_find_run(task, base_str(worker->id), run);
 }
 
 void batch_doubt_add(batch_worker_t *worker, int64_t now,
@@ -335,6 +334,17 @@
 				now < task->void_since + DOUBT_LASTING_MAX);
 }
 
+static void stop_run(batch_run_t *run, const batch_worker_t *lost, int64_t now)
+{
+	if (!run || run->state == RUN_STOPPING ||
+	    (run->worker == lost && lost->unreached))
+		return;
+	if (!run->task->step->spec->long_running)
+		batch_run_stop(run, now, DOUBT_WHY);
+	else if (batch_evacuate_may_stop(run, now))
+		batch_run_withdraw(run, DOUBT_WHY);
+}
+
 /*
  * A gang is stopped as a whole: its members do not go on without each other.
  * What runs on the lost worker itself is lost with it, or goes on with it.
@@ -346,16 +356,10 @@
 	int i;
 
 	for (i = 0; i < step->spec->count; i++) {
-		batch_run_t *run = step->tasks[i].run;
-
-		if (!run || run->state == RUN_STOPPING ||
-		    (run->worker == lost && lost->unreached) ||
-		    !(step->spec->gang || &step->tasks[i] == task))
+		if (!(step->spec->gang || &step->tasks[i] == task))
 			continue;
-		if (!step->spec->long_running)
-			batch_run_stop(run, now, DOUBT_WHY);
-		else if (batch_evacuate_may_stop(run, now))
-			batch_run_withdraw(run, DOUBT_WHY);
+		stop_run(step->tasks[i].copy, lost, now);
+		stop_run(step->tasks[i].run, lost, now);
 	}
 }
 
--- a/packages/batch/batch_explain.c
+++ b/packages/batch/batch_explain.c
@@ -59,6 +59,9 @@
 		if (task->run) {
 			counts.placed++;
 			json_array_append_new(runs, run_json(task->run, now));
+			if (task->copy)
+				json_array_append_new(
+					runs, run_json(task->copy, now));
 		} else if (!task->done) {
 			counts.waiting++;
 			if (!counts.first)
--- a/packages/batch/batch_fit.c
+++ b/packages/batch/batch_fit.c
@@ -122,6 +122,8 @@
 	/* Its next run is to be elsewhere. */
 	if (task->run && task->run->worker == worker)
 		return false;
+	if (task->copy && task->copy->worker == worker)
+		return false;
 	if (worker->reserved_for && worker->reserved_for != task &&
 	    task->claim != worker)
 		return false;
--- a/packages/batch/batch_int.h
+++ b/packages/batch/batch_int.h
@@ -84,7 +84,11 @@
 	 */
 	batch_load_t due;
 	batch_load_t stranded;
-	int incoming; /* workers moving to the pool */
+	/* A task of a workspace below its limit has got no place in the last
+	 * pass. */
+	bool has_waiting;
+	double copies_cpu; /* see batch_copies_start() */
+	int incoming;	   /* workers moving to the pool */
 	/* When a step was found last that the policy allows on none of the
 	 * pool's workers; 0: never. */
 	int64_t excluded_at;
@@ -160,6 +164,9 @@
 	int percent;
 	int pace; /* percent, as ordered; 100 at its start */
 	bool stop_acknowledged;
+	/* Its task is done and its start may still be carried out: see
+	 * batch_copy.c. */
+	bool holds_end;
 	bool worker_restarted;	  /* its worker restarted since it began */
 	bool is_stopped_in_doubt; /* its stop has no reason but the doubt */
 	bool on_trial;		  /* see batch_crash.c */
@@ -231,6 +238,9 @@
 	int64_t number; /* highest run number so far */
 	char *checkpoint;
 	batch_run_t *run;
+	/* A second run beside "run", which is the older one; see batch_copy.c.
+	 * NULL if "run" is NULL. */
+	batch_run_t *copy;
 	/* Where it last failed or was refused; compared only, it may be freed.
 	 */
 	const batch_worker_t *avoid_worker;
@@ -269,7 +279,7 @@
 	int number;
 	batch_task_t *tasks;
 	int done;
-	int n_open_runs; /* runs of tasks that are not done */
+	int n_open_runs; /* tasks that are not done and have a run */
 	bool has_started;
 	int64_t begun_at; /* 0: a predecessor began it */
 	int placed;	  /* tasks that have had a run */
@@ -332,6 +342,10 @@
 	uint64_t stored_version;  /* last version stored */
 	bool cancel_confirmed;
 	int n_runs;
+	bool is_speculative; /* tasks of a step of it may have copies */
+	bool has_copies;     /* a task of it has or had a copy */
+	int n_held_ends;     /* runs with "holds_end" */
+	bool has_held_ends;  /* it may be complete once it has none */
 	int n_unstored_ends; /* entries of workers' lists that refer to it */
 	/* A task may wait for a worker; false: none does, until an event. */
 	bool may_wait;
@@ -493,6 +507,7 @@
 	bool pass_needed;	/* an event calls for a scheduling pass */
 	int64_t last_pass_at;
 	int64_t wait_logged_at; /* the last log of any task that waits */
+	int64_t copies_at;	/* when it was last looked for runs to copy */
 	int64_t swept_at; /* last check of leases, stops and cordoned workers */
 };
 
@@ -578,7 +593,17 @@
 /* batch_run.c */
 batch_run_t *batch_run_new(batch_task_t *task, batch_worker_t *worker,
 			   int64_t now, int64_t number);
+/* The task's other run, if any, stays. */
 void batch_run_free(batch_run_t *run);
+/* The run of the task with that number on the worker; NULL: none. */
+batch_run_t *batch_task_find_run(const batch_task_t *task, base_str_t worker,
+				 int64_t number);
+/* The task's other run; NULL: none. */
+batch_run_t *batch_run_other(const batch_run_t *run);
+/* The run's start or its stop is confirmed: it holds no end any longer. */
+void batch_run_release_end(batch_run_t *run);
+/* Its task is done: the run holds its end if its start may be carried out. */
+void batch_run_hold_end(batch_run_t *run);
 void batch_run_set_state(batch_run_t *run, run_state_t state, int64_t now);
 void batch_run_send(batch_run_t *run, int64_t now);
 void batch_run_stop(batch_run_t *run, int64_t now, const char *why);
@@ -755,6 +780,28 @@
 
 /* batch_progress.c */
 void batch_progress_check(batch_worker_t *worker, int64_t now);
+/* The expected time of a run of the task. */
+int64_t batch_progress_expected(const batch_task_t *task);
+
+/* batch_copy.c */
+/* A run that may be slow, and what is expected of a new one. */
+typedef struct batch_copy_case {
+	int64_t expected; /* time of a new run */
+	int64_t age;
+	int percent; /* as last reported */
+} batch_copy_case_t;
+
+/* Whether a copy of the run is likely to end clearly before it. */
+bool batch_copy_pays(const batch_copy_case_t *of);
+/* Whether tasks of the step may have two runs. */
+bool batch_step_may_copy(const batch_step_spec_t *spec);
+/* Whether the task may have a copy beside its run, should that be slow. */
+bool batch_task_may_copy(const batch_task_t *task);
+/*
+ * Starts copies of slow runs, after the waiting tasks were placed; at most
+ * "max" of them.
+ */
+void batch_copies_start(batch_t *core, int64_t now, int max);
 
 /* batch_advice.c */
 bool batch_advice_allows(const batch_task_t *task, const batch_worker_t *worker,
--- a/packages/batch/batch_place.c
+++ b/packages/batch/batch_place.c
@@ -105,6 +105,8 @@
 #define PLACE_COST_REMOTE_RACK 8
 /* The task's last run failed or was refused on this worker. */
 #define PLACE_COST_AVOID 16
+/* A copy on the rack of the slow run; less than a rack without the data. */
+#define PLACE_COST_COPY_RACK 2
 /* More than a worker's runs: one without capacity is kept for a trial last. */
 #define PLACE_COST_NO_CAPACITY 1000
 
@@ -225,6 +227,9 @@
 	if (spec->data_rack.len &&
 	    !base_str_eq(base_str(worker->rack), spec->data_rack))
 		cost += PLACE_COST_REMOTE_RACK;
+	if (task->run && batch_step_may_copy(spec) &&
+	    !strcmp(worker->rack, task->run->worker->rack))
+		cost += PLACE_COST_COPY_RACK;
 	if (spec->long_running) {
 		cost = -cost;
 		cost += 4 * interference(worker, spec);
@@ -506,6 +511,8 @@
 	batch_t *core = task->step->occ->job->core;
 	batch_fit_counts_t counts;
 
+	if (batch_workspace_allows(task->step, 1))
+		task->step->occ->job->queue->pool->has_waiting = true;
 	if (!task->due_since) {
 		task->due_since = now;
 		task->wait_logged_at = now - PLACE_WAIT_LOG_PERIOD;
@@ -771,11 +778,13 @@
 /*
  * Places the jobs in order of rank, as far as the holder keeps up.  Of those
  * that have not begun, and of those that are deferred, the jobs of workspaces
- * that have less of the pool than they are due go first.
+ * that have less of the pool than they are due go first.  Returns whether all
+ * were looked at.
  */
-static void place_ranked(const batch_t *core, const ranked_t *ranks, size_t n,
+static bool place_ranked(const batch_t *core, const ranked_t *ranks, size_t n,
 			 int64_t now)
 {
+	bool all = true;
 	batch_job_t **later = g_new(batch_job_t *, n + 1);
 	size_t i = 0;
 
@@ -796,8 +805,10 @@
 		}
 		for (j = 0; j < n_later && may_decide(core, group); j++)
 			place_job(later[j]->queue->pool, later[j], now);
+		all &= j == n_later;
 	}
 	g_free(later);
+	return all && i == n;
 }
 
 void batch_place(batch_t *core, int64_t now, int64_t wall)
@@ -813,6 +824,7 @@
 		batch_pool_t *pool = value;
 
 		pool->full = false;
+		pool->has_waiting = false;
 		pool->due = (batch_load_t){ 0, 0 };
 	}
 	for (i = 0; i < core->active_jobs->len; i++) {
@@ -827,7 +839,9 @@
 	}
 	qsort(ranks, n, sizeof(*ranks), rank_cmp);
 	batch_workspaces_divide(core, now);
-	place_ranked(core, ranks, n, now);
+	if (place_ranked(core, ranks, n, now))
+		batch_copies_start(core, now,
+				   PLACE_UNSENT_BUSY_MAX - core->n_unsent);
 	for (i = 0; i < n && batch_advice_request(ranks[i].job, now); i++)
 		;
 	talloc_free(ranks);
--- a/packages/batch/batch_progress.c
+++ b/packages/batch/batch_progress.c
@@ -68,14 +68,19 @@
 }
 
 /* Declared estimates are rough: the queue's mean run time is a lower bound. */
-static int64_t expected_time(const batch_run_t *run)
+int64_t batch_progress_expected(const batch_task_t *task)
 {
-	const batch_job_t *job = run->task->step->occ->job;
-	int64_t time = batch_task_estimate(job, run->task->step->number);
+	const batch_job_t *job = task->step->occ->job;
+	int64_t time = batch_task_estimate(job, task->step->number);
 
 	return MAX(time, (int64_t)job->queue->mean_run);
 }
 
+static int64_t expected_time(const batch_run_t *run)
+{
+	return batch_progress_expected(run->task);
+}
+
 /* How long a run may report the same progress; 0: without limit. */
 static int64_t stall_timeout(const batch_run_t *run)
 {
@@ -151,6 +156,9 @@
 	int64_t left =
 		projected_time(run, now) - (now - run->start_confirmed_at);
 
+	/* A copy starts beside it instead. */
+	if (batch_task_may_copy(run->task))
+		return;
 	/* The starts of a task that may crash workers are counted. */
 	if (run->task->slow_moves >= SLOW_MOVES_MAX || !is_slow(run, now) ||
 	    left < SLOW_RESTART_FACTOR * expected_time(run) ||
--- a/packages/batch/batch_record.c
+++ b/packages/batch/batch_record.c
@@ -17,15 +17,18 @@
  *  "in_doubt": [[occurrence, step, index, run, worker, stopped_by,
  *  until (wall, microseconds)], ...],
  *  "given_up": [workers, occurrence, step, index],
+ *  "copies": [[occurrence, step, index, number, worker], ...],
  *  "workspace": of a job that has ended, if it has one}
  *
- * The last seven, and "done_occurrences", are left out where they are empty:
+ * The last eight, and "done_occurrences", are left out where they are empty:
  * "crashes" lists the tasks under which workers were lost, "missing" the runs
  * of lost workers that may live, with what follows if they have crashed,
  * "failed_runs" the runs that "fails" counts, "withdrawn" the tasks whose run
  * is being stopped, "in_doubt" the former starts without an answer that a
  * worker's process has refused, "given_up" names the task for which the job was
- * given up.  Former versions do not write them, and ignore them.
+ * given up, "copies" the runs of speculative steps that "tasks" cannot name:
+ * "worker" there is that of the run with the task's highest number, and of no
+ * run if the task is done.  Former versions do not write them, and ignore them.
  *
  * Tasks that never had a run are left out.  The worker is empty unless a run
  * may exist there.  "done_steps" names the steps whose tasks are left out since
@@ -82,10 +85,22 @@
 	base_buf_add(buf, ",", 1);
 }
 
+static bool is_listed_as_copy(const batch_run_t *run)
+{
+	const batch_task_t *task = run->task;
+
+	if (!batch_step_may_copy(task->step->spec))
+		return false;
+	return task->done ? run->holds_end : run->number != task->number;
+}
+
 static void print_task(base_buf_t *buf, const batch_task_t *task, bool *first)
 {
 	const batch_step_t *step = task->step;
+	const batch_run_t *latest = task->copy ? task->copy : task->run;
 
+	if (latest && is_listed_as_copy(latest))
+		latest = NULL;
 	if (!task->number && !task->done)
 		return;
 	base_buf_adds(buf, *first ? "[" : ",[");
@@ -96,8 +111,8 @@
 	add_number(buf, task->done);
 	add_number(buf, task->number);
 	add_number(buf, task->n_failures);
-	base_buf_add_json(buf, task->run ? base_str(task->run->worker->id)
-					 : BASE_STR(""));
+	base_buf_add_json(buf,
+			  latest ? base_str(latest->worker->id) : BASE_STR(""));
 	base_buf_adds(buf, ",");
 	base_buf_add_json(buf, task->done ? BASE_STR("")
 					  : base_str(task->checkpoint));
@@ -115,16 +130,20 @@
 	return false;
 }
 
+static void add_run(GPtrArray *runs, batch_run_t *run)
+{
+	if (run && run->incarnation && !has_worker(runs, run->worker))
+		g_ptr_array_add(runs, run);
+}
+
 /* Adds a run for each worker whose incarnation is known. */
 static void add_runs(GPtrArray *runs, const batch_step_t *step)
 {
 	int i;
 
 	for (i = 0; i < step->spec->count; i++) {
-		batch_run_t *run = step->tasks[i].run;
-
-		if (run && run->incarnation && !has_worker(runs, run->worker))
-			g_ptr_array_add(runs, run);
+		add_run(runs, step->tasks[i].run);
+		add_run(runs, step->tasks[i].copy);
 	}
 }
 
@@ -266,6 +285,26 @@
 	return true;
 }
 
+static bool print_copies(base_buf_t *buf, const batch_task_t *task, bool first)
+{
+	const batch_run_t *runs[] = { task->run, task->copy };
+	bool any = false;
+	int i;
+
+	for (i = 0; i < 2; i++) {
+		if (!runs[i] || !is_listed_as_copy(runs[i]))
+			continue;
+		base_buf_addf(buf, "%s[%d,%d,%d,%" G_GINT64_FORMAT ",",
+			      first && !any ? ",\"copies\":[" : ",",
+			      task->step->occ->number, task->step->number,
+			      task->index, runs[i]->number);
+		base_buf_add_json(buf, base_str(runs[i]->worker->id));
+		base_buf_adds(buf, "]");
+		any = true;
+	}
+	return any;
+}
+
 typedef bool print_task_list_t(base_buf_t *buf, const batch_task_t *task,
 			       bool first);
 
@@ -411,6 +450,8 @@
 		print_task_list(buf, job, print_failed_runs);
 		print_task_list(buf, job, print_withdrawn);
 		print_all_in_doubt(buf, job);
+		if (job->has_copies)
+			print_task_list(buf, job, print_copies);
 	}
 	if (job->given_up.workers)
 		base_buf_addf(buf, ",\"given_up\":[%d,%d,%d,%d]",
@@ -634,7 +675,7 @@
 }
 
 /* Restores a run that a predecessor stored and that may not exist. */
-static void load_run(batch_task_t *task, const char *worker_id,
+static void load_run(batch_task_t *task, const char *worker_id, int64_t number,
 		     const json_t *incarnations, int64_t now, int64_t until)
 {
 	batch_t *core = task->step->occ->job->core;
@@ -643,12 +684,14 @@
 	batch_run_t *run;
 
 	batch_worker_lease(core, base_str(worker_id), until);
-	run = batch_run_new(task, worker, now, task->number);
+	run = batch_run_new(task, worker, now, number);
 	batch_run_set_state(run, RUN_IN_DOUBT, now);
 	run->listed_from = now;
 	run->incarnation =
 		json_integer_value(json_object_get(incarnations, worker_id));
 	batch_doubt_add(worker, now, &id, run->number, true);
+	if (task->done)
+		batch_run_hold_end(run);
 }
 
 /* Whether the job has or had the task of the start, which may be freed. */
@@ -714,7 +757,37 @@
 	if (task->done)
 		task->step->done++;
 	else if (*worker)
-		load_run(task, worker, incarnations, now, until);
+		load_run(task, worker, task->number, incarnations, now, until);
+	return true;
+}
+
+/* Fields of "copies"; the first three are as in task_field_t. */
+typedef enum copy_field {
+	COPY_NUMBER = FIELD_INDEX + 1,
+	COPY_WORKER,
+	COPY_MAX
+} copy_field_t;
+
+static bool load_copies(batch_job_t *job, const json_t *root, int64_t now,
+			int64_t until)
+{
+	const json_t *rows = json_object_get(root, "copies");
+	const json_t *incarnations = json_object_get(root, "incarnations");
+	size_t i;
+
+	for (i = 0; i < json_array_size(rows); i++) {
+		const json_t *row = json_array_get(rows, i);
+		const char *worker =
+			json_string_value(json_array_get(row, COPY_WORKER));
+		batch_task_t *task = find_task(job, row);
+
+		if (!task || !worker || json_array_size(row) != COPY_MAX ||
+		    task->copy)
+			return false;
+		load_run(task, worker, number_at(row, COPY_NUMBER),
+			 incarnations, now, until);
+		job->has_copies = true;
+	}
 	return true;
 }
 
@@ -799,11 +872,16 @@
 			ok = load_task(job, json_array_get(tasks, i),
 				       json_object_get(root, "incarnations"),
 				       now, stored->until);
+		if (ok && batch_job_is_active(job))
+			ok = load_copies(job, root, now, stored->until);
 		load_withdrawn(job, json_object_get(root, "withdrawn"));
 		if (ok && batch_job_is_active(job))
 			load_in_doubt(job, json_object_get(root, "in_doubt"),
 				      now, wall);
 		count_done_steps(job);
+		/* A former holder may have stored the last end, which was held,
+		 * and not that the job is complete. */
+		job->has_held_ends = job->is_speculative;
 	}
 	json_decref(root);
 	if (!ok)
--- a/packages/batch/batch_room.c
+++ b/packages/batch/batch_room.c
@@ -118,6 +118,13 @@
 	return (double)worker->used.cpu / (double)(worker->capacity.cpu + 1);
 }
 
+/* A copy avoids the rack of the run that it is beside. */
+static bool is_avoided(const batch_worker_t *worker, const batch_task_t *task)
+{
+	return worker == task->avoid_worker ||
+	       (task->run && !strcmp(worker->rack, task->run->worker->rack));
+}
+
 /* The task's avoided worker, if it is suitable, is only set in "avoided". */
 static batch_worker_t *find_in_class(const batch_pool_t *pool, int class,
 				     const batch_task_t *task, int64_t now,
@@ -131,7 +138,7 @@
 	     worker = worker->room_next) {
 		if (!is_suitable(worker, task, now))
 			continue;
-		if (worker == task->avoid_worker) {
+		if (is_avoided(worker, task)) {
 			*avoided = worker;
 			continue;
 		}
--- a/packages/batch/batch_run.c
+++ b/packages/batch/batch_run.c
@@ -27,6 +27,67 @@
 	batch_room_update(worker);
 }
 
+batch_run_t *batch_task_find_run(const batch_task_t *task, base_str_t worker,
+				 int64_t number)
+{
+	batch_run_t *runs[] = { task->run, task->copy };
+	int i;
+
+	for (i = 0; i < 2; i++)
+		if (runs[i] && runs[i]->number == number &&
+		    base_str_eq(base_str(runs[i]->worker->id), worker))
+			return runs[i];
+	return NULL;
+}
+
+batch_run_t *batch_run_other(const batch_run_t *run)
+{
+	return run == run->task->run ? run->task->copy : run->task->run;
+}
+
+/* The older one of two is the first; a row may name them in any order. */
+static void add_to_task(batch_run_t *run)
+{
+	batch_task_t *task = run->task;
+
+	if (!task->run) {
+		task->run = run;
+		task->step->n_open_runs += !task->done;
+	} else if (run->number > task->run->number) {
+		task->copy = run;
+	} else {
+		task->copy = task->run;
+		task->run = run;
+	}
+}
+
+static void remove_from_task(const batch_run_t *run)
+{
+	batch_task_t *task = run->task;
+
+	if (run == task->run)
+		task->run = task->copy;
+	task->copy = NULL;
+	if (!task->run)
+		task->step->n_open_runs -= !task->done;
+}
+
+/*
+ * Its task is done, and the start, which has no answer, may be carried out
+ * until a stop is answered.  Until then the end is not acknowledged, and the
+ * job not shown as completed.
+ */
+void batch_run_hold_end(batch_run_t *run)
+{
+	if (!run || run->holds_end || run->state == RUN_STORING ||
+	    run->start_confirmed_at || run->stop_acknowledged ||
+	    !batch_step_may_copy(run->task->step->spec))
+		return;
+	run->holds_end = true;
+	run->task->step->occ->job->n_held_ends++;
+	run->task->step->occ->job->has_held_ends = true;
+}
+
 batch_run_t *batch_run_new(batch_task_t *task, batch_worker_t *worker,
 			   int64_t now, int64_t number)
 {
@@ -42,8 +103,7 @@
 	run->pace = 100;
 	run->progress_at = now;
 	run->version = job->version + 1;
-	task->run = run;
-	task->step->n_open_runs += !task->done;
+	add_to_task(run);
 	if (number > task->number)
 		task->number = number;
 	add_use(worker, task->step->spec, 1);
@@ -55,6 +115,14 @@
 	return run;
 }
 
+void batch_run_release_end(batch_run_t *run)
+{
+	if (!run->holds_end)
+		return;
+	run->holds_end = false;
+	run->task->step->occ->job->n_held_ends--;
+}
+
 /* Releases the run and its resources; it no longer exists. */
 void batch_run_free(batch_run_t *run)
 {
@@ -69,10 +137,10 @@
 	g_ptr_array_remove_fast(worker->runs, run);
 	batch_crash_run_freed(run);
 	task->step->occ->job->n_runs--;
-	task->step->n_open_runs -= !task->done;
 	task->step->occ->job->may_wait = true;
-	task->run = NULL;
+	remove_from_task(run);
 	worker->core->pass_needed = true;
+	batch_run_release_end(run);
 	talloc_free(run);
 }
 
@@ -224,8 +292,12 @@
 void batch_run_checkpoint(batch_run_t *run, base_str_t checkpoint)
 {
 	batch_step_t *step = run->task->step;
+	const batch_run_t *other = batch_run_other(run);
 	int i;
 
+	/* Of two runs, the one that is ahead. */
+	if (other && other->percent > run->percent)
+		return;
 	if (!checkpoint.len ||
 	    base_str_eq(base_str(run->task->checkpoint), checkpoint))
 		return;
@@ -239,6 +311,15 @@
 	}
 }
 
+/* The copy first: a run that was not sent is freed, and then replaced by it. */
+static void stop_both(const batch_task_t *task, int64_t now, const char *why)
+{
+	if (task->copy)
+		batch_run_stop(task->copy, now, why);
+	if (task->run)
+		batch_run_stop(task->run, now, why);
+}
+
 static void stop_job_runs(batch_job_t *job, int64_t now, const char *why)
 {
 	guint i;
@@ -250,10 +331,7 @@
 
 		for (s = 0; s < job->spec.n_steps; s++)
 			for (t = 0; t < occ->steps[s].spec->count; t++)
-				if (occ->steps[s].tasks[t].run)
-					batch_run_stop(
-						occ->steps[s].tasks[t].run, now,
-						why);
+				stop_both(&occ->steps[s].tasks[t], now, why);
 	}
 }
 
@@ -280,24 +358,32 @@
 	batch_job_changed(job);
 }
 
+static void complete_if_done(batch_job_t *job, int64_t now)
+{
+	int total = job->spec.repeat ? job->spec.repeat : 1;
+
+	if (!job->n_held_ends &&
+	    job->n_opened - batch_job_open_occs(job) == total)
+		batch_job_end(job, now, BATCH_COMPLETED);
+}
+
 static void mark_task_done(batch_task_t *task, int64_t now)
 {
 	batch_step_t *step = task->step;
 	batch_occ_t *occ = step->occ;
 	batch_job_t *job = occ->job;
-	int total = job->spec.repeat ? job->spec.repeat : 1;
 
 	if (task->done)
 		return;
 	task->done = true;
+	batch_run_hold_end(task->run);
+	batch_run_hold_end(task->copy);
 	job->may_wait = true;
 	step->n_open_runs -= task->run != NULL;
 	if (++step->done < step->spec->count)
 		return;
-	if (++occ->done_steps < job->spec.n_steps)
-		return;
-	if (job->n_opened - batch_job_open_occs(job) == total)
-		batch_job_end(job, now, BATCH_COMPLETED);
+	if (++occ->done_steps == job->spec.n_steps)
+		complete_if_done(job, now);
 }
 
 /* The successful end of one gang member completes all of its tasks. */
@@ -390,6 +476,7 @@
 	base_hist_add(job->core->times[BATCH_TIME_RUN], now - begun);
 	batch_job_changed(job);
 	mark_run_done(task, now);
+	stop_both(task, now, "another run is done");
 }
 
 /* Stops the runs of the task, and of all tasks of its gang. */
@@ -399,9 +486,8 @@
 	int i;
 
 	for (i = 0; i < step->spec->count; i++)
-		if ((step->spec->gang || &step->tasks[i] == task) &&
-		    step->tasks[i].run)
-			batch_run_stop(step->tasks[i].run, now, why);
+		if (step->spec->gang || &step->tasks[i] == task)
+			stop_both(&step->tasks[i], now, why);
 }
 
 bool batch_run_ended_late(batch_task_t *task, batch_worker_t *worker,
@@ -427,12 +513,6 @@
 	return true;
 }
 
-static bool is_run_of_order(const batch_run_t *run, const batch_order_t *order)
-{
-	return run && run->number == order->run &&
-	       base_str_eq(base_str(run->worker->id), order->worker);
-}
-
 /* Handles a refused start: the run never existed and never will. */
 static void handle_refused_start(batch_run_t *run, int64_t now,
 				 batch_answer_t answer)
@@ -469,14 +549,16 @@
 			batch_answer_t answer)
 {
 	batch_task_t *task = batch_find_task(core, &order->task);
-	batch_run_t *run = task ? task->run : NULL;
+	batch_run_t *run =
+		task ? batch_task_find_run(task, order->worker, order->run)
+		     : NULL;
 	batch_worker_t *worker = batch_find_worker(core, order->worker);
 
 	/* A run that was given up or is being stopped may begin late as well.
 	 */
 	if (worker && answer == BATCH_ANSWER_NO_REPLY)
 		batch_doubt_add(worker, now, &order->task, order->run, false);
-	if (!is_run_of_order(run, order) || run->state != RUN_SENT)
+	if (!run || run->state != RUN_SENT)
 		return;
 	core->pass_needed = true;
 	switch (answer) {
@@ -509,7 +591,9 @@
 		       batch_answer_t answer)
 {
 	batch_task_t *task = batch_find_task(core, &order->task);
-	batch_run_t *run = task ? task->run : NULL;
+	batch_run_t *run =
+		task ? batch_task_find_run(task, order->worker, order->run)
+		     : NULL;
 	batch_worker_t *worker = batch_find_worker(core, order->worker);
 
 	/* A former process has answered: the present one does not know of it.
@@ -519,7 +603,7 @@
 		return;
 	if (worker && answer == BATCH_ANSWER_OK)
 		batch_doubt_stopped(worker, now, order);
-	if (!is_run_of_order(run, order) || run->state != RUN_STOPPING)
+	if (!run || run->state != RUN_STOPPING)
 		return;
 	if (answer == BATCH_ANSWER_OTHER_INCARNATION) {
 		batch_crash_worker_lost(run->worker, now, BATCH_LOSS_CRASHED);
@@ -530,6 +614,7 @@
 		return;
 	run->stop_acknowledged = true;
 	run->listed_from = now;
+	batch_run_release_end(run);
 }
 
 /*
@@ -661,6 +746,11 @@
 	for (i = core->active_jobs->len; i-- > 0;) {
 		batch_job_t *job = g_ptr_array_index(core->active_jobs, i);
 
+		if (batch_job_is_active(job) && job->has_held_ends &&
+		    !job->n_held_ends) {
+			job->has_held_ends = false;
+			complete_if_done(job, now);
+		}
 		if (batch_job_is_active(job))
 			free_done_occurrences(job);
 		if (batch_job_is_active(job) || job->n_runs ||
--- a/packages/batch/batch_worker.c
+++ b/packages/batch/batch_worker.c
@@ -321,6 +321,12 @@
 		worker->forgotten = true;
 }
 
+/* An end of a job is not acknowledged either while one of the job is held. */
+static bool awaits_store(const batch_unstored_end_t *end)
+{
+	return end->job->stored_version < end->version || end->job->n_held_ends;
+}
+
 static bool has_unstored_ends(const batch_worker_t *worker)
 {
 	guint i;
@@ -329,7 +335,7 @@
 		const batch_unstored_end_t *end = &g_array_index(
 			worker->unstored_ends, batch_unstored_end_t, i);
 
-		if (end->job->stored_version < end->version)
+		if (awaits_store(end))
 			return true;
 	}
 	return false;
@@ -487,7 +493,7 @@
 				     .version = job->version,
 				     .first_listed_at = now };
 
-	if (job->stored_version >= job->version)
+	if (job->stored_version >= job->version && !job->n_held_ends)
 		return;
 	job->n_unstored_ends++;
 	g_array_append_val(worker->unstored_ends, end);
@@ -498,12 +504,14 @@
 {
 	batch_job_t *job = batch_find_job(worker->core, end->task.job);
 	batch_task_t *task = batch_find_task(worker->core, &end->task);
-	batch_run_t *run = task ? task->run : NULL;
+	batch_run_t *run =
+		task ? batch_task_find_run(task, base_str(worker->id), end->run)
+		     : NULL;
 
 	if (end->number <= worker->last_end)
 		return;
 	worker->last_end = end->number;
-	if (run && run->worker == worker && run->number == end->run)
+	if (run)
 		batch_run_ended(run, now, end->end_kind, end->checkpoint);
 	else if (!task || !batch_run_ended_late(task, worker, now, end))
 		log_unmatched_end(worker, task, end);
@@ -521,7 +529,7 @@
 	while (worker->unstored_ends->len) {
 		gate = &g_array_index(worker->unstored_ends,
 				      batch_unstored_end_t, 0);
-		if (gate->job->stored_version < gate->version)
+		if (awaits_store(gate))
 			return gate->number - 1;
 		base_hist_add(core->times[BATCH_TIME_END_STORED],
 			      now - gate->first_listed_at);
@@ -579,9 +587,11 @@
 		       const batch_listed_run_t *seen)
 {
 	batch_task_t *task = batch_find_task(worker->core, &seen->task);
-	batch_run_t *run = task ? task->run : NULL;
+	batch_run_t *run = task ? batch_task_find_run(
+					  task, base_str(worker->id), seen->run)
+				: NULL;
 
-	if (!run || run->worker != worker || run->number != seen->run) {
+	if (!run) {
 		stop_unknown_run(worker, seen);
 		worker->lists_unknown_runs = true;
 		return;
@@ -600,6 +610,7 @@
 	if (!run->start_confirmed_at) {
 		run->start_confirmed_at = now;
 		run->progress_at = now;
+		batch_run_release_end(run);
 	}
 	if (seen->percent != run->percent) {
 		run->percent = seen->percent;
@@ -610,6 +621,10 @@
 		task->unavailable_since = 0;
 	batch_run_checkpoint(run, seen->checkpoint);
 	batch_run_stop_withdrawn(run, now);
+	/* A former holder has stored the end of another run, and may not have
+	 * stopped this one. */
+	if (task->done && batch_step_may_copy(task->step->spec))
+		batch_run_stop(run, now, "another run is done");
 }
 
 static bool lists_run(const batch_poll_result_t *poll, const batch_run_t *run)
--- a/packages/batch/tests/batch_world.c
+++ b/packages/batch/tests/batch_world.c
@@ -277,6 +277,7 @@
 			job->given_up = true;
 		talloc_free(id);
 	}
+	world->copies += event->kind == BATCH_LOG_RUN_COPIED;
 	if (event->kind == BATCH_LOG_TASK_WAITS) {
 		world->wait_logs++;
 		world->logged_wait = *event->workers;
--- a/packages/batch/tests/batch_world.h
+++ b/packages/batch/tests/batch_world.h
@@ -246,6 +246,7 @@
 	const char *workspace;	 /* of the next jobs; NULL: none */
 	batch_refusal_t refusal; /* of the last refused job */
 	/* Counters and the first violated rule. */
+	int copies; /* decided */
 	int starts, stops, finished, broken, questions, tickets_refused;
 	char first_violation[256];
 } world_t;
