--- a/Makefile
+++ b/Makefile
@@ -154,6 +154,11 @@
 	@mkdir -p $(@D)
 	$(CC) $(LDFLAGS) -o $@ $< $(BENCH_LIB) $(GROUP) $(LDLIBS)
 
+# Drives the platform's adapter.
+$(OUT)/bench/start_bench: $(OUT)/bench/start_bench.o $(OUT)/libplatform.a $(LIBS)
+	@mkdir -p $(@D)
+	$(CC) $(LDFLAGS) -o $@ $< $(OUT)/libplatform.a $(GROUP) $(LDLIBS)
+
 $(OUT)/bench/relay: $(OUT)/bench/relay_main.o $(LIBS)
 	$(CC) $(LDFLAGS) -o $@ $< $(GROUP) $(LDLIBS)
 
