--- a/packages/net/net_loop.c
+++ b/packages/net/net_loop.c
@@ -1,4 +1,5 @@
 #include <arpa/inet.h>
+#include <event2/event_struct.h>
 #include <signal.h>
 #include <stdlib.h>
 #include <string.h>
@@ -11,7 +12,7 @@
 #define USUAL_EVENTS_MAX 16
 
 struct net_timer {
-	struct event *event;
+	struct event event; /* within the timer: there is one for each call */
 	void (*fired)(void *arg);
 	void *arg;
 };
@@ -114,7 +115,7 @@
 
 static int timer_free(net_timer_t *timer)
 {
-	event_free(timer->event);
+	event_del(&timer->event);
 	return 0;
 }
 
@@ -125,7 +126,7 @@
 
 	timer->fired = fired;
 	timer->arg = arg;
-	timer->event = evtimer_new(loop->base, on_timer, timer);
+	evtimer_assign(&timer->event, loop->base, on_timer, timer);
 	talloc_set_destructor(timer, timer_free);
 	return timer;
 }
@@ -138,12 +139,12 @@
 		delay = 0;
 	tv.tv_sec = delay / BASE_SEC;
 	tv.tv_usec = delay % BASE_SEC;
-	evtimer_add(timer->event, &tv);
+	evtimer_add(&timer->event, &tv);
 }
 
 void net_timer_stop(net_timer_t *timer)
 {
-	evtimer_del(timer->event);
+	evtimer_del(&timer->event);
 }
 
 static void run_deferred(evutil_socket_t fd, short what, void *arg)
