--- a/packages/base/base_str.c
+++ b/packages/base/base_str.c
@@ -75,6 +75,13 @@
 	base_buf_add(buf, digits + at, sizeof(digits) - at);
 }
 
+void base_buf_add_int(base_buf_t *buf, int64_t value)
+{
+	if (value < 0)
+		base_buf_add(buf, "-", 1);
+	base_buf_add_uint(buf, value < 0 ? -(uint64_t)value : (uint64_t)value);
+}
+
 void base_buf_add_json(base_buf_t *buf, base_str_t s)
 {
 	size_t copied = 0;
--- a/packages/base/base_str.h
+++ b/packages/base/base_str.h
@@ -54,6 +54,7 @@
 
 /* Append "value" in decimal; faster than base_buf_addf(). */
 void base_buf_add_uint(base_buf_t *buf, uint64_t value);
+void base_buf_add_int(base_buf_t *buf, int64_t value);
 
 /* Append "s" as a JSON string with its quotes. */
 void base_buf_add_json(base_buf_t *buf, base_str_t s);
--- a/packages/base/tests/base_test.c
+++ b/packages/base/tests/base_test.c
@@ -19,6 +19,12 @@
 	base_buf_add(buf, " ", 1);
 	base_buf_add_uint(buf, UINT64_MAX);
 	g_assert_cmpstr(buf->ptr, ==, "0 18446744073709551615");
+	base_buf_reset(buf);
+	base_buf_add_int(buf, INT64_MIN);
+	base_buf_add(buf, " ", 1);
+	base_buf_add_int(buf, INT64_MAX);
+	g_assert_cmpstr(buf->ptr, ==,
+			"-9223372036854775808 9223372036854775807");
 	talloc_free(buf);
 }
 
