--- a/packages/batch/batch_record.c
+++ b/packages/batch/batch_record.c
@@ -146,7 +146,8 @@
 
 		base_buf_adds(buf, i ? "," : ",\"incarnations\":{");
 		base_buf_add_json(buf, base_str(run->worker->id));
-		base_buf_addf(buf, ":%" G_GINT64_FORMAT, run->incarnation);
+		base_buf_adds(buf, ":");
+		base_buf_add_int(buf, run->incarnation);
 	}
 	if (runs->len)
 		base_buf_adds(buf, "}");
@@ -390,14 +391,17 @@
 
 	base_buf_adds(buf, "{\"state\":");
 	base_buf_add_json(buf, base_str(batch_state_name(job->state)));
-	base_buf_addf(
-		buf,
-		",\"cancelled\":%s,\"begun\":%s,\"arrived\":%" G_GINT64_FORMAT
-		",\"ended\":%" G_GINT64_FORMAT
-		",\"occurrences\":%d,\"tasks\":[",
-		job->cancelled ? "true" : "false",
-		job->start_decided ? "true" : "false", job->arrived_wall,
-		job->ended_wall, opened);
+	base_buf_adds(buf, job->cancelled ? ",\"cancelled\":true"
+					  : ",\"cancelled\":false");
+	base_buf_adds(buf, job->start_decided ? ",\"begun\":true"
+					      : ",\"begun\":false");
+	base_buf_adds(buf, ",\"arrived\":");
+	base_buf_add_int(buf, job->arrived_wall);
+	base_buf_adds(buf, ",\"ended\":");
+	base_buf_add_int(buf, job->ended_wall);
+	base_buf_adds(buf, ",\"occurrences\":");
+	base_buf_add_int(buf, opened);
+	base_buf_adds(buf, ",\"tasks\":[");
 	if (batch_job_is_active(job) && opened)
 		print_tasks(buf, job, sum_up);
 	base_buf_adds(buf, "]");
