--- a/bench/start_bench.c
+++ b/bench/start_bench.c
@@ -267,7 +267,7 @@
 		    void (*call)(bench_t *bench, int at))
 {
 	int rounds = CALLS / n;
-	cost_t since;
+	cost_t since = cost_now();
 	int at_once;
 	int round;
 	int i;
--- a/packages/batch/batch_workspace_explain.c
+++ b/packages/batch/batch_workspace_explain.c
@@ -103,7 +103,7 @@
 	return answer;
 }
 
-static int compare_use(const void *a, const void *b)
+static gint compare_use(gconstpointer a, gconstpointer b)
 {
 	const batch_workspace_t *x = *(const batch_workspace_t *const *)a;
 	const batch_workspace_t *y = *(const batch_workspace_t *const *)b;
@@ -111,25 +111,32 @@
 	return (x->used.cpu < y->used.cpu) - (x->used.cpu > y->used.cpu);
 }
 
+static batch_workspace_stats_t get_stats(const batch_workspace_t *workspace)
+{
+	batch_workspace_stats_t stats = { .name = workspace->name,
+					  .used = workspace->used,
+					  .limit = workspace->limit };
+	int i;
+
+	for (i = 0; i < BATCH_REFUSAL_MAX; i++)
+		stats.refused += workspace->refused[i];
+	return stats;
+}
+
 void batch_workspaces_each(const batch_t *core, batch_workspace_visit_t *visit,
 			   void *arg)
 {
-	guint n = core->workspaces->len - 1;
-	batch_workspace_t **order = g_new(batch_workspace_t *, n + 1);
+	GPtrArray *order = g_ptr_array_new();
 	batch_workspace_stats_t other = { .name = "other" };
 	guint i;
-	int k;
-
-	for (i = 0; i < n; i++)
-		order[i] = g_ptr_array_index(core->workspaces, i + 1);
-	qsort(order, n, sizeof(*order), compare_use);
-	for (i = 0; i < n; i++) {
-		batch_workspace_stats_t stats = { .name = order[i]->name,
-						  .used = order[i]->used,
-						  .limit = order[i]->limit };
-
-		for (k = 0; k < BATCH_REFUSAL_MAX; k++)
-			stats.refused += order[i]->refused[k];
+
+	for (i = 1; i < core->workspaces->len; i++)
+		g_ptr_array_add(order, g_ptr_array_index(core->workspaces, i));
+	g_ptr_array_sort(order, compare_use);
+	for (i = 0; i < order->len; i++) {
+		batch_workspace_stats_t stats =
+			get_stats(g_ptr_array_index(order, i));
+
 		if (i < EXPLAIN_WORKSPACES_MAX) {
 			visit(arg, &stats);
 			continue;
@@ -139,7 +146,7 @@
 		other.used.gpu += stats.used.gpu;
 		other.refused += stats.refused;
 	}
-	if (n > EXPLAIN_WORKSPACES_MAX)
+	if (order->len > EXPLAIN_WORKSPACES_MAX)
 		visit(arg, &other);
-	g_free(order);
+	g_ptr_array_unref(order);
 }
