review/13: a job waits for its data's rack while the service is idle

Cause: batch_wait.c bounds a wait for the rack of the data by what the wrong rack would cost, not by the rule's 3 s.

Broken: LOST, an accepted job has nothing running for 34 s, 20 s of them later than finish_s after the end of the traffic; seven of nine executors are empty.

--- a/review/build-3.sh
+++ b/review/build-3.sh
@@ -15,5 +15,8 @@
 # shellcheck disable=SC2086
 gcc $flags -Istandin/platform -o $out/standin-platform \
 	standin/platform/*.c $own $libs
-# shellcheck disable=SC2086
-gcc $flags -o $out/executor3 review/standin-3/executor3.c $own $libs
+for name in executor3 late3
+do
+	# shellcheck disable=SC2086
+	gcc $flags -o $out/$name review/standin-3/$name.c $own $libs
+done
--- a/review/standin-3/lib.sh
+++ b/review/standin-3/lib.sh
@@ -1,7 +1,8 @@
 # Functions for the scripts of the third review: they start the store's
 # stand-in, executors, the list of machines and entries as processes of their
 # own, and end them by their ids.  Sourced by review/N/run.sh, which sets
-# EXECUTORS (how many) and MODE (arguments of an executor).
+# EXECUTORS (how many), MODE (arguments of an executor), and STRETCH and TARGET
+# of the queue, where others than these are wanted.
 
 here=$(cd "$(dirname "$0")" && pwd)
 top=$(cd "$here/../.." && pwd)
@@ -99,10 +100,19 @@
 	mv "$work/machines.new" "$work/machines.json"
 }
 
+# start_proxy N MS: a proxy before executor N, whose port is then BEHIND higher.
+start_proxy() {
+	"$bin/late3" --port=$((PORT + 1 + $1)) \
+		--to=$((PORT + BEHIND + 1 + $1)) --log="$work/runs.log" \
+		--after="$2" &
+	eval "proxy_$1=$!"
+	started="$started $!"
+}
+
 # start_executor N: it registers itself, as after a restart under its id.
 start_executor() {
-	"$bin/executor3" --port=$((PORT + 1 + $1)) --id="i-59c0a1b2c$1" \
-		--log="$work/runs.log" ${MODE:-} &
+	"$bin/executor3" --port=$((PORT + ${BEHIND:-0} + 1 + $1)) \
+		--id="i-59c0a1b2c$1" --log="$work/runs.log" ${MODE:-} &
 	eval "executor_$1=$!"
 	started="$started $!"
 	put "servers/i-59c0a1b2c$1" "{\"service\":\"gate-desk\",\"address\":\"127.0.0.1:$((PORT + 1 + $1))\",\"zone\":\"$(zone_of "$1")\",\"version\":\"v1\",\"slots\":8,\"state\":\"ready\",\"coldLeftMs\":0,\"seq\":1,\"capacity\":{\"cpu\":64000,\"memMb\":262144,\"gpu\":0},\"labels\":[\"a\",\"r$(($1 / 4))\"]}"
@@ -168,7 +178,7 @@
 	"$bin/standin-platform" --port=$PORT --workers=0 2>>"$work/store.log" &
 	started="$started $!"
 	tries=0
-	until put op/config "{\"version\":3,\"routes\":[{\"name\":\"slot-ask\",\"host\":\"gate.example\",\"prefix\":\"/slot/\",\"service\":\"gate-desk\",\"attempts\":$1,\"stretch\":50,\"targetLatencyMs\":20000,\"priority\":0}],\"services\":[{\"name\":\"gate-desk\",\"admissionCheck\":true}]}"
+	until put op/config "{\"version\":3,\"routes\":[{\"name\":\"slot-ask\",\"host\":\"gate.example\",\"prefix\":\"/slot/\",\"service\":\"gate-desk\",\"attempts\":$1,\"stretch\":${STRETCH:-50},\"targetLatencyMs\":${TARGET:-20000},\"priority\":0}],\"services\":[{\"name\":\"gate-desk\",\"admissionCheck\":true}]}"
 	do
 		sleep 0.1
 		tries=$((tries + 1))
@@ -181,6 +191,7 @@
 	n=1
 	while test $n -le "$EXECUTORS"
 	do
+		test -z "${BEHIND:-}" || start_proxy $n "$AFTER"
 		start_executor $n
 		n=$((n + 1))
 	done
