--- a/packages/batch/batch.c
+++ b/packages/batch/batch.c
@@ -210,6 +210,7 @@
 	queue->priority = info->priority;
 	queue->attempts = info->attempts;
 	queue->advised = info->advised;
+	batch_advice_cost_config(&queue->advice, &info->policy);
 	queue->stretch = info->stretch;
 	queue->target_latency = info->target_latency;
 	queue->in_force = in_force;
--- a/packages/batch/batch.h
+++ b/packages/batch/batch.h
@@ -83,12 +83,20 @@
 	int64_t interval; /* microseconds between occurrences */
 } batch_spec_t;
 
+/* What the configuration says of a queue's policy service; 0: nothing. */
+typedef struct batch_policy {
+	int64_t decision; /* time of an answer, microseconds, */
+	int64_t period;	  /* and for each worker that the question names */
+	int64_t validity; /* of a ticket, microseconds */
+} batch_policy_t;
+
 typedef struct batch_queue_info {
 	base_str_t name;
 	base_str_t pool;
 	int priority; /* 0 is the highest */
 	int attempts; /* failed runs of a task before its job fails */
 	bool advised; /* a policy restricts the workers: see advise() */
+	batch_policy_t policy;
 	/* A job's objective is stretch * critical path + target_latency. */
 	double stretch;
 	int64_t target_latency; /* microseconds; see "stretch" */
@@ -236,9 +244,14 @@
 
 /* Asks which of these workers may run a step; the task index is unused. */
 typedef struct batch_question {
+	uint64_t number; /* for batch_advice_answer() */
+	base_str_t queue;
 	batch_task_id_t step;
 	const base_str_t *workers;
 	size_t n_workers;
+	int attempt;	  /* 1 after an answer; counts those without one */
+	int64_t expected; /* time of the answer, microseconds */
+	int64_t timeout;  /* time after which to give it up, microseconds */
 } batch_question_t;
 
 /*
@@ -246,8 +259,7 @@
  * operation must not call any function of the core but batch_worker_lease().
  */
 typedef struct batch_ops {
-	/* Only one question is open at a time; batch_advice_answer() answers
-	 * it. */
+	/* Several questions may be open; batch_advice_answer() ends each. */
 	void (*advise)(void *arg, const batch_question_t *question);
 	/* The first row of the job is stored: the job is accepted. */
 	void (*accepted)(void *arg, base_str_t job);
@@ -515,14 +527,27 @@
 	base_str_t text;
 } batch_ticket_t;
 
-/*
- * Answers the open question: the workers that it named and that are not among
- * "tickets" may not run the step.  Tickets are valid for "validity"
- * microseconds after the question.  NULL: there was no answer, ask again.
- */
-void batch_advice_answer(batch_t *core, int64_t now,
-			 const batch_ticket_t *tickets, size_t n,
-			 int64_t validity);
+typedef enum batch_advice_outcome {
+	BATCH_ADVICE_ANSWERED,
+	BATCH_ADVICE_REFUSED,	 /* not decided: unreachable, or too busy */
+	BATCH_ADVICE_UNANSWERED, /* given up */
+	BATCH_ADVICE_OUTCOME_MAX
+} batch_advice_outcome_t;
+
+/* The workers of a question that may run its step; the others may not. */
+typedef struct batch_advice {
+	batch_advice_outcome_t outcome;
+	const batch_ticket_t *tickets;
+	size_t n;
+	int64_t validity; /* of the tickets, microseconds; 0: as configured */
+} batch_advice_t;
+
+/* A word for the log. */
+const char *batch_advice_outcome_name(batch_advice_outcome_t outcome);
+
+/* Ends an open question. */
+void batch_advice_answer(batch_t *core, int64_t now, uint64_t question,
+			 const batch_advice_t *advice);
 
 /*
  * Runs a scheduling pass if one is due.  Call after events, and again within
--- a/packages/batch/batch_fit.c
+++ b/packages/batch/batch_fit.c
@@ -256,6 +256,11 @@
 	if (batch_crash_needs_trial(task) && !counts.n[BATCH_FIT_OK])
 		return "a worker crashed under it: it waits for one where "
 		       "nothing else is starting";
+	if (counts.n[BATCH_FIT_ADVICE] &&
+	    !count_from(&counts, BATCH_FIT_TRIAL) &&
+	    batch_advice_is_awaited(task, now))
+		return "advice: its queue's policy service has yet to say "
+		       "which workers may run it";
 	if (!count_from(&counts, BATCH_FIT_NO_ROOM))
 		return "the policy, the limit of tasks per worker or a "
 		       "reservation excludes the workers that can take work";
--- a/packages/batch/batch_int.h
+++ b/packages/batch/batch_int.h
@@ -97,12 +97,30 @@
 	int64_t surplus_since; /* 0: no surplus */
 };
 
+/* Most workers that the users expect in a question about one step. */
+#define BATCH_ADVICE_WORKERS_MAX 30
+
+/* What the questions of a queue to its policy service take. */
+typedef struct batch_advice_cost {
+	batch_policy_t policy; /* as configured */
+	/* Weighted sums over the answers so far: of 1, of the number of workers
+	 * n, n * n, the time t, and n * t. */
+	double weight, n, nn, t, nt;
+	int64_t validity; /* as last answered; 0: not yet */
+	int unanswered;	  /* overdue questions in a row */
+	int refused;	  /* refused questions in a row */
+	size_t limit;	  /* of workers in a question after those; 0: none */
+} batch_advice_cost_t;
+
 struct batch_queue {
 	char *name;
 	batch_pool_t *pool;
 	int priority;
 	int attempts;
 	bool advised;
+	batch_advice_cost_t advice;
+	int64_t asked_at;	/* its last question; 0: none yet */
+	int64_t ask_not_before; /* no question is asked before then */
 	double stretch;
 	int64_t target_latency;
 	bool in_force;
@@ -278,17 +296,24 @@
 
 /* A question to the policy service that has no answer yet. */
 typedef struct batch_open_question {
+	struct batch_open_question *next;
+	uint64_t number;
+	batch_queue_t *queue;
 	batch_task_id_t step;
 	char **workers;
 	int64_t *incarnations;
 	size_t n;
 	int64_t at;
+	int64_t overdue_at; /* from then on it holds back no other question */
+	bool is_overdue;    /* this has been noticed */
 } batch_open_question_t;
 
 struct batch_step {
 	batch_occ_t *occ;
 	const batch_step_spec_t *spec;
 	batch_permit_t *permits; /* talloc array; for advised queues */
+	/* When it was last asked about, or first could have been; 0: never. */
+	int64_t advice_turn_at;
 	int number;
 	batch_task_t *tasks;
 	int done;
@@ -541,10 +566,11 @@
 	base_hist_t *times[BATCH_TIME_MAX];
 	GHashTable *refused; /* recently refused job ids, with the time */
 	int64_t refused_swept;
-	batch_open_question_t *open_question;
-	int64_t ask_not_before; /* no question is asked before then */
-	bool run_times_changed; /* since the last print */
-	bool pass_needed;	/* an event calls for a scheduling pass */
+	batch_open_question_t *open_questions;
+	uint64_t last_question;	    /* its number; 0: none was asked */
+	int64_t advice_answered_at; /* when the last answer came; 0: never */
+	bool run_times_changed;	    /* since the last print */
+	bool pass_needed;	    /* an event calls for a scheduling pass */
 	int64_t last_pass_at;
 	int64_t wait_logged_at; /* the last log of any task that waits */
 	int64_t copies_at;	/* when it was last looked for runs to copy */
@@ -860,8 +886,48 @@
 base_str_t batch_advice_ticket(const batch_task_t *task,
 			       const batch_worker_t *worker);
 void batch_advice_invalidate(batch_task_t *task, const batch_worker_t *worker);
-/* Asks for tickets that the job lacks; false: no question can be asked now. */
-bool batch_advice_request(batch_job_t *job, int64_t now);
+/* Whether there are workers about which the policy service has not answered. */
+bool batch_advice_is_awaited(const batch_task_t *task, int64_t now);
+
+/*
+ * A search for the step to ask about next.  Every second question goes to the
+ * first job in order of rank; the others go by turns: to the queue that was
+ * asked about longest ago, and in it to the step that has waited longest.
+ */
+typedef struct batch_advice_search {
+	int64_t now;
+	bool by_rank;
+	batch_step_t *found;
+} batch_advice_search_t;
+
+/* False: no question can be asked now. */
+bool batch_advice_search_begin(batch_advice_search_t *search, batch_t *core,
+			       int64_t now);
+/* Looks at a job, in order of rank; false: the search is over. */
+bool batch_advice_search(batch_advice_search_t *search, batch_job_t *job);
+/* Asks about the step that was found, if any. */
+void batch_advice_search_end(const batch_advice_search_t *search);
+
+/* batch_advice_cost.c */
+/* A changed policy makes what was learned void. */
+void batch_advice_cost_config(batch_advice_cost_t *cost,
+			      const batch_policy_t *policy);
+/* Expected time of a question that names "n" workers, microseconds. */
+int64_t batch_advice_cost_expected(const batch_advice_cost_t *cost, size_t n);
+/* Validity of a ticket, microseconds; 0: not known. */
+int64_t batch_advice_cost_validity(const batch_advice_cost_t *cost);
+/* Workers that a question should name at most, not more than "max". */
+size_t batch_advice_cost_limit(const batch_advice_cost_t *cost, size_t max);
+/* Times from a question on, microseconds: when it is overdue, so that other
+ * queues are asked; when its queue is asked again; when it is given up. */
+int64_t batch_advice_cost_overdue(const batch_advice_cost_t *cost, size_t n);
+int64_t batch_advice_cost_retry(const batch_advice_cost_t *cost, size_t n);
+int64_t batch_advice_cost_timeout(const batch_advice_cost_t *cost, size_t n);
+/* Outcome of a question that named "n" workers. */
+void batch_advice_cost_answered(batch_advice_cost_t *cost, size_t n,
+				int64_t took, int64_t validity);
+void batch_advice_cost_unanswered(batch_advice_cost_t *cost, size_t n);
+void batch_advice_cost_refused(batch_advice_cost_t *cost, size_t n);
 
 /* batch_estimate.c */
 int64_t batch_task_estimate(const batch_job_t *job, int step);
--- a/packages/batch/batch_place.c
+++ b/packages/batch/batch_place.c
@@ -905,6 +905,19 @@
 	return all && i == n;
 }
 
+static void ask_for_advice(batch_t *core, const ranked_t *ranks, size_t n,
+			   int64_t now)
+{
+	batch_advice_search_t search;
+	size_t i;
+
+	if (!batch_advice_search_begin(&search, core, now))
+		return;
+	for (i = 0; i < n && batch_advice_search(&search, ranks[i].job); i++)
+		;
+	batch_advice_search_end(&search);
+}
+
 void batch_place(batch_t *core, int64_t now, int64_t wall)
 {
 	ranked_t *ranks = talloc_array(core, ranked_t, core->active_jobs->len);
@@ -937,8 +950,7 @@
 	if (place_ranked(core, ranks, n, now))
 		batch_copies_start(core, now,
 				   PLACE_UNSENT_BUSY_MAX - core->n_unsent);
-	for (i = 0; i < n && batch_advice_request(ranks[i].job, now); i++)
-		;
+	ask_for_advice(core, ranks, n, now);
 	talloc_free(ranks);
 }
 
--- a/packages/batch/tests/batch_worker_test.c
+++ b/packages/batch/tests/batch_worker_test.c
@@ -223,17 +223,17 @@
 	check_and_free(world);
 }
 
-/* A question that gets no answer is asked again. */
+/* A question that is refused is asked again. */
 static void test_advice_without_an_answer(void)
 {
 	world_t *world = new_advised_world(8);
 	batch_step_spec_t step = world_step(4);
 
+	world->advice.is_down = true;
 	world_submit(world, "a", &step, 1);
 	world_advance(world, 30 * MS);
 	g_assert_cmpint(world->questions, ==, 1);
-	world->advice_at = 0;
-	batch_advice_answer(world->core, world->now, NULL, 0, 0);
+	world->advice.is_down = false;
 	world_advance(world, 5 * SECOND);
 	g_assert_cmpint(world_state(world, "a"), ==, BATCH_COMPLETED);
 	check_and_free(world);
--- a/packages/batch/tests/batch_world.c
+++ b/packages/batch/tests/batch_world.c
@@ -152,7 +152,7 @@
 			sent.run.presence = &job->presence[order->task.step]
 							  [order->task.index];
 	}
-	sent.ticket = base_str_eq(order->ticket, base_str(sent.worker));
+	sent.ticket = world_ticket_is_valid(world, order->ticket);
 	if (worker) {
 		sent.incarnation = worker->incarnation;
 		sent.born = worker->born;
@@ -214,40 +214,9 @@
 	talloc_free(id);
 }
 
-/* The policy service takes longer the more workers it is asked about. */
 static void op_advise(void *arg, const batch_question_t *question)
 {
-	world_t *world = arg;
-	size_t i;
-
-	g_assert_cmpint(world->advice_at, ==, 0);
-	world->questions++;
-	world->n_asked = question->n_workers;
-	for (i = 0; i < question->n_workers; i++)
-		g_snprintf(world->asked[i], WORLD_NAME_MAX, "%.*s",
-			   BASE_STR_ARG(question->workers[i]));
-	world->advice_at = world->now + 40 * BASE_MS +
-			   (int64_t)question->n_workers * 4 * BASE_MS;
-}
-
-static void answer_advice(world_t *world)
-{
-	batch_ticket_t tickets[WORLD_WORKERS_MAX];
-	size_t n = 0;
-	size_t i;
-
-	if (!world->advice_at || world->now < world->advice_at)
-		return;
-	world->advice_at = 0;
-	for (i = 0; i < world->n_asked; i++) {
-		const world_worker_t *worker =
-			world_find_worker(world, world->asked[i]);
-
-		if (worker && worker->allowed)
-			tickets[n++] = (batch_ticket_t){ base_str(worker->id),
-							 base_str(worker->id) };
-	}
-	batch_advice_answer(world->core, world->now, tickets, n, 2 * BASE_SEC);
+	world_advice_ask(arg, question);
 }
 
 static void op_accepted(void *arg, base_str_t id)
@@ -346,17 +315,24 @@
 		  .checks_admission = !world->no_admission },
 		{ .name = BASE_STR("spare"), .spare = true }
 	};
-	batch_queue_info_t queue = { .name = BASE_STR("queue"),
-				     .pool = BASE_STR("pool"),
-				     .attempts = world->attempts,
-				     .advised = world->advised,
-				     .stretch = world->stretch,
-				     .target_latency = 600 * BASE_MS };
-
-	world->advice_at = 0;
+	batch_queue_info_t queues[WORLD_QUEUES] = {
+		{ .name = BASE_STR("queue"),
+		  .pool = BASE_STR("pool"),
+		  .attempts = world->attempts,
+		  .advised = world->advised,
+		  .policy = world->policy,
+		  .stretch = world->stretch,
+		  .target_latency = 600 * BASE_MS }
+	};
+
+	queues[1] = queues[0];
+	queues[1].name = BASE_STR("other");
+	if (world->advice.questions)
+		world_advice_forget(world);
 	world->instances_at = 0;
 	world->core = batch_new(NULL, &options);
-	batch_config(world->core, &queue, !world->queue_removed, pools, 2);
+	batch_config(world->core, queues,
+		     world->queue_removed ? 0 : WORLD_QUEUES, pools, 2);
 	batch_config_workspaces(world->core, world->workspaces,
 				world->n_workspaces);
 	list_workers(world);
@@ -442,6 +418,10 @@
 	world->crash_breaks_off = seed & 1;
 	world->now = BASE_SEC;
 	world->term = 1;
+	world->advice = (world_advice_t){ .decision = 40 * BASE_MS,
+					  .period = 4 * BASE_MS,
+					  .validity = 2 * BASE_SEC,
+					  .questions = world_advice_new() };
 	world->orders = g_array_new(FALSE, FALSE, sizeof(world_order_t));
 	world->jobs = g_hash_table_new(g_str_hash, g_str_equal);
 	world->rows =
@@ -490,6 +470,7 @@
 		g_array_unref(world->workers[i].poll_ends);
 	}
 	drop_rows(world);
+	g_ptr_array_unref(world->advice.questions);
 	g_array_unref(world->orders);
 	g_hash_table_unref(world->jobs);
 	g_hash_table_unref(world->rows);
@@ -528,7 +509,7 @@
 	world_job_t *job = g_new0(world_job_t, 1);
 
 	job->spec.id = base_str(g_strdup(id));
-	job->spec.queue = BASE_STR("queue");
+	job->spec.queue = base_str(world->queue ? world->queue : "queue");
 	job->spec.workspace = base_str(world->workspace);
 	job->spec.payload = BASE_STR("payload");
 	job->spec.source = BASE_STR("source");
@@ -817,7 +798,7 @@
 	while (world->now < until) {
 		world->now += WORLD_TICK;
 		deliver_due(world);
-		answer_advice(world);
+		world_advice_advance(world);
 		expire_entries(world);
 		read_list(world);
 		read_instances(world);
--- a/packages/batch/tests/batch_world.h
+++ b/packages/batch/tests/batch_world.h
@@ -50,6 +50,10 @@
 /* Time between two readings of the list of instances. */
 #define WORLD_INSTANCES_PERIOD (5 * BASE_SEC)
 #define WORLD_WORKERS_MAX 256
+/* Workers in a question to the policy service at most. */
+#define WORLD_ADVICE_MAX 30
+/* Queues "queue" and "other", with the same settings. */
+#define WORLD_QUEUES 2
 #define WORLD_WORKSPACES_MAX 4
 /* A lowered limit is in force after this time. */
 #define WORLD_LIMIT_TIME (3 * BASE_SEC)
@@ -186,6 +190,19 @@
 	int64_t stored_at;
 } world_commit_t;
 
+/* The policy service. */
+typedef struct world_advice {
+	int64_t decision;	 /* time of an answer, */
+	int64_t period;		 /* and for each worker in the question */
+	int64_t validity;	 /* of a ticket, from the answer on */
+	bool issues_early;	 /* rather from when it takes the question up */
+	int64_t free_at;	 /* when it has worked on all questions */
+	int lost_percent;	 /* of the answers */
+	bool is_down;		 /* it refuses all calls */
+	base_str_t silent_queue; /* whose questions are never answered */
+	GPtrArray *questions;	 /* question_t */
+} world_advice_t;
+
 typedef struct world {
 	batch_t *core;
 	int64_t now;
@@ -206,9 +223,9 @@
 	double stretch;
 	bool queue_removed; /* the next holder's configuration has no queue */
 	bool advised;	    /* queue: only allowed workers run its steps */
-	int64_t advice_at;  /* when the question is answered; 0: no question */
-	char asked[WORLD_WORKERS_MAX][WORLD_NAME_MAX];
-	size_t n_asked;
+	batch_policy_t policy; /* as configured */
+	world_advice_t advice;
+	const char *queue; /* of the next jobs; NULL: the first */
 	bool no_admission; /* workers start what does not fit */
 	bool list_down;	   /* the list of workers cannot be read */
 	int64_t listed_at;
--- a/packages/batch/tests/batch_world_int.h
+++ b/packages/batch/tests/batch_world_int.h
@@ -11,6 +11,13 @@
 world_worker_t *world_find_worker(world_t *world, const char *id);
 bool world_chance(world_t *world, int percent);
 
+/* batch_world_advice.c */
+GPtrArray *world_advice_new(void);
+void world_advice_ask(world_t *world, const batch_question_t *asked);
+void world_advice_advance(world_t *world);
+void world_advice_forget(world_t *world);
+bool world_ticket_is_valid(const world_t *world, base_str_t ticket);
+
 /* batch_world_judge.c: checks the rules on the simulation's own records. */
 void world_record_violation(world_t *world, const char *rule,
 			    const world_run_t *run);
--- a/packages/net/net.h
+++ b/packages/net/net.h
@@ -103,6 +103,9 @@
 	const char *address; /* "IPv4:port" */
 	size_t connections;  /* open at most; further calls queue */
 	bool urgent;	     /* its answers are handled before other events */
+	/* A connection whose other end acknowledges nothing for about this long
+	 * is closed, microseconds; for calls that last. 0: only timeouts. */
+	int64_t silence_max;
 } net_client_options_t;
 
 /*
--- a/packages/net/net_client.c
+++ b/packages/net/net_client.c
@@ -27,6 +27,7 @@
 	uint16_t port;
 	size_t max_conns;
 	bool urgent;
+	int64_t silence_max;
 	size_t n_conns;
 	net_conn_t *conns;
 	GQueue queued;
@@ -58,6 +59,8 @@
  * body; a longer text is allocated by itself. */
 #define CALL_OBJECTS 4
 #define CALL_TEXTS_SIZE 512
+/* Probes of a silent connection before it is closed. */
+#define PROBES 3
 
 static void send_queued(net_client_t *client);
 
@@ -82,6 +85,23 @@
 		   sizeof(linger));
 }
 
+/*
+ * Has the kernel probe the other end while a response is awaited.  It gives the
+ * connection up after TCP_USER_TIMEOUT, see limit_delivery().
+ */
+static void probe_peer(const net_client_t *client, struct bufferevent *bev)
+{
+	int on = 1;
+	int seconds = (int)MAX(client->silence_max / BASE_SEC / PROBES, 1);
+	int fd = bufferevent_getfd(bev);
+
+	if (!client->silence_max)
+		return;
+	setsockopt(fd, SOL_SOCKET, SO_KEEPALIVE, &on, sizeof(on));
+	setsockopt(fd, IPPROTO_TCP, TCP_KEEPIDLE, &seconds, sizeof(seconds));
+	setsockopt(fd, IPPROTO_TCP, TCP_KEEPINTVL, &seconds, sizeof(seconds));
+}
+
 /*
  * The caller may run inside a libevent callback of this connection, so that it
  * is freed later, from the loop.
@@ -131,6 +151,7 @@
 	client->address = talloc_strdup(client, options->address);
 	client->max_conns = options->connections;
 	client->urgent = options->urgent;
+	client->silence_max = options->silence_max;
 	g_queue_init(&client->queued);
 	if (!net_address_split(client, options->address, &client->host,
 			       &client->port)) {
@@ -260,8 +281,12 @@
 static void limit_delivery(struct bufferevent *bev, const net_call_t *call)
 {
 	int64_t left = call->expires_at - base_clock_mono();
-	unsigned int ms = (unsigned int)MAX(left / BASE_MS, 1);
+	int64_t silence_max = call->client->silence_max;
+	unsigned int ms;
 
+	if (silence_max)
+		left = MIN(left, silence_max);
+	ms = (unsigned int)MAX(left / BASE_MS, 1);
 	setsockopt(bufferevent_getfd(bev), IPPROTO_TCP, TCP_USER_TIMEOUT, &ms,
 		   sizeof(ms));
 }
@@ -296,8 +321,10 @@
 	bufferevent_setcb(bev, NULL, NULL, conn->connect_done,
 			  conn->connect_arg);
 	conn->is_open = what & BEV_EVENT_CONNECTED;
-	if (conn->is_open)
+	if (conn->is_open) {
 		reset_on_close(bev);
+		probe_peer(client, bev);
+	}
 	if (call && what & BEV_EVENT_CONNECTED) {
 		if (!may_send(call)) {
 			close_conn(conn);
--- a/packages/node/node_int.h
+++ b/packages/node/node_int.h
@@ -213,6 +213,9 @@
 	NODE_COUNT_REFUSAL_UNSURE,
 	NODE_COUNT_INSTANCE_LIST,
 	NODE_COUNT_ADVICE,
+	NODE_COUNT_ADVICE_ANSWERED,
+	NODE_COUNT_ADVICE_REFUSED,
+	NODE_COUNT_ADVICE_UNANSWERED,
 	NODE_COUNT_LOG_DROPPED,
 	NODE_COUNT_WORKER_UNREADABLE,
 	NODE_COUNT_WORKER_DROPPED,
@@ -467,10 +470,7 @@
 	node_insts_t *instances;
 	node_waves_t *waves;
 	node_moves_t *moves;
-	void *advice;	 /* from advice_new(); NULL: no advice service */
-	char *advice_id; /* job and step of the last question */
-	int advice_step;
-	int64_t advice_asked_at; /* when the last question was sent */
+	void *advice; /* from advice_new(); NULL: no advice service */
 };
 
 /* node_advice.c */
--- a/packages/node/node_platform.h
+++ b/packages/node/node_platform.h
@@ -153,15 +153,7 @@
 typedef void node_instance_ordered_t(void *arg,
 				     node_instance_order_status_t status);
 
-/* The advice service's answer: the workers that may run a step. */
-typedef struct node_advice {
-	bool ok;
-	const batch_ticket_t *tickets;
-	size_t n;
-	int64_t validity; /* of the tickets, microseconds */
-} node_advice_t;
-
-typedef void node_advised_t(void *arg, const node_advice_t *advice);
+typedef void node_advised_t(void *arg, const batch_advice_t *advice);
 
 /* A wave (a round of maintenance) that the operator requests. */
 typedef struct node_wave {
--- a/standin/platform/sp_advice.c
+++ b/standin/platform/sp_advice.c
@@ -1,5 +1,6 @@
 #include "sp_int.h"
 
+/* Validity of a ticket, unless a test sets another. */
 #define ADVICE_VALID_MS 1500
 
 /* The ticket for tasks of one step on one incarnation of a worker. */
@@ -23,6 +24,45 @@
 	return NULL;
 }
 
+/* A question whose answer is under way. */
+typedef struct sp_question {
+	sp_t *sp;
+	net_exchange_t *exchange;
+	net_timer_t *timer;
+	json_t *eligible;
+} sp_question_t;
+
+static void answer(void *arg)
+{
+	sp_question_t *question = arg;
+	const sp_t *sp = question->sp;
+
+	sp_reply_json(question->exchange, 200,
+		      json_pack("{s:o,s:i}", "good", question->eligible,
+				"validityMs",
+				sp->advice_valid_ms ? sp->advice_valid_ms
+						    : ADVICE_VALID_MS));
+	talloc_free(question);
+}
+
+/* Answers in turn, after the time that this many workers take. */
+static void answer_in_turn(sp_t *sp, net_exchange_t *exchange, json_t *eligible,
+			   size_t workers)
+{
+	sp_question_t *question = talloc_zero(sp, sp_question_t);
+	int64_t now = base_clock_mono();
+	int64_t takes =
+		(sp->advice_ms + (int64_t)workers * sp->advice_each_ms) *
+		BASE_MS;
+
+	question->sp = sp;
+	question->exchange = exchange;
+	question->eligible = eligible;
+	question->timer = net_timer_new(question, sp->loop, answer, question);
+	sp->advice_free_at = MAX(sp->advice_free_at, now) + takes;
+	net_timer_start(question->timer, sp->advice_free_at - now);
+}
+
 void sp_advice_serve(sp_t *sp, net_exchange_t *exchange)
 {
 	base_str_t text = net_exchange_body(exchange);
@@ -45,9 +85,7 @@
 				      json_pack("[s,s]", worker->id, ticket));
 		g_free(ticket);
 	}
-	sp_reply_json(exchange, 200,
-		      json_pack("{s:o,s:i}", "good", eligible, "validityMs",
-				ADVICE_VALID_MS));
+	answer_in_turn(sp, exchange, eligible, json_array_size(ids));
 	json_decref(root);
 }
 
--- a/standin/platform/sp_int.h
+++ b/standin/platform/sp_int.h
@@ -140,7 +140,11 @@
 	int restart_delay_ms; /* duration of maintenance or a pool change */
 	int64_t compacted;    /* events up to this revision are deleted */
 	bool requires_ticket; /* starts need a ticket; even workers get one */
-	bool keeps_leases;    /* no lease expires */
+	/* Time of an answer of the advice service, and for each worker. */
+	int advice_ms, advice_each_ms;
+	int advice_valid_ms;	/* validity of a ticket; 0: the usual one */
+	int64_t advice_free_at; /* when it has answered all questions */
+	bool keeps_leases;	/* no lease expires */
 	/* Orders for maintenance are carried out and not answered. */
 	bool drops_order_answers;
 	sp_suspension_t suspension;
--- a/standin/platform/sp_switch.c
+++ b/standin/platform/sp_switch.c
@@ -65,6 +65,21 @@
 	sp->requires_ticket = !strcmp(value, "on");
 }
 
+static void set_advice_time(sp_t *sp, const char *value)
+{
+	sp->advice_ms = (int)strtol(value, NULL, 10);
+}
+
+static void set_advice_time_each(sp_t *sp, const char *value)
+{
+	sp->advice_each_ms = (int)strtol(value, NULL, 10);
+}
+
+static void set_advice_validity(sp_t *sp, const char *value)
+{
+	sp->advice_valid_ms = (int)strtol(value, NULL, 10);
+}
+
 static void crash_worker(sp_t *sp, const char *value)
 {
 	sp_worker_t *worker = find_worker(sp, value);
@@ -135,6 +150,9 @@
 	{ "task-ms", set_task_duration },
 	{ "back-ms", set_restart_delay },
 	{ "advice", set_requires_ticket },
+	{ "advice-ms", set_advice_time },
+	{ "advice-each-ms", set_advice_time_each },
+	{ "advice-valid-ms", set_advice_validity },
 	{ "crash", crash_worker },
 	{ "mute", set_ignores_requests },
 	{ "one-way", set_drops_answers },
