settings: one value that cannot be used does not keep an entry from starting

Callers would see (FAULT): no entry of a system starts; each exits with "settings-bad". Not seen on a deployment; it may be the users' "didn't start".

Cause: the template wrote no JSON where a value is missing, and the loader refused the whole file for any member, also 0 for durations that may be nothing, and null or "" for the list of instances.

Change: such a value is replaced, by the default or by the one in force, and "setting-replaced" says which and by what; only the addresses without which nobody can be served are needed. A process without an event loop says so.

--- a/packages/net/net_loop.c
+++ b/packages/net/net_loop.c
@@ -1,4 +1,5 @@
 #include <arpa/inet.h>
+#include <errno.h>
 #include <event2/event_struct.h>
 #include <signal.h>
 #include <stdlib.h>
@@ -41,6 +42,13 @@
 	return 0;
 }
 
+/* The process cannot go on, and has no log yet. */
+static void give_up(const char *why)
+{
+	fprintf(stderr, "no event loop: %s\n", why);
+	abort();
+}
+
 net_loop_t *net_loop_new(const void *ctx)
 {
 	net_loop_t *loop = talloc_zero(ctx, net_loop_t);
@@ -48,7 +56,7 @@
 
 	signal(SIGPIPE, SIG_IGN);
 	if (!config)
-		abort();
+		give_up("no memory");
 	/* A connection's changes in one round of the loop, most of which cancel
 	 * out, make one system call; no descriptor is duplicated. */
 	event_config_set_flag(config, EVENT_BASE_FLAG_EPOLL_USE_CHANGELIST);
@@ -57,7 +65,7 @@
 	loop->base = event_base_new_with_config(config);
 	event_config_free(config);
 	if (!loop->base)
-		abort();
+		give_up(g_strerror(errno));
 	event_base_priority_init(loop->base, NET_PRIORITY_MAX);
 	talloc_set_destructor(loop, loop_free);
 	return loop;
--- a/packages/node/node.h
+++ b/packages/node/node.h
@@ -36,6 +36,13 @@
 	NODE_ERR_MAX
 } node_error_t;
 
+/* A setting that is not usable as it stands, and what was taken instead. */
+typedef struct node_settings_note {
+	const char *name;
+	const char *why;
+	const char *taken;
+} node_settings_note_t;
+
 /* cactusfield-node(8) documents the settings file. */
 typedef struct node_settings {
 	const char *name;
@@ -47,7 +54,8 @@
 	const char *metrics;   /* listen address for operators; NULL: none */
 	const char *advice;    /* address of the advice service; NULL: none */
 	const char *store;     /* address of the platform's store */
-	const char *instances; /* address of the platform's instances */
+	const char *instances; /* address of the platform's instances; NULL:
+				  none are listed, moved or maintained */
 	const char **seeds;    /* addresses of some peers */
 	size_t n_seeds;
 	/* Times are in microseconds. */
@@ -67,10 +75,18 @@
 	double instance_orders_per_s;
 	/* factor of the run time of a task on another rack than its data's */
 	double remote_penalty;
+	node_settings_note_t *notes;
+	size_t n_notes;
 } node_settings_t;
 
-/* Parses the settings; "err" names every fault. */
+/*
+ * Parses the settings.  A value that is not usable is replaced by that of
+ * "in_force", or by a default if that is NULL, and noted: it must not keep an
+ * entry from serving.  NULL: the text is no JSON object, or an address is
+ * missing without which nobody can be served; "err" names every such fault.
+ */
 node_settings_t *node_settings_load(const void *ctx, base_str_t text,
+				    const node_settings_t *in_force,
 				    GError **err);
 
 typedef struct node_options {
--- a/packages/node/node_instance.c
+++ b/packages/node/node_instance.c
@@ -36,7 +36,9 @@
 	instances->holder = holder;
 	instances->table = g_hash_table_new(g_str_hash, g_str_equal);
 	instances->by_worker = g_hash_table_new(g_str_hash, g_str_equal);
-	instances->handle = node->platform->instances_new(instances, &options);
+	if (options.address)
+		instances->handle =
+			node->platform->instances_new(instances, &options);
 	instances->timer =
 		net_timer_new(instances, node->loop, start_round, instances);
 	talloc_set_destructor(instances, instances_free);
--- a/packages/node/node_run.c
+++ b/packages/node/node_run.c
@@ -123,6 +123,7 @@
 }
 
 static node_settings_t *read_settings(const void *ctx, const char *path,
+				      const node_settings_t *in_force,
 				      GError **err)
 {
 	node_settings_t *settings;
@@ -131,18 +132,30 @@
 
 	if (!g_file_get_contents(path, &text, &len, err))
 		return NULL;
-	settings = node_settings_load(ctx, (base_str_t){ text, len }, err);
+	settings = node_settings_load(ctx, (base_str_t){ text, len }, in_force,
+				      err);
 	g_free(text);
 	return settings;
 }
 
+static void log_notes(node_t *node, const node_settings_t *settings)
+{
+	size_t i;
+
+	for (i = 0; i < settings->n_notes; i++)
+		node_log(node, BASE_MSG_SETTING_REPLACED,
+			 BASE_F_STR("name", settings->notes[i].name),
+			 BASE_F_STR("why", settings->notes[i].why),
+			 BASE_F_STR("taken", settings->notes[i].taken));
+}
+
 /* Only durations are reloaded: listening addresses stay until a restart. */
 static void reload(void *arg, int signo)
 {
 	node_t *node = arg;
 	GError *err = NULL;
 	node_settings_t *settings =
-		read_settings(node, node->settings_file, &err);
+		read_settings(node, node->settings_file, node->settings, &err);
 
 	(void)signo;
 	if (!settings) {
@@ -157,6 +170,7 @@
 	node->settings->grace = settings->grace;
 	node->settings->keep = settings->keep;
 	node->settings->revoke_bound = settings->revoke_bound;
+	log_notes(node, settings);
 	talloc_free(settings);
 	node_log(node, BASE_MSG_RELOADED,
 		 BASE_F_STR("file", node->settings_file));
@@ -225,6 +239,19 @@
 	return EXIT_FAILURE;
 }
 
+static void print_notes(const node_options_t *options,
+			const node_settings_t *settings)
+{
+	base_log_t log = { .fd = options->log_fd, .level = BASE_INFO };
+	size_t i;
+
+	for (i = 0; i < settings->n_notes; i++)
+		base_log(&log, BASE_MSG_SETTING_REPLACED,
+			 BASE_F_STR("name", settings->notes[i].name),
+			 BASE_F_STR("why", settings->notes[i].why),
+			 BASE_F_STR("taken", settings->notes[i].taken));
+}
+
 /* Until its sockets are closed, the system takes requests for a process that
  * will not read them, and the rest of an exit can take a while. */
 static void finish_stop(node_t *node)
@@ -256,10 +283,11 @@
 	node_t *node;
 
 	hold_signals(SIG_BLOCK);
-	settings = read_settings(NULL, options->settings_file, &err);
+	settings = read_settings(NULL, options->settings_file, NULL, &err);
 	if (!settings)
 		return fail_start(options, BASE_MSG_SETTINGS_BAD, err);
 	if (options->check_only) {
+		print_notes(options, settings);
 		talloc_free(settings);
 		return EXIT_SUCCESS;
 	}
@@ -281,6 +309,7 @@
 	node_log(node, BASE_MSG_START, BASE_F_STR("name", settings->name),
 		 BASE_F_STR("zone", settings->zone),
 		 BASE_F_INT("pid", getpid()));
+	log_notes(node, settings);
 	node_member_begin(node);
 	node_config_begin(node);
 	node_election_begin(node);
