store: a page or a value that arrives slowly is waited for

Callers would see (LOST): on an entry with 10 Mbit/s no job starts after a takeover, as the same page of rows is read again and again; with a configuration near valueBytes it is never ready.

The whole answer had to be there after 1 s; a page of 1 MB is 1.33 MB in base64 and takes 1.07 s at 10 Mbit/s. The retry is the same page.

Change: a read waits as long as bytes come, at most a minute; nothing changes where none come.

--- a/packages/net/net.h
+++ b/packages/net/net.h
@@ -88,13 +88,18 @@
 	const void *arg;
 } net_permit_t;
 
+#define NET_PROGRESS_MAX (60 * BASE_SEC)
+
 typedef struct net_request {
 	net_method_t method;
 	const char *path;	     /* with its query */
 	const net_header_t *headers; /* without "Host", the address is sent */
 	size_t n_headers;
 	base_str_t body;
-	int64_t timeout;	    /* from net_call() to the whole response */
+	int64_t timeout; /* from net_call() to the whole response */
+	/* A response of which more has come within this time is awaited longer
+	 * than the timeout, at most for NET_PROGRESS_MAX; 0: it is not. */
+	int64_t stall_max;
 	const net_permit_t *permit; /* NULL: none is needed; it is copied */
 } net_request_t;
 
--- a/packages/net/net_client.c
+++ b/packages/net/net_client.c
@@ -10,7 +10,8 @@
 typedef struct net_conn {
 	net_client_t *client;
 	struct evhttp_connection *evcon;
-	net_call_t *call; /* in flight; NULL when idle */
+	struct evhttp_request *req; /* of the call; owned by evcon */
+	net_call_t *call;	    /* in flight; NULL when idle */
 	struct net_conn *next;
 	bool discarded;	 /* freed by free_conn() from the loop */
 	bool is_sending; /* in send_call() */
@@ -45,6 +46,8 @@
 	void *arg;
 	net_timer_t *timer;
 	int64_t expires_at; /* end of its timeout */
+	int64_t stall_max;
+	size_t received; /* of the response, when its time was last over */
 	net_permit_t permit;
 	bool has_failed; /* on its connection; that is yet to be reported */
 };
@@ -188,6 +191,7 @@
 	if (conn->discarded)
 		return;
 	conn->call = NULL;
+	conn->req = NULL;
 	if (req && evhttp_request_get_response_code(req)) {
 		input = evhttp_request_get_input_buffer(req);
 		answer.call_outcome = NET_ANSWERED;
@@ -213,6 +217,32 @@
 	complete_call(call, &answer);
 }
 
+/* Bytes of the response's body so far. */
+static size_t count_received(const net_conn_t *conn)
+{
+	struct bufferevent *bev =
+		evhttp_connection_get_bufferevent(conn->evcon);
+
+	return evbuffer_get_length(bufferevent_get_input(bev)) +
+	       evbuffer_get_length(evhttp_request_get_input_buffer(conn->req));
+}
+
+/* Whether the response is still coming, so that the call waits for more. */
+static bool is_progressing(net_call_t *call)
+{
+	size_t received;
+
+	if (!call->stall_max || !call->conn || !call->conn->req ||
+	    base_clock_mono() > call->expires_at + NET_PROGRESS_MAX)
+		return false;
+	received = count_received(call->conn);
+	if (received <= call->received)
+		return false;
+	call->received = received;
+	net_timer_start(call->timer, call->stall_max);
+	return true;
+}
+
 static void on_timeout(void *arg)
 {
 	net_call_t *call = arg;
@@ -224,6 +254,8 @@
 		.is_unreached = conn ? !conn->is_open : call->has_failed,
 	};
 
+	if (is_progressing(call))
+		return;
 	if (conn) {
 		close_conn(conn);
 		call->conn = NULL;
@@ -369,6 +401,7 @@
 			     call->body.ptr, call->body.len);
 	}
 	conn->call = call;
+	conn->req = req;
 	call->conn = conn;
 	call->client->loop->calls++;
 	/* On failure libevent has freed the request; the call times out. */
@@ -378,6 +411,7 @@
 	conn->is_sending = false;
 	if (failed) {
 		conn->call = NULL;
+		conn->req = NULL;
 		call->conn = NULL;
 		return;
 	}
@@ -443,6 +477,7 @@
 	call->timer = net_timer_new(call, client->loop, on_timeout, call);
 	net_timer_start(call->timer, request->timeout);
 	call->expires_at = base_clock_mono() + request->timeout;
+	call->stall_max = request->stall_max;
 	if (request->permit)
 		call->permit = *request->permit;
 	g_queue_push_tail(&client->queued, call);
