--- a/packages/batch/batch_int.h
+++ b/packages/batch/batch_int.h
@@ -84,7 +84,8 @@
 	 */
 	batch_load_t due;
 	batch_load_t stranded;
-	GHashTable *racks; /* see batch_rack.c; NULL: not used in this pass */
+	GHashTable *racks;  /* see batch_rack.c; NULL: not used in this pass */
+	bool is_half_empty; /* set with them: less than half of it is in use */
 	/* A task of a workspace below its limit has got no place in the last
 	 * pass. */
 	bool has_waiting;
@@ -510,6 +511,7 @@
 	int64_t cost;	     /* by which the worse placement takes longer */
 	int64_t slack;	     /* of the job, if the task starts well now */
 	int64_t waited;	     /* since the task could have started */
+	bool is_neglected;   /* nothing of the job runs, in a pool with room */
 } batch_wait_input_t;
 
 typedef enum batch_wait_kind {
--- a/packages/batch/batch_rack.c
+++ b/packages/batch/batch_rack.c
@@ -89,9 +89,16 @@
 	return rack;
 }
 
+static bool is_half_empty(const batch_load_t *used, const batch_load_t *all)
+{
+	return 2 * used->cpu < all->cpu && 2 * used->memory < all->memory;
+}
+
 /* The racks of workers that may get a start; found once in a pass. */
 static GHashTable *find_racks(batch_pool_t *pool, int64_t now)
 {
+	batch_load_t used = { 0, 0 };
+	batch_load_t all = { 0, 0 };
 	guint i;
 
 	if (pool->racks)
@@ -101,12 +108,18 @@
 		rack_worker_t entry = { .worker = g_ptr_array_index(
 						pool->workers, i) };
 
-		if (batch_worker_usable(entry.worker, now))
-			g_array_append_val(
-				add_rack(pool->racks, entry.worker->rack_quark)
-					->workers,
-				entry);
+		if (!batch_worker_usable(entry.worker, now))
+			continue;
+		used.cpu += entry.worker->used.cpu;
+		used.memory += entry.worker->used.memory;
+		all.cpu += entry.worker->capacity.cpu;
+		all.memory += entry.worker->capacity.memory;
+		g_array_append_val(
+			add_rack(pool->racks, entry.worker->rack_quark)
+				->workers,
+			entry);
 	}
+	pool->is_half_empty = is_half_empty(&used, &all);
 	return pool->racks;
 }
 
@@ -493,6 +506,30 @@
 	job->rack_wait_until = now + 2 * BATCH_PASS_INTERVAL;
 }
 
+static bool has_run(const batch_job_t *job)
+{
+	guint o;
+	int s;
+
+	for (o = 0; o < job->occs->len; o++) {
+		const batch_occ_t *occ = g_ptr_array_index(job->occs, o);
+
+		for (s = 0; s < job->spec.n_steps; s++)
+			if (occ->steps[s].n_open_runs)
+				return true;
+	}
+	return false;
+}
+
+/* Whether the job has nothing running while its pool has room. */
+static bool is_neglected(const batch_job_t *job, int64_t now)
+{
+	if (has_run(job))
+		return false;
+	find_racks(job->queue->pool, now);
+	return job->queue->pool->is_half_empty;
+}
+
 bool batch_rack_wait(batch_task_t *task, int64_t now)
 {
 	const batch_job_t *job = task->step->occ->job;
@@ -502,6 +539,7 @@
 		.cost = (int64_t)((job->core->options.remote_penalty - 1) *
 				  (double)batch_task_estimate(
 					  job, task->step->number)),
+		.is_neglected = is_neglected(job, now),
 	};
 	batch_wait_t wait = job->core->decide_wait(&in);
 	release_t when = { 0 };
--- a/packages/batch/batch_wait.c
+++ b/packages/batch/batch_wait.c
@@ -19,14 +19,22 @@
  */
 #define WAIT_SLACK_PART 0.5
 
+/*
+ * Longest wait of a job of which nothing runs while half of its pool or more is
+ * empty.  The users grant 3 s; the rest is for storing and sending the start.
+ */
+#define WAIT_NEGLECTED_MAX (2 * BASE_SEC)
+
 static int64_t longest(const batch_wait_input_t *in)
 {
 	int64_t spare = in->slack + in->waited - in->cost;
+	int64_t most =
+		in->is_neglected ? MIN(in->cost, WAIT_NEGLECTED_MAX) : in->cost;
 
 	/* Elsewhere the job is late in any case. */
 	if (spare < 0)
-		return in->cost;
-	return MIN(in->cost, (int64_t)(WAIT_SLACK_PART * (double)spare));
+		return most;
+	return MIN(most, (int64_t)(WAIT_SLACK_PART * (double)spare));
 }
 
 batch_wait_t batch_wait_decide(const batch_wait_input_t *in)
--- a/packages/batch/tests/batch_wait_test.c
+++ b/packages/batch/tests/batch_wait_test.c
@@ -68,6 +68,22 @@
 	}
 }
 
+/* The users grant that nothing of a job runs for 3 s while its pool has room,
+ * whatever the wrong rack costs. */
+static void test_bound_of_a_neglected_job(void)
+{
+	batch_wait_input_t in = { .cost = 60 * SECOND,
+				  .slack = -1,
+				  .expected = 0,
+				  .is_neglected = true };
+
+	while (batch_wait_decide(&in).kind == BATCH_WAIT_FOR_RACK)
+		in.waited += BATCH_PASS_INTERVAL;
+	g_assert_cmpint(in.waited, <=, 3 * SECOND - 2 * BATCH_PASS_INTERVAL);
+	in.is_neglected = false;
+	g_assert_cmpint(batch_wait_decide(&in).kind, ==, BATCH_WAIT_FOR_RACK);
+}
+
 static void check_and_free(world_t *world)
 {
 	if (world->broken)
@@ -134,6 +150,30 @@
 	return world;
 }
 
+/* Guards against a job of which nothing runs for as long as its data's rack is
+ * busy, half a minute here, while all other racks are idle. */
+static void test_rack_busy_for_long(void)
+{
+	world_t *world = new_world();
+	batch_step_spec_t step = world_step(RACK_TASKS);
+	int64_t began;
+
+	step.estimate = 35 * SECOND;
+	step.data_rack = BASE_STR("r0");
+	world_submit(world, "fill", &step, 1);
+	world_advance(world, 200 * MS);
+	g_assert_cmpint(count_runs(world, "fill", "r0"), ==, RACK_TASKS);
+	step.count = 1;
+	step.estimate = 60 * SECOND;
+	world_submit(world, "a", &step, 1);
+	began = world->now;
+	while (!count_runs(world, "a", NULL) &&
+	       world->now < began + 10 * SECOND)
+		world_advance(world, 50 * MS);
+	g_assert_cmpint(world->now - began, <, 3 * SECOND);
+	check_and_free(world);
+}
+
 static uint64_t waits(const world_t *world, batch_rack_wait_outcome_t outcome)
 {
 	batch_stats_t stats;
@@ -426,6 +466,10 @@
 	g_test_init(&argc, &argv, NULL);
 	g_test_add_func("/batch/wait/decide", test_decide);
 	g_test_add_func("/batch/wait/bound", test_bound);
+	g_test_add_func("/batch/wait/bound-of-a-neglected-job",
+			test_bound_of_a_neglected_job);
+	g_test_add_func("/batch/wait/rack-busy-for-long",
+			test_rack_busy_for_long);
 	g_test_add_func("/batch/wait/makes-no-job-late",
 			test_wait_makes_no_job_late);
 	g_test_add_func("/batch/wait/idle", test_idle);
