batch: a job's row stays within what the store holds

Callers saw (LOST): after one job of six steps of 4,096 tasks no other job is accepted or completed; each submit ends with 504.

Cause: its row, over 42 bytes for each task at work, is larger than a value of the store, and the change with it is refused and repeated for ever. Nothing bounded the number of tasks that a row lists, nor the checkpoints.

Change: a submit that can never fit is answered 400; of an accepted job no more tasks start while its row is nearly full; a row that would be too large has no checkpoints (docs/design/row-size.md).

--- a/bench/start_bench.c
+++ b/bench/start_bench.c
@@ -216,8 +216,8 @@
 {
 	void *ctx = talloc_new(NULL);
 
-	batch_record_print(ctx,
-			   g_ptr_array_index(bench->core->active_jobs, job));
+	batch_record_print(
+		ctx, g_ptr_array_index(bench->core->active_jobs, job), true);
 	talloc_free(ctx);
 	bench->n_open--;
 }
@@ -239,9 +239,11 @@
 	for (i = 0; i < ROWS; i++)
 		sets[i + 1] = (node_set_t){
 			talloc_asprintf(ctx, "cactusfield/job/%d", job + i),
-			base_str(batch_record_print(
-				ctx, g_ptr_array_index(bench->core->active_jobs,
-						       job + i))),
+			batch_record_print(
+				ctx,
+				g_ptr_array_index(bench->core->active_jobs,
+						  job + i),
+				true),
 			0
 		};
 	platform_table.change(bench->store, &change, stored, bench);
--- a/packages/batch/batch.h
+++ b/packages/batch/batch.h
@@ -284,6 +284,7 @@
 	/* Factor of the run time of a task on the wrong rack, or of a gang that
 	 * is spread over racks; up to 1: no task waits for a rack. */
 	double remote_penalty;
+	size_t row_max; /* bytes of a row that can be stored; 0: any number */
 } batch_options_t;
 
 typedef struct batch batch_t;
@@ -310,6 +311,8 @@
 
 /* Whether a specification is valid. */
 bool batch_spec_check(const batch_spec_t *spec, GError **err);
+/* Whether a row of "row_max" bytes holds the job's state at all times. */
+bool batch_spec_fits(const batch_spec_t *spec, size_t row_max, GError **err);
 
 typedef enum batch_admission {
 	BATCH_ACCEPTED,	 /* accepted() follows */
--- a/packages/batch/batch_commit.c
+++ b/packages/batch/batch_commit.c
@@ -45,13 +45,13 @@
 	return true;
 }
 
-static batch_row_t print_row(const batch_job_t *job, const void *texts)
+static batch_row_t print_row(batch_job_t *job, const void *texts)
 {
 	bool ended = !batch_job_is_active(job);
 
 	return (batch_row_t){
 		.job = base_str(job->id),
-		.record = batch_record_print(texts, job),
+		.record = batch_row_print(texts, job).ptr,
 		.ended = ended,
 		.source =
 			job->stored || ended ? BASE_STR("") : job->spec.source,
--- a/packages/batch/batch_fit.c
+++ b/packages/batch/batch_fit.c
@@ -240,6 +240,11 @@
 		    task->step,
 		    task->step->spec->gang ? task->step->spec->count : 1))
 		return "the limit of its workspace leaves no room";
+	if (!batch_row_may_grow(task->step->occ->job,
+				task->step->spec->gang ? task->step->spec->count
+						       : 1))
+		return "the store has no room for the state of more tasks of "
+		       "its job at once";
 	if (batch_doubt_holds_back(task, now))
 		return "an earlier start of it had no answer, and its worker "
 		       "may have restarted since: it waits until that start "
--- a/packages/batch/batch_int.h
+++ b/packages/batch/batch_int.h
@@ -381,6 +381,8 @@
 	uint64_t stored_version;  /* last version stored */
 	bool cancel_confirmed;
 	int n_runs;
+	size_t row_length;   /* of the last row, bytes, */
+	int row_runs;	     /* and the runs in it */
 	bool is_speculative; /* tasks of a step of it may have copies */
 	bool has_copies;     /* a task of it has or had a copy */
 	int n_held_ends;     /* runs with "holds_end" */
@@ -1079,10 +1081,18 @@
 /* batch_pace.c */
 void batch_pace_adjust(batch_worker_t *worker, int64_t now);
 
+/* batch_row_size.c */
+/* Whether so many more runs of the job may begin, as far as its row has room.
+ */
+bool batch_row_may_grow(const batch_job_t *job, int starts);
+/* Prints the job's row. */
+base_str_t batch_row_print(const void *ctx, batch_job_t *job);
+
 /* batch_record.c */
 /* Whether the job's row leaves out the tasks of steps that are done. */
 bool batch_record_sums_up(const batch_job_t *job);
-const char *batch_record_print(const void *ctx, const batch_job_t *job);
+base_str_t batch_record_print(const void *ctx, const batch_job_t *job,
+			      bool with_checkpoints);
 bool batch_record_load(batch_job_t *job, const batch_stored_t *stored,
 		       int64_t now, int64_t wall, GError **err);
 
--- a/packages/batch/batch_place.c
+++ b/packages/batch/batch_place.c
@@ -509,6 +509,8 @@
 	if (trial && !has_reservation(pool, task) &&
 	    !batch_crash_may_try(pool, now))
 		return PLACEMENT_NONE;
+	if (!batch_row_may_grow(task->step->occ->job, 1))
+		return PLACEMENT_NONE;
 	if (!batch_workspace_allows(task->step, 1)) {
 		/* Room that the task may not use is left to others. */
 		batch_claim_drop(task);
@@ -625,7 +627,8 @@
 
 	if (batch_crash_must_wait(first, now))
 		return;
-	if (!batch_workspace_allows(step, step->spec->count)) {
+	if (!batch_workspace_allows(step, step->spec->count) ||
+	    !batch_row_may_grow(step->occ->job, step->spec->count)) {
 		note_wait(first, now);
 		return;
 	}
--- a/packages/batch/batch_record.c
+++ b/packages/batch/batch_record.c
@@ -96,7 +96,14 @@
 	return task->done ? run->holds_end : run->number != task->number;
 }
 
-static void print_task(base_buf_t *buf, const batch_task_t *task, bool *first)
+/* What to print of the tasks. */
+typedef struct record_options {
+	bool sum_up;	       /* not those of steps that are done */
+	bool with_checkpoints; /* of tasks that are not done */
+} record_options_t;
+
+static void print_task(base_buf_t *buf, const batch_task_t *task,
+		       const record_options_t *options, bool *first)
 {
 	const batch_step_t *step = task->step;
 	const batch_run_t *latest = task->copy ? task->copy : task->run;
@@ -116,8 +123,9 @@
 	base_buf_add_json(buf,
 			  latest ? base_str(latest->worker->id) : BASE_STR(""));
 	base_buf_adds(buf, ",");
-	base_buf_add_json(buf, task->done ? BASE_STR("")
-					  : base_str(task->checkpoint));
+	base_buf_add_json(buf, task->done || !options->with_checkpoints
+				       ? BASE_STR("")
+				       : base_str(task->checkpoint));
 	base_buf_adds(buf, "]");
 }
 
@@ -359,8 +367,9 @@
 	return step->done == step->spec->count;
 }
 
-/* Prints the touched tasks; with "sum_up" not those of steps that are done. */
-static void print_tasks(base_buf_t *buf, const batch_job_t *job, bool sum_up)
+/* Prints the touched tasks. */
+static void print_tasks(base_buf_t *buf, const batch_job_t *job,
+			const record_options_t *options)
 {
 	bool first = true;
 	guint i;
@@ -372,9 +381,10 @@
 
 		for (s = 0; s < job->spec.n_steps; s++)
 			for (t = 0; t < occ->steps[s].spec->count; t++)
-				if (!sum_up || !is_step_done(&occ->steps[s]))
+				if (!options->sum_up ||
+				    !is_step_done(&occ->steps[s]))
 					print_task(buf, &occ->steps[s].tasks[t],
-						   &first);
+						   options, &first);
 	}
 }
 
@@ -436,11 +446,13 @@
 			      (long long)limit->gpu);
 }
 
-const char *batch_record_print(const void *ctx, const batch_job_t *job)
+base_str_t batch_record_print(const void *ctx, const batch_job_t *job,
+			      bool with_checkpoints)
 {
 	base_buf_t *buf = base_buf_new(ctx);
 	int opened = job->occs ? job->n_opened : 0;
-	bool sum_up = batch_record_sums_up(job);
+	record_options_t options = { .sum_up = batch_record_sums_up(job),
+				     .with_checkpoints = with_checkpoints };
 
 	base_buf_adds(buf, "{\"state\":");
 	base_buf_add_json(buf, base_str(batch_state_name(job->state)));
@@ -456,9 +468,9 @@
 	base_buf_add_int(buf, opened);
 	base_buf_adds(buf, ",\"tasks\":[");
 	if (batch_job_is_active(job) && opened)
-		print_tasks(buf, job, sum_up);
+		print_tasks(buf, job, &options);
 	base_buf_adds(buf, "]");
-	if (sum_up)
+	if (options.sum_up)
 		print_done_steps(buf, job);
 	if (batch_job_is_active(job) && job->occs) {
 		print_done_occurrences(buf, job);
@@ -482,7 +494,7 @@
 		base_buf_add_json(buf, job->spec.workspace);
 	}
 	base_buf_adds(buf, "}");
-	return buf->ptr;
+	return base_buf_str(buf);
 }
 
 static bool load_state(batch_job_t *job, json_t *root)
@@ -953,6 +965,8 @@
 	}
 	if (!ok)
 		job->state = BATCH_FAILED;
+	job->row_length = strlen(stored->record);
+	job->row_runs = job->n_runs;
 	register_restored(job, now, wall);
 	core->pass_needed = true;
 	return ok;
--- a/packages/batch/tests/batch_takeover_test.c
+++ b/packages/batch/tests/batch_takeover_test.c
@@ -822,7 +822,8 @@
 	}
 	for (i = 1; i <= n; i++)
 		batch_record_print(core,
-				   batch_find_job(core, text_of(text, "j", i)));
+				   batch_find_job(core, text_of(text, "j", i)),
+				   true);
 	batch_stats(core, &stats);
 	talloc_free(core);
 	return stats.scanned;
--- a/packages/batch/tests/batch_world.c
+++ b/packages/batch/tests/batch_world.c
@@ -309,7 +309,8 @@
 				    .arg = world,
 				    .in_doubt_timeout = 300 * BASE_MS,
 				    .drain_time = world->drain_time,
-				    .remote_penalty = world->remote_penalty };
+				    .remote_penalty = world->remote_penalty,
+				    .row_max = world->row_max };
 	batch_pool_info_t pools[] = {
 		{ .name = BASE_STR("pool"),
 		  .checks_admission = !world->no_admission },
@@ -654,6 +655,8 @@
 	world->n_taken += commit->n;
 	for (i = 0; i < commit->n; i++) {
 		commit->texts[i] = g_strdup(commit->rows[i].record);
+		world->longest_row =
+			MAX(world->longest_row, strlen(commit->texts[i]));
 		commit->ended[i] = commit->rows[i].ended;
 	}
 	commit->stored_at = world->now + factor * world->store_time;
--- a/packages/batch/tests/batch_world.h
+++ b/packages/batch/tests/batch_world.h
@@ -241,6 +241,8 @@
 	int64_t drain_time; /* as the next holder knows it */
 	/* Factor of run times on another rack than the data's; 0: none. */
 	double remote_penalty;
+	size_t row_max;	     /* as the next holder knows it; 0: no limit */
+	size_t longest_row;  /* that was handed out */
 	int64_t crash_delay; /* from the start of a deadly task to the crash */
 	int64_t crash_time;  /* until a crashed worker is back */
 	/* The holder sees at once that a worker has crashed. */
--- a/packages/node/node_holder.c
+++ b/packages/node/node_holder.c
@@ -248,6 +248,7 @@
 		.in_doubt_timeout = 300 * BASE_MS,
 		.drain_time = node->settings->drain_time,
 		.remote_penalty = node->settings->remote_penalty,
+		.row_max = (size_t)node->settings->store_value_max,
 	};
 
 	holder->node = node;
@@ -546,7 +547,10 @@
 	spec.source = base_str(print_source(holder->node, ctx, ask));
 	if (!check_source(holder->node, spec.source, &err) ||
 	    !holder->node->platform->job_read(ctx, ask->body, &spec, &err) ||
-	    !batch_spec_check(&spec, &err)) {
+	    !batch_spec_check(&spec, &err) ||
+	    !batch_spec_fits(&spec,
+			     (size_t)holder->node->settings->store_value_max,
+			     &err)) {
 		outcome.kind = NODE_OUT_INVALID;
 		outcome.why = err->message;
 		done(arg, &outcome);
