soak: a policy service that is slower than configured

A new kind of disturbance: the queue gets a policy for one to eight seconds, whose service takes up to 2.5 s and 0.4 s for each worker where 40 and 4 ms are configured, beside all others. Entries reach it over the same link as the list of instances.

--- a/soak/soak_fault.c
+++ b/soak/soak_fault.c
@@ -465,6 +465,25 @@
 	set_switch(soak, "task-ms", "300");
 }
 
+/* The policy service is up to a hundred times as slow as configured. */
+static bool slow_policy(soak_t *soak, fault_t *fault)
+{
+	set_switch_number(soak, "advice-ms",
+			  soak_random_range(&soak->rng, 0, 2500));
+	set_switch_number(soak, "advice-each-ms",
+			  soak_random_range(&soak->rng, 0, 400));
+	soak->has_policy = true;
+	return change_config(soak, fault);
+}
+
+static void no_policy(soak_t *soak, fault_t *fault)
+{
+	set_switch(soak, "advice-ms", "0");
+	set_switch(soak, "advice-each-ms", "0");
+	soak->has_policy = false;
+	change_config(soak, fault);
+}
+
 /* New kinds go to the end: a recorded seed draws from the first ones only. */
 static const kind_t kinds[] = {
 	{ "kill", 10, 0, 0, kill_node, NULL },
@@ -503,6 +522,7 @@
 	  suspend_at_order, resume_holder },
 	{ "starts, holder suspended", 8, 2 * BASE_SEC, 6 * BASE_SEC,
 	  suspend_at_start, resume_holder },
+	{ "slow policy", 8, BASE_SEC, 8 * BASE_SEC, slow_policy, no_policy },
 };
 
 static int faults_free(soak_faults_t *faults)
--- a/soak/soak_int.h
+++ b/soak/soak_int.h
@@ -198,6 +198,7 @@
 	int port;		 /* first port of the block */
 	size_t kinds_max;	 /* faults are drawn from so many kinds */
 	soak_keys_t *keys;	 /* NULL: a run without workspaces */
+	bool has_policy; /* the queue has one, in the next configuration */
 	int64_t started_at;
 	soak_process_t *standin;
 	soak_process_t *nodes[SOAK_NODES];
--- a/soak/soak_main.c
+++ b/soak/soak_main.c
@@ -139,10 +139,14 @@
 		"{\"version\":%d,\"routes\":[{\"name\":\"jobs\","
 		"\"host\":\"desk.example\",\"prefix\":\"/jobs/\","
 		"\"service\":\"desk\",\"attempts\":2,\"stretch\":50,"
-		"\"targetLatencyMs\":20000,\"priority\":0}],\"services\":["
+		"\"targetLatencyMs\":20000,\"priority\":0%s}],\"services\":["
 		"{\"name\":\"desk\",\"admissionCheck\":true},"
 		"{\"name\":\"spare\",\"admissionCheck\":true,\"spare\":true}]%s}",
-		version, soak_keys_tenants(soak));
+		version,
+		soak->has_policy ? ",\"advice\":{\"decisionMs\":40,"
+				   "\"periodMs\":4,\"validityMs\":1500}"
+				 : "",
+		soak_keys_tenants(soak));
 
 	*write = (config_write_t){ soak, version };
 	soak_keys_sent(soak, version);
@@ -196,6 +200,7 @@
 		"\"peers\": \"127.0.0.1:%d\", \"peers_at\": \"127.0.0.1:%d\",\n"
 		"\"metrics\": \"127.0.0.1:%d\", \"store\": \"127.0.0.1:%d\",\n"
 		"\"instances\": \"127.0.0.1:%d\", \"processor_cores\": 0.25,\n"
+		"\"advice\": \"127.0.0.1:%d\",\n"
 		"\"lease_max_ms\": 6000, \"keep_s\": 600%s}\n",
 		i, i % 3, soak_port(soak, SOAK_PORT_CALLERS, i),
 		soak_port(soak, SOAK_PORT_READY, i),
@@ -204,6 +209,7 @@
 		soak_port(soak, SOAK_PORT_METRICS, i),
 		soak_port(soak, SOAK_PORT_STORE_LINK, i),
 		soak_port(soak, SOAK_PORT_INSTANCES_LINK, i),
+		soak_port(soak, SOAK_PORT_INSTANCES_LINK, i),
 		soak->keys ? ", \"revoke_bound_ms\": 3000" : "");
 	GError *err = NULL;
 
