--- a/packages/batch/batch_advice_cost.c
+++ b/packages/batch/batch_advice_cost.c
@@ -32,11 +32,8 @@
 	double slope;
 } line_t;
 
-typedef struct sums {
-	double weight, n, nn, t, nt;
-} sums_t;
-
-static void add_point(sums_t *sums, double weight, double n, double t)
+static void add_point(batch_advice_sums_t *sums, double weight, double n,
+		      double t)
 {
 	sums->weight += weight;
 	sums->n += weight * n;
@@ -62,7 +59,7 @@
 static line_t fit_line(const batch_advice_cost_t *cost)
 {
 	line_t line = configured_line(cost);
-	sums_t sums = { cost->weight, cost->n, cost->nn, cost->t, cost->nt };
+	batch_advice_sums_t sums = cost->sums;
 	double spread;
 
 	add_point(&sums, COST_PRIOR_WEIGHT, 1, line.base + line.slope);
@@ -139,19 +136,17 @@
 void batch_advice_cost_answered(batch_advice_cost_t *cost, size_t n,
 				int64_t took, int64_t validity)
 {
-	sums_t sums = { 0 };
+	batch_advice_sums_t *sums = &cost->sums;
 
 	/* What was learned before the service fell silent is outdated. */
-	if (!cost->unanswered)
-		sums = (sums_t){ COST_DECAY * cost->weight,
-				 COST_DECAY * cost->n, COST_DECAY * cost->nn,
-				 COST_DECAY * cost->t, COST_DECAY * cost->nt };
-	add_point(&sums, 1, (double)n, (double)took);
-	cost->weight = sums.weight;
-	cost->n = sums.n;
-	cost->nn = sums.nn;
-	cost->t = sums.t;
-	cost->nt = sums.nt;
+	if (cost->unanswered)
+		*sums = (batch_advice_sums_t){ 0 };
+	sums->weight *= COST_DECAY;
+	sums->n *= COST_DECAY;
+	sums->nn *= COST_DECAY;
+	sums->t *= COST_DECAY;
+	sums->nt *= COST_DECAY;
+	add_point(sums, 1, (double)n, (double)took);
 	if (validity > 0)
 		cost->validity = validity;
 	cost->unanswered = 0;
--- a/packages/batch/batch_int.h
+++ b/packages/batch/batch_int.h
@@ -101,12 +101,16 @@
 /* Most workers that the users expect in a question about one step. */
 #define BATCH_ADVICE_WORKERS_MAX 30
 
+/* Weighted sums over answers: of 1, of the number of workers n, n * n, the time
+ * t, and n * t. */
+typedef struct batch_advice_sums {
+	double weight, n, nn, t, nt;
+} batch_advice_sums_t;
+
 /* What the questions of a queue to its policy service take. */
 typedef struct batch_advice_cost {
 	batch_policy_t policy; /* as configured */
-	/* Weighted sums over the answers so far: of 1, of the number of workers
-	 * n, n * n, the time t, and n * t. */
-	double weight, n, nn, t, nt;
+	batch_advice_sums_t sums;
 	int64_t validity; /* as last answered; 0: not yet */
 	int unanswered;	  /* overdue questions in a row */
 	int refused;	  /* refused questions in a row */
