node_given_up_test: the fixture has a list of instances, as a real holder does

Since an entry without the address of a list reads none, the fixture's settings, which had none, made a holder that never asks.

--- a/packages/node/tests/node_given_up_test.c
+++ b/packages/node/tests/node_given_up_test.c
@@ -302,6 +302,7 @@
 	test.node->settings = talloc_zero(test.node, node_settings_t);
 	test.node->settings->lease_max = 6 * BASE_SEC;
 	test.node->settings->name = "edge-1";
+	test.node->settings->instances = "127.0.0.1:1";
 	test.node->loop = net_loop_new(test.node);
 	test.node->metrics = node_metrics_new(test.node);
 	test.node->log = node_log_new(test.node, test.node->loop,
